--- /dev/null
+++ b/common/loop.c
@@ -0,0 +1,152 @@
+#include "common/loop.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+
+#define DESCRIPTORS_MAX 16384
+
+struct loop
+{
+  uv_loop_t uv;
+  uv_signal_t signals[2];
+  loop_stop_cb *stop_cb;
+  void *stop_user;
+  bool stopping;
+};
+
+struct loop_timer
+{
+  uv_timer_t handle;
+  loop_timer_cb *cb;
+  void *user;
+};
+
+static void
+signal_received (uv_signal_t *handle, int signum)
+{
+  struct loop *loop = handle->data;
+
+  if (loop->stopping)
+    return;
+  loop->stopping = true;
+  if (loop->stop_cb != NULL)
+    loop->stop_cb (loop->stop_user);
+  else
+    loop_quit (loop);
+}
+
+/* libwebsockets sizes its tables by the descriptor limit, which may be in
+ * the millions; a limit set here bounds them. */
+static void
+limit_descriptors (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = MIN (limit.rlim_max, DESCRIPTORS_MAX);
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
+struct loop *
+loop_create (void)
+{
+  static const int signums[] = { SIGTERM, SIGINT };
+  struct loop *loop = g_new0 (struct loop, 1);
+
+  limit_descriptors ();
+  uv_loop_init (&loop->uv);
+  signal (SIGPIPE, SIG_IGN);
+  for (size_t i = 0; i < G_N_ELEMENTS (signums); i++)
+    {
+      uv_signal_init (&loop->uv, &loop->signals[i]);
+      loop->signals[i].data = loop;
+      uv_signal_start (&loop->signals[i], signal_received, signums[i]);
+      uv_unref ((uv_handle_t *)&loop->signals[i]);
+    }
+  return loop;
+}
+
+void
+loop_destroy (struct loop *loop)
+{
+  if (loop == NULL)
+    return;
+  for (size_t i = 0; i < G_N_ELEMENTS (loop->signals); i++)
+    uv_close ((uv_handle_t *)&loop->signals[i], NULL);
+  for (int i = 0; i < 100 && uv_loop_close (&loop->uv) == UV_EBUSY; i++)
+    uv_run (&loop->uv, UV_RUN_NOWAIT);
+  g_free (loop);
+}
+
+uv_loop_t *
+loop_uv (struct loop *loop)
+{
+  return &loop->uv;
+}
+
+int64_t
+loop_now_ms (struct loop *loop)
+{
+  return (int64_t)(uv_hrtime () / 1000000);
+}
+
+void
+loop_on_stop (struct loop *loop, loop_stop_cb *cb, void *user)
+{
+  loop->stop_cb = cb;
+  loop->stop_user = user;
+}
+
+void
+loop_run (struct loop *loop)
+{
+  uv_run (&loop->uv, UV_RUN_DEFAULT);
+}
+
+void
+loop_quit (struct loop *loop)
+{
+  uv_stop (&loop->uv);
+}
+
+static void
+timer_fired (uv_timer_t *handle)
+{
+  struct loop_timer *timer = handle->data;
+
+  timer->cb (timer->user);
+}
+
+struct loop_timer *
+loop_timer_start (struct loop *loop, int64_t delay_ms, int64_t repeat_ms,
+                  loop_timer_cb *cb, void *user)
+{
+  struct loop_timer *timer = g_new0 (struct loop_timer, 1);
+
+  timer->cb = cb;
+  timer->user = user;
+  uv_timer_init (&loop->uv, &timer->handle);
+  timer->handle.data = timer;
+  uv_update_time (&loop->uv);
+  uv_timer_start (&timer->handle, timer_fired,
+                  (uint64_t)(delay_ms > 0 ? delay_ms : 0),
+                  (uint64_t)repeat_ms);
+  return timer;
+}
+
+static void
+timer_closed (uv_handle_t *handle)
+{
+  g_free (handle->data);
+}
+
+void
+loop_timer_stop (struct loop_timer *timer)
+{
+  if (timer == NULL)
+    return;
+  uv_close ((uv_handle_t *)&timer->handle, timer_closed);
+}
--- /dev/null
+++ b/http/client.c
@@ -0,0 +1,393 @@
+#include "http/client.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "private.h"
+
+struct http_call
+{
+  struct http_context *context;
+  struct http_call_handler *handler;
+  struct lws *wsi;
+  struct loop_timer *timer;
+  char *method;
+  char *address;
+  char *host;
+  char *path;
+  char **header_names;
+  char **header_values;
+  size_t header_count;
+  unsigned char *body; /* behind LWS_PRE bytes of room */
+  size_t body_bytes;
+  size_t body_sent_bytes;
+  GHashTable *response_headers;
+  unsigned int status;
+  bool starting;
+  bool sent;
+  bool ended; /* no callback may follow */
+  bool failed_in_start;
+  const char *reason;
+};
+
+static void
+call_free (struct http_call *call)
+{
+  loop_timer_stop (call->timer);
+  for (size_t i = 0; i < call->header_count; i++)
+    {
+      g_free (call->header_names[i]);
+      g_free (call->header_values[i]);
+    }
+  g_free (call->header_names);
+  g_free (call->header_values);
+  g_free (call->method);
+  g_free (call->address);
+  g_free (call->host);
+  g_free (call->path);
+  g_free (call->body);
+  g_hash_table_destroy (call->response_headers);
+  g_free (call);
+}
+
+/* libwebsockets may still call back for a connection whose call has ended;
+ * it then finds no call. */
+static void
+call_detach (struct http_call *call)
+{
+  call->ended = true;
+  if (call->wsi == NULL)
+    return;
+  lws_set_opaque_user_data (call->wsi, NULL);
+  call->wsi = NULL;
+}
+
+static void
+call_fail (struct http_call *call, const char *reason)
+{
+  if (call->ended)
+    return;
+  if (call->starting)
+    {
+      call->failed_in_start = true;
+      call->reason = reason;
+      call_detach (call);
+      return;
+    }
+  call_detach (call);
+  call->handler->impl->failed (call->handler, call, call->sent, reason);
+  call_free (call);
+}
+
+static void
+call_finish (struct http_call *call)
+{
+  if (call->ended)
+    return;
+  call_detach (call);
+  call->handler->impl->done (call->handler, call);
+  call_free (call);
+}
+
+/* Closing a connection inside its own callback frees memory that
+ * libwebsockets still uses; there, the callback's return value closes it. */
+static void
+kill_connection (struct http_context *context, struct lws *wsi)
+{
+  if (wsi != NULL && wsi != context->active)
+    lws_set_timeout (wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_SYNC);
+}
+
+static void
+timed_out (void *user)
+{
+  struct http_call *call = user;
+  struct http_context *context = call->context;
+  struct lws *wsi = call->wsi;
+
+  call_fail (call, "timeout");
+  kill_connection (context, wsi);
+}
+
+static void
+fail_later (void *user)
+{
+  struct http_call *call = user;
+
+  call->handler->impl->failed (call->handler, call, call->sent, call->reason);
+  call_free (call);
+}
+
+static int
+append_request_headers (struct http_call *call, void *in, size_t len)
+{
+  unsigned char **p = in;
+  unsigned char *end = *p + len;
+  char length[24];
+
+  /* From here on bytes may reach the socket. */
+  call->sent = true;
+  for (size_t i = 0; i < call->header_count; i++)
+    {
+      char *name = g_strconcat (call->header_names[i], ":", NULL);
+      const char *value = call->header_values[i];
+      int bad = lws_add_http_header_by_name (call->wsi, (unsigned char *)name,
+                                             (const unsigned char *)value,
+                                             (int)strlen (value), p, end);
+
+      g_free (name);
+      if (bad != 0)
+        return -1;
+    }
+  if (call->body_bytes == 0 && strcmp (call->method, "GET") == 0)
+    return 0;
+  g_snprintf (length, sizeof length, "%zu", call->body_bytes);
+  if (lws_add_http_header_by_token (call->wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
+                                    (unsigned char *)length,
+                                    (int)strlen (length), p, end)
+      != 0)
+    return -1;
+  if (call->body_bytes > 0)
+    {
+      lws_client_http_body_pending (call->wsi, 1);
+      lws_callback_on_writable (call->wsi);
+    }
+  return 0;
+}
+
+static int
+write_body (struct http_call *call)
+{
+  size_t left = call->body_bytes - call->body_sent_bytes;
+  size_t n = left < HTTP_WRITE_BYTES ? left : HTTP_WRITE_BYTES;
+  bool last = n == left;
+
+  if (left == 0)
+    return 0;
+  if (lws_write (call->wsi, call->body + LWS_PRE + call->body_sent_bytes, n,
+                 last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
+      < 0)
+    return -1;
+  call->body_sent_bytes += n;
+  if (last)
+    lws_client_http_body_pending (call->wsi, 0);
+  else
+    lws_callback_on_writable (call->wsi);
+  return 0;
+}
+
+static int
+read_body (struct lws *wsi)
+{
+  char buf[LWS_PRE + HTTP_WRITE_BYTES];
+  char *p = buf + LWS_PRE;
+  int n = HTTP_WRITE_BYTES;
+
+  return lws_http_client_read (wsi, &p, &n) < 0 ? -1 : 0;
+}
+
+static int
+dispatch (struct lws *wsi, enum lws_callback_reasons reason, void *in,
+          size_t len)
+{
+  struct http_call *call = lws_get_opaque_user_data (wsi);
+
+  if (call == NULL)
+    {
+      switch (reason)
+        {
+        case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+        case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+          return -1;
+        default:
+          return 0;
+        }
+    }
+  switch (reason)
+    {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+      call->wsi = wsi;
+      return append_request_headers (call, in, len);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+      return write_body (call);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+      call->status = lws_http_client_http_response (wsi);
+      if (call->handler->impl->head != NULL)
+        call->handler->impl->head (call->handler, call, call->status);
+      /* The handler may have cancelled the call. */
+      return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+      if (read_body (wsi) < 0)
+        return -1;
+      return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+      if (call->handler->impl->data != NULL)
+        call->handler->impl->data (call->handler, call, in, len);
+      return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+      call_finish (call);
+      return -1;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+      call_fail (call, "connection error");
+      return 0;
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+    case LWS_CALLBACK_WSI_DESTROY:
+      call_fail (call, "connection closed");
+      return 0;
+    default:
+      return 0;
+    }
+}
+
+int
+http_client_callback (struct lws *wsi, enum lws_callback_reasons reason,
+                      void *user, void *in, size_t len)
+{
+  struct http_context *context = lws_context_user (lws_get_context (wsi));
+  struct lws *outer;
+  int result;
+
+  if (context == NULL)
+    return 0;
+  outer = context->active;
+  context->active = wsi;
+  result = dispatch (wsi, reason, in, len);
+  context->active = outer;
+  return result;
+}
+
+static void
+copy_request (struct http_call *call, const struct http_request *request)
+{
+  call->method = g_strdup (request->method);
+  call->address = g_strdup (request->address);
+  call->host
+      = request->tls_host != NULL
+            ? g_strdup (request->tls_host)
+            : g_strdup_printf ("%s:%u", request->address, request->port);
+  call->path = g_strdup (request->path);
+  call->header_count = request->header_count;
+  call->header_names = g_new0 (char *, request->header_count + 1);
+  call->header_values = g_new0 (char *, request->header_count + 1);
+  for (size_t i = 0; i < request->header_count; i++)
+    {
+      call->header_names[i] = g_strdup (request->headers[i].name);
+      /* A line break in a value would let its source forge headers. */
+      call->header_values[i]
+          = g_strdelimit (g_strdup (request->headers[i].value), "\r\n", ' ');
+    }
+  call->body_bytes = request->body_bytes;
+  if (request->body_bytes == 0)
+    return;
+  call->body = g_malloc (LWS_PRE + request->body_bytes);
+  memcpy (call->body + LWS_PRE, request->body, request->body_bytes);
+}
+
+struct http_call *
+http_call_start (struct http_context *context,
+                 const struct http_request *request,
+                 struct http_call_handler *handler)
+{
+  struct http_call *call = g_new0 (struct http_call, 1);
+  struct lws_client_connect_info info = { 0 };
+  struct lws *wsi;
+
+  call->context = context;
+  call->handler = handler;
+  call->response_headers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  copy_request (call, request);
+  info.context = context->lws;
+  info.vhost = context->client_vhost;
+  info.address = call->address;
+  info.port = request->port;
+  info.path = call->path;
+  info.host = call->host;
+  info.origin = NULL;
+  info.method = call->method;
+  info.protocol = "http";
+  info.local_protocol_name = "http";
+  info.alpn = "http/1.1";
+  info.opaque_user_data = call;
+  info.pwsi = &call->wsi;
+  info.ssl_connection
+      = LCCSCF_HTTP_NO_FOLLOW_REDIRECT | (request->tls ? LCCSCF_USE_SSL : 0);
+  call->starting = true;
+  wsi = lws_client_connect_via_info (&info);
+  call->starting = false;
+  if (wsi == NULL || call->failed_in_start)
+    {
+      call->wsi = NULL;
+      call->ended = true;
+      if (call->reason == NULL)
+        call->reason = "connection error";
+      call->timer = loop_timer_start (context->loop, 0, 0, fail_later, call);
+      return call;
+    }
+  if (request->timeout_ms > 0)
+    call->timer = loop_timer_start (context->loop, request->timeout_ms, 0,
+                                    timed_out, call);
+  return call;
+}
+
+void
+http_call_cancel (struct http_call *call)
+{
+  struct lws *wsi = call->wsi;
+
+  call_detach (call);
+  kill_connection (call->context, wsi);
+  call_free (call);
+}
+
+void
+http_call_pause (struct http_call *call, bool paused)
+{
+  if (call->wsi != NULL)
+    lws_rx_flow_control (call->wsi, paused ? 0 : 1);
+}
+
+const char *
+http_call_header (struct http_call *call, const char *name)
+{
+  char key[80];
+  int n;
+  char *value = g_hash_table_lookup (call->response_headers, name);
+
+  if (value != NULL || call->wsi == NULL)
+    return value;
+  if (strcmp (name, "content-type") == 0)
+    {
+      n = lws_hdr_total_length (call->wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
+      if (n <= 0)
+        return NULL;
+      value = g_malloc0 ((gsize)n + 1);
+      lws_hdr_copy (call->wsi, value, n + 1, WSI_TOKEN_HTTP_CONTENT_TYPE);
+    }
+  else
+    {
+      g_snprintf (key, sizeof key, "%s:", name);
+      n = lws_hdr_custom_length (call->wsi, key, (int)strlen (key));
+      if (n < 0)
+        return NULL;
+      value = g_malloc0 ((gsize)n + 1);
+      lws_hdr_custom_copy (call->wsi, value, n + 1, key, (int)strlen (key));
+    }
+  g_hash_table_insert (call->response_headers, g_strdup (name), value);
+  return value;
+}
+
+unsigned int
+http_call_status (const struct http_call *call)
+{
+  return call->status;
+}
+
+bool
+http_call_sent (const struct http_call *call)
+{
+  return call->sent;
+}
--- /dev/null
+++ b/include/beryl/config.h
@@ -0,0 +1,189 @@
+/** @file
+ * The operators' objects as typed data.
+ *
+ * Source of the data: JSON documents in the platform's object API, which
+ * berylctl makes from YAML.  A configuration is immutable once built.
+ */
+#ifndef BERYL_CONFIG_H
+#define BERYL_CONFIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "beryl/findings.h"
+#include "beryl/ids.h"
+
+/** Kinds of objects, as in the "kind" field. */
+enum beryl_kind
+{
+  BERYL_KIND_SERVICE,
+  BERYL_KIND_POOL,
+  BERYL_KIND_MODEL,
+  BERYL_KIND_ORGANISATION,
+  BERYL_KIND_URGENCY,
+  BERYL_KIND_ENDPOINT,
+  BERYL_KIND_SYSTEM,
+};
+
+/** Order in which calls are served. */
+enum beryl_class
+{
+  BERYL_CLASS_URGENT, /**< small calls with an immediate deadline */
+  BERYL_CLASS_NORMAL,
+  BERYL_CLASS_BATCH, /**< first to be refused when capacity is short */
+};
+
+/** What an endpoint does. */
+enum beryl_role
+{
+  BERYL_ROLE_PREFILL = 1,
+  BERYL_ROLE_DECODE = 2,
+  BERYL_ROLE_BOTH = 3,
+  BERYL_ROLE_SERVICE = 4,
+};
+
+/** A call pattern of a service; PATH may end in "*". */
+struct beryl_call_rule
+{
+  char method[16]; /**< "" matches every method */
+  char path[128];
+  bool non_idempotent;
+  enum beryl_class call_class;
+  int64_t deadline_ms; /**< 0: the service's */
+};
+
+/** A model service or a plain service. */
+struct beryl_service
+{
+  char name[BERYL_NAME_BYTES];
+  char model[BERYL_NAME_BYTES]; /**< "" for a plain service */
+  enum beryl_class call_class;
+  int64_t deadline_ms;              /**< of a call that names none */
+  int64_t first_token_target_ms;    /**< model services */
+  int64_t between_tokens_target_ms; /**< model services */
+  /** How many met deadlines one wasted prefill is worth: 0 favours goodput,
+   * 1 weighs both alike, more favours little waste. */
+  double waste_weight;
+  uint32_t retry_budget_percent; /**< retries per hundred first tries */
+  uint32_t max_concurrent;       /**< per endpoint; 0: no limit */
+  bool non_idempotent;           /**< default for calls without a rule */
+  struct beryl_call_rule *rules;
+  size_t rule_count;
+};
+
+/** A pool of engines or of service processes. */
+struct beryl_pool
+{
+  char name[BERYL_NAME_BYTES];
+  char service[BERYL_NAME_BYTES];
+  char data_centre[BERYL_NAME_BYTES]; /**< "": any */
+  enum beryl_role role;
+  uint32_t min_endpoints;
+  uint32_t max_endpoints;
+};
+
+/** A model and the version that is to be served. */
+struct beryl_model
+{
+  char name[BERYL_NAME_BYTES];
+  char version[BERYL_NAME_BYTES];
+  uint32_t context_tokens;
+  uint32_t kv_bytes_per_token;
+  uint32_t block_tokens; /**< tokens per prefix-cache block */
+  uint64_t weight_bytes;
+};
+
+/** Whose calls they are. */
+struct beryl_organisation
+{
+  char name[BERYL_NAME_BYTES];
+  char (*token_sha256)[65]; /**< hex digests; several during rotation */
+  size_t token_count;
+  double weight;           /**< fair share; 1 is usual */
+  uint32_t requests_per_s; /**< 0: no limit */
+  uint32_t max_concurrent; /**< 0: no limit */
+};
+
+/** One back end. */
+struct beryl_endpoint
+{
+  char name[BERYL_NAME_BYTES];
+  char service[BERYL_NAME_BYTES];
+  char address[64]; /**< IP number */
+  uint16_t port;
+  char data_centre[BERYL_NAME_BYTES];
+  char region[BERYL_NAME_BYTES];
+  enum beryl_role role;
+  uint32_t slots;            /**< concurrent decodes; 0: unknown */
+  uint64_t link_bytes_per_s; /**< rate for KV transfers; 0: unknown */
+  bool checks_fence;         /**< refuses orders with an old fencing number */
+  bool leaving;              /**< receives no new work */
+};
+
+/** Settings of the whole system that change at run time. */
+struct beryl_system
+{
+  char log_level[16];
+  uint32_t claim_shards;
+  int64_t claim_retention_ms;
+  int64_t entry_answer_ttl_ms; /**< lifetime of a discovery answer */
+};
+
+/** A checked configuration. */
+struct beryl_config
+{
+  uint64_t version;
+  struct beryl_service *services;
+  size_t service_count;
+  struct beryl_pool *pools;
+  size_t pool_count;
+  struct beryl_model *models;
+  size_t model_count;
+  struct beryl_organisation *organisations;
+  size_t organisation_count;
+  struct beryl_endpoint *endpoints;
+  size_t endpoint_count;
+  struct beryl_system system;
+};
+
+/** Build a configuration from a JSON array of objects, each
+ * {"api_version":"beryl/v1","kind":K,"name":N,"spec":{...}}.
+ * All problems are added to FINDINGS.  Returns NULL if there is any. */
+struct beryl_config *beryl_config_parse (const char *json, size_t json_bytes,
+                                         uint64_t version,
+                                         struct beryl_findings *findings);
+
+/** Check one object on its own; true if it is valid. */
+bool beryl_config_check_object (const char *json, size_t json_bytes,
+                                struct beryl_findings *findings);
+
+/** Release CONFIG; NULL is allowed. */
+void beryl_config_destroy (struct beryl_config *config);
+
+/** Find by name; NULL if absent. */
+const struct beryl_service *
+beryl_config_service (const struct beryl_config *config, const char *name);
+const struct beryl_service *
+beryl_config_service_of_model (const struct beryl_config *config,
+                               const char *model);
+const struct beryl_model *
+beryl_config_model (const struct beryl_config *config, const char *name);
+
+/** Find the organisation whose token has the hex SHA-256 digest; compared
+ * in constant time.  NULL if none. */
+const struct beryl_organisation *
+beryl_config_organisation_of_token (const struct beryl_config *config,
+                                    const char *token);
+
+/** Return the rule that matches a call, or NULL. */
+const struct beryl_call_rule *
+beryl_service_rule (const struct beryl_service *service, const char *method,
+                    const char *path);
+
+/** Stable names used in JSON and YAML. */
+const char *beryl_kind_name (enum beryl_kind kind);
+const char *beryl_class_name (enum beryl_class call_class);
+const char *beryl_role_name (enum beryl_role role);
+
+#endif
--- /dev/null
+++ b/include/common/loop.h
@@ -0,0 +1,65 @@
+/** @file
+ * The event loop of a daemon: libuv, shared with libwebsockets, plus
+ * stop signals and log set-up.
+ */
+#ifndef COMMON_LOOP_H
+#define COMMON_LOOP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+struct loop;
+
+/** Called on the first SIGTERM or SIGINT; later signals change nothing. */
+typedef void loop_stop_cb (void *user);
+
+/** Create a loop. */
+struct loop *loop_create (void);
+
+/** Release LOOP; every handle on it must have been closed. */
+void loop_destroy (struct loop *loop);
+
+/** Return the libuv loop. */
+uv_loop_t *loop_uv (struct loop *loop);
+
+/** Return the loop's monotonic time in milliseconds. */
+int64_t loop_now_ms (struct loop *loop);
+
+/** Call CB at the first stop signal. */
+void loop_on_stop (struct loop *loop, loop_stop_cb *cb, void *user);
+
+/** Run until loop_quit. */
+void loop_run (struct loop *loop);
+
+/** Make loop_run return. */
+void loop_quit (struct loop *loop);
+
+struct loop_timer;
+
+/** A timer's callback. */
+typedef void loop_timer_cb (void *user);
+
+/** Start a timer after DELAY_MS, repeating each REPEAT_MS unless 0. */
+struct loop_timer *loop_timer_start (struct loop *loop, int64_t delay_ms,
+                                     int64_t repeat_ms, loop_timer_cb *cb,
+                                     void *user);
+
+/** Stop and release TIMER; NULL is allowed, also inside its callback. */
+void loop_timer_stop (struct loop_timer *timer);
+
+/** Log format of GLib's structured log writer. */
+enum log_format
+{
+  LOG_FORMAT_TEXT,
+  LOG_FORMAT_JSON,
+};
+
+/** Install the log writer: one line per record on standard error.
+ * LEVEL is one of "error", "warning", "info" and "debug". */
+void log_init (const char *program, enum log_format format, const char *level);
+
+/** Change the level at run time; returns false if LEVEL is unknown. */
+bool log_set_level (const char *level);
+
+#endif
