Parse the operators' objects into a checked configuration

Cause: every part decides from struct beryl_config, which nothing built. Conclusion: the daemons and berylctl can share one judgement of an object.

--- a/include/beryl/config.h
+++ b/include/beryl/config.h
@@ -149,7 +149,10 @@
 
 /** Build a configuration from a JSON array of objects, each
  * {"api_version":"beryl/v1","kind":K,"name":N,"spec":{...}}.
- * All problems are added to FINDINGS.  Returns NULL if there is any. */
+ * All problems are added to FINDINGS.  A finding's file is the JSON pointer
+ * of its place ("/3/spec/port"), so that a caller which knows the source can
+ * name the line.  Rules of urgency objects are added to their services'.
+ * Returns NULL if there is any finding. */
 struct beryl_config *beryl_config_parse (const char *json, size_t json_bytes,
                                          uint64_t version,
                                          struct beryl_findings *findings);
--- /dev/null
+++ b/libberyl/config/fields.c
@@ -0,0 +1,258 @@
+#include "fields.h"
+
+#include <arpa/inet.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "beryl/config.h"
+
+void
+place_finding (const struct place *place, const char *member,
+               const char *format, ...)
+{
+  char pointer[384];
+  char message[256];
+  va_list ap;
+
+  va_start (ap, format);
+  vsnprintf (message, sizeof message, format, ap);
+  va_end (ap);
+  snprintf (pointer, sizeof pointer, "%s%s%s", place->pointer,
+            member != NULL ? "/" : "", member != NULL ? member : "");
+  beryl_findings_add (place->findings, pointer, 0, 0, "%s: %s", place->object,
+                      message);
+}
+
+void
+place_enter (struct place *child, const struct place *place, const char *key)
+{
+  int room = (int)sizeof child->pointer - 2;
+  int used = (int)strlen (place->pointer);
+
+  *child = *place;
+  snprintf (child->pointer, sizeof child->pointer, "%s/%.*s", place->pointer,
+            room > used ? room - used : 0, key);
+}
+
+bool
+field_name_valid (const char *text)
+{
+  size_t n = strspn (text, "abcdefghijklmnopqrstuvwxyz0123456789._-");
+
+  return n > 0 && text[n] == '\0' && n < BERYL_NAME_BYTES;
+}
+
+static bool
+text_is_printable (const char *text)
+{
+  for (; *text != '\0'; text++)
+    if ((unsigned char)*text < 0x20 || *text == 0x7f)
+      return false;
+  return true;
+}
+
+static void
+read_text (const struct place *place, const struct field *field, json_t *value,
+           char *target)
+{
+  const char *text = json_string_value (value);
+
+  if (text == NULL)
+    place_finding (place, field->key, "%s must be text", field->key);
+  else if (strlen (text) >= field->bytes)
+    place_finding (place, field->key, "%s has more than %zu bytes", field->key,
+                   field->bytes - 1);
+  else if (!text_is_printable (text))
+    place_finding (place, field->key, "%s contains control characters",
+                   field->key);
+  else if (field->type == FIELD_NAME && !field_name_valid (text))
+    place_finding (place, field->key, "%s must match [a-z0-9._-]{1,63}",
+                   field->key);
+  else
+    memcpy (target, text, strlen (text) + 1);
+}
+
+static void
+read_address (const struct place *place, const struct field *field,
+              json_t *value, char *target)
+{
+  const char *text = json_string_value (value);
+  unsigned char number[16];
+
+  if (text == NULL
+      || (inet_pton (AF_INET, text, number) != 1
+          && inet_pton (AF_INET6, text, number) != 1))
+    place_finding (place, field->key, "%s must be an IP number", field->key);
+  else
+    read_text (place, field, value, target);
+}
+
+static void
+store_integer (const struct field *field, json_int_t n, void *target)
+{
+  switch (field->type)
+    {
+    case FIELD_UINT16:
+      *(uint16_t *)target = (uint16_t)n;
+      break;
+    case FIELD_UINT32:
+      *(uint32_t *)target = (uint32_t)n;
+      break;
+    case FIELD_UINT64:
+      *(uint64_t *)target = (uint64_t)n;
+      break;
+    default:
+      *(int64_t *)target = n;
+      break;
+    }
+}
+
+static void
+read_integer (const struct place *place, const struct field *field,
+              json_t *value, void *target)
+{
+  json_int_t n = json_integer_value (value);
+
+  if (!json_is_integer (value))
+    place_finding (place, field->key, "%s must be an integer", field->key);
+  else if ((double)n < field->min || (double)n > field->max)
+    place_finding (place, field->key, "%s must be from %.0f to %.0f",
+                   field->key, field->min, field->max);
+  else
+    store_integer (field, n, target);
+}
+
+static void
+read_double (const struct place *place, const struct field *field,
+             json_t *value, double *target)
+{
+  double n = json_number_value (value);
+
+  if (!json_is_number (value))
+    place_finding (place, field->key, "%s must be a number", field->key);
+  else if (n < field->min || n > field->max)
+    place_finding (place, field->key, "%s must be from %g to %g", field->key,
+                   field->min, field->max);
+  else
+    *target = n;
+}
+
+static void
+read_class (const struct place *place, const struct field *field,
+            json_t *value, enum beryl_class *target)
+{
+  const char *text = json_string_value (value);
+
+  for (int c = BERYL_CLASS_URGENT; c <= BERYL_CLASS_BATCH; c++)
+    if (text != NULL && strcmp (text, beryl_class_name (c)) == 0)
+      {
+        *target = c;
+        return;
+      }
+  place_finding (place, field->key, "%s must be urgent, normal or batch",
+                 field->key);
+}
+
+static void
+read_role (const struct place *place, const struct field *field, json_t *value,
+           enum beryl_role *target)
+{
+  const char *text = json_string_value (value);
+
+  for (int r = BERYL_ROLE_PREFILL; r <= BERYL_ROLE_SERVICE; r++)
+    if (text != NULL && strcmp (text, beryl_role_name (r)) == 0)
+      {
+        *target = r;
+        return;
+      }
+  place_finding (place, field->key,
+                 "%s must be prefill, decode, both or service", field->key);
+}
+
+static void
+read_bool (const struct place *place, const struct field *field, json_t *value,
+           bool *target)
+{
+  if (!json_is_boolean (value))
+    place_finding (place, field->key, "%s must be true or false", field->key);
+  else
+    *target = json_is_true (value);
+}
+
+static void
+read_field (const struct place *place, const struct field *field,
+            json_t *value, void *target)
+{
+  void *p = (char *)target + field->offset;
+  struct place child;
+
+  switch (field->type)
+    {
+    case FIELD_NAME:
+    case FIELD_TEXT:
+      read_text (place, field, value, p);
+      return;
+    case FIELD_UINT16:
+    case FIELD_UINT32:
+    case FIELD_UINT64:
+    case FIELD_INT64:
+      read_integer (place, field, value, p);
+      return;
+    case FIELD_DOUBLE:
+      read_double (place, field, value, p);
+      return;
+    case FIELD_BOOL:
+      read_bool (place, field, value, p);
+      return;
+    case FIELD_CLASS:
+      read_class (place, field, value, p);
+      return;
+    case FIELD_ROLE:
+      read_role (place, field, value, p);
+      return;
+    case FIELD_ADDRESS:
+      read_address (place, field, value, p);
+      return;
+    case FIELD_CUSTOM:
+      place_enter (&child, place, field->key);
+      field->custom (&child, value, target);
+      return;
+    }
+}
+
+static const struct field *
+find_field (const struct field *fields, size_t field_count, const char *key)
+{
+  for (size_t i = 0; i < field_count; i++)
+    if (strcmp (fields[i].key, key) == 0)
+      return &fields[i];
+  return NULL;
+}
+
+void
+fields_read (const struct place *place, json_t *json,
+             const struct field *fields, size_t field_count, void *target)
+{
+  const char *key;
+  json_t *value;
+
+  if (!json_is_object (json))
+    {
+      place_finding (place, NULL, "must be an object");
+      return;
+    }
+  json_object_foreach (json, key, value)
+  {
+    const struct field *field = find_field (fields, field_count, key);
+
+    if (field == NULL)
+      place_finding (place, key, "unknown key \"%.64s\"", key);
+    else
+      read_field (place, field, value, target);
+  }
+  for (size_t i = 0; i < field_count; i++)
+    if (fields[i].required && json_object_get (json, fields[i].key) == NULL)
+      place_finding (place, NULL, "%s is missing", fields[i].key);
+}
