--- /dev/null
+++ b/tests/control/test_discovery.c
@@ -0,0 +1,206 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/discovery.h"
+
+#define ORGANISATIONS 2200
+
+struct fleet
+{
+  struct beryl_discovery_node nodes[400];
+  char names[400][24];
+  char data_centres[10][8];
+  char regions[3][8];
+  size_t node_count;
+  char organisations[ORGANISATIONS][24];
+  const char *organisation_names[ORGANISATIONS];
+  struct beryl_discovery *discovery;
+};
+
+static struct fleet *
+fleet_create (size_t node_count, size_t data_centre_count)
+{
+  struct fleet *f = calloc (1, sizeof *f);
+
+  f->node_count = node_count;
+  for (size_t i = 0; i < data_centre_count; i++)
+    snprintf (f->data_centres[i], sizeof f->data_centres[i], "dc%zu", i);
+  for (size_t i = 0; i < 3; i++)
+    snprintf (f->regions[i], sizeof f->regions[i], "r%zu", i);
+  for (size_t i = 0; i < node_count; i++)
+    {
+      size_t dc = i % data_centre_count;
+
+      snprintf (f->names[i], sizeof f->names[i], "node-%zu", i);
+      f->nodes[i].name = f->names[i];
+      f->nodes[i].data_centre = f->data_centres[dc];
+      f->nodes[i].region = f->regions[dc % 3];
+    }
+  for (size_t i = 0; i < ORGANISATIONS; i++)
+    {
+      snprintf (f->organisations[i], sizeof f->organisations[i], "org-%zu", i);
+      f->organisation_names[i] = f->organisations[i];
+    }
+  f->discovery = beryl_discovery_create ();
+  beryl_discovery_set_nodes (f->discovery, f->nodes, f->node_count);
+  beryl_discovery_set_organisations (f->discovery, f->organisation_names,
+                                     ORGANISATIONS);
+  return f;
+}
+
+static void
+fleet_destroy (struct fleet *f)
+{
+  beryl_discovery_destroy (f->discovery);
+  free (f);
+}
+
+/* Greatest distance of a node's share from the mean, in percent. */
+static double
+fleet_unevenness (const struct fleet *f, size_t data_centre_count)
+{
+  double load[400] = { 0 };
+  double mean = 100.0 * ORGANISATIONS / (double)f->node_count;
+  double worst = 0;
+
+  for (size_t i = 0; i < ORGANISATIONS; i++)
+    {
+      struct beryl_discovery_choice c[BERYL_DISCOVERY_MAX];
+      const char *dc = data_centre_count != 0
+                           ? f->data_centres[i % data_centre_count]
+                           : "";
+      size_t n = beryl_discovery_choose (f->discovery, f->organisations[i], dc,
+                                         "", c, BERYL_DISCOVERY_MAX);
+
+      for (size_t j = 0; j < n; j++)
+        load[c[j].node] += c[j].weight;
+    }
+  for (size_t i = 0; i < f->node_count; i++)
+    {
+      double off = load[i] > mean ? load[i] - mean : mean - load[i];
+
+      worst = off > worst ? off : worst;
+    }
+  return 100 * worst / mean;
+}
+
+/* Story: organisations keep their answer, so an uneven spread stays.  With
+ * plain hashing of 2,200 names some of 8 nodes get 20% more than others,
+ * and calls there miss deadlines while other nodes idle. */
+START_TEST (spread_is_even)
+{
+  struct fleet *today = fleet_create (8, 4);
+  struct fleet *target = fleet_create (400, 10);
+
+  ck_assert_double_le (fleet_unevenness (today, 0), 10);
+  ck_assert_double_le (fleet_unevenness (today, 4), 10);
+  ck_assert_double_le (fleet_unevenness (target, 0), 10);
+  printf ("unevenness: 8 nodes %.1f%%, by data centre %.1f%%; 400 nodes "
+          "%.1f%%, by data centre %.1f%%\n",
+          fleet_unevenness (today, 0), fleet_unevenness (today, 4),
+          fleet_unevenness (target, 0), fleet_unevenness (target, 10));
+  fleet_destroy (today);
+  fleet_destroy (target);
+}
+END_TEST
+
+/* Story: a node got SIGTERM and left; an answer that names it would send a
+ * caller to a closed port some seconds later. */
+START_TEST (leaving_nodes_are_not_named)
+{
+  struct fleet *f = fleet_create (8, 4);
+
+  f->nodes[0].leaving = true;
+  f->nodes[5].leaving = true;
+  beryl_discovery_set_nodes (f->discovery, f->nodes, f->node_count);
+  for (size_t i = 0; i < ORGANISATIONS; i++)
+    {
+      struct beryl_discovery_choice c[BERYL_DISCOVERY_MAX];
+      size_t n = beryl_discovery_choose (f->discovery, f->organisations[i],
+                                         "dc0", "r0", c, BERYL_DISCOVERY_MAX);
+
+      ck_assert_uint_gt (n, 0);
+      for (size_t j = 0; j < n; j++)
+        ck_assert (!f->nodes[c[j].node].leaving);
+    }
+  fleet_destroy (f);
+}
+END_TEST
+
+/* Story: a data centre loses power.  Its nodes turn suspect and later leave
+ * the list; its callers must be sent to the region's other data centres and
+ * find a live node first in each answer. */
+START_TEST (lost_data_centre_goes_elsewhere)
+{
+  struct fleet *f = fleet_create (12, 6);
+  struct beryl_discovery_choice c[BERYL_DISCOVERY_MAX];
+  size_t n;
+
+  for (size_t i = 0; i < f->node_count; i++)
+    f->nodes[i].suspect = i % 6 == 0;
+  beryl_discovery_set_nodes (f->discovery, f->nodes, f->node_count);
+  n = beryl_discovery_choose (f->discovery, "org-1", "dc0", "r0", c,
+                              BERYL_DISCOVERY_MAX);
+  ck_assert_uint_ge (n, 2);
+  ck_assert_str_eq (f->nodes[c[0].node].data_centre, "dc3");
+  for (size_t j = 0; j < n; j++)
+    ck_assert (!(f->nodes[c[j].node].suspect && c[j].weight > 0));
+  fleet_destroy (f);
+}
+END_TEST
+
+/* Story: every node is suspected at once, as after this node's own network
+ * card failed for a while; an empty answer would turn callers away though
+ * the nodes live. */
+START_TEST (suspects_are_the_last_resort)
+{
+  struct fleet *f = fleet_create (8, 4);
+  struct beryl_discovery_choice c[BERYL_DISCOVERY_MAX];
+  uint32_t weight = 0;
+  size_t n;
+
+  for (size_t i = 0; i < f->node_count; i++)
+    f->nodes[i].suspect = true;
+  beryl_discovery_set_nodes (f->discovery, f->nodes, f->node_count);
+  n = beryl_discovery_choose (f->discovery, "org-1", "dc0", "r0", c,
+                              BERYL_DISCOVERY_MAX);
+  ck_assert_uint_gt (n, 0);
+  for (size_t j = 0; j < n; j++)
+    weight += c[j].weight;
+  ck_assert_uint_eq (weight, 100);
+  fleet_destroy (f);
+}
+END_TEST
+
+START_TEST (no_nodes_no_choices)
+{
+  struct beryl_discovery *d = beryl_discovery_create ();
+  struct beryl_discovery_choice c[2];
+
+  ck_assert_uint_eq (beryl_discovery_choose (d, "o", "", "", c, 2), 0);
+  beryl_discovery_destroy (d);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("discovery");
+  TCase *t = tcase_create ("choose");
+  SRunner *r;
+  int failed;
+
+  tcase_add_test (t, spread_is_even);
+  tcase_add_test (t, leaving_nodes_are_not_named);
+  tcase_add_test (t, lost_data_centre_goes_elsewhere);
+  tcase_add_test (t, suspects_are_the_last_resort);
+  tcase_add_test (t, no_nodes_no_choices);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed == 0 ? 0 : 1;
+}
