--- /dev/null
+++ b/include/common/platform_client.h
@@ -0,0 +1,101 @@
+/** @file
+ * The platform client on the process's loop: beryl/platform.h over
+ * http/client.h, with a callback for each request.
+ *
+ * One thread.  No callback runs inside a call of the owner.  Once a request
+ * is forgotten or the client destroyed, its callback is not run.
+ */
+#ifndef COMMON_PLATFORM_CLIENT_H
+#define COMMON_PLATFORM_CLIENT_H
+
+#include "beryl/platform.h"
+#include "common/counters.h"
+#include "common/loop.h"
+#include "http/context.h"
+
+struct platform_client;
+
+/** Where the platform is and how to call it. */
+struct platform_client_settings
+{
+  const char *address; /**< IP number; copied */
+  uint16_t port;
+  bool tls;
+  const char *tls_host; /**< name to verify; NULL: ADDRESS */
+  const char *token;    /**< sent as a bearer token; NULL: none */
+  struct beryl_platform_settings core;
+  uint64_t seed;
+};
+
+/** The end of a request; RESULT is valid during the call. */
+typedef void platform_client_cb (void *user,
+                                 const struct beryl_platform_result *result);
+
+/** Callbacks of a watch; each may be NULL. */
+struct platform_watch_callbacks
+{
+  void (*event) (void *user, const struct beryl_platform_event *event);
+  void (*synced) (void *user, uint64_t revision);
+  void (*instances) (void *user, uint64_t revision,
+                     const struct beryl_instance *items, size_t count);
+};
+
+/** Create a client.  COUNTERS (may be NULL) takes beryl_platform_*. */
+struct platform_client *
+platform_client_create (struct loop *loop, struct http_context *http,
+                        const struct platform_client_settings *settings,
+                        struct counters *counters);
+
+/** Cancel all calls and release CLIENT; NULL is allowed. */
+void platform_client_destroy (struct platform_client *client);
+
+/** Return the core, for its counts and state. */
+struct beryl_platform *platform_client_core (struct platform_client *client);
+
+/** How a request is made. */
+struct platform_client_options
+{
+  enum beryl_platform_use use;
+  int64_t timeout_ms; /**< the callback runs by then */
+  bool wait;          /**< as in struct beryl_platform_options */
+};
+
+/** Requests, as in beryl/platform.h; return the request's number. */
+uint64_t platform_client_get (struct platform_client *client,
+                              const struct platform_client_options *options,
+                              const char *kind, const char *name,
+                              uint64_t min_version, platform_client_cb *cb,
+                              void *user);
+uint64_t platform_client_list (struct platform_client *client,
+                               const struct platform_client_options *options,
+                               const char *kind, const char *prefix,
+                               platform_client_cb *cb, void *user);
+uint64_t platform_client_put (struct platform_client *client,
+                              const struct platform_client_options *options,
+                              const struct beryl_platform_write *write,
+                              platform_client_cb *cb, void *user);
+uint64_t platform_client_delete (struct platform_client *client,
+                                 const struct platform_client_options *options,
+                                 const char *kind, const char *name,
+                                 uint64_t version, platform_client_cb *cb,
+                                 void *user);
+
+/** Forget a request: its callback is not run. */
+void platform_client_forget (struct platform_client *client, uint64_t request);
+
+/** Watch objects of KIND. */
+uint64_t
+platform_client_watch (struct platform_client *client,
+                       enum beryl_platform_use use, const char *kind,
+                       const struct platform_watch_callbacks *callbacks,
+                       void *user);
+
+/** Watch the instance list. */
+uint64_t platform_client_watch_instances (
+    struct platform_client *client,
+    const struct platform_watch_callbacks *callbacks, void *user);
+
+/** End a watch. */
+void platform_client_unwatch (struct platform_client *client, uint64_t watch);
+
+#endif
