--- a/http/client.c
+++ b/http/client.c
@@ -25,6 +25,7 @@
   unsigned int status;
   bool starting;
   bool sent;
+  bool sent_told;
   bool ended; /* no callback may follow */
   bool failed_in_start;
   const char *reason;
@@ -186,31 +187,37 @@
   return lws_http_client_read (wsi, &p, &n) < 0 ? -1 : 0;
 }
 
+/* Tells the handler once that bytes may have gone out, but never before
+ * http_call_start has returned. */
+static void
+tell_sent (struct http_call *call)
+{
+  if (!call->sent || call->sent_told || call->starting || call->ended)
+    return;
+  call->sent_told = true;
+  if (call->handler->impl->sent != NULL)
+    call->handler->impl->sent (call->handler, call);
+}
+
 static int
-dispatch (struct lws *wsi, enum lws_callback_reasons reason, void *in,
-          size_t len)
+append_and_tell (struct http_call *call, struct lws *wsi, void *in, size_t len)
 {
-  struct http_call *call = lws_get_opaque_user_data (wsi);
+  int result;
 
-  if (call == NULL)
-    {
-      switch (reason)
-        {
-        case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-          return -1;
-        default:
-          return 0;
-        }
-    }
+  call->wsi = wsi;
+  result = append_request_headers (call, in, len);
+  tell_sent (call);
+  return lws_get_opaque_user_data (wsi) == NULL ? -1 : result;
+}
+
+static int
+dispatch_call (struct http_call *call, struct lws *wsi,
+               enum lws_callback_reasons reason, void *in, size_t len)
+{
   switch (reason)
     {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-      call->wsi = wsi;
-      return append_request_headers (call, in, len);
+      return append_and_tell (call, wsi, in, len);
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
       return write_body (call);
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
@@ -242,6 +249,33 @@
     }
 }
 
+static int
+dispatch (struct lws *wsi, enum lws_callback_reasons reason, void *in,
+          size_t len)
+{
+  struct http_call *call = lws_get_opaque_user_data (wsi);
+
+  if (call == NULL)
+    {
+      switch (reason)
+        {
+        case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+        case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+          return -1;
+        default:
+          return 0;
+        }
+    }
+  tell_sent (call);
+  /* The handler may have cancelled the call. */
+  if (lws_get_opaque_user_data (wsi) == NULL)
+    return -1;
+  return dispatch_call (call, wsi, reason, in, len);
+}
+
 int
 http_client_callback (struct lws *wsi, enum lws_callback_reasons reason,
                       void *user, void *in, size_t len)
--- /dev/null
+++ b/include/beryl/fields.h
@@ -0,0 +1,69 @@
+/** @file
+ * Table-driven reading of JSON objects into structs, with findings.
+ */
+#ifndef BERYL_FIELDS_H
+#define BERYL_FIELDS_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "beryl/findings.h"
+
+/** Where the reader stands; findings name it as a JSON pointer. */
+struct beryl_place
+{
+  struct beryl_findings *findings;
+  char object[160];  /**< "service adviesmodel", for messages */
+  char pointer[256]; /**< "/3/spec" */
+};
+
+/** Types of members. */
+enum beryl_field_type
+{
+  BERYL_FIELD_NAME, /**< an object's name */
+  BERYL_FIELD_TEXT, /**< printable text that fits its buffer */
+  BERYL_FIELD_UINT16,
+  BERYL_FIELD_UINT32,
+  BERYL_FIELD_UINT64,
+  BERYL_FIELD_INT64,
+  BERYL_FIELD_DOUBLE,
+  BERYL_FIELD_BOOL,
+  BERYL_FIELD_CLASS,
+  BERYL_FIELD_ROLE,
+  BERYL_FIELD_ADDRESS, /**< an IP number */
+  BERYL_FIELD_CUSTOM,  /**< read by a function of its own */
+};
+
+/** One member of a JSON object and where it goes. */
+struct beryl_field
+{
+  const char *key;
+  enum beryl_field_type type;
+  size_t offset;
+  size_t bytes; /**< of text buffers */
+  double min;   /**< of numbers */
+  double max;
+  bool required;
+  void (*custom) (const struct beryl_place *place, json_t *value,
+                  void *target);
+};
+
+/** Add a finding at PLACE, below MEMBER unless it is NULL. */
+void beryl_place_finding (const struct beryl_place *place, const char *member,
+                          const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+/** Set CHILD to the member KEY below PLACE. */
+void beryl_place_enter (struct beryl_place *child,
+                        const struct beryl_place *place, const char *key);
+
+/** Whether TEXT is a valid object name. */
+bool beryl_field_name_valid (const char *text);
+
+/** Read JSON into TARGET; members that the table lacks are findings. */
+void beryl_fields_read (const struct beryl_place *place, json_t *json,
+                        const struct beryl_field *fields, size_t field_count,
+                        void *target);
+
+#endif
--- a/libberyl/config/fields.c
+++ b/libberyl/config/fields.c
@@ -1,4 +1,4 @@
-#include "fields.h"
+#include "beryl/fields.h"
 
 #include <arpa/inet.h>
 #include <stdarg.h>
@@ -9,8 +9,8 @@
 #include "beryl/config.h"
 
 void
-place_finding (const struct place *place, const char *member,
-               const char *format, ...)
+beryl_place_finding (const struct beryl_place *place, const char *member,
+                     const char *format, ...)
 {
   char pointer[384];
   char message[256];
@@ -21,12 +21,13 @@
   va_end (ap);
   snprintf (pointer, sizeof pointer, "%s%s%s", place->pointer,
             member != NULL ? "/" : "", member != NULL ? member : "");
-  beryl_findings_add (place->findings, pointer, 0, 0, "%s: %s", place->object,
-                      message);
+  beryl_findings_add (place->findings, pointer, 0, 0, "%s%s%s", place->object,
+                      place->object[0] != '\0' ? ": " : "", message);
 }
 
 void
-place_enter (struct place *child, const struct place *place, const char *key)
+beryl_place_enter (struct beryl_place *child, const struct beryl_place *place,
+                   const char *key)
 {
   int room = (int)sizeof child->pointer - 2;
   int used = (int)strlen (place->pointer);
@@ -37,7 +38,7 @@
 }
 
 bool
-field_name_valid (const char *text)
+beryl_field_name_valid (const char *text)
 {
   size_t n = strspn (text, "abcdefghijklmnopqrstuvwxyz0123456789._-");
 
@@ -54,28 +55,28 @@
 }
 
 static void
-read_text (const struct place *place, const struct field *field, json_t *value,
-           char *target)
+read_text (const struct beryl_place *place, const struct beryl_field *field,
+           json_t *value, char *target)
 {
   const char *text = json_string_value (value);
 
   if (text == NULL)
-    place_finding (place, field->key, "%s must be text", field->key);
+    beryl_place_finding (place, field->key, "%s must be text", field->key);
   else if (strlen (text) >= field->bytes)
-    place_finding (place, field->key, "%s has more than %zu bytes", field->key,
-                   field->bytes - 1);
+    beryl_place_finding (place, field->key, "%s has more than %zu bytes",
+                         field->key, field->bytes - 1);
   else if (!text_is_printable (text))
-    place_finding (place, field->key, "%s contains control characters",
-                   field->key);
-  else if (field->type == FIELD_NAME && !field_name_valid (text))
-    place_finding (place, field->key, "%s must match [a-z0-9._-]{1,63}",
-                   field->key);
+    beryl_place_finding (place, field->key, "%s contains control characters",
+                         field->key);
+  else if (field->type == BERYL_FIELD_NAME && !beryl_field_name_valid (text))
+    beryl_place_finding (place, field->key, "%s must match [a-z0-9._-]{1,63}",
+                         field->key);
   else
     memcpy (target, text, strlen (text) + 1);
 }
 
 static void
-read_address (const struct place *place, const struct field *field,
+read_address (const struct beryl_place *place, const struct beryl_field *field,
               json_t *value, char *target)
 {
   const char *text = json_string_value (value);
@@ -84,23 +85,24 @@
   if (text == NULL
       || (inet_pton (AF_INET, text, number) != 1
           && inet_pton (AF_INET6, text, number) != 1))
-    place_finding (place, field->key, "%s must be an IP number", field->key);
+    beryl_place_finding (place, field->key, "%s must be an IP number",
+                         field->key);
   else
     read_text (place, field, value, target);
 }
 
 static void
-store_integer (const struct field *field, json_int_t n, void *target)
+store_integer (const struct beryl_field *field, json_int_t n, void *target)
 {
   switch (field->type)
     {
-    case FIELD_UINT16:
+    case BERYL_FIELD_UINT16:
       *(uint16_t *)target = (uint16_t)n;
       break;
-    case FIELD_UINT32:
+    case BERYL_FIELD_UINT32:
       *(uint32_t *)target = (uint32_t)n;
       break;
-    case FIELD_UINT64:
+    case BERYL_FIELD_UINT64:
       *(uint64_t *)target = (uint64_t)n;
       break;
     default:
@@ -110,37 +112,38 @@
 }
 
 static void
-read_integer (const struct place *place, const struct field *field,
+read_integer (const struct beryl_place *place, const struct beryl_field *field,
               json_t *value, void *target)
 {
   json_int_t n = json_integer_value (value);
 
   if (!json_is_integer (value))
-    place_finding (place, field->key, "%s must be an integer", field->key);
+    beryl_place_finding (place, field->key, "%s must be an integer",
+                         field->key);
   else if ((double)n < field->min || (double)n > field->max)
-    place_finding (place, field->key, "%s must be from %.0f to %.0f",
-                   field->key, field->min, field->max);
+    beryl_place_finding (place, field->key, "%s must be from %.0f to %.0f",
+                         field->key, field->min, field->max);
   else
     store_integer (field, n, target);
 }
 
 static void
-read_double (const struct place *place, const struct field *field,
+read_double (const struct beryl_place *place, const struct beryl_field *field,
              json_t *value, double *target)
 {
   double n = json_number_value (value);
 
   if (!json_is_number (value))
-    place_finding (place, field->key, "%s must be a number", field->key);
+    beryl_place_finding (place, field->key, "%s must be a number", field->key);
   else if (n < field->min || n > field->max)
-    place_finding (place, field->key, "%s must be from %g to %g", field->key,
-                   field->min, field->max);
+    beryl_place_finding (place, field->key, "%s must be from %g to %g",
+                         field->key, field->min, field->max);
   else
     *target = n;
 }
 
 static void
-read_class (const struct place *place, const struct field *field,
+read_class (const struct beryl_place *place, const struct beryl_field *field,
             json_t *value, enum beryl_class *target)
 {
   const char *text = json_string_value (value);
@@ -151,13 +154,13 @@
         *target = c;
         return;
       }
-  place_finding (place, field->key, "%s must be urgent, normal or batch",
-                 field->key);
+  beryl_place_finding (place, field->key, "%s must be urgent, normal or batch",
+                       field->key);
 }
 
 static void
-read_role (const struct place *place, const struct field *field, json_t *value,
-           enum beryl_role *target)
+read_role (const struct beryl_place *place, const struct beryl_field *field,
+           json_t *value, enum beryl_role *target)
 {
   const char *text = json_string_value (value);
 
@@ -167,63 +170,66 @@
         *target = r;
         return;
       }
-  place_finding (place, field->key,
-                 "%s must be prefill, decode, both or service", field->key);
+  beryl_place_finding (place, field->key,
+                       "%s must be prefill, decode, both or service",
+                       field->key);
 }
 
 static void
-read_bool (const struct place *place, const struct field *field, json_t *value,
-           bool *target)
+read_bool (const struct beryl_place *place, const struct beryl_field *field,
+           json_t *value, bool *target)
 {
   if (!json_is_boolean (value))
-    place_finding (place, field->key, "%s must be true or false", field->key);
+    beryl_place_finding (place, field->key, "%s must be true or false",
+                         field->key);
   else
     *target = json_is_true (value);
 }
 
 static void
-read_field (const struct place *place, const struct field *field,
+read_field (const struct beryl_place *place, const struct beryl_field *field,
             json_t *value, void *target)
 {
   void *p = (char *)target + field->offset;
-  struct place child;
+  struct beryl_place child;
 
   switch (field->type)
     {
-    case FIELD_NAME:
-    case FIELD_TEXT:
+    case BERYL_FIELD_NAME:
+    case BERYL_FIELD_TEXT:
       read_text (place, field, value, p);
       return;
-    case FIELD_UINT16:
-    case FIELD_UINT32:
-    case FIELD_UINT64:
-    case FIELD_INT64:
+    case BERYL_FIELD_UINT16:
+    case BERYL_FIELD_UINT32:
+    case BERYL_FIELD_UINT64:
+    case BERYL_FIELD_INT64:
       read_integer (place, field, value, p);
       return;
-    case FIELD_DOUBLE:
+    case BERYL_FIELD_DOUBLE:
       read_double (place, field, value, p);
       return;
-    case FIELD_BOOL:
+    case BERYL_FIELD_BOOL:
       read_bool (place, field, value, p);
       return;
-    case FIELD_CLASS:
+    case BERYL_FIELD_CLASS:
       read_class (place, field, value, p);
       return;
-    case FIELD_ROLE:
+    case BERYL_FIELD_ROLE:
       read_role (place, field, value, p);
       return;
-    case FIELD_ADDRESS:
+    case BERYL_FIELD_ADDRESS:
       read_address (place, field, value, p);
       return;
-    case FIELD_CUSTOM:
-      place_enter (&child, place, field->key);
+    case BERYL_FIELD_CUSTOM:
+      beryl_place_enter (&child, place, field->key);
       field->custom (&child, value, target);
       return;
     }
 }
 
-static const struct field *
-find_field (const struct field *fields, size_t field_count, const char *key)
+static const struct beryl_field *
+find_field (const struct beryl_field *fields, size_t field_count,
+            const char *key)
 {
   for (size_t i = 0; i < field_count; i++)
     if (strcmp (fields[i].key, key) == 0)
@@ -232,27 +238,28 @@
 }
 
 void
-fields_read (const struct place *place, json_t *json,
-             const struct field *fields, size_t field_count, void *target)
+beryl_fields_read (const struct beryl_place *place, json_t *json,
+                   const struct beryl_field *fields, size_t field_count,
+                   void *target)
 {
   const char *key;
   json_t *value;
 
   if (!json_is_object (json))
     {
-      place_finding (place, NULL, "must be an object");
+      beryl_place_finding (place, NULL, "must be an object");
       return;
     }
   json_object_foreach (json, key, value)
   {
-    const struct field *field = find_field (fields, field_count, key);
+    const struct beryl_field *field = find_field (fields, field_count, key);
 
     if (field == NULL)
-      place_finding (place, key, "unknown key \"%.64s\"", key);
+      beryl_place_finding (place, key, "unknown key \"%.64s\"", key);
     else
       read_field (place, field, value, target);
   }
   for (size_t i = 0; i < field_count; i++)
     if (fields[i].required && json_object_get (json, fields[i].key) == NULL)
-      place_finding (place, NULL, "%s is missing", fields[i].key);
+      beryl_place_finding (place, NULL, "%s is missing", fields[i].key);
 }
--- a/libberyl/config/kinds.c
+++ b/libberyl/config/kinds.c
@@ -25,32 +25,32 @@
   }
 #define FLAG(struct_, member)                                                 \
   {                                                                           \
-    .key = #member, .type = FIELD_BOOL,                                       \
+    .key = #member, .type = BERYL_FIELD_BOOL,                                 \
     .offset = offsetof (struct struct_, member)                               \
   }
 
-static const struct field rule_fields[] = {
-  TEXT (FIELD_TEXT, beryl_call_rule, method, false),
-  TEXT (FIELD_TEXT, beryl_call_rule, path, true),
+static const struct beryl_field rule_fields[] = {
+  TEXT (BERYL_FIELD_TEXT, beryl_call_rule, method, false),
+  TEXT (BERYL_FIELD_TEXT, beryl_call_rule, path, true),
   FLAG (beryl_call_rule, non_idempotent),
   { .key = "class",
-    .type = FIELD_CLASS,
+    .type = BERYL_FIELD_CLASS,
     .offset = offsetof (struct beryl_call_rule, call_class) },
-  NUMBER (FIELD_INT64, beryl_call_rule, deadline_ms, 1, DAY_MS),
+  NUMBER (BERYL_FIELD_INT64, beryl_call_rule, deadline_ms, 1, DAY_MS),
 };
 
 static bool
-array_is_valid (const struct place *place, json_t *value)
+array_is_valid (const struct beryl_place *place, json_t *value)
 {
   if (json_is_array (value) && json_array_size (value) <= MAX_ARRAY)
     return true;
-  place_finding (place, NULL, "must be an array of at most %d items",
-                 MAX_ARRAY);
+  beryl_place_finding (place, NULL, "must be an array of at most %d items",
+                       MAX_ARRAY);
   return false;
 }
 
 static void
-read_rules (const struct place *place, json_t *value,
+read_rules (const struct beryl_place *place, json_t *value,
             struct beryl_call_rule **rules, size_t *rule_count)
 {
   size_t i;
@@ -64,18 +64,20 @@
   *rule_count = json_array_size (value);
   json_array_foreach (value, i, item)
   {
-    struct place child;
+    struct beryl_place child;
     char index[24];
 
     snprintf (index, sizeof index, "%zu", i);
-    place_enter (&child, place, index);
+    beryl_place_enter (&child, place, index);
     (*rules)[i].call_class = BERYL_CLASS_NORMAL;
-    fields_read (&child, item, rule_fields, COUNT (rule_fields), &(*rules)[i]);
+    beryl_fields_read (&child, item, rule_fields, COUNT (rule_fields),
+                       &(*rules)[i]);
   }
 }
 
 static void
-read_service_rules (const struct place *place, json_t *value, void *target)
+read_service_rules (const struct beryl_place *place, json_t *value,
+                    void *target)
 {
   struct beryl_service *service = target;
 
@@ -83,7 +85,8 @@
 }
 
 static void
-read_urgency_rules (const struct place *place, json_t *value, void *target)
+read_urgency_rules (const struct beryl_place *place, json_t *value,
+                    void *target)
 {
   struct urgency *urgency = target;
 
@@ -98,7 +101,7 @@
 }
 
 static void
-read_tokens (const struct place *place, json_t *value, void *target)
+read_tokens (const struct beryl_place *place, json_t *value, void *target)
 {
   struct beryl_organisation *organisation = target;
   size_t i;
@@ -117,27 +120,28 @@
 
     snprintf (index, sizeof index, "%zu", i);
     if (!digest_valid (text))
-      place_finding (place, index,
-                     "token_sha256 must be 64 lower-case hex digits");
+      beryl_place_finding (place, index,
+                           "token_sha256 must be 64 lower-case hex digits");
     else
       memcpy (organisation->token_sha256[organisation->token_count++], text,
               DIGEST_HEX_BYTES + 1);
   }
 }
 
-static const struct field service_fields[] = {
-  TEXT (FIELD_NAME, beryl_service, model, false),
+static const struct beryl_field service_fields[] = {
+  TEXT (BERYL_FIELD_NAME, beryl_service, model, false),
   { .key = "class",
-    .type = FIELD_CLASS,
+    .type = BERYL_FIELD_CLASS,
     .offset = offsetof (struct beryl_service, call_class) },
-  NUMBER (FIELD_INT64, beryl_service, deadline_ms, 1, DAY_MS),
-  NUMBER (FIELD_INT64, beryl_service, first_token_target_ms, 0, DAY_MS),
-  NUMBER (FIELD_INT64, beryl_service, between_tokens_target_ms, 0, DAY_MS),
-  NUMBER (FIELD_DOUBLE, beryl_service, waste_weight, 0, 1000),
-  NUMBER (FIELD_UINT32, beryl_service, retry_budget_percent, 0, 100),
-  NUMBER (FIELD_UINT32, beryl_service, max_concurrent, 0, 1e6),
+  NUMBER (BERYL_FIELD_INT64, beryl_service, deadline_ms, 1, DAY_MS),
+  NUMBER (BERYL_FIELD_INT64, beryl_service, first_token_target_ms, 0, DAY_MS),
+  NUMBER (BERYL_FIELD_INT64, beryl_service, between_tokens_target_ms, 0,
+          DAY_MS),
+  NUMBER (BERYL_FIELD_DOUBLE, beryl_service, waste_weight, 0, 1000),
+  NUMBER (BERYL_FIELD_UINT32, beryl_service, retry_budget_percent, 0, 100),
+  NUMBER (BERYL_FIELD_UINT32, beryl_service, max_concurrent, 0, 1e6),
   FLAG (beryl_service, non_idempotent),
-  { .key = "rules", .type = FIELD_CUSTOM, .custom = read_service_rules },
+  { .key = "rules", .type = BERYL_FIELD_CUSTOM, .custom = read_service_rules },
 };
 
 static void
@@ -151,15 +155,15 @@
   service->retry_budget_percent = 10;
 }
 
-static const struct field pool_fields[] = {
-  TEXT (FIELD_NAME, beryl_pool, service, true),
-  TEXT (FIELD_NAME, beryl_pool, data_centre, false),
+static const struct beryl_field pool_fields[] = {
+  TEXT (BERYL_FIELD_NAME, beryl_pool, service, true),
+  TEXT (BERYL_FIELD_NAME, beryl_pool, data_centre, false),
   { .key = "role",
-    .type = FIELD_ROLE,
+    .type = BERYL_FIELD_ROLE,
     .offset = offsetof (struct beryl_pool, role),
     .required = true },
-  NUMBER (FIELD_UINT32, beryl_pool, min_endpoints, 0, 100000),
-  NUMBER (FIELD_UINT32, beryl_pool, max_endpoints, 0, 100000),
+  NUMBER (BERYL_FIELD_UINT32, beryl_pool, min_endpoints, 0, 100000),
+  NUMBER (BERYL_FIELD_UINT32, beryl_pool, max_endpoints, 0, 100000),
 };
 
 static void
@@ -172,21 +176,21 @@
 }
 
 static void
-pool_check (const struct place *place, const void *target)
+pool_check (const struct beryl_place *place, const void *target)
 {
   const struct beryl_pool *pool = target;
 
   if (pool->min_endpoints > pool->max_endpoints)
-    place_finding (place, "min_endpoints",
-                   "min_endpoints is above max_endpoints");
+    beryl_place_finding (place, "min_endpoints",
+                         "min_endpoints is above max_endpoints");
 }
 
-static const struct field model_fields[] = {
-  TEXT (FIELD_TEXT, beryl_model, version, true),
-  NUMBER (FIELD_UINT32, beryl_model, context_tokens, 1, 1e8),
-  NUMBER (FIELD_UINT32, beryl_model, kv_bytes_per_token, 1, MAX_UINT32),
-  NUMBER (FIELD_UINT32, beryl_model, block_tokens, 1, 65536),
-  NUMBER (FIELD_UINT64, beryl_model, weight_bytes, 0, MAX_SAFE_INTEGER),
+static const struct beryl_field model_fields[] = {
+  TEXT (BERYL_FIELD_TEXT, beryl_model, version, true),
+  NUMBER (BERYL_FIELD_UINT32, beryl_model, context_tokens, 1, 1e8),
+  NUMBER (BERYL_FIELD_UINT32, beryl_model, kv_bytes_per_token, 1, MAX_UINT32),
+  NUMBER (BERYL_FIELD_UINT32, beryl_model, block_tokens, 1, 65536),
+  NUMBER (BERYL_FIELD_UINT64, beryl_model, weight_bytes, 0, MAX_SAFE_INTEGER),
 };
 
 static void
@@ -199,14 +203,14 @@
   model->block_tokens = 16;
 }
 
-static const struct field organisation_fields[] = {
+static const struct beryl_field organisation_fields[] = {
   { .key = "token_sha256",
-    .type = FIELD_CUSTOM,
+    .type = BERYL_FIELD_CUSTOM,
     .custom = read_tokens,
     .required = true },
-  NUMBER (FIELD_DOUBLE, beryl_organisation, weight, 0.001, 1000),
-  NUMBER (FIELD_UINT32, beryl_organisation, requests_per_s, 0, 1e6),
-  NUMBER (FIELD_UINT32, beryl_organisation, max_concurrent, 0, 1e6),
+  NUMBER (BERYL_FIELD_DOUBLE, beryl_organisation, weight, 0.001, 1000),
+  NUMBER (BERYL_FIELD_UINT32, beryl_organisation, requests_per_s, 0, 1e6),
+  NUMBER (BERYL_FIELD_UINT32, beryl_organisation, max_concurrent, 0, 1e6),
 };
 
 static void
@@ -217,44 +221,46 @@
   organisation->weight = 1;
 }
 
-static const struct field urgency_fields[] = {
-  TEXT (FIELD_NAME, urgency, service, true),
+static const struct beryl_field urgency_fields[] = {
+  TEXT (BERYL_FIELD_NAME, urgency, service, true),
   { .key = "rules",
-    .type = FIELD_CUSTOM,
+    .type = BERYL_FIELD_CUSTOM,
     .custom = read_urgency_rules,
     .required = true },
 };
 
-static const struct field endpoint_fields[] = {
-  TEXT (FIELD_NAME, beryl_endpoint, service, true),
+static const struct beryl_field endpoint_fields[] = {
+  TEXT (BERYL_FIELD_NAME, beryl_endpoint, service, true),
   { .key = "address",
-    .type = FIELD_ADDRESS,
+    .type = BERYL_FIELD_ADDRESS,
     .offset = offsetof (struct beryl_endpoint, address),
     .bytes = sizeof (((struct beryl_endpoint *)0)->address),
     .required = true },
   { .key = "port",
-    .type = FIELD_UINT16,
+    .type = BERYL_FIELD_UINT16,
     .offset = offsetof (struct beryl_endpoint, port),
     .min = 1,
     .max = 65535,
     .required = true },
-  TEXT (FIELD_NAME, beryl_endpoint, data_centre, false),
-  TEXT (FIELD_NAME, beryl_endpoint, region, false),
+  TEXT (BERYL_FIELD_NAME, beryl_endpoint, data_centre, false),
+  TEXT (BERYL_FIELD_NAME, beryl_endpoint, region, false),
   { .key = "role",
-    .type = FIELD_ROLE,
+    .type = BERYL_FIELD_ROLE,
     .offset = offsetof (struct beryl_endpoint, role),
     .required = true },
-  NUMBER (FIELD_UINT32, beryl_endpoint, slots, 0, 65536),
-  NUMBER (FIELD_UINT64, beryl_endpoint, link_bytes_per_s, 0, MAX_SAFE_INTEGER),
+  NUMBER (BERYL_FIELD_UINT32, beryl_endpoint, slots, 0, 65536),
+  NUMBER (BERYL_FIELD_UINT64, beryl_endpoint, link_bytes_per_s, 0,
+          MAX_SAFE_INTEGER),
   FLAG (beryl_endpoint, checks_fence),
   FLAG (beryl_endpoint, leaving),
 };
 
-static const struct field system_fields[] = {
-  TEXT (FIELD_TEXT, beryl_system, log_level, false),
-  NUMBER (FIELD_UINT32, beryl_system, claim_shards, 1, 1024),
-  NUMBER (FIELD_INT64, beryl_system, claim_retention_ms, 1000, 30 * DAY_MS),
-  NUMBER (FIELD_INT64, beryl_system, entry_answer_ttl_ms, 100, DAY_MS),
+static const struct beryl_field system_fields[] = {
+  TEXT (BERYL_FIELD_TEXT, beryl_system, log_level, false),
+  NUMBER (BERYL_FIELD_UINT32, beryl_system, claim_shards, 1, 1024),
+  NUMBER (BERYL_FIELD_INT64, beryl_system, claim_retention_ms, 1000,
+          30 * DAY_MS),
+  NUMBER (BERYL_FIELD_INT64, beryl_system, entry_answer_ttl_ms, 100, DAY_MS),
 };
 
 void
@@ -269,7 +275,7 @@
 }
 
 static void
-system_check (const struct place *place, const void *target)
+system_check (const struct beryl_place *place, const void *target)
 {
   static const char *const levels[] = { "error", "warning", "info", "debug" };
   const struct beryl_system *system = target;
@@ -277,8 +283,8 @@
   for (size_t i = 0; i < COUNT (levels); i++)
     if (strcmp (system->log_level, levels[i]) == 0)
       return;
-  place_finding (place, "log_level",
-                 "log_level must be error, warning, info or debug");
+  beryl_place_finding (place, "log_level",
+                       "log_level must be error, warning, info or debug");
 }
 
 static const struct kind kinds[] = {
--- a/libberyl/config/kinds.h
+++ b/libberyl/config/kinds.h
@@ -5,7 +5,7 @@
 #define CONFIG_KINDS_H
 
 #include "beryl/config.h"
-#include "fields.h"
+#include "beryl/fields.h"
 
 /** An urgency object: call rules that are added to its service's. */
 struct urgency
@@ -21,12 +21,12 @@
 {
   enum beryl_kind kind;
   size_t bytes; /**< of its struct; all but the system's begin with the name */
-  const struct field *fields;
+  const struct beryl_field *fields;
   size_t field_count;
   /** Set the defaults; may be NULL. */
   void (*defaults) (void *target);
   /** Check members against each other; may be NULL. */
-  void (*check) (const struct place *place, const void *target);
+  void (*check) (const struct beryl_place *place, const void *target);
 };
 
 /** Return the kind of a name, or NULL. */
--- a/libberyl/config/parse.c
+++ b/libberyl/config/parse.c
@@ -41,7 +41,7 @@
 /* Reads "kind" and "name" and refuses members that are unknown, so that a
  * misspelt one is not taken for an absent one. */
 static const struct kind *
-read_envelope (struct place *place, json_t *object, const char **name)
+read_envelope (struct beryl_place *place, json_t *object, const char **name)
 {
   const char *kind_name = json_string_value (json_object_get (object, "kind"));
   const char *version
@@ -53,7 +53,7 @@
   *name = json_string_value (json_object_get (object, "name"));
   if (!json_is_object (object))
     {
-      place_finding (place, NULL, "must be an object");
+      beryl_place_finding (place, NULL, "must be an object");
       return NULL;
     }
   json_object_foreach (object, key,
@@ -61,17 +61,18 @@
                                   && strcmp (key, "name") != 0
                                   && strcmp (key, "api_version") != 0
                                   && strcmp (key, "spec") != 0)
-      place_finding (place, key, "unknown key \"%.64s\"", key);
+      beryl_place_finding (place, key, "unknown key \"%.64s\"", key);
   if (version == NULL || strcmp (version, API_VERSION) != 0)
-    place_finding (place, "api_version", "api_version must be " API_VERSION);
+    beryl_place_finding (place, "api_version",
+                         "api_version must be " API_VERSION);
   kind = kind_name != NULL ? kind_find (kind_name) : NULL;
   if (kind == NULL)
-    place_finding (place, "kind",
-                   "kind must be service, pool, model, organisation, "
-                   "urgency, endpoint or system");
-  if (*name == NULL || !field_name_valid (*name))
+    beryl_place_finding (place, "kind",
+                         "kind must be service, pool, model, organisation, "
+                         "urgency, endpoint or system");
+  if (*name == NULL || !beryl_field_name_valid (*name))
     {
-      place_finding (place, "name", "name must match [a-z0-9._-]{1,63}");
+      beryl_place_finding (place, "name", "name must match [a-z0-9._-]{1,63}");
       *name = NULL;
     }
   return *name != NULL ? kind : NULL;
@@ -85,53 +86,50 @@
   if (items == NULL)
     return NULL;
   list->items = items;
-  items += list->count * bytes;
-  list->count++;
-  memset (items, 0, bytes);
-  return items;
+  memset (list->items + list->count * bytes, 0, bytes);
+  return list->items + bytes * list->count++;
 }
 
 static void
-check_once (struct parser *parser, const struct place *place,
+check_once (struct parser *parser, const struct beryl_place *place,
             const struct kind *kind, const char *name)
 {
   char key[BERYL_NAME_BYTES * 2];
 
   snprintf (key, sizeof key, "%s/%s", beryl_kind_name (kind->kind), name);
   if (json_object_get (parser->seen, key) != NULL)
-    place_finding (place, "name", "declared more than once");
+    beryl_place_finding (place, "name", "declared more than once");
   json_object_set_new (parser->seen, key, json_true ());
 }
 
 static void
-read_object (struct parser *parser, struct place *place, json_t *object)
+read_object (struct parser *parser, struct beryl_place *place, json_t *object)
 {
   const char *name;
-  char label[BERYL_NAME_BYTES * 2];
   const struct kind *kind = read_envelope (place, object, &name);
-  struct place spec;
+  struct beryl_place spec;
   void *target;
 
   if (kind == NULL)
     return;
-  snprintf (label, sizeof label, "%s %s", beryl_kind_name (kind->kind), name);
-  place->object = label;
+  snprintf (place->object, sizeof place->object, "%s %s",
+            beryl_kind_name (kind->kind), name);
   check_once (parser, place, kind, name);
   if (kind->kind == BERYL_KIND_SYSTEM && strcmp (name, SYSTEM_NAME) != 0)
-    place_finding (place, "name", "its name must be " SYSTEM_NAME);
+    beryl_place_finding (place, "name", "its name must be " SYSTEM_NAME);
   target = list_append (&parser->lists[kind->kind], kind->bytes);
   if (target == NULL)
     {
-      place_finding (place, NULL, "out of memory");
+      beryl_place_finding (place, NULL, "out of memory");
       return;
     }
   if (kind->kind != BERYL_KIND_SYSTEM)
     memcpy (target, name, strlen (name) + 1);
   if (kind->defaults != NULL)
     kind->defaults (target);
-  place_enter (&spec, place, "spec");
-  fields_read (&spec, json_object_get (object, "spec"), kind->fields,
-               kind->field_count, target);
+  beryl_place_enter (&spec, place, "spec");
+  beryl_fields_read (&spec, json_object_get (object, "spec"), kind->fields,
+                     kind->field_count, target);
   if (kind->check != NULL)
     kind->check (&spec, target);
 }
@@ -293,11 +291,9 @@
     }
   json_array_foreach (root, i, object)
   {
-    struct place place = { .findings = parser->findings };
-    char label[32];
+    struct beryl_place place = { .findings = parser->findings };
 
-    snprintf (label, sizeof label, "object %zu", i + 1);
-    place.object = label;
+    snprintf (place.object, sizeof place.object, "object %zu", i + 1);
     snprintf (place.pointer, sizeof place.pointer, "/%zu", i);
     read_object (parser, &place, object);
   }
@@ -351,7 +347,7 @@
                            struct beryl_findings *findings)
 {
   struct parser parser = { .findings = findings };
-  struct place place = { .findings = findings, .object = "object" };
+  struct beryl_place place = { .findings = findings, .object = "object" };
   size_t before = beryl_findings_count (findings);
   json_t *root = load_json (json, json_bytes, findings);
 
