--- /dev/null
+++ b/tests/control/test_lease.c
@@ -0,0 +1,474 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/clock.h"
+#include "beryl/lease.h"
+#include "sim.h"
+
+#define NODES 4
+#define TTL_MS 6000
+#define MARGIN_MS 500
+#define PAUSE_MS 4000    /* longest pause between a check and its order */
+#define DELIVERY_MS 1000 /* longest way of an order */
+#define RUN_MS 120000
+#define SEEDS 400
+
+/* The platform's object and two engines at the interface. */
+struct world
+{
+  struct sim *sim;
+  struct beryl_lease_record object;
+  struct beryl_lease_record old; /* what a lagging replica shows */
+  uint64_t revision;
+  bool outage;
+  uint32_t lost_replies_percent;
+  uint32_t stale_percent;
+  struct peer
+  {
+    struct beryl_lease_owner base;
+    struct world *world;
+    struct beryl_lease *lease;
+    int64_t offset_ms; /* its clock against the others' */
+    int64_t rate_ppm;
+    int64_t paused_until_ms;
+    uint64_t fence;
+    int index;
+  } peers[NODES];
+  uint64_t checking_engine_fence;
+  uint64_t ignoring_engine_fence; /* highest whose order was taken */
+  uint32_t orders;
+  uint32_t stale_orders_refused;
+  uint32_t takeovers;
+  uint32_t two_holders;
+  uint32_t stale_orders_taken;
+  uint32_t fence_regressions;
+};
+
+static int64_t
+peer_now_ms (const struct peer *p)
+{
+  int64_t now_ms = sim_now_ms (p->world->sim);
+
+  return p->offset_ms + now_ms + now_ms * p->rate_ppm / 1000000;
+}
+
+/* A paused process handles nothing; what arrives waits for its waking. */
+static bool
+peer_put_off (struct peer *p, sim_cb *cb, const void *data, size_t bytes)
+{
+  int64_t now_ms = sim_now_ms (p->world->sim);
+  void *copy;
+
+  if (now_ms >= p->paused_until_ms)
+    return false;
+  copy = malloc (bytes + 1);
+  if (bytes > 0)
+    memcpy (copy, data, bytes);
+  sim_after (p->world->sim, p->paused_until_ms - now_ms, cb, p, copy);
+  return true;
+}
+
+static int64_t
+network_ms (struct world *w)
+{
+  return sim_chance (w->sim, 5) ? (int64_t)sim_random (w->sim, 3000)
+                                : 1 + (int64_t)sim_random (w->sim, 20);
+}
+
+struct read_reply
+{
+  bool failed;
+  struct beryl_lease_record record;
+};
+
+static void
+read_arrives (void *user, void *data)
+{
+  struct peer *p = user;
+  struct read_reply *reply = data;
+
+  if (peer_put_off (p, read_arrives, reply, sizeof *reply))
+    return;
+  if (reply->failed)
+    beryl_lease_read_failed (p->lease, peer_now_ms (p));
+  else
+    beryl_lease_read_done (p->lease, &reply->record, peer_now_ms (p));
+}
+
+static void
+read_served (void *user, void *data)
+{
+  struct peer *p = user;
+  struct world *w = p->world;
+  struct read_reply *reply = calloc (1, sizeof *reply);
+
+  (void)data;
+  reply->failed = w->outage || sim_chance (w->sim, w->lost_replies_percent);
+  reply->record = sim_chance (w->sim, w->stale_percent) ? w->old : w->object;
+  sim_after (w->sim, network_ms (w), read_arrives, p, reply);
+}
+
+static void
+peer_read (struct beryl_lease_owner *owner, struct beryl_lease *lease)
+{
+  struct peer *p = (struct peer *)owner;
+
+  (void)lease;
+  sim_after (p->world->sim, network_ms (p->world), read_served, p, NULL);
+}
+
+struct write_reply
+{
+  enum beryl_lease_write result;
+  uint64_t version;
+};
+
+static void
+write_arrives (void *user, void *data)
+{
+  struct peer *p = user;
+  struct write_reply *reply = data;
+
+  if (peer_put_off (p, write_arrives, reply, sizeof *reply))
+    return;
+  beryl_lease_write_done (p->lease, reply->result, reply->version,
+                          peer_now_ms (p));
+}
+
+static void
+write_served (void *user, void *data)
+{
+  struct peer *p = user;
+  struct world *w = p->world;
+  const struct beryl_lease_record *record = data;
+  struct write_reply *reply = calloc (1, sizeof *reply);
+
+  if (w->outage)
+    reply->result = BERYL_LEASE_FAILED;
+  else if (record->version != w->object.version)
+    {
+      reply->result = BERYL_LEASE_CONFLICT;
+      reply->version = w->object.version;
+    }
+  else
+    {
+      w->old = w->object;
+      w->object = *record;
+      w->object.version = ++w->revision;
+      reply->version = w->revision;
+    }
+  if (sim_chance (w->sim, w->lost_replies_percent))
+    reply->result = BERYL_LEASE_UNKNOWN;
+  sim_after (w->sim, network_ms (w), write_arrives, p, reply);
+}
+
+static void
+peer_write (struct beryl_lease_owner *owner, struct beryl_lease *lease,
+            const struct beryl_lease_record *record)
+{
+  struct peer *p = (struct peer *)owner;
+  struct beryl_lease_record *copy = malloc (sizeof *copy);
+
+  (void)lease;
+  *copy = *record;
+  sim_after (p->world->sim, network_ms (p->world), write_served, p, copy);
+}
+
+static void
+peer_changed (struct beryl_lease_owner *owner, struct beryl_lease *lease,
+              uint64_t fence)
+{
+  struct peer *p = (struct peer *)owner;
+
+  (void)lease;
+  if (fence != 0)
+    {
+      p->world->takeovers++;
+      p->world->fence_regressions += fence <= p->fence;
+      p->fence = fence;
+    }
+}
+
+static const struct beryl_lease_owner_impl peer_impl = {
+  .read = peer_read,
+  .write = peer_write,
+  .changed = peer_changed,
+};
+
+struct order
+{
+  uint64_t fence;
+  bool settled;
+};
+
+/* The order reaches an engine that checks and one that does not. */
+static void
+order_arrives (void *user, void *data)
+{
+  struct peer *p = user;
+  struct world *w = p->world;
+  const struct order *o = data;
+
+  w->orders++;
+  if (o->fence < w->checking_engine_fence)
+    w->stale_orders_refused++;
+  else
+    w->checking_engine_fence = o->fence;
+  if (!o->settled)
+    return;
+  w->stale_orders_taken += o->fence < w->ignoring_engine_fence;
+  if (o->fence > w->ignoring_engine_fence)
+    w->ignoring_engine_fence = o->fence;
+}
+
+static void
+order_leaves (void *user, void *data)
+{
+  struct peer *p = user;
+  struct order *copy = malloc (sizeof *copy);
+
+  *copy = *(struct order *)data;
+  sim_after (p->world->sim, 1 + (int64_t)sim_random (p->world->sim, 999),
+             order_arrives, p, copy);
+}
+
+/* Checks the lease, then may be paused before the order leaves. */
+static void
+peer_order (struct peer *p)
+{
+  struct world *w = p->world;
+  struct order *o;
+  int64_t pause_ms;
+
+  o = calloc (1, sizeof *o);
+  if (!beryl_lease_held (p->lease, peer_now_ms (p), &o->fence))
+    {
+      free (o);
+      return;
+    }
+  o->settled = beryl_lease_settled (p->lease, peer_now_ms (p));
+  pause_ms
+      = sim_chance (w->sim, 10) ? (int64_t)sim_random (w->sim, PAUSE_MS) : 0;
+  if (pause_ms > 0)
+    p->paused_until_ms = sim_now_ms (w->sim) + pause_ms;
+  sim_after (w->sim, pause_ms, order_leaves, p, o);
+}
+
+static void
+peer_step (void *user, void *data)
+{
+  struct peer *p = user;
+  struct world *w = p->world;
+
+  (void)data;
+  sim_after (w->sim, 50, peer_step, p, NULL);
+  if (sim_now_ms (w->sim) < p->paused_until_ms)
+    return;
+  if (beryl_lease_next_ms (p->lease) <= peer_now_ms (p))
+    beryl_lease_tick (p->lease, peer_now_ms (p));
+  if (sim_chance (w->sim, 5))
+    peer_order (p);
+}
+
+/* Invariant: at no moment do two nodes hold the role by their own clocks. */
+static void
+world_check (void *user, void *data)
+{
+  struct world *w = user;
+  int holders = 0;
+
+  (void)data;
+  for (int i = 0; i < NODES; i++)
+    holders += beryl_lease_held (w->peers[i].lease, peer_now_ms (&w->peers[i]),
+                                 NULL);
+  w->two_holders += holders > 1;
+  sim_after (w->sim, 20, world_check, w, NULL);
+}
+
+static void
+world_trouble (void *user, void *data)
+{
+  struct world *w = user;
+  struct peer *p = &w->peers[sim_random (w->sim, NODES)];
+
+  (void)data;
+  switch (sim_random (w->sim, 4))
+    {
+    case 0:
+      p->paused_until_ms
+          = sim_now_ms (w->sim) + (int64_t)sim_random (w->sim, 15000);
+      break;
+    case 1:
+      w->outage = !w->outage;
+      break;
+    case 2:
+      w->lost_replies_percent = (uint32_t)sim_random (w->sim, 40);
+      break;
+    default:
+      w->stale_percent = (uint32_t)sim_random (w->sim, 50);
+      break;
+    }
+  sim_after (w->sim, 500 + (int64_t)sim_random (w->sim, 6000), world_trouble,
+             w, NULL);
+}
+
+static void
+world_init (struct world *w, uint64_t seed)
+{
+  memset (w, 0, sizeof *w);
+  w->sim = sim_create (seed);
+  for (int i = 0; i < NODES; i++)
+    {
+      struct peer *p = &w->peers[i];
+      char name[16];
+      struct beryl_lease_settings settings = { .name = "planner",
+                                               .holder = name,
+                                               .ttl_ms = TTL_MS,
+                                               .margin_ms = MARGIN_MS,
+                                               .poll_ms = 1000 };
+
+      snprintf (name, sizeof name, "node-%d", i);
+      settings.settle_ms = PAUSE_MS + DELIVERY_MS;
+      settings.seed = (uint64_t)(i + 1) << 32;
+      p->base.impl = &peer_impl;
+      p->world = w;
+      p->index = i;
+      p->offset_ms = (int64_t)sim_random (w->sim, 1000000);
+      p->rate_ppm = (int64_t)sim_random (w->sim, 400) - 200;
+      p->lease = beryl_lease_create (&settings, &p->base);
+      beryl_lease_want (p->lease, true, peer_now_ms (p));
+      sim_after (w->sim, (int64_t)sim_random (w->sim, 50), peer_step, p, NULL);
+    }
+  sim_after (w->sim, 1, world_check, w, NULL);
+}
+
+static void
+world_end (struct world *w)
+{
+  for (int i = 0; i < NODES; i++)
+    beryl_lease_destroy (w->peers[i].lease);
+  sim_destroy (w->sim);
+}
+
+/* Story: a holder is paused, its lease lapses, another node takes over, and
+ * the first wakes between its check and its order.  Replies of conditional
+ * writes are lost, replicas lag, the platform goes away, clocks differ.  A
+ * user would see an engine switched back to an old model. */
+START_TEST (one_holder_in_every_history)
+{
+  uint32_t takeovers = 0;
+  uint32_t refused = 0;
+  uint32_t orders = 0;
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world w;
+
+      world_init (&w, seed);
+      sim_after (w.sim, 2000, world_trouble, &w, NULL);
+      sim_run (w.sim, RUN_MS);
+      ck_assert_msg (w.two_holders == 0, "seed %lu: two holders", seed);
+      ck_assert_msg (w.stale_orders_taken == 0,
+                     "seed %lu: old order after a settled one", seed);
+      ck_assert_msg (w.fence_regressions == 0, "seed %lu: fence fell", seed);
+      takeovers += w.takeovers;
+      refused += w.stale_orders_refused;
+      orders += w.orders;
+      world_end (&w);
+    }
+  printf ("%d seeds: %u takeovers, %u orders, %u late orders refused by the "
+          "fence\n",
+          SEEDS, takeovers, orders, refused);
+  ck_assert_uint_gt (takeovers, SEEDS);
+  ck_assert_uint_gt (refused, 0);
+}
+END_TEST
+
+/* Story: without faults the role must not wander, and after its holder's
+ * death someone must have it within the time to live, the margin and a
+ * poll; until then nothing is planned and demand waits. */
+START_TEST (role_is_taken_over_in_time)
+{
+  struct world w;
+  int holder = -1;
+  int64_t died_ms;
+
+  world_init (&w, 7);
+  sim_run (w.sim, 30000);
+  ck_assert_uint_eq (w.takeovers, 1);
+  for (int i = 0; i < NODES; i++)
+    if (beryl_lease_held (w.peers[i].lease, peer_now_ms (&w.peers[i]), NULL))
+      holder = i;
+  ck_assert_int_ge (holder, 0);
+  w.peers[holder].paused_until_ms = INT64_MAX / 4;
+  died_ms = sim_now_ms (w.sim);
+  while (w.takeovers == 1 && sim_now_ms (w.sim) < died_ms + 60000)
+    sim_run (w.sim, sim_now_ms (w.sim) + 10);
+  ck_assert_int_le (sim_now_ms (w.sim) - died_ms,
+                    TTL_MS + MARGIN_MS + 1000 + 3000 + 100);
+  world_end (&w);
+}
+END_TEST
+
+/* Story: a planned stop releases the role; the next holder must not wait
+ * for the time to live. */
+START_TEST (release_is_quick)
+{
+  struct world w;
+  int64_t stopped_ms;
+
+  world_init (&w, 3);
+  sim_run (w.sim, 20000);
+  for (int i = 0; i < NODES; i++)
+    if (beryl_lease_held (w.peers[i].lease, peer_now_ms (&w.peers[i]), NULL))
+      beryl_lease_want (w.peers[i].lease, false, peer_now_ms (&w.peers[i]));
+  stopped_ms = sim_now_ms (w.sim);
+  while (w.takeovers == 1 && sim_now_ms (w.sim) < stopped_ms + 60000)
+    sim_run (w.sim, sim_now_ms (w.sim) + 10);
+  ck_assert_uint_eq (w.takeovers, 2);
+  ck_assert_int_le (sim_now_ms (w.sim) - stopped_ms, 5000);
+  world_end (&w);
+}
+END_TEST
+
+/* Story: an operator deletes the lease object while its holder works.  The
+ * others must neither spin on the conflict nor take over before the holder
+ * has stopped by itself. */
+START_TEST (deleted_object_is_survived)
+{
+  struct world w;
+
+  world_init (&w, 5);
+  sim_run (w.sim, 20000);
+  memset (&w.object, 0, sizeof w.object);
+  memset (&w.old, 0, sizeof w.old);
+  sim_run (w.sim, 60000);
+  ck_assert_uint_eq (w.two_holders, 0);
+  ck_assert_uint_gt (w.object.version, 0);
+  ck_assert_uint_lt (w.revision, 100);
+  world_end (&w);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("lease");
+  TCase *t = tcase_create ("histories");
+  SRunner *r;
+  int failed;
+
+  tcase_set_timeout (t, 50);
+  tcase_add_test (t, one_holder_in_every_history);
+  tcase_add_test (t, role_is_taken_over_in_time);
+  tcase_add_test (t, release_is_quick);
+  tcase_add_test (t, deleted_object_is_survived);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed == 0 ? 0 : 1;
+}
