--- a/include/wire/local.h
+++ b/include/wire/local.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "beryl/ids.h"
+#include "wire/frame.h"
 
 /** Longest text form of an IP address, with its NUL. */
 #define LOCAL_ADDRESS_BYTES 48
@@ -123,13 +124,13 @@
   };
 };
 
-/** Encode MESSAGE; returns malloc'd bytes, or NULL without memory. */
-char *local_encode (const struct local_message *message, size_t *bytes_count);
+/** Begin a new frame in WRITER and put MESSAGE into it. */
+void local_put (struct frame_writer *writer,
+                const struct local_message *message);
 
-/** Decode BYTES; false if they are malformed or over a limit.  MESSAGE is
- * released with local_message_clear, also after a failure. */
-bool local_decode (const void *bytes, size_t bytes_count,
-                   struct local_message *message);
+/** Read FRAME; false if it is malformed, over a limit or of another type.
+ * MESSAGE is to be released with local_message_clear, also after a failure. */
+bool local_read (struct frame *frame, struct local_message *message);
 
 /** Release what MESSAGE points to. */
 void local_message_clear (struct local_message *message);
