Router: reservation, shares, learned costs, plain calls and baselines

Cause: nothing chose where and when a request runs. Change: libberyl/router implements include/beryl/router.h for all policies.

--- a/include/beryl/router.h
+++ b/include/beryl/router.h
@@ -17,6 +17,10 @@
 
 struct beryl_router;
 
+/** Prompt bytes counted as one token where no tokenizer is at hand; a prefix
+ * block has block_tokens * BERYL_BYTES_PER_TOKEN bytes. */
+#define BERYL_BYTES_PER_TOKEN 4
+
 /** Selectable policies; all but BERYL_POLICY_PLANNED are baselines. */
 enum beryl_policy
 {
@@ -136,6 +140,31 @@
 /** Forget a waiting job. */
 void beryl_router_forget (struct beryl_router *router, uint64_t request);
 
+/** Say whether the owner binds late, that is calls beryl_router_bind_decode
+ * after each prefill.  Without late binding (the default) a plan's decode
+ * engine is final, and no prefill starts before a slot of it is free. */
+void beryl_router_set_late_binding (struct beryl_router *router, bool late);
+
+/** Choose the decode engine for a ticket whose KV cache is exported and
+ * lives until KV_EXPIRES_MS.  REFUSED_BY names the engine that has just
+ * refused this decode as full, or is NULL.  START: use plan->decode.  WAIT:
+ * no slot yet, ask again at retry_at_ms.  REFUSE: none in time; release the
+ * ticket and plan anew. */
+void beryl_router_bind_decode (struct beryl_router *router, uint64_t ticket,
+                               int64_t kv_expires_ms, const char *refused_by,
+                               int64_t now_ms, struct beryl_plan *plan);
+
+/** Replace all that is known about an endpoint's prefix cache after a gap;
+ * SEQUENCE is the last event that BLOCKS include. */
+void beryl_router_cache_resync (struct beryl_router *router,
+                                const char *endpoint, uint64_t sequence,
+                                const uint64_t *blocks, size_t block_count,
+                                int64_t now_ms);
+
+/** Whether an endpoint's cache events had a gap since the last resync. */
+bool beryl_router_cache_gapped (const struct beryl_router *router,
+                                const char *endpoint);
+
 /** Progress of a ticket. */
 void beryl_router_prefill_done (struct beryl_router *router, uint64_t ticket,
                                 uint32_t cached_tokens, uint64_t kv_bytes,
--- /dev/null
+++ b/libberyl/router/cost.c
@@ -0,0 +1,44 @@
+#include <math.h>
+
+#include "private.h"
+
+#define MEGABYTE 1e6
+
+double
+cost_prefill_ms (const struct router_service *s, uint32_t uncached_tokens)
+{
+  return estimate_line_at (&s->prefill_ms, uncached_tokens);
+}
+
+double
+cost_transfer_ms (const struct router_service *s,
+                  const struct router_endpoint *from,
+                  const struct router_endpoint *to, uint32_t prompt_tokens)
+{
+  double bytes = prompt_tokens;
+  bytes *= s->model ? s->model->kv_bytes_per_token : 0;
+  double learned = estimate_line_at (&s->transfer_ms, bytes / MEGABYTE);
+  uint64_t rate = from->config->link_bytes_per_s;
+  if (to && to->config->link_bytes_per_s
+      && (rate == 0 || to->config->link_bytes_per_s < rate))
+    rate = to->config->link_bytes_per_s;
+  return rate ? fmax (learned, bytes * 1000 / (double)rate) : learned;
+}
+
+/* Batches are taken as full: a job that is planned when engines are empty
+ * must still meet its deadline when they fill up. */
+static double
+full_batch (const struct router_service *s)
+{
+  return s->own.count ? (double)s->own_slots / (double)s->own.count
+                      : ROUTER_DEFAULT_SLOTS;
+}
+
+double
+cost_decode_ms (const struct router_service *s, uint32_t max_tokens, double z)
+{
+  double part = estimate_mean_quantile (&s->length, z);
+  part = fmin (1, fmax (0.01, part));
+  double batch = fmax (full_batch (s), ROUTER_DEFAULT_SLOTS);
+  return part * max_tokens * estimate_line_at (&s->interval_ms, batch);
+}
--- /dev/null
+++ b/libberyl/router/organisation.c
@@ -0,0 +1,169 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "private.h"
+
+static int
+by_name (const void *a, const void *b)
+{
+  const struct router_organisation *x = a;
+  const struct router_organisation *y = b;
+  return strcmp (x->config->name, y->config->name);
+}
+
+uint32_t
+organisation_find (const struct beryl_router *r, const char *name)
+{
+  if (!name)
+    return ROUTER_NONE;
+  size_t low = 0;
+  size_t high = r->organisation_count;
+  while (low < high)
+    {
+      size_t mid = (low + high) / 2;
+      int order = strcmp (name, r->organisations[mid].config->name);
+      if (order == 0)
+        return (uint32_t)mid;
+      if (order < 0)
+        high = mid;
+      else
+        low = mid + 1;
+    }
+  return ROUTER_NONE;
+}
+
+static void
+take_over (struct beryl_router *r, struct router_organisation *all,
+           size_t count)
+{
+  r->active_weight = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      uint32_t old = organisation_find (r, all[i].config->name);
+      if (old == ROUTER_NONE)
+        continue;
+      all[i].open = r->organisations[old].open;
+      all[i].tokens = r->organisations[old].tokens;
+      all[i].filled_ms = r->organisations[old].filled_ms;
+      if (all[i].open > 0)
+        r->active_weight += all[i].config->weight;
+    }
+}
+
+static uint32_t
+number_in (const struct router_organisation *all, size_t count,
+           const struct beryl_router *r, uint32_t old)
+{
+  if (old == ROUTER_NONE)
+    return ROUTER_NONE;
+  const char *name = r->organisations[old].config->name;
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (all[i].config->name, name) == 0)
+      return (uint32_t)i;
+  return ROUTER_NONE;
+}
+
+bool
+organisation_build (struct beryl_router *r, const struct beryl_config *config)
+{
+  size_t count = config->organisation_count;
+  struct router_organisation *all = calloc (count + 1, sizeof *all);
+  if (!all)
+    return false;
+  for (size_t i = 0; i < count; i++)
+    {
+      all[i].config = &config->organisations[i];
+      all[i].tokens = config->organisations[i].requests_per_s;
+    }
+  qsort (all, count, sizeof *all, by_name);
+  take_over (r, all, count);
+  for (size_t i = 0; i < r->ticket_count; i++)
+    if (r->tickets[i].phase != ROUTER_PHASE_FREE)
+      r->tickets[i].organisation
+          = number_in (all, count, r, r->tickets[i].organisation);
+  for (size_t i = 0; i < r->waiting_count; i++)
+    r->waiting[i].organisation
+        = number_in (all, count, r, r->waiting[i].organisation);
+  free (r->organisations);
+  r->organisations = all;
+  r->organisation_count = count;
+  return true;
+}
+
+void
+organisation_opened (struct beryl_router *r, uint32_t organisation)
+{
+  if (organisation == ROUTER_NONE)
+    return;
+  struct router_organisation *o = &r->organisations[organisation];
+  if (o->open++ == 0)
+    r->active_weight += o->config->weight;
+}
+
+void
+organisation_closed (struct beryl_router *r, uint32_t organisation)
+{
+  if (organisation == ROUTER_NONE)
+    return;
+  struct router_organisation *o = &r->organisations[organisation];
+  if (o->open == 0)
+    return;
+  if (--o->open == 0)
+    r->active_weight -= o->config->weight;
+}
+
+double
+organisation_fair_part (const struct beryl_router *r, uint32_t organisation)
+{
+  if (organisation == ROUTER_NONE)
+    return 1;
+  const struct router_organisation *o = &r->organisations[organisation];
+  double all = r->active_weight + (o->open == 0 ? o->config->weight : 0);
+  return all > 0 ? o->config->weight / all : 1;
+}
+
+/* This node's part of a limit of the whole system, rounded up. */
+static uint32_t
+part_of_limit (const struct beryl_router *r, uint32_t limit)
+{
+  uint32_t nodes = r->member_count > 1 ? (uint32_t)r->member_count : 1;
+  return (limit + nodes - 1) / nodes;
+}
+
+static bool
+take_token (struct router_organisation *o, double rate_per_s, int64_t now_ms,
+            int64_t *retry_after_ms)
+{
+  double burst = fmax (1, rate_per_s);
+  double gained = (double)(now_ms - o->filled_ms) * rate_per_s / 1000;
+  o->tokens = fmin (burst, o->tokens + gained);
+  o->filled_ms = now_ms;
+  if (o->tokens < 1)
+    {
+      *retry_after_ms = (int64_t)ceil ((1 - o->tokens) * 1000 / rate_per_s);
+      return false;
+    }
+  o->tokens -= 1;
+  return true;
+}
+
+const char *
+organisation_check (struct beryl_router *r, uint32_t organisation,
+                    int64_t now_ms, int64_t *retry_after_ms)
+{
+  if (organisation == ROUTER_NONE)
+    return NULL;
+  struct router_organisation *o = &r->organisations[organisation];
+  const struct beryl_organisation *c = o->config;
+  if (c->max_concurrent > 0 && o->open >= part_of_limit (r, c->max_concurrent))
+    {
+      *retry_after_ms = 1000;
+      return "concurrency_limit";
+    }
+  if (c->requests_per_s > 0
+      && !take_token (o, part_of_limit (r, c->requests_per_s), now_ms,
+                      retry_after_ms))
+    return "rate_limit";
+  return NULL;
+}
--- /dev/null
+++ b/libberyl/router/plain.c
@@ -0,0 +1,152 @@
+#include <math.h>
+#include <string.h>
+
+#include "private.h"
+
+#define RETRY_MS 10
+#define RETRY_AFTER_MS 500
+
+/* Calls at an endpoint of another data centre look this much busier. */
+#define OTHER_DATA_CENTRE 0.5
+
+/* Calls at E: own ones, and what others had when it was last reported. */
+static double
+calls_at (const struct router_endpoint *e, int64_t now_ms)
+{
+  double calls = e->busy;
+  if (e->reported
+      && now_ms - e->report.measured_ms <= ROUTER_REPORT_MAX_AGE_MS)
+    calls = fmax (calls, e->report.decoding);
+  return calls;
+}
+
+/* Long work uses only this node's part of an endpoint's limit, so that
+ * headroom is left for urgent calls.  A node without any part of a small
+ * service may still have one call there. */
+static bool
+has_room (const struct router_service *s, const struct router_endpoint *e,
+          bool urgent)
+{
+  if (s->config->max_concurrent == 0)
+    return true;
+  if (urgent)
+    return e->busy < s->config->max_concurrent;
+  return e->patient < (e->share > 0 ? e->share : 1);
+}
+
+static uint32_t
+least_loaded (struct beryl_router *r, const struct router_service *s,
+              const struct beryl_job *job, int64_t now_ms,
+              struct beryl_plan *plan)
+{
+  bool urgent = job->call_class == BERYL_CLASS_URGENT;
+  size_t at = s->plain.count ? router_random (r) % s->plain.count : 0;
+  uint32_t best = ROUTER_NONE;
+  double best_cost = 0;
+  for (size_t i = 0; i < s->plain.count; i++)
+    {
+      uint32_t number = s->plain.items[(at + i) % s->plain.count];
+      const struct router_endpoint *e = &r->endpoints[number];
+      if (!fleet_usable (e, now_ms) || fleet_excluded (job, e)
+          || !has_room (s, e, urgent))
+        continue;
+      double cost = calls_at (e, now_ms) + e->failures;
+      if (strcmp (e->config->data_centre, r->data_centre) != 0)
+        cost += OTHER_DATA_CENTRE;
+      if (plan->alternative_count < BERYL_ALTERNATIVES_MAX)
+        {
+          struct beryl_alternative *a
+              = &plan->alternatives[plan->alternative_count++];
+          memcpy (a->decode, e->name, sizeof a->decode);
+          a->cost_ms = cost;
+        }
+      if (best == ROUTER_NONE || cost < best_cost)
+        {
+          best = number;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+static bool
+any_usable (const struct beryl_router *r, const struct router_service *s,
+            const struct beryl_job *job, int64_t now_ms)
+{
+  for (size_t i = 0; i < s->plain.count; i++)
+    {
+      const struct router_endpoint *e = &r->endpoints[s->plain.items[i]];
+      if (fleet_usable (e, now_ms) && !fleet_excluded (job, e))
+        return true;
+    }
+  return false;
+}
+
+static void
+refuse (struct beryl_router *r, const struct beryl_job *job,
+        const char *reason, struct beryl_plan *plan)
+{
+  if (waiting_drop (r, job->request))
+    organisation_closed (r, organisation_find (r, job->organisation));
+  router_refuse (plan, reason, RETRY_AFTER_MS);
+}
+
+static void
+start (struct beryl_router *r, const struct beryl_job *job, uint32_t service,
+       uint32_t endpoint, int64_t now_ms, struct beryl_plan *plan)
+{
+  if (waiting_drop (r, job->request))
+    organisation_closed (r, organisation_find (r, job->organisation));
+  struct router_ticket *t = ticket_open (r, job, service, now_ms);
+  if (!t)
+    {
+      router_refuse (plan, "no_memory", RETRY_AFTER_MS);
+      return;
+    }
+  t->phase = ROUTER_PHASE_PLAIN;
+  ticket_take_slot (r, t, endpoint, now_ms);
+  if (job->call_class != BERYL_CLASS_URGENT)
+    r->endpoints[endpoint].patient++;
+  plan->verdict = BERYL_VERDICT_START;
+  plan->ticket = t->id;
+  plan->decode = r->endpoints[endpoint].config->name;
+  plan->first_token_ms = (int64_t)r->endpoints[endpoint].answer_ms;
+  plan->reason = "least_loaded";
+}
+
+void
+plain_plan (struct beryl_router *r, const struct beryl_job *job,
+            int64_t now_ms, struct beryl_plan *plan)
+{
+  struct router_service *s = router_service_find (r, job->service);
+  if (job->deadline_ms <= now_ms)
+    {
+      refuse (r, job, "deadline", plan);
+      return;
+    }
+  if (!any_usable (r, s, job, now_ms))
+    {
+      refuse (r, job, "no_endpoint", plan);
+      return;
+    }
+  struct router_waiting w = {
+    .request = job->request,
+    .service = (uint32_t)(s - r->services),
+    .organisation = organisation_find (r, job->organisation),
+    .call_class = job->call_class,
+    .deadline_ms = job->deadline_ms,
+    .retry_at_ms = now_ms + RETRY_MS,
+  };
+  uint32_t best = ROUTER_NONE;
+  if (waiting_ahead (r, &w) == 0)
+    best = least_loaded (r, s, job, now_ms, plan);
+  if (best != ROUTER_NONE)
+    {
+      start (r, job, w.service, best, now_ms, plan);
+      return;
+    }
+  waiting_put (r, &w);
+  plan->verdict = BERYL_VERDICT_WAIT;
+  plan->retry_at_ms = w.retry_at_ms;
+  plan->reason = "no_slot";
+}
--- /dev/null
+++ b/libberyl/router/planned.c
@@ -0,0 +1,269 @@
+#include <math.h>
+
+#include "private.h"
+
+/* The KV cache of a finished prefill waits this long for a slot at most;
+ * engines keep it for less than a second. */
+#define KV_WAIT_MS 500
+
+/* A decode must be under way this long before the KV cache expires. */
+#define KV_MARGIN_MS 120
+
+#define HEAD_RETRY_MS 20
+#define RETRY_MS 60
+#define BIND_RETRY_MS 10
+#define RETRY_AFTER_MIN_MS 200
+#define RETRY_AFTER_MAX_MS 30000
+
+/* Waiting jobs per own slot from which a service counts as contended. */
+#define CONTENDED 0.25
+
+/* How certain a slot must be before a prefill starts for it.  The objective
+ * sets it: a prefill without a slot is wasted, a slot that waits for its
+ * prefill is lost goodput. */
+static double
+slot_certainty (const struct router_service *s)
+{
+  return 1 - 0.5 / (1 + s->config->waste_weight);
+}
+
+/* Standard deviations of decode time that must fit before the deadline. */
+static double
+length_margin (const struct router_service *s)
+{
+  double w = s->config->waste_weight;
+  return 2 * w / (1 + w);
+}
+
+static double
+departures_per_ms (const struct router_service *s)
+{
+  return s->decoding / fmax (1, s->decode_ms.mean);
+}
+
+/* Slots expected to come free while a prefill that starts now runs. */
+static int32_t
+expected_slots (const struct router_service *s, double lead_ms)
+{
+  double mu = departures_per_ms (s) * (lead_ms + KV_WAIT_MS);
+  return (int32_t)estimate_poisson_floor (mu, slot_certainty (s));
+}
+
+static bool
+serves_urgent (const struct beryl_service *c)
+{
+  if (c->call_class == BERYL_CLASS_URGENT)
+    return true;
+  for (size_t i = 0; i < c->rule_count; i++)
+    if (c->rules[i].call_class == BERYL_CLASS_URGENT)
+      return true;
+  return false;
+}
+
+/* Slots kept back from JOB: for urgent calls, and from batch calls so that
+ * they are the first to go without. */
+static int32_t
+headroom (const struct router_service *s, const struct beryl_job *job)
+{
+  int32_t kept = 0;
+  if (job->call_class != BERYL_CLASS_URGENT && serves_urgent (s->config))
+    kept += 1 + (int32_t)s->own_slots / 16;
+  if (job->call_class == BERYL_CLASS_BATCH)
+    kept += (int32_t)s->own_slots / 8;
+  return kept;
+}
+
+static int32_t
+room (const struct beryl_router *r, const struct router_service *s,
+      const struct beryl_job *job, double lead_ms)
+{
+  int32_t n = s->free_own + (s->spare > 0 ? s->spare : 0);
+  if (r->late_binding)
+    n += expected_slots (s, lead_ms) - (int32_t)s->unbound;
+  return n - headroom (s, job);
+}
+
+static double
+wait_ms (const struct router_service *s, size_t ahead, int32_t slots)
+{
+  if ((int64_t)ahead < slots)
+    return 0;
+  double jobs = (double)ahead - slots + 1;
+  double serving = fmax (1, fmax (s->own_slots, s->decoding));
+  return jobs * s->decode_ms.mean / serving;
+}
+
+static int64_t
+retry_after (double ms)
+{
+  return (int64_t)fmin (RETRY_AFTER_MAX_MS, fmax (RETRY_AFTER_MIN_MS, ms));
+}
+
+static void
+refuse (struct beryl_router *r, uint64_t request, uint32_t organisation,
+        struct beryl_plan *plan, const char *reason, int64_t after_ms)
+{
+  if (waiting_drop (r, request))
+    organisation_closed (r, organisation);
+  router_refuse (plan, reason, after_ms);
+}
+
+/* An organisation may fill the slots and the queue up to its fair part;
+ * checked only while jobs wait, so that no slot idles for fairness' sake. */
+static bool
+over_fair_part (const struct beryl_router *r, const struct router_service *s,
+                uint32_t organisation, size_t queue)
+{
+  if (organisation == ROUTER_NONE)
+    return false;
+  double jobs = (double)(s->own_slots + queue);
+  return r->organisations[organisation].open
+         >= fmax (1, organisation_fair_part (r, organisation) * jobs);
+}
+
+static void
+wait_for_slot (struct beryl_router *r, struct router_waiting *w, size_t ahead,
+               int64_t now_ms, struct beryl_plan *plan)
+{
+  w->retry_at_ms = now_ms + (ahead == 0 ? HEAD_RETRY_MS : RETRY_MS);
+  waiting_put (r, w);
+  plan->verdict = BERYL_VERDICT_WAIT;
+  plan->retry_at_ms = w->retry_at_ms;
+  plan->reason = "no_slot";
+}
+
+static void
+start (struct beryl_router *r, struct router_service *s,
+       const struct beryl_job *job, const struct pair *p, int64_t now_ms,
+       struct beryl_plan *plan)
+{
+  struct router_ticket *t
+      = ticket_open (r, job, (uint32_t)(s - r->services), now_ms);
+  if (!t)
+    {
+      router_refuse (plan, "no_memory", RETRY_AFTER_MIN_MS);
+      return;
+    }
+  t->cached_tokens = p->cached_tokens;
+  ticket_reserve (r, t, p->decode);
+  ticket_start_prefill (r, t, p->prefill, p->prefill_cost_ms, now_ms);
+  for (size_t i = 0; i < job->block_count; i++)
+    prefix_index_add (r->prefix, job->block_hashes[i], p->prefill, now_ms);
+  plan->verdict = BERYL_VERDICT_START;
+  plan->ticket = t->id;
+  plan->prefill = r->endpoints[p->prefill].config->name;
+  if (p->decode != ROUTER_NONE)
+    plan->decode = r->endpoints[p->decode].config->name;
+  plan->first_token_ms = (int64_t)p->first_token_ms;
+  plan->cached_tokens = p->cached_tokens;
+  plan->reason = "planned";
+}
+
+/* Look for a pair and start; false if there is no slot or no engine now. */
+static bool
+try_start (struct beryl_router *r, struct router_service *s,
+           const struct beryl_job *job, const struct pair *p, int64_t now_ms,
+           struct beryl_plan *plan)
+{
+  struct pair chosen = *p;
+  if (!r->late_binding)
+    {
+      uint32_t decode
+          = pair_choose_decode (r, s, s->spare > 0, ROUTER_NONE, now_ms);
+      if (decode == ROUTER_NONE)
+        return false;
+      plan->alternative_count = 0;
+      if (!pair_choose (r, s, job, decode, now_ms, &chosen, plan))
+        return false;
+    }
+  if (waiting_drop (r, job->request))
+    organisation_closed (r, organisation_find (r, job->organisation));
+  start (r, s, job, &chosen, now_ms, plan);
+  return true;
+}
+
+static void
+planned_plan (struct beryl_router *r, const struct beryl_job *job,
+              int64_t now_ms, struct beryl_plan *plan)
+{
+  struct router_service *s = router_service_find (r, job->service);
+  fleet_refresh (r, s, now_ms);
+  size_t known = waiting_find (r, job->request);
+  struct router_waiting w = {
+    .request = job->request,
+    .service = (uint32_t)(s - r->services),
+    .organisation = organisation_find (r, job->organisation),
+    .call_class = job->call_class,
+    .deadline_ms = job->deadline_ms,
+  };
+  size_t queue = waiting_of_service (r, w.service);
+  if (known != SIZE_MAX)
+    w.over_share = r->waiting[known].over_share;
+  else
+    w.over_share = over_fair_part (r, s, w.organisation, 0);
+
+  struct pair p;
+  bool served = pair_choose (r, s, job, ROUTER_NONE, now_ms, &p, plan);
+  if (!served)
+    p.first_token_ms = cost_prefill_ms (s, job->prompt_tokens);
+  double slack = (double)job->deadline_ms - (double)now_ms;
+  double need = p.first_token_ms
+                + cost_decode_ms (s, job->max_tokens, length_margin (s));
+  size_t ahead = waiting_ahead (r, &w);
+  int32_t slots = room (r, s, job, p.first_token_ms);
+  double wait = wait_ms (s, ahead, slots);
+  if (need > slack)
+    {
+      refuse (r, job->request, w.organisation, plan, "deadline",
+              retry_after (wait_ms (s, queue, slots)));
+      return;
+    }
+  if (known == SIZE_MAX && wait + need > slack)
+    {
+      router_refuse (plan, "no_capacity", retry_after (wait + need - slack));
+      return;
+    }
+  if (known == SIZE_MAX && (double)queue > CONTENDED * s->own_slots
+      && over_fair_part (r, s, w.organisation, queue))
+    {
+      router_refuse (plan, "fair_share", retry_after (wait));
+      return;
+    }
+  if (served && (int64_t)ahead < slots
+      && try_start (r, s, job, &p, now_ms, plan))
+    return;
+  wait_for_slot (r, &w, ahead, now_ms, plan);
+  if (!served)
+    plan->reason = "no_endpoint";
+}
+
+static void
+planned_bind (struct beryl_router *r, struct router_ticket *t,
+              int64_t kv_expires_ms, uint32_t refused_by, int64_t now_ms,
+              struct beryl_plan *plan)
+{
+  struct router_service *s = &r->services[t->service];
+  fleet_refresh (r, s, now_ms);
+  bool last_chance = now_ms + KV_MARGIN_MS >= kv_expires_ms;
+  uint32_t decode = pair_choose_decode (r, s, s->spare > 0 || last_chance,
+                                        refused_by, now_ms);
+  if (decode != ROUTER_NONE)
+    {
+      plan->verdict = BERYL_VERDICT_START;
+      plan->decode = r->endpoints[decode].config->name;
+      ticket_unreserve (r, t);
+      ticket_take_slot (r, t, decode, now_ms);
+      return;
+    }
+  if (now_ms >= kv_expires_ms)
+    {
+      router_refuse (plan, "no_slot", RETRY_AFTER_MIN_MS);
+      return;
+    }
+  plan->verdict = BERYL_VERDICT_WAIT;
+  plan->retry_at_ms = now_ms + BIND_RETRY_MS;
+  plan->reason = "no_slot";
+}
+
+const struct router_policy router_policy_planned
+    = { .plan = planned_plan, .bind = planned_bind };
--- /dev/null
+++ b/libberyl/router/prefix.h
@@ -0,0 +1,54 @@
+/** @file
+ * Which endpoints probably hold which prefix blocks.
+ *
+ * Bounded memory: a set-associative table of block hashes, each with a few
+ * holders.  What is not looked up or refreshed is replaced first.
+ */
+#ifndef ROUTER_PREFIX_H
+#define ROUTER_PREFIX_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** Holders kept for a block. */
+#define PREFIX_HOLDERS 6
+
+/** Endpoints named by one lookup at most. */
+#define PREFIX_MATCHES 8
+
+struct prefix_index;
+
+/** How many leading blocks an endpoint holds. */
+struct prefix_match
+{
+  uint32_t endpoint;
+  uint32_t blocks;
+};
+
+/** Create an index with room for about ENTRIES blocks. */
+struct prefix_index *prefix_index_create (size_t entries);
+
+/** Release INDEX; NULL is allowed. */
+void prefix_index_destroy (struct prefix_index *index);
+
+/** Note that ENDPOINT holds or no longer holds BLOCK. */
+void prefix_index_add (struct prefix_index *index, uint64_t block,
+                       uint32_t endpoint, int64_t now_ms);
+void prefix_index_remove (struct prefix_index *index, uint64_t block,
+                          uint32_t endpoint);
+
+/** Forget all that ENDPOINT holds. */
+void prefix_index_forget (struct prefix_index *index, uint32_t endpoint);
+
+/** Rewrite endpoint numbers after a change of configuration: NUMBERS[old]
+ * is the new one or UINT32_MAX. */
+void prefix_index_renumber (struct prefix_index *index,
+                            const uint32_t *numbers, size_t number_count);
+
+/** Find the holders of the longest prefixes of BLOCKS.  Returns the number
+ * written to MATCHES (PREFIX_MATCHES long). */
+size_t prefix_index_lookup (struct prefix_index *index, const uint64_t *blocks,
+                            size_t block_count, int64_t now_ms,
+                            struct prefix_match *matches);
+
+#endif
--- /dev/null
+++ b/libberyl/router/private.h
@@ -0,0 +1,289 @@
+/** @file
+ * State shared by the parts of the router.
+ */
+#ifndef ROUTER_PRIVATE_H
+#define ROUTER_PRIVATE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "beryl/router.h"
+#include "estimate.h"
+#include "prefix.h"
+
+#define ROUTER_NONE UINT32_MAX
+
+/** Slots assumed where the configuration names none. */
+#define ROUTER_DEFAULT_SLOTS 16
+
+/** A report older than this says nothing about free slots. */
+#define ROUTER_REPORT_MAX_AGE_MS 2000
+
+/** Changes remembered per endpoint, to compare with lagged reports. */
+#define ROUTER_RECENT 16
+
+/** Something this node did at an endpoint at AT_MS. */
+struct router_recent
+{
+  int64_t at_ms;
+  double cost_ms; /**< of a prefill it started; 0 for a slot change */
+  int32_t busy;   /**< own busy slots after a slot change; -1 otherwise */
+};
+
+/** An endpoint as this node sees it. */
+struct router_endpoint
+{
+  char name[BERYL_NAME_BYTES];
+  uint64_t name_hash;
+  const struct beryl_endpoint *config;
+  uint32_t service;
+  uint32_t slots;
+  uint32_t share;         /**< slots that belong to this node */
+  uint32_t busy;          /**< own streams in slots */
+  uint32_t reserved;      /**< own tickets in prefill that will come here */
+  uint32_t patient;       /**< plain services: own calls that are not urgent */
+  uint32_t prefills;      /**< own, unfinished */
+  double prefill_free_ms; /**< when the own prefills are done */
+  struct router_recent recent[ROUTER_RECENT];
+  uint32_t recent_next;
+  bool reported;
+  struct beryl_load_report report; /**< without the name */
+  bool cache_known;
+  bool cache_gap;
+  uint64_t cache_sequence;
+  double cache_trust; /**< share of predicted hits that were true */
+  uint32_t failures;  /**< in a row */
+  int64_t ejected_until_ms;
+  double answer_ms; /**< plain services: fading mean of answer times */
+};
+
+/** A list of endpoint numbers. */
+struct router_list
+{
+  uint32_t *items;
+  size_t count;
+};
+
+/** A service and what was learned about it. */
+struct router_service
+{
+  char name[BERYL_NAME_BYTES];
+  const struct beryl_service *config;
+  const struct beryl_model *model; /**< NULL for plain services */
+  struct router_list prefill;
+  struct router_list decode;
+  struct router_list plain;
+  struct router_list own; /**< decode endpoints with a share */
+  uint32_t own_slots;     /**< sum of the shares */
+  uint32_t unbound;       /**< tickets in prefill without a decode engine */
+  uint32_t decoding;      /**< own streams in slots */
+  int32_t free_own;       /**< usable free slots of the shares */
+  int32_t spare;          /**< slots that may be borrowed now */
+  int64_t refreshed_ms;
+  uint32_t turn; /**< of round robin over prefill engines */
+  uint32_t decode_turn;
+  struct estimate_line prefill_ms;  /**< by uncached tokens */
+  struct estimate_line interval_ms; /**< between tokens, by batch */
+  struct estimate_line transfer_ms; /**< by KV megabytes */
+  struct estimate_mean length;      /**< tokens made / tokens allowed */
+  struct estimate_mean decode_ms;   /**< whole decodes */
+};
+
+/** An organisation's use at this node. */
+struct router_organisation
+{
+  const struct beryl_organisation *config;
+  uint32_t open; /**< waiting jobs and tickets */
+  double tokens; /**< of the rate limit's bucket */
+  int64_t filled_ms;
+};
+
+/** Phases of a ticket. */
+enum router_phase
+{
+  ROUTER_PHASE_FREE,
+  ROUTER_PHASE_PREFILL,
+  ROUTER_PHASE_UNBOUND, /**< prefill done, no slot yet */
+  ROUTER_PHASE_DECODE,
+  ROUTER_PHASE_PLAIN,
+};
+
+/** A reservation. */
+struct router_ticket
+{
+  uint64_t id;
+  enum router_phase phase;
+  uint32_t service;
+  uint32_t organisation;
+  uint32_t prefill;
+  uint32_t decode;
+  enum beryl_class call_class;
+  uint32_t prompt_tokens;
+  uint32_t max_tokens;
+  uint32_t cached_tokens; /**< predicted */
+  double prefill_cost_ms;
+  bool prefill_alone; /**< nothing was queued before it */
+  int64_t started_ms;
+  int64_t exported_ms;
+  int64_t first_token_ms;
+  int64_t last_token_ms;
+  uint64_t kv_bytes;
+  uint32_t tokens;
+};
+
+/** A job that waits for a slot. */
+struct router_waiting
+{
+  uint64_t request;
+  uint32_t service;
+  uint32_t organisation;
+  enum beryl_class call_class;
+  bool over_share; /**< its organisation had more than its share */
+  int64_t deadline_ms;
+  int64_t retry_at_ms;
+};
+
+struct beryl_router;
+
+/** A policy. */
+struct router_policy
+{
+  void (*plan) (struct beryl_router *r, const struct beryl_job *job,
+                int64_t now_ms, struct beryl_plan *plan);
+  void (*bind) (struct beryl_router *r, struct router_ticket *t,
+                int64_t kv_expires_ms, uint32_t refused_by, int64_t now_ms,
+                struct beryl_plan *plan);
+};
+
+struct beryl_router
+{
+  const struct router_policy *policy;
+  char node[BERYL_NAME_BYTES];
+  char data_centre[BERYL_NAME_BYTES];
+  uint64_t random;
+  bool late_binding;
+  const struct beryl_config *config;
+  uint64_t *members;
+  size_t member_count;
+  struct router_endpoint *endpoints; /**< sorted by name */
+  size_t endpoint_count;
+  struct router_service *services;
+  size_t service_count;
+  struct router_organisation *organisations; /**< sorted by name */
+  size_t organisation_count;
+  double active_weight; /**< of organisations with open jobs */
+  struct router_ticket *tickets;
+  size_t ticket_count;
+  uint32_t *free_tickets;
+  size_t free_ticket_count;
+  struct router_waiting *waiting; /**< in serving order */
+  size_t waiting_count;
+  size_t waiting_size;
+  int64_t kick_ms; /**< capacity came free at this time */
+  struct prefix_index *prefix;
+};
+
+/* router.c */
+uint64_t router_random (struct beryl_router *r);
+struct router_service *router_service_find (struct beryl_router *r,
+                                            const char *name);
+void router_refuse (struct beryl_plan *plan, const char *reason,
+                    int64_t retry_after_ms);
+
+/* fleet.c: endpoints, their reports and shares */
+bool fleet_build (struct beryl_router *r, const struct beryl_config *config);
+void fleet_release (struct beryl_router *r);
+void fleet_share (struct beryl_router *r);
+uint32_t fleet_find (const struct beryl_router *r, const char *name);
+bool fleet_usable (const struct router_endpoint *e, int64_t now_ms);
+bool fleet_excluded (const struct beryl_job *job,
+                     const struct router_endpoint *e);
+void fleet_note_busy (struct router_endpoint *e, int64_t now_ms);
+uint32_t fleet_free_slots (const struct router_endpoint *e, int64_t now_ms);
+uint32_t fleet_free_own (const struct router_endpoint *e, int64_t now_ms);
+void fleet_refresh (struct beryl_router *r, struct router_service *s,
+                    int64_t now_ms);
+void fleet_failed (struct beryl_router *r, uint32_t endpoint, int64_t now_ms);
+void fleet_worked (struct router_endpoint *e);
+
+/* prefill.c: queues and costs of prefills */
+double prefill_backlog_ms (const struct router_service *s,
+                           const struct router_endpoint *e, int64_t now_ms);
+void prefill_started (struct router_endpoint *e, double cost_ms,
+                      int64_t now_ms);
+void prefill_ended (struct router_endpoint *e, int64_t now_ms);
+
+/* ticket.c */
+struct router_ticket *ticket_open (struct beryl_router *r,
+                                   const struct beryl_job *job,
+                                   uint32_t service, int64_t now_ms);
+struct router_ticket *ticket_find (struct beryl_router *r, uint64_t id);
+void ticket_close (struct beryl_router *r, struct router_ticket *t);
+void ticket_take_slot (struct beryl_router *r, struct router_ticket *t,
+                       uint32_t endpoint, int64_t now_ms);
+void ticket_give_slot (struct beryl_router *r, struct router_ticket *t,
+                       int64_t now_ms);
+void ticket_reserve (struct beryl_router *r, struct router_ticket *t,
+                     uint32_t endpoint);
+void ticket_unreserve (struct beryl_router *r, struct router_ticket *t);
+void ticket_start_prefill (struct beryl_router *r, struct router_ticket *t,
+                           uint32_t prefill, double cost_ms, int64_t now_ms);
+
+/* organisation.c */
+bool organisation_build (struct beryl_router *r,
+                         const struct beryl_config *config);
+uint32_t organisation_find (const struct beryl_router *r, const char *name);
+void organisation_opened (struct beryl_router *r, uint32_t organisation);
+void organisation_closed (struct beryl_router *r, uint32_t organisation);
+const char *organisation_check (struct beryl_router *r, uint32_t organisation,
+                                int64_t now_ms, int64_t *retry_after_ms);
+double organisation_fair_part (const struct beryl_router *r,
+                               uint32_t organisation);
+
+/* waiting.c */
+size_t waiting_find (const struct beryl_router *r, uint64_t request);
+size_t waiting_ahead (const struct beryl_router *r,
+                      const struct router_waiting *w);
+size_t waiting_of_service (const struct beryl_router *r, uint32_t service);
+bool waiting_insert (struct beryl_router *r, const struct router_waiting *w);
+void waiting_remove (struct beryl_router *r, size_t at);
+void waiting_put (struct beryl_router *r, const struct router_waiting *w);
+bool waiting_drop (struct beryl_router *r, uint64_t request);
+
+/* cost.c: what a job will take */
+double cost_prefill_ms (const struct router_service *s,
+                        uint32_t uncached_tokens);
+double cost_transfer_ms (const struct router_service *s,
+                         const struct router_endpoint *from,
+                         const struct router_endpoint *to,
+                         uint32_t prompt_tokens);
+double cost_decode_ms (const struct router_service *s, uint32_t max_tokens,
+                       double z);
+
+/* pair.c */
+struct pair
+{
+  uint32_t prefill;
+  uint32_t decode; /**< ROUTER_NONE when it is bound late */
+  uint32_t cached_tokens;
+  double prefill_cost_ms;
+  double first_token_ms;
+};
+bool pair_choose (struct beryl_router *r, struct router_service *s,
+                  const struct beryl_job *job, uint32_t decode, int64_t now_ms,
+                  struct pair *pair, struct beryl_plan *plan);
+uint32_t pair_choose_decode (struct beryl_router *r, struct router_service *s,
+                             bool may_borrow, uint32_t refused_by,
+                             int64_t now_ms);
+
+extern const struct router_policy router_policy_planned;
+extern const struct router_policy router_policy_random;
+extern const struct router_policy router_policy_round_robin;
+extern const struct router_policy router_policy_least_reported;
+extern const struct router_policy router_policy_of_two;
+
+void plain_plan (struct beryl_router *r, const struct beryl_job *job,
+                 int64_t now_ms, struct beryl_plan *plan);
+
+#endif
--- /dev/null
+++ b/libberyl/router/shares.h
@@ -0,0 +1,21 @@
+/** @file
+ * Slot shares: each slot of an endpoint belongs to one node, so that nodes
+ * that decide at the same time do not choose the same slot.
+ */
+#ifndef ROUTER_SHARES_H
+#define ROUTER_SHARES_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** Return how many of SLOTS slots of the endpoint with ENDPOINT_HASH belong
+ * to the node with hash OWN among NODES, which includes OWN.  Every node
+ * gets SLOTS / NODE_COUNT; the rest goes to the nodes that rank highest by
+ * rendezvous hashing.  The shares of all nodes add up to SLOTS. */
+uint32_t shares_of_node (uint64_t endpoint_hash, uint32_t slots, uint64_t own,
+                         const uint64_t *nodes, size_t node_count);
+
+/** Hash a name. */
+uint64_t shares_hash (const char *name);
+
+#endif
--- /dev/null
+++ b/libberyl/router/waiting.c
@@ -0,0 +1,98 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "private.h"
+
+size_t
+waiting_find (const struct beryl_router *r, uint64_t request)
+{
+  for (size_t i = 0; i < r->waiting_count; i++)
+    if (r->waiting[i].request == request)
+      return i;
+  return SIZE_MAX;
+}
+
+/* Class first, then organisations within their share, then the earliest
+ * deadline. */
+static bool
+before (const struct router_waiting *a, const struct router_waiting *b)
+{
+  if (a->call_class != b->call_class)
+    return a->call_class < b->call_class;
+  if (a->over_share != b->over_share)
+    return !a->over_share;
+  if (a->deadline_ms != b->deadline_ms)
+    return a->deadline_ms < b->deadline_ms;
+  return a->request < b->request;
+}
+
+size_t
+waiting_ahead (const struct beryl_router *r, const struct router_waiting *w)
+{
+  size_t ahead = 0;
+  for (size_t i = 0; i < r->waiting_count; i++)
+    if (r->waiting[i].service == w->service
+        && r->waiting[i].request != w->request && before (&r->waiting[i], w))
+      ahead++;
+  return ahead;
+}
+
+size_t
+waiting_of_service (const struct beryl_router *r, uint32_t service)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < r->waiting_count; i++)
+    if (r->waiting[i].service == service)
+      n++;
+  return n;
+}
+
+bool
+waiting_insert (struct beryl_router *r, const struct router_waiting *w)
+{
+  if (r->waiting_count == r->waiting_size)
+    {
+      size_t size = r->waiting_size ? r->waiting_size * 2 : 16;
+      struct router_waiting *waiting
+          = realloc (r->waiting, size * sizeof *waiting);
+      if (!waiting)
+        return false;
+      r->waiting = waiting;
+      r->waiting_size = size;
+    }
+  size_t at = 0;
+  while (at < r->waiting_count && before (&r->waiting[at], w))
+    at++;
+  memmove (r->waiting + at + 1, r->waiting + at,
+           (r->waiting_count - at) * sizeof *r->waiting);
+  r->waiting[at] = *w;
+  r->waiting_count++;
+  return true;
+}
+
+void
+waiting_remove (struct beryl_router *r, size_t at)
+{
+  r->waiting_count--;
+  memmove (r->waiting + at, r->waiting + at + 1,
+           (r->waiting_count - at) * sizeof *r->waiting);
+}
+
+void
+waiting_put (struct beryl_router *r, const struct router_waiting *w)
+{
+  if (!waiting_drop (r, w->request))
+    organisation_opened (r, w->organisation);
+  if (!waiting_insert (r, w))
+    organisation_closed (r, w->organisation);
+}
+
+bool
+waiting_drop (struct beryl_router *r, uint64_t request)
+{
+  size_t at = waiting_find (r, request);
+  if (at == SIZE_MAX)
+    return false;
+  waiting_remove (r, at);
+  return true;
+}
