Request life at one node: attempts, keys, holds, kept answers

The whole path needs a decision part between callers and endpoints. beryl_requests takes events and emits actions: plan, prefill, decode or service call, answer in order, one final answer for each call. Every attempt is "unknown" unless the endpoint refused it or no byte was sent; only that and the call's kind allow a retry, within a budget per service. Keys are looked up by a digest of organisation and key and are never forgotten by their incarnation; an answer that was cut is kept for a while and fetched from an offset. Holds are recorded before they are made and cancelled until confirmed; a confirmation that may have overtaken the call is not final.

The header gains FORWARD_ERROR and the attempt of DATA; a FORWARD is an exchange whose answer comes back by the exchange events.

--- a/include/beryl/requests.h
+++ b/include/beryl/requests.h
@@ -5,6 +5,13 @@
  * Events go in with the time, actions come out through a vtable; nothing
  * here does I/O.  Not thread-safe; any number of instances may live in one
  * process.  Pointers inside an event or action are valid during the call.
+ * An owner's act must not call back into the instance.
+ *
+ * Every call ends by exactly one of REPLY_END, REPLY_ERROR and REPLY_CUT,
+ * unless its caller has gone.  A caller's handle may be used again after
+ * that.  An answer counts as delivered when BERYL_EVENT_CALLER_DRAINED comes
+ * after REPLY_END; until then, or after BERYL_EVENT_CALLER_GONE, the answer
+ * of a call with a key may be fetched.
  */
 #ifndef BERYL_REQUESTS_H
 #define BERYL_REQUESTS_H
@@ -41,6 +48,7 @@
   BERYL_EVENT_EXCHANGE_DATA,    /**< answer bytes at an offset */
   BERYL_EVENT_EXCHANGE_END,     /**< the answer is whole */
   BERYL_EVENT_EXCHANGE_FAILED,  /**< reset, timeout or error */
+  BERYL_EVENT_FORWARD_ERROR,    /**< the other node's final problem */
   BERYL_EVENT_CANCEL_CONFIRMED, /**< the endpoint holds nothing of a stream */
   BERYL_EVENT_CLAIM_RESULT,     /**< answer to BERYL_ACTION_CLAIM */
   BERYL_EVENT_FETCH,            /**< caller wants an outcome or the rest */
@@ -58,6 +66,23 @@
   BERYL_CLAIM_UNKNOWN,     /**< the write may have taken effect */
 };
 
+/** Problems told to callers; each has a stable type in problem+json. */
+enum beryl_problem
+{
+  BERYL_PROBLEM_NO_SERVICE,
+  BERYL_PROBLEM_OVER_LIMIT,
+  BERYL_PROBLEM_NO_CAPACITY,
+  BERYL_PROBLEM_DEADLINE,
+  BERYL_PROBLEM_ENDPOINT_FAILED,
+  BERYL_PROBLEM_KEY_IN_USE,        /**< a call with this key is running */
+  BERYL_PROBLEM_KEY_ANSWERED,      /**< it was answered; fetch the rest */
+  BERYL_PROBLEM_KEY_MISMATCH,      /**< the key belongs to another body */
+  BERYL_PROBLEM_KEY_UNKNOWN,       /**< its node is gone: outcome unknown */
+  BERYL_PROBLEM_CLAIM_UNAVAILABLE, /**< object API away: not run */
+  BERYL_PROBLEM_NOT_FOUND,
+  BERYL_PROBLEM_CONTEXT_LENGTH, /**< prompt longer than the model takes */
+};
+
 /** A caller's request. */
 struct beryl_call
 {
@@ -108,6 +133,7 @@
       const void *bytes;
       size_t bytes_count;
       uint32_t tokens;
+      uint32_t attempt; /**< as the engine says; 0: it does not */
     } data;
     struct
     {
@@ -139,6 +165,13 @@
       const char *request_id; /**< or the key */
       uint64_t offset;
     } fetch;
+    struct
+    {
+      enum beryl_problem problem;
+      enum beryl_outcome outcome;
+      int64_t retry_after_ms;
+      const char *detail;
+    } forward_error;
   };
 };
 
@@ -159,26 +192,12 @@
   BERYL_ACTION_HOLD_RECORD, /**< tell the hold keeper, before it is made */
   BERYL_ACTION_HOLD_ERASE,  /**< the engine has confirmed it is gone */
   BERYL_ACTION_CLAIM,       /**< make a free key's claim durable */
-  BERYL_ACTION_FORWARD,     /**< pass the call to the node of a bound key */
-  BERYL_ACTION_DECISION,    /**< log line of a routing decision */
-  BERYL_ACTION_DRAINED,     /**< after DRAIN: no request is open */
-};
-
-/** Problems told to callers; each has a stable type in problem+json. */
-enum beryl_problem
-{
-  BERYL_PROBLEM_NO_SERVICE,
-  BERYL_PROBLEM_OVER_LIMIT,
-  BERYL_PROBLEM_NO_CAPACITY,
-  BERYL_PROBLEM_DEADLINE,
-  BERYL_PROBLEM_ENDPOINT_FAILED,
-  BERYL_PROBLEM_KEY_IN_USE,        /**< a call with this key is running */
-  BERYL_PROBLEM_KEY_ANSWERED,      /**< it was answered; fetch the rest */
-  BERYL_PROBLEM_KEY_MISMATCH,      /**< the key belongs to another body */
-  BERYL_PROBLEM_KEY_UNKNOWN,       /**< its node is gone: outcome unknown */
-  BERYL_PROBLEM_CLAIM_UNAVAILABLE, /**< object API away: not run */
-  BERYL_PROBLEM_NOT_FOUND,
-  BERYL_PROBLEM_CONTEXT_LENGTH, /**< prompt longer than the model takes */
+  /** Pass the call to the node of that incarnation, as an exchange: its
+   * answer comes back by EXCHANGE_HEAD, DATA, END or FORWARD_ERROR.  If that
+   * node is gone or cannot be reached, EXCHANGE_FAILED. */
+  BERYL_ACTION_FORWARD,
+  BERYL_ACTION_DECISION, /**< log line of a routing decision */
+  BERYL_ACTION_DRAINED,  /**< after DRAIN: no request is open */
 };
 
 /** One action. */
@@ -186,7 +205,7 @@
 {
   enum beryl_action_type type;
   uint64_t request;
-  uint64_t exchange; /**< new for PREFILL, DECODE and SERVICE */
+  uint64_t exchange; /**< new for PREFILL, DECODE, SERVICE and FORWARD */
   union
   {
     struct
--- /dev/null
+++ b/libberyl/requests/admit.c
@@ -0,0 +1,341 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "private.h"
+
+/* When a caller should ask again about a key that another call is using. */
+#define KEY_RETRY_MS 1000
+#define CLAIM_RETRY_MS 1000
+
+static struct request *
+request_create (struct beryl_requests *requests, const struct beryl_call *call)
+{
+  struct request *request = calloc (1, sizeof *request);
+
+  if (request == NULL)
+    return NULL;
+  if (!call_copy (&request->call, call)
+      || !map_put (&requests->by_handle, map_key_number (call->request),
+                   request))
+    {
+      call_clear (&request->call);
+      free (request);
+      return NULL;
+    }
+  request->slow_since_ms = BERYL_NEVER_MS;
+  request->previous = requests->last;
+  if (requests->last != NULL)
+    requests->last->next = request;
+  else
+    requests->first = request;
+  requests->last = request;
+  requests->open++;
+  return request;
+}
+
+static void
+request_hash_prompt (struct beryl_requests *requests, struct request *request,
+                     const struct beryl_model *model)
+{
+  size_t block_bytes = (size_t)model->block_tokens * 4;
+
+  if (block_bytes == 0 || request->call.prompt_bytes < block_bytes)
+    return;
+  request->block_hashes
+      = calloc (PREFIX_BLOCKS_MAX, sizeof *request->block_hashes);
+  if (request->block_hashes == NULL)
+    return;
+  request->block_count = beryl_prefix_hash (
+      request->call.prompt, request->call.prompt_bytes, block_bytes,
+      request->block_hashes, PREFIX_BLOCKS_MAX);
+}
+
+static void
+request_configure (struct request *request,
+                   const struct beryl_service *service, int64_t now_ms)
+{
+  const struct beryl_call *call = &request->call;
+  const struct beryl_call_rule *rule = NULL;
+  int64_t allowed_ms = service->deadline_ms;
+
+  if (call->method != NULL && call->path != NULL)
+    rule = beryl_service_rule (service, call->method, call->path);
+  request->plain = service->model[0] == '\0';
+  request->call_class = rule != NULL ? rule->call_class : service->call_class;
+  request->idempotent
+      = !(rule != NULL ? rule->non_idempotent : service->non_idempotent);
+  request->arrived_ms = now_ms;
+  request->answer.status = 200;
+  request->answer.prompt_tokens = call->prompt_tokens;
+  if (rule != NULL && rule->deadline_ms > 0)
+    allowed_ms = rule->deadline_ms;
+  if (call->deadline_ms == 0)
+    request->call.deadline_ms
+        = allowed_ms > 0 ? now_ms + allowed_ms : BERYL_NEVER_MS;
+}
+
+/* Returns whether the prompt fits the model. */
+static bool
+request_check_model (struct beryl_requests *requests, struct request *request,
+                     const struct beryl_service *service)
+{
+  const struct beryl_model *model;
+
+  if (request->plain)
+    return true;
+  model = beryl_config_model (requests->config, service->model);
+  if (model == NULL)
+    return true;
+  if (model->context_tokens != 0
+      && (uint64_t)request->call.prompt_tokens + request->call.max_tokens
+             > model->context_tokens)
+    return false;
+  request_hash_prompt (requests, request, model);
+  return true;
+}
+
+/* Tells the caller about a key that may not be run, and returns true; or
+ * false if it may. */
+static bool
+refuse_known_key (struct beryl_requests *requests,
+                  const struct beryl_call *call, const struct record *record)
+{
+  if (!BERYL_GUARD (BERYL_GUARD_KEY_BODY,
+                    record->body_hash == call_body_hash (call)))
+    {
+      requests_refuse (requests, call->request, BERYL_PROBLEM_KEY_MISMATCH,
+                       BERYL_OUTCOME_NOT_RUN, 0,
+                       "the key was used for another request");
+      return true;
+    }
+  if (!BERYL_GUARD (BERYL_GUARD_KEY_RUNNING,
+                    record->outcome != BERYL_OUTCOME_PENDING))
+    {
+      requests_refuse (requests, call->request, BERYL_PROBLEM_KEY_IN_USE,
+                       BERYL_OUTCOME_PENDING, KEY_RETRY_MS,
+                       "a call with this key is running");
+      return true;
+    }
+  if (BERYL_GUARD (BERYL_GUARD_KEY_ENDED,
+                   record->outcome == BERYL_OUTCOME_NOT_RUN
+                       || record->outcome == BERYL_OUTCOME_PENDING))
+    return false;
+  if (record->outcome == BERYL_OUTCOME_ANSWERED)
+    requests_refuse (requests, call->request, BERYL_PROBLEM_KEY_ANSWERED,
+                     BERYL_OUTCOME_ANSWERED, 0,
+                     "a call with this key was "
+                     "answered");
+  else
+    requests_refuse (requests, call->request, BERYL_PROBLEM_KEY_UNKNOWN,
+                     BERYL_OUTCOME_UNKNOWN, 0,
+                     "a call with this key may have run");
+  return true;
+}
+
+static void
+request_claim (struct beryl_requests *requests, struct request *request)
+{
+  struct beryl_action action = {
+    .type = BERYL_ACTION_CLAIM,
+    .request = request->call.request,
+  };
+
+  request->phase = PHASE_CLAIM;
+  action.claim.organisation = request->call.organisation;
+  action.claim.key = request->call.key;
+  action.claim.body_hash = call_body_hash (&request->call);
+  requests_act (requests, &action);
+}
+
+void
+request_forward (struct beryl_requests *requests, struct request *request,
+                 uint64_t incarnation)
+{
+  struct beryl_action action = {
+    .type = BERYL_ACTION_FORWARD,
+    .request = request->call.request,
+  };
+  struct exchange *exchange = exchange_open (requests, request, "");
+
+  if (exchange == NULL)
+    return;
+  request->phase = PHASE_FORWARD;
+  action.exchange = exchange->id;
+  action.forward.incarnation = incarnation;
+  action.forward.call = &request->call;
+  requests_act (requests, &action);
+}
+
+/* Whether the call's key was made for another incarnation than this.  That
+ * one alone knows whether the key has run: it may be alive at another node,
+ * or be this node before a restart. */
+static bool
+bound_elsewhere (const struct beryl_requests *requests,
+                 const struct beryl_call *call)
+{
+  return call->key_kind == BERYL_KEY_BOUND
+         && !BERYL_GUARD (BERYL_GUARD_KEY_INCARNATION,
+                          call->key_incarnation
+                              == requests->settings.incarnation);
+}
+
+/* A free key arrives by forwarding because its claim names this incarnation;
+ * without a record here its run cannot be ruled out. */
+static bool
+forwarded_unknown (const struct beryl_call *call, const struct record *record)
+{
+  return call->forwarded && call->key_kind == BERYL_KEY_FREE
+         && !BERYL_GUARD (BERYL_GUARD_FORWARDED_KEY, record != NULL);
+}
+
+/* Decides about the key before anything is kept for the call.  True if the
+ * call has got its final answer. */
+static bool
+requests_refuse_key (struct beryl_requests *requests,
+                     const struct beryl_call *call)
+{
+  struct record *record;
+
+  if (call->key_kind == BERYL_KEY_NONE)
+    return false;
+  if (bound_elsewhere (requests, call))
+    {
+      if (call->forwarded)
+        requests_refuse (requests, call->request, BERYL_PROBLEM_KEY_UNKNOWN,
+                         BERYL_OUTCOME_UNKNOWN, 0,
+                         "the node of this key is gone");
+      return call->forwarded;
+    }
+  record = record_of_key (requests, call->organisation, call->key);
+  if (forwarded_unknown (call, record))
+    {
+      requests_refuse (requests, call->request, BERYL_PROBLEM_KEY_UNKNOWN,
+                       BERYL_OUTCOME_UNKNOWN, 0,
+                       "what became of this key is not known");
+      return true;
+    }
+  return record != NULL && refuse_known_key (requests, call, record);
+}
+
+/* A free key of an idempotent call needs no claim: a repeat does no harm,
+ * and the call goes on during an outage of the object API. */
+static bool
+needs_claim (const struct request *request)
+{
+  return request->call.key_kind == BERYL_KEY_FREE && !request->idempotent
+         && !(request->record != NULL && request->record->claimed);
+}
+
+static void
+request_start (struct beryl_requests *requests, struct request *request,
+               const struct beryl_service *service, int64_t now_ms)
+{
+  const struct beryl_call *call = &request->call;
+  bool elsewhere = bound_elsewhere (requests, call);
+  bool keyed = call->key_kind == BERYL_KEY_BOUND
+               || (call->key_kind == BERYL_KEY_FREE && !request->idempotent);
+
+  request->record = record_open (requests, call, keyed && !elsewhere);
+  if (request->record == NULL && keyed)
+    {
+      request_fail (requests, request, BERYL_PROBLEM_NO_CAPACITY, KEY_RETRY_MS,
+                    "out of memory", now_ms);
+      return;
+    }
+  retry_budget_earn (&requests->budgets, service->name,
+                     service->retry_budget_percent);
+  if (elsewhere)
+    request_forward (requests, request, call->key_incarnation);
+  else if (!BERYL_GUARD (BERYL_GUARD_CLAIM_FIRST, !needs_claim (request)))
+    request_claim (requests, request);
+  else
+    request_plan (requests, request, now_ms);
+}
+
+void
+requests_admit (struct beryl_requests *requests, const struct beryl_call *call,
+                int64_t now_ms)
+{
+  const struct beryl_service *service = NULL;
+  struct request *request;
+
+  if (requests->config != NULL)
+    service = beryl_config_service (requests->config, call->service);
+  if (service == NULL)
+    {
+      requests_refuse (requests, call->request, BERYL_PROBLEM_NO_SERVICE,
+                       BERYL_OUTCOME_NOT_RUN, 0, "no such service");
+      return;
+    }
+  if (requests_refuse_key (requests, call))
+    return;
+  request = request_create (requests, call);
+  if (request == NULL)
+    {
+      requests_refuse (requests, call->request, BERYL_PROBLEM_NO_CAPACITY,
+                       BERYL_OUTCOME_NOT_RUN, KEY_RETRY_MS, "out of memory");
+      return;
+    }
+  request_configure (request, service, now_ms);
+  if (!request_check_model (requests, request, service))
+    {
+      request_fail (requests, request, BERYL_PROBLEM_CONTEXT_LENGTH, 0,
+                    "prompt and answer are longer than the model takes",
+                    now_ms);
+      return;
+    }
+  request_start (requests, request, service, now_ms);
+}
+
+/* The claim names an incarnation that was granted the key.  If it is this
+ * one, the key's record here is the authority, and it says that the key has
+ * not run: otherwise the call would not have come this far. */
+static void
+request_claim_taken (struct beryl_requests *requests, struct request *request,
+                     uint64_t incarnation, int64_t now_ms)
+{
+  if (incarnation == requests->settings.incarnation)
+    {
+      request->record->claimed = true;
+      request_plan (requests, request, now_ms);
+      return;
+    }
+  record_end (requests, request, BERYL_OUTCOME_NOT_RUN, now_ms);
+  request->record = NULL;
+  request_forward (requests, request, incarnation);
+}
+
+void
+request_claim_result (struct beryl_requests *requests, struct request *request,
+                      const struct beryl_event *event, int64_t now_ms)
+{
+  if (request->phase != PHASE_CLAIM)
+    return;
+  switch (event->claim.result)
+    {
+    case BERYL_CLAIM_GRANTED:
+      request->record->claimed = true;
+      request_plan (requests, request, now_ms);
+      return;
+    case BERYL_CLAIM_TAKEN:
+      request_claim_taken (requests, request, event->claim.incarnation,
+                           now_ms);
+      return;
+    case BERYL_CLAIM_MISMATCH:
+      request_fail_as (requests, request, BERYL_PROBLEM_KEY_MISMATCH,
+                       BERYL_OUTCOME_NOT_RUN, 0,
+                       "the key was used for another request", now_ms);
+      return;
+    case BERYL_CLAIM_UNAVAILABLE:
+      request_fail_as (requests, request, BERYL_PROBLEM_CLAIM_UNAVAILABLE,
+                       BERYL_OUTCOME_NOT_RUN, CLAIM_RETRY_MS,
+                       "the key could not be claimed", now_ms);
+      return;
+    case BERYL_CLAIM_UNKNOWN:
+      request_fail_as (requests, request, BERYL_PROBLEM_KEY_UNKNOWN,
+                       BERYL_OUTCOME_UNKNOWN, CLAIM_RETRY_MS,
+                       "an earlier call with this key cannot be ruled out",
+                       now_ms);
+      return;
+    }
+}
--- /dev/null
+++ b/libberyl/requests/plan.c
@@ -0,0 +1,135 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "private.h"
+
+#define REFUSED_RETRY_MS 1000
+/* How many waiting requests are planned again after one event. */
+#define PLANS_PER_EVENT 64
+
+void
+request_exclude (struct request *request, const char *endpoint)
+{
+  uint32_t n = request->excluded_count;
+
+  if (endpoint == NULL || n == ENDPOINT_EXCLUDED_MAX)
+    return;
+  snprintf (request->excluded[n], BERYL_NAME_BYTES, "%s", endpoint);
+  request->excluded_count++;
+}
+
+static void
+plan_log (struct beryl_requests *requests, const struct request *request,
+          const struct beryl_plan *plan)
+{
+  struct beryl_action action = {
+    .type = BERYL_ACTION_DECISION,
+    .request = request->call.request,
+  };
+
+  action.decision.request_id = request->call.request_id;
+  action.decision.plan = plan;
+  requests_act (requests, &action);
+}
+
+static void
+plan_start (struct beryl_requests *requests, struct request *request,
+            const struct beryl_plan *plan, int64_t now_ms)
+{
+  request->ticket = plan->ticket;
+  snprintf (request->decode, sizeof request->decode, "%s", plan->decode);
+  if (request->plain)
+    {
+      attempt_service (requests, request, now_ms);
+      return;
+    }
+  snprintf (request->prefill, sizeof request->prefill, "%s", plan->prefill);
+  attempt_prefill (requests, request, now_ms);
+}
+
+static void
+plan_refuse (struct beryl_requests *requests, struct request *request,
+             const struct beryl_plan *plan, int64_t now_ms)
+{
+  const char *reason = plan->reason != NULL ? plan->reason : "no capacity";
+  enum beryl_problem problem = BERYL_PROBLEM_NO_CAPACITY;
+  int64_t retry_after_ms
+      = plan->retry_after_ms > 0 ? plan->retry_after_ms : REFUSED_RETRY_MS;
+
+  if (strstr (reason, "limit") != NULL)
+    problem = BERYL_PROBLEM_OVER_LIMIT;
+  request_fail (requests, request, problem, retry_after_ms, reason, now_ms);
+}
+
+void
+request_plan (struct beryl_requests *requests, struct request *request,
+              int64_t now_ms)
+{
+  const char *excluded[ENDPOINT_EXCLUDED_MAX];
+  struct beryl_plan plan = { 0 };
+  struct beryl_job job = {
+    .request = request->call.request,
+    .service = request->call.service,
+    .organisation = request->call.organisation,
+    .call_class = request->call_class,
+    .plain = request->plain,
+    .prompt_tokens = request->call.prompt_tokens,
+    .max_tokens = request->call.max_tokens,
+    .block_hashes = request->block_hashes,
+    .block_count = request->block_count,
+    .arrived_ms = request->arrived_ms,
+    .deadline_ms = request->call.deadline_ms,
+    .excluded_count = request->excluded_count,
+    .excluded = excluded,
+  };
+
+  for (uint32_t i = 0; i < request->excluded_count; i++)
+    excluded[i] = request->excluded[i];
+  request->phase = PHASE_PLAN;
+  beryl_router_plan (requests->router, &job, now_ms, &plan);
+  if (plan.verdict == BERYL_VERDICT_WAIT)
+    {
+      request->retry_at_ms = plan.retry_at_ms;
+      return;
+    }
+  plan_log (requests, request, &plan);
+  if (plan.verdict == BERYL_VERDICT_START)
+    plan_start (requests, request, &plan, now_ms);
+  else
+    plan_refuse (requests, request, &plan, now_ms);
+}
+
+static int
+plan_class (struct beryl_requests *requests, enum beryl_class call_class,
+            bool all, int limit, int64_t now_ms)
+{
+  struct request *request, *next;
+  int planned = 0;
+
+  for (request = requests->first; request != NULL && planned < limit;
+       request = next)
+    {
+      next = request->next;
+      if (request->phase != PHASE_PLAN || request->call_class != call_class
+          || !(all || now_ms >= request->retry_at_ms))
+        continue;
+      request_plan (requests, request, now_ms);
+      planned++;
+    }
+  return planned;
+}
+
+/* A request that is waiting is planned again at the time that the router
+ * named, or when an attempt has ended and its place may be free. */
+void
+requests_plan_waiting (struct beryl_requests *requests, int64_t now_ms)
+{
+  bool all = requests->capacity_freed
+             || now_ms >= beryl_router_next_ms (requests->router);
+  int planned = 0;
+
+  requests->capacity_freed = false;
+  for (int c = BERYL_CLASS_URGENT; c <= BERYL_CLASS_BATCH; c++)
+    planned += plan_class (requests, (enum beryl_class)c, all,
+                           PLANS_PER_EVENT - planned, now_ms);
+}
--- /dev/null
+++ b/libberyl/requests/private.h
@@ -0,0 +1,250 @@
+/** @file
+ * What the files of this folder share.
+ */
+#ifndef BERYL_REQUESTS_PRIVATE_H
+#define BERYL_REQUESTS_PRIVATE_H
+
+#include "../base/guard.h"
+#include "beryl/clock.h"
+#include "beryl/requests.h"
+#include "buffer.h"
+#include "map.h"
+#include "reassembly.h"
+#include "retry_budget.h"
+
+#define ENDPOINT_EXCLUDED_MAX 8
+#define KV_HANDLE_BYTES 128
+#define CONTENT_TYPE_BYTES 96
+#define FINISH_REASON_BYTES 32
+#define PREFIX_BLOCKS_MAX 256
+
+/** What a kept answer consists of. */
+struct answer
+{
+  unsigned int status;
+  char content_type[CONTENT_TYPE_BYTES];
+  char finish_reason[FINISH_REASON_BYTES];
+  uint32_t prompt_tokens;
+  uint32_t completion_tokens;
+  struct buffer body;
+};
+
+/** What is remembered of a call after it has ended.  A call with a key is
+ * remembered as long as this incarnation lives, so that its key never runs
+ * again; its answer and its request id only for the retention time. */
+struct record
+{
+  struct record *next; /**< in the order in which they expire */
+  struct map_key key;
+  struct map_key id;
+  uint64_t body_hash;
+  struct answer *answer; /**< NULL: not kept */
+  uint64_t reader;       /**< handle of who reads the answer; 0: nobody */
+  int64_t expires_ms;
+  enum beryl_outcome outcome; /**< PENDING while it is open */
+  bool keyed;
+  bool claimed;   /**< a free key that was granted to this incarnation */
+  bool delivered; /**< the caller has read the answer to its end */
+};
+
+/** Where a request is in its life. */
+enum request_phase
+{
+  PHASE_CLAIM, /**< waits for its key's claim */
+  PHASE_PLAN,  /**< waits for the router */
+  PHASE_PREFILL,
+  PHASE_DECODE,
+  PHASE_SERVICE,
+  PHASE_FORWARD,
+};
+
+/** Something of ours that may keep engine memory. */
+struct hold
+{
+  struct hold *next;
+  char endpoint[BERYL_NAME_BYTES];
+  struct beryl_stream_id stream;
+  bool cancelling;
+  int64_t settled_ms; /**< a confirmation before this is not final */
+  int64_t next_ms;    /**< when CANCEL is repeated */
+  int64_t backoff_ms;
+  uint32_t cancels;
+};
+
+/** One conversation with an endpoint or another node. */
+struct exchange
+{
+  uint64_t id;
+  struct request *request;
+  char endpoint[BERYL_NAME_BYTES];
+  uint32_t attempt;
+  bool paused;
+  bool ended; /**< END came; bytes before it may still be missing */
+  uint64_t answer_bytes;
+};
+
+/** A call that has no final answer yet, or whose answer is still read from
+ * its endpoint after the caller has gone. */
+struct request
+{
+  struct request *next;
+  struct request *previous;
+  struct beryl_call call; /**< strings are owned */
+  enum request_phase phase;
+  enum beryl_class call_class;
+  bool plain;
+  bool idempotent;
+  bool caller_gone;
+  bool begun;        /**< REPLY_HEAD went out */
+  bool may_have_run; /**< an attempt's outcome is unknown */
+  int64_t arrived_ms;
+  struct record *record;
+  struct exchange *exchange;
+  struct answer answer;
+  struct reassembly reassembly;
+
+  uint64_t ticket; /**< 0: none */
+  char prefill[BERYL_NAME_BYTES];
+  char decode[BERYL_NAME_BYTES];
+  char kv_handle[KV_HANDLE_BYTES];
+  struct beryl_stream_id stream;
+  uint32_t attempt;
+  uint32_t resumes;
+  uint32_t refusals;
+  bool first_token_seen;
+  bool unsettled; /**< a call to an engine was cut: it may still arrive */
+  int64_t retry_at_ms;
+  char excluded[ENDPOINT_EXCLUDED_MAX][BERYL_NAME_BYTES];
+  uint32_t excluded_count;
+
+  uint64_t replied_bytes; /**< of the answer's body, handed to the caller */
+  uint64_t queued_bytes;  /**< handed over and not read yet */
+  int64_t slow_since_ms;  /**< BERYL_NEVER_MS: the caller keeps up */
+  uint64_t *block_hashes;
+  size_t block_count;
+};
+
+/** One instance. */
+struct beryl_requests
+{
+  struct beryl_requests_settings settings;
+  struct beryl_router *router;
+  struct beryl_requests_owner *owner;
+  const struct beryl_config *config;
+  struct request *first;
+  struct request *last;
+  uint32_t open;
+  struct map by_handle;   /**< struct request, of callers still there */
+  struct map by_exchange; /**< struct exchange */
+  struct map by_reader;   /**< struct record, whose answer is being read */
+  struct map by_key;      /**< struct record, never forgotten */
+  struct map by_id;       /**< struct record, until it expires */
+  struct record *expiring_first;
+  struct record *expiring_last;
+  uint64_t kept_bytes;
+  struct hold *holds;
+  struct retry_budgets budgets;
+  uint64_t last_exchange;
+  uint64_t last_stream;
+  bool capacity_freed; /**< waiting requests are worth planning again */
+  bool draining;
+  bool drained_told;
+};
+
+/* requests.c */
+void requests_act (struct beryl_requests *requests,
+                   const struct beryl_action *action);
+void request_unlink (struct beryl_requests *requests, struct request *request);
+
+/* call.c: a call's copy and its settings */
+bool call_copy (struct beryl_call *copy, const struct beryl_call *call);
+void call_clear (struct beryl_call *copy);
+uint64_t call_body_hash (const struct beryl_call *call);
+
+/* admit.c */
+void requests_admit (struct beryl_requests *requests,
+                     const struct beryl_call *call, int64_t now_ms);
+void request_claim_result (struct beryl_requests *requests,
+                           struct request *request,
+                           const struct beryl_event *event, int64_t now_ms);
+void request_forward (struct beryl_requests *requests, struct request *request,
+                      uint64_t incarnation);
+
+/* plan.c */
+void request_plan (struct beryl_requests *requests, struct request *request,
+                   int64_t now_ms);
+void requests_plan_waiting (struct beryl_requests *requests, int64_t now_ms);
+void request_exclude (struct request *request, const char *endpoint);
+
+/* attempt.c: one try at endpoints */
+void attempt_prefill (struct beryl_requests *requests, struct request *request,
+                      int64_t now_ms);
+void attempt_service (struct beryl_requests *requests, struct request *request,
+                      int64_t now_ms);
+void attempt_stop (struct beryl_requests *requests, struct request *request,
+                   enum beryl_release how, const char *endpoint,
+                   int64_t now_ms);
+void attempt_event (struct beryl_requests *requests, struct exchange *exchange,
+                    const struct beryl_event *event, int64_t now_ms);
+void attempt_pause (struct beryl_requests *requests, struct request *request,
+                    bool paused);
+struct exchange *exchange_open (struct beryl_requests *requests,
+                                struct request *request, const char *endpoint);
+void exchange_close (struct beryl_requests *requests, struct request *request);
+
+/* answer.c: what the caller is told */
+void request_deliver (struct beryl_requests *requests, struct request *request,
+                      const void *bytes, size_t bytes_count, uint32_t tokens,
+                      int64_t now_ms);
+void request_answered (struct beryl_requests *requests,
+                       struct request *request, int64_t now_ms);
+void request_fail (struct beryl_requests *requests, struct request *request,
+                   enum beryl_problem problem, int64_t retry_after_ms,
+                   const char *detail, int64_t now_ms);
+void request_fail_as (struct beryl_requests *requests, struct request *request,
+                      enum beryl_problem problem, enum beryl_outcome outcome,
+                      int64_t retry_after_ms, const char *detail,
+                      int64_t now_ms);
+void request_caller_gone (struct beryl_requests *requests,
+                          struct request *request, int64_t now_ms);
+void request_caller_drained (struct beryl_requests *requests,
+                             struct request *request);
+void request_deadline (struct beryl_requests *requests,
+                       struct request *request, int64_t now_ms);
+void answer_send (struct beryl_requests *requests, uint64_t handle,
+                  const struct answer *answer, uint64_t offset);
+void requests_refuse (struct beryl_requests *requests, uint64_t handle,
+                      enum beryl_problem problem, enum beryl_outcome outcome,
+                      int64_t retry_after_ms, const char *detail);
+
+/* records.c: keys, outcomes and kept answers */
+struct record *record_open (struct beryl_requests *requests,
+                            const struct beryl_call *call, bool keyed);
+struct record *record_of_key (struct beryl_requests *requests,
+                              const char *organisation, const char *key);
+void record_end (struct beryl_requests *requests, struct request *request,
+                 enum beryl_outcome outcome, int64_t now_ms);
+void record_reader_event (struct beryl_requests *requests,
+                          const struct beryl_event *event);
+void records_expire (struct beryl_requests *requests, int64_t now_ms);
+void records_clear (struct beryl_requests *requests);
+void requests_fetch (struct beryl_requests *requests,
+                     const struct beryl_event *event, int64_t now_ms);
+
+/* hold.c */
+bool hold_record (struct beryl_requests *requests, const char *endpoint,
+                  struct beryl_stream_id stream);
+void hold_end (struct beryl_requests *requests, const char *endpoint,
+               struct beryl_stream_id stream);
+void hold_cancel (struct beryl_requests *requests, const char *endpoint,
+                  struct beryl_stream_id stream, bool in_flight,
+                  int64_t now_ms);
+void hold_confirmed (struct beryl_requests *requests, const char *endpoint,
+                     struct beryl_stream_id stream, int64_t now_ms);
+void holds_repeat (struct beryl_requests *requests, int64_t now_ms);
+void holds_forget_absent (struct beryl_requests *requests);
+int64_t holds_next_ms (const struct beryl_requests *requests);
+bool holds_cancelling (const struct beryl_requests *requests);
+void holds_clear (struct beryl_requests *requests);
+
+#endif
--- /dev/null
+++ b/libberyl/requests/records.c
@@ -0,0 +1,296 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "private.h"
+
+/* One answer may not push all others out. */
+#define KEPT_SHARE_MAX 4
+
+struct record *
+record_of_key (struct beryl_requests *requests, const char *organisation,
+               const char *key)
+{
+  /* A key is looked up together with its organisation: otherwise whoever
+   * guesses a key could fetch somebody else's answer. */
+  const char *scope
+      = BERYL_GUARD (BERYL_GUARD_KEY_ORGANISATION, false) ? "" : organisation;
+
+  return map_get (&requests->by_key, map_key_digest (scope, key));
+}
+
+static struct map_key
+record_key (const struct beryl_call *call)
+{
+  const char *scope = BERYL_GUARD (BERYL_GUARD_KEY_ORGANISATION, false)
+                          ? ""
+                          : call->organisation;
+
+  return map_key_digest (scope, call->key);
+}
+
+struct record *
+record_open (struct beryl_requests *requests, const struct beryl_call *call,
+             bool keyed)
+{
+  struct record *record = NULL;
+
+  if (keyed)
+    record = record_of_key (requests, call->organisation, call->key);
+  if (record == NULL)
+    {
+      record = calloc (1, sizeof *record);
+      if (record == NULL)
+        return NULL;
+      record->keyed = keyed;
+      record->expires_ms = BERYL_NEVER_MS;
+      if (keyed)
+        {
+          record->key = record_key (call);
+          record->body_hash = call_body_hash (call);
+        }
+      if (keyed && !map_put (&requests->by_key, record->key, record))
+        {
+          free (record);
+          return NULL;
+        }
+    }
+  else
+    map_remove (&requests->by_id, record->id);
+  record->outcome = BERYL_OUTCOME_PENDING;
+  record->delivered = false;
+  record->id = map_key_digest (call->organisation, call->request_id);
+  map_put (&requests->by_id, record->id, record);
+  return record;
+}
+
+static void
+record_drop_answer (struct beryl_requests *requests, struct record *record)
+{
+  if (record->reader != 0)
+    map_remove (&requests->by_reader, map_key_number (record->reader));
+  record->reader = 0;
+  if (record->answer == NULL)
+    return;
+  requests->kept_bytes -= record->answer->body.count;
+  buffer_clear (&record->answer->body);
+  free (record->answer);
+  record->answer = NULL;
+}
+
+static void
+record_keep_answer (struct beryl_requests *requests, struct record *record,
+                    struct answer *answer)
+{
+  uint64_t limit = requests->settings.answer_retention_bytes;
+
+  if (answer->body.count > limit / KEPT_SHARE_MAX)
+    return;
+  record->answer = malloc (sizeof *answer);
+  if (record->answer == NULL)
+    return;
+  *record->answer = *answer;
+  answer->body = (struct buffer){ 0 };
+  requests->kept_bytes += record->answer->body.count;
+  for (struct record *old = requests->expiring_first;
+       old != NULL && requests->kept_bytes > limit; old = old->next)
+    if (old != record)
+      record_drop_answer (requests, old);
+}
+
+static void
+record_schedule (struct beryl_requests *requests, struct record *record,
+                 int64_t now_ms)
+{
+  bool listed = record->expires_ms != BERYL_NEVER_MS;
+
+  record->expires_ms = now_ms + requests->settings.answer_retention_ms;
+  if (listed)
+    return;
+  record->next = NULL;
+  if (requests->expiring_last != NULL)
+    requests->expiring_last->next = record;
+  else
+    requests->expiring_first = record;
+  requests->expiring_last = record;
+}
+
+void
+record_end (struct beryl_requests *requests, struct request *request,
+            enum beryl_outcome outcome, int64_t now_ms)
+{
+  struct record *record = request->record;
+
+  if (record == NULL)
+    return;
+  record->outcome = outcome;
+  if (outcome == BERYL_OUTCOME_ANSWERED && record->keyed)
+    {
+      record_drop_answer (requests, record);
+      record_keep_answer (requests, record, &request->answer);
+      if (record->answer != NULL && !request->caller_gone)
+        {
+          record->reader = request->call.request;
+          map_put (&requests->by_reader, map_key_number (record->reader),
+                   record);
+        }
+    }
+  record_schedule (requests, record, now_ms);
+}
+
+/* Whoever was reading an answer has read it or gone away. */
+void
+record_reader_event (struct beryl_requests *requests,
+                     const struct beryl_event *event)
+{
+  struct record *record
+      = map_get (&requests->by_reader, map_key_number (event->request));
+
+  if (record == NULL)
+    return;
+  map_remove (&requests->by_reader, map_key_number (event->request));
+  record->reader = 0;
+  if (event->type == BERYL_EVENT_CALLER_DRAINED)
+    record->delivered = true;
+}
+
+static void
+record_expire (struct beryl_requests *requests, struct record *record)
+{
+  record_drop_answer (requests, record);
+  record->expires_ms = BERYL_NEVER_MS;
+  if (map_get (&requests->by_id, record->id) == record)
+    map_remove (&requests->by_id, record->id);
+  if (!record->keyed)
+    free (record);
+}
+
+/* A record whose key was used again, after it had not run, has a later time
+ * than its place in the list says: it goes to the end. */
+void
+records_expire (struct beryl_requests *requests, int64_t now_ms)
+{
+  struct record *record;
+
+  while ((record = requests->expiring_first) != NULL)
+    {
+      bool renewed = record->expires_ms > now_ms
+                     || record->outcome == BERYL_OUTCOME_PENDING;
+
+      if (renewed && record->next == NULL)
+        return;
+      if (renewed && record->outcome != BERYL_OUTCOME_PENDING
+          && record->expires_ms <= record->next->expires_ms)
+        return;
+      requests->expiring_first = record->next;
+      if (record->next == NULL)
+        requests->expiring_last = NULL;
+      if (!renewed)
+        {
+          record_expire (requests, record);
+          continue;
+        }
+      record->next = NULL;
+      requests->expiring_last->next = record;
+      requests->expiring_last = record;
+      return;
+    }
+}
+
+static void
+record_free (struct beryl_requests *requests, struct record *record)
+{
+  record_drop_answer (requests, record);
+  free (record);
+}
+
+void
+records_clear (struct beryl_requests *requests)
+{
+  struct record *record, *next;
+
+  for (record = requests->expiring_first; record != NULL; record = next)
+    {
+      next = record->next;
+      if (!record->keyed)
+        record_free (requests, record);
+    }
+  for (size_t i = 0; i < requests->by_key.capacity; i++)
+    if (requests->by_key.slots[i].value != NULL)
+      record_free (requests, requests->by_key.slots[i].value);
+  map_clear (&requests->by_id);
+  map_clear (&requests->by_key);
+}
+
+static struct record *
+record_of_fetch (struct beryl_requests *requests,
+                 const struct beryl_event *event)
+{
+  struct record *record
+      = map_get (&requests->by_id, map_key_digest (event->fetch.organisation,
+                                                   event->fetch.request_id));
+
+  if (record != NULL)
+    return record;
+  return record_of_key (requests, event->fetch.organisation,
+                        event->fetch.request_id);
+}
+
+static void
+fetch_answer (struct beryl_requests *requests, struct record *record,
+              const struct beryl_event *event)
+{
+  const struct answer *answer = record->answer;
+
+  if (record->reader != 0)
+    {
+      requests_refuse (requests, event->request, BERYL_PROBLEM_KEY_IN_USE,
+                       BERYL_OUTCOME_ANSWERED, 1000,
+                       "the answer is being read on another connection");
+      return;
+    }
+  if (answer == NULL || record->delivered
+      || event->fetch.offset > answer->body.count)
+    {
+      requests_refuse (requests, event->request, BERYL_PROBLEM_KEY_ANSWERED,
+                       BERYL_OUTCOME_ANSWERED, 0,
+                       record->delivered ? "the answer was delivered whole"
+                                         : "the answer is not kept");
+      return;
+    }
+  record->reader = event->request;
+  map_put (&requests->by_reader, map_key_number (record->reader), record);
+  answer_send (requests, event->request, answer, event->fetch.offset);
+}
+
+void
+requests_fetch (struct beryl_requests *requests,
+                const struct beryl_event *event, int64_t now_ms)
+{
+  struct record *record = record_of_fetch (requests, event);
+
+  (void)now_ms;
+  if (record == NULL)
+    {
+      requests_refuse (requests, event->request, BERYL_PROBLEM_NOT_FOUND,
+                       BERYL_OUTCOME_UNKNOWN, 0, "no such request here");
+      return;
+    }
+  switch (record->outcome)
+    {
+    case BERYL_OUTCOME_PENDING:
+      requests_refuse (requests, event->request, BERYL_PROBLEM_KEY_IN_USE,
+                       BERYL_OUTCOME_PENDING, 1000, "it is running");
+      return;
+    case BERYL_OUTCOME_ANSWERED:
+      fetch_answer (requests, record, event);
+      return;
+    case BERYL_OUTCOME_NOT_RUN:
+      requests_refuse (requests, event->request, BERYL_PROBLEM_NOT_FOUND,
+                       BERYL_OUTCOME_NOT_RUN, 0, "it did not run");
+      return;
+    case BERYL_OUTCOME_UNKNOWN:
+      requests_refuse (requests, event->request, BERYL_PROBLEM_KEY_UNKNOWN,
+                       BERYL_OUTCOME_UNKNOWN, 0, "it may have run");
+      return;
+    }
+}
--- /dev/null
+++ b/libberyl/requests/requests.c
@@ -0,0 +1,254 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "private.h"
+
+void
+requests_act (struct beryl_requests *requests,
+              const struct beryl_action *action)
+{
+  requests->owner->impl->act (requests->owner, action);
+}
+
+struct beryl_requests *
+beryl_requests_create (const struct beryl_requests_settings *settings,
+                       struct beryl_router *router,
+                       struct beryl_requests_owner *owner)
+{
+  struct beryl_requests *requests = calloc (1, sizeof *requests);
+
+  if (requests == NULL)
+    return NULL;
+  requests->settings = *settings;
+  requests->router = router;
+  requests->owner = owner;
+  return requests;
+}
+
+static void
+request_free (struct request *request)
+{
+  reassembly_drop_early (&request->reassembly);
+  buffer_clear (&request->answer.body);
+  call_clear (&request->call);
+  free (request->block_hashes);
+  free (request->exchange);
+  free (request);
+}
+
+void
+request_unlink (struct beryl_requests *requests, struct request *request)
+{
+  if (request->previous != NULL)
+    request->previous->next = request->next;
+  else
+    requests->first = request->next;
+  if (request->next != NULL)
+    request->next->previous = request->previous;
+  else
+    requests->last = request->previous;
+  if (!request->caller_gone)
+    map_remove (&requests->by_handle, map_key_number (request->call.request));
+  requests->open--;
+  request_free (request);
+}
+
+void
+beryl_requests_destroy (struct beryl_requests *requests)
+{
+  struct request *request;
+
+  if (requests == NULL)
+    return;
+  while ((request = requests->first) != NULL)
+    {
+      requests->first = request->next;
+      if (request->record != NULL && !request->record->keyed)
+        free (request->record);
+      request_free (request);
+    }
+  records_clear (requests);
+  holds_clear (requests);
+  retry_budgets_clear (&requests->budgets);
+  map_clear (&requests->by_handle);
+  map_clear (&requests->by_reader);
+  map_clear (&requests->by_exchange);
+  free (requests);
+}
+
+void
+beryl_requests_set_config (struct beryl_requests *requests,
+                           const struct beryl_config *config, int64_t now_ms)
+{
+  requests->config = config;
+  requests->capacity_freed = true;
+  holds_forget_absent (requests);
+  requests_plan_waiting (requests, now_ms);
+}
+
+static struct request *
+request_of (const struct beryl_requests *requests,
+            const struct beryl_event *event)
+{
+  return map_get (&requests->by_handle, map_key_number (event->request));
+}
+
+/* An exchange that was closed may still have events on their way: the late
+ * answer of an older attempt would be taken for the current one's.  Ids are
+ * never used twice, so that it finds nothing here. */
+static struct exchange *
+exchange_of (const struct beryl_requests *requests,
+             const struct beryl_event *event)
+{
+  return map_get (&requests->by_exchange, map_key_number (event->exchange));
+}
+
+static void
+requests_deadlines (struct beryl_requests *requests, int64_t now_ms)
+{
+  struct request *request, *next;
+
+  for (request = requests->first; request != NULL; request = next)
+    {
+      next = request->next;
+      if (now_ms >= request->call.deadline_ms)
+        request_deadline (requests, request, now_ms);
+      else if (request->slow_since_ms != BERYL_NEVER_MS
+               && now_ms - request->slow_since_ms
+                      >= requests->settings.slow_reader_ms)
+        request_fail (requests, request, BERYL_PROBLEM_DEADLINE, 0,
+                      "caller does not read its answer", now_ms);
+    }
+}
+
+static void
+requests_tell_drained (struct beryl_requests *requests)
+{
+  struct beryl_action action = { .type = BERYL_ACTION_DRAINED };
+
+  if (!requests->draining || requests->drained_told)
+    return;
+  /* A stop that does not wait cuts off whoever is still being answered, and
+   * leaves engine memory held that nobody cancels any more. */
+  if (!BERYL_GUARD (BERYL_GUARD_DRAIN_WAIT,
+                    requests->open == 0 && !holds_cancelling (requests)))
+    return;
+  requests->drained_told = true;
+  requests_act (requests, &action);
+}
+
+static void
+requests_tick (struct beryl_requests *requests, int64_t now_ms)
+{
+  requests_deadlines (requests, now_ms);
+  holds_repeat (requests, now_ms);
+  records_expire (requests, now_ms);
+}
+
+static void
+requests_caller_event (struct beryl_requests *requests,
+                       const struct beryl_event *event, int64_t now_ms)
+{
+  struct request *request = request_of (requests, event);
+
+  if (request == NULL)
+    {
+      record_reader_event (requests, event);
+      return;
+    }
+  switch (event->type)
+    {
+    case BERYL_EVENT_CALLER_GONE:
+      request_caller_gone (requests, request, now_ms);
+      return;
+    case BERYL_EVENT_CALLER_DRAINED:
+      request_caller_drained (requests, request);
+      return;
+    default:
+      request_claim_result (requests, request, event, now_ms);
+      return;
+    }
+}
+
+static void
+requests_take (struct beryl_requests *requests,
+               const struct beryl_event *event, int64_t now_ms)
+{
+  struct exchange *exchange;
+
+  switch (event->type)
+    {
+    case BERYL_EVENT_CALL:
+      requests->drained_told = false;
+      requests_admit (requests, &event->call, now_ms);
+      return;
+    case BERYL_EVENT_CALLER_GONE:
+    case BERYL_EVENT_CALLER_DRAINED:
+    case BERYL_EVENT_CLAIM_RESULT:
+      requests_caller_event (requests, event, now_ms);
+      return;
+    case BERYL_EVENT_CANCEL_CONFIRMED:
+      hold_confirmed (requests, event->cancel.endpoint, event->cancel.stream,
+                      now_ms);
+      return;
+    case BERYL_EVENT_FETCH:
+      requests_fetch (requests, event, now_ms);
+      return;
+    case BERYL_EVENT_TICK:
+      return;
+    case BERYL_EVENT_DRAIN:
+      requests->draining = true;
+      return;
+    default:
+      exchange = exchange_of (requests, event);
+      if (exchange != NULL)
+        attempt_event (requests, exchange, event, now_ms);
+    }
+}
+
+void
+beryl_requests_event (struct beryl_requests *requests,
+                      const struct beryl_event *event, int64_t now_ms)
+{
+  requests_take (requests, event, now_ms);
+  requests_tick (requests, now_ms);
+  requests_plan_waiting (requests, now_ms);
+  requests_tell_drained (requests);
+}
+
+static int64_t
+earlier (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+int64_t
+beryl_requests_next_ms (const struct beryl_requests *requests)
+{
+  int64_t next_ms = holds_next_ms (requests);
+  bool waiting = false;
+
+  for (const struct request *r = requests->first; r != NULL; r = r->next)
+    {
+      next_ms = earlier (next_ms, r->call.deadline_ms);
+      if (r->phase == PHASE_PLAN)
+        {
+          next_ms = earlier (next_ms, r->retry_at_ms);
+          waiting = true;
+        }
+      if (r->slow_since_ms != BERYL_NEVER_MS)
+        next_ms = earlier (next_ms, r->slow_since_ms
+                                        + requests->settings.slow_reader_ms);
+    }
+  if (waiting)
+    next_ms = earlier (next_ms, beryl_router_next_ms (requests->router));
+  if (requests->expiring_first != NULL)
+    next_ms = earlier (next_ms, requests->expiring_first->expires_ms);
+  return next_ms;
+}
+
+uint32_t
+beryl_requests_open (const struct beryl_requests *requests)
+{
+  return requests->open;
+}
--- /dev/null
+++ b/tests/requests/fake_router.c
@@ -0,0 +1,183 @@
+/* A router for tests of request life: the first endpoint of the service that
+ * is not excluded, with a limit on reservations that a test sets. */
+#include "fake_router.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct beryl_router
+{
+  const struct beryl_config *config;
+  uint64_t last_ticket;
+  uint32_t open_tickets;
+  uint32_t limit;
+  char refusal[64];
+};
+
+struct beryl_router *
+beryl_router_create (const char *node, const char *data_centre,
+                     enum beryl_policy policy, uint64_t seed)
+{
+  struct beryl_router *router = calloc (1, sizeof *router);
+
+  router->limit = UINT32_MAX;
+  return router;
+}
+
+void
+beryl_router_destroy (struct beryl_router *router)
+{
+  free (router);
+}
+
+void
+beryl_router_set_config (struct beryl_router *router,
+                         const struct beryl_config *config, int64_t now_ms)
+{
+  router->config = config;
+}
+
+void
+fake_router_limit (struct beryl_router *router, uint32_t limit)
+{
+  router->limit = limit;
+}
+
+void
+fake_router_refuse (struct beryl_router *router, const char *reason)
+{
+  strncpy (router->refusal, reason, sizeof router->refusal - 1);
+}
+
+uint32_t
+fake_router_open (const struct beryl_router *router)
+{
+  return router->open_tickets;
+}
+
+static bool
+excluded (const struct beryl_job *job, const char *name)
+{
+  for (uint32_t i = 0; i < job->excluded_count; i++)
+    if (strcmp (job->excluded[i], name) == 0)
+      return true;
+  return false;
+}
+
+static const char *
+find (const struct beryl_router *router, const struct beryl_job *job, int role)
+{
+  for (size_t i = 0; i < router->config->endpoint_count; i++)
+    {
+      const struct beryl_endpoint *e = &router->config->endpoints[i];
+
+      if (strcmp (e->service, job->service) == 0 && ((int)e->role & role) != 0
+          && !e->leaving && !excluded (job, e->name))
+        return e->name;
+    }
+  return NULL;
+}
+
+void
+beryl_router_plan (struct beryl_router *router, const struct beryl_job *job,
+                   int64_t now_ms, struct beryl_plan *plan)
+{
+  *plan = (struct beryl_plan){ .verdict = BERYL_VERDICT_REFUSE };
+  plan->reason = router->refusal[0] != '\0' ? router->refusal : "no endpoint";
+  plan->retry_after_ms = 700;
+  if (router->refusal[0] != '\0')
+    return;
+  if (!job->plain)
+    plan->prefill = find (router, job, BERYL_ROLE_PREFILL);
+  plan->decode = find (router, job,
+                       job->plain ? BERYL_ROLE_SERVICE : BERYL_ROLE_DECODE);
+  if (plan->decode == NULL || (!job->plain && plan->prefill == NULL))
+    return;
+  if (router->open_tickets >= router->limit)
+    {
+      plan->verdict = BERYL_VERDICT_WAIT;
+      plan->retry_at_ms = now_ms + 50;
+      return;
+    }
+  plan->verdict = BERYL_VERDICT_START;
+  plan->ticket = ++router->last_ticket;
+  router->open_tickets++;
+}
+
+void
+beryl_router_release (struct beryl_router *router, uint64_t ticket,
+                      enum beryl_release how, const char *failed_endpoint,
+                      int64_t now_ms)
+{
+  router->open_tickets--;
+}
+
+int64_t
+beryl_router_next_ms (const struct beryl_router *router)
+{
+  return INT64_MAX;
+}
+
+void
+beryl_router_set_members (struct beryl_router *router,
+                          const char *const *nodes, size_t node_count,
+                          int64_t now_ms)
+{
+}
+
+void
+beryl_router_load_report (struct beryl_router *router,
+                          const struct beryl_load_report *report,
+                          int64_t now_ms)
+{
+}
+
+void
+beryl_router_cache_event (struct beryl_router *router,
+                          const struct beryl_cache_event *event,
+                          int64_t now_ms)
+{
+}
+
+void
+beryl_router_forget (struct beryl_router *router, uint64_t request)
+{
+}
+
+void
+beryl_router_prefill_done (struct beryl_router *router, uint64_t ticket,
+                           uint32_t cached_tokens, uint64_t kv_bytes,
+                           int64_t now_ms)
+{
+}
+
+void
+beryl_router_first_token (struct beryl_router *router, uint64_t ticket,
+                          int64_t now_ms)
+{
+}
+
+void
+beryl_router_tokens (struct beryl_router *router, uint64_t ticket,
+                     uint32_t tokens, int64_t now_ms)
+{
+}
+
+size_t
+beryl_prefix_hash (const char *prompt, size_t prompt_bytes, size_t block_bytes,
+                   uint64_t *hashes, size_t max)
+{
+  return 0;
+}
+
+const char *
+beryl_policy_name (enum beryl_policy policy)
+{
+  return "fake";
+}
+
+bool
+beryl_policy_parse (const char *name, enum beryl_policy *policy)
+{
+  return false;
+}
