--- a/libberyl/base/guard.h
+++ b/libberyl/base/guard.h
@@ -38,6 +38,8 @@
   BERYL_GUARD_CLAIM_LOADED,     /**< no grant from an unread log */
   BERYL_GUARD_FORWARDED_KEY,    /**< a forwarded key is never run anew */
   BERYL_GUARD_CHECKPOINT_WHOLE, /**< segments go only after a checkpoint */
+  BERYL_GUARD_DEATH_HEARD,      /**< who is heard is not dead */
+  BERYL_GUARD_CLEANUP_SETTLE,   /**< as CANCEL_SETTLE, for the dead */
 };
 
 #ifdef BERYL_MUTANTS
--- /dev/null
+++ b/libberyl/requests/death.c
@@ -0,0 +1,52 @@
+#include "../base/guard.h"
+#include "beryl/holds.h"
+
+static bool
+link_proves (const struct beryl_death_evidence *evidence, int64_t now_ms)
+{
+  return evidence->link_broken
+         && now_ms - evidence->link_broken_ms >= BERYL_DEATH_LINK_GRACE_MS;
+}
+
+/* The platform's list lags and flaps: a live instance may be missing from it
+ * for a while.  Whoever is missing for long and heard of by nobody in that
+ * time is gone; a node that others still hear, or whose list we cannot read,
+ * is not, since cancelling its streams would cut off its callers. */
+static bool
+list_proves (const struct beryl_death_evidence *evidence, int64_t now_ms)
+{
+  return evidence->list_current && !evidence->listed
+         && now_ms - evidence->delisted_ms >= BERYL_DEATH_DELISTED_MS
+         && BERYL_GUARD (BERYL_GUARD_DEATH_HEARD,
+                         now_ms - evidence->last_heard_ms
+                             >= BERYL_DEATH_DELISTED_MS);
+}
+
+enum beryl_death
+beryl_death_judge (const struct beryl_death_evidence *evidence, int64_t now_ms)
+{
+  if (evidence->address_incarnation > evidence->incarnation)
+    return BERYL_DEATH_NEWER_INCARNATION;
+  if (link_proves (evidence, now_ms))
+    return BERYL_DEATH_LINK_BROKEN;
+  if (list_proves (evidence, now_ms))
+    return BERYL_DEATH_DELISTED;
+  return BERYL_DEATH_NONE;
+}
+
+const char *
+beryl_death_name (enum beryl_death death)
+{
+  switch (death)
+    {
+    case BERYL_DEATH_NONE:
+      return "none";
+    case BERYL_DEATH_LINK_BROKEN:
+      return "link_broken";
+    case BERYL_DEATH_NEWER_INCARNATION:
+      return "newer_incarnation";
+    case BERYL_DEATH_DELISTED:
+      return "delisted";
+    }
+  return "none";
+}
--- /dev/null
+++ b/tests/requests/test_holds.c
@@ -0,0 +1,170 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/clock.h"
+#include "beryl/holds.h"
+
+#define DEAD 40
+
+/* A window told to the keeper covers later holds without a message; one that
+ * it does not cover must be told before the hold is made, or the engine's
+ * memory stays held when the process dies at that moment. */
+START_TEST (window_is_told_before_it_is_left)
+{
+  struct beryl_hold_windows *windows = beryl_hold_windows_create (7);
+  const struct beryl_hold_window *told;
+  uint64_t messages = 0;
+
+  for (uint64_t counter = 1; counter <= 5000; counter++)
+    {
+      if (beryl_hold_windows_record (windows, "e1", counter))
+        messages++;
+      told = beryl_hold_windows_get (windows, "e1");
+      ck_assert (told->from <= counter && counter <= told->to);
+      if (counter > 20)
+        beryl_hold_windows_erase (windows, "e1", counter - 20);
+    }
+  ck_assert_uint_lt (messages, 25);
+  beryl_hold_windows_destroy (windows);
+}
+END_TEST
+
+START_TEST (windows_narrow_to_what_is_held)
+{
+  struct beryl_hold_windows *windows = beryl_hold_windows_create (7);
+  struct beryl_hold_window out[4];
+
+  ck_assert (beryl_hold_windows_record (windows, "e1", 3));
+  ck_assert (!beryl_hold_windows_record (windows, "e1", 9));
+  beryl_hold_windows_erase (windows, "e1", 3);
+  ck_assert_uint_eq (beryl_hold_windows_narrow (windows, out, 4), 1);
+  ck_assert_uint_eq (out[0].from, 9);
+  ck_assert_uint_eq (beryl_hold_windows_narrow (windows, out, 4), 0);
+  beryl_hold_windows_erase (windows, "e1", 9);
+  ck_assert_uint_eq (beryl_hold_windows_narrow (windows, out, 4), 1);
+  ck_assert_uint_lt (out[0].to, out[0].from);
+  ck_assert (beryl_hold_windows_record (windows, "e1", 10));
+  ck_assert_uint_eq (beryl_hold_windows_list (windows, out, 4), 1);
+  ck_assert_uint_eq (out[0].from, 10);
+  beryl_hold_windows_destroy (windows);
+}
+END_TEST
+
+/* A region is cut off: its nodes are not heard, but the platform lists them.
+ * Cancelling their streams would cut off callers that they still answer. */
+START_TEST (cut_off_node_is_not_dead)
+{
+  struct beryl_death_evidence evidence = {
+    .incarnation = DEAD,
+    .list_current = true,
+    .listed = true,
+  };
+
+  ck_assert_int_eq (beryl_death_judge (&evidence, 3600000), BERYL_DEATH_NONE);
+}
+END_TEST
+
+/* The list lags and misses a live node for a while; others hear it. */
+START_TEST (missing_from_a_lagging_list_is_not_dead)
+{
+  struct beryl_death_evidence evidence = {
+    .incarnation = DEAD,
+    .list_current = true,
+    .delisted_ms = 1000,
+    .last_heard_ms = 59000,
+  };
+
+  ck_assert_int_eq (beryl_death_judge (&evidence, 60000), BERYL_DEATH_NONE);
+  evidence.last_heard_ms = 1000;
+  ck_assert_int_eq (beryl_death_judge (&evidence, 60000),
+                    BERYL_DEATH_DELISTED);
+  evidence.list_current = false;
+  ck_assert_int_eq (beryl_death_judge (&evidence, 60000), BERYL_DEATH_NONE);
+}
+END_TEST
+
+START_TEST (proofs_of_death)
+{
+  struct beryl_death_evidence evidence = {
+    .incarnation = DEAD,
+    .address_incarnation = DEAD,
+    .link_broken = true,
+    .link_broken_ms = 100,
+  };
+
+  ck_assert_int_eq (beryl_death_judge (&evidence, 200), BERYL_DEATH_NONE);
+  ck_assert_int_eq (beryl_death_judge (&evidence, 600),
+                    BERYL_DEATH_LINK_BROKEN);
+  evidence.address_incarnation = DEAD + 1;
+  ck_assert_int_eq (beryl_death_judge (&evidence, 200),
+                    BERYL_DEATH_NEWER_INCARNATION);
+}
+END_TEST
+
+/* A process dies right after it sent a prefill.  The first cancel gets to
+ * the engine before the prefill and is confirmed with nothing held; without
+ * a second one the prefill's memory would stay held. */
+START_TEST (early_confirmation_is_not_final)
+{
+  struct beryl_hold_cleanup *cleanup = beryl_hold_cleanup_create ();
+  struct beryl_hold_window window = { "e1", DEAD, 1, 20 }, due;
+
+  ck_assert (beryl_hold_cleanup_add (cleanup, &window, 0));
+  ck_assert (beryl_hold_cleanup_due (cleanup, &due, 0));
+  ck_assert (!beryl_hold_cleanup_due (cleanup, &due, 0));
+  ck_assert (!beryl_hold_cleanup_answered (cleanup, "e1", DEAD, 0, 5));
+  ck_assert_int_eq (beryl_hold_cleanup_next_ms (cleanup), 300);
+  ck_assert (beryl_hold_cleanup_due (cleanup, &due, 300));
+  ck_assert_str_eq (due.endpoint, "e1");
+  ck_assert_uint_eq (due.to, 20);
+  ck_assert (beryl_hold_cleanup_answered (cleanup, "e1", DEAD, 0, 305));
+  ck_assert_uint_eq (beryl_hold_cleanup_count (cleanup), 0);
+  beryl_hold_cleanup_destroy (cleanup);
+}
+END_TEST
+
+/* An engine does not answer for a while, then says that it still holds some:
+ * the cancel is repeated until nothing is held or the engine is gone. */
+START_TEST (cancel_is_repeated_until_nothing_is_held)
+{
+  struct beryl_hold_cleanup *cleanup = beryl_hold_cleanup_create ();
+  struct beryl_hold_window window = { "e1", DEAD, 1, 20 }, due;
+  int tries = 0;
+
+  beryl_hold_cleanup_add (cleanup, &window, 0);
+  for (int64_t now_ms = 0; now_ms < 10000; now_ms++)
+    if (beryl_hold_cleanup_due (cleanup, &due, now_ms))
+      tries++;
+  ck_assert_int_ge (tries, 6);
+  ck_assert (!beryl_hold_cleanup_answered (cleanup, "e1", DEAD, 2, 10000));
+  ck_assert_uint_eq (beryl_hold_cleanup_count (cleanup), 1);
+  beryl_hold_cleanup_forget (cleanup, "e1");
+  ck_assert_uint_eq (beryl_hold_cleanup_count (cleanup), 0);
+  ck_assert_int_eq (beryl_hold_cleanup_next_ms (cleanup), BERYL_NEVER_MS);
+  beryl_hold_cleanup_destroy (cleanup);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("holds");
+  TCase *tcase = tcase_create ("holds");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tcase, window_is_told_before_it_is_left);
+  tcase_add_test (tcase, windows_narrow_to_what_is_held);
+  tcase_add_test (tcase, cut_off_node_is_not_dead);
+  tcase_add_test (tcase, missing_from_a_lagging_list_is_not_dead);
+  tcase_add_test (tcase, proofs_of_death);
+  tcase_add_test (tcase, early_confirmation_is_not_final);
+  tcase_add_test (tcase, cancel_is_repeated_until_nothing_is_held);
+  suite_add_tcase (suite, tcase);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
