Accepted configuration: log, state and acceptor

An entry is created only if absent under the next number, so all nodes see one order of whole entries and a former acceptor loses the race. The acceptor judges changes against the accepted state, takes what is valid and rejects the rest with findings; one that has read less than its predecessor does not judge.

--- /dev/null
+++ b/include/beryl/spread.h
@@ -0,0 +1,157 @@
+/** @file
+ * The accepted configuration: a log of entries, each written once.
+ *
+ * An entry is made by "create only if absent" under the next number, so
+ * that all nodes see one order, an entry is whole or absent, and a former
+ * acceptor that was paused loses the race.  A node's state is a prefix of
+ * the log; it only moves forward, whoever tells it what.
+ *
+ * An entry is the JSON object {"version":N,"revisions":{KIND:R,...},
+ * "changes":[{"kind":K,"name":N,"source":V,"object":{...}},...]}; a change
+ * without "object" is a deletion.  "source" is the version of the operator's
+ * object, "revisions" the platform's revision that the acceptor had read.
+ */
+#ifndef BERYL_SPREAD_H
+#define BERYL_SPREAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "beryl/error.h"
+#include "beryl/ids.h"
+
+struct beryl_spread;
+
+/** What became of an entry. */
+enum beryl_spread_result
+{
+  BERYL_SPREAD_APPLIED,
+  BERYL_SPREAD_OLD, /**< already known */
+  BERYL_SPREAD_GAP, /**< entries before it are missing */
+  BERYL_SPREAD_INVALID,
+};
+
+/** Create an empty state, version 0. */
+struct beryl_spread *beryl_spread_create (void);
+
+/** Release SPREAD; NULL is allowed. */
+void beryl_spread_destroy (struct beryl_spread *spread);
+
+/** Return the number of the last entry applied. */
+uint64_t beryl_spread_version (const struct beryl_spread *spread);
+
+/** Return the revision up to which operators' objects of KIND were read
+ * when they were accepted last. */
+uint64_t beryl_spread_revision (const struct beryl_spread *spread,
+                                const char *kind);
+
+/** Apply an entry. */
+enum beryl_spread_result beryl_spread_apply (struct beryl_spread *spread,
+                                             const char *entry,
+                                             size_t entry_bytes,
+                                             struct beryl_error *error);
+
+/** Return the entries after version AFTER as a JSON array of at most about
+ * MOST_BYTES (at least one entry); NULL if they are no longer kept, or there
+ * are none.  free() it. */
+char *beryl_spread_entries_after (const struct beryl_spread *spread,
+                                  uint64_t after, size_t most_bytes,
+                                  size_t *bytes_count);
+
+/** Return the whole state as JSON; free() it. */
+char *beryl_spread_snapshot (const struct beryl_spread *spread,
+                             size_t *bytes_count);
+
+/** Take a snapshot.  OLD if it is not newer than the state. */
+enum beryl_spread_result beryl_spread_load (struct beryl_spread *spread,
+                                            const char *snapshot,
+                                            size_t bytes_count,
+                                            struct beryl_error *error);
+
+/** Return all objects as the JSON array that beryl_config_parse takes;
+ * free() it. */
+char *beryl_spread_objects (const struct beryl_spread *spread,
+                            size_t *bytes_count);
+
+/** One accepted object. */
+struct beryl_spread_object
+{
+  const char *kind;
+  const char *name;
+  uint64_t source;  /**< version of the operator's object */
+  const char *json; /**< the object */
+};
+
+/** Return the number of objects, and object I in order of kind and name. */
+size_t beryl_spread_count (const struct beryl_spread *spread);
+struct beryl_spread_object beryl_spread_get (const struct beryl_spread *spread,
+                                             size_t i);
+
+/** Find an object; false if absent. */
+bool beryl_spread_find (const struct beryl_spread *spread, const char *kind,
+                        const char *name, struct beryl_spread_object *object);
+
+/** Judges the operators' objects against the accepted state. */
+struct beryl_acceptor;
+struct beryl_acceptor_owner;
+
+/** What was found out about one object. */
+struct beryl_judgement
+{
+  const char *kind;
+  const char *name;
+  uint64_t version;     /**< of the operator's object; 0: its deletion */
+  bool accepted;        /**< will be in force with the proposed entry */
+  const char *findings; /**< why not, one a line */
+};
+
+/** Actions. */
+struct beryl_acceptor_owner_impl
+{
+  /** An object was judged; told once for each version of it and state. */
+  void (*judged) (struct beryl_acceptor_owner *owner,
+                  const struct beryl_judgement *judgement);
+};
+
+/** The owner; the first member selects the implementation. */
+struct beryl_acceptor_owner
+{
+  const struct beryl_acceptor_owner_impl *impl;
+};
+
+/** Create; SPREAD and OWNER must outlive it. */
+struct beryl_acceptor *
+beryl_acceptor_create (const struct beryl_spread *spread,
+                       struct beryl_acceptor_owner *owner);
+
+/** Release ACCEPTOR; NULL is allowed. */
+void beryl_acceptor_destroy (struct beryl_acceptor *acceptor);
+
+/** An operator's object was seen; JSON is NULL for a deletion. */
+void beryl_acceptor_observe (struct beryl_acceptor *acceptor, const char *kind,
+                             const char *name, uint64_t version,
+                             const char *json, size_t json_bytes);
+
+/** Everything of KIND up to REVISION has been observed. */
+void beryl_acceptor_synced (struct beryl_acceptor *acceptor, const char *kind,
+                            uint64_t revision);
+
+/** Return the next entry to create, or NULL if nothing is to change.  Call
+ * it again once the entry, or the one that won the race, was applied to the
+ * spread.  free() it. */
+char *beryl_acceptor_propose (struct beryl_acceptor *acceptor,
+                              size_t *bytes_count);
+
+/** Names of the objects in the platform, kind BERYL_ACCEPTED_KIND. */
+#define BERYL_ACCEPTED_KIND "accepted"
+#define BERYL_ACCEPTED_CHECKPOINT "checkpoint"
+
+/** Write the name of the log entry VERSION. */
+void beryl_spread_entry_name (uint64_t version, char name[BERYL_NAME_BYTES]);
+
+/** Write the name of PART of the checkpoint at VERSION. */
+void beryl_spread_part_name (uint64_t version, uint32_t part,
+                             char name[BERYL_NAME_BYTES]);
+
+#endif
--- /dev/null
+++ b/libberyl/spread/acceptor.c
@@ -0,0 +1,428 @@
+#include "beryl/spread.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/config.h"
+#include "beryl/findings.h"
+#include "items.h"
+
+/* Objects of an entry; the platform holds values up to 1 MB. */
+#define ENTRY_BYTES (512U * 1024U)
+#define FINDINGS_BYTES 2000
+#define KIND_COUNT 7
+
+/* Puts go in this order and deletions in the reverse one, so that an entry
+ * never names an object that a later entry brings. */
+static const enum beryl_kind kind_order[KIND_COUNT]
+    = { BERYL_KIND_SYSTEM,  BERYL_KIND_URGENCY, BERYL_KIND_ORGANISATION,
+        BERYL_KIND_MODEL,   BERYL_KIND_SERVICE, BERYL_KIND_POOL,
+        BERYL_KIND_ENDPOINT };
+
+struct change
+{
+  const char *kind;
+  const char *name;
+  uint64_t version; /* 0: deletion */
+  const char *json; /* NULL: deletion */
+  int order;
+  enum
+  {
+    CHANGE_OPEN,
+    CHANGE_TAKEN,
+    CHANGE_REJECTED,
+  } state;
+};
+
+struct beryl_acceptor
+{
+  const struct beryl_spread *spread;
+  struct beryl_acceptor_owner *owner;
+  struct items observed;
+  struct items rejected;       /* version and base, to tell each once */
+  uint64_t synced[KIND_COUNT]; /* revision; 0: never */
+  uint64_t base_version;       /* of the spread when last judged */
+  bool judged;                 /* nothing new since */
+  struct change *changes;
+  size_t change_count;
+};
+
+struct beryl_acceptor *
+beryl_acceptor_create (const struct beryl_spread *spread,
+                       struct beryl_acceptor_owner *owner)
+{
+  struct beryl_acceptor *a = calloc (1, sizeof *a);
+
+  if (a == NULL)
+    return NULL;
+  a->spread = spread;
+  a->owner = owner;
+  return a;
+}
+
+void
+beryl_acceptor_destroy (struct beryl_acceptor *a)
+{
+  if (a == NULL)
+    return;
+  items_clear (&a->observed);
+  items_clear (&a->rejected);
+  free (a->changes);
+  free (a);
+}
+
+static int
+kind_place (const char *kind)
+{
+  for (int i = 0; i < KIND_COUNT; i++)
+    if (strcmp (beryl_kind_name (kind_order[i]), kind) == 0)
+      return i;
+  return -1;
+}
+
+void
+beryl_acceptor_observe (struct beryl_acceptor *a, const char *kind,
+                        const char *name, uint64_t version, const char *json,
+                        size_t json_bytes)
+{
+  if (kind_place (kind) < 0)
+    return;
+  a->judged = false;
+  if (json == NULL)
+    items_remove (&a->observed, kind, name);
+  else
+    items_put (&a->observed, kind, name, version, json, json_bytes);
+}
+
+void
+beryl_acceptor_synced (struct beryl_acceptor *a, const char *kind,
+                       uint64_t revision)
+{
+  int i = kind_place (kind);
+
+  if (i < 0 || revision <= a->synced[i])
+    return;
+  if (a->synced[i] == 0)
+    a->judged = false;
+  a->synced[i] = revision;
+}
+
+/* An acceptor that started from a lagging replica sees the past: an object
+ * accepted meanwhile looks deleted, and the deletion would take a service
+ * away from its callers.  The log says how far its last acceptor had read,
+ * and no one who has read less may judge. */
+static bool
+acceptor_is_current (const struct beryl_acceptor *a)
+{
+  for (int i = 0; i < KIND_COUNT; i++)
+    {
+      const char *kind = beryl_kind_name (kind_order[i]);
+
+      if (a->synced[i] == 0
+          || a->synced[i] < beryl_spread_revision (a->spread, kind))
+        return false;
+    }
+  return true;
+}
+
+static int
+compare_changes (const void *a, const void *b)
+{
+  const struct change *x = a;
+  const struct change *y = b;
+
+  if (x->order != y->order)
+    return x->order - y->order;
+  return strcmp (x->name, y->name);
+}
+
+static void
+change_add (struct beryl_acceptor *a, const struct item *item)
+{
+  struct beryl_spread_object accepted;
+  int place = kind_place (item->kind);
+
+  if (beryl_spread_find (a->spread, item->kind, item->name, &accepted)
+      && accepted.source >= item->version)
+    return;
+  a->changes[a->change_count++]
+      = (struct change){ item->kind, item->name, item->version,
+                         item->json, place,      CHANGE_OPEN };
+}
+
+static void
+deletion_add (struct beryl_acceptor *a,
+              const struct beryl_spread_object *accepted)
+{
+  int place = kind_place (accepted->kind);
+  bool found;
+
+  items_find (&a->observed, accepted->kind, accepted->name, &found);
+  if (found)
+    return;
+  a->changes[a->change_count++]
+      = (struct change){ accepted->kind, accepted->name,         0,
+                         NULL,           2 * KIND_COUNT - place, CHANGE_OPEN };
+}
+
+static bool
+changes_collect (struct beryl_acceptor *a)
+{
+  size_t accepted_count = beryl_spread_count (a->spread);
+
+  free (a->changes);
+  a->change_count = 0;
+  a->changes
+      = calloc (a->observed.count + accepted_count + 1, sizeof *a->changes);
+  if (a->changes == NULL)
+    return false;
+  for (size_t i = 0; i < a->observed.count; i++)
+    change_add (a, &a->observed.list[i]);
+  for (size_t i = 0; i < accepted_count; i++)
+    {
+      struct beryl_spread_object object = beryl_spread_get (a->spread, i);
+
+      deletion_add (a, &object);
+    }
+  qsort (a->changes, a->change_count, sizeof *a->changes, compare_changes);
+  return a->change_count > 0;
+}
+
+static void
+change_put (struct items *candidate, const struct change *c)
+{
+  if (c->json == NULL)
+    items_remove (candidate, c->kind, c->name);
+  else
+    items_put (candidate, c->kind, c->name, c->version, c->json,
+               strlen (c->json));
+}
+
+/* The accepted objects with what was taken so far and [FROM, TO). */
+static bool
+candidate_valid (const struct beryl_acceptor *a, size_t from, size_t to,
+                 struct beryl_findings *findings)
+{
+  struct items candidate = { 0 };
+  struct beryl_config *config = NULL;
+  char *text;
+  size_t bytes = 0;
+
+  for (size_t i = 0; i < beryl_spread_count (a->spread); i++)
+    {
+      struct beryl_spread_object o = beryl_spread_get (a->spread, i);
+
+      items_put (&candidate, o.kind, o.name, o.source, o.json,
+                 strlen (o.json));
+    }
+  for (size_t i = 0; i < a->change_count; i++)
+    if (a->changes[i].state == CHANGE_TAKEN || (i >= from && i < to))
+      change_put (&candidate, &a->changes[i]);
+  text = items_array (&candidate, &bytes);
+  if (text != NULL)
+    config = beryl_config_parse (
+        text, bytes, beryl_spread_version (a->spread) + 1, findings);
+  free (text);
+  items_clear (&candidate);
+  beryl_config_destroy (config);
+  return config != NULL;
+}
+
+static bool
+names_match (const struct change *c, struct beryl_findings *findings)
+{
+  json_t *json;
+  const char *kind;
+  const char *name;
+  bool match;
+
+  if (c->json == NULL)
+    return true;
+  json = json_loads (c->json, JSON_REJECT_DUPLICATES, NULL);
+  kind = json_string_value (json_object_get (json, "kind"));
+  name = json_string_value (json_object_get (json, "name"));
+  match = kind != NULL && name != NULL && strcmp (kind, c->kind) == 0
+          && strcmp (name, c->name) == 0;
+  json_decref (json);
+  if (!match)
+    beryl_findings_add (findings, c->name, 0, 0,
+                        "kind and name differ from the object's own");
+  return match;
+}
+
+static void
+change_tell (struct beryl_acceptor *a, const struct change *c, bool accepted,
+             const char *findings)
+{
+  struct beryl_judgement judgement
+      = { c->kind, c->name, c->version, accepted, findings };
+
+  a->owner->impl->judged (a->owner, &judgement);
+}
+
+/* Tells a rejection once; an unchanged object is judged again after every
+ * entry, as another object may have mended it. */
+static void
+change_reject (struct beryl_acceptor *a, struct change *c,
+               const struct beryl_findings *findings)
+{
+  char *text = beryl_findings_format (findings);
+  bool found;
+  size_t i = items_find (&a->rejected, c->kind, c->name, &found);
+  struct item *known = found ? &a->rejected.list[i] : NULL;
+
+  c->state = CHANGE_REJECTED;
+  if (text == NULL)
+    return;
+  if (strlen (text) > FINDINGS_BYTES)
+    text[FINDINGS_BYTES] = '\0';
+  if (known == NULL || known->version != c->version
+      || strcmp (known->json, text) != 0)
+    {
+      items_put (&a->rejected, c->kind, c->name, c->version, text,
+                 strlen (text));
+      change_tell (a, c, false, text);
+    }
+  free (text);
+}
+
+/* Takes what is valid of [FROM, TO): all at once if it can, else in halves,
+ * so that one bad object among thousands costs few checks. */
+static void
+changes_take (struct beryl_acceptor *a, size_t from, size_t to)
+{
+  struct beryl_findings *findings = beryl_findings_create ();
+
+  if (candidate_valid (a, from, to, findings))
+    {
+      for (size_t i = from; i < to; i++)
+        a->changes[i].state = CHANGE_TAKEN;
+    }
+  else if (to - from == 1)
+    change_reject (a, &a->changes[from], findings);
+  else
+    {
+      size_t middle = from + (to - from) / 2;
+
+      changes_take (a, from, middle);
+      changes_take (a, middle, to);
+    }
+  beryl_findings_destroy (findings);
+}
+
+/* Judges objects on their own first: a broken one never reaches the check
+ * of the whole. */
+static void
+changes_screen (struct beryl_acceptor *a)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < a->change_count; i++)
+    {
+      struct change *c = &a->changes[i];
+      struct beryl_findings *findings = beryl_findings_create ();
+      bool good = names_match (c, findings)
+                  && (c->json == NULL
+                      || beryl_config_check_object (c->json, strlen (c->json),
+                                                    findings));
+
+      if (good)
+        a->changes[kept++] = *c;
+      else
+        change_reject (a, c, findings);
+      beryl_findings_destroy (findings);
+    }
+  a->change_count = kept;
+}
+
+/* Limits the changes to what fits an entry. */
+static void
+changes_limit (struct beryl_acceptor *a)
+{
+  size_t bytes = 0;
+  size_t i;
+
+  for (i = 0; i < a->change_count; i++)
+    {
+      const struct change *c = &a->changes[i];
+
+      bytes += 2 * BERYL_NAME_BYTES + (c->json != NULL ? strlen (c->json) : 0);
+      if (bytes > ENTRY_BYTES && i > 0)
+        break;
+    }
+  a->change_count = i;
+}
+
+static size_t
+changes_taken (const struct beryl_acceptor *a)
+{
+  size_t taken = 0;
+
+  for (size_t i = 0; i < a->change_count; i++)
+    taken += a->changes[i].state == CHANGE_TAKEN;
+  return taken;
+}
+
+static void
+entry_change (const struct change *c, bool first, FILE *out)
+{
+  fprintf (out, "%s{\"kind\":\"%s\",\"name\":\"%s\",\"source\":%" PRIu64,
+           first ? "" : ",", c->kind, c->name, c->version);
+  if (c->json != NULL)
+    fprintf (out, ",\"object\":%s", c->json);
+  fputc ('}', out);
+}
+
+static char *
+entry_format (struct beryl_acceptor *a, size_t *bytes_count)
+{
+  char *text = NULL;
+  FILE *out = open_memstream (&text, bytes_count);
+  bool first = true;
+
+  if (out == NULL)
+    return NULL;
+  fprintf (out, "{\"version\":%" PRIu64 ",\"revisions\":{",
+           beryl_spread_version (a->spread) + 1);
+  for (int i = 0; i < KIND_COUNT; i++)
+    fprintf (out, "%s\"%s\":%" PRIu64, i > 0 ? "," : "",
+             beryl_kind_name (kind_order[i]), a->synced[i]);
+  fputs ("},\"changes\":[", out);
+  for (size_t i = 0; i < a->change_count; i++)
+    if (a->changes[i].state == CHANGE_TAKEN)
+      {
+        entry_change (&a->changes[i], first, out);
+        items_remove (&a->rejected, a->changes[i].kind, a->changes[i].name);
+        change_tell (a, &a->changes[i], true, "");
+        first = false;
+      }
+  fputs ("]}", out);
+  fclose (out);
+  return text;
+}
+
+char *
+beryl_acceptor_propose (struct beryl_acceptor *a, size_t *bytes_count)
+{
+  uint64_t version = beryl_spread_version (a->spread);
+
+  if (!acceptor_is_current (a) || (a->judged && a->base_version == version))
+    return NULL;
+  a->judged = true;
+  a->base_version = version;
+  if (!changes_collect (a))
+    return NULL;
+  changes_screen (a);
+  changes_limit (a);
+  if (a->change_count == 0)
+    return NULL;
+  changes_take (a, 0, a->change_count);
+  if (changes_taken (a) == 0)
+    return NULL;
+  /* The entry may lose its race; whatever wins, judge again. */
+  a->judged = false;
+  return entry_format (a, bytes_count);
+}
--- /dev/null
+++ b/libberyl/spread/spread.c
@@ -0,0 +1,416 @@
+#include "beryl/spread.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "items.h"
+
+/* Entries kept for nodes that are a little behind; who is further behind
+ * takes a snapshot. */
+#define KEPT_ENTRIES 512
+#define KEPT_BYTES (1U << 20)
+
+#define REVISIONS_MAX 16
+
+struct revision
+{
+  char kind[BERYL_NAME_BYTES];
+  uint64_t revision;
+};
+
+struct kept
+{
+  char *text;
+  size_t bytes;
+};
+
+struct beryl_spread
+{
+  uint64_t version;
+  struct items items;
+  struct revision revisions[REVISIONS_MAX];
+  size_t revision_count;
+  struct kept kept[KEPT_ENTRIES]; /* by version modulo the size */
+  uint64_t kept_from;             /* first version kept */
+  size_t kept_bytes;
+};
+
+struct beryl_spread *
+beryl_spread_create (void)
+{
+  struct beryl_spread *spread = calloc (1, sizeof *spread);
+
+  if (spread != NULL)
+    spread->kept_from = 1;
+  return spread;
+}
+
+static void
+kept_drop (struct beryl_spread *spread, uint64_t version)
+{
+  struct kept *k = &spread->kept[version % KEPT_ENTRIES];
+
+  spread->kept_bytes -= k->bytes;
+  free (k->text);
+  memset (k, 0, sizeof *k);
+}
+
+static void
+kept_clear (struct beryl_spread *spread)
+{
+  while (spread->kept_from <= spread->version)
+    kept_drop (spread, spread->kept_from++);
+}
+
+void
+beryl_spread_destroy (struct beryl_spread *spread)
+{
+  if (spread == NULL)
+    return;
+  kept_clear (spread);
+  items_clear (&spread->items);
+  free (spread);
+}
+
+uint64_t
+beryl_spread_version (const struct beryl_spread *spread)
+{
+  return spread->version;
+}
+
+uint64_t
+beryl_spread_revision (const struct beryl_spread *spread, const char *kind)
+{
+  for (size_t i = 0; i < spread->revision_count; i++)
+    if (strcmp (spread->revisions[i].kind, kind) == 0)
+      return spread->revisions[i].revision;
+  return 0;
+}
+
+static void
+revision_raise (struct beryl_spread *spread, const char *kind,
+                uint64_t revision)
+{
+  struct revision *r = spread->revisions;
+  size_t i = 0;
+
+  while (i < spread->revision_count && strcmp (r[i].kind, kind) != 0)
+    i++;
+  if (i == REVISIONS_MAX || strlen (kind) >= sizeof r->kind)
+    return;
+  if (i == spread->revision_count)
+    {
+      spread->revision_count++;
+      strncpy (r[i].kind, kind, sizeof r->kind - 1);
+    }
+  if (revision > r[i].revision)
+    r[i].revision = revision;
+}
+
+static void
+revisions_raise (struct beryl_spread *spread, json_t *revisions)
+{
+  const char *kind;
+  json_t *value;
+
+  json_object_foreach (revisions, kind, value)
+  {
+    revision_raise (spread, kind, (uint64_t)json_integer_value (value));
+  }
+}
+
+static bool
+name_fits (json_t *value)
+{
+  const char *text = json_string_value (value);
+
+  return text != NULL && text[0] != '\0' && strlen (text) < BERYL_NAME_BYTES;
+}
+
+/* Checked before anything is applied, so that an entry is taken whole. */
+static bool
+changes_valid (json_t *changes)
+{
+  json_t *change;
+  size_t i;
+
+  if (!json_is_array (changes))
+    return false;
+  json_array_foreach (changes, i, change)
+  {
+    json_t *object = json_object_get (change, "object");
+
+    if (!name_fits (json_object_get (change, "kind"))
+        || !name_fits (json_object_get (change, "name"))
+        || !json_is_integer (json_object_get (change, "source")))
+      return false;
+    if (object != NULL && !json_is_object (object))
+      return false;
+  }
+  return true;
+}
+
+static bool
+change_apply (struct items *items, json_t *change)
+{
+  const char *kind = json_string_value (json_object_get (change, "kind"));
+  const char *name = json_string_value (json_object_get (change, "name"));
+  json_t *object = json_object_get (change, "object");
+  json_t *source = json_object_get (change, "source");
+  char *text;
+  bool done;
+
+  if (object == NULL)
+    {
+      items_remove (items, kind, name);
+      return true;
+    }
+  text = json_dumps (object, JSON_COMPACT);
+  if (text == NULL)
+    return false;
+  done = items_put (items, kind, name, (uint64_t)json_integer_value (source),
+                    text, strlen (text));
+  free (text);
+  return done;
+}
+
+static bool
+changes_apply (struct items *items, json_t *changes)
+{
+  json_t *change;
+  size_t i;
+
+  json_array_foreach (changes, i, change)
+  {
+    if (!change_apply (items, change))
+      return false;
+  }
+  return true;
+}
+
+static void
+kept_add (struct beryl_spread *spread, const char *entry, size_t entry_bytes)
+{
+  struct kept *k = &spread->kept[spread->version % KEPT_ENTRIES];
+
+  if (spread->version - spread->kept_from >= KEPT_ENTRIES)
+    kept_drop (spread, spread->kept_from++);
+  k->text = malloc (entry_bytes);
+  if (k->text == NULL)
+    {
+      kept_clear (spread);
+      return;
+    }
+  memcpy (k->text, entry, entry_bytes);
+  k->bytes = entry_bytes;
+  spread->kept_bytes += entry_bytes;
+  while (spread->kept_bytes > KEPT_BYTES
+         && spread->kept_from < spread->version)
+    kept_drop (spread, spread->kept_from++);
+}
+
+static enum beryl_spread_result
+entry_apply (struct beryl_spread *spread, json_t *entry, const char *text,
+             size_t text_bytes, struct beryl_error *error)
+{
+  json_t *changes = json_object_get (entry, "changes");
+  uint64_t version
+      = (uint64_t)json_integer_value (json_object_get (entry, "version"));
+
+  if (version == 0 || !changes_valid (changes))
+    {
+      beryl_error_set (error, BERYL_ERROR_INVALID, "malformed entry");
+      return BERYL_SPREAD_INVALID;
+    }
+  if (version <= spread->version)
+    return BERYL_SPREAD_OLD;
+  if (version != spread->version + 1)
+    return BERYL_SPREAD_GAP;
+  if (!changes_apply (&spread->items, changes))
+    {
+      beryl_error_set (error, BERYL_ERROR_INTERNAL, "out of memory");
+      return BERYL_SPREAD_INVALID;
+    }
+  revisions_raise (spread, json_object_get (entry, "revisions"));
+  spread->version = version;
+  kept_add (spread, text, text_bytes);
+  return BERYL_SPREAD_APPLIED;
+}
+
+enum beryl_spread_result
+beryl_spread_apply (struct beryl_spread *spread, const char *entry,
+                    size_t entry_bytes, struct beryl_error *error)
+{
+  json_t *json = json_loadb (entry, entry_bytes, JSON_REJECT_DUPLICATES, NULL);
+  enum beryl_spread_result result;
+
+  if (json == NULL)
+    {
+      beryl_error_set (error, BERYL_ERROR_INVALID, "entry is not JSON");
+      return BERYL_SPREAD_INVALID;
+    }
+  result = entry_apply (spread, json, entry, entry_bytes, error);
+  json_decref (json);
+  return result;
+}
+
+char *
+beryl_spread_entries_after (const struct beryl_spread *spread, uint64_t after,
+                            size_t most_bytes, size_t *bytes_count)
+{
+  uint64_t version = after + 1;
+  size_t total = 0;
+  char *text = NULL;
+  FILE *out;
+
+  if (version < spread->kept_from || version > spread->version)
+    return NULL;
+  out = open_memstream (&text, bytes_count);
+  if (out == NULL)
+    return NULL;
+  fputc ('[', out);
+  for (; version <= spread->version; version++)
+    {
+      const struct kept *k = &spread->kept[version % KEPT_ENTRIES];
+
+      if (total > 0 && total + k->bytes > most_bytes)
+        break;
+      if (total > 0)
+        fputc (',', out);
+      fwrite (k->text, 1, k->bytes, out);
+      total += k->bytes;
+    }
+  fputc (']', out);
+  fclose (out);
+  return text;
+}
+
+static void
+snapshot_revisions (const struct beryl_spread *spread, FILE *out)
+{
+  for (size_t i = 0; i < spread->revision_count; i++)
+    fprintf (out, "%s\"%s\":%" PRIu64, i > 0 ? "," : "",
+             spread->revisions[i].kind, spread->revisions[i].revision);
+}
+
+char *
+beryl_spread_snapshot (const struct beryl_spread *spread, size_t *bytes_count)
+{
+  char *text = NULL;
+  FILE *out = open_memstream (&text, bytes_count);
+
+  if (out == NULL)
+    return NULL;
+  fprintf (out, "{\"version\":%" PRIu64 ",\"revisions\":{", spread->version);
+  snapshot_revisions (spread, out);
+  fputs ("},\"changes\":[", out);
+  for (size_t i = 0; i < spread->items.count; i++)
+    {
+      const struct item *item = &spread->items.list[i];
+
+      fprintf (out,
+               "%s{\"kind\":\"%s\",\"name\":\"%s\",\"source\":%" PRIu64
+               ",\"object\":%s}",
+               i > 0 ? "," : "", item->kind, item->name, item->version,
+               item->json);
+    }
+  fputs ("]}", out);
+  fclose (out);
+  return text;
+}
+
+static enum beryl_spread_result
+snapshot_take (struct beryl_spread *spread, json_t *json,
+               struct beryl_error *error)
+{
+  json_t *changes = json_object_get (json, "changes");
+  uint64_t version
+      = (uint64_t)json_integer_value (json_object_get (json, "version"));
+  struct items items = { 0 };
+
+  if (!changes_valid (changes) || !changes_apply (&items, changes))
+    {
+      items_clear (&items);
+      beryl_error_set (error, BERYL_ERROR_INVALID, "malformed snapshot");
+      return BERYL_SPREAD_INVALID;
+    }
+  kept_clear (spread);
+  items_clear (&spread->items);
+  spread->items = items;
+  spread->version = version;
+  spread->kept_from = version + 1;
+  revisions_raise (spread, json_object_get (json, "revisions"));
+  return BERYL_SPREAD_APPLIED;
+}
+
+enum beryl_spread_result
+beryl_spread_load (struct beryl_spread *spread, const char *snapshot,
+                   size_t bytes_count, struct beryl_error *error)
+{
+  json_t *json
+      = json_loadb (snapshot, bytes_count, JSON_REJECT_DUPLICATES, NULL);
+  enum beryl_spread_result result;
+  uint64_t version;
+
+  if (json == NULL)
+    {
+      beryl_error_set (error, BERYL_ERROR_INVALID, "snapshot is not JSON");
+      return BERYL_SPREAD_INVALID;
+    }
+  version = (uint64_t)json_integer_value (json_object_get (json, "version"));
+  if (version <= spread->version)
+    result = BERYL_SPREAD_OLD;
+  else
+    result = snapshot_take (spread, json, error);
+  json_decref (json);
+  return result;
+}
+
+char *
+beryl_spread_objects (const struct beryl_spread *spread, size_t *bytes_count)
+{
+  return items_array (&spread->items, bytes_count);
+}
+
+size_t
+beryl_spread_count (const struct beryl_spread *spread)
+{
+  return spread->items.count;
+}
+
+struct beryl_spread_object
+beryl_spread_get (const struct beryl_spread *spread, size_t i)
+{
+  const struct item *item = &spread->items.list[i];
+
+  return (struct beryl_spread_object){ item->kind, item->name, item->version,
+                                       item->json };
+}
+
+bool
+beryl_spread_find (const struct beryl_spread *spread, const char *kind,
+                   const char *name, struct beryl_spread_object *object)
+{
+  bool found;
+  size_t i = items_find (&spread->items, kind, name, &found);
+
+  if (found)
+    *object = beryl_spread_get (spread, i);
+  return found;
+}
+
+void
+beryl_spread_entry_name (uint64_t version, char name[BERYL_NAME_BYTES])
+{
+  snprintf (name, BERYL_NAME_BYTES, "log-%012" PRIu64, version);
+}
+
+void
+beryl_spread_part_name (uint64_t version, uint32_t part,
+                        char name[BERYL_NAME_BYTES])
+{
+  snprintf (name, BERYL_NAME_BYTES, "part-%012" PRIu64 "-%03u", version, part);
+}
