--- a/libberyl/spread/acceptor.c
+++ b/libberyl/spread/acceptor.c
@@ -18,8 +18,8 @@
 /* Puts go in this order and deletions in the reverse one, so that an entry
  * never names an object that a later entry brings. */
 static const enum beryl_kind kind_order[KIND_COUNT]
-    = { BERYL_KIND_SYSTEM,  BERYL_KIND_URGENCY, BERYL_KIND_ORGANISATION,
-        BERYL_KIND_MODEL,   BERYL_KIND_SERVICE, BERYL_KIND_POOL,
+    = { BERYL_KIND_SYSTEM,  BERYL_KIND_ORGANISATION, BERYL_KIND_MODEL,
+        BERYL_KIND_SERVICE, BERYL_KIND_URGENCY,      BERYL_KIND_POOL,
         BERYL_KIND_ENDPOINT };
 
 struct change
@@ -83,18 +83,40 @@
   return -1;
 }
 
+/* A writer's nonce, which settles lost replies, is no part of the object. */
+static char *
+object_text (const char *json, size_t json_bytes)
+{
+  json_t *object = json_loadb (json, json_bytes, 0, NULL);
+  char *text;
+
+  if (object == NULL)
+    return strndup (json, json_bytes);
+  json_object_del (object, "nonce");
+  text = json_dumps (object, JSON_COMPACT);
+  json_decref (object);
+  return text;
+}
+
 void
 beryl_acceptor_observe (struct beryl_acceptor *a, const char *kind,
                         const char *name, uint64_t version, const char *json,
                         size_t json_bytes)
 {
+  char *text;
+
   if (kind_place (kind) < 0)
     return;
   a->judged = false;
   if (json == NULL)
-    items_remove (&a->observed, kind, name);
-  else
-    items_put (&a->observed, kind, name, version, json, json_bytes);
+    {
+      items_remove (&a->observed, kind, name);
+      return;
+    }
+  text = object_text (json, json_bytes);
+  if (text != NULL)
+    items_put (&a->observed, kind, name, version, text, strlen (text));
+  free (text);
 }
 
 void
