beryl-entryd: callers' HTTP in, engines and plain services out

Cause: the decisions of libberyl had no process that turns them into HTTP. Change: settings with checks, routes, bearer tokens, keys, deadlines, request ids, problem+json, completions and chat (whole or as server-sent events), plain services, discovery, fetch, health, metrics, decision log, hold windows to controld, planned stop; standin-service for tests.

--- a/common/log.c
+++ b/common/log.c
@@ -129,6 +129,12 @@
   return false;
 }
 
+bool
+log_level_enabled (int level)
+{
+  return (GLogLevelFlags)level <= log_state.threshold;
+}
+
 void
 log_init (const char *program, enum log_format format, const char *level)
 {
--- /dev/null
+++ b/entryd/engine.c
@@ -0,0 +1,400 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "outbound.h"
+
+#define SMALL_ANSWER_BYTES 65536
+#define LINE_BYTES (1U << 20)
+#define CANCEL_TIMEOUT_MS 2000
+/* An engine that is silent this long after a deadline is given up. */
+#define GRACE_MS 100
+
+static json_t *
+stream_json (struct beryl_stream_id stream)
+{
+  char incarnation[24];
+
+  g_snprintf (incarnation, sizeof incarnation, "%" G_GUINT64_FORMAT,
+              stream.incarnation);
+  return json_pack ("{s:s, s:I}", "incarnation", incarnation, "counter",
+                    (json_int_t)stream.counter);
+}
+
+/* Starts a POST of BODY, which it releases. */
+static void
+post (struct outbound *out, const struct beryl_endpoint *endpoint,
+      const char *path, json_t *body, int64_t timeout_ms)
+{
+  static const struct http_header headers[]
+      = { { "content-type", "application/json" } };
+  char *text = json_dumps (body, JSON_COMPACT);
+  struct http_request request = {
+    .method = "POST",
+    .address = endpoint->address,
+    .port = endpoint->port,
+    .path = path,
+    .headers = headers,
+    .header_count = G_N_ELEMENTS (headers),
+    .body = text,
+    .body_bytes = strlen (text),
+    .timeout_ms = timeout_ms,
+  };
+
+  out->call = http_call_start (out->entry->http, &request, &out->base);
+  free (text);
+  json_decref (body);
+}
+
+static int64_t
+left_ms (const struct entry *entry, int64_t deadline_ms)
+{
+  int64_t left = deadline_ms - loop_now_ms (entry->loop);
+
+  return left > 1 ? left : 1;
+}
+
+static void
+collect (struct http_call_handler *handler, struct http_call *call,
+         const void *bytes, size_t bytes_count)
+{
+  struct outbound *out = (struct outbound *)handler;
+
+  if (out->body->len + bytes_count <= SMALL_ANSWER_BYTES)
+    g_string_append_len (out->body, bytes, (gssize)bytes_count);
+}
+
+/* Whether STATUS says that the engine did not run the request. */
+static bool
+is_refusal (unsigned int status, bool decode)
+{
+  return status == 429 || status == 409 || (decode && status == 404);
+}
+
+static void
+report_refused (struct outbound *out)
+{
+  struct beryl_event event = { .type = BERYL_EVENT_EXCHANGE_REFUSED };
+  json_t *root = json_loadb (out->body->str, out->body->len, 0, NULL);
+
+  event.refused.retry_after_ms
+      = json_integer_value (json_object_get (root, "retry_after_ms"));
+  json_decref (root);
+  outbound_event (out, &event);
+}
+
+static void
+report_prefill (struct outbound *out)
+{
+  struct beryl_event event = { .type = BERYL_EVENT_PREFILL_DONE };
+  json_t *root = json_loadb (out->body->str, out->body->len, 0, NULL);
+  const char *handle = json_string_value (json_object_get (root, "kv_handle"));
+
+  if (handle == NULL)
+    {
+      outbound_failed (out, true, "the engine's answer is malformed");
+      json_decref (root);
+      return;
+    }
+  event.prefill.kv_handle = handle;
+  event.prefill.kv_bytes
+      = (uint64_t)json_integer_value (json_object_get (root, "kv_bytes"));
+  event.prefill.cached_tokens
+      = (uint32_t)json_integer_value (json_object_get (root, "cached_tokens"));
+  outbound_event (out, &event);
+  json_decref (root);
+}
+
+static void
+prefill_done (struct http_call_handler *handler, struct http_call *call)
+{
+  struct outbound *out = (struct outbound *)handler;
+  unsigned int status = http_call_status (call);
+
+  out->call = NULL;
+  outbound_enter (out);
+  if (status == 200)
+    report_prefill (out);
+  else if (is_refusal (status, false))
+    report_refused (out);
+  else
+    outbound_failed (out, true, "the engine answered with an error");
+  outbound_drop (out);
+  outbound_leave (out);
+}
+
+static const struct http_call_handler_impl prefill_impl = {
+  .sent = outbound_sent,
+  .data = collect,
+  .done = prefill_done,
+  .failed = outbound_broken,
+};
+
+static struct outbound *
+start (struct entry *entry, const struct beryl_action *action,
+       const struct http_call_handler_impl *impl)
+{
+  struct outbound *out = outbound_create (entry, action->exchange, impl);
+
+  g_strlcpy (out->endpoint, action->start.endpoint, sizeof out->endpoint);
+  out->attempt = action->start.attempt;
+  out->stream = action->start.stream;
+  return out;
+}
+
+/* The call's class as the engines' priority. */
+static const char *
+priority_of (const struct entry *entry, const struct beryl_call *call)
+{
+  const struct beryl_service *service
+      = beryl_config_service (entry->config, call->service);
+
+  return beryl_class_name (service != NULL ? service->call_class
+                                           : BERYL_CLASS_NORMAL);
+}
+
+/* The rest is read by the model's name, which the service holds. */
+static const char *
+model_of (const struct entry *entry, const struct beryl_call *call)
+{
+  const struct beryl_service *service
+      = beryl_config_service (entry->config, call->service);
+
+  return service != NULL ? service->model : "";
+}
+
+void
+engine_prefill (struct entry *entry, const struct beryl_action *action)
+{
+  const struct beryl_call *call = action->start.call;
+  const struct beryl_endpoint *endpoint
+      = entry_endpoint (entry, action->start.endpoint);
+  struct outbound *out = start (entry, action, &prefill_impl);
+  int64_t left = left_ms (entry, action->start.deadline_ms);
+  json_t *body;
+
+  if (endpoint == NULL)
+    {
+      outbound_fail_later (out, "the endpoint is gone");
+      return;
+    }
+  body = json_pack (
+      "{s:o, s:i, s:s, s:s, s:s%, s:i, s:i, s:s, s:I}", "stream",
+      stream_json (action->start.stream), "attempt",
+      (int)action->start.attempt, "request_id", call->request_id, "model",
+      model_of (entry, call), "prompt", call->prompt, call->prompt_bytes,
+      "prompt_tokens", (int)call->prompt_tokens, "max_tokens",
+      (int)call->max_tokens, "priority", priority_of (entry, call),
+      "deadline_ms", (json_int_t)left);
+  post (out, endpoint, "/v1/prefill", body, left + GRACE_MS);
+}
+
+static void
+report_end (struct outbound *out, json_t *line)
+{
+  struct beryl_event event = { .type = BERYL_EVENT_EXCHANGE_END };
+
+  out->finished = true;
+  event.end.finish_reason
+      = json_string_value (json_object_get (line, "finish_reason"));
+  event.end.answer_bytes
+      = (uint64_t)json_integer_value (json_object_get (line, "answer_bytes"));
+  outbound_event (out, &event);
+}
+
+static void
+report_text (struct outbound *out, json_t *line)
+{
+  struct beryl_event event = { .type = BERYL_EVENT_EXCHANGE_DATA };
+  json_t *text = json_object_get (line, "text");
+
+  event.data.attempt
+      = (uint32_t)json_integer_value (json_object_get (line, "attempt"));
+  event.data.offset
+      = (uint64_t)json_integer_value (json_object_get (line, "offset"));
+  event.data.bytes = json_string_value (text);
+  event.data.bytes_count = json_string_length (text);
+  event.data.tokens
+      = (uint32_t)json_integer_value (json_object_get (line, "tokens"));
+  outbound_event (out, &event);
+}
+
+/* Drops lines of another attempt: after a cut the engine may still flush
+ * them, and their end would be taken for this attempt's. */
+static void
+take_line (struct outbound *out, const char *text, size_t text_bytes)
+{
+  json_t *line = json_loadb (text, text_bytes, 0, NULL);
+  json_int_t attempt = json_integer_value (json_object_get (line, "attempt"));
+
+  if (json_is_object (line) && attempt == (json_int_t)out->attempt)
+    {
+      if (json_is_true (json_object_get (line, "done")))
+        report_end (out, line);
+      else
+        report_text (out, line);
+    }
+  else
+    counters_add (out->entry->counters, "beryl_engine_lines_dropped_total", "",
+                  1);
+  json_decref (line);
+}
+
+static void
+take_lines (struct outbound *out)
+{
+  size_t from = 0;
+  char *end;
+
+  while (!out->dropped
+         && (end = memchr (out->body->str + from, '\n', out->body->len - from))
+                != NULL)
+    {
+      size_t n = (size_t)(end - out->body->str) - from;
+
+      if (n > 0)
+        take_line (out, out->body->str + from, n);
+      from += n + 1;
+    }
+  g_string_erase (out->body, 0, (gssize)from);
+}
+
+static void
+decode_data (struct http_call_handler *handler, struct http_call *call,
+             const void *bytes, size_t bytes_count)
+{
+  struct outbound *out = (struct outbound *)handler;
+
+  if (http_call_status (call) != 200)
+    {
+      collect (handler, call, bytes, bytes_count);
+      return;
+    }
+  outbound_enter (out);
+  g_string_append_len (out->body, bytes, (gssize)bytes_count);
+  take_lines (out);
+  if (!out->dropped && out->body->len > LINE_BYTES)
+    {
+      http_call_cancel (call);
+      out->call = NULL;
+      outbound_failed (out, true, "the engine's line is too long");
+    }
+  outbound_leave (out);
+}
+
+static void
+decode_done (struct http_call_handler *handler, struct http_call *call)
+{
+  struct outbound *out = (struct outbound *)handler;
+  unsigned int status = http_call_status (call);
+
+  out->call = NULL;
+  outbound_enter (out);
+  if (is_refusal (status, true))
+    report_refused (out);
+  else if (!out->finished)
+    outbound_failed (out, true,
+                     status == 200 ? "the answer ended early"
+                                   : "the engine answered with an error");
+  outbound_drop (out);
+  outbound_leave (out);
+}
+
+static const struct http_call_handler_impl decode_impl = {
+  .sent = outbound_sent,
+  .data = decode_data,
+  .done = decode_done,
+  .failed = outbound_broken,
+};
+
+void
+engine_decode (struct entry *entry, const struct beryl_action *action)
+{
+  const struct beryl_call *call = action->start.call;
+  const struct beryl_endpoint *endpoint
+      = entry_endpoint (entry, action->start.endpoint);
+  const struct beryl_endpoint *source
+      = entry_endpoint (entry, action->start.kv_endpoint);
+  struct outbound *out = start (entry, action, &decode_impl);
+  char kv_address[96] = "";
+  json_t *body;
+
+  if (endpoint == NULL)
+    {
+      outbound_fail_later (out, "the endpoint is gone");
+      return;
+    }
+  if (source != NULL)
+    g_snprintf (kv_address, sizeof kv_address, "%s:%u", source->address,
+                source->port);
+  body = json_pack ("{s:o, s:i, s:s, s:s, s:s, s:I, s:i, s:s}", "stream",
+                    stream_json (action->start.stream), "attempt",
+                    (int)action->start.attempt, "request_id", call->request_id,
+                    "kv_handle", action->start.kv_handle, "kv_address",
+                    kv_address, "offset", (json_int_t)action->start.offset,
+                    "max_tokens", (int)call->max_tokens, "priority",
+                    priority_of (entry, call));
+  post (out, endpoint, "/v1/decode", body,
+        left_ms (entry, action->start.deadline_ms) + GRACE_MS);
+}
+
+static void
+cancel_done (struct http_call_handler *handler, struct http_call *call)
+{
+  struct outbound *out = (struct outbound *)handler;
+  struct beryl_event event = { .type = BERYL_EVENT_CANCEL_CONFIRMED };
+  json_t *root = json_loadb (out->body->str, out->body->len, 0, NULL);
+  json_t *held = json_object_get (root, "held");
+
+  out->call = NULL;
+  event.cancel.endpoint = out->endpoint;
+  event.cancel.stream = out->stream;
+  outbound_enter (out);
+  /* Without this word the cancel is repeated: a reply may be lost, and an
+   * engine may still be importing. */
+  if (http_call_status (call) == 200 && json_is_integer (held)
+      && json_integer_value (held) == 0 && !out->entry->closing)
+    entry_event (out->entry, &event);
+  json_decref (root);
+  outbound_drop (out);
+  outbound_leave (out);
+}
+
+static void
+cancel_failed (struct http_call_handler *handler, struct http_call *call,
+               bool sent, const char *reason)
+{
+  struct outbound *out = (struct outbound *)handler;
+
+  counters_add (out->entry->counters, "beryl_cancels_failed_total", "", 1);
+  outbound_drop (out);
+}
+
+static const struct http_call_handler_impl cancel_impl = {
+  .data = collect,
+  .done = cancel_done,
+  .failed = cancel_failed,
+};
+
+void
+engine_cancel (struct entry *entry, const struct beryl_action *action)
+{
+  const struct beryl_endpoint *endpoint
+      = entry_endpoint (entry, action->hold.endpoint);
+  struct outbound *out;
+  char incarnation[24];
+  json_int_t counter = (json_int_t)action->hold.stream.counter;
+
+  if (endpoint == NULL)
+    return;
+  counters_add (entry->counters, "beryl_cancels_total", "", 1);
+  out = outbound_create (entry, 0, &cancel_impl);
+  g_strlcpy (out->endpoint, action->hold.endpoint, sizeof out->endpoint);
+  out->stream = action->hold.stream;
+  g_snprintf (incarnation, sizeof incarnation, "%" G_GUINT64_FORMAT,
+              action->hold.stream.incarnation);
+  post (out, endpoint, "/v1/cancel",
+        json_pack ("{s:s, s:I, s:I}", "incarnation", incarnation, "from",
+                   counter, "to", counter),
+        CANCEL_TIMEOUT_MS);
+}
--- a/http/server.c
+++ b/http/server.c
@@ -51,6 +51,7 @@
   GString *extra_headers;
   GByteArray *out;
   size_t out_taken;
+  size_t out_since_drained; /* bytes queued since the handler was told */
   unsigned int status;
   char *content_type;
   bool multiplexed; /* HTTP/2 stream */
@@ -337,11 +338,15 @@
 report_drained (struct http_exchange *ex)
 {
   struct http_handler *handler = ex->server->handler;
+  size_t pending = http_exchange_pending_bytes (ex);
 
-  if (!ex->above_water
-      || http_exchange_pending_bytes (ex) > HIGH_WATER_BYTES / 2)
+  /* A caller that keeps up never lets the buffer rise; its owner, which
+   * counts what it has queued, must hear of it all the same. */
+  if (!(ex->above_water && pending <= HIGH_WATER_BYTES / 2)
+      && !(pending == 0 && ex->out_since_drained >= HIGH_WATER_BYTES / 2))
     return;
   ex->above_water = false;
+  ex->out_since_drained = 0;
   if (handler->impl->drained != NULL)
     handler->impl->drained (handler, ex);
 }
@@ -810,6 +815,7 @@
       ex->out_taken = 0;
     }
   g_byte_array_append (ex->out, bytes, (guint)bytes_count);
+  ex->out_since_drained += bytes_count;
   if (http_exchange_pending_bytes (ex) > HIGH_WATER_BYTES)
     ex->above_water = true;
   request_write (ex);
--- a/include/common/loop.h
+++ b/include/common/loop.h
@@ -59,6 +59,10 @@
  * LEVEL is one of "error", "warning", "info" and "debug". */
 void log_init (const char *program, enum log_format format, const char *level);
 
+/** Whether records of LEVEL (a GLogLevelFlags) are written; saves building
+ * lines that nobody reads. */
+bool log_level_enabled (int level);
+
 /** Change the level at run time; returns false if LEVEL is unknown. */
 bool log_set_level (const char *level);
 
--- a/include/http/server.h
+++ b/include/http/server.h
@@ -24,8 +24,8 @@
 {
   /** A whole request has arrived, its body within the limit. */
   void (*request) (struct http_handler *handler, struct http_exchange *ex);
-  /** Buffered output has fallen below half of the high-water mark; may be
-   * NULL. */
+  /** Buffered output has fallen below half of the high-water mark, or some
+   * tens of kilobytes have gone out and nothing is left; may be NULL. */
   void (*drained) (struct http_handler *handler, struct http_exchange *ex);
   /** The exchange ended: WHOLE if the answer's last byte was handed to the
    * kernel.  EX is invalid after this call. */
