--- /dev/null
+++ b/include/beryl/claims.h
@@ -0,0 +1,165 @@
+/** @file
+ * The claim log: makes "this free key is mine to run" durable before the
+ * first byte of a call goes out.
+ *
+ * A key belongs to a shard, a shard has a home node (rendezvous hashing over
+ * the members), and the home writes many claims at a time as a segment: an
+ * object that is created only if absent at the shard's next sequence number.
+ * Two nodes that both believe to be home race for that number; the loser
+ * reads before it writes again.  See docs/design/claims.md.
+ *
+ * Nothing here does I/O: requests, messages and answers of the object API go
+ * in with the time, calls come out through a vtable.  No callback runs the
+ * instance's functions.  Not thread-safe.
+ */
+#ifndef BERYL_CLAIMS_H
+#define BERYL_CLAIMS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "beryl/error.h"
+#include "beryl/ids.h"
+#include "beryl/platform.h"
+#include "beryl/requests.h"
+
+struct beryl_claims;
+
+/** Kind of the objects in the object API. */
+#define BERYL_CLAIMS_KIND "claims"
+
+/** Most shards. */
+#define BERYL_CLAIM_SHARDS_MAX 1000
+
+/** Messages between two nodes. */
+enum beryl_claim_message_type
+{
+  BERYL_CLAIM_ASK = 1, /**< to the shard's home */
+  BERYL_CLAIM_REPLY,
+};
+
+/** One message. */
+struct beryl_claim_message
+{
+  enum beryl_claim_message_type type;
+  uint64_t id;       /**< of the asker; echoed */
+  uint64_t key_high; /**< digest of organisation and key */
+  uint64_t key_low;
+  uint64_t body_hash;
+  uint64_t incarnation; /**< ASK: who wants it; REPLY: who was granted it */
+  enum beryl_claim_result result; /**< REPLY */
+};
+
+struct beryl_claims_owner;
+
+/** Calls.  Pointers are valid during the call. */
+struct beryl_claims_owner_impl
+{
+  /** REQUEST's claim ended. */
+  void (*result) (struct beryl_claims_owner *owner, uint64_t request,
+                  enum beryl_claim_result result, uint64_t incarnation);
+  /** Send to NODE; if it cannot be reached, beryl_claims_unreachable. */
+  void (*send) (struct beryl_claims_owner *owner, const char *node,
+                const struct beryl_claim_message *message);
+  /** Read all objects whose names begin with PREFIX. */
+  void (*list) (struct beryl_claims_owner *owner, uint64_t call,
+                const char *prefix);
+  /** Read one object. */
+  void (*get) (struct beryl_claims_owner *owner, uint64_t call,
+               const char *name);
+  /** Create an object only if it is absent. */
+  void (*create) (struct beryl_claims_owner *owner, uint64_t call,
+                  const char *name, const char *value, size_t value_bytes,
+                  const char *nonce);
+  /** Delete an object. */
+  void (*remove) (struct beryl_claims_owner *owner, uint64_t call,
+                  const char *name);
+};
+
+/** The owner; the first member selects the implementation. */
+struct beryl_claims_owner
+{
+  const struct beryl_claims_owner_impl *impl;
+};
+
+/** Settings; zero members take the defaults in brackets. */
+struct beryl_claims_settings
+{
+  const char *node;
+  uint64_t incarnation;
+  uint64_t seed;
+  uint32_t shards;            /**< same at all nodes, for ever [32] */
+  int64_t commit_interval_ms; /**< least time between two writes of a shard;
+                                   claims in between share one [200] */
+  int64_t retention_ms;       /**< how long a key is remembered [3600000] */
+  int64_t ask_timeout_ms;     /**< for another home's reply [500] */
+};
+
+/** Create; OWNER must outlive it. */
+struct beryl_claims *
+beryl_claims_create (const struct beryl_claims_settings *settings,
+                     struct beryl_claims_owner *owner);
+
+/** Release; NULL is allowed. */
+void beryl_claims_destroy (struct beryl_claims *claims);
+
+/** Use the names of the live nodes, this one included. */
+void beryl_claims_set_members (struct beryl_claims *claims,
+                               const char *const *nodes, size_t node_count,
+                               int64_t now_ms);
+
+/** Claim a key for REQUEST, as BERYL_ACTION_CLAIM asks.  Ends by result. */
+void beryl_claims_claim (struct beryl_claims *claims, uint64_t request,
+                         const char *organisation, const char *key,
+                         uint64_t body_hash, int64_t now_ms);
+
+/** A message came from NODE. */
+void beryl_claims_message (struct beryl_claims *claims, const char *node,
+                           const struct beryl_claim_message *message,
+                           int64_t now_ms);
+
+/** Messages to NODE are lost. */
+void beryl_claims_unreachable (struct beryl_claims *claims, const char *node,
+                               int64_t now_ms);
+
+/** A list or get ended; CODE as in struct beryl_platform_result. */
+void beryl_claims_read (struct beryl_claims *claims, uint64_t call,
+                        enum beryl_error_code code,
+                        const struct beryl_object *objects,
+                        size_t object_count, int64_t now_ms);
+
+/** A create or remove ended. */
+void beryl_claims_written (struct beryl_claims *claims, uint64_t call,
+                           enum beryl_error_code code, int64_t now_ms);
+
+/** Let time pass. */
+void beryl_claims_tick (struct beryl_claims *claims, int64_t now_ms);
+
+/** Return when the next tick is due, or BERYL_NEVER_MS. */
+int64_t beryl_claims_next_ms (const struct beryl_claims *claims);
+
+/** Return the home of SHARD, or NULL without members. */
+const char *beryl_claims_home (const struct beryl_claims *claims,
+                               uint32_t shard);
+
+/** Counts. */
+struct beryl_claims_counts
+{
+  uint64_t granted;
+  uint64_t taken;
+  uint64_t unavailable;
+  uint64_t unknown;
+  uint64_t segments;   /**< written */
+  uint64_t races_lost; /**< creates that found the number taken */
+  uint64_t settled;    /**< writes whose reply was lost and became known */
+  uint64_t reads;      /**< lists and gets */
+  uint64_t deleted;    /**< objects */
+  uint64_t keys;       /**< in memory now */
+};
+
+/** Return the counts, owned by CLAIMS. */
+const struct beryl_claims_counts *
+beryl_claims_counts (const struct beryl_claims *claims);
+
+#endif
