--- a/libberyl/router/organisation.c
+++ b/libberyl/router/organisation.c
@@ -59,7 +59,7 @@
     return ROUTER_NONE;
   const char *name = r->organisations[old].config->name;
   for (size_t i = 0; i < count; i++)
-    if (strcmp (all[i].config->name, name) == 0)
+    if (all[i].config && strcmp (all[i].config->name, name) == 0)
       return (uint32_t)i;
   return ROUTER_NONE;
 }
