--- a/standins/engine/model.c
+++ b/standins/engine/model.c
@@ -193,6 +193,8 @@
   struct live *l = m->prefilling;
   struct engine_output out = { .type = ENGINE_OUTPUT_PREFILL_DONE };
 
+  if (l == NULL)
+    return;
   m->prefilling = NULL;
   engine_cache_insert (m->cache, l->blocks, l->block_count);
   l->phase = ENGINE_PHASE_EXPORTED;
--- a/standins/engine/server.c
+++ b/standins/engine/server.c
@@ -325,8 +325,8 @@
   loop_timer_stop (s->timer);
   loop_timer_stop (s->sampler);
   loop_timer_stop (s->load_timer);
-  while (s->waits->len > 0)
-    engine_wait_end (s->waits->pdata[0]);
+  for (guint i = s->waits->len; i > 0; i--)
+    engine_wait_end (s->waits->pdata[i - 1]);
   g_ptr_array_free (s->waits, TRUE);
   engine_model_destroy (s->model);
   json_decref (s->serve);
