Claim log: shards, group commit, fence by creation, folding

Free keys need a durable claim before the first byte goes out. Claims of a shard are written together as a segment created only if absent at the next sequence number; a lost race or a lost reply is settled by reading the segment. Old segments are folded and deleted. Deletion frees numbers, so a creation counts only if the end of the log was seen within half the least age of deleted objects.

--- a/include/beryl/claims.h
+++ b/include/beryl/claims.h
@@ -93,6 +93,10 @@
   int64_t commit_interval_ms; /**< least time between two writes of a shard;
                                    claims in between share one [200] */
   int64_t retention_ms;       /**< how long a key is remembered [3600000] */
+  int64_t delete_after_ms;    /**< least age of an object that is deleted;
+                                   the log is safe from homes that pause, and
+                                   from reads that lag, up to half of this
+                                   [600000] */
   int64_t ask_timeout_ms;     /**< for another home's reply [500] */
 };
 
--- a/libberyl/base/guard.h
+++ b/libberyl/base/guard.h
@@ -35,7 +35,7 @@
   BERYL_GUARD_CLAIM_REREAD,     /**< a lost race reads before it writes */
   BERYL_GUARD_CLAIM_OUTAGE,     /**< unavailable only if surely not written */
   BERYL_GUARD_CLAIM_DUPLICATE,  /**< one batch holds a key once */
-  BERYL_GUARD_CLAIM_LOADED,     /**< no grant from an unread log */
+  BERYL_GUARD_CLAIM_VERIFIED,   /**< no grant from an old view of the log */
   BERYL_GUARD_FORWARDED_KEY,    /**< a forwarded key is never run anew */
   BERYL_GUARD_CHECKPOINT_WHOLE, /**< segments go only after a checkpoint */
   BERYL_GUARD_DEATH_HEARD,      /**< who is heard is not dead */
--- /dev/null
+++ b/libberyl/requests/claim_log.c
@@ -0,0 +1,205 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "claim_private.h"
+
+/* An object of the log that was read. */
+struct entry
+{
+  uint64_t from;
+  uint64_t to;
+  const struct beryl_object *object;
+};
+
+bool
+log_put (struct shard *shard, struct map_key key, const struct claim *claim)
+{
+  struct claim *mine = map_get (&shard->index, key);
+
+  if (mine != NULL)
+    return true;
+  mine = malloc (sizeof *mine);
+  if (mine == NULL)
+    return false;
+  *mine = *claim;
+  if (!map_put (&shard->index, key, mine))
+    {
+      free (mine);
+      return false;
+    }
+  shard->claims->counts.keys++;
+  return true;
+}
+
+struct segment *
+log_add_segment (struct shard *shard, uint64_t from, uint64_t to,
+                 int64_t now_ms)
+{
+  struct segment *segment;
+
+  for (size_t i = 0; i < shard->segment_count; i++)
+    if (shard->segments[i].from == from && shard->segments[i].to == to)
+      return &shard->segments[i];
+  if (shard->segment_count == shard->segment_capacity)
+    {
+      size_t capacity
+          = shard->segment_capacity != 0 ? shard->segment_capacity * 2 : 16;
+      struct segment *segments
+          = realloc (shard->segments, capacity * sizeof *segments);
+
+      if (segments == NULL)
+        return NULL;
+      shard->segments = segments;
+      shard->segment_capacity = capacity;
+    }
+  segment = &shard->segments[shard->segment_count++];
+  *segment = (struct segment){ .from = from, .to = to, .seen_ms = now_ms };
+  return segment;
+}
+
+void
+log_forget (struct shard *shard)
+{
+  for (size_t i = 0; i < shard->index.capacity; i++)
+    free (shard->index.slots[i].value);
+  shard->claims->counts.keys -= shard->index.count;
+  map_clear (&shard->index);
+  shard->segment_count = 0;
+  shard->next = 0;
+  shard->read = false;
+}
+
+static int
+compare_entries (const void *a, const void *b)
+{
+  const struct entry *x = a;
+  const struct entry *y = b;
+
+  if (x->from != y->from)
+    return x->from < y->from ? -1 : 1;
+  return x->to == y->to ? 0 : (x->to > y->to ? -1 : 1);
+}
+
+static struct entry *
+entries_sorted (struct shard *shard, const struct beryl_object *objects,
+                size_t object_count, size_t *count)
+{
+  struct entry *entries = calloc (object_count + 1, sizeof *entries);
+
+  *count = 0;
+  if (entries == NULL)
+    return NULL;
+  for (size_t i = 0; i < object_count; i++)
+    {
+      struct entry *entry = &entries[*count];
+
+      if (!segment_parse_name (objects[i].name, shard->number, &entry->from,
+                               &entry->to))
+        continue;
+      entry->object = &objects[i];
+      (*count)++;
+    }
+  qsort (entries, *count, sizeof *entries, compare_entries);
+  return entries;
+}
+
+/* Pages of a list may come from replicas that lag differently: between them
+ * a segment may be folded and seem to be missing.  A log with a hole must not
+ * be written to, because the hole's number is free again after deletion. */
+static bool
+entries_contiguous (const struct entry *entries, size_t count)
+{
+  uint64_t end = count > 0 ? entries[0].from : 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (entries[i].from > end)
+        return false;
+      if (entries[i].to >= end)
+        end = entries[i].to + 1;
+    }
+  return true;
+}
+
+static void
+visit_claim (void *data, struct map_key key, const struct claim *claim)
+{
+  log_put (data, key, claim);
+}
+
+/* Applies an entry that reaches the end of what is known.  One that lies
+ * before it is known already, or was written by a home that had slept so
+ * long that its number had been deleted: its claims were never granted. */
+static bool
+entry_apply (struct shard *shard, const struct entry *entry, int64_t now_ms)
+{
+  struct segment *segment
+      = log_add_segment (shard, entry->from, entry->to, now_ms);
+  uint32_t claims = 0;
+
+  if (segment == NULL)
+    return false;
+  if (entry->to < shard->next)
+    return true;
+  if (!segment_decode (entry->object, entry->from, visit_claim, shard,
+                       &claims))
+    return false;
+  segment->claims = claims;
+  shard->next = entry->to + 1;
+  return true;
+}
+
+static void
+mark_covered (struct shard *shard)
+{
+  for (size_t i = 0; i < shard->segment_count; i++)
+    for (size_t k = 0; k < shard->segment_count; k++)
+      {
+        const struct segment *outer = &shard->segments[k];
+        struct segment *inner = &shard->segments[i];
+
+        if (outer->to - outer->from > inner->to - inner->from
+            && outer->from <= inner->from && inner->to <= outer->to)
+          inner->covered = true;
+      }
+}
+
+bool
+log_apply (struct shard *shard, const struct beryl_object *objects,
+           size_t object_count, int64_t now_ms)
+{
+  size_t count;
+  struct entry *entries
+      = entries_sorted (shard, objects, object_count, &count);
+  bool applied = entries != NULL && entries_contiguous (entries, count);
+
+  if (applied && count > 0 && (!shard->read || entries[0].from > shard->next))
+    {
+      log_forget (shard);
+      shard->next = entries[0].from;
+    }
+  for (size_t i = 0; applied && i < count; i++)
+    applied = entry_apply (shard, &entries[i], now_ms);
+  free (entries);
+  if (applied)
+    mark_covered (shard);
+  return applied;
+}
+
+/* The batch is durable as segment NEXT. */
+void
+log_append (struct shard *shard, int64_t now_ms)
+{
+  struct segment *segment
+      = log_add_segment (shard, shard->next, shard->next, now_ms);
+
+  if (segment != NULL)
+    segment->claims = shard->batch.count;
+  for (struct waiting *w = shard->batch.first; w != NULL; w = w->next)
+    {
+      struct claim claim = { w->body_hash, w->incarnation, shard->next };
+
+      log_put (shard, w->key, &claim);
+    }
+  shard->next++;
+}
--- /dev/null
+++ b/libberyl/requests/claims.c
@@ -0,0 +1,491 @@
+#include "beryl/claims.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "claim_private.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define SHARDS_DEFAULT 32
+#define COMMIT_INTERVAL_DEFAULT_MS 200
+#define RETENTION_DEFAULT_MS 3600000
+#define DELETE_AFTER_DEFAULT_MS 600000
+#define ASK_TIMEOUT_DEFAULT_MS 500
+
+static void
+default_to (int64_t *setting, int64_t value)
+{
+  if (*setting == 0)
+    *setting = value;
+}
+
+struct beryl_claims *
+beryl_claims_create (const struct beryl_claims_settings *settings,
+                     struct beryl_claims_owner *owner)
+{
+  struct beryl_claims *claims = calloc (1, sizeof *claims);
+
+  if (claims == NULL)
+    return NULL;
+  claims->settings = *settings;
+  claims->owner = owner;
+  claims->random = settings->seed ^ settings->incarnation;
+  snprintf (claims->node, sizeof claims->node, "%s", settings->node);
+  if (claims->settings.shards == 0)
+    claims->settings.shards = SHARDS_DEFAULT;
+  if (claims->settings.shards > BERYL_CLAIM_SHARDS_MAX)
+    claims->settings.shards = BERYL_CLAIM_SHARDS_MAX;
+  default_to (&claims->settings.commit_interval_ms,
+              COMMIT_INTERVAL_DEFAULT_MS);
+  default_to (&claims->settings.retention_ms, RETENTION_DEFAULT_MS);
+  default_to (&claims->settings.delete_after_ms, DELETE_AFTER_DEFAULT_MS);
+  default_to (&claims->settings.ask_timeout_ms, ASK_TIMEOUT_DEFAULT_MS);
+  claims->shards = calloc (claims->settings.shards, sizeof (struct shard *));
+  if (claims->shards != NULL)
+    return claims;
+  free (claims);
+  return NULL;
+}
+
+void
+beryl_claims_destroy (struct beryl_claims *claims)
+{
+  struct asked *asked;
+
+  if (claims == NULL)
+    return;
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    shard_destroy (claims->shards[i]);
+  while ((asked = claims->asked) != NULL)
+    {
+      claims->asked = asked->next;
+      free (asked);
+    }
+  map_clear (&claims->calls);
+  free (claims->shards);
+  free (claims->members);
+  free (claims);
+}
+
+void
+queue_add (struct waiting_queue *queue, struct waiting *waiting)
+{
+  waiting->next = NULL;
+  if (queue->last != NULL)
+    queue->last->next = waiting;
+  else
+    queue->first = waiting;
+  queue->last = waiting;
+  queue->count++;
+}
+
+struct waiting *
+queue_take (struct waiting_queue *queue)
+{
+  struct waiting *waiting = queue->first;
+
+  if (waiting == NULL)
+    return NULL;
+  queue->first = waiting->next;
+  if (queue->first == NULL)
+    queue->last = NULL;
+  queue->count--;
+  return waiting;
+}
+
+uint64_t
+claims_call (struct beryl_claims *claims, struct shard *shard)
+{
+  uint64_t call = ++claims->last_call;
+
+  map_put (&claims->calls, map_key_number (call), shard);
+  return call;
+}
+
+static uint64_t
+next_random (struct beryl_claims *claims)
+{
+  uint64_t z = claims->random += UINT64_C (0x9e3779b97f4a7c15);
+
+  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
+  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
+  return z ^ (z >> 31);
+}
+
+void
+claims_nonce (struct beryl_claims *claims, char nonce[33])
+{
+  uint64_t high = next_random (claims);
+  uint64_t low = next_random (claims);
+
+  snprintf (nonce, 33, "%016llx%016llx", (unsigned long long)high,
+            (unsigned long long)low);
+}
+
+static void
+count_result (struct beryl_claims *claims, enum beryl_claim_result result)
+{
+  switch (result)
+    {
+    case BERYL_CLAIM_GRANTED:
+      claims->counts.granted++;
+      return;
+    case BERYL_CLAIM_TAKEN:
+    case BERYL_CLAIM_MISMATCH:
+      claims->counts.taken++;
+      return;
+    case BERYL_CLAIM_UNAVAILABLE:
+      claims->counts.unavailable++;
+      return;
+    case BERYL_CLAIM_UNKNOWN:
+      claims->counts.unknown++;
+      return;
+    }
+}
+
+/* Ends WAITING, which is released. */
+void
+claims_answer (struct beryl_claims *claims, struct waiting *waiting,
+               enum beryl_claim_result result, uint64_t incarnation)
+{
+  struct beryl_claims_owner *owner = claims->owner;
+  struct beryl_claim_message reply = {
+    .type = BERYL_CLAIM_REPLY,
+    .id = waiting->id,
+    .key_high = waiting->key.high,
+    .key_low = waiting->key.low,
+    .body_hash = waiting->body_hash,
+    .incarnation = incarnation,
+    .result = result,
+  };
+
+  count_result (claims, result);
+  if (waiting->remote)
+    owner->impl->send (owner, waiting->node, &reply);
+  else
+    owner->impl->result (owner, waiting->id, result, incarnation);
+  free (waiting);
+}
+
+static struct shard *
+shard_of (struct beryl_claims *claims, uint32_t number)
+{
+  if (claims->shards[number] == NULL)
+    claims->shards[number] = shard_create (claims, number);
+  return claims->shards[number];
+}
+
+static uint32_t
+shard_number (const struct beryl_claims *claims, struct map_key key)
+{
+  return (uint32_t)(key.low % claims->settings.shards);
+}
+
+/* Rendezvous hashing: when a member comes or goes, only its own shards
+ * change their home. */
+const char *
+beryl_claims_home (const struct beryl_claims *claims, uint32_t shard)
+{
+  const char *home = NULL;
+  uint64_t best = 0;
+
+  for (size_t i = 0; i < claims->member_count; i++)
+    {
+      const char *node = claims->members[i];
+      uint64_t weight = XXH3_64bits_withSeed (node, strlen (node), shard);
+
+      if (home != NULL
+          && (weight < best || (weight == best && strcmp (node, home) > 0)))
+        continue;
+      home = node;
+      best = weight;
+    }
+  return home;
+}
+
+bool
+claims_is_home (const struct beryl_claims *claims, uint32_t shard)
+{
+  const char *home = beryl_claims_home (claims, shard);
+
+  return home == NULL || strcmp (home, claims->node) == 0;
+}
+
+void
+beryl_claims_set_members (struct beryl_claims *claims,
+                          const char *const *nodes, size_t node_count,
+                          int64_t now_ms)
+{
+  char (*members)[BERYL_NAME_BYTES] = calloc (node_count + 1, sizeof *members);
+
+  if (members == NULL)
+    return;
+  for (size_t i = 0; i < node_count; i++)
+    snprintf (members[i], sizeof members[i], "%s", nodes[i]);
+  free (claims->members);
+  claims->members = members;
+  claims->member_count = node_count;
+  beryl_claims_tick (claims, now_ms);
+}
+
+static void
+claims_ask_home (struct beryl_claims *claims, struct waiting *waiting,
+                 const char *home, int64_t now_ms)
+{
+  struct beryl_claims_owner *owner = claims->owner;
+  struct asked *asked = calloc (1, sizeof *asked);
+  struct beryl_claim_message ask = {
+    .type = BERYL_CLAIM_ASK,
+    .key_high = waiting->key.high,
+    .key_low = waiting->key.low,
+    .body_hash = waiting->body_hash,
+    .incarnation = waiting->incarnation,
+  };
+
+  if (asked == NULL)
+    {
+      claims_answer (claims, waiting, BERYL_CLAIM_UNAVAILABLE, 0);
+      return;
+    }
+  asked->waiting = *waiting;
+  asked->id = ask.id = ++claims->last_ask;
+  asked->due_ms = now_ms + claims->settings.ask_timeout_ms;
+  snprintf (asked->home, sizeof asked->home, "%s", home);
+  asked->next = claims->asked;
+  claims->asked = asked;
+  free (waiting);
+  owner->impl->send (owner, home, &ask);
+}
+
+void
+beryl_claims_claim (struct beryl_claims *claims, uint64_t request,
+                    const char *organisation, const char *key,
+                    uint64_t body_hash, int64_t now_ms)
+{
+  struct waiting *waiting = calloc (1, sizeof *waiting);
+  uint32_t number;
+
+  if (waiting == NULL)
+    {
+      claims->owner->impl->result (claims->owner, request,
+                                   BERYL_CLAIM_UNAVAILABLE, 0);
+      return;
+    }
+  waiting->key = map_key_digest (organisation, key);
+  waiting->body_hash = body_hash;
+  waiting->incarnation = claims->settings.incarnation;
+  waiting->id = request;
+  number = shard_number (claims, waiting->key);
+  if (claims_is_home (claims, number))
+    shard_ask (shard_of (claims, number), waiting, now_ms);
+  else
+    claims_ask_home (claims, waiting, beryl_claims_home (claims, number),
+                     now_ms);
+}
+
+static struct waiting *
+asked_take (struct beryl_claims *claims, struct asked **at)
+{
+  struct asked *asked = *at;
+  struct waiting *waiting = malloc (sizeof *waiting);
+
+  *at = asked->next;
+  if (waiting != NULL)
+    *waiting = asked->waiting;
+  else
+    claims->owner->impl->result (claims->owner, asked->waiting.id,
+                                 BERYL_CLAIM_UNAVAILABLE, 0);
+  free (asked);
+  return waiting;
+}
+
+static void
+on_reply (struct beryl_claims *claims,
+          const struct beryl_claim_message *message)
+{
+  struct asked **at = &claims->asked;
+  struct waiting *waiting;
+
+  while (*at != NULL && (*at)->id != message->id)
+    at = &(*at)->next;
+  if (*at == NULL)
+    return;
+  waiting = asked_take (claims, at);
+  if (waiting != NULL)
+    claims_answer (claims, waiting, message->result, message->incarnation);
+}
+
+static void
+on_ask (struct beryl_claims *claims, const char *node,
+        const struct beryl_claim_message *message, int64_t now_ms)
+{
+  struct waiting *waiting = calloc (1, sizeof *waiting);
+
+  if (waiting == NULL)
+    return;
+  waiting->key = (struct map_key){ message->key_high, message->key_low };
+  waiting->body_hash = message->body_hash;
+  waiting->incarnation = message->incarnation;
+  waiting->id = message->id;
+  waiting->remote = true;
+  snprintf (waiting->node, sizeof waiting->node, "%s", node);
+  shard_ask (shard_of (claims, shard_number (claims, waiting->key)), waiting,
+             now_ms);
+}
+
+void
+beryl_claims_message (struct beryl_claims *claims, const char *node,
+                      const struct beryl_claim_message *message,
+                      int64_t now_ms)
+{
+  if (message->type == BERYL_CLAIM_REPLY)
+    on_reply (claims, message);
+  else
+    on_ask (claims, node, message, now_ms);
+}
+
+/* The home does not answer.  Any node may write to any shard: the creation
+ * only if absent is the fence, homes only keep the races rare. */
+static void
+claim_here (struct beryl_claims *claims, struct asked **at, int64_t now_ms)
+{
+  struct waiting *waiting = asked_take (claims, at);
+
+  if (waiting != NULL)
+    shard_ask (shard_of (claims, shard_number (claims, waiting->key)), waiting,
+               now_ms);
+}
+
+void
+beryl_claims_unreachable (struct beryl_claims *claims, const char *node,
+                          int64_t now_ms)
+{
+  struct asked **at = &claims->asked;
+
+  while (*at != NULL)
+    if (strcmp ((*at)->home, node) == 0)
+      claim_here (claims, at, now_ms);
+    else
+      at = &(*at)->next;
+}
+
+static struct shard *
+call_take (struct beryl_claims *claims, uint64_t call)
+{
+  struct shard *shard = map_get (&claims->calls, map_key_number (call));
+
+  map_remove (&claims->calls, map_key_number (call));
+  return shard;
+}
+
+void
+beryl_claims_read (struct beryl_claims *claims, uint64_t call,
+                   enum beryl_error_code code,
+                   const struct beryl_object *objects, size_t object_count,
+                   int64_t now_ms)
+{
+  struct shard *shard = call_take (claims, call);
+
+  if (shard != NULL && shard->call_id == call)
+    shard_on_read (shard, code, objects, object_count, now_ms);
+}
+
+void
+beryl_claims_written (struct beryl_claims *claims, uint64_t call,
+                      enum beryl_error_code code, int64_t now_ms)
+{
+  struct shard *shard = call_take (claims, call);
+
+  if (shard == NULL)
+    return;
+  if (shard->call_id == call)
+    shard_on_created (shard, code, now_ms);
+  else if (shard->fold_id == call)
+    fold_on_written (shard, code, now_ms);
+}
+
+/* Reads the shards that this node is home of before they are needed, one
+ * after another: in an outage of the object API their keys are then known. */
+static void
+claims_preload (struct beryl_claims *claims, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    {
+      struct shard *shard = claims->shards[i];
+
+      if (shard != NULL && shard->call == SHARD_LIST)
+        return;
+    }
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    {
+      struct shard *shard = claims->shards[i];
+
+      if ((shard != NULL && (shard->read || now_ms < shard->next_ms))
+          || !claims_is_home (claims, i))
+        continue;
+      shard_load (shard_of (claims, i), now_ms);
+      return;
+    }
+}
+
+void
+beryl_claims_tick (struct beryl_claims *claims, int64_t now_ms)
+{
+  struct asked **at = &claims->asked;
+
+  while (*at != NULL)
+    if (now_ms >= (*at)->due_ms)
+      claim_here (claims, at, now_ms);
+    else
+      at = &(*at)->next;
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    {
+      struct shard *shard = claims->shards[i];
+
+      if (shard == NULL)
+        continue;
+      shard_step (shard, now_ms);
+      if (claims_is_home (claims, i))
+        fold_step (shard, now_ms);
+    }
+  if (claims->member_count > 0)
+    claims_preload (claims, now_ms);
+}
+
+static int64_t
+earlier (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+int64_t
+beryl_claims_next_ms (const struct beryl_claims *claims)
+{
+  int64_t next_ms = BERYL_NEVER_MS;
+
+  for (const struct asked *a = claims->asked; a != NULL; a = a->next)
+    next_ms = earlier (next_ms, a->due_ms);
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    {
+      const struct shard *shard = claims->shards[i];
+
+      if (shard == NULL)
+        continue;
+      next_ms = earlier (next_ms, shard_next_ms (shard));
+      if (claims_is_home (claims, i))
+        next_ms = earlier (next_ms, fold_next_ms (shard));
+      if (!shard->read && shard->call == SHARD_IDLE
+          && claims_is_home (claims, i))
+        next_ms = earlier (next_ms, shard->next_ms);
+    }
+  return next_ms;
+}
+
+const struct beryl_claims_counts *
+beryl_claims_counts (const struct beryl_claims *claims)
+{
+  return &claims->counts;
+}
