Platform client: budget, joining, back-off, settling, breaker, watches

Cause: every part that uses the object API needs the same answers to slow replies, lost replies, replicas that lag and outages. Change: libberyl/platform without I/O and its shell over http/. Conditional writes whose reply was lost are repeated under their condition and settled by the nonce in the value; CONFLICT after a lost reply says whether the write may have been in force before.

--- /dev/null
+++ b/common/platform_client.c
@@ -0,0 +1,518 @@
+#include "common/platform_client.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/clock.h"
+#include "http/client.h"
+
+/** Longest answer that is read: a page of 500 large objects is refused. */
+#define ANSWER_MAX_BYTES (64U << 20)
+#define MAX_HEADERS 4
+/** Counts of a use, and of the client. */
+#define USE_CELLS 6
+#define CLIENT_CELLS 9
+#define CELL_COUNT (BERYL_USE_COUNT * USE_CELLS + CLIENT_CELLS)
+
+struct platform_client
+{
+  struct beryl_platform_handler base;
+  struct loop *loop;
+  struct http_context *http;
+  struct beryl_platform *core;
+  char *address;
+  uint16_t port;
+  bool tls;
+  char *tls_host;
+  char *authorization;
+  uint64_t *cells[CELL_COUNT]; /* exported counts; NULL: none */
+  struct loop_timer *timer;
+  int64_t timer_ms;
+  GHashTable *calls;    /* id to struct call */
+  GHashTable *requests; /* id to struct request */
+  GHashTable *watches;  /* id to struct watch_owner */
+};
+
+/** An HTTP call of the core. */
+struct call
+{
+  struct http_call_handler base;
+  struct platform_client *client;
+  uint64_t id;
+  struct http_call *http;
+  GString *body;
+};
+
+struct request
+{
+  platform_client_cb *cb;
+  void *user;
+};
+
+struct watch_owner
+{
+  struct platform_watch_callbacks callbacks;
+  void *user;
+};
+
+/** Copy the core's counts to the exported cells. */
+static void
+counts_export (struct platform_client *c)
+{
+  const struct beryl_platform_counts *counts = beryl_platform_counts (c->core);
+  size_t n = 0;
+
+  if (!c->cells[0])
+    return;
+  for (int u = 0; u < BERYL_USE_COUNT; u++)
+    {
+      const struct beryl_platform_use_counts *use = &counts->uses[u];
+
+      *c->cells[n++] = use->reads;
+      *c->cells[n++] = use->writes;
+      *c->cells[n++] = use->watches;
+      *c->cells[n++] = use->joined;
+      *c->cells[n++] = use->delayed;
+      *c->cells[n++] = use->failed;
+    }
+  *c->cells[n++] = counts->refused;
+  *c->cells[n++] = counts->errors;
+  *c->cells[n++] = counts->breaker_opened;
+  *c->cells[n++] = counts->settled;
+  *c->cells[n++] = counts->unsettled;
+  *c->cells[n++] = counts->stale;
+  *c->cells[n++] = counts->relisted;
+  *c->cells[n++] = counts->malformed;
+  *c->cells[n++] = beryl_platform_is_away (c->core);
+}
+
+static void timer_arm (struct platform_client *c);
+
+static void
+timer_cb (void *user)
+{
+  struct platform_client *c = user;
+
+  loop_timer_stop (c->timer);
+  c->timer = NULL;
+  beryl_platform_tick (c->core, loop_now_ms (c->loop));
+  timer_arm (c);
+}
+
+/** Wake the core when it next has something to do. */
+static void
+timer_arm (struct platform_client *c)
+{
+  int64_t next_ms = beryl_platform_next_ms (c->core);
+  int64_t now_ms = loop_now_ms (c->loop);
+
+  counts_export (c);
+  if (c->timer && c->timer_ms == next_ms)
+    return;
+  loop_timer_stop (c->timer);
+  c->timer = NULL;
+  if (next_ms == BERYL_NEVER_MS)
+    return;
+  c->timer_ms = next_ms;
+  c->timer = loop_timer_start (
+      c->loop, next_ms > now_ms ? next_ms - now_ms : 0, 0, timer_cb, c);
+}
+
+static void
+call_free (void *pointer)
+{
+  struct call *call = pointer;
+
+  if (call->http)
+    http_call_cancel (call->http);
+  g_string_free (call->body, TRUE);
+  g_free (call);
+}
+
+/** Take CALL out of the table without freeing it. */
+static void
+call_steal (struct call *call)
+{
+  call->http = NULL;
+  g_hash_table_steal (call->client->calls, &call->id);
+}
+
+static void
+call_data (struct http_call_handler *handler, struct http_call *http,
+           const void *bytes, size_t bytes_count)
+{
+  struct call *call = (struct call *)handler;
+
+  if (call->body->len + bytes_count <= ANSWER_MAX_BYTES)
+    g_string_append_len (call->body, bytes, (gssize)bytes_count);
+}
+
+/** Read the seconds of a Retry-After header. */
+static int64_t
+retry_after_ms (struct http_call *http)
+{
+  const char *text = http_call_header (http, "retry-after");
+  long seconds = text ? strtol (text, NULL, 10) : 0;
+
+  return seconds > 0 && seconds < 3600 ? seconds * 1000 : 0;
+}
+
+static void
+call_done (struct http_call_handler *handler, struct http_call *http)
+{
+  struct call *call = (struct call *)handler;
+  struct platform_client *c = call->client;
+
+  call_steal (call);
+  beryl_platform_answer (c->core, call->id, http_call_status (http),
+                         retry_after_ms (http), call->body->str,
+                         call->body->len, loop_now_ms (c->loop));
+  call_free (call);
+  timer_arm (c);
+}
+
+static void
+call_failed (struct http_call_handler *handler, struct http_call *http,
+             bool sent, const char *reason)
+{
+  struct call *call = (struct call *)handler;
+  struct platform_client *c = call->client;
+
+  call_steal (call);
+  g_debug ("platform call failed: %s", reason);
+  beryl_platform_failed (c->core, call->id, sent, loop_now_ms (c->loop));
+  call_free (call);
+  timer_arm (c);
+}
+
+static const struct http_call_handler_impl call_impl
+    = { .data = call_data, .done = call_done, .failed = call_failed };
+
+/** Fill in the headers of a call; return their number. */
+static size_t
+headers_of (struct platform_client *c, const struct beryl_platform_call *call,
+            struct http_header headers[MAX_HEADERS])
+{
+  size_t n = 0;
+
+  if (call->if_match)
+    headers[n++] = (struct http_header){ "if-match", call->if_match };
+  if (call->if_none_match)
+    headers[n++] = (struct http_header){ "if-none-match", "*" };
+  if (call->body)
+    headers[n++] = (struct http_header){ "content-type", "application/json" };
+  if (c->authorization)
+    headers[n++] = (struct http_header){ "authorization", c->authorization };
+  return n;
+}
+
+static void
+core_send (struct beryl_platform_handler *handler,
+           const struct beryl_platform_call *core_call)
+{
+  struct platform_client *c = (struct platform_client *)handler;
+  struct http_header headers[MAX_HEADERS];
+  struct http_request request = {
+    .method = core_call->method,
+    .address = c->address,
+    .port = c->port,
+    .path = core_call->path,
+    .headers = headers,
+    .header_count = headers_of (c, core_call, headers),
+    .body = core_call->body,
+    .body_bytes = core_call->body_bytes,
+    .timeout_ms = core_call->timeout_ms,
+    .tls = c->tls,
+    .tls_host = c->tls_host,
+  };
+  struct call *call = g_new0 (struct call, 1);
+
+  call->base.impl = &call_impl;
+  call->client = c;
+  call->id = core_call->id;
+  call->body = g_string_new (NULL);
+  g_hash_table_insert (c->calls, &call->id, call);
+  call->http = http_call_start (c->http, &request, &call->base);
+}
+
+static void
+core_abort (struct beryl_platform_handler *handler, uint64_t id)
+{
+  g_hash_table_remove (((struct platform_client *)handler)->calls, &id);
+}
+
+static void
+core_result (struct beryl_platform_handler *handler,
+             const struct beryl_platform_result *result)
+{
+  struct platform_client *c = (struct platform_client *)handler;
+  struct request *request
+      = g_hash_table_lookup (c->requests, &result->request);
+  struct request copy;
+
+  if (!request)
+    return;
+  copy = *request;
+  g_hash_table_remove (c->requests, &result->request);
+  copy.cb (copy.user, result);
+}
+
+static void
+core_event (struct beryl_platform_handler *handler,
+            const struct beryl_platform_event *event)
+{
+  struct platform_client *c = (struct platform_client *)handler;
+  struct watch_owner *w = g_hash_table_lookup (c->watches, &event->watch);
+
+  if (w && w->callbacks.event)
+    w->callbacks.event (w->user, event);
+}
+
+static void
+core_synced (struct beryl_platform_handler *handler, uint64_t watch,
+             uint64_t revision)
+{
+  struct platform_client *c = (struct platform_client *)handler;
+  struct watch_owner *w = g_hash_table_lookup (c->watches, &watch);
+
+  if (w && w->callbacks.synced)
+    w->callbacks.synced (w->user, revision);
+}
+
+static void
+core_instances (struct beryl_platform_handler *handler, uint64_t watch,
+                uint64_t revision, const struct beryl_instance *items,
+                size_t count)
+{
+  struct platform_client *c = (struct platform_client *)handler;
+  struct watch_owner *w = g_hash_table_lookup (c->watches, &watch);
+
+  if (w && w->callbacks.instances)
+    w->callbacks.instances (w->user, revision, items, count);
+}
+
+static const struct beryl_platform_handler_impl core_impl
+    = { core_send,  core_abort,  core_result,
+        core_event, core_synced, core_instances };
+
+static void
+cells_create (struct platform_client *c, struct counters *counters)
+{
+  static const char *const use_names[USE_CELLS] = {
+    "beryl_platform_reads_total",   "beryl_platform_writes_total",
+    "beryl_platform_watches_total", "beryl_platform_joined_total",
+    "beryl_platform_delayed_total", "beryl_platform_failed_total",
+  };
+  static const char *const names[CLIENT_CELLS] = {
+    "beryl_platform_refused_total",
+    "beryl_platform_errors_total",
+    "beryl_platform_breaker_total",
+    "beryl_platform_settled_total",
+    "beryl_platform_unsettled_total",
+    "beryl_platform_stale_total",
+    "beryl_platform_relisted_total",
+    "beryl_platform_malformed_total",
+    "beryl_platform_away",
+  };
+  size_t n = 0;
+
+  if (!counters)
+    return;
+  for (int u = 0; u < BERYL_USE_COUNT; u++)
+    {
+      char label[64];
+
+      g_snprintf (label, sizeof label, "use=\"%s\"",
+                  beryl_platform_use_name ((enum beryl_platform_use)u));
+      for (size_t i = 0; i < USE_CELLS; i++)
+        c->cells[n++] = counters_cell (counters, use_names[i], label);
+    }
+  for (size_t i = 0; i < CLIENT_CELLS; i++)
+    c->cells[n++] = counters_cell (counters, names[i], "");
+}
+
+struct platform_client *
+platform_client_create (struct loop *loop, struct http_context *http,
+                        const struct platform_client_settings *settings,
+                        struct counters *counters)
+{
+  struct platform_client *c = g_new0 (struct platform_client, 1);
+
+  c->base.impl = &core_impl;
+  c->loop = loop;
+  c->http = http;
+  c->address = g_strdup (settings->address);
+  c->port = settings->port;
+  c->tls = settings->tls;
+  c->tls_host = g_strdup (settings->tls_host);
+  if (settings->token)
+    c->authorization = g_strconcat ("Bearer ", settings->token, NULL);
+  cells_create (c, counters);
+  c->calls
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
+  c->requests
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  c->watches
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  c->core = beryl_platform_create (&settings->core, &c->base, settings->seed);
+  return c;
+}
+
+void
+platform_client_destroy (struct platform_client *c)
+{
+  if (!c)
+    return;
+  loop_timer_stop (c->timer);
+  beryl_platform_destroy (c->core);
+  g_hash_table_destroy (c->calls);
+  g_hash_table_destroy (c->requests);
+  g_hash_table_destroy (c->watches);
+  g_free (c->address);
+  g_free (c->tls_host);
+  g_free (c->authorization);
+  g_free (c);
+}
+
+struct beryl_platform *
+platform_client_core (struct platform_client *c)
+{
+  return c->core;
+}
+
+static struct beryl_platform_options
+options_of (struct platform_client *c,
+            const struct platform_client_options *options, int64_t now_ms)
+{
+  return (struct beryl_platform_options){
+    .use = options->use,
+    .deadline_ms = now_ms + options->timeout_ms,
+    .wait = options->wait,
+  };
+}
+
+static void *
+key_new (uint64_t id)
+{
+  return g_memdup2 (&id, sizeof id);
+}
+
+/** Note who made request ID, and wake the core. */
+static uint64_t
+request_note (struct platform_client *c, uint64_t id, platform_client_cb *cb,
+              void *user)
+{
+  struct request *request = g_new0 (struct request, 1);
+
+  request->cb = cb;
+  request->user = user;
+  g_hash_table_insert (c->requests, key_new (id), request);
+  timer_arm (c);
+  return id;
+}
+
+uint64_t
+platform_client_get (struct platform_client *c,
+                     const struct platform_client_options *options,
+                     const char *kind, const char *name, uint64_t min_version,
+                     platform_client_cb *cb, void *user)
+{
+  int64_t now_ms = loop_now_ms (c->loop);
+  struct beryl_platform_options o = options_of (c, options, now_ms);
+
+  return request_note (
+      c, beryl_platform_get (c->core, &o, kind, name, min_version, now_ms), cb,
+      user);
+}
+
+uint64_t
+platform_client_list (struct platform_client *c,
+                      const struct platform_client_options *options,
+                      const char *kind, const char *prefix,
+                      platform_client_cb *cb, void *user)
+{
+  int64_t now_ms = loop_now_ms (c->loop);
+  struct beryl_platform_options o = options_of (c, options, now_ms);
+
+  return request_note (
+      c, beryl_platform_list (c->core, &o, kind, prefix, now_ms), cb, user);
+}
+
+uint64_t
+platform_client_put (struct platform_client *c,
+                     const struct platform_client_options *options,
+                     const struct beryl_platform_write *write,
+                     platform_client_cb *cb, void *user)
+{
+  int64_t now_ms = loop_now_ms (c->loop);
+  struct beryl_platform_options o = options_of (c, options, now_ms);
+
+  return request_note (c, beryl_platform_put (c->core, &o, write, now_ms), cb,
+                       user);
+}
+
+uint64_t
+platform_client_delete (struct platform_client *c,
+                        const struct platform_client_options *options,
+                        const char *kind, const char *name, uint64_t version,
+                        platform_client_cb *cb, void *user)
+{
+  int64_t now_ms = loop_now_ms (c->loop);
+  struct beryl_platform_options o = options_of (c, options, now_ms);
+
+  return request_note (
+      c, beryl_platform_delete (c->core, &o, kind, name, version, now_ms), cb,
+      user);
+}
+
+void
+platform_client_forget (struct platform_client *c, uint64_t request)
+{
+  beryl_platform_forget (c->core, request);
+  g_hash_table_remove (c->requests, &request);
+}
+
+/** Note who owns watch ID, and wake the core. */
+static uint64_t
+watch_note (struct platform_client *c, uint64_t id,
+            const struct platform_watch_callbacks *callbacks, void *user)
+{
+  struct watch_owner *w = g_new0 (struct watch_owner, 1);
+
+  w->callbacks = *callbacks;
+  w->user = user;
+  g_hash_table_insert (c->watches, key_new (id), w);
+  timer_arm (c);
+  return id;
+}
+
+uint64_t
+platform_client_watch (struct platform_client *c, enum beryl_platform_use use,
+                       const char *kind,
+                       const struct platform_watch_callbacks *callbacks,
+                       void *user)
+{
+  int64_t now_ms = loop_now_ms (c->loop);
+
+  return watch_note (c, beryl_platform_watch (c->core, use, kind, now_ms),
+                     callbacks, user);
+}
+
+uint64_t
+platform_client_watch_instances (
+    struct platform_client *c,
+    const struct platform_watch_callbacks *callbacks, void *user)
+{
+  int64_t now_ms = loop_now_ms (c->loop);
+
+  return watch_note (c, beryl_platform_watch_instances (c->core, now_ms),
+                     callbacks, user);
+}
+
+void
+platform_client_unwatch (struct platform_client *c, uint64_t watch)
+{
+  beryl_platform_unwatch (c->core, watch);
+  g_hash_table_remove (c->watches, &watch);
+}
--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -82,6 +82,10 @@
   /** OK: of the object that was read or written, or the revision of a list;
    * CONFLICT: the current one, 0 if absent. */
   uint64_t version;
+  /** CONFLICT after a lost reply: the current value is another's, but this
+   * write may have been in force before it.  Impossible for objects that are
+   * created once and never changed. */
+  bool overwritten;
   const struct beryl_object *objects; /**< get: one; list: all */
   size_t object_count;
 };
--- /dev/null
+++ b/libberyl/platform/breaker.c
@@ -0,0 +1,88 @@
+#include "private.h"
+
+/* An outage would otherwise cost every request its whole timeout, and the
+   fleet's retries would hold the platform down.  After some failures in a
+   row nothing is sent but one probe at a time, at jittered and growing
+   distances; a probe that is answered closes the breaker. */
+
+bool
+platform_breaker_allows (const struct breaker *b, int64_t now_ms)
+{
+  switch (b->state)
+    {
+    case BREAKER_CLOSED:
+      return true;
+    case BREAKER_OPEN:
+      return now_ms >= b->open_until_ms;
+    default:
+      return false;
+    }
+}
+
+/** How long to wait before the next probe. */
+static int64_t
+probe_delay_ms (struct beryl_platform *p)
+{
+  int64_t limit_ms = p->settings.backoff_min_ms;
+
+  for (uint32_t i = 0; i < p->breaker.openings; i++)
+    {
+      limit_ms *= 2;
+      if (limit_ms >= p->settings.backoff_max_ms)
+        break;
+    }
+  if (limit_ms > p->settings.backoff_max_ms)
+    limit_ms = p->settings.backoff_max_ms;
+  return platform_random_jitter_ms (&p->random, limit_ms);
+}
+
+static void
+breaker_open (struct beryl_platform *p, int64_t now_ms)
+{
+  struct breaker *b = &p->breaker;
+
+  if (b->state == BREAKER_CLOSED)
+    p->counts.breaker_opened++;
+  b->state = BREAKER_OPEN;
+  b->openings++;
+  b->open_until_ms = now_ms + probe_delay_ms (p);
+}
+
+void
+platform_breaker_sent (struct beryl_platform *p, uint64_t call)
+{
+  if (p->breaker.state != BREAKER_OPEN)
+    return;
+  p->breaker.state = BREAKER_HALF_OPEN;
+  p->breaker.probe = call;
+}
+
+void
+platform_breaker_succeeded (struct beryl_platform *p)
+{
+  p->breaker.state = BREAKER_CLOSED;
+  p->breaker.failures = 0;
+  p->breaker.openings = 0;
+}
+
+void
+platform_breaker_failed (struct beryl_platform *p, uint64_t call, bool counts,
+                         int64_t now_ms)
+{
+  struct breaker *b = &p->breaker;
+
+  if (b->state == BREAKER_HALF_OPEN && b->probe == call)
+    breaker_open (p, now_ms);
+  else if (b->state == BREAKER_CLOSED && counts
+           && ++b->failures >= p->settings.breaker_failures)
+    breaker_open (p, now_ms);
+}
+
+void
+platform_breaker_aborted (struct beryl_platform *p, uint64_t call)
+{
+  /* The probe's owner gave up; the next call may probe at once, else the
+     breaker would stay half open for ever. */
+  if (p->breaker.state == BREAKER_HALF_OPEN && p->breaker.probe == call)
+    p->breaker.state = BREAKER_OPEN;
+}
--- /dev/null
+++ b/libberyl/platform/client.c
@@ -0,0 +1,234 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "private.h"
+
+/** Defaults of the settings. */
+#define READS_PER_S 20.0
+#define WRITES_PER_S 10.0
+#define CALL_TIMEOUT_MS 2000
+#define WATCH_WAIT_MS 20000
+#define WATCH_SPACING_MS 100
+#define BACKOFF_MIN_MS 100
+#define BACKOFF_MAX_MS 5000
+#define BREAKER_FAILURES 5
+#define QUEUE_MAX 4096
+
+static const uint32_t default_weights[BERYL_USE_COUNT] = {
+  [BERYL_USE_LEASE] = 8,     [BERYL_USE_CLAIM] = 8,  [BERYL_USE_CONFIG] = 4,
+  [BERYL_USE_INSTANCES] = 2, [BERYL_USE_STATUS] = 1, [BERYL_USE_OPERATOR] = 4
+};
+
+static const char *const use_names[BERYL_USE_COUNT]
+    = { "lease", "claim", "config", "instances", "status", "operator" };
+
+const char *
+beryl_platform_use_name (enum beryl_platform_use use)
+{
+  return use_names[use];
+}
+
+static void
+default_ms (int64_t *value, int64_t fallback)
+{
+  if (*value == 0)
+    *value = fallback;
+}
+
+static void
+settings_complete (struct beryl_platform_settings *s)
+{
+  if (s->reads_per_s <= 0)
+    s->reads_per_s = READS_PER_S;
+  if (s->writes_per_s <= 0)
+    s->writes_per_s = WRITES_PER_S;
+  if (s->breaker_failures == 0)
+    s->breaker_failures = BREAKER_FAILURES;
+  if (s->queue_max == 0)
+    s->queue_max = QUEUE_MAX;
+  default_ms (&s->call_timeout_ms, CALL_TIMEOUT_MS);
+  default_ms (&s->watch_wait_ms, WATCH_WAIT_MS);
+  default_ms (&s->watch_spacing_ms, WATCH_SPACING_MS);
+  default_ms (&s->backoff_min_ms, BACKOFF_MIN_MS);
+  default_ms (&s->backoff_max_ms, BACKOFF_MAX_MS);
+  for (int u = 0; u < BERYL_USE_COUNT; u++)
+    if (s->weights[u] == 0)
+      s->weights[u] = default_weights[u];
+}
+
+struct beryl_platform *
+beryl_platform_create (const struct beryl_platform_settings *settings,
+                       struct beryl_platform_handler *handler, uint64_t seed)
+{
+  struct beryl_platform *p = calloc (1, sizeof *p);
+
+  p->handler = handler;
+  p->random = seed;
+  if (settings)
+    p->settings = *settings;
+  settings_complete (&p->settings);
+  LIST_INIT (&p->fetches);
+  LIST_INIT (&p->watches);
+  LIST_INIT (&p->ended);
+  LIST_INIT (&p->telling);
+  platform_schedule_init (p);
+  beryl_platform_set_rates (p, p->settings.reads_per_s,
+                            p->settings.writes_per_s);
+  return p;
+}
+
+/** Forget open calls, so that releasing their owners does not abort them:
+ * the handler may be gone. */
+static void
+calls_forget (struct beryl_platform *p)
+{
+  struct job *job;
+
+  while ((job = TAILQ_FIRST (&p->calling)))
+    {
+      TAILQ_REMOVE (&p->calling, job, entry);
+      job->state = JOB_IDLE;
+    }
+}
+
+static void
+waiters_free (struct waiter_list *list)
+{
+  struct waiter *w;
+
+  while ((w = LIST_FIRST (list)))
+    {
+      LIST_REMOVE (w, entry);
+      free (w);
+    }
+}
+
+void
+beryl_platform_destroy (struct beryl_platform *p)
+{
+  struct fetch *f;
+  struct watch *w;
+
+  if (!p)
+    return;
+  calls_forget (p);
+  while ((f = LIST_FIRST (&p->fetches)))
+    platform_fetch_free (p, f);
+  while ((w = LIST_FIRST (&p->watches)))
+    platform_watch_free (p, w);
+  waiters_free (&p->ended);
+  waiters_free (&p->telling);
+  free (p);
+}
+
+void
+beryl_platform_set_rates (struct beryl_platform *p, double reads_per_s,
+                          double writes_per_s)
+{
+  p->budgets[RATE_READS].rate_per_s = reads_per_s;
+  p->budgets[RATE_WRITES].rate_per_s = writes_per_s;
+}
+
+void
+beryl_platform_nonce (struct beryl_platform *p, char nonce[BERYL_NONCE_BYTES])
+{
+  uint64_t high = platform_random_next (&p->random);
+  uint64_t low = platform_random_next (&p->random);
+
+  snprintf (nonce, BERYL_NONCE_BYTES, "%016" PRIx64 "%016" PRIx64, high, low);
+}
+
+/** The platform says that this process, or all together, call too often. */
+static void
+answer_limited (struct beryl_platform *p, struct job *job,
+                int64_t retry_after_ms, int64_t now_ms)
+{
+  struct budget *b = &p->budgets[job->rate_class];
+  int64_t pause_ms
+      = retry_after_ms > 0 ? retry_after_ms : p->settings.backoff_min_ms;
+
+  /* Never more than the longest back-off on a word of the platform, and
+     spread over half as much again, so that the fleet does not come back
+     all at once. */
+  if (pause_ms > p->settings.backoff_max_ms)
+    pause_ms = p->settings.backoff_max_ms;
+  p->counts.refused++;
+  platform_breaker_succeeded (p);
+  b->paused_until_ms = now_ms + pause_ms
+                       + platform_random_jitter_ms (&p->random, pause_ms / 2);
+  platform_job_ready (p, job);
+}
+
+void
+beryl_platform_answer (struct beryl_platform *p, uint64_t call,
+                       unsigned int status, int64_t retry_after_ms,
+                       const char *body, size_t body_bytes, int64_t now_ms)
+{
+  struct job *job = platform_job_take (p, call);
+  json_t *json;
+
+  if (!job)
+    return;
+  if (status == 429)
+    {
+      answer_limited (p, job, retry_after_ms, now_ms);
+      return;
+    }
+  if (status >= 500)
+    {
+      p->counts.errors++;
+      platform_breaker_failed (p, call, true, now_ms);
+      /* 503 is the platform's word that it did not serve the call; other
+         errors may come from a write that took effect. */
+      job->impl->failed (p, job, status == 503, now_ms);
+      return;
+    }
+  platform_breaker_succeeded (p);
+  json = json_loadb (body ? body : "", body_bytes, 0, NULL);
+  job->impl->answer (p, job, status, json, now_ms);
+  json_decref (json);
+}
+
+void
+beryl_platform_failed (struct beryl_platform *p, uint64_t call, bool sent,
+                       int64_t now_ms)
+{
+  struct job *job = platform_job_take (p, call);
+
+  if (!job)
+    return;
+  p->counts.errors++;
+  platform_breaker_failed (p, call, !job->is_watch, now_ms);
+  job->impl->failed (p, job, !sent, now_ms);
+}
+
+void
+beryl_platform_tick (struct beryl_platform *p, int64_t now_ms)
+{
+  platform_fetches_expire (p, now_ms);
+  platform_schedule_run (p, now_ms);
+  platform_fetches_expire (p, now_ms);
+}
+
+int64_t
+beryl_platform_next_ms (const struct beryl_platform *p)
+{
+  int64_t expiry_ms = platform_fetches_next_ms (p);
+  int64_t calls_ms = platform_schedule_next_ms (p);
+
+  return expiry_ms < calls_ms ? expiry_ms : calls_ms;
+}
+
+bool
+beryl_platform_is_away (const struct beryl_platform *p)
+{
+  return p->breaker.state != BREAKER_CLOSED;
+}
+
+const struct beryl_platform_counts *
+beryl_platform_counts (const struct beryl_platform *p)
+{
+  return &p->counts;
+}
--- /dev/null
+++ b/libberyl/platform/watch.c
@@ -0,0 +1,423 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "private.h"
+
+void
+platform_watch_free (struct beryl_platform *p, struct watch *w)
+{
+  platform_job_stop (p, &w->job);
+  LIST_REMOVE (w, entry);
+  platform_listing_clear (&w->listing);
+  free (w->known);
+  free (w);
+}
+
+/** Find NAME's place among the known ones; true if it is there. */
+static bool
+known_find (const struct watch *w, const char *name, size_t *place)
+{
+  size_t low = 0, high = w->known_count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      int order = strcmp (w->known[middle].name, name);
+
+      if (order == 0)
+        {
+          *place = middle;
+          return true;
+        }
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  *place = low;
+  return false;
+}
+
+static struct known *
+known_insert (struct watch *w, size_t place, const char *name)
+{
+  struct known *k;
+
+  if (w->known_count == w->known_capacity)
+    {
+      w->known_capacity = w->known_capacity ? 2 * w->known_capacity : 16;
+      w->known = realloc (w->known, w->known_capacity * sizeof *w->known);
+    }
+  k = &w->known[place];
+  memmove (k + 1, k, (w->known_count - place) * sizeof *k);
+  w->known_count++;
+  *k = (struct known){ 0 };
+  memcpy (k->name, name, strlen (name) + 1);
+  return k;
+}
+
+static void
+known_remove (struct watch *w, size_t place)
+{
+  memmove (&w->known[place], &w->known[place + 1],
+           (w->known_count - place - 1) * sizeof *w->known);
+  w->known_count--;
+}
+
+/** Tell one change; W may be marked ended by it. */
+static void
+tell_event (struct beryl_platform *p, struct watch *w, bool deleted,
+            const struct beryl_object *object)
+{
+  struct beryl_platform_event event
+      = { .watch = w->id, .deleted = deleted, .object = *object };
+
+  if (!w->ended)
+    p->handler->impl->event (p->handler, &event);
+}
+
+/** Take an object's value, unless it is not newer than what is known. */
+static void
+apply_put (struct beryl_platform *p, struct watch *w,
+           const struct beryl_object *object)
+{
+  size_t place;
+  struct known *k;
+
+  if (known_find (w, object->name, &place))
+    k = &w->known[place];
+  else
+    k = known_insert (w, place, object->name);
+  k->listed = true;
+  if (object->version <= k->version)
+    return;
+  k->version = object->version;
+  tell_event (p, w, false, object);
+}
+
+static void
+apply_delete (struct beryl_platform *p, struct watch *w,
+              const struct beryl_object *object)
+{
+  size_t place;
+
+  if (!known_find (w, object->name, &place)
+      || object->version <= w->known[place].version)
+    return;
+  known_remove (w, place);
+  tell_event (p, w, true, object);
+}
+
+/** Tell the deletion of all that a whole list did not show. */
+static void
+apply_missing (struct beryl_platform *p, struct watch *w)
+{
+  for (size_t i = 0; i < w->known_count;)
+    {
+      struct known k = w->known[i];
+      struct beryl_object object = { .kind = w->kind,
+                                     .name = k.name,
+                                     .version = w->listing.revision };
+
+      if (k.listed)
+        {
+          i++;
+          continue;
+        }
+      known_remove (w, i);
+      tell_event (p, w, true, &object);
+    }
+}
+
+static void
+apply_listing (struct beryl_platform *p, struct watch *w)
+{
+  for (size_t i = 0; i < w->known_count; i++)
+    w->known[i].listed = false;
+  for (size_t i = 0; i < w->listing.count; i++)
+    apply_put (p, w, &w->listing.objects[i]);
+  apply_missing (p, w);
+}
+
+static void
+tell_synced (struct beryl_platform *p, struct watch *w)
+{
+  if (!w->ended)
+    p->handler->impl->synced (p->handler, w->id, w->revision);
+}
+
+/** An answer from a replica that is behind what was seen already, which
+ * would take changes back; ask again. */
+static void
+answer_stale (struct beryl_platform *p, struct watch *w, int64_t now_ms)
+{
+  p->counts.stale++;
+  platform_listing_clear (&w->listing);
+  platform_job_back_off (p, &w->job, now_ms);
+}
+
+static void
+answer_malformed (struct beryl_platform *p, struct watch *w, int64_t now_ms)
+{
+  p->counts.malformed++;
+  platform_listing_clear (&w->listing);
+  w->listing_now = !w->instances;
+  platform_job_back_off (p, &w->job, now_ms);
+}
+
+static void
+watch_again (struct beryl_platform *p, struct watch *w, int64_t now_ms)
+{
+  w->job.failures = 0;
+  platform_job_sleep (p, &w->job, now_ms + p->settings.watch_spacing_ms);
+}
+
+static void
+list_answered (struct beryl_platform *p, struct watch *w, const json_t *json,
+               int64_t now_ms)
+{
+  if (!platform_listing_add (&w->listing, json, w->kind))
+    {
+      answer_malformed (p, w, now_ms);
+      return;
+    }
+  if (w->listing.more)
+    {
+      platform_job_ready (p, &w->job);
+      return;
+    }
+  if (w->listing.revision < w->revision)
+    {
+      answer_stale (p, w, now_ms);
+      return;
+    }
+  apply_listing (p, w);
+  w->revision = w->listing.revision;
+  w->listing_now = false;
+  platform_listing_clear (&w->listing);
+  tell_synced (p, w);
+  watch_again (p, w, now_ms);
+}
+
+/** Apply one event; false if it is malformed. */
+static bool
+event_apply (struct beryl_platform *p, struct watch *w, const json_t *json)
+{
+  const char *type = json_string_value (json_object_get (json, "type"));
+  struct beryl_object object;
+  bool ok = platform_object_read (json, w->kind, &object);
+
+  if (ok && type && strcmp (type, "delete") == 0)
+    apply_delete (p, w, &object);
+  else if (ok && type && strcmp (type, "put") == 0 && object.value)
+    apply_put (p, w, &object);
+  else
+    ok = false;
+  platform_object_clear (&object);
+  return ok;
+}
+
+static void
+events_answered (struct beryl_platform *p, struct watch *w, const json_t *json,
+                 int64_t now_ms)
+{
+  const json_t *events = json_object_get (json, "events");
+  uint64_t revision;
+  size_t i;
+  json_t *event;
+
+  if (!json_is_array (events)
+      || !platform_number_read (json, "revision", &revision))
+    {
+      answer_malformed (p, w, now_ms);
+      return;
+    }
+  if (revision < w->revision)
+    {
+      answer_stale (p, w, now_ms);
+      return;
+    }
+  json_array_foreach ((json_t *)events, i, event)
+  {
+    if (event_apply (p, w, event))
+      continue;
+    answer_malformed (p, w, now_ms);
+    return;
+  }
+  w->revision = revision;
+  tell_synced (p, w);
+  watch_again (p, w, now_ms);
+}
+
+/** Read the well-formed entries; one bad entry must not hide the others. */
+static struct beryl_instance *
+instances_read (struct beryl_platform *p, const json_t *items, size_t *count)
+{
+  struct beryl_instance *list
+      = calloc (json_array_size (items) + 1, sizeof *list);
+  size_t i;
+  json_t *item;
+
+  *count = 0;
+  json_array_foreach ((json_t *)items, i, item)
+  {
+    if (platform_instance_read (item, &list[*count]))
+      (*count)++;
+    else
+      p->counts.malformed++;
+  }
+  return list;
+}
+
+static void
+instances_answered (struct beryl_platform *p, struct watch *w,
+                    const json_t *json, int64_t now_ms)
+{
+  const json_t *items = json_object_get (json, "items");
+  struct beryl_instance *list;
+  uint64_t revision;
+  size_t count;
+
+  if (!json_is_array (items)
+      || !platform_number_read (json, "revision", &revision))
+    {
+      answer_malformed (p, w, now_ms);
+      return;
+    }
+  if (revision < w->revision)
+    {
+      answer_stale (p, w, now_ms);
+      return;
+    }
+  if (revision > w->revision || w->listing_now)
+    {
+      w->listing_now = false;
+      w->revision = revision;
+      list = instances_read (p, items, &count);
+      p->handler->impl->instances (p->handler, w->id, revision, list, count);
+      free (list);
+    }
+  watch_again (p, w, now_ms);
+}
+
+static void
+watch_answered (struct beryl_platform *p, struct job *job, unsigned int status,
+                const json_t *json, int64_t now_ms)
+{
+  struct watch *w = (struct watch *)job;
+
+  if (status == 410 && !w->instances)
+    {
+      /* The events since our revision are gone, deletions too: only a whole
+         list shows what is no longer there. */
+      p->counts.relisted++;
+      w->listing_now = true;
+      platform_listing_clear (&w->listing);
+      platform_job_ready (p, job);
+      return;
+    }
+  w->busy = true;
+  if (status != 200)
+    answer_malformed (p, w, now_ms);
+  else if (w->instances)
+    instances_answered (p, w, json, now_ms);
+  else if (w->listing_now)
+    list_answered (p, w, json, now_ms);
+  else
+    events_answered (p, w, json, now_ms);
+  w->busy = false;
+  if (w->ended)
+    platform_watch_free (p, w);
+}
+
+static void
+watch_failed (struct beryl_platform *p, struct job *job, bool safe,
+              int64_t now_ms)
+{
+  platform_job_back_off (p, job, now_ms);
+}
+
+static void
+watch_call (struct beryl_platform *p, struct job *job,
+            struct beryl_platform_call *call, char path[PATH_BYTES])
+{
+  struct watch *w = (struct watch *)job;
+  /* A probe must be answered at once, and so must the first look. */
+  bool at_once = p->breaker.state == BREAKER_HALF_OPEN || w->listing_now;
+  int64_t wait_ms = at_once ? 0 : p->settings.watch_wait_ms;
+
+  call->method = "GET";
+  call->path = path;
+  if (w->instances)
+    snprintf (path, PATH_BYTES,
+              "/v1/instances?after=%" PRIu64 "&wait_ms=%" PRId64, w->revision,
+              wait_ms);
+  else if (w->listing_now)
+    snprintf (path, PATH_BYTES, "/v1/objects/%s?prefix=&after=%s", w->kind,
+              w->listing.after);
+  else
+    snprintf (path, PATH_BYTES,
+              "/v1/watch/%s?after=%" PRIu64 "&wait_ms=%" PRId64, w->kind,
+              w->revision, wait_ms);
+  call->timeout_ms = wait_ms + p->settings.call_timeout_ms;
+}
+
+static const struct job_impl watch_impl
+    = { watch_call, watch_answered, watch_failed };
+
+static struct watch *
+watch_new (struct beryl_platform *p, enum beryl_platform_use use)
+{
+  struct watch *w = calloc (1, sizeof *w);
+
+  w->job.impl = &watch_impl;
+  w->job.use = use;
+  w->job.is_watch = true;
+  w->id = ++p->last_id;
+  w->listing_now = true;
+  LIST_INSERT_HEAD (&p->watches, w, entry);
+  return w;
+}
+
+uint64_t
+beryl_platform_watch (struct beryl_platform *p, enum beryl_platform_use use,
+                      const char *kind, int64_t now_ms)
+{
+  struct watch *w;
+
+  if (!platform_name_valid (kind))
+    return 0;
+  w = watch_new (p, use);
+  memcpy (w->kind, kind, strlen (kind) + 1);
+  platform_job_ready (p, &w->job);
+  return w->id;
+}
+
+uint64_t
+beryl_platform_watch_instances (struct beryl_platform *p, int64_t now_ms)
+{
+  struct watch *w = watch_new (p, BERYL_USE_INSTANCES);
+
+  w->instances = true;
+  platform_job_ready (p, &w->job);
+  return w->id;
+}
+
+void
+beryl_platform_unwatch (struct beryl_platform *p, uint64_t watch)
+{
+  struct watch *w;
+
+  for (w = LIST_FIRST (&p->watches); w; w = LIST_NEXT (w, entry))
+    {
+      if (w->id != watch)
+        continue;
+      if (w->busy)
+        w->ended = true;
+      else
+        platform_watch_free (p, w);
+      return;
+    }
+}
--- a/standins/platform/operation.c
+++ b/standins/platform/operation.c
@@ -27,36 +27,42 @@
   return type == OPERATION_PUT || type == OPERATION_DELETE;
 }
 
-static uint64_t
-argument_number (struct http_exchange *ex, const char *name, uint64_t fallback)
+/** Copy argument NAME out of QUERY; "" if absent.  The interface's names
+ * need no escapes. */
+static void
+argument_text (const char *query, const char *name, char *value,
+               size_t value_bytes)
 {
-  char text[32];
+  char **parts = g_strsplit (query, "&", 16);
+  size_t length = strlen (name);
 
-  if (!http_exchange_argument (ex, name, text, sizeof text))
-    return fallback;
-  return strtoull (text, NULL, 10);
+  value[0] = '\0';
+  for (char **part = parts; *part; part++)
+    if (strncmp (*part, name, length) == 0 && (*part)[length] == '=')
+      g_strlcpy (value, *part + length + 1, value_bytes);
+  g_strfreev (parts);
 }
 
-static void
-argument_text (struct http_exchange *ex, const char *name, char *value,
-               size_t value_bytes)
+static uint64_t
+argument_number (const char *query, const char *name, uint64_t fallback)
 {
-  if (!http_exchange_argument (ex, name, value, value_bytes))
-    value[0] = '\0';
+  char text[32];
+
+  argument_text (query, name, text, sizeof text);
+  return text[0] ? strtoull (text, NULL, 10) : fallback;
 }
 
 /** Read the conditions of a write. */
 static void
-condition_parse (struct http_exchange *ex, struct operation *op)
+condition_parse (const char *if_match, bool if_none_match,
+                 struct operation *op)
 {
-  const char *match = http_exchange_header (ex, "if-match");
-
-  if (match)
+  if (if_match)
     {
       op->condition = STORE_IF_VERSION;
-      op->version = strtoull (match, NULL, 10);
+      op->version = strtoull (if_match, NULL, 10);
     }
-  else if (http_exchange_header (ex, "if-none-match"))
+  else if (if_none_match)
     op->condition = STORE_IF_ABSENT;
 }
 
@@ -123,25 +129,29 @@
 }
 
 struct operation *
-operation_parse (struct http_exchange *ex)
+operation_create (const char *method, const char *path, const char *if_match,
+                  bool if_none_match, const char *body, size_t body_bytes)
 {
   struct operation *op = g_new0 (struct operation, 1);
-  const void *body = http_exchange_body (ex, &op->body_bytes);
-
-  if (!path_parse (http_exchange_method (ex), http_exchange_path (ex), op))
-    {
-      g_free (op);
-      return NULL;
-    }
-  argument_text (ex, "prefix", op->prefix, sizeof op->prefix);
-  argument_text (ex, "after", op->after_name, sizeof op->after_name);
-  op->after = argument_number (ex, "after", 0);
-  op->wait_ms = (int64_t)MIN (argument_number (ex, "wait_ms", 0), WAIT_MAX_MS);
-  op->limit = (uint32_t)CLAMP (argument_number (ex, "limit", STORE_LIST_MAX),
-                               1, STORE_LIST_MAX);
-  condition_parse (ex, op);
-  op->body = g_strndup (body ? body : "", op->body_bytes);
-  return op;
+  char **halves = g_strsplit (path, "?", 2);
+  const char *query = halves[0] && halves[1] ? halves[1] : "";
+  bool ok = path_parse (method, halves[0] ? halves[0] : "", op);
+
+  argument_text (query, "prefix", op->prefix, sizeof op->prefix);
+  argument_text (query, "after", op->after_name, sizeof op->after_name);
+  op->after = argument_number (query, "after", 0);
+  op->wait_ms
+      = (int64_t)MIN (argument_number (query, "wait_ms", 0), WAIT_MAX_MS);
+  op->limit = (uint32_t)CLAMP (
+      argument_number (query, "limit", STORE_LIST_MAX), 1, STORE_LIST_MAX);
+  condition_parse (if_match, if_none_match, op);
+  op->body = g_strndup (body ? body : "", body_bytes);
+  op->body_bytes = body_bytes;
+  g_strfreev (halves);
+  if (ok)
+    return op;
+  operation_destroy (op);
+  return NULL;
 }
 
 void
--- a/standins/platform/operation.h
+++ b/standins/platform/operation.h
@@ -1,6 +1,6 @@
 /** @file
- * One call of the platform's interface, taken out of its HTTP exchange, and
- * its answer.
+ * One call of the platform's interface and its answer, apart from HTTP, so
+ * that tests in virtual time can use it.
  */
 #ifndef STANDIN_OPERATION_H
 #define STANDIN_OPERATION_H
@@ -9,7 +9,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "http/server.h"
 #include "store.h"
 
 enum operation_type
@@ -48,8 +47,11 @@
   size_t body_bytes;
 };
 
-/** Read EX; NULL if no call of the interface has this form. */
-struct operation *operation_parse (struct http_exchange *ex);
+/** Read a call; NULL if none of the interface has this form.  PATH is with
+ * the query; IF_MATCH may be NULL.  BODY is copied. */
+struct operation *operation_create (const char *method, const char *path,
+                                    const char *if_match, bool if_none_match,
+                                    const char *body, size_t body_bytes);
 
 /** Release OP; NULL is allowed. */
 void operation_destroy (struct operation *op);
--- a/standins/platform/server.c
+++ b/standins/platform/server.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "faults.h"
+#include "http/server.h"
 #include "operation.h"
 #include "store.h"
 
@@ -254,10 +255,25 @@
          || op->type == OPERATION_INSTANCE_DELETE;
 }
 
+static struct operation *
+operation_of (struct http_exchange *ex)
+{
+  char *path = g_strdup_printf ("%s?%s", http_exchange_path (ex),
+                                http_exchange_query (ex));
+  size_t n;
+  const char *body = http_exchange_body (ex, &n);
+  struct operation *op = operation_create (
+      http_exchange_method (ex), path, http_exchange_header (ex, "if-match"),
+      http_exchange_header (ex, "if-none-match") != NULL, body, n);
+
+  g_free (path);
+  return op;
+}
+
 static void
 call_start (struct platform *p, struct http_exchange *ex)
 {
-  struct operation *op = operation_parse (ex);
+  struct operation *op = operation_of (ex);
   int64_t now_ms = loop_now_ms (p->loop);
   struct call *c;
 
--- a/wire/frame_read.c
+++ b/wire/frame_read.c
@@ -56,8 +56,8 @@
 frame_parse (const void *bytes, size_t bytes_count, struct beryl_error *error)
 {
   struct frame *f;
-  uint16_t type;
-  uint32_t body_bytes;
+  uint16_t type = 0;
+  uint32_t body_bytes = 0;
 
   if (bytes_count < FRAME_HEADER_BYTES)
     {
