Half a chunked answer is a failure; tests of the HTTP surface

Cause: when a peer died in the middle of a chunked answer, libwebsockets reported the answer complete, so that half an advice passed for the whole (found by an engine that closes without its last line). Conclusion: only a seen end is an end.

--- a/entryd/completion_format.c
+++ b/entryd/completion_format.c
@@ -64,54 +64,47 @@
                         + end->end.completion_tokens);
 }
 
-static char *
-format_event (json_t *body)
+static void
+append_event (GString *events, json_t *body)
 {
   char *json = json_dumps (body, JSON_COMPACT);
-  size_t json_bytes = strlen (json);
-  char *event = malloc (json_bytes + sizeof "data: \n\n");
 
-  json_decref (body);
-  memcpy (event, "data: ", 6);
-  memcpy (event + 6, json, json_bytes);
-  memcpy (event + 6 + json_bytes, "\n\n", 3);
+  g_string_append_printf (events, "data: %s\n\n", json);
   free (json);
-  return event;
+  json_decref (body);
 }
 
 char *
 completion_chunk (const struct entry_request *request, const void *bytes,
                   size_t bytes_count)
 {
+  GString *events = g_string_new (NULL);
   json_t *body = envelope (request, true);
 
   json_object_set_new (
       body, "choices",
       json_pack ("[o]", choice (request, text_value (bytes, bytes_count), true,
                                 NULL)));
-  return format_event (body);
+  append_event (events, body);
+  return g_string_free (events, FALSE);
 }
 
 char *
 completion_last_chunk (const struct entry_request *request,
                        const struct beryl_action *end)
 {
-  static const char done[] = "data: [DONE]\n\n";
   const char *reason
       = end->end.finish_reason != NULL ? end->end.finish_reason : "stop";
+  GString *events = g_string_new (NULL);
   json_t *body = envelope (request, true);
-  char *event;
-  size_t event_bytes;
 
   json_object_set_new (
       body, "choices",
       json_pack ("[o]", choice (request, NULL, true, reason)));
   json_object_set_new (body, "usage", usage (end));
-  event = format_event (body);
-  event_bytes = strlen (event);
-  event = realloc (event, event_bytes + sizeof done);
-  memcpy (event + event_bytes, done, sizeof done);
-  return event;
+  append_event (events, body);
+  g_string_append (events, "data: [DONE]\n\n");
+  return g_string_free (events, FALSE);
 }
 
 char *
--- a/entryd/config_source.c
+++ b/entryd/config_source.c
@@ -181,7 +181,13 @@
   };
 
   if (settings->static_config[0] != '\0')
-    return use_static (entry, error);
+    {
+      const char *self = settings->node;
+
+      beryl_router_set_members (entry->router, &self, 1,
+                                loop_now_ms (entry->loop));
+      return use_static (entry, error);
+    }
   entry->link_owner.impl = &link_impl;
   entry->link
       = control_link_create (entry->loop, settings->control_port, &hello,
--- a/entryd/entry.c
+++ b/entryd/entry.c
@@ -204,7 +204,7 @@
 
 struct entry *
 entry_create (const struct entry_settings *settings, struct loop *loop,
-              struct beryl_error *error)
+              struct http_context *http, struct beryl_error *error)
 {
   struct entry *entry = g_new0 (struct entry, 1);
   uint64_t seed = settings->seed != 0 ? settings->seed : random_seed ();
@@ -221,13 +221,7 @@
                                        settings->policy, seed);
   entry->requests = create_requests (entry, seed);
   entry->holds = hold_keeper_create (entry);
-  entry->http = http_context_create (loop, NULL);
-  if (entry->http == NULL)
-    {
-      beryl_error_set (error, BERYL_ERROR_INTERNAL, "no HTTP context");
-      entry_destroy (entry);
-      return NULL;
-    }
+  entry->http = http;
   if (!create_server (entry, error) || !config_source_start (entry, error))
     {
       entry_destroy (entry);
@@ -236,16 +230,20 @@
   return entry;
 }
 
+void
+entry_close (struct entry *entry)
+{
+  entry->closing = true;
+}
+
 void
 entry_destroy (struct entry *entry)
 {
   if (entry == NULL)
     return;
-  entry->closing = true;
   loop_timer_stop (entry->tick);
   loop_timer_stop (entry->drain_poll);
   config_source_stop (entry);
-  http_context_destroy (entry->http);
   outbound_drop_all (entry);
   hold_keeper_destroy (entry->holds);
   beryl_requests_destroy (entry->requests);
--- a/entryd/entry.h
+++ b/entryd/entry.h
@@ -84,11 +84,15 @@
   bool closing; /**< events would find half of it released */
 };
 
-/** Create; NULL and ERROR on failure. */
+/** Create on the loop's HTTP context; NULL and ERROR on failure. */
 struct entry *entry_create (const struct entry_settings *settings,
-                            struct loop *loop, struct beryl_error *error);
+                            struct loop *loop, struct http_context *http,
+                            struct beryl_error *error);
 
-/** Release; NULL is allowed. */
+/** Make no more events; call it before the HTTP context is destroyed. */
+void entry_close (struct entry *entry);
+
+/** Release, after the HTTP context; NULL is allowed. */
 void entry_destroy (struct entry *entry);
 
 /** Begin the planned stop; the loop quits when it is done. */
--- a/entryd/main.c
+++ b/entryd/main.c
@@ -35,30 +35,40 @@
   entry_drain (user);
 }
 
+static void
+announce (const struct entry *entry)
+{
+  const struct entry_settings *settings = entry->settings;
+  unsigned int port = http_server_port (entry->server);
+
+  g_info ("%s listens on %s port %u, incarnation %016" G_GINT64_MODIFIER "x",
+          settings->node, settings->address, port, entry->incarnation);
+  printf ("listening %s %u\n", settings->address, port);
+  fflush (stdout);
+}
+
 static int
 run (const struct entry_settings *settings)
 {
   struct beryl_error error = { 0 };
   struct loop *loop = loop_create ();
-  struct entry *entry = entry_create (settings, loop, &error);
+  struct http_context *http = http_context_create (loop, NULL);
+  struct entry *entry = entry_create (settings, loop, http, &error);
+  bool started = entry != NULL;
 
-  if (entry == NULL)
+  if (started)
     {
-      fprintf (stderr, "beryl-entryd: %s\n", error.message);
-      loop_destroy (loop);
-      return EXIT_FAILURE;
+      loop_on_stop (loop, stop, entry);
+      announce (entry);
+      loop_run (loop);
+      entry_close (entry);
     }
-  loop_on_stop (loop, stop, entry);
-  g_info ("%s listens on %s port %u, incarnation %" G_GINT64_MODIFIER "x",
-          settings->node, settings->address, http_server_port (entry->server),
-          entry->incarnation);
-  printf ("listening %s %u\n", settings->address,
-          http_server_port (entry->server));
-  fflush (stdout);
-  loop_run (loop);
+  else
+    fprintf (stderr, "beryl-entryd: %s\n", error.message);
+  http_context_destroy (http);
   entry_destroy (entry);
   loop_destroy (loop);
-  return EXIT_SUCCESS;
+  return started ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 static bool
--- a/entryd/outbound.c
+++ b/entryd/outbound.c
@@ -25,14 +25,18 @@
   g_free (out);
 }
 
-void
-outbound_drop (struct outbound *out)
+static void
+outbound_unlink (struct outbound *out)
 {
-  if (out->dropped)
-    return;
-  if (out->exchange != 0)
+  if (out->exchange != 0 && !out->dropped)
     g_hash_table_remove (out->entry->exchanges, &out->exchange);
   out->dropped = true;
+}
+
+void
+outbound_drop (struct outbound *out)
+{
+  outbound_unlink (out);
   if (out->depth == 0)
     outbound_free (out);
 }
@@ -70,7 +74,7 @@
   event.failed.reason = reason;
   outbound_enter (out);
   outbound_event (out, &event);
-  outbound_drop (out);
+  outbound_unlink (out);
   outbound_leave (out);
 }
 
--- a/entryd/reply.c
+++ b/entryd/reply.c
@@ -55,7 +55,7 @@
                                       action->data.bytes_count);
 
       http_exchange_write (request->exchange, event, strlen (event));
-      free (event);
+      g_free (event);
       return;
     }
   if (is_model (request) || request->text->len == 0)
@@ -91,7 +91,7 @@
   begin (request, 200, "text/event-stream");
   body = completion_last_chunk (request, action);
   http_exchange_write (request->exchange, body, strlen (body));
-  free (body);
+  g_free (body);
   http_exchange_finish (request->exchange);
 }
 
--- a/http/client.c
+++ b/http/client.c
@@ -26,6 +26,9 @@
   bool starting;
   bool sent;
   bool sent_told;
+  char **read_position; /* inside lws_http_client_read: where it is */
+  char *read_start;     /* and where it began */
+  bool chunked;
   bool ended; /* no callback may follow */
   bool failed_in_start;
   const char *reason;
@@ -178,13 +181,43 @@
 }
 
 static int
-read_body (struct lws *wsi)
+read_body (struct http_call *call, struct lws *wsi)
 {
   char buf[LWS_PRE + HTTP_WRITE_BYTES];
   char *p = buf + LWS_PRE;
   int n = HTTP_WRITE_BYTES;
+  int result;
 
-  return lws_http_client_read (wsi, &p, &n) < 0 ? -1 : 0;
+  call->read_start = p;
+  call->read_position = &p;
+  result = lws_http_client_read (wsi, &p, &n);
+  /* The handler may have cancelled the call, or it has ended. */
+  if (lws_get_opaque_user_data (wsi) == NULL)
+    return -1;
+  call->read_position = NULL;
+  return result < 0 ? -1 : 0;
+}
+
+/* When a peer dies in the middle of a chunked answer, libwebsockets reports
+ * the answer complete as it meets the connection's end; half an answer would
+ * pass for the whole.  The true end is the last chunk, so that bytes were
+ * consumed by the read that found it; the connection's end consumes none. */
+static bool
+is_cut_off (const struct http_call *call)
+{
+  return call->chunked
+         && (call->read_position == NULL
+             || *call->read_position == call->read_start);
+}
+
+static int
+complete (struct http_call *call)
+{
+  if (is_cut_off (call))
+    call_fail (call, "the answer broke off");
+  else
+    call_finish (call);
+  return -1;
 }
 
 /* Tells the handler once that bytes may have gone out, but never before
@@ -222,21 +255,20 @@
       return write_body (call);
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
       call->status = lws_http_client_http_response (wsi);
+      call->chunked
+          = lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
       if (call->handler->impl->head != NULL)
         call->handler->impl->head (call->handler, call, call->status);
       /* The handler may have cancelled the call. */
       return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-      if (read_body (wsi) < 0)
-        return -1;
-      return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
+      return read_body (call, wsi);
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
       if (call->handler->impl->data != NULL)
         call->handler->impl->data (call->handler, call, in, len);
       return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-      call_finish (call);
-      return -1;
+      return complete (call);
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       call_fail (call, "connection error");
       return 0;
--- /dev/null
+++ b/tests/http/test_raw.c
@@ -0,0 +1,258 @@
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/client.h"
+#include "http/server.h"
+
+#define PART_DELAY_MS 20
+
+/* A peer that answers whatever comes with fixed bytes and closes. */
+struct raw_peer
+{
+  uv_tcp_t listener;
+  uv_tcp_t connection;
+  uv_write_t write;
+  struct loop_timer *timer;
+  char **parts; /* written one after the other */
+  size_t next;
+};
+
+struct result
+{
+  struct http_call_handler base;
+  struct loop *loop;
+  GString *body;
+  bool done;
+  bool failed;
+};
+
+struct fixture
+{
+  struct loop *loop;
+  struct http_context *context;
+  struct raw_peer peer;
+  struct result result;
+};
+
+static struct fixture fx;
+
+static void
+result_data (struct http_call_handler *handler, struct http_call *call,
+             const void *bytes, size_t n)
+{
+  g_string_append_len (fx.result.body, bytes, (gssize)n);
+}
+
+static void
+result_done (struct http_call_handler *handler, struct http_call *call)
+{
+  fx.result.done = true;
+  loop_quit (fx.loop);
+}
+
+static void
+result_failed (struct http_call_handler *handler, struct http_call *call,
+               bool sent, const char *reason)
+{
+  fx.result.failed = true;
+  loop_quit (fx.loop);
+}
+
+static const struct http_call_handler_impl result_impl = {
+  .data = result_data,
+  .done = result_done,
+  .failed = result_failed,
+};
+
+static void
+allocate (uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+  static char bytes[4096];
+
+  *buf = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void write_part (void *user);
+
+static void
+written (uv_write_t *write, int status)
+{
+  if (fx.peer.parts[fx.peer.next] == NULL)
+    uv_close ((uv_handle_t *)&fx.peer.connection, NULL);
+  else
+    fx.peer.timer
+        = loop_timer_start (fx.loop, PART_DELAY_MS, 0, write_part, NULL);
+}
+
+static void
+write_part (void *user)
+{
+  char *part = fx.peer.parts[fx.peer.next++];
+  uv_buf_t bytes = uv_buf_init (part, (unsigned)strlen (part));
+
+  loop_timer_stop (fx.peer.timer);
+  fx.peer.timer = NULL;
+  uv_write (&fx.peer.write, (uv_stream_t *)&fx.peer.connection, &bytes, 1,
+            written);
+}
+
+static void
+read_request (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  uv_read_stop (stream);
+  if (n > 0)
+    write_part (NULL);
+}
+
+static void
+accept_connection (uv_stream_t *listener, int status)
+{
+  uv_tcp_init (loop_uv (fx.loop), &fx.peer.connection);
+  uv_accept (listener, (uv_stream_t *)&fx.peer.connection);
+  uv_read_start ((uv_stream_t *)&fx.peer.connection, allocate, read_request);
+}
+
+static uint16_t
+listen_raw (void)
+{
+  struct sockaddr_in address;
+  int n = sizeof address;
+
+  uv_ip4_addr ("127.0.0.1", 0, &address);
+  uv_tcp_init (loop_uv (fx.loop), &fx.peer.listener);
+  uv_tcp_bind (&fx.peer.listener, (struct sockaddr *)&address, 0);
+  uv_listen ((uv_stream_t *)&fx.peer.listener, 4, accept_connection);
+  uv_tcp_getsockname (&fx.peer.listener, (struct sockaddr *)&address, &n);
+  return ntohs (address.sin_port);
+}
+
+static void
+set_up (void)
+{
+  memset (&fx, 0, sizeof fx);
+  fx.loop = loop_create ();
+  fx.context = http_context_create (fx.loop, NULL);
+  fx.result.base.impl = &result_impl;
+  fx.result.body = g_string_new (NULL);
+}
+
+static void
+tear_down (void)
+{
+  uv_close ((uv_handle_t *)&fx.peer.listener, NULL);
+  loop_timer_stop (fx.peer.timer);
+  http_context_destroy (fx.context);
+  loop_destroy (fx.loop);
+  g_string_free (fx.result.body, TRUE);
+  g_strfreev (fx.peer.parts);
+}
+
+static void
+call_raw (const char *bytes)
+{
+  struct http_request request = {
+    .method = "GET",
+    .address = "127.0.0.1",
+    .path = "/",
+    .timeout_ms = 3000,
+  };
+
+  fx.peer.parts = g_strsplit (bytes, "|", -1);
+  request.port = listen_raw ();
+  http_call_start (fx.context, &request, &fx.result.base);
+  loop_run (fx.loop);
+}
+
+#define HEAD "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
+
+/* A caller takes half an advice for the whole.  The engine's process dies in
+ * the middle of a chunked answer; its kernel closes the connection properly,
+ * and only the missing last chunk tells it from the end. */
+START_TEST (cut_chunked)
+{
+  call_raw (HEAD "transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+  ck_assert_str_eq (fx.result.body->str, "half");
+  ck_assert (fx.result.failed);
+  ck_assert (!fx.result.done);
+}
+END_TEST
+
+/* The same with an announced length. */
+START_TEST (cut_length)
+{
+  call_raw (HEAD "content-length: 8\r\n\r\nhalf");
+  ck_assert (fx.result.failed);
+  ck_assert (!fx.result.done);
+}
+END_TEST
+
+START_TEST (whole_chunked)
+{
+  call_raw (HEAD "transfer-encoding: chunked\r\nconnection: close\r\n\r\n"
+                 "5\r\nwhole\r\n0\r\n\r\n");
+  ck_assert_str_eq (fx.result.body->str, "whole");
+  ck_assert (fx.result.done);
+  ck_assert (!fx.result.failed);
+}
+END_TEST
+
+/* The last chunk comes late and in pieces; it still is the end. */
+START_TEST (whole_chunked_in_pieces)
+{
+  call_raw (HEAD "transfer-encoding: chunked\r\n\r\n"
+                 "5\r\nwh|ole\r\n|0|\r\n|\r\n");
+  ck_assert_str_eq (fx.result.body->str, "whole");
+  ck_assert (fx.result.done);
+  ck_assert (!fx.result.failed);
+}
+END_TEST
+
+/* The connection ends within the last chunk or before it. */
+START_TEST (cut_chunked_in_pieces)
+{
+  call_raw (HEAD "transfer-encoding: chunked\r\n\r\n"
+                 "4\r\nha|lf|\r\n|0\r\n");
+  ck_assert_str_eq (fx.result.body->str, "half");
+  ck_assert (fx.result.failed);
+}
+END_TEST
+
+START_TEST (whole_length)
+{
+  call_raw (HEAD "content-length: 5\r\nconnection: close\r\n\r\nwhole");
+  ck_assert_str_eq (fx.result.body->str, "whole");
+  ck_assert (fx.result.done);
+}
+END_TEST
+
+START_TEST (whole_empty)
+{
+  call_raw ("HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n");
+  ck_assert (fx.result.done);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("raw");
+  TCase *tcase = tcase_create ("raw");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, cut_chunked);
+  tcase_add_test (tcase, cut_length);
+  tcase_add_test (tcase, whole_chunked);
+  tcase_add_test (tcase, whole_chunked_in_pieces);
+  tcase_add_test (tcase, cut_chunked_in_pieces);
+  tcase_add_test (tcase, whole_length);
+  tcase_add_test (tcase, whole_empty);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
