Membership: probes, suspicion, witnesses, news

Nodes of a data centre probe each other by turns, two bridges probe the other data centres and turn to all of one when a member of it is silent. What is new is told to a few at once and passed on with the probes. An unreachable member is suspect; only silence and absence from the instance list together make it dead, so a partition kills nobody.

--- /dev/null
+++ b/libberyl/membership/gossip.c
@@ -0,0 +1,250 @@
+#include "private.h"
+
+#include <string.h>
+
+#include "beryl/clock.h"
+
+/* Nodes that one round of news goes to. */
+#define NEWS_FANOUT 3
+/* Between two rounds of news; bounds what a mass event costs. */
+#define NEWS_SPACING_MS 100
+
+static bool
+update_listed (const struct beryl_gossip *message, const char *name)
+{
+  for (size_t i = 0; i < message->update_count; i++)
+    if (strcmp (message->updates[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+static void
+update_add (struct beryl_gossip *message, const struct beryl_member *member)
+{
+  if (message->update_count == BERYL_GOSSIP_UPDATES_MAX
+      || update_listed (message, member->name))
+    return;
+  message->updates[message->update_count++] = *member;
+}
+
+static struct slot *
+update_next (struct beryl_membership *m, const struct beryl_gossip *message)
+{
+  struct slot *best = NULL;
+
+  for (size_t i = 0; i < m->count; i++)
+    {
+      struct slot *slot = &m->slots[i];
+
+      if (slot->transmits == 0 || update_listed (message, slot->member.name))
+        continue;
+      if (best == NULL
+          || slot->transmits + slot->news_left
+                 > best->transmits + best->news_left)
+        best = slot;
+    }
+  return best;
+}
+
+static uint32_t
+fresh_age_ms (const struct beryl_membership *m, int64_t now_ms)
+{
+  int64_t age_ms = beryl_membership_stale_ms (m, now_ms);
+
+  if (age_ms < 0 || age_ms >= BERYL_FRESH_UNKNOWN)
+    return BERYL_FRESH_UNKNOWN;
+  return (uint32_t)age_ms;
+}
+
+void
+gossip_prepare (struct beryl_membership *m, struct beryl_gossip *message,
+                enum beryl_gossip_type type, const struct slot *to,
+                int64_t now_ms)
+{
+  const struct beryl_member *self = beryl_membership_self (m);
+
+  memset (message, 0, sizeof *message);
+  message->type = type;
+  memcpy (message->from, self->name, sizeof message->from);
+  message->from_incarnation = self->incarnation;
+  message->config_version = self->config_version;
+  message->fresh_ms = fresh_age_ms (m, now_ms);
+  /* A suspect member must learn of it to refute, and one that is only
+   * known from the instance list does not know this node yet. */
+  if (to->member.state != BERYL_MEMBER_ALIVE || to->member.incarnation == 0)
+    {
+      update_add (message, self);
+      if (to->member.incarnation != 0)
+        update_add (message, &to->member);
+    }
+  while (message->update_count < BERYL_GOSSIP_UPDATES_MAX)
+    {
+      struct slot *slot = update_next (m, message);
+
+      if (slot == NULL)
+        return;
+      update_add (message, &slot->member);
+      if (type == BERYL_GOSSIP_NEWS && slot->news_left > 0)
+        slot->news_left--;
+      else
+        slot->transmits--;
+    }
+}
+
+void
+gossip_send (struct beryl_membership *m, const struct beryl_gossip *message,
+             const struct slot *to)
+{
+  m->owner->impl->send (m->owner, to->member.address, to->member.port,
+                        message);
+}
+
+static bool
+takes_news (const struct beryl_membership *m, const struct slot *slot)
+{
+  return slot->member.state == BERYL_MEMBER_ALIVE
+         && strcmp (slot->member.name, m->self) != 0;
+}
+
+/* A random live member; of this data centre if LOCAL and there is one. */
+static struct slot *
+pick_member (struct beryl_membership *m, bool local)
+{
+  struct slot *picked = NULL;
+  uint64_t seen = 0;
+
+  for (size_t i = 0; i < m->count; i++)
+    {
+      struct slot *slot = &m->slots[i];
+
+      if (!takes_news (m, slot)
+          || (local && strcmp (slot->member.data_centre, m->data_centre) != 0))
+        continue;
+      if (membership_random (m, ++seen) == 0)
+        picked = slot;
+    }
+  if (picked == NULL && local)
+    return pick_member (m, false);
+  return picked;
+}
+
+void
+gossip_news (struct beryl_membership *m, int64_t now_ms)
+{
+  m->news_ms = BERYL_NEVER_MS;
+  m->last_news_ms = now_ms;
+  for (int i = 0; i < NEWS_FANOUT; i++)
+    {
+      /* Two stay near, one may cross to another data centre. */
+      struct slot *to = pick_member (m, i < NEWS_FANOUT - 1);
+      struct beryl_gossip message;
+
+      if (to == NULL)
+        return;
+      gossip_prepare (m, &message, BERYL_GOSSIP_NEWS, to, now_ms);
+      gossip_send (m, &message, to);
+    }
+  for (size_t i = 0; i < m->count; i++)
+    if (m->slots[i].news_left > 0)
+      m->news_ms = now_ms;
+}
+
+static void
+receive_config (struct beryl_membership *m, const struct beryl_gossip *message,
+                struct slot *from, int64_t now_ms)
+{
+  uint64_t mine = table_self (m)->member.config_version;
+  struct beryl_member copy;
+
+  if (message->config_version > from->member.config_version)
+    from->member.config_version = message->config_version;
+  /* A proof is about the sender's configuration; it is none for another. */
+  if (message->config_version == mine
+      && message->fresh_ms != BERYL_FRESH_UNKNOWN
+      && now_ms - (int64_t)message->fresh_ms > m->fresh_ms)
+    m->fresh_ms = now_ms - (int64_t)message->fresh_ms;
+  if (message->config_version <= mine)
+    return;
+  copy = from->member;
+  m->owner->impl->behind (m->owner, &copy);
+}
+
+void
+beryl_membership_receive (struct beryl_membership *m,
+                          const struct beryl_gossip *message,
+                          const char *address, uint16_t port, int64_t now_ms)
+{
+  struct slot *from;
+
+  (void)address;
+  (void)port;
+  if (strcmp (message->from, m->self) == 0)
+    return;
+  for (size_t i = 0; i < message->update_count; i++)
+    table_merge (m, &message->updates[i], now_ms);
+  from = table_find (m, message->from);
+  if (from == NULL)
+    return;
+  table_heard (m, from, message->from_incarnation, now_ms);
+  receive_config (m, message, from, now_ms);
+  /* The owner may have changed the table in a callback. */
+  from = table_find (m, message->from);
+  if (from != NULL)
+    probe_receive (m, message, from, now_ms);
+}
+
+int64_t
+beryl_membership_next_ms (const struct beryl_membership *m)
+{
+  int64_t next_ms = probe_next_ms (m);
+  int64_t news_ms = m->news_ms;
+
+  if (news_ms != BERYL_NEVER_MS && news_ms < m->last_news_ms + NEWS_SPACING_MS)
+    news_ms = m->last_news_ms + NEWS_SPACING_MS;
+  return news_ms < next_ms ? news_ms : next_ms;
+}
+
+/* Any node that the instance list names, for the first contact. */
+static struct slot *
+pick_seed (struct beryl_membership *m)
+{
+  uint64_t i = membership_random (m, m->count);
+  struct slot *slot = &m->slots[i];
+
+  return strcmp (slot->member.name, m->self) != 0 ? slot : NULL;
+}
+
+/* Often after the start, so that a fleet that was started together finds
+ * itself; then ever more seldom.  Spread over time, so that the nodes do not
+ * stay in step. */
+static void
+sync_tick (struct beryl_membership *m, int64_t now_ms)
+{
+  uint64_t spacing_ms = (uint64_t)m->sync_spacing_ms;
+  struct slot *peer = pick_member (m, membership_random (m, 4) != 0);
+  struct beryl_member copy;
+
+  m->next_sync_ms
+      = now_ms + (int64_t)(spacing_ms / 2 + membership_random (m, spacing_ms));
+  if (m->sync_spacing_ms < m->sync_ms)
+    m->sync_spacing_ms += m->sync_spacing_ms / 2;
+  if (peer == NULL)
+    peer = pick_seed (m);
+  if (peer == NULL)
+    return;
+  copy = peer->member;
+  m->owner->impl->sync (m->owner, &copy);
+}
+
+void
+beryl_membership_tick (struct beryl_membership *m, int64_t now_ms)
+{
+  probe_tick (m, now_ms);
+  if (m->news_ms != BERYL_NEVER_MS
+      && now_ms >= m->last_news_ms + NEWS_SPACING_MS)
+    gossip_news (m, now_ms);
+  if (now_ms < m->next_sync_ms)
+    return;
+  table_expire (m, now_ms);
+  sync_tick (m, now_ms);
+}
--- /dev/null
+++ b/libberyl/membership/membership.c
@@ -0,0 +1,274 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/clock.h"
+#include "private.h"
+
+#define PROBE_MS 1000
+#define ACK_MS 300
+#define SYNC_MS 30000
+#define WITNESS_MS 5000
+#define FIRST_SYNC_MS 500
+
+static int64_t
+or_default (int64_t value, int64_t fallback)
+{
+  return value > 0 ? value : fallback;
+}
+
+uint64_t
+membership_random (struct beryl_membership *m, uint64_t limit)
+{
+  uint64_t z = (m->random += 0x9e3779b97f4a7c15U);
+
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9U;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebU;
+  return (z ^ (z >> 31)) % limit;
+}
+
+static bool
+self_insert (struct beryl_membership *m, const struct beryl_member *self)
+{
+  m->slots = calloc (8, sizeof *m->slots);
+  if (m->slots == NULL)
+    return false;
+  m->capacity = 8;
+  m->count = 1;
+  m->slots[0].member = *self;
+  memcpy (m->self, self->name, sizeof m->self);
+  memcpy (m->data_centre, self->data_centre, sizeof m->data_centre);
+  return true;
+}
+
+struct beryl_membership *
+beryl_membership_create (const struct beryl_membership_settings *settings,
+                         struct beryl_membership_owner *owner, int64_t now_ms)
+{
+  struct beryl_membership *m = calloc (1, sizeof *m);
+
+  if (m == NULL)
+    return NULL;
+  if (!self_insert (m, &settings->self))
+    {
+      free (m);
+      return NULL;
+    }
+  m->owner = owner;
+  m->random = settings->seed;
+  m->probe_ms = or_default (settings->probe_ms, PROBE_MS);
+  m->ack_ms = or_default (settings->ack_ms, ACK_MS);
+  m->sync_ms = or_default (settings->sync_ms, SYNC_MS);
+  m->witness_ms = or_default (settings->witness_ms, WITNESS_MS);
+  m->news_ms = BERYL_NEVER_MS;
+  m->acked_ms = now_ms;
+  m->next_probe_ms
+      = now_ms + (int64_t)membership_random (m, (uint64_t)m->probe_ms);
+  m->sync_spacing_ms = FIRST_SYNC_MS;
+  m->next_sync_ms = now_ms + FIRST_SYNC_MS;
+  return m;
+}
+
+void
+beryl_membership_destroy (struct beryl_membership *m)
+{
+  if (m == NULL)
+    return;
+  free (m->slots);
+  free (m);
+}
+
+size_t
+beryl_membership_count (const struct beryl_membership *m)
+{
+  return m->count;
+}
+
+const struct beryl_member *
+beryl_membership_get (const struct beryl_membership *m, size_t i)
+{
+  return &m->slots[i].member;
+}
+
+const struct beryl_member *
+beryl_membership_self (const struct beryl_membership *m)
+{
+  return beryl_membership_find (m, m->self);
+}
+
+int64_t
+beryl_membership_heard_ms (const struct beryl_membership *m)
+{
+  return m->heard_ms;
+}
+
+int64_t
+beryl_membership_stale_ms (const struct beryl_membership *m, int64_t now_ms)
+{
+  return m->fresh_ms != 0 ? now_ms - m->fresh_ms : -1;
+}
+
+void
+beryl_membership_set_fresh (struct beryl_membership *m, int64_t now_ms)
+{
+  m->fresh_ms = now_ms;
+}
+
+void
+beryl_membership_merge (struct beryl_membership *m,
+                        const struct beryl_member *members, size_t count,
+                        int64_t now_ms)
+{
+  for (size_t i = 0; i < count; i++)
+    table_merge (m, &members[i], now_ms);
+}
+
+/* A changed record needs a higher incarnation, as of two records with the
+ * same one nobody can tell which is newer. */
+static void
+self_changed (struct beryl_membership *m, struct slot *self, int64_t now_ms)
+{
+  self->member.incarnation++;
+  table_pass_on (m, self, now_ms);
+}
+
+void
+beryl_membership_set_entry (struct beryl_membership *m,
+                            uint64_t entry_incarnation, uint16_t http_port,
+                            uint16_t peer_port, int64_t now_ms)
+{
+  struct slot *self = table_self (m);
+
+  if (self->member.entry_incarnation == entry_incarnation
+      && self->member.http_port == http_port
+      && self->member.peer_port == peer_port)
+    return;
+  self->member.entry_incarnation = entry_incarnation;
+  self->member.http_port = http_port;
+  self->member.peer_port = peer_port;
+  self_changed (m, self, now_ms);
+}
+
+void
+beryl_membership_set_watcher (struct beryl_membership *m, bool watcher,
+                              int64_t now_ms)
+{
+  struct slot *self = table_self (m);
+
+  if (self->member.watcher == watcher)
+    return;
+  self->member.watcher = watcher;
+  self_changed (m, self, now_ms);
+}
+
+void
+beryl_membership_leave (struct beryl_membership *m, int64_t now_ms)
+{
+  struct slot *self = table_self (m);
+
+  if (self->member.leaving)
+    return;
+  self->member.leaving = true;
+  self_changed (m, self, now_ms);
+}
+
+void
+beryl_membership_set_config (struct beryl_membership *m, uint64_t version,
+                             int64_t now_ms)
+{
+  struct slot *self = table_self (m);
+
+  if (version <= self->member.config_version)
+    return;
+  self->member.config_version = version;
+  if (m->news_ms == BERYL_NEVER_MS)
+    m->news_ms = now_ms;
+}
+
+static const struct beryl_listed *
+listed_find (const struct beryl_listed *items, size_t count, const char *name)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (items[i].name, name) == 0)
+      return &items[i];
+  return NULL;
+}
+
+static void
+listed_seed (struct beryl_membership *m, const struct beryl_listed *item,
+             int64_t now_ms)
+{
+  struct beryl_member seed = { .state = BERYL_MEMBER_SUSPECT };
+
+  memcpy (seed.name, item->name, sizeof seed.name);
+  memcpy (seed.address, item->address, sizeof seed.address);
+  seed.port = item->port;
+  memcpy (seed.data_centre, item->data_centre, sizeof seed.data_centre);
+  memcpy (seed.region, item->region, sizeof seed.region);
+  table_merge (m, &seed, now_ms);
+}
+
+/* Absence counts only if it lasts and the member has been silent as long:
+ * the list lags and flaps, packets are lost, and a live member must not lose
+ * its streams.  Presence never makes a silent member live. */
+static void
+listed_witness (struct beryl_membership *m, struct slot *slot, bool listed,
+                int64_t now_ms)
+{
+  if (listed)
+    {
+      slot->unlisted_ms = 0;
+      return;
+    }
+  if (slot->unlisted_ms == 0)
+    slot->unlisted_ms = now_ms;
+  if (slot->member.state != BERYL_MEMBER_SUSPECT
+      || now_ms - slot->suspect_ms < m->witness_ms
+      || now_ms - slot->unlisted_ms < m->witness_ms)
+    return;
+  slot->member.state = BERYL_MEMBER_DEAD;
+  slot->dead_ms = now_ms;
+  table_pass_on (m, slot, now_ms);
+  m->owner->impl->changed (m->owner, &slot->member);
+}
+
+void
+beryl_membership_listed (struct beryl_membership *m,
+                         const struct beryl_listed *items, size_t count,
+                         int64_t now_ms)
+{
+  for (size_t i = 0; i < count; i++)
+    if (table_find (m, items[i].name) == NULL)
+      listed_seed (m, &items[i], now_ms);
+  for (size_t i = 0; i < m->count; i++)
+    {
+      struct slot *slot = &m->slots[i];
+      const struct beryl_listed *item
+          = listed_find (items, count, slot->member.name);
+
+      if (strcmp (slot->member.name, m->self) == 0)
+        continue;
+      if (item != NULL && item->leaving && !slot->member.leaving)
+        {
+          struct beryl_member record = slot->member;
+
+          record.leaving = true;
+          table_merge (m, &record, now_ms);
+        }
+      listed_witness (m, slot, item != NULL, now_ms);
+    }
+}
+
+const char *
+beryl_member_state_name (enum beryl_member_state state)
+{
+  switch (state)
+    {
+    case BERYL_MEMBER_ALIVE:
+      return "alive";
+    case BERYL_MEMBER_SUSPECT:
+      return "suspect";
+    case BERYL_MEMBER_DEAD:
+      return "dead";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/libberyl/membership/table.c
@@ -0,0 +1,293 @@
+#include "private.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "beryl/clock.h"
+
+/* How long a dead member is remembered, against old news. */
+#define DEAD_KEPT_MS 600000
+/* A record is passed on this often, times the logarithm of the members. */
+#define TRANSMITS_FACTOR 4
+/* Without an answer for so many probes this node may itself be cut off. */
+#define TROUBLE_PROBES 3
+
+static size_t
+table_place (const struct beryl_membership *m, const char *name, bool *found)
+{
+  size_t low = 0;
+  size_t high = m->count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+
+      if (strcmp (m->slots[middle].member.name, name) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  *found = low < m->count && strcmp (m->slots[low].member.name, name) == 0;
+  return low;
+}
+
+struct slot *
+table_find (struct beryl_membership *m, const char *name)
+{
+  bool found;
+  size_t i = table_place (m, name, &found);
+
+  return found ? &m->slots[i] : NULL;
+}
+
+struct slot *
+table_self (struct beryl_membership *m)
+{
+  return table_find (m, m->self);
+}
+
+static struct slot *
+table_insert (struct beryl_membership *m, const struct beryl_member *record)
+{
+  bool found;
+  size_t i = table_place (m, record->name, &found);
+
+  if (m->slots == NULL || m->count == m->capacity)
+    {
+      size_t capacity = m->capacity * 2 + 1;
+      struct slot *slots = realloc (m->slots, capacity * sizeof *slots);
+
+      if (slots == NULL)
+        return NULL;
+      m->slots = slots;
+      m->capacity = capacity;
+    }
+  memmove (&m->slots[i + 1], &m->slots[i], (m->count - i) * sizeof *m->slots);
+  memset (&m->slots[i], 0, sizeof m->slots[i]);
+  memcpy (m->slots[i].member.name, record->name,
+          sizeof m->slots[i].member.name);
+  m->count++;
+  return &m->slots[i];
+}
+
+static uint32_t
+transmits_limit (const struct beryl_membership *m)
+{
+  uint32_t bits = 1;
+
+  for (size_t n = m->count; n > 0; n /= 2)
+    bits++;
+  return TRANSMITS_FACTOR * bits;
+}
+
+void
+table_pass_on (struct beryl_membership *m, struct slot *slot, int64_t now_ms)
+{
+  slot->transmits = transmits_limit (m);
+  slot->news_left = NEWS_SENDINGS;
+  if (m->news_ms == BERYL_NEVER_MS)
+    m->news_ms = now_ms;
+}
+
+const struct beryl_member *
+beryl_membership_find (const struct beryl_membership *m, const char *name)
+{
+  bool found;
+  size_t i = table_place (m, name, &found);
+
+  return found ? &m->slots[i].member : NULL;
+}
+
+static void
+table_changed (struct beryl_membership *m, const struct slot *slot)
+{
+  struct beryl_member copy = slot->member;
+
+  m->owner->impl->changed (m->owner, &copy);
+}
+
+/* Somebody says that this node is suspect or dead, or knows a former life
+ * of it with a higher incarnation (its clock was set back).  A higher
+ * incarnation refutes both. */
+static void
+self_refute (struct beryl_membership *m, const struct beryl_member *record,
+             int64_t now_ms)
+{
+  struct slot *self = table_self (m);
+
+  if (record->incarnation < self->member.incarnation)
+    return;
+  if (record->incarnation == self->member.incarnation
+      && record->state == BERYL_MEMBER_ALIVE)
+    return;
+  self->member.incarnation = record->incarnation + 1;
+  table_pass_on (m, self, now_ms);
+}
+
+static bool
+slot_replace (struct beryl_membership *m, struct slot *slot,
+              const struct beryl_member *record, int64_t now_ms)
+{
+  uint64_t config_version = slot->member.config_version;
+
+  if (record->state == BERYL_MEMBER_SUSPECT
+      && slot->member.state != BERYL_MEMBER_SUSPECT)
+    slot->suspect_ms = now_ms;
+  slot->member = *record;
+  slot->member.config_version = config_version;
+  if (record->state == BERYL_MEMBER_DEAD)
+    slot->dead_ms = now_ms;
+  table_pass_on (m, slot, now_ms);
+  table_changed (m, slot);
+  return true;
+}
+
+static bool
+slot_merge_same (struct beryl_membership *m, struct slot *slot,
+                 const struct beryl_member *record, int64_t now_ms)
+{
+  struct beryl_member merged = slot->member;
+
+  if (record->state > merged.state)
+    merged.state = record->state;
+  merged.leaving = merged.leaving || record->leaving;
+  if (merged.state == slot->member.state
+      && merged.leaving == slot->member.leaving)
+    return false;
+  return slot_replace (m, slot, &merged, now_ms);
+}
+
+bool
+table_merge (struct beryl_membership *m, const struct beryl_member *record,
+             int64_t now_ms)
+{
+  struct slot *slot;
+
+  if (record->name[0] == '\0' || record->state > BERYL_MEMBER_DEAD)
+    return false;
+  if (strcmp (record->name, m->self) == 0)
+    {
+      self_refute (m, record, now_ms);
+      return false;
+    }
+  slot = table_find (m, record->name);
+  if (slot == NULL)
+    {
+      if (record->state == BERYL_MEMBER_DEAD)
+        return false;
+      slot = table_insert (m, record);
+      return slot != NULL && slot_replace (m, slot, record, now_ms);
+    }
+  if (record->incarnation < slot->member.incarnation)
+    return false;
+  if (record->incarnation > slot->member.incarnation)
+    return slot_replace (m, slot, record, now_ms);
+  return slot_merge_same (m, slot, record, now_ms);
+}
+
+/* Whether this node itself may be cut off: then its suspicions say nothing
+ * about the others, and passing on hundreds of them after the partition
+ * would make every node refute at once. */
+static bool
+self_in_trouble (const struct beryl_membership *m, int64_t now_ms)
+{
+  return now_ms - m->acked_ms > TROUBLE_PROBES * m->probe_ms;
+}
+
+void
+table_suspect (struct beryl_membership *m, struct slot *slot, int64_t now_ms)
+{
+  if (slot->member.state != BERYL_MEMBER_ALIVE)
+    return;
+  slot->member.state = BERYL_MEMBER_SUSPECT;
+  slot->suspect_ms = now_ms;
+  if (!self_in_trouble (m, now_ms))
+    table_pass_on (m, slot, now_ms);
+  table_changed (m, slot);
+}
+
+/* The member itself spoke, so it is alive, whoever suspects it. */
+void
+table_heard (struct beryl_membership *m, struct slot *slot,
+             uint64_t incarnation, int64_t now_ms)
+{
+  struct beryl_member *member = &slot->member;
+
+  m->heard_ms = now_ms;
+  if (incarnation < member->incarnation
+      || member->state != BERYL_MEMBER_SUSPECT)
+    return;
+  member->state = BERYL_MEMBER_ALIVE;
+  table_changed (m, slot);
+}
+
+void
+table_expire (struct beryl_membership *m, int64_t now_ms)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < m->count; i++)
+    if (m->slots[i].member.state != BERYL_MEMBER_DEAD
+        || now_ms - m->slots[i].dead_ms < DEAD_KEPT_MS)
+      m->slots[kept++] = m->slots[i];
+  m->count = kept;
+}
+
+uint64_t
+beryl_membership_digest (const struct beryl_membership *m)
+{
+  uint64_t digest = 0;
+
+  for (size_t i = 0; i < m->count; i++)
+    {
+      const struct beryl_member *member = &m->slots[i].member;
+      uint64_t seed = member->incarnation * 8 + (uint64_t)member->state * 2
+                      + (member->leaving ? 1 : 0);
+
+      if (member->state == BERYL_MEMBER_DEAD)
+        continue;
+      digest
+          += XXH3_64bits_withSeed (member->name, strlen (member->name), seed);
+    }
+  return digest;
+}
+
+static uint64_t
+role_score (const char *role, const char *name)
+{
+  uint64_t seed = XXH3_64bits (role, strlen (role));
+
+  return XXH3_64bits_withSeed (name, strlen (name), seed);
+}
+
+static bool
+may_stand (const struct beryl_member *member, const char *data_centre)
+{
+  if (member->state != BERYL_MEMBER_ALIVE || member->leaving)
+    return false;
+  return data_centre[0] == '\0'
+         || strcmp (member->data_centre, data_centre) == 0;
+}
+
+bool
+beryl_membership_stands_for (const struct beryl_membership *m,
+                             const char *role, const char *data_centre,
+                             uint32_t most)
+{
+  const struct beryl_member *self = beryl_membership_self (m);
+  uint64_t score = role_score (role, self->name);
+  uint32_t ahead = 0;
+
+  if (!may_stand (self, data_centre))
+    return false;
+  for (size_t i = 0; i < m->count; i++)
+    {
+      const struct beryl_member *member = &m->slots[i].member;
+
+      if (may_stand (member, data_centre)
+          && role_score (role, member->name) > score)
+        ahead++;
+    }
+  return ahead < most;
+}
--- /dev/null
+++ b/tests/control/cluster.h
@@ -0,0 +1,79 @@
+/** @file
+ * A cluster of memberships in virtual time: lossy datagrams, partitions,
+ * nodes that stop or freeze, and an instance list that flaps.
+ */
+#ifndef TESTS_CONTROL_CLUSTER_H
+#define TESTS_CONTROL_CLUSTER_H
+
+#include "beryl/membership.h"
+#include "sim.h"
+#include "wire/gossip.h"
+
+#define NODES_MAX 400
+
+struct cluster;
+
+struct node
+{
+  struct beryl_membership_owner base;
+  struct cluster *cluster;
+  struct beryl_membership *m;
+  int index;
+  bool down;
+  bool frozen; /* takes nothing, sends nothing, but lives */
+  int region;
+  uint64_t life;
+  uint64_t sent_bytes;
+  uint32_t deaths; /* members that it saw declared dead */
+};
+
+struct cluster
+{
+  struct sim *sim;
+  struct node nodes[NODES_MAX];
+  int node_count;
+  int data_centres;
+  int regions;
+  uint32_t loss_percent;
+  int cut_region; /* apart from the others; -1: none */
+  struct beryl_listed list[NODES_MAX];
+  size_t listed;
+  bool list_flaps;
+  struct frame_writer *writer;
+};
+
+/** Start NODES nodes at once, who know the instance list only. */
+struct cluster *cluster_create (uint64_t seed, int nodes, int data_centres,
+                                int regions);
+void cluster_destroy (struct cluster *c);
+
+/** Return the virtual time. */
+int64_t cluster_now_ms (const struct cluster *c);
+
+/** Let time pass. */
+void cluster_run (struct cluster *c, int64_t for_ms);
+
+/** Start a node anew, with a higher incarnation. */
+void node_start (struct node *n);
+
+/** Return how many nodes that are up see member I in STATE. */
+int cluster_seen_as (const struct cluster *c, int i,
+                     enum beryl_member_state state);
+
+/** Whether all nodes that are up see each other alive. */
+bool cluster_all_alive (const struct cluster *c);
+
+/** Run until that is so; return the time it took, at most LIMIT_MS. */
+int64_t cluster_until_alive (struct cluster *c, int64_t limit_ms);
+
+/** Run until no node sees member I alive. */
+int64_t cluster_until_suspected (struct cluster *c, int i, int64_t limit_ms);
+
+/** Stop all nodes of data centre DC and run until no node sees any of them
+ * alive; return the time it took. */
+int64_t cluster_lose_data_centre (struct cluster *c, int dc, int64_t limit_ms);
+
+/** Return the bytes sent by all nodes, with IP and UDP headers. */
+uint64_t cluster_sent_bytes (const struct cluster *c);
+
+#endif
