Entry nodes act together: forwarded keys, fetches and claims

Cause: a bound key sent to another node could not be answered there, an answer could only be fetched where it was kept, and free keys were refused. Change: peer links between entryds (who asks connects, the other side answers on the same connection; only members' addresses may connect), and the claim log on the platform client. Conclusion: a repeat at any node meets its key's state. Peer links carry no TLS and no key yet.

--- a/entryd/caller.c
+++ b/entryd/caller.c
@@ -8,7 +8,6 @@
 #define BEARER "Bearer "
 #define KEY_MAX_BYTES 200
 #define DEADLINE_MAX_MS (24LL * 3600 * 1000)
-#define BOUND_PREFIX "b-"
 #define INCARNATION_DIGITS 16
 
 static bool
@@ -33,7 +32,7 @@
     g_strlcpy (caller->request_id, text, sizeof caller->request_id);
   else
     g_snprintf (caller->request_id, sizeof caller->request_id,
-                "r-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
+                "r-%016" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
                 entry->incarnation, entry_new_handle (entry));
 }
 
@@ -66,21 +65,27 @@
   return true;
 }
 
+bool
+named_incarnation (const char *text, char first, uint64_t *incarnation)
+{
+  const char *digits = text + 2;
+
+  if (text[0] != first || text[1] != '-'
+      || strspn (digits, "0123456789abcdef") != INCARNATION_DIGITS
+      || digits[INCARNATION_DIGITS] != '-')
+    return false;
+  *incarnation = g_ascii_strtoull (digits, NULL, 16);
+  return true;
+}
+
 /* A bound key is "b-<incarnation, 16 hex digits>-<anything>"; all else is a
  * free key. */
 static void
 classify_key (struct caller *caller)
 {
-  const char *digits = caller->key + sizeof BOUND_PREFIX - 1;
-  char *end;
+  bool bound = named_incarnation (caller->key, 'b', &caller->key_incarnation);
 
-  caller->key_kind = BERYL_KEY_FREE;
-  if (strncmp (caller->key, BOUND_PREFIX, sizeof BOUND_PREFIX - 1) != 0
-      || strspn (digits, "0123456789abcdef") != INCARNATION_DIGITS
-      || digits[INCARNATION_DIGITS] != '-')
-    return;
-  caller->key_kind = BERYL_KEY_BOUND;
-  caller->key_incarnation = g_ascii_strtoull (digits, &end, 16);
+  caller->key_kind = bound ? BERYL_KEY_BOUND : BERYL_KEY_FREE;
 }
 
 static bool
--- a/entryd/calls.c
+++ b/entryd/calls.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "peers.h"
 #include "problem.h"
 
 /* A path and what serves it. */
@@ -121,9 +122,12 @@
     return;
   g_hash_table_remove (entry->open, &request->handle);
   if (!entry->closing)
-    request_event (entry, request,
-                   whole ? BERYL_EVENT_CALLER_DRAINED
-                         : BERYL_EVENT_CALLER_GONE);
+    {
+      request_event (entry, request,
+                     whole ? BERYL_EVENT_CALLER_DRAINED
+                           : BERYL_EVENT_CALLER_GONE);
+      peers_caller_ended (entry->peers, request, whole);
+    }
   if (!whole)
     counters_add (entry->counters, "beryl_callers_gone_total", "", 1);
   g_string_free (request->text, TRUE);
--- a/entryd/calls.h
+++ b/entryd/calls.h
@@ -25,6 +25,10 @@
 bool caller_read (struct entry *entry, struct http_exchange *ex,
                   struct caller *caller);
 
+/** Whether TEXT is FIRST, "-", an incarnation in 16 hex digits, "-" and
+ * anything; bound keys begin with 'b', our own request ids with 'r'. */
+bool named_incarnation (const char *text, char first, uint64_t *incarnation);
+
 /** Take EX on as a request of beryl_requests. */
 struct entry_request *calls_open (struct entry *entry,
                                   struct http_exchange *ex,
--- a/entryd/config_source.c
+++ b/entryd/config_source.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include "common/yaml.h"
+#include "claims_link.h"
+#include "peers.h"
 #include "wire/local.h"
 
 #define STATIC_VERSION 1
@@ -133,16 +135,14 @@
       names[live++] = entry->members[i].node;
   beryl_router_set_members (entry->router, names, live,
                             loop_now_ms (entry->loop));
+  claims_link_members (entry->claims, names, live);
   g_free (names);
   counters_set (entry->counters, "beryl_members", "", live);
 }
 
-static void
-take_view (struct control_link_owner *owner, const struct local_view *view)
+void
+config_source_view (struct entry *entry, const struct local_view *view)
 {
-  struct entry *entry
-      = (struct entry *)((char *)owner
-                         - G_STRUCT_OFFSET (struct entry, link_owner));
   bool changed = view->objects_json != NULL || !same_leaving (entry, view);
 
   entry->isolated = view->isolated;
@@ -154,6 +154,15 @@
                 (uint64_t)view->stale_ms);
 }
 
+static void
+take_view (struct control_link_owner *owner, const struct local_view *view)
+{
+  config_source_view (
+      (struct entry *)((char *)owner
+                       - G_STRUCT_OFFSET (struct entry, link_owner)),
+      view);
+}
+
 static void
 link_connected (struct control_link_owner *owner, bool up)
 {
@@ -177,7 +186,7 @@
   struct local_hello hello = {
     .incarnation = entry->incarnation,
     .http_port = http_server_port (entry->server),
-    .peer_port = settings->peer_port,
+    .peer_port = peers_port (entry->peers),
   };
 
   if (settings->static_config[0] != '\0')
@@ -186,6 +195,7 @@
 
       beryl_router_set_members (entry->router, &self, 1,
                                 loop_now_ms (entry->loop));
+      claims_link_members (entry->claims, &self, 1);
       return use_static (entry, error);
     }
   entry->link_owner.impl = &link_impl;
--- a/entryd/entry.c
+++ b/entryd/entry.c
@@ -10,6 +10,7 @@
 #include "config_source.h"
 #include "hold_keeper.h"
 #include "outbound.h"
+#include "peers.h"
 #include "reply.h"
 
 /* How often a drain looks whether all answers have gone out. */
@@ -122,7 +123,7 @@
       decision_log (entry, action);
       return;
     case BERYL_ACTION_CLAIM:
-      claims_link_claim (entry, action);
+      claims_link_claim (entry->claims, action);
       return;
     case BERYL_ACTION_DRAINED:
       entry->drained = true;
@@ -156,6 +157,7 @@
   index_endpoints (entry);
   beryl_router_set_config (entry->router, config, now_ms);
   beryl_requests_set_config (entry->requests, config, now_ms);
+  claims_link_config (entry->claims, config);
   beryl_config_destroy (old);
   log_set_level (config->system.log_level);
   counters_set (entry->counters, "beryl_config_version", "", config->version);
@@ -222,7 +224,10 @@
   entry->requests = create_requests (entry, seed);
   entry->holds = hold_keeper_create (entry);
   entry->http = http;
-  if (!create_server (entry, error) || !config_source_start (entry, error))
+  entry->claims = claims_link_create (entry, seed);
+  entry->peers = peers_create (entry, error);
+  if (entry->peers == NULL || !create_server (entry, error)
+      || !config_source_start (entry, error))
     {
       entry_destroy (entry);
       return NULL;
@@ -234,6 +239,8 @@
 entry_close (struct entry *entry)
 {
   entry->closing = true;
+  claims_link_destroy (entry->claims);
+  entry->claims = NULL;
 }
 
 void
@@ -244,6 +251,8 @@
   loop_timer_stop (entry->tick);
   loop_timer_stop (entry->drain_poll);
   config_source_stop (entry);
+  peers_destroy (entry->peers);
+  claims_link_destroy (entry->claims);
   outbound_drop_all (entry);
   hold_keeper_destroy (entry->holds);
   beryl_requests_destroy (entry->requests);
--- a/entryd/entry.h
+++ b/entryd/entry.h
@@ -34,6 +34,10 @@
 {
   uint64_t handle;
   struct http_exchange *exchange; /**< NULL: it came from another node */
+  struct peer *peer;              /**< that node's connection */
+  uint64_t peer_id;               /**< that node's number of it */
+  uint64_t peer_queued_bytes;     /**< sent since it was told drained */
+  uint64_t peer_sent_bytes;       /**< of the answer */
   enum reply_shape shape;
   bool stream;
   bool begun;    /**< the answer's head went out */
@@ -64,6 +68,8 @@
   struct beryl_config *config;
   struct control_link *link;
   struct hold_keeper *holds;
+  struct claims_link *claims;
+  struct peers *peers;
   GHashTable *open;      /**< handle -> struct entry_request */
   GHashTable *exchanges; /**< handle -> struct outbound */
   GHashTable *endpoints; /**< name -> struct beryl_endpoint */
--- a/entryd/outbound.c
+++ b/entryd/outbound.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "peers.h"
+
 struct outbound *
 outbound_create (struct entry *entry, uint64_t exchange,
                  const struct http_call_handler_impl *impl)
@@ -140,7 +142,10 @@
       = g_hash_table_lookup (entry->exchanges, &action->exchange);
 
   if (out == NULL)
-    return;
+    {
+      peers_abort (entry->peers, action->exchange);
+      return;
+    }
   if (out->call != NULL)
     http_call_cancel (out->call);
   out->call = NULL;
@@ -174,6 +179,9 @@
     case BERYL_ACTION_SERVICE:
       plain_call (entry, action);
       return;
+    case BERYL_ACTION_FORWARD:
+      peers_forward (entry->peers, action);
+      return;
     case BERYL_ACTION_ABORT:
       abort_exchange (entry, action);
       return;
--- a/entryd/reply.c
+++ b/entryd/reply.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "completion_format.h"
+#include "peers.h"
 #include "problem.h"
 
 static void
@@ -161,6 +162,11 @@
 
   if (request == NULL || request->answered)
     return;
+  if (request->peer != NULL)
+    {
+      peer_reply (request, action);
+      return;
+    }
   switch (action->type)
     {
     case BERYL_ACTION_REPLY_HEAD:
--- a/entryd/requests_in.c
+++ b/entryd/requests_in.c
@@ -3,6 +3,7 @@
 
 #include "calls.h"
 #include "completion_parse.h"
+#include "peers.h"
 #include "problem.h"
 
 static void
@@ -150,6 +151,24 @@
   return errno == 0 && end != text && *end == '\0' && text[0] != '-';
 }
 
+/* Asks the node that an id or key names, if it is another one. */
+static bool
+fetch_elsewhere (struct entry *entry, struct entry_request *request,
+                 const struct caller *caller, const char *id, uint64_t offset)
+{
+  struct peer_fetch fetch = { .offset = offset };
+  uint64_t incarnation;
+
+  if ((!named_incarnation (id, 'r', &incarnation)
+       && !named_incarnation (id, 'b', &incarnation))
+      || incarnation == entry->incarnation)
+    return false;
+  g_strlcpy (fetch.organisation, caller->organisation->name,
+             sizeof fetch.organisation);
+  g_strlcpy (fetch.request_id, id, sizeof fetch.request_id);
+  return peers_fetch (entry->peers, request, incarnation, &fetch);
+}
+
 void
 fetch_request (struct entry *entry, struct http_exchange *ex, const char *path)
 {
@@ -167,7 +186,8 @@
       return;
     }
   request = calls_open (entry, ex, &caller, REPLY_PLAIN);
-  if (request == NULL)
+  if (request == NULL
+      || fetch_elsewhere (entry, request, &caller, path, offset))
     return;
   event.request = request->handle;
   event.fetch.organisation = caller.organisation->name;
--- a/http/client.c
+++ b/http/client.c
@@ -189,6 +189,8 @@
   int result;
 
   call->read_start = p;
+  /* It is reset before this function returns. */
+  /* cppcheck-suppress autoVariables */
   call->read_position = &p;
   result = lws_http_client_read (wsi, &p, &n);
   /* The handler may have cancelled the call, or it has ended. */
--- a/tests/http/world.c
+++ b/tests/http/world.c
@@ -6,6 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config_source.h"
+#include "peers.h"
+
 #define CALL_TIMEOUT_MS 5000
 
 /* SHA-256 of "secret". */
@@ -170,29 +173,32 @@
 }
 
 static void
-create_entry (struct world *world)
+create_entry (struct world *world, size_t node)
 {
   char path[] = "/tmp/beryl-entry-XXXXXX";
   struct beryl_findings *findings = beryl_findings_create ();
   struct beryl_error error = { 0 };
+  struct entry_settings *settings = &world->node_settings[node];
   FILE *f = fdopen (mkstemp (path), "w");
 
   fprintf (f,
-           "node: n1\naddress: 127.0.0.1\ndata_centre: hal-noord\n"
+           "node: n%zu\naddress: 127.0.0.1\ndata_centre: hal-noord\n"
            "static_config: %s\nlog_level: error\nseed: 7\n"
-           "max_body_bytes: 1000000\nheader_timeout_s: 1\n",
-           world->path);
+           "max_body_bytes: 1000000\nheader_timeout_s: 1\n"
+           "platform_port: %u\n",
+           node + 1, world->path,
+           world->platform != NULL ? platform_port (world->platform) : 0);
   fclose (f);
-  ck_assert (entry_settings_load (&world->settings, path, findings));
+  ck_assert (entry_settings_load (settings, path, findings));
   remove (path);
   beryl_findings_destroy (findings);
-  world->entry
-      = entry_create (&world->settings, world->loop, world->http, &error);
-  ck_assert_msg (world->entry != NULL, "%s", error.message);
+  world->nodes[node]
+      = entry_create (settings, world->loop, world->http, &error);
+  ck_assert_msg (world->nodes[node] != NULL, "%s", error.message);
 }
 
-struct world *
-world_create (void)
+static struct world *
+create_fakes (void)
 {
   struct world *world = g_new0 (struct world, 1);
   struct http_server_settings settings
@@ -208,16 +214,76 @@
   world->engine_server
       = http_server_create (world->http, &settings, &world->engine, NULL);
   write_config (world);
-  create_entry (world);
   return world;
 }
 
+struct world *
+world_create (void)
+{
+  struct world *world = create_fakes ();
+
+  create_entry (world, 0);
+  world->entry = world->nodes[0];
+  return world;
+}
+
+struct world *
+world_create_two (void)
+{
+  struct world *world = create_fakes ();
+
+  world->platform
+      = platform_create (world->loop, world->http, "127.0.0.1", 0, NULL);
+  create_entry (world, 0);
+  create_entry (world, 1);
+  world->entry = world->nodes[0];
+  world_introduce (world);
+  return world;
+}
+
+static void
+describe (const struct entry *entry, struct local_member *member)
+{
+  g_strlcpy (member->node, entry->settings->node, sizeof member->node);
+  g_strlcpy (member->address, "127.0.0.1", sizeof member->address);
+  member->incarnation = entry->incarnation;
+  member->http_port = http_server_port (entry->server);
+  member->peer_port = peers_port (entry->peers);
+}
+
+void
+world_introduce (struct world *world)
+{
+  struct local_member members[2];
+  struct local_view view = { .members = members };
+
+  memset (members, 0, sizeof members);
+  for (size_t i = 0; i < 2; i++)
+    if (world->nodes[i] != NULL)
+      describe (world->nodes[i], &members[view.member_count++]);
+  for (size_t i = 0; i < 2; i++)
+    if (world->nodes[i] != NULL)
+      config_source_view (world->nodes[i], &view);
+}
+
+void
+world_kill (struct world *world, size_t node)
+{
+  entry_close (world->nodes[node]);
+  entry_destroy (world->nodes[node]);
+  world->nodes[node] = NULL;
+}
+
 void
 world_destroy (struct world *world)
 {
-  entry_close (world->entry);
+  for (size_t i = 0; i < 2; i++)
+    if (world->nodes[i] != NULL)
+      entry_close (world->nodes[i]);
   http_context_destroy (world->http);
-  entry_destroy (world->entry);
+  for (size_t i = 0; i < 2; i++)
+    entry_destroy (world->nodes[i]);
+  platform_destroy (world->platform);
   loop_destroy (world->loop);
   remove (world->path);
   g_free (world);
--- a/tests/http/world.h
+++ b/tests/http/world.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "entry.h"
+#include "server.h"
 
 /** What the fake service does with a call. */
 enum service_mode
@@ -36,8 +37,10 @@
   struct http_context *http;
   struct http_server *service_server;
   struct http_server *engine_server;
-  struct entry_settings settings;
-  struct entry *entry;
+  struct entry *entry; /**< the node that calls go to */
+  struct entry *nodes[2];
+  struct entry_settings node_settings[2];
+  struct platform *platform;
   enum service_mode service_mode;
   enum decode_mode decode_mode;
   uint32_t service_runs;
@@ -65,6 +68,15 @@
 
 /** Create; the loop is WORLD's. */
 struct world *world_create (void);
+
+/** Create with a second node and a platform. */
+struct world *world_create_two (void);
+
+/** Make the nodes see each other as they are now. */
+void world_introduce (struct world *world);
+
+/** End a node at once, as a crash does. */
+void world_kill (struct world *world, size_t node);
 void world_destroy (struct world *world);
 
 /** Send a call with the organisation's token and up to one more header. */
