Fault histories in virtual time; "not run" is certain of the key too

A few nodes of the real parts (requests, claims, router, holds) run in virtual time between fake callers, engines, services and the platform stand-in's store, with loss, reordering, crashes, pauses, partitions, outages, lost replies, lagging reads, planned stops and leaving endpoints.

It now rests 100 ms after a gap in time. - a deadline that passed while a claim was pending said "not run".

--- a/include/beryl/claims.h
+++ b/include/beryl/claims.h
@@ -9,8 +9,9 @@
  * reads before it writes again.  See docs/design/claims.md.
  *
  * Nothing here does I/O: requests, messages and answers of the object API go
- * in with the time, calls come out through a vtable.  No callback runs the
- * instance's functions.  Not thread-safe.
+ * in with the time, calls come out through a vtable.  A result may come from
+ * inside beryl_claims_claim; since an act of beryl_requests must not call back
+ * into it, the shell queues results.  Not thread-safe.
  */
 #ifndef BERYL_CLAIMS_H
 #define BERYL_CLAIMS_H
@@ -59,7 +60,7 @@
   /** REQUEST's claim ended. */
   void (*result) (struct beryl_claims_owner *owner, uint64_t request,
                   enum beryl_claim_result result, uint64_t incarnation);
-  /** Send to NODE; if it cannot be reached, beryl_claims_unreachable. */
+  /** Send to NODE; if it refuses the connection, beryl_claims_unreachable. */
   void (*send) (struct beryl_claims_owner *owner, const char *node,
                 const struct beryl_claim_message *message);
   /** Read all objects whose names begin with PREFIX. */
@@ -97,7 +98,7 @@
                                    the log is safe from homes that pause, and
                                    from reads that lag, up to half of this
                                    [600000] */
-  int64_t ask_timeout_ms;     /**< for another home's reply [500] */
+  int64_t ask_timeout_ms;     /**< until another home is asked again [500] */
 };
 
 /** Create; OWNER must outlive it. */
@@ -108,7 +109,9 @@
 /** Release; NULL is allowed. */
 void beryl_claims_destroy (struct beryl_claims *claims);
 
-/** Use the names of the live nodes, this one included. */
+/** Use the names of the live nodes, this one included.  None at all: this
+ * node is cut off from the others, and of keys that it cannot claim nobody
+ * can say whether they have run. */
 void beryl_claims_set_members (struct beryl_claims *claims,
                                const char *const *nodes, size_t node_count,
                                int64_t now_ms);
@@ -123,7 +126,8 @@
                            const struct beryl_claim_message *message,
                            int64_t now_ms);
 
-/** Messages to NODE are lost. */
+/** NODE refuses connections: its process is gone.  Not to be called when a
+ * node merely does not answer. */
 void beryl_claims_unreachable (struct beryl_claims *claims, const char *node,
                                int64_t now_ms);
 
--- a/include/beryl/requests.h
+++ b/include/beryl/requests.h
@@ -316,7 +316,9 @@
 void beryl_requests_event (struct beryl_requests *requests,
                            const struct beryl_event *event, int64_t now_ms);
 
-/** Return when the next BERYL_EVENT_TICK is due, or BERYL_NEVER_MS. */
+/** Return when the next BERYL_EVENT_TICK is due.  It is due twice a second at
+ * least: a longer gap shows that the process was stopped, and it then rests a
+ * moment for the shell to bring the configuration up to date. */
 int64_t beryl_requests_next_ms (const struct beryl_requests *requests);
 
 /** Return the number of requests without a final answer. */
--- a/libberyl/requests/answer.c
+++ b/libberyl/requests/answer.c
@@ -188,6 +188,9 @@
 {
   if (request->begun || request->exchange != NULL)
     return BERYL_OUTCOME_UNKNOWN;
+  /* Whether another node has run the key is only known with its claim. */
+  if (request->phase == PHASE_CLAIM)
+    return BERYL_OUTCOME_UNKNOWN;
   return BERYL_GUARD (BERYL_GUARD_MAY_HAVE_RUN, !request->may_have_run)
              ? BERYL_OUTCOME_NOT_RUN
              : BERYL_OUTCOME_UNKNOWN;
--- a/libberyl/requests/claim_private.h
+++ b/libberyl/requests/claim_private.h
@@ -79,6 +79,7 @@
   struct beryl_claims *claims;
   uint32_t number;
   bool read;        /**< the log up to NEXT is in the index */
+  bool sole;        /**< home, and its last write met nobody else's */
   bool catch_up;    /**< NEXT is known to be taken by another's segment */
   struct map index; /**< struct claim */
   uint64_t next;    /**< sequence number of the next segment */
@@ -122,6 +123,7 @@
   size_t member_count;
   struct shard **shards; /**< NULL until used */
   struct asked *asked;
+  int64_t last_tick_ms;
   uint64_t last_call;
   uint64_t last_ask;
   uint64_t random;
@@ -182,6 +184,7 @@
 void claims_nonce (struct beryl_claims *claims, char nonce[33]);
 void claims_answer (struct beryl_claims *claims, struct waiting *waiting,
                     enum beryl_claim_result result, uint64_t incarnation);
+bool claims_is_alone (const struct beryl_claims *claims);
 bool claims_is_home (const struct beryl_claims *claims, uint32_t shard);
 void queue_add (struct waiting_queue *queue, struct waiting *waiting);
 struct waiting *queue_take (struct waiting_queue *queue);
--- a/libberyl/requests/claim_shard.c
+++ b/libberyl/requests/claim_shard.c
@@ -240,17 +240,27 @@
   shard_step (shard, now_ms);
 }
 
-/* The object API is away.  A call whose claim was not written has not run.
- * Without the log, an earlier call with the same key cannot be ruled out:
- * "not run" would be a guess. */
+/* The object API is away.  This try has not run, but an earlier one with the
+ * same key may have, and a caller that is told "not run" then would send its
+ * letter again under a new key.  Only who wrote the whole log alone since it
+ * has read it knows that the key is new; a node that is cut off from the
+ * others cannot know what they have written. */
+static enum beryl_claim_result
+result_of_outage (const struct shard *shard)
+{
+  bool certain = shard->read && shard->sole && !claims_is_alone (shard->claims)
+                 && claims_is_home (shard->claims, shard->number);
+
+  return BERYL_GUARD (BERYL_GUARD_CLAIM_OUTAGE, certain)
+             ? BERYL_CLAIM_UNAVAILABLE
+             : BERYL_CLAIM_UNKNOWN;
+}
+
 static void
 give_up (struct shard *shard)
 {
   answer_all_known (shard);
-  answer_all (shard, &shard->queue,
-              BERYL_GUARD (BERYL_GUARD_CLAIM_OUTAGE, shard->read)
-                  ? BERYL_CLAIM_UNAVAILABLE
-                  : BERYL_CLAIM_UNKNOWN);
+  answer_all (shard, &shard->queue, result_of_outage (shard));
 }
 
 static void
@@ -263,6 +273,7 @@
       return;
     }
   shard->read = true;
+  shard->sole = false; /* the list may lag; the next write tells */
   shard->verified_ms = shard->call_ms;
   if (shard->catch_up)
     back_off (shard, now_ms);
@@ -320,6 +331,7 @@
   if (shard->lost_replies > 0)
     shard->claims->counts.settled++;
   log_append (shard, now_ms);
+  shard->sole = claims_is_home (shard->claims, shard->number);
   shard->verified_ms = shard->call_ms;
   shard->backoff_ms = BACKOFF_FIRST_MS;
   while ((waiting = queue_take (&shard->batch)) != NULL)
@@ -333,6 +345,7 @@
 on_race_lost (struct shard *shard)
 {
   shard->claims->counts.races_lost++;
+  shard->sole = false;
   batch_back (shard);
   shard->next_ms = 0;
   if (BERYL_GUARD (BERYL_GUARD_CLAIM_REREAD, false))
@@ -348,7 +361,7 @@
   back_off (shard, now_ms);
   if (shard->lost_replies < LOST_REPLIES_MAX)
     return;
-  answer_all (shard, &shard->batch, BERYL_CLAIM_UNAVAILABLE);
+  answer_all (shard, &shard->batch, result_of_outage (shard));
   give_up (shard);
 }
 
@@ -356,7 +369,7 @@
 on_not_written (struct shard *shard, int64_t now_ms)
 {
   back_off (shard, now_ms);
-  answer_all (shard, &shard->batch, BERYL_CLAIM_UNAVAILABLE);
+  answer_all (shard, &shard->batch, result_of_outage (shard));
   give_up (shard);
 }
 
--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -14,6 +14,9 @@
 #define RETENTION_DEFAULT_MS 3600000
 #define DELETE_AFTER_DEFAULT_MS 600000
 #define ASK_TIMEOUT_DEFAULT_MS 500
+/* Ticks come at least this often; a far longer gap is a stopped process. */
+#define HEARTBEAT_MS 500
+#define GAP_MS (3 * HEARTBEAT_MS)
 
 static void
 default_to (int64_t *setting, int64_t value)
@@ -206,6 +209,13 @@
   return home;
 }
 
+/* Whether no other node is known to be there. */
+bool
+claims_is_alone (const struct beryl_claims *claims)
+{
+  return claims->member_count == 0;
+}
+
 bool
 claims_is_home (const struct beryl_claims *claims, uint32_t shard)
 {
@@ -214,6 +224,15 @@
   return home == NULL || strcmp (home, claims->node) == 0;
 }
 
+/* Whoever is home now may write what this node does not see. */
+static void
+claims_leave_shards (struct beryl_claims *claims)
+{
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    if (claims->shards[i] != NULL && !claims_is_home (claims, i))
+      claims->shards[i]->sole = false;
+}
+
 void
 beryl_claims_set_members (struct beryl_claims *claims,
                           const char *const *nodes, size_t node_count,
@@ -228,36 +247,45 @@
   free (claims->members);
   claims->members = members;
   claims->member_count = node_count;
+  claims_leave_shards (claims);
   beryl_claims_tick (claims, now_ms);
 }
 
 static void
-claims_ask_home (struct beryl_claims *claims, struct waiting *waiting,
-                 const char *home, int64_t now_ms)
+asked_send (struct beryl_claims *claims, struct asked *asked, int64_t now_ms)
 {
-  struct beryl_claims_owner *owner = claims->owner;
-  struct asked *asked = calloc (1, sizeof *asked);
+  const struct waiting *waiting = &asked->waiting;
   struct beryl_claim_message ask = {
     .type = BERYL_CLAIM_ASK,
+    .id = asked->id,
     .key_high = waiting->key.high,
     .key_low = waiting->key.low,
     .body_hash = waiting->body_hash,
     .incarnation = waiting->incarnation,
   };
 
+  asked->due_ms = now_ms + claims->settings.ask_timeout_ms;
+  claims->owner->impl->send (claims->owner, asked->home, &ask);
+}
+
+static void
+claims_ask_home (struct beryl_claims *claims, struct waiting *waiting,
+                 const char *home, int64_t now_ms)
+{
+  struct asked *asked = calloc (1, sizeof *asked);
+
   if (asked == NULL)
     {
       claims_answer (claims, waiting, BERYL_CLAIM_UNAVAILABLE, 0);
       return;
     }
   asked->waiting = *waiting;
-  asked->id = ask.id = ++claims->last_ask;
-  asked->due_ms = now_ms + claims->settings.ask_timeout_ms;
+  asked->id = ++claims->last_ask;
   snprintf (asked->home, sizeof asked->home, "%s", home);
   asked->next = claims->asked;
   claims->asked = asked;
   free (waiting);
-  owner->impl->send (owner, home, &ask);
+  asked_send (claims, asked, now_ms);
 }
 
 void
@@ -279,7 +307,9 @@
   waiting->incarnation = claims->settings.incarnation;
   waiting->id = request;
   number = shard_number (claims, waiting->key);
-  if (claims_is_home (claims, number))
+  if (claims_is_alone (claims))
+    claims_answer (claims, waiting, BERYL_CLAIM_UNKNOWN, 0);
+  else if (claims_is_home (claims, number))
     shard_ask (shard_of (claims, number), waiting, now_ms);
   else
     claims_ask_home (claims, waiting, beryl_claims_home (claims, number),
@@ -336,18 +366,34 @@
              now_ms);
 }
 
+/* A process that was stopped may have lost its shards to another home
+ * meanwhile. */
+static void
+claims_note_time (struct beryl_claims *claims, int64_t now_ms)
+{
+  int64_t gap_ms = now_ms - claims->last_tick_ms;
+
+  claims->last_tick_ms = now_ms;
+  if (gap_ms < GAP_MS)
+    return;
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    if (claims->shards[i] != NULL)
+      claims->shards[i]->sole = false;
+}
+
 void
 beryl_claims_message (struct beryl_claims *claims, const char *node,
                       const struct beryl_claim_message *message,
                       int64_t now_ms)
 {
+  claims_note_time (claims, now_ms);
   if (message->type == BERYL_CLAIM_REPLY)
     on_reply (claims, message);
   else
     on_ask (claims, node, message, now_ms);
 }
 
-/* The home does not answer.  Any node may write to any shard: the creation
+/* The home's process is gone.  Any node may write to any shard: the creation
  * only if absent is the fence, homes only keep the races rare. */
 static void
 claim_here (struct beryl_claims *claims, struct asked **at, int64_t now_ms)
@@ -372,6 +418,27 @@
       at = &(*at)->next;
 }
 
+/* The home does not answer, which may be due to the network only.  Writing
+ * behind its back would be safe against running a key twice, but the home
+ * would go on to believe that it knows every key, and in an outage it would
+ * call a key "not run" that has run.  So it is asked again until it answers
+ * or until the members have another home. */
+static void
+ask_again (struct beryl_claims *claims, struct asked **at, int64_t now_ms)
+{
+  struct asked *asked = *at;
+  uint32_t number = shard_number (claims, asked->waiting.key);
+
+  if (claims_is_home (claims, number))
+    {
+      claim_here (claims, at, now_ms);
+      return;
+    }
+  snprintf (asked->home, sizeof asked->home, "%s",
+            beryl_claims_home (claims, number));
+  asked_send (claims, asked, now_ms);
+}
+
 static struct shard *
 call_take (struct beryl_claims *claims, uint64_t call)
 {
@@ -389,6 +456,7 @@
 {
   struct shard *shard = call_take (claims, call);
 
+  claims_note_time (claims, now_ms);
   if (shard != NULL && shard->call_id == call)
     shard_on_read (shard, code, objects, object_count, now_ms);
 }
@@ -399,6 +467,7 @@
 {
   struct shard *shard = call_take (claims, call);
 
+  claims_note_time (claims, now_ms);
   if (shard == NULL)
     return;
   if (shard->call_id == call)
@@ -436,11 +505,16 @@
 {
   struct asked **at = &claims->asked;
 
+  claims_note_time (claims, now_ms);
   while (*at != NULL)
-    if (now_ms >= (*at)->due_ms)
-      claim_here (claims, at, now_ms);
-    else
-      at = &(*at)->next;
+    {
+      struct asked *asked = *at;
+
+      if (now_ms >= asked->due_ms)
+        ask_again (claims, at, now_ms);
+      if (*at == asked)
+        at = &asked->next;
+    }
   for (uint32_t i = 0; i < claims->settings.shards; i++)
     {
       struct shard *shard = claims->shards[i];
@@ -464,7 +538,7 @@
 int64_t
 beryl_claims_next_ms (const struct beryl_claims *claims)
 {
-  int64_t next_ms = BERYL_NEVER_MS;
+  int64_t next_ms = claims->last_tick_ms + HEARTBEAT_MS;
 
   for (const struct asked *a = claims->asked; a != NULL; a = a->next)
     next_ms = earlier (next_ms, a->due_ms);
--- a/libberyl/requests/plan.c
+++ b/libberyl/requests/plan.c
@@ -4,6 +4,11 @@
 #include "private.h"
 
 #define REFUSED_RETRY_MS 1000
+/* An event that comes so much later than the heartbeat shows that the process
+ * was stopped. */
+#define GAP_MS (3 * HEARTBEAT_MS)
+/* How long a process that was stopped reads what has happened meanwhile. */
+#define CATCH_UP_MS 100
 /* How many waiting requests are planned again after one event. */
 #define PLANS_PER_EVENT 64
 
@@ -61,6 +66,21 @@
   request_fail (requests, request, problem, retry_after_ms, reason, now_ms);
 }
 
+/* A process that was stopped wakes up with an old configuration and with
+ * calls that wait in its queue.  Planned at once, they would go to endpoints
+ * that left seconds ago; the new configuration is waiting in the same loop
+ * and comes first after a short rest. */
+void
+requests_note_time (struct beryl_requests *requests, int64_t now_ms)
+{
+  bool steady = requests->last_event_ms == INT64_MIN
+                || now_ms - requests->last_event_ms < GAP_MS;
+
+  if (!BERYL_GUARD (BERYL_GUARD_WAKE_REST, steady))
+    requests->plan_from_ms = now_ms + CATCH_UP_MS;
+  requests->last_event_ms = now_ms;
+}
+
 void
 request_plan (struct beryl_requests *requests, struct request *request,
               int64_t now_ms)
@@ -86,6 +106,11 @@
   for (uint32_t i = 0; i < request->excluded_count; i++)
     excluded[i] = request->excluded[i];
   request->phase = PHASE_PLAN;
+  if (now_ms < requests->plan_from_ms)
+    {
+      request->retry_at_ms = requests->plan_from_ms;
+      return;
+    }
   beryl_router_plan (requests->router, &job, now_ms, &plan);
   if (plan.verdict == BERYL_VERDICT_WAIT)
     {
@@ -128,6 +153,8 @@
              || now_ms >= beryl_router_next_ms (requests->router);
   int planned = 0;
 
+  if (now_ms < requests->plan_from_ms)
+    return;
   requests->capacity_freed = false;
   for (int c = BERYL_CLASS_URGENT; c <= BERYL_CLASS_BATCH; c++)
     planned += plan_class (requests, (enum beryl_class)c, all,
--- a/libberyl/requests/private.h
+++ b/libberyl/requests/private.h
@@ -17,6 +17,8 @@
 #define CONTENT_TYPE_BYTES 96
 #define FINISH_REASON_BYTES 32
 #define PREFIX_BLOCKS_MAX 256
+/** Time passes at least this often. */
+#define HEARTBEAT_MS 500
 
 /** What a kept answer consists of. */
 struct answer
@@ -43,6 +45,7 @@
   int64_t expires_ms;
   enum beryl_outcome outcome; /**< PENDING while it is open */
   bool keyed;
+  bool free_key;
   bool claimed;   /**< a free key that was granted to this incarnation */
   bool delivered; /**< the caller has read the answer to its end */
 };
@@ -50,6 +53,7 @@
 /** Where a request is in its life. */
 enum request_phase
 {
+  PHASE_NEW,   /**< nothing was decided yet */
   PHASE_CLAIM, /**< waits for its key's claim */
   PHASE_PLAN,  /**< waits for the router */
   PHASE_PREFILL,
@@ -146,7 +150,9 @@
   struct retry_budgets budgets;
   uint64_t last_exchange;
   uint64_t last_stream;
-  bool capacity_freed; /**< waiting requests are worth planning again */
+  bool capacity_freed;   /**< waiting requests are worth planning again */
+  int64_t last_event_ms; /**< INT64_MIN: none yet */
+  int64_t plan_from_ms;  /**< no plan is made before this */
   bool draining;
   bool drained_told;
 };
@@ -173,6 +179,7 @@
 /* plan.c */
 void request_plan (struct beryl_requests *requests, struct request *request,
                    int64_t now_ms);
+void requests_note_time (struct beryl_requests *requests, int64_t now_ms);
 void requests_plan_waiting (struct beryl_requests *requests, int64_t now_ms);
 void request_exclude (struct request *request, const char *endpoint);
 
--- a/libberyl/requests/records.c
+++ b/libberyl/requests/records.c
@@ -42,6 +42,7 @@
       if (record == NULL)
         return NULL;
       record->keyed = keyed;
+      record->free_key = call->key_kind == BERYL_KEY_FREE;
       record->expires_ms = BERYL_NEVER_MS;
       if (keyed)
         {
@@ -123,6 +124,10 @@
   if (record == NULL)
     return;
   record->outcome = outcome;
+  /* Here it has not run, whatever its key did elsewhere: it may be claimed
+   * again. */
+  if (request->phase == PHASE_CLAIM)
+    record->outcome = BERYL_OUTCOME_NOT_RUN;
   if (outcome == BERYL_OUTCOME_ANSWERED && record->keyed)
     {
       record_drop_answer (requests, record);
@@ -229,10 +234,16 @@
       = map_get (&requests->by_id, map_key_digest (event->fetch.organisation,
                                                    event->fetch.request_id));
 
-  if (record != NULL)
-    return record;
-  return record_of_key (requests, event->fetch.organisation,
-                        event->fetch.request_id);
+  if (record == NULL)
+    record = record_of_key (requests, event->fetch.organisation,
+                            event->fetch.request_id);
+  /* A try with a free key that was not granted to this node says nothing
+   * about the key, which may have run at another node. */
+  if (record != NULL && record->free_key
+      && record->outcome == BERYL_OUTCOME_NOT_RUN
+      && !BERYL_GUARD (BERYL_GUARD_FETCH_CLAIMED, record->claimed))
+    return NULL;
+  return record;
 }
 
 static void
--- a/libberyl/requests/requests.c
+++ b/libberyl/requests/requests.c
@@ -22,6 +22,7 @@
   requests->settings = *settings;
   requests->router = router;
   requests->owner = owner;
+  requests->last_event_ms = INT64_MIN;
   return requests;
 }
 
@@ -80,6 +81,7 @@
 beryl_requests_set_config (struct beryl_requests *requests,
                            const struct beryl_config *config, int64_t now_ms)
 {
+  requests_note_time (requests, now_ms);
   requests->config = config;
   requests->capacity_freed = true;
   holds_forget_absent (requests);
@@ -210,6 +212,7 @@
 beryl_requests_event (struct beryl_requests *requests,
                       const struct beryl_event *event, int64_t now_ms)
 {
+  requests_note_time (requests, now_ms);
   requests_take (requests, event, now_ms);
   requests_tick (requests, now_ms);
   requests_plan_waiting (requests, now_ms);
@@ -242,8 +245,12 @@
     }
   if (waiting)
     next_ms = earlier (next_ms, beryl_router_next_ms (requests->router));
+  if (waiting && next_ms < requests->plan_from_ms)
+    next_ms = requests->plan_from_ms;
   if (requests->expiring_first != NULL)
     next_ms = earlier (next_ms, requests->expiring_first->expires_ms);
+  if (requests->last_event_ms != INT64_MIN)
+    next_ms = earlier (next_ms, requests->last_event_ms + HEARTBEAT_MS);
   return next_ms;
 }
 
--- /dev/null
+++ b/tests/requests/test_history.c
@@ -0,0 +1,85 @@
+/* Histories of faulty runs in virtual time.  The seeds are fixed; more of
+ * them: scripts/soak. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+#define SEEDS 2500
+#define SEEDS_PER_TEST 100
+
+START_TEST (seeds_keep_all_invariants)
+{
+  for (uint64_t seed = (uint64_t)_i * SEEDS_PER_TEST + 1;
+       seed <= ((uint64_t)_i + 1) * SEEDS_PER_TEST; seed++)
+    {
+      struct history *history = world_run (seed);
+      struct history_verdict verdict;
+      bool whole = history_check (history, &verdict);
+
+      history_destroy (history);
+      ck_assert_msg (whole, "seed %llu: %s", (unsigned long long)seed,
+                     verdict.first);
+    }
+}
+END_TEST
+
+/* scripts/soak FROM COUNT: prints each seed that breaks an invariant. */
+static int
+soak (uint64_t from, uint64_t count)
+{
+  int bad = 0;
+
+  for (uint64_t seed = from; seed < from + count; seed++)
+    {
+      struct history *history = world_run (seed);
+      struct history_verdict verdict;
+
+      if (!history_check (history, &verdict))
+        {
+          printf ("seed %llu: %s\n", (unsigned long long)seed, verdict.first);
+          bad++;
+        }
+      history_destroy (history);
+    }
+  printf ("%llu seeds, %d broken\n", (unsigned long long)count, bad);
+  return bad != 0;
+}
+
+static int
+print_seed (uint64_t seed)
+{
+  struct history *history = world_run (seed);
+  struct history_verdict verdict;
+  bool whole = history_check (history, &verdict);
+
+  history_print (history);
+  printf ("%s\n", whole ? "whole" : verdict.first);
+  history_destroy (history);
+  return !whole;
+}
+
+int
+main (int argc, char **argv)
+{
+  Suite *suite = suite_create ("history");
+  TCase *tcase = tcase_create ("seeds");
+  SRunner *runner;
+  int failed;
+
+  if (argc == 2)
+    return print_seed (strtoull (argv[1], NULL, 10));
+  if (argc == 3)
+    return soak (strtoull (argv[1], NULL, 10), strtoull (argv[2], NULL, 10));
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, seeds_keep_all_invariants, 0,
+                       SEEDS / SEEDS_PER_TEST);
+  suite_add_tcase (suite, tcase);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
