Poll engines for load and cache events

Cause: the router planned on what this node had sent alone. Change: load reports and cache events are polled, at most eight polls of an engine a second over the whole fleet; a gap is repaired by a resync.

--- /dev/null
+++ b/entryd/engine_watch.c
@@ -0,0 +1,287 @@
+#include "engine_watch.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+
+#define TICK_MS 25
+#define POLL_TIMEOUT_MS 1000
+#define ANSWER_BYTES (4U << 20)
+/* Polls of one engine by all nodes together. */
+#define FLEET_POLLS_PER_S 8
+
+struct engine_watch
+{
+  struct entry *entry;
+  struct loop_timer *timer;
+  GHashTable *engines; /* name -> struct watched */
+  uint32_t spread;     /* staggers the first polls */
+};
+
+/* One engine. */
+struct watched
+{
+  char name[BERYL_NAME_BYTES];
+  int64_t next_ms;
+  bool busy;
+  uint64_t sequence; /* of the last cache event */
+};
+
+/* One poll; its answer is a small JSON document. */
+struct poll
+{
+  struct http_call_handler base;
+  struct engine_watch *watch;
+  struct watched *engine;
+  int64_t sent_ms;
+  GString *body;
+  /* Take the answer and say what to ask next. */
+  void (*take) (struct poll *poll, json_t *root);
+};
+
+static void start_poll (struct engine_watch *watch, struct watched *engine,
+                        const char *path,
+                        void (*take) (struct poll *poll, json_t *root));
+
+static void
+poll_free (struct poll *poll)
+{
+  g_string_free (poll->body, TRUE);
+  g_free (poll);
+}
+
+static void
+poll_data (struct http_call_handler *handler, struct http_call *call,
+           const void *bytes, size_t bytes_count)
+{
+  struct poll *poll = (struct poll *)handler;
+
+  if (poll->body->len + bytes_count <= ANSWER_BYTES)
+    g_string_append_len (poll->body, bytes, (gssize)bytes_count);
+}
+
+static void
+poll_done (struct http_call_handler *handler, struct http_call *call)
+{
+  struct poll *poll = (struct poll *)handler;
+  json_t *root = NULL;
+
+  poll->engine->busy = false;
+  if (http_call_status (call) == 200)
+    root = json_loadb (poll->body->str, poll->body->len, 0, NULL);
+  if (json_is_object (root) && !poll->watch->entry->closing)
+    poll->take (poll, root);
+  json_decref (root);
+  poll_free (poll);
+}
+
+static void
+poll_failed (struct http_call_handler *handler, struct http_call *call,
+             bool sent, const char *reason)
+{
+  struct poll *poll = (struct poll *)handler;
+
+  poll->engine->busy = false;
+  counters_add (poll->watch->entry->counters,
+                "beryl_engine_polls_failed_total", "", 1);
+  poll_free (poll);
+}
+
+static const struct http_call_handler_impl poll_impl = {
+  .data = poll_data,
+  .done = poll_done,
+  .failed = poll_failed,
+};
+
+static void
+start_poll (struct engine_watch *watch, struct watched *engine,
+            const char *path, void (*take) (struct poll *poll, json_t *root))
+{
+  const struct beryl_endpoint *endpoint
+      = entry_endpoint (watch->entry, engine->name);
+  struct poll *poll;
+  struct http_request request = {
+    .method = "GET",
+    .path = path,
+    .timeout_ms = POLL_TIMEOUT_MS,
+  };
+
+  if (endpoint == NULL)
+    return;
+  poll = g_new0 (struct poll, 1);
+  poll->base.impl = &poll_impl;
+  poll->watch = watch;
+  poll->engine = engine;
+  poll->take = take;
+  poll->sent_ms = loop_now_ms (watch->entry->loop);
+  poll->body = g_string_new (NULL);
+  engine->busy = true;
+  request.address = endpoint->address;
+  request.port = endpoint->port;
+  http_call_start (watch->entry->http, &request, &poll->base);
+  counters_add (watch->entry->counters, "beryl_engine_polls_total", "", 1);
+}
+
+static uint64_t
+decimal (json_t *value)
+{
+  const char *text = json_string_value (value);
+
+  return text != NULL ? g_ascii_strtoull (text, NULL, 10) : 0;
+}
+
+static void
+take_blocks (struct poll *poll, json_t *root)
+{
+  struct entry *entry = poll->watch->entry;
+  json_t *blocks = json_object_get (root, "blocks");
+  size_t n = json_array_size (blocks);
+  uint64_t *hashes = g_new0 (uint64_t, n + 1);
+
+  for (size_t i = 0; i < n; i++)
+    hashes[i] = decimal (json_array_get (blocks, i));
+  poll->engine->sequence
+      = (uint64_t)json_integer_value (json_object_get (root, "last"));
+  beryl_router_cache_resync (entry->router, poll->engine->name,
+                             poll->engine->sequence, hashes, n,
+                             loop_now_ms (entry->loop));
+  counters_add (entry->counters, "beryl_cache_resyncs_total", "", 1);
+  g_free (hashes);
+}
+
+static void
+take_events (struct poll *poll, json_t *root)
+{
+  struct entry *entry = poll->watch->entry;
+  size_t i;
+  json_t *item;
+
+  json_array_foreach (json_object_get (root, "events"), i, item)
+  {
+    struct beryl_cache_event event = { .endpoint = poll->engine->name };
+
+    event.sequence
+        = (uint64_t)json_integer_value (json_object_get (item, "sequence"));
+    event.added = json_is_true (json_object_get (item, "added"));
+    event.block_hash = decimal (json_object_get (item, "block"));
+    beryl_router_cache_event (entry->router, &event,
+                              loop_now_ms (entry->loop));
+    poll->engine->sequence = MAX (poll->engine->sequence, event.sequence);
+  }
+  if (beryl_router_cache_gapped (entry->router, poll->engine->name))
+    start_poll (poll->watch, poll->engine, "/v1/cache", take_blocks);
+}
+
+static void
+ask_events (struct poll *poll)
+{
+  const struct beryl_endpoint *endpoint
+      = entry_endpoint (poll->watch->entry, poll->engine->name);
+  char path[80];
+
+  if (endpoint == NULL || (endpoint->role & BERYL_ROLE_PREFILL) == 0)
+    return;
+  g_snprintf (path, sizeof path,
+              "/v1/cache/events?after=%" G_GUINT64_FORMAT "&wait_ms=0",
+              poll->engine->sequence);
+  start_poll (poll->watch, poll->engine, path, take_events);
+}
+
+static void
+take_load (struct poll *poll, json_t *root)
+{
+  struct entry *entry = poll->watch->entry;
+  int64_t now_ms = loop_now_ms (entry->loop);
+  struct beryl_load_report report = { .endpoint = poll->engine->name };
+  struct beryl_event tick = { .type = BERYL_EVENT_TICK };
+
+  /* The report left the engine between the two ends of the call. */
+  report.measured_ms = (poll->sent_ms + now_ms) / 2
+                       - json_integer_value (json_object_get (root, "age_ms"));
+  report.decoding
+      = (uint32_t)json_integer_value (json_object_get (root, "decoding"));
+  report.prefill_queue
+      = (uint32_t)json_integer_value (json_object_get (root, "prefill_queue"));
+  report.prefill_queue_tokens = (uint64_t)json_integer_value (
+      json_object_get (root, "prefill_queue_tokens"));
+  report.kv_bytes_held
+      = (uint64_t)json_integer_value (json_object_get (root, "kv_bytes_held"));
+  beryl_router_load_report (entry->router, &report, now_ms);
+  entry_event (entry, &tick);
+  ask_events (poll);
+}
+
+static int64_t
+interval_ms (const struct entry *entry)
+{
+  int64_t nodes = entry->member_count > 0 ? (int64_t)entry->member_count : 1;
+
+  return MAX (entry->settings->load_poll_ms, nodes * 1000 / FLEET_POLLS_PER_S);
+}
+
+static struct watched *
+watched_of (struct engine_watch *watch, const char *name, int64_t now_ms)
+{
+  struct watched *engine = g_hash_table_lookup (watch->engines, name);
+
+  if (engine != NULL)
+    return engine;
+  engine = g_new0 (struct watched, 1);
+  g_strlcpy (engine->name, name, sizeof engine->name);
+  engine->next_ms
+      = now_ms + watch->spread++ % 16 * interval_ms (watch->entry) / 16;
+  g_hash_table_insert (watch->engines, engine->name, engine);
+  return engine;
+}
+
+static void
+poll_due (void *user)
+{
+  struct engine_watch *watch = user;
+  const struct beryl_config *config = watch->entry->config;
+  int64_t now_ms = loop_now_ms (watch->entry->loop);
+
+  if (config == NULL)
+    return;
+  for (size_t i = 0; i < config->endpoint_count; i++)
+    {
+      struct watched *engine;
+
+      if (config->endpoints[i].role == BERYL_ROLE_SERVICE)
+        continue;
+      engine = watched_of (watch, config->endpoints[i].name, now_ms);
+      if (engine->busy || now_ms < engine->next_ms)
+        continue;
+      engine->next_ms = now_ms + interval_ms (watch->entry);
+      start_poll (watch, engine, "/v1/load", take_load);
+    }
+}
+
+struct engine_watch *
+engine_watch_create (struct entry *entry)
+{
+  struct engine_watch *watch = g_new0 (struct engine_watch, 1);
+
+  watch->entry = entry;
+  watch->engines
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  watch->timer
+      = loop_timer_start (entry->loop, TICK_MS, TICK_MS, poll_due, watch);
+  return watch;
+}
+
+void
+engine_watch_close (struct engine_watch *watch)
+{
+  loop_timer_stop (watch->timer);
+  watch->timer = NULL;
+}
+
+void
+engine_watch_destroy (struct engine_watch *watch)
+{
+  if (watch == NULL)
+    return;
+  loop_timer_stop (watch->timer);
+  g_hash_table_destroy (watch->engines);
+  g_free (watch);
+}
--- a/entryd/entry.c
+++ b/entryd/entry.c
@@ -8,6 +8,7 @@
 #include "calls.h"
 #include "claims_link.h"
 #include "config_source.h"
+#include "engine_watch.h"
 #include "hold_keeper.h"
 #include "outbound.h"
 #include "peers.h"
@@ -225,6 +226,7 @@
   entry->holds = hold_keeper_create (entry);
   entry->http = http;
   entry->claims = claims_link_create (entry, seed);
+  entry->engine_watch = engine_watch_create (entry);
   entry->peers = peers_create (entry, error);
   if (entry->peers == NULL || !create_server (entry, error)
       || !config_source_start (entry, error))
@@ -239,6 +241,7 @@
 entry_close (struct entry *entry)
 {
   entry->closing = true;
+  engine_watch_close (entry->engine_watch);
   claims_link_destroy (entry->claims);
   entry->claims = NULL;
 }
@@ -252,6 +255,7 @@
   loop_timer_stop (entry->drain_poll);
   config_source_stop (entry);
   peers_destroy (entry->peers);
+  engine_watch_destroy (entry->engine_watch);
   claims_link_destroy (entry->claims);
   outbound_drop_all (entry);
   hold_keeper_destroy (entry->holds);
--- a/entryd/entry.h
+++ b/entryd/entry.h
@@ -70,6 +70,7 @@
   struct hold_keeper *holds;
   struct claims_link *claims;
   struct peers *peers;
+  struct engine_watch *engine_watch;
   GHashTable *open;      /**< handle -> struct entry_request */
   GHashTable *exchanges; /**< handle -> struct outbound */
   GHashTable *endpoints; /**< name -> struct beryl_endpoint */
--- a/tests/http/world.c
+++ b/tests/http/world.c
@@ -270,6 +270,8 @@
 world_kill (struct world *world, size_t node)
 {
   entry_close (world->nodes[node]);
+  /* Its calls in flight end before its memory goes. */
+  world_run (world, 100);
   entry_destroy (world->nodes[node]);
   world->nodes[node] = NULL;
 }
