--- a/include/beryl/membership.h
+++ b/include/beryl/membership.h
@@ -32,6 +32,14 @@
                         alive do not bring it back */
 };
 
+/** Roles that the others must be able to find. */
+enum beryl_member_role
+{
+  BERYL_MEMBER_WATCHER = 1, /**< collects reports of its data centre */
+  BERYL_MEMBER_ACCEPTOR = 2,
+  BERYL_MEMBER_PLANNER = 4, /**< collects demand */
+};
+
 /** One node. */
 struct beryl_member
 {
@@ -43,7 +51,7 @@
   uint64_t incarnation; /**< 0: only known from the instance list */
   enum beryl_member_state state;
   bool leaving;               /**< planned stop; stays set */
-  bool watcher;               /**< collects reports of its data centre */
+  uint32_t roles;             /**< bits of enum beryl_member_role */
   uint64_t entry_incarnation; /**< of its beryl-entryd; 0: away */
   uint16_t http_port;         /**< of its beryl-entryd */
   uint16_t peer_port;         /**< of its beryl-entryd */
@@ -165,11 +173,13 @@
                                  uint64_t entry_incarnation,
                                  uint16_t http_port, uint16_t peer_port,
                                  int64_t now_ms);
-void beryl_membership_set_watcher (struct beryl_membership *m, bool watcher,
-                                   int64_t now_ms);
+void beryl_membership_set_role (struct beryl_membership *m,
+                                enum beryl_member_role role, bool held,
+                                int64_t now_ms);
 void beryl_membership_leave (struct beryl_membership *m, int64_t now_ms);
 
-/** This node uses configuration VERSION. */
+/** This node uses configuration VERSION.  The watchers of its data centre are
+ * told at once. */
 void beryl_membership_set_config (struct beryl_membership *m, uint64_t version,
                                   int64_t now_ms);
 
--- a/include/beryl/spread.h
+++ b/include/beryl/spread.h
@@ -69,8 +69,8 @@
                                             size_t bytes_count,
                                             struct beryl_error *error);
 
-/** Return all objects as the JSON array that beryl_config_parse takes;
- * free() it. */
+/** Return all objects of the configuration as the JSON array that
+ * beryl_config_parse takes; free() it. */
 char *beryl_spread_objects (const struct beryl_spread *spread,
                             size_t *bytes_count);
 
@@ -143,9 +143,14 @@
 char *beryl_acceptor_propose (struct beryl_acceptor *acceptor,
                               size_t *bytes_count);
 
-/** Names of the objects in the platform, kind BERYL_ACCEPTED_KIND. */
+/** Kind of the log's entries in the platform. */
 #define BERYL_ACCEPTED_KIND "accepted"
-#define BERYL_ACCEPTED_CHECKPOINT "checkpoint"
+/** Kind of the checkpoint's parts and of its head, which names them. */
+#define BERYL_CHECKPOINT_KIND "accepted-base"
+#define BERYL_CHECKPOINT_HEAD "head"
+/** Kind of the facts of the platform's instance list that travel with the
+ * configuration: {"leaving":true}.  They are no part of it. */
+#define BERYL_INSTANCE_KIND "instance"
 
 /** Write the name of the log entry VERSION. */
 void beryl_spread_entry_name (uint64_t version, char name[BERYL_NAME_BYTES]);
--- a/libberyl/membership/gossip.c
+++ b/libberyl/membership/gossip.c
@@ -128,9 +128,31 @@
   return picked;
 }
 
+/* The watcher of the data centre writes where a configuration is in force;
+ * by probes it would hear of each node only after many seconds. */
+static void
+gossip_report (struct beryl_membership *m, int64_t now_ms)
+{
+  m->report_due = false;
+  for (size_t i = 0; i < m->count; i++)
+    {
+      struct slot *slot = &m->slots[i];
+      struct beryl_gossip message;
+
+      if ((slot->member.roles & BERYL_MEMBER_WATCHER) == 0
+          || !takes_news (m, slot)
+          || strcmp (slot->member.data_centre, m->data_centre) != 0)
+        continue;
+      gossip_prepare (m, &message, BERYL_GOSSIP_NEWS, slot, now_ms);
+      gossip_send (m, &message, slot);
+    }
+}
+
 void
 gossip_news (struct beryl_membership *m, int64_t now_ms)
 {
+  if (m->report_due)
+    gossip_report (m, now_ms);
   m->news_ms = BERYL_NEVER_MS;
   m->last_news_ms = now_ms;
   for (int i = 0; i < NEWS_FANOUT; i++)
--- a/libberyl/membership/membership.c
+++ b/libberyl/membership/membership.c
@@ -149,14 +149,18 @@
 }
 
 void
-beryl_membership_set_watcher (struct beryl_membership *m, bool watcher,
-                              int64_t now_ms)
+beryl_membership_set_role (struct beryl_membership *m,
+                           enum beryl_member_role role, bool held,
+                           int64_t now_ms)
 {
   struct slot *self = table_self (m);
+  uint32_t roles = self->member.roles & ~(uint32_t)role;
 
-  if (self->member.watcher == watcher)
+  if (held)
+    roles |= role;
+  if (self->member.roles == roles)
     return;
-  self->member.watcher = watcher;
+  self->member.roles = roles;
   self_changed (m, self, now_ms);
 }
 
@@ -180,6 +184,7 @@
   if (version <= self->member.config_version)
     return;
   self->member.config_version = version;
+  m->report_due = true;
   if (m->news_ms == BERYL_NEVER_MS)
     m->news_ms = now_ms;
 }
--- a/libberyl/spread/acceptor.c
+++ b/libberyl/spread/acceptor.c
@@ -14,6 +14,9 @@
 #define ENTRY_BYTES (512U * 1024U)
 #define FINDINGS_BYTES 2000
 #define KIND_COUNT 7
+/* Facts of the platform's instance list travel with the configuration, in
+ * the same order, but are no part of it. */
+#define INSTANCE_PLACE KIND_COUNT
 
 /* Puts go in this order and deletions in the reverse one, so that an entry
  * never names an object that a later entry brings. */
@@ -42,10 +45,10 @@
   const struct beryl_spread *spread;
   struct beryl_acceptor_owner *owner;
   struct items observed;
-  struct items rejected;       /* version and base, to tell each once */
-  uint64_t synced[KIND_COUNT]; /* revision; 0: never */
-  uint64_t base_version;       /* of the spread when last judged */
-  bool judged;                 /* nothing new since */
+  struct items rejected;           /* version and base, to tell each once */
+  uint64_t synced[KIND_COUNT + 1]; /* revision; 0: never */
+  uint64_t base_version;           /* of the spread when last judged */
+  bool judged;                     /* nothing new since */
   struct change *changes;
   size_t change_count;
 };
@@ -80,7 +83,7 @@
   for (int i = 0; i < KIND_COUNT; i++)
     if (strcmp (beryl_kind_name (kind_order[i]), kind) == 0)
       return i;
-  return -1;
+  return strcmp (kind, BERYL_INSTANCE_KIND) == 0 ? INSTANCE_PLACE : -1;
 }
 
 /* A writer's nonce, which settles lost replies, is no part of the object. */
@@ -183,11 +186,12 @@
   bool found;
 
   items_find (&a->observed, accepted->kind, accepted->name, &found);
-  if (found)
+  if (found || place < 0 || a->synced[place] == 0)
     return;
-  a->changes[a->change_count++]
-      = (struct change){ accepted->kind, accepted->name,         0,
-                         NULL,           2 * KIND_COUNT - place, CHANGE_OPEN };
+  a->changes[a->change_count++] = (struct change){
+    accepted->kind, accepted->name, 0, NULL, 2 * INSTANCE_PLACE - place + 1,
+    CHANGE_OPEN
+  };
 }
 
 static bool
@@ -237,13 +241,15 @@
     {
       struct beryl_spread_object o = beryl_spread_get (a->spread, i);
 
-      items_put (&candidate, o.kind, o.name, o.source, o.json,
-                 strlen (o.json));
+      if (strcmp (o.kind, BERYL_INSTANCE_KIND) != 0)
+        items_put (&candidate, o.kind, o.name, o.source, o.json,
+                   strlen (o.json));
     }
   for (size_t i = 0; i < a->change_count; i++)
-    if (a->changes[i].state == CHANGE_TAKEN || (i >= from && i < to))
+    if (strcmp (a->changes[i].kind, BERYL_INSTANCE_KIND) != 0
+        && (a->changes[i].state == CHANGE_TAKEN || (i >= from && i < to)))
       change_put (&candidate, &a->changes[i]);
-  text = items_array (&candidate, &bytes);
+  text = items_array (&candidate, BERYL_INSTANCE_KIND, &bytes);
   if (text != NULL)
     config = beryl_config_parse (
         text, bytes, beryl_spread_version (a->spread) + 1, findings);
@@ -261,7 +267,7 @@
   const char *name;
   bool match;
 
-  if (c->json == NULL)
+  if (c->json == NULL || c->order == INSTANCE_PLACE)
     return true;
   json = json_loads (c->json, JSON_REJECT_DUPLICATES, NULL);
   kind = json_string_value (json_object_get (json, "kind"));
@@ -347,7 +353,7 @@
       struct change *c = &a->changes[i];
       struct beryl_findings *findings = beryl_findings_create ();
       bool good = names_match (c, findings)
-                  && (c->json == NULL
+                  && (c->json == NULL || c->order == INSTANCE_PLACE
                       || beryl_config_check_object (c->json, strlen (c->json),
                                                     findings));
 
--- a/libberyl/spread/items.c
+++ b/libberyl/spread/items.c
@@ -125,19 +125,22 @@
 }
 
 char *
-items_array (const struct items *items, size_t *bytes_count)
+items_array (const struct items *items, const char *without,
+             size_t *bytes_count)
 {
   char *text = NULL;
   FILE *out = open_memstream (&text, bytes_count);
+  const char *separator = "";
 
   if (out == NULL)
     return NULL;
   fputc ('[', out);
   for (size_t i = 0; i < items->count; i++)
     {
-      if (i > 0)
-        fputc (',', out);
-      fputs (items->list[i].json, out);
+      if (strcmp (items->list[i].kind, without) == 0)
+        continue;
+      fprintf (out, "%s%s", separator, items->list[i].json);
+      separator = ",";
     }
   fputc (']', out);
   fclose (out);
--- a/libberyl/spread/items.h
+++ b/libberyl/spread/items.h
@@ -42,7 +42,9 @@
 /** Release all. */
 void items_clear (struct items *items);
 
-/** Return the JSON array of all objects; free() it. */
-char *items_array (const struct items *items, size_t *bytes_count);
+/** Return the JSON array of all objects that are not of the kind WITHOUT;
+ * free() it. */
+char *items_array (const struct items *items, const char *without,
+                   size_t *bytes_count);
 
 #endif
--- a/libberyl/spread/spread.c
+++ b/libberyl/spread/spread.c
@@ -372,7 +372,7 @@
 char *
 beryl_spread_objects (const struct beryl_spread *spread, size_t *bytes_count)
 {
-  return items_array (&spread->items, bytes_count);
+  return items_array (&spread->items, BERYL_INSTANCE_KIND, bytes_count);
 }
 
 size_t
--- a/tests/control/cluster.c
+++ b/tests/control/cluster.c
@@ -1,12 +1,20 @@
 #include "cluster.h"
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define HEADER_BYTES 28 /* IP and UDP */
 #define MAC_BYTES 16
+#define DATAGRAM_BYTES 1300
+
+/* Also used outside of the check library, by the benchmark. */
+static void
+require (bool condition)
+{
+  if (!condition)
+    abort ();
+}
 
 int64_t
 cluster_now_ms (const struct cluster *c)
@@ -63,8 +71,8 @@
   if (n->down || n->frozen)
     return;
   gossip_put (c->writer, message);
-  ck_assert_ptr_nonnull (frame_writer_finish (c->writer, &bytes));
-  ck_assert_uint_le (bytes, 1300 - MAC_BYTES);
+  require (frame_writer_finish (c->writer, &bytes) != NULL);
+  require (bytes <= DATAGRAM_BYTES - MAC_BYTES);
   n->sent_bytes += bytes + MAC_BYTES + HEADER_BYTES;
   if (sim_chance (c->sim, c->loss_percent))
     return;
--- a/wire/gossip.c
+++ b/wire/gossip.c
@@ -27,7 +27,7 @@
   MEMBER_INCARNATION,
   MEMBER_STATE,
   MEMBER_LEAVING,
-  MEMBER_WATCHER,
+  MEMBER_ROLES,
   MEMBER_ENTRY_INCARNATION,
   MEMBER_HTTP_PORT,
   MEMBER_PEER_PORT,
@@ -53,8 +53,8 @@
     frame_put_uint (writer, MEMBER_STATE, m->state);
   if (m->leaving)
     frame_put_bool (writer, MEMBER_LEAVING, true);
-  if (m->watcher)
-    frame_put_bool (writer, MEMBER_WATCHER, true);
+  if (m->roles != 0)
+    frame_put_uint (writer, MEMBER_ROLES, m->roles);
   if (m->entry_incarnation != 0)
     {
       frame_put_uint (writer, MEMBER_ENTRY_INCARNATION, m->entry_incarnation);
@@ -91,7 +91,7 @@
     frame_fail (map.frame);
   m->state = (enum beryl_member_state)state;
   m->leaving = frame_bool (map, MEMBER_LEAVING, false);
-  m->watcher = frame_bool (map, MEMBER_WATCHER, false);
+  m->roles = (uint32_t)frame_uint (map, MEMBER_ROLES, 0);
   m->entry_incarnation = frame_uint (map, MEMBER_ENTRY_INCARNATION, 0);
   m->http_port = read_port (map, MEMBER_HTTP_PORT);
   m->peer_port = read_port (map, MEMBER_PEER_PORT);
