beryl-controld: gossip, accepted configuration, roles, views, clean-up

Tasks that own their sockets: gossip datagrams and the peers' port with proof of the key, leases on the watcher's, acceptor's and planner's roles, the acceptor with checkpoints, status objects at a bounded rate, the loopback link to entryd, cancelling of dead entryds' streams, /metrics.

--- /dev/null
+++ b/controld/accept_task.c
@@ -0,0 +1,443 @@
+#include "accept_task.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "checkpoint.h"
+#include "config_task.h"
+#include "role_task.h"
+#include "status_task.h"
+
+#define WRITE_MS 4000
+/* After a write that failed. */
+#define RETRY_MS 300
+/* The instance list counts as a witness only if it was read lately. */
+#define LIST_CURRENT_MS 60000
+/* How long an endpoint must be listed without "leaving" before it is taken
+ * back: the list flaps, and each flap would be an entry. */
+#define RETURN_MS 10000
+
+static const char *const kinds[]
+    = { "system",  "organisation", "model",   "service",
+        "urgency", "pool",         "endpoint" };
+
+struct watch
+{
+  struct accept_task *task;
+  const char *kind;
+  uint64_t watch;
+};
+
+/* An accepted judgement that waits for its entry to be created. */
+struct accepted
+{
+  char *kind;
+  char *name;
+  uint64_t version;
+};
+
+struct accept_task
+{
+  struct beryl_acceptor_owner base;
+  struct control *control;
+  struct beryl_acceptor *acceptor;
+  struct watch watches[G_N_ELEMENTS (kinds)];
+  uint64_t instance_watch;
+  struct checkpoint *checkpoint;
+  uint64_t request; /* write or read-back under way; 0: none */
+  char *entry;      /* being created */
+  size_t entry_bytes;
+  uint64_t entry_version;
+  GPtrArray *accepted; /* with the entry */
+  struct loop_timer *retry;
+  struct beryl_instance *list;
+  size_t list_count;
+  int64_t list_ms;     /* when it was read; 0: never */
+  GHashTable *leaving; /* endpoint name to the last time it was leaving */
+};
+
+static void accept_propose (struct accept_task *task);
+
+static void
+accepted_free (void *data)
+{
+  struct accepted *a = data;
+
+  g_free (a->kind);
+  g_free (a->name);
+  g_free (a);
+}
+
+static void
+acceptor_judged (struct beryl_acceptor_owner *owner,
+                 const struct beryl_judgement *judgement)
+{
+  struct accept_task *task = (struct accept_task *)owner;
+  struct accepted *a;
+
+  if (!judgement->accepted)
+    {
+      g_warning ("%s %s version %" G_GUINT64_FORMAT " rejected: %s",
+                 judgement->kind, judgement->name, judgement->version,
+                 judgement->findings);
+      counters_add (task->control->counters, "beryl_config_rejected_total", "",
+                    1);
+      status_task_judged (task->control->status, judgement, 0);
+      return;
+    }
+  a = g_new0 (struct accepted, 1);
+  a->kind = g_strdup (judgement->kind);
+  a->name = g_strdup (judgement->name);
+  a->version = judgement->version;
+  g_ptr_array_add (task->accepted, a);
+}
+
+static const struct beryl_acceptor_owner_impl owner_impl
+    = { .judged = acceptor_judged };
+
+static void
+accept_retry (void *user)
+{
+  struct accept_task *task = user;
+
+  loop_timer_stop (task->retry);
+  task->retry = NULL;
+  accept_propose (task);
+}
+
+static void
+accept_later (struct accept_task *task)
+{
+  if (task->retry == NULL)
+    task->retry = loop_timer_start (task->control->loop, RETRY_MS, 0,
+                                    accept_retry, task);
+}
+
+static void
+entry_forget (struct accept_task *task)
+{
+  free (task->entry);
+  task->entry = NULL;
+  g_ptr_array_set_size (task->accepted, 0);
+}
+
+static void
+entry_statuses (struct accept_task *task)
+{
+  for (guint i = 0; i < task->accepted->len; i++)
+    {
+      const struct accepted *a = g_ptr_array_index (task->accepted, i);
+      struct beryl_judgement judgement
+          = { a->kind, a->name, a->version, true, "" };
+
+      g_info ("%s %s version %" G_GUINT64_FORMAT
+              " accepted in configuration %" G_GUINT64_FORMAT,
+              a->kind, a->name, a->version, task->entry_version);
+      status_task_judged (task->control->status, &judgement,
+                          task->entry_version);
+    }
+  counters_add (task->control->counters, "beryl_config_accepted_total", "",
+                task->accepted->len);
+}
+
+/* Puts an entry that is in the log into force here. */
+static void
+entry_take (struct accept_task *task, const char *text, size_t bytes_count)
+{
+  char *array = g_strdup_printf ("[%.*s]", (int)bytes_count, text);
+
+  config_task_take_entries (task->control->config, array, strlen (array),
+                            "the acceptor");
+  g_free (array);
+}
+
+/* Whatever stands under the number counts, ours or another acceptor's. */
+static void
+entry_read_back (void *user, const struct beryl_platform_result *result)
+{
+  struct accept_task *task = user;
+
+  task->request = 0;
+  if (result->code == BERYL_OK)
+    {
+      json_t *there = json_loadb (result->objects[0].value,
+                                  result->objects[0].value_bytes, 0, NULL);
+      json_t *ours = json_loadb (task->entry, task->entry_bytes, 0, NULL);
+
+      if (json_equal (there, ours))
+        entry_statuses (task);
+      json_decref (there);
+      json_decref (ours);
+      entry_forget (task);
+      entry_take (task, result->objects[0].value,
+                  result->objects[0].value_bytes);
+    }
+  else
+    entry_forget (task);
+  accept_later (task);
+}
+
+static void
+entry_read (struct accept_task *task)
+{
+  struct platform_client_options options
+      = { .use = BERYL_USE_CONFIG, .timeout_ms = WRITE_MS };
+  char name[BERYL_NAME_BYTES];
+
+  beryl_spread_entry_name (task->entry_version, name);
+  task->request = platform_client_get (task->control->platform, &options,
+                                       BERYL_ACCEPTED_KIND, name, 0,
+                                       entry_read_back, task);
+}
+
+static void
+entry_written (void *user, const struct beryl_platform_result *result)
+{
+  struct accept_task *task = user;
+  char *entry = task->entry;
+
+  task->request = 0;
+  if (result->code == BERYL_ERROR_CONFLICT
+      || result->code == BERYL_ERROR_UNKNOWN)
+    {
+      entry_read (task);
+      return;
+    }
+  if (result->code != BERYL_OK)
+    {
+      g_warning ("entry %" G_GUINT64_FORMAT " not written",
+                 task->entry_version);
+      entry_forget (task);
+      accept_later (task);
+      return;
+    }
+  entry_statuses (task);
+  task->entry = NULL;
+  entry_forget (task);
+  entry_take (task, entry, task->entry_bytes);
+  free (entry);
+  checkpoint_consider (task->checkpoint);
+  accept_propose (task);
+}
+
+static void
+entry_write (struct accept_task *task)
+{
+  struct platform_client_options options
+      = { .use = BERYL_USE_CONFIG, .timeout_ms = WRITE_MS };
+  char name[BERYL_NAME_BYTES];
+  struct beryl_platform_write write = { .kind = BERYL_ACCEPTED_KIND,
+                                        .name = name,
+                                        .condition = BERYL_IF_ABSENT,
+                                        .value = task->entry,
+                                        .value_bytes = task->entry_bytes };
+
+  beryl_spread_entry_name (task->entry_version, name);
+  task->request = platform_client_put (task->control->platform, &options,
+                                       &write, entry_written, task);
+}
+
+static void
+accept_propose (struct accept_task *task)
+{
+  if (task->request != 0 || task->entry != NULL)
+    return;
+  /* The create is the fence; this only spares a former holder the work. */
+  if (!role_task_held (task->control->roles, CONTROL_ROLE_ACCEPTOR, NULL))
+    return;
+  task->entry = beryl_acceptor_propose (task->acceptor, &task->entry_bytes);
+  if (task->entry == NULL)
+    return;
+  task->entry_version = beryl_spread_version (task->control->spread) + 1;
+  entry_write (task);
+}
+
+static void
+watch_event (void *user, const struct beryl_platform_event *event)
+{
+  struct watch *w = user;
+
+  beryl_acceptor_observe (
+      w->task->acceptor, w->kind, event->object.name, event->object.version,
+      event->deleted ? NULL : event->object.value, event->object.value_bytes);
+}
+
+static void
+watch_synced (void *user, uint64_t revision)
+{
+  struct watch *w = user;
+
+  beryl_acceptor_synced (w->task->acceptor, w->kind, revision);
+  accept_propose (w->task);
+}
+
+static const struct platform_watch_callbacks watch_callbacks
+    = { .event = watch_event, .synced = watch_synced };
+
+static void
+leaving_observe (struct accept_task *task, const char *name, uint64_t revision)
+{
+  static const char fact[] = "{\"leaving\":true}";
+  int64_t *seen_ms = g_new (int64_t, 1);
+
+  *seen_ms = control_now_ms (task->control);
+  g_hash_table_replace (task->leaving, g_strdup (name), seen_ms);
+  beryl_acceptor_observe (task->acceptor, BERYL_INSTANCE_KIND, name, revision,
+                          fact, sizeof fact - 1);
+}
+
+static void
+instances_changed (void *user, uint64_t revision,
+                   const struct beryl_instance *items, size_t count)
+{
+  struct accept_task *task = user;
+
+  g_free (task->list);
+  task->list = g_memdup2 (items, count * sizeof *items);
+  task->list_count = count;
+  task->list_ms = control_now_ms (task->control);
+  for (size_t i = 0; i < count; i++)
+    if (!items[i].entry && items[i].leaving)
+      leaving_observe (task, items[i].name, revision);
+  beryl_acceptor_synced (task->acceptor, BERYL_INSTANCE_KIND, revision);
+  accept_propose (task);
+}
+
+static void
+instances_synced (void *user, uint64_t revision)
+{
+  struct accept_task *task = user;
+
+  (void)revision;
+  task->list_ms = control_now_ms (task->control);
+}
+
+static const struct platform_watch_callbacks instance_callbacks
+    = { .instances = instances_changed, .synced = instances_synced };
+
+static bool
+list_says_leaving (const struct accept_task *task, const char *name)
+{
+  for (size_t i = 0; i < task->list_count; i++)
+    if (strcmp (task->list[i].name, name) == 0)
+      return task->list[i].leaving;
+  return false;
+}
+
+/* Takes endpoints back that have been listed without "leaving" for long, or
+ * are not listed any more. */
+static void
+leaving_expire (struct accept_task *task)
+{
+  int64_t now_ms = control_now_ms (task->control);
+  GHashTableIter iter;
+  void *name;
+  void *value;
+
+  g_hash_table_iter_init (&iter, task->leaving);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      int64_t *seen_ms = value;
+
+      if (list_says_leaving (task, name))
+        *seen_ms = now_ms;
+      if (now_ms - *seen_ms < RETURN_MS)
+        continue;
+      beryl_acceptor_observe (task->acceptor, BERYL_INSTANCE_KIND, name, 0,
+                              NULL, 0);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+members_witness (struct accept_task *task)
+{
+  struct beryl_listed *listed
+      = g_new0 (struct beryl_listed, task->list_count + 1);
+  size_t count = 0;
+
+  for (size_t i = 0; i < task->list_count; i++)
+    {
+      const struct beryl_instance *from = &task->list[i];
+      struct beryl_listed *to = &listed[count];
+
+      if (!from->entry)
+        continue;
+      g_strlcpy (to->name, from->name, sizeof to->name);
+      g_strlcpy (to->address, from->address, sizeof to->address);
+      to->port = from->port;
+      g_strlcpy (to->data_centre, from->data_centre, sizeof to->data_centre);
+      g_strlcpy (to->region, from->region, sizeof to->region);
+      to->leaving = from->leaving;
+      count++;
+    }
+  beryl_membership_listed (task->control->members, listed, count,
+                           control_now_ms (task->control));
+  g_free (listed);
+}
+
+void
+accept_task_second (struct accept_task *task)
+{
+  if (task->list_ms == 0)
+    return;
+  leaving_expire (task);
+  if (control_now_ms (task->control) - task->list_ms < LIST_CURRENT_MS
+      && !beryl_platform_is_away (
+          platform_client_core (task->control->platform)))
+    members_witness (task);
+  accept_propose (task);
+}
+
+void
+accept_task_wake (struct accept_task *task)
+{
+  accept_propose (task);
+}
+
+struct accept_task *
+accept_task_create (struct control *control)
+{
+  struct accept_task *task = g_new0 (struct accept_task, 1);
+
+  task->base.impl = &owner_impl;
+  task->control = control;
+  task->acceptor = beryl_acceptor_create (control->spread, &task->base);
+  task->accepted = g_ptr_array_new_with_free_func (accepted_free);
+  task->leaving
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  task->checkpoint = checkpoint_create (control);
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      task->watches[i].task = task;
+      task->watches[i].kind = kinds[i];
+      task->watches[i].watch = platform_client_watch (
+          control->platform, BERYL_USE_CONFIG, kinds[i], &watch_callbacks,
+          &task->watches[i]);
+    }
+  task->instance_watch = platform_client_watch_instances (
+      control->platform, &instance_callbacks, task);
+  return task;
+}
+
+void
+accept_task_destroy (struct accept_task *task)
+{
+  if (task == NULL)
+    return;
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    platform_client_unwatch (task->control->platform, task->watches[i].watch);
+  platform_client_unwatch (task->control->platform, task->instance_watch);
+  if (task->request != 0)
+    platform_client_forget (task->control->platform, task->request);
+  loop_timer_stop (task->retry);
+  checkpoint_destroy (task->checkpoint);
+  beryl_acceptor_destroy (task->acceptor);
+  entry_forget (task);
+  g_ptr_array_unref (task->accepted);
+  g_hash_table_destroy (task->leaving);
+  g_free (task->list);
+  g_free (task);
+}
--- /dev/null
+++ b/controld/checkpoint.c
@@ -0,0 +1,244 @@
+#include "checkpoint.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Entries between two checkpoints. */
+#define SPACING 256
+/* Of one part; the platform holds values up to 1 MB. */
+#define PART_BYTES (512U * 1024U)
+#define WRITE_MS 5000
+
+struct checkpoint
+{
+  struct control *control;
+  uint64_t request;        /* under way; 0: none */
+  uint64_t version;        /* being written */
+  uint64_t done;           /* last written by this process */
+  json_t *state;           /* the snapshot */
+  size_t next;             /* change to be written next */
+  uint32_t parts;          /* written */
+  uint64_t former_version; /* of the checkpoint that is replaced */
+  uint32_t former_parts;
+  uint64_t delete_next; /* entries before this are gone */
+  GQueue doomed;        /* "kind/name" */
+};
+
+static const struct platform_client_options options
+    = { .use = BERYL_USE_STATUS, .timeout_ms = WRITE_MS, .wait = true };
+
+struct checkpoint *
+checkpoint_create (struct control *control)
+{
+  struct checkpoint *c = g_new0 (struct checkpoint, 1);
+
+  c->control = control;
+  c->done = beryl_spread_version (control->spread);
+  c->done -= c->done % SPACING;
+  c->delete_next = c->done > SPACING ? c->done - SPACING + 1 : 1;
+  return c;
+}
+
+void
+checkpoint_destroy (struct checkpoint *c)
+{
+  if (c == NULL)
+    return;
+  if (c->request != 0)
+    platform_client_forget (c->control->platform, c->request);
+  json_decref (c->state);
+  g_queue_clear_full (&c->doomed, g_free);
+  g_free (c);
+}
+
+static void doomed_delete (struct checkpoint *c);
+
+static void
+doomed_deleted (void *user, const struct beryl_platform_result *result)
+{
+  struct checkpoint *c = user;
+
+  (void)result;
+  c->request = 0;
+  doomed_delete (c);
+}
+
+/* One after the other: nobody waits for it. */
+static void
+doomed_delete (struct checkpoint *c)
+{
+  char *name = g_queue_pop_head (&c->doomed);
+  char *slash = name != NULL ? strchr (name, '/') : NULL;
+
+  if (slash != NULL)
+    {
+      *slash = '\0';
+      c->request
+          = platform_client_delete (c->control->platform, &options, name,
+                                    slash + 1, 0, doomed_deleted, c);
+    }
+  g_free (name);
+}
+
+static void
+doomed_collect (struct checkpoint *c)
+{
+  char name[BERYL_NAME_BYTES];
+
+  for (uint32_t i = 0; i < c->former_parts; i++)
+    {
+      beryl_spread_part_name (c->former_version, i, name);
+      g_queue_push_tail (&c->doomed,
+                         g_strdup_printf (BERYL_CHECKPOINT_KIND "/%s", name));
+    }
+  /* One generation of entries stays, for nodes that are a little behind. */
+  while (c->delete_next + SPACING <= c->version)
+    {
+      beryl_spread_entry_name (c->delete_next++, name);
+      g_queue_push_tail (&c->doomed,
+                         g_strdup_printf (BERYL_ACCEPTED_KIND "/%s", name));
+    }
+}
+
+static void
+head_written (void *user, const struct beryl_platform_result *result)
+{
+  struct checkpoint *c = user;
+
+  c->request = 0;
+  if (result->code != BERYL_OK)
+    return;
+  g_info ("checkpoint at %" G_GUINT64_FORMAT " written in %u parts",
+          c->version, c->parts);
+  c->done = c->version;
+  doomed_collect (c);
+  doomed_delete (c);
+}
+
+static void
+head_read (void *user, const struct beryl_platform_result *result)
+{
+  struct checkpoint *c = user;
+  char value[96];
+  struct beryl_platform_write write = { .kind = BERYL_CHECKPOINT_KIND,
+                                        .name = BERYL_CHECKPOINT_HEAD,
+                                        .condition = BERYL_IF_ABSENT,
+                                        .value = value };
+
+  c->request = 0;
+  if (result->code != BERYL_OK && result->code != BERYL_ERROR_NOT_FOUND)
+    return;
+  if (result->code == BERYL_OK)
+    {
+      json_t *head = json_loadb (result->objects[0].value,
+                                 result->objects[0].value_bytes, 0, NULL);
+      json_int_t there
+          = json_integer_value (json_object_get (head, "version"));
+
+      c->former_version = (uint64_t)there;
+      c->former_parts
+          = (uint32_t)json_integer_value (json_object_get (head, "parts"));
+      json_decref (head);
+      /* A former acceptor that was paused must not set it back: entries
+       * that it would need are gone. */
+      if ((uint64_t)there >= c->version)
+        return;
+      write.condition = BERYL_IF_VERSION;
+      write.version = result->objects[0].version;
+    }
+  write.value_bytes = (size_t)snprintf (
+      value, sizeof value, "{\"version\":%" G_GUINT64_FORMAT ",\"parts\":%u}",
+      c->version, c->parts);
+  c->request = platform_client_put (c->control->platform, &options, &write,
+                                    head_written, c);
+}
+
+static char *
+part_format (struct checkpoint *c, size_t *bytes_count)
+{
+  json_t *changes = json_object_get (c->state, "changes");
+  json_t *part = json_object ();
+  json_t *some = json_array ();
+  size_t bytes = 0;
+  char *text;
+
+  json_object_set (part, "version", json_object_get (c->state, "version"));
+  json_object_set (part, "revisions", json_object_get (c->state, "revisions"));
+  json_object_set_new (part, "changes", some);
+  while (c->next < json_array_size (changes) && bytes < PART_BYTES)
+    {
+      json_t *change = json_array_get (changes, c->next++);
+
+      bytes += json_dumpb (change, NULL, 0, JSON_COMPACT);
+      json_array_append (some, change);
+    }
+  text = json_dumps (part, JSON_COMPACT);
+  json_decref (part);
+  *bytes_count = text != NULL ? strlen (text) : 0;
+  return text;
+}
+
+static void part_write (struct checkpoint *c);
+
+static void
+part_written (void *user, const struct beryl_platform_result *result)
+{
+  struct checkpoint *c = user;
+
+  c->request = 0;
+  if (result->code != BERYL_OK)
+    return;
+  c->parts++;
+  if (c->next < json_array_size (json_object_get (c->state, "changes")))
+    {
+      part_write (c);
+      return;
+    }
+  c->request = platform_client_get (c->control->platform, &options,
+                                    BERYL_CHECKPOINT_KIND,
+                                    BERYL_CHECKPOINT_HEAD, 0, head_read, c);
+}
+
+/* A part's content follows from its name, so writing it twice is harmless. */
+static void
+part_write (struct checkpoint *c)
+{
+  char name[BERYL_NAME_BYTES];
+  size_t bytes = 0;
+  char *text = part_format (c, &bytes);
+  struct beryl_platform_write write = { .kind = BERYL_CHECKPOINT_KIND,
+                                        .name = name,
+                                        .condition = BERYL_IF_ANY,
+                                        .value = text,
+                                        .value_bytes = bytes };
+
+  if (text == NULL)
+    return;
+  beryl_spread_part_name (c->version, c->parts, name);
+  c->request = platform_client_put (c->control->platform, &options, &write,
+                                    part_written, c);
+  free (text);
+}
+
+void
+checkpoint_consider (struct checkpoint *c)
+{
+  uint64_t version = beryl_spread_version (c->control->spread);
+  size_t bytes = 0;
+  char *text;
+
+  if (c->request != 0 || version < c->done + SPACING)
+    return;
+  c->former_parts = 0;
+  text = beryl_spread_snapshot (c->control->spread, &bytes);
+  json_decref (c->state);
+  c->state = json_loadb (text, bytes, 0, NULL);
+  free (text);
+  c->version = version;
+  c->next = 0;
+  c->parts = 0;
+  part_write (c);
+}
--- /dev/null
+++ b/controld/peer_port.h
@@ -0,0 +1,37 @@
+/** @file
+ * Connections between controlds: comparison of member lists, pull of the
+ * configuration, demand and holds of other nodes.
+ */
+#ifndef CONTROLD_PEER_PORT_H
+#define CONTROLD_PEER_PORT_H
+
+#include "control.h"
+
+struct peer_port;
+
+/** Listen. */
+struct peer_port *peer_port_create (struct control *control,
+                                    struct beryl_error *error);
+
+/** Close everything; NULL is allowed. */
+void peer_port_destroy (struct peer_port *port);
+
+/** Return the port in use. */
+uint16_t peer_port_number (const struct peer_port *port);
+
+/** Compare member lists with MEMBER. */
+void peer_port_compare (struct peer_port *port,
+                        const struct beryl_member *member);
+
+/** Pull the configuration from MEMBER, unless a pull is under way. */
+void peer_port_pull (struct peer_port *port,
+                     const struct beryl_member *member);
+
+/** Send one message (LOCAL_LOAD or LOCAL_HOLDS) to MEMBER. */
+void peer_port_tell (struct peer_port *port, const struct beryl_member *member,
+                     const struct local_message *message);
+
+/** Write the counters. */
+void peer_port_count (struct peer_port *port);
+
+#endif
--- /dev/null
+++ b/controld/status_task.c
@@ -0,0 +1,231 @@
+#include "status_task.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "role_task.h"
+
+#define STATUS_KIND "status"
+#define WRITE_MS 5000
+/* Between two writes of this process. */
+#define SPACING_MS 100
+/* Between two writes of the same "in force" object. */
+#define IN_FORCE_SPACING_MS 500
+#define BEHIND_MAX 20
+#define QUEUE_MAX 20000
+
+struct status_task
+{
+  struct control *control;
+  GHashTable *waiting; /* object name to JSON text, the newest only */
+  GQueue order;        /* names, oldest first */
+  struct loop_timer *timer;
+  uint64_t request;
+  char *in_force; /* as last queued */
+  int64_t in_force_ms;
+};
+
+static const struct platform_client_options options
+    = { .use = BERYL_USE_STATUS, .timeout_ms = WRITE_MS };
+
+struct status_task *
+status_task_create (struct control *control)
+{
+  struct status_task *task = g_new0 (struct status_task, 1);
+
+  task->control = control;
+  task->waiting
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free);
+  return task;
+}
+
+void
+status_task_destroy (struct status_task *task)
+{
+  if (task == NULL)
+    return;
+  if (task->request != 0)
+    platform_client_forget (task->control->platform, task->request);
+  loop_timer_stop (task->timer);
+  g_queue_clear_full (&task->order, g_free);
+  g_hash_table_destroy (task->waiting);
+  g_free (task->in_force);
+  g_free (task);
+}
+
+static void status_next (void *user);
+
+static void
+status_written (void *user, const struct beryl_platform_result *result)
+{
+  struct status_task *task = user;
+
+  task->request = 0;
+  counters_add (
+      task->control->counters, "beryl_status_writes_total",
+      result->code == BERYL_OK ? "result=\"ok\"" : "result=\"failed\"", 1);
+}
+
+/* A status is the newest judgement of its writer; the operators' tools look
+ * at the version inside, so the last writer may win. */
+static void
+status_write (struct status_task *task, const char *name, const char *value)
+{
+  struct beryl_platform_write write = { .kind = STATUS_KIND,
+                                        .name = name,
+                                        .condition = BERYL_IF_ANY,
+                                        .value = value,
+                                        .value_bytes = strlen (value) };
+
+  task->request = platform_client_put (task->control->platform, &options,
+                                       &write, status_written, task);
+}
+
+static void
+status_next (void *user)
+{
+  struct status_task *task = user;
+  char *name;
+
+  if (task->request != 0)
+    return;
+  name = g_queue_pop_head (&task->order);
+  if (name == NULL)
+    {
+      loop_timer_stop (task->timer);
+      task->timer = NULL;
+      return;
+    }
+  status_write (task, name, g_hash_table_lookup (task->waiting, name));
+  g_hash_table_remove (task->waiting, name);
+  g_free (name);
+}
+
+/* Takes VALUE over.  A newer status of the same name takes the older one's
+ * place in the queue. */
+static void
+status_queue (struct status_task *task, const char *name, char *value)
+{
+  if (value == NULL || g_hash_table_size (task->waiting) >= QUEUE_MAX)
+    {
+      free (value);
+      return;
+    }
+  if (!g_hash_table_contains (task->waiting, name))
+    g_queue_push_tail (&task->order, g_strdup (name));
+  g_hash_table_replace (task->waiting, g_strdup (name), value);
+  if (task->timer == NULL)
+    task->timer = loop_timer_start (task->control->loop, 1, SPACING_MS,
+                                    status_next, task);
+}
+
+/* "kind.name", or with a hash in place of the end if that is too long. */
+static void
+status_name (const char *kind, const char *name, char object[BERYL_NAME_BYTES])
+{
+  char *whole = g_strconcat (kind, ".", name, NULL);
+
+  if (strlen (whole) < BERYL_NAME_BYTES)
+    g_strlcpy (object, whole, BERYL_NAME_BYTES);
+  else
+    g_snprintf (object, BERYL_NAME_BYTES, "%.46s%016" G_GINT64_MODIFIER "x",
+                whole, (guint64)XXH3_64bits (whole, strlen (whole)));
+  g_free (whole);
+}
+
+void
+status_task_judged (struct status_task *task,
+                    const struct beryl_judgement *judgement, uint64_t version)
+{
+  json_t *json = json_object ();
+  char object[BERYL_NAME_BYTES];
+
+  json_object_set_new (json, "kind", json_string (judgement->kind));
+  json_object_set_new (json, "name", json_string (judgement->name));
+  json_object_set_new (json, "version",
+                       json_integer ((json_int_t)judgement->version));
+  json_object_set_new (
+      json, "state",
+      json_string (judgement->accepted ? "accepted" : "rejected"));
+  if (judgement->accepted)
+    json_object_set_new (json, "configuration",
+                         json_integer ((json_int_t)version));
+  else
+    json_object_set_new (json, "findings", json_string (judgement->findings));
+  status_name (judgement->kind, judgement->name, object);
+  status_queue (task, object, json_dumps (json, JSON_COMPACT));
+  json_decref (json);
+}
+
+static bool
+counts_here (const struct status_task *task, const struct beryl_member *member)
+{
+  return member->state != BERYL_MEMBER_DEAD && !member->leaving
+         && member->incarnation != 0
+         && strcmp (member->data_centre, task->control->settings.data_centre)
+                == 0;
+}
+
+/* Unreachable nodes count as behind: they may still serve with an old
+ * configuration. */
+static json_t *
+in_force_json (const struct status_task *task)
+{
+  const struct beryl_membership *m = task->control->members;
+  uint64_t newest = beryl_spread_version (task->control->spread);
+  uint64_t lowest = newest;
+  json_t *json = json_object ();
+  json_t *behind = json_array ();
+  json_int_t nodes = 0;
+
+  for (size_t i = 0; i < beryl_membership_count (m); i++)
+    {
+      const struct beryl_member *member = beryl_membership_get (m, i);
+
+      if (!counts_here (task, member))
+        continue;
+      nodes++;
+      if (member->config_version < lowest)
+        lowest = member->config_version;
+      if (member->config_version < newest
+          && json_array_size (behind) < BEHIND_MAX)
+        json_array_append_new (behind, json_string (member->name));
+    }
+  json_object_set_new (json, "data_centre",
+                       json_string (task->control->settings.data_centre));
+  json_object_set_new (json, "configuration",
+                       json_integer ((json_int_t)lowest));
+  json_object_set_new (json, "newest", json_integer ((json_int_t)newest));
+  json_object_set_new (json, "nodes", json_integer (nodes));
+  json_object_set_new (json, "behind", behind);
+  return json;
+}
+
+void
+status_task_in_force (struct status_task *task)
+{
+  int64_t now_ms = control_now_ms (task->control);
+  char object[BERYL_NAME_BYTES];
+  json_t *json;
+  char *text;
+
+  if (!role_task_held (task->control->roles, CONTROL_ROLE_WATCHER, NULL)
+      || now_ms - task->in_force_ms < IN_FORCE_SPACING_MS)
+    return;
+  json = in_force_json (task);
+  text = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  if (text == NULL || g_strcmp0 (text, task->in_force) == 0)
+    {
+      free (text);
+      return;
+    }
+  g_free (task->in_force);
+  task->in_force = g_strdup (text);
+  task->in_force_ms = now_ms;
+  status_name ("in-force", task->control->settings.data_centre, object);
+  status_queue (task, object, text);
+}
