--- a/entryd/calls.c
+++ b/entryd/calls.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "decisions.h"
 #include "peers.h"
 #include "problem.h"
 
@@ -25,6 +26,7 @@
   { "/v1/chat/completions", true, "POST", true, chat_request },
   { "/v1/completions", true, "POST", true, completions_request },
   { "/v1/entry", true, "GET", true, discovery_request },
+  { "/v1/explain/", false, "GET", false, explain_request },
   { "/v1/requests/", false, "GET", true, fetch_request },
   { "/v1/services/", false, NULL, true, service_request },
 };
--- a/entryd/entry.c
+++ b/entryd/entry.c
@@ -8,6 +8,7 @@
 #include "calls.h"
 #include "claims_link.h"
 #include "config_source.h"
+#include "decisions.h"
 #include "engine_watch.h"
 #include "hold_keeper.h"
 #include "outbound.h"
@@ -121,7 +122,7 @@
                          action->hold.stream);
       return;
     case BERYL_ACTION_DECISION:
-      decision_log (entry, action);
+      decisions_add (entry, action);
       return;
     case BERYL_ACTION_CLAIM:
       claims_link_claim (entry->claims, action);
@@ -225,6 +226,7 @@
   entry->requests = create_requests (entry, seed);
   entry->holds = hold_keeper_create (entry);
   entry->http = http;
+  entry->decisions = decisions_create ();
   entry->claims = claims_link_create (entry, seed);
   entry->engine_watch = engine_watch_create (entry);
   entry->peers = peers_create (entry, error);
@@ -266,6 +268,7 @@
   beryl_config_destroy (entry->config);
   g_hash_table_destroy (entry->open);
   g_hash_table_destroy (entry->exchanges);
+  decisions_destroy (entry->decisions);
   counters_destroy (entry->counters);
   g_free (entry);
 }
--- a/entryd/entry.h
+++ b/entryd/entry.h
@@ -71,6 +71,7 @@
   struct claims_link *claims;
   struct peers *peers;
   struct engine_watch *engine_watch;
+  struct decisions *decisions;
   GHashTable *open;      /**< handle -> struct entry_request */
   GHashTable *exchanges; /**< handle -> struct outbound */
   GHashTable *endpoints; /**< name -> struct beryl_endpoint */
--- a/entryd/reply.h
+++ b/entryd/reply.h
@@ -9,7 +9,4 @@
 /** Do a REPLY action. */
 void reply_act (struct entry *entry, const struct beryl_action *action);
 
-/** Write the log line of a routing decision. */
-void decision_log (struct entry *entry, const struct beryl_action *action);
-
 #endif
--- a/entryd/settings.h
+++ b/entryd/settings.h
@@ -28,6 +28,7 @@
   char platform_address[64];
   uint16_t platform_port; /**< 0: no platform, so no free keys */
   char cluster_key[128];  /**< shared by the nodes; authenticates peers */
+  char operator_token_sha256[65]; /**< "": nobody may ask /v1/explain */
   char tls_cert_file[SETTINGS_PATH_BYTES];
   char tls_key_file[SETTINGS_PATH_BYTES];
   char static_config[SETTINGS_PATH_BYTES]; /**< instead of beryl-controld */
--- a/libberyl/config/parse.c
+++ b/libberyl/config/parse.c
@@ -38,6 +38,21 @@
   return root;
 }
 
+/* The last three are berylctl's: the version that an edit was made from, the
+ * specification before the last edit, and whose write it was. */
+static bool
+is_envelope_key (const char *key)
+{
+  static const char *const keys[] = { "kind", "name",    "api_version",
+                                      "spec", "version", "previous",
+                                      "nonce" };
+
+  for (size_t i = 0; i < sizeof keys / sizeof *keys; i++)
+    if (strcmp (key, keys[i]) == 0)
+      return true;
+  return false;
+}
+
 /* Reads "kind" and "name" and refuses members that are unknown, so that a
  * misspelt one is not taken for an absent one. */
 static const struct kind *
@@ -56,11 +71,7 @@
       beryl_place_finding (place, NULL, "must be an object");
       return NULL;
     }
-  json_object_foreach (object, key,
-                       value) if (strcmp (key, "kind") != 0
-                                  && strcmp (key, "name") != 0
-                                  && strcmp (key, "api_version") != 0
-                                  && strcmp (key, "spec") != 0)
+  json_object_foreach (object, key, value) if (!is_envelope_key (key))
       beryl_place_finding (place, key, "unknown key \"%.64s\"", key);
   if (version == NULL || strcmp (version, API_VERSION) != 0)
     beryl_place_finding (place, "api_version",
