--- a/berylctl/command_top.c
+++ b/berylctl/command_top.c
@@ -45,61 +45,54 @@
 }
 
 static json_t *
-read_instances (struct ctl *ctl, struct beryl_error *error)
+read_members (struct ctl *ctl, struct beryl_error *error)
 {
-  unsigned int status;
-  char *text = ctl_http_get (ctl, ctl->platform_address, ctl->platform_port,
-                             "/v1/instances", &status, error);
-  json_t *root = text != NULL ? json_loads (text, 0, NULL) : NULL;
+  unsigned int status = 0;
+  char *text;
+  json_t *list = NULL;
 
+  if (ctl->entry_port == 0)
+    {
+      beryl_error_set (error, BERYL_ERROR_INVALID,
+                       "--entry is needed: any entry node");
+      return NULL;
+    }
+  text = ctl_http_get (ctl, ctl->entry_address, ctl->entry_port, "/v1/members",
+                       &status, error);
+  if (text == NULL)
+    return NULL;
+  if (status == 200)
+    list = json_loads (text, 0, NULL);
+  else
+    beryl_error_set (error, BERYL_ERROR_DENIED,
+                     "the entry node answers %u; is $BERYL_TOKEN the "
+                     "operators' token?",
+                     status);
   g_free (text);
-  if (root == NULL && error->code == BERYL_OK)
-    beryl_error_set (error, BERYL_ERROR_UNAVAILABLE,
-                     "the instance list cannot be read");
-  return root;
-}
-
-static void
-add_instances (struct ctl *ctl, GPtrArray *rows, const json_t *root)
-{
-  size_t i;
-  json_t *item;
-
-  json_array_foreach (json_object_get (root, "items"), i, item)
-  {
-    const char *kind = json_string_value (json_object_get (item, "kind"));
-
-    if (kind != NULL && strcmp (kind, "entry") == 0)
-      add_node (ctl, rows, json_string_value (json_object_get (item, "name")),
-                json_string_value (json_object_get (item, "address")),
-                (uint16_t)json_integer_value (json_object_get (item, "port")));
-  }
+  return list;
 }
 
 enum ctl_exit
 command_top (struct ctl *ctl, int argc, char **argv)
 {
-  GPtrArray *rows = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *rows;
   struct beryl_error error = { 0 };
-  json_t *root;
+  json_t *members = read_members (ctl, &error);
+  size_t i;
+  json_t *item;
 
+  if (members == NULL)
+    return ctl_fail (&error);
+  rows = g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_add (
       rows,
       g_strdup ("NODE\tADDRESS\tCALLS\tANSWERED\tOPEN\tHOLDS\tCONFIGURATION"));
-  if (ctl->entry_port != 0)
-    add_node (ctl, rows, "-", ctl->entry_address, ctl->entry_port);
-  else
-    {
-      root = read_instances (ctl, &error);
-      if (root == NULL)
-        {
-          g_ptr_array_free (rows, TRUE);
-          return ctl_fail (&error);
-        }
-      add_instances (ctl, rows, root);
-      json_decref (root);
-    }
+  json_array_foreach (members, i, item)
+      add_node (ctl, rows, json_string_value (json_object_get (item, "node")),
+                json_string_value (json_object_get (item, "address")),
+                (uint16_t)json_integer_value (json_object_get (item, "port")));
   ctl_print_table ((char *const *)rows->pdata, rows->len);
   g_ptr_array_free (rows, TRUE);
+  json_decref (members);
   return CTL_OK;
 }
--- a/entryd/caller.c
+++ b/entryd/caller.c
@@ -1,4 +1,6 @@
 #include <errno.h>
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -142,3 +144,22 @@
   return read_token (entry, ex, caller) && read_key (ex, caller)
          && read_deadline (entry, ex, caller);
 }
+
+bool
+caller_is_operator (const struct entry *entry, struct http_exchange *ex)
+{
+  const char *text = http_exchange_header (ex, "authorization");
+  const char *wanted = entry->settings->operator_token_sha256;
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  char hex[SHA256_DIGEST_LENGTH * 2 + 1];
+
+  if (wanted[0] == '\0' || text == NULL
+      || g_ascii_strncasecmp (text, BEARER, sizeof BEARER - 1) != 0)
+    return false;
+  text += sizeof BEARER - 1;
+  SHA256 ((const unsigned char *)text, strlen (text), digest);
+  for (size_t i = 0; i < sizeof digest; i++)
+    g_snprintf (hex + 2 * i, 3, "%02x", digest[i]);
+  return strlen (wanted) == sizeof hex - 1
+         && CRYPTO_memcmp (wanted, hex, sizeof hex - 1) == 0;
+}
--- a/entryd/calls.c
+++ b/entryd/calls.c
@@ -27,6 +27,7 @@
   { "/v1/completions", true, "POST", true, completions_request },
   { "/v1/entry", true, "GET", true, discovery_request },
   { "/v1/explain/", false, "GET", false, explain_request },
+  { "/v1/members", true, "GET", false, members_request },
   { "/v1/requests/", false, "GET", true, fetch_request },
   { "/v1/services/", false, NULL, true, service_request },
 };
--- a/entryd/calls.h
+++ b/entryd/calls.h
@@ -25,6 +25,9 @@
 bool caller_read (struct entry *entry, struct http_exchange *ex,
                   struct caller *caller);
 
+/** Whether the call carries the operators' token. */
+bool caller_is_operator (const struct entry *entry, struct http_exchange *ex);
+
 /** Whether TEXT is FIRST, "-", an incarnation in 16 hex digits, "-" and
  * anything; bound keys begin with 'b', our own request ids with 'r'. */
 bool named_incarnation (const char *text, char first, uint64_t *incarnation);
@@ -46,6 +49,8 @@
                     const char *path);
 void discovery_request (struct entry *entry, struct http_exchange *ex,
                         const char *path);
+void members_request (struct entry *entry, struct http_exchange *ex,
+                      const char *path);
 void health_request (struct entry *entry, struct http_exchange *ex,
                      const char *path);
 void ready_request (struct entry *entry, struct http_exchange *ex,
--- a/entryd/decisions.c
+++ b/entryd/decisions.c
@@ -1,16 +1,14 @@
 #include "decisions.h"
 
 #include <jansson.h>
-#include <openssl/crypto.h>
-#include <openssl/sha.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "calls.h"
 #include "problem.h"
 
 /* Decisions that are kept, the oldest first out. */
 #define KEPT 4096
-#define BEARER "Bearer "
 
 /* One decision; texts are short, so that all fit in about two megabytes. */
 struct decision
@@ -126,25 +124,6 @@
                     d->alternatives, "MESSAGE", "routing decision");
 }
 
-static bool
-is_operator (const struct entry *entry, struct http_exchange *ex)
-{
-  const char *text = http_exchange_header (ex, "authorization");
-  const char *wanted = entry->settings->operator_token_sha256;
-  unsigned char digest[SHA256_DIGEST_LENGTH];
-  char hex[SHA256_DIGEST_LENGTH * 2 + 1];
-
-  if (wanted[0] == '\0' || text == NULL
-      || g_ascii_strncasecmp (text, BEARER, sizeof BEARER - 1) != 0)
-    return false;
-  text += sizeof BEARER - 1;
-  SHA256 ((const unsigned char *)text, strlen (text), digest);
-  for (size_t i = 0; i < sizeof digest; i++)
-    g_snprintf (hex + 2 * i, 3, "%02x", digest[i]);
-  return strlen (wanted) == sizeof hex - 1
-         && CRYPTO_memcmp (wanted, hex, sizeof hex - 1) == 0;
-}
-
 static json_t *
 decision_json (const struct decision *d)
 {
@@ -179,7 +158,7 @@
   json_t *body;
   char *text;
 
-  if (!is_operator (entry, ex))
+  if (!caller_is_operator (entry, ex))
     {
       problem_respond (ex, ENTRY_UNAUTHORIZED, NULL,
                        "an operator's token is needed");
--- a/entryd/discovery.c
+++ b/entryd/discovery.c
@@ -132,3 +132,36 @@
   http_exchange_respond (ex, 200, "application/json", text, strlen (text));
   free (text);
 }
+
+/* For operators: all nodes, also those that are not handed out. */
+void
+members_request (struct entry *entry, struct http_exchange *ex,
+                 const char *path)
+{
+  struct local_member self = self_member (entry);
+  const struct local_member *members = &self;
+  size_t count = 1;
+  json_t *list;
+  char *text;
+
+  if (!caller_is_operator (entry, ex))
+    {
+      problem_respond (ex, ENTRY_UNAUTHORIZED, NULL,
+                       "an operator's token is needed");
+      return;
+    }
+  if (entry->member_count > 0)
+    {
+      members = entry->members;
+      count = entry->member_count;
+    }
+  list = json_array ();
+  for (size_t i = 0; i < count; i++)
+    json_array_append_new (
+        list, format_member (&members[i], 0,
+                             entry->settings->tls_cert_file[0] != '\0'));
+  text = json_dumps (list, JSON_COMPACT);
+  json_decref (list);
+  http_exchange_respond (ex, 200, "application/json", text, strlen (text));
+  free (text);
+}
