--- a/controld/control.c
+++ b/controld/control.c
@@ -200,6 +200,7 @@
 
   if (control->stopping)
     return;
+  gossip_task_seek (control->gossip);
   role_task_update (control->roles);
   status_task_in_force (control->status);
   cleanup_task_second (control->cleanup);
@@ -216,6 +217,7 @@
 
   loop_timer_stop (control->bootstrap);
   control->bootstrap = NULL;
+  gossip_task_seek (control->gossip);
   role_task_update (control->roles);
   if (beryl_spread_version (control->spread) == 0)
     config_task_read_log (control->config);
--- a/controld/gossip_task.c
+++ b/controld/gossip_task.c
@@ -178,6 +178,40 @@
   return peer_port_number (task->peers);
 }
 
+static bool
+knows_someone (const struct control *control)
+{
+  for (size_t i = 0; i < beryl_membership_count (control->members); i++)
+    {
+      const struct beryl_member *m
+          = beryl_membership_get (control->members, i);
+
+      if (m->state == BERYL_MEMBER_ALIVE
+          && m != beryl_membership_self (control->members))
+        return true;
+    }
+  return false;
+}
+
+void
+gossip_task_seek (struct gossip_task *task)
+{
+  char **seeds;
+
+  if (task->control->settings.seeds[0] == '\0'
+      || knows_someone (task->control))
+    return;
+  seeds = g_strsplit (task->control->settings.seeds, ",", -1);
+  for (char **seed = seeds; *seed != NULL; seed++)
+    {
+      struct beryl_member member;
+
+      if (control_seed_parse (g_strstrip (*seed), &member))
+        peer_port_compare (task->peers, &member);
+    }
+  g_strfreev (seeds);
+}
+
 void
 gossip_task_send_loads (struct gossip_task *task,
                         const struct beryl_member *member,
--- a/controld/settings.c
+++ b/controld/settings.c
@@ -18,6 +18,7 @@
     .offset = offsetof (struct control_settings, member), .min = low,         \
     .max = high                                                               \
   }
+#define SEED_NAME "seed"
 #define HOUR_MS 3600000.0
 
 static const struct beryl_field fields[] = {
@@ -31,6 +32,7 @@
   TEXT (BERYL_FIELD_ADDRESS, platform_address, false),
   NUMBER (BERYL_FIELD_UINT16, platform_port, 1, 65535),
   TEXT (BERYL_FIELD_TEXT, platform_token_file, false),
+  TEXT (BERYL_FIELD_TEXT, seeds, false),
   TEXT (BERYL_FIELD_TEXT, cluster_key, false),
   TEXT (BERYL_FIELD_TEXT, cluster_key_accepted, false),
   NUMBER (BERYL_FIELD_INT64, lease_ttl_ms, 500, HOUR_MS),
@@ -63,6 +65,39 @@
   .log_format_name = "text",
 };
 
+bool
+control_seed_parse (const char *text, struct beryl_member *member)
+{
+  const char *colon = strrchr (text, ':');
+  guint64 port = 0;
+
+  memset (member, 0, sizeof *member);
+  if (colon == NULL || (size_t)(colon - text) >= sizeof member->address
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &port, NULL))
+    return false;
+  g_strlcpy (member->name, SEED_NAME, sizeof member->name);
+  memcpy (member->address, text, (size_t)(colon - text));
+  member->port = (uint16_t)port;
+  return g_hostname_is_ip_address (member->address);
+}
+
+static void
+check_seeds (const struct control_settings *settings, const char *path,
+             struct beryl_findings *findings)
+{
+  char **seeds = g_strsplit (settings->seeds, ",", -1);
+
+  for (char **seed = seeds; *seed != NULL; seed++)
+    {
+      struct beryl_member member;
+
+      if (!control_seed_parse (g_strstrip (*seed), &member))
+        beryl_findings_add (findings, path, 0, 0,
+                            "seed \"%s\" is not address:port", *seed);
+    }
+  g_strfreev (seeds);
+}
+
 static void
 check_values (struct control_settings *settings, const char *path,
               struct beryl_findings *findings)
@@ -75,6 +110,7 @@
   if (!log_set_level (settings->log_level))
     beryl_findings_add (findings, path, 0, 0,
                         "log_level must be error, warning, info or debug");
+  check_seeds (settings, path, findings);
   if (settings->platform_port == 0)
     beryl_findings_add (findings, path, 0, 0, "platform_port is missing");
   if (settings->lease_margin_ms * 4 > settings->lease_ttl_ms)
--- a/controld/settings.h
+++ b/controld/settings.h
@@ -27,6 +27,9 @@
   char platform_address[BERYL_ADDRESS_BYTES];
   uint16_t platform_port;
   char platform_token_file[256];
+  /** "address:port" of peers, separated by commas: the first contact while
+   * the platform is out. */
+  char seeds[512];
   char cluster_key[CONTROL_KEY_BYTES];          /**< used and accepted */
   char cluster_key_accepted[CONTROL_KEY_BYTES]; /**< only accepted */
   int64_t lease_ttl_ms;
@@ -42,6 +45,9 @@
   uint64_t seed; /**< 0: from the system */
 };
 
+/** Read "address:port"; the address is an IP number. */
+bool control_seed_parse (const char *text, struct beryl_member *member);
+
 /** Read the file PATH; false if there were findings. */
 bool control_settings_load (struct control_settings *settings,
                             const char *path, struct beryl_findings *findings);
--- a/libberyl/membership/probe.c
+++ b/libberyl/membership/probe.c
@@ -141,6 +141,22 @@
     }
 }
 
+/* One lost packet of two must not be enough to need the others. */
+static void
+probe_repeat (struct beryl_membership *m, const struct probe *p,
+              int64_t now_ms)
+{
+  struct slot *to = table_find (m, p->target);
+  struct beryl_gossip message;
+
+  if (to == NULL)
+    return;
+  gossip_prepare (m, &message, BERYL_GOSSIP_PING, to, now_ms);
+  message.sequence = p->sequence;
+  memcpy (message.target, p->target, sizeof message.target);
+  gossip_send (m, &message, to);
+}
+
 static void
 probe_indirect (struct beryl_membership *m, struct probe *p, int64_t now_ms)
 {
@@ -148,6 +164,7 @@
   int asked = 0;
 
   p->indirect = true;
+  probe_repeat (m, p, now_ms);
   for (size_t i = 0; i < m->count && asked < INDIRECT; i++)
     {
       struct slot *via = &m->slots[(offset + i) % m->count];
--- a/tests/control/test_spread.c
+++ b/tests/control/test_spread.c
@@ -13,7 +13,7 @@
 #define KINDS 7
 #define NAMES 5
 #define ENTRIES_MAX 4096
-#define RUN_MS 60000
+#define RUN_MS 40000
 #define SETTLE_MS 30000
 #define SEEDS 100
 
