--- a/http/server.c
+++ b/http/server.c
@@ -259,7 +259,10 @@
       info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
       info.ssl_cert_filepath = server->cert_file;
       info.ssl_private_key_filepath = server->key_file;
-      info.alpn = "h2,http/1.1";
+      /* libwebsockets 4.1 drops the headers it does not know from HTTP/2
+       * requests.  A lost Idempotency-Key would let a call run twice without
+       * anybody noticing, so that HTTP/2 is not offered. */
+      info.alpn = "http/1.1";
     }
   server->vhost = lws_create_vhost (context->lws, &info);
   if (server->vhost == NULL || lws_get_vhost_listen_port (server->vhost) <= 0)
