Planner: sizes, paced loads, roll-out, spread; ways to look ahead

The planner emits absolute orders: loads paced by the weight store, a new version on spares first, never the last warm engine in demand, surplus given up only after it has lasted, one data centre's loss leaves enough.

--- /dev/null
+++ b/libberyl/planner/arrange.c
@@ -0,0 +1,330 @@
+#include <string.h>
+
+#include "private.h"
+
+/* Share of a service's warm engines that may be changed at a time. */
+#define CHANGE_DIVISOR 4
+
+static bool
+is_engine_of (const struct engine *e, const struct service *s)
+{
+  return strcmp (e->endpoint->service, s->name) == 0
+         && e->endpoint->role != BERYL_ROLE_SERVICE && !e->endpoint->leaving;
+}
+
+bool
+engine_is_warm (const struct engine *e, const struct service *s)
+{
+  return e->known && e->ready && !e->loading && e->role != 0
+         && strcmp (e->model, s->model->name) == 0;
+}
+
+static bool
+is_current (const struct engine *e, const struct service *s)
+{
+  return engine_is_warm (e, s) && strcmp (e->version, s->model->version) == 0;
+}
+
+/* Whether the order says something else than the engine's report. */
+static bool
+is_changing (const struct engine *e)
+{
+  if (e->loading)
+    return true;
+  return e->ordered
+         && (strcmp (e->ordered_model, e->model) != 0
+             || strcmp (e->ordered_version, e->version) != 0
+             || e->ordered_role != e->role);
+}
+
+static bool
+will_be_warm (const struct engine *e, const struct service *s)
+{
+  return e->ordered && e->ordered_role != 0
+         && strcmp (e->ordered_model, s->model->name) == 0;
+}
+
+static void
+engine_order (struct engine *e, const char *model, const char *version,
+              enum beryl_role role, const char *reason)
+{
+  name_copy (e->ordered_model, model);
+  name_copy (e->ordered_version, version);
+  e->ordered_role = role;
+  e->ordered = true;
+  e->ordered_ms = 0;
+  e->reason = reason;
+}
+
+/* Loads start one after the other at the pace of the weight store: all at
+ * once would make each of them slow, and the first waiting call would wait
+ * for the last load. */
+static bool
+load_may_start (struct beryl_planner *p, const struct service *s,
+                int64_t now_ms)
+{
+  double seconds
+      = (double)s->model->weight_bytes / p->settings.weight_store_bytes_per_s;
+
+  if (now_ms < p->load_free_ms)
+    return false;
+  p->load_free_ms = now_ms + (int64_t)(seconds * 1000);
+  return true;
+}
+
+static uint32_t
+in_data_centre (const struct beryl_planner *p, const struct service *s,
+                const char *data_centre)
+{
+  uint32_t count = 0;
+
+  for (size_t i = 0; i < p->engine_count; i++)
+    {
+      const struct engine *e = &p->engines[i];
+
+      count += is_engine_of (e, s) && will_be_warm (e, s)
+               && strcmp (e->endpoint->data_centre, data_centre) == 0;
+    }
+  return count;
+}
+
+static enum beryl_role
+fitting_role (const struct engine *e, enum beryl_role wanted)
+{
+  if (e->endpoint->role == BERYL_ROLE_BOTH)
+    return wanted;
+  return e->endpoint->role;
+}
+
+/* A cold engine in the data centre that has fewest. */
+static struct engine *
+pick_cold (struct beryl_planner *p, const struct service *s)
+{
+  struct engine *best = NULL;
+  uint32_t best_count = 0;
+
+  for (size_t i = 0; i < p->engine_count; i++)
+    {
+      struct engine *e = &p->engines[i];
+      uint32_t count;
+
+      if (!is_engine_of (e, s) || !e->known || will_be_warm (e, s)
+          || engine_is_warm (e, s) || e->loading)
+        continue;
+      count = in_data_centre (p, s, e->endpoint->data_centre);
+      if (best != NULL && count >= best_count)
+        continue;
+      best = e;
+      best_count = count;
+    }
+  return best;
+}
+
+/* A warm engine in the data centre that has most; old versions first. */
+static struct engine *
+pick_surplus (struct beryl_planner *p, const struct service *s)
+{
+  struct engine *best = NULL;
+  uint32_t best_count = 0;
+
+  for (size_t i = 0; i < p->engine_count; i++)
+    {
+      struct engine *e = &p->engines[i];
+      uint32_t count;
+
+      if (!is_engine_of (e, s) || !will_be_warm (e, s) || is_changing (e))
+        continue;
+      count = in_data_centre (p, s, e->endpoint->data_centre);
+      count += is_current (e, s) ? 0 : 1000000;
+      if (best != NULL && count <= best_count)
+        continue;
+      best = e;
+      best_count = count;
+    }
+  return best;
+}
+
+struct tally
+{
+  uint32_t warm;     /* serving now, any version */
+  uint32_t coming;   /* ordered to serve, serving or not */
+  uint32_t changing; /* between two states */
+  uint32_t prefill;  /* ordered to prefill */
+  uint32_t old;      /* serving an old version */
+};
+
+static struct tally
+service_tally (const struct beryl_planner *p, const struct service *s)
+{
+  struct tally t = { 0 };
+
+  for (size_t i = 0; i < p->engine_count; i++)
+    {
+      const struct engine *e = &p->engines[i];
+
+      if (!is_engine_of (e, s))
+        continue;
+      t.warm += engine_is_warm (e, s);
+      t.coming += will_be_warm (e, s);
+      t.changing += is_changing (e);
+      t.prefill
+          += will_be_warm (e, s) && e->ordered_role == BERYL_ROLE_PREFILL;
+      t.old += engine_is_warm (e, s) && !is_current (e, s);
+    }
+  return t;
+}
+
+static enum beryl_role
+next_role (const struct service *s, const struct tally *t)
+{
+  if (s->wanted_prefill == 0)
+    return BERYL_ROLE_BOTH;
+  return t->prefill < s->wanted_prefill ? BERYL_ROLE_PREFILL
+                                        : BERYL_ROLE_DECODE;
+}
+
+static void
+grow (struct beryl_planner *p, struct service *s, const struct tally *t,
+      int64_t now_ms)
+{
+  struct engine *e = pick_cold (p, s);
+
+  if (e == NULL || !load_may_start (p, s, now_ms))
+    return;
+  engine_order (e, s->model->name, s->model->version,
+                fitting_role (e, next_role (s, t)), "grow");
+}
+
+static void
+shrink (struct beryl_planner *p, struct service *s, const struct tally *t,
+        int64_t now_ms)
+{
+  struct engine *e;
+
+  if (s->surplus_ms == 0)
+    {
+      s->surplus_ms = now_ms;
+      s->surplus_wanted = s->wanted;
+    }
+  /* Down to the most that was wanted meanwhile: a load that swings needs its
+   * engines again in a moment. */
+  if (s->wanted > s->surplus_wanted)
+    s->surplus_wanted = s->wanted;
+  if (now_ms - s->surplus_ms < p->settings.shrink_ms)
+    return;
+  if (t->coming <= s->surplus_wanted)
+    {
+      s->surplus_ms = 0;
+      return;
+    }
+  if (t->warm <= s->wanted && s->wanted > 0)
+    return;
+  e = pick_surplus (p, s);
+  if (e != NULL)
+    engine_order (e, "", "", 0, "shrink");
+}
+
+/* The old version serves until the new one is warm elsewhere: a spare is
+ * loaded first (it is then one too many, and an old one is the first to
+ * go).  Without a spare one engine at a time changes, but never the last. */
+static void
+roll_out (struct beryl_planner *p, struct service *s, const struct tally *t,
+          int64_t now_ms)
+{
+  struct engine *spare = pick_cold (p, s);
+  uint32_t most = t->warm / CHANGE_DIVISOR;
+
+  if (t->changing > most || (t->changing > 0 && most == 0))
+    return;
+  if (spare != NULL && t->coming <= s->wanted)
+    {
+      grow (p, s, t, now_ms);
+      return;
+    }
+  if (t->warm < 2 && now_ms - s->demand_ms < p->settings.idle_ms)
+    return;
+  for (size_t i = 0; i < p->engine_count; i++)
+    {
+      struct engine *e = &p->engines[i];
+
+      if (!is_engine_of (e, s) || !engine_is_warm (e, s) || is_current (e, s)
+          || is_changing (e))
+        continue;
+      if (load_may_start (p, s, now_ms))
+        engine_order (e, s->model->name, s->model->version, e->role,
+                      "roll-out");
+      return;
+    }
+}
+
+/* Adopts what the engines serve already: a new planner must not order all
+ * engines anew, which would drop their caches. */
+static void
+adopt (struct beryl_planner *p, const struct service *s)
+{
+  for (size_t i = 0; i < p->engine_count; i++)
+    {
+      struct engine *e = &p->engines[i];
+
+      if (is_engine_of (e, s) && e->known && !e->ordered)
+        engine_order (e, e->model, e->version, e->role, "adopted");
+    }
+}
+
+/* A role change drops the engine's cache, so it is made only if the split
+ * is off by more than one engine, and one at a time. */
+static void
+rebalance (struct beryl_planner *p, struct service *s, const struct tally *t)
+{
+  enum beryl_role from = BERYL_ROLE_DECODE;
+  enum beryl_role to = BERYL_ROLE_PREFILL;
+
+  if (t->changing > 0 || s->wanted_prefill == 0)
+    return;
+  if (t->prefill > s->wanted_prefill + 1)
+    {
+      from = BERYL_ROLE_PREFILL;
+      to = BERYL_ROLE_DECODE;
+    }
+  else if (t->prefill + 1 >= s->wanted_prefill
+           && !(t->prefill == 0 && t->warm >= 2))
+    return;
+  for (size_t i = 0; i < p->engine_count; i++)
+    {
+      struct engine *e = &p->engines[i];
+
+      if (!is_engine_of (e, s) || e->endpoint->role != BERYL_ROLE_BOTH
+          || !is_current (e, s) || is_changing (e)
+          || (e->role != from && e->role != BERYL_ROLE_BOTH))
+        continue;
+      engine_order (e, e->model, e->version, to, "role");
+      return;
+    }
+}
+
+void
+service_arrange (struct beryl_planner *p, struct service *s, int64_t now_ms)
+{
+  struct tally t;
+
+  adopt (p, s);
+  t = service_tally (p, s);
+  if (t.coming <= s->wanted)
+    s->surplus_ms = 0;
+  if (t.coming < s->wanted)
+    grow (p, s, &t, now_ms);
+  else if (t.old > 0 && s->wanted > 0)
+    roll_out (p, s, &t, now_ms);
+  if (t.coming > s->wanted)
+    {
+      /* The surplus of a roll-out is the old version, which is not kept. */
+      if (t.old > 0 && t.warm > s->wanted && t.changing == 0)
+        {
+          s->surplus_ms = now_ms - p->settings.shrink_ms;
+          s->surplus_wanted = s->wanted;
+        }
+      shrink (p, s, &t, now_ms);
+    }
+  else if (t.coming == s->wanted)
+    rebalance (p, s, &t);
+}
--- /dev/null
+++ b/libberyl/planner/size.c
@@ -0,0 +1,157 @@
+#include <math.h>
+#include <string.h>
+
+#include "private.h"
+
+/* A node that has not reported for so long counts no more. */
+#define REPORT_MS 15000
+/* Below this the calls of a step are no demand. */
+#define LOAD_EPSILON 0.01
+/* Share of a new second in the mean of running calls. */
+#define RUNNING_GAIN 0.1
+
+static void
+demand_now (struct service *s, int64_t now_ms, uint32_t *waiting,
+            uint32_t *running)
+{
+  *waiting = 0;
+  *running = 0;
+  for (size_t i = 0; i < s->node_count; i++)
+    if (now_ms - s->nodes[i].told_ms < REPORT_MS)
+      {
+        *waiting += s->nodes[i].waiting;
+        *running += s->nodes[i].running;
+      }
+}
+
+static void
+step_end (struct beryl_planner *p, struct service *s, int64_t now_ms)
+{
+  double streams
+      = s->running_count > 0 ? s->running_sum / s->running_count : 0;
+  double seconds = (double)p->settings.step_ms / 1000;
+  double prefill = (double)s->step_tokens / seconds
+                   / p->settings.prefill_tokens_per_s / p->settings.use;
+
+  s->decode_load = beryl_sizer_step (s->decode_sizer, streams, now_ms);
+  s->prefill_load = beryl_sizer_step (s->prefill_sizer, prefill, now_ms);
+  s->step_tokens = 0;
+  s->step_arrived = 0;
+  s->running_sum = 0;
+  s->running_count = 0;
+  s->step_end_ms = now_ms + p->settings.step_ms;
+}
+
+static uint32_t
+slots_of (const struct beryl_planner *p, const struct service *s)
+{
+  for (size_t i = 0; i < p->engine_count; i++)
+    if (strcmp (p->engines[i].endpoint->service, s->name) == 0
+        && p->engines[i].endpoint->slots > 0)
+      return p->engines[i].endpoint->slots;
+  return p->settings.slots;
+}
+
+static void
+pool_bounds (const struct beryl_planner *p, const struct service *s,
+             uint32_t *least, uint32_t *most)
+{
+  bool found = false;
+
+  *least = 0;
+  *most = 0;
+  for (size_t i = 0; i < p->config->pool_count; i++)
+    {
+      const struct beryl_pool *pool = &p->config->pools[i];
+
+      if (strcmp (pool->service, s->name) != 0)
+        continue;
+      found = true;
+      *least += pool->min_endpoints;
+      *most = *most > UINT32_MAX - pool->max_endpoints
+                  ? UINT32_MAX
+                  : *most + pool->max_endpoints;
+    }
+  if (!found)
+    *most = UINT32_MAX;
+}
+
+static uint32_t
+data_centres_of (const struct beryl_planner *p, const struct service *s)
+{
+  const char *seen[64];
+  uint32_t count = 0;
+
+  for (size_t i = 0; i < p->engine_count && count < 64; i++)
+    {
+      const struct beryl_endpoint *e = p->engines[i].endpoint;
+      uint32_t j = 0;
+
+      if (strcmp (e->service, s->name) != 0)
+        continue;
+      while (j < count && strcmp (seen[j], e->data_centre) != 0)
+        j++;
+      if (j == count)
+        seen[count++] = e->data_centre;
+    }
+  return count;
+}
+
+/* Spread over D data centres, the loss of one leaves (D-1)/D of the engines;
+ * a service that needs several must still have enough then. */
+static uint32_t
+with_spare (uint32_t engines, uint32_t data_centres)
+{
+  if (engines < 2 || data_centres < 2)
+    return engines;
+  return (engines * data_centres + data_centres - 2) / (data_centres - 1);
+}
+
+void
+service_size (struct beryl_planner *p, struct service *s, int64_t now_ms)
+{
+  uint32_t waiting;
+  uint32_t running;
+  uint32_t least;
+  uint32_t most;
+  double streams;
+  double decode;
+  double prefill;
+
+  demand_now (s, now_ms, &waiting, &running);
+  s->running_sum += waiting + running;
+  s->running_count++;
+  if (waiting + running > 0)
+    s->demand_ms = now_ms;
+  if (now_ms >= s->step_end_ms)
+    step_end (p, s, now_ms);
+  s->running_mean += RUNNING_GAIN * (running - s->running_mean);
+  streams = s->running_mean + waiting;
+  if (streams < s->decode_load)
+    streams = s->decode_load;
+  decode = streams / (slots_of (p, s) * p->settings.use);
+  prefill = s->prefill_load;
+  if (now_ms - s->demand_ms >= p->settings.idle_ms
+      && s->decode_load < LOAD_EPSILON)
+    decode = prefill = 0;
+  s->wanted = (uint32_t)ceil (decode + prefill);
+  /* The first waiting call must find an engine on its way. */
+  if (s->wanted == 0 && now_ms - s->demand_ms < p->settings.idle_ms)
+    s->wanted = 1;
+  s->wanted = with_spare (s->wanted, data_centres_of (p, s));
+  pool_bounds (p, s, &least, &most);
+  if (s->wanted < least)
+    s->wanted = least;
+  if (s->wanted > most)
+    s->wanted = most;
+  s->wanted_prefill = 0;
+  if (s->wanted >= 2 && decode + prefill > 0)
+    {
+      s->wanted_prefill
+          = (uint32_t)lround (s->wanted * prefill / (decode + prefill));
+      if (s->wanted_prefill == 0)
+        s->wanted_prefill = 1;
+      if (s->wanted_prefill >= s->wanted)
+        s->wanted_prefill = s->wanted - 1;
+    }
+}
--- /dev/null
+++ b/libberyl/planner/sizer.c
@@ -0,0 +1,149 @@
+#include <stdlib.h>
+
+#include "beryl/planner.h"
+
+#define DAY_MS 86400000
+/* Share of a new day in the profile of a time of day. */
+#define PROFILE_GAIN 0.4
+/* Errors that correct the forecast, as in BARISTA. */
+#define ERRORS 5
+/* Bounds of the correction: a broken profile must not rule. */
+#define CORRECTION_MIN 0.5
+#define CORRECTION_MAX 2.0
+/* Loads below this are noise in a ratio. */
+#define LOAD_MIN 0.5
+
+struct beryl_sizer
+{
+  enum beryl_sizing sizing;
+  int64_t step_ms;
+  int64_t horizon_ms;
+  size_t steps;
+  double profile[BERYL_SIZER_STEPS_MAX]; /* load by time of day */
+  bool known[BERYL_SIZER_STEPS_MAX];
+  double ratios[ERRORS]; /* of load to forecast */
+  size_t ratio_count;
+};
+
+struct beryl_sizer *
+beryl_sizer_create (enum beryl_sizing sizing, int64_t step_ms,
+                    int64_t horizon_ms)
+{
+  struct beryl_sizer *s = calloc (1, sizeof *s);
+
+  if (s == NULL)
+    return NULL;
+  s->sizing = sizing;
+  s->step_ms = step_ms;
+  s->horizon_ms = horizon_ms;
+  s->steps = (size_t)(DAY_MS / step_ms);
+  if (s->steps > BERYL_SIZER_STEPS_MAX)
+    s->steps = BERYL_SIZER_STEPS_MAX;
+  return s;
+}
+
+void
+beryl_sizer_destroy (struct beryl_sizer *s)
+{
+  free (s);
+}
+
+static size_t
+step_at (const struct beryl_sizer *s, int64_t day_ms)
+{
+  int64_t in_day = ((day_ms % DAY_MS) + DAY_MS) % DAY_MS;
+
+  return (size_t)(in_day * (int64_t)s->steps / DAY_MS);
+}
+
+static void
+profile_learn (struct beryl_sizer *s, size_t step, double load)
+{
+  if (s->known[step])
+    s->profile[step] += PROFILE_GAIN * (load - s->profile[step]);
+  else
+    s->profile[step] = load;
+  s->known[step] = true;
+}
+
+static double
+correction (const struct beryl_sizer *s)
+{
+  size_t count = s->ratio_count < ERRORS ? s->ratio_count : ERRORS;
+  double sum = 0;
+
+  if (count == 0)
+    return 1;
+  for (size_t i = 0; i < count; i++)
+    sum += s->ratios[i];
+  sum /= (double)count;
+  if (sum < CORRECTION_MIN)
+    return CORRECTION_MIN;
+  return sum > CORRECTION_MAX ? CORRECTION_MAX : sum;
+}
+
+/* The most that the profile shows until an engine ordered now is warm. */
+static double
+forecast (const struct beryl_sizer *s, int64_t day_ms, double load)
+{
+  double most = 0;
+
+  for (int64_t ahead = s->step_ms; ahead <= s->horizon_ms + s->step_ms;
+       ahead += s->step_ms)
+    {
+      size_t step = step_at (s, day_ms + ahead);
+
+      if (!s->known[step])
+        return load;
+      if (s->profile[step] > most)
+        most = s->profile[step];
+    }
+  return most;
+}
+
+static double
+greater (double a, double b)
+{
+  return a > b ? a : b;
+}
+
+double
+beryl_sizer_step (struct beryl_sizer *s, double load, int64_t day_ms)
+{
+  size_t step = step_at (s, day_ms);
+  double ahead;
+
+  if (s->known[step] && s->profile[step] > LOAD_MIN)
+    s->ratios[s->ratio_count++ % ERRORS] = load / s->profile[step];
+  ahead = forecast (s, day_ms, load);
+  profile_learn (s, step, load);
+  switch (s->sizing)
+    {
+    case BERYL_SIZING_REACTIVE:
+      return load;
+    case BERYL_SIZING_FORECAST:
+      return ahead;
+    case BERYL_SIZING_CORRECTED:
+      return ahead * correction (s);
+    case BERYL_SIZING_HYBRID:
+      return greater (load, ahead * correction (s));
+    }
+  return load;
+}
+
+const char *
+beryl_sizing_name (enum beryl_sizing sizing)
+{
+  switch (sizing)
+    {
+    case BERYL_SIZING_REACTIVE:
+      return "reactive";
+    case BERYL_SIZING_FORECAST:
+      return "forecast";
+    case BERYL_SIZING_CORRECTED:
+      return "corrected";
+    case BERYL_SIZING_HYBRID:
+      return "hybrid";
+    }
+  return "reactive";
+}
--- /dev/null
+++ b/tests/control/bench_planner.c
@@ -0,0 +1,145 @@
+/* Ways to size the pools on days' curves in virtual time: engine-hours, calls
+ * that came while no engine was warm, calls that got a slot by their
+ * deadline.  The first two days are for learning and not counted. */
+#include <math.h>
+#include <stdio.h>
+
+#include "sim.h"
+#include "town.h"
+
+#define DAY_S 86400
+#define LEARN_DAYS 2
+#define DAYS 5
+#define SIZINGS 4
+#define LOADS 2
+#define PLACES 2
+
+/* Office hours, nothing at night, a steep start at nine, a dip at noon. */
+static double
+office_rate (int second)
+{
+  double hour = second / 3600.0;
+
+  if (hour < 7.5 || hour > 18.5)
+    return 0;
+  if (hour < 9)
+    return 4 * (hour - 7.5) / 1.5 * 0.4;
+  if (hour > 12 && hour < 13)
+    return 2.5;
+  return 4 + sin ((hour - 9) * M_PI / 4.5);
+}
+
+/* All day with a peak in the evening and a burst before each hour's break. */
+static double
+radio_rate (int second)
+{
+  double hour = second / 3600.0;
+  double base = 2 + 1.8 * sin ((hour - 10) * M_PI / 12);
+
+  return second % 3600 > 3000 && second % 3600 < 3300 ? base * 2.2 : base;
+}
+
+struct curve
+{
+  const char *name;
+  double (*rate) (int second);
+};
+
+static const struct curve curves[]
+    = { { "office", office_rate }, { "radio", radio_rate } };
+
+struct row
+{
+  const char *curve;
+  enum beryl_sizing sizing;
+  int64_t load_ms;
+  int data_centres; /* with one there is no spare for the loss of one */
+  struct town_counts counts;
+};
+
+/* Days differ from each other by up to a quarter, and so do the quarters of
+ * an hour in a day. */
+static void
+row_measure (struct row *row, const struct curve *curve)
+{
+  struct town_settings settings = { .sizing = row->sizing,
+                                    .engines = 24,
+                                    .data_centres = row->data_centres,
+                                    .load_ms = row->load_ms,
+                                    .call_ms = 20000,
+                                    .deadline_ms = 30000,
+                                    .seed = 11 };
+  struct town *town = town_create (&settings);
+  struct sim *chance = sim_create (5);
+  double level = 1;
+  double wave = 1;
+
+  for (int day = 0; day < DAYS; day++)
+    {
+      level = 0.75 + (double)sim_random (chance, 50) / 100;
+      if (day == LEARN_DAYS)
+        town_reset (town);
+      for (int second = 0; second < DAY_S; second++)
+        {
+          if (second % 900 == 0)
+            wave = 0.85 + (double)sim_random (chance, 30) / 100;
+          town_second (town, curve->rate (second) * level * wave);
+        }
+    }
+  row->counts = *town_counts (town);
+  sim_destroy (chance);
+  town_destroy (town);
+}
+
+static double
+goodput (const struct row *row)
+{
+  return 100.0 * (double)row->counts.in_time / (double)row->counts.calls;
+}
+
+static double
+hours_a_day (const struct row *row)
+{
+  return row->counts.engine_hours / (DAYS - LEARN_DAYS);
+}
+
+int
+main (void)
+{
+  static const int64_t load_ms[LOADS] = { 60000, 300000 };
+  static const int places[PLACES] = { 3, 1 };
+  struct row rows[PLACES * LOADS * 2 * SIZINGS];
+  int count = 0;
+
+  printf ("curve   halls  load s  sizing     engine-hours/day  cold waits  "
+          "in time %%  loads\n");
+  for (int c = 0; c < 2 * PLACES; c++)
+    for (int l = 0; l < LOADS; l++)
+      for (int i = 0; i < SIZINGS; i++)
+        {
+          struct row *row = &rows[count++];
+
+          row->curve = curves[c / PLACES].name;
+          row->data_centres = places[c % PLACES];
+          row->sizing = (enum beryl_sizing)i;
+          row->load_ms = load_ms[l];
+          row_measure (row, &curves[c / PLACES]);
+          printf ("%-7s %5d  %6ld  %-9s  %16.1f  %10lu  %9.2f  %5u\n",
+                  row->curve, row->data_centres, row->load_ms / 1000,
+                  beryl_sizing_name (row->sizing), hours_a_day (row),
+                  row->counts.cold, goodput (row), row->counts.loads);
+          fflush (stdout);
+        }
+  printf ("{\"bench\":\"planner\",\"rows\":[");
+  for (int i = 0; i < count; i++)
+    printf ("%s{\"curve\":\"%s\",\"data_centres\":%d,\"load_ms\":%ld,"
+            "\"sizing\":\"%s\","
+            "\"engine_hours_per_day\":%.1f,\"cold_waits\":%lu,"
+            "\"in_time_percent\":%.2f,\"loads\":%u}",
+            i > 0 ? "," : "", rows[i].curve, rows[i].data_centres,
+            rows[i].load_ms, beryl_sizing_name (rows[i].sizing),
+            hours_a_day (&rows[i]), rows[i].counts.cold, goodput (&rows[i]),
+            rows[i].counts.loads);
+  printf ("]}\n");
+  return 0;
+}
--- /dev/null
+++ b/tests/control/test_planner.c
@@ -0,0 +1,239 @@
+#include <check.h>
+#include <math.h>
+#include <stdio.h>
+
+#include "town.h"
+
+static const struct town_settings usual = { .sizing = BERYL_SIZING_REACTIVE,
+                                            .engines = 12,
+                                            .data_centres = 3,
+                                            .load_ms = 60000,
+                                            .call_ms = 20000,
+                                            .deadline_ms = 120000,
+                                            .seed = 1 };
+
+static void
+run (struct town *t, int seconds, double calls_per_s)
+{
+  for (int i = 0; i < seconds; i++)
+    town_second (t, calls_per_s);
+}
+
+/* Story: nobody calls at night.  Engines that stay warm cost money; and the
+ * first caller of the morning must be held and served, not refused. */
+START_TEST (to_nothing_and_back)
+{
+  struct town *t = town_create (&usual);
+
+  run (t, 1800, 2);
+  ck_assert_int_gt (town_warm (t, NULL), 1);
+  run (t, 3600, 0);
+  ck_assert_int_eq (town_warm (t, NULL), 0);
+  town_reset (t);
+  run (t, 1, 3);
+  run (t, 100, 0);
+  ck_assert_int_ge (town_warm (t, NULL), 1);
+  ck_assert_uint_eq (town_counts (t)->in_time, town_counts (t)->calls);
+  town_destroy (t);
+}
+END_TEST
+
+/* Story: a burst needs six engines at once.  If all load together the weight
+ * store's rate is shared and the first is warm only when the last is. */
+START_TEST (loads_are_paced)
+{
+  struct town *t = town_create (&usual);
+
+  run (t, 20, 8);
+  ck_assert_uint_le (town_counts (t)->loads, 2);
+  run (t, 600, 8);
+  ck_assert_uint_le (town_counts (t)->most_loading, 7);
+  ck_assert_int_ge (town_warm (t, NULL), 10);
+  town_destroy (t);
+}
+END_TEST
+
+/* Story: a data centre is lost at the peak.  The engines of the others must
+ * carry the load until replacements are warm. */
+START_TEST (spread_over_data_centres)
+{
+  struct town *t = town_create (&usual);
+  int most = 0;
+  int all;
+
+  run (t, 1800, 4);
+  all = town_warm (t, NULL);
+  for (int dc = 0; dc < 3; dc++)
+    most = town_warm_in (t, dc) > most ? town_warm_in (t, dc) : most;
+  ck_assert_int_le (most * 3, all + 2);
+  /* 4 calls a second of 20 s are 80 streams: 5 engines at 0.8 use. */
+  ck_assert_int_ge (all - most, 5);
+  town_destroy (t);
+}
+END_TEST
+
+/* Story: a new version of the model is declared at full load.  If all engines
+ * loaded it at once nobody would serve; the old one must serve until the new
+ * one is warm. */
+START_TEST (version_rolls_out_under_load)
+{
+  struct town *t = town_create (&usual);
+  int least = 99;
+
+  run (t, 1800, 4);
+  town_reset (t);
+  town_set_version (t, "v2");
+  for (int i = 0; i < 3600; i++)
+    {
+      town_second (t, 4);
+      least = town_warm (t, NULL) < least ? town_warm (t, NULL) : least;
+    }
+  ck_assert_int_eq (town_warm (t, "v1"), 0);
+  ck_assert_int_ge (town_warm (t, "v2"), (int)town_wanted (t));
+  /* 8 are wanted (5 and a data centre's spare), one of them may change. */
+  ck_assert_int_ge (least, 7);
+  ck_assert_uint_eq (town_counts (t)->in_time, town_counts (t)->calls);
+  town_destroy (t);
+}
+END_TEST
+
+/* Story: all declared engines are in use, there is no spare.  The roll-out
+ * must still end, a few engines at a time, never all. */
+START_TEST (version_rolls_out_without_spares)
+{
+  struct town_settings settings = usual;
+  struct town *t;
+  int least = 99;
+
+  settings.engines = 4;
+  settings.min_endpoints = 4;
+  t = town_create (&settings);
+  run (t, 1800, 1);
+  ck_assert_int_eq (town_warm (t, "v1"), 4);
+  town_set_version (t, "v2");
+  for (int i = 0; i < 1800; i++)
+    {
+      town_second (t, 1);
+      least = town_warm (t, NULL) < least ? town_warm (t, NULL) : least;
+    }
+  ck_assert_int_eq (town_warm (t, "v2"), 4);
+  ck_assert_int_ge (least, 3);
+  town_destroy (t);
+}
+END_TEST
+
+/* Story: the load swings every minute.  Without hysteresis engines would be
+ * unloaded and loaded all the time, each time with an empty cache. */
+START_TEST (swinging_load_keeps_engines)
+{
+  struct town *t = town_create (&usual);
+
+  run (t, 1800, 4);
+  town_reset (t);
+  for (int i = 0; i < 60; i++)
+    run (t, 60, i % 2 == 0 ? 4 : 1);
+  /* At most one load in ten swings. */
+  ck_assert_uint_le (town_counts (t)->loads, 6);
+  town_destroy (t);
+}
+END_TEST
+
+/* Story: warm engines die.  They answer nothing, and must be replaced by
+ * others without waiting for them. */
+START_TEST (dead_engines_are_replaced)
+{
+  struct town *t = town_create (&usual);
+  int before;
+  int killed = 0;
+
+  run (t, 1800, 3);
+  before = town_warm (t, NULL);
+  for (int i = 0; i < 12 && killed < 2; i++)
+    if (town_engine (t, i)->version[0] != '\0')
+      {
+        town_engine (t, i)->dead = true;
+        killed++;
+      }
+  run (t, 300, 3);
+  ck_assert_int_ge (town_warm (t, NULL), before);
+  town_destroy (t);
+}
+END_TEST
+
+/* Story: a planner takes over in the middle of the day.  It knows no demand
+ * yet and must neither unload what is warm nor order it anew. */
+START_TEST (new_planner_adopts)
+{
+  struct town *t = town_create (&usual);
+  uint32_t orders = 0;
+  int before;
+
+  run (t, 1800, 4);
+  before = town_warm (t, NULL);
+  for (int i = 0; i < 12; i++)
+    orders += town_engine (t, i)->orders;
+  town_reset (t);
+  town_replace_planner (t);
+  run (t, 60, 4);
+  ck_assert_int_eq (town_warm (t, NULL), before);
+  for (int i = 0; i < 12; i++)
+    orders -= town_engine (t, i)->orders;
+  ck_assert_uint_eq (orders, 0);
+  town_destroy (t);
+}
+END_TEST
+
+/* Story: the same day comes again, but with half more callers.  The bare
+ * forecast falls short all day; the corrected one follows. */
+START_TEST (correction_follows_a_busier_day)
+{
+  struct beryl_sizer *bare
+      = beryl_sizer_create (BERYL_SIZING_FORECAST, 60000, 120000);
+  struct beryl_sizer *corrected
+      = beryl_sizer_create (BERYL_SIZING_CORRECTED, 60000, 120000);
+  double short_bare = 0;
+  double short_corrected = 0;
+
+  for (int step = 0; step < 2 * 1440; step++)
+    {
+      double level = step < 1440 ? 1 : 1.5;
+      double load = level * (20 + 15 * sin (step % 1440 * M_PI / 720));
+      double a = beryl_sizer_step (bare, load, step * 60000LL);
+      double b = beryl_sizer_step (corrected, load, step * 60000LL);
+
+      if (step < 1440 + 10)
+        continue;
+      short_bare += load > a ? load - a : 0;
+      short_corrected += load > b ? load - b : 0;
+    }
+  ck_assert_double_lt (short_corrected * 10, short_bare);
+  beryl_sizer_destroy (bare);
+  beryl_sizer_destroy (corrected);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("planner");
+  TCase *t = tcase_create ("town");
+  SRunner *r;
+  int failed;
+
+  tcase_set_timeout (t, 50);
+  tcase_add_test (t, to_nothing_and_back);
+  tcase_add_test (t, loads_are_paced);
+  tcase_add_test (t, spread_over_data_centres);
+  tcase_add_test (t, version_rolls_out_under_load);
+  tcase_add_test (t, version_rolls_out_without_spares);
+  tcase_add_test (t, swinging_load_keeps_engines);
+  tcase_add_test (t, dead_engines_are_replaced);
+  tcase_add_test (t, new_planner_adopts);
+  tcase_add_test (t, correction_follows_a_busier_day);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed == 0 ? 0 : 1;
+}
