Router: long plain calls leave headroom at every node

A node without a slot of its own took one long call at each endpoint, which used up the headroom, and long calls were started that their deadline cut while the endpoint went on with them. Change: a node without a slot may have one long call in all; a long call is started only if its usual answer time still fits.

--- a/libberyl/router/fleet.c
+++ b/libberyl/router/fleet.c
@@ -264,7 +264,9 @@
   s->transfer_ms = old->transfer_ms;
   s->length = old->length;
   s->decode_ms = old->decode_ms;
+  memcpy (s->answer_ms, old->answer_ms, sizeof s->answer_ms);
   s->unbound = old->unbound;
+  s->patient = old->patient;
   s->decoding = old->decoding;
 }
 
@@ -437,6 +439,7 @@
     {
       struct router_service *s = &r->services[i];
       s->own_slots = 0;
+      s->patient_slots = 0;
       s->own.count = 0;
       s->refreshed_ms = 0;
     }
@@ -449,6 +452,8 @@
         slots = patient_slots (s->config->max_concurrent);
       e->share = shares_of_node (e->name_hash, slots, own, r->members,
                                  r->member_count);
+      if (e->config->role == BERYL_ROLE_SERVICE)
+        s->patient_slots += e->share;
       if (e->share == 0 || !(e->config->role & BERYL_ROLE_DECODE))
         continue;
       s->own_slots += e->share;
--- a/libberyl/router/plain.c
+++ b/libberyl/router/plain.c
@@ -21,8 +21,8 @@
 }
 
 /* Long work uses only this node's part of an endpoint's limit, so that
- * headroom is left for urgent calls.  A node without any part of a small
- * service may still have one call there. */
+ * headroom is left for urgent calls.  Where nodes outnumber the slots, a node
+ * without any may still have one call in all. */
 static bool
 has_room (const struct router_service *s, const struct router_endpoint *e,
           bool urgent)
@@ -31,7 +31,9 @@
     return true;
   if (urgent)
     return e->busy < s->config->max_concurrent;
-  return e->patient < (e->share > 0 ? e->share : 1);
+  if (s->patient_slots == 0)
+    return s->patient == 0;
+  return e->patient < e->share;
 }
 
 static uint32_t
@@ -106,20 +108,36 @@
   t->phase = ROUTER_PHASE_PLAIN;
   ticket_take_slot (r, t, endpoint, now_ms);
   if (job->call_class != BERYL_CLASS_URGENT)
-    r->endpoints[endpoint].patient++;
+    {
+      r->endpoints[endpoint].patient++;
+      r->services[service].patient++;
+    }
   plan->verdict = BERYL_VERDICT_START;
   plan->ticket = t->id;
   plan->decode = r->endpoints[endpoint].config->name;
-  plan->first_token_ms = (int64_t)r->endpoints[endpoint].answer_ms;
+  plan->first_token_ms
+      = (int64_t)r->services[service].answer_ms[job->call_class].mean;
   plan->reason = "least_loaded";
 }
 
+/* A long call that would be cut by its deadline is not started: endpoints
+ * go on with cut calls, which then take the room of calls still in time. */
+static bool
+too_late (const struct router_service *s, const struct beryl_job *job,
+          int64_t now_ms)
+{
+  double slack = (double)job->deadline_ms - (double)now_ms;
+  if (job->call_class == BERYL_CLASS_URGENT)
+    return slack <= 0;
+  return slack <= estimate_mean_quantile (&s->answer_ms[job->call_class], 1);
+}
+
 void
 plain_plan (struct beryl_router *r, const struct beryl_job *job,
             int64_t now_ms, struct beryl_plan *plan)
 {
   struct router_service *s = router_service_find (r, job->service);
-  if (job->deadline_ms <= now_ms)
+  if (too_late (s, job, now_ms))
     {
       refuse (r, job, "deadline", plan);
       return;
--- a/libberyl/router/private.h
+++ b/libberyl/router/private.h
@@ -55,7 +55,6 @@
   double cache_trust; /**< share of predicted hits that were true */
   uint32_t failures;  /**< in a row */
   int64_t ejected_until_ms;
-  double answer_ms; /**< plain services: fading mean of answer times */
 };
 
 /** A list of endpoint numbers. */
@@ -76,6 +75,8 @@
   struct router_list plain;
   struct router_list own; /**< decode endpoints with a share */
   uint32_t own_slots;     /**< sum of the shares */
+  uint32_t patient_slots; /**< plain services: sum of the shares */
+  uint32_t patient;       /**< plain services: own calls, not urgent */
   uint32_t unbound;       /**< tickets in prefill without a decode engine */
   uint32_t decoding;      /**< own streams in slots */
   int32_t free_own;       /**< usable free slots of the shares */
@@ -88,6 +89,8 @@
   struct estimate_line transfer_ms; /**< by KV megabytes */
   struct estimate_mean length;      /**< tokens made / tokens allowed */
   struct estimate_mean decode_ms;   /**< whole decodes */
+  /** Plain services: answer times by class. */
+  struct estimate_mean answer_ms[BERYL_CLASS_BATCH + 1];
 };
 
 /** An organisation's use at this node. */
--- a/libberyl/router/router.c
+++ b/libberyl/router/router.c
@@ -386,6 +386,9 @@
            enum beryl_release how, int64_t now_ms)
 {
   ticket_give_slot (r, t, now_ms);
+  if (t->call_class != BERYL_CLASS_URGENT && t->service != ROUTER_NONE
+      && r->services[t->service].patient > 0)
+    r->services[t->service].patient--;
   if (t->decode == ROUTER_NONE)
     return;
   struct router_endpoint *e = &r->endpoints[t->decode];
@@ -394,8 +397,9 @@
   if (how != BERYL_RELEASE_DONE)
     return;
   fleet_worked (e);
-  e->answer_ms
-      += TOKENS_GAIN * ((double)(now_ms - t->started_ms) - e->answer_ms);
+  if (t->service != ROUTER_NONE)
+    estimate_mean_add (&r->services[t->service].answer_ms[t->call_class],
+                       (double)(now_ms - t->started_ms));
 }
 
 void
--- a/tests/router/test_router.c
+++ b/tests/router/test_router.c
@@ -207,6 +207,40 @@
 }
 END_TEST
 
+/* Eight nodes send long calls to two endpoints that run four at once each.
+ * Six long calls may run in all; if the nodes without a slot of their own
+ * took one more each, a clearance call would wait behind them. */
+START_TEST (test_long_calls_of_all_nodes_leave_headroom)
+{
+  const char *const nodes[]
+      = { "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8" };
+  size_t started = 0;
+  for (size_t n = 0; n < 8; n++)
+    {
+      struct beryl_plan plan;
+      struct beryl_router *r
+          = beryl_router_create (nodes[n], "dc1", BERYL_POLICY_PLANNED, n);
+      beryl_router_set_config (r, &fleet.config, NOW);
+      beryl_router_set_members (r, nodes, 8, NOW);
+      for (uint64_t i = 1; i <= 4; i++)
+        {
+          struct beryl_job job = plain_job (i, BERYL_CLASS_NORMAL);
+          beryl_router_plan (r, &job, NOW, &plan);
+          started += plan.verdict == BERYL_VERDICT_START;
+        }
+      if (n == 0)
+        {
+          struct beryl_job job = plain_job (9, BERYL_CLASS_URGENT);
+          beryl_router_plan (r, &job, NOW, &plan);
+          ck_assert_int_eq (plan.verdict, BERYL_VERDICT_START);
+        }
+      beryl_router_destroy (r);
+    }
+  ck_assert_uint_ge (started, 6);
+  ck_assert_uint_le (started, 8); /* a node without a slot: one call */
+}
+END_TEST
+
 /* One endpoint answers with errors only, then the other one as well.  The
  * first is left out; the last one is kept in use. */
 START_TEST (test_never_ejects_the_last)
@@ -377,6 +411,7 @@
   tcase_add_test (tc, test_fair_share);
   tcase_add_test (tc, test_rate_limit_says_when);
   tcase_add_test (tc, test_urgent_passes_long_calls);
+  tcase_add_test (tc, test_long_calls_of_all_nodes_leave_headroom);
   tcase_add_test (tc, test_never_ejects_the_last);
   tcase_add_test (tc, test_binds_elsewhere_after_a_refusal);
   tcase_add_test (tc, test_own_routing_is_a_hint);
