Router: the oldest KV cache gets the next slot

Change: a KV cache waits while older ones of its service wait for the slots that are free. Most of the waste has another cause.

--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -237,6 +237,21 @@
     plan->reason = "no_endpoint";
 }
 
+/* KV caches of this service that will expire before T's. */
+static int32_t
+more_pressing (const struct beryl_router *r, const struct router_ticket *t)
+{
+  int32_t n = 0;
+  for (size_t i = 0; i < r->ticket_count; i++)
+    {
+      const struct router_ticket *other = &r->tickets[i];
+      if (other->phase == ROUTER_PHASE_UNBOUND && other->service == t->service
+          && other->exported_ms < t->exported_ms)
+        n++;
+    }
+  return n;
+}
+
 static void
 planned_bind (struct beryl_router *r, struct router_ticket *t,
               int64_t kv_expires_ms, uint32_t refused_by, int64_t now_ms,
@@ -245,8 +260,13 @@
   struct router_service *s = &r->services[t->service];
   fleet_refresh (r, s, now_ms);
   bool last_chance = now_ms + KV_MARGIN_MS >= kv_expires_ms;
-  uint32_t decode = pair_choose_decode (r, s, s->spare > 0 || last_chance,
-                                        refused_by, now_ms);
+  int32_t slots = s->free_own + (s->spare > 0 ? s->spare : 0);
+  uint32_t decode = ROUTER_NONE;
+  /* The oldest KV cache goes first: given to whoever asks first, a free slot
+   * may go to a young one while an old one expires. */
+  if (last_chance || more_pressing (r, t) < slots)
+    decode = pair_choose_decode (r, s, s->spare > 0 || last_chance, refused_by,
+                                 now_ms);
   if (decode != ROUTER_NONE)
     {
       plan->verdict = BERYL_VERDICT_START;
