Router: while jobs wait, start only those that surely end in time

Change: while jobs wait, two standard deviations (at most max_tokens) must fit; with nothing waiting the objective decides as before.

--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -18,6 +18,8 @@
 /* Waiting jobs per own slot from which a service counts as contended. */
 #define CONTENDED 0.25
 
+#define CONTENDED_MARGIN 2.0
+
 /* How certain a slot must be before a prefill starts for it.  The objective
  * sets it: a prefill without a slot is wasted, a slot that waits for its
  * prefill is lost goodput. */
@@ -27,12 +29,14 @@
   return 1 - 0.04 / (1 + s->config->waste_weight);
 }
 
-/* Standard deviations of decode time that must fit before the deadline. */
+/* Standard deviations of decode time that must fit before the deadline.
+ * While others wait, a job that may not end in time takes the slot of one
+ * that would: then nearly all lengths must fit. */
 static double
-length_margin (const struct router_service *s)
+length_margin (const struct router_service *s, size_t queue)
 {
   double w = s->config->waste_weight;
-  return 2 * w / (1 + w);
+  return queue > 0 ? CONTENDED_MARGIN : 2 * w / (1 + w);
 }
 
 static double
@@ -207,8 +211,9 @@
   if (!served)
     p.first_token_ms = cost_prefill_ms (s, job->prompt_tokens);
   double slack = (double)job->deadline_ms - (double)now_ms;
-  double need = p.first_token_ms
-                + cost_decode_ms (s, job->max_tokens, length_margin (s));
+  double need
+      = p.first_token_ms
+        + cost_decode_ms (s, job->max_tokens, length_margin (s, queue));
   size_t ahead = waiting_ahead (r, &w);
   int32_t slots = room (r, s, job, p.first_token_ms);
   double wait = wait_ms (s, ahead, slots);
