Router: the objective weighs certainty of a slot more steeply

Cause: with deadlines no longer missed, verdict (waste_weight 0.5) stays far below the 3% of waste it may have, and its slots wait for prefills. Change: certainty 1 - 0.3 / (1 + waste_weight)^2: 86.7% at 0.5, 99.6% at 8.

--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -19,6 +19,7 @@
 #define CONTENDED 0.25
 
 #define CONTENDED_MARGIN 2.0
+#define UNCERTAIN 0.3
 
 /* How certain a slot must be before a prefill starts for it.  The objective
  * sets it: a prefill without a slot is wasted, a slot that waits for its
@@ -26,7 +27,8 @@
 static double
 slot_certainty (const struct router_service *s)
 {
-  return 1 - 0.04 / (1 + s->config->waste_weight);
+  double w = 1 + s->config->waste_weight;
+  return 1 - UNCERTAIN / (w * w);
 }
 
 /* Standard deviations of decode time that must fit before the deadline.
