Mutants: each guard taken out is noticed; histories made harsher

To catch them the histories got slow streams, pieces that are lost, calls that are long on their way, a key used for two bodies, members that drop a silent node, folding of claims, and late returns of callers. A record counts for a free key only once it was granted.

--- a/include/beryl/claims.h
+++ b/include/beryl/claims.h
@@ -98,6 +98,7 @@
                                    the log is safe from homes that pause, and
                                    from reads that lag, up to half of this
                                    [600000] */
+  uint32_t fold_segments;     /**< fewest segments that are folded [16] */
   int64_t ask_timeout_ms;     /**< until another home is asked again [500] */
 };
 
--- a/libberyl/base/guard.h
+++ b/libberyl/base/guard.h
@@ -36,12 +36,13 @@
   BERYL_GUARD_CLAIM_OUTAGE,     /**< unavailable only if surely not written */
   BERYL_GUARD_CLAIM_DUPLICATE,  /**< one batch holds a key once */
   BERYL_GUARD_CLAIM_VERIFIED,   /**< no grant from an old view of the log */
-  BERYL_GUARD_FETCH_CLAIMED, /**< a key's outcome is its grantee's to tell */
+  BERYL_GUARD_KEY_OWNED,     /**< an ungranted free key is not this node's */
   BERYL_GUARD_FORWARDED_KEY, /**< a forwarded key is never run anew */
   BERYL_GUARD_CHECKPOINT_WHOLE, /**< segments go only after a checkpoint */
   BERYL_GUARD_WAKE_REST,        /**< a woken process reads before it plans */
   BERYL_GUARD_DEATH_HEARD,      /**< who is heard is not dead */
   BERYL_GUARD_CLEANUP_SETTLE,   /**< as CANCEL_SETTLE, for the dead */
+  BERYL_GUARD_COUNT,
 };
 
 #ifdef BERYL_MUTANTS
--- a/libberyl/requests/admit.c
+++ b/libberyl/requests/admit.c
@@ -100,8 +100,9 @@
 refuse_known_key (struct beryl_requests *requests,
                   const struct beryl_call *call, const struct record *record)
 {
-  if (!BERYL_GUARD (BERYL_GUARD_KEY_BODY,
-                    record->body_hash == call_body_hash (call)))
+  if (record_owned (record)
+      && !BERYL_GUARD (BERYL_GUARD_KEY_BODY,
+                       record->body_hash == call_body_hash (call)))
     {
       requests_refuse (requests, call->request, BERYL_PROBLEM_KEY_MISMATCH,
                        BERYL_OUTCOME_NOT_RUN, 0,
--- a/libberyl/requests/claim_fold.c
+++ b/libberyl/requests/claim_fold.c
@@ -48,7 +48,7 @@
                   && claims + s->claims <= FOLD_CLAIMS_MAX
                   && (n == 0 || s->from == *to + 1);
 
-      if (!fits && n >= FOLD_SEGMENTS_MIN)
+      if (!fits && n >= shard->claims->settings.fold_segments)
         break;
       if (!fits)
         {
@@ -62,7 +62,7 @@
       claims += s->claims;
       n++;
     }
-  return n >= FOLD_SEGMENTS_MIN;
+  return n >= shard->claims->settings.fold_segments;
 }
 
 static char *
--- a/libberyl/requests/claim_private.h
+++ b/libberyl/requests/claim_private.h
@@ -15,8 +15,6 @@
 /** Claims in one folded segment; with 67 bytes each it stays below the
  * object API's limit of a megabyte. */
 #define FOLD_CLAIMS_MAX 8000
-/** Fewest segments that are worth folding. */
-#define FOLD_SEGMENTS_MIN 16
 
 /** A durable claim. */
 struct claim
--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #define SHARDS_DEFAULT 32
+#define FOLD_SEGMENTS_DEFAULT 16
 #define COMMIT_INTERVAL_DEFAULT_MS 200
 #define RETENTION_DEFAULT_MS 3600000
 #define DELETE_AFTER_DEFAULT_MS 600000
@@ -39,6 +40,8 @@
   snprintf (claims->node, sizeof claims->node, "%s", settings->node);
   if (claims->settings.shards == 0)
     claims->settings.shards = SHARDS_DEFAULT;
+  if (claims->settings.fold_segments == 0)
+    claims->settings.fold_segments = FOLD_SEGMENTS_DEFAULT;
   if (claims->settings.shards > BERYL_CLAIM_SHARDS_MAX)
     claims->settings.shards = BERYL_CLAIM_SHARDS_MAX;
   default_to (&claims->settings.commit_interval_ms,
--- a/libberyl/requests/private.h
+++ b/libberyl/requests/private.h
@@ -39,7 +39,7 @@
   struct record *next; /**< in the order in which they expire */
   struct map_key key;
   struct map_key id;
-  uint64_t body_hash;
+  uint64_t body_hash;    /**< 0: the key belongs to no request yet */
   struct answer *answer; /**< NULL: not kept */
   uint64_t reader;       /**< handle of who reads the answer; 0: nobody */
   int64_t expires_ms;
@@ -227,6 +227,7 @@
 /* records.c: keys, outcomes and kept answers */
 struct record *record_open (struct beryl_requests *requests,
                             const struct beryl_call *call, bool keyed);
+bool record_owned (const struct record *record);
 struct record *record_of_key (struct beryl_requests *requests,
                               const char *organisation, const char *key);
 void record_end (struct beryl_requests *requests, struct request *request,
--- a/libberyl/requests/records.c
+++ b/libberyl/requests/records.c
@@ -28,15 +28,27 @@
   return map_key_digest (scope, call->key);
 }
 
+/* A free key that was not granted to this node may belong to another node's
+ * call with another body: this node's record of a try says neither whether
+ * the key has run nor which request it belongs to. */
+bool
+record_owned (const struct record *record)
+{
+  return !record->free_key
+         || BERYL_GUARD (BERYL_GUARD_KEY_OWNED, record->claimed);
+}
+
 struct record *
 record_open (struct beryl_requests *requests, const struct beryl_call *call,
              bool keyed)
 {
   struct record *record = NULL;
+  bool existed;
 
   if (keyed)
     record = record_of_key (requests, call->organisation, call->key);
-  if (record == NULL)
+  existed = record != NULL;
+  if (!existed)
     {
       record = calloc (1, sizeof *record);
       if (record == NULL)
@@ -45,10 +57,7 @@
       record->free_key = call->key_kind == BERYL_KEY_FREE;
       record->expires_ms = BERYL_NEVER_MS;
       if (keyed)
-        {
-          record->key = record_key (call);
-          record->body_hash = call_body_hash (call);
-        }
+        record->key = record_key (call);
       if (keyed && !map_put (&requests->by_key, record->key, record))
         {
           free (record);
@@ -57,6 +66,8 @@
     }
   else
     map_remove (&requests->by_id, record->id);
+  if (keyed && !(existed && record_owned (record)))
+    record->body_hash = call_body_hash (call);
   record->outcome = BERYL_OUTCOME_PENDING;
   record->delivered = false;
   record->id = map_key_digest (call->organisation, call->request_id);
@@ -237,11 +248,7 @@
   if (record == NULL)
     record = record_of_key (requests, event->fetch.organisation,
                             event->fetch.request_id);
-  /* A try with a free key that was not granted to this node says nothing
-   * about the key, which may have run at another node. */
-  if (record != NULL && record->free_key
-      && record->outcome == BERYL_OUTCOME_NOT_RUN
-      && !BERYL_GUARD (BERYL_GUARD_FETCH_CLAIMED, record->claimed))
+  if (record != NULL && record->keyed && !record_owned (record))
     return NULL;
   return record;
 }
--- /dev/null
+++ b/tests/requests/mutant_table.c
@@ -0,0 +1,54 @@
+/* Prints the table of docs/mutants.md.  With a number of seeds it looks for
+ * the first seed that shows each guard's absence instead of the kept one. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "mutants.h"
+
+static void
+print_kept (int guard)
+{
+  const struct mutant *m = &mutants[guard];
+  struct history_verdict verdict = { .first = "" };
+
+  if (m->seed == 0)
+    {
+      printf ("| %d | %s | %s | session %s |\n", guard, m->name, m->guard,
+              m->session);
+      return;
+    }
+  mutant_run ((enum beryl_guard)guard, m->seed, &verdict);
+  printf ("| %d | %s | %s | seed %llu: %.40s |\n", guard, m->name, m->guard,
+          (unsigned long long)m->seed, verdict.first);
+}
+
+static void
+find (int guard, uint64_t seeds)
+{
+  struct history_verdict verdict;
+
+  for (uint64_t seed = 1; seed <= seeds; seed++)
+    if (!mutant_run ((enum beryl_guard)guard, seed, &verdict)
+        && mutant_run (BERYL_GUARD_NONE, seed, &verdict))
+      {
+        printf ("%s %llu\n", mutants[guard].name, (unsigned long long)seed);
+        return;
+      }
+  printf ("%s survives %llu seeds\n", mutants[guard].name,
+          (unsigned long long)seeds);
+}
+
+int
+main (int argc, char **argv)
+{
+  for (int guard = 1; guard < BERYL_GUARD_COUNT; guard++)
+    {
+      if (mutants[guard].name == NULL)
+        continue;
+      if (argc > 1)
+        find (guard, strtoull (argv[1], NULL, 10));
+      else
+        print_kept (guard);
+    }
+  return 0;
+}
--- a/tests/requests/world.h
+++ b/tests/requests/world.h
@@ -22,9 +22,13 @@
 #define JOBS_MAX 64
 #define TRIES_MAX 12
 #define TEXT_BYTES 96
-#define STREAMS_MAX 256
+#define STREAMS_MAX 64
 /** How long callers keep a discovery answer. */
 #define DISCOVERY_TTL_MS 1500
+/** How long a silent node stays a member. */
+#define SUSPICION_MS 1000
+/** Engine memory is free so long after its caller has gone. */
+#define RELEASE_MS 8000
 
 struct world;
 struct task;
@@ -76,6 +80,7 @@
   uint64_t key_incarnation;
   bool stream;
   bool patient; /**< does not leave by itself */
+  bool paired;  /**< shares its key's text with the job before or after */
   bool whole;   /**< the caller has the whole answer */
   struct try tries[TRIES_MAX];
   uint32_t try_count;
@@ -116,6 +121,7 @@
   uint32_t job;
   uint32_t attempt;
   uint64_t produced;
+  bool slow; /**< seconds between tokens */
   char text[TEXT_BYTES];
   uint64_t generation; /**< changes when it is used anew */
 };
@@ -141,6 +147,7 @@
   bool drained;
   int64_t leave_ms;
   int64_t paused_until_ms;
+  int64_t paused_from_ms;
   uint64_t incarnation;
   struct beryl_requests_owner requests_owner;
   struct beryl_claims_owner claims_owner;
@@ -165,6 +172,7 @@
   uint32_t cut_percent;     /**< of engine conversations */
   uint32_t reorder_percent; /**< of answer pieces */
   uint32_t leave_percent;   /**< of callers leave early */
+  bool free_keys;           /**< only letters, with free keys */
   bool crashes;
   bool endpoint_crashes;
   bool pauses;
@@ -230,6 +238,7 @@
 void node_free (struct node *node);
 
 /* world_act.c */
+int64_t world_flight_ms (struct world *world);
 extern const struct beryl_requests_owner_impl world_requests_impl;
 
 /* world_peer.c: between nodes */
@@ -253,6 +262,8 @@
 uint64_t endpoint_held (const struct world *world, uint32_t number,
                         uint64_t incarnation, uint64_t from, uint64_t to);
 void endpoint_note_held (struct world *world);
+void endpoint_note_held_for (struct world *world, uint32_t job,
+                             uint32_t attempt);
 void endpoint_resume_reading (struct world *world, uint32_t conversation);
 
 /* world_caller.c */
