--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -425,8 +425,8 @@
  * behind its back would be safe against running a key twice, but the home
  * would go on to believe that it knows every key, and in an outage it would
  * call a key "not run" that has run.  So it is asked again until it answers
- * or until the members have another home. */
-static void
+ * or until the members have another home.  Returns the place of the next. */
+static struct asked **
 ask_again (struct beryl_claims *claims, struct asked **at, int64_t now_ms)
 {
   struct asked *asked = *at;
@@ -435,11 +435,12 @@
   if (claims_is_home (claims, number))
     {
       claim_here (claims, at, now_ms);
-      return;
+      return at;
     }
   snprintf (asked->home, sizeof asked->home, "%s",
             beryl_claims_home (claims, number));
   asked_send (claims, asked, now_ms);
+  return &asked->next;
 }
 
 static struct shard *
@@ -510,14 +511,10 @@
 
   claims_note_time (claims, now_ms);
   while (*at != NULL)
-    {
-      struct asked *asked = *at;
-
-      if (now_ms >= asked->due_ms)
-        ask_again (claims, at, now_ms);
-      if (*at == asked)
-        at = &asked->next;
-    }
+    if (now_ms >= (*at)->due_ms)
+      at = ask_again (claims, at, now_ms);
+    else
+      at = &(*at)->next;
   for (uint32_t i = 0; i < claims->settings.shards; i++)
     {
       struct shard *shard = claims->shards[i];
