--- a/http/context.c
+++ b/http/context.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
-#define HEADER_BYTES 8192
+#define HEADER_BYTES 4096
 #define HEADER_POOL 8192
 #define SERVICE_BUFFER_BYTES 16384
 #define CLOSING_TURNS 10
