Mend what the sanitizers and the linter found

find_run sorted a shard without segments: qsort with a null pointer, which the undefined-behaviour sanitizer stops at (requests-history, peers). The lists of asked claims are now detached while they are walked, so that no entry is freed behind a pointer that is still used; clang-tidy could not tell the old form from a use after free.

--- a/libberyl/requests/claim_fold.c
+++ b/libberyl/requests/claim_fold.c
@@ -38,6 +38,8 @@
   uint32_t claims = 0;
   uint32_t n = 0;
 
+  if (shard->segment_count == 0)
+    return false;
   qsort (shard->segments, shard->segment_count, sizeof *shard->segments,
          compare_segments);
   for (size_t i = 0; i < shard->segment_count; i++)
--- a/libberyl/requests/claim_private.h
+++ b/libberyl/requests/claim_private.h
@@ -106,7 +106,7 @@
 struct asked
 {
   struct asked *next;
-  struct waiting waiting;
+  struct waiting *waiting;
   uint64_t id;
   char home[BERYL_NAME_BYTES];
   int64_t due_ms;
--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -56,20 +56,26 @@
   return NULL;
 }
 
+static struct waiting *
+asked_take (struct asked **at)
+{
+  struct asked *asked = *at;
+  struct waiting *waiting = asked->waiting;
+
+  *at = asked->next;
+  free (asked);
+  return waiting;
+}
+
 void
 beryl_claims_destroy (struct beryl_claims *claims)
 {
-  struct asked *asked;
-
   if (claims == NULL)
     return;
   for (uint32_t i = 0; i < claims->settings.shards; i++)
     shard_destroy (claims->shards[i]);
-  while ((asked = claims->asked) != NULL)
-    {
-      claims->asked = asked->next;
-      free (asked);
-    }
+  while (claims->asked != NULL)
+    free (asked_take (&claims->asked));
   map_clear (&claims->calls);
   free (claims->shards);
   free (claims->members);
@@ -254,10 +260,26 @@
   beryl_claims_tick (claims, now_ms);
 }
 
+static struct asked *
+asked_detach (struct beryl_claims *claims)
+{
+  struct asked *first = claims->asked;
+
+  claims->asked = NULL;
+  return first;
+}
+
+static void
+asked_attach (struct beryl_claims *claims, struct asked *asked)
+{
+  asked->next = claims->asked;
+  claims->asked = asked;
+}
+
 static void
 asked_send (struct beryl_claims *claims, struct asked *asked, int64_t now_ms)
 {
-  const struct waiting *waiting = &asked->waiting;
+  const struct waiting *waiting = asked->waiting;
   struct beryl_claim_message ask = {
     .type = BERYL_CLAIM_ASK,
     .id = asked->id,
@@ -282,12 +304,10 @@
       claims_answer (claims, waiting, BERYL_CLAIM_UNAVAILABLE, 0);
       return;
     }
-  asked->waiting = *waiting;
+  asked->waiting = waiting;
   asked->id = ++claims->last_ask;
   snprintf (asked->home, sizeof asked->home, "%s", home);
-  asked->next = claims->asked;
-  claims->asked = asked;
-  free (waiting);
+  asked_attach (claims, asked);
   asked_send (claims, asked, now_ms);
 }
 
@@ -319,22 +339,6 @@
                      now_ms);
 }
 
-static struct waiting *
-asked_take (struct beryl_claims *claims, struct asked **at)
-{
-  struct asked *asked = *at;
-  struct waiting *waiting = malloc (sizeof *waiting);
-
-  *at = asked->next;
-  if (waiting != NULL)
-    *waiting = asked->waiting;
-  else
-    claims->owner->impl->result (claims->owner, asked->waiting.id,
-                                 BERYL_CLAIM_UNAVAILABLE, 0);
-  free (asked);
-  return waiting;
-}
-
 static void
 on_reply (struct beryl_claims *claims,
           const struct beryl_claim_message *message)
@@ -346,9 +350,8 @@
     at = &(*at)->next;
   if (*at == NULL)
     return;
-  waiting = asked_take (claims, at);
-  if (waiting != NULL)
-    claims_answer (claims, waiting, message->result, message->incarnation);
+  waiting = asked_take (at);
+  claims_answer (claims, waiting, message->result, message->incarnation);
 }
 
 static void
@@ -399,48 +402,50 @@
 /* The home's process is gone.  Any node may write to any shard: the creation
  * only if absent is the fence, homes only keep the races rare. */
 static void
-claim_here (struct beryl_claims *claims, struct asked **at, int64_t now_ms)
+claim_here (struct beryl_claims *claims, struct asked *asked, int64_t now_ms)
 {
-  struct waiting *waiting = asked_take (claims, at);
+  struct waiting *waiting = asked->waiting;
 
-  if (waiting != NULL)
-    shard_ask (shard_of (claims, shard_number (claims, waiting->key)), waiting,
-               now_ms);
+  free (asked);
+  shard_ask (shard_of (claims, shard_number (claims, waiting->key)), waiting,
+             now_ms);
 }
 
 void
 beryl_claims_unreachable (struct beryl_claims *claims, const char *node,
                           int64_t now_ms)
 {
-  struct asked **at = &claims->asked;
+  struct asked *next;
 
-  while (*at != NULL)
-    if (strcmp ((*at)->home, node) == 0)
-      claim_here (claims, at, now_ms);
-    else
-      at = &(*at)->next;
+  for (struct asked *a = asked_detach (claims); a != NULL; a = next)
+    {
+      next = a->next;
+      if (strcmp (a->home, node) == 0)
+        claim_here (claims, a, now_ms);
+      else
+        asked_attach (claims, a);
+    }
 }
 
 /* The home does not answer, which may be due to the network only.  Writing
  * behind its back would be safe against running a key twice, but the home
  * would go on to believe that it knows every key, and in an outage it would
  * call a key "not run" that has run.  So it is asked again until it answers
- * or until the members have another home.  Returns the place of the next. */
-static struct asked **
-ask_again (struct beryl_claims *claims, struct asked **at, int64_t now_ms)
+ * or until the members have another home. */
+static void
+ask_again (struct beryl_claims *claims, struct asked *asked, int64_t now_ms)
 {
-  struct asked *asked = *at;
-  uint32_t number = shard_number (claims, asked->waiting.key);
+  uint32_t number = shard_number (claims, asked->waiting->key);
 
   if (claims_is_home (claims, number))
     {
-      claim_here (claims, at, now_ms);
-      return at;
+      claim_here (claims, asked, now_ms);
+      return;
     }
   snprintf (asked->home, sizeof asked->home, "%s",
             beryl_claims_home (claims, number));
+  asked_attach (claims, asked);
   asked_send (claims, asked, now_ms);
-  return &asked->next;
 }
 
 static struct shard *
@@ -507,14 +512,17 @@
 void
 beryl_claims_tick (struct beryl_claims *claims, int64_t now_ms)
 {
-  struct asked **at = &claims->asked;
+  struct asked *next;
 
   claims_note_time (claims, now_ms);
-  while (*at != NULL)
-    if (now_ms >= (*at)->due_ms)
-      at = ask_again (claims, at, now_ms);
-    else
-      at = &(*at)->next;
+  for (struct asked *a = asked_detach (claims); a != NULL; a = next)
+    {
+      next = a->next;
+      if (now_ms >= a->due_ms)
+        ask_again (claims, a, now_ms);
+      else
+        asked_attach (claims, a);
+    }
   for (uint32_t i = 0; i < claims->settings.shards; i++)
     {
       struct shard *shard = claims->shards[i];
--- a/tests/control/cluster.c
+++ b/tests/control/cluster.c
@@ -298,11 +298,7 @@
 cluster_until_suspected (struct cluster *c, int i, int64_t limit_ms)
 {
   int64_t start_ms = cluster_now_ms (c);
-  int up = -1;
 
-  for (int j = 0; j < c->node_count; j++)
-    up += !c->nodes[j].down;
-  up += c->nodes[i].down;
   while (cluster_seen_as (c, i, BERYL_MEMBER_ALIVE) > 0
          && cluster_now_ms (c) - start_ms < limit_ms)
     cluster_run (c, 50);
--- a/tests/control/sim.c
+++ b/tests/control/sim.c
@@ -105,7 +105,9 @@
   struct entry top = sim->heap[0];
   size_t i = 0;
 
-  sim->heap[0] = sim->heap[--sim->count];
+  sim->count--;
+  sim->heap[0] = sim->heap[sim->count];
+  sim->heap[sim->count].data = NULL;
   for (;;)
     {
       size_t child = 2 * i + 1;
--- a/tests/control/test_spread.c
+++ b/tests/control/test_spread.c
@@ -703,14 +703,16 @@
 
 START_TEST (malformed_entries_change_nothing)
 {
+  static const char bad_object[]
+      = "{\"version\":1,\"changes\":[{\"kind\":\"a\",\"name\":\"b\","
+        "\"source\":1,\"object\":5}]}";
   static const char *const bad[]
       = { "",
           "[]",
           "{}",
           "{\"version\":1}",
           "{\"version\":1,\"changes\":[{\"kind\":\"a\"}]}",
-          "{\"version\":1,\"changes\":[{\"kind\":\"a\",\"name\":\"b\","
-          "\"source\":1,\"object\":5}]}" };
+          bad_object };
   struct beryl_spread *s = beryl_spread_create ();
   struct beryl_error error = { 0 };
 
