A full decode engine is asked again while the KV cache lives

A decode that is refused has not run, so asking again is no second run, also of a verdict; giving up wasted the prefill and told a verdict's caller "unknown". The same engine is asked again after the time it names, within 600 ms of the prefill's end (the cache lives for less than a second). An expired cache still ends in a new plan or in "unknown".

The claim log's asking of other homes is a file of its own.

--- a/libberyl/requests/admit.c
+++ b/libberyl/requests/admit.c
@@ -23,6 +23,7 @@
       return NULL;
     }
   request->slow_since_ms = BERYL_NEVER_MS;
+  request->decode_at_ms = BERYL_NEVER_MS;
   request->previous = requests->last;
   if (requests->last != NULL)
     requests->last->next = request;
--- a/libberyl/requests/answer.c
+++ b/libberyl/requests/answer.c
@@ -186,7 +186,8 @@
 static enum beryl_outcome
 request_outcome (const struct request *request)
 {
-  if (request->begun || request->exchange != NULL)
+  if (request->begun || request->exchange != NULL
+      || request->phase == PHASE_DECODE)
     return BERYL_OUTCOME_UNKNOWN;
   /* Whether another node has run the key is only known with its claim. */
   if (request->phase == PHASE_CLAIM)
--- a/libberyl/requests/attempt.c
+++ b/libberyl/requests/attempt.c
@@ -6,6 +6,10 @@
 
 /* Cuts between us and an engine that one attempt survives. */
 #define RESUMES_MAX 2
+/* A decode engine that is full is asked again while the KV cache lives, which
+ * is less than a second: the prefill would be wasted otherwise. */
+#define DECODE_PATIENCE_MS 600
+#define DECODE_AGAIN_MIN_MS 50
 /* Times that endpoints may turn a request away before the caller hears. */
 #define REFUSALS_MAX 4
 
@@ -114,6 +118,7 @@
   request->kv_handle[0] = '\0';
   request->resumes = 0;
   request->first_token_seen = false;
+  request->decode_at_ms = BERYL_NEVER_MS;
   request->unsettled = false;
   if (!hold_record (requests, request->prefill, request->stream)
       || !attempt_start (requests, request, BERYL_ACTION_PREFILL,
@@ -121,18 +126,19 @@
     attempt_out_of_memory (requests, request, now_ms);
 }
 
-static void
+void
 attempt_decode (struct beryl_requests *requests, struct request *request,
                 int64_t now_ms)
 {
   request->phase = PHASE_DECODE;
+  request->decode_at_ms = BERYL_NEVER_MS;
   if (!hold_record (requests, request->decode, request->stream)
       || !attempt_start (requests, request, BERYL_ACTION_DECODE,
                          request->decode))
     attempt_out_of_memory (requests, request, now_ms);
 }
 
-static void
+void
 attempt_release (struct beryl_requests *requests, struct request *request,
                  enum beryl_release how, const char *endpoint, int64_t now_ms)
 {
@@ -210,7 +216,7 @@
 }
 
 /* An attempt ended without an answer. */
-static void
+void
 attempt_failed (struct beryl_requests *requests, struct request *request,
                 enum beryl_outcome outcome, bool refused, const char *endpoint,
                 int64_t retry_after_ms, int64_t now_ms)
@@ -240,7 +246,7 @@
 }
 
 /* Asks the same engine for the rest of the same continuation. */
-static bool
+bool
 attempt_resume (struct beryl_requests *requests, struct request *request,
                 bool sent, int64_t now_ms)
 {
@@ -255,226 +261,25 @@
   return true;
 }
 
-static void
-on_forward_failed (struct beryl_requests *requests, struct request *request,
-                   const char *reason, int64_t now_ms)
-{
-  exchange_close (requests, request);
-  request_fail_as (requests, request, BERYL_PROBLEM_KEY_UNKNOWN,
-                   BERYL_OUTCOME_UNKNOWN, 1000,
-                   reason != NULL ? reason : "the key's node is away", now_ms);
-}
-
-static void
-on_failed (struct beryl_requests *requests, struct request *request, bool sent,
-           const char *reason, int64_t now_ms)
-{
-  enum beryl_outcome outcome
-      = sent ? BERYL_OUTCOME_UNKNOWN : BERYL_OUTCOME_NOT_RUN;
-  const char *endpoint
-      = request->phase == PHASE_PREFILL ? request->prefill : request->decode;
-
-  request->unsettled |= sent;
-  if (request->phase == PHASE_FORWARD)
-    {
-      on_forward_failed (requests, request, reason, now_ms);
-      return;
-    }
-  if (attempt_resume (requests, request, sent, now_ms))
-    return;
-  if (request->phase == PHASE_DECODE)
-    outcome = BERYL_OUTCOME_UNKNOWN;
-  if (request->phase == PHASE_PREFILL && !sent)
-    hold_end (requests, request->prefill, request->stream);
-  exchange_close (requests, request);
-  attempt_failed (requests, request, outcome, false, endpoint, 0, now_ms);
-}
-
-/* The endpoint says that it did not run it.  Of a model's call the prefill
- * has run when a decode is refused, so that the whole is no longer surely
- * "not run". */
-static void
-on_refused (struct beryl_requests *requests, struct request *request,
-            int64_t retry_after_ms, int64_t now_ms)
+/* Tries the same decode once more a little later; false if that is no use.
+ * The engine has said that it did not run, so that this is no second run,
+ * also of a call that may run only once. */
+bool
+attempt_decode_later (struct beryl_requests *requests, struct request *request,
+                      int64_t retry_after_ms, int64_t now_ms)
 {
-  enum beryl_outcome outcome = BERYL_OUTCOME_NOT_RUN;
-  const char *endpoint
-      = request->phase == PHASE_PREFILL ? request->prefill : request->decode;
+  int64_t at_ms = now_ms + retry_after_ms;
 
-  if (request->phase == PHASE_DECODE)
-    outcome = BERYL_OUTCOME_UNKNOWN;
-  if (request->phase == PHASE_PREFILL)
-    hold_end (requests, request->prefill, request->stream);
-  if (request->phase == PHASE_DECODE && request->resumes == 0
-      && strcmp (request->prefill, request->decode) != 0)
-    hold_end (requests, request->decode, request->stream);
-  exchange_close (requests, request);
-  attempt_failed (requests, request, outcome, true, endpoint, retry_after_ms,
-                  now_ms);
-}
-
-static void
-on_head (struct request *request, const struct beryl_event *event)
-{
-  struct answer *answer = &request->answer;
-  const char *type = event->head.content_type;
-
-  answer->status = event->head.status;
-  snprintf (answer->content_type, sizeof answer->content_type, "%s",
-            type != NULL ? type : "");
-}
-
-static void
-on_prefill_done (struct beryl_requests *requests, struct request *request,
-                 const struct beryl_event *event, int64_t now_ms)
-{
-  if (request->phase != PHASE_PREFILL)
-    return;
+  if (retry_after_ms <= 0 || request->resumes > 0 || request->begun)
+    return false;
+  if (at_ms < now_ms + DECODE_AGAIN_MIN_MS)
+    at_ms = now_ms + DECODE_AGAIN_MIN_MS;
+  if (at_ms > request->prefilled_ms + DECODE_PATIENCE_MS
+      || at_ms >= request->call.deadline_ms)
+    return false;
   exchange_close (requests, request);
-  snprintf (request->kv_handle, sizeof request->kv_handle, "%s",
-            event->prefill.kv_handle != NULL ? event->prefill.kv_handle : "");
-  beryl_router_prefill_done (requests->router, request->ticket,
-                             event->prefill.cached_tokens,
-                             event->prefill.kv_bytes, now_ms);
-  attempt_decode (requests, request, now_ms);
-}
-
-/* The decode engine has imported the KV cache; its export need not wait for
- * its expiry. */
-static void
-release_export (struct beryl_requests *requests, struct request *request,
-                int64_t now_ms)
-{
-  if (request->stream.counter != 0
-      && strcmp (request->prefill, request->decode) != 0)
-    hold_cancel (requests, request->prefill, request->stream, false, now_ms);
-}
-
-struct delivery
-{
-  struct beryl_requests *requests;
-  struct request *request;
-  int64_t now_ms;
-};
-
-static void
-deliver_piece (void *data, const void *bytes, size_t bytes_count,
-               uint32_t tokens)
-{
-  struct delivery *d = data;
-
-  request_deliver (d->requests, d->request, bytes, bytes_count, tokens,
-                   d->now_ms);
-}
-
-static void
-note_tokens (struct beryl_requests *requests, struct request *request,
-             uint32_t tokens, int64_t now_ms)
-{
-  if (request->phase != PHASE_DECODE)
-    return;
-  if (!request->first_token_seen)
-    {
-      request->first_token_seen = true;
-      beryl_router_first_token (requests->router, request->ticket, now_ms);
-      release_export (requests, request, now_ms);
-    }
-  if (tokens > 0)
-    beryl_router_tokens (requests->router, request->ticket, tokens, now_ms);
-}
-
-static void
-on_data (struct beryl_requests *requests, struct exchange *exchange,
-         const struct beryl_event *event, int64_t now_ms)
-{
-  struct request *request = exchange->request;
-  struct delivery delivery = { requests, request, now_ms };
-  uint32_t attempt = event->data.attempt;
-
-  /* An engine that resumes a stream may still flush bytes of the attempt
-   * before it; their offsets are not those of this one. */
-  if (!BERYL_GUARD (BERYL_GUARD_ATTEMPT,
-                    attempt == 0 || attempt == exchange->attempt))
-    return;
-  note_tokens (requests, request, event->data.tokens, now_ms);
-  if (!reassembly_add (&request->reassembly, event->data.offset,
-                       event->data.bytes, event->data.bytes_count,
-                       event->data.tokens, deliver_piece, &delivery))
-    attempt_failed (requests, request, BERYL_OUTCOME_UNKNOWN, false,
-                    request->decode, 0, now_ms);
-}
-
-static void
-on_end (struct beryl_requests *requests, struct request *request,
-        const struct beryl_event *event, int64_t now_ms)
-{
-  struct answer *answer = &request->answer;
-  uint64_t whole = event->end.answer_bytes;
-  bool sized = whole != 0 || request->phase == PHASE_DECODE;
-
-  /* An end before all bytes are there would pass a part for the whole; it
-   * is a cut, and the rest is asked for. */
-  if (!BERYL_GUARD (BERYL_GUARD_WHOLE,
-                    !sized || request->reassembly.next == whole))
-    {
-      on_failed (requests, request, true, "bytes are missing", now_ms);
-      return;
-    }
-  if (event->end.finish_reason != NULL)
-    snprintf (answer->finish_reason, sizeof answer->finish_reason, "%s",
-              event->end.finish_reason);
-  release_export (requests, request, now_ms);
-  if (request->phase == PHASE_DECODE)
+  if (strcmp (request->prefill, request->decode) != 0)
     hold_end (requests, request->decode, request->stream);
-  exchange_close (requests, request);
-  attempt_release (requests, request, BERYL_RELEASE_DONE, NULL, now_ms);
-  request_answered (requests, request, now_ms);
-}
-
-static void
-on_forward_error (struct beryl_requests *requests, struct request *request,
-                  const struct beryl_event *event, int64_t now_ms)
-{
-  if (request->phase != PHASE_FORWARD)
-    return;
-  exchange_close (requests, request);
-  request_fail_as (requests, request, event->forward_error.problem,
-                   event->forward_error.outcome,
-                   event->forward_error.retry_after_ms,
-                   event->forward_error.detail, now_ms);
-}
-
-void
-attempt_event (struct beryl_requests *requests, struct exchange *exchange,
-               const struct beryl_event *event, int64_t now_ms)
-{
-  struct request *request = exchange->request;
-
-  switch (event->type)
-    {
-    case BERYL_EVENT_EXCHANGE_REFUSED:
-      on_refused (requests, request, event->refused.retry_after_ms, now_ms);
-      return;
-    case BERYL_EVENT_EXCHANGE_HEAD:
-      on_head (request, event);
-      return;
-    case BERYL_EVENT_PREFILL_DONE:
-      on_prefill_done (requests, request, event, now_ms);
-      return;
-    case BERYL_EVENT_EXCHANGE_DATA:
-      on_data (requests, exchange, event, now_ms);
-      return;
-    case BERYL_EVENT_EXCHANGE_END:
-      on_end (requests, request, event, now_ms);
-      return;
-    case BERYL_EVENT_EXCHANGE_FAILED:
-      on_failed (requests, request, event->failed.sent, event->failed.reason,
-                 now_ms);
-      return;
-    case BERYL_EVENT_FORWARD_ERROR:
-      on_forward_error (requests, request, event, now_ms);
-      return;
-    default: /* EXCHANGE_SENT: the outcome does not depend on it */
-      return;
-    }
+  request->decode_at_ms = at_ms;
+  return true;
 }
--- a/libberyl/requests/claim_private.h
+++ b/libberyl/requests/claim_private.h
@@ -177,7 +177,19 @@
                       int64_t now_ms);
 int64_t fold_next_ms (const struct shard *shard);
 
+/* claim_ask.c */
+void ask_home (struct beryl_claims *claims, struct waiting *waiting,
+               const char *home, int64_t now_ms);
+void ask_on_reply (struct beryl_claims *claims,
+                   const struct beryl_claim_message *message);
+void ask_clear (struct beryl_claims *claims);
+void ask_step (struct beryl_claims *claims, int64_t now_ms);
+
 /* claims.c */
+struct shard *claims_shard (struct beryl_claims *claims, uint32_t number);
+uint32_t claims_shard_number (const struct beryl_claims *claims,
+                              struct map_key key);
+
 uint64_t claims_call (struct beryl_claims *claims, struct shard *shard);
 void claims_nonce (struct beryl_claims *claims, char nonce[33]);
 void claims_answer (struct beryl_claims *claims, struct waiting *waiting,
--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -56,17 +56,6 @@
   return NULL;
 }
 
-static struct waiting *
-asked_take (struct asked **at)
-{
-  struct asked *asked = *at;
-  struct waiting *waiting = asked->waiting;
-
-  *at = asked->next;
-  free (asked);
-  return waiting;
-}
-
 void
 beryl_claims_destroy (struct beryl_claims *claims)
 {
@@ -74,8 +63,7 @@
     return;
   for (uint32_t i = 0; i < claims->settings.shards; i++)
     shard_destroy (claims->shards[i]);
-  while (claims->asked != NULL)
-    free (asked_take (&claims->asked));
+  ask_clear (claims);
   map_clear (&claims->calls);
   free (claims->shards);
   free (claims->members);
@@ -182,16 +170,16 @@
   free (waiting);
 }
 
-static struct shard *
-shard_of (struct beryl_claims *claims, uint32_t number)
+struct shard *
+claims_shard (struct beryl_claims *claims, uint32_t number)
 {
   if (claims->shards[number] == NULL)
     claims->shards[number] = shard_create (claims, number);
   return claims->shards[number];
 }
 
-static uint32_t
-shard_number (const struct beryl_claims *claims, struct map_key key)
+uint32_t
+claims_shard_number (const struct beryl_claims *claims, struct map_key key)
 {
   return (uint32_t)(key.low % claims->settings.shards);
 }
@@ -260,57 +248,6 @@
   beryl_claims_tick (claims, now_ms);
 }
 
-static struct asked *
-asked_detach (struct beryl_claims *claims)
-{
-  struct asked *first = claims->asked;
-
-  claims->asked = NULL;
-  return first;
-}
-
-static void
-asked_attach (struct beryl_claims *claims, struct asked *asked)
-{
-  asked->next = claims->asked;
-  claims->asked = asked;
-}
-
-static void
-asked_send (struct beryl_claims *claims, struct asked *asked, int64_t now_ms)
-{
-  const struct waiting *waiting = asked->waiting;
-  struct beryl_claim_message ask = {
-    .type = BERYL_CLAIM_ASK,
-    .id = asked->id,
-    .key_high = waiting->key.high,
-    .key_low = waiting->key.low,
-    .body_hash = waiting->body_hash,
-    .incarnation = waiting->incarnation,
-  };
-
-  asked->due_ms = now_ms + claims->settings.ask_timeout_ms;
-  claims->owner->impl->send (claims->owner, asked->home, &ask);
-}
-
-static void
-claims_ask_home (struct beryl_claims *claims, struct waiting *waiting,
-                 const char *home, int64_t now_ms)
-{
-  struct asked *asked = calloc (1, sizeof *asked);
-
-  if (asked == NULL)
-    {
-      claims_answer (claims, waiting, BERYL_CLAIM_UNAVAILABLE, 0);
-      return;
-    }
-  asked->waiting = waiting;
-  asked->id = ++claims->last_ask;
-  snprintf (asked->home, sizeof asked->home, "%s", home);
-  asked_attach (claims, asked);
-  asked_send (claims, asked, now_ms);
-}
-
 void
 beryl_claims_claim (struct beryl_claims *claims, uint64_t request,
                     const char *organisation, const char *key,
@@ -329,29 +266,13 @@
   waiting->body_hash = body_hash;
   waiting->incarnation = claims->settings.incarnation;
   waiting->id = request;
-  number = shard_number (claims, waiting->key);
+  number = claims_shard_number (claims, waiting->key);
   if (claims_is_alone (claims))
     claims_answer (claims, waiting, BERYL_CLAIM_UNKNOWN, 0);
   else if (claims_is_home (claims, number))
-    shard_ask (shard_of (claims, number), waiting, now_ms);
+    shard_ask (claims_shard (claims, number), waiting, now_ms);
   else
-    claims_ask_home (claims, waiting, beryl_claims_home (claims, number),
-                     now_ms);
-}
-
-static void
-on_reply (struct beryl_claims *claims,
-          const struct beryl_claim_message *message)
-{
-  struct asked **at = &claims->asked;
-  struct waiting *waiting;
-
-  while (*at != NULL && (*at)->id != message->id)
-    at = &(*at)->next;
-  if (*at == NULL)
-    return;
-  waiting = asked_take (at);
-  claims_answer (claims, waiting, message->result, message->incarnation);
+    ask_home (claims, waiting, beryl_claims_home (claims, number), now_ms);
 }
 
 static void
@@ -368,8 +289,8 @@
   waiting->id = message->id;
   waiting->remote = true;
   snprintf (waiting->node, sizeof waiting->node, "%s", node);
-  shard_ask (shard_of (claims, shard_number (claims, waiting->key)), waiting,
-             now_ms);
+  shard_ask (claims_shard (claims, claims_shard_number (claims, waiting->key)),
+             waiting, now_ms);
 }
 
 /* A process that was stopped may have lost its shards to another home
@@ -394,60 +315,11 @@
 {
   claims_note_time (claims, now_ms);
   if (message->type == BERYL_CLAIM_REPLY)
-    on_reply (claims, message);
+    ask_on_reply (claims, message);
   else
     on_ask (claims, node, message, now_ms);
 }
 
-/* The home's process is gone.  Any node may write to any shard: the creation
- * only if absent is the fence, homes only keep the races rare. */
-static void
-claim_here (struct beryl_claims *claims, struct asked *asked, int64_t now_ms)
-{
-  struct waiting *waiting = asked->waiting;
-
-  free (asked);
-  shard_ask (shard_of (claims, shard_number (claims, waiting->key)), waiting,
-             now_ms);
-}
-
-void
-beryl_claims_unreachable (struct beryl_claims *claims, const char *node,
-                          int64_t now_ms)
-{
-  struct asked *next;
-
-  for (struct asked *a = asked_detach (claims); a != NULL; a = next)
-    {
-      next = a->next;
-      if (strcmp (a->home, node) == 0)
-        claim_here (claims, a, now_ms);
-      else
-        asked_attach (claims, a);
-    }
-}
-
-/* The home does not answer, which may be due to the network only.  Writing
- * behind its back would be safe against running a key twice, but the home
- * would go on to believe that it knows every key, and in an outage it would
- * call a key "not run" that has run.  So it is asked again until it answers
- * or until the members have another home. */
-static void
-ask_again (struct beryl_claims *claims, struct asked *asked, int64_t now_ms)
-{
-  uint32_t number = shard_number (claims, asked->waiting->key);
-
-  if (claims_is_home (claims, number))
-    {
-      claim_here (claims, asked, now_ms);
-      return;
-    }
-  snprintf (asked->home, sizeof asked->home, "%s",
-            beryl_claims_home (claims, number));
-  asked_attach (claims, asked);
-  asked_send (claims, asked, now_ms);
-}
-
 static struct shard *
 call_take (struct beryl_claims *claims, uint64_t call)
 {
@@ -504,7 +376,7 @@
       if ((shard != NULL && (shard->read || now_ms < shard->next_ms))
           || !claims_is_home (claims, i))
         continue;
-      shard_load (shard_of (claims, i), now_ms);
+      shard_load (claims_shard (claims, i), now_ms);
       return;
     }
 }
@@ -512,17 +384,8 @@
 void
 beryl_claims_tick (struct beryl_claims *claims, int64_t now_ms)
 {
-  struct asked *next;
-
   claims_note_time (claims, now_ms);
-  for (struct asked *a = asked_detach (claims); a != NULL; a = next)
-    {
-      next = a->next;
-      if (now_ms >= a->due_ms)
-        ask_again (claims, a, now_ms);
-      else
-        asked_attach (claims, a);
-    }
+  ask_step (claims, now_ms);
   for (uint32_t i = 0; i < claims->settings.shards; i++)
     {
       struct shard *shard = claims->shards[i];
--- a/libberyl/requests/private.h
+++ b/libberyl/requests/private.h
@@ -118,6 +118,8 @@
   bool first_token_seen;
   bool unsettled; /**< a call to an engine was cut: it may still arrive */
   int64_t retry_at_ms;
+  int64_t prefilled_ms;
+  int64_t decode_at_ms; /**< when a full engine is asked again */
   char excluded[ENDPOINT_EXCLUDED_MAX][BERYL_NAME_BYTES];
   uint32_t excluded_count;
 
@@ -191,6 +193,22 @@
 void attempt_stop (struct beryl_requests *requests, struct request *request,
                    enum beryl_release how, const char *endpoint,
                    int64_t now_ms);
+void attempt_decode (struct beryl_requests *requests, struct request *request,
+                     int64_t now_ms);
+bool attempt_decode_later (struct beryl_requests *requests,
+                           struct request *request, int64_t retry_after_ms,
+                           int64_t now_ms);
+bool attempt_resume (struct beryl_requests *requests, struct request *request,
+                     bool sent, int64_t now_ms);
+void attempt_failed (struct beryl_requests *requests, struct request *request,
+                     enum beryl_outcome outcome, bool refused,
+                     const char *endpoint, int64_t retry_after_ms,
+                     int64_t now_ms);
+void attempt_release (struct beryl_requests *requests, struct request *request,
+                      enum beryl_release how, const char *endpoint,
+                      int64_t now_ms);
+
+/* attempt_event.c */
 void attempt_event (struct beryl_requests *requests, struct exchange *exchange,
                     const struct beryl_event *event, int64_t now_ms);
 void attempt_pause (struct beryl_requests *requests, struct request *request,
--- a/libberyl/requests/requests.c
+++ b/libberyl/requests/requests.c
@@ -120,6 +120,8 @@
                       >= requests->settings.slow_reader_ms)
         request_fail (requests, request, BERYL_PROBLEM_DEADLINE, 0,
                       "caller does not read its answer", now_ms);
+      else if (now_ms >= request->decode_at_ms)
+        attempt_decode (requests, request, now_ms);
     }
 }
 
@@ -234,6 +236,7 @@
   for (const struct request *r = requests->first; r != NULL; r = r->next)
     {
       next_ms = earlier (next_ms, r->call.deadline_ms);
+      next_ms = earlier (next_ms, r->decode_at_ms);
       if (r->phase == PHASE_PLAN)
         {
           next_ms = earlier (next_ms, r->retry_at_ms);
--- a/tests/requests/mutants.c
+++ b/tests/requests/mutants.c
@@ -30,19 +30,19 @@
   [BERYL_GUARD_HOLD_FIRST]
   = { "HOLD_FIRST", "a hold is recorded before it is made", 1 },
   [BERYL_GUARD_CANCEL_GONE]
-  = { "CANCEL_GONE", "a gone caller's holds are cancelled", 10 },
+  = { "CANCEL_GONE", "a gone caller's holds are cancelled", 3 },
   [BERYL_GUARD_CANCEL_REPEAT]
   = { "CANCEL_REPEAT", "a cancel is repeated until confirmed", 7 },
   [BERYL_GUARD_CANCEL_SETTLE]
-  = { "CANCEL_SETTLE", "an early confirmation is not final", 63 },
+  = { "CANCEL_SETTLE", "an early confirmation is not final", 47 },
   [BERYL_GUARD_DRAIN_WAIT]
   = { "DRAIN_WAIT", "a planned stop waits for open requests", 1 },
   [BERYL_GUARD_CLAIM_FIRST]
   = { "CLAIM_FIRST", "no byte goes out before the claim", 1 },
   [BERYL_GUARD_CLAIM_CREATE]
-  = { "CLAIM_CREATE", "a segment is created only if absent", 13 },
+  = { "CLAIM_CREATE", "a segment is created only if absent", 41 },
   [BERYL_GUARD_CLAIM_NONCE]
-  = { "CLAIM_NONCE", "a lost reply is settled by reading back", 158 },
+  = { "CLAIM_NONCE", "a lost reply is settled by reading back", 1229 },
   [BERYL_GUARD_CLAIM_REREAD]
   = { "CLAIM_REREAD", "who lost a race reads before it writes", 41 },
   [BERYL_GUARD_CLAIM_OUTAGE]
@@ -57,7 +57,7 @@
   = { "FORWARDED_KEY", "a forwarded free key is never run anew", 0,
       "free_key_forwarded_here.txt" },
   [BERYL_GUARD_CHECKPOINT_WHOLE]
-  = { "CHECKPOINT_WHOLE", "segments go only after they are folded", 1487 },
+  = { "CHECKPOINT_WHOLE", "segments go only after they are folded", 3158 },
   [BERYL_GUARD_WAKE_REST]
   = { "WAKE_REST", "a woken process reads before it plans", 25 },
   [BERYL_GUARD_DEATH_HEARD]
