Silent and slow connections end; long waits for an answer do not

Cause: connections that said nothing, half a head, or half a body were kept for 20 s, the library's limit of the whole context, whatever the settings said; and the same limit ended a client's call that waited longer for its answer, as a long prefill may. Change: each server limits silence, head and body by header_timeout_s; the library's limit no longer ends calls, which have limits of their own. Conclusion: bounded where callers are slow, patient where engines are.

--- a/http/context.c
+++ b/http/context.c
@@ -6,6 +6,7 @@
 #define HEADER_BYTES 4096
 #define HEADER_POOL 8192
 #define SERVICE_BUFFER_BYTES 16384
+#define LIBRARY_TIMEOUT_S 86400
 #define CLOSING_TURNS 10
 
 static void
@@ -38,6 +39,9 @@
   info.max_http_header_pool = HEADER_POOL;
   info.pt_serv_buf_size = SERVICE_BUFFER_BYTES;
   info.user = context;
+  /* The library would end a client's call that waits longer than this for
+   * its answer, 20 s by default; each call has a limit of its own. */
+  info.timeout_secs = LIBRARY_TIMEOUT_S;
   context->loop = loop;
   context->lws = lws_create_context (&info);
   if (context->lws == NULL)
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -105,6 +105,7 @@
 
   ex->server = server;
   ex->wsi = wsi;
+  ex->begun_ms = loop_now_ms (server->context->loop);
   ex->headers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ex->body = g_byte_array_new ();
--- a/http/server.c
+++ b/http/server.c
@@ -145,6 +145,12 @@
 
   switch (reason)
     {
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+      /* The library's own limit for a connection that says nothing is that
+       * of the whole context, which must suit long calls of clients too. */
+      lws_set_timeout (wsi, PENDING_TIMEOUT_USER_REASON_BASE,
+                       (int)server_of (wsi)->settings.header_timeout_s);
+      return 0;
     case LWS_CALLBACK_HTTP:
       return request_head (session, wsi);
     case LWS_CALLBACK_HTTP_BODY:
@@ -167,6 +173,15 @@
     }
 }
 
+/* A body that comes slowly or never would hold its buffer for ever. */
+static bool
+is_too_slow (const struct http_exchange *ex, int64_t now_ms)
+{
+  return ex->state == EXCHANGE_RECEIVING
+         && now_ms - ex->begun_ms
+                > (int64_t)ex->server->settings.header_timeout_s * 1000;
+}
+
 /* Closes the exchanges whose caller has closed or reset its connection, which
  * libwebsockets does not notice before the answer is written; a half-close
  * counts as leaving. */
@@ -178,6 +193,7 @@
   struct pollfd *fds;
   struct lws **gone;
   guint gone_count = 0;
+  int64_t now_ms = loop_now_ms (server->context->loop);
 
   if (n == 0)
     return;
@@ -188,6 +204,8 @@
       struct http_exchange *ex = g_ptr_array_index (server->exchanges, i);
 
       fds[i].fd = -1;
+      if (is_too_slow (ex, now_ms))
+        gone[gone_count++] = ex->wsi;
       if (ex->multiplexed || ex->state == EXCHANGE_RECEIVING)
         continue;
       fds[i].fd = lws_get_socket_fd (ex->wsi);
@@ -238,6 +256,8 @@
   server->handler = handler;
   server->exchanges = g_ptr_array_new ();
   server->settings = *settings;
+  if (settings->header_timeout_s == 0)
+    server->settings.header_timeout_s = DEFAULT_HEADER_TIMEOUT_S;
   server->address = g_strdup (settings->address);
   server->cert_file = g_strdup (settings->tls_cert_file);
   server->key_file = g_strdup (settings->tls_key_file);
@@ -249,9 +269,7 @@
   info.iface = server->address;
   info.protocols = server->protocols;
   info.user = server;
-  info.timeout_secs = settings->header_timeout_s != 0
-                          ? settings->header_timeout_s
-                          : DEFAULT_HEADER_TIMEOUT_S;
+  info.timeout_secs_ah_idle = server->settings.header_timeout_s;
   info.keepalive_timeout = 30;
   info.options = LWS_SERVER_OPTION_LIBUV;
   if (server->cert_file != NULL)
--- a/http/server_private.h
+++ b/http/server_private.h
@@ -39,6 +39,7 @@
   void *user;
   guint position; /* in the server's exchanges */
   enum exchange_state state;
+  int64_t begun_ms; /* its head had arrived */
   char method[16];
   char *path;
   char *query;
