Planner's task: polls, demand, orders with the fencing number, drains

Orders go out right after a look at the lease; engines that ignore the fencing number get them only once the former holder's must have arrived. An engine is unloaded only after all nodes heard that it takes no new work and it says that it is idle: unloading it in the middle of streams would cut off their callers. Services of which no demand was reported are left alone. Off by default (setting planner).

--- a/controld/accept_task.c
+++ b/controld/accept_task.c
@@ -45,6 +45,9 @@
   struct beryl_acceptor *acceptor;
   struct watch watches[G_N_ELEMENTS (kinds)];
   uint64_t instance_watch;
+  uint64_t drain_watch;
+  bool drains_known;
+  GHashTable *drained; /* endpoints that the planner drains */
   struct checkpoint *checkpoint;
   uint64_t request; /* write or read-back under way; 0: none */
   char *entry;      /* being created */
@@ -54,8 +57,9 @@
   struct loop_timer *retry;
   struct beryl_instance *list;
   size_t list_count;
-  int64_t list_ms;     /* when it was read; 0: never */
-  GHashTable *leaving; /* endpoint name to the last time it was leaving */
+  uint64_t list_revision; /* 0: not read yet */
+  int64_t list_ms;        /* when it was read; 0: never */
+  GHashTable *leaving;    /* endpoint name to the last time it was leaving */
 };
 
 static void accept_propose (struct accept_task *task);
@@ -276,6 +280,17 @@
 static const struct platform_watch_callbacks watch_callbacks
     = { .event = watch_event, .synced = watch_synced };
 
+/* Facts may go only once both their sources are known: an acceptor that has
+ * just taken over would take drained engines back for a moment. */
+static void
+facts_synced (struct accept_task *task)
+{
+  if (task->drains_known && task->list_revision != 0)
+    beryl_acceptor_synced (task->acceptor, BERYL_INSTANCE_KIND,
+                           task->list_revision);
+  accept_propose (task);
+}
+
 static void
 leaving_observe (struct accept_task *task, const char *name, uint64_t revision)
 {
@@ -301,8 +316,8 @@
   for (size_t i = 0; i < count; i++)
     if (!items[i].entry && items[i].leaving)
       leaving_observe (task, items[i].name, revision);
-  beryl_acceptor_synced (task->acceptor, BERYL_INSTANCE_KIND, revision);
-  accept_propose (task);
+  task->list_revision = revision;
+  facts_synced (task);
 }
 
 static void
@@ -317,9 +332,45 @@
 static const struct platform_watch_callbacks instance_callbacks
     = { .instances = instances_changed, .synced = instances_synced };
 
+/* The planner's own word does not flap; its end counts at once. */
+static void
+drain_event (void *user, const struct beryl_platform_event *event)
+{
+  struct accept_task *task = user;
+  const char *name = event->object.name;
+
+  if (event->deleted)
+    {
+      int64_t *seen_ms = g_hash_table_lookup (task->leaving, name);
+
+      g_hash_table_remove (task->drained, name);
+      if (seen_ms != NULL)
+        *seen_ms = control_now_ms (task->control) - RETURN_MS;
+      return;
+    }
+  g_hash_table_add (task->drained, g_strdup (name));
+  leaving_observe (task, name, event->object.version);
+  accept_propose (task);
+}
+
+static void
+drains_synced (void *user, uint64_t revision)
+{
+  struct accept_task *task = user;
+
+  (void)revision;
+  task->drains_known = true;
+  facts_synced (task);
+}
+
+static const struct platform_watch_callbacks drain_callbacks
+    = { .event = drain_event, .synced = drains_synced };
+
 static bool
 list_says_leaving (const struct accept_task *task, const char *name)
 {
+  if (g_hash_table_contains (task->drained, name))
+    return true;
   for (size_t i = 0; i < task->list_count; i++)
     if (strcmp (task->list[i].name, name) == 0)
       return task->list[i].leaving;
@@ -408,6 +459,8 @@
   task->accepted = g_ptr_array_new_with_free_func (accepted_free);
   task->leaving
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  task->drained
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   task->checkpoint = checkpoint_create (control);
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     {
@@ -417,6 +470,9 @@
           control->platform, BERYL_USE_CONFIG, kinds[i], &watch_callbacks,
           &task->watches[i]);
     }
+  task->drain_watch
+      = platform_client_watch (control->platform, BERYL_USE_CONFIG,
+                               BERYL_DRAIN_KIND, &drain_callbacks, task);
   task->instance_watch = platform_client_watch_instances (
       control->platform, &instance_callbacks, task);
   return task;
@@ -430,6 +486,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     platform_client_unwatch (task->control->platform, task->watches[i].watch);
   platform_client_unwatch (task->control->platform, task->instance_watch);
+  platform_client_unwatch (task->control->platform, task->drain_watch);
   if (task->request != 0)
     platform_client_forget (task->control->platform, task->request);
   loop_timer_stop (task->retry);
@@ -438,6 +495,7 @@
   entry_forget (task);
   g_ptr_array_unref (task->accepted);
   g_hash_table_destroy (task->leaving);
+  g_hash_table_destroy (task->drained);
   g_free (task->list);
   g_free (task);
 }
--- a/controld/control.c
+++ b/controld/control.c
@@ -11,6 +11,7 @@
 #include "entry_task.h"
 #include "gossip_task.h"
 #include "metrics_task.h"
+#include "planner_task.h"
 #include "role_task.h"
 #include "status_task.h"
 
@@ -51,6 +52,8 @@
   entry_task_wake (control->entry);
   if (control->accept != NULL)
     accept_task_wake (control->accept);
+  if (control->planner != NULL)
+    planner_task_config (control->planner);
 }
 
 void
@@ -83,10 +86,16 @@
   gossip_task_wake (control->gossip);
   if (role == CONTROL_ROLE_WATCHER)
     config_task_watch (control->config, fence != 0);
-  if (role != CONTROL_ROLE_ACCEPTOR)
-    return;
-  accept_task_destroy (control->accept);
-  control->accept = fence != 0 ? accept_task_create (control) : NULL;
+  if (role == CONTROL_ROLE_ACCEPTOR)
+    {
+      accept_task_destroy (control->accept);
+      control->accept = fence != 0 ? accept_task_create (control) : NULL;
+    }
+  if (role == CONTROL_ROLE_PLANNER)
+    {
+      planner_task_destroy (control->planner);
+      control->planner = fence != 0 ? planner_task_create (control) : NULL;
+    }
 }
 
 void
@@ -102,16 +111,8 @@
 control_loads (struct control *control, const struct local_loads *loads,
                const char *node)
 {
-  (void)node;
-  for (size_t i = 0; i < loads->count; i++)
-    {
-      char *labels
-          = g_strdup_printf ("service=\"%s\"", loads->items[i].service);
-
-      counters_add (control->counters, "beryl_demand_arrived_total", labels,
-                    loads->items[i].arrived);
-      g_free (labels);
-    }
+  if (control->planner != NULL)
+    planner_task_loads (control->planner, loads, node);
 }
 
 static const struct beryl_member *
@@ -325,6 +326,7 @@
   loop_timer_stop (control->bootstrap);
   loop_timer_stop (control->stop_timer);
   accept_task_destroy (control->accept);
+  planner_task_destroy (control->planner);
   role_task_destroy (control->roles);
   cleanup_task_destroy (control->cleanup);
   status_task_destroy (control->status);
--- a/controld/control.h
+++ b/controld/control.h
@@ -22,6 +22,7 @@
 struct config_task;
 struct role_task;
 struct accept_task;
+struct planner_task;
 struct entry_task;
 struct status_task;
 struct cleanup_task;
@@ -53,8 +54,9 @@
   struct status_task *status;
   struct cleanup_task *cleanup;
   struct metrics_task *metrics;
-  struct loop_timer *second;  /**< runs control_second */
-  struct accept_task *accept; /**< while the acceptor; else NULL */
+  struct loop_timer *second;    /**< runs control_second */
+  struct accept_task *accept;   /**< while the acceptor; else NULL */
+  struct planner_task *planner; /**< while the planner; else NULL */
   struct loop_timer *bootstrap;
   struct loop_timer *stop_timer;
   uint64_t seed_watch; /**< of the instance list, until it was read */
--- /dev/null
+++ b/controld/planner_task.c
@@ -0,0 +1,478 @@
+#include "planner_task.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "beryl/planner.h"
+#include "config_task.h"
+#include "http/client.h"
+#include "role_task.h"
+
+#define TICK_MS 1000
+#define CALL_MS 2000
+/* Engines that are asked for their state in one tick. */
+#define POLLS_PER_TICK 20
+#define CALLS_MAX 64
+#define ANSWER_BYTES 8192
+#define ORDER_BYTES 400
+/* An engine takes no new work once all nodes have heard of its drain and
+ * what they had sent before has arrived. */
+#define DRAIN_MS 5000
+#define WRITE_MS 3000
+#define LIST_MS 60000
+
+struct planner_task
+{
+  struct beryl_planner_owner base;
+  struct control *control;
+  struct beryl_planner *planner;
+  struct beryl_config *config; /* own copy: the planner points into it */
+  struct loop_timer *timer;
+  size_t next_poll;
+  GPtrArray *calls;   /* struct call * */
+  uint64_t listing;   /* request under way; 0: none */
+  GHashTable *drains; /* endpoint to the time when its fact was seen */
+};
+
+enum call_kind
+{
+  CALL_STATE,
+  CALL_LOAD, /* is it idle?  then the order */
+  CALL_ORDER,
+};
+
+/* One call to an engine. */
+struct call
+{
+  struct http_call_handler base;
+  struct planner_task *task;
+  struct http_call *call;
+  char endpoint[BERYL_NAME_BYTES];
+  enum call_kind kind;
+  char order[ORDER_BYTES]; /* CALL_LOAD: to be sent if it is idle */
+  char answer[ANSWER_BYTES];
+  size_t answer_bytes;
+};
+
+static void call_start (struct planner_task *task,
+                        const struct beryl_endpoint *endpoint,
+                        enum call_kind kind, const char *order);
+static void drain_delete (struct planner_task *task, const char *endpoint);
+
+static void
+call_end (struct call *c)
+{
+  g_ptr_array_remove_fast (c->task->calls, c);
+  g_free (c);
+}
+
+static void
+call_data (struct http_call_handler *handler, struct http_call *call,
+           const void *bytes, size_t bytes_count)
+{
+  struct call *c = (struct call *)handler;
+  size_t room = sizeof c->answer - c->answer_bytes;
+  size_t n = bytes_count < room ? bytes_count : room;
+
+  (void)call;
+  memcpy (c->answer + c->answer_bytes, bytes, n);
+  c->answer_bytes += n;
+}
+
+static enum beryl_role
+role_parse (const char *name)
+{
+  static const enum beryl_role roles[]
+      = { BERYL_ROLE_PREFILL, BERYL_ROLE_DECODE, BERYL_ROLE_BOTH };
+
+  for (size_t i = 0; name != NULL && i < G_N_ELEMENTS (roles); i++)
+    if (strcmp (name, beryl_role_name (roles[i])) == 0)
+      return roles[i];
+  return 0;
+}
+
+static const char *
+text_of (json_t *object, const char *key)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+
+  return text != NULL ? text : "";
+}
+
+static const struct beryl_endpoint *
+endpoint_find (const struct planner_task *task, const char *name)
+{
+  for (size_t i = 0; i < task->config->endpoint_count; i++)
+    if (strcmp (task->config->endpoints[i].name, name) == 0)
+      return &task->config->endpoints[i];
+  return NULL;
+}
+
+static void
+state_take (struct call *c)
+{
+  json_t *json = json_loadb (c->answer, c->answer_bytes, 0, NULL);
+  json_t *serve = json_object_get (json, "serve");
+  struct beryl_engine_state state = { .endpoint = c->endpoint };
+
+  if (serve != NULL)
+    {
+      state.role = role_parse (text_of (serve, "role"));
+      state.model = state.role != 0 ? text_of (serve, "model") : "";
+      state.version = state.role != 0 ? text_of (serve, "version") : "";
+      state.loading = json_is_true (json_object_get (json, "loading"));
+      state.ready = json_is_true (json_object_get (json, "ready"));
+    }
+  beryl_planner_engine (c->task->planner, &state,
+                        control_now_ms (c->task->control));
+  /* It serves what it was drained for: let work in again. */
+  if (state.ready && beryl_planner_follows (c->task->planner, c->endpoint)
+      && g_hash_table_remove (c->task->drains, c->endpoint))
+    drain_delete (c->task, c->endpoint);
+  json_decref (json);
+}
+
+static bool
+is_zero (json_t *json, const char *key)
+{
+  return json_integer_value (json_object_get (json, key)) == 0;
+}
+
+static void
+load_take (struct call *c)
+{
+  json_t *json = json_loadb (c->answer, c->answer_bytes, 0, NULL);
+  const struct beryl_endpoint *endpoint = endpoint_find (c->task, c->endpoint);
+
+  if (json != NULL && endpoint != NULL && is_zero (json, "decoding")
+      && is_zero (json, "prefill_queue") && is_zero (json, "kv_bytes_held")
+      && role_task_held (c->task->control->roles, CONTROL_ROLE_PLANNER, NULL))
+    call_start (c->task, endpoint, CALL_ORDER, c->order);
+  json_decref (json);
+}
+
+static void
+call_done (struct http_call_handler *handler, struct http_call *call)
+{
+  struct call *c = (struct call *)handler;
+  unsigned int status = http_call_status (call);
+
+  if (c->kind == CALL_STATE && status == 200)
+    state_take (c);
+  else if (c->kind == CALL_LOAD && status == 200)
+    load_take (c);
+  else if (c->kind == CALL_ORDER && status == 409)
+    {
+      g_warning ("%s refused an order: %.*s", c->endpoint,
+                 (int)c->answer_bytes, c->answer);
+      counters_add (c->task->control->counters, "beryl_orders_total",
+                    "result=\"refused\"", 1);
+    }
+  else if (c->kind == CALL_ORDER)
+    counters_add (c->task->control->counters, "beryl_orders_total",
+                  status == 200 ? "result=\"taken\"" : "result=\"failed\"", 1);
+  call_end (c);
+}
+
+/* An order that failed is repeated by the planner until the engine's state
+ * shows it; one that does not answer is no spare. */
+static void
+call_failed (struct http_call_handler *handler, struct http_call *call,
+             bool sent, const char *reason)
+{
+  struct call *c = (struct call *)handler;
+  struct beryl_engine_state state = { .endpoint = c->endpoint };
+
+  (void)call;
+  (void)sent;
+  if (c->kind != CALL_STATE)
+    g_info ("order to %s failed: %s", c->endpoint, reason);
+  else
+    beryl_planner_engine (c->task->planner, &state,
+                          control_now_ms (c->task->control));
+  call_end (c);
+}
+
+static const struct http_call_handler_impl call_impl = {
+  .data = call_data,
+  .done = call_done,
+  .failed = call_failed,
+};
+
+static void
+call_start (struct planner_task *task, const struct beryl_endpoint *endpoint,
+            enum call_kind kind, const char *order)
+{
+  static const char *const paths[] = { [CALL_STATE] = "/v1/state",
+                                       [CALL_LOAD] = "/v1/load",
+                                       [CALL_ORDER] = "/v1/orders" };
+  const char *body = kind == CALL_ORDER ? order : NULL;
+  struct http_header header = { "content-type", "application/json" };
+  struct http_request request
+      = { .method = body != NULL ? "POST" : "GET",
+          .address = endpoint->address,
+          .port = endpoint->port,
+          .path = paths[kind],
+          .headers = &header,
+          .header_count = body != NULL ? 1 : 0,
+          .body = body,
+          .body_bytes = body != NULL ? strlen (body) : 0,
+          .timeout_ms = CALL_MS };
+  struct call *c;
+
+  if (task->calls->len >= CALLS_MAX)
+    return;
+  c = g_new0 (struct call, 1);
+  c->base.impl = &call_impl;
+  c->task = task;
+  c->kind = kind;
+  if (order != NULL)
+    g_strlcpy (c->order, order, sizeof c->order);
+  memcpy (c->endpoint, endpoint->name, sizeof c->endpoint);
+  g_ptr_array_add (task->calls, c);
+  c->call = http_call_start (task->control->http, &request, &c->base);
+}
+
+/* The lease is looked at right before each order, as this process may have
+ * been paused at any line.  An engine that checks the fencing number refuses
+ * what is still late; one that does not gets orders only once those of the
+ * former holder must have arrived. */
+static bool
+may_order (const struct planner_task *task,
+           const struct beryl_endpoint *endpoint, uint64_t *fence)
+{
+  const struct role_task *roles = task->control->roles;
+
+  if (!role_task_held (roles, CONTROL_ROLE_PLANNER, fence))
+    return false;
+  return endpoint->checks_fence
+         || role_task_settled (roles, CONTROL_ROLE_PLANNER);
+}
+
+static void
+drain_written (void *user, const struct beryl_platform_result *result)
+{
+  (void)user;
+  if (result->code != BERYL_OK)
+    g_info ("drain not written: %s", beryl_error_code_name (result->code));
+}
+
+static void
+drain_write (struct planner_task *task, const char *endpoint)
+{
+  static const char value[] = "{\"by\":\"planner\"}";
+  struct platform_client_options options
+      = { .use = BERYL_USE_CONFIG, .timeout_ms = WRITE_MS };
+  struct beryl_platform_write write = { .kind = BERYL_DRAIN_KIND,
+                                        .name = endpoint,
+                                        .condition = BERYL_IF_ANY,
+                                        .value = value,
+                                        .value_bytes = sizeof value - 1 };
+
+  platform_client_put (task->control->platform, &options, &write,
+                       drain_written, NULL);
+}
+
+static void
+drain_delete (struct planner_task *task, const char *endpoint)
+{
+  struct platform_client_options options
+      = { .use = BERYL_USE_CONFIG, .timeout_ms = WRITE_MS };
+
+  platform_client_delete (task->control->platform, &options, BERYL_DRAIN_KIND,
+                          endpoint, 0, drain_written, NULL);
+}
+
+/* An engine that is unloaded in the middle of streams cuts off their callers.
+ * First all nodes hear that it is leaving; the order goes out only when that
+ * was some seconds ago and the engine says that it is idle. */
+static bool
+drain_is_done (struct planner_task *task, const char *endpoint)
+{
+  struct beryl_spread_object fact;
+  int64_t now_ms = control_now_ms (task->control);
+  int64_t *since_ms = g_hash_table_lookup (task->drains, endpoint);
+
+  if (!beryl_spread_find (task->control->spread, BERYL_INSTANCE_KIND, endpoint,
+                          &fact))
+    {
+      g_hash_table_remove (task->drains, endpoint);
+      drain_write (task, endpoint);
+      return false;
+    }
+  if (since_ms == NULL)
+    {
+      since_ms = g_new (int64_t, 1);
+      *since_ms = now_ms;
+      g_hash_table_replace (task->drains, g_strdup (endpoint), since_ms);
+    }
+  return now_ms - *since_ms >= DRAIN_MS;
+}
+
+static void
+order_send (struct beryl_planner_owner *owner, const struct beryl_order *order)
+{
+  struct planner_task *task = (struct planner_task *)owner;
+  const struct beryl_endpoint *endpoint
+      = endpoint_find (task, order->endpoint);
+  const char *role = order->role != 0 ? beryl_role_name (order->role) : "none";
+  char body[ORDER_BYTES];
+  uint64_t fence = 0;
+
+  if (endpoint == NULL || !may_order (task, endpoint, &fence))
+    return;
+  if (order->interrupts && !drain_is_done (task, order->endpoint))
+    return;
+  g_info ("order to %s: %s %s as %s (%s), fence %" G_GUINT64_FORMAT,
+          order->endpoint, order->model, order->version, role, order->reason,
+          fence);
+  g_snprintf (body, sizeof body,
+              "{\"fence\":%" G_GUINT64_FORMAT
+              ",\"serve\":{\"model\":\"%s\",\"version\":\"%s\","
+              "\"adapters\":[],\"role\":\"%s\"}}",
+              fence, order->model, order->version, role);
+  call_start (task, endpoint, order->interrupts ? CALL_LOAD : CALL_ORDER,
+              body);
+}
+
+static const struct beryl_planner_owner_impl owner_impl
+    = { .order = order_send };
+
+static void
+engines_poll (struct planner_task *task)
+{
+  size_t count = task->config->endpoint_count;
+
+  for (size_t i = 0; i < count && i < POLLS_PER_TICK; i++)
+    {
+      const struct beryl_endpoint *endpoint
+          = &task->config->endpoints[task->next_poll++ % count];
+
+      if (endpoint->role != BERYL_ROLE_SERVICE)
+        call_start (task, endpoint, CALL_STATE, NULL);
+    }
+}
+
+static void
+planner_tick (void *user)
+{
+  struct planner_task *task = user;
+
+  if (task->config == NULL)
+    return;
+  engines_poll (task);
+  beryl_planner_tick (task->planner, control_now_ms (task->control));
+}
+
+void
+planner_task_config (struct planner_task *task)
+{
+  struct beryl_findings *findings;
+  struct beryl_config *former = task->config;
+  struct beryl_config *config;
+  size_t bytes = 0;
+  char *text;
+
+  if (beryl_spread_version (task->control->spread) == 0)
+    return;
+  text = beryl_spread_objects (task->control->spread, &bytes);
+  findings = beryl_findings_create ();
+  config = beryl_config_parse (
+      text, bytes, beryl_spread_version (task->control->spread), findings);
+  beryl_findings_destroy (findings);
+  free (text);
+  if (config == NULL)
+    return;
+  task->config = config;
+  beryl_planner_set_config (task->planner, config,
+                            control_now_ms (task->control));
+  beryl_config_destroy (former);
+}
+
+void
+planner_task_loads (struct planner_task *task, const struct local_loads *loads,
+                    const char *node)
+{
+  for (size_t i = 0; i < loads->count; i++)
+    {
+      const struct local_load *l = &loads->items[i];
+
+      beryl_planner_demand (task->planner, node, l->service, l->arrived,
+                            l->waiting, l->running, l->prompt_tokens,
+                            control_now_ms (task->control));
+    }
+}
+
+/* A former planner may have died in the middle of a drain. */
+static void
+drains_listed (void *user, const struct beryl_platform_result *result)
+{
+  struct planner_task *task = user;
+
+  task->listing = 0;
+  for (size_t i = 0; result->code == BERYL_OK && i < result->object_count; i++)
+    {
+      int64_t *since_ms = g_new (int64_t, 1);
+
+      *since_ms = control_now_ms (task->control);
+      g_hash_table_replace (task->drains, g_strdup (result->objects[i].name),
+                            since_ms);
+    }
+}
+
+static void
+drains_list (struct planner_task *task)
+{
+  struct platform_client_options options
+      = { .use = BERYL_USE_CONFIG, .timeout_ms = LIST_MS, .wait = true };
+
+  task->listing
+      = platform_client_list (task->control->platform, &options,
+                              BERYL_DRAIN_KIND, "", drains_listed, task);
+}
+
+struct planner_task *
+planner_task_create (struct control *control)
+{
+  struct planner_task *task = g_new0 (struct planner_task, 1);
+  struct beryl_planner_settings settings = {
+    .weight_store_bytes_per_s = control->settings.weight_store_bytes_per_s,
+    .idle_ms = control->settings.planner_idle_ms,
+  };
+
+  task->base.impl = &owner_impl;
+  task->control = control;
+  task->planner = beryl_planner_create (&settings, &task->base);
+  task->calls = g_ptr_array_new ();
+  task->drains
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  drains_list (task);
+  planner_task_config (task);
+  task->timer
+      = loop_timer_start (control->loop, TICK_MS, TICK_MS, planner_tick, task);
+  return task;
+}
+
+void
+planner_task_destroy (struct planner_task *task)
+{
+  if (task == NULL)
+    return;
+  loop_timer_stop (task->timer);
+  if (task->listing != 0)
+    platform_client_forget (task->control->platform, task->listing);
+  for (guint i = 0; i < task->calls->len; i++)
+    {
+      struct call *c = g_ptr_array_index (task->calls, i);
+
+      http_call_cancel (c->call);
+      g_free (c);
+    }
+  g_ptr_array_unref (task->calls);
+  g_hash_table_destroy (task->drains);
+  beryl_planner_destroy (task->planner);
+  beryl_config_destroy (task->config);
+  g_free (task);
+}
--- a/controld/settings.h
+++ b/controld/settings.h
@@ -37,7 +37,8 @@
   int64_t pause_bound_ms;    /**< longest pause of a process */
   int64_t delivery_bound_ms; /**< longest way of an order */
   int64_t probe_ms;
-  bool planner; /**< stands for the planner's role */
+  bool planner; /**< stands for the planner's role; off by default */
+  int64_t planner_idle_ms; /**< without demand, engines unload after it */
   double weight_store_bytes_per_s;
   char log_level[16];
   char log_format_name[16];
--- a/include/beryl/planner.h
+++ b/include/beryl/planner.h
@@ -69,7 +69,10 @@
   const char *model; /**< "": unload */
   const char *version;
   enum beryl_role role; /**< 0: unload */
-  const char *reason;   /**< stable text, for the log */
+  /** Whether it ends what the engine serves now: no new work may reach the
+   * engine any more and its running work must have ended before. */
+  bool interrupts;
+  const char *reason; /**< stable text, for the log */
 };
 
 struct beryl_planner;
@@ -132,6 +135,10 @@
 /** Let time pass; emits orders. */
 void beryl_planner_tick (struct beryl_planner *planner, int64_t now_ms);
 
+/** Whether ENDPOINT reports what it was ordered last. */
+bool beryl_planner_follows (const struct beryl_planner *planner,
+                            const char *endpoint);
+
 /** Return how many engines SERVICE should have warm, as last planned. */
 uint32_t beryl_planner_wanted (const struct beryl_planner *planner,
                                const char *service);
--- a/include/beryl/spread.h
+++ b/include/beryl/spread.h
@@ -148,6 +148,9 @@
 /** Kind of the checkpoint's parts and of its head, which names them. */
 #define BERYL_CHECKPOINT_KIND "accepted-base"
 #define BERYL_CHECKPOINT_HEAD "head"
+/** Kind of the objects by which the planner has an engine take no new work
+ * before it unloads it; the acceptor makes them instance facts. */
+#define BERYL_DRAIN_KIND "drains"
 /** Kind of the facts of the platform's instance list that travel with the
  * configuration: {"leaving":true}.  They are no part of it. */
 #define BERYL_INSTANCE_KIND "instance"
--- a/libberyl/planner/arrange.c
+++ b/libberyl/planner/arrange.c
@@ -210,9 +210,10 @@
    * engines again in a moment. */
   if (s->wanted > s->surplus_wanted)
     s->surplus_wanted = s->wanted;
-  if (now_ms - s->surplus_ms < p->settings.shrink_ms)
+  /* What rests has rested for long already. */
+  if (s->wanted > 0 && now_ms - s->surplus_ms < p->settings.shrink_ms)
     return;
-  if (t->coming <= s->surplus_wanted)
+  if (s->wanted > 0 && t->coming <= s->surplus_wanted)
     {
       s->surplus_ms = 0;
       return;
--- a/libberyl/planner/planner.c
+++ b/libberyl/planner/planner.c
@@ -242,6 +242,7 @@
 
   if (demand == NULL)
     return;
+  s->reported = true;
   demand->waiting = waiting;
   demand->running = running;
   demand->told_ms = now_ms;
@@ -259,6 +260,15 @@
          && e->role == e->ordered_role;
 }
 
+static bool
+engine_is_interrupted (const struct engine *e)
+{
+  if (e->role == 0)
+    return false;
+  return e->ordered_role == 0 || strcmp (e->model, e->ordered_model) != 0
+         || strcmp (e->version, e->ordered_version) != 0;
+}
+
 /* Repeats orders until the reports show them: an order or its answer may be
  * lost, and an engine may restart empty. */
 static void
@@ -267,9 +277,12 @@
   for (size_t i = 0; i < p->engine_count; i++)
     {
       struct engine *e = &p->engines[i];
-      struct beryl_order order
-          = { e->name, e->ordered_model, e->ordered_version, e->ordered_role,
-              e->reason };
+      struct beryl_order order = { .endpoint = e->name,
+                                   .model = e->ordered_model,
+                                   .version = e->ordered_version,
+                                   .role = e->ordered_role,
+                                   .interrupts = engine_is_interrupted (e),
+                                   .reason = e->reason };
 
       if (!e->ordered || !e->known || engine_follows (e))
         continue;
@@ -285,12 +298,26 @@
 {
   for (size_t i = 0; i < p->service_count; i++)
     {
-      service_size (p, &p->services[i], now_ms);
-      service_arrange (p, &p->services[i], now_ms);
+      struct service *s = &p->services[i];
+
+      /* Silence is not rest: without reports nothing is known of the demand,
+       * and unloading what serves would refuse it. */
+      if (!s->reported)
+        continue;
+      service_size (p, s, now_ms);
+      service_arrange (p, s, now_ms);
     }
   orders_send (p, now_ms);
 }
 
+bool
+beryl_planner_follows (const struct beryl_planner *p, const char *endpoint)
+{
+  const struct engine *e = engine_find (p->engines, p->engine_count, endpoint);
+
+  return e != NULL && e->ordered && engine_follows (e);
+}
+
 uint32_t
 beryl_planner_wanted (const struct beryl_planner *p, const char *service)
 {
--- a/libberyl/planner/private.h
+++ b/libberyl/planner/private.h
@@ -47,6 +47,7 @@
   struct beryl_sizer *prefill_sizer;
   struct node_demand *nodes;
   size_t node_count;
+  bool reported;         /* some node has told its demand */
   uint64_t step_tokens;  /* prompt tokens in this step */
   uint64_t step_arrived; /* calls in this step */
   double running_sum;    /* for the mean of the step */
--- a/tests/control/test_controld.c
+++ b/tests/control/test_controld.c
@@ -1,5 +1,6 @@
 #include <check.h>
 #include <glib.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -41,6 +42,9 @@
   struct http_handler engine;
   struct http_server *engine_server;
   char cancelled[200];
+  char engine_role[16]; /* as ordered */
+  uint32_t load_reads;
+  uint32_t waiting;
   bool (*until) (struct stage *s);
   int64_t deadline_ms;
   bool reached;
@@ -141,6 +145,9 @@
   stage_put (s, path, body);
 }
 
+/* Whether the next node plans. */
+static bool stage_node_planner;
+
 static void
 stage_node (struct stage *s, const char *key, const char *seeds)
 {
@@ -158,6 +165,8 @@
   g_strlcpy (settings.seeds, seeds, sizeof settings.seeds);
   settings.platform_port = platform_port (s->platform);
   settings.seed = (uint64_t)s->count + 1;
+  settings.planner = stage_node_planner;
+  settings.planner_idle_ms = 1000;
   s->nodes[s->count] = control_create (&settings, s->loop, s->http, &error);
   ck_assert_msg (s->nodes[s->count] != NULL, "%s", error.message);
   s->count++;
@@ -501,6 +510,133 @@
 }
 END_TEST
 
+static bool
+engine_serves (struct stage *s)
+{
+  return s->engine_role[0] != '\0' && strcmp (s->engine_role, "none") != 0;
+}
+
+static bool
+engine_rests (struct stage *s)
+{
+  return strcmp (s->engine_role, "none") == 0;
+}
+
+static bool
+facts_gone (struct stage *s)
+{
+  struct beryl_spread_object fact;
+
+  return !beryl_spread_find (s->nodes[0]->spread, BERYL_INSTANCE_KIND,
+                             "engine-1", &fact);
+}
+
+/* A fake engine that takes orders; it is asked for its load before it is
+ * unloaded. */
+static void
+orders_request (struct http_handler *handler, struct http_exchange *ex)
+{
+  struct stage *s
+      = (struct stage *)((char *)handler - offsetof (struct stage, engine));
+  const char *path = http_exchange_path (ex);
+  size_t bytes = 0;
+  const char *body = http_exchange_body (ex, &bytes);
+  char answer[200] = "{}";
+
+  if (strcmp (path, "/v1/orders") == 0)
+    {
+      json_t *json = json_loadb (body, bytes, 0, NULL);
+      json_t *serve = json_object_get (json, "serve");
+
+      ck_assert_int_gt (json_integer_value (json_object_get (json, "fence")),
+                        0);
+      g_strlcpy (s->engine_role,
+                 json_string_value (json_object_get (serve, "role")),
+                 sizeof s->engine_role);
+      if (engine_rests (s))
+        ck_assert_uint_gt (s->load_reads, 0);
+      json_decref (json);
+    }
+  else if (strcmp (path, "/v1/load") == 0)
+    {
+      s->load_reads++;
+      g_strlcpy (answer,
+                 "{\"decoding\":0,\"prefill_queue\":0,\"kv_bytes_held\":0}",
+                 sizeof answer);
+    }
+  else
+    g_snprintf (answer, sizeof answer,
+                "{\"serve\":{\"model\":\"%s\",\"version\":\"%s\","
+                "\"role\":\"%s\"},\"loading\":false,\"ready\":%s}",
+                engine_serves (s) ? "m" : "", engine_serves (s) ? "1" : "",
+                engine_serves (s) ? s->engine_role : "none",
+                engine_serves (s) ? "true" : "false");
+  http_exchange_respond (ex, 200, "application/json", answer, strlen (answer));
+}
+
+static const struct http_handler_impl orders_impl
+    = { .request = orders_request, .closed = engine_closed };
+
+static bool
+planner_runs (struct stage *s)
+{
+  return s->nodes[0]->planner != NULL;
+}
+
+static void
+report_demand (void *user)
+{
+  struct stage *s = user;
+  struct local_load load = { .service = "s" };
+  struct local_loads loads = { &load, 1 };
+
+  load.waiting = s->waiting;
+  control_local_loads (s->nodes[0], &loads);
+}
+
+/* Story: nobody calls, so the engine is unloaded to cost nothing; a call
+ * waits, and it is loaded again.  Before it is unloaded all nodes must have
+ * heard that it takes no new work, or a stream would be cut off. */
+START_TEST (engine_rests_and_returns)
+{
+  struct stage s;
+  struct http_server_settings settings
+      = { .address = "127.0.0.1", .max_body_bytes = 4096 };
+  struct beryl_spread_object fact;
+  struct loop_timer *timer;
+  char object[300];
+
+  stage_open (&s, 0);
+  stage_node_planner = true;
+  stage_node (&s, "key", "");
+  stage_node_planner = false;
+  stage_list (&s, 0);
+  s.engine.impl = &orders_impl;
+  s.engine_server = http_server_create (s.http, &settings, &s.engine, NULL);
+  g_snprintf (object, sizeof object,
+              "{\"api_version\":\"beryl/v1\",\"kind\":\"endpoint\","
+              "\"name\":\"engine-1\",\"spec\":{\"service\":\"s\","
+              "\"address\":\"127.0.0.1\",\"port\":%u,\"role\":\"both\"}}",
+              http_server_port (s.engine_server));
+  stage_put (&s, "/v1/objects/model/m", MODEL);
+  stage_put (&s, "/v1/objects/service/s", SERVICE);
+  stage_put (&s, "/v1/objects/endpoint/engine-1", object);
+  ck_assert (stage_await (&s, planner_runs, 5000));
+  s.waiting = 1;
+  timer = loop_timer_start (s.loop, 10, 300, report_demand, &s);
+  ck_assert (stage_await (&s, engine_serves, 10000));
+  s.waiting = 0;
+  ck_assert (stage_await (&s, engine_rests, 20000));
+  ck_assert (beryl_spread_find (s.nodes[0]->spread, BERYL_INSTANCE_KIND,
+                                "engine-1", &fact));
+  s.waiting = 1;
+  ck_assert (stage_await (&s, engine_serves, 10000));
+  ck_assert (stage_await (&s, facts_gone, 10000));
+  loop_timer_stop (timer);
+  stage_close (&s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -516,6 +652,7 @@
   tcase_add_test (t, dead_entryd_is_cleaned_up);
   tcase_add_test (t, wrong_key_is_kept_out);
   tcase_add_test (t, acceptor_dies);
+  tcase_add_test (t, engine_rests_and_returns);
   suite_add_tcase (s, t);
   r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
