--- a/libberyl/lease/lease.c
+++ b/libberyl/lease/lease.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "beryl/clock.h"
+#include "../base/guard_control.h"
 
 /* Writes whose outcome may still be unknown.  More are never under way: a
  * write is sent only after the one before was answered. */
@@ -91,7 +92,8 @@
 beryl_lease_held (const struct beryl_lease *lease, int64_t now_ms,
                   uint64_t *fence)
 {
-  if (lease->fence == 0 || now_ms >= lease->held_until_ms)
+  if (lease->fence == 0
+      || !BERYL_GUARD (BERYL_GUARD_LEASE_EARLY, now_ms < lease->held_until_ms))
     return false;
   if (fence != NULL)
     *fence = lease->fence;
@@ -102,7 +104,8 @@
 beryl_lease_settled (const struct beryl_lease *lease, int64_t now_ms)
 {
   return beryl_lease_held (lease, now_ms, NULL)
-         && now_ms - lease->acquired_ms >= lease->settle_ms;
+         && BERYL_GUARD (BERYL_GUARD_LEASE_SETTLED,
+                         now_ms - lease->acquired_ms >= lease->settle_ms);
 }
 
 int64_t
@@ -128,7 +131,10 @@
 lease_gain (struct beryl_lease *lease, uint64_t version, int64_t sent_ms,
             int64_t now_ms)
 {
-  int64_t until_ms = sent_ms + lease->ttl_ms - lease->margin_ms;
+  /* The reply may be late; the others have been waiting since the write. */
+  bool from_reply = BERYL_GUARD (BERYL_GUARD_LEASE_SENT, false);
+  int64_t from_ms = from_reply ? now_ms : sent_ms;
+  int64_t until_ms = from_ms + lease->ttl_ms - lease->margin_ms;
 
   if (until_ms <= now_ms)
     return;
@@ -206,7 +212,8 @@
         lease_write (lease, true, now_ms);
       return;
     }
-  if (lease->fence == 0 && now_ms >= lease_free_ms (lease))
+  if (lease->fence == 0
+      && BERYL_GUARD (BERYL_GUARD_LEASE_WAIT, now_ms >= lease_free_ms (lease)))
     lease_write (lease, false, now_ms);
   else if (lease->fence == 0)
     {
@@ -243,7 +250,9 @@
 lease_observe (struct beryl_lease *lease,
                const struct beryl_lease_record *record, int64_t now_ms)
 {
-  if (lease->seen_any && record->version <= lease->seen.version)
+  if (lease->seen_any
+      && !BERYL_GUARD (BERYL_GUARD_LEASE_OLD_READ,
+                       record->version > lease->seen.version))
     return;
   lease->seen = *record;
   lease->seen_any = true;
@@ -339,7 +348,8 @@
 void
 beryl_lease_tick (struct beryl_lease *lease, int64_t now_ms)
 {
-  if (lease->fence != 0 && now_ms >= lease->held_until_ms)
+  if (lease->fence != 0
+      && !BERYL_GUARD (BERYL_GUARD_LEASE_EARLY, now_ms < lease->held_until_ms))
     lease_lose (lease);
   if (now_ms < lease->next_ms || lease->work != WORK_NONE)
     return;
--- a/libberyl/membership/membership.c
+++ b/libberyl/membership/membership.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "beryl/clock.h"
+#include "../base/guard_control.h"
 #include "private.h"
 
 #define PROBE_MS 1000
@@ -226,9 +227,12 @@
     }
   if (slot->unlisted_ms == 0)
     slot->unlisted_ms = now_ms;
-  if (slot->member.state != BERYL_MEMBER_SUSPECT
-      || now_ms - slot->suspect_ms < m->witness_ms
-      || now_ms - slot->unlisted_ms < m->witness_ms)
+  if (slot->member.state == BERYL_MEMBER_DEAD
+      || !BERYL_GUARD (BERYL_GUARD_MEMBER_SILENT,
+                       slot->member.state == BERYL_MEMBER_SUSPECT
+                           && now_ms - slot->suspect_ms >= m->witness_ms)
+      || !BERYL_GUARD (BERYL_GUARD_MEMBER_LASTING,
+                       now_ms - slot->unlisted_ms >= m->witness_ms))
     return;
   slot->member.state = BERYL_MEMBER_DEAD;
   slot->dead_ms = now_ms;
--- a/libberyl/membership/table.c
+++ b/libberyl/membership/table.c
@@ -1,5 +1,7 @@
 #include "private.h"
 
+#include "../base/guard_control.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -116,7 +118,8 @@
 {
   struct slot *self = table_self (m);
 
-  if (record->incarnation < self->member.incarnation)
+  if (BERYL_GUARD (BERYL_GUARD_MEMBER_REFUTE,
+                   record->incarnation < self->member.incarnation))
     return;
   if (record->incarnation == self->member.incarnation
       && record->state == BERYL_MEMBER_ALIVE)
@@ -179,9 +182,10 @@
       slot = table_insert (m, record);
       return slot != NULL && slot_replace (m, slot, record, now_ms);
     }
-  if (record->incarnation < slot->member.incarnation)
+  if (!BERYL_GUARD (BERYL_GUARD_MEMBER_NEWER,
+                    record->incarnation >= slot->member.incarnation))
     return false;
-  if (record->incarnation > slot->member.incarnation)
+  if (record->incarnation != slot->member.incarnation)
     return slot_replace (m, slot, record, now_ms);
   return slot_merge_same (m, slot, record, now_ms);
 }
--- a/libberyl/spread/acceptor.c
+++ b/libberyl/spread/acceptor.c
@@ -8,6 +8,7 @@
 
 #include "beryl/config.h"
 #include "beryl/findings.h"
+#include "../base/guard_control.h"
 #include "items.h"
 
 /* Objects of an entry; the platform holds values up to 1 MB. */
@@ -147,7 +148,9 @@
       const char *kind = beryl_kind_name (kind_order[i]);
 
       if (a->synced[i] == 0
-          || a->synced[i] < beryl_spread_revision (a->spread, kind))
+          || !BERYL_GUARD (BERYL_GUARD_ACCEPT_CURRENT,
+                           a->synced[i]
+                               >= beryl_spread_revision (a->spread, kind)))
         return false;
     }
   return true;
@@ -171,7 +174,8 @@
   int place = kind_place (item->kind);
 
   if (beryl_spread_find (a->spread, item->kind, item->name, &accepted)
-      && accepted.source >= item->version)
+      && !BERYL_GUARD (BERYL_GUARD_ACCEPT_SOURCE,
+                       item->version > accepted.source))
     return;
   a->changes[a->change_count++]
       = (struct change){ item->kind, item->name, item->version,
@@ -324,7 +328,8 @@
 {
   struct beryl_findings *findings = beryl_findings_create ();
 
-  if (candidate_valid (a, from, to, findings))
+  if (BERYL_GUARD (BERYL_GUARD_ACCEPT_VALID,
+                   candidate_valid (a, from, to, findings)))
     {
       for (size_t i = from; i < to; i++)
         a->changes[i].state = CHANGE_TAKEN;
--- a/libberyl/spread/spread.c
+++ b/libberyl/spread/spread.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../base/guard_control.h"
 #include "items.h"
 
 /* Entries kept for nodes that are a little behind; who is further behind
@@ -227,7 +228,7 @@
     }
   if (version <= spread->version)
     return BERYL_SPREAD_OLD;
-  if (version != spread->version + 1)
+  if (!BERYL_GUARD (BERYL_GUARD_SPREAD_GAP, version == spread->version + 1))
     return BERYL_SPREAD_GAP;
   if (!changes_apply (&spread->items, changes))
     {
@@ -361,7 +362,7 @@
       return BERYL_SPREAD_INVALID;
     }
   version = (uint64_t)json_integer_value (json_object_get (json, "version"));
-  if (version <= spread->version)
+  if (!BERYL_GUARD (BERYL_GUARD_SPREAD_NEWER, version > spread->version))
     result = BERYL_SPREAD_OLD;
   else
     result = snapshot_take (spread, json, error);
--- a/tests/control/test_lease.c
+++ b/tests/control/test_lease.c
@@ -5,6 +5,7 @@
 
 #include "beryl/clock.h"
 #include "beryl/lease.h"
+#include "mutant.h"
 #include "sim.h"
 
 #define NODES 4
@@ -460,6 +461,7 @@
   SRunner *r;
   int failed;
 
+  mutant_choose ();
   tcase_set_timeout (t, 50);
   tcase_add_test (t, one_holder_in_every_history);
   tcase_add_test (t, role_is_taken_over_in_time);
--- a/tests/control/test_membership.c
+++ b/tests/control/test_membership.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 
 #include "cluster.h"
+#include "mutant.h"
 
 /* Story: all instances are started together and know only the instance
  * list; each must find all others before it serves a fair share. */
@@ -160,6 +161,28 @@
 }
 END_TEST
 
+/* Story: a node is paused, and the instance list forgets it for one reading.
+ * It is silent and absent at the same moment, yet it lives; taking it for
+ * dead would cancel the streams that it goes on with when it wakes. */
+START_TEST (one_missing_reading_kills_nobody)
+{
+  struct cluster *c = cluster_create (9, 12, 3, 1);
+
+  cluster_until_alive (c, 30000);
+  c->nodes[11].frozen = true;
+  cluster_run (c, 9000);
+  c->listed = 11;
+  cluster_run (c, 1500);
+  c->listed = 12;
+  cluster_run (c, 2000);
+  c->nodes[11].frozen = false;
+  cluster_run (c, 5000);
+  for (int i = 0; i < c->node_count; i++)
+    ck_assert_uint_eq (c->nodes[i].deaths, 0);
+  cluster_destroy (c);
+}
+END_TEST
+
 /* Story: a configuration change must be known to all nodes in a moment, also
  * with packets lost; a slow spread leaves some nodes on old rules. */
 START_TEST (config_version_spreads)
@@ -216,6 +239,7 @@
   SRunner *r;
   int failed;
 
+  mutant_choose ();
   tcase_set_timeout (t, 55);
   tcase_add_test (t, members_find_each_other);
   tcase_add_test (t, dead_node_is_noticed);
@@ -225,6 +249,7 @@
   tcase_add_test (t, listed_absence_confirms_a_death);
   tcase_add_test (t, restart_replaces_the_former_life);
   tcase_add_test (t, paused_node_refutes);
+  tcase_add_test (t, one_missing_reading_kills_nobody);
   tcase_add_test (t, config_version_spreads);
   tcase_add_test (t, lost_data_centre_is_noticed);
   suite_add_tcase (s, t);
--- a/tests/control/test_spread.c
+++ b/tests/control/test_spread.c
@@ -6,6 +6,7 @@
 
 #include "beryl/config.h"
 #include "beryl/spread.h"
+#include "mutant.h"
 #include "sim.h"
 #include "store.h"
 
@@ -33,6 +34,7 @@
   bool listed[KINDS];
   uint64_t life; /* counts restarts */
   int64_t paused_until_ms;
+  uint64_t version; /* highest in this life */
   uint32_t rejected;
 };
 
@@ -49,6 +51,7 @@
   uint64_t highest;
   uint32_t different;
   uint32_t invalid;
+  uint32_t fell_back;
   uint32_t refused_races;
   uint64_t sources[KINDS][NAMES]; /* last accepted */
   uint32_t reverted;
@@ -76,6 +79,8 @@
   struct beryl_config *config;
 
   ck_assert_uint_lt (version, ENTRIES_MAX);
+  w->fell_back += version < n->version;
+  n->version = version;
   if (w->states[version] != NULL)
     {
       w->different += strcmp (w->states[version], text) != 0;
@@ -163,10 +168,13 @@
 {
   struct store_revision r;
   char name[BERYL_NAME_BYTES];
+  /* A watch may tell a later entry first. */
+  uint64_t skip = sim_chance (n->world->sim, 10) ? 2 : 1;
 
   for (;;)
     {
-      beryl_spread_entry_name (beryl_spread_version (n->spread) + 1, name);
+      beryl_spread_entry_name (beryl_spread_version (n->spread) + skip, name);
+      skip = 1;
       if (store_get (n->world->store, BERYL_ACCEPTED_KIND, name,
                      read_time_ms (n->world), &r)
           != STORE_OK)
@@ -368,6 +376,7 @@
 {
   n->base.impl = &node_impl;
   n->life++;
+  n->version = 0;
   n->spread = beryl_spread_create ();
   n->acceptor = beryl_acceptor_create (n->spread, &n->base);
   memset (n->cursors, 0, sizeof n->cursors);
@@ -516,6 +525,7 @@
       world_run (&w, seed);
       ck_assert_msg (w.different == 0, "seed %lu: states differ", seed);
       ck_assert_msg (w.reverted == 0, "seed %lu: reverted", seed);
+      ck_assert_msg (w.fell_back == 0, "seed %lu: fell back", seed);
       ck_assert_msg (w.invalid == 0, "seed %lu: invalid in force", seed);
       for (int i = 0; i < NODES; i++)
         {
@@ -701,6 +711,31 @@
 }
 END_TEST
 
+/* Story: a node was paused while entries were folded, and hears of a late one
+ * or of an old snapshot.  It must take neither: the first would leave out
+ * changes for ever, the second would put an old rule back into force. */
+START_TEST (gaps_and_old_snapshots_are_refused)
+{
+  static const char first[] = "{\"version\":1,\"changes\":[]}";
+  static const char second[] = "{\"version\":2,\"changes\":[]}";
+  struct beryl_spread *s = beryl_spread_create ();
+  size_t bytes = 0;
+  char *old;
+
+  ck_assert_int_eq (beryl_spread_apply (s, second, strlen (second), NULL),
+                    BERYL_SPREAD_GAP);
+  ck_assert_int_eq (beryl_spread_apply (s, first, strlen (first), NULL),
+                    BERYL_SPREAD_APPLIED);
+  old = beryl_spread_snapshot (s, &bytes);
+  ck_assert_int_eq (beryl_spread_apply (s, second, strlen (second), NULL),
+                    BERYL_SPREAD_APPLIED);
+  ck_assert_int_eq (beryl_spread_load (s, old, bytes, NULL), BERYL_SPREAD_OLD);
+  ck_assert_uint_eq (beryl_spread_version (s), 2);
+  free (old);
+  beryl_spread_destroy (s);
+}
+END_TEST
+
 START_TEST (malformed_entries_change_nothing)
 {
   static const char bad_object[]
@@ -733,12 +768,14 @@
   SRunner *r;
   int failed;
 
+  mutant_choose ();
   tcase_set_timeout (t, 50);
   tcase_add_test (t, one_configuration_in_every_history);
   tcase_add_test (t, invalid_edit_keeps_the_last_good);
   tcase_add_test (t, deletion_of_a_needed_object_is_rejected);
   tcase_add_test (t, acceptor_from_the_past_does_not_judge);
   tcase_add_test (t, one_bad_object_among_many);
+  tcase_add_test (t, gaps_and_old_snapshots_are_refused);
   tcase_add_test (t, malformed_entries_change_nothing);
   suite_add_tcase (s, t);
   r = srunner_create (s);
