Peers prove the cluster's key

Cause: whoever reached a peer port from a member's address could forward calls in any organisation's name. Change: a connecting node sends a MAC over its name and both incarnations; a second key is accepted while keys change. Conclusion: strangers are kept out; encryption is still missing.

--- a/entryd/peers.c
+++ b/entryd/peers.c
@@ -24,25 +24,85 @@
 }
 
 static void
-peer_frame (struct link_handler *handler, struct link *link,
-            struct frame *frame)
+keep_proof (struct peer *peer, struct frame *frame)
+{
+  size_t n = 0;
+  const void *proof = frame_bytes (frame_root (frame), PEER_PROOF_KEY, &n);
+
+  if (proof == NULL || n > sizeof peer->proof)
+    return;
+  memcpy (peer->proof, proof, n);
+  peer->proof_bytes = n;
+}
+
+/* Whoever may forward calls may name any organisation. */
+static bool
+is_proved (const struct peer *peer, const struct peer_hello *hello)
+{
+  const struct entry *entry = peer->peers->entry;
+  const struct entry_settings *settings = entry->settings;
+
+  if (!peer->incoming
+      || (settings->cluster_key[0] == '\0'
+          && settings->cluster_key_accepted[0] == '\0'))
+    return true;
+  return peer_proof_check (settings->cluster_key, hello->node,
+                           hello->incarnation, entry->incarnation, peer->proof,
+                           peer->proof_bytes)
+         || peer_proof_check (settings->cluster_key_accepted, hello->node,
+                              hello->incarnation, entry->incarnation,
+                              peer->proof, peer->proof_bytes);
+}
+
+static void
+take_hello (struct peer *peer, const struct peer_hello *hello)
+{
+  if (is_proved (peer, hello))
+    {
+      g_strlcpy (peer->node, hello->node, sizeof peer->node);
+      return;
+    }
+  counters_add (peer->peers->entry->counters, "beryl_peer_refused_total", "",
+                1);
+  g_warning ("%s at %s does not prove the cluster's key", hello->node,
+             link_peer (peer->link));
+}
+
+static void
+take_message (struct peer *peer, const struct peer_message *message)
 {
-  struct peer *peer = (struct peer *)handler;
-  struct peer_message *message = g_new0 (struct peer_message, 1);
   struct entry *entry = peer->peers->entry;
 
-  if (!peer_read (frame, message))
-    counters_add (entry->counters, "beryl_peer_malformed_total", "", 1);
-  else if (message->type == PEER_HELLO)
-    g_strlcpy (peer->node, message->hello.node, sizeof peer->node);
+  if (message->type == PEER_HELLO)
+    take_hello (peer, &message->hello);
   else if (peer->node[0] == '\0')
-    counters_add (entry->counters, "beryl_peer_malformed_total", "", 1);
+    peer->refused = true;
   else if (message->type == PEER_CLAIM)
     claims_link_message (entry->claims, peer->node, &message->claim);
   else if (peer->incoming)
     serve_message (peer, message);
   else
     ask_message (peer, message);
+}
+
+static void
+peer_frame (struct link_handler *handler, struct link *link,
+            struct frame *frame)
+{
+  struct peer *peer = (struct peer *)handler;
+  struct peer_message *message;
+
+  if (frame_type (frame) == PEER_PROOF_TYPE)
+    {
+      keep_proof (peer, frame);
+      return;
+    }
+  message = g_new0 (struct peer_message, 1);
+  if (peer_read (frame, message))
+    take_message (peer, message);
+  else
+    counters_add (peer->peers->entry->counters, "beryl_peer_malformed_total",
+                  "", 1);
   g_free (message);
 }
 
@@ -86,6 +146,22 @@
   return peer;
 }
 
+static void
+send_proof (struct peer *peer, uint64_t to)
+{
+  struct entry *entry = peer->peers->entry;
+  struct frame_writer *writer = peer->peers->writer;
+  uint8_t proof[PEER_PROOF_BYTES];
+
+  if (entry->settings->cluster_key[0] == '\0'
+      || !peer_proof_make (entry->settings->cluster_key, entry->settings->node,
+                           entry->incarnation, to, proof))
+    return;
+  frame_writer_reset (writer, PEER_PROOF_TYPE);
+  frame_put_bytes (writer, PEER_PROOF_KEY, proof, sizeof proof);
+  link_send (peer->link, writer);
+}
+
 static void
 send_hello (struct peer *peer)
 {
@@ -125,12 +201,12 @@
       return NULL;
     }
   g_hash_table_insert (peers->outgoing, peer->node, peer);
+  send_proof (peer, member->incarnation);
   send_hello (peer);
   return peer;
 }
 
-/* Whoever may forward calls may name any organisation, so that only the
- * addresses of known members may connect. */
+/* A first hurdle, for clusters without a key the only one. */
 static bool
 is_member_address (const struct entry *entry, const char *address)
 {
@@ -159,13 +235,30 @@
   return &peer->base;
 }
 
+static void
+close_peer (struct peer *peer)
+{
+  link_close (peer->link);
+  peer_free (peer);
+}
+
 static void
 sweep (void *user)
 {
   struct peers *peers = user;
 
-  for (guint i = 0; i < peers->incoming->len; i++)
-    serve_sweep (g_ptr_array_index (peers->incoming, i));
+  for (guint i = peers->incoming->len; i > 0; i--)
+    {
+      struct peer *peer = g_ptr_array_index (peers->incoming, i - 1);
+
+      if (!peer->refused)
+        {
+          serve_sweep (peer);
+          continue;
+        }
+      g_ptr_array_remove_index_fast (peers->incoming, i - 1);
+      close_peer (peer);
+    }
 }
 
 struct peers *
@@ -193,13 +286,6 @@
   return peers;
 }
 
-static void
-close_peer (struct peer *peer)
-{
-  link_close (peer->link);
-  peer_free (peer);
-}
-
 void
 peers_destroy (struct peers *peers)
 {
--- a/entryd/peers_private.h
+++ b/entryd/peers_private.h
@@ -5,8 +5,14 @@
 #define ENTRYD_PEERS_PRIVATE_H
 
 #include "peers.h"
+#include "peers_secret.h"
 #include "wire/link.h"
 
+/** The frame before HELLO: its only field is the proof of the cluster's key.
+ */
+#define PEER_PROOF_TYPE 63
+#define PEER_PROOF_KEY 1
+
 struct peers
 {
   struct entry *entry;
@@ -26,8 +32,11 @@
   struct link_handler base;
   struct peers *peers;
   struct link *link;
-  char node[BERYL_NAME_BYTES];
+  char node[BERYL_NAME_BYTES]; /**< "": not proved yet */
   bool incoming;
+  uint8_t proof[PEER_PROOF_BYTES]; /**< from the other side */
+  size_t proof_bytes;
+  bool refused;        /**< it asked without a proof; close it */
   GHashTable *serving; /**< id -> struct entry_request, of incoming ones */
 };
 
--- a/entryd/settings.c
+++ b/entryd/settings.c
@@ -31,6 +31,7 @@
   TEXT (BERYL_FIELD_ADDRESS, platform_address, false),
   NUMBER (BERYL_FIELD_UINT16, platform_port, 0, 65535),
   TEXT (BERYL_FIELD_TEXT, cluster_key, false),
+  TEXT (BERYL_FIELD_TEXT, cluster_key_accepted, false),
   TEXT (BERYL_FIELD_TEXT, operator_token_sha256, false),
   TEXT (BERYL_FIELD_TEXT, tls_cert_file, false),
   TEXT (BERYL_FIELD_TEXT, tls_key_file, false),
--- a/tests/http/test_peers.c
+++ b/tests/http/test_peers.c
@@ -11,13 +11,25 @@
 static char key[64];
 
 static void
-set_up (void)
+create (const char *second_key)
 {
-  world = world_create_two ();
+  world = world_create_two (second_key);
   g_snprintf (key, sizeof key, "b-%016" G_GINT64_MODIFIER "x-letter-1",
               world->nodes[0]->incarnation);
 }
 
+static void
+set_up (void)
+{
+  create ("key of the cluster");
+}
+
+static void
+set_up_wrong_key (void)
+{
+  create ("another key");
+}
+
 static void
 tear_down (void)
 {
@@ -124,22 +136,37 @@
 }
 END_TEST
 
+/* The stranger sits on a member's address, but has another key. */
+START_TEST (test_wrong_key_is_refused)
+{
+  call_at (1, "POST", LETTERS, "idempotency-key", key, "{}");
+  ck_assert_uint_eq (answer.status, 409);
+  ck_assert (body_has ("\"outcome\":\"unknown\""));
+  ck_assert_uint_eq (world->service_runs, 0);
+  answer_clear (&answer);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("peers");
   TCase *tcase = tcase_create ("peers");
+  TCase *stranger = tcase_create ("stranger");
   SRunner *runner = srunner_create (suite);
   int failed;
 
   tcase_set_timeout (tcase, 30);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_checked_fixture (stranger, set_up_wrong_key, tear_down);
   tcase_add_test (tcase, test_bound_key_elsewhere);
   tcase_add_test (tcase, test_bound_key_of_dead_node);
   tcase_add_test (tcase, test_fetch_elsewhere);
   tcase_add_test (tcase, test_free_key);
   tcase_add_test (tcase, test_stranger_is_refused);
+  tcase_add_test (stranger, test_wrong_key_is_refused);
   suite_add_tcase (suite, tcase);
+  suite_add_tcase (suite, stranger);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
   srunner_free (runner);
--- a/tests/http/world.c
+++ b/tests/http/world.c
@@ -185,8 +185,8 @@
            "node: n%zu\naddress: 127.0.0.1\ndata_centre: hal-noord\n"
            "static_config: %s\nlog_level: error\nseed: 7\n"
            "max_body_bytes: 1000000\nheader_timeout_s: 1\n"
-           "platform_port: %u\n",
-           node + 1, world->path,
+           "cluster_key: %s\nplatform_port: %u\n",
+           node + 1, world->path, world->keys[node],
            world->platform != NULL ? platform_port (world->platform) : 0);
   fclose (f);
   ck_assert (entry_settings_load (settings, path, findings));
@@ -213,6 +213,7 @@
       = http_server_create (world->http, &settings, &world->service, NULL);
   world->engine_server
       = http_server_create (world->http, &settings, &world->engine, NULL);
+  world->keys[0] = "key of the cluster";
   write_config (world);
   return world;
 }
@@ -228,10 +229,11 @@
 }
 
 struct world *
-world_create_two (void)
+world_create_two (const char *second_key)
 {
   struct world *world = create_fakes ();
 
+  world->keys[1] = second_key;
   world->platform
       = platform_create (world->loop, world->http, "127.0.0.1", 0, NULL);
   create_entry (world, 0);
--- a/tests/http/world.h
+++ b/tests/http/world.h
@@ -40,6 +40,7 @@
   struct entry *entry; /**< the node that calls go to */
   struct entry *nodes[2];
   struct entry_settings node_settings[2];
+  const char *keys[2]; /**< the nodes' cluster keys */
   struct platform *platform;
   enum service_mode service_mode;
   enum decode_mode decode_mode;
@@ -69,8 +70,9 @@
 /** Create; the loop is WORLD's. */
 struct world *world_create (void);
 
-/** Create with a second node and a platform. */
-struct world *world_create_two (void);
+/** Create with a platform and a second node, which has SECOND_KEY; the
+ * first one's key is "key of the cluster". */
+struct world *world_create_two (const char *second_key);
 
 /** Make the nodes see each other as they are now. */
 void world_introduce (struct world *world);
