--- /dev/null
+++ b/tests/requests/test_claims.c
@@ -0,0 +1,461 @@
+/* The claim log, one failure at a time; all of them together are in the
+ * histories. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/claims.h"
+#include "store.h"
+
+#define CALLS_MAX 64
+#define DELETE_AFTER_MS 1000
+#define RETENTION_MS 20000
+
+enum operation
+{
+  OPERATION_LIST,
+  OPERATION_GET,
+  OPERATION_CREATE,
+  OPERATION_REMOVE,
+};
+
+struct call
+{
+  uint64_t id;
+  enum operation operation;
+  char name[64];
+  char *value;
+};
+
+/* A node with its calls to the object API, which wait until they are
+ * served. */
+struct home
+{
+  struct beryl_claims_owner base;
+  struct beryl_claims *claims;
+  struct call calls[CALLS_MAX];
+  int call_count;
+  enum beryl_claim_result results[CALLS_MAX]; /* by request */
+  uint64_t grantees[CALLS_MAX];
+  bool ended[CALLS_MAX];
+};
+
+static struct store *objects;
+static struct home a, b;
+static int64_t now_ms;
+
+static void
+on_result (struct beryl_claims_owner *owner, uint64_t request,
+           enum beryl_claim_result result, uint64_t incarnation)
+{
+  struct home *home = (struct home *)owner;
+
+  ck_assert (!home->ended[request]);
+  home->ended[request] = true;
+  home->results[request] = result;
+  home->grantees[request] = incarnation;
+}
+
+static void
+on_send (struct beryl_claims_owner *owner, const char *node,
+         const struct beryl_claim_message *message)
+{
+  ck_abort_msg ("both nodes are home in their own view");
+}
+
+static void
+add_call (struct beryl_claims_owner *owner, enum operation operation,
+          uint64_t id, const char *name, const char *value)
+{
+  struct home *home = (struct home *)owner;
+  struct call *call = &home->calls[home->call_count++];
+
+  call->id = id;
+  call->operation = operation;
+  snprintf (call->name, sizeof call->name, "%s", name);
+  call->value = value != NULL ? strdup (value) : NULL;
+}
+
+static void
+on_list (struct beryl_claims_owner *owner, uint64_t call, const char *prefix)
+{
+  add_call (owner, OPERATION_LIST, call, prefix, NULL);
+}
+
+static void
+on_get (struct beryl_claims_owner *owner, uint64_t call, const char *name)
+{
+  add_call (owner, OPERATION_GET, call, name, NULL);
+}
+
+static void
+on_create (struct beryl_claims_owner *owner, uint64_t call, const char *name,
+           const char *value, size_t value_bytes, const char *nonce)
+{
+  add_call (owner, OPERATION_CREATE, call, name, value);
+}
+
+static void
+on_remove (struct beryl_claims_owner *owner, uint64_t call, const char *name)
+{
+  add_call (owner, OPERATION_REMOVE, call, name, NULL);
+}
+
+static const struct beryl_claims_owner_impl impl = {
+  .result = on_result,
+  .send = on_send,
+  .list = on_list,
+  .get = on_get,
+  .create = on_create,
+  .remove = on_remove,
+};
+
+static struct beryl_object found[CALLS_MAX];
+static size_t found_count;
+
+static bool
+collect (void *user, const struct store_revision *revision)
+{
+  found[found_count++]
+      = (struct beryl_object){ .name = revision->name,
+                               .value = revision->value,
+                               .value_bytes = revision->value_bytes };
+  return true;
+}
+
+/* Takes the oldest call off HOME. */
+static struct call
+take (struct home *home)
+{
+  struct call call = home->calls[0];
+
+  ck_assert_int_gt (home->call_count, 0);
+  memmove (&home->calls[0], &home->calls[1],
+           (size_t)--home->call_count * sizeof call);
+  return call;
+}
+
+/* Lets a write take effect, and returns what the reply would say. */
+static enum beryl_error_code
+take_effect (struct call *call)
+{
+  uint64_t version = 0;
+  enum store_status status;
+
+  if (call->operation == OPERATION_REMOVE)
+    status = store_delete (objects, BERYL_CLAIMS_KIND, call->name,
+                           STORE_IF_ANY, &version, now_ms);
+  else
+    status
+        = store_put (objects, BERYL_CLAIMS_KIND, call->name, STORE_IF_ABSENT,
+                     &version, call->value, strlen (call->value), now_ms);
+  free (call->value);
+  if (status == STORE_ABSENT)
+    return BERYL_ERROR_NOT_FOUND;
+  return status == STORE_OK ? BERYL_OK : BERYL_ERROR_CONFLICT;
+}
+
+/* Answers a call with CODE instead, without any effect. */
+static void
+refuse (struct home *home, enum beryl_error_code code)
+{
+  struct call call = take (home);
+
+  free (call.value);
+  if (call.operation == OPERATION_LIST || call.operation == OPERATION_GET)
+    beryl_claims_read (home->claims, call.id, code, NULL, 0, now_ms);
+  else
+    beryl_claims_written (home->claims, call.id, code, now_ms);
+}
+
+static void
+serve_one (struct home *home)
+{
+  struct call call = take (home);
+  enum beryl_error_code code = BERYL_OK;
+
+  found_count = 0;
+  if (call.operation == OPERATION_CREATE || call.operation == OPERATION_REMOVE)
+    {
+      beryl_claims_written (home->claims, call.id, take_effect (&call),
+                            now_ms);
+      return;
+    }
+  store_list (objects, BERYL_CLAIMS_KIND, call.name, "", now_ms, collect,
+              NULL);
+  if (call.operation == OPERATION_GET && found_count == 0)
+    code = BERYL_ERROR_NOT_FOUND;
+  if (call.operation == OPERATION_GET && found_count > 0)
+    found_count = 1;
+  beryl_claims_read (home->claims, call.id, code, found, found_count, now_ms);
+}
+
+static void
+pass (struct home *home, int64_t ms)
+{
+  for (int64_t end_ms = now_ms + ms; now_ms < end_ms; now_ms += 10)
+    {
+      beryl_claims_tick (home->claims, now_ms);
+      while (home->call_count > 0)
+        serve_one (home);
+    }
+}
+
+static void
+claim (struct home *home, uint64_t request, const char *key)
+{
+  beryl_claims_claim (home->claims, request, "permits", key, 1, now_ms);
+}
+
+static void
+home_start (struct home *home, const char *node, uint64_t incarnation)
+{
+  struct beryl_claims_settings settings = {
+    .node = node,
+    .incarnation = incarnation,
+    .seed = 1,
+    .shards = 1,
+    .retention_ms = RETENTION_MS,
+    .delete_after_ms = DELETE_AFTER_MS,
+    .fold_segments = 4,
+  };
+
+  memset (home, 0, sizeof *home);
+  home->base.impl = &impl;
+  home->claims = beryl_claims_create (&settings, &home->base);
+  beryl_claims_set_members (home->claims, &node, 1, now_ms);
+  pass (home, 50);
+}
+
+static void
+setup (void)
+{
+  now_ms = 100000;
+  objects = store_create ();
+  home_start (&a, "a", 1);
+  home_start (&b, "b", 2);
+}
+
+static void
+home_stop (struct home *home)
+{
+  while (home->call_count > 0)
+    free (take (home).value);
+  beryl_claims_destroy (home->claims);
+}
+
+static void
+teardown (void)
+{
+  home_stop (&a);
+  home_stop (&b);
+  store_destroy (objects);
+}
+
+/* Two callers use one key within one commit: both would be granted it if the
+ * second one were put into the same segment. */
+START_TEST (one_commit_grants_a_key_once)
+{
+  claim (&a, 1, "warm up"); /* its write makes the next two wait */
+  claim (&a, 2, "k");
+  claim (&a, 3, "k");
+  pass (&a, 300);
+  ck_assert_int_eq (a.results[2], BERYL_CLAIM_GRANTED);
+  ck_assert_int_eq (a.results[3], BERYL_CLAIM_TAKEN);
+  ck_assert_uint_eq (a.grantees[3], 1);
+}
+END_TEST
+
+/* Two nodes believe to be home and write the same number.  The loser must
+ * learn what the winner has granted before it grants anything. */
+START_TEST (loser_of_a_race_reads_first)
+{
+  claim (&a, 1, "k");
+  claim (&b, 1, "k");
+  claim (&b, 2, "other");
+  serve_one (&a);
+  ck_assert_int_eq (a.results[1], BERYL_CLAIM_GRANTED);
+  pass (&b, 300);
+  ck_assert_int_eq (b.results[1], BERYL_CLAIM_TAKEN);
+  ck_assert_uint_eq (b.grantees[1], 1);
+  ck_assert_int_eq (b.results[2], BERYL_CLAIM_GRANTED);
+  ck_assert_uint_eq (beryl_claims_counts (b.claims)->races_lost, 1);
+}
+END_TEST
+
+/* A write takes effect and its reply is lost.  The claim is this node's, and
+ * the caller must not hear anything else. */
+START_TEST (lost_reply_is_settled_by_reading)
+{
+  struct call call;
+
+  claim (&a, 1, "k");
+  call = take (&a);
+  ck_assert_int_eq (take_effect (&call), BERYL_OK);
+  beryl_claims_written (a.claims, call.id, BERYL_ERROR_UNKNOWN, now_ms);
+  ck_assert (!a.ended[1]);
+  pass (&a, 500);
+  ck_assert (a.ended[1]);
+  ck_assert_uint_eq (a.grantees[1], 1);
+  ck_assert (a.results[1] == BERYL_CLAIM_GRANTED
+             || a.results[1] == BERYL_CLAIM_TAKEN);
+}
+END_TEST
+
+/* A write's reply is lost, and it was another node's segment that stands at
+ * that number: the conflict of the second try looks like one's own write. */
+START_TEST (conflict_after_a_lost_reply_is_not_believed)
+{
+  claim (&a, 1, "k");
+  refuse (&a, BERYL_ERROR_UNKNOWN); /* it had no effect */
+  claim (&b, 1, "k");
+  pass (&b, 300);
+  ck_assert_int_eq (b.results[1], BERYL_CLAIM_GRANTED);
+  pass (&a, 500);
+  ck_assert_int_eq (a.results[1], BERYL_CLAIM_TAKEN);
+  ck_assert_uint_eq (a.grantees[1], 2);
+}
+END_TEST
+
+/* The object API goes away.  A home that has just written alone knows that a
+ * key is new, and which keys it has granted; one that has not cannot know. */
+START_TEST (outage_is_told_as_far_as_it_is_known)
+{
+  claim (&a, 1, "old");
+  pass (&a, 100);
+  claim (&a, 2, "new");
+  refuse (&a, BERYL_ERROR_UNAVAILABLE);
+  ck_assert_int_eq (a.results[2], BERYL_CLAIM_UNAVAILABLE);
+  claim (&a, 3, "old");
+  ck_assert_int_eq (a.results[3], BERYL_CLAIM_TAKEN);
+  claim (&b, 1, "old");
+  refuse (&b, BERYL_ERROR_UNAVAILABLE);
+  ck_assert_int_eq (b.results[1], BERYL_CLAIM_UNKNOWN);
+}
+END_TEST
+
+/* A home is stopped while another one takes over, and the API goes away when
+ * it wakes up: its old view must not call a key "not run". */
+START_TEST (woken_home_is_not_certain)
+{
+  claim (&a, 1, "x");
+  pass (&a, 100);
+  claim (&b, 1, "k");
+  pass (&b, 300);
+  ck_assert_int_eq (b.results[1], BERYL_CLAIM_GRANTED);
+  now_ms += 3000;
+  beryl_claims_tick (a.claims, now_ms);
+  claim (&a, 2, "k");
+  while (a.call_count > 0)
+    refuse (&a, BERYL_ERROR_UNAVAILABLE);
+  ck_assert_int_eq (a.results[2], BERYL_CLAIM_UNKNOWN);
+}
+END_TEST
+
+static void
+write_many (struct home *home, int count)
+{
+  char key[32];
+
+  for (int i = 0; i < count; i++)
+    {
+      snprintf (key, sizeof key, "key-%d", i);
+      claim (home, (uint64_t)(i + 10), key);
+      pass (home, 100);
+      ck_assert_int_eq (home->results[i + 10], BERYL_CLAIM_GRANTED);
+    }
+}
+
+/* Node A sends a write and is stopped before it leaves the instance.  B takes
+ * over, writes on, folds and deletes: A's number is free again.  A's write
+ * arrives and succeeds, and means nothing. */
+START_TEST (success_at_a_deleted_number_is_no_grant)
+{
+  struct call call;
+
+  claim (&a, 2, "first");
+  pass (&a, 100);
+  claim (&a, 1, "key-5");
+  call = take (&a);
+  write_many (&b, 8);
+  pass (&b, DELETE_AFTER_MS * 12);
+  ck_assert_uint_gt (beryl_claims_counts (b.claims)->deleted, 4);
+  ck_assert_int_eq (take_effect (&call), BERYL_OK);
+  beryl_claims_written (a.claims, call.id, BERYL_OK, now_ms);
+  ck_assert (!a.ended[1]);
+  pass (&a, 300);
+  ck_assert_int_eq (a.results[1], BERYL_CLAIM_TAKEN);
+  ck_assert_uint_eq (a.grantees[1], 2);
+}
+END_TEST
+
+/* Folding must lose no key: a node that starts later reads only the folded
+ * segment and the ones after it. */
+START_TEST (folded_keys_are_known_to_a_new_node)
+{
+  write_many (&a, 8);
+  pass (&a, DELETE_AFTER_MS * 12);
+  ck_assert_uint_gt (beryl_claims_counts (a.claims)->deleted, 4);
+  home_stop (&b);
+  home_start (&b, "b", 3);
+  claim (&b, 1, "key-1");
+  claim (&b, 2, "key-7");
+  pass (&b, 300);
+  ck_assert_int_eq (b.results[1], BERYL_CLAIM_TAKEN);
+  ck_assert_int_eq (b.results[2], BERYL_CLAIM_TAKEN);
+}
+END_TEST
+
+START_TEST (keys_are_forgotten_after_the_retention)
+{
+  write_many (&a, 8);
+  pass (&a, RETENTION_MS + DELETE_AFTER_MS * 8);
+  ck_assert_uint_le (beryl_claims_counts (a.claims)->keys, 1);
+}
+END_TEST
+
+/* Pages of a list come from replicas that lag differently, so that a segment
+ * seems to be missing in the middle.  Its number must not be written to. */
+START_TEST (list_with_a_hole_is_not_built_on)
+{
+  uint64_t version = 0;
+
+  write_many (&a, 5);
+  home_stop (&b);
+  store_delete (objects, BERYL_CLAIMS_KIND, "s000-0000000002", STORE_IF_ANY,
+                &version, now_ms);
+  home_start (&b, "b", 3);
+  claim (&b, 1, "new");
+  pass (&b, 3000);
+  ck_assert (!b.ended[1]);
+  ck_assert_uint_eq (beryl_claims_counts (b.claims)->segments, 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("claims");
+  TCase *tcase = tcase_create ("claims");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, one_commit_grants_a_key_once);
+  tcase_add_test (tcase, loser_of_a_race_reads_first);
+  tcase_add_test (tcase, lost_reply_is_settled_by_reading);
+  tcase_add_test (tcase, conflict_after_a_lost_reply_is_not_believed);
+  tcase_add_test (tcase, outage_is_told_as_far_as_it_is_known);
+  tcase_add_test (tcase, woken_home_is_not_certain);
+  tcase_add_test (tcase, success_at_a_deleted_number_is_no_grant);
+  tcase_add_test (tcase, folded_keys_are_known_to_a_new_node);
+  tcase_add_test (tcase, keys_are_forgotten_after_the_retention);
+  tcase_add_test (tcase, list_with_a_hole_is_not_built_on);
+  suite_add_tcase (suite, tcase);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
