--- a/tests/requests/test_claims.c
+++ b/tests/requests/test_claims.c
@@ -361,7 +361,7 @@
   for (int i = 0; i < count; i++)
     {
       snprintf (key, sizeof key, "key-%d", i);
-      claim (home, (uint64_t)(i + 10), key);
+      claim (home, (uint64_t)i + 10, key);
       pass (home, 100);
       ck_assert_int_eq (home->results[i + 10], BERYL_CLAIM_GRANTED);
     }
