--- a/controld/planner_task.c
+++ b/controld/planner_task.c
@@ -22,6 +22,10 @@
 #define DRAIN_MS 5000
 #define WRITE_MS 3000
 #define LIST_MS 60000
+/* What was learned of the days is kept in objects of this kind, for the next
+ * planner. */
+#define PLAN_KIND "plans"
+#define SAVE_MS 600000
 
 struct planner_task
 {
@@ -32,6 +36,8 @@
   struct loop_timer *timer;
   size_t next_poll;
   GPtrArray *calls;   /* struct call * */
+  uint64_t restoring; /* request under way; 0: none */
+  int64_t save_ms;    /* when profiles are saved next */
   uint64_t listing;   /* request under way; 0: none */
   GHashTable *drains; /* endpoint to the time when its fact was seen */
 };
@@ -355,6 +361,68 @@
     }
 }
 
+static void
+plan_written (void *user, const struct beryl_platform_result *result)
+{
+  (void)user;
+  if (result->code != BERYL_OK)
+    g_info ("plan not written: %s", beryl_error_code_name (result->code));
+}
+
+static void
+plan_save (struct planner_task *task, const char *service)
+{
+  struct platform_client_options options
+      = { .use = BERYL_USE_STATUS, .timeout_ms = WRITE_MS };
+  struct beryl_platform_write write
+      = { .kind = PLAN_KIND, .name = service, .condition = BERYL_IF_ANY };
+  char *text = beryl_planner_save (task->planner, service, &write.value_bytes);
+
+  write.value = text;
+  if (text != NULL)
+    platform_client_put (task->control->platform, &options, &write,
+                         plan_written, NULL);
+  free (text);
+}
+
+static void
+plans_save (struct planner_task *task)
+{
+  int64_t now_ms = control_now_ms (task->control);
+
+  if (now_ms < task->save_ms)
+    return;
+  task->save_ms = now_ms + SAVE_MS;
+  for (size_t i = 0; i < beryl_planner_service_count (task->planner); i++)
+    plan_save (task, beryl_planner_service (task->planner, i));
+}
+
+static void
+plans_listed (void *user, const struct beryl_platform_result *result)
+{
+  struct planner_task *task = user;
+
+  task->restoring = 0;
+  if (result->code != BERYL_OK)
+    return;
+  for (size_t i = 0; i < result->object_count; i++)
+    if (beryl_planner_restore (task->planner, result->objects[i].name,
+                               result->objects[i].value,
+                               result->objects[i].value_bytes))
+      g_info ("profile of %s restored", result->objects[i].name);
+}
+
+static void
+plans_restore (struct planner_task *task)
+{
+  struct platform_client_options options
+      = { .use = BERYL_USE_STATUS, .timeout_ms = LIST_MS, .wait = true };
+
+  task->save_ms = control_now_ms (task->control) + SAVE_MS;
+  task->restoring = platform_client_list (task->control->platform, &options,
+                                          PLAN_KIND, "", plans_listed, task);
+}
+
 static void
 planner_tick (void *user)
 {
@@ -363,6 +431,8 @@
   if (task->config == NULL)
     return;
   engines_poll (task);
+  if (task->restoring == 0)
+    plans_save (task);
   beryl_planner_tick (task->planner, control_now_ms (task->control));
 }
 
@@ -438,6 +508,8 @@
 {
   struct planner_task *task = g_new0 (struct planner_task, 1);
   struct beryl_planner_settings settings = {
+    .sizing = BERYL_SIZING_CORRECTED,
+    .day_offset_ms = g_get_real_time () / 1000 - control_now_ms (control),
     .weight_store_bytes_per_s = control->settings.weight_store_bytes_per_s,
     .idle_ms = control->settings.planner_idle_ms,
   };
@@ -450,6 +522,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   drains_list (task);
   planner_task_config (task);
+  plans_restore (task);
   task->timer
       = loop_timer_start (control->loop, TICK_MS, TICK_MS, planner_tick, task);
   return task;
@@ -461,6 +534,8 @@
   if (task == NULL)
     return;
   loop_timer_stop (task->timer);
+  if (task->restoring != 0)
+    platform_client_forget (task->control->platform, task->restoring);
   if (task->listing != 0)
     platform_client_forget (task->control->platform, task->listing);
   for (guint i = 0; i < task->calls->len; i++)
--- a/include/beryl/planner.h
+++ b/include/beryl/planner.h
@@ -48,6 +48,14 @@
 double beryl_sizer_step (struct beryl_sizer *sizer, double load,
                          int64_t day_ms);
 
+/** Return the profile, one load for each step of the day, -1 where nothing
+ * is known; owned by SIZER. */
+const double *beryl_sizer_profile (const struct beryl_sizer *sizer,
+                                   size_t *step_count);
+
+/** Take the load of one step of the day over from an earlier sizer. */
+void beryl_sizer_learn (struct beryl_sizer *sizer, size_t step, double load);
+
 /** Return the name of SIZING. */
 const char *beryl_sizing_name (enum beryl_sizing sizing);
 
@@ -106,6 +114,9 @@
   int64_t shrink_ms;               /**< a surplus must last so long [300000] */
   int64_t idle_ms;   /**< without demand, to nothing after it [600000] */
   int64_t repeat_ms; /**< between repeats of an order [5000] */
+  /** What to add to the time to get the time of day, which the profiles go
+   * by; it need not be exact. */
+  int64_t day_offset_ms;
 };
 
 /** Create; OWNER must outlive it. */
@@ -135,6 +146,21 @@
 /** Let time pass; emits orders. */
 void beryl_planner_tick (struct beryl_planner *planner, int64_t now_ms);
 
+/** Return what was learned of SERVICE's days as JSON, for a later planner;
+ * free() it.  NULL if there is no such service. */
+char *beryl_planner_save (const struct beryl_planner *planner,
+                          const char *service, size_t *bytes_count);
+
+/** Take over what an earlier planner had learned; false if it is malformed
+ * or of another step. */
+bool beryl_planner_restore (struct beryl_planner *planner, const char *service,
+                            const char *json, size_t bytes_count);
+
+/** Return the number of model services, and the name of service I. */
+size_t beryl_planner_service_count (const struct beryl_planner *planner);
+const char *beryl_planner_service (const struct beryl_planner *planner,
+                                   size_t i);
+
 /** Whether ENDPOINT reports what it was ordered last. */
 bool beryl_planner_follows (const struct beryl_planner *planner,
                             const char *endpoint);
--- a/libberyl/planner/planner.c
+++ b/libberyl/planner/planner.c
@@ -79,8 +79,8 @@
   return NULL;
 }
 
-static struct service *
-service_find (const struct beryl_planner *p, const char *name)
+struct service *
+planner_service (const struct beryl_planner *p, const char *name)
 {
   for (size_t i = 0; i < p->service_count; i++)
     if (strcmp (p->services[i].name, name) == 0)
@@ -147,7 +147,7 @@
       const struct beryl_service *from = &config->services[i];
       const struct beryl_model *model
           = beryl_config_model (config, from->model);
-      struct service *old = service_find (p, from->name);
+      struct service *old = planner_service (p, from->name);
       struct service *s = &services[count];
 
       if (model == NULL)
@@ -237,7 +237,7 @@
                       const char *service, uint32_t arrived, uint32_t waiting,
                       uint32_t running, uint64_t prompt_tokens, int64_t now_ms)
 {
-  struct service *s = service_find (p, service);
+  struct service *s = planner_service (p, service);
   struct node_demand *demand = s != NULL ? demand_of (s, node) : NULL;
 
   if (demand == NULL)
@@ -321,7 +321,7 @@
 uint32_t
 beryl_planner_wanted (const struct beryl_planner *p, const char *service)
 {
-  const struct service *s = service_find (p, service);
+  const struct service *s = planner_service (p, service);
 
   return s != NULL ? s->wanted : 0;
 }
--- a/libberyl/planner/private.h
+++ b/libberyl/planner/private.h
@@ -75,6 +75,10 @@
   int64_t load_free_ms; /* when the weight store may serve another load */
 };
 
+/** Find a service; NULL if there is none. */
+struct service *planner_service (const struct beryl_planner *p,
+                                 const char *name);
+
 /** Copy a name; NULL gives "". */
 void name_copy (char to[BERYL_NAME_BYTES], const char *from);
 
--- a/libberyl/planner/size.c
+++ b/libberyl/planner/size.c
@@ -30,11 +30,12 @@
   double streams
       = s->running_count > 0 ? s->running_sum / s->running_count : 0;
   double seconds = (double)p->settings.step_ms / 1000;
+  int64_t day_ms = now_ms + p->settings.day_offset_ms;
   double prefill = (double)s->step_tokens / seconds
                    / p->settings.prefill_tokens_per_s / p->settings.use;
 
-  s->decode_load = beryl_sizer_step (s->decode_sizer, streams, now_ms);
-  s->prefill_load = beryl_sizer_step (s->prefill_sizer, prefill, now_ms);
+  s->decode_load = beryl_sizer_step (s->decode_sizer, streams, day_ms);
+  s->prefill_load = beryl_sizer_step (s->prefill_sizer, prefill, day_ms);
   s->step_tokens = 0;
   s->step_arrived = 0;
   s->running_sum = 0;
--- a/libberyl/planner/sizer.c
+++ b/libberyl/planner/sizer.c
@@ -10,6 +10,8 @@
 /* Bounds of the correction: a broken profile must not rule. */
 #define CORRECTION_MIN 0.5
 #define CORRECTION_MAX 2.0
+/* Profile of a time of day that was not seen yet. */
+#define UNKNOWN (-1.0)
 /* Loads below this are noise in a ratio. */
 #define LOAD_MIN 0.5
 
@@ -20,8 +22,7 @@
   int64_t horizon_ms;
   size_t steps;
   double profile[BERYL_SIZER_STEPS_MAX]; /* load by time of day */
-  bool known[BERYL_SIZER_STEPS_MAX];
-  double ratios[ERRORS]; /* of load to forecast */
+  double ratios[ERRORS];                 /* of load to forecast */
   size_t ratio_count;
 };
 
@@ -39,6 +40,8 @@
   s->steps = (size_t)(DAY_MS / step_ms);
   if (s->steps > BERYL_SIZER_STEPS_MAX)
     s->steps = BERYL_SIZER_STEPS_MAX;
+  for (size_t i = 0; i < BERYL_SIZER_STEPS_MAX; i++)
+    s->profile[i] = UNKNOWN;
   return s;
 }
 
@@ -59,11 +62,24 @@
 static void
 profile_learn (struct beryl_sizer *s, size_t step, double load)
 {
-  if (s->known[step])
+  if (s->profile[step] >= 0)
     s->profile[step] += PROFILE_GAIN * (load - s->profile[step]);
   else
     s->profile[step] = load;
-  s->known[step] = true;
+}
+
+const double *
+beryl_sizer_profile (const struct beryl_sizer *s, size_t *step_count)
+{
+  *step_count = s->steps;
+  return s->profile;
+}
+
+void
+beryl_sizer_learn (struct beryl_sizer *s, size_t step, double load)
+{
+  if (step < s->steps && load >= 0)
+    s->profile[step] = load;
 }
 
 static double
@@ -86,19 +102,17 @@
 static double
 forecast (const struct beryl_sizer *s, int64_t day_ms, double load)
 {
-  double most = 0;
+  double most = UNKNOWN;
 
   for (int64_t ahead = s->step_ms; ahead <= s->horizon_ms + s->step_ms;
        ahead += s->step_ms)
     {
       size_t step = step_at (s, day_ms + ahead);
 
-      if (!s->known[step])
-        return load;
       if (s->profile[step] > most)
         most = s->profile[step];
     }
-  return most;
+  return most < 0 ? load : most;
 }
 
 static double
@@ -113,7 +127,7 @@
   size_t step = step_at (s, day_ms);
   double ahead;
 
-  if (s->known[step] && s->profile[step] > LOAD_MIN)
+  if (s->profile[step] > LOAD_MIN)
     s->ratios[s->ratio_count++ % ERRORS] = load / s->profile[step];
   ahead = forecast (s, day_ms, load);
   profile_learn (s, step, load);
--- a/tests/control/test_planner.c
+++ b/tests/control/test_planner.c
@@ -212,6 +212,31 @@
 }
 END_TEST
 
+/* Story: the planner's node is replaced at night.  The next planner must know
+ * the steep start of the office day, or its first callers wait for engines
+ * that load for minutes. */
+START_TEST (profile_outlives_the_planner)
+{
+  struct town_settings settings = usual;
+  struct town *t;
+  int coming = 0;
+
+  settings.sizing = BERYL_SIZING_CORRECTED;
+  t = town_create (&settings);
+  /* A day of twelve busy hours and a night, up to a minute before its end. */
+  run (t, 12 * 3600, 3);
+  run (t, 12 * 3600 - 600, 0);
+  ck_assert_int_eq (town_warm (t, NULL), 0);
+  ck_assert (town_replace_planner_saved (t));
+  run (t, 540, 0);
+  run (t, 60, 0.05);
+  for (int i = 0; i < 12; i++)
+    coming += town_engine (t, i)->role != 0;
+  ck_assert_int_ge (coming, 3);
+  town_destroy (t);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -230,6 +255,7 @@
   tcase_add_test (t, dead_engines_are_replaced);
   tcase_add_test (t, new_planner_adopts);
   tcase_add_test (t, correction_follows_a_busier_day);
+  tcase_add_test (t, profile_outlives_the_planner);
   suite_add_tcase (s, t);
   r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
--- a/tests/control/town.c
+++ b/tests/control/town.c
@@ -123,6 +123,19 @@
   beryl_planner_set_config (t->planner, t->config, t->now_ms);
 }
 
+bool
+town_replace_planner_saved (struct town *t)
+{
+  size_t bytes = 0;
+  char *saved = beryl_planner_save (t->planner, "s", &bytes);
+  bool restored;
+
+  town_replace_planner (t);
+  restored = beryl_planner_restore (t->planner, "s", saved, bytes);
+  free (saved);
+  return restored;
+}
+
 struct town *
 town_create (const struct town_settings *settings)
 {
--- a/tests/control/town.h
+++ b/tests/control/town.h
@@ -65,6 +65,9 @@
 /** Let another planner take over, which knows nothing. */
 void town_replace_planner (struct town *town);
 
+/** Let another planner take over with what this one saved. */
+bool town_replace_planner_saved (struct town *town);
+
 /** Return engine I, and how many are warm with VERSION (NULL: any). */
 struct town_engine *town_engine (struct town *town, int i);
 int town_warm (const struct town *town, const char *version);
