--- a/load/scenario.h
+++ b/load/scenario.h
@@ -55,6 +55,8 @@
 
   /* the small calls */
   char plain_service[BERYL_NAME_BYTES];
+  char urgent_path[128];  /**< GET */
+  char patient_path[128]; /**< POST */
   double urgent_per_s;
   int64_t urgent_deadline_ms;
   int64_t urgent_ms;   /**< work of one */
