--- a/libberyl/router/pair.c
+++ b/libberyl/router/pair.c
@@ -72,8 +72,8 @@
       = cost_prefill_ms (q->s, q->job->prompt_tokens - p.cached_tokens);
   const struct router_endpoint *d
       = q->decode == ROUTER_NONE ? NULL : &q->r->endpoints[q->decode];
-  p.first_token_ms = prefill_backlog_ms (q->s, e, q->now_ms)
-                     + p.prefill_cost_ms
+  p.backlog_ms = prefill_backlog_ms (q->s, e, q->now_ms);
+  p.first_token_ms = p.backlog_ms + p.prefill_cost_ms
                      + cost_transfer_ms (q->s, e, d, q->job->prompt_tokens);
   if (strcmp (e->config->data_centre, q->r->data_centre) != 0)
     p.first_token_ms += OTHER_DATA_CENTRE_MS;
--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -18,6 +18,10 @@
 /* Waiting jobs per own slot from which a service counts as contended. */
 #define CONTENDED 0.25
 
+/* A job waits here rather than in an engine's queue if more than this is
+ * queued there: here it keeps its order and its choice of engine. */
+#define PREFILL_AHEAD_MS 400
+
 #define CONTENDED_MARGIN 2.0
 #define UNCERTAIN 0.3
 
@@ -236,7 +240,8 @@
       router_refuse (plan, "fair_share", retry_after (wait));
       return;
     }
-  if (served && (int64_t)ahead < slots
+  bool soon = served && p.backlog_ms <= PREFILL_AHEAD_MS;
+  if (soon && (int64_t)ahead < slots
       && try_start (r, s, job, &p, now_ms, plan))
     return;
   wait_for_slot (r, &w, ahead, now_ms, plan);
--- a/libberyl/router/private.h
+++ b/libberyl/router/private.h
@@ -270,6 +270,7 @@
   uint32_t prefill;
   uint32_t decode; /**< ROUTER_NONE when it is bound late */
   uint32_t cached_tokens;
+  double backlog_ms; /**< before the prefill begins */
   double prefill_cost_ms;
   double first_token_ms;
 };
