Tests of the router: short prompts where slots are meant

The tests of slots sent six prompts of 2000 tokens in one millisecond; since a prefill waits at the node when more than 400 ms are queued, the fifth waited for the queue and not for a slot. 500 tokens keep the queue out of these tests, their checks are unchanged; a test of the queue's bound itself is new.

--- a/tests/router/test_router.c
+++ b/tests/router/test_router.c
@@ -36,7 +36,7 @@
     .service = "advice",
     .organisation = organisation,
     .call_class = BERYL_CLASS_NORMAL,
-    .prompt_tokens = 2000,
+    .prompt_tokens = 500,
     .max_tokens = 100,
     .arrived_ms = NOW,
     .deadline_ms = NOW + 30000,
@@ -136,6 +136,30 @@
 }
 END_TEST
 
+/* Both prefill engines have long dossiers queued while slots are free.  A
+ * further one waits at the node, where it keeps its order, and goes out as
+ * soon as a queue is short. */
+START_TEST (test_long_prefill_queue_waits_here)
+{
+  struct beryl_plan plan;
+  enum beryl_verdict verdict = BERYL_VERDICT_START;
+  uint64_t n = 0;
+  while (verdict == BERYL_VERDICT_START && n < 6)
+    {
+      struct beryl_job job = model_job (++n, "north");
+      job.prompt_tokens = 4000;
+      beryl_router_plan (router, &job, NOW, &plan);
+      verdict = plan.verdict;
+    }
+  ck_assert_int_eq (verdict, BERYL_VERDICT_WAIT);
+  ck_assert_uint_ge (n, 3);
+  struct beryl_job job = model_job (n, "north");
+  job.prompt_tokens = 4000;
+  beryl_router_plan (router, &job, NOW + 2000, &plan);
+  ck_assert_int_eq (plan.verdict, BERYL_VERDICT_START);
+}
+END_TEST
+
 /* A caller asks for more than can be done before its deadline.  It is told
  * so at once and when to come back; nothing was started. */
 START_TEST (test_refuses_what_cannot_be_met)
@@ -293,6 +317,7 @@
   for (size_t i = 0; i < 20; i++)
     blocks[i] = 1000 + i;
   struct beryl_job job = model_job (1, "north");
+  job.prompt_tokens = 2000;
   job.block_hashes = blocks;
   job.block_count = 20;
   beryl_router_plan (router, &job, NOW, &plan);
@@ -407,6 +432,7 @@
   tcase_add_test (tc, test_prefix_hash_is_chained);
   tcase_add_test (tc, test_shares_add_up);
   tcase_add_test (tc, test_no_prefill_without_a_slot);
+  tcase_add_test (tc, test_long_prefill_queue_waits_here);
   tcase_add_test (tc, test_refuses_what_cannot_be_met);
   tcase_add_test (tc, test_fair_share);
   tcase_add_test (tc, test_rate_limit_says_when);
