Tell demand of the services to beryl-controld

Cause: the planner had nothing to size pools by. An isolated node leaves discovery. Conclusion: the loop from demand to plan is closed on this side.

--- a/entryd/decisions.c
+++ b/entryd/decisions.c
@@ -108,9 +108,13 @@
 decisions_add (struct entry *entry, const struct beryl_action *action)
 {
   const struct decision *d = keep (entry->decisions, action);
+  struct entry_request *request
+      = g_hash_table_lookup (entry->open, &action->request);
   char delay[24];
   char labels[48];
 
+  if (request != NULL)
+    request->waiting = d->verdict == BERYL_VERDICT_WAIT;
   g_snprintf (labels, sizeof labels, "verdict=\"%s\"",
               verdict_name (d->verdict));
   counters_add (entry->counters, "beryl_decisions_total", labels, 1);
--- a/entryd/discovery.c
+++ b/entryd/discovery.c
@@ -40,7 +40,8 @@
       nodes[i].region = m->region;
       nodes[i].suspect = m->state == LOCAL_MEMBER_SUSPECT;
       nodes[i].leaving = m->state == LOCAL_MEMBER_LEAVING
-                         || m->incarnation == 0 || (self && entry->draining);
+                         || m->incarnation == 0
+                         || (self && (entry->draining || entry->isolated));
     }
   return member_count;
 }
--- a/entryd/entry.c
+++ b/entryd/entry.c
@@ -9,6 +9,7 @@
 #include "claims_link.h"
 #include "config_source.h"
 #include "decisions.h"
+#include "demand.h"
 #include "engine_watch.h"
 #include "hold_keeper.h"
 #include "outbound.h"
@@ -241,6 +242,7 @@
   entry->holds = hold_keeper_create (entry);
   entry->http = http;
   entry->decisions = decisions_create ();
+  entry->demand = demand_create (entry);
   create_prepare (entry);
   entry->claims = claims_link_create (entry, seed);
   entry->engine_watch = engine_watch_create (entry);
@@ -285,6 +287,7 @@
   g_hash_table_destroy (entry->open);
   g_hash_table_destroy (entry->exchanges);
   decisions_destroy (entry->decisions);
+  demand_destroy (entry->demand);
   counters_destroy (entry->counters);
   g_free (entry);
 }
--- a/entryd/entry.h
+++ b/entryd/entry.h
@@ -48,8 +48,9 @@
   char *content_type;
   char *model;
   char request_id[72];
-  char organisation[BERYL_NAME_BYTES];
-  int64_t created_s; /**< calendar time, for the answer */
+  char service[BERYL_NAME_BYTES]; /**< "": a fetch */
+  bool waiting;                   /**< the router has not started it */
+  int64_t created_s;              /**< calendar time, for the answer */
 };
 
 /** beryl-entryd. */
@@ -72,6 +73,7 @@
   struct peers *peers;
   struct engine_watch *engine_watch;
   struct decisions *decisions;
+  struct demand *demand;
   GHashTable *open;      /**< handle -> struct entry_request */
   GHashTable *exchanges; /**< handle -> struct outbound */
   GHashTable *endpoints; /**< name -> struct beryl_endpoint */
--- a/entryd/reply.c
+++ b/entryd/reply.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "completion_format.h"
+#include "demand.h"
 #include "peers.h"
 #include "problem.h"
 
@@ -181,6 +182,9 @@
     case BERYL_ACTION_REPLY_ERROR:
       request->answered = true;
       count_problem (entry, action);
+      if (action->error.problem == BERYL_PROBLEM_NO_CAPACITY
+          && request->service[0] != '\0')
+        demand_refused (entry->demand, request->service);
       problem_respond_action (request->exchange, action, request->request_id);
       return;
     default:
--- a/entryd/requests_in.c
+++ b/entryd/requests_in.c
@@ -3,20 +3,25 @@
 
 #include "calls.h"
 #include "completion_parse.h"
+#include "demand.h"
 #include "peers.h"
 #include "problem.h"
 
+/* Begins a call of SERVICE by the request's common parts. */
 static void
-fill_call (struct beryl_event *event, const struct entry_request *request,
-           const struct caller *caller, struct http_exchange *ex)
+fill_call (struct beryl_event *event, struct entry_request *request,
+           const struct caller *caller, const struct beryl_service *service)
 {
+  struct http_exchange *ex = request->exchange;
   struct beryl_call *call = &event->call;
 
+  g_strlcpy (request->service, service->name, sizeof request->service);
   event->type = BERYL_EVENT_CALL;
   event->request = request->handle;
   call->request = request->handle;
   call->request_id = request->request_id;
   call->organisation = caller->organisation->name;
+  call->service = service->name;
   call->key_kind = caller->key_kind;
   call->key = caller->key;
   call->key_incarnation = caller->key_incarnation;
@@ -39,13 +44,13 @@
     return;
   request->stream = completion->stream;
   request->model = g_strdup (completion->model);
-  fill_call (&event, request, caller, ex);
-  event.call.service = service->name;
+  fill_call (&event, request, caller, service);
   event.call.stream = completion->stream;
   event.call.prompt = completion->prompt;
   event.call.prompt_bytes = completion->prompt_bytes;
   event.call.prompt_tokens = completion->prompt_tokens;
   event.call.max_tokens = completion->max_tokens;
+  demand_arrived (entry->demand, service->name, completion->prompt_tokens);
   entry_event (entry, &event);
 }
 
@@ -129,9 +134,9 @@
   request = calls_open (entry, ex, &caller, REPLY_PLAIN);
   if (request != NULL)
     {
-      fill_call (&event, request, &caller, ex);
-      event.call.service = service->name;
+      fill_call (&event, request, &caller, service);
       event.call.path = rest;
+      demand_arrived (entry->demand, service->name, 0);
       entry_event (entry, &event);
     }
   g_free (rest);
