--- a/berylctl/command_diff.c
+++ b/berylctl/command_diff.c
@@ -31,8 +31,11 @@
 
   if (!ctl_objects_load (ctl, &objects, argv, argc))
     return CTL_FINDINGS;
-  json_array_foreach (objects.items, i, object) if (code == CTL_OK) code
-      = diff_object (ctl, object, &differences);
+  json_array_foreach (objects.items, i, object)
+  {
+    if (code == CTL_OK)
+      code = diff_object (ctl, object, &differences);
+  }
   if (code == CTL_OK)
     printf ("%zu differences\n", differences);
   ctl_objects_clear (&objects);
--- a/berylctl/command_get.c
+++ b/berylctl/command_get.c
@@ -21,12 +21,15 @@
   json_t *item;
 
   g_ptr_array_add (rows, g_strdup ("KIND\tNAME\tVERSION"));
-  json_array_foreach (list, i, item) g_ptr_array_add (
-      rows, g_strdup_printf (
-                "%s\t%s\t%" JSON_INTEGER_FORMAT,
-                json_string_value (json_object_get (item, "kind")),
-                json_string_value (json_object_get (item, "name")),
-                json_integer_value (json_object_get (item, "version"))));
+  json_array_foreach (list, i, item)
+  {
+    g_ptr_array_add (
+        rows, g_strdup_printf (
+                  "%s\t%s\t%" JSON_INTEGER_FORMAT,
+                  json_string_value (json_object_get (item, "kind")),
+                  json_string_value (json_object_get (item, "name")),
+                  json_integer_value (json_object_get (item, "version"))));
+  }
   ctl_print_table ((char *const *)rows->pdata, rows->len);
   g_ptr_array_free (rows, TRUE);
 }
@@ -60,7 +63,9 @@
     return ctl_fail (&error);
   objects = json_array ();
   json_array_foreach (list, i, item)
-      json_array_append_new (objects, editable (item));
+  {
+    json_array_append_new (objects, editable (item));
+  }
   if (ctl->format == CTL_FORMAT_TABLE)
     print_names (list);
   else if (ctl->format == CTL_FORMAT_JSON)
--- a/berylctl/command_status.c
+++ b/berylctl/command_status.c
@@ -20,8 +20,11 @@
   size_t i;
   json_t *name;
 
-  json_array_foreach (behind, i, name) g_string_append_printf (
-      names, "%s%s", i > 0 ? "," : "", json_string_value (name));
+  json_array_foreach (behind, i, name)
+  {
+    g_string_append_printf (names, "%s%s", i > 0 ? "," : "",
+                            json_string_value (name));
+  }
   g_ptr_array_add (
       rows,
       g_strdup_printf (
@@ -43,11 +46,13 @@
 
   g_ptr_array_add (rows,
                    g_strdup ("DATA CENTRE\tIN FORCE\tNEWEST\tNODES\tBEHIND"));
-  json_array_foreach (
-      list, i, item) if (json_object_get (json_object_get (item, "value"),
-                                          "data_centre")
-                         != NULL)
-      add_in_force (rows, json_object_get (item, "value"));
+  json_array_foreach (list, i, item)
+  {
+    const json_t *value = json_object_get (item, "value");
+
+    if (json_object_get (value, "data_centre") != NULL)
+      add_in_force (rows, value);
+  }
   ctl_print_table ((char *const *)rows->pdata, rows->len);
   g_ptr_array_free (rows, TRUE);
   json_array_foreach (list, i, item)
--- a/berylctl/in_force.c
+++ b/berylctl/in_force.c
@@ -82,7 +82,9 @@
 
   json_array_foreach (list, i, item)
   {
-    if (member (item, "configuration") >= configuration)
+    /* A data centre whose nodes have all left holds nothing back. */
+    if (member (item, "configuration") >= configuration
+        || member (item, "nodes") == 0)
       continue;
     all = false;
     if (report)
--- a/berylctl/output.c
+++ b/berylctl/output.c
@@ -66,7 +66,7 @@
   yaml_sequence_start_event_initialize (&event, NULL, NULL, 1,
                                         YAML_BLOCK_SEQUENCE_STYLE);
   yaml_emitter_emit (emitter, &event);
-  json_array_foreach (value, i, item) emit_value (emitter, item);
+  json_array_foreach (value, i, item) { emit_value (emitter, item); }
   yaml_sequence_end_event_initialize (&event);
   yaml_emitter_emit (emitter, &event);
 }
@@ -149,7 +149,7 @@
   yaml_stream_start_event_initialize (&event, YAML_UTF8_ENCODING);
   yaml_emitter_emit (&emitter, &event);
   if (json_is_array (value))
-    json_array_foreach (value, i, item) emit_document (&emitter, item);
+    json_array_foreach (value, i, item) { emit_document (&emitter, item); }
   else
     emit_document (&emitter, value);
   yaml_stream_end_event_initialize (&event);
--- a/entryd/decisions.c
+++ b/entryd/decisions.c
@@ -10,14 +10,14 @@
 /* Decisions that are kept, the oldest first out. */
 #define KEPT 4096
 
-/* One decision; texts are short, so that all fit in about two megabytes. */
+/* One decision; texts are short, so that all fit in about three megabytes. */
 struct decision
 {
   char request_id[72];
   char reason[32];
   char prefill[BERYL_NAME_BYTES];
   char decode[BERYL_NAME_BYTES];
-  char alternatives[160];
+  char alternatives[320];
   int64_t first_token_ms;
   enum beryl_verdict verdict;
 };
@@ -169,7 +169,7 @@
   if (json_array_size (list) == 0)
     {
       json_decref (list);
-      problem_respond (ex, ENTRY_NO_ROUTE, NULL,
+      problem_respond (ex, ENTRY_NOT_FOUND, NULL,
                        "no decision of this request is kept");
       return;
     }
--- a/libberyl/config/parse.c
+++ b/libberyl/config/parse.c
@@ -71,8 +71,11 @@
       beryl_place_finding (place, NULL, "must be an object");
       return NULL;
     }
-  json_object_foreach (object, key, value) if (!is_envelope_key (key))
+  json_object_foreach (object, key, value)
+  {
+    if (!is_envelope_key (key))
       beryl_place_finding (place, key, "unknown key \"%.64s\"", key);
+  }
   if (version == NULL || strcmp (version, API_VERSION) != 0)
     beryl_place_finding (place, "api_version",
                          "api_version must be " API_VERSION);
