--- a/libberyl/platform/client.c
+++ b/libberyl/platform/client.c
@@ -76,6 +76,9 @@
   platform_schedule_init (p);
   beryl_platform_set_rates (p, p->settings.reads_per_s,
                             p->settings.writes_per_s);
+  /* A client that starts may call at once. */
+  for (int c = 0; c < RATE_COUNT; c++)
+    p->budgets[c].tokens = 1;
   return p;
 }
 
