--- a/controld/control.c
+++ b/controld/control.c
@@ -19,6 +19,8 @@
 /* A node without a configuration asks the platform after so long, in case
  * that a peer has it. */
 #define BOOTSTRAP_MS 300
+/* Nodes that are started together do not ask in step. */
+#define BOOTSTRAP_JITTER_MS 500
 /* Neither heard a peer nor the platform for so long: look at the platform. */
 #define LONELY_MS 10000
 /* A planned stop waits for entryd at most so long. */
@@ -50,6 +52,7 @@
                                control_now_ms (control));
   gossip_task_wake (control->gossip);
   entry_task_wake (control->entry);
+  status_task_expect (control->status);
   if (control->accept != NULL)
     accept_task_wake (control->accept);
   if (control->planner != NULL)
@@ -194,6 +197,18 @@
          && (stale_ms < 0 || stale_ms > LONELY_MS);
 }
 
+/* A node with peers gets the configuration from them, and one that has none
+ * to give hears of the first from its watcher: without any configuration a
+ * whole fleet would otherwise read the log each second. */
+static bool
+needs_log (const struct control *control)
+{
+  if (is_lonely (control))
+    return true;
+  return beryl_spread_version (control->spread) == 0
+         && !gossip_task_has_peers (control->gossip);
+}
+
 static void
 control_second (void *user)
 {
@@ -207,7 +222,7 @@
   cleanup_task_second (control->cleanup);
   if (control->accept != NULL)
     accept_task_second (control->accept);
-  if (beryl_spread_version (control->spread) == 0 || is_lonely (control))
+  if (needs_log (control))
     config_task_read_log (control->config);
 }
 
@@ -283,8 +298,10 @@
       control->platform, &seed_callbacks, control);
   control->second
       = loop_timer_start (loop, SECOND_MS, SECOND_MS, control_second, control);
-  control->bootstrap
-      = loop_timer_start (loop, BOOTSTRAP_MS, 0, control_bootstrap, control);
+  control->bootstrap = loop_timer_start (
+      loop,
+      BOOTSTRAP_MS + (int64_t)control_random (control, BOOTSTRAP_JITTER_MS), 0,
+      control_bootstrap, control);
   return control;
 }
 
--- a/controld/gossip_task.c
+++ b/controld/gossip_task.c
@@ -178,9 +178,11 @@
   return peer_port_number (task->peers);
 }
 
-static bool
-knows_someone (const struct control *control)
+bool
+gossip_task_has_peers (const struct gossip_task *task)
 {
+  const struct control *control = task->control;
+
   for (size_t i = 0; i < beryl_membership_count (control->members); i++)
     {
       const struct beryl_member *m
@@ -198,8 +200,7 @@
 {
   char **seeds;
 
-  if (task->control->settings.seeds[0] == '\0'
-      || knows_someone (task->control))
+  if (task->control->settings.seeds[0] == '\0' || gossip_task_has_peers (task))
     return;
   seeds = g_strsplit (task->control->settings.seeds, ",", -1);
   for (char **seed = seeds; *seed != NULL; seed++)
--- a/controld/gossip_task.h
+++ b/controld/gossip_task.h
@@ -21,6 +21,9 @@
 /** Something about this node changed: have it sent soon. */
 void gossip_task_wake (struct gossip_task *task);
 
+/** Whether another member is known to be alive. */
+bool gossip_task_has_peers (const struct gossip_task *task);
+
 /** Contact the seeds of the settings, unless some member is known to live. */
 void gossip_task_seek (struct gossip_task *task);
 
--- a/controld/status_task.c
+++ b/controld/status_task.c
@@ -13,7 +13,11 @@
 /* Between two writes of this process. */
 #define SPACING_MS 100
 /* Between two writes of the same "in force" object. */
-#define IN_FORCE_SPACING_MS 500
+#define IN_FORCE_SPACING_MS 300
+/* After a change the nodes' reports arrive within this; the operator waits
+ * for the status. */
+#define EXPECT_MS 5000
+#define EXPECT_SPACING_MS 150
 #define BEHIND_MAX 20
 #define QUEUE_MAX 20000
 
@@ -26,6 +30,8 @@
   uint64_t request;
   char *in_force; /* as last queued */
   int64_t in_force_ms;
+  struct loop_timer *expect; /* looks often until EXPECT_UNTIL_MS */
+  int64_t expect_until_ms;
 };
 
 static const struct platform_client_options options
@@ -50,6 +56,7 @@
   if (task->request != 0)
     platform_client_forget (task->control->platform, task->request);
   loop_timer_stop (task->timer);
+  loop_timer_stop (task->expect);
   g_queue_clear_full (&task->order, g_free);
   g_hash_table_destroy (task->waiting);
   g_free (task->in_force);
@@ -229,3 +236,26 @@
   status_name ("in-force", task->control->settings.data_centre, object);
   status_queue (task, object, text);
 }
+
+static void
+expect_look (void *user)
+{
+  struct status_task *task = user;
+
+  status_task_in_force (task);
+  if (control_now_ms (task->control) < task->expect_until_ms)
+    return;
+  loop_timer_stop (task->expect);
+  task->expect = NULL;
+}
+
+void
+status_task_expect (struct status_task *task)
+{
+  if (!role_task_held (task->control->roles, CONTROL_ROLE_WATCHER, NULL))
+    return;
+  task->expect_until_ms = control_now_ms (task->control) + EXPECT_MS;
+  if (task->expect == NULL)
+    task->expect = loop_timer_start (task->control->loop, EXPECT_SPACING_MS,
+                                     EXPECT_SPACING_MS, expect_look, task);
+}
--- a/controld/status_task.h
+++ b/controld/status_task.h
@@ -17,6 +17,9 @@
                          const struct beryl_judgement *judgement,
                          uint64_t version);
 
+/** A configuration is on its way: look often for a few seconds. */
+void status_task_expect (struct status_task *task);
+
 /** As the watcher: write where the configuration of this data centre is in
  * force, if that changed. */
 void status_task_in_force (struct status_task *task);
