Goodput bench: the planned policy as beryl-entryd uses it

Cause: the bench bound decode engines late; beryl-entryd has them named with the plan, and a full engine costs it the prefill. Change: variant planned_early.

--- a/load/bench/goodput.c
+++ b/load/bench/goodput.c
@@ -25,16 +25,18 @@
   enum beryl_policy policy;
   bool exact;
   bool lengths;
+  bool early;
 };
 
 static const struct variant variants[] = {
-  { "random", BERYL_POLICY_RANDOM, false, false },
-  { "round_robin", BERYL_POLICY_ROUND_ROBIN, false, false },
-  { "least_reported", BERYL_POLICY_LEAST_REPORTED, false, false },
-  { "two_choices", BERYL_POLICY_TWO_CHOICES, false, false },
-  { "planned", BERYL_POLICY_PLANNED, false, false },
-  { "exact", BERYL_POLICY_EXACT, true, false },
-  { "oracle", BERYL_POLICY_EXACT, true, true },
+  { "random", BERYL_POLICY_RANDOM, false, false, false },
+  { "round_robin", BERYL_POLICY_ROUND_ROBIN, false, false, false },
+  { "least_reported", BERYL_POLICY_LEAST_REPORTED, false, false, false },
+  { "two_choices", BERYL_POLICY_TWO_CHOICES, false, false, false },
+  { "planned", BERYL_POLICY_PLANNED, false, false, false },
+  { "planned_early", BERYL_POLICY_PLANNED, false, false, true },
+  { "exact", BERYL_POLICY_EXACT, true, false, false },
+  { "oracle", BERYL_POLICY_EXACT, true, true, false },
 };
 
 struct options
@@ -249,6 +251,7 @@
         .policy = v->policy,
         .exact = v->exact,
         .lengths = v->lengths,
+        .early = v->early,
         .report_lag_ms = lagged ? LAGGED_MS : 0,
         .report_loss = lagged ? LAGGED_REPORT_LOSS : 0,
         .event_loss = lagged ? LAGGED_EVENT_LOSS : 0,
--- a/load/bench/sim.c
+++ b/load/bench/sim.c
@@ -152,7 +152,7 @@
           names[i], data_centre, sim->settings->policy, s->seed * 100 + i);
       beryl_router_set_config (r, &sim->config, 0);
       beryl_router_set_members (r, names, sim->node_count, 0);
-      beryl_router_set_late_binding (r, true);
+      beryl_router_set_late_binding (r, !sim->settings->early);
       sim->nodes[i].router = r;
       sim->nodes[i].waiting = g_array_new (FALSE, FALSE, sizeof (uint32_t));
     }
--- a/load/bench/sim_jobs.c
+++ b/load/bench/sim_jobs.c
@@ -101,6 +101,8 @@
   job->refusals = 0;
   job->attempts++;
   job->prefill = sim_engine_number (sim, plan.prefill);
+  if (plan.decode)
+    job->decode = sim_engine_number (sim, plan.decode);
   sim_send_job (sim, SIM_NET_MS, SIM_TO_PREFILL, job);
 }
 
@@ -207,6 +209,12 @@
   sim->result->prefill_tokens += o->kv.computed_tokens;
   beryl_router_prefill_done (sim_router (sim, job), job->ticket,
                              o->cached_tokens, o->kv.bytes, sim->now_ms);
+  if (sim->settings->early)
+    {
+      job->state = SIM_DECODE;
+      sim_send_job (sim, SIM_NET_MS, SIM_TO_DECODE, job);
+      return;
+    }
   bind_decode (sim, job, NULL);
 }
 
@@ -291,6 +299,13 @@
 decode_full (struct sim *sim, struct sim_job *job)
 {
   const char *name = sim->engines[job->decode].endpoint->name;
+  if (sim->settings->early)
+    {
+      sim->result->expired++;
+      sim_send_job (sim, SIM_NET_MS, SIM_CANCEL, job);
+      again (sim, job, BERYL_RELEASE_REFUSED, NULL);
+      return;
+    }
   job->state = SIM_UNBOUND;
   job->refusals++;
   if (job->refusals % sim->scenario->decode_engines == 0)
