--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -87,9 +87,11 @@
 room (const struct beryl_router *r, const struct router_service *s,
       const struct beryl_job *job, double lead_ms)
 {
-  int32_t n = s->free_own + (s->spare > 0 ? s->spare : 0);
+  int32_t n = s->free_own;
+  /* Bound early, a slot that another node has taken costs the prefill. */
   if (r->late_binding)
-    n += expected_slots (s, lead_ms) - (int32_t)s->unbound;
+    n += (s->spare > 0 ? s->spare : 0) + expected_slots (s, lead_ms)
+         - (int32_t)s->unbound;
   return n - headroom (s, job);
 }
 
@@ -178,8 +180,7 @@
   struct pair chosen = *p;
   if (!r->late_binding)
     {
-      uint32_t decode
-          = pair_choose_decode (r, s, s->spare > 0, ROUTER_NONE, now_ms);
+      uint32_t decode = pair_choose_decode (r, s, false, ROUTER_NONE, now_ms);
       if (decode == ROUTER_NONE)
         return false;
       plan->alternative_count = 0;
