--- a/libberyl/router/fleet.c
+++ b/libberyl/router/fleet.c
@@ -5,7 +5,14 @@
 #include "private.h"
 #include "shares.h"
 
+/* Free slots are counted again this often; longer lists less often, so that
+ * the work for a decision does not grow with the fleet. */
 #define REFRESH_MS 50
+#define REFRESH_LIST 128
+
+/* Endpoints looked at for slots to borrow. */
+#define SPARE_SAMPLE 128
+
 #define FAILURES_TO_EJECT 3
 #define EJECT_BASE_MS 1000
 #define EJECT_MAX_MS 30000
@@ -109,15 +116,21 @@
 spare_slots (struct beryl_router *r, const struct router_service *s,
              int64_t now_ms)
 {
+  size_t count = s->decode.count;
+  size_t looks = count < SPARE_SAMPLE ? count : SPARE_SAMPLE;
+  size_t at = count > looks ? router_random (r) % count : 0;
   double spare = 0;
-  for (size_t i = 0; i < s->decode.count; i++)
+  for (size_t i = 0; i < looks; i++)
     {
-      const struct router_endpoint *e = &r->endpoints[s->decode.items[i]];
+      const struct router_endpoint *e
+          = &r->endpoints[s->decode.items[(at + i) % count]];
       if (!e->reported || !fleet_usable (e, now_ms)
           || now_ms - e->report.measured_ms > ROUTER_REPORT_MAX_AGE_MS)
         continue;
       spare += fleet_free_slots (e, now_ms) - fleet_free_own (e, now_ms);
     }
+  if (looks > 0)
+    spare *= (double)count / (double)looks;
   if (r->member_count > 1)
     spare /= (double)r->member_count;
   return (int32_t)spare;
@@ -127,7 +140,8 @@
 fleet_refresh (struct beryl_router *r, struct router_service *s,
                int64_t now_ms)
 {
-  if (now_ms - s->refreshed_ms < REFRESH_MS && s->refreshed_ms != 0)
+  int64_t turns = 1 + (int64_t)(s->own.count / REFRESH_LIST);
+  if (now_ms - s->refreshed_ms < turns * REFRESH_MS && s->refreshed_ms != 0)
     return;
   s->refreshed_ms = now_ms;
   s->free_own = 0;
--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -15,8 +15,15 @@
 #define RETRY_AFTER_MIN_MS 200
 #define RETRY_AFTER_MAX_MS 30000
 
-/* Waiting jobs per own slot from which a service counts as contended. */
+/* Waiting jobs per own slot from which only sure jobs are started, and from
+ * which fair parts are enforced. */
 #define CONTENDED 0.25
+#define FAIR_CONTENDED 0.5
+
+/* What an organisation may have open at a node: never less than this, and
+ * this many times its fair part, since demand comes unevenly. */
+#define FAIR_LEAST 2
+#define FAIR_FACTOR 1.5
 
 /* A job waits here rather than in an engine's queue if more than this is
  * queued there: here it keeps its order and its choice of engine. */
@@ -35,6 +42,12 @@
   return 1 - UNCERTAIN / (w * w);
 }
 
+static bool
+contended (const struct router_service *s, size_t queue, double per_slot)
+{
+  return (double)queue > per_slot * s->own_slots;
+}
+
 /* Standard deviations of decode time that must fit before the deadline.
  * While others wait, a job that may not end in time takes the slot of one
  * that would: then nearly all lengths must fit. */
@@ -42,7 +55,7 @@
 length_margin (const struct router_service *s, size_t queue)
 {
   double w = s->config->waste_weight;
-  return queue > 0 ? CONTENDED_MARGIN : 2 * w / (1 + w);
+  return contended (s, queue, CONTENDED) ? CONTENDED_MARGIN : 2 * w / (1 + w);
 }
 
 static double
@@ -129,8 +142,9 @@
   if (organisation == ROUTER_NONE)
     return false;
   double jobs = (double)(s->own_slots + queue);
-  return r->organisations[organisation].open
-         >= fmax (1, organisation_fair_part (r, organisation) * jobs);
+  return r->organisations[organisation].open >= fmax (
+             FAIR_LEAST,
+             FAIR_FACTOR * organisation_fair_part (r, organisation) * jobs);
 }
 
 static void
@@ -159,8 +173,8 @@
   t->cached_tokens = p->cached_tokens;
   ticket_reserve (r, t, p->decode);
   ticket_start_prefill (r, t, p->prefill, p->prefill_cost_ms, now_ms);
-  for (size_t i = 0; i < job->block_count; i++)
-    prefix_index_add (r->prefix, job->block_hashes[i], p->prefill, now_ms);
+  prefix_index_learn (r->prefix, job->block_hashes, job->block_count,
+                      p->prefill, now_ms);
   plan->verdict = BERYL_VERDICT_START;
   plan->ticket = t->id;
   plan->prefill = r->endpoints[p->prefill].config->name;
@@ -235,7 +249,7 @@
       router_refuse (plan, "no_capacity", retry_after (wait + need - slack));
       return;
     }
-  if (known == SIZE_MAX && (double)queue > CONTENDED * s->own_slots
+  if (known == SIZE_MAX && contended (s, queue, FAIR_CONTENDED)
       && over_fair_part (r, s, w.organisation, queue))
     {
       router_refuse (plan, "fair_share", retry_after (wait));
--- a/libberyl/router/prefix.c
+++ b/libberyl/router/prefix.c
@@ -8,6 +8,9 @@
 
 #define WAYS 4
 
+/* Unseen blocks that one prompt adds. */
+#define LEARN_BLOCKS 24
+
 struct entry
 {
   uint64_t block;
@@ -98,6 +101,19 @@
   e->holders[e->holder_count++] = endpoint;
 }
 
+void
+prefix_index_learn (struct prefix_index *index, const uint64_t *blocks,
+                    size_t block_count, uint32_t endpoint, int64_t now_ms)
+{
+  size_t unseen = 0;
+  for (size_t i = 0; i < block_count && unseen < LEARN_BLOCKS; i++)
+    {
+      if (!find (index, blocks[i]))
+        unseen++;
+      prefix_index_add (index, blocks[i], endpoint, now_ms);
+    }
+}
+
 static void
 drop_holder (struct entry *e, uint32_t endpoint)
 {
