--- a/load/main.c
+++ b/load/main.c
@@ -10,6 +10,7 @@
 
 #include "caller.h"
 #include "common/settings.h"
+#include "report.h"
 #include "results.h"
 #include "truth.h"
 
@@ -22,6 +23,7 @@
   GArray *entries; /* of struct caller_target */
   GArray *engines;
   GPtrArray *tokens;
+  json_t *notes;
   const char *json_file;
   const char *csv_file;
   bool check_answers;
@@ -45,6 +47,7 @@
 usage (FILE *out)
 {
   fputs ("usage: beryl-load [OPTION]... --entry IP:PORT SCENARIO.yaml\n"
+         "       beryl-load report RESULTS.json... >PAGE.html\n"
          "  --entry IP:PORT      an entry instance; repeat for several\n"
          "  --token TEXT         a bearer token; repeat: organisation i uses\n"
          "                       token i modulo their number\n"
@@ -53,6 +56,7 @@
          "  --duration SECONDS   over the scenario's\n"
          "  --seed N             over the scenario's\n"
          "  --check-answers      compare with the stand-in engines' text\n"
+         "  --note S:TEXT        mark second S on the time line; repeat\n"
          "  --json FILE          write the results\n"
          "  --csv FILE           write a line for each call\n",
          out);
@@ -71,6 +75,18 @@
   return t.port != 0;
 }
 
+static bool
+add_note (json_t *notes, const char *text)
+{
+  char *rest;
+  double s = g_ascii_strtod (text, &rest);
+  if (rest == text || *rest != ':')
+    return false;
+  json_array_append_new (notes,
+                         json_pack ("{s:f,s:s}", "s", s, "text", rest + 1));
+  return true;
+}
+
 static bool
 load_scenario (struct options *o, const char *path)
 {
@@ -93,6 +109,7 @@
           { "duration", required_argument, NULL, 'd' },
           { "seed", required_argument, NULL, 's' },
           { "check-answers", no_argument, NULL, 'k' },
+          { "note", required_argument, NULL, 'n' },
           { "json", required_argument, NULL, 'j' },
           { "csv", required_argument, NULL, 'c' },
           { "help", no_argument, NULL, 'h' },
@@ -126,6 +143,9 @@
       case 'k':
         o->check_answers = true;
         break;
+      case 'n':
+        ok = add_note (o->notes, optarg);
+        break;
       case 'j':
         o->json_file = optarg;
         break;
@@ -294,6 +314,7 @@
   results_progress (r.results, loop_now_ms (r.loop) - r.callers.started_ms,
                     stderr);
   json_t *json = results_json (r.results);
+  json_object_set (json, "faults", o->notes);
   add_truth (&r, json);
   bool ok = write_json (o, json);
   json_decref (json);
@@ -310,6 +331,10 @@
 main (int argc, char **argv)
 {
   struct options o = { 0 };
+  if (argc > 2 && strcmp (argv[1], "report") == 0)
+    return report_files (argv + 2, (size_t)argc - 2, stdout) ? EXIT_SUCCESS
+                                                             : EXIT_FAILURE;
+  o.notes = json_array ();
   scenario_init (&o.scenario);
   o.entries = g_array_new (FALSE, TRUE, sizeof (struct caller_target));
   o.engines = g_array_new (FALSE, TRUE, sizeof (struct caller_target));
@@ -318,5 +343,6 @@
   g_array_free (o.entries, TRUE);
   g_array_free (o.engines, TRUE);
   g_ptr_array_free (o.tokens, TRUE);
+  json_decref (o.notes);
   return ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
