--- a/tests/http/test_entry.c
+++ b/tests/http/test_entry.c
@@ -355,6 +355,40 @@
 }
 END_TEST
 
+/* A clerk's portal loses its connection while a letter's call runs.  It must
+ * get the rest of the answer from the byte it wants, once, without a second
+ * letter; nobody else may see it. */
+START_TEST (test_fetch)
+{
+  struct http_call *open;
+  char key[64];
+  char path[96];
+
+  world->service_mode = SERVICE_LATE;
+  g_snprintf (key, sizeof key, "b-%016" G_GINT64_MODIFIER "x-letter-1",
+              world->entry->incarnation);
+  open = world_send (world, &answer, "POST", "/v1/services/lookup/letters",
+                     "idempotency-key", key, "{}");
+  world_run (world, 100);
+  http_call_cancel (open);
+  answer_clear (&answer);
+  world_run (world, 600);
+  g_snprintf (path, sizeof path, "/v1/requests/%s?offset=10", key);
+  call ("GET", path, "authorization", "Bearer other", NULL);
+  ck_assert_uint_eq (answer.status, 404);
+  answer_clear (&answer);
+  call ("GET", path, NULL, NULL, NULL);
+  ck_assert_uint_eq (answer.status, 200);
+  ck_assert_str_eq (answer.body->str, "\"granted\"}");
+  answer_clear (&answer);
+  call ("GET", path, NULL, NULL, NULL);
+  ck_assert_uint_eq (answer.status, 409);
+  ck_assert (body_has ("key-answered"));
+  ck_assert_uint_eq (world->service_runs, 1);
+  answer_clear (&answer);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -380,6 +414,7 @@
   tcase_add_test (tcase, test_entry_and_metrics);
   tcase_add_test (tcase, test_free_key_without_platform);
   tcase_add_test (tcase, test_bound_key);
+  tcase_add_test (tcase, test_fetch);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
--- a/tests/http/world.c
+++ b/tests/http/world.c
@@ -10,6 +10,12 @@
 #include "peers.h"
 
 #define CALL_TIMEOUT_MS 5000
+#define LATE_MS 300
+#define SERVICE_TEXT "{\"status\":\"granted\"}"
+
+/* SHA-256 of "other". */
+#define OTHER_DIGEST                                                          \
+  "d9298a10d1b0735837dc4bd85dac641b0f3cef27a47e5d53a54f2f3f5b2fcffa"
 
 /* SHA-256 of "secret". */
 #define DIGEST                                                                \
@@ -35,6 +41,17 @@
   http_exchange_respond (ex, status, "application/json", text, strlen (text));
 }
 
+static void
+answer_late (void *user)
+{
+  struct world *world = user;
+
+  loop_timer_stop (world->late_timer);
+  world->late_timer = NULL;
+  if (world->late != NULL)
+    respond (world->late, 200, SERVICE_TEXT);
+}
+
 static void
 service_request_arrived (struct http_handler *handler,
                          struct http_exchange *ex)
@@ -55,7 +72,13 @@
     }
   world->service_runs++;
   if (world->service_mode == SERVICE_ANSWER)
-    respond (ex, 200, "{\"status\":\"granted\"}");
+    respond (ex, 200, SERVICE_TEXT);
+  if (world->service_mode == SERVICE_LATE)
+    {
+      world->late = ex;
+      world->late_timer
+          = loop_timer_start (world->loop, LATE_MS, 0, answer_late, world);
+    }
   if (world->service_mode != SERVICE_DIE_HALFWAY)
     return;
   http_exchange_start (ex, 200, "application/json");
@@ -131,15 +154,25 @@
 }
 
 static void
-fake_closed (struct http_handler *handler, struct http_exchange *ex,
-             bool whole)
+engine_closed (struct http_handler *handler, struct http_exchange *ex,
+               bool whole)
 {
 }
 
+static void
+service_closed (struct http_handler *handler, struct http_exchange *ex,
+                bool whole)
+{
+  struct world *world = world_of_service (handler);
+
+  if (world->late == ex)
+    world->late = NULL;
+}
+
 static const struct http_handler_impl service_impl
-    = { .request = service_request_arrived, .closed = fake_closed };
+    = { .request = service_request_arrived, .closed = service_closed };
 static const struct http_handler_impl engine_impl
-    = { .request = engine_request_arrived, .closed = fake_closed };
+    = { .request = engine_request_arrived, .closed = engine_closed };
 
 static void
 write_config (struct world *world)
@@ -160,6 +193,8 @@
            "{version: '1', context_tokens: 60000}}\n"
            "- {api_version: beryl/v1, kind: organisation, name: loket, spec: "
            "{token_sha256: [%s]}}\n"
+           "- {api_version: beryl/v1, kind: organisation, name: other, spec: "
+           "{token_sha256: [%s]}}\n"
            "- {api_version: beryl/v1, kind: system, name: system, spec: "
            "{entry_answer_ttl_ms: 200, log_level: error}}\n"
            "- {api_version: beryl/v1, kind: endpoint, name: s1, spec: "
@@ -167,7 +202,7 @@
            "- {api_version: beryl/v1, kind: endpoint, name: e1, spec: "
            "{service: advies, address: 127.0.0.1, port: %u, role: both, "
            "slots: 20, link_bytes_per_s: 1000000000}}\n",
-           DIGEST, http_server_port (world->service_server),
+           DIGEST, OTHER_DIGEST, http_server_port (world->service_server),
            http_server_port (world->engine_server));
   fclose (f);
 }
--- a/tests/http/world.h
+++ b/tests/http/world.h
@@ -17,6 +17,7 @@
   SERVICE_REFUSE,      /**< 503 with X-Not-Run */
   SERVICE_DIE_HALFWAY, /**< half of the answer, then a reset */
   SERVICE_SILENT,
+  SERVICE_LATE, /**< answers after some 300 ms */
 };
 
 /** What the fake engine does with a decode. */
@@ -44,6 +45,8 @@
   struct platform *platform;
   enum service_mode service_mode;
   enum decode_mode decode_mode;
+  struct http_exchange *late; /**< waits for its answer */
+  struct loop_timer *late_timer;
   uint32_t service_runs;
   uint32_t prefills;
   uint32_t decodes;
