--- a/controld/accept_task.c
+++ b/controld/accept_task.c
@@ -177,6 +177,8 @@
       entry_forget (task);
       entry_take (task, result->objects[0].value,
                   result->objects[0].value_bytes);
+      /* A new acceptor may be many entries behind. */
+      config_task_read_log (task->control->config);
     }
   else
     entry_forget (task);
--- a/controld/planner_task.c
+++ b/controld/planner_task.c
@@ -7,6 +7,7 @@
 
 #include "beryl/planner.h"
 #include "config_task.h"
+#include "drains.h"
 #include "http/client.h"
 #include "role_task.h"
 
@@ -17,9 +18,6 @@
 #define CALLS_MAX 64
 #define ANSWER_BYTES 8192
 #define ORDER_BYTES 400
-/* An engine takes no new work once all nodes have heard of its drain and
- * what they had sent before has arrived. */
-#define DRAIN_MS 5000
 #define WRITE_MS 3000
 #define LIST_MS 60000
 /* What was learned of the days is kept in objects of this kind, for the next
@@ -38,8 +36,7 @@
   GPtrArray *calls;   /* struct call * */
   uint64_t restoring; /* request under way; 0: none */
   int64_t save_ms;    /* when profiles are saved next */
-  uint64_t listing;   /* request under way; 0: none */
-  GHashTable *drains; /* endpoint to the time when its fact was seen */
+  struct drains *drains;
 };
 
 enum call_kind
@@ -65,7 +62,6 @@
 static void call_start (struct planner_task *task,
                         const struct beryl_endpoint *endpoint,
                         enum call_kind kind, const char *order);
-static void drain_delete (struct planner_task *task, const char *endpoint);
 
 static void
 call_end (struct call *c)
@@ -134,9 +130,8 @@
   beryl_planner_engine (c->task->planner, &state,
                         control_now_ms (c->task->control));
   /* It serves what it was drained for: let work in again. */
-  if (state.ready && beryl_planner_follows (c->task->planner, c->endpoint)
-      && g_hash_table_remove (c->task->drains, c->endpoint))
-    drain_delete (c->task, c->endpoint);
+  if (state.ready && beryl_planner_follows (c->task->planner, c->endpoint))
+    drains_end (c->task->drains, c->endpoint);
   json_decref (json);
 }
 
@@ -257,66 +252,6 @@
          || role_task_settled (roles, CONTROL_ROLE_PLANNER);
 }
 
-static void
-drain_written (void *user, const struct beryl_platform_result *result)
-{
-  (void)user;
-  if (result->code != BERYL_OK)
-    g_info ("drain not written: %s", beryl_error_code_name (result->code));
-}
-
-static void
-drain_write (struct planner_task *task, const char *endpoint)
-{
-  static const char value[] = "{\"by\":\"planner\"}";
-  struct platform_client_options options
-      = { .use = BERYL_USE_CONFIG, .timeout_ms = WRITE_MS };
-  struct beryl_platform_write write = { .kind = BERYL_DRAIN_KIND,
-                                        .name = endpoint,
-                                        .condition = BERYL_IF_ANY,
-                                        .value = value,
-                                        .value_bytes = sizeof value - 1 };
-
-  platform_client_put (task->control->platform, &options, &write,
-                       drain_written, NULL);
-}
-
-static void
-drain_delete (struct planner_task *task, const char *endpoint)
-{
-  struct platform_client_options options
-      = { .use = BERYL_USE_CONFIG, .timeout_ms = WRITE_MS };
-
-  platform_client_delete (task->control->platform, &options, BERYL_DRAIN_KIND,
-                          endpoint, 0, drain_written, NULL);
-}
-
-/* An engine that is unloaded in the middle of streams cuts off their callers.
- * First all nodes hear that it is leaving; the order goes out only when that
- * was some seconds ago and the engine says that it is idle. */
-static bool
-drain_is_done (struct planner_task *task, const char *endpoint)
-{
-  struct beryl_spread_object fact;
-  int64_t now_ms = control_now_ms (task->control);
-  int64_t *since_ms = g_hash_table_lookup (task->drains, endpoint);
-
-  if (!beryl_spread_find (task->control->spread, BERYL_INSTANCE_KIND, endpoint,
-                          &fact))
-    {
-      g_hash_table_remove (task->drains, endpoint);
-      drain_write (task, endpoint);
-      return false;
-    }
-  if (since_ms == NULL)
-    {
-      since_ms = g_new (int64_t, 1);
-      *since_ms = now_ms;
-      g_hash_table_replace (task->drains, g_strdup (endpoint), since_ms);
-    }
-  return now_ms - *since_ms >= DRAIN_MS;
-}
-
 static void
 order_send (struct beryl_planner_owner *owner, const struct beryl_order *order)
 {
@@ -329,7 +264,7 @@
 
   if (endpoint == NULL || !may_order (task, endpoint, &fence))
     return;
-  if (order->interrupts && !drain_is_done (task, order->endpoint))
+  if (order->interrupts && !drains_done (task->drains, order->endpoint))
     return;
   g_info ("order to %s: %s %s as %s (%s), fence %" G_GUINT64_FORMAT,
           order->endpoint, order->model, order->version, role, order->reason,
@@ -475,34 +410,6 @@
     }
 }
 
-/* A former planner may have died in the middle of a drain. */
-static void
-drains_listed (void *user, const struct beryl_platform_result *result)
-{
-  struct planner_task *task = user;
-
-  task->listing = 0;
-  for (size_t i = 0; result->code == BERYL_OK && i < result->object_count; i++)
-    {
-      int64_t *since_ms = g_new (int64_t, 1);
-
-      *since_ms = control_now_ms (task->control);
-      g_hash_table_replace (task->drains, g_strdup (result->objects[i].name),
-                            since_ms);
-    }
-}
-
-static void
-drains_list (struct planner_task *task)
-{
-  struct platform_client_options options
-      = { .use = BERYL_USE_CONFIG, .timeout_ms = LIST_MS, .wait = true };
-
-  task->listing
-      = platform_client_list (task->control->platform, &options,
-                              BERYL_DRAIN_KIND, "", drains_listed, task);
-}
-
 struct planner_task *
 planner_task_create (struct control *control)
 {
@@ -518,9 +425,7 @@
   task->control = control;
   task->planner = beryl_planner_create (&settings, &task->base);
   task->calls = g_ptr_array_new ();
-  task->drains
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  drains_list (task);
+  task->drains = drains_create (control);
   planner_task_config (task);
   plans_restore (task);
   task->timer
@@ -536,8 +441,6 @@
   loop_timer_stop (task->timer);
   if (task->restoring != 0)
     platform_client_forget (task->control->platform, task->restoring);
-  if (task->listing != 0)
-    platform_client_forget (task->control->platform, task->listing);
   for (guint i = 0; i < task->calls->len; i++)
     {
       struct call *c = g_ptr_array_index (task->calls, i);
@@ -546,7 +449,7 @@
       g_free (c);
     }
   g_ptr_array_unref (task->calls);
-  g_hash_table_destroy (task->drains);
+  drains_destroy (task->drains);
   beryl_planner_destroy (task->planner);
   beryl_config_destroy (task->config);
   g_free (task);
--- /dev/null
+++ b/tests/control/test_spread_history.c
@@ -0,0 +1,564 @@
+#include <check.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/config.h"
+#include "beryl/spread.h"
+#include "mutant.h"
+#include "sim.h"
+#include "store.h"
+
+#define NODES 4
+#define KINDS 7
+#define NAMES 5
+#define ENTRIES_MAX 4096
+#define RUN_MS 40000
+#define SETTLE_MS 30000
+#define SEEDS 100
+
+static const char *const kinds[KINDS]
+    = { "system",  "organisation", "model",   "service",
+        "urgency", "pool",         "endpoint" };
+
+struct world;
+
+struct node
+{
+  struct beryl_acceptor_owner base;
+  struct world *world;
+  struct beryl_spread *spread;
+  struct beryl_acceptor *acceptor;
+  uint64_t cursors[KINDS];
+  bool listed[KINDS];
+  uint64_t life; /* counts restarts */
+  int64_t paused_until_ms;
+  uint64_t version; /* highest in this life */
+  uint32_t rejected;
+};
+
+struct world
+{
+  struct sim *sim;
+  struct store *store;
+  struct node nodes[NODES];
+  bool outage;
+  int64_t lag_ms;
+  uint32_t lost_percent;
+  bool calm;
+  char *states[ENTRIES_MAX]; /* objects at each version, as first seen */
+  uint64_t highest;
+  uint32_t different;
+  uint32_t invalid;
+  uint32_t fell_back;
+  uint32_t refused_races;
+  uint64_t sources[KINDS][NAMES]; /* last accepted */
+  uint32_t reverted;
+};
+
+/* What a node sees when it asks: perhaps the past. */
+static int64_t
+read_time_ms (struct world *w)
+{
+  if (w->lag_ms == 0 || sim_chance (w->sim, 50))
+    return sim_now_ms (w->sim);
+  return sim_now_ms (w->sim) - (int64_t)sim_random (w->sim, w->lag_ms + 1);
+}
+
+/* Invariants: every node has the same objects at a version, and they are
+ * valid together. */
+static void
+state_check (struct node *n)
+{
+  struct world *w = n->world;
+  uint64_t version = beryl_spread_version (n->spread);
+  size_t bytes = 0;
+  char *text = beryl_spread_objects (n->spread, &bytes);
+  struct beryl_findings *findings;
+  struct beryl_config *config;
+
+  ck_assert_uint_lt (version, ENTRIES_MAX);
+  w->fell_back += version < n->version;
+  n->version = version;
+  if (w->states[version] != NULL)
+    {
+      w->different += strcmp (w->states[version], text) != 0;
+      free (text);
+      return;
+    }
+  findings = beryl_findings_create ();
+  config = beryl_config_parse (text, bytes, version, findings);
+  w->invalid += config == NULL;
+  beryl_config_destroy (config);
+  beryl_findings_destroy (findings);
+  w->states[version] = text;
+  w->highest = version > w->highest ? version : w->highest;
+}
+
+struct deletion
+{
+  const char *name;
+  bool seen;
+};
+
+static bool
+deletion_visit (void *user, const struct store_revision *r)
+{
+  struct deletion *d = user;
+
+  d->seen = d->seen || (r->deleted && strcmp (r->name, d->name) == 0);
+  return true;
+}
+
+/* Invariant: an object only moves to a later version of the operator's, and
+ * goes only if the operator deleted it after the version in force. */
+static void
+change_check (struct world *w, json_t *change)
+{
+  const char *kind = json_string_value (json_object_get (change, "kind"));
+  const char *name = json_string_value (json_object_get (change, "name"));
+  uint64_t source
+      = (uint64_t)json_integer_value (json_object_get (change, "source"));
+  struct deletion d = { name, false };
+  uint64_t *last;
+  int k = 0;
+
+  while (strcmp (kinds[k], kind) != 0)
+    k++;
+  last = &w->sources[k][name[1] - '0'];
+  if (json_object_get (change, "object") != NULL)
+    {
+      w->reverted += source <= *last;
+      *last = source;
+      return;
+    }
+  store_events (w->store, kind, *last, deletion_visit, &d);
+  w->reverted += !d.seen;
+}
+
+static void
+entry_check (struct world *w, const char *entry, size_t bytes)
+{
+  json_t *json = json_loadb (entry, bytes, 0, NULL);
+  json_t *change;
+  size_t i;
+
+  json_array_foreach (json_object_get (json, "changes"), i, change)
+  {
+    change_check (w, change);
+  }
+  json_decref (json);
+}
+
+static void
+node_apply (struct node *n, const char *entry, size_t bytes)
+{
+  struct beryl_error error = { 0 };
+
+  ck_assert_int_ne (beryl_spread_apply (n->spread, entry, bytes, &error),
+                    BERYL_SPREAD_INVALID);
+  if (beryl_spread_version (n->spread) > n->world->highest)
+    entry_check (n->world, entry, bytes);
+  state_check (n);
+}
+
+static void
+node_read_log (struct node *n)
+{
+  struct store_revision r;
+  char name[BERYL_NAME_BYTES];
+  /* A watch may tell a later entry first. */
+  uint64_t skip = sim_chance (n->world->sim, 10) ? 2 : 1;
+
+  for (;;)
+    {
+      beryl_spread_entry_name (beryl_spread_version (n->spread) + skip, name);
+      skip = 1;
+      if (store_get (n->world->store, BERYL_ACCEPTED_KIND, name,
+                     read_time_ms (n->world), &r)
+          != STORE_OK)
+        return;
+      node_apply (n, r.value, r.value_bytes);
+    }
+}
+
+struct feed
+{
+  struct node *node;
+  uint64_t limit;
+  int kind;
+};
+
+static bool
+feed_visit (void *user, const struct store_revision *r)
+{
+  struct feed *f = user;
+
+  if (r->version > f->limit)
+    return false;
+  beryl_acceptor_observe (f->node->acceptor, r->kind, r->name, r->version,
+                          r->deleted ? NULL : r->value, r->value_bytes);
+  f->node->cursors[f->kind] = r->version;
+  return true;
+}
+
+/* The watch of one kind: a list first, changes after it, perhaps from a
+ * replica that lags; never backwards. */
+static void
+node_watch (struct node *n, int kind)
+{
+  struct world *w = n->world;
+  int64_t at_ms = read_time_ms (w);
+  struct feed f = { n, store_revision_at (w->store, at_ms), kind };
+
+  if (!n->listed[kind])
+    {
+      store_list (w->store, kinds[kind], "", "", at_ms, feed_visit, &f);
+      n->listed[kind] = true;
+    }
+  else if (f.limit > n->cursors[kind])
+    store_events (w->store, kinds[kind], n->cursors[kind], feed_visit, &f);
+  if (f.limit <= n->cursors[kind])
+    f.limit = n->cursors[kind];
+  n->cursors[kind] = f.limit;
+  beryl_acceptor_synced (n->acceptor, kinds[kind], f.limit);
+}
+
+struct entry_write
+{
+  uint64_t life;
+  uint64_t version;
+  size_t bytes;
+  char text[];
+};
+
+static void
+write_done (void *user, void *data)
+{
+  struct node *n = user;
+  const struct entry_write *e = data;
+
+  if (n->life == e->life && !n->world->outage)
+    node_read_log (n);
+}
+
+/* The create reaches the platform, perhaps long after it was sent. */
+static void
+write_served (void *user, void *data)
+{
+  struct node *n = user;
+  struct world *w = n->world;
+  const struct entry_write *e = data;
+  struct entry_write *reply;
+  char name[BERYL_NAME_BYTES];
+  uint64_t version = 0;
+
+  if (w->outage)
+    return;
+  beryl_spread_entry_name (e->version, name);
+  w->refused_races
+      += store_put (w->store, BERYL_ACCEPTED_KIND, name, STORE_IF_ABSENT,
+                    &version, e->text, e->bytes, sim_now_ms (w->sim))
+         == STORE_CONFLICT;
+  if (sim_chance (w->sim, w->lost_percent))
+    return;
+  reply = malloc (sizeof *reply);
+  reply->life = e->life;
+  sim_after (w->sim, 5, write_done, n, reply);
+}
+
+static void
+node_propose (struct node *n)
+{
+  struct world *w = n->world;
+  size_t bytes = 0;
+  char *text = beryl_acceptor_propose (n->acceptor, &bytes);
+  struct entry_write *e;
+
+  if (text == NULL)
+    return;
+  e = malloc (sizeof *e + bytes);
+  e->life = n->life;
+  e->version = beryl_spread_version (n->spread) + 1;
+  e->bytes = bytes;
+  memcpy (e->text, text, bytes);
+  free (text);
+  sim_after (w->sim,
+             !w->calm && sim_chance (w->sim, 10)
+                 ? (int64_t)sim_random (w->sim, 15000)
+                 : 3,
+             write_served, n, e);
+}
+
+/* Every node acts as the acceptor, which is worse than a lease that fails
+ * now and then. */
+static void
+node_step (void *user, void *data)
+{
+  struct node *n = user;
+  struct world *w = n->world;
+
+  (void)data;
+  sim_after (w->sim, 100 + (int64_t)sim_random (w->sim, 200), node_step, n,
+             NULL);
+  if (sim_now_ms (w->sim) < n->paused_until_ms || w->outage)
+    return;
+  node_read_log (n);
+  for (int i = 0; i < KINDS; i++)
+    node_watch (n, i);
+  node_propose (n);
+}
+
+static void
+peer_entries (struct node *to, const struct node *from)
+{
+  size_t bytes = 0;
+  uint64_t have = beryl_spread_version (to->spread);
+  char *text = beryl_spread_entries_after (from->spread, have, 4096, &bytes);
+  struct beryl_error error = { 0 };
+  json_t *array;
+  json_t *entry;
+  size_t i;
+
+  if (text == NULL)
+    {
+      text = beryl_spread_snapshot (from->spread, &bytes);
+      ck_assert_int_ne (beryl_spread_load (to->spread, text, bytes, &error),
+                        BERYL_SPREAD_INVALID);
+      free (text);
+      state_check (to);
+      return;
+    }
+  array = json_loadb (text, bytes, 0, NULL);
+  ck_assert_ptr_nonnull (array);
+  json_array_foreach (array, i, entry)
+  {
+    char *dump = json_dumps (entry, JSON_COMPACT);
+
+    node_apply (to, dump, strlen (dump));
+    free (dump);
+  }
+  json_decref (array);
+  free (text);
+}
+
+/* Anti-entropy between two nodes, also in an outage. */
+static void
+world_gossip (void *user, void *data)
+{
+  struct world *w = user;
+  struct node *a = &w->nodes[sim_random (w->sim, NODES)];
+  struct node *b = &w->nodes[sim_random (w->sim, NODES)];
+
+  (void)data;
+  sim_after (w->sim, 300, world_gossip, w, NULL);
+  if (a != b && sim_now_ms (w->sim) >= a->paused_until_ms
+      && sim_now_ms (w->sim) >= b->paused_until_ms)
+    peer_entries (a, b);
+}
+
+static void
+node_judged (struct beryl_acceptor_owner *owner,
+             const struct beryl_judgement *judgement)
+{
+  struct node *n = (struct node *)owner;
+
+  n->rejected += !judgement->accepted;
+  ck_assert (judgement->accepted || judgement->findings[0] != '\0');
+}
+
+static const struct beryl_acceptor_owner_impl node_impl
+    = { .judged = node_judged };
+
+static void
+node_start (struct node *n)
+{
+  n->base.impl = &node_impl;
+  n->life++;
+  n->version = 0;
+  n->spread = beryl_spread_create ();
+  n->acceptor = beryl_acceptor_create (n->spread, &n->base);
+  memset (n->cursors, 0, sizeof n->cursors);
+  memset (n->listed, 0, sizeof n->listed);
+}
+
+static void
+node_stop (struct node *n)
+{
+  beryl_acceptor_destroy (n->acceptor);
+  beryl_spread_destroy (n->spread);
+}
+
+static int
+operator_value (struct world *w, char *value, size_t bytes, const char *kind,
+                const char *name)
+{
+  uint64_t n = sim_random (w->sim, 1000);
+  char spec[160];
+
+  if (strcmp (kind, "model") == 0)
+    snprintf (spec, sizeof spec, "{\"version\":\"v%lu\"}", n);
+  else if (strcmp (kind, "service") == 0)
+    snprintf (spec, sizeof spec, "{\"model\":\"n%lu\",\"deadline_ms\":%lu}",
+              sim_random (w->sim, NAMES), n + 1);
+  else
+    snprintf (spec, sizeof spec,
+              "{\"service\":\"n%lu\",\"role\":\"both\",\"min_endpoints\":%lu}",
+              sim_random (w->sim, NAMES), n);
+  if (sim_chance (w->sim, 15))
+    snprintf (spec, sizeof spec, "{\"nonsense\":%lu}", n);
+  return snprintf (value, bytes,
+                   "{\"api_version\":\"beryl/v1\",\"kind\":\"%s\","
+                   "\"name\":\"%s\",\"spec\":%s}",
+                   kind, name, spec);
+}
+
+static void
+operator_edits (void *user, void *data)
+{
+  static const char *const edited[] = { "model", "service", "pool" };
+  struct world *w = user;
+  const char *kind = edited[sim_random (w->sim, 3)];
+  char name[8];
+  char value[400];
+  uint64_t version = 0;
+  int bytes;
+
+  (void)data;
+  if (w->calm)
+    return;
+  sim_after (w->sim, (int64_t)sim_random (w->sim, 1500), operator_edits, w,
+             NULL);
+  snprintf (name, sizeof name, "n%lu", sim_random (w->sim, NAMES));
+  bytes = operator_value (w, value, sizeof value, kind, name);
+  if (sim_chance (w->sim, 20))
+    store_delete (w->store, kind, name, STORE_IF_ANY, &version,
+                  sim_now_ms (w->sim));
+  else
+    store_put (w->store, kind, name, STORE_IF_ANY, &version, value,
+               (size_t)bytes, sim_now_ms (w->sim));
+}
+
+static void
+world_trouble (void *user, void *data)
+{
+  struct world *w = user;
+  struct node *n = &w->nodes[sim_random (w->sim, NODES)];
+
+  (void)data;
+  if (w->calm)
+    return;
+  switch (sim_random (w->sim, 5))
+    {
+    case 0:
+      n->paused_until_ms
+          = sim_now_ms (w->sim) + (int64_t)sim_random (w->sim, 12000);
+      break;
+    case 1:
+      w->outage = !w->outage;
+      break;
+    case 2:
+      w->lost_percent = (uint32_t)sim_random (w->sim, 50);
+      break;
+    case 3:
+      w->lag_ms = (int64_t)sim_random (w->sim, 8000);
+      break;
+    default:
+      node_stop (n);
+      node_start (n);
+      break;
+    }
+  sim_after (w->sim, (int64_t)sim_random (w->sim, 4000), world_trouble, w,
+             NULL);
+}
+
+static void
+world_run (struct world *w, uint64_t seed)
+{
+  memset (w, 0, sizeof *w);
+  w->sim = sim_create (seed);
+  w->store = store_create ();
+  for (int i = 0; i < NODES; i++)
+    {
+      w->nodes[i].world = w;
+      node_start (&w->nodes[i]);
+      sim_after (w->sim, (int64_t)sim_random (w->sim, 200), node_step,
+                 &w->nodes[i], NULL);
+    }
+  sim_after (w->sim, 10, operator_edits, w, NULL);
+  sim_after (w->sim, 20, world_gossip, w, NULL);
+  sim_after (w->sim, 2000, world_trouble, w, NULL);
+  sim_run (w->sim, RUN_MS);
+  w->calm = true;
+  w->outage = false;
+  w->lag_ms = 0;
+  w->lost_percent = 0;
+  sim_run (w->sim, RUN_MS + SETTLE_MS);
+}
+
+static void
+world_end (struct world *w)
+{
+  for (int i = 0; i < NODES; i++)
+    node_stop (&w->nodes[i]);
+  for (size_t i = 0; i < ENTRIES_MAX; i++)
+    free (w->states[i]);
+  store_destroy (w->store);
+  sim_destroy (w->sim);
+}
+
+/* Story: operators edit and delete, some edits are wrong, two nodes believe
+ * that they accept, one of them was paused and its create arrives late;
+ * replicas lag, replies are lost, nodes restart, the platform goes away.  A
+ * user would see a rule come back that an operator had replaced. */
+START_TEST (one_configuration_in_every_history)
+{
+  uint64_t entries = 0;
+  uint32_t rejected = 0;
+  uint32_t races = 0;
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world w;
+
+      world_run (&w, seed);
+      ck_assert_msg (w.different == 0, "seed %lu: states differ", seed);
+      ck_assert_msg (w.reverted == 0, "seed %lu: reverted", seed);
+      ck_assert_msg (w.fell_back == 0, "seed %lu: fell back", seed);
+      ck_assert_msg (w.invalid == 0, "seed %lu: invalid in force", seed);
+      for (int i = 0; i < NODES; i++)
+        {
+          ck_assert_msg (beryl_spread_version (w.nodes[i].spread) == w.highest,
+                         "seed %lu: node %d is behind", seed, i);
+          rejected += w.nodes[i].rejected;
+        }
+      entries += w.highest;
+      races += w.refused_races;
+      world_end (&w);
+    }
+  printf ("%d seeds: %lu entries, %u rejections, %u lost races\n", SEEDS,
+          entries, rejected, races);
+  ck_assert_uint_gt (races, 0);
+  ck_assert_uint_gt (rejected, 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("spread-history");
+  TCase *t = tcase_create ("histories");
+  SRunner *r;
+  int failed;
+
+  mutant_choose ();
+  tcase_set_timeout (t, 50);
+  tcase_add_test (t, one_configuration_in_every_history);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed == 0 ? 0 : 1;
+}
