--- a/libberyl/base/guard.h
+++ b/libberyl/base/guard.h
@@ -35,6 +35,8 @@
   BERYL_GUARD_CLAIM_REREAD,     /**< a lost race reads before it writes */
   BERYL_GUARD_CLAIM_OUTAGE,     /**< unavailable only if surely not written */
   BERYL_GUARD_CLAIM_DUPLICATE,  /**< one batch holds a key once */
+  BERYL_GUARD_CLAIM_HOME,       /**< only the home writes */
+  BERYL_GUARD_CLAIM_WAKE,       /**< a woken home waits before it writes */
   BERYL_GUARD_CLAIM_VERIFIED,   /**< no grant from an old view of the log */
   BERYL_GUARD_KEY_OWNED,     /**< an ungranted free key is not this node's */
   BERYL_GUARD_FORWARDED_KEY, /**< a forwarded key is never run anew */
--- a/libberyl/requests/claim_ask.c
+++ b/libberyl/requests/claim_ask.c
@@ -103,10 +103,13 @@
   for (struct asked *a = asked_detach (claims); a != NULL; a = next)
     {
       next = a->next;
-      if (strcmp (a->home, node) == 0)
-        claim_here (claims, a, now_ms);
-      else
-        asked_attach (claims, a);
+      if (strcmp (a->home, node) != 0)
+        {
+          asked_attach (claims, a);
+          continue;
+        }
+      a->waiting->forced = true;
+      claim_here (claims, a, now_ms);
     }
 }
 
--- a/libberyl/requests/claim_private.h
+++ b/libberyl/requests/claim_private.h
@@ -43,6 +43,7 @@
   uint64_t incarnation;
   uint64_t id; /**< local: the request; else of the asker's message */
   bool remote;
+  bool forced; /**< its home's process is gone: write here */
   char node[BERYL_NAME_BYTES];
 };
 
@@ -122,6 +123,7 @@
   struct shard **shards; /**< NULL until used */
   struct asked *asked;
   int64_t last_tick_ms;
+  int64_t write_from_ms;    /**< no new segment before this */
   uint32_t home_count;      /**< shards that this node is home of */
   bool in_turn;             /**< the tick is serving the shards */
   uint32_t turn;            /**< the shard that is served first */
--- a/libberyl/requests/claim_shard.c
+++ b/libberyl/requests/claim_shard.c
@@ -207,12 +207,46 @@
                           < shard->claims->settings.delete_after_ms / 2);
 }
 
+/* A home that its members have replaced must stop to write: the new one would
+ * not see these claims until its own next write, and in an outage it would
+ * call their keys "not run".  Its callers' claims go to the new home; other
+ * nodes ask that one by themselves. */
+static void
+hand_over (struct shard *shard, int64_t now_ms)
+{
+  struct beryl_claims *claims = shard->claims;
+  struct waiting_queue kept = { 0 };
+  struct waiting *waiting;
+
+  while ((waiting = queue_take (&shard->queue)) != NULL)
+    if (waiting->forced && !claims_is_alone (claims))
+      queue_add (&kept, waiting);
+    else if (waiting->remote)
+      free (waiting);
+    else if (claims_is_alone (claims))
+      claims_answer (claims, waiting, BERYL_CLAIM_UNKNOWN, 0);
+    else
+      ask_home (claims, waiting, beryl_claims_home (claims, shard->number),
+                now_ms);
+  shard->queue = kept;
+}
+
+static bool
+may_write (const struct shard *shard)
+{
+  return BERYL_GUARD (BERYL_GUARD_CLAIM_HOME,
+                      !claims_is_alone (shard->claims)
+                          && claims_is_home (shard->claims, shard->number));
+}
+
 void
 shard_step (struct shard *shard, int64_t now_ms)
 {
   if (shard->call != SHARD_IDLE || now_ms < shard->next_ms)
     return;
   answer_all_known (shard);
+  if (shard->batch.count == 0 && !may_write (shard))
+    hand_over (shard, now_ms);
   if (shard->batch.count > 0)
     begin_create (shard, now_ms);
   else if (shard->queue.count == 0)
--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -21,6 +21,8 @@
 /* Ticks come at least this often; a far longer gap is a stopped process. */
 #define HEARTBEAT_MS 500
 #define GAP_MS (3 * HEARTBEAT_MS)
+/* How long a woken process waits for the members that it missed. */
+#define CATCH_UP_MS 100
 
 static void
 default_to (int64_t *setting, int64_t value)
@@ -254,7 +256,9 @@
 {
   int64_t burst_us = COMMIT_BURST * commit_cost_us (claims);
 
-  return (claims->commits_until_us - burst_us + 999) / 1000;
+  int64_t rate_ms = (claims->commits_until_us - burst_us + 999) / 1000;
+
+  return rate_ms > claims->write_from_ms ? rate_ms : claims->write_from_ms;
 }
 
 /* Whether SHARD may write now.  Once the burst is used up, shards take turns
@@ -264,6 +268,8 @@
 {
   int64_t spare_us = now_ms * 1000 - claims->commits_until_us;
 
+  if (now_ms < claims->write_from_ms)
+    return false;
   if (claims->in_turn)
     return now_ms >= claims_commit_ms (claims);
   return spare_us >= -COMMIT_BURST / 2 * commit_cost_us (claims);
@@ -297,6 +303,25 @@
   beryl_claims_tick (claims, now_ms);
 }
 
+/* A process that was stopped may have lost its shards to another home
+ * meanwhile. */
+static void
+claims_note_time (struct beryl_claims *claims, int64_t now_ms)
+{
+  int64_t gap_ms = now_ms - claims->last_tick_ms;
+
+  claims->last_tick_ms = now_ms;
+  if (gap_ms < GAP_MS)
+    return;
+  /* It may also have lost its members' view: what it wrote now as home would
+   * escape the node that has become home. */
+  if (!BERYL_GUARD (BERYL_GUARD_CLAIM_WAKE, false))
+    claims->write_from_ms = now_ms + CATCH_UP_MS;
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    if (claims->shards[i] != NULL)
+      claims->shards[i]->sole = false;
+}
+
 void
 beryl_claims_claim (struct beryl_claims *claims, uint64_t request,
                     const char *organisation, const char *key,
@@ -305,6 +330,7 @@
   struct waiting *waiting = calloc (1, sizeof *waiting);
   uint32_t number;
 
+  claims_note_time (claims, now_ms);
   if (waiting == NULL)
     {
       claims->owner->impl->result (claims->owner, request,
@@ -342,21 +368,6 @@
              waiting, now_ms);
 }
 
-/* A process that was stopped may have lost its shards to another home
- * meanwhile. */
-static void
-claims_note_time (struct beryl_claims *claims, int64_t now_ms)
-{
-  int64_t gap_ms = now_ms - claims->last_tick_ms;
-
-  claims->last_tick_ms = now_ms;
-  if (gap_ms < GAP_MS)
-    return;
-  for (uint32_t i = 0; i < claims->settings.shards; i++)
-    if (claims->shards[i] != NULL)
-      claims->shards[i]->sole = false;
-}
-
 void
 beryl_claims_message (struct beryl_claims *claims, const char *node,
                       const struct beryl_claim_message *message,
--- a/tests/requests/mutant_table.c
+++ b/tests/requests/mutant_table.c
@@ -1,7 +1,8 @@
-/* Prints the table of docs/mutants.md.  With a number of seeds it looks for
+/* Prints the table of docs/mutants.md.  mutant_table SEEDS [GUARD] looks for
  * the first seed that shows each guard's absence instead of the kept one. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "mutants.h"
 
@@ -43,7 +44,8 @@
 {
   for (int guard = 1; guard < BERYL_GUARD_COUNT; guard++)
     {
-      if (mutants[guard].name == NULL)
+      if (mutants[guard].name == NULL
+          || (argc > 2 && strcmp (argv[2], mutants[guard].name) != 0))
         continue;
       if (argc > 1)
         find (guard, strtoull (argv[1], NULL, 10));
--- a/tests/requests/mutants.c
+++ b/tests/requests/mutants.c
@@ -10,7 +10,7 @@
   [BERYL_GUARD_KEY_INCARNATION]
   = { "KEY_INCARNATION", "only the named incarnation runs a bound key", 1 },
   [BERYL_GUARD_KEY_RUNNING]
-  = { "KEY_RUNNING", "a running key is not run again", 262 },
+  = { "KEY_RUNNING", "a running key is not run again", 378 },
   [BERYL_GUARD_KEY_ENDED]
   = { "KEY_ENDED", "an ended key is not run again", 1 },
   [BERYL_GUARD_KEY_BODY] = { "KEY_BODY", "a key belongs to one body", 29 },
@@ -30,7 +30,7 @@
   [BERYL_GUARD_HOLD_FIRST]
   = { "HOLD_FIRST", "a hold is recorded before it is made", 1 },
   [BERYL_GUARD_CANCEL_GONE]
-  = { "CANCEL_GONE", "a gone caller's holds are cancelled", 7 },
+  = { "CANCEL_GONE", "a gone caller's holds are cancelled", 10 },
   [BERYL_GUARD_CANCEL_REPEAT]
   = { "CANCEL_REPEAT", "a cancel is repeated until confirmed", 20 },
   [BERYL_GUARD_CANCEL_SETTLE]
@@ -42,13 +42,17 @@
   [BERYL_GUARD_CLAIM_CREATE]
   = { "CLAIM_CREATE", "a segment is created only if absent", 41 },
   [BERYL_GUARD_CLAIM_NONCE]
-  = { "CLAIM_NONCE", "a lost reply is settled by reading back", 167 },
+  = { "CLAIM_NONCE", "a lost reply is settled by reading back", 52 },
   [BERYL_GUARD_CLAIM_REREAD]
   = { "CLAIM_REREAD", "who lost a race reads before it writes", 41 },
   [BERYL_GUARD_CLAIM_OUTAGE]
   = { "CLAIM_OUTAGE", "\"not run\" only if the key is surely new", 2 },
   [BERYL_GUARD_CLAIM_DUPLICATE]
-  = { "CLAIM_DUPLICATE", "one segment holds a key once", 1294 },
+  = { "CLAIM_DUPLICATE", "one segment holds a key once", 1137 },
+  [BERYL_GUARD_CLAIM_HOME]
+  = { "CLAIM_HOME", "only the shard's home writes", 12783 },
+  [BERYL_GUARD_CLAIM_WAKE]
+  = { "CLAIM_WAKE", "a woken home waits for its members", 21371 },
   [BERYL_GUARD_CLAIM_VERIFIED]
   = { "CLAIM_VERIFIED", "no grant from an old view of the log", 555 },
   [BERYL_GUARD_KEY_OWNED]
@@ -59,7 +63,7 @@
   [BERYL_GUARD_CHECKPOINT_WHOLE]
   = { "CHECKPOINT_WHOLE", "segments go only after they are folded", 3158 },
   [BERYL_GUARD_WAKE_REST]
-  = { "WAKE_REST", "a woken process reads before it plans", 25 },
+  = { "WAKE_REST", "a woken process reads before it plans", 717 },
   [BERYL_GUARD_DEATH_HEARD]
   = { "DEATH_HEARD", "a node that others hear is not dead", 2 },
   [BERYL_GUARD_CLEANUP_SETTLE]
--- a/tests/requests/world_platform.c
+++ b/tests/requests/world_platform.c
@@ -104,6 +104,20 @@
     }
 }
 
+static void
+note_write (struct world *world, const struct task *task,
+            enum beryl_error_code code)
+{
+  struct history_event event = { .type = HISTORY_NODE };
+  char text[160];
+
+  snprintf (text, sizeof text, "n%u %s %s: %s", task->node,
+            task->a == OPERATION_CREATE ? "creates" : "deletes", task->text,
+            beryl_error_code_name (code));
+  event.text = text;
+  world_note (world, &event);
+}
+
 /* The call reaches the platform, or does not.  A reply that is lost leaves
  * the caller without knowing whether the write took effect. */
 static void
@@ -119,6 +133,8 @@
   reply.b = away ? BERYL_ERROR_UNAVAILABLE : BERYL_OK;
   if (!away && writes)
     reply.b = write_object (world, task);
+  if (writes)
+    note_write (world, task, (enum beryl_error_code)reply.b);
   if (writes && world->faults.lost_replies && world_chance (world, 15))
     reply.b = BERYL_ERROR_UNKNOWN;
   if (world->faults.stale_reads)
