--- a/libberyl/base/guard.h
+++ b/libberyl/base/guard.h
@@ -37,9 +37,10 @@
   BERYL_GUARD_CLAIM_DUPLICATE,  /**< one batch holds a key once */
   BERYL_GUARD_CLAIM_HOME,       /**< only the home writes */
   BERYL_GUARD_CLAIM_WAKE,       /**< a woken home waits before it writes */
-  BERYL_GUARD_CLAIM_VERIFIED,   /**< no grant from an old view of the log */
-  BERYL_GUARD_KEY_OWNED,     /**< an ungranted free key is not this node's */
-  BERYL_GUARD_FORWARDED_KEY, /**< a forwarded key is never run anew */
+  BERYL_GUARD_CLAIM_REPLY,    /**< a reply belongs to one ask of one process */
+  BERYL_GUARD_CLAIM_VERIFIED, /**< no grant from an old view of the log */
+  BERYL_GUARD_KEY_OWNED,      /**< an ungranted free key is not this node's */
+  BERYL_GUARD_FORWARDED_KEY,  /**< a forwarded key is never run anew */
   BERYL_GUARD_CHECKPOINT_WHOLE, /**< segments go only after a checkpoint */
   BERYL_GUARD_WAKE_REST,        /**< a woken process reads before it plans */
   BERYL_GUARD_DEATH_HEARD,      /**< who is heard is not dead */
--- a/libberyl/requests/claim_ask.c
+++ b/libberyl/requests/claim_ask.c
@@ -67,6 +67,19 @@
   asked_send (claims, asked, now_ms);
 }
 
+/* A home that was stopped answers late: to a process that has gone, whose
+ * successor at the same node counts its asks from 1 again.  That reply would
+ * grant the successor another key. */
+static bool
+reply_fits (const struct beryl_claims *claims, const struct asked *asked,
+            const struct beryl_claim_message *reply)
+{
+  return asked->waiting->key.high == reply->key_high
+         && asked->waiting->key.low == reply->key_low
+         && (reply->result != BERYL_CLAIM_GRANTED
+             || reply->incarnation == claims->settings.incarnation);
+}
+
 void
 ask_on_reply (struct beryl_claims *claims,
               const struct beryl_claim_message *message)
@@ -76,7 +89,9 @@
 
   while (*at != NULL && (*at)->id != message->id)
     at = &(*at)->next;
-  if (*at == NULL)
+  if (*at == NULL
+      || !BERYL_GUARD (BERYL_GUARD_CLAIM_REPLY,
+                       reply_fits (claims, *at, message)))
     return;
   waiting = asked_take (at);
   claims_answer (claims, waiting, message->result, message->incarnation);
--- a/libberyl/requests/claim_private.h
+++ b/libberyl/requests/claim_private.h
@@ -120,6 +120,7 @@
   struct beryl_claims_owner *owner;
   char (*members)[BERYL_NAME_BYTES];
   size_t member_count;
+  uint32_t *homes;       /**< by shard: the number of its home */
   struct shard **shards; /**< NULL until used */
   struct asked *asked;
   int64_t last_tick_ms;
--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -18,8 +18,9 @@
 #define RETENTION_DEFAULT_MS 3600000
 #define DELETE_AFTER_DEFAULT_MS 600000
 #define ASK_TIMEOUT_DEFAULT_MS 500
-/* Ticks come at least this often; a far longer gap is a stopped process. */
-#define HEARTBEAT_MS 500
+/* Ticks come at least this often; a far longer gap is a stopped process.  It
+ * must be noticed before the others could have replaced this home. */
+#define HEARTBEAT_MS 200
 #define GAP_MS (3 * HEARTBEAT_MS)
 /* How long a woken process waits for the members that it missed. */
 #define CATCH_UP_MS 100
@@ -57,8 +58,11 @@
   default_to (&claims->settings.delete_after_ms, DELETE_AFTER_DEFAULT_MS);
   default_to (&claims->settings.ask_timeout_ms, ASK_TIMEOUT_DEFAULT_MS);
   claims->shards = calloc (claims->settings.shards, sizeof (struct shard *));
-  if (claims->shards != NULL)
+  claims->homes = calloc (claims->settings.shards, sizeof *claims->homes);
+  if (claims->shards != NULL && claims->homes != NULL)
     return claims;
+  free (claims->shards);
+  free (claims->homes);
   free (claims);
   return NULL;
 }
@@ -73,6 +77,7 @@
   ask_clear (claims);
   map_clear (&claims->calls);
   free (claims->shards);
+  free (claims->homes);
   free (claims->members);
   free (claims);
 }
@@ -193,26 +198,35 @@
 
 /* Rendezvous hashing: when a member comes or goes, only its own shards
  * change their home. */
-const char *
-beryl_claims_home (const struct beryl_claims *claims, uint32_t shard)
+static uint32_t
+home_of (const struct beryl_claims *claims, uint32_t shard)
 {
-  const char *home = NULL;
+  uint32_t home = 0;
   uint64_t best = 0;
 
-  for (size_t i = 0; i < claims->member_count; i++)
+  for (uint32_t i = 0; i < claims->member_count; i++)
     {
       const char *node = claims->members[i];
       uint64_t weight = XXH3_64bits_withSeed (node, strlen (node), shard);
 
-      if (home != NULL
-          && (weight < best || (weight == best && strcmp (node, home) > 0)))
+      if (i > 0
+          && (weight < best
+              || (weight == best && strcmp (node, claims->members[home]) > 0)))
         continue;
-      home = node;
+      home = i;
       best = weight;
     }
   return home;
 }
 
+const char *
+beryl_claims_home (const struct beryl_claims *claims, uint32_t shard)
+{
+  if (claims->member_count == 0)
+    return NULL;
+  return claims->members[claims->homes[shard]];
+}
+
 /* Whether no other node is known to be there. */
 bool
 claims_is_alone (const struct beryl_claims *claims)
@@ -234,10 +248,15 @@
 {
   claims->home_count = 0;
   for (uint32_t i = 0; i < claims->settings.shards; i++)
-    if (claims_is_home (claims, i))
-      claims->home_count++;
-    else if (claims->shards[i] != NULL)
-      claims->shards[i]->sole = false;
+    claims->homes[i] = home_of (claims, i);
+  for (uint32_t i = 0; i < claims->settings.shards; i++)
+    {
+      if (claims_is_home (claims, i))
+        claims->home_count++;
+      if (claims->shards[i] != NULL
+          && (claims_is_alone (claims) || !claims_is_home (claims, i)))
+        claims->shards[i]->sole = false;
+    }
 }
 
 /* Time that one commit uses up, so that all homes together stay within the
--- a/tests/requests/test_claims.c
+++ b/tests/requests/test_claims.c
@@ -44,6 +44,9 @@
 static struct store *objects;
 static struct home a, b;
 static int64_t now_ms;
+/* Both nodes are home in their own view, but in one test. */
+static bool sends_allowed;
+static struct beryl_claim_message asked;
 
 static void
 on_result (struct beryl_claims_owner *owner, uint64_t request,
@@ -61,7 +64,8 @@
 on_send (struct beryl_claims_owner *owner, const char *node,
          const struct beryl_claim_message *message)
 {
-  ck_abort_msg ("both nodes are home in their own view");
+  ck_assert (sends_allowed);
+  asked = *message;
 }
 
 static void
@@ -433,6 +437,36 @@
 }
 END_TEST
 
+/* Node b's process dies with an ask on its way and starts again; its
+ * asks count from 1 again.  The home's late answer to the dead process has
+ * the number of a new ask about another key, and must not grant that one. */
+START_TEST (late_reply_to_a_dead_process_grants_nothing)
+{
+  const char *nodes[] = { "a", "b" };
+  struct beryl_claim_message reply = { .type = BERYL_CLAIM_REPLY,
+                                       .id = 1,
+                                       .key_high = 5,
+                                       .key_low = 6,
+                                       .body_hash = 1,
+                                       .incarnation = 1,
+                                       .result = BERYL_CLAIM_GRANTED };
+
+  beryl_claims_set_members (b.claims, nodes, 2, now_ms);
+  if (strcmp (beryl_claims_home (b.claims, 0), "a") != 0)
+    beryl_claims_set_members (b.claims, nodes, 1, now_ms);
+  sends_allowed = true;
+  claim (&b, 1, "k");
+  beryl_claims_message (b.claims, "a", &reply, now_ms);
+  ck_assert (!b.ended[1]);
+  ck_assert_uint_eq (asked.id, 1);
+  reply = asked;
+  reply.type = BERYL_CLAIM_REPLY;
+  reply.result = BERYL_CLAIM_GRANTED;
+  beryl_claims_message (b.claims, "a", &reply, now_ms);
+  ck_assert_int_eq (b.results[1], BERYL_CLAIM_GRANTED);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -452,6 +486,7 @@
   tcase_add_test (tcase, folded_keys_are_known_to_a_new_node);
   tcase_add_test (tcase, keys_are_forgotten_after_the_retention);
   tcase_add_test (tcase, list_with_a_hole_is_not_built_on);
+  tcase_add_test (tcase, late_reply_to_a_dead_process_grants_nothing);
   suite_add_tcase (suite, tcase);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
