HTTP/2 leftovers go; the platform's token

Cause: branches for HTTP/2 could no longer be reached, and a platform that wants a token could not be used by entry nodes and berylctl. Change: the branches are gone; platform_token_file and BERYL_PLATFORM_TOKEN. Conclusion: less code, one missing setting.

--- a/berylctl/session.c
+++ b/berylctl/session.c
@@ -27,6 +27,7 @@
   struct platform_client_settings settings = {
     .address = ctl->platform_address,
     .port = ctl->platform_port,
+    .token = g_getenv ("BERYL_PLATFORM_TOKEN"),
     .seed = (uint64_t)g_get_real_time (),
   };
 
--- a/entryd/claims_link.c
+++ b/entryd/claims_link.c
@@ -264,24 +264,39 @@
                                    tick, link);
 }
 
-struct claims_link *
-claims_link_create (struct entry *entry, uint64_t seed)
+static struct platform_client *
+create_platform (struct entry *entry, uint64_t seed)
 {
   const struct entry_settings *settings = entry->settings;
-  struct claims_link *link = g_new0 (struct claims_link, 1);
   struct platform_client_settings s = {
     .address = settings->platform_address,
     .port = settings->platform_port,
     .seed = seed,
   };
+  struct platform_client *platform;
+  char *token = NULL;
+
+  if (settings->platform_token_file[0] != '\0'
+      && g_file_get_contents (settings->platform_token_file, &token, NULL,
+                              NULL))
+    s.token = g_strstrip (token);
+  platform
+      = platform_client_create (entry->loop, entry->http, &s, entry->counters);
+  g_free (token);
+  return platform;
+}
+
+struct claims_link *
+claims_link_create (struct entry *entry, uint64_t seed)
+{
+  struct claims_link *link = g_new0 (struct claims_link, 1);
 
   link->entry = entry;
   link->seed = seed;
   link->owner.impl = &owner_impl;
   link->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
-  if (settings->platform_port != 0)
-    link->platform = platform_client_create (entry->loop, entry->http, &s,
-                                             entry->counters);
+  if (entry->settings->platform_port != 0)
+    link->platform = create_platform (entry, seed);
   return link;
 }
 
--- a/entryd/settings.c
+++ b/entryd/settings.c
@@ -30,6 +30,7 @@
   NUMBER (BERYL_FIELD_UINT16, control_port, 0, 65535),
   TEXT (BERYL_FIELD_ADDRESS, platform_address, false),
   NUMBER (BERYL_FIELD_UINT16, platform_port, 0, 65535),
+  TEXT (BERYL_FIELD_TEXT, platform_token_file, false),
   TEXT (BERYL_FIELD_TEXT, cluster_key, false),
   TEXT (BERYL_FIELD_TEXT, cluster_key_accepted, false),
   TEXT (BERYL_FIELD_TEXT, operator_token_sha256, false),
@@ -94,7 +95,7 @@
 {
   const char *const files[]
       = { settings->tls_cert_file, settings->tls_key_file,
-          settings->static_config };
+          settings->static_config, settings->platform_token_file };
 
   if ((settings->tls_cert_file[0] == '\0')
       != (settings->tls_key_file[0] == '\0'))
--- a/entryd/settings.h
+++ b/entryd/settings.h
@@ -27,7 +27,8 @@
   uint16_t control_port; /**< of beryl-controld on this instance; 0: none */
   char platform_address[64];
   uint16_t platform_port; /**< 0: no platform, so no free keys */
-  char cluster_key[128];  /**< proved towards other nodes, and accepted */
+  char platform_token_file[SETTINGS_PATH_BYTES];
+  char cluster_key[128]; /**< proved towards other nodes, and accepted */
   char cluster_key_accepted[128]; /**< accepted too, while keys change */
   char operator_token_sha256[65]; /**< "": nobody may ask /v1/explain */
   char tls_cert_file[SETTINGS_PATH_BYTES];
--- a/http/answer.c
+++ b/http/answer.c
@@ -46,7 +46,7 @@
   if (!ex->streamed)
     bad |= lws_add_http_header_content_length (ex->wsi, ex->out->len, &p, end)
            != 0;
-  else if (!ex->multiplexed)
+  else
     bad |= append_header_line (ex->wsi, "transfer-encoding:", "chunked", &p,
                                end)
            != 0;
@@ -61,7 +61,7 @@
 {
   size_t left = ex->out->len - ex->out_taken;
   size_t n = left < room ? left : room;
-  bool chunked = ex->streamed && !ex->multiplexed;
+  bool chunked = ex->streamed;
   unsigned char *start = p;
 
   *final = ex->finished && n == left;
@@ -100,21 +100,6 @@
     handler->impl->drained (handler, ex);
 }
 
-static int
-write_head_alone (struct http_exchange *ex, unsigned char *buf, int head_bytes)
-{
-  enum lws_write_protocol how = LWS_WRITE_HTTP_HEADERS;
-
-  if (ex->finished && ex->out->len == 0)
-    {
-      how |= LWS_WRITE_H2_STREAM_END;
-      ex->final_sent = true;
-    }
-  if (lws_write (ex->wsi, buf, (size_t)head_bytes, how) < 0)
-    return -1;
-  return 0;
-}
-
 /* While an HTTP/1.1 answer is made, libwebsockets neither reads the socket
  * nor stops polling it, so that a caller which sends its next request early
  * would make the loop spin.  A held connection is not polled for input; nor
@@ -122,7 +107,7 @@
 void
 http_answer_hold (struct http_exchange *ex, bool held)
 {
-  if (ex->held == held || ex->multiplexed)
+  if (ex->held == held)
     return;
   ex->held = held;
   lws_rx_flow_control (ex->wsi, held ? 0 : 1);
@@ -135,22 +120,7 @@
   lws_callback_on_writable (ex->wsi);
 }
 
-/* On HTTP/2 the head is a frame of its own. */
-static enum answer_result
-write_head (struct http_exchange *ex, unsigned char *buf)
-{
-  int head_bytes = format_head (ex, buf, HEAD_BYTES);
-
-  if (head_bytes < 0 || write_head_alone (ex, buf, head_bytes) < 0)
-    return ANSWER_FAILED;
-  ex->head_sent = true;
-  if (ex->final_sent)
-    return ANSWER_WHOLE;
-  lws_callback_on_writable (ex->wsi);
-  return ANSWER_CONTINUES;
-}
-
-/* On HTTP/1.1 head and body are one raw write. */
+/* Head and body are one raw write. */
 static enum answer_result
 write_piece (struct http_exchange *ex, unsigned char *buf)
 {
@@ -185,8 +155,6 @@
     return ANSWER_FAILED;
   if (ex->state != EXCHANGE_STARTED)
     return ANSWER_CONTINUES;
-  if (ex->multiplexed && !ex->head_sent)
-    return write_head (ex, buf + LWS_PRE);
   result = write_piece (ex, buf + LWS_PRE);
   if (result != ANSWER_CONTINUES)
     return result;
--- a/http/exchange.c
+++ b/http/exchange.c
@@ -111,7 +111,6 @@
   ex->body = g_byte_array_new ();
   ex->out = g_byte_array_new ();
   ex->extra_headers = g_string_new (NULL);
-  ex->multiplexed = lws_get_network_wsi (wsi) != wsi;
   lws_get_peer_simple (wsi, ex->peer, sizeof ex->peer);
   for (size_t i = 0; i < G_N_ELEMENTS (methods); i++)
     {
@@ -121,16 +120,6 @@
       g_strlcpy (ex->method, methods[i].method, sizeof ex->method);
       break;
     }
-  if (ex->path == NULL)
-    {
-      /* HTTP/2 carries the method and the path as pseudo-headers. */
-      char *method = copy_token (wsi, WSI_TOKEN_HTTP_COLON_METHOD);
-
-      ex->path = copy_token (wsi, WSI_TOKEN_HTTP_COLON_PATH);
-      g_strlcpy (ex->method, method != NULL ? method : "GET",
-                 sizeof ex->method);
-      g_free (method);
-    }
   if (ex->path == NULL)
     ex->path = g_strdup ("/");
   ex->query = copy_query (wsi);
--- a/http/server.c
+++ b/http/server.c
@@ -78,7 +78,7 @@
               "\"outcome\":\"not_run\"}");
       return true;
     }
-  if (!ex->multiplexed && http_exchange_header (ex, "transfer-encoding"))
+  if (http_exchange_header (ex, "transfer-encoding"))
     {
       refuse (ex, 411,
               "{\"type\":\"length-required\",\"status\":411,"
@@ -206,7 +206,7 @@
       fds[i].fd = -1;
       if (is_too_slow (ex, now_ms))
         gone[gone_count++] = ex->wsi;
-      if (ex->multiplexed || ex->state == EXCHANGE_RECEIVING)
+      if (ex->state == EXCHANGE_RECEIVING)
         continue;
       fds[i].fd = lws_get_socket_fd (ex->wsi);
       fds[i].events = POLLRDHUP | (ex->held ? 0 : POLLIN);
--- a/http/server_private.h
+++ b/http/server_private.h
@@ -52,11 +52,9 @@
   size_t out_since_drained; /* bytes queued since the handler was told */
   unsigned int status;
   char *content_type;
-  bool multiplexed; /* HTTP/2 stream */
   bool streamed;
   bool head_sent;
   bool finished;
-  bool final_sent;
   bool aborted;
   bool above_water;
   bool held;      /* polling for input is off */
--- a/include/http/server.h
+++ b/include/http/server.h
@@ -1,5 +1,5 @@
 /** @file
- * HTTP/1.1 and HTTP/2 server on libwebsockets.  One thread; every call is
+ * HTTP/1.1 server on libwebsockets.  One thread; every call is
  * made on the loop's thread.
  */
 #ifndef HTTP_SERVER_H
