Platform client: impatient requests may probe after an outage

Cause: requests that do not wait were refused before any of them could become the breaker's probe. Change: refuse only after calls were started; two tests of it, one of which failed before.

--- a/libberyl/platform/client.c
+++ b/libberyl/platform/client.c
@@ -210,9 +210,12 @@
 void
 beryl_platform_tick (struct beryl_platform *p, int64_t now_ms)
 {
-  platform_fetches_expire (p, now_ms);
+  /* Impatient requests are refused only after one of them had the chance to
+     become the probe.  Refused before, a process whose requests are all
+     impatient would take the platform for away for ever after an outage. */
+  platform_fetches_expire (p, false, now_ms);
   platform_schedule_run (p, now_ms);
-  platform_fetches_expire (p, now_ms);
+  platform_fetches_expire (p, true, now_ms);
 }
 
 int64_t
--- a/libberyl/platform/fetch.c
+++ b/libberyl/platform/fetch.c
@@ -356,11 +356,12 @@
 
 /** Move the waiters of F that give up to the ended ones. */
 static void
-waiters_give_up (struct beryl_platform *p, struct fetch *f, int64_t now_ms)
+waiters_give_up (struct beryl_platform *p, struct fetch *f, bool refusing,
+                 int64_t now_ms)
 {
   struct waiter *w = LIST_FIRST (&f->waiters);
-  bool refused
-      = p->breaker.state != BREAKER_CLOSED && f->job.state != JOB_CALLING;
+  bool refused = refusing && p->breaker.state != BREAKER_CLOSED
+                 && f->job.state != JOB_CALLING;
 
   while (w)
     {
@@ -377,7 +378,8 @@
 }
 
 void
-platform_fetches_expire (struct beryl_platform *p, int64_t now_ms)
+platform_fetches_expire (struct beryl_platform *p, bool refusing,
+                         int64_t now_ms)
 {
   struct fetch *f = LIST_FIRST (&p->fetches);
   struct waiter *w;
@@ -386,7 +388,7 @@
     {
       struct fetch *next = LIST_NEXT (f, entry);
 
-      waiters_give_up (p, f, now_ms);
+      waiters_give_up (p, f, refusing, now_ms);
       if (LIST_EMPTY (&f->waiters))
         platform_fetch_free (p, f);
       f = next;
--- a/libberyl/platform/private.h
+++ b/libberyl/platform/private.h
@@ -230,8 +230,10 @@
 void platform_breaker_aborted (struct beryl_platform *p, uint64_t call);
 
 /* fetch.c */
-/** End a fetch's waiters whose time is over, or that refuse to wait. */
-void platform_fetches_expire (struct beryl_platform *p, int64_t now_ms);
+/** End the waiters whose time is over and, if REFUSING, those that do not
+ * wait while the platform is away. */
+void platform_fetches_expire (struct beryl_platform *p, bool refusing,
+                              int64_t now_ms);
 int64_t platform_fetches_next_ms (const struct beryl_platform *p);
 void platform_fetch_free (struct beryl_platform *p, struct fetch *fetch);
 
--- a/tests/platform/test_client.c
+++ b/tests/platform/test_client.c
@@ -422,6 +422,63 @@
 }
 END_TEST
 
+/* An outage ends, but this node goes on believing that the platform is away
+   for ever: its only requests are impatient ones, each was refused before it
+   could become the probe, and none came that waits. */
+START_TEST (test_impatient_requests_probe)
+{
+  struct fake f;
+  struct fake_client *c;
+  struct beryl_platform_options o;
+
+  fake_init (&f, 1);
+  c = fake_add (&f, NULL);
+  f.faults.outage = true;
+  for (int i = 0; i < 100; i++)
+    {
+      if (i == 60)
+        f.faults.outage = false;
+      o = within (&f, BERYL_USE_LEASE, 2, false);
+      beryl_platform_get (c->core, &o, "log", "lease", 0, f.now_ms);
+      fake_run (&f, f.now_ms + 250);
+      if (i == 59)
+        ck_assert (beryl_platform_is_away (c->core));
+    }
+  ck_assert (!beryl_platform_is_away (c->core));
+  ck_assert_int_eq (c->results[c->result_count - 1].code,
+                    BERYL_ERROR_NOT_FOUND);
+  ck_assert_uint_lt (c->sent, 70);
+  fake_destroy (&f);
+}
+END_TEST
+
+/* The same with a watch, as a control daemon has: its probes alone must
+   bring the node back. */
+START_TEST (test_watch_probes_during_outage)
+{
+  struct fake f;
+  struct fake_client *c;
+  struct beryl_platform_options o;
+
+  fake_init (&f, 1);
+  c = fake_add (&f, NULL);
+  beryl_platform_watch (c->core, BERYL_USE_CONFIG, "log", f.now_ms);
+  beryl_platform_watch_instances (c->core, f.now_ms);
+  fake_run (&f, f.now_ms + 1000);
+  f.faults.outage = true;
+  for (int i = 0; i < 100; i++)
+    {
+      if (i == 60)
+        f.faults.outage = false;
+      o = within (&f, BERYL_USE_LEASE, 2, false);
+      beryl_platform_get (c->core, &o, "log", "lease", 0, f.now_ms);
+      fake_run (&f, f.now_ms + 250);
+    }
+  ck_assert (!beryl_platform_is_away (c->core));
+  fake_destroy (&f);
+}
+END_TEST
+
 /* While the breaker is open and no probe is due, a request that doesn't wait
    ends without any time passing. */
 START_TEST (test_open_breaker_refuses_at_once)
@@ -610,6 +667,8 @@
   tcase_add_test (tc, test_stale_list_takes_nothing_back);
   tcase_add_test (tc, test_instances);
   tcase_add_test (tc, test_outage_opens_the_breaker);
+  tcase_add_test (tc, test_impatient_requests_probe);
+  tcase_add_test (tc, test_watch_probes_during_outage);
   tcase_add_test (tc, test_open_breaker_refuses_at_once);
   tcase_add_test (tc, test_over_the_rate);
   tcase_add_test (tc, test_budget_is_shared);
