--- a/load/bench/sim.h
+++ b/load/bench/sim.h
@@ -41,7 +41,7 @@
   enum sim_fault fault;
   int64_t fault_from_ms;
   int64_t fault_to_ms;
-  bool early; /**< plans name the decode engine, as beryl-entryd has it */
+  bool early; /**< plans name the decode engine, without late binding */
   bool trace; /**< a line for each decision on standard error */
 };
 
