Router: long plain calls that cannot be served in time are refused at once

Cause: test_load took 40 s under sanitizers: at load 2 hundreds of long plain calls waited for a deadline that most could not meet, and each turn planned all of them again, at a cost that grew with the square of the queue. Change: a long plain call is refused when its place in the queue means that it will be late, with the time that is missing; a waiting job that keeps its place is not moved; only the first one is asked again each 10 ms.

--- a/libberyl/router/plain.c
+++ b/libberyl/router/plain.c
@@ -3,7 +3,8 @@
 
 #include "private.h"
 
-#define RETRY_MS 10
+#define HEAD_RETRY_MS 10
+#define RETRY_MS 60
 #define RETRY_AFTER_MS 500
 
 /* Calls at an endpoint of another data centre look this much busier. */
@@ -132,6 +133,24 @@
   return slack <= estimate_mean_quantile (&s->answer_ms[job->call_class], 1);
 }
 
+/* By how much a long call with AHEAD others before it would miss its
+ * deadline; 0 if it fits.  Refusing it now keeps the queue short enough to
+ * be useful. */
+static int64_t
+missing_time_ms (const struct router_service *s, const struct beryl_job *job,
+                 size_t ahead, int64_t now_ms)
+{
+  if (job->call_class == BERYL_CLASS_URGENT || s->config->max_concurrent == 0
+      || ahead == 0)
+    return 0;
+  const struct estimate_mean *answer = &s->answer_ms[job->call_class];
+  double slots = fmax (1, s->patient_slots);
+  double wait = (double)ahead / slots * answer->mean;
+  double slack = (double)job->deadline_ms - (double)now_ms;
+  double missing = wait + estimate_mean_quantile (answer, 1) - slack;
+  return missing > 0 ? (int64_t)ceil (missing) : 0;
+}
+
 void
 plain_plan (struct beryl_router *r, const struct beryl_job *job,
             int64_t now_ms, struct beryl_plan *plan)
@@ -153,16 +172,23 @@
     .organisation = organisation_find (r, job->organisation),
     .call_class = job->call_class,
     .deadline_ms = job->deadline_ms,
-    .retry_at_ms = now_ms + RETRY_MS,
   };
   uint32_t best = ROUTER_NONE;
-  if (waiting_ahead (r, &w) == 0)
+  size_t ahead = waiting_ahead (r, &w);
+  int64_t missing_ms = missing_time_ms (s, job, ahead, now_ms);
+  if (missing_ms > 0 && waiting_find (r, job->request) == SIZE_MAX)
+    {
+      router_refuse (plan, "no_capacity", missing_ms);
+      return;
+    }
+  if (ahead == 0)
     best = least_loaded (r, s, job, now_ms, plan);
   if (best != ROUTER_NONE)
     {
       start (r, job, w.service, best, now_ms, plan);
       return;
     }
+  w.retry_at_ms = now_ms + (ahead == 0 ? HEAD_RETRY_MS : RETRY_MS);
   waiting_put (r, &w);
   plan->verdict = BERYL_VERDICT_WAIT;
   plan->retry_at_ms = w.retry_at_ms;
--- a/libberyl/router/waiting.c
+++ b/libberyl/router/waiting.c
@@ -78,10 +78,25 @@
            (r->waiting_count - at) * sizeof *r->waiting);
 }
 
+static bool
+same_place (const struct router_waiting *a, const struct router_waiting *b)
+{
+  return a->service == b->service && a->call_class == b->call_class
+         && a->over_share == b->over_share && a->deadline_ms == b->deadline_ms;
+}
+
 void
 waiting_put (struct beryl_router *r, const struct router_waiting *w)
 {
-  if (!waiting_drop (r, w->request))
+  size_t at = waiting_find (r, w->request);
+  if (at != SIZE_MAX && same_place (&r->waiting[at], w))
+    {
+      r->waiting[at].retry_at_ms = w->retry_at_ms;
+      return;
+    }
+  if (at != SIZE_MAX)
+    waiting_remove (r, at);
+  else
     organisation_opened (r, w->organisation);
   if (!waiting_insert (r, w))
     organisation_closed (r, w->organisation);
--- a/tests/router/test_router.c
+++ b/tests/router/test_router.c
@@ -231,6 +231,37 @@
 }
 END_TEST
 
+/* Long calls of half a second come faster than they can run.  The queue stays
+ * as long as their deadline of one second bears; the next one is refused at
+ * once and told when to come back, instead of waiting for nothing. */
+START_TEST (test_long_calls_are_refused_early)
+{
+  struct beryl_plan plan;
+  for (uint64_t i = 1; i <= 60; i++)
+    {
+      struct beryl_job job = plain_job (i, BERYL_CLASS_NORMAL);
+      beryl_router_plan (router, &job, NOW, &plan);
+      ck_assert_int_eq (plan.verdict, BERYL_VERDICT_START);
+      beryl_router_release (router, plan.ticket, BERYL_RELEASE_DONE, NULL,
+                            NOW + 500);
+    }
+  size_t waiting = 0;
+  uint64_t n = 100;
+  do
+    {
+      struct beryl_job job = plain_job (n++, BERYL_CLASS_NORMAL);
+      beryl_router_plan (router, &job, NOW, &plan);
+      waiting += plan.verdict == BERYL_VERDICT_WAIT;
+    }
+  while (plan.verdict != BERYL_VERDICT_REFUSE && n < 200);
+  ck_assert_int_eq (plan.verdict, BERYL_VERDICT_REFUSE);
+  ck_assert_str_eq (plan.reason, "no_capacity");
+  ck_assert_int_gt (plan.retry_after_ms, 0);
+  ck_assert_uint_ge (waiting, 3); /* six run at a time, for half a second */
+  ck_assert_uint_le (waiting, 7);
+}
+END_TEST
+
 /* Eight nodes send long calls to two endpoints that run four at once each.
  * Six long calls may run in all; if the nodes without a slot of their own
  * took one more each, a clearance call would wait behind them. */
@@ -437,6 +468,7 @@
   tcase_add_test (tc, test_fair_share);
   tcase_add_test (tc, test_rate_limit_says_when);
   tcase_add_test (tc, test_urgent_passes_long_calls);
+  tcase_add_test (tc, test_long_calls_are_refused_early);
   tcase_add_test (tc, test_long_calls_of_all_nodes_leave_headroom);
   tcase_add_test (tc, test_never_ejects_the_last);
   tcase_add_test (tc, test_binds_elsewhere_after_a_refusal);
