The instance list's age is known while it does not change

Found by running entryd, controld and an engine together: the platform client told nothing when a waiting read of the instance list returned unchanged, so the acceptor held its list for old after a minute and no dead node was confirmed any more; and with an empty list facts of drained engines never went, so calls were held until their deadline. The client confirms unchanged lists now, the acceptor takes an empty one for read, and cold engines are leaving until they serve.

Trial, real processes, one engine with weights of 1.5 s: a call that finds it cold is held and answered, at the start and after a rest; before, the first was refused and the second ran into its deadline.

--- a/controld/accept_task.c
+++ b/controld/accept_task.c
@@ -318,7 +318,8 @@
   for (size_t i = 0; i < count; i++)
     if (!items[i].entry && items[i].leaving)
       leaving_observe (task, items[i].name, revision);
-  task->list_revision = revision;
+  /* 0 stands for "not read"; an empty list may have no revision yet. */
+  task->list_revision = revision != 0 ? revision : 1;
   facts_synced (task);
 }
 
--- a/controld/planner_task.c
+++ b/controld/planner_task.c
@@ -129,8 +129,12 @@
     }
   beryl_planner_engine (c->task->planner, &state,
                         control_now_ms (c->task->control));
-  /* It serves what it was drained for: let work in again. */
-  if (state.ready && beryl_planner_follows (c->task->planner, c->endpoint))
+  /* A cold engine refuses what it is sent; calls that wait for a warm one are
+   * held as long as all are leaving.  Once it serves, work may come in. */
+  if (serve != NULL && (state.role == 0 || state.loading))
+    drains_done (c->task->drains, c->endpoint);
+  else if (state.ready
+           && beryl_planner_follows (c->task->planner, c->endpoint))
     drains_end (c->task->drains, c->endpoint);
   json_decref (json);
 }
--- a/libberyl/platform/watch.c
+++ b/libberyl/platform/watch.c
@@ -299,6 +299,8 @@
       p->handler->impl->instances (p->handler, w->id, revision, list, count);
       free (list);
     }
+  /* An unchanged list was confirmed: who judges by it must know its age. */
+  tell_synced (p, w);
   watch_again (p, w, now_ms);
 }
 
--- a/tests/control/test_controld.c
+++ b/tests/control/test_controld.c
@@ -610,7 +610,8 @@
   stage_node_planner = true;
   stage_node (&s, "key", "");
   stage_node_planner = false;
-  stage_list (&s, 0);
+  /* The instance list stays empty and has no revision: facts must go all the
+   * same. */
   s.engine.impl = &orders_impl;
   s.engine_server = http_server_create (s.http, &settings, &s.engine, NULL);
   g_snprintf (object, sizeof object,
--- a/tests/platform/fake.c
+++ b/tests/platform/fake.c
@@ -146,6 +146,7 @@
 
   ck_assert_uint_ge (revision, c->revision);
   c->revision = revision;
+  c->syncs++;
 }
 
 static void
@@ -217,6 +218,19 @@
   reply (f, m, 200, body);
 }
 
+/** As the interface says, the whole list is told also if nothing changed. */
+static void
+reply_unchanged_instances (struct fake *f, struct fake_message *m)
+{
+  struct answer answer = { 0 };
+
+  m->op->wait_ms = 0;
+  operation_run (m->op, f->store, f->instances, f->now_ms, f->now_ms,
+                 f->now_ms, &answer);
+  reply (f, m, answer.status, answer.body);
+  free (answer.body);
+}
+
 /** Let a request reach the platform; true if it has to be kept waiting. */
 static bool
 request_arrives (struct fake *f, struct fake_message *m)
@@ -244,6 +258,8 @@
     }
   else if (f->now_ms < m->give_up_ms)
     return true;
+  else if (m->op->type == OPERATION_INSTANCES)
+    reply_unchanged_instances (f, m);
   else
     reply_no_events (f, m);
   return false;
--- a/tests/platform/fake.h
+++ b/tests/platform/fake.h
@@ -49,6 +49,7 @@
   char events[4096];
   uint64_t revision;  /**< last one synced */
   uint32_t instances; /**< in the last list */
+  uint32_t syncs;     /* confirmations of watches */
   uint64_t sent;      /**< calls */
   void (*on_result) (struct fake_client *client,
                      const struct beryl_platform_result *result);
--- a/tests/platform/test_client.c
+++ b/tests/platform/test_client.c
@@ -387,6 +387,27 @@
 }
 END_TEST
 
+/* The list does not change for a long time.  Who declares a silent node dead
+   by its absence from the list must know that the list is still current;
+   without a confirmation the witness falls silent after a minute and no dead
+   node's streams are cancelled any more. */
+START_TEST (test_unchanged_instances_are_confirmed)
+{
+  struct fake f;
+  struct fake_client *c;
+  uint32_t before;
+
+  fake_init (&f, 1);
+  c = fake_add (&f, NULL);
+  beryl_platform_watch_instances (c->core, f.now_ms);
+  fake_run (&f, f.now_ms + 500);
+  before = c->syncs;
+  fake_run (&f, f.now_ms + 90000);
+  ck_assert_uint_ge (c->syncs, before + 3);
+  fake_destroy (&f);
+}
+END_TEST
+
 /* The platform is out for a minute.  Claims must learn at once that they
    cannot be made, calls must be few, and work goes on soon after the end. */
 START_TEST (test_outage_opens_the_breaker)
@@ -666,6 +687,7 @@
   tcase_add_test (tc, test_watch_repairs_a_gap);
   tcase_add_test (tc, test_stale_list_takes_nothing_back);
   tcase_add_test (tc, test_instances);
+  tcase_add_test (tc, test_unchanged_instances_are_confirmed);
   tcase_add_test (tc, test_outage_opens_the_breaker);
   tcase_add_test (tc, test_impatient_requests_probe);
   tcase_add_test (tc, test_watch_probes_during_outage);
