--- a/controld/config_task.c
+++ b/controld/config_task.c
@@ -15,7 +15,6 @@
   struct control *control;
   uint64_t watch;   /* 0: none */
   uint64_t reading; /* request under way; 0: none */
-  bool base_read;   /* the checkpoint was looked for in this reading */
   struct beryl_config *config;
   uint64_t config_version; /* of CONFIG */
   /* Parts of the checkpoint while they are read. */
--- a/controld/metrics_task.c
+++ b/controld/metrics_task.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include "gossip_task.h"
 #include "http/server.h"
@@ -21,8 +22,7 @@
 static uint64_t
 resident_bytes (void)
 {
-  unsigned long size = 0;
-  unsigned long resident = 0;
+  uint64_t pages = 0;
   FILE *in = fopen ("/proc/self/statm", "r");
   char line[128];
 
@@ -32,12 +32,12 @@
     {
       char *end;
 
-      size = strtoul (line, &end, 10);
-      resident = strtoul (end, NULL, 10);
+      /* The whole size comes first. */
+      strtoull (line, &end, 10);
+      pages = strtoull (end, NULL, 10);
     }
   fclose (in);
-  (void)size;
-  return (uint64_t)resident * 4096;
+  return pages * (uint64_t)sysconf (_SC_PAGESIZE);
 }
 
 static uint64_t
--- a/controld/peer_port.c
+++ b/controld/peer_port.c
@@ -27,8 +27,7 @@
   struct link_handler base;
   struct peer_port *port;
   struct link *link;
-  bool accepted; /* the other side connected */
-  bool trusted;  /* the other side has proved the key */
+  bool trusted; /* the other side has proved the key */
   bool is_pull;
   char node[BERYL_NAME_BYTES]; /* the other side */
   uint8_t challenge[SECRET_CHALLENGE_BYTES];
@@ -253,7 +252,6 @@
     return NULL;
   x = exchange_create (port, &accepted_impl);
   x->link = link;
-  x->accepted = true;
   g_ptr_array_add (port->exchanges, x);
   challenge_send (x);
   return &x->base;
