Claims: a home is certain only after two seconds

Soak: a home died, a node whose ask it had refused wrote by itself, and the successor, which had written just before, did not know the key and called it "not run" in the outage that followed.

--- a/libberyl/base/guard.h
+++ b/libberyl/base/guard.h
@@ -36,7 +36,6 @@
   BERYL_GUARD_CLAIM_OUTAGE,     /**< unavailable only if surely not written */
   BERYL_GUARD_CLAIM_DUPLICATE,  /**< one batch holds a key once */
   BERYL_GUARD_CLAIM_HOME,       /**< only the home writes */
-  BERYL_GUARD_CLAIM_WAKE,       /**< a woken home waits before it writes */
   BERYL_GUARD_CLAIM_REPLY,    /**< a reply belongs to one ask of one process */
   BERYL_GUARD_CLAIM_VERIFIED, /**< no grant from an old view of the log */
   BERYL_GUARD_KEY_OWNED,      /**< an ungranted free key is not this node's */
--- a/libberyl/requests/claim_private.h
+++ b/libberyl/requests/claim_private.h
@@ -120,8 +120,9 @@
   struct beryl_claims_owner *owner;
   char (*members)[BERYL_NAME_BYTES];
   size_t member_count;
-  uint32_t *homes;       /**< by shard: the number of its home */
-  struct shard **shards; /**< NULL until used */
+  uint32_t *homes;        /**< by shard: the number of its home */
+  int64_t *home_since_ms; /**< by shard; BERYL_NEVER_MS: not ours */
+  struct shard **shards;  /**< NULL until used */
   struct asked *asked;
   int64_t last_tick_ms;
   int64_t write_from_ms;    /**< no new segment before this */
@@ -199,6 +200,8 @@
 
 uint64_t claims_call (struct beryl_claims *claims, struct shard *shard);
 int64_t claims_commit_ms (const struct beryl_claims *claims);
+bool claims_settled_home (const struct beryl_claims *claims, uint32_t shard,
+                          int64_t now_ms);
 bool claims_may_commit (const struct beryl_claims *claims, int64_t now_ms);
 void claims_count_commit (struct beryl_claims *claims,
                           const struct shard *shard, int64_t now_ms);
--- a/libberyl/requests/claim_shard.c
+++ b/libberyl/requests/claim_shard.c
@@ -366,7 +366,7 @@
   if (shard->lost_replies > 0)
     shard->claims->counts.settled++;
   log_append (shard, now_ms);
-  shard->sole = claims_is_home (shard->claims, shard->number);
+  shard->sole = claims_settled_home (shard->claims, shard->number, now_ms);
   shard->verified_ms = shard->call_ms;
   shard->backoff_ms = BACKOFF_FIRST_MS;
   while ((waiting = queue_take (&shard->batch)) != NULL)
--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -24,6 +24,8 @@
 #define GAP_MS (3 * HEARTBEAT_MS)
 /* How long a woken process waits for the members that it missed. */
 #define CATCH_UP_MS 100
+/* How long a new home is not certain of its log. */
+#define TENURE_MS 2000
 
 static void
 default_to (int64_t *setting, int64_t value)
@@ -59,10 +61,18 @@
   default_to (&claims->settings.ask_timeout_ms, ASK_TIMEOUT_DEFAULT_MS);
   claims->shards = calloc (claims->settings.shards, sizeof (struct shard *));
   claims->homes = calloc (claims->settings.shards, sizeof *claims->homes);
-  if (claims->shards != NULL && claims->homes != NULL)
-    return claims;
+  claims->home_since_ms
+      = calloc (claims->settings.shards, sizeof *claims->home_since_ms);
+  if (claims->shards != NULL && claims->homes != NULL
+      && claims->home_since_ms != NULL)
+    {
+      for (uint32_t i = 0; i < claims->settings.shards; i++)
+        claims->home_since_ms[i] = BERYL_NEVER_MS;
+      return claims;
+    }
   free (claims->shards);
   free (claims->homes);
+  free (claims->home_since_ms);
   free (claims);
   return NULL;
 }
@@ -78,6 +88,7 @@
   map_clear (&claims->calls);
   free (claims->shards);
   free (claims->homes);
+  free (claims->home_since_ms);
   free (claims->members);
   free (claims);
 }
@@ -242,19 +253,36 @@
   return home == NULL || strcmp (home, claims->node) == 0;
 }
 
+/* Whether this node has been SHARD's home so long that nobody writes for its
+ * predecessor any more: when a home dies, nodes whose asks it refused write by
+ * themselves for a moment. */
+bool
+claims_settled_home (const struct beryl_claims *claims, uint32_t shard,
+                     int64_t now_ms)
+{
+  int64_t since_ms = claims->home_since_ms[shard];
+
+  return since_ms != BERYL_NEVER_MS && now_ms - since_ms >= TENURE_MS;
+}
+
 /* Whoever is home now may write what this node does not see. */
 static void
-claims_count_shards (struct beryl_claims *claims)
+claims_count_shards (struct beryl_claims *claims, int64_t now_ms)
 {
   claims->home_count = 0;
   for (uint32_t i = 0; i < claims->settings.shards; i++)
     claims->homes[i] = home_of (claims, i);
   for (uint32_t i = 0; i < claims->settings.shards; i++)
     {
-      if (claims_is_home (claims, i))
+      bool home = !claims_is_alone (claims) && claims_is_home (claims, i);
+
+      if (home)
         claims->home_count++;
-      if (claims->shards[i] != NULL
-          && (claims_is_alone (claims) || !claims_is_home (claims, i)))
+      if (!home)
+        claims->home_since_ms[i] = BERYL_NEVER_MS;
+      else if (claims->home_since_ms[i] == BERYL_NEVER_MS)
+        claims->home_since_ms[i] = now_ms;
+      if (!home && claims->shards[i] != NULL)
         claims->shards[i]->sole = false;
     }
 }
@@ -318,7 +346,7 @@
   free (claims->members);
   claims->members = members;
   claims->member_count = node_count;
-  claims_count_shards (claims);
+  claims_count_shards (claims, now_ms);
   beryl_claims_tick (claims, now_ms);
 }
 
@@ -334,11 +362,14 @@
     return;
   /* It may also have lost its members' view: what it wrote now as home would
    * escape the node that has become home. */
-  if (!BERYL_GUARD (BERYL_GUARD_CLAIM_WAKE, false))
-    claims->write_from_ms = now_ms + CATCH_UP_MS;
+  claims->write_from_ms = now_ms + CATCH_UP_MS;
   for (uint32_t i = 0; i < claims->settings.shards; i++)
-    if (claims->shards[i] != NULL)
-      claims->shards[i]->sole = false;
+    {
+      if (claims->home_since_ms[i] != BERYL_NEVER_MS)
+        claims->home_since_ms[i] = now_ms;
+      if (claims->shards[i] != NULL)
+        claims->shards[i]->sole = false;
+    }
 }
 
 void
--- a/tests/requests/test_claims.c
+++ b/tests/requests/test_claims.c
@@ -326,6 +326,7 @@
  * key is new, and which keys it has granted; one that has not cannot know. */
 START_TEST (outage_is_told_as_far_as_it_is_known)
 {
+  pass (&a, 2000);
   claim (&a, 1, "old");
   pass (&a, 100);
   claim (&a, 2, "new");
@@ -343,6 +344,7 @@
  * it wakes up: its old view must not call a key "not run". */
 START_TEST (woken_home_is_not_certain)
 {
+  pass (&a, 2000);
   claim (&a, 1, "x");
   pass (&a, 100);
   claim (&b, 1, "k");
@@ -467,6 +469,29 @@
 }
 END_TEST
 
+/* A home is stopped, replaced by its members, and wakes up with a call in its
+ * queue.  Written at once, its claim would escape the new home, which would
+ * call the key "not run" in an outage.  It waits until it hears of its
+ * members, and passes the claim on. */
+START_TEST (woken_home_passes_its_claims_on)
+{
+  const char *others[] = { "b" };
+
+  now_ms += 3000;
+  sends_allowed = true;
+  claim (&a, 1, "k");
+  serve_one (&a); /* it reads the log, which is old by now */
+  ck_assert_int_eq (a.call_count, 0);
+  now_ms += 50;
+  beryl_claims_set_members (a.claims, others, 1, now_ms);
+  now_ms += 100;
+  beryl_claims_tick (a.claims, now_ms);
+  ck_assert_int_eq (a.call_count, 0);
+  ck_assert_int_eq (asked.type, BERYL_CLAIM_ASK);
+  ck_assert (!a.ended[1]);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -486,6 +511,7 @@
   tcase_add_test (tcase, folded_keys_are_known_to_a_new_node);
   tcase_add_test (tcase, keys_are_forgotten_after_the_retention);
   tcase_add_test (tcase, list_with_a_hole_is_not_built_on);
+  tcase_add_test (tcase, woken_home_passes_its_claims_on);
   tcase_add_test (tcase, late_reply_to_a_dead_process_grants_nothing);
   suite_add_tcase (suite, tcase);
   runner = srunner_create (suite);
