--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -207,13 +207,24 @@
   return true;
 }
 
-static void
-planned_plan (struct beryl_router *r, const struct beryl_job *job,
-              int64_t now_ms, struct beryl_plan *plan)
+/* What is known about a job when it is planned. */
+struct outlook
+{
+  bool known;  /* it waited already */
+  bool served; /* some engine can prefill it */
+  struct pair pair;
+  size_t queue; /* waiting jobs of its service */
+  size_t ahead; /* those before it */
+  int32_t slots;
+  double slack_ms;
+  double need_ms; /* from the start of its prefill to its end */
+  double wait_ms;
+};
+
+static struct router_waiting
+waiting_entry (const struct beryl_router *r, const struct router_service *s,
+               const struct beryl_job *job)
 {
-  struct router_service *s = router_service_find (r, job->service);
-  fleet_refresh (r, s, now_ms);
-  size_t known = waiting_find (r, job->request);
   struct router_waiting w = {
     .request = job->request,
     .service = (uint32_t)(s - r->services),
@@ -221,46 +232,78 @@
     .call_class = job->call_class,
     .deadline_ms = job->deadline_ms,
   };
-  size_t queue = waiting_of_service (r, w.service);
-  if (known != SIZE_MAX)
-    w.over_share = r->waiting[known].over_share;
-  else
-    w.over_share = over_fair_part (r, s, w.organisation, 0);
+  size_t known = waiting_find (r, job->request);
+  w.over_share = known != SIZE_MAX ? r->waiting[known].over_share
+                                   : over_fair_part (r, s, w.organisation, 0);
+  return w;
+}
+
+static void
+look_ahead (struct beryl_router *r, struct router_service *s,
+            const struct beryl_job *job, const struct router_waiting *w,
+            int64_t now_ms, struct outlook *o, struct beryl_plan *plan)
+{
+  o->known = waiting_find (r, job->request) != SIZE_MAX;
+  o->served = pair_choose (r, s, job, ROUTER_NONE, now_ms, &o->pair, plan);
+  if (!o->served)
+    o->pair.first_token_ms = cost_prefill_ms (s, job->prompt_tokens);
+  o->queue = waiting_of_service (r, w->service);
+  o->ahead = waiting_ahead (r, w);
+  o->slots = room (r, s, job, o->pair.first_token_ms);
+  o->slack_ms = (double)job->deadline_ms - (double)now_ms;
+  o->need_ms
+      = o->pair.first_token_ms
+        + cost_decode_ms (s, job->max_tokens, length_margin (s, o->queue));
+  o->wait_ms = wait_ms (s, o->ahead, o->slots);
+}
 
-  struct pair p;
-  bool served = pair_choose (r, s, job, ROUTER_NONE, now_ms, &p, plan);
-  if (!served)
-    p.first_token_ms = cost_prefill_ms (s, job->prompt_tokens);
-  double slack = (double)job->deadline_ms - (double)now_ms;
-  double need
-      = p.first_token_ms
-        + cost_decode_ms (s, job->max_tokens, length_margin (s, queue));
-  size_t ahead = waiting_ahead (r, &w);
-  int32_t slots = room (r, s, job, p.first_token_ms);
-  double wait = wait_ms (s, ahead, slots);
-  if (need > slack)
+/* Refuse what cannot end in time; new jobs also for their place in the
+ * queue.  False if the job may go on. */
+static bool
+refused (struct beryl_router *r, const struct router_service *s,
+         const struct router_waiting *w, const struct outlook *o,
+         struct beryl_plan *plan)
+{
+  double missing_ms = o->wait_ms + o->need_ms - o->slack_ms;
+  if (o->need_ms > o->slack_ms)
     {
-      refuse (r, job->request, w.organisation, plan, "deadline",
-              retry_after (wait_ms (s, queue, slots)));
-      return;
+      refuse (r, w->request, w->organisation, plan, "deadline",
+              retry_after (wait_ms (s, o->queue, o->slots)));
+      return true;
     }
-  if (known == SIZE_MAX && wait + need > slack)
+  if (o->known)
+    return false;
+  if (missing_ms > 0)
     {
-      router_refuse (plan, "no_capacity", retry_after (wait + need - slack));
-      return;
+      router_refuse (plan, "no_capacity", retry_after (missing_ms));
+      return true;
     }
-  if (known == SIZE_MAX && contended (s, queue, FAIR_CONTENDED)
-      && over_fair_part (r, s, w.organisation, queue))
+  if (contended (s, o->queue, FAIR_CONTENDED)
+      && over_fair_part (r, s, w->organisation, o->queue))
     {
-      router_refuse (plan, "fair_share", retry_after (wait));
-      return;
+      router_refuse (plan, "fair_share", retry_after (o->wait_ms));
+      return true;
     }
-  bool soon = served && p.backlog_ms <= PREFILL_AHEAD_MS;
-  if (soon && (int64_t)ahead < slots
-      && try_start (r, s, job, &p, now_ms, plan))
+  return false;
+}
+
+static void
+planned_plan (struct beryl_router *r, const struct beryl_job *job,
+              int64_t now_ms, struct beryl_plan *plan)
+{
+  struct router_service *s = router_service_find (r, job->service);
+  fleet_refresh (r, s, now_ms);
+  struct router_waiting w = waiting_entry (r, s, job);
+  struct outlook o;
+  look_ahead (r, s, job, &w, now_ms, &o, plan);
+  if (refused (r, s, &w, &o, plan))
+    return;
+  bool soon = o.served && o.pair.backlog_ms <= PREFILL_AHEAD_MS;
+  if (soon && (int64_t)o.ahead < o.slots
+      && try_start (r, s, job, &o.pair, now_ms, plan))
     return;
-  wait_for_slot (r, &w, ahead, now_ms, plan);
-  if (!served)
+  wait_for_slot (r, &w, o.ahead, now_ms, plan);
+  if (!o.served)
     plan->reason = "no_endpoint";
 }
 
