Count leaving members apart from live ones

A leaving node was counted as alive until its process ended, so the gauge, and what reads it, noticed a planned stop only with the process's end.

--- a/controld/gossip_task.c
+++ b/controld/gossip_task.c
@@ -239,7 +239,27 @@
   uint64_t count = 0;
 
   for (size_t i = 0; i < beryl_membership_count (control->members); i++)
-    count += beryl_membership_get (control->members, i)->state == state;
+    {
+      const struct beryl_member *m
+          = beryl_membership_get (control->members, i);
+
+      count += m->state == state && !m->leaving;
+    }
+  return count;
+}
+
+static uint64_t
+members_leaving (const struct control *control)
+{
+  uint64_t count = 0;
+
+  for (size_t i = 0; i < beryl_membership_count (control->members); i++)
+    {
+      const struct beryl_member *m
+          = beryl_membership_get (control->members, i);
+
+      count += m->state != BERYL_MEMBER_DEAD && m->leaving;
+    }
   return count;
 }
 
@@ -260,6 +280,8 @@
                 datagram_refused (task->datagram));
   counters_set (set, "beryl_members", "state=\"alive\"",
                 members_in (task->control, BERYL_MEMBER_ALIVE));
+  counters_set (set, "beryl_members", "state=\"leaving\"",
+                members_leaving (task->control));
   counters_set (set, "beryl_members", "state=\"suspect\"",
                 members_in (task->control, BERYL_MEMBER_SUSPECT));
   peer_port_count (task->peers);
