--- a/libberyl/platform/private.h
+++ b/libberyl/platform/private.h
@@ -230,12 +230,23 @@
 void platform_breaker_aborted (struct beryl_platform *p, uint64_t call);
 
 /* fetch.c */
+bool platform_fetch_is_read (const struct fetch *fetch);
+struct fetch *platform_fetch_new (struct beryl_platform *p,
+                                  enum fetch_type type,
+                                  enum beryl_platform_use use,
+                                  const char *kind, const char *name);
+/** Tell the waiters in p->telling, one after another; each callback may
+ * forget others of them. */
+void platform_tell (struct beryl_platform *p,
+                    const struct beryl_platform_result *result);
+void platform_fetch_free (struct beryl_platform *p, struct fetch *fetch);
+
+/* request.c */
 /** End the waiters whose time is over and, if REFUSING, those that do not
  * wait while the platform is away. */
 void platform_fetches_expire (struct beryl_platform *p, bool refusing,
                               int64_t now_ms);
 int64_t platform_fetches_next_ms (const struct beryl_platform *p);
-void platform_fetch_free (struct beryl_platform *p, struct fetch *fetch);
 
 /* watch.c */
 void platform_watch_free (struct beryl_platform *p, struct watch *watch);
