--- a/controld/main.c
+++ b/controld/main.c
@@ -2,37 +2,16 @@
  * beryl-controld: membership, configuration, leases, planning and clean-up
  * of one instance.
  */
-#include <getopt.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "common/settings.h"
+#include "common/daemon.h"
 #include "control.h"
 #include "entry_task.h"
 #include "gossip_task.h"
 #include "metrics_task.h"
 
-static const char usage[]
-    = "Usage: beryl-controld [OPTION]... SETTINGS-FILE\n"
-      "Keep this instance in agreement with the others.\n\n"
-      "  -c, --check-settings  check the settings file and exit\n"
-      "  -h, --help            print this help and exit\n"
-      "  -v, --version         print the version and exit\n";
-
-enum
-{
-  EXIT_USAGE = 2,
-  EXIT_SETTINGS = 3,
-};
-
-static const struct option options[] = {
-  { "check-settings", no_argument, NULL, 'c' },
-  { "help", no_argument, NULL, 'h' },
-  { "version", no_argument, NULL, 'v' },
-  { 0 },
-};
-
 static void
 stop (void *user)
 {
@@ -73,48 +52,24 @@
 }
 
 static bool
-load (const char *path, struct control_settings *settings)
+load (void *settings, const char *path, struct beryl_findings *findings)
 {
-  struct beryl_findings *findings = beryl_findings_create ();
-  bool valid = control_settings_load (settings, path, findings);
-
-  settings_print_findings (findings);
-  beryl_findings_destroy (findings);
-  return valid;
+  return control_settings_load (settings, path, findings);
 }
 
+static const struct daemon_program program
+    = { .name = "beryl-controld",
+        .purpose = "Keep this instance in agreement with the others.",
+        .load = load };
+
 int
 main (int argc, char **argv)
 {
   struct control_settings settings;
-  bool check_only = false;
-  int option;
+  int status;
 
-  while ((option = getopt_long (argc, argv, "chv", options, NULL)) != -1)
-    switch (option)
-      {
-      case 'c':
-        check_only = true;
-        break;
-      case 'h':
-        fputs (usage, stdout);
-        return EXIT_SUCCESS;
-      case 'v':
-        puts ("beryl-controld " BERYL_VERSION);
-        return EXIT_SUCCESS;
-      default:
-        fputs (usage, stderr);
-        return EXIT_USAGE;
-      }
-  if (optind + 1 != argc)
-    {
-      fputs (usage, stderr);
-      return EXIT_USAGE;
-    }
-  if (!load (argv[optind], &settings))
-    return EXIT_SETTINGS;
-  if (check_only)
-    return EXIT_SUCCESS;
-  log_init ("beryl-controld", settings.log_format, settings.log_level);
+  if (!daemon_start (&program, argc, argv, &settings, &status))
+    return status;
+  log_init (program.name, settings.log_format, settings.log_level);
   return run (&settings);
 }
--- a/tests/base/test_base.c
+++ b/tests/base/test_base.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,6 +6,7 @@
 #include "beryl/findings.h"
 #include "beryl/outcome.h"
 #include "common/counters.h"
+#include "../suite.h"
 
 START_TEST (virtual_clock_moves_only_when_advanced)
 {
@@ -76,8 +76,6 @@
 {
   Suite *suite = suite_create ("base");
   TCase *tc = tcase_create ("base");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, virtual_clock_moves_only_when_advanced);
   tcase_add_test (tc, findings_keep_their_places);
@@ -85,9 +83,5 @@
   tcase_add_test (tc, error_is_filled_and_truncated);
   tcase_add_test (tc, counters_format_sorted);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/config/test_config.c
+++ b/tests/config/test_config.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "beryl/config.h"
+#include "../suite.h"
 
 #define OBJECT(kind, name, spec)                                              \
   "{\"api_version\":\"beryl/v1\",\"kind\":\"" kind "\",\"name\":\"" name      \
@@ -222,8 +222,6 @@
 {
   Suite *suite = suite_create ("config");
   TCase *tcase = tcase_create ("config");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, test_whole);
   tcase_add_test (tcase, test_all_findings_together);
@@ -231,8 +229,5 @@
   tcase_add_test (tcase, test_bad_json);
   tcase_add_test (tcase, test_one_object);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/config/test_yaml.c
+++ b/tests/config/test_yaml.c
@@ -1,9 +1,9 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/settings.h"
 #include "common/yaml.h"
+#include "../suite.h"
 
 static struct yaml_file *
 parse (const char *text, struct beryl_findings *findings)
@@ -123,16 +123,11 @@
 {
   Suite *suite = suite_create ("yaml");
   TCase *tcase = tcase_create ("yaml");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, test_values);
   tcase_add_test (tcase, test_alias_bomb);
   tcase_add_test (tcase, test_refused);
   tcase_add_test (tcase, test_settings_findings);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/http/test_abuse.c
+++ b/tests/http/test_abuse.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "world.h"
+#include "../suite.h"
 
 #define CONNECTIONS_MAX 200
 /* The node's header_timeout_s is 1; libwebsockets looks once a second. */
@@ -219,8 +219,6 @@
 {
   Suite *suite = suite_create ("abuse");
   TCase *tcase = tcase_create ("abuse");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 30);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
@@ -231,8 +229,5 @@
   tcase_add_test (tcase, chunked_body);
   tcase_add_test (tcase, half_open);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/http/test_http.c
+++ b/tests/http/test_http.c
@@ -1,10 +1,10 @@
-#include <check.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "http/client.h"
 #include "http/server.h"
+#include "../suite.h"
 
 /* A server that echoes, streams, cuts or stays silent, as the path says. */
 struct echo
@@ -333,8 +333,6 @@
 {
   Suite *suite = suite_create ("http");
   TCase *tc = tcase_create ("http");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (tc, set_up, tear_down);
   tcase_set_timeout (tc, 20);
@@ -347,9 +345,5 @@
   tcase_add_test (tc, cancel_closes_the_exchange);
   tcase_add_test (tc, many_calls_leave_nothing_open);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/http/test_raw.c
+++ b/tests/http/test_raw.c
@@ -1,10 +1,10 @@
-#include <check.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "http/client.h"
 #include "http/server.h"
+#include "../suite.h"
 
 #define PART_DELAY_MS 20
 
@@ -239,8 +239,6 @@
 {
   Suite *suite = suite_create ("raw");
   TCase *tcase = tcase_create ("raw");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, cut_chunked);
@@ -251,8 +249,5 @@
   tcase_add_test (tcase, whole_length);
   tcase_add_test (tcase, whole_empty);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/platform/test_histories.c
+++ b/tests/platform/test_histories.c
@@ -1,10 +1,10 @@
-#include <check.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "fake.h"
+#include "../suite.h"
 
 #define SEEDS 150
 #define CLIENTS 4
@@ -186,15 +186,9 @@
 {
   Suite *suite = suite_create ("histories");
   TCase *tc = tcase_create ("histories");
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 30);
   tcase_add_loop_test (tc, test_histories, 0, SEEDS);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/tests/platform/test_shell.c
+++ b/tests/platform/test_shell.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,6 +5,7 @@
 #include "common/platform_client.h"
 #include "http/client.h"
 #include "server.h"
+#include "../suite.h"
 
 /* The stand-in and a client in one process, over HTTP on loopback. */
 struct bench
@@ -233,8 +233,6 @@
 {
   Suite *suite = suite_create ("shell");
   TCase *tc = tcase_create ("shell");
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 20);
   tcase_add_test (tc, test_objects);
@@ -242,9 +240,5 @@
   tcase_add_test (tc, test_lost_reply);
   tcase_add_test (tc, test_outage);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -1,9 +1,9 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "store.h"
+#include "../suite.h"
 
 /** Names that a visit saw. */
 struct seen
@@ -137,17 +137,11 @@
 {
   Suite *suite = suite_create ("store");
   TCase *tc = tcase_create ("store");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, test_conditions);
   tcase_add_test (tc, test_reads_of_the_past);
   tcase_add_test (tc, test_list_pages);
   tcase_add_test (tc, test_events);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/tests/requests/test_claims.c
+++ b/tests/requests/test_claims.c
@@ -1,12 +1,12 @@
 /* The claim log, one failure at a time; all of them together are in the
  * histories. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "beryl/claims.h"
 #include "store.h"
+#include "../suite.h"
 
 #define CALLS_MAX 64
 #define DELETE_AFTER_MS 1000
@@ -497,8 +497,6 @@
 {
   Suite *suite = suite_create ("claims");
   TCase *tcase = tcase_create ("claims");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_test (tcase, one_commit_grants_a_key_once);
@@ -514,9 +512,5 @@
   tcase_add_test (tcase, woken_home_passes_its_claims_on);
   tcase_add_test (tcase, late_reply_to_a_dead_process_grants_nothing);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/tests/requests/test_history.c
+++ b/tests/requests/test_history.c
@@ -1,11 +1,11 @@
 /* Histories of faulty runs in virtual time.  The seeds are fixed; more of
  * them: scripts/soak. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "world.h"
+#include "../suite.h"
 
 #define SEEDS 2000
 #define SEEDS_PER_TEST 100
@@ -66,8 +66,6 @@
 {
   Suite *suite;
   TCase *tcase;
-  SRunner *runner;
-  int failed;
 
   if (argc == 2)
     return print_seed (strtoull (argv[1], NULL, 10));
@@ -79,9 +77,5 @@
   tcase_add_loop_test (tcase, seeds_keep_all_invariants, 0,
                        SEEDS / SEEDS_PER_TEST);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/tests/requests/test_holds.c
+++ b/tests/requests/test_holds.c
@@ -1,9 +1,9 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "beryl/clock.h"
 #include "beryl/holds.h"
+#include "../suite.h"
 
 #define DEAD 40
 
@@ -151,8 +151,6 @@
 {
   Suite *suite = suite_create ("holds");
   TCase *tcase = tcase_create ("holds");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tcase, window_is_told_before_it_is_left);
   tcase_add_test (tcase, windows_narrow_to_what_is_held);
@@ -162,9 +160,5 @@
   tcase_add_test (tcase, early_confirmation_is_not_final);
   tcase_add_test (tcase, cancel_is_repeated_until_nothing_is_held);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/tests/requests/test_mutants.c
+++ b/tests/requests/test_mutants.c
@@ -1,13 +1,13 @@
 /* The checker is proved: without one guard the history of a fixed seed breaks
  * an invariant, and with all of them the same seed breaks none.  The router
  * is the tests' own, so that a seed keeps its meaning when routing changes. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "mutants.h"
 #include "transcript.h"
+#include "../suite.h"
 
 static bool
 session_as_written (const char *name)
@@ -82,15 +82,9 @@
 {
   Suite *suite = suite_create ("mutants");
   TCase *tcase = tcase_create ("mutants");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (tcase, guard_is_missed, 1, BERYL_GUARD_COUNT);
   tcase_add_loop_test (tcase, page_has_the_row, 1, BERYL_GUARD_COUNT);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/tests/requests/test_parts.c
+++ b/tests/requests/test_parts.c
@@ -1,5 +1,4 @@
 /* Small parts of the request life. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +6,7 @@
 #include "../../libberyl/requests/map.h"
 #include "../../libberyl/requests/reassembly.h"
 #include "../../libberyl/requests/retry_budget.h"
+#include "../suite.h"
 
 /* A service is sick and every call of it fails: without a budget each first
  * try would come back several times, when the service can bear least. */
@@ -105,8 +105,6 @@
 {
   Suite *suite = suite_create ("parts");
   TCase *tcase = tcase_create ("parts");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tcase, retries_are_a_share_of_first_tries);
   tcase_add_test (tcase, pieces_come_out_once_and_in_order);
@@ -114,9 +112,5 @@
   tcase_add_test (tcase, map_keeps_what_was_not_removed);
   tcase_add_test (tcase, digest_separates_scope_and_name);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/tests/requests/test_peer.c
+++ b/tests/requests/test_peer.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "wire/peer.h"
+#include "../suite.h"
 
 static struct frame_writer *writer;
 static struct frame *frame;
@@ -156,8 +156,6 @@
 {
   Suite *suite = suite_create ("peer");
   TCase *tcase = tcase_create ("peer");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_test (tcase, forwarded_call_arrives_whole);
@@ -165,9 +163,5 @@
   tcase_add_test (tcase, other_messages_arrive_whole);
   tcase_add_test (tcase, impossible_values_are_refused);
   suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return suite_run (suite);
 }
--- a/tests/router/test_engine_http.c
+++ b/tests/router/test_engine_http.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdlib.h>
@@ -7,6 +6,7 @@
 #include "http/client.h"
 #include "server.h"
 #include "text.h"
+#include "../suite.h"
 
 /* One whole call of standin-engine. */
 struct result
@@ -340,9 +340,5 @@
   tcase_add_test (tc, test_old_fence_is_refused);
   tcase_add_test (tc, test_reports);
   suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/router/test_engine_model.c
+++ b/tests/router/test_engine_model.c
@@ -1,10 +1,10 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "beryl/clock.h"
 #include "model.h"
 #include "text.h"
+#include "../suite.h"
 
 #define LOG_MAX 4096
 
@@ -309,9 +309,5 @@
   tcase_add_test (tc, test_freeze_shifts);
   tcase_add_test (tc, test_text_is_a_function_of_the_prompt);
   suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/router/test_load.c
+++ b/tests/router/test_load.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -6,6 +5,7 @@
 #include "histogram.h"
 #include "scenario.h"
 #include "sim.h"
+#include "../suite.h"
 
 START_TEST (test_histogram_is_within_one_percent)
 {
@@ -147,9 +147,5 @@
   tcase_add_test (tc, test_runs_repeat);
   tcase_add_test (tc, test_overload_does_not_collapse);
   suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/router/test_load_tool.c
+++ b/tests/router/test_load_tool.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,6 +5,7 @@
 #include "report.h"
 #include "results.h"
 #include "sse.h"
+#include "../suite.h"
 
 static char events[256];
 
@@ -111,9 +111,5 @@
   tcase_add_test (tc, test_results_count);
   tcase_add_test (tc, test_report_is_safe_and_plain);
   suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/router/test_router.c
+++ b/tests/router/test_router.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +6,7 @@
 #include "beryl/router.h"
 #include "fleet_fixture.h"
 #include "../../libberyl/router/shares.h"
+#include "../suite.h"
 
 #define SLOTS 3
 #define NOW 1000000
@@ -477,9 +477,5 @@
   tcase_add_test (tc, test_config_change_keeps_tickets);
   tcase_add_test (tc, test_baselines_start);
   suite_add_tcase (suite, tc);
-  SRunner *runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  int failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/wire/test_frame.c
+++ b/tests/wire/test_frame.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "wire/frame.h"
+#include "../suite.h"
 
 enum
 {
@@ -187,8 +187,6 @@
 {
   Suite *suite = suite_create ("frame");
   TCase *tc = tcase_create ("frame");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, test_round_trip);
   tcase_add_test (tc, test_wrong_types_fail_softly);
@@ -197,9 +195,5 @@
   tcase_add_test (tc, test_hostile_bodies);
   tcase_add_test (tc, test_other_version);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/tests/wire/test_link.c
+++ b/tests/wire/test_link.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "wire/link.h"
+#include "../suite.h"
 
 /* Two ends on one loop; the test quits it when it has seen enough. */
 struct end
@@ -236,17 +236,11 @@
 {
   Suite *suite = suite_create ("link");
   TCase *tc = tcase_create ("link");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, test_frames_both_ways);
   tcase_add_test (tc, test_refused_connection_is_told);
   tcase_add_test (tc, test_queue_is_bounded);
   tcase_add_test (tc, test_datagram_keys);
   suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
