entryd: only a refused connection proves a home's death

Cause: entryd told the claim log that a home is gone whenever the connection to it ended, or a message could not be queued. A home that lives and merely closed, or that the network cut off, went on to call keys "not run" that another node had written behind its back. Change: link_refused tells which end was a refused connection; only that one becomes beryl_claims_unreachable. What could not be sent is asked again by the claim log. Figures: tests/http/test_peers, new test_home_that_closes_lives: before, 6 of 6 free keys ran at a node whose home closes its connections, now fewer, and the rest is told "unknown"; test_home_that_is_gone: 6 of 6 run after a crash of their home, before and after. tests/wire/test_link: refused is told, and an end by the peer is not.

--- a/entryd/claims_link.c
+++ b/entryd/claims_link.c
@@ -134,12 +134,9 @@
 on_send (struct beryl_claims_owner *owner, const char *node,
          const struct beryl_claim_message *message)
 {
-  struct claims_link *link = link_of (owner);
-
-  if (peers_send_claim (link->entry->peers, node, message))
-    return;
-  g_queue_push_tail (&link->lost, g_strdup (node));
-  schedule_later (link);
+  /* What could not be sent is asked again; it does not prove that NODE's
+   * process is gone, which only a refused connection does. */
+  peers_send_claim (link_of (owner)->entry->peers, node, message);
 }
 
 static struct call *
--- a/entryd/peers.c
+++ b/entryd/peers.c
@@ -122,7 +122,10 @@
   else
     {
       g_hash_table_remove (peers->outgoing, peer->node);
-      claims_link_unreachable (peers->entry->claims, peer->node);
+      /* A home whose connection merely broke may live and go on to say "not
+       * run" of the keys that this node would write behind its back. */
+      if (link_refused (link))
+        claims_link_unreachable (peers->entry->claims, peer->node);
       ask_broken (peer);
     }
   peer_free (peer);
--- a/include/wire/link.h
+++ b/include/wire/link.h
@@ -56,6 +56,10 @@
 /** Return queued bytes that the kernel has not taken. */
 size_t link_pending_bytes (const struct link *link);
 
+/** Return whether the peer's machine refused the connection: nobody listens
+ * there.  For use in closed; any other end may be the network's. */
+bool link_refused (const struct link *link);
+
 /** Return the peer's IP number. */
 const char *link_peer (const struct link *link);
 
--- a/tests/http/test_peers.c
+++ b/tests/http/test_peers.c
@@ -147,6 +147,53 @@
 }
 END_TEST
 
+#define FREE_KEYS 6
+
+/* Sends FREE_KEYS calls with free keys to the second node; returns how many
+ * ran.  The shards of some of the keys have their home at the first node. */
+static uint32_t
+run_free_keys (void)
+{
+  uint32_t ran = 0;
+  char free_key[32];
+
+  for (int i = 0; i < FREE_KEYS; i++)
+    {
+      g_snprintf (free_key, sizeof free_key, "verdict-%d", i);
+      call_at (1, "POST", LETTERS, "idempotency-key", free_key, "{}");
+      if (answer.status == 200)
+        ran++;
+      else
+        ck_assert_msg (body_has ("\"outcome\":\"unknown\""), "%u %s",
+                       answer.status, answer.body->str);
+      answer_clear (&answer);
+    }
+  ck_assert_uint_eq (world->service_runs, ran);
+  return ran;
+}
+
+/* A caller is told "not run" of a verdict that ran.  The connection to a
+ * key's home breaks, here since the home refuses the node's proof; the node
+ * takes that for the home's death and writes its claim itself, and the home,
+ * which lives, is still sure that it knows every key. */
+START_TEST (test_home_that_closes_lives)
+{
+  world_run (world, 300);
+  ck_assert_uint_lt (run_free_keys (), FREE_KEYS);
+}
+END_TEST
+
+/* The home of some keys has crashed and the members do not know it yet.  Its
+ * port refuses connections, which proves that it is gone: no call waits for
+ * the members. */
+START_TEST (test_home_that_is_gone)
+{
+  world_run (world, 300);
+  world_kill (world, 0);
+  ck_assert_uint_eq (run_free_keys (), FREE_KEYS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -158,13 +205,16 @@
 
   tcase_set_timeout (tcase, 30);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_set_timeout (stranger, 30);
   tcase_add_checked_fixture (stranger, set_up_wrong_key, tear_down);
   tcase_add_test (tcase, test_bound_key_elsewhere);
   tcase_add_test (tcase, test_bound_key_of_dead_node);
   tcase_add_test (tcase, test_fetch_elsewhere);
   tcase_add_test (tcase, test_free_key);
   tcase_add_test (tcase, test_stranger_is_refused);
+  tcase_add_test (tcase, test_home_that_is_gone);
   tcase_add_test (stranger, test_wrong_key_is_refused);
+  tcase_add_test (stranger, test_home_that_closes_lives);
   suite_add_tcase (suite, tcase);
   suite_add_tcase (suite, stranger);
   srunner_run_all (runner, CK_ENV);
--- a/tests/wire/test_link.c
+++ b/tests/wire/test_link.c
@@ -13,6 +13,7 @@
   uint64_t last;
   uint32_t opened;
   uint32_t closed;
+  uint32_t refused;
   uint64_t stop_at;
   bool echo;
 };
@@ -49,6 +50,7 @@
   struct end *e = (struct end *)handler;
 
   e->closed++;
+  e->refused += link_refused (link);
   e->link = NULL;
   loop_quit (e->loop);
 }
@@ -109,6 +111,7 @@
   link_close (client.link);
   loop_run (loop);
   ck_assert_uint_eq (server.closed, 1);
+  ck_assert_uint_eq (server.refused, 0);
   ck_assert_uint_eq (client.closed, 0);
   link_listener_close (listener);
   loop_destroy (loop);
@@ -129,6 +132,7 @@
   link_connect (loop, "127.0.0.1", port, &client.base, NULL);
   loop_run (loop);
   ck_assert_uint_eq (client.closed, 1);
+  ck_assert_uint_eq (client.refused, 1);
   ck_assert_uint_eq (client.opened, 0);
   ck_assert_ptr_null (link_connect (loop, "host", 1, &client.base, NULL));
   loop_destroy (loop);
--- a/wire/link.c
+++ b/wire/link.c
@@ -22,6 +22,7 @@
   uint64_t received_total;
   uint64_t sent_total;
   bool connected;
+  bool refused;
   bool closing;
 };
 
@@ -178,6 +179,7 @@
     return;
   if (status < 0)
     {
+      l->refused = status == UV_ECONNREFUSED;
       link_fail (l, uv_strerror (status));
       return;
     }
@@ -269,6 +271,12 @@
   return l->pending_bytes;
 }
 
+bool
+link_refused (const struct link *l)
+{
+  return l->refused;
+}
+
 const char *
 link_peer (const struct link *l)
 {
