entryd: an isolated node is certain of no key

Cause: a node whose view says that it is cut off still gave the claim log its own name as the only member. It was home of every key by its own view, and 2 s later sure enough of itself to call keys "not run" in an outage. Change: the claim log gets an empty list with such a view; it then says "unknown" and writes nothing until the next view that is not isolated. Figures: tests/http/test_peers, new test_isolated_node_is_not_certain: before, a free key that had not run elsewhere was claimed by the isolated node; now it is told key-unknown, and after the isolation 200.

--- a/entryd/config_source.c
+++ b/entryd/config_source.c
@@ -135,7 +135,9 @@
       names[live++] = entry->members[i].node;
   beryl_router_set_members (entry->router, names, live,
                             loop_now_ms (entry->loop));
-  claims_link_members (entry->claims, names, live);
+  /* Cut off, this node would be every shard's home by its own view, and as
+   * such call keys "not run" that the others have written meanwhile. */
+  claims_link_members (entry->claims, names, view->isolated ? 0 : live);
   g_free (names);
   counters_set (entry->counters, "beryl_members", "", live);
 }
--- a/tests/http/test_peers.c
+++ b/tests/http/test_peers.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config_source.h"
 #include "world.h"
 
 #define LETTERS "/v1/services/lookup/letters"
@@ -194,6 +195,39 @@
 }
 END_TEST
 
+/* A node is cut off from the others and from the platform.  It is the only
+ * member of its own view and so home of every key; a caller is told "not run"
+ * of a verdict that ran through the others meanwhile. */
+START_TEST (test_isolated_node_is_not_certain)
+{
+  struct local_member self = { .address = "127.0.0.1" };
+  struct local_view view = { .members = &self, .member_count = 1 };
+
+  world_run (world, 300);
+  call_at (0, "POST", LETTERS, "idempotency-key", "verdict-17", "{}");
+  ck_assert_uint_eq (answer.status, 200);
+  answer_clear (&answer);
+  g_strlcpy (self.node, world->nodes[1]->settings->node, sizeof self.node);
+  view.isolated = true;
+  config_source_view (world->nodes[1], &view);
+  call_at (1, "POST", LETTERS, "idempotency-key", "verdict-17", "{}");
+  ck_assert_uint_eq (answer.status, 409);
+  ck_assert (body_has ("key-unknown"));
+  ck_assert (body_has ("\"outcome\":\"unknown\""));
+  answer_clear (&answer);
+  call_at (1, "POST", LETTERS, "idempotency-key", "verdict-18", "{}");
+  ck_assert (body_has ("\"outcome\":\"unknown\""));
+  answer_clear (&answer);
+  ck_assert_uint_eq (world->service_runs, 1);
+  view.isolated = false;
+  config_source_view (world->nodes[1], &view);
+  call_at (1, "POST", LETTERS, "idempotency-key", "verdict-18", "{}");
+  ck_assert_msg (answer.status == 200, "%u %s", answer.status,
+                 answer.body->str);
+  answer_clear (&answer);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -213,6 +247,7 @@
   tcase_add_test (tcase, test_free_key);
   tcase_add_test (tcase, test_stranger_is_refused);
   tcase_add_test (tcase, test_home_that_is_gone);
+  tcase_add_test (tcase, test_isolated_node_is_not_certain);
   tcase_add_test (stranger, test_wrong_key_is_refused);
   tcase_add_test (stranger, test_home_that_closes_lives);
   suite_add_tcase (suite, tcase);
