entryd: a KV cache lives as long as its engine says

Cause: entryd did not hand on expires_ms of a prefill's answer, so that a request whose decode found no slot was given up after the assumed 600 ms. Figures: tests/http/test_entry, new test_kv_lives (engine says 1200 ms, decode engines full): fails before (given up before 1200 ms), passes now. Conclusion: the 600 ms hold only for engines that do not say.

--- a/entryd/engine.c
+++ b/entryd/engine.c
@@ -7,6 +7,9 @@
 #define SMALL_ANSWER_BYTES 65536
 #define LINE_BYTES (1U << 20)
 #define CANCEL_TIMEOUT_MS 2000
+/* An engine that promises to keep a KV cache longer is not believed: the
+ * number comes from outside and is added to a time. */
+#define KV_LIVES_MAX_MS 3600000
 /* An engine that is silent this long after a deadline is given up. */
 #define GRACE_MS 100
 
@@ -101,6 +104,9 @@
       = (uint64_t)json_integer_value (json_object_get (root, "kv_bytes"));
   event.prefill.cached_tokens
       = (uint32_t)json_integer_value (json_object_get (root, "cached_tokens"));
+  event.prefill.kv_lives_ms
+      = MIN (json_integer_value (json_object_get (root, "expires_ms")),
+             KV_LIVES_MAX_MS);
   outbound_event (out, &event);
   json_decref (root);
 }
--- a/tests/http/test_entry.c
+++ b/tests/http/test_entry.c
@@ -93,6 +93,35 @@
 }
 END_TEST
 
+/* A caller is refused although a decode slot comes free in time.  The decode
+ * engines are full for a moment; the prefill engine said how long it keeps the
+ * KV cache, and the request was given up after 600 ms as if it had not. */
+START_TEST (test_kv_lives)
+{
+  int64_t begin_ms = loop_now_ms (world->loop);
+
+  world->decode_mode = DECODE_FULL;
+  world->kv_lives_ms = 1200;
+  call ("POST", "/v1/completions", NULL, NULL, PROMPT);
+  ck_assert_msg (answer.status == 503 && body_has ("no-capacity"), "%u %s",
+                 answer.status, answer.body->str);
+  ck_assert_int_ge (loop_now_ms (world->loop) - begin_ms, 1200);
+  ck_assert_uint_eq (world->prefills, 1);
+  answer_clear (&answer);
+}
+END_TEST
+
+/* An engine gone wrong says that it keeps a KV cache for ever; the number
+ * must not run over in the sum with a time. */
+START_TEST (test_kv_lives_for_ever)
+{
+  world->kv_lives_ms = INT64_MAX;
+  call ("POST", "/v1/completions", NULL, NULL, PROMPT);
+  ck_assert_uint_eq (answer.status, 200);
+  answer_clear (&answer);
+}
+END_TEST
+
 /* A caller takes half an advice for the whole.  The engine closes its answer
  * properly but without the last line, as it does when it is restarted; only
  * the last line proves that all of it is there. */
@@ -404,6 +433,8 @@
   tcase_add_test (tcase, test_stream);
   tcase_add_test (tcase, test_late_attempt);
   tcase_add_test (tcase, test_no_end);
+  tcase_add_test (tcase, test_kv_lives);
+  tcase_add_test (tcase, test_kv_lives_for_ever);
   tcase_add_test (tcase, test_caller_gone);
   tcase_add_test (tcase, test_die_halfway);
   tcase_add_test (tcase, test_refused);
--- a/tests/http/world.c
+++ b/tests/http/world.c
@@ -93,6 +93,11 @@
   char line[160];
 
   world->decodes++;
+  if (world->decode_mode == DECODE_FULL)
+    {
+      respond (ex, 429, "{\"error\":\"full\",\"retry_after_ms\":10}");
+      return;
+    }
   http_exchange_start (ex, 200, "application/x-ndjson");
   if (world->decode_mode == DECODE_LATE_ATTEMPT)
     {
@@ -134,12 +139,16 @@
 
   if (strcmp (path, "/v1/prefill") == 0)
     {
+      char text[120];
+
       world->prefills++;
       world->prompt_bytes
           = json_string_length (json_object_get (body, "prompt"));
-      respond (ex, 200,
-               "{\"kv_handle\":\"kv1\",\"kv_bytes\":10,"
-               "\"cached_tokens\":0,\"expires_ms\":800}");
+      g_snprintf (text, sizeof text,
+                  "{\"kv_handle\":\"kv1\",\"kv_bytes\":10,"
+                  "\"cached_tokens\":0,\"expires_ms\":%" G_GINT64_FORMAT "}",
+                  world->kv_lives_ms);
+      respond (ex, 200, text);
     }
   else if (strcmp (path, "/v1/decode") == 0)
     decode (world, ex, body);
@@ -249,6 +258,7 @@
   world->engine_server
       = http_server_create (world->http, &settings, &world->engine, NULL);
   world->keys[0] = "key of the cluster";
+  world->kv_lives_ms = 800;
   write_config (world);
   return world;
 }
--- a/tests/http/world.h
+++ b/tests/http/world.h
@@ -27,6 +27,7 @@
   DECODE_LATE_ATTEMPT, /**< mixes in lines of an older attempt */
   DECODE_NO_END,       /**< ends without its last line */
   DECODE_STUCK,        /**< one line, then nothing */
+  DECODE_FULL,         /**< 429 */
 };
 
 /** The fakes and the entryd. */
@@ -50,6 +51,7 @@
   uint32_t service_runs;
   uint32_t prefills;
   uint32_t decodes;
+  int64_t kv_lives_ms; /**< told with each prefill */
   uint32_t cancels;
   uint64_t prompt_bytes; /**< of the last prefill */
   char last_deadline[32];
