Discovery: an even spread also by data centre

Cause: ranks over all organisations are even only while all ask everywhere. Those that ask in one data centre are a random part of them; at 400 nodes in ten data centres the worst node was 54.5% from the mean.

Change: an organisation's object may name the data centre of its callers. From there it is ranked among those of the same one; a data centre with more than its nodes' part hands up to a quarter to those with room, its region first. A lost data centre's organisations keep their rank over the region's nodes. include/beryl/config.h and discovery.h are extended.

--- a/entryd/discovery.c
+++ b/entryd/discovery.c
@@ -73,15 +73,20 @@
   struct beryl_discovery *discovery = beryl_discovery_create ();
   struct beryl_discovery_node *nodes
       = g_new0 (struct beryl_discovery_node, member_count + 1);
-  const char **names
-      = g_new0 (const char *, entry->config->organisation_count + 1);
+  struct beryl_discovery_organisation *organisations
+      = g_new0 (struct beryl_discovery_organisation,
+                entry->config->organisation_count + 1);
   size_t n;
 
   for (size_t i = 0; i < entry->config->organisation_count; i++)
-    names[i] = entry->config->organisations[i].name;
+    {
+      organisations[i].name = entry->config->organisations[i].name;
+      organisations[i].data_centre
+          = entry->config->organisations[i].data_centre;
+    }
   fill_nodes (entry, members, member_count, nodes);
   beryl_discovery_set_nodes (discovery, nodes, member_count);
-  beryl_discovery_set_organisations (discovery, names,
+  beryl_discovery_set_organisations (discovery, organisations,
                                      entry->config->organisation_count);
   n = beryl_discovery_choose (discovery, caller->organisation->name,
                               data_centre, region, choices,
@@ -92,7 +97,7 @@
                              entry->settings->tls_cert_file[0] != '\0'));
   beryl_discovery_destroy (discovery);
   g_free (nodes);
-  g_free (names);
+  g_free (organisations);
 }
 
 void
--- a/include/beryl/config.h
+++ b/include/beryl/config.h
@@ -100,9 +100,10 @@
   char name[BERYL_NAME_BYTES];
   char (*token_sha256)[65]; /**< hex digests; several during rotation */
   size_t token_count;
-  double weight;           /**< fair share; 1 is usual */
-  uint32_t requests_per_s; /**< 0: no limit */
-  uint32_t max_concurrent; /**< 0: no limit */
+  char data_centre[BERYL_NAME_BYTES]; /**< of its callers; may be "" */
+  double weight;                      /**< fair share; 1 is usual */
+  uint32_t requests_per_s;            /**< 0: no limit */
+  uint32_t max_concurrent;            /**< 0: no limit */
 };
 
 /** One back end. */
--- a/include/beryl/discovery.h
+++ b/include/beryl/discovery.h
@@ -24,6 +24,13 @@
   bool suspect; /**< handed out only if there is no other */
 };
 
+/** An organisation whose callers ask. */
+struct beryl_discovery_organisation
+{
+  const char *name;
+  const char *data_centre; /**< where its callers are; "": unknown */
+};
+
 /** Most addresses in one answer. */
 #define BERYL_DISCOVERY_MAX 8
 
@@ -50,15 +57,19 @@
 
 /** Use these organisations, in any order; names are copied.  One that is
  * not listed gets a place by its hash.  False without memory. */
-bool beryl_discovery_set_organisations (struct beryl_discovery *discovery,
-                                        const char *const *names,
-                                        size_t name_count);
+bool beryl_discovery_set_organisations (
+    struct beryl_discovery *discovery,
+    const struct beryl_discovery_organisation *organisations,
+    size_t organisation_count);
 
 /** Choose up to MAX nodes for ORGANISATION's callers near DATA_CENTRE in
  * REGION (either may be "": unknown).  Nodes of that data centre come
  * first and carry all the weight, then those of the region, then others,
- * which carry weight only if the nearer ones have no live node.  Returns
- * the number of CHOICES, 0 if there is no node. */
+ * which carry weight only if the nearer ones have no live node.  If it is
+ * the organisation's own data centre and more organisations belong there
+ * than its part of all live nodes, up to a quarter of them get another one's
+ * nodes first, of the region if one has room.  Returns the number of CHOICES,
+ * 0 if there is no node. */
 size_t beryl_discovery_choose (const struct beryl_discovery *discovery,
                                const char *organisation,
                                const char *data_centre, const char *region,
--- a/libberyl/config/kinds.c
+++ b/libberyl/config/kinds.c
@@ -208,6 +208,7 @@
     .type = BERYL_FIELD_CUSTOM,
     .custom = read_tokens,
     .required = true },
+  TEXT (BERYL_FIELD_NAME, beryl_organisation, data_centre, false),
   NUMBER (BERYL_FIELD_DOUBLE, beryl_organisation, weight, 0.001, 1000),
   NUMBER (BERYL_FIELD_UINT32, beryl_organisation, requests_per_s, 0, 1e6),
   NUMBER (BERYL_FIELD_UINT32, beryl_organisation, max_concurrent, 0, 1e6),
--- a/libberyl/membership/discovery.c
+++ b/libberyl/membership/discovery.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "homes.h"
+
 /* Live nodes of the nearest place that share an organisation's calls, and
  * farther ones that a caller turns to when these fail. */
 #define SHARING_MAX 4
@@ -26,6 +28,8 @@
   size_t node_count;
   uint64_t *organisations; /* hashes, ascending */
   size_t organisation_count;
+  struct homed *homed; /* those with a data centre, by it and by hash */
+  size_t homed_count;
 };
 
 /* How far a node is from the caller. */
@@ -50,6 +54,7 @@
     return;
   free (discovery->nodes);
   free (discovery->organisations);
+  free (discovery->homed);
   free (discovery);
 }
 
@@ -112,19 +117,39 @@
 }
 
 bool
-beryl_discovery_set_organisations (struct beryl_discovery *discovery,
-                                   const char *const *names, size_t name_count)
+beryl_discovery_set_organisations (
+    struct beryl_discovery *discovery,
+    const struct beryl_discovery_organisation *organisations,
+    size_t organisation_count)
 {
-  uint64_t *hashes = calloc (name_count + 1, sizeof *hashes);
+  uint64_t *hashes = calloc (organisation_count + 1, sizeof *hashes);
+  struct homed *homed = calloc (organisation_count + 1, sizeof *homed);
+  size_t homed_count = 0;
 
-  if (hashes == NULL)
-    return false;
-  for (size_t i = 0; i < name_count; i++)
-    hashes[i] = XXH3_64bits (names[i], strlen (names[i]));
-  qsort (hashes, name_count, sizeof *hashes, compare_hashes);
+  if (hashes == NULL || homed == NULL)
+    {
+      free (hashes);
+      free (homed);
+      return false;
+    }
+  for (size_t i = 0; i < organisation_count; i++)
+    {
+      const struct beryl_discovery_organisation *o = &organisations[i];
+
+      hashes[i] = XXH3_64bits (o->name, strlen (o->name));
+      if (o->data_centre[0] == '\0')
+        continue;
+      homed[homed_count].hash = hashes[i];
+      copy_name (homed[homed_count++].data_centre, o->data_centre);
+    }
+  qsort (hashes, organisation_count, sizeof *hashes, compare_hashes);
+  qsort (homed, homed_count, sizeof *homed, homed_compare);
   free (discovery->organisations);
+  free (discovery->homed);
   discovery->organisations = hashes;
-  discovery->organisation_count = name_count;
+  discovery->organisation_count = organisation_count;
+  discovery->homed = homed;
+  discovery->homed_count = homed_count;
   return true;
 }
 
@@ -154,6 +179,65 @@
   return (double)(hash >> 11) / (double)(1ULL << 53);
 }
 
+static bool
+place_is_live (const struct place *p)
+{
+  return !p->leaving && !p->suspect;
+}
+
+static size_t
+homes_collect (const struct beryl_discovery *discovery, struct home *homes)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < discovery->node_count; i++)
+    {
+      const struct place *p = &discovery->nodes[i];
+      size_t h = 0;
+
+      if (!place_is_live (p))
+        continue;
+      while (h < n && strcmp (homes[h].data_centre, p->data_centre) != 0)
+        h++;
+      if (h == n)
+        {
+          homes[n].data_centre = p->data_centre;
+          homes[n++].region = p->region;
+        }
+      homes[h].nodes++;
+    }
+  return n;
+}
+
+/* Ranks over all organisations are even only if all ask everywhere.  Those
+ * that ask in one data centre are a random part of them: at 400 nodes in ten
+ * data centres some node had 54.5% above the mean.  One that belongs to the
+ * asking data centre is ranked among its own. */
+static bool
+organisation_home (const struct beryl_discovery *discovery,
+                   const char *organisation, const char *data_centre,
+                   struct home_place *place)
+{
+  struct homed key
+      = { .hash = XXH3_64bits (organisation, strlen (organisation)) };
+  struct home *homes;
+  bool found = false;
+
+  copy_name (key.data_centre, data_centre);
+  if (discovery->homed_count == 0
+      || bsearch (&key, discovery->homed, discovery->homed_count,
+                  sizeof *discovery->homed, homed_compare)
+             == NULL)
+    return false;
+  homes = calloc (discovery->node_count + 1, sizeof *homes);
+  if (homes == NULL)
+    return false;
+  found = homes_place (homes, homes_collect (discovery, homes),
+                       discovery->homed, discovery->homed_count, &key, place);
+  free (homes);
+  return found;
+}
+
 static enum ring
 place_ring (const struct place *p, const char *data_centre, const char *region)
 {
@@ -224,23 +308,25 @@
                         const char *region,
                         struct beryl_discovery_choice *choices, size_t max)
 {
-  double position = organisation_position (discovery, organisation);
+  struct home_place place = { data_centre, region, 0 };
   size_t *members = calloc (discovery->node_count + 1, sizeof *members);
   size_t chosen = 0;
   size_t sharing = 0;
 
   if (members == NULL)
     return 0;
+  if (!organisation_home (discovery, organisation, data_centre, &place))
+    place.position = organisation_position (discovery, organisation);
   /* Suspects come after every live node of every ring: a wrong suspicion
    * may not empty the answer, and a right one may not head it. */
   for (int suspect = 0; suspect <= 1; suspect++)
     for (int ring = 0; ring < RING_COUNT; ring++)
       {
         size_t most = sharing == 0 ? SHARING_MAX : FALLBACK_MAX;
-        size_t n = ring_collect (discovery, (enum ring)ring, data_centre,
-                                 region, suspect != 0, members);
+        size_t n = ring_collect (discovery, (enum ring)ring, place.data_centre,
+                                 place.region, suspect != 0, members);
 
-        chosen = ring_append (discovery, members, n, position,
+        chosen = ring_append (discovery, members, n, place.position,
                               least (most, max - chosen), choices, chosen);
         if (sharing == 0)
           sharing = chosen;
--- /dev/null
+++ b/libberyl/membership/homes.c
@@ -0,0 +1,199 @@
+#include "homes.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Most of a data centre's organisations that are sent elsewhere: a far node
+ * costs each of their calls a longer way, so evenness has its price. */
+#define AWAY_MAX_PERCENT 25
+
+int
+homed_compare (const void *a, const void *b)
+{
+  const struct homed *x = a;
+  const struct homed *y = b;
+  int order = strcmp (x->data_centre, y->data_centre);
+
+  if (order != 0)
+    return order;
+  return (x->hash > y->hash) - (x->hash < y->hash);
+}
+
+/* Neighbours in a region stand next to each other, on all nodes alike. */
+static int
+compare_homes (const void *a, const void *b)
+{
+  const struct home *x = a;
+  const struct home *y = b;
+  int order = strcmp (x->region, y->region);
+
+  return order != 0 ? order : strcmp (x->data_centre, y->data_centre);
+}
+
+static struct home *
+home_find (struct home *homes, size_t home_count, const char *data_centre)
+{
+  for (size_t i = 0; i < home_count; i++)
+    if (strcmp (homes[i].data_centre, data_centre) == 0)
+      return &homes[i];
+  return NULL;
+}
+
+/* Returns how many have a home among HOMES.  The list is sorted by home, so
+ * that each is looked for once. */
+static size_t
+homes_count (struct home *homes, size_t home_count,
+             const struct homed *organisations, size_t organisation_count)
+{
+  const char *name = NULL;
+  struct home *h = NULL;
+  size_t total = 0;
+
+  for (size_t i = 0; i < organisation_count; i++)
+    {
+      if (name == NULL || strcmp (name, organisations[i].data_centre) != 0)
+        {
+          name = organisations[i].data_centre;
+          h = home_find (homes, home_count, name);
+        }
+      if (h == NULL)
+        continue;
+      h->organisations++;
+      total++;
+    }
+  return total;
+}
+
+static size_t
+least (size_t a, size_t b)
+{
+  return a < b ? a : b;
+}
+
+/* Whole numbers that sum up to TOTAL, in proportion to the nodes. */
+static void
+homes_share (struct home *homes, size_t home_count, size_t total)
+{
+  size_t nodes = 0;
+  size_t before = 0;
+
+  for (size_t i = 0; i < home_count; i++)
+    nodes += homes[i].nodes;
+  for (size_t i = 0; i < home_count; i++)
+    {
+      struct home *h = &homes[i];
+      size_t fair
+          = total * (before + h->nodes) / nodes - total * before / nodes;
+
+      before += h->nodes;
+      h->kept = h->organisations;
+      h->room = fair > h->organisations ? fair - h->organisations : 0;
+      if (h->organisations > fair)
+        h->kept -= least (h->organisations - fair,
+                          h->organisations * AWAY_MAX_PERCENT / 100);
+    }
+}
+
+/* One that is sent from FROM: the home that takes it, and its rank there. */
+struct transfer
+{
+  const struct home *from;
+  size_t rank; /* among those that FROM sends */
+  const struct home *to;
+  size_t rank_there;
+};
+
+/* Hand what FROM still sends to homes with room, in its region or anywhere;
+ * SENT is how many it has sent before.  Notes where the one of T goes. */
+static void
+home_send (struct home *homes, size_t home_count, const struct home *from,
+           bool any_region, size_t *sent, struct transfer *t)
+{
+  size_t most = from->organisations - from->kept;
+
+  for (size_t i = 0; i < home_count && *sent < most; i++)
+    {
+      struct home *to = &homes[i];
+      size_t n = least (most - *sent, to->room - to->received);
+
+      if (!any_region && strcmp (to->region, from->region) != 0)
+        continue;
+      if (t->from == from && t->rank >= *sent && t->rank < *sent + n)
+        {
+          t->to = to;
+          t->rank_there = to->kept + to->received + t->rank - *sent;
+        }
+      to->received += n;
+      *sent += n;
+    }
+}
+
+static bool
+homes_send (struct home *homes, size_t home_count, struct transfer *t)
+{
+  size_t *sent = calloc (home_count, sizeof *sent);
+
+  if (sent == NULL)
+    return false;
+  for (int any_region = 0; any_region <= 1; any_region++)
+    for (size_t i = 0; i < home_count; i++)
+      home_send (homes, home_count, &homes[i], any_region != 0, &sent[i], t);
+  free (sent);
+  return true;
+}
+
+/* Rank among the organisations of the same home, and how many they are. */
+static size_t
+homed_rank (const struct homed *organisations, size_t organisation_count,
+            const struct homed *organisation, size_t *count)
+{
+  size_t rank = 0;
+
+  *count = 0;
+  for (size_t i = 0; i < organisation_count; i++)
+    {
+      const struct homed *o = &organisations[i];
+
+      if (strcmp (o->data_centre, organisation->data_centre) != 0)
+        continue;
+      rank += o->hash < organisation->hash;
+      ++*count;
+    }
+  return rank;
+}
+
+bool
+homes_place (struct home *homes, size_t home_count,
+             const struct homed *organisations, size_t organisation_count,
+             const struct homed *organisation, struct home_place *place)
+{
+  const struct home *home;
+  struct transfer t = { 0 };
+  size_t count = 0;
+  size_t rank
+      = homed_rank (organisations, organisation_count, organisation, &count);
+
+  if (count == 0)
+    return false;
+  place->position = (double)rank / (double)count;
+  qsort (homes, home_count, sizeof *homes, compare_homes);
+  home = home_find (homes, home_count, organisation->data_centre);
+  if (home == NULL)
+    return true; /* lost: the region's nodes, by the same rank */
+  homes_share (
+      homes, home_count,
+      homes_count (homes, home_count, organisations, organisation_count));
+  if (rank >= home->kept)
+    t = (struct transfer){ .from = home, .rank = rank - home->kept };
+  if (!homes_send (homes, home_count, &t))
+    return false;
+  if (t.to != NULL)
+    {
+      home = t.to;
+      rank = t.rank_there;
+    }
+  place->data_centre = home->data_centre;
+  place->region = home->region;
+  place->position = (double)rank / (double)(home->kept + home->received);
+  return true;
+}
--- a/tests/config/test_config.c
+++ b/tests/config/test_config.c
@@ -104,6 +104,29 @@
 }
 END_TEST
 
+/* Story: operators say where an organisation's callers are; a name that is
+ * dropped or cut would quietly give up the even spread over its nodes. */
+START_TEST (test_organisation_data_centre)
+{
+  static const char json[] = "[" OBJECT (
+      "organisation", "loket",
+      "{\"token_sha256\":[\"" DIGEST "\"],\"data_centre\":\"hal-noord\"}") "]";
+  static const char wrong[] = "[" OBJECT ("organisation", "loket",
+                                          "{\"token_sha256\":[\"" DIGEST
+                                          "\"],\"data_centre\":7}") "]";
+  struct beryl_findings *findings = beryl_findings_create ();
+  struct beryl_config *config = parse (json, findings);
+
+  ck_assert_ptr_nonnull (config);
+  ck_assert_str_eq (config->organisations[0].data_centre, "hal-noord");
+  beryl_config_destroy (config);
+  ck_assert_ptr_null (parse (wrong, findings));
+  ck_assert_str_eq (beryl_findings_get (findings, 0)->file,
+                    "/0/spec/data_centre");
+  beryl_findings_destroy (findings);
+}
+END_TEST
+
 static bool
 has_finding (const struct beryl_findings *findings, const char *pointer,
              const char *part)
@@ -224,6 +247,7 @@
   TCase *tcase = tcase_create ("config");
 
   tcase_add_test (tcase, test_whole);
+  tcase_add_test (tcase, test_organisation_data_centre);
   tcase_add_test (tcase, test_all_findings_together);
   tcase_add_test (tcase, test_references);
   tcase_add_test (tcase, test_bad_json);
--- a/tests/control/test_discovery.c
+++ b/tests/control/test_discovery.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "beryl/discovery.h"
+#include "sim.h"
 
 #define ORGANISATIONS 2200
 
@@ -15,7 +16,8 @@
   char regions[3][8];
   size_t node_count;
   char organisations[ORGANISATIONS][24];
-  const char *organisation_names[ORGANISATIONS];
+  struct beryl_discovery_organisation listed[ORGANISATIONS];
+  size_t asks[ORGANISATIONS]; /* the data centre of its callers */
   struct beryl_discovery *discovery;
 };
 
@@ -41,12 +43,13 @@
   for (size_t i = 0; i < ORGANISATIONS; i++)
     {
       snprintf (f->organisations[i], sizeof f->organisations[i], "org-%zu", i);
-      f->organisation_names[i] = f->organisations[i];
+      f->listed[i].name = f->organisations[i];
+      f->listed[i].data_centre = "";
+      f->asks[i] = i % data_centre_count;
     }
   f->discovery = beryl_discovery_create ();
   beryl_discovery_set_nodes (f->discovery, f->nodes, f->node_count);
-  beryl_discovery_set_organisations (f->discovery, f->organisation_names,
-                                     ORGANISATIONS);
+  beryl_discovery_set_organisations (f->discovery, f->listed, ORGANISATIONS);
   return f;
 }
 
@@ -57,9 +60,18 @@
   free (f);
 }
 
+/* All organisations say where their callers are. */
+static void
+fleet_declare (struct fleet *f)
+{
+  for (size_t i = 0; i < ORGANISATIONS; i++)
+    f->listed[i].data_centre = f->data_centres[f->asks[i]];
+  beryl_discovery_set_organisations (f->discovery, f->listed, ORGANISATIONS);
+}
+
 /* Greatest distance of a node's share from the mean, in percent. */
 static double
-fleet_unevenness (const struct fleet *f, size_t data_centre_count)
+fleet_unevenness (const struct fleet *f, bool by_data_centre)
 {
   double load[400] = { 0 };
   double mean = 100.0 * ORGANISATIONS / (double)f->node_count;
@@ -68,9 +80,7 @@
   for (size_t i = 0; i < ORGANISATIONS; i++)
     {
       struct beryl_discovery_choice c[BERYL_DISCOVERY_MAX];
-      const char *dc = data_centre_count != 0
-                           ? f->data_centres[i % data_centre_count]
-                           : "";
+      const char *dc = by_data_centre ? f->data_centres[f->asks[i]] : "";
       size_t n = beryl_discovery_choose (f->discovery, f->organisations[i], dc,
                                          "", c, BERYL_DISCOVERY_MAX);
 
@@ -94,18 +104,103 @@
   struct fleet *today = fleet_create (8, 4);
   struct fleet *target = fleet_create (400, 10);
 
-  ck_assert_double_le (fleet_unevenness (today, 0), 10);
-  ck_assert_double_le (fleet_unevenness (today, 4), 10);
-  ck_assert_double_le (fleet_unevenness (target, 0), 10);
+  ck_assert_double_le (fleet_unevenness (today, false), 10);
+  ck_assert_double_le (fleet_unevenness (today, true), 10);
+  ck_assert_double_le (fleet_unevenness (target, false), 10);
   printf ("unevenness: 8 nodes %.1f%%, by data centre %.1f%%; 400 nodes "
           "%.1f%%, by data centre %.1f%%\n",
-          fleet_unevenness (today, 0), fleet_unevenness (today, 4),
-          fleet_unevenness (target, 0), fleet_unevenness (target, 10));
+          fleet_unevenness (today, false), fleet_unevenness (today, true),
+          fleet_unevenness (target, false), fleet_unevenness (target, true));
   fleet_destroy (today);
   fleet_destroy (target);
 }
 END_TEST
 
+/* Story: 400 nodes in ten data centres; each organisation's callers sit in
+ * one of them and keep their answer.  Ranked among all 2,200, the 220 that ask
+ * in one data centre fall on its 40 nodes at random, and some node has half
+ * more than the others for good. */
+START_TEST (spread_is_even_by_data_centre)
+{
+  struct fleet *f = fleet_create (400, 10);
+  double worst = 0;
+
+  fleet_declare (f);
+  ck_assert_double_le (fleet_unevenness (f, true), 10);
+  printf ("declared data centres: 400 nodes %.1f%%",
+          fleet_unevenness (f, true));
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      struct sim *sim = sim_create (seed);
+      double off;
+
+      for (size_t i = 0; i < ORGANISATIONS; i++)
+        f->asks[i] = (size_t)sim_random (sim, 10);
+      sim_destroy (sim);
+      fleet_declare (f);
+      off = fleet_unevenness (f, true);
+      worst = off > worst ? off : worst;
+    }
+  printf (", at random, worst of 20 seeds %.1f%%\n", worst);
+  ck_assert_double_le (worst, 10);
+  fleet_destroy (f);
+}
+END_TEST
+
+/* Story: nearly all callers sit in one data centre.  Even loads would send
+ * nine of ten organisations on a long way; only a quarter may be, and all of
+ * these to its own region, which has room for them. */
+START_TEST (most_stay_near)
+{
+  struct fleet *f = fleet_create (400, 10);
+  size_t away = 0;
+
+  memset (f->asks, 0, sizeof f->asks);
+  fleet_declare (f);
+  for (size_t i = 0; i < ORGANISATIONS; i++)
+    {
+      struct beryl_discovery_choice c[BERYL_DISCOVERY_MAX];
+
+      beryl_discovery_choose (f->discovery, f->organisations[i], "dc0", "r0",
+                              c, BERYL_DISCOVERY_MAX);
+      ck_assert_str_eq (f->nodes[c[0].node].region, "r0");
+      away += strcmp (f->nodes[c[0].node].data_centre, "dc0") != 0;
+    }
+  ck_assert_uint_eq (away, ORGANISATIONS / 4);
+  fleet_destroy (f);
+}
+END_TEST
+
+/* Story: a data centre is lost whose organisations are declared.  They must
+ * go to live nodes of the region, evenly: 220 over 120 nodes are 183 percent
+ * of an organisation each. */
+START_TEST (declared_data_centre_is_lost)
+{
+  struct fleet *f = fleet_create (400, 10);
+  uint32_t load[400] = { 0 };
+
+  fleet_declare (f);
+  for (size_t i = 0; i < f->node_count; i++)
+    f->nodes[i].suspect = i % 10 == 0;
+  beryl_discovery_set_nodes (f->discovery, f->nodes, f->node_count);
+  for (size_t i = 0; i < ORGANISATIONS; i += 10)
+    {
+      struct beryl_discovery_choice c[BERYL_DISCOVERY_MAX];
+      size_t n = beryl_discovery_choose (f->discovery, f->organisations[i],
+                                         "dc0", "r0", c, BERYL_DISCOVERY_MAX);
+
+      ck_assert_uint_ge (n, 4);
+      for (size_t j = 0; j < n; j++)
+        load[c[j].node] += c[j].weight;
+      ck_assert_str_eq (f->nodes[c[0].node].region, "r0");
+      ck_assert (!f->nodes[c[0].node].suspect);
+    }
+  for (size_t i = 0; i < f->node_count; i++)
+    ck_assert_uint_le (load[i], 220);
+  fleet_destroy (f);
+}
+END_TEST
+
 /* Story: a node got SIGTERM and left; an answer that names it would send a
  * caller to a closed port some seconds later. */
 START_TEST (leaving_nodes_are_not_named)
@@ -193,6 +288,9 @@
   int failed;
 
   tcase_add_test (t, spread_is_even);
+  tcase_add_test (t, spread_is_even_by_data_centre);
+  tcase_add_test (t, most_stay_near);
+  tcase_add_test (t, declared_data_centre_is_lost);
   tcase_add_test (t, leaving_nodes_are_not_named);
   tcase_add_test (t, lost_data_centre_goes_elsewhere);
   tcase_add_test (t, suspects_are_the_last_resort);
