Engine answers: parsed apart, bounded and fuzzed

Cause: engine.c and engine_watch.c parsed engines' answers in place and cast their numbers. A cache event of sequence -1 became the highest sequence, after which no event or poll brought anything; a load report with a negative age was of the future, so that every later one was not believed; an attempt of 2^32 + 1 passed for attempt 1.

Change: entryd/engine_parse.c reads prefills, lines, refusals, cancels, load reports and caches; a document out of range is malformed, dropped and counted (beryl_engine_answers_malformed_total, beryl_engine_lines_dropped_total). Times above an hour count as an hour, as they already did for a KV cache's life.

--- a/entryd/engine.c
+++ b/entryd/engine.c
@@ -2,14 +2,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "engine_parse.h"
 #include "outbound.h"
 
 #define SMALL_ANSWER_BYTES 65536
 #define LINE_BYTES (1U << 20)
 #define CANCEL_TIMEOUT_MS 2000
-/* An engine that promises to keep a KV cache longer is not believed: the
- * number comes from outside and is added to a time. */
-#define KV_LIVES_MAX_MS 3600000
 /* An engine that is silent this long after a deadline is given up. */
 #define GRACE_MS 100
 
@@ -78,11 +76,9 @@
 report_refused (struct outbound *out)
 {
   struct beryl_event event = { .type = BERYL_EVENT_EXCHANGE_REFUSED };
-  json_t *root = json_loadb (out->body->str, out->body->len, 0, NULL);
 
   event.refused.retry_after_ms
-      = json_integer_value (json_object_get (root, "retry_after_ms"));
-  json_decref (root);
+      = engine_parse_retry_after (out->body->str, out->body->len);
   outbound_event (out, &event);
 }
 
@@ -90,25 +86,19 @@
 report_prefill (struct outbound *out)
 {
   struct beryl_event event = { .type = BERYL_EVENT_PREFILL_DONE };
-  json_t *root = json_loadb (out->body->str, out->body->len, 0, NULL);
-  const char *handle = json_string_value (json_object_get (root, "kv_handle"));
+  struct engine_prefill_answer answer;
 
-  if (handle == NULL)
+  if (!engine_parse_prefill (out->body->str, out->body->len, &answer))
     {
       outbound_failed (out, true, "the engine's answer is malformed");
-      json_decref (root);
       return;
     }
-  event.prefill.kv_handle = handle;
-  event.prefill.kv_bytes
-      = (uint64_t)json_integer_value (json_object_get (root, "kv_bytes"));
-  event.prefill.cached_tokens
-      = (uint32_t)json_integer_value (json_object_get (root, "cached_tokens"));
-  event.prefill.kv_lives_ms
-      = MIN (json_integer_value (json_object_get (root, "expires_ms")),
-             KV_LIVES_MAX_MS);
+  event.prefill.kv_handle = answer.kv_handle;
+  event.prefill.kv_bytes = answer.kv_bytes;
+  event.prefill.cached_tokens = answer.cached_tokens;
+  event.prefill.kv_lives_ms = answer.kv_lives_ms;
   outbound_event (out, &event);
-  json_decref (root);
+  engine_prefill_clear (&answer);
 }
 
 static void
@@ -195,54 +185,47 @@
 }
 
 static void
-report_end (struct outbound *out, json_t *line)
+report_end (struct outbound *out, const struct engine_line *line)
 {
   struct beryl_event event = { .type = BERYL_EVENT_EXCHANGE_END };
 
   out->finished = true;
-  event.end.finish_reason
-      = json_string_value (json_object_get (line, "finish_reason"));
-  event.end.answer_bytes
-      = (uint64_t)json_integer_value (json_object_get (line, "answer_bytes"));
+  event.end.finish_reason = line->finish_reason;
+  event.end.answer_bytes = line->answer_bytes;
   outbound_event (out, &event);
 }
 
 static void
-report_text (struct outbound *out, json_t *line)
+report_text (struct outbound *out, const struct engine_line *line)
 {
   struct beryl_event event = { .type = BERYL_EVENT_EXCHANGE_DATA };
-  json_t *text = json_object_get (line, "text");
-
-  event.data.attempt
-      = (uint32_t)json_integer_value (json_object_get (line, "attempt"));
-  event.data.offset
-      = (uint64_t)json_integer_value (json_object_get (line, "offset"));
-  event.data.bytes = json_string_value (text);
-  event.data.bytes_count = json_string_length (text);
-  event.data.tokens
-      = (uint32_t)json_integer_value (json_object_get (line, "tokens"));
+
+  event.data.attempt = line->attempt;
+  event.data.offset = line->offset;
+  event.data.bytes = line->text;
+  event.data.bytes_count = line->text_bytes;
+  event.data.tokens = line->tokens;
   outbound_event (out, &event);
 }
 
 /* Drops lines of another attempt: after a cut the engine may still flush
- * them, and their end would be taken for this attempt's. */
+ * them, and their end would be taken for this attempt's.  A malformed line
+ * is dropped too; its bytes are then missing at the end. */
 static void
 take_line (struct outbound *out, const char *text, size_t text_bytes)
 {
-  json_t *line = json_loadb (text, text_bytes, 0, NULL);
-  json_int_t attempt = json_integer_value (json_object_get (line, "attempt"));
+  struct engine_line line;
+  bool read = engine_parse_line (text, text_bytes, &line);
 
-  if (json_is_object (line) && attempt == (json_int_t)out->attempt)
-    {
-      if (json_is_true (json_object_get (line, "done")))
-        report_end (out, line);
-      else
-        report_text (out, line);
-    }
-  else
+  if (!read || line.attempt != out->attempt)
     counters_add (out->entry->counters, "beryl_engine_lines_dropped_total", "",
                   1);
-  json_decref (line);
+  else if (line.done)
+    report_end (out, &line);
+  else
+    report_text (out, &line);
+  if (read)
+    engine_line_clear (&line);
 }
 
 static void
@@ -347,8 +330,6 @@
 {
   struct outbound *out = (struct outbound *)handler;
   struct beryl_event event = { .type = BERYL_EVENT_CANCEL_CONFIRMED };
-  json_t *root = json_loadb (out->body->str, out->body->len, 0, NULL);
-  json_t *held = json_object_get (root, "held");
 
   out->call = NULL;
   event.cancel.endpoint = out->endpoint;
@@ -356,10 +337,10 @@
   outbound_enter (out);
   /* Without this word the cancel is repeated: a reply may be lost, and an
    * engine may still be importing. */
-  if (http_call_status (call) == 200 && json_is_integer (held)
-      && json_integer_value (held) == 0 && !out->entry->closing)
+  if (http_call_status (call) == 200
+      && engine_parse_released (out->body->str, out->body->len)
+      && !out->entry->closing)
     entry_event (out->entry, &event);
-  json_decref (root);
   outbound_drop (out);
   outbound_leave (out);
 }
--- a/entryd/engine_watch.c
+++ b/entryd/engine_watch.c
@@ -1,7 +1,6 @@
 #include "engine_watch.h"
 
-#include <jansson.h>
-#include <stdlib.h>
+#include "engine_parse.h"
 
 #define TICK_MS 25
 #define POLL_TIMEOUT_MS 1000
@@ -34,13 +33,12 @@
   struct watched *engine;
   int64_t sent_ms;
   GString *body;
-  /* Take the answer and say what to ask next. */
-  void (*take) (struct poll *poll, json_t *root);
+  /* Take the answer and ask what is next; false if it is malformed. */
+  bool (*take) (struct poll *poll);
 };
 
 static void start_poll (struct engine_watch *watch, struct watched *engine,
-                        const char *path,
-                        void (*take) (struct poll *poll, json_t *root));
+                        const char *path, bool (*take) (struct poll *poll));
 
 static void
 poll_free (struct poll *poll)
@@ -63,14 +61,12 @@
 poll_done (struct http_call_handler *handler, struct http_call *call)
 {
   struct poll *poll = (struct poll *)handler;
-  json_t *root = NULL;
+  struct entry *entry = poll->watch->entry;
 
   poll->engine->busy = false;
-  if (http_call_status (call) == 200)
-    root = json_loadb (poll->body->str, poll->body->len, 0, NULL);
-  if (json_is_object (root) && !poll->watch->entry->closing)
-    poll->take (poll, root);
-  json_decref (root);
+  if (http_call_status (call) == 200 && !entry->closing && !poll->take (poll))
+    counters_add (entry->counters, "beryl_engine_answers_malformed_total", "",
+                  1);
   poll_free (poll);
 }
 
@@ -94,7 +90,7 @@
 
 static void
 start_poll (struct engine_watch *watch, struct watched *engine,
-            const char *path, void (*take) (struct poll *poll, json_t *root))
+            const char *path, bool (*take) (struct poll *poll))
 {
   const struct beryl_endpoint *endpoint
       = entry_endpoint (watch->entry, engine->name);
@@ -121,54 +117,48 @@
   counters_add (watch->entry->counters, "beryl_engine_polls_total", "", 1);
 }
 
-static uint64_t
-decimal (json_t *value)
-{
-  const char *text = json_string_value (value);
-
-  return text != NULL ? g_ascii_strtoull (text, NULL, 10) : 0;
-}
-
-static void
-take_blocks (struct poll *poll, json_t *root)
+static bool
+take_blocks (struct poll *poll)
 {
   struct entry *entry = poll->watch->entry;
-  json_t *blocks = json_object_get (root, "blocks");
-  size_t n = json_array_size (blocks);
-  uint64_t *hashes = g_new0 (uint64_t, n + 1);
-
-  for (size_t i = 0; i < n; i++)
-    hashes[i] = decimal (json_array_get (blocks, i));
-  poll->engine->sequence
-      = (uint64_t)json_integer_value (json_object_get (root, "last"));
-  beryl_router_cache_resync (entry->router, poll->engine->name,
-                             poll->engine->sequence, hashes, n,
+  struct engine_cache cache;
+
+  if (!engine_parse_blocks (poll->body->str, poll->body->len, &cache))
+    return false;
+  poll->engine->sequence = cache.last;
+  beryl_router_cache_resync (entry->router, poll->engine->name, cache.last,
+                             cache.blocks, cache.count,
                              loop_now_ms (entry->loop));
   counters_add (entry->counters, "beryl_cache_resyncs_total", "", 1);
-  g_free (hashes);
+  engine_cache_clear (&cache);
+  return true;
 }
 
-static void
-take_events (struct poll *poll, json_t *root)
+static bool
+take_events (struct poll *poll)
 {
   struct entry *entry = poll->watch->entry;
-  size_t i;
-  json_t *item;
-
-  json_array_foreach (json_object_get (root, "events"), i, item)
-  {
-    struct beryl_cache_event event = { .endpoint = poll->engine->name };
-
-    event.sequence
-        = (uint64_t)json_integer_value (json_object_get (item, "sequence"));
-    event.added = json_is_true (json_object_get (item, "added"));
-    event.block_hash = decimal (json_object_get (item, "block"));
-    beryl_router_cache_event (entry->router, &event,
-                              loop_now_ms (entry->loop));
-    poll->engine->sequence = MAX (poll->engine->sequence, event.sequence);
-  }
+  struct engine_cache cache;
+
+  if (!engine_parse_events (poll->body->str, poll->body->len, &cache))
+    return false;
+  for (size_t i = 0; i < cache.count; i++)
+    {
+      struct beryl_cache_event event = {
+        .endpoint = poll->engine->name,
+        .sequence = cache.changes[i].sequence,
+        .added = cache.changes[i].added,
+        .block_hash = cache.changes[i].block,
+      };
+
+      beryl_router_cache_event (entry->router, &event,
+                                loop_now_ms (entry->loop));
+      poll->engine->sequence = MAX (poll->engine->sequence, event.sequence);
+    }
+  engine_cache_clear (&cache);
   if (beryl_router_cache_gapped (entry->router, poll->engine->name))
     start_poll (poll->watch, poll->engine, "/v1/cache", take_blocks);
+  return true;
 }
 
 static void
@@ -186,28 +176,27 @@
   start_poll (poll->watch, poll->engine, path, take_events);
 }
 
-static void
-take_load (struct poll *poll, json_t *root)
+static bool
+take_load (struct poll *poll)
 {
   struct entry *entry = poll->watch->entry;
   int64_t now_ms = loop_now_ms (entry->loop);
   struct beryl_load_report report = { .endpoint = poll->engine->name };
   struct beryl_event tick = { .type = BERYL_EVENT_TICK };
+  struct engine_load load;
 
+  if (!engine_parse_load (poll->body->str, poll->body->len, &load))
+    return false;
   /* The report left the engine between the two ends of the call. */
-  report.measured_ms = (poll->sent_ms + now_ms) / 2
-                       - json_integer_value (json_object_get (root, "age_ms"));
-  report.decoding
-      = (uint32_t)json_integer_value (json_object_get (root, "decoding"));
-  report.prefill_queue
-      = (uint32_t)json_integer_value (json_object_get (root, "prefill_queue"));
-  report.prefill_queue_tokens = (uint64_t)json_integer_value (
-      json_object_get (root, "prefill_queue_tokens"));
-  report.kv_bytes_held
-      = (uint64_t)json_integer_value (json_object_get (root, "kv_bytes_held"));
+  report.measured_ms = (poll->sent_ms + now_ms) / 2 - load.age_ms;
+  report.decoding = load.decoding;
+  report.prefill_queue = load.prefill_queue;
+  report.prefill_queue_tokens = load.prefill_queue_tokens;
+  report.kv_bytes_held = load.kv_bytes_held;
   beryl_router_load_report (entry->router, &report, now_ms);
   entry_event (entry, &tick);
   ask_events (poll);
+  return true;
 }
 
 static int64_t
