--- a/entryd/config_source.c
+++ b/entryd/config_source.c
@@ -212,6 +212,7 @@
 {
   if (entry->link != NULL)
     control_link_destroy (entry->link);
+  entry->link = NULL;
   g_free (entry->objects_json);
   g_free (entry->members);
   g_free (entry->leaving);
--- a/tests/http/world.c
+++ b/tests/http/world.c
@@ -227,11 +227,15 @@
 
   fprintf (f,
            "node: n%zu\naddress: 127.0.0.1\ndata_centre: hal-noord\n"
-           "static_config: %s\nlog_level: error\nseed: 7\n"
+           "log_level: error\nseed: 7\n"
            "max_body_bytes: 1000000\nheader_timeout_s: 1\n"
            "cluster_key: %s\nplatform_port: %u\n",
-           node + 1, world->path, world->keys[node],
+           node + 1, world->keys[node],
            world->platform != NULL ? platform_port (world->platform) : 0);
+  if (world->control_port != 0)
+    fprintf (f, "control_port: %u\n", world->control_port);
+  else
+    fprintf (f, "static_config: %s\n", world->path);
   fclose (f);
   ck_assert (entry_settings_load (settings, path, findings));
   remove (path);
@@ -242,7 +246,7 @@
 }
 
 static struct world *
-create_fakes (void)
+create_fakes (struct loop *loop)
 {
   struct world *world = g_new0 (struct world, 1);
   struct http_server_settings settings
@@ -251,7 +255,7 @@
   log_init ("test", LOG_FORMAT_TEXT, "error");
   world->service.impl = &service_impl;
   world->engine.impl = &engine_impl;
-  world->loop = loop_create ();
+  world->loop = loop;
   world->http = http_context_create (world->loop, NULL);
   world->service_server
       = http_server_create (world->http, &settings, &world->service, NULL);
@@ -266,8 +270,19 @@
 struct world *
 world_create (void)
 {
-  struct world *world = create_fakes ();
+  struct world *world = create_fakes (loop_create ());
+
+  create_entry (world, 0);
+  world->entry = world->nodes[0];
+  return world;
+}
+
+struct world *
+world_create_controlled (struct loop *loop, uint16_t control_port)
+{
+  struct world *world = create_fakes (loop);
 
+  world->control_port = control_port;
   create_entry (world, 0);
   world->entry = world->nodes[0];
   return world;
@@ -276,7 +291,7 @@
 struct world *
 world_create_two (const char *second_key)
 {
-  struct world *world = create_fakes ();
+  struct world *world = create_fakes (loop_create ());
 
   world->keys[1] = second_key;
   world->platform
--- a/tests/http/world.h
+++ b/tests/http/world.h
@@ -42,7 +42,8 @@
   struct entry *entry; /**< the node that calls go to */
   struct entry *nodes[2];
   struct entry_settings node_settings[2];
-  const char *keys[2]; /**< the nodes' cluster keys */
+  const char *keys[2];   /**< the nodes' cluster keys */
+  uint16_t control_port; /**< 0: the nodes read the file of PATH themselves */
   struct platform *platform;
   enum service_mode service_mode;
   enum decode_mode decode_mode;
@@ -75,6 +76,11 @@
 /** Create; the loop is WORLD's. */
 struct world *world_create (void);
 
+/** Create with a node that takes its views at CONTROL_PORT of LOOP, which
+ * WORLD then owns. */
+struct world *world_create_controlled (struct loop *loop,
+                                       uint16_t control_port);
+
 /** Create with a platform and a second node, which has SECOND_KEY; the
  * first one's key is "key of the cluster". */
 struct world *world_create_two (const char *second_key);
