entryd: demand reports tell what waits and what came out

Cause: two faults that the missing test had hidden. A call that waits has no routing decision yet, so that it was never marked waiting and was reported as running; and nobody counted the answers' tokens. Change: a call waits until the router starts it or it is forwarded; an answer's end counts its tokens. Conclusion: the planner hears of the first waiting call as docs/design/planner.md says. A call that waits again after a failed start still counts as running; the sum of both is right.

--- a/entryd/decisions.c
+++ b/entryd/decisions.c
@@ -113,7 +113,7 @@
   char delay[24];
 
   if (request != NULL)
-    request->waiting = d->verdict == BERYL_VERDICT_WAIT;
+    request->waiting = d->verdict != BERYL_VERDICT_START;
   ++*entry->decisions_total[d->verdict];
   if (!log_level_enabled (G_LOG_LEVEL_INFO))
     return;
--- a/entryd/demand.c
+++ b/entryd/demand.c
@@ -130,8 +130,8 @@
   load_of (demand, service)->output_tokens += output_tokens;
 }
 
-/* It is not kept waiting, but it is demand that a pool of size nothing must
- * hear of, or nobody would ever warm an engine. */
+/* It is not waiting any more, but it is demand that a pool of size nothing
+ * must hear of, or nobody would ever warm an engine. */
 void
 demand_refused (struct demand *demand, const char *service)
 {
--- a/entryd/peers_ask.c
+++ b/entryd/peers_ask.c
@@ -58,8 +58,13 @@
 peers_forward (struct peers *peers, const struct beryl_action *action)
 {
   struct peer_message *message = g_new0 (struct peer_message, 1);
+  struct entry_request *request
+      = g_hash_table_lookup (peers->entry->open, &action->request);
   struct asked *asked;
 
+  /* No engine is to be warmed here for what another node runs. */
+  if (request != NULL)
+    request->waiting = false;
   message->type = PEER_FORWARD;
   peer_forward_from_call (&message->forward, action->forward.call,
                           loop_now_ms (peers->entry->loop));
--- a/entryd/reply.c
+++ b/entryd/reply.c
@@ -118,6 +118,9 @@
   request->answered = true;
   counters_add (entry->counters, "beryl_answers_total", "outcome=\"answered\"",
                 1);
+  if (request->service[0] != '\0')
+    demand_answered (entry->demand, request->service,
+                     action->end.completion_tokens);
   if (is_model (request))
     end_model (request, action);
   else
--- a/entryd/requests_in.c
+++ b/entryd/requests_in.c
@@ -16,6 +16,7 @@
   struct beryl_call *call = &event->call;
 
   g_strlcpy (request->service, service->name, sizeof request->service);
+  request->waiting = true;
   event->type = BERYL_EVENT_CALL;
   event->request = request->handle;
   call->request = request->handle;
--- a/tests/http/test_controlled.c
+++ b/tests/http/test_controlled.c
@@ -24,6 +24,9 @@
   uint32_t holds_told;
   struct local_load load; /* of advies, as last told */
   uint32_t loads_told;
+  uint32_t arrived; /* in all reports */
+  uint64_t prompt_tokens;
+  uint64_t output_tokens;
 };
 
 static struct world *world;
@@ -49,6 +52,9 @@
     if (strcmp (message->loads.items[i].service, "advies") == 0)
       {
         control.load = message->loads.items[i];
+        control.arrived += control.load.arrived;
+        control.prompt_tokens += control.load.prompt_tokens;
+        control.output_tokens += control.load.output_tokens;
         control.loads_told++;
       }
 }
@@ -178,6 +184,93 @@
 }
 END_TEST
 
+/* A pool stays cold although callers wait, or warm for nobody.  The planner
+ * sees demand only by these reports: what arrived and came out since the last
+ * one, what runs now, and once that there is nothing any more. */
+START_TEST (test_demand_is_reported)
+{
+  struct http_call *open;
+
+  complete ();
+  complete ();
+  world_run (world, REPORTED_MS);
+  ck_assert_uint_eq (control.arrived, 2);
+  ck_assert_uint_gt (control.prompt_tokens, 0);
+  ck_assert_uint_eq (control.output_tokens, 4);
+  ck_assert_uint_eq (control.load.running, 0);
+  world->decode_mode = DECODE_STUCK;
+  open = world_send (world, &answer, "POST", "/v1/completions", NULL, NULL,
+                     PROMPT);
+  world_run (world, REPORTED_MS);
+  ck_assert_uint_eq (control.arrived, 3);
+  ck_assert_uint_eq (control.load.arrived, 0);
+  ck_assert_uint_eq (control.load.running, 1);
+  ck_assert_uint_eq (control.load.waiting, 0);
+  http_call_cancel (open);
+  answer_clear (&answer);
+  world_run (world, 2 * REPORTED_MS);
+  ck_assert_uint_eq (control.load.running, 0);
+  control.loads_told = 0;
+  world_run (world, REPORTED_MS);
+  ck_assert_uint_eq (control.loads_told, 0);
+}
+END_TEST
+
+static char *
+without_engine (const char *json)
+{
+  json_t *objects = json_loads (json, 0, NULL);
+  size_t i;
+  json_t *object;
+  char *text;
+
+  json_array_foreach (objects, i, object)
+  {
+    if (strcmp (json_string_value (json_object_get (object, "name")), "e1")
+        != 0)
+      continue;
+    json_array_remove (objects, i);
+    break;
+  }
+  text = json_dumps (objects, JSON_COMPACT);
+  json_decref (objects);
+  return text;
+}
+
+/* A service's pool is at size nothing.  Its callers wait, or are turned away
+ * at their deadline; unless both count as waiting, nobody ever warms an engine
+ * for them. */
+START_TEST (test_demand_of_an_empty_pool)
+{
+  char *all = objects_of_file ();
+  char *json = without_engine (all);
+  struct http_call *open;
+
+  send_view (2, json);
+  free (all);
+  free (json);
+  open = world_send (world, &answer, "POST", "/v1/completions", NULL, NULL,
+                     PROMPT);
+  world_run (world, REPORTED_MS);
+  ck_assert_uint_eq (control.load.waiting, 1);
+  ck_assert_uint_eq (control.load.running, 0);
+  http_call_cancel (open);
+  answer_clear (&answer);
+  world_run (world, 2 * REPORTED_MS);
+  ck_assert_uint_eq (control.load.waiting, 0);
+  world_call (world, &answer, "POST", "/v1/completions", "x-deadline-ms",
+              "100", PROMPT);
+  ck_assert_msg (answer.status == 503, "%u %s", answer.status,
+                 answer.body->str);
+  answer_clear (&answer);
+  control.loads_told = 0;
+  while (control.loads_told == 0)
+    world_run (world, 20);
+  ck_assert_uint_eq (control.load.arrived, 1);
+  ck_assert_uint_eq (control.load.waiting, 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -187,6 +280,8 @@
   tcase_set_timeout (tcase, 30);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, test_holds_are_told_by_windows);
+  tcase_add_test (tcase, test_demand_is_reported);
+  tcase_add_test (tcase, test_demand_of_an_empty_pool);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
