Control: leaving facts apart from the acceptor; tests by concern

Cause: controld/accept_task.c (504 lines) judged objects and also kept the instance list and the drains; tests/control/test_controld.c (663 lines) held the stage and tests of four matters.

Change: the facts and the witness move to controld/facts.c (moved as they were); the stage to tests/control/stage.c, and the tests to test_controld, test_cleanup and test_orders.

Conclusion: one job a file.

--- a/controld/accept_task.c
+++ b/controld/accept_task.c
@@ -7,17 +7,13 @@
 
 #include "checkpoint.h"
 #include "config_task.h"
+#include "facts.h"
 #include "role_task.h"
 #include "status_task.h"
 
 #define WRITE_MS 4000
 /* After a write that failed. */
 #define RETRY_MS 300
-/* The instance list counts as a witness only if it was read lately. */
-#define LIST_CURRENT_MS 60000
-/* How long an endpoint must be listed without "leaving" before it is taken
- * back: the list flaps, and each flap would be an entry. */
-#define RETURN_MS 10000
 
 static const char *const kinds[]
     = { "system",  "organisation", "model",   "service",
@@ -44,10 +40,7 @@
   struct control *control;
   struct beryl_acceptor *acceptor;
   struct watch watches[G_N_ELEMENTS (kinds)];
-  uint64_t instance_watch;
-  uint64_t drain_watch;
-  bool drains_known;
-  GHashTable *drained; /* endpoints that the planner drains */
+  struct facts *facts;
   struct checkpoint *checkpoint;
   uint64_t request; /* write or read-back under way; 0: none */
   char *entry;      /* being created */
@@ -55,11 +48,6 @@
   uint64_t entry_version;
   GPtrArray *accepted; /* with the entry */
   struct loop_timer *retry;
-  struct beryl_instance *list;
-  size_t list_count;
-  uint64_t list_revision; /* 0: not read yet */
-  int64_t list_ms;        /* when it was read; 0: never */
-  GHashTable *leaving;    /* endpoint name to the last time it was leaving */
 };
 
 static void accept_propose (struct accept_task *task);
@@ -282,167 +270,17 @@
 static const struct platform_watch_callbacks watch_callbacks
     = { .event = watch_event, .synced = watch_synced };
 
-/* Facts may go only once both their sources are known: an acceptor that has
- * just taken over would take drained engines back for a moment. */
 static void
-facts_synced (struct accept_task *task)
+facts_moved (void *user)
 {
-  if (task->drains_known && task->list_revision != 0)
-    beryl_acceptor_synced (task->acceptor, BERYL_INSTANCE_KIND,
-                           task->list_revision);
-  accept_propose (task);
-}
-
-static void
-leaving_observe (struct accept_task *task, const char *name, uint64_t revision)
-{
-  static const char fact[] = "{\"leaving\":true}";
-  int64_t *seen_ms = g_new (int64_t, 1);
-
-  *seen_ms = control_now_ms (task->control);
-  g_hash_table_replace (task->leaving, g_strdup (name), seen_ms);
-  beryl_acceptor_observe (task->acceptor, BERYL_INSTANCE_KIND, name, revision,
-                          fact, sizeof fact - 1);
-}
-
-static void
-instances_changed (void *user, uint64_t revision,
-                   const struct beryl_instance *items, size_t count)
-{
-  struct accept_task *task = user;
-
-  g_free (task->list);
-  task->list = g_memdup2 (items, count * sizeof *items);
-  task->list_count = count;
-  task->list_ms = control_now_ms (task->control);
-  for (size_t i = 0; i < count; i++)
-    if (!items[i].entry && items[i].leaving)
-      leaving_observe (task, items[i].name, revision);
-  /* 0 stands for "not read"; an empty list may have no revision yet. */
-  task->list_revision = revision != 0 ? revision : 1;
-  facts_synced (task);
-}
-
-static void
-instances_synced (void *user, uint64_t revision)
-{
-  struct accept_task *task = user;
-
-  (void)revision;
-  task->list_ms = control_now_ms (task->control);
-}
-
-static const struct platform_watch_callbacks instance_callbacks
-    = { .instances = instances_changed, .synced = instances_synced };
-
-/* The planner's own word does not flap; its end counts at once. */
-static void
-drain_event (void *user, const struct beryl_platform_event *event)
-{
-  struct accept_task *task = user;
-  const char *name = event->object.name;
-
-  if (event->deleted)
-    {
-      int64_t *seen_ms = g_hash_table_lookup (task->leaving, name);
-
-      g_hash_table_remove (task->drained, name);
-      if (seen_ms != NULL)
-        *seen_ms = control_now_ms (task->control) - RETURN_MS;
-      return;
-    }
-  g_hash_table_add (task->drained, g_strdup (name));
-  leaving_observe (task, name, event->object.version);
-  accept_propose (task);
-}
-
-static void
-drains_synced (void *user, uint64_t revision)
-{
-  struct accept_task *task = user;
-
-  (void)revision;
-  task->drains_known = true;
-  facts_synced (task);
-}
-
-static const struct platform_watch_callbacks drain_callbacks
-    = { .event = drain_event, .synced = drains_synced };
-
-static bool
-list_says_leaving (const struct accept_task *task, const char *name)
-{
-  if (g_hash_table_contains (task->drained, name))
-    return true;
-  for (size_t i = 0; i < task->list_count; i++)
-    if (strcmp (task->list[i].name, name) == 0)
-      return task->list[i].leaving;
-  return false;
-}
-
-/* Takes endpoints back that have been listed without "leaving" for long, or
- * are not listed any more. */
-static void
-leaving_expire (struct accept_task *task)
-{
-  int64_t now_ms = control_now_ms (task->control);
-  GHashTableIter iter;
-  void *name;
-  void *value;
-
-  g_hash_table_iter_init (&iter, task->leaving);
-  while (g_hash_table_iter_next (&iter, &name, &value))
-    {
-      int64_t *seen_ms = value;
-
-      if (list_says_leaving (task, name))
-        *seen_ms = now_ms;
-      if (now_ms - *seen_ms < RETURN_MS)
-        continue;
-      beryl_acceptor_observe (task->acceptor, BERYL_INSTANCE_KIND, name, 0,
-                              NULL, 0);
-      g_hash_table_iter_remove (&iter);
-    }
-}
-
-static void
-members_witness (struct accept_task *task)
-{
-  struct beryl_listed *listed
-      = g_new0 (struct beryl_listed, task->list_count + 1);
-  size_t count = 0;
-
-  for (size_t i = 0; i < task->list_count; i++)
-    {
-      const struct beryl_instance *from = &task->list[i];
-      struct beryl_listed *to = &listed[count];
-
-      if (!from->entry)
-        continue;
-      g_strlcpy (to->name, from->name, sizeof to->name);
-      g_strlcpy (to->address, from->address, sizeof to->address);
-      to->port = from->port;
-      g_strlcpy (to->data_centre, from->data_centre, sizeof to->data_centre);
-      g_strlcpy (to->region, from->region, sizeof to->region);
-      to->leaving = from->leaving;
-      count++;
-    }
-  beryl_membership_listed (task->control->members, listed, count,
-                           control_now_ms (task->control));
-  g_free (listed);
+  accept_propose (user);
 }
 
 void
 accept_task_second (struct accept_task *task)
 {
-  if (task->list_ms == 0)
-    return;
-  leaving_expire (task);
-  if (control_now_ms (task->control) - task->list_ms < LIST_CURRENT_MS
-      && !beryl_platform_is_away (
-          platform_client_core (task->control->platform)))
-    members_witness (task);
-  accept_propose (task);
+  if (facts_second (task->facts))
+    accept_propose (task);
 }
 
 void
@@ -460,10 +298,6 @@
   task->control = control;
   task->acceptor = beryl_acceptor_create (control->spread, &task->base);
   task->accepted = g_ptr_array_new_with_free_func (accepted_free);
-  task->leaving
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  task->drained
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   task->checkpoint = checkpoint_create (control);
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     {
@@ -473,11 +307,7 @@
           control->platform, BERYL_USE_CONFIG, kinds[i], &watch_callbacks,
           &task->watches[i]);
     }
-  task->drain_watch
-      = platform_client_watch (control->platform, BERYL_USE_CONFIG,
-                               BERYL_DRAIN_KIND, &drain_callbacks, task);
-  task->instance_watch = platform_client_watch_instances (
-      control->platform, &instance_callbacks, task);
+  task->facts = facts_create (control, task->acceptor, facts_moved, task);
   return task;
 }
 
@@ -488,8 +318,7 @@
     return;
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     platform_client_unwatch (task->control->platform, task->watches[i].watch);
-  platform_client_unwatch (task->control->platform, task->instance_watch);
-  platform_client_unwatch (task->control->platform, task->drain_watch);
+  facts_destroy (task->facts);
   if (task->request != 0)
     platform_client_forget (task->control->platform, task->request);
   loop_timer_stop (task->retry);
@@ -497,8 +326,5 @@
   beryl_acceptor_destroy (task->acceptor);
   entry_forget (task);
   g_ptr_array_unref (task->accepted);
-  g_hash_table_destroy (task->leaving);
-  g_hash_table_destroy (task->drained);
-  g_free (task->list);
   g_free (task);
 }
--- /dev/null
+++ b/controld/orphans.c
@@ -0,0 +1,158 @@
+#include "orphans.h"
+
+#include <glib.h>
+
+#include "role_task.h"
+
+#define CALL_MS 3000
+/* Readings of the planner's lease, one each lifetime, that must all be the
+ * same: a planner renews it several times in one. */
+#define SAME_READINGS 5
+/* Deletions begun in one second: the platform's write budget is shared. */
+#define DELETES_PER_SECOND 10
+
+struct orphans
+{
+  struct control *control;
+  GHashTable *drains;     /* endpoint to its version, uint64_t * */
+  uint64_t reading;       /* request under way; 0: none */
+  int64_t read_ms;        /* when it is read next */
+  uint64_t lease_version; /* at the last reading */
+  uint32_t same;          /* readings that showed it */
+};
+
+struct orphans *
+orphans_create (struct control *control)
+{
+  struct orphans *o = g_new0 (struct orphans, 1);
+
+  o->control = control;
+  o->drains = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return o;
+}
+
+void
+orphans_destroy (struct orphans *o)
+{
+  if (o == NULL)
+    return;
+  if (o->reading != 0)
+    platform_client_forget (o->control->platform, o->reading);
+  g_hash_table_destroy (o->drains);
+  g_free (o);
+}
+
+void
+orphans_observe (struct orphans *o, const char *endpoint, uint64_t version)
+{
+  if (version == 0)
+    g_hash_table_remove (o->drains, endpoint);
+  else
+    g_hash_table_replace (o->drains, g_strdup (endpoint),
+                          g_memdup2 (&version, sizeof version));
+}
+
+static bool
+planner_is_member (const struct control *control)
+{
+  for (size_t i = 0; i < beryl_membership_count (control->members); i++)
+    {
+      const struct beryl_member *m
+          = beryl_membership_get (control->members, i);
+
+      if ((m->roles & BERYL_MEMBER_PLANNER) != 0
+          && m->state != BERYL_MEMBER_DEAD)
+        return true;
+    }
+  return false;
+}
+
+/* A reading that failed begins the count anew: after an outage the planner
+ * needs a moment to renew, and the object would look the same for long. */
+static void
+lease_read (void *user, const struct beryl_platform_result *result)
+{
+  struct orphans *o = user;
+  uint64_t version = 0;
+
+  o->reading = 0;
+  if (result->code == BERYL_OK)
+    version = result->objects[0].version;
+  else if (result->code != BERYL_ERROR_NOT_FOUND)
+    {
+      o->same = 0;
+      return;
+    }
+  o->same = o->same > 0 && version == o->lease_version ? o->same + 1 : 1;
+  o->lease_version = version;
+}
+
+static void
+lease_ask (struct orphans *o)
+{
+  struct platform_client_options options
+      = { .use = BERYL_USE_CONFIG, .timeout_ms = CALL_MS };
+  int64_t now_ms = control_now_ms (o->control);
+
+  if (o->reading != 0 || now_ms < o->read_ms)
+    return;
+  o->read_ms = now_ms + o->control->settings.lease_ttl_ms;
+  o->reading = platform_client_get (
+      o->control->platform, &options, CONTROL_LEASE_KIND,
+      control_role_name (CONTROL_ROLE_PLANNER), 0, lease_read, o);
+}
+
+static void
+drain_deleted (void *user, const struct beryl_platform_result *result)
+{
+  (void)user;
+  if (result->code != BERYL_OK)
+    g_info ("drain not deleted: %s", beryl_error_code_name (result->code));
+}
+
+/* Only the version that was seen: a planner that begins just now writes a
+ * newer one, and that has to stay.  What could not be deleted is tried again
+ * until the watch shows it gone. */
+static void
+drains_delete (struct orphans *o)
+{
+  struct platform_client_options options
+      = { .use = BERYL_USE_CONFIG, .timeout_ms = CALL_MS };
+  GHashTableIter iter;
+  void *endpoint;
+  void *version;
+
+  g_hash_table_iter_init (&iter, o->drains);
+  for (int i = 0; i < DELETES_PER_SECOND
+                  && g_hash_table_iter_next (&iter, &endpoint, &version);
+       i++)
+    {
+      g_warning ("no planner runs: deleting its drain of %s",
+                 (const char *)endpoint);
+      counters_add (o->control->counters, "beryl_orphaned_drains_total", "",
+                    1);
+      platform_client_delete (o->control->platform, &options, BERYL_DRAIN_KIND,
+                              endpoint, *(uint64_t *)version, drain_deleted,
+                              NULL);
+    }
+}
+
+/* Switched off, a planner leaves its drains; the engines named there stay
+ * leaving, and calls for them are held until their deadlines.  Neither
+ * membership nor the lease is enough to tell: a planner behind a partition
+ * goes on renewing, and one that lost its lease in an outage is still there.
+ * Both must be silent. */
+void
+orphans_second (struct orphans *o)
+{
+  if (g_hash_table_size (o->drains) == 0 || planner_is_member (o->control)
+      || beryl_platform_is_away (platform_client_core (o->control->platform)))
+    {
+      o->same = 0;
+      return;
+    }
+  if (o->same >= SAME_READINGS)
+    drains_delete (o);
+  else
+    lease_ask (o);
+}
--- a/controld/role_task.c
+++ b/controld/role_task.c
@@ -8,7 +8,6 @@
 #include "beryl/lease.h"
 #include "ticker.h"
 
-#define LEASE_KIND "leases"
 /* Nodes that compete for a role; the others do not read its object. */
 #define CONTENDERS 3
 
@@ -103,7 +102,7 @@
   struct platform_client_options options = role_options (role);
 
   (void)lease;
-  platform_client_get (role->control->platform, &options, LEASE_KIND,
+  platform_client_get (role->control->platform, &options, CONTROL_LEASE_KIND,
                        role->object, 0, role_read_done, role);
 }
 
@@ -132,7 +131,7 @@
   struct platform_client_options options = role_options (role);
   char value[256];
   struct beryl_platform_write write
-      = { .kind = LEASE_KIND, .name = role->object, .value = value };
+      = { .kind = CONTROL_LEASE_KIND, .name = role->object, .value = value };
 
   (void)lease;
   /* The number is written as text: JSON numbers are not exact to 64 bits
--- a/controld/role_task.h
+++ b/controld/role_task.h
@@ -1,11 +1,15 @@
 /** @file
- * The leases on the roles, over the platform's objects of kind "leases".
+ * The leases on the roles, over the platform's objects of kind
+ * CONTROL_LEASE_KIND.
  */
 #ifndef CONTROLD_ROLE_TASK_H
 #define CONTROLD_ROLE_TASK_H
 
 #include "control.h"
 
+/** The leases' objects are of this kind, and named for their roles. */
+#define CONTROL_LEASE_KIND "leases"
+
 /** Create all leases. */
 struct role_task *role_task_create (struct control *control);
 
