--- a/controld/cleanup_task.c
+++ b/controld/cleanup_task.c
@@ -25,7 +25,7 @@
   struct ticker *ticker;
   GHashTable *kept; /* node to struct local_holds * */
   GPtrArray *calls; /* struct cancel * */
-  uint64_t told;    /* hash of the windows that were told last */
+  uint64_t told;    /* hash of the windows and keepers told last */
 };
 
 /* One cancel call to an engine. */
@@ -256,26 +256,47 @@
   return best;
 }
 
+static size_t
+keepers_find (const struct control *control,
+              const struct beryl_member *keepers[KEEPERS])
+{
+  uint64_t below = UINT64_MAX;
+  size_t n = 0;
+
+  while (n < KEEPERS)
+    {
+      keepers[n] = keeper_next (control, below, &below);
+      if (keepers[n] == NULL)
+        break;
+      n++;
+    }
+  return n;
+}
+
+/* The keepers count as well as the windows: those of long streams stay the
+ * same for hours.  Told once only, they would be lost with a node whose
+ * keepers died before it, and its streams would hold the engines' memory. */
 void
 cleanup_task_second (struct cleanup_task *task)
 {
   const struct local_holds *holds = entry_task_holds (task->control->entry);
   uint64_t hash
       = XXH3_64bits (holds->items, holds->count * sizeof *holds->items);
-  uint64_t below = UINT64_MAX;
+  const struct beryl_member *keepers[KEEPERS];
+  size_t n;
 
-  if (holds->count == 0 || hash == task->told)
+  if (holds->count == 0)
+    return;
+  n = keepers_find (task->control, keepers);
+  for (size_t i = 0; i < n; i++)
+    hash = XXH3_64bits_withSeed (&keepers[i]->incarnation,
+                                 sizeof keepers[i]->incarnation,
+                                 hash ^ keeper_score ("", keepers[i]->name));
+  if (hash == task->told)
     return;
   task->told = hash;
-  for (int i = 0; i < KEEPERS; i++)
-    {
-      const struct beryl_member *keeper
-          = keeper_next (task->control, below, &below);
-
-      if (keeper == NULL)
-        return;
-      gossip_task_send_holds (task->control->gossip, keeper, holds);
-    }
+  for (size_t i = 0; i < n; i++)
+    gossip_task_send_holds (task->control->gossip, keepers[i], holds);
 }
 
 struct cleanup_task *
--- a/tests/control/stage.c
+++ b/tests/control/stage.c
@@ -164,10 +164,20 @@
   for (int i = 0; i < s->count; i++)
     if (s->nodes[i] != NULL)
       control_destroy (s->nodes[i]);
+  for (int i = 0; i < s->dead_count; i++)
+    control_destroy (s->dead[i]);
   platform_destroy (s->platform);
   loop_destroy (s->loop);
 }
 
+void
+stage_kill (struct stage *s, int i)
+{
+  control_close (s->nodes[i]);
+  s->dead[s->dead_count++] = s->nodes[i];
+  s->nodes[i] = s->nodes[--s->count];
+}
+
 bool
 stage_all_know_all (struct stage *s)
 {
--- a/tests/control/stage.h
+++ b/tests/control/stage.h
@@ -32,6 +32,8 @@
   struct control *nodes[NODES_MAX];
   bool planner; /* whether the next node plans */
   int count;
+  struct control *dead[NODES_MAX]; /* released with the stage */
+  int dead_count;
   struct http_call_handler caller;
   int calls; /* under way */
   struct control_link_owner owner;
@@ -72,6 +74,9 @@
 /** List the node I at the platform. */
 void stage_list (struct stage *s, int i);
 
+/** Let node I die without a word; the last node takes its number. */
+void stage_kill (struct stage *s, int i);
+
 /** Open the engine with IMPL, and write a model, its service "s" and the
  * endpoint "engine-1". */
 void stage_engine (struct stage *s, const struct http_handler_impl *impl);
--- a/tests/control/test_cleanup.c
+++ b/tests/control/test_cleanup.c
@@ -57,6 +57,94 @@
 }
 END_TEST
 
+static bool
+first_is_suspect (struct stage *s)
+{
+  for (int i = 0; i < s->count; i++)
+    {
+      const struct beryl_member *m
+          = beryl_membership_find (s->nodes[i]->members, "entry-0");
+
+      if (m == NULL || m->state != BERYL_MEMBER_SUSPECT)
+        return false;
+    }
+  return true;
+}
+
+/* The windows were told to the keepers by then. */
+#define TOLD_MS 2500
+/* A suspect that is not listed is dead by then. */
+#define DEATH_MS 20000
+
+/* Story: a machine dies, entryd and controld at once, in the middle of
+ * streams.  Its windows are kept by two other nodes, and these must cancel
+ * them; but not while it is only suspect, as it may be cut off and its
+ * streams alive. */
+START_TEST (dead_machine_is_cleaned_up)
+{
+  struct stage s;
+  struct local_hold hold = { "engine-1", 77, 3, 9 };
+  struct local_holds holds = { &hold, 1 };
+  struct control_link *link;
+
+  stage_open (&s, 3);
+  stage_engine (&s, &engine_impl);
+  ck_assert (stage_await (&s, stage_all_know_all, 10000));
+  link = stage_link (&s, 77);
+  control_link_holds (link, &holds);
+  stage_await (&s, stage_never, TOLD_MS);
+  stage_kill (&s, 0);
+  control_link_destroy (link);
+  ck_assert (stage_await (&s, first_is_suspect, 10000));
+  stage_await (&s, stage_never, 6000);
+  ck_assert_str_eq (s.cancelled, "");
+  stage_delete (&s, "/v1/instances/entry-0");
+  ck_assert (stage_await (&s, engine_was_told, DEATH_MS));
+  ck_assert_str_eq (s.cancelled,
+                    "/v1/cancel {\"incarnation\":\"77\",\"from\":3,\"to\":9}");
+  stage_close (&s);
+}
+END_TEST
+
+static bool
+second_is_suspect (struct stage *s)
+{
+  const struct beryl_member *m
+      = beryl_membership_find (s->nodes[0]->members, "entry-1");
+
+  return m != NULL && m->state == BERYL_MEMBER_SUSPECT;
+}
+
+/* Story: the only keeper of a node's windows dies; a long stream runs on, so
+ * that the windows do not change.  Then the node dies too.  The node that
+ * joined meanwhile must have been told the windows, or nobody knows them. */
+START_TEST (keeper_is_replaced)
+{
+  struct stage s;
+  struct local_hold hold = { "engine-1", 77, 3, 9 };
+  struct local_holds holds = { &hold, 1 };
+  struct control_link *link;
+
+  stage_open (&s, 2);
+  stage_engine (&s, &engine_impl);
+  ck_assert (stage_await (&s, stage_all_know_all, 10000));
+  link = stage_link (&s, 77);
+  control_link_holds (link, &holds);
+  stage_await (&s, stage_never, TOLD_MS);
+  stage_node (&s, "key", "");
+  stage_list (&s, 2);
+  ck_assert (stage_await (&s, stage_all_know_all, 10000));
+  stage_kill (&s, 1);
+  ck_assert (stage_await (&s, second_is_suspect, 10000));
+  stage_await (&s, stage_never, TOLD_MS);
+  stage_delete (&s, "/v1/instances/entry-0");
+  stage_kill (&s, 0);
+  control_link_destroy (link);
+  ck_assert (stage_await (&s, engine_was_told, DEATH_MS));
+  stage_close (&s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -67,6 +155,8 @@
 
   tcase_set_timeout (t, 50);
   tcase_add_test (t, dead_entryd_is_cleaned_up);
+  tcase_add_test (t, dead_machine_is_cleaned_up);
+  tcase_add_test (t, keeper_is_replaced);
   suite_add_tcase (s, t);
   r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
--- a/tests/control/test_controld.c
+++ b/tests/control/test_controld.c
@@ -142,32 +142,15 @@
 START_TEST (acceptor_dies)
 {
   struct stage s;
-  int dead;
 
   stage_open (&s, 3);
   ck_assert (stage_await (&s, stage_all_know_all, 10000));
   ck_assert (stage_await (&s, all_roles_held, 10000));
-  dead = holder (&s, CONTROL_ROLE_ACCEPTOR);
-  control_close (s.nodes[dead]);
-  /* The closed one is released with the stage; only its place is moved. */
-  if (dead != 2)
-    {
-      struct control *last = s.nodes[2];
-
-      s.nodes[2] = s.nodes[dead];
-      s.nodes[dead] = last;
-    }
-  s.count = 2;
+  stage_kill (&s, holder (&s, CONTROL_ROLE_ACCEPTOR));
   stage_put (&s, "/v1/objects/model/m", MODEL);
   ck_assert (stage_await (&s, acceptor_is_another, 10000));
   ck_assert (stage_await (&s, stage_all_have_1, 10000));
-  control_close (s.nodes[0]);
-  control_close (s.nodes[1]);
-  http_context_destroy (s.http);
-  for (int i = 0; i < 3; i++)
-    control_destroy (s.nodes[i]);
-  platform_destroy (s.platform);
-  loop_destroy (s.loop);
+  stage_close (&s);
 }
 END_TEST
 
--- a/tests/control/test_orders.c
+++ b/tests/control/test_orders.c
@@ -119,6 +119,43 @@
 }
 END_TEST
 
+static bool
+drain_exists (struct stage *s)
+{
+  return !facts_gone (s);
+}
+
+/* Story: operators switch the planner off while the engine is cold.  Its
+ * drain stays, the engine is leaving for ever, and calls are held until their
+ * deadlines, also once operators have loaded it by hand.  The acceptor must
+ * take the drain away; but not one that operators wrote themselves. */
+START_TEST (switched_off_planner_leaves_no_drain)
+{
+  struct stage s;
+  struct beryl_spread_object fact;
+
+  stage_open (&s, 0);
+  s.planner = true;
+  stage_node (&s, "key", "");
+  s.planner = false;
+  stage_node (&s, "key", "");
+  stage_list (&s, 0);
+  stage_list (&s, 1);
+  stage_engine (&s, &orders_impl);
+  ck_assert (stage_await (&s, planner_runs, 5000));
+  ck_assert (stage_await (&s, drain_exists, 10000));
+  stage_put (&s, "/v1/objects/drains/engine-2", "{\"by\":\"operator\"}");
+  stage_await (&s, stage_never, 7000);
+  ck_assert (drain_exists (&s));
+  role_task_release (s.nodes[0]->roles);
+  ck_assert (stage_await (&s, facts_gone, 20000));
+  stage_await (&s, stage_never, 2500);
+  ck_assert (beryl_spread_find (s.nodes[0]->spread, BERYL_INSTANCE_KIND,
+                                "engine-2", &fact));
+  stage_close (&s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -129,6 +166,7 @@
 
   tcase_set_timeout (t, 50);
   tcase_add_test (t, engine_rests_and_returns);
+  tcase_add_test (t, switched_off_planner_leaves_no_drain);
   suite_add_tcase (s, t);
   r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
