Discovery: homes counted once per member list, ranks by binary search

Cause: each answer walked all organisations and all nodes by name; under the sanitizers test_discovery ran into check's 4 s per test.

Change: the data centres of live nodes are counted in set_nodes, ranks are found by binary search; the case has 30 s.

Conclusion: answers cost less, the check is the same.

--- a/libberyl/membership/discovery.c
+++ b/libberyl/membership/discovery.c
@@ -26,6 +26,8 @@
 {
   struct place *nodes; /* by hash */
   size_t node_count;
+  struct home *homes; /* data centres of live nodes; names are the nodes' */
+  size_t home_count;
   uint64_t *organisations; /* hashes, ascending */
   size_t organisation_count;
   struct homed *homed; /* those with a data centre, by it and by hash */
@@ -53,6 +55,7 @@
   if (discovery == NULL)
     return;
   free (discovery->nodes);
+  free (discovery->homes);
   free (discovery->organisations);
   free (discovery->homed);
   free (discovery);
@@ -88,15 +91,51 @@
   return (x > y) - (x < y);
 }
 
+static bool
+place_is_live (const struct place *p)
+{
+  return !p->leaving && !p->suspect;
+}
+
+static size_t
+homes_collect (const struct place *places, size_t place_count,
+               struct home *homes)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < place_count; i++)
+    {
+      const struct place *p = &places[i];
+      size_t h = 0;
+
+      if (!place_is_live (p))
+        continue;
+      while (h < n && strcmp (homes[h].data_centre, p->data_centre) != 0)
+        h++;
+      if (h == n)
+        {
+          homes[n].data_centre = p->data_centre;
+          homes[n++].region = p->region;
+        }
+      homes[h].nodes++;
+    }
+  return n;
+}
+
 bool
 beryl_discovery_set_nodes (struct beryl_discovery *discovery,
                            const struct beryl_discovery_node *nodes,
                            size_t node_count)
 {
   struct place *places = calloc (node_count + 1, sizeof *places);
+  struct home *homes = calloc (node_count + 1, sizeof *homes);
 
-  if (places == NULL)
-    return false;
+  if (places == NULL || homes == NULL)
+    {
+      free (places);
+      free (homes);
+      return false;
+    }
   for (size_t i = 0; i < node_count; i++)
     {
       struct place *p = &places[i];
@@ -111,8 +150,11 @@
     }
   qsort (places, node_count, sizeof *places, compare_places);
   free (discovery->nodes);
+  free (discovery->homes);
   discovery->nodes = places;
   discovery->node_count = node_count;
+  discovery->homes = homes;
+  discovery->home_count = homes_collect (places, node_count, homes);
   return true;
 }
 
@@ -179,36 +221,6 @@
   return (double)(hash >> 11) / (double)(1ULL << 53);
 }
 
-static bool
-place_is_live (const struct place *p)
-{
-  return !p->leaving && !p->suspect;
-}
-
-static size_t
-homes_collect (const struct beryl_discovery *discovery, struct home *homes)
-{
-  size_t n = 0;
-
-  for (size_t i = 0; i < discovery->node_count; i++)
-    {
-      const struct place *p = &discovery->nodes[i];
-      size_t h = 0;
-
-      if (!place_is_live (p))
-        continue;
-      while (h < n && strcmp (homes[h].data_centre, p->data_centre) != 0)
-        h++;
-      if (h == n)
-        {
-          homes[n].data_centre = p->data_centre;
-          homes[n++].region = p->region;
-        }
-      homes[h].nodes++;
-    }
-  return n;
-}
-
 /* Ranks over all organisations are even only if all ask everywhere.  Those
  * that ask in one data centre are a random part of them: at 400 nodes in ten
  * data centres some node had 54.5% above the mean.  One that belongs to the
@@ -229,11 +241,13 @@
                   sizeof *discovery->homed, homed_compare)
              == NULL)
     return false;
-  homes = calloc (discovery->node_count + 1, sizeof *homes);
+  homes = calloc (discovery->home_count + 1, sizeof *homes);
   if (homes == NULL)
     return false;
-  found = homes_place (homes, homes_collect (discovery, homes),
-                       discovery->homed, discovery->homed_count, &key, place);
+  if (discovery->home_count > 0)
+    memcpy (homes, discovery->homes, discovery->home_count * sizeof *homes);
+  found = homes_place (homes, discovery->home_count, discovery->homed,
+                       discovery->homed_count, &key, place);
   free (homes);
   return found;
 }
--- a/libberyl/membership/homes.c
+++ b/libberyl/membership/homes.c
@@ -39,27 +39,51 @@
   return NULL;
 }
 
-/* Returns how many have a home among HOMES.  The list is sorted by home, so
- * that each is looked for once. */
+/* How many come before DATA_CENTRE's one of HASH. */
+static size_t
+homed_before (const struct homed *organisations, size_t organisation_count,
+              const char *data_centre, uint64_t hash)
+{
+  size_t low = 0;
+  size_t high = organisation_count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      const struct homed *o = &organisations[middle];
+      int order = strcmp (o->data_centre, data_centre);
+
+      if (order < 0 || (order == 0 && o->hash < hash))
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+/* Organisations of DATA_CENTRE.  Should a name hash to the greatest number,
+ * the count is short by one. */
+static size_t
+homed_count (const struct homed *organisations, size_t organisation_count,
+             const char *data_centre)
+{
+  return homed_before (organisations, organisation_count, data_centre,
+                       UINT64_MAX)
+         - homed_before (organisations, organisation_count, data_centre, 0);
+}
+
+/* Returns how many have a home among HOMES. */
 static size_t
 homes_count (struct home *homes, size_t home_count,
              const struct homed *organisations, size_t organisation_count)
 {
-  const char *name = NULL;
-  struct home *h = NULL;
   size_t total = 0;
 
-  for (size_t i = 0; i < organisation_count; i++)
+  for (size_t i = 0; i < home_count; i++)
     {
-      if (name == NULL || strcmp (name, organisations[i].data_centre) != 0)
-        {
-          name = organisations[i].data_centre;
-          h = home_find (homes, home_count, name);
-        }
-      if (h == NULL)
-        continue;
-      h->organisations++;
-      total++;
+      homes[i].organisations = homed_count (organisations, organisation_count,
+                                            homes[i].data_centre);
+      total += homes[i].organisations;
     }
   return total;
 }
@@ -142,26 +166,6 @@
   return true;
 }
 
-/* Rank among the organisations of the same home, and how many they are. */
-static size_t
-homed_rank (const struct homed *organisations, size_t organisation_count,
-            const struct homed *organisation, size_t *count)
-{
-  size_t rank = 0;
-
-  *count = 0;
-  for (size_t i = 0; i < organisation_count; i++)
-    {
-      const struct homed *o = &organisations[i];
-
-      if (strcmp (o->data_centre, organisation->data_centre) != 0)
-        continue;
-      rank += o->hash < organisation->hash;
-      ++*count;
-    }
-  return rank;
-}
-
 bool
 homes_place (struct home *homes, size_t home_count,
              const struct homed *organisations, size_t organisation_count,
@@ -169,15 +173,17 @@
 {
   const struct home *home;
   struct transfer t = { 0 };
-  size_t count = 0;
-  size_t rank
-      = homed_rank (organisations, organisation_count, organisation, &count);
+  const char *name = organisation->data_centre;
+  size_t count = homed_count (organisations, organisation_count, name);
+  size_t rank = homed_before (organisations, organisation_count, name,
+                              organisation->hash)
+                - homed_before (organisations, organisation_count, name, 0);
 
   if (count == 0)
     return false;
   place->position = (double)rank / (double)count;
   qsort (homes, home_count, sizeof *homes, compare_homes);
-  home = home_find (homes, home_count, organisation->data_centre);
+  home = home_find (homes, home_count, name);
   if (home == NULL)
     return true; /* lost: the region's nodes, by the same rank */
   homes_share (
--- a/tests/control/test_discovery.c
+++ b/tests/control/test_discovery.c
@@ -287,6 +287,7 @@
   SRunner *r;
   int failed;
 
+  tcase_set_timeout (t, 30);
   tcase_add_test (t, spread_is_even);
   tcase_add_test (t, spread_is_even_by_data_centre);
   tcase_add_test (t, most_stay_near);
