Requests: an expired KV cache is one refusal; no decode that its deadline cuts

Cause, from decision lines and the engines' truth of live runs at load 1.3 (scripts/demo's fleet, nothing killed): 1. Unknown: a job whose KV cache expired before a slot was free went back to be planned, but its time to look for a decode engine stayed set. Each event then bound it again, found no ticket and counted one more full endpoint; after four the caller was told "every endpoint tried is full" though no decode engine had been asked. All jobs that ended so had one prefill and no decode. 2. Cut: the job's prefill stood behind those of other nodes and its KV cache waited for a slot; the decode began 2.1 s before the deadline, needed 2.4 s, and was cut off after 54 of its tokens.

Change: the time is cleared when an attempt ends. The router learns how much later than planned decodes begin, asks for that and for a whole length at any load, and checks again when it binds. beryl-load's CSV has the detail.

--- a/libberyl/requests/attempt.c
+++ b/libberyl/requests/attempt.c
@@ -150,6 +150,10 @@
 attempt_stop (struct beryl_requests *requests, struct request *request,
               enum beryl_release how, const char *endpoint, int64_t now_ms)
 {
+  /* Left set, the next event would look for a decode engine for a request
+   * that waits to be planned again; finding no ticket, it would count as one
+   * more refusal, until the caller is told that every endpoint is full. */
+  request->decode_at_ms = BERYL_NEVER_MS;
   if (request->phase == PHASE_PLAN)
     beryl_router_forget (requests->router, request->call.request);
   if (request->exchange != NULL)
--- a/libberyl/router/fleet.c
+++ b/libberyl/router/fleet.c
@@ -13,6 +13,9 @@
 /* Endpoints looked at for slots to borrow. */
 #define SPARE_SAMPLE 128
 
+/* How late decodes begin, until it is known: mean and standard deviation. */
+#define LATE_MS 100
+
 #define FAILURES_TO_EJECT 3
 #define EJECT_BASE_MS 1000
 #define EJECT_MAX_MS 30000
@@ -268,6 +271,7 @@
   estimate_line_init (&s->transfer_ms, 2, 0.4, 400);
   estimate_mean_init (&s->length, 0.6, 0.25);
   estimate_mean_init (&s->decode_ms, 5000, 2500);
+  estimate_mean_init (&s->late_ms, LATE_MS, LATE_MS);
 }
 
 static void
@@ -278,6 +282,7 @@
   s->transfer_ms = old->transfer_ms;
   s->length = old->length;
   s->decode_ms = old->decode_ms;
+  s->late_ms = old->late_ms;
   memcpy (s->answer_ms, old->answer_ms, sizeof s->answer_ms);
   s->unbound = old->unbound;
   s->patient = old->patient;
--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -15,9 +15,7 @@
 #define RETRY_AFTER_MIN_MS 200
 #define RETRY_AFTER_MAX_MS 30000
 
-/* Waiting jobs per own slot from which only sure jobs are started, and from
- * which fair parts are enforced. */
-#define CONTENDED 0.25
+/* Waiting jobs per own slot from which fair parts are enforced. */
 #define FAIR_CONTENDED 0.5
 
 /* What an organisation may have open at a node: never less than this, and
@@ -29,7 +27,13 @@
  * queued there: here it keeps its order and its choice of engine. */
 #define PREFILL_AHEAD_MS 400
 
-#define CONTENDED_MARGIN 2.0
+/* Standard deviations of an answer's length that must fit before its deadline.
+ * With fewer, some answers are cut off by it after they have begun. */
+#define LENGTH_MARGIN 2.0
+
+/* Standard deviations of what a decode has begun later than planned. */
+#define LATE_MARGIN 2.0
+
 #define UNCERTAIN 0.3
 
 /* How certain a slot must be before a prefill starts for it.  The objective
@@ -48,16 +52,6 @@
   return (double)queue > per_slot * s->own_slots;
 }
 
-/* Standard deviations of decode time that must fit before the deadline.
- * While others wait, a job that may not end in time takes the slot of one
- * that would: then nearly all lengths must fit. */
-static double
-length_margin (const struct router_service *s, size_t queue)
-{
-  double w = s->config->waste_weight;
-  return contended (s, queue, CONTENDED) ? CONTENDED_MARGIN : 2 * w / (1 + w);
-}
-
 static double
 departures_per_ms (const struct router_service *s)
 {
@@ -96,6 +90,15 @@
   return kept;
 }
 
+/* Time that a job must have to spare when it starts: its prefill may stand
+ * behind those of other nodes, which are known late, and then wait for a slot.
+ * Without it the decode begins so late that the deadline cuts the answer. */
+static double
+spare_ms (const struct router_service *s)
+{
+  return fmax (0, estimate_mean_quantile (&s->late_ms, LATE_MARGIN));
+}
+
 static int32_t
 room (const struct beryl_router *r, const struct router_service *s,
       const struct beryl_job *job, double lead_ms)
@@ -171,6 +174,7 @@
       return;
     }
   t->cached_tokens = p->cached_tokens;
+  t->planned_ms = p->first_token_ms;
   ticket_reserve (r, t, p->decode);
   ticket_start_prefill (r, t, p->prefill, p->prefill_cost_ms, now_ms);
   prefix_index_learn (r->prefix, job->block_hashes, job->block_count,
@@ -251,9 +255,8 @@
   o->ahead = waiting_ahead (r, w);
   o->slots = room (r, s, job, o->pair.first_token_ms);
   o->slack_ms = (double)job->deadline_ms - (double)now_ms;
-  o->need_ms
-      = o->pair.first_token_ms
-        + cost_decode_ms (s, job->max_tokens, length_margin (s, o->queue));
+  o->need_ms = o->pair.first_token_ms + spare_ms (s)
+               + cost_decode_ms (s, job->max_tokens, LENGTH_MARGIN);
   o->wait_ms = wait_ms (s, o->ahead, o->slots);
 }
 
@@ -322,6 +325,21 @@
   return n;
 }
 
+/* Whether nearly all lengths of T's answer still end in time.  An answer
+ * that is begun too late is cut off by its deadline in the middle: the caller
+ * has text that it cannot use, and the slot was taken from a job that would
+ * have ended.  Nothing of it has gone out yet, so that it can be refused. */
+static bool
+ends_in_time (const struct beryl_router *r, const struct router_service *s,
+              const struct router_ticket *t, int64_t now_ms)
+{
+  double need_ms = cost_decode_ms (s, t->max_tokens, LENGTH_MARGIN);
+  if (t->prefill != ROUTER_NONE)
+    need_ms += cost_transfer_ms (s, &r->endpoints[t->prefill], NULL,
+                                 t->prompt_tokens);
+  return (double)now_ms + need_ms <= (double)t->deadline_ms;
+}
+
 static void
 planned_bind (struct beryl_router *r, struct router_ticket *t,
               int64_t kv_expires_ms, uint32_t refused_by, int64_t now_ms,
@@ -329,6 +347,13 @@
 {
   struct router_service *s = &r->services[t->service];
   fleet_refresh (r, s, now_ms);
+  double late_ms = (double)(now_ms - t->started_ms) - t->planned_ms;
+  if (!ends_in_time (r, s, t, now_ms))
+    {
+      estimate_mean_add (&s->late_ms, late_ms);
+      router_refuse (plan, "deadline", RETRY_AFTER_MIN_MS);
+      return;
+    }
   bool last_chance = now_ms + KV_MARGIN_MS >= kv_expires_ms;
   int32_t slots = s->free_own + (s->spare > 0 ? s->spare : 0);
   uint32_t decode = ROUTER_NONE;
@@ -339,6 +364,7 @@
                                  now_ms);
   if (decode != ROUTER_NONE)
     {
+      estimate_mean_add (&s->late_ms, late_ms);
       plan->verdict = BERYL_VERDICT_START;
       plan->decode = r->endpoints[decode].config->name;
       ticket_unreserve (r, t);
--- a/libberyl/router/private.h
+++ b/libberyl/router/private.h
@@ -89,6 +89,8 @@
   struct estimate_line transfer_ms; /**< by KV megabytes */
   struct estimate_mean length;      /**< tokens made / tokens allowed */
   struct estimate_mean decode_ms;   /**< whole decodes */
+  /** From the planned first token to the binding of a decode engine. */
+  struct estimate_mean late_ms;
   /** Plain services: answer times by class. */
   struct estimate_mean answer_ms[BERYL_CLASS_BATCH + 1];
 };
@@ -127,7 +129,9 @@
   uint32_t cached_tokens; /**< predicted */
   double prefill_cost_ms;
   bool prefill_alone; /**< nothing was queued before it */
+  int64_t deadline_ms;
   int64_t started_ms;
+  double planned_ms; /**< from the start to the first token */
   int64_t exported_ms;
   int64_t first_token_ms;
   int64_t last_token_ms;
--- a/libberyl/router/ticket.c
+++ b/libberyl/router/ticket.c
@@ -47,6 +47,7 @@
     .call_class = job->call_class,
     .prompt_tokens = job->prompt_tokens,
     .max_tokens = job->max_tokens,
+    .deadline_ms = job->deadline_ms,
     .started_ms = now_ms,
   };
   organisation_opened (r, t->organisation);
--- a/load/caller.c
+++ b/load/caller.c
@@ -116,15 +116,25 @@
   return right;
 }
 
+/* Quotes would end the field of a CSV line. */
+static void
+note_detail (struct caller *c, const char *text)
+{
+  g_strlcpy (c->outcome.detail, text, sizeof c->outcome.detail);
+  g_strdelimit (c->outcome.detail, "\"\n", ' ');
+}
+
 /* A problem names the outcome; without one it may have run. */
 static enum call_end
 problem_end (struct caller *c)
 {
   const char *outcome = NULL;
+  const char *detail = "";
   json_int_t retry_after_ms = 0;
   json_t *json = json_loads (c->body->str, 0, NULL);
-  json_unpack (json, "{s?s,s?I}", "outcome", &outcome, "retry_after_ms",
-               &retry_after_ms);
+  json_unpack (json, "{s?s,s?s,s?I}", "outcome", &outcome, "detail", &detail,
+               "retry_after_ms", &retry_after_ms);
+  note_detail (c, detail);
   enum call_end how = outcome && strcmp (outcome, "not_run") == 0
                           ? CALL_NOT_RUN
                           : CALL_UNKNOWN;
@@ -154,6 +164,7 @@
              bool sent, const char *reason)
 {
   struct caller *c = (struct caller *)handler;
+  note_detail (c, reason);
   if (!sent)
     end (c, CALL_NOT_RUN);
   else if (c->outcome.status == 200)
--- a/load/outcome.h
+++ b/load/outcome.h
@@ -37,6 +37,7 @@
   uint32_t tokens;
   bool in_time;
   int64_t retry_after_ms;
+  char detail[96]; /**< of a problem, or why the call failed */
 };
 
 #endif
--- a/tests/router/test_load.c
+++ b/tests/router/test_load.c
@@ -135,6 +135,42 @@
 }
 END_TEST
 
+/* The fleet of the demo at 1.3 of its capacity, deadlines of ten seconds.
+ * Callers got most of their answers and were then cut off by their deadline,
+ * with no fault about: decodes begun later than planned were begun all the
+ * same. */
+START_TEST (test_overload_cuts_no_answer)
+{
+  struct scenario s;
+  struct sim_result result;
+  scenario_init (&s);
+  s.duration_s = 120;
+  s.load = 1.3;
+  s.entries = 3;
+  s.data_centres = 2;
+  s.decode_engines = 4;
+  s.preamble_tokens = 400;
+  s.document_tokens = 800;
+  s.document_tokens_max = 3000;
+  s.max_tokens = 60;
+  s.organisations = 5;
+  s.deadline_ms = 10000;
+  s.seed = 3;
+  struct arrivals *a = arrivals_create (&s, NULL);
+  struct sim_settings settings = { .scenario = &s,
+                                   .arrivals = a,
+                                   .policy = BERYL_POLICY_PLANNED,
+                                   .report_lag_ms = 500,
+                                   .report_loss = 0.2,
+                                   .event_loss = 0.05 };
+  sim_run (&settings, &result);
+  ck_assert_uint_gt (result.long_met, 4000);
+  ck_assert_uint_eq (result.long_missed, 0);
+  sim_result_release (&result);
+  arrivals_destroy (a);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -146,6 +182,7 @@
   tcase_add_test (tc, test_prompts_share_the_preamble);
   tcase_add_test (tc, test_runs_repeat);
   tcase_add_test (tc, test_overload_does_not_collapse);
+  tcase_add_test (tc, test_overload_cuts_no_answer);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
 }
--- a/tests/router/test_router.c
+++ b/tests/router/test_router.c
@@ -339,6 +339,64 @@
 }
 END_TEST
 
+/* A caller got most of its answer, then its deadline cut it off, without any
+ * fault: the prefill had stood behind those of other nodes, then waited for a
+ * slot, and the decode was begun with too little time left. */
+START_TEST (test_no_decode_that_the_deadline_would_cut)
+{
+  struct beryl_plan plan, bound;
+  beryl_router_set_late_binding (router, true);
+  struct beryl_job job = model_job (1, "north");
+  job.deadline_ms = NOW + 8000;
+  beryl_router_plan (router, &job, NOW, &plan);
+  ck_assert_int_eq (plan.verdict, BERYL_VERDICT_START);
+  beryl_router_prefill_done (router, plan.ticket, 0, 80000000, NOW + 6000);
+  beryl_router_bind_decode (router, plan.ticket, NOW + 6900, NULL, NOW + 6000,
+                            &bound);
+  ck_assert_int_eq (bound.verdict, BERYL_VERDICT_REFUSE);
+  ck_assert_str_eq (bound.reason, "deadline");
+}
+END_TEST
+
+/* Plans a job that has SPAN_MS at AT_MS and lets its decode begin LATE_MS
+ * later than planned. */
+static enum beryl_verdict
+run_late (uint64_t request, int64_t at_ms, int64_t span_ms, int64_t late_ms)
+{
+  struct beryl_plan plan, bound;
+  struct beryl_job job = model_job (request, "north");
+  job.arrived_ms = at_ms;
+  job.deadline_ms = at_ms + span_ms;
+  beryl_router_plan (router, &job, at_ms, &plan);
+  if (plan.verdict != BERYL_VERDICT_START)
+    return plan.verdict;
+  int64_t bound_ms = at_ms + plan.first_token_ms + late_ms;
+  beryl_router_prefill_done (router, plan.ticket, 0, 80000000, bound_ms);
+  beryl_router_bind_decode (router, plan.ticket, bound_ms + 900, NULL,
+                            bound_ms, &bound);
+  beryl_router_release (router, plan.ticket, BERYL_RELEASE_CANCELLED, NULL,
+                        bound_ms);
+  return plan.verdict;
+}
+
+/* Decodes begin two seconds later than planned, since other nodes' prefills
+ * go first.  Without learning it each job with little time is prefilled and
+ * then given up; it must be refused before. */
+START_TEST (test_late_decodes_are_learned)
+{
+  int64_t at_ms = NOW;
+  beryl_router_set_late_binding (router, true);
+  ck_assert_int_eq (run_late (1, at_ms, 6000, 0), BERYL_VERDICT_START);
+  for (uint64_t i = 2; i < 60; i++)
+    ck_assert_int_eq (run_late (i, at_ms += 10000, 30000, 2000),
+                      BERYL_VERDICT_START);
+  ck_assert_int_eq (run_late (60, at_ms += 10000, 6000, 0),
+                    BERYL_VERDICT_REFUSE);
+  ck_assert_int_eq (run_late (61, at_ms + 10000, 30000, 0),
+                    BERYL_VERDICT_START);
+}
+END_TEST
+
 /* A preamble was prefilled at one engine a moment ago.  No cache event has
  * come yet, but the next dossier with it must go to the same engine. */
 START_TEST (test_own_routing_is_a_hint)
@@ -472,6 +530,8 @@
   tcase_add_test (tc, test_long_calls_of_all_nodes_leave_headroom);
   tcase_add_test (tc, test_never_ejects_the_last);
   tcase_add_test (tc, test_binds_elsewhere_after_a_refusal);
+  tcase_add_test (tc, test_no_decode_that_the_deadline_would_cut);
+  tcase_add_test (tc, test_late_decodes_are_learned);
   tcase_add_test (tc, test_own_routing_is_a_hint);
   tcase_add_test (tc, test_gap_lowers_trust);
   tcase_add_test (tc, test_config_change_keeps_tickets);
