Control: HTTP bytes towards the platform are counted

Cause: the 2 KB a second for control were judged by gossip and peer bytes only; what controld moves as an HTTP client was in no count.

An open long poll counts once it has ended.

Figures: test traffic_of_calls_is_counted.

--- a/controld/metrics_task.c
+++ b/controld/metrics_task.c
@@ -58,7 +58,13 @@
   int64_t stale_ms
       = beryl_membership_stale_ms (control->members, control_now_ms (control));
 
+  struct http_traffic traffic = http_context_client_traffic (control->http);
+
   gossip_task_count (control->gossip);
+  counters_set (set, "beryl_http_client_bytes_total", "direction=\"sent\"",
+                traffic.sent_bytes);
+  counters_set (set, "beryl_http_client_bytes_total", "direction=\"received\"",
+                traffic.received_bytes);
   counters_set (set, "beryl_process_resident_bytes", "", resident_bytes ());
   counters_set (set, "beryl_process_cpu_ms_total", "", cpu_ms ());
   counters_set (set, "beryl_config_version", "",
--- a/http/client.c
+++ b/http/client.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "private.h"
+#include "traffic.h"
 
 struct http_call
 {
@@ -61,6 +62,9 @@
   call->ended = true;
   if (call->wsi == NULL)
     return;
+  http_traffic_add (lws_get_socket_fd (call->wsi),
+                    &call->context->traffic.sent_bytes,
+                    &call->context->traffic.received_bytes);
   lws_set_opaque_user_data (call->wsi, NULL);
   call->wsi = NULL;
 }
--- a/http/context.c
+++ b/http/context.c
@@ -77,3 +77,9 @@
   http_servers_free (context);
   g_free (context);
 }
+
+struct http_traffic
+http_context_client_traffic (const struct http_context *context)
+{
+  return context->traffic;
+}
--- a/http/private.h
+++ b/http/private.h
@@ -15,6 +15,7 @@
   struct lws_vhost *client_vhost;
   struct http_server *servers; /* linked by next */
   struct lws *active;          /* client connection whose callback runs */
+  struct http_traffic traffic; /* of client calls that have ended */
 };
 
 /** Callback of the server protocol. */
--- a/tests/http/test_http.c
+++ b/tests/http/test_http.c
@@ -254,6 +254,33 @@
 }
 END_TEST
 
+/* An operator sees control stay far below its 2 KB a second while it moves
+ * more: heads, and calls that were cancelled, were not in any count. */
+START_TEST (traffic_of_calls_is_counted)
+{
+  char *body = g_strnfill (900000, 'x');
+  struct http_traffic before = http_context_client_traffic (fx.context);
+  struct http_traffic after;
+
+  ck_assert_uint_eq (before.sent_bytes, 0);
+  start ("POST", "/count", body, 900000, http_server_port (fx.server));
+  loop_run (fx.loop);
+  after = http_context_client_traffic (fx.context);
+  ck_assert_uint_gt (after.sent_bytes, 900000 + 100);
+  ck_assert_uint_lt (after.sent_bytes, 900000 + 1000);
+  ck_assert_uint_gt (after.received_bytes, strlen ("900000") + 30);
+  ck_assert_uint_lt (after.received_bytes, 1000);
+  before = after;
+  fx.result.done = 0;
+  start ("GET", "/stream", NULL, 0, http_server_port (fx.server));
+  loop_run (fx.loop);
+  after = http_context_client_traffic (fx.context);
+  ck_assert_uint_gt (after.received_bytes - before.received_bytes, 80000);
+  ck_assert_uint_lt (after.sent_bytes - before.sent_bytes, 1000);
+  g_free (body);
+}
+END_TEST
+
 /* A caller reads half an answer and the server dies.  The connection closes
  * without the last chunk; the client must report a failure and not take the
  * half for the whole. */
@@ -340,6 +367,7 @@
   tcase_add_test (tc, large_bodies_arrive_whole);
   tcase_add_test (tc, oversized_body_is_refused);
   tcase_add_test (tc, streams_arrive_whole);
+  tcase_add_test (tc, traffic_of_calls_is_counted);
   tcase_add_test (tc, half_an_answer_is_a_failure);
   tcase_add_test (tc, refused_connection_sent_nothing);
   tcase_add_test (tc, cancel_closes_the_exchange);
