beryl-load asks discovery for addresses and sends idempotency keys

Cause: it used the given addresses evenly and sent no keys, unlike callers. Change: load/entries asks GET /v1/entry of the given addresses in turn, keeps the answer for its lifetime and chooses by weight; patient calls carry bound and free keys in the parts that the scenario names; the CSV names the entry instance's port.

--- a/load/caller.c
+++ b/load/caller.c
@@ -213,6 +213,30 @@
                                                  : s->patient_path);
 }
 
+/* Evenly from 0 to below 1, the same in each run. */
+static double
+part_of (uint64_t id)
+{
+  return (double)(id * UINT64_C (0x9e3779b97f4a7c15) >> 11)
+         / (double)(1LL << 53);
+}
+
+void
+caller_key (const struct scenario *s, const struct caller_target *target,
+            const char *request_id, const struct arrival *a, char *key,
+            size_t key_bytes)
+{
+  double part = part_of (a->id);
+
+  key[0] = '\0';
+  if (a->type != ARRIVAL_PATIENT)
+    return;
+  if (part < s->bound_key_part && target->incarnation[0] != '\0')
+    g_snprintf (key, key_bytes, "b-%s-%s", target->incarnation, request_id);
+  else if (part < s->bound_key_part + s->free_key_part)
+    g_strlcpy (key, request_id, key_bytes);
+}
+
 struct caller *
 caller_start (const struct caller_settings *settings,
               const struct arrival *arrival,
@@ -225,10 +249,12 @@
   char bearer[300];
   char id[64];
   char deadline[24];
+  char key[100];
 
   c->base.impl = &impl;
   c->settings = settings;
   c->outcome.arrival = arrival;
+  c->outcome.entry_port = target->port;
   c->deadline_ms = deadline_of (s, arrival->type);
   c->text = g_string_new (NULL);
   c->body = g_string_new (NULL);
@@ -239,12 +265,13 @@
   g_snprintf (id, sizeof id, "%s-%" G_GUINT64_FORMAT, settings->run,
               arrival->id);
   g_snprintf (deadline, sizeof deadline, "%" G_GINT64_FORMAT, c->deadline_ms);
+  caller_key (s, target, id, arrival, key, sizeof key);
   const struct http_header headers[] = {
-    { "authorization", bearer },
-    { "content-type", "application/json" },
-    { "x-deadline-ms", deadline },
-    { "x-request-id", id },
+    { "authorization", bearer },   { "content-type", "application/json" },
+    { "x-deadline-ms", deadline }, { "x-request-id", id },
+    { "idempotency-key", key }, /* the last: left out if there is none */
   };
+  size_t header_count = G_N_ELEMENTS (headers) - (key[0] == '\0');
   char *body = is_long ? completion_body (c) : NULL;
   char *path = path_of (s, arrival->type);
   struct http_request request = {
@@ -253,7 +280,7 @@
     .port = target->port,
     .path = path,
     .headers = headers,
-    .header_count = G_N_ELEMENTS (headers),
+    .header_count = header_count,
     .body = body,
     .body_bytes = body ? strlen (body) : 0,
     .timeout_ms = c->deadline_ms + GRACE_MS,
--- a/load/main.c
+++ b/load/main.c
@@ -10,6 +10,7 @@
 
 #include "caller.h"
 #include "common/settings.h"
+#include "entries.h"
 #include "report.h"
 #include "results.h"
 #include "truth.h"
@@ -35,6 +36,8 @@
   struct loop *loop;
   struct caller_settings callers;
   struct arrivals *arrivals;
+  struct entries *entries;
+  GRand *random; /* which entry instance */
   size_t next;
   uint32_t open;
   struct results *results;
@@ -46,20 +49,22 @@
 static void
 usage (FILE *out)
 {
-  fputs ("usage: beryl-load [OPTION]... --entry IP:PORT SCENARIO.yaml\n"
-         "       beryl-load report RESULTS.json... >PAGE.html\n"
-         "  --entry IP:PORT      an entry instance; repeat for several\n"
-         "  --token TEXT         a bearer token; repeat: organisation i uses\n"
-         "                       token i modulo their number\n"
-         "  --engine IP:PORT     a stand-in engine, asked for waste; repeat\n"
-         "  --load X             of the decode capacity, over the scenario's\n"
-         "  --duration SECONDS   over the scenario's\n"
-         "  --seed N             over the scenario's\n"
-         "  --check-answers      compare with the stand-in engines' text\n"
-         "  --note S:TEXT        mark second S on the time line; repeat\n"
-         "  --json FILE          write the results\n"
-         "  --csv FILE           write a line for each call\n",
-         out);
+  fputs (
+      "usage: beryl-load [OPTION]... --entry IP:PORT SCENARIO.yaml\n"
+      "       beryl-load report RESULTS.json... >PAGE.html\n"
+      "  --entry IP:PORT      an entry instance to ask for the addresses to\n"
+      "                       use (GET /v1/entry); repeat for several\n"
+      "  --token TEXT         a bearer token; repeat: organisation i uses\n"
+      "                       token i modulo their number\n"
+      "  --engine IP:PORT     a stand-in engine, asked for waste; repeat\n"
+      "  --load X             of the decode capacity, over the scenario's\n"
+      "  --duration SECONDS   over the scenario's\n"
+      "  --seed N             over the scenario's\n"
+      "  --check-answers      compare with the stand-in engines' text\n"
+      "  --note S:TEXT        mark second S on the time line; repeat\n"
+      "  --json FILE          write the results\n"
+      "  --csv FILE           write a line for each call\n",
+      out);
 }
 
 static bool
@@ -198,7 +203,7 @@
 {
   const struct options *o = r->options;
   const struct caller_target *target
-      = &g_array_index (o->entries, struct caller_target, a->entry);
+      = entries_choose (r->entries, g_rand_double (r->random));
   const char *token = o->tokens->pdata[a->organisation % o->tokens->len];
   results_asked (r->results, a);
   r->open++;
@@ -272,6 +277,48 @@
   return true;
 }
 
+/* Ask for the addresses, then send all calls and wait for their ends. */
+static bool
+run_calls (struct run *r)
+{
+  const struct options *o = r->options;
+  const struct caller_target *seeds = (const void *)o->entries->data;
+
+  r->entries = entries_create (seeds, o->entries->len);
+  r->random = g_rand_new_with_seed ((guint32)o->scenario.seed);
+  bool ok = entries_start (r->entries, r->loop, r->callers.http,
+                           o->tokens->pdata[0]);
+  if (ok)
+    {
+      r->callers.started_ms = loop_now_ms (r->loop);
+      r->progress = loop_timer_start (r->loop, PROGRESS_MS, PROGRESS_MS,
+                                      print_progress, r);
+      r->timer = loop_timer_start (r->loop, 0, 0, send_due, r);
+      loop_run (r->loop);
+      loop_timer_stop (r->timer);
+      loop_timer_stop (r->progress);
+      results_progress (r->results,
+                        loop_now_ms (r->loop) - r->callers.started_ms, stderr);
+    }
+  else
+    fputs ("beryl-load: no entry instance answered GET /v1/entry\n", stderr);
+  entries_stop (r->entries);
+  entries_destroy (r->entries);
+  g_rand_free (r->random);
+  return ok;
+}
+
+static bool
+report_run (struct run *r)
+{
+  json_t *json = results_json (r->results);
+  json_object_set (json, "faults", r->options->notes);
+  add_truth (r, json);
+  bool ok = write_json (r->options, json);
+  json_decref (json);
+  return ok;
+}
+
 static bool
 run_load (const struct options *o)
 {
@@ -304,20 +351,7 @@
   g_snprintf (id, sizeof id, "load%" G_GINT64_MODIFIER "x",
               (guint64)g_get_real_time ());
   r.callers.run = id;
-  r.callers.started_ms = loop_now_ms (r.loop);
-  r.progress = loop_timer_start (r.loop, PROGRESS_MS, PROGRESS_MS,
-                                 print_progress, &r);
-  r.timer = loop_timer_start (r.loop, 0, 0, send_due, &r);
-  loop_run (r.loop);
-  loop_timer_stop (r.timer);
-  loop_timer_stop (r.progress);
-  results_progress (r.results, loop_now_ms (r.loop) - r.callers.started_ms,
-                    stderr);
-  json_t *json = results_json (r.results);
-  json_object_set (json, "faults", o->notes);
-  add_truth (&r, json);
-  bool ok = write_json (o, json);
-  json_decref (json);
+  bool ok = run_calls (&r) && report_run (&r);
   http_context_destroy (r.callers.http);
   if (r.csv)
     fclose (r.csv);
--- a/load/outcome.h
+++ b/load/outcome.h
@@ -30,7 +30,8 @@
   const struct arrival *arrival;
   enum call_end end;
   unsigned int status;
-  int64_t ended_us; /**< since the start of the run */
+  uint16_t entry_port; /**< of the entry instance that was asked */
+  int64_t ended_us;    /**< since the start of the run */
   int64_t took_us;
   int64_t first_us;   /**< first token; 0: none */
   int64_t between_us; /**< mean between tokens; 0: none */
--- a/load/results.c
+++ b/load/results.c
@@ -190,7 +190,7 @@
 void
 results_csv_head (FILE *out)
 {
-  fputs ("id,type,at_ms,organisation,entry,prompt_tokens,max_tokens,end,"
+  fputs ("id,type,at_ms,organisation,entry_port,prompt_tokens,max_tokens,end,"
          "status,in_time,took_ms,first_token_ms,between_tokens_ms,tokens,"
          "retry_after_ms,detail\n",
          out);
@@ -203,7 +203,7 @@
   fprintf (out,
            "%llu,%s,%.3f,%u,%u,%u,%u,%s,%u,%d,%.3f,%.3f,%.3f,%u,%lld,\"%s\"\n",
            (unsigned long long)a->id, arrival_type_name (a->type),
-           (double)a->at_us / 1000, a->organisation, a->entry,
+           (double)a->at_us / 1000, a->organisation, c->entry_port,
            a->prompt_tokens, a->max_tokens, call_end_name (c->end), c->status,
            c->in_time, (double)c->took_us / 1000, (double)c->first_us / 1000,
            (double)c->between_us / 1000, c->tokens,
--- a/load/scenario.c
+++ b/load/scenario.c
@@ -29,6 +29,7 @@
 static const struct beryl_field fields[] = {
   TEXT (arrivals),
   NUMBER (block_tokens, UINT32, 1, 4096),
+  NUMBER (bound_key_part, DOUBLE, 0, 1),
   NUMBER (cache_blocks, UINT32, 0, 1e7),
   NUMBER (data_centres, UINT32, 1, 100),
   NUMBER (deadline_ms, INT64, 1, 1e9),
@@ -38,6 +39,7 @@
   NUMBER (document_tokens_max, UINT32, 1, 1e6),
   NUMBER (duration_s, UINT32, 1, 86400),
   NUMBER (entries, UINT32, 1, 1000),
+  NUMBER (free_key_part, DOUBLE, 0, 1),
   NUMBER (heavy_part, DOUBLE, 0, 1),
   NUMBER (kv_bytes_per_token, UINT32, 0, 1e8),
   NUMBER (kv_ttl_ms, INT64, 1, 1e6),
@@ -115,6 +117,8 @@
     .patient_load = 0.5,
     .patient_ms = 400,
     .patient_deadline_ms = 5000,
+    .bound_key_part = 0.5,
+    .free_key_part = 0.2,
   };
 }
 
--- a/load/scenario.h
+++ b/load/scenario.h
@@ -64,6 +64,8 @@
                         * at load 1 */
   int64_t patient_ms;
   int64_t patient_deadline_ms;
+  double bound_key_part; /**< of the patient calls: bound idempotency keys */
+  double free_key_part;  /**< and free ones; the rest have none */
 };
 
 /** Set the defaults. */
--- a/tests/router/test_load_tool.c
+++ b/tests/router/test_load_tool.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entries.h"
 #include "report.h"
 #include "results.h"
 #include "sse.h"
@@ -102,6 +103,81 @@
 }
 END_TEST
 
+static json_t *
+entries_answer (const char *text)
+{
+  json_t *json = json_loads (text, 0, NULL);
+  ck_assert_ptr_nonnull (json);
+  return json;
+}
+
+/* All calls of a run went to one node: the given addresses were used as they
+ * stood, not those that discovery names with their weights. */
+START_TEST (test_entries_by_weight)
+{
+  const struct caller_target seed = { .address = "127.0.0.1", .port = 1 };
+  struct entries *e = entries_create (&seed, 1);
+  ck_assert_uint_eq (entries_choose (e, 0.99)->port, 1);
+  json_t *answer = entries_answer (
+      "{\"ttl_ms\":2000,\"entries\":["
+      "{\"address\":\"127.0.0.2\",\"port\":2,\"incarnation\":\"aa\","
+      "\"weight\":3},"
+      "{\"address\":\"127.0.0.3\",\"port\":3,\"incarnation\":\"bb\","
+      "\"weight\":1},"
+      "{\"address\":\"127.0.0.4\",\"port\":4,\"incarnation\":\"cc\","
+      "\"weight\":0},"
+      "{\"address\":\"127.0.0.5\",\"port\":99999,\"weight\":9}]}");
+  ck_assert (entries_take (e, answer));
+  ck_assert_int_eq (entries_ttl_ms (e), 2000);
+  uint32_t chosen[6] = { 0 };
+  for (int i = 0; i < 1000; i++)
+    chosen[entries_choose (e, i / 1000.0)->port]++;
+  ck_assert_uint_eq (chosen[2], 750);
+  ck_assert_uint_eq (chosen[3], 250);
+  json_decref (answer);
+  /* An answer without instances does not take away those that are known. */
+  answer = entries_answer ("{\"ttl_ms\":5,\"entries\":[]}");
+  ck_assert (!entries_take (e, answer));
+  ck_assert_int_eq (entries_ttl_ms (e), 2000);
+  ck_assert_str_eq (entries_choose (e, 0)->incarnation, "aa");
+  json_decref (answer);
+  entries_destroy (e);
+}
+END_TEST
+
+/* A letter went out twice, and no key had been sent that could tell.  Calls
+ * that must not run twice have the keys that the scenario asks for; a bound
+ * one names the process it was minted for, and others have none. */
+START_TEST (test_keys_of_calls)
+{
+  struct scenario s;
+  const struct caller_target known = { "127.0.0.1", 1, "00aa" };
+  const struct caller_target unknown = { "127.0.0.1", 1, "" };
+  uint32_t bound = 0;
+  uint32_t unbound = 0;
+  char key[100];
+  scenario_init (&s);
+  s.bound_key_part = 0.5;
+  s.free_key_part = 0.2;
+  for (uint64_t i = 1; i <= 10000; i++)
+    {
+      struct arrival a = { .id = i, .type = ARRIVAL_PATIENT };
+      caller_key (&s, &known, "run-1", &a, key, sizeof key);
+      bound += strcmp (key, "b-00aa-run-1") == 0;
+      unbound += strcmp (key, "run-1") == 0;
+      caller_key (&s, &unknown, "run-1", &a, key, sizeof key);
+      ck_assert (key[0] != 'b');
+      a.type = ARRIVAL_URGENT;
+      caller_key (&s, &known, "run-1", &a, key, sizeof key);
+      ck_assert_str_eq (key, "");
+    }
+  ck_assert_uint_ge (bound, 4900);
+  ck_assert_uint_le (bound, 5100);
+  ck_assert_uint_ge (unbound, 1900);
+  ck_assert_uint_le (unbound, 2100);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -110,6 +186,8 @@
   tcase_add_test (tc, test_sse_in_pieces);
   tcase_add_test (tc, test_results_count);
   tcase_add_test (tc, test_report_is_safe_and_plain);
+  tcase_add_test (tc, test_entries_by_weight);
+  tcase_add_test (tc, test_keys_of_calls);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
 }
