--- a/controld/planner_task.c
+++ b/controld/planner_task.c
@@ -13,9 +13,14 @@
 
 #define TICK_MS 1000
 #define CALL_MS 2000
-/* Engines that are asked for their state in one tick. */
-#define POLLS_PER_TICK 20
-#define CALLS_MAX 64
+/* All engines are asked for their state in one sweep, a few at a time. */
+#define POLL_MS 100
+#define SWEEP_MS 15000
+#define POLLS_MIN 2
+#define POLLS_MAX 40
+/* Calls under way; the last ones are for orders. */
+#define POLLING_MAX 200
+#define CALLS_MAX 256
 #define ANSWER_BYTES 8192
 #define ORDER_BYTES 400
 #define WRITE_MS 3000
@@ -32,6 +37,7 @@
   struct beryl_planner *planner;
   struct beryl_config *config; /* own copy: the planner points into it */
   struct loop_timer *timer;
+  struct loop_timer *polling;
   size_t next_poll;
   GPtrArray *calls;   /* struct call * */
   uint64_t restoring; /* request under way; 0: none */
@@ -285,12 +291,19 @@
 static const struct beryl_planner_owner_impl owner_impl
     = { .order = order_send };
 
+/* At a fixed number a second the sweep of a large fleet took minutes, and the
+ * planner ordered by what had long changed.  Engines that do not answer keep
+ * their calls for CALL_MS each: when many are away the sweep waits, so that
+ * orders find room. */
 static void
-engines_poll (struct planner_task *task)
+engines_poll (void *user)
 {
-  size_t count = task->config->endpoint_count;
+  struct planner_task *task = user;
+  size_t count = task->config != NULL ? task->config->endpoint_count : 0;
+  size_t polls = CLAMP (count * POLL_MS / SWEEP_MS + 1, POLLS_MIN, POLLS_MAX);
 
-  for (size_t i = 0; i < count && i < POLLS_PER_TICK; i++)
+  for (size_t i = 0; i < count && i < polls && task->calls->len < POLLING_MAX;
+       i++)
     {
       const struct beryl_endpoint *endpoint
           = &task->config->endpoints[task->next_poll++ % count];
@@ -369,7 +382,6 @@
 
   if (task->config == NULL)
     return;
-  engines_poll (task);
   if (task->restoring == 0)
     plans_save (task);
   beryl_planner_tick (task->planner, control_now_ms (task->control));
@@ -434,6 +446,8 @@
   plans_restore (task);
   task->timer
       = loop_timer_start (control->loop, TICK_MS, TICK_MS, planner_tick, task);
+  task->polling
+      = loop_timer_start (control->loop, POLL_MS, POLL_MS, engines_poll, task);
   return task;
 }
 
@@ -443,6 +457,7 @@
   if (task == NULL)
     return;
   loop_timer_stop (task->timer);
+  loop_timer_stop (task->polling);
   if (task->restoring != 0)
     platform_client_forget (task->control->platform, task->restoring);
   for (guint i = 0; i < task->calls->len; i++)
--- a/tests/control/stage.c
+++ b/tests/control/stage.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define POLL_MS 10
+/* Calls to the platform at once. */
+#define CALLS_MAX 25
 
 static struct stage *
 stage_of_caller (struct http_call_handler *handler)
@@ -70,8 +72,8 @@
 }
 
 static void
-stage_call (struct stage *s, const char *method, const char *path,
-            const char *body)
+stage_begin (struct stage *s, const char *method, const char *path,
+             const char *body)
 {
   struct http_request request = { .method = method,
                                   .address = "127.0.0.1",
@@ -82,6 +84,13 @@
   request.port = platform_port (s->platform);
   s->calls++;
   http_call_start (s->http, &request, &s->caller);
+}
+
+static void
+stage_call (struct stage *s, const char *method, const char *path,
+            const char *body)
+{
+  stage_begin (s, method, path, body);
   ck_assert (stage_await (s, no_calls, 5000));
 }
 
@@ -259,21 +268,45 @@
   (void)whole;
 }
 
+static void
+stage_endpoint (struct stage *s, const char *name)
+{
+  char path[80];
+  char object[300];
+
+  g_snprintf (path, sizeof path, "/v1/objects/endpoint/%s", name);
+  g_snprintf (object, sizeof object,
+              "{\"api_version\":\"beryl/v1\",\"kind\":\"endpoint\","
+              "\"name\":\"%s\",\"spec\":{\"service\":\"s\","
+              "\"address\":\"127.0.0.1\",\"port\":%u,\"role\":\"both\"}}",
+              name, http_server_port (s->engine_server));
+  stage_begin (s, "PUT", path, object);
+}
+
 void
 stage_engine (struct stage *s, const struct http_handler_impl *impl)
 {
   struct http_server_settings settings
       = { .address = "127.0.0.1", .max_body_bytes = 4096 };
-  char object[300];
 
   s->engine.impl = impl;
   s->engine_server = http_server_create (s->http, &settings, &s->engine, NULL);
-  g_snprintf (object, sizeof object,
-              "{\"api_version\":\"beryl/v1\",\"kind\":\"endpoint\","
-              "\"name\":\"engine-1\",\"spec\":{\"service\":\"s\","
-              "\"address\":\"127.0.0.1\",\"port\":%u,\"role\":\"both\"}}",
-              http_server_port (s->engine_server));
   stage_put (s, "/v1/objects/model/m", MODEL);
   stage_put (s, "/v1/objects/service/s", SERVICE);
-  stage_put (s, "/v1/objects/endpoint/engine-1", object);
+  stage_endpoint (s, "engine-1");
+  ck_assert (stage_await (s, no_calls, 5000));
+}
+
+void
+stage_endpoints (struct stage *s, int count)
+{
+  char name[32];
+
+  for (int i = 0; i < count; i++)
+    {
+      g_snprintf (name, sizeof name, "more-%d", i);
+      stage_endpoint (s, name);
+      if (s->calls == CALLS_MAX || i == count - 1)
+        ck_assert (stage_await (s, no_calls, 5000));
+    }
 }
--- a/tests/control/stage.h
+++ b/tests/control/stage.h
@@ -46,6 +46,7 @@
   char cancelled[200];
   char engine_role[16]; /* as ordered */
   uint32_t load_reads;
+  uint32_t state_reads;
   uint32_t waiting;
   bool (*until) (struct stage *s);
   int64_t deadline_ms;
@@ -81,6 +82,9 @@
  * endpoint "engine-1". */
 void stage_engine (struct stage *s, const struct http_handler_impl *impl);
 
+/** Write COUNT more endpoints of "s" at the engine's address. */
+void stage_endpoints (struct stage *s, int count);
+
 /** The stage of an engine's handler. */
 struct stage *stage_of_engine (struct http_handler *handler);
 
--- /dev/null
+++ b/tests/control/test_sweep.c
@@ -0,0 +1,86 @@
+#include "stage.h"
+
+#include <check.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* More by the command line, for measurements. */
+static int engine_count = 900;
+/* Fifteen seconds for a sweep, and a third more for a slow machine. */
+#define SWEEP_MOST_MS 20000
+
+static void
+engine_request (struct http_handler *handler, struct http_exchange *ex)
+{
+  static const char answer[] = "{\"serve\":{\"model\":\"m\",\"version\":\"1\","
+                               "\"role\":\"both\"},\"loading\":false,"
+                               "\"ready\":true}";
+
+  if (strcmp (http_exchange_path (ex), "/v1/state") == 0)
+    stage_of_engine (handler)->state_reads++;
+  http_exchange_respond (ex, 200, "application/json", answer,
+                         sizeof answer - 1);
+}
+
+static const struct http_handler_impl engine_impl
+    = { .request = engine_request, .closed = stage_engine_closed };
+
+static bool
+planner_has_all (struct stage *s)
+{
+  const struct beryl_config *config = config_task_parsed (s->nodes[0]->config);
+
+  return s->nodes[0]->planner != NULL && config != NULL
+         && config->endpoint_count == (size_t)engine_count;
+}
+
+static bool
+all_were_asked (struct stage *s)
+{
+  return s->state_reads >= (uint32_t)engine_count;
+}
+
+/* Story: a fleet of hundreds of engines.  The planner asks 20 a second, so
+ * that it learns of an engine's death or load after minutes, and calls wait
+ * for an engine that it believes warm. */
+START_TEST (large_fleet_is_swept)
+{
+  struct stage s;
+  int64_t begun_ms;
+
+  stage_open (&s, 0);
+  s.planner = true;
+  stage_node (&s, "key", "");
+  stage_engine (&s, &engine_impl);
+  stage_endpoints (&s, engine_count - 1);
+  ck_assert (stage_await (&s, planner_has_all, 30000));
+  s.state_reads = 0;
+  begun_ms = loop_now_ms (s.loop);
+  ck_assert (stage_await (&s, all_were_asked, SWEEP_MOST_MS));
+  printf ("%d engines asked in %ld ms\n", engine_count,
+          (long)(loop_now_ms (s.loop) - begun_ms));
+  stage_close (&s);
+}
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  Suite *s = suite_create ("sweep");
+  TCase *t = tcase_create ("processes");
+  SRunner *r;
+  int failed;
+
+  if (argc > 1)
+    engine_count = atoi (argv[1]);
+  tcase_set_timeout (t, 60);
+  tcase_add_test (t, large_fleet_is_swept);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed == 0 ? 0 : 1;
+}
