--- a/controld/planner_task.c
+++ b/controld/planner_task.c
@@ -9,6 +9,7 @@
 #include "config_task.h"
 #include "drains.h"
 #include "http/client.h"
+#include "plans.h"
 #include "role_task.h"
 
 #define TICK_MS 1000
@@ -23,12 +24,6 @@
 #define CALLS_MAX 256
 #define ANSWER_BYTES 8192
 #define ORDER_BYTES 400
-#define WRITE_MS 3000
-#define LIST_MS 60000
-/* What was learned of the days is kept in objects of this kind, for the next
- * planner. */
-#define PLAN_KIND "plans"
-#define SAVE_MS 600000
 
 struct planner_task
 {
@@ -39,9 +34,8 @@
   struct loop_timer *timer;
   struct loop_timer *polling;
   size_t next_poll;
-  GPtrArray *calls;   /* struct call * */
-  uint64_t restoring; /* request under way; 0: none */
-  int64_t save_ms;    /* when profiles are saved next */
+  GPtrArray *calls; /* struct call * */
+  struct plans *plans;
   struct drains *drains;
 };
 
@@ -313,68 +307,6 @@
     }
 }
 
-static void
-plan_written (void *user, const struct beryl_platform_result *result)
-{
-  (void)user;
-  if (result->code != BERYL_OK)
-    g_info ("plan not written: %s", beryl_error_code_name (result->code));
-}
-
-static void
-plan_save (struct planner_task *task, const char *service)
-{
-  struct platform_client_options options
-      = { .use = BERYL_USE_STATUS, .timeout_ms = WRITE_MS };
-  struct beryl_platform_write write
-      = { .kind = PLAN_KIND, .name = service, .condition = BERYL_IF_ANY };
-  char *text = beryl_planner_save (task->planner, service, &write.value_bytes);
-
-  write.value = text;
-  if (text != NULL)
-    platform_client_put (task->control->platform, &options, &write,
-                         plan_written, NULL);
-  free (text);
-}
-
-static void
-plans_save (struct planner_task *task)
-{
-  int64_t now_ms = control_now_ms (task->control);
-
-  if (now_ms < task->save_ms)
-    return;
-  task->save_ms = now_ms + SAVE_MS;
-  for (size_t i = 0; i < beryl_planner_service_count (task->planner); i++)
-    plan_save (task, beryl_planner_service (task->planner, i));
-}
-
-static void
-plans_listed (void *user, const struct beryl_platform_result *result)
-{
-  struct planner_task *task = user;
-
-  task->restoring = 0;
-  if (result->code != BERYL_OK)
-    return;
-  for (size_t i = 0; i < result->object_count; i++)
-    if (beryl_planner_restore (task->planner, result->objects[i].name,
-                               result->objects[i].value,
-                               result->objects[i].value_bytes))
-      g_info ("profile of %s restored", result->objects[i].name);
-}
-
-static void
-plans_restore (struct planner_task *task)
-{
-  struct platform_client_options options
-      = { .use = BERYL_USE_STATUS, .timeout_ms = LIST_MS, .wait = true };
-
-  task->save_ms = control_now_ms (task->control) + SAVE_MS;
-  task->restoring = platform_client_list (task->control->platform, &options,
-                                          PLAN_KIND, "", plans_listed, task);
-}
-
 static void
 planner_tick (void *user)
 {
@@ -382,8 +314,7 @@
 
   if (task->config == NULL)
     return;
-  if (task->restoring == 0)
-    plans_save (task);
+  plans_tick (task->plans);
   beryl_planner_tick (task->planner, control_now_ms (task->control));
 }
 
@@ -443,7 +374,7 @@
   task->calls = g_ptr_array_new ();
   task->drains = drains_create (control);
   planner_task_config (task);
-  plans_restore (task);
+  task->plans = plans_create (control, task->planner);
   task->timer
       = loop_timer_start (control->loop, TICK_MS, TICK_MS, planner_tick, task);
   task->polling
@@ -458,8 +389,6 @@
     return;
   loop_timer_stop (task->timer);
   loop_timer_stop (task->polling);
-  if (task->restoring != 0)
-    platform_client_forget (task->control->platform, task->restoring);
   for (guint i = 0; i < task->calls->len; i++)
     {
       struct call *c = g_ptr_array_index (task->calls, i);
@@ -469,6 +398,7 @@
     }
   g_ptr_array_unref (task->calls);
   drains_destroy (task->drains);
+  plans_destroy (task->plans);
   beryl_planner_destroy (task->planner);
   beryl_config_destroy (task->config);
   g_free (task);
