Requests: a decision line for the decode engine too

Cause: decode engines are bound when the KV cache is there, and that choice was not told: DECODE was empty in every line of a model's call, so that an answer that broke off could not be traced to its engine.

--- a/libberyl/requests/attempt.c
+++ b/libberyl/requests/attempt.c
@@ -273,6 +273,8 @@
 
   beryl_router_bind_decode (requests->router, request->ticket,
                             request->kv_expires_ms, refused_by, now_ms, &plan);
+  if (plan.verdict != BERYL_VERDICT_WAIT)
+    plan_log (requests, request, &plan);
   if (plan.verdict == BERYL_VERDICT_WAIT)
     {
       request_set_phase (requests, request, PHASE_DECODE);
--- a/libberyl/requests/plan.c
+++ b/libberyl/requests/plan.c
@@ -25,7 +25,7 @@
   request->excluded_count++;
 }
 
-static void
+void
 plan_log (struct beryl_requests *requests, const struct request *request,
           const struct beryl_plan *plan)
 {
--- a/libberyl/requests/private.h
+++ b/libberyl/requests/private.h
@@ -197,6 +197,9 @@
                       uint64_t incarnation);
 
 /* due.c: which requests time is up for, and which wait for a plan */
+/** Hand a decision to the owner, who logs it. */
+void plan_log (struct beryl_requests *requests, const struct request *request,
+               const struct beryl_plan *plan);
 void request_set_phase (struct beryl_requests *requests,
                         struct request *request, enum request_phase phase);
 void requests_due_by (struct beryl_requests *requests, int64_t due_ms);
--- a/libberyl/router/planned.c
+++ b/libberyl/router/planned.c
@@ -368,6 +368,7 @@
       plan->verdict = BERYL_VERDICT_START;
       plan->decode = r->endpoints[decode].config->name;
       ticket_unreserve (r, t);
+      plan->reason = "decode_bound";
       ticket_take_slot (r, t, decode, now_ms);
       return;
     }
--- a/tests/requests/fake_router.c
+++ b/tests/requests/fake_router.c
@@ -153,7 +153,8 @@
                            .excluded_count = refused_by != NULL,
                            .excluded = &refused_by };
 
-  *plan = (struct beryl_plan){ .verdict = BERYL_VERDICT_REFUSE };
+  *plan = (struct beryl_plan){ .verdict = BERYL_VERDICT_REFUSE,
+                               .reason = "no_slot" };
   if (now_ms >= kv_expires_ms)
     return;
   plan->verdict = BERYL_VERDICT_WAIT;
--- a/tests/router/test_router.c
+++ b/tests/router/test_router.c
@@ -326,6 +326,7 @@
   beryl_router_bind_decode (router, plan.ticket, NOW + 900, NULL, NOW + 200,
                             &bound);
   ck_assert_int_eq (bound.verdict, BERYL_VERDICT_START);
+  ck_assert_str_eq (bound.reason, "decode_bound");
   const char *full = bound.decode;
   beryl_router_bind_decode (router, plan.ticket, NOW + 900, full, NOW + 210,
                             &bound);
