--- a/tests/http/test_http.c
+++ b/tests/http/test_http.c
@@ -341,6 +341,7 @@
   loop_timer_stop (stop);
   ck_assert_uint_eq (fx.echo.closed_early, 1);
   ck_assert_uint_eq (fx.result.done + fx.result.failed, 0);
+  ck_assert_uint_gt (http_context_client_traffic (fx.context).sent_bytes, 50);
 }
 END_TEST
 
