--- a/common/loop.c
+++ b/common/loop.c
@@ -6,13 +6,16 @@
 #include <sys/resource.h>
 
 #define DESCRIPTORS_MAX 16384
+#define SIGNAL_COUNT 3
 
 struct loop
 {
   uv_loop_t uv;
-  uv_signal_t signals[2];
+  uv_signal_t signals[SIGNAL_COUNT];
   loop_stop_cb *stop_cb;
   void *stop_user;
+  loop_stop_cb *reload_cb;
+  void *reload_user;
   bool stopping;
 };
 
@@ -28,6 +31,12 @@
 {
   struct loop *loop = handle->data;
 
+  if (signum == SIGHUP)
+    {
+      if (loop->reload_cb != NULL)
+        loop->reload_cb (loop->reload_user);
+      return;
+    }
   if (loop->stopping)
     return;
   loop->stopping = true;
@@ -53,7 +62,7 @@
 struct loop *
 loop_create (void)
 {
-  static const int signums[] = { SIGTERM, SIGINT };
+  static const int signums[SIGNAL_COUNT] = { SIGTERM, SIGINT, SIGHUP };
   struct loop *loop = g_new0 (struct loop, 1);
 
   loop_limit_descriptors (DESCRIPTORS_MAX);
@@ -100,6 +109,13 @@
   loop->stop_user = user;
 }
 
+void
+loop_on_reload (struct loop *loop, loop_stop_cb *cb, void *user)
+{
+  loop->reload_cb = cb;
+  loop->reload_user = user;
+}
+
 void
 loop_run (struct loop *loop)
 {
--- a/common/platform_client.c
+++ b/common/platform_client.c
@@ -26,7 +26,8 @@
   bool tls;
   char *tls_host;
   char *authorization;
-  uint64_t *cells[CELL_COUNT]; /* exported counts; NULL: none */
+  const struct platform_wire *wire; /* NULL: native */
+  uint64_t *cells[CELL_COUNT];      /* exported counts; NULL: none */
   struct loop_timer *timer;
   int64_t timer_ms;
   GHashTable *calls;    /* id to struct call */
@@ -40,6 +41,8 @@
   struct http_call_handler base;
   struct platform_client *client;
   uint64_t id;
+  enum beryl_platform_op op;
+  char kind[BERYL_NAME_BYTES];
   struct http_call *http;
   GString *body;
 };
@@ -164,10 +167,19 @@
   struct call *call = (struct call *)handler;
   struct platform_client *c = call->client;
 
+  unsigned int status = http_call_status (http);
+  char *native = NULL;
+
   call_steal (call);
-  beryl_platform_answer (c->core, call->id, http_call_status (http),
-                         retry_after_ms (http), call->body->str,
-                         call->body->len, loop_now_ms (c->loop));
+  if (c->wire != NULL)
+    native = c->wire->impl->answer (c->wire, call->op, call->kind, &status,
+                                    call->body->str, call->body->len);
+  if (native != NULL)
+    g_string_assign (call->body, native);
+  g_free (native);
+  beryl_platform_answer (c->core, call->id, status, retry_after_ms (http),
+                         call->body->str, call->body->len,
+                         loop_now_ms (c->loop));
   call_free (call);
   timer_arm (c);
 }
@@ -196,9 +208,9 @@
 {
   size_t n = 0;
 
-  if (call->if_match)
+  if (call->if_match && c->wire == NULL)
     headers[n++] = (struct http_header){ "if-match", call->if_match };
-  if (call->if_none_match)
+  if (call->if_none_match && c->wire == NULL)
     headers[n++] = (struct http_header){ "if-none-match", "*" };
   if (call->body)
     headers[n++] = (struct http_header){ "content-type", "application/json" };
@@ -227,13 +239,26 @@
     .tls_host = c->tls_host,
   };
   struct call *call = g_new0 (struct call, 1);
+  struct platform_wire_call out = { 0 };
 
   call->base.impl = &call_impl;
   call->client = c;
   call->id = core_call->id;
+  call->op = core_call->op;
+  g_strlcpy (call->kind, core_call->kind, sizeof call->kind);
   call->body = g_string_new (NULL);
   g_hash_table_insert (c->calls, &call->id, call);
+  if (c->wire != NULL)
+    {
+      c->wire->impl->call (c->wire, core_call, &out);
+      request.method = out.method;
+      request.path = out.path;
+      request.body = out.body;
+      request.body_bytes = out.body != NULL ? strlen (out.body) : 0;
+    }
   call->http = http_call_start (c->http, &request, &call->base);
+  g_free (out.path);
+  g_free (out.body);
 }
 
 static void
@@ -346,6 +371,7 @@
   c->port = settings->port;
   c->tls = settings->tls;
   c->tls_host = g_strdup (settings->tls_host);
+  c->wire = settings->wire;
   if (settings->token)
     c->authorization = g_strconcat ("Bearer ", settings->token, NULL);
   cells_create (c, counters);
--- /dev/null
+++ b/gatewayd/gateway.c
@@ -0,0 +1,387 @@
+#include "gateway.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+#include "common/counters.h"
+#include "directory.h"
+#include "front.h"
+#include "outbound.h"
+#include "source.h"
+
+/* How often a stopping node looks whether all is answered. */
+#define STOP_POLL_MS 50
+/* What is still open so long before the kill is ended, so that callers hear
+ * it from this node. */
+#define STOP_MARGIN_MS 700
+/* Store calls are short; one that takes longer has met a silent store. */
+#define STORE_CALL_MS 700
+/* A waiting watch is renewed so often: a connection that went silent is
+ * noticed by the answer that does not come. */
+#define STORE_WATCH_MS 2000
+#define STORE_SPACING_MS 20
+#define STORE_BACKOFF_MIN_MS 50
+#define STORE_BACKOFF_MAX_MS 400
+/* Part of the fleet's rate that one node may use. */
+#define STORE_RATE_PART 0.02
+
+struct gateway
+{
+  struct beryl_forward_owner base;
+  struct source_owner source_base;
+  struct directory_owner directory_base;
+  struct loop *loop;
+  const struct gateway_wire *wire;
+  struct gateway_settings settings;
+  struct counters *counters;
+  struct platform_client *store;
+  struct beryl_lives *lives;
+  struct beryl_forward *forward;
+  struct front *front;
+  struct outbound *outbound;
+  struct source *source;
+  struct directory *directory;
+  struct loop_timer *tick;
+  int64_t tick_ms;
+  uv_prepare_t *prepare;
+  struct loop_timer *stop_poll;
+  int64_t stop_began_ms; /* 0: not stopping */
+};
+
+static struct gateway *
+of_forward (struct beryl_forward_owner *owner)
+{
+  return (struct gateway *)owner;
+}
+
+static struct gateway *
+of_source (struct source_owner *owner)
+{
+  return (struct gateway *)((char *)owner
+                            - offsetof (struct gateway, source_base));
+}
+
+static struct gateway *
+of_directory (struct directory_owner *owner)
+{
+  return (struct gateway *)((char *)owner
+                            - offsetof (struct gateway, directory_base));
+}
+
+static void
+forward_start_exchange (struct beryl_forward_owner *owner,
+                        const struct beryl_exchange_start *start)
+{
+  struct gateway *g = of_forward (owner);
+  const struct h1_head *head = NULL;
+  const char *body = NULL;
+  size_t body_bytes = 0;
+
+  if (start->request != 0)
+    head = front_request (g->front, start->request, &body, &body_bytes);
+  outbound_start (g->outbound, start, head, body, body_bytes);
+}
+
+static void
+forward_abort (struct beryl_forward_owner *owner, uint64_t exchange)
+{
+  outbound_abort (of_forward (owner)->outbound, exchange);
+}
+
+static void
+forward_pause (struct beryl_forward_owner *owner, uint64_t exchange,
+               bool paused)
+{
+  outbound_pause (of_forward (owner)->outbound, exchange, paused);
+}
+
+static void
+forward_begin (struct beryl_forward_owner *owner, uint64_t request,
+               uint64_t exchange)
+{
+  struct gateway *g = of_forward (owner);
+  uint64_t length = 0;
+  bool has_length = outbound_length (g->outbound, exchange, &length);
+
+  front_begin (g->front, request, outbound_head (g->outbound, exchange),
+               has_length, length);
+}
+
+static void
+forward_data (struct beryl_forward_owner *owner, uint64_t request,
+              const char *bytes, size_t bytes_count)
+{
+  front_data (of_forward (owner)->front, request, bytes, bytes_count);
+}
+
+static void
+forward_end (struct beryl_forward_owner *owner, uint64_t request)
+{
+  front_end (of_forward (owner)->front, request);
+}
+
+static void
+forward_cut (struct beryl_forward_owner *owner, uint64_t request)
+{
+  front_cut (of_forward (owner)->front, request);
+}
+
+static void
+forward_refuse (struct beryl_forward_owner *owner, uint64_t request,
+                const struct beryl_refusal *refusal)
+{
+  front_refuse (of_forward (owner)->front, request, refusal);
+}
+
+static void
+forward_decided (struct beryl_forward_owner *owner,
+                 const struct beryl_decision *d)
+{
+  g_info ("request id=%s route=%s step=%s outcome=%s endpoint=%s age_ms="
+          "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT
+          " configuration=%" G_GUINT64_FORMAT " seen=%" G_GUINT64_FORMAT,
+          d->id, d->route, d->step, d->outcome,
+          d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms,
+          d->number, d->config_version, d->endpoint_revision);
+}
+
+static const struct beryl_forward_owner_impl forward_impl = {
+  .start = forward_start_exchange,
+  .abort = forward_abort,
+  .pause = forward_pause,
+  .answer_begin = forward_begin,
+  .answer_data = forward_data,
+  .answer_end = forward_end,
+  .answer_cut = forward_cut,
+  .refuse = forward_refuse,
+  .decided = forward_decided,
+};
+
+static void
+source_routes (struct source_owner *owner, struct beryl_routes *routes)
+{
+  struct gateway *g = of_source (owner);
+  const struct beryl_caller_limits *from = &routes->limits;
+  struct h1_limits limits = {
+    .header_bytes = from->header_bytes,
+    .body_bytes = from->body_bytes,
+    .header_timeout_ms = from->header_timeout_ms,
+    .idle_timeout_ms = from->idle_timeout_ms,
+    .connections = g->settings.descriptors_max / 2,
+  };
+
+  beryl_forward_set_routes (g->forward, routes);
+  beryl_routes_unref (routes);
+  h1_server_set_limits (front_server (g->front), &limits);
+}
+
+static void
+source_endpoints (struct source_owner *owner)
+{
+  struct gateway *g = of_source (owner);
+
+  beryl_forward_lives_changed (g->forward, loop_now_ms (g->loop));
+}
+
+static const struct source_owner_impl source_impl
+    = { .routes = source_routes, .endpoints = source_endpoints };
+
+static bool
+directory_ready (struct directory_owner *owner)
+{
+  struct gateway *g = of_directory (owner);
+
+  return g->stop_began_ms == 0 && source_complete (g->source);
+}
+
+static void
+directory_addresses (struct directory_owner *owner,
+                     const struct gateway_place *place, GPtrArray *addresses)
+{
+  struct gateway *g = of_directory (owner);
+
+  g_ptr_array_add (addresses, g_strdup_printf ("%s:%u", g->settings.front.ip,
+                                               g->settings.front.port));
+}
+
+static char *
+directory_metrics (struct directory_owner *owner)
+{
+  return counters_format (of_directory (owner)->counters);
+}
+
+static const struct directory_owner_impl directory_impl = {
+  .ready = directory_ready,
+  .addresses = directory_addresses,
+  .metrics = directory_metrics,
+};
+
+static void
+tick (void *user)
+{
+  struct gateway *g = user;
+
+  loop_timer_stop (g->tick);
+  g->tick = NULL;
+  beryl_forward_tick (g->forward, loop_now_ms (g->loop));
+}
+
+/* Runs once a turn of the loop, before it waits; a timer that is early costs
+ * an empty tick, moving it for each event would cost more. */
+static void
+schedule_tick (uv_prepare_t *prepare)
+{
+  struct gateway *g = prepare->data;
+  int64_t next_ms = beryl_forward_next_ms (g->forward);
+  int64_t now_ms;
+
+  if (next_ms == BERYL_NEVER_MS || (g->tick != NULL && g->tick_ms <= next_ms))
+    return;
+  now_ms = loop_now_ms (g->loop);
+  loop_timer_stop (g->tick);
+  g->tick_ms = next_ms;
+  g->tick = loop_timer_start (g->loop, next_ms > now_ms ? next_ms - now_ms : 1,
+                              0, tick, g);
+}
+
+static void
+create_prepare (struct gateway *g)
+{
+  g->prepare = g_new0 (uv_prepare_t, 1);
+  uv_prepare_init (loop_uv (g->loop), g->prepare);
+  g->prepare->data = g;
+  uv_prepare_start (g->prepare, schedule_tick);
+}
+
+static void
+free_handle (uv_handle_t *handle)
+{
+  g_free (handle);
+}
+
+static uint64_t
+random_number (void)
+{
+  uint64_t number = 0;
+
+  if (getrandom (&number, sizeof number, 0) != (ssize_t)sizeof number)
+    number = uv_hrtime ();
+  return number;
+}
+
+static void
+create_store (struct gateway *g, struct http_context *http)
+{
+  struct platform_client_settings settings = {
+    .address = g->settings.platform.ip,
+    .port = g->settings.platform.port,
+    .wire = &g->wire->store,
+    .seed = random_number (),
+    .core = {
+      .reads_per_s = g->settings.platform_reads_per_s * STORE_RATE_PART,
+      .writes_per_s = g->settings.platform_writes_per_s * STORE_RATE_PART,
+      .call_timeout_ms = STORE_CALL_MS,
+      .watch_wait_ms = STORE_WATCH_MS,
+      .watch_spacing_ms = STORE_SPACING_MS,
+      .backoff_min_ms = STORE_BACKOFF_MIN_MS,
+      .backoff_max_ms = STORE_BACKOFF_MAX_MS,
+    },
+  };
+
+  g->store = platform_client_create (g->loop, http, &settings, g->counters);
+}
+
+static void
+create_forward (struct gateway *g)
+{
+  struct beryl_forward_settings settings = {
+    .seed = random_number (),
+    .repeat_ratio = g->settings.repeat_ratio,
+    .repeat_slack = g->settings.repeat_slack,
+    .repeat_window_ms = g->settings.repeat_window_ms,
+  };
+
+  memcpy (settings.data_centre, g->settings.data_centre,
+          sizeof settings.data_centre);
+  g->lives = beryl_lives_create ();
+  g->forward = beryl_forward_create (&settings, g->lives, &g->base);
+  beryl_forward_set_nodes (g->forward, 8);
+}
+
+struct gateway *
+gateway_create (struct loop *loop, struct http_context *http,
+                const struct gateway_wire *wire,
+                const struct gateway_settings *settings,
+                struct beryl_error *error)
+{
+  struct gateway *g = g_new0 (struct gateway, 1);
+
+  g->base.impl = &forward_impl;
+  g->source_base.impl = &source_impl;
+  g->directory_base.impl = &directory_impl;
+  g->loop = loop;
+  g->wire = wire;
+  g->settings = *settings;
+  g->counters = counters_create ();
+  create_forward (g);
+  g->outbound = outbound_create (loop, wire, g->forward);
+  create_store (g, http);
+  create_prepare (g);
+  g->front = front_create (loop, wire, &g->settings.front, g->forward, error);
+  if (g->front != NULL)
+    g->source
+        = source_create (loop, wire, g->store, g->lives, &g->source_base);
+  if (g->source != NULL)
+    g->directory = directory_create (loop, wire, &g->settings,
+                                     &g->directory_base, error);
+  if (g->directory != NULL)
+    return g;
+  gateway_destroy (g);
+  return NULL;
+}
+
+void
+gateway_destroy (struct gateway *g)
+{
+  if (g == NULL)
+    return;
+  loop_timer_stop (g->tick);
+  loop_timer_stop (g->stop_poll);
+  uv_close ((uv_handle_t *)g->prepare, free_handle);
+  directory_destroy (g->directory);
+  front_destroy (g->front);
+  source_destroy (g->source);
+  outbound_destroy (g->outbound);
+  beryl_forward_destroy (g->forward);
+  beryl_lives_destroy (g->lives);
+  platform_client_destroy (g->store);
+  counters_destroy (g->counters);
+  g_free (g);
+}
+
+static void
+stop_poll (void *user)
+{
+  struct gateway *g = user;
+  int64_t stopping_ms = loop_now_ms (g->loop) - g->stop_began_ms;
+  bool spread = stopping_ms >= 2 * g->settings.address_keep_ms;
+
+  if ((spread && beryl_forward_open (g->forward) == 0
+       && h1_server_open (front_server (g->front)) == 0)
+      || stopping_ms >= g->settings.stop_ms - STOP_MARGIN_MS)
+    {
+      g_info ("stopped after_ms=%" G_GINT64_FORMAT " open=%u", stopping_ms,
+              beryl_forward_open (g->forward));
+      loop_quit (g->loop);
+    }
+}
+
+void
+gateway_stop (struct gateway *g)
+{
+  g_info ("stop asked open=%u", beryl_forward_open (g->forward));
+  g->stop_began_ms = loop_now_ms (g->loop);
+  h1_server_drain (front_server (g->front), g->settings.address_keep_ms);
+  g->stop_poll
+      = loop_timer_start (g->loop, STOP_POLL_MS, STOP_POLL_MS, stop_poll, g);
+}
--- /dev/null
+++ b/gatewayd/gateway.h
@@ -0,0 +1,29 @@
+/** @file
+ * One node: connects the callers' side, the forwarder, the exchanges with
+ * endpoints and the view of the platform.
+ */
+#ifndef GATEWAYD_GATEWAY_H
+#define GATEWAYD_GATEWAY_H
+
+#include "beryl/error.h"
+#include "common/loop.h"
+#include "gateway/wire.h"
+#include "http/context.h"
+#include "settings.h"
+
+struct gateway;
+
+/** Create and listen; NULL and ERROR on failure. */
+struct gateway *gateway_create (struct loop *loop, struct http_context *http,
+                                const struct gateway_wire *wire,
+                                const struct gateway_settings *settings,
+                                struct beryl_error *error);
+
+/** Release; NULL is allowed. */
+void gateway_destroy (struct gateway *gateway);
+
+/** Begin a planned stop: take no new callers, finish what runs, then quit
+ * the loop. */
+void gateway_stop (struct gateway *gateway);
+
+#endif
--- /dev/null
+++ b/gatewayd/main.c
@@ -0,0 +1,68 @@
+/** @file
+ * beryl-gatewayd: passes callers' requests on to endpoints by route.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/daemon.h"
+#include "gateway.h"
+#include "platform.h"
+
+static void
+stop (void *user)
+{
+  gateway_stop (user);
+}
+
+static int
+run (const struct gateway_settings *settings)
+{
+  struct beryl_error error = { 0 };
+  struct loop *loop = loop_create ();
+  struct http_context *http;
+  struct gateway *gateway;
+  bool started;
+
+  loop_limit_descriptors (settings->descriptors_max);
+  http = http_context_create (loop, NULL);
+  gateway = gateway_create (loop, http, platform_gateway_wire (), settings,
+                            &error);
+  started = gateway != NULL;
+  if (started)
+    {
+      loop_on_stop (loop, stop, gateway);
+      g_info ("started node=%s data_centre=%s version=%s", settings->node,
+              settings->data_centre, BERYL_VERSION);
+      loop_run (loop);
+    }
+  else
+    fprintf (stderr, "beryl-gatewayd: %s\n", error.message);
+  gateway_destroy (gateway);
+  http_context_destroy (http);
+  loop_destroy (loop);
+  return started ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+static bool
+load (void *settings, const char *path, struct beryl_findings *findings)
+{
+  return gateway_settings_load (settings, path, findings);
+}
+
+static const struct daemon_program program
+    = { .name = "beryl-gatewayd",
+        .purpose = "Pass callers' requests on to endpoints by route.",
+        .load = load };
+
+int
+main (int argc, char **argv)
+{
+  struct gateway_settings settings;
+  int status;
+
+  if (!daemon_start (&program, argc, argv, &settings, &status))
+    return status;
+  log_init (program.name, LOG_FORMAT_TEXT, settings.log_level);
+  return run (&settings);
+}
--- /dev/null
+++ b/gatewayd/outbound.c
@@ -0,0 +1,264 @@
+#include "outbound.h"
+
+#include <string.h>
+
+#include "h1/client.h"
+
+/* Answers to engine calls are small; more than this is not one. */
+#define ENGINE_ANSWER_MAX_BYTES 65536
+
+struct outbound
+{
+  struct loop *loop;
+  const struct gateway_wire *wire;
+  struct beryl_forward *forward;
+  GHashTable *calls; /* number to struct call */
+};
+
+struct call
+{
+  struct h1_call_handler base;
+  struct outbound *outbound;
+  uint64_t exchange;
+  enum beryl_exchange_kind kind;
+  struct h1_call *http;
+  const struct h1_head *head; /* NULL before it came */
+  GString *body;              /* of an answer other than RUN's */
+};
+
+static void
+call_free (void *pointer)
+{
+  struct call *call = pointer;
+
+  if (call->http != NULL)
+    h1_call_cancel (call->http);
+  g_string_free (call->body, TRUE);
+  g_free (call);
+}
+
+static void
+call_head (struct h1_call_handler *handler, struct h1_call *http,
+           const struct h1_head *head)
+{
+  struct call *call = (struct call *)handler;
+  struct outbound *o = call->outbound;
+  struct beryl_answer_head answer = { 0 };
+
+  call->head = head;
+  if (call->kind != BERYL_EXCHANGE_RUN)
+    return;
+  o->wire->impl->read_answer (o->wire, head, &answer);
+  beryl_forward_head (o->forward, call->exchange, &answer,
+                      loop_now_ms (o->loop));
+}
+
+static void
+call_data (struct h1_call_handler *handler, struct h1_call *http,
+           const char *bytes, size_t bytes_count)
+{
+  struct call *call = (struct call *)handler;
+  struct outbound *o = call->outbound;
+
+  if (call->kind == BERYL_EXCHANGE_RUN)
+    beryl_forward_data (o->forward, call->exchange, bytes, bytes_count,
+                        loop_now_ms (o->loop));
+  else if (call->body->len + bytes_count <= ENGINE_ANSWER_MAX_BYTES)
+    g_string_append_len (call->body, bytes, (gssize)bytes_count);
+}
+
+/* Takes CALL out of the table; it is freed once the event was told. */
+static void
+call_steal (struct call *call)
+{
+  g_hash_table_steal (call->outbound->calls, &call->exchange);
+  call->http = NULL;
+}
+
+static void
+tell_result (struct call *call)
+{
+  struct outbound *o = call->outbound;
+  struct beryl_engine_result result = { 0 };
+
+  o->wire->impl->read_engine_answer (o->wire, call->kind, call->head,
+                                     call->body->str, call->body->len,
+                                     &result);
+  call_steal (call);
+  beryl_forward_result (o->forward, call->exchange, &result,
+                        loop_now_ms (o->loop));
+  call_free (call);
+}
+
+static void
+call_done (struct h1_call_handler *handler, struct h1_call *http)
+{
+  struct call *call = (struct call *)handler;
+  struct outbound *o = call->outbound;
+  uint64_t exchange = call->exchange;
+
+  call->http = NULL;
+  if (call->kind != BERYL_EXCHANGE_RUN)
+    {
+      tell_result (call);
+      return;
+    }
+  /* The forwarder may begin the caller's answer now, which reads the head
+     by the exchange's number. */
+  beryl_forward_done (o->forward, exchange, loop_now_ms (o->loop));
+  g_hash_table_remove (o->calls, &exchange);
+}
+
+static enum beryl_break
+break_of (enum h1_failure failure)
+{
+  switch (failure)
+    {
+    case H1_FAILURE_REFUSED:
+    case H1_FAILURE_CONNECT:
+      return BERYL_BREAK_CONNECT;
+    case H1_FAILURE_RESET:
+      return BERYL_BREAK_RESET;
+    case H1_FAILURE_CLOSED:
+      return BERYL_BREAK_CLOSED;
+    case H1_FAILURE_GARBLED:
+      break;
+    }
+  return BERYL_BREAK_GARBLED;
+}
+
+static void
+call_failed (struct h1_call_handler *handler, struct h1_call *http,
+             enum h1_failure failure, bool sent)
+{
+  struct call *call = (struct call *)handler;
+  struct outbound *o = call->outbound;
+
+  call_steal (call);
+  beryl_forward_broken (o->forward, call->exchange, break_of (failure), sent,
+                        loop_now_ms (o->loop));
+  call_free (call);
+}
+
+static const struct h1_call_handler_impl call_impl = {
+  .head = call_head,
+  .data = call_data,
+  .done = call_done,
+  .failed = call_failed,
+};
+
+struct outbound *
+outbound_create (struct loop *loop, const struct gateway_wire *wire,
+                 struct beryl_forward *forward)
+{
+  struct outbound *o = g_new0 (struct outbound, 1);
+
+  o->loop = loop;
+  o->wire = wire;
+  o->forward = forward;
+  o->calls
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, call_free);
+  return o;
+}
+
+void
+outbound_destroy (struct outbound *o)
+{
+  if (o == NULL)
+    return;
+  g_hash_table_destroy (o->calls);
+  g_free (o);
+}
+
+static bool
+passes_request (enum beryl_exchange_kind kind)
+{
+  return kind == BERYL_EXCHANGE_RUN || kind == BERYL_EXCHANGE_PREFILL;
+}
+
+void
+outbound_start (struct outbound *o, const struct beryl_exchange_start *start,
+                const struct h1_head *head, const char *body,
+                size_t body_bytes)
+{
+  struct call *call = g_new0 (struct call, 1);
+  struct h1_request request = {
+    .address = start->endpoint->info.address,
+    .port = start->endpoint->info.port,
+    .connect_timeout_ms = start->connect_timeout_ms,
+  };
+  GString *out = g_string_sized_new (1024);
+  GString *own = g_string_new (NULL);
+
+  if (passes_request (start->kind))
+    {
+      o->wire->impl->format_request (o->wire, head, body_bytes, start, out);
+      request.body = body;
+      request.body_bytes = body_bytes;
+      request.no_answer_body = strcmp (head->method, "HEAD") == 0;
+    }
+  else
+    {
+      o->wire->impl->format_engine_call (o->wire, start, out, own);
+      request.body = own->str;
+      request.body_bytes = own->len;
+    }
+  request.head = out->str;
+  request.head_bytes = out->len;
+  call->base.impl = &call_impl;
+  call->outbound = o;
+  call->exchange = start->exchange;
+  call->kind = start->kind;
+  call->body = g_string_new (NULL);
+  g_hash_table_insert (o->calls, &call->exchange, call);
+  call->http = h1_call_start (o->loop, &request, &call->base);
+  g_string_free (out, TRUE);
+  g_string_free (own, TRUE);
+}
+
+static struct call *
+call_find (const struct outbound *o, uint64_t exchange)
+{
+  return g_hash_table_lookup (o->calls, &exchange);
+}
+
+void
+outbound_abort (struct outbound *o, uint64_t exchange)
+{
+  struct call *call = call_find (o, exchange);
+
+  if (call == NULL)
+    return;
+  g_hash_table_steal (o->calls, &call->exchange);
+  call_free (call);
+}
+
+void
+outbound_pause (struct outbound *o, uint64_t exchange, bool paused)
+{
+  struct call *call = call_find (o, exchange);
+
+  if (call != NULL && call->http != NULL)
+    h1_call_pause (call->http, paused);
+}
+
+const struct h1_head *
+outbound_head (const struct outbound *o, uint64_t exchange)
+{
+  const struct call *call = call_find (o, exchange);
+
+  return call != NULL ? call->head : NULL;
+}
+
+bool
+outbound_length (const struct outbound *o, uint64_t exchange, uint64_t *length)
+{
+  const struct h1_head *head = outbound_head (o, exchange);
+  const char *text
+      = head != NULL ? h1_head_find (head, "content-length") : NULL;
+
+  if (text == NULL)
+    return false;
+  *length = g_ascii_strtoull (text, NULL, 10);
+  return true;
+}
--- /dev/null
+++ b/gatewayd/settings.c
@@ -0,0 +1,115 @@
+#include "settings.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "beryl/fields.h"
+#include "common/settings.h"
+
+#define HOUR_MS 3600000.0
+#define DESCRIPTORS_LEAST 64
+
+static void
+read_address (const struct beryl_place *place, json_t *value,
+              struct gateway_address *address)
+{
+  const char *text = json_string_value (value);
+  const char *colon = text != NULL ? strrchr (text, ':') : NULL;
+  size_t length = colon != NULL ? (size_t)(colon - text) : 0;
+  unsigned long port = colon != NULL ? strtoul (colon + 1, NULL, 10) : 0;
+
+  if (text != NULL && text[0] == '\0')
+    return;
+  if (length == 0 || length >= sizeof address->ip || port == 0
+      || port > UINT16_MAX)
+    {
+      beryl_place_finding (place, NULL, "must be \"IP-number:port\"");
+      return;
+    }
+  memcpy (address->ip, text, length);
+  address->ip[length] = '\0';
+  address->port = (uint16_t)port;
+}
+
+#define ADDRESS_READER(member)                                                \
+  static void read_##member (const struct beryl_place *place, json_t *value,  \
+                             void *target)                                    \
+  {                                                                           \
+    read_address (place, value,                                               \
+                  &((struct gateway_settings *)target)->member);              \
+  }
+ADDRESS_READER (front)
+ADDRESS_READER (ready)
+ADDRESS_READER (directory)
+ADDRESS_READER (platform)
+
+#define OFFSET(member) .offset = offsetof (struct gateway_settings, member)
+#define TEXT(type_, member, need)                                             \
+  {                                                                           \
+    .key = #member, .type = type_, OFFSET (member),                           \
+    .bytes = sizeof (((struct gateway_settings *)0)->member),                 \
+    .required = need                                                          \
+  }
+#define NUMBER(type_, member, low, high)                                      \
+  {                                                                           \
+    .key = #member, .type = type_, OFFSET (member), .min = low, .max = high   \
+  }
+#define ADDRESS(member, need)                                                 \
+  {                                                                           \
+    .key = #member, .type = BERYL_FIELD_CUSTOM, .custom = read_##member,      \
+    .required = need                                                          \
+  }
+
+static const struct beryl_field fields[] = {
+  TEXT (BERYL_FIELD_NAME, node, true),
+  TEXT (BERYL_FIELD_NAME, data_centre, true),
+  TEXT (BERYL_FIELD_NAME, region, false),
+  ADDRESS (front, true),
+  ADDRESS (ready, false),
+  ADDRESS (directory, false),
+  ADDRESS (platform, true),
+  NUMBER (BERYL_FIELD_UINT16, peer_port, 0, 65535),
+  NUMBER (BERYL_FIELD_UINT16, metrics_port, 0, 65535),
+  NUMBER (BERYL_FIELD_DOUBLE, platform_reads_per_s, 0.1, 1e9),
+  NUMBER (BERYL_FIELD_DOUBLE, platform_writes_per_s, 0.1, 1e9),
+  NUMBER (BERYL_FIELD_DOUBLE, repeat_ratio, 0, 100),
+  NUMBER (BERYL_FIELD_UINT32, repeat_slack, 0, 1e9),
+  NUMBER (BERYL_FIELD_INT64, repeat_window_ms, 100, HOUR_MS),
+  NUMBER (BERYL_FIELD_INT64, address_keep_ms, 1000, HOUR_MS),
+  NUMBER (BERYL_FIELD_INT64, stop_ms, 100, HOUR_MS),
+  NUMBER (BERYL_FIELD_INT64, lease_ms, 100, HOUR_MS),
+  NUMBER (BERYL_FIELD_INT64, thaw_ms, 0, HOUR_MS),
+  { .key = "engines_check_fence",
+    .type = BERYL_FIELD_BOOL,
+    OFFSET (engines_check_fence) },
+  NUMBER (BERYL_FIELD_UINT32, descriptors_max, DESCRIPTORS_LEAST, 1e7),
+  NUMBER (BERYL_FIELD_UINT32, memory_mb, 16, 1e7),
+  TEXT (BERYL_FIELD_TEXT, log_level, false),
+  NUMBER (BERYL_FIELD_UINT32, log_lines_per_s, 1, 1e6),
+};
+
+static const struct gateway_settings defaults = {
+  .platform_reads_per_s = 1000,
+  .platform_writes_per_s = 100,
+  .repeat_ratio = 0.2,
+  .repeat_slack = 50,
+  .repeat_window_ms = 10000,
+  .address_keep_ms = 2000,
+  .stop_ms = 8000,
+  .lease_ms = 3000,
+  .thaw_ms = 300,
+  .descriptors_max = 4096,
+  .memory_mb = 100,
+  .log_level = "info",
+  .log_lines_per_s = 200,
+};
+
+bool
+gateway_settings_load (struct gateway_settings *settings, const char *path,
+                       struct beryl_findings *findings)
+{
+  *settings = defaults;
+  return settings_load (path, fields, G_N_ELEMENTS (fields), settings,
+                        findings);
+}
--- /dev/null
+++ b/gatewayd/source.c
@@ -0,0 +1,127 @@
+#include "source.h"
+
+#include <string.h>
+
+struct source
+{
+  struct loop *loop;
+  const struct gateway_wire *wire;
+  struct platform_client *client;
+  struct beryl_lives *lives;
+  struct source_owner *owner;
+  uint64_t configuration_watch;
+  uint64_t endpoint_watch;
+  uint64_t version; /* of the configuration in force */
+  bool has_routes;
+  bool has_endpoints;
+  bool endpoints_changed;
+};
+
+static void
+configuration_event (void *user, const struct beryl_platform_event *event)
+{
+  struct source *s = user;
+  struct beryl_error error = { 0 };
+  struct beryl_routes *routes;
+
+  if (event->deleted
+      || strcmp (event->object.name, s->wire->impl->configuration_name) != 0)
+    return;
+  routes = s->wire->impl->read_routes (s->wire, &event->object, &error);
+  if (routes == NULL)
+    {
+      g_warning ("configuration revision %" G_GUINT64_FORMAT
+                 " is not used, the last good one stays: %s",
+                 event->object.version, error.message);
+      return;
+    }
+  g_info ("configuration version=%" G_GUINT64_FORMAT
+          " revision=%" G_GUINT64_FORMAT " routes=%zu services=%zu in force",
+          routes->version, event->object.version, routes->route_count,
+          routes->service_count);
+  s->has_routes = true;
+  s->version = routes->version;
+  s->owner->impl->routes (s->owner, routes);
+}
+
+static void
+endpoint_event (void *user, const struct beryl_platform_event *event)
+{
+  struct source *s = user;
+  struct beryl_live_info info;
+  struct beryl_error error = { 0 };
+
+  s->endpoints_changed = true;
+  if (event->deleted)
+    {
+      g_info ("endpoint id=%s revision=%" G_GUINT64_FORMAT " gone",
+              event->object.name, event->object.version);
+      beryl_lives_remove (s->lives, event->object.name);
+      return;
+    }
+  if (!s->wire->impl->read_endpoint (s->wire, &event->object, &info, &error))
+    {
+      g_warning ("endpoint entry '%s' is not used: %s", event->object.name,
+                 error.message);
+      return;
+    }
+  g_info ("endpoint id=%s revision=%" G_GUINT64_FORMAT
+          " service=%s address=%s:%u stage=%s %s",
+          info.id, info.revision, info.service, info.address, info.port,
+          beryl_stage_name (info.stage), info.leaving ? "leaving" : "ready");
+  beryl_lives_put (s->lives, &info);
+}
+
+static void
+endpoints_synced (void *user, uint64_t revision)
+{
+  struct source *s = user;
+
+  s->has_endpoints = true;
+  if (!s->endpoints_changed)
+    return;
+  s->endpoints_changed = false;
+  s->owner->impl->endpoints (s->owner);
+}
+
+static const struct platform_watch_callbacks configuration_callbacks
+    = { .event = configuration_event };
+static const struct platform_watch_callbacks endpoint_callbacks
+    = { .event = endpoint_event, .synced = endpoints_synced };
+
+struct source *
+source_create (struct loop *loop, const struct gateway_wire *wire,
+               struct platform_client *client, struct beryl_lives *lives,
+               struct source_owner *owner)
+{
+  struct source *s = g_new0 (struct source, 1);
+
+  s->loop = loop;
+  s->wire = wire;
+  s->client = client;
+  s->lives = lives;
+  s->owner = owner;
+  s->configuration_watch = platform_client_watch (
+      client, BERYL_USE_CONFIG, wire->impl->configuration_kind,
+      &configuration_callbacks, s);
+  s->endpoint_watch = platform_client_watch (client, BERYL_USE_INSTANCES,
+                                             wire->impl->endpoint_kind,
+                                             &endpoint_callbacks, s);
+  return s;
+}
+
+void
+source_destroy (struct source *s)
+{
+  if (s == NULL)
+    return;
+  platform_client_unwatch (s->client, s->configuration_watch);
+  platform_client_unwatch (s->client, s->endpoint_watch);
+  g_free (s);
+}
+
+bool
+source_complete (const struct source *s)
+{
+  return s->has_routes && s->has_endpoints;
+}
--- /dev/null
+++ b/gatewayd/source.h
@@ -0,0 +1,45 @@
+/** @file
+ * Watches the platform's API: the configuration object, and the entries of
+ * the endpoints.
+ */
+#ifndef GATEWAYD_SOURCE_H
+#define GATEWAYD_SOURCE_H
+
+#include "beryl/live.h"
+#include "common/counters.h"
+#include "common/loop.h"
+#include "common/platform_client.h"
+#include "gateway/wire.h"
+
+struct source;
+struct source_owner;
+
+/** What the owner does with news. */
+struct source_owner_impl
+{
+  /** A newer configuration is in force; the callee takes its reference. */
+  void (*routes) (struct source_owner *owner, struct beryl_routes *routes);
+  /** The set of endpoints changed. */
+  void (*endpoints) (struct source_owner *owner);
+};
+
+/** The owner; the first member selects the implementation. */
+struct source_owner
+{
+  const struct source_owner_impl *impl;
+};
+
+/** Watch through CLIENT; LIVES takes the endpoints. */
+struct source *source_create (struct loop *loop,
+                              const struct gateway_wire *wire,
+                              struct platform_client *client,
+                              struct beryl_lives *lives,
+                              struct source_owner *owner);
+
+/** Release; NULL is allowed. */
+void source_destroy (struct source *source);
+
+/** Whether both were read whole at least once. */
+bool source_complete (const struct source *source);
+
+#endif
--- /dev/null
+++ b/h1/client.c
@@ -0,0 +1,332 @@
+#include "h1/client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "builder.h"
+
+#define CONNECT_TIMEOUT_MS 1000
+#define READ_BYTES 65536
+
+struct h1_call
+{
+  uv_tcp_t tcp;
+  uv_timer_t timer; /* of the connect */
+  uv_connect_t connect;
+  uv_write_t write;
+  struct h1_call_handler *handler;
+  GString *out; /* head and body until they are written */
+  http_parser parser;
+  struct head_builder builder;
+  uint32_t handles_open;
+  bool no_answer_body;
+  bool connected;
+  bool sent;
+  bool head_told;
+  bool whole;
+  bool closing;
+};
+
+const char *
+h1_failure_name (enum h1_failure failure)
+{
+  static const char *const names[]
+      = { "refused", "connect_timeout", "reset", "closed", "garbled" };
+
+  return names[failure];
+}
+
+static void
+handle_closed (uv_handle_t *handle)
+{
+  struct h1_call *call = handle->data;
+
+  if (--call->handles_open > 0)
+    return;
+  head_builder_clear (&call->builder);
+  if (call->out != NULL)
+    g_string_free (call->out, TRUE);
+  g_free (call);
+}
+
+/* The memory lives until libuv has reported both handles closed. */
+static void
+call_close (struct h1_call *call)
+{
+  if (call->closing)
+    return;
+  call->closing = true;
+  uv_close ((uv_handle_t *)&call->tcp, handle_closed);
+  uv_close ((uv_handle_t *)&call->timer, handle_closed);
+}
+
+static void
+call_fail (struct h1_call *call, enum h1_failure failure)
+{
+  if (call->closing)
+    return;
+  call_close (call);
+  call->handler->impl->failed (call->handler, call, failure, call->sent);
+}
+
+static int
+on_status (http_parser *parser, const char *at, size_t length)
+{
+  struct h1_call *call = parser->data;
+
+  head_builder_add (&call->builder, HEAD_START, at, length);
+  return 0;
+}
+
+static int
+on_field (http_parser *parser, const char *at, size_t length)
+{
+  struct h1_call *call = parser->data;
+
+  if (!call->head_told)
+    head_builder_add (&call->builder, HEAD_NAME, at, length);
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t length)
+{
+  struct h1_call *call = parser->data;
+
+  if (!call->head_told)
+    head_builder_add (&call->builder, HEAD_VALUE, at, length);
+  return 0;
+}
+
+static bool
+is_interim (const http_parser *parser)
+{
+  return parser->status_code / 100 == 1;
+}
+
+static int
+on_head (http_parser *parser)
+{
+  struct h1_call *call = parser->data;
+
+  parser->upgrade = 0;
+  if (is_interim (parser))
+    return 0;
+  head_builder_finish (&call->builder, parser);
+  call->head_told = true;
+  call->handler->impl->head (call->handler, call, &call->builder.head);
+  return call->no_answer_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  struct h1_call *call = parser->data;
+
+  if (!call->closing)
+    call->handler->impl->data (call->handler, call, at, length);
+  return 0;
+}
+
+static int
+on_message (http_parser *parser)
+{
+  struct h1_call *call = parser->data;
+
+  if (is_interim (parser))
+    {
+      head_builder_reset (&call->builder);
+      return 0;
+    }
+  call->whole = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_status = on_status,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_message,
+};
+
+/* Ends the call if the answer is whole.  What may follow on the connection
+ * belongs to no request and is never read. */
+static void
+call_check_whole (struct h1_call *call)
+{
+  if (!call->whole || call->closing)
+    return;
+  call_close (call);
+  call->handler->impl->done (call->handler, call);
+}
+
+static void
+call_parse (struct h1_call *call, const char *bytes, size_t bytes_count)
+{
+  size_t taken = http_parser_execute (&call->parser, &parser_settings, bytes,
+                                      bytes_count);
+
+  if (call->closing)
+    return;
+  if (call->whole)
+    call_check_whole (call);
+  else if (taken != bytes_count || HTTP_PARSER_ERRNO (&call->parser) != HPE_OK)
+    call_fail (call, H1_FAILURE_GARBLED);
+}
+
+/* An orderly end completes an answer without a stated length, and only such
+ * an answer; the parser knows. */
+static void
+call_ended (struct h1_call *call)
+{
+  http_parser_execute (&call->parser, &parser_settings, NULL, 0);
+  if (call->closing)
+    return;
+  if (call->whole)
+    call_check_whole (call);
+  else
+    call_fail (call, H1_FAILURE_CLOSED);
+}
+
+static void
+read_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  /* libuv reads and delivers at once, so one buffer serves all calls. */
+  static char bytes[READ_BYTES];
+
+  *buf = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+read_done (uv_stream_t *stream, ssize_t count, const uv_buf_t *buf)
+{
+  struct h1_call *call = stream->data;
+
+  if (call->closing)
+    return;
+  if (count > 0)
+    call_parse (call, buf->base, (size_t)count);
+  else if (count == UV_EOF)
+    call_ended (call);
+  else if (count < 0)
+    call_fail (call, H1_FAILURE_RESET);
+}
+
+static void
+write_done (uv_write_t *write, int status)
+{
+  struct h1_call *call = write->data;
+
+  /* A failed write is left to the reading side: the endpoint may have
+     answered before it closed, and that answer counts. */
+  g_string_free (call->out, TRUE);
+  call->out = NULL;
+}
+
+static void
+call_send (struct h1_call *call)
+{
+  uv_buf_t buf = uv_buf_init (call->out->str, (unsigned int)call->out->len);
+
+  call->write.data = call;
+  if (uv_write (&call->write, (uv_stream_t *)&call->tcp, &buf, 1, write_done)
+      != 0)
+    {
+      call_fail (call, H1_FAILURE_RESET);
+      return;
+    }
+  call->sent = true;
+  uv_read_start ((uv_stream_t *)&call->tcp, read_alloc, read_done);
+}
+
+static void
+connect_done (uv_connect_t *connect, int status)
+{
+  struct h1_call *call = connect->data;
+
+  if (call->closing)
+    return;
+  uv_timer_stop (&call->timer);
+  if (status != 0)
+    {
+      call_fail (call, status == UV_ECONNREFUSED ? H1_FAILURE_REFUSED
+                                                 : H1_FAILURE_CONNECT);
+      return;
+    }
+  call->connected = true;
+  uv_tcp_nodelay (&call->tcp, 1);
+  call_send (call);
+}
+
+static void
+connect_late (uv_timer_t *timer)
+{
+  call_fail (timer->data, H1_FAILURE_CONNECT);
+}
+
+static void
+connect_failed_early (uv_timer_t *timer)
+{
+  call_fail (timer->data, H1_FAILURE_REFUSED);
+}
+
+struct h1_call *
+h1_call_start (struct loop *loop, const struct h1_request *request,
+               struct h1_call_handler *handler)
+{
+  struct h1_call *call = g_new0 (struct h1_call, 1);
+  struct sockaddr_in address;
+  int64_t timeout_ms = request->connect_timeout_ms;
+  int failed;
+
+  call->handler = handler;
+  call->no_answer_body = request->no_answer_body;
+  call->handles_open = 2;
+  call->out = g_string_sized_new (request->head_bytes + request->body_bytes);
+  g_string_append_len (call->out, request->head, (gssize)request->head_bytes);
+  if (request->body_bytes > 0)
+    g_string_append_len (call->out, request->body,
+                         (gssize)request->body_bytes);
+  head_builder_init (&call->builder);
+  http_parser_init (&call->parser, HTTP_RESPONSE);
+  call->parser.data = call;
+  uv_tcp_init (loop_uv (loop), &call->tcp);
+  uv_timer_init (loop_uv (loop), &call->timer);
+  call->tcp.data = call;
+  call->timer.data = call;
+  call->connect.data = call;
+  failed = uv_ip4_addr (request->address, request->port, &address);
+  if (failed == 0)
+    failed = uv_tcp_connect (&call->connect, &call->tcp,
+                             (const struct sockaddr *)&address, connect_done);
+  if (failed != 0)
+    timeout_ms = 0;
+  else if (timeout_ms == 0)
+    timeout_ms = CONNECT_TIMEOUT_MS;
+  uv_timer_start (&call->timer,
+                  failed != 0 ? connect_failed_early : connect_late,
+                  (uint64_t)timeout_ms, 0);
+  return call;
+}
+
+void
+h1_call_cancel (struct h1_call *call)
+{
+  call_close (call);
+}
+
+void
+h1_call_pause (struct h1_call *call, bool paused)
+{
+  if (call->closing || !call->connected)
+    return;
+  if (paused)
+    uv_read_stop ((uv_stream_t *)&call->tcp);
+  else
+    uv_read_start ((uv_stream_t *)&call->tcp, read_alloc, read_done);
+}
--- /dev/null
+++ b/h1/server.c
@@ -0,0 +1,694 @@
+#include "h1/server.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "server_private.h"
+
+#define DEFAULT_HEADER_BYTES 16384
+#define DEFAULT_BODY_BYTES (4U << 20)
+#define DEFAULT_HEADER_TIMEOUT_MS 10000
+#define DEFAULT_IDLE_TIMEOUT_MS 60000
+#define DEFAULT_CONNECTIONS 3000
+#define LISTEN_BACKLOG 512
+#define READ_BYTES 65536
+/* What a caller may send ahead while its request before is answered. */
+#define EARLY_BYTES 16384
+#define SWEEP_MS 250
+/* How long a caller that is being refused may go on sending. */
+#define DISCARD_MS 1000
+/* Bytes of the start line and of a field beside their text. */
+#define LINE_OVERHEAD_BYTES 4
+/* A caller that takes no byte for so long is gone.  It bounds what a
+ * partition can hold; callers give up after their own deadline long before. */
+#define PEER_SILENT_MS 20000
+
+static void connection_parse (struct connection *connection, const char *bytes,
+                              size_t bytes_count);
+
+static int64_t
+now_ms (const struct h1_server *server)
+{
+  return loop_now_ms (server->loop);
+}
+
+static void
+handle_closed (uv_handle_t *handle)
+{
+  struct h1_server *server = handle->data;
+
+  if (--server->handles_open > 0)
+    return;
+  g_ptr_array_free (server->connections, TRUE);
+  g_free (server);
+}
+
+static void
+connection_closed (uv_handle_t *handle)
+{
+  struct connection *connection = handle->data;
+  struct h1_server *server = connection->server;
+
+  if (connection->early != NULL)
+    g_string_free (connection->early, TRUE);
+  g_free (connection);
+  if (--server->handles_open == 0)
+    {
+      g_ptr_array_free (server->connections, TRUE);
+      g_free (server);
+    }
+}
+
+/* Tells the handler that the exchange is over, once. */
+static void
+exchange_end (struct connection *connection, bool whole)
+{
+  struct h1_exchange *ex = connection->exchange;
+  struct h1_server_handler *handler = connection->server->handler;
+
+  if (ex == NULL)
+    return;
+  connection->exchange = NULL;
+  if (ex->state != EXCHANGE_RECEIVING)
+    {
+      connection->server->open--;
+      handler->impl->closed (handler, ex, whole);
+    }
+  exchange_free (ex);
+}
+
+static void
+connection_forget (struct connection *connection)
+{
+  GPtrArray *all = connection->server->connections;
+  struct connection *last = g_ptr_array_index (all, all->len - 1);
+
+  g_ptr_array_remove_index_fast (all, connection->position);
+  if (last != connection)
+    last->position = connection->position;
+}
+
+void
+connection_close (struct connection *connection)
+{
+  if (connection->closing)
+    return;
+  connection->closing = true;
+  connection_forget (connection);
+  exchange_end (connection, false);
+  uv_close ((uv_handle_t *)&connection->tcp, connection_closed);
+}
+
+static void
+shutdown_done (uv_shutdown_t *shutdown, int status)
+{
+  g_free (shutdown);
+}
+
+void
+connection_close_softly (struct connection *connection)
+{
+  uv_shutdown_t *shutdown;
+
+  if (connection->closing || connection->discard_until_ms != 0)
+    return;
+  connection->discard_until_ms = now_ms (connection->server) + DISCARD_MS;
+  shutdown = g_new0 (uv_shutdown_t, 1);
+  if (uv_shutdown (shutdown, (uv_stream_t *)&connection->tcp, shutdown_done)
+      == 0)
+    return;
+  g_free (shutdown);
+  connection_close (connection);
+}
+
+struct write
+{
+  uv_write_t base;
+  struct connection *connection;
+  GString *bytes;
+};
+
+static void
+write_done (uv_write_t *base, int status)
+{
+  struct write *write = (struct write *)base;
+  struct connection *connection = write->connection;
+
+  g_string_free (write->bytes, TRUE);
+  g_free (write);
+  if (connection->closing)
+    return;
+  if (status != 0)
+    {
+      connection_close (connection);
+      return;
+    }
+  connection->heard_ms = now_ms (connection->server);
+  exchange_drained (connection);
+  if (connection->closing || connection->exchange == NULL)
+    return;
+  if (connection->exchange->state == EXCHANGE_FINISHED
+      && h1_exchange_pending_bytes (connection->exchange) == 0)
+    exchange_written (connection);
+}
+
+/* Gives the kernel what it takes at once and queues a copy of the rest. */
+void
+connection_write (struct connection *connection, const char *bytes,
+                  size_t bytes_count)
+{
+  uv_stream_t *stream = (uv_stream_t *)&connection->tcp;
+  uv_buf_t buf = uv_buf_init ((char *)bytes, (unsigned int)bytes_count);
+  struct write *write;
+  int taken = 0;
+
+  if (connection->closing || bytes_count == 0)
+    return;
+  connection->heard_ms = now_ms (connection->server);
+  if (uv_stream_get_write_queue_size (stream) == 0)
+    taken = uv_try_write (stream, &buf, 1);
+  if (taken == (int)bytes_count)
+    return;
+  if (taken < 0)
+    taken = 0;
+  write = g_new0 (struct write, 1);
+  write->connection = connection;
+  write->bytes = g_string_new_len (bytes + taken,
+                                   (gssize)(bytes_count - (size_t)taken));
+  buf = uv_buf_init (write->bytes->str, (unsigned int)write->bytes->len);
+  /* A connection that has failed tells so in the callback; closing it here
+     would release the exchange under its owner's hands. */
+  if (uv_write (&write->base, stream, &buf, 1, write_done) == 0)
+    return;
+  g_string_free (write->bytes, TRUE);
+  g_free (write);
+}
+
+/* An own answer to a request that is not handed on.  What follows it on the
+ * connection cannot be told from the rest of the refused request. */
+static void
+connection_refuse (struct connection *connection, unsigned int status)
+{
+  struct h1_exchange *ex = connection->exchange;
+  GString *out = g_string_new (NULL);
+
+  connection->server->counts.malformed++;
+  head_format_answer (out, status, NULL, NULL, 0);
+  g_string_append (out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
+  connection_write (connection, out->str, out->len);
+  g_string_free (out, TRUE);
+  if (ex != NULL && ex->state == EXCHANGE_RECEIVING)
+    exchange_end (connection, false);
+  connection_close_softly (connection);
+}
+
+static struct h1_exchange *
+receiving (http_parser *parser)
+{
+  struct connection *connection = parser->data;
+
+  return connection->exchange;
+}
+
+static int
+on_begin (http_parser *parser)
+{
+  struct connection *connection = parser->data;
+
+  connection->exchange = exchange_create (connection);
+  connection->exchange->begun_ms = now_ms (connection->server);
+  return 0;
+}
+
+/* Returning non-zero stops the parser; the refusal follows from the limits. */
+static int
+count_head (struct h1_exchange *ex, size_t length)
+{
+  ex->head_bytes += length + LINE_OVERHEAD_BYTES;
+  return ex->head_bytes > ex->connection->server->limits.header_bytes;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t length)
+{
+  struct h1_exchange *ex = receiving (parser);
+
+  head_builder_add (&ex->builder, HEAD_START, at, length);
+  return count_head (ex, length);
+}
+
+static int
+on_field (http_parser *parser, const char *at, size_t length)
+{
+  struct h1_exchange *ex = receiving (parser);
+
+  if (ex->builder.head.fields != NULL) /* a trailer */
+    return count_head (ex, length);
+  head_builder_add (&ex->builder, HEAD_NAME, at, length);
+  return count_head (ex, length);
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t length)
+{
+  struct h1_exchange *ex = receiving (parser);
+
+  if (ex->builder.head.fields != NULL)
+    return count_head (ex, length);
+  head_builder_add (&ex->builder, HEAD_VALUE, at, length);
+  return count_head (ex, length);
+}
+
+static int
+on_head (http_parser *parser)
+{
+  struct h1_exchange *ex = receiving (parser);
+
+  parser->upgrade = 0;
+  head_builder_finish (&ex->builder, parser);
+  ex->head_request = parser->method == HTTP_HEAD;
+  ex->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
+  ex->keep_alive = http_should_keep_alive (parser);
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  struct h1_exchange *ex = receiving (parser);
+
+  if (ex->body->len + length > ex->connection->server->limits.body_bytes)
+    return 1;
+  g_string_append_len (ex->body, at, (gssize)length);
+  return 0;
+}
+
+static int
+on_message (http_parser *parser)
+{
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_message_begin = on_begin,
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_message,
+};
+
+/* The status of a request that the parser stopped at. */
+static unsigned int
+refusal_of (const struct connection *connection)
+{
+  switch (HTTP_PARSER_ERRNO (&connection->parser))
+    {
+    case HPE_CB_url:
+      return 414;
+    case HPE_CB_header_field:
+    case HPE_CB_header_value:
+    case HPE_HEADER_OVERFLOW:
+      return 431;
+    case HPE_CB_body:
+      return 413;
+    case HPE_INVALID_TRANSFER_ENCODING:
+      return 501;
+    default:
+      return 400;
+    }
+}
+
+/* What the parser lets pass but a next hop may read differently. */
+static unsigned int
+head_problem (const struct h1_exchange *ex)
+{
+  const struct h1_head *head = &ex->builder.head;
+  const char *coding = h1_head_find (head, "transfer-encoding");
+
+  if (coding != NULL
+      && (g_ascii_strcasecmp (coding, "chunked") != 0
+          || h1_head_count (head, "transfer-encoding") != 1))
+    return 501;
+  if (h1_head_count (head, "content-length") > 1)
+    return 400;
+  if (head->target[0] != '/')
+    return 400;
+  if (h1_head_count (head, "host") != 1 && !ex->http_1_0)
+    return 400;
+  return 0;
+}
+
+static void
+connection_stop_reading (struct connection *connection)
+{
+  if (!connection->reading)
+    return;
+  connection->reading = false;
+  uv_read_stop ((uv_stream_t *)&connection->tcp);
+}
+
+/* Keeps what came behind a request that is being answered. */
+static void
+connection_hold (struct connection *connection, const char *bytes,
+                 size_t bytes_count)
+{
+  if (bytes_count == 0)
+    return;
+  if (connection->early == NULL)
+    connection->early = g_string_new (NULL);
+  g_string_append_len (connection->early, bytes, (gssize)bytes_count);
+  if (connection->early->len >= EARLY_BYTES)
+    connection_stop_reading (connection);
+}
+
+static void
+connection_deliver (struct connection *connection)
+{
+  struct h1_exchange *ex = connection->exchange;
+  struct h1_server *server = connection->server;
+  unsigned int problem = head_problem (ex);
+
+  if (problem != 0)
+    {
+      connection_refuse (connection, problem);
+      return;
+    }
+  ex->state = EXCHANGE_WAITING;
+  server->open++;
+  server->counts.requests++;
+  server->handler->impl->request (server->handler, ex);
+}
+
+static bool
+head_announces_body (const struct h1_exchange *ex)
+{
+  return ex->builder.head.fields != NULL && ex->state == EXCHANGE_RECEIVING;
+}
+
+/* Refuses a body that is announced too long before it is sent, and lets a
+ * caller that asked first send the others. */
+static bool
+connection_check_body (struct connection *connection)
+{
+  struct h1_exchange *ex = connection->exchange;
+  const char *expect;
+
+  if (!head_announces_body (ex) || ex->body->len > 0)
+    return true;
+  if (connection->parser.content_length != UINT64_MAX
+      && connection->parser.content_length
+             > connection->server->limits.body_bytes)
+    {
+      connection_refuse (connection, 413);
+      return false;
+    }
+  expect = h1_head_find (&ex->builder.head, "expect");
+  if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
+    connection_write (connection, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+  return true;
+}
+
+static void
+connection_parse (struct connection *connection, const char *bytes,
+                  size_t bytes_count)
+{
+  http_parser *parser = &connection->parser;
+  bool had_head = connection->exchange != NULL
+                  && connection->exchange->builder.head.fields != NULL;
+  size_t taken
+      = http_parser_execute (parser, &parser_settings, bytes, bytes_count);
+
+  if (HTTP_PARSER_ERRNO (parser) == HPE_PAUSED)
+    {
+      http_parser_pause (parser, 0);
+      connection_hold (connection, bytes + taken, bytes_count - taken);
+      connection_deliver (connection);
+      return;
+    }
+  if (HTTP_PARSER_ERRNO (parser) != HPE_OK)
+    connection_refuse (connection, refusal_of (connection));
+  else if (connection->exchange != NULL && !had_head)
+    connection_check_body (connection);
+}
+
+static void
+connection_data (struct connection *connection, const char *bytes,
+                 size_t bytes_count)
+{
+  struct h1_exchange *ex = connection->exchange;
+
+  connection->heard_ms = now_ms (connection->server);
+  if (connection->discard_until_ms != 0)
+    return;
+  if (ex != NULL && ex->state != EXCHANGE_RECEIVING)
+    connection_hold (connection, bytes, bytes_count);
+  else
+    connection_parse (connection, bytes, bytes_count);
+}
+
+static void
+read_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  /* libuv reads and delivers at once, so one buffer serves all. */
+  static char bytes[READ_BYTES];
+
+  *buf = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+read_done (uv_stream_t *stream, ssize_t count, const uv_buf_t *buf)
+{
+  struct connection *connection = stream->data;
+
+  if (connection->closing)
+    return;
+  if (count > 0)
+    connection_data (connection, buf->base, (size_t)count);
+  else if (count < 0)
+    connection_close (connection);
+}
+
+static void
+connection_read (struct connection *connection)
+{
+  if (connection->reading || connection->closing)
+    return;
+  connection->reading = true;
+  uv_read_start ((uv_stream_t *)&connection->tcp, read_alloc, read_done);
+}
+
+/* Starts on the next request, which may have come already. */
+static void
+connection_next (struct connection *connection)
+{
+  GString *early = connection->early;
+
+  connection->early = NULL;
+  connection_read (connection);
+  if (early == NULL)
+    return;
+  connection_parse (connection, early->str, early->len);
+  g_string_free (early, TRUE);
+}
+
+void
+exchange_written (struct connection *connection)
+{
+  bool keep_alive = connection->exchange->keep_alive;
+
+  exchange_end (connection, true);
+  if (connection->closing)
+    return;
+  if (keep_alive)
+    connection_next (connection);
+  else
+    connection_close_softly (connection);
+}
+
+static void
+accepted (uv_stream_t *listener, int status)
+{
+  struct h1_server *server = listener->data;
+  struct connection *connection;
+  unsigned int silent_ms = PEER_SILENT_MS;
+  uv_os_fd_t fd;
+
+  if (status != 0 || server->destroyed)
+    return;
+  connection = g_new0 (struct connection, 1);
+  connection->server = server;
+  connection->heard_ms = now_ms (server);
+  uv_tcp_init (loop_uv (server->loop), &connection->tcp);
+  connection->tcp.data = connection;
+  server->handles_open++;
+  connection->position = server->connections->len;
+  g_ptr_array_add (server->connections, connection);
+  http_parser_init (&connection->parser, HTTP_REQUEST);
+  connection->parser.data = connection;
+  if (uv_accept (listener, (uv_stream_t *)&connection->tcp) != 0)
+    {
+      connection_close (connection);
+      return;
+    }
+  server->counts.accepted++;
+  if (server->connections->len > server->limits.connections)
+    {
+      server->counts.turned_away++;
+      connection_close (connection);
+      return;
+    }
+  uv_tcp_nodelay (&connection->tcp, 1);
+  if (uv_fileno ((uv_handle_t *)&connection->tcp, &fd) == 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
+                sizeof silent_ms);
+  connection_read (connection);
+}
+
+/* Ends connections on which nothing happens.  An exchange that is being
+ * answered has its own deadline with the handler. */
+static void
+connection_sweep (struct connection *connection, int64_t now)
+{
+  const struct h1_limits *limits = &connection->server->limits;
+  struct h1_exchange *ex = connection->exchange;
+  int64_t drain_ms = connection->server->drain_at_ms;
+
+  if (connection->discard_until_ms != 0)
+    {
+      if (now >= connection->discard_until_ms)
+        connection_close (connection);
+    }
+  else if (ex == NULL)
+    {
+      if (now - connection->heard_ms >= limits->idle_timeout_ms
+          || (drain_ms != 0 && now >= drain_ms))
+        connection_close (connection);
+    }
+  else if (ex->state == EXCHANGE_RECEIVING)
+    {
+      bool slow_head = ex->builder.head.fields == NULL
+                       && now - ex->begun_ms >= limits->header_timeout_ms;
+
+      if (slow_head || now - connection->heard_ms >= limits->idle_timeout_ms)
+        connection_refuse (connection, 408);
+    }
+}
+
+static void
+sweep (uv_timer_t *timer)
+{
+  struct h1_server *server = timer->data;
+  int64_t now = now_ms (server);
+
+  for (guint i = server->connections->len; i > 0; i--)
+    if (i <= server->connections->len)
+      connection_sweep (g_ptr_array_index (server->connections, i - 1), now);
+}
+
+static void
+limits_complete (struct h1_limits *limits)
+{
+  if (limits->header_bytes == 0)
+    limits->header_bytes = DEFAULT_HEADER_BYTES;
+  if (limits->body_bytes == 0)
+    limits->body_bytes = DEFAULT_BODY_BYTES;
+  if (limits->header_timeout_ms == 0)
+    limits->header_timeout_ms = DEFAULT_HEADER_TIMEOUT_MS;
+  if (limits->idle_timeout_ms == 0)
+    limits->idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
+  if (limits->connections == 0)
+    limits->connections = DEFAULT_CONNECTIONS;
+}
+
+void
+h1_server_set_limits (struct h1_server *server, const struct h1_limits *limits)
+{
+  server->limits = *limits;
+  limits_complete (&server->limits);
+}
+
+struct h1_server *
+h1_server_create (struct loop *loop, const char *address, uint16_t port,
+                  struct h1_server_handler *handler, struct beryl_error *error)
+{
+  struct h1_server *server = g_new0 (struct h1_server, 1);
+  struct sockaddr_in in;
+  int failed = uv_ip4_addr (address, port, &in);
+
+  server->loop = loop;
+  server->handler = handler;
+  server->connections = g_ptr_array_new ();
+  server->handles_open = 2;
+  limits_complete (&server->limits);
+  uv_tcp_init (loop_uv (loop), &server->listener);
+  uv_timer_init (loop_uv (loop), &server->sweep);
+  server->listener.data = server;
+  server->sweep.data = server;
+  if (failed == 0)
+    failed = uv_tcp_bind (&server->listener, (const struct sockaddr *)&in, 0);
+  if (failed == 0)
+    failed = uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
+                        accepted);
+  if (failed != 0)
+    {
+      beryl_error_set (error, BERYL_ERROR_UNAVAILABLE,
+                       "cannot listen on %s:%u: %s", address, port,
+                       uv_strerror (failed));
+      h1_server_destroy (server);
+      return NULL;
+    }
+  uv_timer_start (&server->sweep, sweep, SWEEP_MS, SWEEP_MS);
+  return server;
+}
+
+void
+h1_server_destroy (struct h1_server *server)
+{
+  if (server == NULL || server->destroyed)
+    return;
+  server->destroyed = true;
+  while (server->connections->len > 0)
+    connection_close (g_ptr_array_index (server->connections, 0));
+  uv_close ((uv_handle_t *)&server->listener, handle_closed);
+  uv_close ((uv_handle_t *)&server->sweep, handle_closed);
+}
+
+void
+h1_server_drain (struct h1_server *server, int64_t idle_ms)
+{
+  if (server->drain_at_ms == 0)
+    server->drain_at_ms = now_ms (server) + idle_ms;
+}
+
+uint16_t
+h1_server_port (const struct h1_server *server)
+{
+  struct sockaddr_in in = { 0 };
+  int length = sizeof in;
+
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&in, &length);
+  return ntohs (in.sin_port);
+}
+
+uint32_t
+h1_server_connections (const struct h1_server *server)
+{
+  return server->connections->len;
+}
+
+uint32_t
+h1_server_open (const struct h1_server *server)
+{
+  return server->open;
+}
+
+const struct h1_server_counts *
+h1_server_counts (const struct h1_server *server)
+{
+  return &server->counts;
+}
--- a/http/context.c
+++ b/http/context.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define HEADER_BYTES 4096
 #define HEADER_POOL 8192
@@ -19,6 +21,19 @@
   g_debug ("libwebsockets: %.*s", (int)n, line);
 }
 
+/* On a machine without IPv6 the library opens no socket at all unless it is
+ * told so. */
+static uint64_t
+address_options (void)
+{
+  int fd = socket (AF_INET6, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return LWS_SERVER_OPTION_DISABLE_IPV6;
+  close (fd);
+  return 0;
+}
+
 struct http_context *
 http_context_create (struct loop *loop, const char *ca_file)
 {
@@ -32,7 +47,7 @@
 
   lws_set_log_level (LLL_ERR, forward_log);
   info.options = LWS_SERVER_OPTION_LIBUV | LWS_SERVER_OPTION_EXPLICIT_VHOSTS
-                 | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+                 | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT | address_options ();
   info.foreign_loops = loops;
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.max_http_header_data = HEADER_BYTES;
--- /dev/null
+++ b/include/beryl/forward.h
@@ -0,0 +1,260 @@
+/** @file
+ * The life of requests that are passed on to endpoints by route, from their
+ * arrival at one node to their one final answer.
+ *
+ * Plain requests go to one endpoint of their service.  Generations (model
+ * calls) are planned backwards: memory is reserved at a decode engine, then
+ * the prompt is read by a prefill engine, then the decode engine takes the
+ * KV cache over and streams.  A prompt is never read without a place for it
+ * to go.
+ *
+ * Events and the time go in, actions come out through a vtable; nothing here
+ * does I/O.  The owner's functions must not call back into the instance,
+ * except that answers may be read by beryl_forward_* queries.  Not
+ * thread-safe.  Times are milliseconds of one monotonic clock.
+ */
+#ifndef BERYL_FORWARD_H
+#define BERYL_FORWARD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "beryl/clock.h"
+#include "beryl/live.h"
+#include "beryl/routes.h"
+
+struct beryl_forward;
+
+/** Longest request id that is logged. */
+#define BERYL_REQUEST_ID_BYTES 72
+
+/** Longest name of a reservation or of a KV cache at an engine. */
+#define BERYL_ENGINE_HANDLE_BYTES 64
+
+/** What a caller's request says of itself. */
+struct beryl_forward_request
+{
+  uint64_t request; /**< the shell's handle */
+  char id[BERYL_REQUEST_ID_BYTES];
+  const char *host;
+  const char *path;
+  int64_t arrived_ms;
+  int64_t deadline_ms; /**< absolute; BERYL_NEVER_MS: none said */
+  uint32_t prompt_tokens;
+  uint32_t output_tokens_max;
+  uint32_t output_tokens_hint; /**< the caller's estimate; 0: none */
+  bool resumes;                /**< the caller goes on after an event */
+  uint64_t last_event;
+};
+
+/** Exchanges with endpoints. */
+enum beryl_exchange_kind
+{
+  BERYL_EXCHANGE_RUN,     /**< the request itself; its answer goes on */
+  BERYL_EXCHANGE_PREFILL, /**< have the prompt read and kept */
+  BERYL_EXCHANGE_RESERVE, /**< a lease on decode memory and a slot */
+  BERYL_EXCHANGE_UNRESERVE,
+  BERYL_EXCHANGE_DROP_KV, /**< free a KV cache that nobody will take */
+};
+
+/** An exchange to start. */
+struct beryl_exchange_start
+{
+  uint64_t exchange;
+  uint64_t request; /**< whose; 0 for clean-up after a request has ended */
+  enum beryl_exchange_kind kind;
+  const struct beryl_live *endpoint;
+  int64_t connect_timeout_ms;
+  int64_t left_ms;         /**< RUN, PREFILL: time left to the request */
+  uint32_t tokens;         /**< RESERVE */
+  int64_t lease_ms;        /**< RESERVE */
+  const char *reservation; /**< RUN: to be used, or NULL; UNRESERVE */
+  const char *kv_handle;   /**< RUN: KV cache to take, or NULL; DROP_KV */
+  const char *kv_address;  /**< RUN: of the engine that has it */
+  uint16_t kv_port;
+  bool resumes; /**< RUN, PREFILL: go on after LAST_EVENT */
+  uint64_t last_event;
+};
+
+/** Why a request was refused or failed by this node itself. */
+enum beryl_refusal_reason
+{
+  BERYL_REFUSAL_NO_CONFIGURATION,
+  BERYL_REFUSAL_NO_ROUTE,
+  BERYL_REFUSAL_NO_ENDPOINT,
+  BERYL_REFUSAL_NO_ROOM, /**< engines have no memory in time */
+  BERYL_REFUSAL_ENDPOINTS_FULL,
+  BERYL_REFUSAL_DEADLINE,
+  BERYL_REFUSAL_ENDPOINT_FAILED,
+  BERYL_REFUSAL_STOPPING,
+};
+
+/** The final answer that this node gives itself. */
+struct beryl_refusal
+{
+  unsigned int status;
+  enum beryl_refusal_reason reason;
+  bool not_run;           /**< it has not run and never will */
+  int64_t retry_after_ms; /**< 0: none */
+};
+
+/** One step in the life of a request, for the log. */
+struct beryl_decision
+{
+  const char *step; /**< stable name, for example "reserve" */
+  const char *id;   /**< the request's */
+  const char *route;
+  const struct beryl_live *endpoint; /**< may be NULL */
+  const char *outcome;               /**< stable name */
+  int64_t age_ms;                    /**< of the request */
+  int64_t number; /**< tokens, bytes, milliseconds: STEP tells */
+  uint64_t config_version;
+  uint64_t endpoint_revision;
+};
+
+struct beryl_forward_owner;
+
+/** Actions.  Pointers are valid during the call. */
+struct beryl_forward_owner_impl
+{
+  /** Start an exchange; its end is told by one event. */
+  void (*start) (struct beryl_forward_owner *owner,
+                 const struct beryl_exchange_start *start);
+  /** Close an exchange's connection; no event follows. */
+  void (*abort) (struct beryl_forward_owner *owner, uint64_t exchange);
+  /** Stop or restart reading an exchange. */
+  void (*pause) (struct beryl_forward_owner *owner, uint64_t exchange,
+                 bool paused);
+  /** Begin the answer with the head of EXCHANGE's answer. */
+  void (*answer_begin) (struct beryl_forward_owner *owner, uint64_t request,
+                        uint64_t exchange);
+  void (*answer_data) (struct beryl_forward_owner *owner, uint64_t request,
+                       const char *bytes, size_t bytes_count);
+  /** The answer is whole. */
+  void (*answer_end) (struct beryl_forward_owner *owner, uint64_t request);
+  /** End a begun answer as incomplete. */
+  void (*answer_cut) (struct beryl_forward_owner *owner, uint64_t request);
+  /** The only answer: this node's own. */
+  void (*refuse) (struct beryl_forward_owner *owner, uint64_t request,
+                  const struct beryl_refusal *refusal);
+  /** Something was decided; may be NULL. */
+  void (*decided) (struct beryl_forward_owner *owner,
+                   const struct beryl_decision *decision);
+};
+
+/** The owner; the first member selects the implementation. */
+struct beryl_forward_owner
+{
+  const struct beryl_forward_owner_impl *impl;
+};
+
+/** Terms that the whole fleet keeps to. */
+struct beryl_forward_settings
+{
+  char data_centre[BERYL_NAME_BYTES];
+  uint64_t seed;
+  double repeat_ratio;   /**< second sends per request, fleet-wide */
+  uint32_t repeat_slack; /**< beyond the ratio, fleet-wide */
+  int64_t repeat_window_ms;
+};
+
+/** Create; LIVES and OWNER must outlive it. */
+struct beryl_forward *
+beryl_forward_create (const struct beryl_forward_settings *settings,
+                      struct beryl_lives *lives,
+                      struct beryl_forward_owner *owner);
+
+/** Release without any action; NULL is allowed. */
+void beryl_forward_destroy (struct beryl_forward *forward);
+
+/** Use ROUTES for requests that arrive from now on. */
+void beryl_forward_set_routes (struct beryl_forward *forward,
+                               struct beryl_routes *routes);
+
+/** How many nodes share the repeat budget; 0 counts as 1. */
+void beryl_forward_set_nodes (struct beryl_forward *forward, uint32_t nodes);
+
+/** A caller's whole request arrived.  It is copied. */
+void beryl_forward_arrived (struct beryl_forward *forward,
+                            const struct beryl_forward_request *request,
+                            int64_t now_ms);
+
+/** Its caller has gone: nothing of it may go on running. */
+void beryl_forward_caller_gone (struct beryl_forward *forward,
+                                uint64_t request, int64_t now_ms);
+
+/** Its caller reads too slowly (PAUSED), or has read on. */
+void beryl_forward_caller_slow (struct beryl_forward *forward,
+                                uint64_t request, bool paused);
+
+/** What the head of an exchange's answer says. */
+struct beryl_answer_head
+{
+  unsigned int status;
+  bool not_run;     /**< the endpoint says that it did not run the request */
+  bool events;      /**< the body is a series of events */
+  bool misdirected; /**< another endpoint has the address now */
+};
+
+/** The head of an answer to RUN. */
+void beryl_forward_head (struct beryl_forward *forward, uint64_t exchange,
+                         const struct beryl_answer_head *head, int64_t now_ms);
+
+/** Bytes of the body of an answer to RUN. */
+void beryl_forward_data (struct beryl_forward *forward, uint64_t exchange,
+                         const char *bytes, size_t bytes_count,
+                         int64_t now_ms);
+
+/** The answer to RUN is whole. */
+void beryl_forward_done (struct beryl_forward *forward, uint64_t exchange,
+                         int64_t now_ms);
+
+/** How an exchange other than RUN ended. */
+struct beryl_engine_result
+{
+  bool ok;
+  bool not_run;     /**< PREFILL: the engine says that it did not read */
+  bool misdirected; /**< another endpoint has the address now */
+  char handle[BERYL_ENGINE_HANDLE_BYTES]; /**< reservation or KV cache */
+  uint32_t tokens;                        /**< read by PREFILL */
+};
+
+/** The end of an exchange other than RUN that was answered. */
+void beryl_forward_result (struct beryl_forward *forward, uint64_t exchange,
+                           const struct beryl_engine_result *result,
+                           int64_t now_ms);
+
+/** How an exchange broke. */
+enum beryl_break
+{
+  BERYL_BREAK_CONNECT, /**< no connection; no byte was sent */
+  BERYL_BREAK_RESET,
+  BERYL_BREAK_CLOSED,
+  BERYL_BREAK_GARBLED,
+};
+
+/** An exchange ended without a whole answer.  SENT is false only if no byte
+ * of the request reached the socket. */
+void beryl_forward_broken (struct beryl_forward *forward, uint64_t exchange,
+                           enum beryl_break how, bool sent, int64_t now_ms);
+
+/** The set of endpoints changed: look again who waits for one. */
+void beryl_forward_lives_changed (struct beryl_forward *forward,
+                                  int64_t now_ms);
+
+/** Let time pass. */
+void beryl_forward_tick (struct beryl_forward *forward, int64_t now_ms);
+
+/** Return when the next tick is due, or BERYL_NEVER_MS. */
+int64_t beryl_forward_next_ms (const struct beryl_forward *forward);
+
+/** Return the numbers of open requests, and of those that wait for room. */
+uint32_t beryl_forward_open (const struct beryl_forward *forward);
+uint32_t beryl_forward_waiting (const struct beryl_forward *forward);
+
+/** Return the stable name of REASON. */
+const char *beryl_refusal_name (enum beryl_refusal_reason reason);
+const char *beryl_exchange_name (enum beryl_exchange_kind kind);
+
+#endif
--- /dev/null
+++ b/include/beryl/live.h
@@ -0,0 +1,116 @@
+/** @file
+ * The endpoints that service discovery shows at present, and what this node
+ * has learned from its own calls to them.
+ *
+ * Discovery says who exists and who is leaving; outcomes say who works.  An
+ * endpoint that fails is avoided, not forgotten: it gets a trial from time to
+ * time, and the last one of a service is never left out.
+ *
+ * No I/O.  Not thread-safe.
+ */
+#ifndef BERYL_LIVE_H
+#define BERYL_LIVE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "beryl/ids.h"
+
+/** What an engine is set to do at present. */
+enum beryl_stage
+{
+  BERYL_STAGE_NONE, /**< a plain service's process */
+  BERYL_STAGE_PREFILL,
+  BERYL_STAGE_DECODE,
+};
+
+/** One endpoint as discovery tells of it. */
+struct beryl_live_info
+{
+  char id[BERYL_NAME_BYTES]; /**< of this life of the process */
+  char service[BERYL_NAME_BYTES];
+  char address[48]; /**< IP number */
+  uint16_t port;
+  char data_centre[BERYL_NAME_BYTES];
+  uint32_t slots; /**< requests at a time; 0: unknown */
+  bool leaving;   /**< takes no new work */
+  enum beryl_stage stage;
+  uint64_t revision; /**< of this news */
+};
+
+/** One endpoint. */
+struct beryl_live
+{
+  struct beryl_live_info info;
+  bool gone;        /**< left the list; kept while work is open there */
+  uint32_t open;    /**< exchanges of this node */
+  int64_t fault_ms; /**< time of the last failure; 0: none since success */
+  uint32_t faults;  /**< in a row */
+  int64_t avoid_until_ms;
+  int64_t trial_ms;  /**< last trial while avoided */
+  double answer_ms;  /**< usual time to an answer; 0: unknown */
+  double fail_rate;  /**< recent share of failures, 0 to 1 */
+  int64_t oldest_ms; /**< since when the oldest open request waits; 0: none */
+  uint64_t reserved_tokens; /**< of this node's runs there */
+  int64_t full_until_ms;    /**< it said it has no room; do not ask before */
+  uint32_t prefills;        /**< this node has open there */
+  uint64_t prefill_tokens;  /**< of these */
+};
+
+struct beryl_lives;
+
+/** Create an empty set. */
+struct beryl_lives *beryl_lives_create (void);
+
+/** Release the set; NULL is allowed. */
+void beryl_lives_destroy (struct beryl_lives *lives);
+
+/** Take news of an endpoint; older ones than known are ignored.  Returns
+ * the endpoint. */
+struct beryl_live *beryl_lives_put (struct beryl_lives *lives,
+                                    const struct beryl_live_info *info);
+
+/** The endpoint left the list. */
+void beryl_lives_remove (struct beryl_lives *lives, const char *id);
+
+/** Find by id, also one that is gone but has open work; NULL if unknown. */
+struct beryl_live *beryl_lives_find (const struct beryl_lives *lives,
+                                     const char *id);
+
+/** Return the number of endpoints, gone ones with open work included, and
+ * endpoint I; indices change with put, remove and close. */
+size_t beryl_lives_count (const struct beryl_lives *lives);
+struct beryl_live *beryl_lives_get (const struct beryl_lives *lives, size_t i);
+
+/** Whether new work may go to LIVE at all. */
+bool beryl_live_takes_work (const struct beryl_live *live);
+
+/** An exchange with LIVE begins. */
+void beryl_live_open (struct beryl_live *live);
+
+/** It ended; a gone endpoint without open work is released. */
+void beryl_live_close (struct beryl_lives *lives, struct beryl_live *live);
+
+/** What became of an exchange. */
+enum beryl_live_outcome
+{
+  BERYL_LIVE_ANSWERED,
+  BERYL_LIVE_FAILED, /**< an error of its own */
+  BERYL_LIVE_BROKE,  /**< reset, garbled or cut */
+  BERYL_LIVE_SILENT, /**< no answer in the usual time, or no connection */
+};
+
+/** Learn from an outcome after TOOK_MS. */
+void beryl_live_learn (struct beryl_live *live,
+                       enum beryl_live_outcome outcome, int64_t took_ms,
+                       int64_t now_ms);
+
+/** Whether LIVE is avoided at present, and whether a trial is due. */
+bool beryl_live_avoided (const struct beryl_live *live, int64_t now_ms);
+bool beryl_live_trial_due (const struct beryl_live *live, int64_t now_ms);
+
+/** Return the stable name of STAGE. */
+const char *beryl_stage_name (enum beryl_stage stage);
+
+#endif
--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -110,10 +110,30 @@
   char region[BERYL_NAME_BYTES];
 };
 
-/** A call to make. */
+/** What a call does. */
+enum beryl_platform_op
+{
+  BERYL_OP_GET,
+  BERYL_OP_LIST,
+  BERYL_OP_PUT,
+  BERYL_OP_DELETE,
+  BERYL_OP_WATCH,
+  BERYL_OP_INSTANCES,
+};
+
+/** A call to make.  The typed members say the same as METHOD, PATH and the
+ * two conditions, for platforms that spell their calls differently. */
 struct beryl_platform_call
 {
   uint64_t id;
+  enum beryl_platform_op op;
+  const char *kind;
+  const char *name;               /**< LIST: prefix, may be "" */
+  const char *after;              /**< LIST: names after this one, may be "" */
+  uint64_t revision;              /**< WATCH, INSTANCES: changes after it */
+  int64_t wait_ms;                /**< WATCH, INSTANCES */
+  enum beryl_condition condition; /**< PUT, DELETE */
+  uint64_t version;               /**< of BERYL_IF_VERSION */
   const char *method;
   const char *path;     /**< with the query */
   const char *if_match; /**< NULL: no header */
--- a/include/common/loop.h
+++ b/include/common/loop.h
@@ -32,6 +32,9 @@
 /** Call CB at the first stop signal. */
 void loop_on_stop (struct loop *loop, loop_stop_cb *cb, void *user);
 
+/** Call CB at each SIGHUP, which otherwise changes nothing. */
+void loop_on_reload (struct loop *loop, loop_stop_cb *cb, void *user);
+
 /** Run until loop_quit. */
 void loop_run (struct loop *loop);
 
--- a/include/common/platform_client.h
+++ b/include/common/platform_client.h
@@ -15,6 +15,37 @@
 
 struct platform_client;
 
+struct platform_wire;
+
+/** A call as it goes out. */
+struct platform_wire_call
+{
+  const char *method;
+  char *path; /**< g_malloc'd */
+  char *body; /**< g_malloc'd, NULL: none */
+};
+
+/** How a platform that spells its object API differently is called.  Calls
+ * are translated on their way out and answers into the native form on their
+ * way back; what a call or an answer means stays the core's to decide. */
+struct platform_wire_impl
+{
+  void (*call) (const struct platform_wire *wire,
+                const struct beryl_platform_call *call,
+                struct platform_wire_call *out);
+  /** Translate the answer to a call of OP on KIND.  *STATUS may be changed.
+   * Returns the native body, g_malloc'd, or NULL if it is malformed. */
+  char *(*answer) (const struct platform_wire *wire,
+                   enum beryl_platform_op op, const char *kind,
+                   unsigned int *status, const char *body, size_t body_bytes);
+};
+
+/** A wire; the first member selects the implementation. */
+struct platform_wire
+{
+  const struct platform_wire_impl *impl;
+};
+
 /** Where the platform is and how to call it. */
 struct platform_client_settings
 {
@@ -23,6 +54,7 @@
   bool tls;
   const char *tls_host; /**< name to verify; NULL: ADDRESS */
   const char *token;    /**< sent as a bearer token; NULL: none */
+  const struct platform_wire *wire; /**< NULL: the native one */
   struct beryl_platform_settings core;
   uint64_t seed;
 };
--- /dev/null
+++ b/include/gateway/wire.h
@@ -0,0 +1,99 @@
+/** @file
+ * How a deployment's callers, endpoints and platform spell what beryl-gatewayd
+ * means.  An implementation translates and decides nothing.
+ */
+#ifndef GATEWAY_WIRE_H
+#define GATEWAY_WIRE_H
+
+#include <glib.h>
+
+#include "beryl/error.h"
+#include "beryl/forward.h"
+#include "beryl/platform.h"
+#include "common/platform_client.h"
+#include "h1/head.h"
+
+struct gateway_wire;
+
+/** What a caller that looks for nodes says of itself. */
+struct gateway_place
+{
+  char data_centre[BERYL_NAME_BYTES]; /**< "": not said */
+  char region[BERYL_NAME_BYTES];
+};
+
+/** The requests that the node itself answers on its own ports. */
+enum gateway_question
+{
+  GATEWAY_QUESTION_NONE, /**< not one of these */
+  GATEWAY_QUESTION_READY,
+  GATEWAY_QUESTION_ADDRESSES,
+};
+
+/** Translations.  Texts appended to a GString are complete and escaped. */
+struct gateway_wire_impl
+{
+  /** Kinds of objects in the platform's API. */
+  const char *configuration_kind;
+  const char *configuration_name;
+  const char *endpoint_kind;
+
+  /** Read the configuration object; NULL and ERROR if it is malformed. */
+  struct beryl_routes *(*read_routes) (const struct gateway_wire *wire,
+                                       const struct beryl_object *object,
+                                       struct beryl_error *error);
+  /** Read an endpoint's entry; false and ERROR if it is malformed. */
+  bool (*read_endpoint) (const struct gateway_wire *wire,
+                         const struct beryl_object *object,
+                         struct beryl_live_info *info,
+                         struct beryl_error *error);
+
+  /** Read what a caller's head says; texts are borrowed from HEAD.  Times
+   * are relative to NOW_MS. */
+  void (*read_request) (const struct gateway_wire *wire,
+                        const struct h1_head *head, int64_t now_ms,
+                        struct beryl_forward_request *request);
+  /** Format the head of a RUN or PREFILL: HEAD as the caller sent it, less
+   * what concerns its connection or is not a caller's to say. */
+  void (*format_request) (const struct gateway_wire *wire,
+                          const struct h1_head *head, size_t body_bytes,
+                          const struct beryl_exchange_start *start,
+                          GString *out);
+  /** Format another call to an engine; *BODY is appended to. */
+  void (*format_engine_call) (const struct gateway_wire *wire,
+                              const struct beryl_exchange_start *start,
+                              GString *head, GString *body);
+  /** Read the head of an answer to RUN. */
+  void (*read_answer) (const struct gateway_wire *wire,
+                       const struct h1_head *head,
+                       struct beryl_answer_head *answer);
+  /** Read the answer to another exchange. */
+  void (*read_engine_answer) (const struct gateway_wire *wire,
+                              enum beryl_exchange_kind kind,
+                              const struct h1_head *head, const char *body,
+                              size_t body_bytes,
+                              struct beryl_engine_result *result);
+  /** Format the fields of an own answer to a caller. */
+  void (*format_refusal) (const struct gateway_wire *wire,
+                          const struct beryl_refusal *refusal,
+                          const char *request_id, GPtrArray *fields);
+
+  /** Tell what a request on a port of the node itself asks. */
+  enum gateway_question (*read_question) (const struct gateway_wire *wire,
+                                          const struct h1_head *head,
+                                          struct gateway_place *place);
+  /** Format the answer to ADDRESSES: "ip:port" texts, and for how long a
+   * caller may keep it. */
+  void (*format_addresses) (const struct gateway_wire *wire,
+                            const char *const *addresses, size_t count,
+                            int64_t keep_ms, GString *body);
+};
+
+/** A wire; the first member selects the implementation. */
+struct gateway_wire
+{
+  const struct gateway_wire_impl *impl;
+  struct platform_wire store; /**< of the platform's object API */
+};
+
+#endif
--- /dev/null
+++ b/include/h1/client.h
@@ -0,0 +1,79 @@
+/** @file
+ * HTTP/1.1 client for requests that are passed on unchanged.
+ *
+ * One connection per call: closing it cancels the call, an answer that comes
+ * late or twice can never be taken for another call's, and whether any byte
+ * of the request was handed to the socket is known for certain.
+ */
+#ifndef H1_CLIENT_H
+#define H1_CLIENT_H
+
+#include "common/loop.h"
+#include "h1/head.h"
+
+/** One call in flight. */
+struct h1_call;
+
+struct h1_call_handler;
+
+/** Why a call ended without a whole answer. */
+enum h1_failure
+{
+  H1_FAILURE_REFUSED, /**< nobody listens there */
+  H1_FAILURE_CONNECT, /**< no connection in time */
+  H1_FAILURE_RESET,   /**< the connection broke */
+  H1_FAILURE_CLOSED,  /**< it ended before the answer was whole */
+  H1_FAILURE_GARBLED, /**< what came is not an HTTP answer */
+};
+
+/** What the owner of a call does with its answer. */
+struct h1_call_handler_impl
+{
+  /** The head arrived. */
+  void (*head) (struct h1_call_handler *handler, struct h1_call *call,
+                const struct h1_head *head);
+  /** Bytes of the body. */
+  void (*data) (struct h1_call_handler *handler, struct h1_call *call,
+                const char *bytes, size_t bytes_count);
+  /** The answer is whole.  CALL is invalid after this call. */
+  void (*done) (struct h1_call_handler *handler, struct h1_call *call);
+  /** The call ended early.  SENT is false only if no byte of the request was
+   * handed to the socket.  CALL is invalid after this call. */
+  void (*failed) (struct h1_call_handler *handler, struct h1_call *call,
+                  enum h1_failure failure, bool sent);
+};
+
+/** A handler; the first member selects the implementation. */
+struct h1_call_handler
+{
+  const struct h1_call_handler_impl *impl;
+};
+
+/** A request; everything is copied. */
+struct h1_request
+{
+  const char *address; /**< IPv4 number */
+  uint16_t port;
+  const char *head; /**< start line and fields, with the empty line */
+  size_t head_bytes;
+  const char *body;
+  size_t body_bytes;
+  bool no_answer_body;        /**< the method is HEAD */
+  int64_t connect_timeout_ms; /**< 0: 1000 */
+};
+
+/** Start a call.  Never calls HANDLER before it returns. */
+struct h1_call *h1_call_start (struct loop *loop,
+                               const struct h1_request *request,
+                               struct h1_call_handler *handler);
+
+/** Close the connection; no callback follows.  CALL is invalid after. */
+void h1_call_cancel (struct h1_call *call);
+
+/** Stop and restart reading, for back-pressure. */
+void h1_call_pause (struct h1_call *call, bool paused);
+
+/** Return the stable name of FAILURE. */
+const char *h1_failure_name (enum h1_failure failure);
+
+#endif
--- a/libberyl/requests/buffer.h
+++ b/libberyl/base/buffer.h
@@ -1,8 +1,8 @@
 /** @file
  * A growing run of bytes.
  */
-#ifndef BERYL_REQUESTS_BUFFER_H
-#define BERYL_REQUESTS_BUFFER_H
+#ifndef BERYL_BASE_BUFFER_H
+#define BERYL_BASE_BUFFER_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/libberyl/requests/map.h
+++ b/libberyl/base/map.h
@@ -1,8 +1,8 @@
 /** @file
  * A hash table from 128-bit keys to pointers.
  */
-#ifndef BERYL_REQUESTS_MAP_H
-#define BERYL_REQUESTS_MAP_H
+#ifndef BERYL_BASE_MAP_H
+#define BERYL_BASE_MAP_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- /dev/null
+++ b/libberyl/forward/forward.c
@@ -0,0 +1,600 @@
+#include "private.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* A connection that takes longer is given up and another endpoint asked; no
+ * byte was sent, so that nothing is risked.  Round trips inside a region take
+ * a few milliseconds, a busy endpoint's accept some tens. */
+#define CONNECT_TIMEOUT_MS 150
+/* When a caller that was refused for want of endpoints may come back. */
+#define RETRY_AFTER_MS 1000
+
+const char *
+beryl_refusal_name (enum beryl_refusal_reason reason)
+{
+  static const char *const names[]
+      = { "no_configuration", "no_route", "no_endpoint",     "no_room",
+          "endpoints_full",   "deadline", "endpoint_failed", "stopping" };
+
+  return names[reason];
+}
+
+const char *
+beryl_exchange_name (enum beryl_exchange_kind kind)
+{
+  static const char *const names[]
+      = { "run", "prefill", "reserve", "unreserve", "drop_kv" };
+
+  return names[kind];
+}
+
+struct beryl_forward *
+beryl_forward_create (const struct beryl_forward_settings *settings,
+                      struct beryl_lives *lives,
+                      struct beryl_forward_owner *owner)
+{
+  struct beryl_forward *f = calloc (1, sizeof *f);
+
+  f->settings = *settings;
+  f->lives = lives;
+  f->owner = owner;
+  f->nodes = 1;
+  f->random = settings->seed;
+  TAILQ_INIT (&f->requests);
+  TAILQ_INIT (&f->waiting);
+  TAILQ_INIT (&f->exchanges);
+  return f;
+}
+
+static void
+request_free (struct beryl_forward *f, struct request *r)
+{
+  TAILQ_REMOVE (&f->requests, r, entry);
+  if (r->waiting)
+    TAILQ_REMOVE (&f->waiting, r, waiting_entry);
+  map_remove (&f->requests_by_handle, map_key_number (r->facts.request));
+  beryl_routes_unref (r->routes);
+  buffer_clear (&r->held);
+  event_splitter_clear (&r->events);
+  free (r);
+}
+
+void
+beryl_forward_destroy (struct beryl_forward *f)
+{
+  struct exchange *x;
+  struct request *r;
+
+  if (f == NULL)
+    return;
+  while ((x = TAILQ_FIRST (&f->exchanges)) != NULL)
+    {
+      TAILQ_REMOVE (&f->exchanges, x, entry);
+      free (x);
+    }
+  while ((r = TAILQ_FIRST (&f->requests)) != NULL)
+    request_free (f, r);
+  for (size_t i = 0; i < f->service_count; i++)
+    free (f->services[i]);
+  free (f->services);
+  map_clear (&f->requests_by_handle);
+  map_clear (&f->exchanges_by_id);
+  beryl_routes_unref (f->routes);
+  free (f);
+}
+
+uint64_t
+forward_random (struct beryl_forward *f)
+{
+  /* splitmix64 */
+  uint64_t z = f->random += UINT64_C (0x9e3779b97f4a7c15);
+
+  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
+  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
+  return z ^ (z >> 31);
+}
+
+struct service *
+forward_service (struct beryl_forward *f, const char *name)
+{
+  struct service *s;
+
+  for (size_t i = 0; i < f->service_count; i++)
+    if (strcmp (f->services[i]->name, name) == 0)
+      return f->services[i];
+  s = calloc (1, sizeof *s);
+  memcpy (s->name, name, strlen (name) + 1);
+  f->services
+      = realloc (f->services, (f->service_count + 1) * sizeof (void *));
+  f->services[f->service_count++] = s;
+  return s;
+}
+
+void
+beryl_forward_set_routes (struct beryl_forward *f, struct beryl_routes *routes)
+{
+  beryl_routes_ref (routes);
+  beryl_routes_unref (f->routes);
+  f->routes = routes;
+}
+
+void
+beryl_forward_set_nodes (struct beryl_forward *f, uint32_t nodes)
+{
+  f->nodes = nodes > 0 ? nodes : 1;
+}
+
+struct exchange *
+forward_start (struct beryl_forward *f, struct request *r,
+               struct beryl_exchange_start *start, struct beryl_live *live,
+               int64_t now_ms)
+{
+  struct exchange *x = calloc (1, sizeof *x);
+
+  x->id = ++f->last_exchange;
+  x->request = r;
+  x->kind = start->kind;
+  x->live = live;
+  x->started_ms = now_ms;
+  x->tokens = start->tokens;
+  TAILQ_INSERT_TAIL (&f->exchanges, x, entry);
+  map_put (&f->exchanges_by_id, map_key_number (x->id), x);
+  beryl_live_open (live);
+  if (x->kind == BERYL_EXCHANGE_PREFILL)
+    {
+      live->prefills++;
+      live->prefill_tokens += x->tokens;
+    }
+  start->exchange = x->id;
+  start->request = r != NULL ? r->facts.request : 0;
+  start->endpoint = live;
+  start->connect_timeout_ms = CONNECT_TIMEOUT_MS;
+  if (r != NULL)
+    start->left_ms
+        = r->timeout_ms == BERYL_NEVER_MS ? 0 : r->timeout_ms - now_ms;
+  f->owner->impl->start (f->owner, start);
+  return x;
+}
+
+void
+forward_exchange_free (struct beryl_forward *f, struct exchange *x)
+{
+  struct request *r = x->request;
+
+  if (r != NULL && r->first == x)
+    {
+      r->first = r->second;
+      r->second = NULL;
+    }
+  else if (r != NULL && r->second == x)
+    r->second = NULL;
+  TAILQ_REMOVE (&f->exchanges, x, entry);
+  map_remove (&f->exchanges_by_id, map_key_number (x->id));
+  if (x->kind == BERYL_EXCHANGE_PREFILL)
+    {
+      x->live->prefills--;
+      x->live->prefill_tokens -= x->tokens;
+    }
+  beryl_live_close (f->lives, x->live);
+  free (x);
+}
+
+void
+forward_exchange_abort (struct beryl_forward *f, struct exchange *x)
+{
+  f->owner->impl->abort (f->owner, x->id);
+  forward_exchange_free (f, x);
+}
+
+void
+request_decided (struct beryl_forward *f, const struct request *r,
+                 const char *step, const struct beryl_live *live,
+                 const char *outcome, int64_t number, int64_t now_ms)
+{
+  struct beryl_decision decision = {
+    .step = step,
+    .id = r->facts.id,
+    .route = r->route->name,
+    .endpoint = live,
+    .outcome = outcome,
+    .age_ms = now_ms - r->facts.arrived_ms,
+    .number = number,
+    .config_version = r->routes->version,
+    .endpoint_revision = live != NULL ? live->info.revision : 0,
+  };
+
+  if (f->owner->impl->decided != NULL)
+    f->owner->impl->decided (f->owner, &decision);
+}
+
+/* A reservation that is being asked for when its request ends is let come,
+ * so that it can be given back; all else is cut off. */
+static void
+exchange_disown (struct beryl_forward *f, struct exchange *x)
+{
+  if (x->kind == BERYL_EXCHANGE_RESERVE)
+    {
+      struct request *r = x->request;
+
+      if (r->first == x)
+        r->first = r->second;
+      r->second = NULL;
+      x->request = NULL;
+    }
+  else
+    forward_exchange_abort (f, x);
+}
+
+void
+request_end (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  while (r->first != NULL)
+    exchange_disown (f, r->first);
+  generation_release (f, r, now_ms);
+  f->open--;
+  if (r->waiting)
+    f->waiting_count--;
+  request_free (f, r);
+}
+
+void
+request_refuse (struct beryl_forward *f, struct request *r,
+                unsigned int status, enum beryl_refusal_reason reason,
+                int64_t retry_after_ms, int64_t now_ms)
+{
+  struct beryl_refusal refusal = {
+    .status = status,
+    .reason = reason,
+    .not_run = status == 503 || status == 429,
+    .retry_after_ms = retry_after_ms,
+  };
+  uint64_t handle = r->facts.request;
+
+  request_decided (f, r, "refuse", NULL, beryl_refusal_name (reason),
+                   retry_after_ms, now_ms);
+  /* What is open is closed first: "not run" must stay true. */
+  request_end (f, r, now_ms);
+  f->owner->impl->refuse (f->owner, handle, &refusal);
+}
+
+void
+request_fail (struct beryl_forward *f, struct request *r,
+              enum beryl_refusal_reason reason, int64_t now_ms)
+{
+  uint64_t handle = r->facts.request;
+
+  if (r->begun)
+    {
+      request_decided (f, r, "cut", NULL, beryl_refusal_name (reason),
+                       (int64_t)r->event_count, now_ms);
+      request_end (f, r, now_ms);
+      f->owner->impl->answer_cut (f->owner, handle);
+      return;
+    }
+  if (!r->may_have_run)
+    request_refuse (f, r, 503, reason, RETRY_AFTER_MS, now_ms);
+  else
+    request_refuse (f, r, reason == BERYL_REFUSAL_DEADLINE ? 504 : 502, reason,
+                    0, now_ms);
+}
+
+bool
+request_repeatable (const struct request *r)
+{
+  return r->route->repeat == BERYL_REPEAT_IDEMPOTENT;
+}
+
+bool
+request_take_repeat (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms)
+{
+  struct repeat_terms terms = {
+    .ratio = f->settings.repeat_ratio,
+    .slack = f->settings.repeat_slack,
+    .window_ms = f->settings.repeat_window_ms,
+    .nodes = f->nodes,
+  };
+
+  if (repeat_budget_left (&r->service->budget, &terms, now_ms) == 0)
+    return false;
+  repeat_budget_spend (&r->service->budget, &terms, now_ms);
+  return true;
+}
+
+static void
+count_request (struct beryl_forward *f, struct service *s, int64_t now_ms)
+{
+  struct repeat_terms terms = {
+    .ratio = f->settings.repeat_ratio,
+    .slack = f->settings.repeat_slack,
+    .window_ms = f->settings.repeat_window_ms,
+    .nodes = f->nodes,
+  };
+
+  repeat_budget_request (&s->budget, &terms, now_ms);
+}
+
+static uint64_t
+id_hash (const struct beryl_live *live)
+{
+  return XXH3_64bits (live->info.id, strlen (live->info.id));
+}
+
+void
+request_note_tried (struct request *r, const struct beryl_live *live)
+{
+  r->tried[r->tried_count % TRIED_MAX] = id_hash (live);
+  r->tried_count++;
+}
+
+bool
+request_tried (const struct request *r, const struct beryl_live *live)
+{
+  uint32_t count = r->tried_count < TRIED_MAX ? r->tried_count : TRIED_MAX;
+  uint64_t hash = id_hash (live);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (r->tried[i] == hash)
+      return true;
+  return false;
+}
+
+/* A request that cannot be served gets its answer without being stored. */
+static void
+refuse_at_once (struct beryl_forward *f,
+                const struct beryl_forward_request *facts, unsigned int status,
+                enum beryl_refusal_reason reason)
+{
+  struct beryl_refusal refusal = {
+    .status = status,
+    .reason = reason,
+    .not_run = true,
+    .retry_after_ms = status == 503 ? RETRY_AFTER_MS : 0,
+  };
+  struct beryl_decision decision = {
+    .step = "refuse",
+    .id = facts->id,
+    .route = "",
+    .outcome = beryl_refusal_name (reason),
+    .config_version = f->routes != NULL ? f->routes->version : 0,
+  };
+
+  if (f->owner->impl->decided != NULL)
+    f->owner->impl->decided (f->owner, &decision);
+  f->owner->impl->refuse (f->owner, facts->request, &refusal);
+}
+
+static struct request *
+request_new (struct beryl_forward *f,
+             const struct beryl_forward_request *facts,
+             const struct beryl_route *route)
+{
+  struct request *r = calloc (1, sizeof *r);
+  double point = (double)(forward_random (f) >> 11) * 0x1p-53;
+
+  r->facts = *facts;
+  r->facts.host = NULL;
+  r->facts.path = NULL;
+  r->routes = beryl_routes_ref (f->routes);
+  r->route = route;
+  r->terms = beryl_routes_choose (f->routes, route, point);
+  r->service = forward_service (f, r->terms->name);
+  r->timeout_ms = facts->deadline_ms;
+  if (route->timeout_ms > 0
+      && facts->arrived_ms + route->timeout_ms < r->timeout_ms)
+    r->timeout_ms = facts->arrived_ms + route->timeout_ms;
+  r->due_ms = r->timeout_ms;
+  r->last_event = facts->last_event;
+  TAILQ_INSERT_TAIL (&f->requests, r, entry);
+  map_put (&f->requests_by_handle, map_key_number (facts->request), r);
+  f->open++;
+  return r;
+}
+
+void
+beryl_forward_arrived (struct beryl_forward *f,
+                       const struct beryl_forward_request *facts,
+                       int64_t now_ms)
+{
+  const struct beryl_route *route;
+  struct request *r;
+
+  if (f->routes == NULL)
+    {
+      refuse_at_once (f, facts, 503, BERYL_REFUSAL_NO_CONFIGURATION);
+      return;
+    }
+  route = beryl_routes_find (f->routes, facts->host, facts->path);
+  if (route == NULL || route->target_count == 0)
+    {
+      refuse_at_once (f, facts, 404, BERYL_REFUSAL_NO_ROUTE);
+      return;
+    }
+  r = request_new (f, facts, route);
+  count_request (f, r->service, now_ms);
+  if (r->timeout_ms <= now_ms)
+    request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
+  else if (route->generation && r->terms->engines)
+    generation_start (f, r, now_ms);
+  else
+    plain_start (f, r, now_ms);
+}
+
+static struct request *
+request_find (struct beryl_forward *f, uint64_t handle)
+{
+  return map_get (&f->requests_by_handle, map_key_number (handle));
+}
+
+static struct exchange *
+exchange_find (struct beryl_forward *f, uint64_t id)
+{
+  return map_get (&f->exchanges_by_id, map_key_number (id));
+}
+
+void
+beryl_forward_caller_gone (struct beryl_forward *f, uint64_t handle,
+                           int64_t now_ms)
+{
+  struct request *r = request_find (f, handle);
+
+  if (r == NULL)
+    return;
+  request_decided (f, r, "caller_gone", NULL, "cancelled",
+                   (int64_t)r->event_count, now_ms);
+  request_end (f, r, now_ms);
+  generation_pump (f, now_ms);
+}
+
+void
+beryl_forward_caller_slow (struct beryl_forward *f, uint64_t handle,
+                           bool paused)
+{
+  struct request *r = request_find (f, handle);
+
+  if (r == NULL || r->caller_slow == paused)
+    return;
+  r->caller_slow = paused;
+  if (r->first == NULL || r->first->paused == paused)
+    return;
+  r->first->paused = paused;
+  f->owner->impl->pause (f->owner, r->first->id, paused);
+}
+
+void
+beryl_forward_head (struct beryl_forward *f, uint64_t id,
+                    const struct beryl_answer_head *head, int64_t now_ms)
+{
+  struct exchange *x = exchange_find (f, id);
+
+  if (x == NULL || x->request == NULL)
+    return;
+  x->headed = true;
+  x->head = *head;
+  answer_head (f, x, now_ms);
+}
+
+void
+beryl_forward_data (struct beryl_forward *f, uint64_t id, const char *bytes,
+                    size_t bytes_count, int64_t now_ms)
+{
+  struct exchange *x = exchange_find (f, id);
+
+  if (x != NULL && x->request != NULL)
+    answer_data (f, x, bytes, bytes_count, now_ms);
+}
+
+void
+beryl_forward_done (struct beryl_forward *f, uint64_t id, int64_t now_ms)
+{
+  struct exchange *x = exchange_find (f, id);
+
+  if (x == NULL)
+    return;
+  answer_done (f, x, now_ms);
+  generation_pump (f, now_ms);
+}
+
+void
+beryl_forward_result (struct beryl_forward *f, uint64_t id,
+                      const struct beryl_engine_result *result, int64_t now_ms)
+{
+  struct exchange *x = exchange_find (f, id);
+
+  if (x == NULL)
+    return;
+  generation_result (f, x, result, now_ms);
+  generation_pump (f, now_ms);
+}
+
+void
+beryl_forward_broken (struct beryl_forward *f, uint64_t id,
+                      enum beryl_break how, bool sent, int64_t now_ms)
+{
+  struct exchange *x = exchange_find (f, id);
+  struct request *r;
+  enum beryl_exchange_kind kind;
+
+  if (x == NULL)
+    return;
+  beryl_live_learn (x->live,
+                    how == BERYL_BREAK_CONNECT ? BERYL_LIVE_SILENT
+                                               : BERYL_LIVE_BROKE,
+                    now_ms - x->started_ms, now_ms);
+  r = x->request;
+  kind = x->kind;
+  if (r == NULL)
+    forward_exchange_free (f, x);
+  else if (kind == BERYL_EXCHANGE_RUN)
+    answer_broken (f, x, how, sent, now_ms);
+  else
+    {
+      request_decided (f, r, beryl_exchange_name (kind), x->live, "broken",
+                       (int64_t)how, now_ms);
+      forward_exchange_free (f, x);
+      generation_broken (f, r, kind, sent, now_ms);
+    }
+  generation_pump (f, now_ms);
+}
+
+void
+beryl_forward_lives_changed (struct beryl_forward *f, int64_t now_ms)
+{
+  generation_pump (f, now_ms);
+}
+
+static void
+request_tick (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (now_ms >= r->timeout_ms)
+    {
+      if (r->phase == PHASE_RUNNING && r->first != NULL && !r->first->headed)
+        beryl_live_learn (r->first->live, BERYL_LIVE_SILENT,
+                          now_ms - r->first->started_ms, now_ms);
+      request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
+    }
+  else if (r->route->generation && r->terms->engines)
+    generation_due (f, r, now_ms);
+  else
+    plain_due (f, r, now_ms);
+}
+
+void
+beryl_forward_tick (struct beryl_forward *f, int64_t now_ms)
+{
+  struct request *r, *next;
+
+  for (r = TAILQ_FIRST (&f->requests); r != NULL; r = next)
+    {
+      next = TAILQ_NEXT (r, entry);
+      if (r->due_ms <= now_ms)
+        request_tick (f, r, now_ms);
+    }
+  generation_pump (f, now_ms);
+}
+
+int64_t
+beryl_forward_next_ms (const struct beryl_forward *f)
+{
+  int64_t next_ms = BERYL_NEVER_MS;
+  const struct request *r;
+
+  TAILQ_FOREACH (r, &f->requests, entry)
+  if (r->due_ms < next_ms)
+    next_ms = r->due_ms;
+  return next_ms;
+}
+
+uint32_t
+beryl_forward_open (const struct beryl_forward *f)
+{
+  return f->open;
+}
+
+uint32_t
+beryl_forward_waiting (const struct beryl_forward *f)
+{
+  return f->waiting_count;
+}
--- /dev/null
+++ b/libberyl/forward/live.c
@@ -0,0 +1,206 @@
+#include "beryl/live.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "../base/map.h"
+
+/* How far one outcome moves the averages. */
+#define TIME_WEIGHT 0.1
+#define FAIL_WEIGHT 0.15
+/* An endpoint is avoided after as many failures in a row, or from that share
+ * of failures on.  One in five is above what overload or a caller's own bad
+ * requests cause, and reached within half a dozen calls of a broken one. */
+#define FAULTS_AVOID 2
+#define FAIL_RATE_AVOID 0.2
+/* How long it is avoided; doubled up to eight times while trials fail. */
+#define AVOID_MS 500
+#define AVOID_DOUBLINGS_MAX 3
+/* Distance of trials while it is avoided. */
+#define TRIAL_MS 500
+
+struct beryl_lives
+{
+  struct beryl_live **items;
+  size_t count;
+  size_t capacity;
+  struct map by_id;
+};
+
+static struct map_key
+id_key (const char *id)
+{
+  XXH128_hash_t hash = XXH3_128bits (id, strlen (id));
+
+  return (struct map_key){ hash.high64, hash.low64 };
+}
+
+struct beryl_lives *
+beryl_lives_create (void)
+{
+  return calloc (1, sizeof (struct beryl_lives));
+}
+
+void
+beryl_lives_destroy (struct beryl_lives *lives)
+{
+  if (lives == NULL)
+    return;
+  for (size_t i = 0; i < lives->count; i++)
+    free (lives->items[i]);
+  free (lives->items);
+  map_clear (&lives->by_id);
+  free (lives);
+}
+
+struct beryl_live *
+beryl_lives_find (const struct beryl_lives *lives, const char *id)
+{
+  return map_get (&lives->by_id, id_key (id));
+}
+
+static struct beryl_live *
+lives_add (struct beryl_lives *lives, const char *id)
+{
+  struct beryl_live *live = calloc (1, sizeof *live);
+
+  if (lives->count == lives->capacity)
+    {
+      lives->capacity = lives->capacity != 0 ? 2 * lives->capacity : 16;
+      lives->items
+          = realloc (lives->items, lives->capacity * sizeof *lives->items);
+    }
+  lives->items[lives->count++] = live;
+  map_put (&lives->by_id, id_key (id), live);
+  return live;
+}
+
+static void
+lives_release (struct beryl_lives *lives, struct beryl_live *live)
+{
+  for (size_t i = 0; i < lives->count; i++)
+    if (lives->items[i] == live)
+      {
+        lives->items[i] = lives->items[--lives->count];
+        break;
+      }
+  map_remove (&lives->by_id, id_key (live->info.id));
+  free (live);
+}
+
+struct beryl_live *
+beryl_lives_put (struct beryl_lives *lives, const struct beryl_live_info *info)
+{
+  struct beryl_live *live = beryl_lives_find (lives, info->id);
+
+  if (live == NULL)
+    live = lives_add (lives, info->id);
+  else if (info->revision < live->info.revision)
+    return live;
+  live->info = *info;
+  live->gone = false;
+  return live;
+}
+
+void
+beryl_lives_remove (struct beryl_lives *lives, const char *id)
+{
+  struct beryl_live *live = beryl_lives_find (lives, id);
+
+  if (live == NULL)
+    return;
+  live->gone = true;
+  if (live->open == 0)
+    lives_release (lives, live);
+}
+
+size_t
+beryl_lives_count (const struct beryl_lives *lives)
+{
+  return lives->count;
+}
+
+struct beryl_live *
+beryl_lives_get (const struct beryl_lives *lives, size_t i)
+{
+  return lives->items[i];
+}
+
+bool
+beryl_live_takes_work (const struct beryl_live *live)
+{
+  return !live->gone && !live->info.leaving;
+}
+
+void
+beryl_live_open (struct beryl_live *live)
+{
+  live->open++;
+}
+
+void
+beryl_live_close (struct beryl_lives *lives, struct beryl_live *live)
+{
+  live->open--;
+  if (live->gone && live->open == 0)
+    lives_release (lives, live);
+}
+
+static int64_t
+avoid_ms (const struct beryl_live *live)
+{
+  uint32_t doublings
+      = live->faults > FAULTS_AVOID ? live->faults - FAULTS_AVOID : 0;
+
+  if (doublings > AVOID_DOUBLINGS_MAX)
+    doublings = AVOID_DOUBLINGS_MAX;
+  return (int64_t)AVOID_MS << doublings;
+}
+
+void
+beryl_live_learn (struct beryl_live *live, enum beryl_live_outcome outcome,
+                  int64_t took_ms, int64_t now_ms)
+{
+  bool failed = outcome != BERYL_LIVE_ANSWERED;
+
+  live->fail_rate += FAIL_WEIGHT * ((failed ? 1.0 : 0.0) - live->fail_rate);
+  if (!failed)
+    {
+      live->faults = 0;
+      live->fault_ms = 0;
+      if (live->answer_ms == 0)
+        live->answer_ms = (double)took_ms;
+      live->answer_ms += TIME_WEIGHT * ((double)took_ms - live->answer_ms);
+      if (live->fail_rate < FAIL_RATE_AVOID)
+        live->avoid_until_ms = 0;
+      return;
+    }
+  live->faults++;
+  live->fault_ms = now_ms;
+  if (outcome == BERYL_LIVE_SILENT || live->faults >= FAULTS_AVOID
+      || live->fail_rate >= FAIL_RATE_AVOID)
+    live->avoid_until_ms = now_ms + avoid_ms (live);
+}
+
+bool
+beryl_live_avoided (const struct beryl_live *live, int64_t now_ms)
+{
+  return now_ms < live->avoid_until_ms;
+}
+
+bool
+beryl_live_trial_due (const struct beryl_live *live, int64_t now_ms)
+{
+  return beryl_live_avoided (live, now_ms)
+         && now_ms - live->trial_ms >= TRIAL_MS
+         && now_ms - live->fault_ms >= TRIAL_MS;
+}
+
+const char *
+beryl_stage_name (enum beryl_stage stage)
+{
+  static const char *const names[] = { "none", "prefill", "decode" };
+
+  return names[stage];
+}
--- /dev/null
+++ b/libberyl/forward/private.h
@@ -0,0 +1,220 @@
+/** @file
+ * Parts of the forwarder, shared by its modules.
+ */
+#ifndef FORWARD_PRIVATE_H
+#define FORWARD_PRIVATE_H
+
+#include <sys/queue.h>
+
+#include "../base/buffer.h"
+#include "../base/map.h"
+#include "beryl/clock.h"
+#include "beryl/forward.h"
+#include "events.h"
+#include "repeat_budget.h"
+
+/** Endpoints that one request remembers to have tried. */
+#define TRIED_MAX 8
+
+/** What is known of a service. */
+struct service
+{
+  char name[BERYL_NAME_BYTES];
+  struct repeat_budget budget;
+  double answer_ms;    /**< usual time to the head of an answer; 0: unknown */
+  double deviation_ms; /**< its mean deviation */
+};
+
+struct request;
+
+/** One exchange with an endpoint. */
+struct exchange
+{
+  TAILQ_ENTRY (exchange) entry;
+  uint64_t id;
+  struct request *request; /**< NULL: its request has ended */
+  enum beryl_exchange_kind kind;
+  struct beryl_live *live;
+  int64_t started_ms;
+  bool headed;
+  bool paused;
+  struct beryl_answer_head head;
+  uint32_t tokens;
+};
+
+TAILQ_HEAD (exchange_list, exchange);
+
+enum phase
+{
+  PHASE_WAITING,   /**< for room at an engine */
+  PHASE_RESERVING, /**< a decode engine was asked for room */
+  PHASE_PREFILLING,
+  PHASE_RUNNING, /**< an endpoint has the request */
+};
+
+/** Where a generation's memory is reserved. */
+struct reservation
+{
+  struct beryl_live *live; /**< NULL: none; counted as open there */
+  char handle[BERYL_ENGINE_HANDLE_BYTES];
+  uint32_t tokens;
+  int64_t until_ms;
+};
+
+/** A prompt that was read. */
+struct kv_cache
+{
+  struct beryl_live *live; /**< NULL: none; counted as open there */
+  char handle[BERYL_ENGINE_HANDLE_BYTES];
+  int64_t until_ms;
+};
+
+/** One request of a caller. */
+struct request
+{
+  TAILQ_ENTRY (request) entry;
+  TAILQ_ENTRY (request) waiting_entry;
+  struct beryl_forward_request facts; /**< host and path are not kept */
+  struct beryl_routes *routes;
+  const struct beryl_route *route;
+  const struct beryl_route_service *terms;
+  struct service *service;
+  enum phase phase;
+  bool waiting;            /**< is in the waiting list */
+  int64_t timeout_ms;      /**< absolute: its final answer is due */
+  int64_t due_ms;          /**< next look at it */
+  struct exchange *first;  /**< open exchange */
+  struct exchange *second; /**< a repeat beside the first */
+  uint32_t sends;          /**< RUN and PREFILL that count as arrivals */
+  uint32_t endpoints_run;  /**< that may have run it */
+  bool may_have_run;
+  uint64_t tried[TRIED_MAX]; /**< hashes of endpoint ids */
+  uint32_t tried_count;
+  /* The answer. */
+  bool begun;
+  bool caller_slow;
+  struct buffer held; /**< body that was not passed on yet */
+  struct event_splitter events;
+  uint64_t event_count; /**< passed on */
+  uint64_t last_event;
+  int64_t event_ms; /**< time of the last one */
+  /* Generations. */
+  struct reservation reservation;
+  struct kv_cache kv;
+  bool prefilled_once;
+  uint32_t refusals; /**< of engines asked for room, in this wait */
+  int64_t waiting_since_ms;
+};
+
+TAILQ_HEAD (request_list, request);
+
+struct beryl_forward
+{
+  struct beryl_forward_settings settings;
+  struct beryl_lives *lives;
+  struct beryl_forward_owner *owner;
+  struct beryl_routes *routes; /**< NULL before the first configuration */
+  uint32_t nodes;
+  struct map requests_by_handle;
+  struct map exchanges_by_id;
+  struct request_list requests;
+  struct request_list waiting; /**< generations without a place, in order */
+  struct exchange_list exchanges;
+  struct service **services;
+  size_t service_count;
+  uint32_t open;
+  uint32_t waiting_count;
+  uint64_t last_exchange;
+  uint64_t random;
+};
+
+/* forward.c */
+uint64_t forward_random (struct beryl_forward *f);
+struct service *forward_service (struct beryl_forward *f, const char *name);
+/** Start an exchange for R (NULL: clean-up). */
+struct exchange *forward_start (struct beryl_forward *f, struct request *r,
+                                struct beryl_exchange_start *start,
+                                struct beryl_live *live, int64_t now_ms);
+/** Forget an exchange whose connection is closed. */
+void forward_exchange_free (struct beryl_forward *f, struct exchange *x);
+/** Close the connection of X and forget it. */
+void forward_exchange_abort (struct beryl_forward *f, struct exchange *x);
+/** Log one step. */
+void request_decided (struct beryl_forward *f, const struct request *r,
+                      const char *step, const struct beryl_live *live,
+                      const char *outcome, int64_t number, int64_t now_ms);
+/** End R: abort what is open, free its memory at engines, release it. */
+void request_end (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** Answer R by this node's own refusal and end it. */
+void request_refuse (struct beryl_forward *f, struct request *r,
+                     unsigned int status, enum beryl_refusal_reason reason,
+                     int64_t retry_after_ms, int64_t now_ms);
+/** End R with the failure that fits what became of it. */
+void request_fail (struct beryl_forward *f, struct request *r,
+                   enum beryl_refusal_reason reason, int64_t now_ms);
+/** Whether R may run again although it may have run. */
+bool request_repeatable (const struct request *r);
+/** Whether one more send, a repeat, fits R's terms and the budget; takes it
+ * from the budget. */
+bool request_take_repeat (struct beryl_forward *f, struct request *r,
+                          int64_t now_ms);
+void request_note_tried (struct request *r, const struct beryl_live *live);
+bool request_tried (const struct request *r, const struct beryl_live *live);
+
+/* plain.c */
+void plain_start (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** X of R ended without an answer that goes to the caller. */
+void plain_attempt_failed (struct beryl_forward *f, struct request *r,
+                           int64_t now_ms);
+void plain_due (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** Learn from the time to the head of an answer. */
+void service_learn (struct service *s, int64_t took_ms);
+/** Return after how long an answer is unusually late. */
+int64_t service_late_ms (const struct service *s);
+
+/* generation.c */
+void generation_start (struct beryl_forward *f, struct request *r,
+                       int64_t now_ms);
+void generation_result (struct beryl_forward *f, struct exchange *x,
+                        const struct beryl_engine_result *result,
+                        int64_t now_ms);
+/** An exchange of R's, KIND at LIVE, broke; SENT as in
+ * beryl_forward_broken. */
+void generation_broken (struct beryl_forward *f, struct request *r,
+                        enum beryl_exchange_kind kind, bool sent,
+                        int64_t now_ms);
+/** The engine said that it did not run R. */
+void generation_not_run (struct beryl_forward *f, struct request *r,
+                         int64_t now_ms);
+void generation_due (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms);
+/** Give back what R holds at engines. */
+void generation_release (struct beryl_forward *f, struct request *r,
+                         int64_t now_ms);
+/** The run of R at its decode engine ended. */
+void generation_run_over (struct beryl_forward *f, struct request *r);
+/** Try to place those that wait. */
+void generation_pump (struct beryl_forward *f, int64_t now_ms);
+/** R's stream broke after events went to the caller. */
+void generation_resume (struct beryl_forward *f, struct request *r,
+                        int64_t now_ms);
+
+/* answer.c */
+void answer_head (struct beryl_forward *f, struct exchange *x, int64_t now_ms);
+void answer_data (struct beryl_forward *f, struct exchange *x,
+                  const char *bytes, size_t bytes_count, int64_t now_ms);
+void answer_done (struct beryl_forward *f, struct exchange *x, int64_t now_ms);
+void answer_broken (struct beryl_forward *f, struct exchange *x,
+                    enum beryl_break how, bool sent, int64_t now_ms);
+
+/* engines.c */
+/** Choose a decode engine to ask for TOKENS; NULL: none may have room. */
+struct beryl_live *engine_choose_decode (struct beryl_forward *f,
+                                         const struct request *r,
+                                         uint32_t tokens, int64_t now_ms);
+/** Choose an engine to read R's prompt; NULL: none. */
+struct beryl_live *engine_choose_prefill (struct beryl_forward *f,
+                                          const struct request *r,
+                                          int64_t now_ms);
+
+#endif
--- a/libberyl/platform/fetch.c
+++ b/libberyl/platform/fetch.c
@@ -322,8 +322,15 @@
 
   call->path = path;
   call->method = "GET";
+  call->kind = f->kind;
+  call->name = f->name;
+  call->after = f->listing.after;
+  call->condition = f->condition;
+  call->version = strtoull (f->version, NULL, 10);
+  call->op = BERYL_OP_GET;
   if (f->type == FETCH_LIST)
     {
+      call->op = BERYL_OP_LIST;
       snprintf (path, PATH_BYTES, "/v1/objects/%s?prefix=%s&after=%s", f->kind,
                 f->name, f->listing.after);
       return;
@@ -331,6 +338,7 @@
   snprintf (path, PATH_BYTES, "/v1/objects/%s/%s", f->kind, f->name);
   if (platform_fetch_is_read (f) || f->reading_back)
     return;
+  call->op = f->type == FETCH_PUT ? BERYL_OP_PUT : BERYL_OP_DELETE;
   call->method = f->type == FETCH_PUT ? "PUT" : "DELETE";
   call->if_none_match = f->condition == BERYL_IF_ABSENT;
   call->if_match = f->condition == BERYL_IF_VERSION ? f->version : NULL;
--- a/libberyl/platform/watch.c
+++ b/libberyl/platform/watch.c
@@ -352,6 +352,14 @@
 
   call->method = "GET";
   call->path = path;
+  call->kind = w->kind;
+  call->name = "";
+  call->after = w->listing.after;
+  call->revision = w->revision;
+  call->wait_ms = wait_ms;
+  call->op = w->instances     ? BERYL_OP_INSTANCES
+             : w->listing_now ? BERYL_OP_LIST
+                              : BERYL_OP_WATCH;
   if (w->instances)
     snprintf (path, PATH_BYTES,
               "/v1/instances?after=%" PRIu64 "&wait_ms=%" PRId64, w->revision,
--- a/libberyl/requests/claim_private.h
+++ b/libberyl/requests/claim_private.h
@@ -7,7 +7,7 @@
 #include "../base/guard.h"
 #include "beryl/claims.h"
 #include "beryl/clock.h"
-#include "map.h"
+#include "../base/map.h"
 
 #define SEGMENT_NAME_BYTES 64
 /** Claims in one segment. */
--- a/libberyl/requests/private.h
+++ b/libberyl/requests/private.h
@@ -7,8 +7,8 @@
 #include "../base/guard.h"
 #include "beryl/clock.h"
 #include "beryl/requests.h"
-#include "buffer.h"
-#include "map.h"
+#include "../base/buffer.h"
+#include "../base/map.h"
 #include "reassembly.h"
 #include "retry_budget.h"
 
--- a/tests/requests/test_parts.c
+++ b/tests/requests/test_parts.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../../libberyl/requests/map.h"
+#include "../../libberyl/base/map.h"
 #include "../../libberyl/requests/reassembly.h"
 #include "../../libberyl/requests/retry_budget.h"
 #include "../suite.h"
