--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -27,7 +27,7 @@
 static uint32_t
 tokens_needed (const struct request *r)
 {
-  return r->facts.prompt_tokens + r->facts.output_tokens_max;
+  uint32_t h = (uint32_t)(r->facts.output_tokens_hint * 2.0); if (h == 0 || h > r->facts.output_tokens_max) h = r->facts.output_tokens_max; return r->facts.prompt_tokens + h;
 }
 
 static void
@@ -145,6 +145,7 @@
              : NULL;
   if (live == NULL)
     {
+      r->phase = PHASE_WAITING;
       r->refusals = 0;
       r->tried_count = 0;
       r->due_ms = now_ms + ASK_AGAIN_MS;
