--- a/controld/ticker.c
+++ b/common/ticker.c
@@ -1,4 +1,4 @@
-#include "ticker.h"
+#include "common/ticker.h"
 
 #include <glib.h>
 
--- a/controld/cleanup_task.c
+++ b/controld/cleanup_task.c
@@ -11,7 +11,7 @@
 #include "entry_task.h"
 #include "gossip_task.h"
 #include "http/client.h"
-#include "ticker.h"
+#include "common/ticker.h"
 
 #define CANCEL_MS 2000
 #define ANSWER_BYTES 4096
--- a/controld/entry_task.c
+++ b/controld/entry_task.c
@@ -7,7 +7,7 @@
 
 #include "beryl/holds.h"
 #include "cleanup_task.h"
-#include "ticker.h"
+#include "common/ticker.h"
 #include "wire/link.h"
 
 /* Changes of the view are joined for so long. */
--- a/controld/gossip_task.c
+++ b/controld/gossip_task.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "peer_port.h"
-#include "ticker.h"
+#include "common/ticker.h"
 #include "wire/gossip.h"
 #include "wire/link.h"
 
--- a/controld/role_task.c
+++ b/controld/role_task.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "beryl/lease.h"
-#include "ticker.h"
+#include "common/ticker.h"
 
 /* Nodes that compete for a role; the others do not read its object. */
 #define CONTENDERS 3
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -6,7 +6,9 @@
 #include "common/counters.h"
 #include "directory.h"
 #include "front.h"
+#include "members.h"
 #include "outbound.h"
+#include "registry.h"
 #include "source.h"
 
 /* How often a stopping node looks whether all is answered. */
@@ -25,11 +27,17 @@
 /* Part of the fleet's rate that one node may use. */
 #define STORE_RATE_PART 0.02
 
+/* Changes of this node's runs are told together, so often at most.  Others
+ * place a request every few tens of milliseconds. */
+#define TELL_DELAY_MS 30
+
 struct gateway
 {
   struct beryl_forward_owner base;
   struct source_owner source_base;
   struct directory_owner directory_base;
+  struct members_owner members_base;
+  struct registry_owner registry_base;
   struct loop *loop;
   const struct gateway_wire *wire;
   struct gateway_settings settings;
@@ -41,6 +49,9 @@
   struct outbound *outbound;
   struct source *source;
   struct directory *directory;
+  struct members *members;
+  struct registry *registry;
+  struct loop_timer *tell; /* runs that changed are told when it fires */
   struct loop_timer *tick;
   int64_t tick_ms;
   uv_prepare_t *prepare;
@@ -68,6 +79,20 @@
                             - offsetof (struct gateway, directory_base));
 }
 
+static struct gateway *
+of_members (struct members_owner *owner)
+{
+  return (struct gateway *)((char *)owner
+                            - offsetof (struct gateway, members_base));
+}
+
+static struct gateway *
+of_registry (struct registry_owner *owner)
+{
+  return (struct gateway *)((char *)owner
+                            - offsetof (struct gateway, registry_base));
+}
+
 static void
 forward_start_exchange (struct beryl_forward_owner *owner,
                         const struct beryl_exchange_start *start)
@@ -162,6 +187,8 @@
 {
   struct gateway *g = of_source (owner);
   const struct beryl_caller_limits *from = &routes->limits;
+  size_t value_bytes;
+  const char *value = source_value (g->source, &value_bytes);
   struct h1_limits limits = {
     .header_bytes = from->header_bytes,
     .body_bytes = from->body_bytes,
@@ -173,6 +200,9 @@
   beryl_forward_set_routes (g->forward, routes);
   beryl_routes_unref (routes);
   h1_server_set_limits (front_server (g->front), &limits);
+  if (g->members != NULL)
+    members_set_configuration (g->members, source_revision (g->source), value,
+                               value_bytes);
 }
 
 static void
@@ -200,8 +230,7 @@
 {
   struct gateway *g = of_directory (owner);
 
-  g_ptr_array_add (addresses, g_strdup_printf ("%s:%u", g->settings.front.ip,
-                                               g->settings.front.port));
+  members_addresses (g->members, place->data_centre, addresses);
 }
 
 static char *
@@ -216,6 +245,71 @@
   .metrics = directory_metrics,
 };
 
+static void
+members_count_changed (struct members_owner *owner, uint32_t count)
+{
+  beryl_forward_set_nodes (of_members (owner)->forward, count);
+}
+
+static void
+members_loads (struct members_owner *owner, const char *peer,
+               const struct beryl_engine_run *runs, size_t count)
+{
+  struct gateway *g = of_members (owner);
+
+  beryl_forward_peer_runs (g->forward, peer, runs, count,
+                           loop_now_ms (g->loop));
+}
+
+static void
+members_peer_gone (struct members_owner *owner, const char *peer)
+{
+  beryl_forward_peer_gone (of_members (owner)->forward, peer);
+}
+
+static void
+members_configuration (struct members_owner *owner, uint64_t revision,
+                       const char *value, size_t value_bytes)
+{
+  source_offer (of_members (owner)->source, revision, value, value_bytes);
+}
+
+static const struct members_owner_impl members_impl = {
+  .count_changed = members_count_changed,
+  .loads = members_loads,
+  .peer_gone = members_peer_gone,
+  .configuration = members_configuration,
+};
+
+static void
+registry_registered (struct registry_owner *owner, uint64_t incarnation)
+{
+  members_join (of_registry (owner)->members, incarnation);
+}
+
+static void
+registry_listed (struct registry_owner *owner,
+                 const struct beryl_listed *items, size_t count)
+{
+  members_listed (of_registry (owner)->members, items, count);
+}
+
+static const struct registry_owner_impl registry_impl
+    = { .registered = registry_registered, .listed = registry_listed };
+
+static void
+tell (void *user)
+{
+  struct gateway *g = user;
+  struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
+  size_t count = beryl_forward_runs (g->forward, runs, BERYL_ENGINE_RUNS_MAX,
+                                     loop_now_ms (g->loop));
+
+  loop_timer_stop (g->tell);
+  g->tell = NULL;
+  members_tell_loads (g->members, runs, count);
+}
+
 static void
 tick (void *user)
 {
@@ -235,6 +329,9 @@
   int64_t next_ms = beryl_forward_next_ms (g->forward);
   int64_t now_ms;
 
+  if (g->tell == NULL && beryl_forward_runs_changed (g->forward))
+    g->tell = loop_timer_start (g->loop, TELL_DELAY_MS, 0, tell, g);
+
   if (next_ms == BERYL_NEVER_MS || (g->tick != NULL && g->tick_ms <= next_ms))
     return;
   now_ms = loop_now_ms (g->loop);
@@ -305,7 +402,6 @@
           sizeof settings.data_centre);
   g->lives = beryl_lives_create ();
   g->forward = beryl_forward_create (&settings, g->lives, &g->base);
-  beryl_forward_set_nodes (g->forward, 8);
 }
 
 struct gateway *
@@ -319,6 +415,8 @@
   g->base.impl = &forward_impl;
   g->source_base.impl = &source_impl;
   g->directory_base.impl = &directory_impl;
+  g->members_base.impl = &members_impl;
+  g->registry_base.impl = &registry_impl;
   g->loop = loop;
   g->wire = wire;
   g->settings = *settings;
@@ -335,7 +433,14 @@
     g->directory = directory_create (loop, wire, &g->settings,
                                      &g->directory_base, error);
   if (g->directory != NULL)
-    return g;
+    g->members = members_create (loop, &g->settings, &g->members_base,
+                                 g->counters, error);
+  if (g->members != NULL)
+    {
+      g->registry
+          = registry_create (loop, g->store, &g->settings, &g->registry_base);
+      return g;
+    }
   gateway_destroy (g);
   return NULL;
 }
@@ -346,7 +451,10 @@
   if (g == NULL)
     return;
   loop_timer_stop (g->tick);
+  loop_timer_stop (g->tell);
   loop_timer_stop (g->stop_poll);
+  registry_destroy (g->registry);
+  members_destroy (g->members);
   uv_close ((uv_handle_t *)g->prepare, free_handle);
   directory_destroy (g->directory);
   front_destroy (g->front);
@@ -364,10 +472,14 @@
 {
   struct gateway *g = user;
   int64_t stopping_ms = loop_now_ms (g->loop) - g->stop_began_ms;
-  bool spread = stopping_ms >= 2 * g->settings.address_keep_ms;
-
-  if ((spread && beryl_forward_open (g->forward) == 0
-       && h1_server_open (front_server (g->front)) == 0)
+  bool idle = beryl_forward_open (g->forward) == 0
+              && h1_server_open (front_server (g->front)) == 0;
+
+  /* Callers may use the address for as long as they keep an answer; after
+     that a refused connection sends the rest to another node at once. */
+  if (stopping_ms >= g->settings.address_keep_ms)
+    h1_server_close_listener (front_server (g->front));
+  if ((idle && stopping_ms >= g->settings.address_keep_ms)
       || stopping_ms >= g->settings.stop_ms - STOP_MARGIN_MS)
     {
       g_info ("stopped after_ms=%" G_GINT64_FORMAT " open=%u", stopping_ms,
@@ -379,8 +491,14 @@
 void
 gateway_stop (struct gateway *g)
 {
+  int64_t now_ms = loop_now_ms (g->loop);
+
   g_info ("stop asked open=%u", beryl_forward_open (g->forward));
-  g->stop_began_ms = loop_now_ms (g->loop);
+  g->stop_began_ms = now_ms;
+  members_leave (g->members);
+  registry_withdraw (g->registry);
+  beryl_forward_stop (g->forward,
+                      now_ms + g->settings.stop_ms - STOP_MARGIN_MS, now_ms);
   h1_server_drain (front_server (g->front), g->settings.address_keep_ms);
   g->stop_poll
       = loop_timer_start (g->loop, STOP_POLL_MS, STOP_POLL_MS, stop_poll, g);
--- /dev/null
+++ b/gatewayd/members.c
@@ -0,0 +1,550 @@
+#include "members.h"
+
+#include <string.h>
+
+#include "beryl/clock.h"
+#include "common/ticker.h"
+#include "wire/gossip.h"
+#include "wire/link.h"
+#include "wire/loads.h"
+
+#define PROBE_MS 500
+#define ACK_MS 150
+/* Runs are told at least so often, also as a sign of life. */
+#define TELL_MS 500
+/* With more peers each is told less often, so that a node's bytes for it stay
+ * the same. */
+#define TELL_PEER_MS 10
+/* A peer that was silent for so many of these is not handed to callers. */
+#define SILENT_TELLS 3
+/* A pull that is not answered by then is given up. */
+#define PULL_MS 1000
+
+struct members
+{
+  struct beryl_membership_owner base;
+  struct loop *loop;
+  const struct gateway_settings *settings;
+  struct members_owner *owner;
+  struct counters *counters;
+  struct datagram *datagram;
+  struct link_listener *listener;
+  struct frame_writer *writer;
+  struct ticker *ticker;
+  struct loop_timer *tell;
+  struct beryl_membership *table; /* NULL before members_join */
+  uint64_t incarnation;
+  uint64_t sequence;
+  struct loads_message loads;
+  int64_t told_ms;
+  GHashTable *heard; /* name to struct peer */
+  GPtrArray *pulls;  /* connections, in either direction */
+  bool pulling;
+  uint64_t revision; /* of the configuration here */
+  GString *value;
+  uint32_t count;
+};
+
+/* What a peer told last. */
+struct peer
+{
+  uint64_t incarnation;
+  uint64_t sequence;
+  int64_t heard_ms;
+};
+
+static int64_t
+now_ms (const struct members *m)
+{
+  return loop_now_ms (m->loop);
+}
+
+static void
+membership_send (struct beryl_membership_owner *owner, const char *address,
+                 uint16_t port, const struct beryl_gossip *message)
+{
+  struct members *m = (struct members *)owner;
+
+  gossip_put (m->writer, message);
+  datagram_send (m->datagram, address, port, m->writer);
+}
+
+uint32_t
+members_count (const struct members *m)
+{
+  uint32_t count = 0;
+
+  if (m->table == NULL)
+    return 1;
+  for (size_t i = 0; i < beryl_membership_count (m->table); i++)
+    count += beryl_membership_get (m->table, i)->state != BERYL_MEMBER_DEAD;
+  return count;
+}
+
+static void
+count_check (struct members *m)
+{
+  uint32_t count = members_count (m);
+
+  if (count == m->count)
+    return;
+  m->count = count;
+  m->owner->impl->count_changed (m->owner, count);
+}
+
+static void
+membership_changed (struct beryl_membership_owner *owner,
+                    const struct beryl_member *member)
+{
+  struct members *m = (struct members *)owner;
+
+  g_info ("node name=%s address=%s incarnation=%" G_GUINT64_FORMAT
+          " state=%s%s",
+          member->name, member->address, member->incarnation,
+          beryl_member_state_name (member->state),
+          member->leaving ? " leaving" : "");
+  if (member->state != BERYL_MEMBER_ALIVE)
+    m->owner->impl->peer_gone (m->owner, member->name);
+  if (m->table != NULL)
+    count_check (m);
+}
+
+static void pull_from (struct members *m, const struct beryl_member *peer);
+
+static void
+membership_behind (struct beryl_membership_owner *owner,
+                   const struct beryl_member *peer)
+{
+  pull_from ((struct members *)owner, peer);
+}
+
+static void
+membership_sync (struct beryl_membership_owner *owner,
+                 const struct beryl_member *peer)
+{
+  /* Lists are compared through the platform's records instead. */
+}
+
+static const struct beryl_membership_owner_impl membership_impl = {
+  .send = membership_send,
+  .changed = membership_changed,
+  .behind = membership_behind,
+  .sync = membership_sync,
+};
+
+static void
+wake (struct members *m)
+{
+  if (m->table != NULL)
+    ticker_set (m->ticker, beryl_membership_next_ms (m->table));
+}
+
+static void
+take_loads (struct members *m, struct frame *frame)
+{
+  struct loads_message message;
+  struct peer *peer;
+
+  if (!loads_read (frame, &message)
+      || strcmp (message.from, m->settings->node) == 0)
+    return;
+  peer = g_hash_table_lookup (m->heard, message.from);
+  if (peer == NULL)
+    {
+      peer = g_new0 (struct peer, 1);
+      g_hash_table_insert (m->heard, g_strdup (message.from), peer);
+    }
+  /* Datagrams overtake each other; an older one would bring ended runs
+     back. */
+  if (message.incarnation < peer->incarnation
+      || (message.incarnation == peer->incarnation
+          && message.sequence <= peer->sequence))
+    return;
+  peer->incarnation = message.incarnation;
+  peer->sequence = message.sequence;
+  peer->heard_ms = now_ms (m);
+  m->owner->impl->loads (m->owner, message.from, message.runs,
+                         message.run_count);
+}
+
+static void
+datagram_received (void *user, struct frame *frame, const char *address,
+                   uint16_t port)
+{
+  struct members *m = user;
+  struct beryl_gossip message;
+
+  if (frame_type (frame) == LOADS_DATAGRAM)
+    take_loads (m, frame);
+  else if (m->table != NULL && gossip_read (frame, &message))
+    beryl_membership_receive (m->table, &message, address, port, now_ms (m));
+  wake (m);
+}
+
+static void
+tick (void *user)
+{
+  struct members *m = user;
+
+  beryl_membership_tick (m->table, now_ms (m));
+  wake (m);
+}
+
+/* A connection on which a configuration is pulled. */
+struct pull
+{
+  struct link_handler base;
+  struct members *members;
+  struct link *link;
+  bool asks; /* this side does */
+  int64_t began_ms;
+};
+
+static void
+pull_free (void *pointer)
+{
+  struct pull *pull = pointer;
+
+  if (pull->asks)
+    pull->members->pulling = false;
+  g_free (pull);
+}
+
+static void
+pull_end (struct pull *pull)
+{
+  struct link *link = pull->link;
+
+  g_ptr_array_remove_fast (pull->members->pulls, pull);
+  link_close (link);
+}
+
+static void
+pull_opened (struct link_handler *handler, struct link *link)
+{
+  struct pull *pull = (struct pull *)handler;
+
+  gossip_put_number (pull->members->writer, GOSSIP_PULL,
+                     pull->members->revision);
+  link_send (link, pull->members->writer);
+}
+
+static void
+answer_pull (struct pull *pull, uint64_t after)
+{
+  struct members *m = pull->members;
+
+  if (m->revision <= after)
+    gossip_put_number (m->writer, GOSSIP_SAME, m->revision);
+  else
+    {
+      frame_writer_reset (m->writer, GOSSIP_SNAPSHOT);
+      frame_put_bytes (m->writer, 1, m->value->str, m->value->len);
+      frame_put_uint (m->writer, 2, m->revision);
+    }
+  link_send (pull->link, m->writer);
+}
+
+static void
+take_answer (struct pull *pull, struct frame *frame)
+{
+  struct members *m = pull->members;
+  struct frame_map map = frame_root (frame);
+  uint64_t revision = frame_uint (map, 2, 0);
+  size_t bytes = 0;
+  const char *value = frame_bytes (map, 1, &bytes);
+
+  if (frame_type (frame) == GOSSIP_SNAPSHOT && frame_valid (frame)
+      && value != NULL && revision > m->revision)
+    m->owner->impl->configuration (m->owner, revision, value, bytes);
+  pull_end (pull);
+}
+
+static void
+pull_frame (struct link_handler *handler, struct link *link,
+            struct frame *frame)
+{
+  struct pull *pull = (struct pull *)handler;
+  uint64_t after = 0;
+
+  if (pull->asks)
+    take_answer (pull, frame);
+  else if (frame_type (frame) == GOSSIP_PULL
+           && gossip_read_number (frame, &after))
+    answer_pull (pull, after);
+  else
+    pull_end (pull);
+}
+
+static void
+pull_closed (struct link_handler *handler, struct link *link,
+             const char *reason)
+{
+  struct pull *pull = (struct pull *)handler;
+
+  g_ptr_array_remove_fast (pull->members->pulls, pull);
+}
+
+static const struct link_handler_impl pull_impl
+    = { .opened = pull_opened, .frame = pull_frame, .closed = pull_closed };
+
+static struct pull *
+pull_create (struct members *m, bool asks)
+{
+  struct pull *pull = g_new0 (struct pull, 1);
+
+  pull->base.impl = &pull_impl;
+  pull->members = m;
+  pull->asks = asks;
+  pull->began_ms = now_ms (m);
+  return pull;
+}
+
+static void
+pull_from (struct members *m, const struct beryl_member *peer)
+{
+  struct pull *pull;
+
+  if (m->pulling)
+    return;
+  pull = pull_create (m, true);
+  pull->link
+      = link_connect (m->loop, peer->address, peer->port, &pull->base, NULL);
+  if (pull->link == NULL)
+    {
+      g_free (pull);
+      return;
+    }
+  m->pulling = true;
+  g_ptr_array_add (m->pulls, pull);
+}
+
+static struct link_handler *
+accept_pull (void *user, struct link *link)
+{
+  struct members *m = user;
+  struct pull *pull = pull_create (m, false);
+
+  pull->link = link;
+  g_ptr_array_add (m->pulls, pull);
+  return &pull->base;
+}
+
+static void
+expire_pulls (struct members *m)
+{
+  for (guint i = m->pulls->len; i > 0; i--)
+    {
+      struct pull *pull = g_ptr_array_index (m->pulls, i - 1);
+
+      if (now_ms (m) - pull->began_ms > PULL_MS)
+        pull_end (pull);
+    }
+}
+
+static int64_t
+tell_interval_ms (const struct members *m)
+{
+  return MAX (TELL_MS, (int64_t)m->count * TELL_PEER_MS);
+}
+
+static void
+send_loads (struct members *m)
+{
+  if (m->table == NULL)
+    return;
+  m->told_ms = now_ms (m);
+  m->loads.sequence = ++m->sequence;
+  m->loads.incarnation = m->incarnation;
+  g_strlcpy (m->loads.from, m->settings->node, sizeof m->loads.from);
+  loads_put (m->writer, &m->loads);
+  for (size_t i = 0; i < beryl_membership_count (m->table); i++)
+    {
+      const struct beryl_member *peer = beryl_membership_get (m->table, i);
+
+      if (peer->state == BERYL_MEMBER_DEAD
+          || strcmp (peer->name, m->settings->node) == 0)
+        continue;
+      datagram_send (m->datagram, peer->address, peer->port, m->writer);
+    }
+}
+
+static void
+tell_due (void *user)
+{
+  struct members *m = user;
+
+  expire_pulls (m);
+  if (now_ms (m) - m->told_ms >= tell_interval_ms (m))
+    send_loads (m);
+}
+
+void
+members_tell_loads (struct members *m, const struct beryl_engine_run *runs,
+                    size_t count)
+{
+  m->loads.run_count = MIN (count, (size_t)BERYL_ENGINE_RUNS_MAX);
+  memcpy (m->loads.runs, runs, m->loads.run_count * sizeof *runs);
+  send_loads (m);
+}
+
+struct members *
+members_create (struct loop *loop, const struct gateway_settings *settings,
+                struct members_owner *owner, struct counters *counters,
+                struct beryl_error *error)
+{
+  struct members *m = g_new0 (struct members, 1);
+
+  m->base.impl = &membership_impl;
+  m->loop = loop;
+  m->settings = settings;
+  m->owner = owner;
+  m->counters = counters;
+  m->count = 1;
+  m->value = g_string_new (NULL);
+  m->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  m->pulls = g_ptr_array_new_with_free_func (pull_free);
+  m->writer = frame_writer_create (GOSSIP_DATAGRAM);
+  m->ticker = ticker_create (loop, tick, m);
+  m->datagram = datagram_open (loop, settings->front.ip, settings->peer_port,
+                               datagram_received, m, error);
+  if (m->datagram != NULL)
+    m->listener
+        = link_listen (loop, settings->front.ip, datagram_port (m->datagram),
+                       accept_pull, m, error);
+  if (m->listener == NULL)
+    {
+      members_destroy (m);
+      return NULL;
+    }
+  m->tell = loop_timer_start (loop, TELL_MS, TELL_MS, tell_due, m);
+  return m;
+}
+
+void
+members_destroy (struct members *m)
+{
+  if (m == NULL)
+    return;
+  loop_timer_stop (m->tell);
+  while (m->pulls->len > 0)
+    pull_end (g_ptr_array_index (m->pulls, 0));
+  g_ptr_array_free (m->pulls, TRUE);
+  link_listener_close (m->listener);
+  datagram_close (m->datagram);
+  ticker_destroy (m->ticker);
+  frame_writer_destroy (m->writer);
+  beryl_membership_destroy (m->table);
+  g_hash_table_destroy (m->heard);
+  g_string_free (m->value, TRUE);
+  g_free (m);
+}
+
+void
+members_join (struct members *m, uint64_t incarnation)
+{
+  struct beryl_membership_settings settings = { 0 };
+  struct beryl_member *self = &settings.self;
+
+  if (m->table != NULL)
+    return;
+  memcpy (self->name, m->settings->node, sizeof self->name);
+  g_strlcpy (self->address, m->settings->front.ip, sizeof self->address);
+  memcpy (self->data_centre, m->settings->data_centre,
+          sizeof self->data_centre);
+  memcpy (self->region, m->settings->region, sizeof self->region);
+  self->port = datagram_port (m->datagram);
+  self->incarnation = incarnation;
+  settings.seed = incarnation * UINT64_C (0x9e3779b97f4a7c15);
+  settings.probe_ms = PROBE_MS;
+  settings.ack_ms = ACK_MS;
+  m->incarnation = incarnation;
+  m->table = beryl_membership_create (&settings, &m->base, now_ms (m));
+  beryl_membership_set_entry (m->table, incarnation, m->settings->front.port,
+                              0, now_ms (m));
+  if (m->revision != 0)
+    beryl_membership_set_config (m->table, m->revision, now_ms (m));
+  wake (m);
+}
+
+void
+members_listed (struct members *m, const struct beryl_listed *items,
+                size_t count)
+{
+  if (m->table == NULL)
+    return;
+  beryl_membership_listed (m->table, items, count, now_ms (m));
+  count_check (m);
+  wake (m);
+}
+
+void
+members_leave (struct members *m)
+{
+  if (m->table == NULL)
+    return;
+  beryl_membership_leave (m->table, now_ms (m));
+  wake (m);
+}
+
+void
+members_set_configuration (struct members *m, uint64_t revision,
+                           const char *value, size_t value_bytes)
+{
+  m->revision = revision;
+  g_string_truncate (m->value, 0);
+  g_string_append_len (m->value, value, (gssize)value_bytes);
+  if (m->table == NULL)
+    return;
+  beryl_membership_set_config (m->table, revision, now_ms (m));
+  beryl_membership_set_applied (m->table, revision, now_ms (m));
+  wake (m);
+}
+
+/* Whether callers may be sent to MEMBER: alive as far as is known, and heard
+ * of late. */
+static bool
+takes_callers (const struct members *m, const struct beryl_member *member)
+{
+  const struct peer *peer = g_hash_table_lookup (m->heard, member->name);
+
+  if (member->state != BERYL_MEMBER_ALIVE || member->leaving
+      || member->http_port == 0)
+    return false;
+  if (strcmp (member->name, m->settings->node) == 0)
+    return true;
+  return peer != NULL
+         && now_ms (m) - peer->heard_ms <= SILENT_TELLS * tell_interval_ms (m);
+}
+
+static void
+addresses_in (struct members *m, const char *data_centre, GPtrArray *addresses)
+{
+  for (size_t i = 0; i < beryl_membership_count (m->table); i++)
+    {
+      const struct beryl_member *member = beryl_membership_get (m->table, i);
+
+      if (takes_callers (m, member)
+          && (data_centre == NULL
+              || strcmp (member->data_centre, data_centre) == 0))
+        g_ptr_array_add (addresses, g_strdup_printf ("%s:%u", member->address,
+                                                     member->http_port));
+    }
+}
+
+/* With one node of the callers' own data centre they would all fail together
+ * with it, so that others are named beside it. */
+#define OWN_NODES_LEAST 2
+
+void
+members_addresses (struct members *m, const char *data_centre,
+                   GPtrArray *addresses)
+{
+  if (m->table == NULL)
+    return;
+  addresses_in (m, data_centre, addresses);
+  if (addresses->len >= OWN_NODES_LEAST)
+    return;
+  g_ptr_array_set_size (addresses, 0);
+  addresses_in (m, NULL, addresses);
+}
--- /dev/null
+++ b/gatewayd/members.h
@@ -0,0 +1,77 @@
+/** @file
+ * The other nodes: who is there, what they run at engines, and the newest
+ * configuration that one of them has.
+ */
+#ifndef GATEWAYD_MEMBERS_H
+#define GATEWAYD_MEMBERS_H
+
+#include <glib.h>
+
+#include "beryl/engine_load.h"
+#include "beryl/error.h"
+#include "beryl/membership.h"
+#include "common/counters.h"
+#include "common/loop.h"
+#include "settings.h"
+
+struct members;
+struct members_owner;
+
+/** What the owner does with news. */
+struct members_owner_impl
+{
+  /** The number of nodes changed. */
+  void (*count_changed) (struct members_owner *owner, uint32_t count);
+  /** PEER has these runs at engines, and no others. */
+  void (*loads) (struct members_owner *owner, const char *peer,
+                 const struct beryl_engine_run *runs, size_t count);
+  /** PEER has gone, and its runs with it. */
+  void (*peer_gone) (struct members_owner *owner, const char *peer);
+  /** A peer gave a configuration that is newer than this node's. */
+  void (*configuration) (struct members_owner *owner, uint64_t revision,
+                         const char *value, size_t value_bytes);
+};
+
+/** The owner; the first member selects the implementation. */
+struct members_owner
+{
+  const struct members_owner_impl *impl;
+};
+
+/** Listen on the settings' peer port; NULL and ERROR on failure. */
+struct members *members_create (struct loop *loop,
+                                const struct gateway_settings *settings,
+                                struct members_owner *owner,
+                                struct counters *counters,
+                                struct beryl_error *error);
+
+/** Close and release; NULL is allowed. */
+void members_destroy (struct members *members);
+
+/** This life of the node has number INCARNATION: join the others. */
+void members_join (struct members *members, uint64_t incarnation);
+
+/** Take the records of all nodes. */
+void members_listed (struct members *members, const struct beryl_listed *items,
+                     size_t count);
+
+/** A planned stop has begun. */
+void members_leave (struct members *members);
+
+/** Tell the peers all runs of this node. */
+void members_tell_loads (struct members *members,
+                         const struct beryl_engine_run *runs, size_t count);
+
+/** This node uses the configuration object of REVISION. */
+void members_set_configuration (struct members *members, uint64_t revision,
+                                const char *value, size_t value_bytes);
+
+/** Add "ip:port" texts (g_malloc'd) of the nodes that take callers: those of
+ * DATA_CENTRE, or all if it has fewer than two. */
+void members_addresses (struct members *members, const char *data_centre,
+                        GPtrArray *addresses);
+
+/** Return how many nodes may be running, this one included. */
+uint32_t members_count (const struct members *members);
+
+#endif
--- /dev/null
+++ b/gatewayd/registry.c
@@ -0,0 +1,212 @@
+#include "registry.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KIND "gateway-nodes"
+#define CALL_MS 3000
+#define RETRY_MS 200
+/* The first lists come quickly, since the nodes of a fleet start together;
+ * later news travels between the nodes and the list only repairs. */
+#define LIST_EARLY_MS 500
+#define LIST_EARLY_COUNT 3
+#define LIST_MS 10000
+
+struct registry
+{
+  struct loop *loop;
+  struct platform_client *client;
+  const struct gateway_settings *settings;
+  struct registry_owner *owner;
+  struct loop_timer *timer;
+  uint64_t request;
+  uint64_t version; /* of the record; 0: not written by this life */
+  uint64_t present; /* version that a former life left */
+  uint32_t lists;
+};
+
+static const struct platform_client_options write_options
+    = { .use = BERYL_USE_STATUS, .timeout_ms = CALL_MS, .wait = true };
+
+static void write_record (struct registry *r);
+static void list_records (void *user);
+
+static void
+schedule (struct registry *r, int64_t delay_ms, loop_timer_cb *cb)
+{
+  loop_timer_stop (r->timer);
+  r->timer = loop_timer_start (r->loop, delay_ms, 0, cb, r);
+}
+
+static void
+write_again (void *user)
+{
+  write_record (user);
+}
+
+static void
+written (void *user, const struct beryl_platform_result *result)
+{
+  struct registry *r = user;
+
+  r->request = 0;
+  if (result->code == BERYL_OK)
+    {
+      r->version = result->version;
+      g_info ("registered node=%s incarnation=%" G_GUINT64_FORMAT,
+              r->settings->node, r->version);
+      r->owner->impl->registered (r->owner, r->version);
+      schedule (r, 1, list_records);
+      return;
+    }
+  if (result->code == BERYL_ERROR_CONFLICT)
+    r->present = result->version;
+  else
+    g_warning ("registering node=%s failed: %s", r->settings->node,
+               beryl_error_code_name (result->code));
+  schedule (r, result->code == BERYL_ERROR_CONFLICT ? 1 : RETRY_MS,
+            write_again);
+}
+
+static char *
+record_text (struct registry *r, const char *nonce)
+{
+  const struct gateway_settings *s = r->settings;
+  json_t *record
+      = json_pack ("{s:s, s:i, s:s, s:s, s:s}", "address", s->front.ip, "port",
+                   (int)s->peer_port, "data_centre", s->data_centre, "region",
+                   s->region, "nonce", nonce);
+  char *text = json_dumps (record, JSON_COMPACT);
+
+  json_decref (record);
+  return text;
+}
+
+static void
+write_record (struct registry *r)
+{
+  char nonce[BERYL_NONCE_BYTES];
+  struct beryl_platform_write write = {
+    .kind = KIND,
+    .name = r->settings->node,
+    .condition = r->present != 0 ? BERYL_IF_VERSION : BERYL_IF_ABSENT,
+    .version = r->present,
+    .nonce = nonce,
+  };
+  char *text;
+
+  beryl_platform_nonce (platform_client_core (r->client), nonce);
+  text = record_text (r, nonce);
+  write.value = text;
+  write.value_bytes = strlen (text);
+  r->request
+      = platform_client_put (r->client, &write_options, &write, written, r);
+  free (text);
+}
+
+static void
+copy_text (const json_t *record, const char *key, char *to, size_t to_bytes)
+{
+  const char *text = json_string_value (json_object_get (record, key));
+
+  g_strlcpy (to, text != NULL ? text : "", to_bytes);
+}
+
+static bool
+read_record (const struct beryl_object *object, struct beryl_listed *item)
+{
+  json_t *record = json_loadb (object->value, object->value_bytes, 0, NULL);
+
+  *item = (struct beryl_listed){ 0 };
+  g_strlcpy (item->name, object->name, sizeof item->name);
+  copy_text (record, "address", item->address, sizeof item->address);
+  copy_text (record, "data_centre", item->data_centre,
+             sizeof item->data_centre);
+  copy_text (record, "region", item->region, sizeof item->region);
+  item->port = (uint16_t)json_integer_value (json_object_get (record, "port"));
+  json_decref (record);
+  return item->address[0] != '\0' && item->port != 0;
+}
+
+static void
+listed (void *user, const struct beryl_platform_result *result)
+{
+  struct registry *r = user;
+  struct beryl_listed *items;
+  size_t count = 0;
+
+  r->request = 0;
+  r->lists++;
+  schedule (r, r->lists < LIST_EARLY_COUNT ? LIST_EARLY_MS : LIST_MS,
+            list_records);
+  if (result->code != BERYL_OK)
+    return;
+  items = g_new0 (struct beryl_listed, result->object_count + 1);
+  for (size_t i = 0; i < result->object_count; i++)
+    count += read_record (&result->objects[i], &items[count]);
+  r->owner->impl->listed (r->owner, items, count);
+  g_free (items);
+}
+
+static void
+list_records (void *user)
+{
+  struct registry *r = user;
+  struct platform_client_options options = write_options;
+
+  options.wait = false;
+  r->request = platform_client_list (r->client, &options, KIND, "", listed, r);
+}
+
+struct registry *
+registry_create (struct loop *loop, struct platform_client *client,
+                 const struct gateway_settings *settings,
+                 struct registry_owner *owner)
+{
+  struct registry *r = g_new0 (struct registry, 1);
+
+  r->loop = loop;
+  r->client = client;
+  r->settings = settings;
+  r->owner = owner;
+  write_record (r);
+  return r;
+}
+
+void
+registry_destroy (struct registry *r)
+{
+  if (r == NULL)
+    return;
+  loop_timer_stop (r->timer);
+  if (r->request != 0)
+    platform_client_forget (r->client, r->request);
+  g_free (r);
+}
+
+static void
+withdrawn (void *user, const struct beryl_platform_result *result)
+{
+  struct registry *r = user;
+
+  r->request = 0;
+  if (result->code != BERYL_OK)
+    g_warning ("withdrawing node=%s failed: %s", r->settings->node,
+               beryl_error_code_name (result->code));
+}
+
+void
+registry_withdraw (struct registry *r)
+{
+  loop_timer_stop (r->timer);
+  r->timer = NULL;
+  if (r->request != 0)
+    platform_client_forget (r->client, r->request);
+  r->request = 0;
+  if (r->version != 0)
+    r->request
+        = platform_client_delete (r->client, &write_options, KIND,
+                                  r->settings->node, r->version, withdrawn, r);
+}
--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -11,39 +11,83 @@
   struct source_owner *owner;
   uint64_t configuration_watch;
   uint64_t endpoint_watch;
-  uint64_t version; /* of the configuration in force */
+  uint64_t revision; /* of the configuration object in use */
+  GString *value;    /* its text */
   bool has_routes;
   bool has_endpoints;
   bool endpoints_changed;
 };
 
+/* Uses a configuration unless it is older than the one in use: an answer of
+ * the platform and a peer's copy may overtake each other, and what is in
+ * force must never go back. */
 static void
-configuration_event (void *user, const struct beryl_platform_event *event)
+use_configuration (struct source *s, const struct beryl_object *object,
+                   const char *origin)
 {
-  struct source *s = user;
   struct beryl_error error = { 0 };
   struct beryl_routes *routes;
 
-  if (event->deleted
-      || strcmp (event->object.name, s->wire->impl->configuration_name) != 0)
+  if (object->version <= s->revision)
     return;
-  routes = s->wire->impl->read_routes (s->wire, &event->object, &error);
+  routes = s->wire->impl->read_routes (s->wire, object, &error);
   if (routes == NULL)
     {
-      g_warning ("configuration revision %" G_GUINT64_FORMAT
-                 " is not used, the last good one stays: %s",
-                 event->object.version, error.message);
+      g_warning ("configuration revision=%" G_GUINT64_FORMAT
+                 " from=%s is not used, the last good one stays: %s",
+                 object->version, origin, error.message);
       return;
     }
   g_info ("configuration version=%" G_GUINT64_FORMAT
-          " revision=%" G_GUINT64_FORMAT " routes=%zu services=%zu in force",
-          routes->version, event->object.version, routes->route_count,
+          " revision=%" G_GUINT64_FORMAT
+          " from=%s routes=%zu services=%zu in force",
+          routes->version, object->version, origin, routes->route_count,
           routes->service_count);
   s->has_routes = true;
-  s->version = routes->version;
+  s->revision = object->version;
+  g_string_truncate (s->value, 0);
+  g_string_append_len (s->value, object->value, (gssize)object->value_bytes);
   s->owner->impl->routes (s->owner, routes);
 }
 
+static void
+configuration_event (void *user, const struct beryl_platform_event *event)
+{
+  struct source *s = user;
+
+  if (!event->deleted
+      && strcmp (event->object.name, s->wire->impl->configuration_name) == 0)
+    use_configuration (s, &event->object, "platform");
+}
+
+void
+source_offer (struct source *s, uint64_t revision, const char *value,
+              size_t value_bytes)
+{
+  struct beryl_object object = {
+    .kind = s->wire->impl->configuration_kind,
+    .name = s->wire->impl->configuration_name,
+    .version = revision,
+    .value = value,
+    .value_bytes = value_bytes,
+  };
+
+  use_configuration (s, &object, "peer");
+}
+
+uint64_t
+source_revision (const struct source *s)
+{
+  return s->revision;
+}
+
+const char *
+source_value (const struct source *s, size_t *value_bytes)
+{
+  *value_bytes = s->value->len;
+  return s->value->str;
+}
+
 static void
 endpoint_event (void *user, const struct beryl_platform_event *event)
 {
@@ -101,6 +145,7 @@
   s->client = client;
   s->lives = lives;
   s->owner = owner;
+  s->value = g_string_new (NULL);
   s->configuration_watch = platform_client_watch (
       client, BERYL_USE_CONFIG, wire->impl->configuration_kind,
       &configuration_callbacks, s);
@@ -117,6 +162,7 @@
     return;
   platform_client_unwatch (s->client, s->configuration_watch);
   platform_client_unwatch (s->client, s->endpoint_watch);
+  g_string_free (s->value, TRUE);
   g_free (s);
 }
 
--- a/gatewayd/source.h
+++ b/gatewayd/source.h
@@ -39,6 +39,15 @@
 /** Release; NULL is allowed. */
 void source_destroy (struct source *source);
 
+/** Take a configuration that another node has; an older one than this node's
+ * is not used. */
+void source_offer (struct source *source, uint64_t revision, const char *value,
+                   size_t value_bytes);
+
+/** Return the revision and the text of the configuration in use. */
+uint64_t source_revision (const struct source *source);
+const char *source_value (const struct source *source, size_t *value_bytes);
+
 /** Whether both were read whole at least once. */
 bool source_complete (const struct source *source);
 
--- a/h1/client.c
+++ b/h1/client.c
@@ -1,5 +1,6 @@
 #include "h1/client.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -179,11 +180,31 @@
     call_fail (call, H1_FAILURE_GARBLED);
 }
 
+/* libuv reports the end of a connection when the poll says "hung up" after a
+ * short read, without reading again; a reset would pass for an orderly end,
+ * and an answer that is delimited by it for a whole one.  The socket still
+ * knows. */
+static bool
+was_reset (const struct h1_call *call)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  return uv_fileno ((const uv_handle_t *)&call->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno == ECONNRESET;
+}
+
 /* An orderly end completes an answer without a stated length, and only such
  * an answer; the parser knows. */
 static void
 call_ended (struct h1_call *call)
 {
+  if (was_reset (call))
+    {
+      call_fail (call, H1_FAILURE_RESET);
+      return;
+    }
   http_parser_execute (&call->parser, &parser_settings, NULL, 0);
   if (call->closing)
     return;
--- a/h1/server.c
+++ b/h1/server.c
@@ -654,10 +654,17 @@
   server->destroyed = true;
   while (server->connections->len > 0)
     connection_close (g_ptr_array_index (server->connections, 0));
-  uv_close ((uv_handle_t *)&server->listener, handle_closed);
+  h1_server_close_listener (server);
   uv_close ((uv_handle_t *)&server->sweep, handle_closed);
 }
 
+void
+h1_server_close_listener (struct h1_server *server)
+{
+  if (!uv_is_closing ((uv_handle_t *)&server->listener))
+    uv_close ((uv_handle_t *)&server->listener, handle_closed);
+}
+
 void
 h1_server_drain (struct h1_server *server, int64_t idle_ms)
 {
--- /dev/null
+++ b/include/beryl/engine_load.h
@@ -0,0 +1,32 @@
+/** @file
+ * What the nodes tell each other of their generations at engines, so that
+ * each can foresee every engine's memory.
+ *
+ * Growth is deterministic (a token takes the same time whatever else runs)
+ * and only the length is uncertain, so that one note of a run's beginning
+ * lets every node follow it for its whole life.
+ */
+#ifndef BERYL_ENGINE_LOAD_H
+#define BERYL_ENGINE_LOAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** One generation of one node. */
+struct beryl_engine_run
+{
+  uint32_t engine; /**< beryl_engine_number of the engine's id */
+  uint32_t prompt_tokens;
+  uint32_t expected_tokens; /**< estimate of the whole output */
+  uint32_t made_tokens;     /**< so far */
+  bool started;             /**< it streams; otherwise it is only reserved */
+};
+
+/** Return the number that stands for an engine's id in messages. */
+uint32_t beryl_engine_number (const char *id);
+
+/** Most runs in one message; a node with more tells the newest. */
+#define BERYL_ENGINE_RUNS_MAX 128
+
+#endif
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 
 #include "beryl/clock.h"
+#include "beryl/engine_load.h"
 #include "beryl/live.h"
 #include "beryl/routes.h"
 
@@ -239,10 +240,31 @@
 void beryl_forward_broken (struct beryl_forward *forward, uint64_t exchange,
                            enum beryl_break how, bool sent, int64_t now_ms);
 
+/** A planned stop ends the process at END_MS: requests that would not be
+ * answered by then are refused as not run, so that their callers go to
+ * another node. */
+void beryl_forward_stop (struct beryl_forward *forward, int64_t end_ms,
+                         int64_t now_ms);
+
 /** The set of endpoints changed: look again who waits for one. */
 void beryl_forward_lives_changed (struct beryl_forward *forward,
                                   int64_t now_ms);
 
+/** PEER has these generations at engines and no others. */
+void beryl_forward_peer_runs (struct beryl_forward *forward, const char *peer,
+                              const struct beryl_engine_run *runs,
+                              size_t count, int64_t now_ms);
+
+/** PEER has gone, and its generations with it. */
+void beryl_forward_peer_gone (struct beryl_forward *forward, const char *peer);
+
+/** Whether this node's generations at engines changed since they were read;
+ * read up to MOST of them. */
+bool beryl_forward_runs_changed (const struct beryl_forward *forward);
+size_t beryl_forward_runs (struct beryl_forward *forward,
+                           struct beryl_engine_run *runs, size_t most,
+                           int64_t now_ms);
+
 /** Let time pass. */
 void beryl_forward_tick (struct beryl_forward *forward, int64_t now_ms);
 
--- a/controld/ticker.h
+++ b/include/common/ticker.h
@@ -1,8 +1,8 @@
 /** @file
  * A timer that is moved to the earliest time somebody needs.
  */
-#ifndef CONTROLD_TICKER_H
-#define CONTROLD_TICKER_H
+#ifndef COMMON_TICKER_H
+#define COMMON_TICKER_H
 
 #include "common/loop.h"
 
--- a/include/h1/server.h
+++ b/include/h1/server.h
@@ -81,6 +81,9 @@
  * nothing was asked are closed after IDLE_MS.  New ones are still taken. */
 void h1_server_drain (struct h1_server *server, int64_t idle_ms);
 
+/** Take no new connections from now on; they are refused. */
+void h1_server_close_listener (struct h1_server *server);
+
 /** Return the port in use. */
 uint16_t h1_server_port (const struct h1_server *server);
 
--- /dev/null
+++ b/include/wire/loads.h
@@ -0,0 +1,32 @@
+/** @file
+ * Datagram with all generations that a node has at engines; it replaces what
+ * the node told before.
+ */
+#ifndef WIRE_LOADS_H
+#define WIRE_LOADS_H
+
+#include "beryl/engine_load.h"
+#include "beryl/ids.h"
+#include "wire/frame.h"
+
+/** Frame type; other datagrams are of enum gossip_frame. */
+#define LOADS_DATAGRAM 48
+
+/** The message. */
+struct loads_message
+{
+  char from[BERYL_NAME_BYTES];
+  uint64_t incarnation;
+  uint64_t sequence; /**< grows with each message of an incarnation */
+  struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
+  size_t run_count;
+};
+
+/** Begin a frame in WRITER and put MESSAGE into it. */
+void loads_put (struct frame_writer *writer,
+                const struct loads_message *message);
+
+/** Read one; false if malformed. */
+bool loads_read (struct frame *frame, struct loads_message *message);
+
+#endif
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -7,12 +7,6 @@
  * kilobyte. */
 #define HELD_MAX_BYTES 65536
 
-static bool
-is_generation (const struct request *r)
-{
-  return r->route->generation && r->terms->engines;
-}
-
 /* The endpoint says that it did not run the request. */
 static void
 attempt_not_run (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
@@ -24,7 +18,7 @@
     beryl_live_learn (x->live, BERYL_LIVE_FAILED, now_ms - x->started_ms,
                       now_ms);
   forward_exchange_abort (f, x);
-  if (is_generation (r))
+  if (request_is_generation (r))
     generation_not_run (f, r, now_ms);
   else
     plain_attempt_failed (f, r, now_ms);
@@ -70,7 +64,7 @@
   r->endpoints_run++;
   beryl_live_learn (x->live, error ? BERYL_LIVE_FAILED : BERYL_LIVE_ANSWERED,
                     took_ms, now_ms);
-  if (!is_generation (r))
+  if (!request_is_generation (r))
     service_learn (r->service, took_ms);
   request_decided (f, r, "head", x->live, error ? "error" : "answered",
                    x->head.status, now_ms);
@@ -80,7 +74,7 @@
       forward_exchange_abort (f, x);
       return;
     }
-  if (error && may_try_another (r) && !is_generation (r))
+  if (error && may_try_another (r) && !request_is_generation (r))
     {
       forward_exchange_abort (f, x);
       plain_attempt_failed (f, r, now_ms);
@@ -89,7 +83,7 @@
   drop_others (f, r, x);
   r->due_ms = r->timeout_ms;
   r->event_ms = now_ms;
-  if (is_generation (r))
+  if (request_is_generation (r))
     generation_due (f, r, now_ms);
 }
 
@@ -124,6 +118,8 @@
   begin (f, r, x);
   if (event->has_id)
     r->last_event = event->id;
+  if (r->event_count == 0)
+    r->first_event_ms = now_ms;
   r->event_count++;
   r->event_ms = now_ms;
   f->owner->impl->answer_data (f->owner, r->facts.request, event->bytes,
@@ -198,8 +194,11 @@
                                   : (int64_t)x->head.status,
                    now_ms);
   forward_exchange_free (f, x);
-  if (is_generation (r))
-    generation_run_over (f, r);
+  if (request_is_generation (r))
+    {
+      generation_learn (f, r, now_ms);
+      generation_run_over (f, r);
+    }
   handle = r->facts.request;
   request_end (f, r, now_ms);
   f->owner->impl->answer_end (f->owner, handle);
@@ -229,7 +228,7 @@
     r->endpoints_run++;
   r->held.count = 0;
   event_splitter_reset (&r->events);
-  if (is_generation (r))
+  if (request_is_generation (r))
     generation_broken (f, r, BERYL_EXCHANGE_RUN, sent, now_ms);
   else if (r->begun)
     request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
--- /dev/null
+++ b/libberyl/forward/book.h
@@ -0,0 +1,90 @@
+/** @file
+ * Foresees the memory of decode engines from the runs of all nodes.
+ *
+ * A run's memory is its prompt and what it has made; it grows by a token at a
+ * time at a known pace and falls to nothing when the run ends.  When it ends
+ * is only known as a distribution around the caller's estimate, whose spread
+ * is learned from the runs that have ended.
+ */
+#ifndef FORWARD_BOOK_H
+#define FORWARD_BOOK_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "beryl/engine_load.h"
+#include "beryl/ids.h"
+
+/** Points in time that are looked at: now, and as many steps ahead as the
+ * longest runs last. */
+#define BOOK_STEPS 14
+#define BOOK_STEP_MS 300
+
+/** Expected tokens at each point. */
+struct book_curve
+{
+  double tokens[BOOK_STEPS];
+};
+
+/** How outputs relate to callers' estimates, and how fast they are made. */
+struct length_model
+{
+  double log_mean; /**< of the logarithm of output by estimate */
+  double log_variance;
+  double weight;      /**< of what was learned */
+  double tokens_mean; /**< of outputs without an estimate */
+  double ms_per_token;
+};
+
+/** Begin with what is assumed before anything ended. */
+void length_model_init (struct length_model *model);
+
+/** A run that was estimated at HINT tokens (0: not) made TOKENS in TOOK_MS
+ * from its first to its last event. */
+void length_model_learn (struct length_model *model, uint32_t hint,
+                         uint32_t tokens, int64_t took_ms);
+
+/** Return the median output of a run estimated at HINT, at most MOST. */
+uint32_t length_model_median (const struct length_model *model, uint32_t hint,
+                              uint32_t most);
+
+/** Add the expected memory of RUN, as told AGE_MS ago, to CURVE. */
+void book_add (struct book_curve *curve, const struct length_model *model,
+               const struct beryl_engine_run *run, int64_t age_ms);
+
+/** Return the highest point of CURVE up to UNTIL_MS. */
+double book_peak (const struct book_curve *curve, int64_t until_ms);
+
+/** Runs of other nodes. */
+struct book_peer
+{
+  char name[BERYL_NAME_BYTES];
+  struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
+  size_t count;
+  int64_t told_ms;
+};
+
+/** All peers; zero-initialise. */
+struct book
+{
+  struct book_peer **peers;
+  size_t count;
+};
+
+void book_clear (struct book *book);
+
+/** PEER has these runs and no others. */
+void book_told (struct book *book, const char *peer,
+                const struct beryl_engine_run *runs, size_t count,
+                int64_t now_ms);
+
+/** PEER has gone. */
+void book_forget (struct book *book, const char *peer);
+
+/** Add the runs of all peers at ENGINE to CURVE; returns their number. */
+uint32_t book_add_peers (const struct book *book, struct book_curve *curve,
+                         const struct length_model *model, uint32_t engine,
+                         int64_t now_ms);
+
+#endif
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -2,6 +2,10 @@
 
 #include "private.h"
 
+/* Part of an engine's memory that runs may be expected to fill.  What is
+ * foreseen is a mean; the rest takes its spread. */
+#define FILL_PART 0.75
+
 static bool
 serves (const struct beryl_live *live, const struct request *r,
         enum beryl_stage stage)
@@ -10,28 +14,97 @@
          && strcmp (live->info.service, r->service->name) == 0;
 }
 
-/* Two random engines are compared and the one with less of this node's own
- * work is asked: nodes that all asked the emptiest would all ask the same.
- * The engine itself counts exactly and has the last word. */
+static uint32_t
+made_tokens (const struct request *r, int64_t now_ms)
+{
+  uint64_t made = r->event_count * r->terms->engine.event_tokens;
+
+  if (r->phase != PHASE_RUNNING)
+    return 0;
+  if (r->event_ms > 0 && now_ms > r->event_ms)
+    made += (uint64_t)((double)(now_ms - r->event_ms)
+                       / r->service->lengths.ms_per_token);
+  return made < r->facts.output_tokens_max ? (uint32_t)made
+                                           : r->facts.output_tokens_max;
+}
+
+void
+engine_describe_run (const struct request *r, int64_t now_ms,
+                     struct beryl_engine_run *run)
+{
+  const struct beryl_live *live = r->reservation.live;
+
+  *run = (struct beryl_engine_run){
+    .engine = live != NULL ? beryl_engine_number (live->info.id) : 0,
+    .prompt_tokens = r->facts.prompt_tokens,
+    .expected_tokens = r->expected_tokens,
+    .made_tokens = made_tokens (r, now_ms),
+    .started = r->phase == PHASE_RUNNING,
+  };
+}
+
+void
+engine_curve (struct beryl_forward *f, const struct service *s,
+              const struct beryl_live *live, int64_t now_ms,
+              struct book_curve *curve)
+{
+  const struct request *r;
+
+  *curve = (struct book_curve){ 0 };
+  TAILQ_FOREACH (r, &f->requests, entry)
+  {
+    struct beryl_engine_run run;
+
+    if (r->reservation.live != live)
+      continue;
+    engine_describe_run (r, now_ms, &run);
+    book_add (curve, &s->lengths, &run, 0);
+  }
+  book_add_peers (&f->book, curve, &s->lengths,
+                  beryl_engine_number (live->info.id), now_ms);
+}
+
+/* The highest expected use of LIVE's memory if R ran there too. */
+static double
+peak_with (struct beryl_forward *f, const struct request *r,
+           const struct beryl_live *live, int64_t now_ms)
+{
+  struct beryl_engine_run run;
+  struct book_curve curve;
+
+  engine_curve (f, r->service, live, now_ms, &curve);
+  engine_describe_run (r, now_ms, &run);
+  book_add (&curve, &r->service->lengths, &run, 0);
+  return book_peak (&curve, BOOK_STEPS * BOOK_STEP_MS);
+}
+
+/* The engine whose memory is foreseen to stay the emptiest is asked.  All
+ * nodes foresee much the same, so a little chance keeps those that ask at the
+ * same moment apart; the engine itself counts exactly and has the last
+ * word. */
 struct beryl_live *
 engine_choose_decode (struct beryl_forward *f, const struct request *r,
-                      uint32_t tokens, int64_t now_ms)
+                      int64_t now_ms)
 {
   struct beryl_live *best = NULL;
-  uint64_t best_cost = 0;
+  double best_cost = 0;
+  double room = FILL_PART * (double)r->terms->engine.kv_tokens;
   size_t count = beryl_lives_count (f->lives);
 
   for (size_t i = 0; i < count; i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
-      uint64_t cost;
+      double cost;
 
       if (!serves (live, r, BERYL_STAGE_DECODE) || now_ms < live->full_until_ms
           || request_tried (r, live))
         continue;
-      cost = live->reserved_tokens + forward_random (f) % tokens;
+      cost = peak_with (f, r, live, now_ms);
+      if (cost > room && room > 0)
+        continue;
+      cost += (double)(forward_random (f) % 2048);
       if (beryl_live_avoided (live, now_ms))
-        cost += UINT64_C (1) << 40;
+        cost += 1e9;
       if (best == NULL || cost < best_cost)
         {
           best = live;
@@ -66,3 +139,38 @@
     }
   return best;
 }
+
+void
+beryl_forward_peer_runs (struct beryl_forward *f, const char *peer,
+                         const struct beryl_engine_run *runs, size_t count,
+                         int64_t now_ms)
+{
+  book_told (&f->book, peer, runs, count, now_ms);
+  generation_pump (f, now_ms);
+}
+
+void
+beryl_forward_peer_gone (struct beryl_forward *f, const char *peer)
+{
+  book_forget (&f->book, peer);
+}
+
+size_t
+beryl_forward_runs (struct beryl_forward *f, struct beryl_engine_run *runs,
+                    size_t most, int64_t now_ms)
+{
+  const struct request *r;
+  size_t count = 0;
+
+  f->runs_changed = false;
+  TAILQ_FOREACH (r, &f->requests, entry)
+  if (r->reservation.live != NULL && count < most)
+    engine_describe_run (r, now_ms, &runs[count++]);
+  return count;
+}
+
+bool
+beryl_forward_runs_changed (const struct beryl_forward *f)
+{
+  return f->runs_changed;
+}
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -10,6 +10,12 @@
 #define CONNECT_TIMEOUT_MS 150
 /* When a caller that was refused for want of endpoints may come back. */
 #define RETRY_AFTER_MS 1000
+/* A caller that is refused by a stopping node finds another at once. */
+#define STOPPING_RETRY_AFTER_MS 50
+/* What a plain request may need, and what a generation needs beside the
+ * making of its tokens. */
+#define PLAIN_MS 1000
+#define GENERATION_MS 800
 
 const char *
 beryl_refusal_name (enum beryl_refusal_reason reason)
@@ -42,6 +48,7 @@
   f->owner = owner;
   f->nodes = 1;
   f->random = settings->seed;
+  f->end_ms = BERYL_NEVER_MS;
   TAILQ_INIT (&f->requests);
   TAILQ_INIT (&f->waiting);
   TAILQ_INIT (&f->exchanges);
@@ -81,6 +88,7 @@
   free (f->services);
   map_clear (&f->requests_by_handle);
   map_clear (&f->exchanges_by_id);
+  book_clear (&f->book);
   beryl_routes_unref (f->routes);
   free (f);
 }
@@ -106,6 +114,7 @@
       return f->services[i];
   s = calloc (1, sizeof *s);
   memcpy (s->name, name, strlen (name) + 1);
+  length_model_init (&s->lengths);
   f->services
       = realloc (f->services, (f->service_count + 1) * sizeof (void *));
   f->services[f->service_count++] = s;
@@ -259,6 +268,16 @@
   f->owner->impl->refuse (f->owner, handle, &refusal);
 }
 
+/* A run that is open may have reached its endpoint and may be at work there,
+ * whether or not it has answered: "not run" cannot be said any more. */
+static bool
+may_have_run (const struct request *r)
+{
+  return r->may_have_run
+         || (r->first != NULL && r->first->kind == BERYL_EXCHANGE_RUN)
+         || (r->second != NULL && r->second->kind == BERYL_EXCHANGE_RUN);
+}
+
 void
 request_fail (struct beryl_forward *f, struct request *r,
               enum beryl_refusal_reason reason, int64_t now_ms)
@@ -273,13 +292,19 @@
       f->owner->impl->answer_cut (f->owner, handle);
       return;
     }
-  if (!r->may_have_run)
+  if (!may_have_run (r))
     request_refuse (f, r, 503, reason, RETRY_AFTER_MS, now_ms);
   else
     request_refuse (f, r, reason == BERYL_REFUSAL_DEADLINE ? 504 : 502, reason,
                     0, now_ms);
 }
 
+bool
+request_is_generation (const struct request *r)
+{
+  return r->route->generation && r->terms->engines;
+}
+
 bool
 request_repeatable (const struct request *r)
 {
@@ -393,6 +418,22 @@
   return r;
 }
 
+/* Whether R could be answered before the process ends. */
+static bool
+ends_in_time (const struct beryl_forward *f, const struct request *r,
+              int64_t now_ms)
+{
+  int64_t needed_ms = PLAIN_MS;
+
+  if (f->end_ms == BERYL_NEVER_MS)
+    return true;
+  if (request_is_generation (r))
+    needed_ms = GENERATION_MS
+                + (int64_t)(r->facts.output_tokens_max
+                            * r->service->lengths.ms_per_token);
+  return now_ms + needed_ms <= f->end_ms;
+}
+
 void
 beryl_forward_arrived (struct beryl_forward *f,
                        const struct beryl_forward_request *facts,
@@ -416,12 +457,30 @@
   count_request (f, r->service, now_ms);
   if (r->timeout_ms <= now_ms)
     request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
-  else if (route->generation && r->terms->engines)
+  else if (!ends_in_time (f, r, now_ms))
+    request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING, STOPPING_RETRY_AFTER_MS,
+                    now_ms);
+  else if (request_is_generation (r))
     generation_start (f, r, now_ms);
   else
     plain_start (f, r, now_ms);
 }
 
+void
+beryl_forward_stop (struct beryl_forward *f, int64_t end_ms, int64_t now_ms)
+{
+  struct request *r, *next;
+
+  f->end_ms = end_ms;
+  for (r = TAILQ_FIRST (&f->requests); r != NULL; r = next)
+    {
+      next = TAILQ_NEXT (r, entry);
+      if (r->waiting && !ends_in_time (f, r, now_ms))
+        request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
+                        STOPPING_RETRY_AFTER_MS, now_ms);
+    }
+}
+
 static struct request *
 request_find (struct beryl_forward *f, uint64_t handle)
 {
@@ -555,7 +614,7 @@
                           now_ms - r->first->started_ms, now_ms);
       request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
     }
-  else if (r->route->generation && r->terms->engines)
+  else if (request_is_generation (r))
     generation_due (f, r, now_ms);
   else
     plain_due (f, r, now_ms);
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -16,6 +16,8 @@
 /* How long a request that cannot be in time any more waits for room. */
 #define LATE_WAIT_MS 600
 #define RETRY_AFTER_MS 2000
+/* Part of the expected output that is reserved. */
+#define RESERVED_PART 0.5
 /* Lease of a reservation if the service states none. */
 #define LEASE_MS 2000
 /* A prefill that takes so many times its usual time is given up. */
@@ -24,10 +26,14 @@
 static void reserve (struct beryl_forward *f, struct request *r,
                      int64_t now_ms);
 
+/* What is asked for at once.  The run grows beyond it as memory is foreseen
+ * to be there; the lease only keeps a second node from taking the same room
+ * in the moment between. */
 static uint32_t
 tokens_needed (const struct request *r)
 {
-  uint32_t h = (uint32_t)(r->facts.output_tokens_hint * 2.0); if (h == 0 || h > r->facts.output_tokens_max) h = r->facts.output_tokens_max; return r->facts.prompt_tokens + h;
+  return r->facts.prompt_tokens
+         + (uint32_t)(RESERVED_PART * r->expected_tokens);
 }
 
 static void
@@ -69,6 +75,9 @@
 void
 generation_start (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
+  r->expected_tokens
+      = length_model_median (&r->service->lengths, r->facts.output_tokens_hint,
+                             r->facts.output_tokens_max);
   wait_begin (f, r, now_ms);
   reserve (f, r, now_ms);
 }
@@ -78,6 +87,7 @@
 {
   if (place->live == NULL)
     return;
+  f->runs_changed = true;
   place->live->reserved_tokens -= place->tokens;
   beryl_live_close (f->lives, place->live);
   *place = (struct reservation){ 0 };
@@ -140,11 +150,10 @@
   start.lease_ms = r->terms->engine.reservation_ms > 0
                        ? r->terms->engine.reservation_ms
                        : LEASE_MS;
-  live = r->refusals < ASKED_MAX
-             ? engine_choose_decode (f, r, start.tokens, now_ms)
-             : NULL;
+  live = r->refusals < ASKED_MAX ? engine_choose_decode (f, r, now_ms) : NULL;
   if (live == NULL)
     {
+      r->phase = PHASE_WAITING;
       r->phase = PHASE_WAITING;
       r->refusals = 0;
       r->tried_count = 0;
@@ -217,6 +226,7 @@
                            : LEASE_MS);
   memcpy (place->handle, result->handle, sizeof place->handle);
   place->live->reserved_tokens += place->tokens;
+  f->runs_changed = true;
   beryl_live_open (place->live);
   request_decided (f, r, "reserve", x->live, "granted", x->tokens, now_ms);
   forward_exchange_free (f, x);
@@ -245,7 +255,6 @@
                          ? r->terms->engine.kv_handle_ms
                          : KV_HANDLE_MS;
 
-  r->prefilled_once = true;
   r->kv.live = x->live;
   r->kv.until_ms = now_ms + lives_ms;
   memcpy (r->kv.handle, result->handle, sizeof r->kv.handle);
@@ -333,6 +342,22 @@
   place_clear (f, &r->reservation);
 }
 
+void
+generation_learn (struct beryl_forward *f, const struct request *r,
+                  int64_t now_ms)
+{
+  uint32_t event_tokens = r->terms->engine.event_tokens;
+  uint32_t tokens = (uint32_t)r->event_count * event_tokens;
+  int64_t took_ms = r->event_ms - r->first_event_ms;
+
+  if (r->event_count < 2 || event_tokens == 0)
+    return;
+  /* The pace is that of the events after the first. */
+  length_model_learn (
+      &r->service->lengths, r->facts.output_tokens_hint, tokens,
+      took_ms * (int64_t)r->event_count / (int64_t)(r->event_count - 1));
+}
+
 void
 generation_due (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -10,6 +10,7 @@
 #include "../base/map.h"
 #include "beryl/clock.h"
 #include "beryl/forward.h"
+#include "book.h"
 #include "events.h"
 #include "repeat_budget.h"
 
@@ -23,6 +24,7 @@
   struct repeat_budget budget;
   double answer_ms;    /**< usual time to the head of an answer; 0: unknown */
   double deviation_ms; /**< its mean deviation */
+  struct length_model lengths; /**< of generations */
 };
 
 struct request;
@@ -101,7 +103,8 @@
   /* Generations. */
   struct reservation reservation;
   struct kv_cache kv;
-  bool prefilled_once;
+  uint32_t expected_tokens; /**< median of its output */
+  int64_t first_event_ms;
   uint32_t refusals; /**< of engines asked for room, in this wait */
   int64_t waiting_since_ms;
 };
@@ -126,6 +129,9 @@
   uint32_t waiting_count;
   uint64_t last_exchange;
   uint64_t random;
+  int64_t end_ms;    /**< of the process; BERYL_NEVER_MS: not known */
+  struct book book;  /**< what the other nodes run at engines */
+  bool runs_changed; /**< this node's runs, since they were read */
 };
 
 /* forward.c */
@@ -152,6 +158,8 @@
 /** End R with the failure that fits what became of it. */
 void request_fail (struct beryl_forward *f, struct request *r,
                    enum beryl_refusal_reason reason, int64_t now_ms);
+/** Whether R is planned at model engines. */
+bool request_is_generation (const struct request *r);
 /** Whether R may run again although it may have run. */
 bool request_repeatable (const struct request *r);
 /** Whether one more send, a repeat, fits R's terms and the budget; takes it
@@ -193,6 +201,9 @@
                          int64_t now_ms);
 /** The run of R at its decode engine ended. */
 void generation_run_over (struct beryl_forward *f, struct request *r);
+/** R's answer is whole: learn from its length. */
+void generation_learn (struct beryl_forward *f, const struct request *r,
+                       int64_t now_ms);
 /** Try to place those that wait. */
 void generation_pump (struct beryl_forward *f, int64_t now_ms);
 /** R's stream broke after events went to the caller. */
@@ -208,13 +219,20 @@
                     enum beryl_break how, bool sent, int64_t now_ms);
 
 /* engines.c */
-/** Choose a decode engine to ask for TOKENS; NULL: none may have room. */
+/** Choose a decode engine to ask for room; NULL: none may have it. */
 struct beryl_live *engine_choose_decode (struct beryl_forward *f,
                                          const struct request *r,
-                                         uint32_t tokens, int64_t now_ms);
+                                         int64_t now_ms);
 /** Choose an engine to read R's prompt; NULL: none. */
 struct beryl_live *engine_choose_prefill (struct beryl_forward *f,
                                           const struct request *r,
                                           int64_t now_ms);
+/** Describe R's run at its engine. */
+void engine_describe_run (const struct request *r, int64_t now_ms,
+                          struct beryl_engine_run *run);
+/** Foresee the memory of LIVE. */
+void engine_curve (struct beryl_forward *f, const struct service *s,
+                   const struct beryl_live *live, int64_t now_ms,
+                   struct book_curve *curve);
 
 #endif
--- /dev/null
+++ b/wire/loads.c
@@ -0,0 +1,73 @@
+#include "wire/loads.h"
+
+#include <string.h>
+
+enum field
+{
+  FIELD_FROM = 1,
+  FIELD_INCARNATION,
+  FIELD_SEQUENCE,
+  FIELD_RUNS,
+};
+
+/* A run is five numbers in a row: small ones take a byte or two each, a map
+ * with keys would double them. */
+#define NUMBERS_PER_RUN 5
+
+void
+loads_put (struct frame_writer *writer, const struct loads_message *message)
+{
+  frame_writer_reset (writer, LOADS_DATAGRAM);
+  frame_put_string (writer, FIELD_FROM, message->from);
+  frame_put_uint (writer, FIELD_INCARNATION, message->incarnation);
+  frame_put_uint (writer, FIELD_SEQUENCE, message->sequence);
+  frame_put_array (writer, FIELD_RUNS);
+  for (size_t i = 0; i < message->run_count; i++)
+    {
+      const struct beryl_engine_run *run = &message->runs[i];
+
+      frame_put_uint (writer, 0, run->engine);
+      frame_put_uint (writer, 0, run->prompt_tokens);
+      frame_put_uint (writer, 0, run->expected_tokens);
+      frame_put_uint (writer, 0, run->made_tokens);
+      frame_put_uint (writer, 0, run->started);
+    }
+  frame_put_end (writer);
+}
+
+static uint32_t
+read_number (struct frame *frame, struct frame_array array, uint32_t i)
+{
+  uint64_t number = frame_array_uint (array, i);
+
+  if (number > UINT32_MAX)
+    frame_fail (frame);
+  return (uint32_t)number;
+}
+
+bool
+loads_read (struct frame *frame, struct loads_message *message)
+{
+  struct frame_map map = frame_root (frame);
+  struct frame_array runs = frame_array (map, FIELD_RUNS);
+
+  memset (message, 0, sizeof *message);
+  if (frame_type (frame) != LOADS_DATAGRAM
+      || runs.count > BERYL_ENGINE_RUNS_MAX * NUMBERS_PER_RUN
+      || runs.count % NUMBERS_PER_RUN != 0)
+    return false;
+  frame_need_string (map, FIELD_FROM, message->from, sizeof message->from);
+  message->incarnation = frame_need_uint (map, FIELD_INCARNATION);
+  message->sequence = frame_need_uint (map, FIELD_SEQUENCE);
+  for (uint32_t i = 0; i < runs.count; i += NUMBERS_PER_RUN)
+    {
+      struct beryl_engine_run *run = &message->runs[message->run_count++];
+
+      run->engine = read_number (frame, runs, i);
+      run->prompt_tokens = read_number (frame, runs, i + 1);
+      run->expected_tokens = read_number (frame, runs, i + 2);
+      run->made_tokens = read_number (frame, runs, i + 3);
+      run->started = read_number (frame, runs, i + 4) != 0;
+    }
+  return frame_valid (frame);
+}
