--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -57,6 +57,8 @@
   BERYL_EXCHANGE_RESERVE, /**< a lease on decode memory and a slot */
   BERYL_EXCHANGE_UNRESERVE,
   BERYL_EXCHANGE_DROP_KV, /**< free a KV cache that nobody will take */
+  /** Stop a run and copy its memory to another engine, where it goes on. */
+  BERYL_EXCHANGE_MOVE,
 };
 
 /** An exchange to start. */
@@ -76,6 +78,8 @@
   uint16_t kv_port;
   bool resumes; /**< RUN, PREFILL: go on after LAST_EVENT */
   uint64_t last_event;
+  const char *run_id;              /**< MOVE: the request's id */
+  const struct beryl_live *target; /**< MOVE: where to */
 };
 
 /** Why a request was refused or failed by this node itself. */
@@ -217,8 +221,10 @@
   bool ok;
   bool not_run;     /**< PREFILL: the engine says that it did not read */
   bool misdirected; /**< another endpoint has the address now */
-  char handle[BERYL_ENGINE_HANDLE_BYTES]; /**< reservation or KV cache */
-  uint32_t tokens;                        /**< read by PREFILL */
+  /** Reservation or KV cache.  A MOVE that was not ok may have one too: the
+   * run has stopped and its memory is still at its engine. */
+  char handle[BERYL_ENGINE_HANDLE_BYTES];
+  uint32_t tokens; /**< read by PREFILL */
 };
 
 /** The end of an exchange other than RUN that was answered. */
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -122,6 +122,7 @@
     r->first_event_ms = now_ms;
   r->event_count++;
   r->event_ms = now_ms;
+  r->stalled = false;
   f->owner->impl->answer_data (f->owner, r->facts.request, event->bytes,
                                event->count);
 }
@@ -228,6 +229,8 @@
     r->endpoints_run++;
   r->held.count = 0;
   event_splitter_reset (&r->events);
+  if (headed && move_takes_end (f, r, now_ms))
+    return;
   if (request_is_generation (r))
     generation_broken (f, r, BERYL_EXCHANGE_RUN, sent, now_ms);
   else if (r->begun)
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -16,6 +16,8 @@
 #define PACE_WEIGHT 0.1
 /* A run older than this many times its estimate still has some chance. */
 #define SURVIVAL_LEAST 0.02
+/* Part of the expected output that is reserved. */
+#define RESERVED_PART 0.25
 /* What a peer told is used for so long at most. */
 #define TOLD_MAX_MS 5000
 
@@ -25,6 +27,12 @@
   return (uint32_t)XXH3_64bits (id, strlen (id));
 }
 
+uint32_t
+book_reserved_tokens (uint32_t prompt_tokens, uint32_t expected_tokens)
+{
+  return prompt_tokens + (uint32_t)(RESERVED_PART * expected_tokens);
+}
+
 void
 length_model_init (struct length_model *model)
 {
@@ -90,13 +98,15 @@
   double now = told + (double)age_ms / model->ms_per_token;
   /* It is known to have lived when it was told, not since. */
   double alive = survival (model, median, told);
+  double reserved
+      = book_reserved_tokens (run->prompt_tokens, run->expected_tokens);
 
   for (int i = 0; i < BOOK_STEPS; i++)
     {
       double made = now + (double)(i * BOOK_STEP_MS) / model->ms_per_token;
 
       curve->tokens[i] += survival (model, median, made) / alive
-                          * (run->prompt_tokens + made);
+                          * fmax (run->prompt_tokens + made, reserved);
     }
 }
 
@@ -181,3 +191,22 @@
     }
   return count;
 }
+
+bool
+book_has_newer (const struct book *book, const struct length_model *model,
+                uint32_t engine, uint32_t made, int64_t now_ms)
+{
+  for (size_t i = 0; i < book->count; i++)
+    {
+      const struct book_peer *peer = book->peers[i];
+      double since = (double)(now_ms - peer->told_ms) / model->ms_per_token;
+
+      if (now_ms - peer->told_ms > TOLD_MAX_MS)
+        continue;
+      for (size_t k = 0; k < peer->count; k++)
+        if (peer->runs[k].engine == engine
+            && peer->runs[k].made_tokens + since < made)
+          return true;
+    }
+  return false;
+}
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -37,6 +37,10 @@
   double ms_per_token;
 };
 
+/** Return how much is reserved for a run before it begins. */
+uint32_t book_reserved_tokens (uint32_t prompt_tokens,
+                               uint32_t expected_tokens);
+
 /** Begin with what is assumed before anything ended. */
 void length_model_init (struct length_model *model);
 
@@ -87,4 +91,8 @@
                          const struct length_model *model, uint32_t engine,
                          int64_t now_ms);
 
+/** Whether a peer has a run at ENGINE that has made less than MADE. */
+bool book_has_newer (const struct book *book, const struct length_model *model,
+                     uint32_t engine, uint32_t made, int64_t now_ms);
+
 #endif
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -5,6 +5,8 @@
 /* Part of an engine's memory that runs may be expected to fill.  What is
  * foreseen is a mean; the rest takes its spread. */
 #define FILL_PART 0.75
+/* The same for a run that is moved: its length is known better. */
+#define TARGET_PART 0.85
 
 static bool
 serves (const struct beryl_live *live, const struct request *r,
@@ -64,10 +66,9 @@
                   beryl_engine_number (live->info.id), now_ms);
 }
 
-/* The highest expected use of LIVE's memory if R ran there too. */
-static double
-peak_with (struct beryl_forward *f, const struct request *r,
-           const struct beryl_live *live, int64_t now_ms)
+double
+engine_peak_with (struct beryl_forward *f, const struct request *r,
+                  const struct beryl_live *live, int64_t now_ms)
 {
   struct beryl_engine_run run;
   struct book_curve curve;
@@ -99,7 +100,7 @@
       if (!serves (live, r, BERYL_STAGE_DECODE) || now_ms < live->full_until_ms
           || request_tried (r, live))
         continue;
-      cost = peak_with (f, r, live, now_ms);
+      cost = engine_peak_with (f, r, live, now_ms);
       if (cost > room && room > 0)
         continue;
       cost += (double)(forward_random (f) % 2048);
@@ -114,6 +115,48 @@
   return best;
 }
 
+struct beryl_live *
+engine_choose_target (struct beryl_forward *f, const struct request *r,
+                      int64_t now_ms)
+{
+  struct beryl_live *best = NULL;
+  double best_cost = 0;
+  double room = TARGET_PART * (double)r->terms->engine.kv_tokens;
+  size_t count = beryl_lives_count (f->lives);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct beryl_live *live = beryl_lives_get (f->lives, i);
+      double cost;
+
+      if (!serves (live, r, BERYL_STAGE_DECODE) || live == r->reservation.live
+          || now_ms < live->full_until_ms || beryl_live_avoided (live, now_ms))
+        continue;
+      cost = engine_peak_with (f, r, live, now_ms);
+      if (cost > room || (best != NULL && cost >= best_cost))
+        continue;
+      best = live;
+      best_cost = cost;
+    }
+  return best;
+}
+
+bool
+engine_newest (struct beryl_forward *f, const struct request *r,
+               int64_t now_ms)
+{
+  const struct request *other;
+  uint32_t made = made_tokens (r, now_ms);
+
+  TAILQ_FOREACH (other, &f->requests, entry)
+  if (other != r && other->reservation.live == r->reservation.live
+      && made_tokens (other, now_ms) < made)
+    return false;
+  return !book_has_newer (&f->book, &r->service->lengths,
+                          beryl_engine_number (r->reservation.live->info.id),
+                          made, now_ms);
+}
+
 struct beryl_live *
 engine_choose_prefill (struct beryl_forward *f, const struct request *r,
                        int64_t now_ms)
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -31,7 +31,7 @@
 beryl_exchange_name (enum beryl_exchange_kind kind)
 {
   static const char *const names[]
-      = { "run", "prefill", "reserve", "unreserve", "drop_kv" };
+      = { "run", "prefill", "reserve", "unreserve", "drop_kv", "move" };
 
   return names[kind];
 }
@@ -631,6 +631,7 @@
       if (r->due_ms <= now_ms)
         request_tick (f, r, now_ms);
     }
+  generation_balance (f, now_ms);
   generation_pump (f, now_ms);
 }
 
@@ -641,8 +642,12 @@
   const struct request *r;
 
   TAILQ_FOREACH (r, &f->requests, entry)
-  if (r->due_ms < next_ms)
-    next_ms = r->due_ms;
+  {
+    if (r->due_ms < next_ms)
+      next_ms = r->due_ms;
+    if (r->reservation.live != NULL && f->balance_ms < next_ms)
+      next_ms = f->balance_ms;
+  }
   return next_ms;
 }
 
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -16,8 +16,6 @@
 /* How long a request that cannot be in time any more waits for room. */
 #define LATE_WAIT_MS 600
 #define RETRY_AFTER_MS 2000
-/* Part of the expected output that is reserved. */
-#define RESERVED_PART 0.5
 /* Lease of a reservation if the service states none. */
 #define LEASE_MS 2000
 /* A prefill that takes so many times its usual time is given up. */
@@ -32,8 +30,7 @@
 static uint32_t
 tokens_needed (const struct request *r)
 {
-  return r->facts.prompt_tokens
-         + (uint32_t)(RESERVED_PART * r->expected_tokens);
+  return book_reserved_tokens (r->facts.prompt_tokens, r->expected_tokens);
 }
 
 static void
@@ -82,7 +79,7 @@
   reserve (f, r, now_ms);
 }
 
-static void
+void
 place_clear (struct beryl_forward *f, struct reservation *place)
 {
   if (place->live == NULL)
@@ -93,7 +90,7 @@
   *place = (struct reservation){ 0 };
 }
 
-static void
+void
 kv_clear (struct beryl_forward *f, struct kv_cache *kv)
 {
   if (kv->live == NULL)
@@ -117,6 +114,7 @@
 {
   struct beryl_exchange_start drop = { .kind = BERYL_EXCHANGE_DROP_KV };
 
+  move_clear (f, r);
   if (r->reservation.live != NULL && r->reservation.handle[0] != '\0'
       && now_ms < r->reservation.until_ms)
     unreserve (f, r->reservation.live, r->reservation.handle, now_ms);
@@ -168,13 +166,31 @@
   engine_start (f, r, &start, live, now_ms);
 }
 
-static void
-run (struct beryl_forward *f, struct request *r, int64_t now_ms)
+/* A stream without an event for that long has stalled: its engine is dead, or
+ * has stopped the run for want of memory. */
+#define STALL_MS 250
+/* A stalled stream goes on elsewhere after so long.  An engine that stopped
+ * the run needs a few hundred milliseconds to read its prompt again; beyond
+ * that it is taken for dead. */
+#define DEAD_MS 1000
+
+/* When R's stream is to be looked at again. */
+static int64_t
+stream_due_ms (const struct request *r)
+{
+  int64_t due_ms = r->event_ms + (r->stalled ? DEAD_MS : STALL_MS);
+
+  return due_ms < r->timeout_ms ? due_ms : r->timeout_ms;
+}
+
+void
+generation_run (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RUN };
   struct beryl_live *live = r->reservation.live;
 
-  start.reservation = r->reservation.handle;
+  if (r->reservation.handle[0] != '\0')
+    start.reservation = r->reservation.handle;
   if (r->kv.live != NULL)
     {
       start.kv_handle = r->kv.handle;
@@ -183,7 +199,9 @@
     }
   r->phase = PHASE_RUNNING;
   r->sends++;
-  r->due_ms = r->timeout_ms;
+  r->event_ms = now_ms;
+  r->stalled = false;
+  r->due_ms = stream_due_ms (r);
   engine_start (f, r, &start, live, now_ms);
   request_decided (f, r, "decode", live,
                    r->kv.live != NULL ? "kv_taken" : "alone",
@@ -201,7 +219,7 @@
 
   if (live == NULL)
     {
-      run (f, r, now_ms);
+      generation_run (f, r, now_ms);
       return;
     }
   r->phase = PHASE_PREFILLING;
@@ -231,7 +249,7 @@
   request_decided (f, r, "reserve", x->live, "granted", x->tokens, now_ms);
   forward_exchange_free (f, x);
   if (r->kv.live != NULL && now_ms < r->kv.until_ms)
-    run (f, r, now_ms);
+    generation_run (f, r, now_ms);
   else
     prefill (f, r, now_ms);
 }
@@ -264,7 +282,7 @@
   beryl_live_learn (x->live, BERYL_LIVE_ANSWERED, now_ms - x->started_ms,
                     now_ms);
   forward_exchange_free (f, x);
-  run (f, r, now_ms);
+  generation_run (f, r, now_ms);
 }
 
 /* Begins anew after something did not work out. */
@@ -294,7 +312,9 @@
       forward_exchange_free (f, x);
       return;
     }
-  if (x->kind == BERYL_EXCHANGE_RESERVE && result->ok)
+  if (x->kind == BERYL_EXCHANGE_MOVE)
+    move_result (f, x, result, now_ms);
+  else if (x->kind == BERYL_EXCHANGE_RESERVE && result->ok)
     reserved (f, r, x, result, now_ms);
   else if (x->kind == BERYL_EXCHANGE_RESERVE)
     not_reserved (f, r, x, now_ms);
@@ -312,6 +332,11 @@
 generation_broken (struct beryl_forward *f, struct request *r,
                    enum beryl_exchange_kind kind, bool sent, int64_t now_ms)
 {
+  if (kind == BERYL_EXCHANGE_MOVE)
+    {
+      move_broken (f, r, now_ms);
+      return;
+    }
   if (kind == BERYL_EXCHANGE_RESERVE)
     {
       r->refusals++;
@@ -339,6 +364,7 @@
 {
   if (r->reservation.live != NULL)
     r->reservation.live->full_until_ms = 0;
+  move_clear (f, r);
   place_clear (f, &r->reservation);
 }
 
@@ -358,9 +384,56 @@
       took_ms * (int64_t)r->event_count / (int64_t)(r->event_count - 1));
 }
 
+static void
+stream_stalled (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  struct book_curve curve;
+
+  r->stalled = true;
+  engine_curve (f, r->service, r->first->live, now_ms, &curve);
+  request_decided (f, r, "stall", r->first->live, "waits",
+                   (int64_t)curve.tokens[0], now_ms);
+}
+
+static void
+stream_dead (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  request_decided (f, r, "stall", r->first->live, "given_up",
+                   now_ms - r->event_ms, now_ms);
+  beryl_live_learn (r->first->live, BERYL_LIVE_SILENT, now_ms - r->event_ms,
+                    now_ms);
+  forward_exchange_abort (f, r->first);
+  r->may_have_run = true;
+  event_splitter_reset (&r->events);
+  generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
+}
+
+static void
+stream_due (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  r->due_ms = r->timeout_ms;
+  if (r->first == NULL || r->move_to != NULL || r->caller_slow)
+    return;
+  if (now_ms - r->event_ms >= STALL_MS && !r->stalled)
+    stream_stalled (f, r, now_ms);
+  if (now_ms - r->event_ms >= DEAD_MS && r->route->resumable
+      && r->endpoints_run < r->route->endpoints_max)
+    {
+      stream_dead (f, r, now_ms);
+      return;
+    }
+  if (now_ms - r->event_ms < DEAD_MS)
+    r->due_ms = stream_due_ms (r);
+}
+
 void
 generation_due (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
+  if (r->phase == PHASE_RUNNING)
+    {
+      stream_due (f, r, now_ms);
+      return;
+    }
   if (r->phase != PHASE_WAITING)
     {
       r->due_ms = r->timeout_ms;
@@ -372,6 +445,66 @@
     reserve (f, r, now_ms);
 }
 
+/* Memory is looked at so often; in the time two looks and a move take, an
+ * engine's runs grow by some hundredths of its memory. */
+#define BALANCE_MS 100
+/* How far ahead an engine must have room. */
+#define AHEAD_MS BOOK_STEP_MS
+/* Part of an engine's memory that counts as run out: what is foreseen lags
+ * behind what the other nodes just began. */
+#define FULL_PART 0.96
+
+/* Whether R's run may be moved at all. */
+static bool
+may_move (const struct request *r)
+{
+  return r->phase == PHASE_RUNNING && r->reservation.live != NULL
+         && r->move_to == NULL && r->event_count > 0 && r->first != NULL
+         && r->first->headed && r->terms->engine.moves;
+}
+
+static void
+balance_one (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  struct book_curve curve;
+  struct beryl_live *target;
+  double peak;
+
+  engine_curve (f, r->service, r->reservation.live, now_ms, &curve);
+  peak = book_peak (&curve, AHEAD_MS);
+  if (peak < FULL_PART * (double)r->terms->engine.kv_tokens
+      || !engine_newest (f, r, now_ms))
+    return;
+  target = engine_choose_target (f, r, now_ms);
+  if (target != NULL)
+    move_start (f, r, target, now_ms);
+  else
+    request_decided (f, r, "move", r->reservation.live, "no_target",
+                     (int64_t)peak, now_ms);
+}
+
+/* An engine that runs out of memory stops its newest run in the middle of its
+ * stream and reads everything again later: hundreds of milliseconds of engine
+ * time and a pause that makes the answer late.  Moving that run to an engine
+ * with room takes about ten, since links carry gigabytes in milliseconds.
+ * Each node looks only at its own runs and moves one if it is the newest
+ * there; nodes need not agree. */
+void
+generation_balance (struct beryl_forward *f, int64_t now_ms)
+{
+  struct request *r, *next;
+
+  if (now_ms < f->balance_ms)
+    return;
+  f->balance_ms = now_ms + BALANCE_MS;
+  for (r = TAILQ_FIRST (&f->requests); r != NULL; r = next)
+    {
+      next = TAILQ_NEXT (r, entry);
+      if (may_move (r))
+        balance_one (f, r, now_ms);
+    }
+}
+
 void
 generation_pump (struct beryl_forward *f, int64_t now_ms)
 {
--- /dev/null
+++ b/libberyl/forward/move.c
@@ -0,0 +1,119 @@
+#include "private.h"
+
+#include <string.h>
+
+/* How long a stopped run's memory is kept if the service does not say. */
+#define KEPT_MS 500
+
+void
+move_clear (struct beryl_forward *f, struct request *r)
+{
+  if (r->move_to != NULL)
+    beryl_live_close (f->lives, r->move_to);
+  r->move_to = NULL;
+  r->moved = false;
+  r->stream_over = false;
+}
+
+void
+move_start (struct beryl_forward *f, struct request *r,
+            struct beryl_live *target, int64_t now_ms)
+{
+  struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_MOVE };
+
+  r->move_to = target;
+  beryl_live_open (target);
+  start.run_id = r->facts.id;
+  start.target = target;
+  r->second = forward_start (f, r, &start, r->reservation.live, now_ms);
+  request_decided (f, r, "move", target, "asked", (int64_t)r->event_count,
+                   now_ms);
+}
+
+/* Goes on at the new engine once the old one has both stopped the run and
+ * ended its stream: all events it made have come by then. */
+static void
+move_go_on (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  struct beryl_live *target = r->move_to;
+
+  if (!r->moved || !r->stream_over)
+    return;
+  place_clear (f, &r->reservation);
+  r->reservation.live = target;
+  r->reservation.until_ms = r->kv.until_ms;
+  beryl_live_open (target);
+  move_clear (f, r);
+  f->runs_changed = true;
+  generation_run (f, r, now_ms);
+}
+
+static void
+keep_memory (struct beryl_forward *f, struct request *r,
+             struct beryl_live *live, const char *handle, int64_t now_ms)
+{
+  int64_t kept_ms = r->terms->engine.kv_handle_ms;
+
+  kv_clear (f, &r->kv);
+  r->kv.live = live;
+  r->kv.until_ms = now_ms + (kept_ms > 0 ? kept_ms : KEPT_MS);
+  memcpy (r->kv.handle, handle, sizeof r->kv.handle);
+  beryl_live_open (live);
+}
+
+/* The run was not stopped; its stream may still have ended by itself. */
+static void
+move_off (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (r->stream_over)
+    generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
+  else
+    move_clear (f, r);
+}
+
+void
+move_result (struct beryl_forward *f, struct exchange *x,
+             const struct beryl_engine_result *result, int64_t now_ms)
+{
+  struct request *r = x->request;
+  struct beryl_live *source = x->live;
+  bool stopped = result->handle[0] != '\0';
+
+  request_decided (f, r, "move", r->move_to,
+                   result->ok ? "done"
+                   : stopped  ? "no_room"
+                              : "not_moved",
+                   now_ms - x->started_ms, now_ms);
+  if (stopped)
+    keep_memory (f, r, source, result->handle, now_ms);
+  if (stopped && !result->ok)
+    {
+      /* The other engine had no room: the run goes on where it was. */
+      r->move_to->full_until_ms = now_ms + KEPT_MS;
+      beryl_live_close (f->lives, r->move_to);
+      r->move_to = source;
+      beryl_live_open (source);
+    }
+  r->moved = stopped;
+  forward_exchange_free (f, x);
+  if (stopped)
+    move_go_on (f, r, now_ms);
+  else
+    move_off (f, r, now_ms);
+}
+
+void
+move_broken (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  move_off (f, r, now_ms);
+}
+
+bool
+move_takes_end (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (r->move_to == NULL)
+    return false;
+  r->stream_over = true;
+  move_go_on (f, r, now_ms);
+  return true;
+}
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -105,7 +105,11 @@
   struct kv_cache kv;
   uint32_t expected_tokens; /**< median of its output */
   int64_t first_event_ms;
-  uint32_t refusals; /**< of engines asked for room, in this wait */
+  struct beryl_live *move_to; /**< its run is being moved there; open there */
+  bool moved;                 /**< the engine has stopped it for that */
+  bool stalled;               /**< its stream was silent for a while */
+  bool stream_over;           /**< the old engine's stream has ended */
+  uint32_t refusals;          /**< of engines asked for room, in this wait */
   int64_t waiting_since_ms;
 };
 
@@ -129,9 +133,10 @@
   uint32_t waiting_count;
   uint64_t last_exchange;
   uint64_t random;
-  int64_t end_ms;    /**< of the process; BERYL_NEVER_MS: not known */
-  struct book book;  /**< what the other nodes run at engines */
-  bool runs_changed; /**< this node's runs, since they were read */
+  int64_t balance_ms; /**< next look at the engines' memory */
+  int64_t end_ms;     /**< of the process; BERYL_NEVER_MS: not known */
+  struct book book;   /**< what the other nodes run at engines */
+  bool runs_changed;  /**< this node's runs, since they were read */
 };
 
 /* forward.c */
@@ -199,11 +204,20 @@
 /** Give back what R holds at engines. */
 void generation_release (struct beryl_forward *f, struct request *r,
                          int64_t now_ms);
+/** Send R to the engine where its memory is reserved, with its KV cache if it
+ * has one. */
+void generation_run (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms);
+/** Give up a claim on memory without telling the engine. */
+void place_clear (struct beryl_forward *f, struct reservation *place);
+void kv_clear (struct beryl_forward *f, struct kv_cache *kv);
 /** The run of R at its decode engine ended. */
 void generation_run_over (struct beryl_forward *f, struct request *r);
 /** R's answer is whole: learn from its length. */
 void generation_learn (struct beryl_forward *f, const struct request *r,
                        int64_t now_ms);
+/** Move runs away from engines that are about to run out of memory. */
+void generation_balance (struct beryl_forward *f, int64_t now_ms);
 /** Try to place those that wait. */
 void generation_pump (struct beryl_forward *f, int64_t now_ms);
 /** R's stream broke after events went to the caller. */
@@ -218,7 +232,32 @@
 void answer_broken (struct beryl_forward *f, struct exchange *x,
                     enum beryl_break how, bool sent, int64_t now_ms);
 
+/* move.c */
+/** Begin to move R's run to TARGET. */
+void move_start (struct beryl_forward *f, struct request *r,
+                 struct beryl_live *target, int64_t now_ms);
+/** The engine answered X, a move. */
+void move_result (struct beryl_forward *f, struct exchange *x,
+                  const struct beryl_engine_result *result, int64_t now_ms);
+/** X, a move, broke. */
+void move_broken (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** R's stream ended early; true if that is part of its being moved. */
+bool move_takes_end (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms);
+/** Forget that R is being moved. */
+void move_clear (struct beryl_forward *f, struct request *r);
+
 /* engines.c */
+/** Return the highest expected use of LIVE's memory if R ran there too. */
+double engine_peak_with (struct beryl_forward *f, const struct request *r,
+                         const struct beryl_live *live, int64_t now_ms);
+/** Choose an engine that R's run may move to; NULL: none has room. */
+struct beryl_live *engine_choose_target (struct beryl_forward *f,
+                                         const struct request *r,
+                                         int64_t now_ms);
+/** Whether R's run is the newest at its engine. */
+bool engine_newest (struct beryl_forward *f, const struct request *r,
+                    int64_t now_ms);
 /** Choose a decode engine to ask for room; NULL: none may have it. */
 struct beryl_live *engine_choose_decode (struct beryl_forward *f,
                                          const struct request *r,
