--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -164,10 +164,11 @@
 {
   g_info ("request id=%s route=%s step=%s outcome=%s endpoint=%s age_ms="
           "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT
+          " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
           " configuration=%" G_GUINT64_FORMAT " seen=%" G_GUINT64_FORMAT,
           d->id, d->route, d->step, d->outcome,
           d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms,
-          d->number, d->config_version, d->endpoint_revision);
+          d->number, d->first_event_ms, d->longest_gap_ms, d->config_version, d->endpoint_revision);
 }
 
 static const struct beryl_forward_owner_impl forward_impl = {
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -113,6 +113,8 @@
   const struct beryl_live *endpoint; /**< may be NULL */
   const char *outcome;               /**< stable name */
   int64_t age_ms;                    /**< of the request */
+  int64_t first_event_ms; /**< from its arrival; 0: none yet */
+  int64_t longest_gap_ms; /**< between two events */
   int64_t number; /**< tokens, bytes, milliseconds: STEP tells */
   uint64_t config_version;
   uint64_t endpoint_revision;
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -68,6 +68,14 @@
     service_learn (r->service, took_ms);
   request_decided (f, r, "head", x->live, error ? "error" : "answered",
                    x->head.status, now_ms);
+  if (r->begun && (x->head.status != 200 || !x->head.events))
+    {
+      /* The caller has the head of a stream already; another answer's body
+         must not follow in it. */
+      forward_exchange_abort (f, x);
+      generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
+      return;
+    }
   if (error && r->second != NULL)
     {
       /* The other send may still bring a good answer. */
@@ -120,6 +128,8 @@
     r->last_event = event->id;
   if (r->event_count == 0)
     r->first_event_ms = now_ms;
+  else if (now_ms - r->event_ms > r->longest_gap_ms)
+    r->longest_gap_ms = now_ms - r->event_ms;
   r->event_count++;
   r->event_ms = now_ms;
   r->stalled = false;
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -209,6 +209,10 @@
     .endpoint = live,
     .outcome = outcome,
     .age_ms = now_ms - r->facts.arrived_ms,
+    .first_event_ms = r->first_event_ms > 0
+                          ? r->first_event_ms - r->facts.arrived_ms
+                          : 0,
+    .longest_gap_ms = r->longest_gap_ms,
     .number = number,
     .config_version = r->routes->version,
     .endpoint_revision = live != NULL ? live->info.revision : 0,
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -105,6 +105,7 @@
   struct kv_cache kv;
   uint32_t expected_tokens; /**< median of its output */
   int64_t first_event_ms;
+  int64_t longest_gap_ms;
   struct beryl_live *move_to; /**< its run is being moved there; open there */
   bool moved;                 /**< the engine has stopped it for that */
   bool stalled;               /**< its stream was silent for a while */
