--- a/common/loop.c
+++ b/common/loop.c
@@ -5,12 +5,15 @@
 #include <stdlib.h>
 #include <sys/resource.h>
 
+#include "beryl/clock.h"
+
 #define DESCRIPTORS_MAX 16384
 #define SIGNAL_COUNT 3
 
 struct loop
 {
   uv_loop_t uv;
+  struct beryl_clock *clock;
   uv_signal_t signals[SIGNAL_COUNT];
   loop_stop_cb *stop_cb;
   void *stop_user;
@@ -67,6 +70,7 @@
 
   loop_limit_descriptors (DESCRIPTORS_MAX);
   uv_loop_init (&loop->uv);
+  loop->clock = beryl_clock_create_real ();
   signal (SIGPIPE, SIG_IGN);
   for (size_t i = 0; i < G_N_ELEMENTS (signums); i++)
     {
@@ -87,6 +91,7 @@
     uv_close ((uv_handle_t *)&loop->signals[i], NULL);
   for (int i = 0; i < 100 && uv_loop_close (&loop->uv) == UV_EBUSY; i++)
     uv_run (&loop->uv, UV_RUN_NOWAIT);
+  beryl_clock_destroy (loop->clock);
   g_free (loop);
 }
 
@@ -99,7 +104,7 @@
 int64_t
 loop_now_ms (struct loop *loop)
 {
-  return (int64_t)(uv_hrtime () / 1000000);
+  return beryl_clock_now_ms (loop->clock);
 }
 
 void
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -8,6 +8,7 @@
 #include "front.h"
 #include "members.h"
 #include "outbound.h"
+#include "planner.h"
 #include "registry.h"
 #include "source.h"
 
@@ -31,6 +32,11 @@
  * place a request every few tens of milliseconds. */
 #define TELL_DELAY_MS 30
 
+/* Nodes that compete for the planner's lease, and how often they are looked
+ * up. */
+#define PLANNERS 2
+#define STAND_MS 1000
+
 struct gateway
 {
   struct beryl_forward_owner base;
@@ -51,7 +57,9 @@
   struct directory *directory;
   struct members *members;
   struct registry *registry;
-  struct loop_timer *tell; /* runs that changed are told when it fires */
+  struct planner *planner;
+  struct loop_timer *stand; /* looks who stands for the planner's lease */
+  struct loop_timer *tell;  /* runs that changed are told when it fires */
   struct loop_timer *tick;
   int64_t tick_ms;
   uv_prepare_t *prepare;
@@ -168,7 +176,8 @@
           " configuration=%" G_GUINT64_FORMAT " seen=%" G_GUINT64_FORMAT,
           d->id, d->route, d->step, d->outcome,
           d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms,
-          d->number, d->first_event_ms, d->longest_gap_ms, d->config_version, d->endpoint_revision);
+          d->number, d->first_event_ms, d->longest_gap_ms, d->config_version,
+          d->endpoint_revision);
 }
 
 static const struct beryl_forward_owner_impl forward_impl = {
@@ -311,6 +320,16 @@
   members_tell_loads (g->members, runs, count);
 }
 
+static void
+stand (void *user)
+{
+  struct gateway *g = user;
+
+  planner_stand (g->planner, g->stop_began_ms == 0
+                                 && members_stands_for (
+                                     g->members, "stage-planner", PLANNERS));
+}
+
 static void
 tick (void *user)
 {
@@ -440,6 +459,9 @@
     {
       g->registry
           = registry_create (loop, g->store, &g->settings, &g->registry_base);
+      g->planner = planner_create (loop, wire, &g->settings, g->store,
+                                   g->forward, g->lives);
+      g->stand = loop_timer_start (loop, STAND_MS, STAND_MS, stand, g);
       return g;
     }
   gateway_destroy (g);
@@ -454,6 +476,8 @@
   loop_timer_stop (g->tick);
   loop_timer_stop (g->tell);
   loop_timer_stop (g->stop_poll);
+  loop_timer_stop (g->stand);
+  planner_destroy (g->planner);
   registry_destroy (g->registry);
   members_destroy (g->members);
   uv_close ((uv_handle_t *)g->prepare, free_handle);
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -548,3 +548,10 @@
   g_ptr_array_set_size (addresses, 0);
   addresses_in (m, NULL, addresses);
 }
+
+bool
+members_stands_for (const struct members *m, const char *role, uint32_t most)
+{
+  return m->table != NULL
+         && beryl_membership_stands_for (m->table, role, "", most);
+}
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -71,6 +71,10 @@
 void members_addresses (struct members *members, const char *data_centre,
                         GPtrArray *addresses);
 
+/** Whether this node is among the MOST live ones that stand for ROLE. */
+bool members_stands_for (const struct members *members, const char *role,
+                         uint32_t most);
+
 /** Return how many nodes may be running, this one included. */
 uint32_t members_count (const struct members *members);
 
--- /dev/null
+++ b/gatewayd/planner.c
@@ -0,0 +1,397 @@
+#include "planner.h"
+
+#include <string.h>
+
+#include "beryl/stages.h"
+#include "common/stored_lease.h"
+#include "h1/client.h"
+
+#define KIND "gateway-leases"
+#define NAME "stage-planner"
+#define PLAN_MS 500
+/* Part of the lease's time at its end in which its holder does nothing;
+ * covers clocks that run at different rates. */
+#define MARGIN_PART 6
+/* An order shows in the engine's entry within some seconds; one that does not
+ * was lost or waits to be carried out late. */
+#define ORDER_SHOWN_MS 15000
+#define ANSWER_MAX_BYTES 65536
+
+struct planner
+{
+  struct stored_lease_owner base;
+  struct loop *loop;
+  const struct gateway_wire *wire;
+  const struct gateway_settings *settings;
+  struct beryl_forward *forward;
+  struct beryl_lives *lives;
+  struct stored_lease *lease;
+  struct loop_timer *timer;
+  GHashTable *services;     /* name to struct beryl_stages */
+  GPtrArray *pending;       /* struct pending */
+  struct engine_call *call; /* one at a time; NULL: none */
+};
+
+/* An order that was given. */
+struct pending
+{
+  char id[BERYL_NAME_BYTES];
+  enum beryl_stage stage;
+  int64_t until_ms;
+};
+
+/* A report or an order to one engine. */
+struct engine_call
+{
+  struct h1_call_handler base;
+  struct planner *planner;
+  struct h1_call *http;
+  const struct h1_head *head;
+  GString *body;
+  bool orders;
+  char id[BERYL_NAME_BYTES];
+  enum beryl_stage stage;
+};
+
+static void
+call_end (struct engine_call *call)
+{
+  call->planner->call = NULL;
+  g_string_free (call->body, TRUE);
+  g_free (call);
+}
+
+static void
+call_head (struct h1_call_handler *handler, struct h1_call *http,
+           const struct h1_head *head)
+{
+  ((struct engine_call *)handler)->head = head;
+}
+
+static void
+call_data (struct h1_call_handler *handler, struct h1_call *http,
+           const char *bytes, size_t bytes_count)
+{
+  struct engine_call *call = (struct engine_call *)handler;
+
+  if (call->body->len + bytes_count <= ANSWER_MAX_BYTES)
+    g_string_append_len (call->body, bytes, (gssize)bytes_count);
+}
+
+static void
+call_failed (struct h1_call_handler *handler, struct h1_call *http,
+             enum h1_failure failure, bool sent)
+{
+  struct engine_call *call = (struct engine_call *)handler;
+
+  /* An order without an answer stays pending: it may be carried out. */
+  g_info ("planner engine=%s %s failed=%s sent=%d", call->id,
+          call->orders ? "order" : "report", h1_failure_name (failure), sent);
+  call_end (call);
+}
+
+static void order (struct planner *p, const struct engine_call *report,
+                   uint64_t orders);
+
+static void
+report_done (struct engine_call *call)
+{
+  struct planner *p = call->planner;
+  struct gateway_report report;
+
+  if (!p->wire->impl->read_report (p->wire, call->head, call->body->str,
+                                   call->body->len, &report))
+    g_info ("planner engine=%s gave no report, status=%u", call->id,
+            call->head->status);
+  else if (!report.changing && report.stage != call->stage)
+    {
+      p->call = NULL;
+      order (p, call, report.orders);
+      g_string_free (call->body, TRUE);
+      g_free (call);
+      return;
+    }
+  call_end (call);
+}
+
+static void
+call_done (struct h1_call_handler *handler, struct h1_call *http)
+{
+  struct engine_call *call = (struct engine_call *)handler;
+  static const char *const names[]
+      = { "accepted", "holds", "busy", "fenced", "refused" };
+
+  if (!call->orders)
+    {
+      report_done (call);
+      return;
+    }
+  g_info ("planner engine=%s order stage=%s answer=%s", call->id,
+          beryl_stage_name (call->stage),
+          names[call->planner->wire->impl->read_order_answer (
+              call->planner->wire, call->head)]);
+  call_end (call);
+}
+
+static const struct h1_call_handler_impl call_impl = {
+  .head = call_head,
+  .data = call_data,
+  .done = call_done,
+  .failed = call_failed,
+};
+
+static void
+call_start (struct planner *p, const struct beryl_live *live,
+            enum beryl_stage stage, bool orders, const GString *head,
+            const GString *body)
+{
+  struct engine_call *call = g_new0 (struct engine_call, 1);
+  struct h1_request request = {
+    .address = live->info.address,
+    .port = live->info.port,
+    .head = head->str,
+    .head_bytes = head->len,
+    .body = body->str,
+    .body_bytes = body->len,
+  };
+
+  call->base.impl = &call_impl;
+  call->planner = p;
+  call->orders = orders;
+  call->stage = stage;
+  call->body = g_string_new (NULL);
+  memcpy (call->id, live->info.id, sizeof call->id);
+  p->call = call;
+  call->http = h1_call_start (p->loop, &request, &call->base);
+}
+
+static void
+pending_add (struct planner *p, const char *id, enum beryl_stage stage)
+{
+  struct pending *pending = g_new0 (struct pending, 1);
+
+  g_strlcpy (pending->id, id, sizeof pending->id);
+  pending->stage = stage;
+  pending->until_ms = loop_now_ms (p->loop) + ORDER_SHOWN_MS;
+  g_ptr_array_add (p->pending, pending);
+}
+
+/* Right before an order the lease is asked again: the report's answer may
+ * have come after a pause in which another node took over. */
+static void
+order (struct planner *p, const struct engine_call *report, uint64_t orders)
+{
+  struct beryl_live *live = beryl_lives_find (p->lives, report->id);
+  struct gateway_order o = { .stage = report->stage,
+                             .holder = p->settings->node,
+                             .orders = orders };
+  GString *head, *body;
+
+  if (live == NULL || !stored_lease_held (p->lease, &o.fence)
+      || !stored_lease_settled (p->lease))
+    return;
+  o.engine = &live->info;
+  head = g_string_new (NULL);
+  body = g_string_new (NULL);
+  p->wire->impl->format_order (p->wire, &o, head, body);
+  g_info ("planner engine=%s order stage=%s fence=%" G_GUINT64_FORMAT
+          " expected=%" G_GUINT64_FORMAT,
+          live->info.id, beryl_stage_name (o.stage), o.fence, o.orders);
+  pending_add (p, live->info.id, o.stage);
+  call_start (p, live, o.stage, true, head, body);
+  g_string_free (head, TRUE);
+  g_string_free (body, TRUE);
+}
+
+static void
+ask_report (struct planner *p, const struct beryl_stage_order *wanted)
+{
+  struct beryl_live *live = beryl_lives_find (p->lives, wanted->id);
+  GString *head = g_string_new (NULL);
+  GString *body = g_string_new (NULL);
+
+  p->wire->impl->format_report (p->wire, &live->info, head);
+  call_start (p, live, wanted->stage, false, head, body);
+  g_string_free (head, TRUE);
+  g_string_free (body, TRUE);
+}
+
+static struct pending *
+pending_find (const struct planner *p, const char *id)
+{
+  for (guint i = 0; i < p->pending->len; i++)
+    {
+      struct pending *pending = g_ptr_array_index (p->pending, i);
+
+      if (strcmp (pending->id, id) == 0)
+        return pending;
+    }
+  return NULL;
+}
+
+static void
+pending_expire (struct planner *p)
+{
+  for (guint i = p->pending->len; i > 0; i--)
+    {
+      struct pending *pending = g_ptr_array_index (p->pending, i - 1);
+      const struct beryl_live *live = beryl_lives_find (p->lives, pending->id);
+
+      if (live == NULL || live->info.stage == pending->stage
+          || loop_now_ms (p->loop) >= pending->until_ms)
+        g_ptr_array_remove_index_fast (p->pending, i - 1);
+    }
+}
+
+static GArray *
+engines_of (struct planner *p, const char *service)
+{
+  GArray *engines
+      = g_array_new (FALSE, FALSE, sizeof (struct beryl_stage_engine));
+
+  for (size_t i = 0; i < beryl_lives_count (p->lives); i++)
+    {
+      struct beryl_live *live = beryl_lives_get (p->lives, i);
+      const struct pending *pending = pending_find (p, live->info.id);
+      struct beryl_stage_engine engine = {
+        .id = live->info.id,
+        .stage = pending != NULL ? pending->stage : live->info.stage,
+        .changing = pending != NULL,
+        .used_tokens = beryl_forward_engine_used (p->forward, service, live,
+                                                  loop_now_ms (p->loop)),
+      };
+
+      if (live->info.stage != BERYL_STAGE_NONE && beryl_live_takes_work (live)
+          && strcmp (live->info.service, service) == 0)
+        g_array_append_val (engines, engine);
+    }
+  return engines;
+}
+
+static void
+plan_service (struct planner *p, const char *service,
+              struct beryl_stages *stages)
+{
+  GArray *engines = engines_of (p, service);
+  struct beryl_generation_mix mix = beryl_forward_mix (p->forward, service);
+  struct beryl_stage_order wanted;
+
+  if (beryl_stages_plan (
+          stages, &mix,
+          (const struct beryl_stage_engine *)(const void *)engines->data,
+          engines->len, loop_now_ms (p->loop), &wanted))
+    {
+      g_info ("planner service=%s engines=%u prefill_wanted=%.2f prompt=%.0f "
+              "output=%.0f prefill_ms=%.4f decode_ms=%.3f",
+              service, engines->len, beryl_stages_prefill (&mix, engines->len),
+              mix.prompt_tokens, mix.output_tokens, mix.prefill_ms_per_token,
+              mix.decode_ms_per_token);
+      ask_report (p, &wanted);
+    }
+  g_array_free (engines, TRUE);
+}
+
+static void
+note_services (struct planner *p)
+{
+  for (size_t i = 0; i < beryl_lives_count (p->lives); i++)
+    {
+      const struct beryl_live *live = beryl_lives_get (p->lives, i);
+
+      if (live->info.stage != BERYL_STAGE_NONE
+          && !g_hash_table_contains (p->services, live->info.service))
+        g_hash_table_insert (p->services, g_strdup (live->info.service),
+                             beryl_stages_create ());
+    }
+}
+
+static void
+plan (void *user)
+{
+  struct planner *p = user;
+  GHashTableIter iter;
+  void *name, *stages;
+
+  if (!stored_lease_settled (p->lease))
+    return;
+  pending_expire (p);
+  note_services (p);
+  g_hash_table_iter_init (&iter, p->services);
+  while (p->call == NULL && g_hash_table_iter_next (&iter, &name, &stages))
+    plan_service (p, name, stages);
+}
+
+static void
+lease_changed (struct stored_lease_owner *owner, struct stored_lease *lease,
+               uint64_t fence)
+{
+  g_info ("lease name=%s %s fence=%" G_GUINT64_FORMAT,
+          stored_lease_name (lease), fence != 0 ? "won" : "lost", fence);
+}
+
+static const struct stored_lease_owner_impl lease_impl
+    = { .changed = lease_changed };
+
+static void
+stages_free (void *stages)
+{
+  beryl_stages_destroy (stages);
+}
+
+struct planner *
+planner_create (struct loop *loop, const struct gateway_wire *wire,
+                const struct gateway_settings *settings,
+                struct platform_client *client, struct beryl_forward *forward,
+                struct beryl_lives *lives)
+{
+  struct planner *p = g_new0 (struct planner, 1);
+  struct beryl_lease_settings lease = {
+    .name = NAME,
+    .holder = settings->node,
+    .ttl_ms = settings->lease_ms,
+    .margin_ms = settings->lease_ms / MARGIN_PART,
+    .poll_ms = settings->lease_ms,
+    /* Engines that do not look at the number are given no order before the
+       last one of a former holder must have arrived. */
+    .settle_ms = settings->engines_check_fence
+                     ? 0
+                     : settings->lease_ms + settings->thaw_ms,
+    .seed = uv_hrtime (),
+  };
+
+  p->base.impl = &lease_impl;
+  p->loop = loop;
+  p->wire = wire;
+  p->settings = settings;
+  p->forward = forward;
+  p->lives = lives;
+  p->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, stages_free);
+  p->pending = g_ptr_array_new_with_free_func (g_free);
+  p->lease = stored_lease_create (loop, client, KIND, &lease, &p->base);
+  p->timer = loop_timer_start (loop, PLAN_MS, PLAN_MS, plan, p);
+  return p;
+}
+
+void
+planner_destroy (struct planner *p)
+{
+  if (p == NULL)
+    return;
+  loop_timer_stop (p->timer);
+  if (p->call != NULL)
+    {
+      h1_call_cancel (p->call->http);
+      call_end (p->call);
+    }
+  stored_lease_destroy (p->lease);
+  g_hash_table_destroy (p->services);
+  g_ptr_array_free (p->pending, TRUE);
+  g_free (p);
+}
+
+void
+planner_stand (struct planner *p, bool stands)
+{
+  stored_lease_want (p->lease, stands || stored_lease_held (p->lease, NULL));
+}
--- /dev/null
+++ b/gatewayd/planner.h
@@ -0,0 +1,30 @@
+/** @file
+ * Orders engines between prefill and decode, at the one node that holds the
+ * planner's lease.
+ */
+#ifndef GATEWAYD_PLANNER_H
+#define GATEWAYD_PLANNER_H
+
+#include "beryl/forward.h"
+#include "common/loop.h"
+#include "common/platform_client.h"
+#include "gateway/wire.h"
+#include "settings.h"
+
+struct planner;
+
+/** Create; all arguments must outlive it. */
+struct planner *planner_create (struct loop *loop,
+                                const struct gateway_wire *wire,
+                                const struct gateway_settings *settings,
+                                struct platform_client *client,
+                                struct beryl_forward *forward,
+                                struct beryl_lives *lives);
+
+/** Release; NULL is allowed. */
+void planner_destroy (struct planner *planner);
+
+/** Whether this node competes for the lease. */
+void planner_stand (struct planner *planner, bool stands);
+
+#endif
--- a/include/beryl/engine_load.h
+++ b/include/beryl/engine_load.h
@@ -21,6 +21,7 @@
   uint32_t expected_tokens; /**< estimate of the whole output */
   uint32_t made_tokens;     /**< so far */
   bool started;             /**< it streams; otherwise it is only reserved */
+  uint32_t prefill_engine;  /**< that reads its prompt now; 0: none */
 };
 
 /** Return the number that stands for an engine's id in messages. */
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -24,6 +24,7 @@
 #include "beryl/engine_load.h"
 #include "beryl/live.h"
 #include "beryl/routes.h"
+#include "beryl/stages.h"
 
 struct beryl_forward;
 
@@ -113,8 +114,8 @@
   const struct beryl_live *endpoint; /**< may be NULL */
   const char *outcome;               /**< stable name */
   int64_t age_ms;                    /**< of the request */
-  int64_t first_event_ms; /**< from its arrival; 0: none yet */
-  int64_t longest_gap_ms; /**< between two events */
+  int64_t first_event_ms;            /**< from its arrival; 0: none yet */
+  int64_t longest_gap_ms;            /**< between two events */
   int64_t number; /**< tokens, bytes, milliseconds: STEP tells */
   uint64_t config_version;
   uint64_t endpoint_revision;
@@ -273,6 +274,16 @@
                            struct beryl_engine_run *runs, size_t most,
                            int64_t now_ms);
 
+/** Return what this node has learned of SERVICE's generations. */
+struct beryl_generation_mix beryl_forward_mix (struct beryl_forward *forward,
+                                               const char *service);
+
+/** Return the memory that all nodes' runs use at ENGINE of SERVICE. */
+uint64_t beryl_forward_engine_used (struct beryl_forward *forward,
+                                    const char *service,
+                                    const struct beryl_live *engine,
+                                    int64_t now_ms);
+
 /** Let time pass. */
 void beryl_forward_tick (struct beryl_forward *forward, int64_t now_ms);
 
--- a/include/common/loop.h
+++ b/include/common/loop.h
@@ -26,7 +26,8 @@
 /** Return the libuv loop. */
 uv_loop_t *loop_uv (struct loop *loop);
 
-/** Return the loop's monotonic time in milliseconds. */
+/** Return monotonic time in milliseconds.  It also counts while the machine is
+ * suspended: a lease must not outlive a pause that nothing else shows. */
 int64_t loop_now_ms (struct loop *loop);
 
 /** Call CB at the first stop signal. */
--- a/include/common/platform_client.h
+++ b/include/common/platform_client.h
@@ -35,9 +35,9 @@
                 struct platform_wire_call *out);
   /** Translate the answer to a call of OP on KIND.  *STATUS may be changed.
    * Returns the native body, g_malloc'd, or NULL if it is malformed. */
-  char *(*answer) (const struct platform_wire *wire,
-                   enum beryl_platform_op op, const char *kind,
-                   unsigned int *status, const char *body, size_t body_bytes);
+  char *(*answer) (const struct platform_wire *wire, enum beryl_platform_op op,
+                   const char *kind, unsigned int *status, const char *body,
+                   size_t body_bytes);
 };
 
 /** A wire; the first member selects the implementation. */
@@ -52,8 +52,8 @@
   const char *address; /**< IP number; copied */
   uint16_t port;
   bool tls;
-  const char *tls_host; /**< name to verify; NULL: ADDRESS */
-  const char *token;    /**< sent as a bearer token; NULL: none */
+  const char *tls_host;             /**< name to verify; NULL: ADDRESS */
+  const char *token;                /**< sent as a bearer token; NULL: none */
   const struct platform_wire *wire; /**< NULL: the native one */
   struct beryl_platform_settings core;
   uint64_t seed;
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -30,6 +30,34 @@
   GATEWAY_QUESTION_ADDRESSES,
 };
 
+/** What an engine says of itself; some hundred milliseconds old. */
+struct gateway_report
+{
+  enum beryl_stage stage;
+  bool changing;   /**< an order is in progress */
+  uint64_t orders; /**< accepted since its start */
+};
+
+/** An order to an engine. */
+struct gateway_order
+{
+  const struct beryl_live_info *engine;
+  enum beryl_stage stage;
+  const char *holder; /**< who gives it */
+  uint64_t fence;     /**< only grows from holder to holder */
+  uint64_t orders;    /**< carried out only if it has accepted as many */
+};
+
+/** What an engine says to an order. */
+enum gateway_order_answer
+{
+  GATEWAY_ORDER_ACCEPTED,
+  GATEWAY_ORDER_HOLDS,  /**< it was so already */
+  GATEWAY_ORDER_BUSY,   /**< another is in progress, or came before */
+  GATEWAY_ORDER_FENCED, /**< a later holder has given orders */
+  GATEWAY_ORDER_REFUSED,
+};
+
 /** Translations.  Texts appended to a GString are complete and escaped. */
 struct gateway_wire_impl
 {
@@ -73,6 +101,19 @@
                               const struct h1_head *head, const char *body,
                               size_t body_bytes,
                               struct beryl_engine_result *result);
+  /** Ask an engine what it does. */
+  void (*format_report) (const struct gateway_wire *wire,
+                         const struct beryl_live_info *engine, GString *head);
+  /** Read its answer; false if it is not one. */
+  bool (*read_report) (const struct gateway_wire *wire,
+                       const struct h1_head *head, const char *body,
+                       size_t body_bytes, struct gateway_report *report);
+  /** Order an engine to another stage. */
+  void (*format_order) (const struct gateway_wire *wire,
+                        const struct gateway_order *order, GString *head,
+                        GString *body);
+  enum gateway_order_answer (*read_order_answer) (
+      const struct gateway_wire *wire, const struct h1_head *head);
   /** Format the fields of an own answer to a caller. */
   void (*format_refusal) (const struct gateway_wire *wire,
                           const struct beryl_refusal *refusal,
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -61,7 +61,10 @@
       return;
     }
   r->may_have_run = true;
-  r->endpoints_run++;
+  if (!r->same_run)
+    r->endpoints_run++;
+  r->same_run = false;
+  kv_clear (f, &r->kv);
   beryl_live_learn (x->live, error ? BERYL_LIVE_FAILED : BERYL_LIVE_ANSWERED,
                     took_ms, now_ms);
   if (!request_is_generation (r))
@@ -207,7 +210,7 @@
   forward_exchange_free (f, x);
   if (request_is_generation (r))
     {
-      generation_learn (f, r, now_ms);
+      stream_learn (f, r);
       generation_run_over (f, r);
     }
   handle = r->facts.request;
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -9,7 +9,7 @@
  * a factor of e^0.5, and a token to take a millisecond. */
 #define PRIOR_LOG_VARIANCE 0.25
 #define PRIOR_MS_PER_TOKEN 1.0
-#define PRIOR_TOKENS 1000.0
+#define PRIOR_TOKENS 4000.0
 /* The prior counts as so many runs; the past fades after as many. */
 #define PRIOR_WEIGHT 10.0
 #define WEIGHT_MAX 200.0
@@ -18,6 +18,8 @@
 #define SURVIVAL_LEAST 0.02
 /* Part of the expected output that is reserved. */
 #define RESERVED_PART 0.25
+/* A prefill that a peer told of has ended by then; the end may come untold. */
+#define PREFILL_MAX_MS 1000
 /* What a peer told is used for so long at most. */
 #define TOLD_MAX_MS 5000
 
@@ -210,3 +212,21 @@
     }
   return false;
 }
+
+uint64_t
+book_prefilling (const struct book *book, uint32_t engine, int64_t now_ms)
+{
+  uint64_t tokens = 0;
+
+  for (size_t i = 0; i < book->count; i++)
+    {
+      const struct book_peer *peer = book->peers[i];
+
+      if (now_ms - peer->told_ms > PREFILL_MAX_MS)
+        continue;
+      for (size_t k = 0; k < peer->count; k++)
+        if (peer->runs[k].prefill_engine == engine)
+          tokens += peer->runs[k].prompt_tokens;
+    }
+  return tokens;
+}
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -95,4 +95,8 @@
 bool book_has_newer (const struct book *book, const struct length_model *model,
                      uint32_t engine, uint32_t made, int64_t now_ms);
 
+/** Return the prompt tokens that peers have at prefill engine ENGINE. */
+uint64_t book_prefilling (const struct book *book, uint32_t engine,
+                          int64_t now_ms);
+
 #endif
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -43,6 +43,8 @@
     .made_tokens = made_tokens (r, now_ms),
     .started = r->phase == PHASE_RUNNING,
   };
+  if (r->phase == PHASE_PREFILLING && r->first != NULL)
+    run->prefill_engine = beryl_engine_number (r->first->live->info.id);
 }
 
 void
@@ -79,6 +81,15 @@
   return book_peak (&curve, BOOK_STEPS * BOOK_STEP_MS);
 }
 
+/* An engine that failed of late is left alone but for a trial now and then;
+ * asking for room risks nothing but the time of one connection. */
+static bool
+worth_asking (const struct beryl_live *live, int64_t now_ms)
+{
+  return !beryl_live_avoided (live, now_ms)
+         || beryl_live_trial_due (live, now_ms);
+}
+
 /* The engine whose memory is foreseen to stay the emptiest is asked.  All
  * nodes foresee much the same, so a little chance keeps those that ask at the
  * same moment apart; the engine itself counts exactly and has the last
@@ -98,20 +109,20 @@
       double cost;
 
       if (!serves (live, r, BERYL_STAGE_DECODE) || now_ms < live->full_until_ms
-          || request_tried (r, live))
+          || request_tried (r, live) || !worth_asking (live, now_ms))
         continue;
       cost = engine_peak_with (f, r, live, now_ms);
       if (cost > room && room > 0)
         continue;
       cost += (double)(forward_random (f) % 2048);
-      if (beryl_live_avoided (live, now_ms))
-        cost += 1e9;
       if (best == NULL || cost < best_cost)
         {
           best = live;
           best_cost = cost;
         }
     }
+  if (best != NULL && beryl_live_avoided (best, now_ms))
+    best->trial_ms = now_ms;
   return best;
 }
 
@@ -171,9 +182,12 @@
       uint64_t cost;
 
       if (!serves (live, r, BERYL_STAGE_PREFILL)
-          || beryl_live_avoided (live, now_ms))
+          || now_ms < live->full_until_ms || beryl_live_avoided (live, now_ms))
         continue;
-      cost = live->prefill_tokens * 256 + forward_random (f) % 256;
+      cost = live->prefill_tokens
+             + book_prefilling (&f->book, beryl_engine_number (live->info.id),
+                                now_ms);
+      cost = cost * 256 + forward_random (f) % 256;
       if (best == NULL || cost < best_cost)
         {
           best = live;
@@ -212,6 +226,16 @@
   return count;
 }
 
+uint64_t
+beryl_forward_engine_used (struct beryl_forward *f, const char *service,
+                           const struct beryl_live *engine, int64_t now_ms)
+{
+  struct book_curve curve;
+
+  engine_curve (f, forward_service (f, service), engine, now_ms, &curve);
+  return (uint64_t)curve.tokens[0];
+}
+
 bool
 beryl_forward_runs_changed (const struct beryl_forward *f)
 {
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -8,6 +8,10 @@
  * byte was sent, so that nothing is risked.  Round trips inside a region take
  * a few milliseconds, a busy endpoint's accept some tens. */
 #define CONNECT_TIMEOUT_MS 150
+/* What generations are taken to be like before some were seen: prompts of a
+ * few thousand tokens that an engine reads fifty a millisecond. */
+#define PRIOR_PROMPT_TOKENS 4000.0
+#define PRIOR_PREFILL_MS 0.02
 /* When a caller that was refused for want of endpoints may come back. */
 #define RETRY_AFTER_MS 1000
 /* A caller that is refused by a stopping node finds another at once. */
@@ -115,15 +119,27 @@
   s = calloc (1, sizeof *s);
   memcpy (s->name, name, strlen (name) + 1);
   length_model_init (&s->lengths);
+  s->prompt_tokens = PRIOR_PROMPT_TOKENS;
+  s->prefill_ms_per_token = PRIOR_PREFILL_MS;
   f->services
       = realloc (f->services, (f->service_count + 1) * sizeof (void *));
   f->services[f->service_count++] = s;
   return s;
 }
 
+static void
+note_engines (struct beryl_forward *f, const struct beryl_routes *routes)
+{
+  for (size_t i = 0; i < routes->service_count; i++)
+    if (routes->services[i].engines)
+      forward_service (f, routes->services[i].name)->kv_tokens
+          = routes->services[i].engine.kv_tokens;
+}
+
 void
 beryl_forward_set_routes (struct beryl_forward *f, struct beryl_routes *routes)
 {
+  note_engines (f, routes);
   beryl_routes_ref (routes);
   beryl_routes_unref (f->routes);
   f->routes = routes;
@@ -209,9 +225,8 @@
     .endpoint = live,
     .outcome = outcome,
     .age_ms = now_ms - r->facts.arrived_ms,
-    .first_event_ms = r->first_event_ms > 0
-                          ? r->first_event_ms - r->facts.arrived_ms
-                          : 0,
+    .first_event_ms
+    = r->first_event_ms > 0 ? r->first_event_ms - r->facts.arrived_ms : 0,
     .longest_gap_ms = r->longest_gap_ms,
     .number = number,
     .config_version = r->routes->version,
@@ -655,6 +670,20 @@
   return next_ms;
 }
 
+struct beryl_generation_mix
+beryl_forward_mix (struct beryl_forward *f, const char *name)
+{
+  const struct service *s = forward_service (f, name);
+
+  return (struct beryl_generation_mix){
+    .prompt_tokens = s->prompt_tokens,
+    .output_tokens = s->lengths.tokens_mean,
+    .prefill_ms_per_token = s->prefill_ms_per_token,
+    .decode_ms_per_token = s->lengths.ms_per_token,
+    .kv_tokens = s->kv_tokens,
+  };
+}
+
 uint32_t
 beryl_forward_open (const struct beryl_forward *f)
 {
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -45,6 +45,7 @@
   beryl_live_open (target);
   move_clear (f, r);
   f->runs_changed = true;
+  r->same_run = true;
   generation_run (f, r, now_ms);
 }
 
--- /dev/null
+++ b/libberyl/forward/place.c
@@ -0,0 +1,172 @@
+#include "private.h"
+
+#include <string.h>
+
+/* Finding a place for a generation: room at a decode engine, before its
+ * prompt is read. */
+
+/* A request without a place asks again after so long; much shorter and the
+ * engines answer little else, much longer and freed memory stands empty. */
+#define ASK_AGAIN_MS 120
+/* Engines that are asked for room in one round. */
+#define ASKED_MAX 4
+/* An engine that had no room is not asked again by this node for so long;
+ * a run ends there every few hundred milliseconds. */
+#define FULL_MS 60
+/* What the way from a reservation to the first event takes at least; a
+ * request with less time left to its objective is late already. */
+#define SERVICE_MS 300
+/* How long a request that cannot be in time any more waits for room. */
+#define LATE_WAIT_MS 600
+/* How long a caller that reads a stream already is kept waiting until the
+ * stream goes on; it would leave soon after. */
+#define RESUME_WAIT_MS 2000
+#define RETRY_AFTER_MS 2000
+/* Lease of a reservation if the service states none. */
+#define LEASE_MS 2000
+
+static int64_t
+lease_ms (const struct request *r)
+{
+  int64_t stated_ms = r->terms->engine.reservation_ms;
+
+  return stated_ms > 0 ? stated_ms : LEASE_MS;
+}
+
+static void
+wait_end (struct beryl_forward *f, struct request *r)
+{
+  if (!r->waiting)
+    return;
+  r->waiting = false;
+  f->waiting_count--;
+  TAILQ_REMOVE (&f->waiting, r, waiting_entry);
+}
+
+/* When R is given up unless it has found a place. */
+static int64_t
+give_up_ms (const struct request *r)
+{
+  int64_t in_time_ms
+      = r->facts.arrived_ms + r->route->objective_ms - SERVICE_MS;
+
+  if (r->begun)
+    return r->waiting_since_ms + RESUME_WAIT_MS;
+  if (in_time_ms > r->waiting_since_ms)
+    return in_time_ms;
+  return r->waiting_since_ms + LATE_WAIT_MS;
+}
+
+void
+place_wait (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (!r->waiting)
+    {
+      r->waiting = true;
+      r->waiting_since_ms = now_ms;
+      f->waiting_count++;
+      TAILQ_INSERT_TAIL (&f->waiting, r, waiting_entry);
+    }
+  r->phase = PHASE_WAITING;
+  r->refusals = 0;
+  r->tried_count = 0;
+  place_ask (f, r, now_ms);
+}
+
+/* Nobody has room: sleep until the next round, or the end. */
+static void
+wait_round (struct request *r, int64_t now_ms)
+{
+  int64_t end_ms = give_up_ms (r);
+
+  r->phase = PHASE_WAITING;
+  r->refusals = 0;
+  r->tried_count = 0;
+  r->due_ms = now_ms + ASK_AGAIN_MS;
+  if (end_ms < r->due_ms)
+    r->due_ms = end_ms;
+}
+
+void
+place_ask (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RESERVE };
+  struct beryl_live *live = NULL;
+
+  if (r->refusals < ASKED_MAX)
+    live = engine_choose_decode (f, r, now_ms);
+  if (live == NULL)
+    {
+      wait_round (r, now_ms);
+      return;
+    }
+  start.tokens
+      = book_reserved_tokens (r->facts.prompt_tokens, r->expected_tokens);
+  start.lease_ms = lease_ms (r);
+  request_note_tried (r, live);
+  r->phase = PHASE_RESERVING;
+  r->due_ms = r->timeout_ms;
+  generation_exchange (f, r, &start, live, now_ms);
+}
+
+void
+place_due (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (now_ms < give_up_ms (r))
+    place_ask (f, r, now_ms);
+  else if (r->begun || r->may_have_run)
+    request_fail (f, r, BERYL_REFUSAL_NO_ROOM, now_ms);
+  else
+    request_refuse (f, r, 503, BERYL_REFUSAL_NO_ROOM, RETRY_AFTER_MS, now_ms);
+}
+
+void
+place_granted (struct beryl_forward *f, struct exchange *x,
+               const struct beryl_engine_result *result, int64_t now_ms)
+{
+  struct request *r = x->request;
+  struct reservation *place = &r->reservation;
+
+  wait_end (f, r);
+  place->live = x->live;
+  place->tokens = x->tokens;
+  place->until_ms = x->started_ms + lease_ms (r);
+  memcpy (place->handle, result->handle, sizeof place->handle);
+  beryl_live_open (place->live);
+  f->runs_changed = true;
+  request_decided (f, r, "reserve", x->live, "granted", x->tokens, now_ms);
+  forward_exchange_free (f, x);
+  generation_placed (f, r, now_ms);
+}
+
+void
+place_refused (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
+{
+  struct request *r = x->request;
+
+  request_decided (f, r, "reserve", x->live, "full", x->tokens, now_ms);
+  x->live->full_until_ms = now_ms + FULL_MS;
+  forward_exchange_free (f, x);
+  r->refusals++;
+  place_ask (f, r, now_ms);
+}
+
+void
+place_clear (struct beryl_forward *f, struct reservation *place)
+{
+  if (place->live == NULL)
+    return;
+  f->runs_changed = true;
+  beryl_live_close (f->lives, place->live);
+  *place = (struct reservation){ 0 };
+}
+
+void
+place_give_back (struct beryl_forward *f, struct beryl_live *live,
+                 const char *handle, int64_t now_ms)
+{
+  struct beryl_exchange_start start
+      = { .kind = BERYL_EXCHANGE_UNRESERVE, .reservation = handle };
+
+  forward_start (f, NULL, &start, live, now_ms);
+}
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -25,6 +25,9 @@
   double answer_ms;    /**< usual time to the head of an answer; 0: unknown */
   double deviation_ms; /**< its mean deviation */
   struct length_model lengths; /**< of generations */
+  double prompt_tokens;        /**< mean of them */
+  double prefill_ms_per_token;
+  uint64_t kv_tokens; /**< of one engine; 0: unknown */
 };
 
 struct request;
@@ -69,6 +72,7 @@
   struct beryl_live *live; /**< NULL: none; counted as open there */
   char handle[BERYL_ENGINE_HANDLE_BYTES];
   int64_t until_ms;
+  uint32_t tries; /**< engines that were handed it */
 };
 
 /** One request of a caller. */
@@ -108,9 +112,12 @@
   int64_t longest_gap_ms;
   struct beryl_live *move_to; /**< its run is being moved there; open there */
   bool moved;                 /**< the engine has stopped it for that */
-  bool stalled;               /**< its stream was silent for a while */
-  bool stream_over;           /**< the old engine's stream has ended */
-  uint32_t refusals;          /**< of engines asked for room, in this wait */
+  uint32_t runs;              /**< sends of the request itself to engines */
+  bool prefilled;             /**< an engine has accepted to read its prompt */
+  bool same_run;     /**< the next run goes on with a moved run's memory */
+  bool stalled;      /**< its stream was silent for a while */
+  bool stream_over;  /**< the old engine's stream has ended */
+  uint32_t refusals; /**< of engines asked for room, in this wait */
   int64_t waiting_since_ms;
 };
 
@@ -186,14 +193,42 @@
 /** Return after how long an answer is unusually late. */
 int64_t service_late_ms (const struct service *s);
 
+/* place.c */
+/** Have R wait for room at a decode engine, and ask for it. */
+void place_wait (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** Ask the next engine. */
+void place_ask (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** R's time to wait or to ask again is over. */
+void place_due (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** The engine of X granted or refused room. */
+void place_granted (struct beryl_forward *f, struct exchange *x,
+                    const struct beryl_engine_result *result, int64_t now_ms);
+void place_refused (struct beryl_forward *f, struct exchange *x,
+                    int64_t now_ms);
+/** Forget a claim on memory without telling the engine. */
+void place_clear (struct beryl_forward *f, struct reservation *place);
+/** Give a reservation back to its engine. */
+void place_give_back (struct beryl_forward *f, struct beryl_live *live,
+                      const char *handle, int64_t now_ms);
+
 /* generation.c */
 void generation_start (struct beryl_forward *f, struct request *r,
                        int64_t now_ms);
+/** Start an exchange of R with LIVE. */
+void generation_exchange (struct beryl_forward *f, struct request *r,
+                          struct beryl_exchange_start *start,
+                          struct beryl_live *live, int64_t now_ms);
+/** R has a place. */
+void generation_placed (struct beryl_forward *f, struct request *r,
+                        int64_t now_ms);
+/** Send R to the engine where its memory is reserved, with its KV cache if it
+ * has one. */
+void generation_run (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms);
 void generation_result (struct beryl_forward *f, struct exchange *x,
                         const struct beryl_engine_result *result,
                         int64_t now_ms);
-/** An exchange of R's, KIND at LIVE, broke; SENT as in
- * beryl_forward_broken. */
+/** An exchange of R's of KIND broke; SENT as in beryl_forward_broken. */
 void generation_broken (struct beryl_forward *f, struct request *r,
                         enum beryl_exchange_kind kind, bool sent,
                         int64_t now_ms);
@@ -205,25 +240,23 @@
 /** Give back what R holds at engines. */
 void generation_release (struct beryl_forward *f, struct request *r,
                          int64_t now_ms);
-/** Send R to the engine where its memory is reserved, with its KV cache if it
- * has one. */
-void generation_run (struct beryl_forward *f, struct request *r,
-                     int64_t now_ms);
-/** Give up a claim on memory without telling the engine. */
-void place_clear (struct beryl_forward *f, struct reservation *place);
-void kv_clear (struct beryl_forward *f, struct kv_cache *kv);
 /** The run of R at its decode engine ended. */
 void generation_run_over (struct beryl_forward *f, struct request *r);
+/** Try to place those that wait. */
+void generation_pump (struct beryl_forward *f, int64_t now_ms);
+/** Forget a KV cache without telling the engine. */
+void kv_clear (struct beryl_forward *f, struct kv_cache *kv);
+
+/* stream.c */
+/** Return when R's stream is to be looked at again. */
+int64_t stream_due_ms (const struct request *r);
+void stream_due (struct beryl_forward *f, struct request *r, int64_t now_ms);
 /** R's answer is whole: learn from its length. */
-void generation_learn (struct beryl_forward *f, const struct request *r,
-                       int64_t now_ms);
+void stream_learn (struct beryl_forward *f, const struct request *r);
+
+/* balance.c */
 /** Move runs away from engines that are about to run out of memory. */
 void generation_balance (struct beryl_forward *f, int64_t now_ms);
-/** Try to place those that wait. */
-void generation_pump (struct beryl_forward *f, int64_t now_ms);
-/** R's stream broke after events went to the caller. */
-void generation_resume (struct beryl_forward *f, struct request *r,
-                        int64_t now_ms);
 
 /* answer.c */
 void answer_head (struct beryl_forward *f, struct exchange *x, int64_t now_ms);
--- /dev/null
+++ b/libberyl/stages/stages.c
@@ -0,0 +1,142 @@
+#include "beryl/stages.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+/* How far each pool may be filled by the same flow.  Requests that come
+ * together queue for prefill, and its queue adds to the time of the first
+ * event; decode memory is foreseen and kept from running over. */
+#define PREFILL_FILL 0.85
+#define DECODE_FILL 0.85
+/* A pool is changed if it is off by more than this many engines, for so
+ * long: a change takes an engine away for longer. */
+#define OFF_ENGINES 0.75
+#define OFF_MS 5000
+/* The first orders come at once: before the first requests an engine's change
+ * costs nothing. */
+#define FIRST_MS 500
+/* Orders within this of the first one belong to it. */
+#define FIRST_ORDERS_MS 4000
+/* Part of the engines that may be changing at a time. */
+#define CHANGING_PART 0.25
+
+struct beryl_stages
+{
+  int64_t off_since_ms; /* 0: sizes are right */
+  int64_t first_ms;     /* of the first order; 0: none yet */
+};
+
+struct beryl_stages *
+beryl_stages_create (void)
+{
+  return calloc (1, sizeof (struct beryl_stages));
+}
+
+void
+beryl_stages_destroy (struct beryl_stages *stages)
+{
+  free (stages);
+}
+
+double
+beryl_stages_prefill (const struct beryl_generation_mix *mix, size_t count)
+{
+  double prefill_ms = mix->prompt_tokens * mix->prefill_ms_per_token;
+  double run_ms = mix->output_tokens * mix->decode_ms_per_token;
+  double run_part
+      = (mix->prompt_tokens + mix->output_tokens / 2) / (double)mix->kv_tokens;
+  double prefill = prefill_ms / PREFILL_FILL;
+  double decode = run_ms * run_part / DECODE_FILL;
+
+  if (mix->kv_tokens == 0 || prefill + decode <= 0)
+    return (double)count / 2;
+  return (double)count * prefill / (prefill + decode);
+}
+
+struct pools
+{
+  size_t count;
+  size_t prefill; /* as they will be once all orders are carried out */
+  size_t changing;
+};
+
+static struct pools
+count_pools (const struct beryl_stage_engine *engines, size_t count)
+{
+  struct pools pools = { .count = count };
+
+  for (size_t i = 0; i < count; i++)
+    {
+      pools.prefill += engines[i].stage == BERYL_STAGE_PREFILL;
+      pools.changing += engines[i].changing;
+    }
+  return pools;
+}
+
+/* The engine of STAGE with the least memory in use has the least to finish
+ * before it can change. */
+static const struct beryl_stage_engine *
+least_used (const struct beryl_stage_engine *engines, size_t count,
+            enum beryl_stage stage)
+{
+  const struct beryl_stage_engine *best = NULL;
+
+  for (size_t i = 0; i < count; i++)
+    if (engines[i].stage == stage && !engines[i].changing
+        && (best == NULL || engines[i].used_tokens < best->used_tokens))
+      best = &engines[i];
+  return best;
+}
+
+/* What PREFILL should be, kept off the ends: without an engine of one kind
+ * nothing is served apart. */
+static double
+wanted_prefill (const struct beryl_generation_mix *mix, size_t count)
+{
+  double wanted = beryl_stages_prefill (mix, count);
+
+  return fmin (fmax (wanted, 1), (double)count - 1);
+}
+
+static int64_t
+patience_ms (const struct beryl_stages *stages, int64_t now_ms)
+{
+  bool first
+      = stages->first_ms == 0 || now_ms - stages->first_ms < FIRST_ORDERS_MS;
+
+  return first ? FIRST_MS : OFF_MS;
+}
+
+bool
+beryl_stages_plan (struct beryl_stages *stages,
+                   const struct beryl_generation_mix *mix,
+                   const struct beryl_stage_engine *engines, size_t count,
+                   int64_t now_ms, struct beryl_stage_order *order)
+{
+  struct pools pools = count_pools (engines, count);
+  double off;
+  const struct beryl_stage_engine *engine;
+
+  if (count < 2)
+    return false;
+  off = (double)pools.prefill - wanted_prefill (mix, count);
+  if (fabs (off) < OFF_ENGINES)
+    {
+      stages->off_since_ms = 0;
+      return false;
+    }
+  if (stages->off_since_ms == 0)
+    stages->off_since_ms = now_ms;
+  if (now_ms - stages->off_since_ms < patience_ms (stages, now_ms)
+      || (double)pools.changing >= CHANGING_PART * (double)count)
+    return false;
+  engine = least_used (engines, count,
+                       off > 0 ? BERYL_STAGE_PREFILL : BERYL_STAGE_DECODE);
+  if (engine == NULL)
+    return false;
+  order->id = engine->id;
+  order->stage = off > 0 ? BERYL_STAGE_DECODE : BERYL_STAGE_PREFILL;
+  if (stages->first_ms == 0)
+    stages->first_ms = now_ms;
+  return true;
+}
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -10,9 +10,9 @@
   FIELD_RUNS,
 };
 
-/* A run is five numbers in a row: small ones take a byte or two each, a map
+/* A run is six numbers in a row: small ones take a byte or two each, a map
  * with keys would double them. */
-#define NUMBERS_PER_RUN 5
+#define NUMBERS_PER_RUN 6
 
 void
 loads_put (struct frame_writer *writer, const struct loads_message *message)
@@ -31,6 +31,7 @@
       frame_put_uint (writer, 0, run->expected_tokens);
       frame_put_uint (writer, 0, run->made_tokens);
       frame_put_uint (writer, 0, run->started);
+      frame_put_uint (writer, 0, run->prefill_engine);
     }
   frame_put_end (writer);
 }
@@ -68,6 +69,7 @@
       run->expected_tokens = read_number (frame, runs, i + 2);
       run->made_tokens = read_number (frame, runs, i + 3);
       run->started = read_number (frame, runs, i + 4) != 0;
+      run->prefill_engine = read_number (frame, runs, i + 5);
     }
   return frame_valid (frame);
 }
