--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -11,6 +11,7 @@
 #include "planner.h"
 #include "registry.h"
 #include "source.h"
+#include "wire/loads.h"
 
 /* How often a stopping node looks whether all is answered. */
 #define STOP_POLL_MS 50
@@ -31,6 +32,9 @@
 /* Changes of this node's runs are told together, so often at most.  Others
  * place a request every few tens of milliseconds. */
 #define TELL_DELAY_MS 30
+/* An engine that somebody said is changing is left alone for so long; it is
+ * said again while the change goes on. */
+#define CHANGING_MS 2000
 
 /* Nodes that compete for the planner's lease, and how often they are looked
  * up. */
@@ -271,6 +275,15 @@
                            loop_now_ms (g->loop));
 }
 
+static void
+members_changing (struct members_owner *owner, uint32_t engine)
+{
+  struct gateway *g = of_members (owner);
+
+  beryl_forward_engine_changing (g->forward, engine, CHANGING_MS,
+                                 loop_now_ms (g->loop));
+}
+
 static void
 members_peer_gone (struct members_owner *owner, const char *peer)
 {
@@ -287,6 +300,7 @@
 static const struct members_owner_impl members_impl = {
   .count_changed = members_count_changed,
   .loads = members_loads,
+  .changing = members_changing,
   .peer_gone = members_peer_gone,
   .configuration = members_configuration,
 };
@@ -315,9 +329,16 @@
   size_t count = beryl_forward_runs (g->forward, runs, BERYL_ENGINE_RUNS_MAX,
                                      loop_now_ms (g->loop));
 
+  uint32_t changing[LOADS_CHANGING_MAX];
+  size_t changing_count
+      = planner_changing (g->planner, changing, LOADS_CHANGING_MAX);
+
   loop_timer_stop (g->tell);
   g->tell = NULL;
-  members_tell_loads (g->members, runs, count);
+  for (size_t i = 0; i < changing_count; i++)
+    beryl_forward_engine_changing (g->forward, changing[i], CHANGING_MS,
+                                   loop_now_ms (g->loop));
+  members_tell_loads (g->members, runs, count, changing, changing_count);
 }
 
 static void
@@ -325,6 +346,10 @@
 {
   struct gateway *g = user;
 
+  uint32_t changing;
+
+  if (planner_changing (g->planner, &changing, 1) > 0 && g->tell == NULL)
+    g->tell = loop_timer_start (g->loop, TELL_DELAY_MS, 0, tell, g);
   planner_stand (g->planner, g->stop_began_ms == 0
                                  && members_stands_for (
                                      g->members, "stage-planner", PLANNERS));
@@ -349,7 +374,8 @@
   int64_t next_ms = beryl_forward_next_ms (g->forward);
   int64_t now_ms;
 
-  if (g->tell == NULL && beryl_forward_runs_changed (g->forward))
+  if (g->tell == NULL && g->members != NULL
+      && beryl_forward_runs_changed (g->forward))
     g->tell = loop_timer_start (g->loop, TELL_DELAY_MS, 0, tell, g);
 
   if (next_ms == BERYL_NEVER_MS || (g->tick != NULL && g->tick_ms <= next_ms))
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -165,6 +165,8 @@
   peer->heard_ms = now_ms (m);
   m->owner->impl->loads (m->owner, message.from, message.runs,
                          message.run_count);
+  for (size_t i = 0; i < message.changing_count; i++)
+    m->owner->impl->changing (m->owner, message.changing[i]);
 }
 
 static void
@@ -381,10 +383,14 @@
 
 void
 members_tell_loads (struct members *m, const struct beryl_engine_run *runs,
-                    size_t count)
+                    size_t count, const uint32_t *changing,
+                    size_t changing_count)
 {
   m->loads.run_count = MIN (count, (size_t)BERYL_ENGINE_RUNS_MAX);
   memcpy (m->loads.runs, runs, m->loads.run_count * sizeof *runs);
+  m->loads.changing_count = MIN (changing_count, (size_t)LOADS_CHANGING_MAX);
+  memcpy (m->loads.changing, changing,
+          m->loads.changing_count * sizeof *changing);
   send_loads (m);
 }
 
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -25,6 +25,8 @@
   /** PEER has these runs at engines, and no others. */
   void (*loads) (struct members_owner *owner, const char *peer,
                  const struct beryl_engine_run *runs, size_t count);
+  /** A peer has ordered ENGINE to another stage. */
+  void (*changing) (struct members_owner *owner, uint32_t engine);
   /** PEER has gone, and its runs with it. */
   void (*peer_gone) (struct members_owner *owner, const char *peer);
   /** A peer gave a configuration that is newer than this node's. */
@@ -58,9 +60,11 @@
 /** A planned stop has begun. */
 void members_leave (struct members *members);
 
-/** Tell the peers all runs of this node. */
+/** Tell the peers all runs of this node, and the engines that it has ordered
+ * to another stage. */
 void members_tell_loads (struct members *members,
-                         const struct beryl_engine_run *runs, size_t count);
+                         const struct beryl_engine_run *runs, size_t count,
+                         const uint32_t *changing, size_t changing_count);
 
 /** This node uses the configuration object of REVISION. */
 void members_set_configuration (struct members *members, uint64_t revision,
--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -395,3 +395,17 @@
 {
   stored_lease_want (p->lease, stands || stored_lease_held (p->lease, NULL));
 }
+
+size_t
+planner_changing (const struct planner *p, uint32_t *numbers, size_t most)
+{
+  size_t count = MIN (p->pending->len, most);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct pending *pending = g_ptr_array_index (p->pending, i);
+
+      numbers[i] = beryl_engine_number (pending->id);
+    }
+  return count;
+}
--- a/gatewayd/planner.h
+++ b/gatewayd/planner.h
@@ -24,6 +24,11 @@
 /** Release; NULL is allowed. */
 void planner_destroy (struct planner *planner);
 
+/** Write the numbers of engines whose orders are being carried out, as far as
+ * this node gave them; returns how many. */
+size_t planner_changing (const struct planner *planner, uint32_t *numbers,
+                         size_t most);
+
 /** Whether this node competes for the lease. */
 void planner_stand (struct planner *planner, bool stands);
 
--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* How often lapsed endpoints are looked at. */
+#define EXPIRE_MS 250
+
 struct source
 {
   struct loop *loop;
@@ -16,6 +19,7 @@
   bool has_routes;
   bool has_endpoints;
   bool endpoints_changed;
+  struct loop_timer *expire;
 };
 
 /* Uses a configuration unless it is older than the one in use: an answer of
@@ -100,7 +104,7 @@
     {
       g_info ("endpoint id=%s revision=%" G_GUINT64_FORMAT " gone",
               event->object.name, event->object.version);
-      beryl_lives_remove (s->lives, event->object.name);
+      beryl_lives_remove (s->lives, event->object.name, loop_now_ms (s->loop));
       return;
     }
   if (!s->wire->impl->read_endpoint (s->wire, &event->object, &info, &error))
@@ -122,6 +126,7 @@
   struct source *s = user;
 
   s->has_endpoints = true;
+  beryl_lives_synced (s->lives, loop_now_ms (s->loop));
   if (!s->endpoints_changed)
     return;
   s->endpoints_changed = false;
@@ -133,6 +138,17 @@
 static const struct platform_watch_callbacks endpoint_callbacks
     = { .event = endpoint_event, .synced = endpoints_synced };
 
+static void
+expire (void *user)
+{
+  struct source *s = user;
+
+  if (!beryl_lives_expire (s->lives, loop_now_ms (s->loop)))
+    return;
+  g_info ("endpoints that lapsed with the outage are not back: gone");
+  s->owner->impl->endpoints (s->owner);
+}
+
 struct source *
 source_create (struct loop *loop, const struct gateway_wire *wire,
                struct platform_client *client, struct beryl_lives *lives,
@@ -146,6 +162,7 @@
   s->lives = lives;
   s->owner = owner;
   s->value = g_string_new (NULL);
+  s->expire = loop_timer_start (loop, EXPIRE_MS, EXPIRE_MS, expire, s);
   s->configuration_watch = platform_client_watch (
       client, BERYL_USE_CONFIG, wire->impl->configuration_kind,
       &configuration_callbacks, s);
@@ -162,6 +179,7 @@
     return;
   platform_client_unwatch (s->client, s->configuration_watch);
   platform_client_unwatch (s->client, s->endpoint_watch);
+  loop_timer_stop (s->expire);
   g_string_free (s->value, TRUE);
   g_free (s);
 }
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -227,7 +227,8 @@
   /** Reservation or KV cache.  A MOVE that was not ok may have one too: the
    * run has stopped and its memory is still at its engine. */
   char handle[BERYL_ENGINE_HANDLE_BYTES];
-  uint32_t tokens; /**< read by PREFILL */
+  uint32_t tokens;     /**< read by PREFILL */
+  unsigned int status; /**< of the answer, for the log */
 };
 
 /** The end of an exchange other than RUN that was answered. */
@@ -264,6 +265,12 @@
                               const struct beryl_engine_run *runs,
                               size_t count, int64_t now_ms);
 
+/** The engine with NUMBER (beryl_engine_number) was ordered to another stage:
+ * it gets no new work for FOR_MS. */
+void beryl_forward_engine_changing (struct beryl_forward *forward,
+                                    uint32_t number, int64_t for_ms,
+                                    int64_t now_ms);
+
 /** PEER has gone, and its generations with it. */
 void beryl_forward_peer_gone (struct beryl_forward *forward, const char *peer);
 
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -43,8 +43,13 @@
 struct beryl_live
 {
   struct beryl_live_info info;
-  bool gone;        /**< left the list; kept while work is open there */
-  uint32_t open;    /**< exchanges of this node */
+  bool gone; /**< left the list; kept while work is open there */
+  /** Its entry has lapsed with an outage of the list; it counts as gone from
+   * then on unless it is back.  0: not so. */
+  int64_t lapsed_until_ms;
+  int64_t
+      changing_until_ms; /**< an engine that was ordered to another stage */
+  uint32_t open;         /**< exchanges of this node */
   int64_t fault_ms; /**< time of the last failure; 0: none since success */
   uint32_t faults;  /**< in a row */
   int64_t avoid_until_ms;
@@ -70,8 +75,18 @@
 struct beryl_live *beryl_lives_put (struct beryl_lives *lives,
                                     const struct beryl_live_info *info);
 
-/** The endpoint left the list. */
-void beryl_lives_remove (struct beryl_lives *lives, const char *id);
+/** The endpoint left the list.  Entries are kept alive by the endpoints, so
+ * that an outage of the list makes those of healthy ones lapse; they are back
+ * within seconds of its end.  One that leaves right after an outage is kept
+ * until then. */
+void beryl_lives_remove (struct beryl_lives *lives, const char *id,
+                         int64_t now_ms);
+
+/** The list was read or confirmed whole at NOW_MS. */
+void beryl_lives_synced (struct beryl_lives *lives, int64_t now_ms);
+
+/** Let go of lapsed endpoints whose time is over; true if there were any. */
+bool beryl_lives_expire (struct beryl_lives *lives, int64_t now_ms);
 
 /** Find by id, also one that is gone but has open work; NULL if unknown. */
 struct beryl_live *beryl_lives_find (const struct beryl_lives *lives,
@@ -85,6 +100,9 @@
 /** Whether new work may go to LIVE at all. */
 bool beryl_live_takes_work (const struct beryl_live *live);
 
+/** Whether LIVE, an engine, is being changed to another stage. */
+bool beryl_live_changing (const struct beryl_live *live, int64_t now_ms);
+
 /** An exchange with LIVE begins. */
 void beryl_live_open (struct beryl_live *live);
 
--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -12,6 +12,9 @@
 /** Frame type; other datagrams are of enum gossip_frame. */
 #define LOADS_DATAGRAM 48
 
+/** Most engines that may be changing at a time. */
+#define LOADS_CHANGING_MAX 64
+
 /** The message. */
 struct loads_message
 {
@@ -20,6 +23,9 @@
   uint64_t sequence; /**< grows with each message of an incarnation */
   struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
   size_t run_count;
+  /** Engines that this node has ordered to another stage. */
+  uint32_t changing[LOADS_CHANGING_MAX];
+  size_t changing_count;
 };
 
 /** Begin a frame in WRITER and put MESSAGE into it. */
--- a/libberyl/forward/balance.c
+++ b/libberyl/forward/balance.c
@@ -18,24 +18,39 @@
          && r->first->headed && !r->stalled && r->terms->engine.moves;
 }
 
+/* An engine that is leaving may stop before its runs end; each would have to
+ * be read anew elsewhere, or be lost if it may run only once. */
+static bool
+engine_leaves (const struct request *r)
+{
+  return !beryl_live_takes_work (r->reservation.live);
+}
+
+/* Whether R is the run that its engine would stop next for want of memory. */
+static bool
+runs_out (struct beryl_forward *f, const struct request *r, int64_t now_ms)
+{
+  struct book_curve curve;
+
+  engine_curve (f, r->service, r->reservation.live, now_ms, &curve);
+  return book_peak (&curve, AHEAD_MS)
+             >= FULL_PART * (double)r->terms->engine.kv_tokens
+         && engine_newest (f, r, now_ms);
+}
+
 static void
 balance_one (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  struct book_curve curve;
   struct beryl_live *target;
-  double peak;
 
-  engine_curve (f, r->service, r->reservation.live, now_ms, &curve);
-  peak = book_peak (&curve, AHEAD_MS);
-  if (peak < FULL_PART * (double)r->terms->engine.kv_tokens
-      || !engine_newest (f, r, now_ms))
+  if (!engine_leaves (r) && !runs_out (f, r, now_ms))
     return;
   target = engine_choose_target (f, r, now_ms);
   if (target != NULL)
     move_start (f, r, target, now_ms);
   else
-    request_decided (f, r, "move", r->reservation.live, "no_target",
-                     (int64_t)peak, now_ms);
+    request_decided (f, r, "move", r->reservation.live, "no_target", 0,
+                     now_ms);
 }
 
 /* An engine that runs out of memory stops its newest run in the middle of its
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -10,9 +10,10 @@
 
 static bool
 serves (const struct beryl_live *live, const struct request *r,
-        enum beryl_stage stage)
+        enum beryl_stage stage, int64_t now_ms)
 {
   return live->info.stage == stage && beryl_live_takes_work (live)
+         && !beryl_live_changing (live, now_ms)
          && strcmp (live->info.service, r->service->name) == 0;
 }
 
@@ -108,8 +109,9 @@
       struct beryl_live *live = beryl_lives_get (f->lives, i);
       double cost;
 
-      if (!serves (live, r, BERYL_STAGE_DECODE) || now_ms < live->full_until_ms
-          || request_tried (r, live) || !worth_asking (live, now_ms))
+      if (!serves (live, r, BERYL_STAGE_DECODE, now_ms)
+          || now_ms < live->full_until_ms || request_tried (r, live)
+          || !worth_asking (live, now_ms))
         continue;
       cost = engine_peak_with (f, r, live, now_ms);
       if (cost > room && room > 0)
@@ -140,8 +142,9 @@
       struct beryl_live *live = beryl_lives_get (f->lives, i);
       double cost;
 
-      if (!serves (live, r, BERYL_STAGE_DECODE) || live == r->reservation.live
-          || now_ms < live->full_until_ms || beryl_live_avoided (live, now_ms))
+      if (!serves (live, r, BERYL_STAGE_DECODE, now_ms)
+          || live == r->reservation.live || now_ms < live->full_until_ms
+          || beryl_live_avoided (live, now_ms))
         continue;
       cost = engine_peak_with (f, r, live, now_ms);
       if (cost > room || (best != NULL && cost >= best_cost))
@@ -181,7 +184,7 @@
       struct beryl_live *live = beryl_lives_get (f->lives, i);
       uint64_t cost;
 
-      if (!serves (live, r, BERYL_STAGE_PREFILL)
+      if (!serves (live, r, BERYL_STAGE_PREFILL, now_ms)
           || now_ms < live->full_until_ms || beryl_live_avoided (live, now_ms))
         continue;
       cost = live->prefill_tokens
@@ -206,6 +209,19 @@
   generation_pump (f, now_ms);
 }
 
+void
+beryl_forward_engine_changing (struct beryl_forward *f, uint32_t number,
+                               int64_t for_ms, int64_t now_ms)
+{
+  for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
+    {
+      struct beryl_live *live = beryl_lives_get (f->lives, i);
+
+      if (beryl_engine_number (live->info.id) == number)
+        live->changing_until_ms = now_ms + for_ms;
+    }
+}
+
 void
 beryl_forward_peer_gone (struct beryl_forward *f, const char *peer)
 {
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -274,11 +274,23 @@
     }
 }
 
+/* A rejected run may be its decode engine's doing or that of the KV cache,
+ * which was gone.  A second engine that rejects the same cache decides it. */
+static void
+blame (struct request *r, int64_t now_ms)
+{
+  struct beryl_live *engine = r->reservation.live;
+
+  if (r->kv.live != NULL && r->kv.tries >= KV_TRIES_MAX)
+    engine = r->kv.live;
+  if (engine != NULL)
+    engine->full_until_ms = now_ms + REJECTED_MS;
+}
+
 void
 generation_not_run (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  if (r->reservation.live != NULL)
-    r->reservation.live->full_until_ms = now_ms + REJECTED_MS;
+  blame (r, now_ms);
   move_clear (f, r);
   place_clear (f, &r->reservation);
   start_over (f, r, now_ms);
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -20,12 +20,20 @@
 /* Distance of trials while it is avoided. */
 #define TRIAL_MS 500
 
+/* The list is confirmed every two seconds or so; after a longer silence it was
+ * away, or this node was. */
+#define AWAY_MS 3000
+/* Lapsed entries of healthy endpoints are back so soon after its return. */
+#define LAPSE_MS 2500
+
 struct beryl_lives
 {
   struct beryl_live **items;
   size_t count;
   size_t capacity;
   struct map by_id;
+  int64_t synced_ms;   /* 0: never */
+  int64_t returned_ms; /* the list's last return after an absence; 0: none */
 };
 
 static struct map_key
@@ -100,19 +108,65 @@
     return live;
   live->info = *info;
   live->gone = false;
+  live->lapsed_until_ms = 0;
   return live;
 }
 
+static void
+live_gone (struct beryl_lives *lives, struct beryl_live *live)
+{
+  live->gone = true;
+  live->lapsed_until_ms = 0;
+  if (live->open == 0)
+    lives_release (lives, live);
+}
+
+/* News comes before the list is confirmed, so that the first news after an
+ * absence must notice it itself. */
+static void
+note_return (struct beryl_lives *lives, int64_t now_ms)
+{
+  if (lives->synced_ms != 0 && now_ms - lives->synced_ms >= AWAY_MS)
+    lives->returned_ms = now_ms;
+}
+
 void
-beryl_lives_remove (struct beryl_lives *lives, const char *id)
+beryl_lives_remove (struct beryl_lives *lives, const char *id, int64_t now_ms)
 {
   struct beryl_live *live = beryl_lives_find (lives, id);
 
-  if (live == NULL)
+  if (live == NULL || live->gone)
     return;
-  live->gone = true;
-  if (live->open == 0)
-    lives_release (lives, live);
+  note_return (lives, now_ms);
+  if (lives->returned_ms != 0 && now_ms < lives->returned_ms + LAPSE_MS
+      && !live->info.leaving)
+    live->lapsed_until_ms = lives->returned_ms + LAPSE_MS;
+  else
+    live_gone (lives, live);
+}
+
+void
+beryl_lives_synced (struct beryl_lives *lives, int64_t now_ms)
+{
+  note_return (lives, now_ms);
+  lives->synced_ms = now_ms;
+}
+
+bool
+beryl_lives_expire (struct beryl_lives *lives, int64_t now_ms)
+{
+  bool any = false;
+
+  for (size_t i = lives->count; i > 0; i--)
+    {
+      struct beryl_live *live = lives->items[i - 1];
+
+      if (live->lapsed_until_ms == 0 || now_ms < live->lapsed_until_ms)
+        continue;
+      live_gone (lives, live);
+      any = true;
+    }
+  return any;
 }
 
 size_t
@@ -133,6 +187,12 @@
   return !live->gone && !live->info.leaving;
 }
 
+bool
+beryl_live_changing (const struct beryl_live *live, int64_t now_ms)
+{
+  return now_ms < live->changing_until_ms;
+}
+
 void
 beryl_live_open (struct beryl_live *live)
 {
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -84,7 +84,7 @@
                    result->ok ? "done"
                    : stopped  ? "no_room"
                               : "not_moved",
-                   now_ms - x->started_ms, now_ms);
+                   result->status, now_ms);
   if (stopped)
     keep_memory (f, r, source, result->handle, now_ms);
   if (stopped && !result->ok)
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -8,6 +8,7 @@
   FIELD_INCARNATION,
   FIELD_SEQUENCE,
   FIELD_RUNS,
+  FIELD_CHANGING,
 };
 
 /* A run is six numbers in a row: small ones take a byte or two each, a map
@@ -34,6 +35,12 @@
       frame_put_uint (writer, 0, run->prefill_engine);
     }
   frame_put_end (writer);
+  if (message->changing_count == 0)
+    return;
+  frame_put_array (writer, FIELD_CHANGING);
+  for (size_t i = 0; i < message->changing_count; i++)
+    frame_put_uint (writer, 0, message->changing[i]);
+  frame_put_end (writer);
 }
 
 static uint32_t
@@ -51,11 +58,13 @@
 {
   struct frame_map map = frame_root (frame);
   struct frame_array runs = frame_array (map, FIELD_RUNS);
+  struct frame_array changing = frame_array (map, FIELD_CHANGING);
 
   memset (message, 0, sizeof *message);
   if (frame_type (frame) != LOADS_DATAGRAM
       || runs.count > BERYL_ENGINE_RUNS_MAX * NUMBERS_PER_RUN
-      || runs.count % NUMBERS_PER_RUN != 0)
+      || runs.count % NUMBERS_PER_RUN != 0
+      || changing.count > LOADS_CHANGING_MAX)
     return false;
   frame_need_string (map, FIELD_FROM, message->from, sizeof message->from);
   message->incarnation = frame_need_uint (map, FIELD_INCARNATION);
@@ -71,5 +80,8 @@
       run->started = read_number (frame, runs, i + 4) != 0;
       run->prefill_engine = read_number (frame, runs, i + 5);
     }
+  for (uint32_t i = 0; i < changing.count; i++)
+    message->changing[message->changing_count++]
+        = read_number (frame, changing, i);
   return frame_valid (frame);
 }
