--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -350,6 +350,7 @@
 
   if (planner_changing (g->planner, &changing, 1) > 0 && g->tell == NULL)
     g->tell = loop_timer_start (g->loop, TELL_DELAY_MS, 0, tell, g);
+  beryl_forward_set_isolated (g->forward, members_isolated (g->members));
   planner_stand (g->planner, g->stop_began_ms == 0
                                  && members_stands_for (
                                      g->members, "stage-planner", PLANNERS));
@@ -446,7 +447,7 @@
 
   memcpy (settings.data_centre, g->settings.data_centre,
           sizeof settings.data_centre);
-  g->lives = beryl_lives_create ();
+  g->lives = beryl_lives_create (g->settings.endpoint_leave_ms);
   g->forward = beryl_forward_create (&settings, g->lives, &g->base);
 }
 
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -561,3 +561,19 @@
   return m->table != NULL
          && beryl_membership_stands_for (m->table, role, "", most);
 }
+
+bool
+members_isolated (const struct members *m)
+{
+  GHashTableIter iter;
+  void *value;
+
+  if (m->count <= 1)
+    return false;
+  g_hash_table_iter_init (&iter, m->heard);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_ms (m) - ((const struct peer *)value)->heard_ms
+        <= SILENT_TELLS * tell_interval_ms (m))
+      return false;
+  return true;
+}
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -79,6 +79,9 @@
 bool members_stands_for (const struct members *members, const char *role,
                          uint32_t most);
 
+/** Whether there are other nodes and none of them is heard. */
+bool members_isolated (const struct members *members);
+
 /** Return how many nodes may be running, this one included. */
 uint32_t members_count (const struct members *members);
 
--- a/gatewayd/outbound.c
+++ b/gatewayd/outbound.c
@@ -21,6 +21,7 @@
   struct outbound *outbound;
   uint64_t exchange;
   enum beryl_exchange_kind kind;
+  char endpoint[BERYL_NAME_BYTES];
   struct h1_call *http;
   const struct h1_head *head; /* NULL before it came */
   GString *body;              /* of an answer other than RUN's */
@@ -48,7 +49,7 @@
   call->head = head;
   if (call->kind != BERYL_EXCHANGE_RUN)
     return;
-  o->wire->impl->read_answer (o->wire, head, &answer);
+  o->wire->impl->read_answer (o->wire, call->endpoint, head, &answer);
   beryl_forward_head (o->forward, call->exchange, &answer,
                       loop_now_ms (o->loop));
 }
@@ -81,9 +82,9 @@
   struct outbound *o = call->outbound;
   struct beryl_engine_result result = { 0 };
 
-  o->wire->impl->read_engine_answer (o->wire, call->kind, call->head,
-                                     call->body->str, call->body->len,
-                                     &result);
+  o->wire->impl->read_engine_answer (o->wire, call->endpoint, call->kind,
+                                     call->head, call->body->str,
+                                     call->body->len, &result);
   call_steal (call);
   beryl_forward_result (o->forward, call->exchange, &result,
                         loop_now_ms (o->loop));
@@ -209,6 +210,7 @@
   call->outbound = o;
   call->exchange = start->exchange;
   call->kind = start->kind;
+  memcpy (call->endpoint, start->endpoint->info.id, sizeof call->endpoint);
   call->body = g_string_new (NULL);
   g_hash_table_insert (o->calls, &call->exchange, call);
   call->http = h1_call_start (o->loop, &request, &call->base);
--- a/gatewayd/settings.h
+++ b/gatewayd/settings.h
@@ -33,8 +33,9 @@
   double repeat_ratio;
   uint32_t repeat_slack;
   int64_t repeat_window_ms;
-  int64_t address_keep_ms; /**< how long callers may keep an answer */
-  int64_t stop_ms;         /**< from the stop signal to the kill */
+  int64_t address_keep_ms;   /**< how long callers may keep an answer */
+  int64_t endpoint_leave_ms; /**< in which one that left may get work */
+  int64_t stop_ms;           /**< from the stop signal to the kill */
   int64_t lease_ms;
   int64_t thaw_ms; /**< longest way of an order to an engine */
   bool engines_check_fence;
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -183,6 +183,9 @@
 /** How many nodes share the repeat budget; 0 counts as 1. */
 void beryl_forward_set_nodes (struct beryl_forward *forward, uint32_t nodes);
 
+/** Whether other nodes live that this one cannot hear. */
+void beryl_forward_set_isolated (struct beryl_forward *forward, bool isolated);
+
 /** A caller's whole request arrived.  It is copied. */
 void beryl_forward_arrived (struct beryl_forward *forward,
                             const struct beryl_forward_request *request,
@@ -203,6 +206,7 @@
   bool not_run;     /**< the endpoint says that it did not run the request */
   bool events;      /**< the body is a series of events */
   bool misdirected; /**< another endpoint has the address now */
+  bool wrong_stage; /**< the engine does other work now */
 };
 
 /** The head of an answer to RUN. */
@@ -224,6 +228,7 @@
   bool ok;
   bool not_run;     /**< PREFILL: the engine says that it did not read */
   bool misdirected; /**< another endpoint has the address now */
+  bool wrong_stage; /**< the engine does other work now */
   /** Reservation or KV cache.  A MOVE that was not ok may have one too: the
    * run has stopped and its memory is still at its engine. */
   char handle[BERYL_ENGINE_HANDLE_BYTES];
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -66,8 +66,9 @@
 
 struct beryl_lives;
 
-/** Create an empty set. */
-struct beryl_lives *beryl_lives_create (void);
+/** Create an empty set.  LEAVE_MS is how long after an endpoint left the list
+ * it may still get work. */
+struct beryl_lives *beryl_lives_create (int64_t leave_ms);
 
 /** Release the set; NULL is allowed. */
 void beryl_lives_destroy (struct beryl_lives *lives);
@@ -80,7 +81,7 @@
 /** The endpoint left the list.  Entries are kept alive by the endpoints, so
  * that an outage of the list makes those of healthy ones lapse; they are back
  * within seconds of its end.  One that leaves right after an outage is kept
- * until then. */
+ * for as long as it may get work. */
 void beryl_lives_remove (struct beryl_lives *lives, const char *id,
                          int64_t now_ms);
 
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -91,12 +91,13 @@
   void (*format_engine_call) (const struct gateway_wire *wire,
                               const struct beryl_exchange_start *start,
                               GString *head, GString *body);
-  /** Read the head of an answer to RUN. */
-  void (*read_answer) (const struct gateway_wire *wire,
+  /** Read the head of an answer to RUN, sent to ENDPOINT. */
+  void (*read_answer) (const struct gateway_wire *wire, const char *endpoint,
                        const struct h1_head *head,
                        struct beryl_answer_head *answer);
-  /** Read the answer to another exchange. */
+  /** Read the answer to another exchange with ENDPOINT. */
   void (*read_engine_answer) (const struct gateway_wire *wire,
+                              const char *endpoint,
                               enum beryl_exchange_kind kind,
                               const struct h1_head *head, const char *body,
                               size_t body_bytes,
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -12,14 +12,17 @@
 attempt_not_run (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
 {
   struct request *r = x->request;
+  bool wrong_stage = x->head.wrong_stage;
 
-  request_decided (f, r, "send", x->live, "not_run", x->head.status, now_ms);
+  request_decided (f, r, "send", x->live,
+                   wrong_stage ? "wrong_stage" : "not_run", x->head.status,
+                   now_ms);
   if (x->head.misdirected)
     beryl_live_learn (x->live, BERYL_LIVE_FAILED, now_ms - x->started_ms,
                       now_ms);
   forward_exchange_abort (f, x);
   if (request_is_generation (r))
-    generation_not_run (f, r, now_ms);
+    generation_not_run (f, r, wrong_stage, now_ms);
   else
     plain_attempt_failed (f, r, now_ms);
 }
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -151,6 +151,12 @@
   f->nodes = nodes > 0 ? nodes : 1;
 }
 
+void
+beryl_forward_set_isolated (struct beryl_forward *f, bool isolated)
+{
+  f->isolated = isolated;
+}
+
 struct exchange *
 forward_start (struct beryl_forward *f, struct request *r,
                struct beryl_exchange_start *start, struct beryl_live *live,
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -199,14 +199,29 @@
     place_wait (f, r, now_ms);
 }
 
+/* The list of endpoints shows a change of stage late, and a node that is cut
+ * off from it not at all; the engine itself knows. */
+static void
+learn_stage (struct beryl_live *live)
+{
+  live->info.stage = live->info.stage == BERYL_STAGE_PREFILL
+                         ? BERYL_STAGE_DECODE
+                         : BERYL_STAGE_PREFILL;
+}
+
 static void
 prefill_refused (struct beryl_forward *f, struct request *r,
-                 struct exchange *x, int64_t now_ms)
+                 struct exchange *x, const struct beryl_engine_result *result,
+                 int64_t now_ms)
 {
   bool allowed = request_take_repeat (f, r, now_ms);
 
-  request_decided (f, r, "prefill", x->live, "refused", 0, now_ms);
+  request_decided (f, r, "prefill", x->live,
+                   result->wrong_stage ? "wrong_stage" : "refused",
+                   result->status, now_ms);
   x->live->full_until_ms = now_ms + REJECTED_MS;
+  if (result->wrong_stage)
+    learn_stage (x->live);
   forward_exchange_free (f, x);
   if (allowed)
     start_over (f, r, now_ms);
@@ -235,7 +250,7 @@
   else if (result->ok)
     prefilled (f, r, x, result, now_ms);
   else
-    prefill_refused (f, r, x, now_ms);
+    prefill_refused (f, r, x, result, now_ms);
 }
 
 static void
@@ -288,8 +303,11 @@
 }
 
 void
-generation_not_run (struct beryl_forward *f, struct request *r, int64_t now_ms)
+generation_not_run (struct beryl_forward *f, struct request *r,
+                    bool wrong_stage, int64_t now_ms)
 {
+  if (wrong_stage && r->reservation.live != NULL)
+    learn_stage (r->reservation.live);
   blame (r, now_ms);
   move_clear (f, r);
   place_clear (f, &r->reservation);
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -25,6 +25,9 @@
 #define AWAY_MS 3000
 /* Lapsed entries of healthy endpoints are back so soon after its return. */
 #define LAPSE_MS 2500
+/* Part of the time in which an endpoint that left may get work that a lapsed
+ * one is kept for; the rest is for news that came late. */
+#define KEEP_PART 0.7
 
 struct beryl_lives
 {
@@ -32,6 +35,7 @@
   size_t count;
   size_t capacity;
   struct map by_id;
+  int64_t leave_ms;
   int64_t synced_ms;   /* 0: never */
   int64_t returned_ms; /* the list's last return after an absence; 0: none */
 };
@@ -45,9 +49,12 @@
 }
 
 struct beryl_lives *
-beryl_lives_create (void)
+beryl_lives_create (int64_t leave_ms)
 {
-  return calloc (1, sizeof (struct beryl_lives));
+  struct beryl_lives *lives = calloc (1, sizeof *lives);
+
+  lives->leave_ms = leave_ms;
+  return lives;
 }
 
 void
@@ -140,7 +147,8 @@
   note_return (lives, now_ms);
   if (lives->returned_ms != 0 && now_ms < lives->returned_ms + LAPSE_MS
       && !live->info.leaving)
-    live->lapsed_until_ms = lives->returned_ms + LAPSE_MS;
+    live->lapsed_until_ms
+        = now_ms + (int64_t)(KEEP_PART * (double)lives->leave_ms);
   else
     live_gone (lives, live);
 }
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -87,6 +87,16 @@
     r->due_ms = end_ms;
 }
 
+/* A node that does not hear the others cannot foresee what they will use, and
+ * asks for all that the run may need at once. */
+static uint32_t
+tokens_to_reserve (const struct beryl_forward *f, const struct request *r)
+{
+  if (f->isolated)
+    return r->facts.prompt_tokens + r->expected_tokens;
+  return book_reserved_tokens (r->facts.prompt_tokens, r->expected_tokens);
+}
+
 void
 place_ask (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
@@ -100,8 +110,7 @@
       wait_round (r, now_ms);
       return;
     }
-  start.tokens
-      = book_reserved_tokens (r->facts.prompt_tokens, r->expected_tokens);
+  start.tokens = tokens_to_reserve (f, r);
   start.lease_ms = lease_ms (r);
   request_note_tried (r, live);
   r->phase = PHASE_RESERVING;
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -130,6 +130,7 @@
   struct beryl_forward_owner *owner;
   struct beryl_routes *routes; /**< NULL before the first configuration */
   uint32_t nodes;
+  bool isolated; /**< other nodes' runs are not known */
   struct map requests_by_handle;
   struct map exchanges_by_id;
   struct request_list requests;
@@ -232,9 +233,10 @@
 void generation_broken (struct beryl_forward *f, struct request *r,
                         enum beryl_exchange_kind kind, bool sent,
                         int64_t now_ms);
-/** The engine said that it did not run R. */
+/** The engine said that it did not run R; WRONG_STAGE: because it does other
+ * work now. */
 void generation_not_run (struct beryl_forward *f, struct request *r,
-                         int64_t now_ms);
+                         bool wrong_stage, int64_t now_ms);
 void generation_due (struct beryl_forward *f, struct request *r,
                      int64_t now_ms);
 /** Give back what R holds at engines. */
--- a/libberyl/platform/watch.c
+++ b/libberyl/platform/watch.c
@@ -346,8 +346,10 @@
             struct beryl_platform_call *call, char path[PATH_BYTES])
 {
   struct watch *w = (struct watch *)job;
-  /* A probe must be answered at once, and so must the first look. */
-  bool at_once = p->breaker.state == BREAKER_HALF_OPEN || w->listing_now;
+  /* A probe must be answered at once, and so must the first look, and the
+     first after a failure: who watches must know when the platform is back. */
+  bool at_once = p->breaker.state == BREAKER_HALF_OPEN || w->listing_now
+                 || job->failures > 0;
   int64_t wait_ms = at_once ? 0 : p->settings.watch_wait_ms;
 
   call->method = "GET";
