--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -186,6 +186,15 @@
   generation_run (f, r, now_ms);
 }
 
+/* Whether R may be sent to one more engine, by what has happened to it. */
+static bool
+may_run_again (const struct request *r)
+{
+  if (!r->may_have_run)
+    return true;
+  return r->route->resumable && r->endpoints_run < r->route->endpoints_max;
+}
+
 /* Begins anew after something did not work out; what KV cache there is may
  * still serve. */
 static void
@@ -195,6 +204,8 @@
     generation_release (f, r, now_ms);
   if (now_ms >= r->timeout_ms)
     request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
+  else if (!may_run_again (r))
+    request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
   else
     place_wait (f, r, now_ms);
 }
@@ -257,15 +268,11 @@
 run_broken (struct beryl_forward *f, struct request *r, bool sent,
             int64_t now_ms)
 {
-  bool may_run_again
-      = r->route->resumable && r->endpoints_run < r->route->endpoints_max;
-
+  if (sent)
+    r->may_have_run = true;
   generation_run_over (f, r);
   kv_clear (f, &r->kv);
-  if (sent && !may_run_again)
-    request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
-  else
-    start_over (f, r, now_ms);
+  start_over (f, r, now_ms);
 }
 
 void
@@ -309,6 +316,8 @@
   if (wrong_stage && r->reservation.live != NULL)
     learn_stage (r->reservation.live);
   blame (r, now_ms);
+  if (r->same_run && move_return (f, r, now_ms))
+    return;
   move_clear (f, r);
   place_clear (f, &r->reservation);
   start_over (f, r, now_ms);
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -118,3 +118,25 @@
   move_go_on (f, r, now_ms);
   return true;
 }
+
+/* A moved run's memory serves only at the engine that has the copy and at the
+ * one that stopped it; anywhere else the request would run a second time. */
+bool
+move_return (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  struct beryl_live *source = r->kv.live;
+
+  if (source == NULL || source == r->reservation.live
+      || now_ms >= r->kv.until_ms)
+    {
+      r->same_run = false;
+      kv_clear (f, &r->kv);
+      return false;
+    }
+  place_clear (f, &r->reservation);
+  r->reservation.live = source;
+  r->reservation.until_ms = r->kv.until_ms;
+  beryl_live_open (source);
+  generation_run (f, r, now_ms);
+  return true;
+}
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -280,6 +280,9 @@
 /** R's stream ended early; true if that is part of its being moved. */
 bool move_takes_end (struct beryl_forward *f, struct request *r,
                      int64_t now_ms);
+/** The engine that R's run was moved to rejected it: go on where it was
+ * stopped; false if that was tried already. */
+bool move_return (struct beryl_forward *f, struct request *r, int64_t now_ms);
 /** Forget that R is being moved. */
 void move_clear (struct beryl_forward *f, struct request *r);
 
