--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -292,6 +292,9 @@
       run_broken (f, r, sent, now_ms);
       return;
     default:
+      /* A prefill whose answer is lost may have been accepted; the next one
+         counts as a repeat then. */
+      r->prefilled = r->prefilled || sent;
       start_over (f, r, now_ms);
     }
 }
