--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -273,26 +273,6 @@
   request_free (f, r);
 }
 
-void
-request_refuse (struct beryl_forward *f, struct request *r,
-                unsigned int status, enum beryl_refusal_reason reason,
-                int64_t retry_after_ms, int64_t now_ms)
-{
-  struct beryl_refusal refusal = {
-    .status = status,
-    .reason = reason,
-    .not_run = status == 503 || status == 429,
-    .retry_after_ms = retry_after_ms,
-  };
-  uint64_t handle = r->facts.request;
-
-  request_decided (f, r, "refuse", NULL, beryl_refusal_name (reason),
-                   retry_after_ms, now_ms);
-  /* What is open is closed first: "not run" must stay true. */
-  request_end (f, r, now_ms);
-  f->owner->impl->refuse (f->owner, handle, &refusal);
-}
-
 /* A run that is open may have reached its endpoint and may be at work there,
  * whether or not it has answered: "not run" cannot be said any more. */
 static bool
@@ -303,20 +283,59 @@
          || (r->second != NULL && r->second->kind == BERYL_EXCHANGE_RUN);
 }
 
+static bool
+promises_not_run (unsigned int status)
+{
+  return status == 503 || status == 429;
+}
+
+static void
+request_cut (struct beryl_forward *f, struct request *r,
+             enum beryl_refusal_reason reason, int64_t now_ms)
+{
+  uint64_t handle = r->facts.request;
+
+  request_decided (f, r, "cut", NULL, beryl_refusal_name (reason),
+                   (int64_t)r->event_count, now_ms);
+  request_end (f, r, now_ms);
+  f->owner->impl->answer_cut (f->owner, handle);
+}
+
+/* Whoever refuses, two things hold: an answer that has begun is only cut,
+ * since another head would follow in its body; and "not run" is said only of
+ * what cannot have run. */
 void
-request_fail (struct beryl_forward *f, struct request *r,
-              enum beryl_refusal_reason reason, int64_t now_ms)
+request_refuse (struct beryl_forward *f, struct request *r,
+                unsigned int status, enum beryl_refusal_reason reason,
+                int64_t retry_after_ms, int64_t now_ms)
 {
+  struct beryl_refusal refusal = { .status = status,
+                                   .reason = reason,
+                                   .retry_after_ms = retry_after_ms };
   uint64_t handle = r->facts.request;
 
   if (r->begun)
     {
-      request_decided (f, r, "cut", NULL, beryl_refusal_name (reason),
-                       (int64_t)r->event_count, now_ms);
-      request_end (f, r, now_ms);
-      f->owner->impl->answer_cut (f->owner, handle);
+      request_cut (f, r, reason, now_ms);
       return;
     }
+  if (promises_not_run (status) && may_have_run (r))
+    {
+      refusal.status = 502;
+      refusal.retry_after_ms = 0;
+    }
+  refusal.not_run = promises_not_run (refusal.status);
+  request_decided (f, r, "refuse", NULL, beryl_refusal_name (reason),
+                   refusal.retry_after_ms, now_ms);
+  /* What is open is closed first: "not run" must stay true. */
+  request_end (f, r, now_ms);
+  f->owner->impl->refuse (f->owner, handle, &refusal);
+}
+
+void
+request_fail (struct beryl_forward *f, struct request *r,
+              enum beryl_refusal_reason reason, int64_t now_ms)
+{
   if (!may_have_run (r))
     request_refuse (f, r, 503, reason, RETRY_AFTER_MS, now_ms);
   else
