--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -233,6 +233,7 @@
    * run has stopped and its memory is still at its engine. */
   char handle[BERYL_ENGINE_HANDLE_BYTES];
   uint32_t tokens;     /**< read by PREFILL */
+  bool not_found;      /**< MOVE: the engine does not run the request */
   unsigned int status; /**< of the answer, for the log */
 };
 
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -137,6 +137,7 @@
   else if (now_ms - r->event_ms > r->longest_gap_ms)
     r->longest_gap_ms = now_ms - r->event_ms;
   r->event_count++;
+  r->run_events++;
   r->event_ms = now_ms;
   r->stalled = false;
   f->owner->impl->answer_data (f->owner, r->facts.request, event->bytes,
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -355,32 +355,50 @@
   return r->route->repeat == BERYL_REPEAT_IDEMPOTENT;
 }
 
-bool
-request_take_repeat (struct beryl_forward *f, struct request *r,
-                     int64_t now_ms)
+static struct repeat_terms
+repeat_terms (const struct beryl_forward *f)
 {
-  struct repeat_terms terms = {
+  return (struct repeat_terms){
     .ratio = f->settings.repeat_ratio,
     .slack = f->settings.repeat_slack,
     .window_ms = f->settings.repeat_window_ms,
     .nodes = f->nodes,
   };
+}
+
+uint32_t
+request_repeats_left (struct beryl_forward *f, const struct request *r,
+                      int64_t now_ms)
+{
+  struct repeat_terms terms = repeat_terms (f);
+
+  return repeat_budget_left (&r->service->budget, &terms, now_ms);
+}
+
+void
+request_take_repeats (struct beryl_forward *f, struct request *r,
+                      uint32_t count, int64_t now_ms)
+{
+  struct repeat_terms terms = repeat_terms (f);
 
-  if (repeat_budget_left (&r->service->budget, &terms, now_ms) == 0)
+  for (uint32_t i = 0; i < count; i++)
+    repeat_budget_spend (&r->service->budget, &terms, now_ms);
+}
+
+bool
+request_take_repeat (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms)
+{
+  if (request_repeats_left (f, r, now_ms) == 0)
     return false;
-  repeat_budget_spend (&r->service->budget, &terms, now_ms);
+  request_take_repeats (f, r, 1, now_ms);
   return true;
 }
 
 static void
 count_request (struct beryl_forward *f, struct service *s, int64_t now_ms)
 {
-  struct repeat_terms terms = {
-    .ratio = f->settings.repeat_ratio,
-    .slack = f->settings.repeat_slack,
-    .window_ms = f->settings.repeat_window_ms,
-    .nodes = f->nodes,
-  };
+  struct repeat_terms terms = repeat_terms (f);
 
   repeat_budget_request (&s->budget, &terms, now_ms);
 }
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -78,7 +78,24 @@
 static bool
 run_allowed (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  return r->runs == 0 || r->same_run || request_take_repeat (f, r, now_ms);
+  bool paid = r->run_paid;
+
+  r->run_paid = false;
+  return r->runs == 0 || r->same_run || paid
+         || request_take_repeat (f, r, now_ms);
+}
+
+/* A prompt is not read unless the run that follows may be sent too. */
+static bool
+prefill_allowed (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  uint32_t needed = (r->prefilled ? 1 : 0) + (r->runs > 0 ? 1 : 0);
+
+  if (request_repeats_left (f, r, now_ms) < needed)
+    return false;
+  request_take_repeats (f, r, needed, now_ms);
+  r->run_paid = r->runs > 0;
+  return true;
 }
 
 void
@@ -104,6 +121,7 @@
   r->phase = PHASE_RUNNING;
   r->runs++;
   r->event_ms = now_ms;
+  r->run_events = 0;
   r->stalled = false;
   r->due_ms = stream_due_ms (r);
   generation_exchange (f, r, &start, live, now_ms);
@@ -127,7 +145,7 @@
       generation_run (f, r, now_ms);
       return;
     }
-  if (r->prefilled && !request_take_repeat (f, r, now_ms))
+  if (!prefill_allowed (f, r, now_ms))
     {
       request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
@@ -282,7 +300,7 @@
   switch (kind)
     {
     case BERYL_EXCHANGE_MOVE:
-      move_broken (f, r, now_ms);
+      move_broken (f, r, sent, now_ms);
       return;
     case BERYL_EXCHANGE_RESERVE:
       r->refusals++;
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -62,14 +62,21 @@
   beryl_live_open (live);
 }
 
-/* The run was not stopped; its stream may still have ended by itself. */
+/* The run was not stopped; its stream may still have ended by itself, or be
+ * without a run: then WHY tells what is known of its engine. */
 static void
-move_off (struct beryl_forward *f, struct request *r, int64_t now_ms)
+move_off (struct beryl_forward *f, struct request *r, const char *why,
+          int64_t now_ms)
 {
   if (r->stream_over)
-    generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
-  else
-    move_clear (f, r);
+    {
+      generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
+      return;
+    }
+  move_clear (f, r);
+  if (r->stalled && why != NULL && stream_go_on_elsewhere (f, r, why, now_ms))
+    return;
+  r->due_ms = stream_due_ms (r);
 }
 
 void
@@ -100,13 +107,14 @@
   if (stopped)
     move_go_on (f, r, now_ms);
   else
-    move_off (f, r, now_ms);
+    move_off (f, r, result->not_found ? "preempted" : NULL, now_ms);
 }
 
 void
-move_broken (struct beryl_forward *f, struct request *r, int64_t now_ms)
+move_broken (struct beryl_forward *f, struct request *r, bool sent,
+             int64_t now_ms)
 {
-  move_off (f, r, now_ms);
+  move_off (f, r, sent ? NULL : "engine_dead", now_ms);
 }
 
 bool
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -102,6 +102,7 @@
   struct buffer held; /**< body that was not passed on yet */
   struct event_splitter events;
   uint64_t event_count; /**< passed on */
+  uint64_t run_events;  /**< of these, from the present run */
   uint64_t last_event;
   int64_t event_ms; /**< time of the last one */
   /* Generations. */
@@ -114,6 +115,7 @@
   bool moved;                 /**< the engine has stopped it for that */
   uint32_t runs;              /**< sends of the request itself to engines */
   bool prefilled;             /**< an engine has accepted to read its prompt */
+  bool run_paid;     /**< the next run's repeat was taken from the budget */
   bool same_run;     /**< the next run goes on with a moved run's memory */
   bool stalled;      /**< its stream was silent for a while */
   bool stream_over;  /**< the old engine's stream has ended */
@@ -180,6 +182,11 @@
  * from the budget. */
 bool request_take_repeat (struct beryl_forward *f, struct request *r,
                           int64_t now_ms);
+/** Return how many such sends the budget has left, and take COUNT. */
+uint32_t request_repeats_left (struct beryl_forward *f,
+                               const struct request *r, int64_t now_ms);
+void request_take_repeats (struct beryl_forward *f, struct request *r,
+                           uint32_t count, int64_t now_ms);
 void request_note_tried (struct request *r, const struct beryl_live *live);
 bool request_tried (const struct request *r, const struct beryl_live *live);
 
@@ -253,6 +260,10 @@
 /** Return when R's stream is to be looked at again. */
 int64_t stream_due_ms (const struct request *r);
 void stream_due (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** Give up R's stream for a run at another engine; false if its terms or the
+ * budget do not allow that. */
+bool stream_go_on_elsewhere (struct beryl_forward *f, struct request *r,
+                             const char *why, int64_t now_ms);
 /** R's answer is whole: learn from its length. */
 void stream_learn (struct beryl_forward *f, const struct request *r);
 
@@ -275,8 +286,9 @@
 /** The engine answered X, a move. */
 void move_result (struct beryl_forward *f, struct exchange *x,
                   const struct beryl_engine_result *result, int64_t now_ms);
-/** X, a move, broke. */
-void move_broken (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** A move of R's broke; SENT as in beryl_forward_broken. */
+void move_broken (struct beryl_forward *f, struct request *r, bool sent,
+                  int64_t now_ms);
 /** R's stream ended early; true if that is part of its being moved. */
 bool move_takes_end (struct beryl_forward *f, struct request *r,
                      int64_t now_ms);
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -1,49 +1,89 @@
 #include "private.h"
 
-/* A stream without an event for that long has stalled: its engine is dead, or
- * has stopped the run for want of memory. */
-#define STALL_MS 250
+#include <math.h>
+
+/* A stream has stalled if so many events are overdue: its engine is dead, or
+ * has stopped the run for want of memory.  Below the least time, jitter of
+ * the network would count. */
+#define STALL_EVENTS 3
+#define STALL_LEAST_MS 120
+/* Before the first event there is a transfer of memory and a queue. */
+#define FIRST_EVENT_MS 400
 /* A stalled stream goes on elsewhere after so long.  An engine that stopped
  * the run needs a few hundred milliseconds to read its prompt again; beyond
- * that it is taken for dead. */
+ * that it is taken for dead.  Before the first event engines are given
+ * longer, since links may be slow. */
 #define DEAD_MS 1000
+#define FIRST_DEAD_MS 2500
+/* Going on elsewhere takes a prefill and a run. */
+#define REPEATS_NEEDED 2
+
+static int64_t
+stall_after_ms (const struct request *r)
+{
+  double event_ms
+      = r->terms->engine.event_tokens * r->service->lengths.ms_per_token;
+
+  if (r->run_events == 0)
+    return FIRST_EVENT_MS;
+  return (int64_t)fmax (STALL_EVENTS * event_ms, STALL_LEAST_MS);
+}
+
+static int64_t
+dead_after_ms (const struct request *r)
+{
+  int64_t least_ms = r->run_events == 0 ? FIRST_DEAD_MS : DEAD_MS;
+  int64_t stall_ms = 2 * stall_after_ms (r);
+
+  return stall_ms > least_ms ? stall_ms : least_ms;
+}
 
 int64_t
 stream_due_ms (const struct request *r)
 {
-  int64_t due_ms = r->event_ms + (r->stalled ? DEAD_MS : STALL_MS);
+  int64_t due_ms
+      = r->event_ms + (r->stalled ? dead_after_ms (r) : stall_after_ms (r));
 
   return due_ms < r->timeout_ms ? due_ms : r->timeout_ms;
 }
 
+static bool
+may_go_on_elsewhere (struct beryl_forward *f, const struct request *r,
+                     int64_t now_ms)
+{
+  return r->route->resumable && r->endpoints_run < r->route->endpoints_max
+         && request_repeats_left (f, r, now_ms) >= REPEATS_NEEDED;
+}
+
+/* Asking the engine to move the run tells what has become of it: a live one
+ * moves, one that was stopped for want of memory is not found, and a dead
+ * engine does not answer.  All three end the stall sooner than waiting. */
 static void
 stalled (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  struct book_curve curve;
+  struct beryl_live *target = NULL;
 
   r->stalled = true;
-  engine_curve (f, r->service, r->first->live, now_ms, &curve);
-  request_decided (f, r, "stall", r->first->live, "waits",
-                   (int64_t)curve.tokens[0], now_ms);
+  request_decided (f, r, "stall", r->first->live, "seen", now_ms - r->event_ms,
+                   now_ms);
+  if (r->run_events > 0 && r->terms->engine.moves)
+    target = engine_choose_target (f, r, now_ms);
+  if (target != NULL)
+    move_start (f, r, target, now_ms);
 }
 
-static void
-given_up (struct beryl_forward *f, struct request *r, int64_t now_ms)
+bool
+stream_go_on_elsewhere (struct beryl_forward *f, struct request *r,
+                        const char *why, int64_t now_ms)
 {
-  request_decided (f, r, "stall", r->first->live, "given_up",
-                   now_ms - r->event_ms, now_ms);
-  beryl_live_learn (r->first->live, BERYL_LIVE_SILENT, now_ms - r->event_ms,
-                    now_ms);
+  if (r->first == NULL || !may_go_on_elsewhere (f, r, now_ms))
+    return false;
+  request_decided (f, r, "stall", r->first->live, why, now_ms - r->event_ms,
+                   now_ms);
   forward_exchange_abort (f, r->first);
-  r->may_have_run = true;
   event_splitter_reset (&r->events);
   generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
-}
-
-static bool
-may_go_on_elsewhere (const struct request *r)
-{
-  return r->route->resumable && r->endpoints_run < r->route->endpoints_max;
+  return true;
 }
 
 void
@@ -54,12 +94,15 @@
   r->due_ms = r->timeout_ms;
   if (r->first == NULL || r->move_to != NULL || r->caller_slow)
     return;
-  if (silent_ms >= STALL_MS && !r->stalled)
+  if (silent_ms >= stall_after_ms (r) && !r->stalled)
     stalled (f, r, now_ms);
-  if (silent_ms < DEAD_MS)
-    r->due_ms = stream_due_ms (r);
-  else if (may_go_on_elsewhere (r))
-    given_up (f, r, now_ms);
+  if (silent_ms < dead_after_ms (r))
+    {
+      r->due_ms = stream_due_ms (r);
+      return;
+    }
+  beryl_live_learn (r->first->live, BERYL_LIVE_SILENT, silent_ms, now_ms);
+  stream_go_on_elsewhere (f, r, "engine_silent", now_ms);
 }
 
 void
