--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -57,10 +57,11 @@
   double answer_ms;  /**< usual time to an answer; 0: unknown */
   double fail_rate;  /**< recent share of failures, 0 to 1 */
   int64_t oldest_ms; /**< since when the oldest open request waits; 0: none */
-  double hidden_tokens;    /**< used there by runs that nobody told of */
-  int64_t hidden_ms;       /**< when that was learned */
-  int64_t full_until_ms;   /**< it said it has no room; do not ask before */
-  uint32_t prefills;       /**< this node has open there */
+  double hidden_tokens;  /**< used there by runs that nobody told of */
+  int64_t hidden_ms;     /**< when that was learned */
+  int64_t alone_ms;      /**< when it was last given a prompt to read itself */
+  int64_t full_until_ms; /**< it said it has no room; do not ask before */
+  uint32_t prefills;     /**< this node has open there */
   uint64_t prefill_tokens; /**< of these */
 };
 
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -221,7 +221,7 @@
 
 struct beryl_live *
 engine_choose_prefill (struct beryl_forward *f, const struct request *r,
-                       int64_t now_ms)
+                       int64_t *wait_ms, int64_t now_ms)
 {
   struct beryl_live *best = NULL;
   uint64_t best_cost = 0;
@@ -245,6 +245,8 @@
           best_cost = cost;
         }
     }
+  *wait_ms = (int64_t)((double)(best_cost / 256)
+                       * r->service->prefill_ms_per_token);
   return best;
 }
 
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -12,6 +12,9 @@
 /* An engine may be handed one KV cache so often: the second time after the
  * first engine rejected the run, for which the cache may be the reason. */
 #define KV_TRIES_MAX 2
+/* How much longer a decode engine reads, and how long it is spared after. */
+#define ALONE_FACTOR 2.0
+#define ALONE_SPACING_MS 1000
 /* Weight of the newest request in what is known of all. */
 #define MIX_WEIGHT 0.05
 /* The time of reading is the lower quartile of what is seen, since most
@@ -132,15 +135,47 @@
   r->reservation.handle[0] = '\0';
 }
 
+/* How long other streams pause while an engine does nothing else for BUSY_MS:
+ * until their next event, which was half made on the mean. */
+static int64_t
+stream_pause_ms (const struct request *r, int64_t busy_ms)
+{
+  return busy_ms
+         + (int64_t)(2 * r->terms->engine.event_tokens
+                     * r->service->lengths.ms_per_token);
+}
+
+/* A decode engine reads a prompt at half the speed of a prefill engine, and
+ * its other runs stand nearly still meanwhile.  That is worth it only if the
+ * prefill engines' queue makes the request late, and the engine has not done
+ * the same a moment ago: two in a row make its streams pause for too long. */
+static bool
+reads_alone (const struct request *r, int64_t wait_ms, int64_t now_ms)
+{
+  double read_ms = r->facts.prompt_tokens * r->service->prefill_ms_per_token;
+  int64_t left_ms = r->facts.arrived_ms + r->route->objective_ms - now_ms;
+  int64_t apart_ms = wait_ms + (int64_t)read_ms;
+  int64_t alone_ms = (int64_t)(ALONE_FACTOR * read_ms);
+  struct beryl_live *live = r->reservation.live;
+
+  if (apart_ms < left_ms || alone_ms >= left_ms
+      || now_ms - live->alone_ms < ALONE_SPACING_MS
+      || stream_pause_ms (r, alone_ms) > r->route->gap_objective_ms)
+    return false;
+  live->alone_ms = now_ms;
+  return true;
+}
+
 /* The first accepted prefill is not counted as an arrival, later ones are. */
 static void
 prefill (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_PREFILL };
-  struct beryl_live *live = engine_choose_prefill (f, r, now_ms);
+  int64_t wait_ms;
+  struct beryl_live *live = engine_choose_prefill (f, r, &wait_ms, now_ms);
 
   kv_clear (f, &r->kv);
-  if (live == NULL)
+  if (live == NULL || reads_alone (r, wait_ms, now_ms))
     {
       generation_run (f, r, now_ms);
       return;
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -318,10 +318,11 @@
 struct beryl_live *engine_choose_decode (struct beryl_forward *f,
                                          const struct request *r,
                                          int64_t now_ms);
-/** Choose an engine to read R's prompt; NULL: none. */
+/** Choose an engine to read R's prompt; NULL: none.  WAIT_MS is how long
+ * what it has to read already will take. */
 struct beryl_live *engine_choose_prefill (struct beryl_forward *f,
                                           const struct request *r,
-                                          int64_t now_ms);
+                                          int64_t *wait_ms, int64_t now_ms);
 /** Describe R's run at its engine. */
 void engine_describe_run (const struct request *r, int64_t now_ms,
                           struct beryl_engine_run *run);
--- a/libberyl/stages/stages.c
+++ b/libberyl/stages/stages.c
@@ -6,7 +6,7 @@
 /* How far each pool may be filled by the same flow.  Requests that come
  * together queue for prefill, and its queue adds to the time of the first
  * event; decode memory is foreseen and kept from running over. */
-#define PREFILL_FILL 0.85
+#define PREFILL_FILL 0.75
 #define DECODE_FILL 0.85
 /* A pool is changed if it is off by more than this many engines, for so
  * long: a change takes an engine away for longer. */
