--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -50,6 +50,8 @@
     .made_tokens = made_tokens (r, now_ms),
     .started = r->phase == PHASE_RUNNING,
   };
+  if (r->reads_alone && r->run_events == 0)
+    run->prefill_engine = run->engine;
   if (r->phase == PHASE_PREFILLING && r->first != NULL)
     run->prefill_engine = beryl_engine_number (r->first->live->info.id);
 }
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -17,9 +17,9 @@
 #define ALONE_SPACING_MS 1000
 /* Weight of the newest request in what is known of all. */
 #define MIX_WEIGHT 0.05
-/* The time of reading is the lower quartile of what is seen, since most
- * answers contain a queue too, and a few found their prompt cached. */
-#define PREFILL_QUARTILE 0.25
+/* The time of reading is a low quantile of what is seen, since most answers
+ * contain a queue too; at peaks nearly all do. */
+#define PREFILL_QUANTILE 0.05
 #define PREFILL_STEP 0.1
 
 void
@@ -150,7 +150,8 @@
  * prefill engines' queue makes the request late, and the engine has not done
  * the same a moment ago: two in a row make its streams pause for too long. */
 static bool
-reads_alone (const struct request *r, int64_t wait_ms, int64_t now_ms)
+reads_alone (struct beryl_forward *f, const struct request *r, int64_t wait_ms,
+             int64_t now_ms)
 {
   double read_ms = r->facts.prompt_tokens * r->service->prefill_ms_per_token;
   int64_t left_ms = r->facts.arrived_ms + r->route->objective_ms - now_ms;
@@ -160,6 +161,9 @@
 
   if (apart_ms < left_ms || alone_ms >= left_ms
       || now_ms - live->alone_ms < ALONE_SPACING_MS
+      || book_prefilling (&f->book, beryl_engine_number (live->info.id),
+                          now_ms)
+             > 0
       || stream_pause_ms (r, alone_ms) > r->route->gap_objective_ms)
     return false;
   live->alone_ms = now_ms;
@@ -175,8 +179,10 @@
   struct beryl_live *live = engine_choose_prefill (f, r, &wait_ms, now_ms);
 
   kv_clear (f, &r->kv);
-  if (live == NULL || reads_alone (r, wait_ms, now_ms))
+  r->reads_alone = live == NULL || reads_alone (f, r, wait_ms, now_ms);
+  if (r->reads_alone)
     {
+      f->runs_changed = true;
       generation_run (f, r, now_ms);
       return;
     }
@@ -203,7 +209,7 @@
 }
 
 /* Quantile by steps: each sample moves the estimate by a small part, down
- * three times as far as up, so that it rests at the lower quartile. */
+ * further than up, so that it rests where as few samples are below. */
 static void
 prefill_learn (struct service *s, uint32_t tokens, int64_t took_ms)
 {
@@ -213,10 +219,10 @@
     return;
   if (seen < s->prefill_ms_per_token)
     s->prefill_ms_per_token
-        -= PREFILL_STEP * (1 - PREFILL_QUARTILE) * s->prefill_ms_per_token;
+        -= PREFILL_STEP * (1 - PREFILL_QUANTILE) * s->prefill_ms_per_token;
   else
     s->prefill_ms_per_token
-        += PREFILL_STEP * PREFILL_QUARTILE * s->prefill_ms_per_token;
+        += PREFILL_STEP * PREFILL_QUANTILE * s->prefill_ms_per_token;
 }
 
 static void
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -116,6 +116,7 @@
   uint32_t runs;              /**< sends of the request itself to engines */
   bool prefilled;             /**< an engine has accepted to read its prompt */
   bool run_paid;     /**< the next run's repeat was taken from the budget */
+  bool reads_alone;  /**< its decode engine reads its prompt itself */
   bool same_run;     /**< the next run goes on with a moved run's memory */
   bool stalled;      /**< its stream was silent for a while */
   bool stream_over;  /**< the old engine's stream has ended */
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -15,6 +15,8 @@
  * longer, since links may be slow. */
 #define DEAD_MS 1000
 #define FIRST_DEAD_MS 2500
+/* An engine that is this full may have stopped a run for want of memory. */
+#define STALL_FULL_PART 0.85
 /* Going on elsewhere takes a prefill and a run. */
 #define REPEATS_NEEDED 2
 
@@ -55,9 +57,21 @@
          && request_repeats_left (f, r, now_ms) >= REPEATS_NEEDED;
 }
 
-/* Asking the engine to move the run tells what has become of it: a live one
- * moves, one that was stopped for want of memory is not found, and a dead
- * engine does not answer.  All three end the stall sooner than waiting. */
+static bool
+engine_is_full (struct beryl_forward *f, const struct request *r,
+                int64_t now_ms)
+{
+  struct book_curve curve;
+
+  engine_curve (f, r->service, r->first->live, now_ms, &curve);
+  return curve.tokens[0]
+         >= STALL_FULL_PART * (double)r->terms->engine.kv_tokens;
+}
+
+/* Where memory is short, asking the engine to move the run tells what has
+ * become of it: a live one moves, and one that was stopped for want of memory
+ * is not found.  Both end the stall sooner than waiting.  Elsewhere the
+ * engine only pauses, to read a prompt, or is dead. */
 static void
 stalled (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
@@ -66,7 +80,8 @@
   r->stalled = true;
   request_decided (f, r, "stall", r->first->live, "seen", now_ms - r->event_ms,
                    now_ms);
-  if (r->run_events > 0 && r->terms->engine.moves)
+  if (r->run_events > 0 && r->terms->engine.moves
+      && engine_is_full (f, r, now_ms))
     target = engine_choose_target (f, r, now_ms);
   if (target != NULL)
     move_start (f, r, target, now_ms);
--- a/libberyl/stages/stages.c
+++ b/libberyl/stages/stages.c
@@ -10,8 +10,8 @@
 #define DECODE_FILL 0.85
 /* A pool is changed if it is off by more than this many engines, for so
  * long: a change takes an engine away for longer. */
-#define OFF_ENGINES 0.75
-#define OFF_MS 5000
+#define OFF_ENGINES 1.0
+#define OFF_MS 8000
 /* The first orders come at once: before the first requests an engine's change
  * costs nothing. */
 #define FIRST_MS 500
