--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -8,7 +8,7 @@
 #define FILL_PART 0.97
 /* Standard deviations that count as the spread of a new run's engine, and of
  * the engine that a run is moved to. */
-#define FILL_DEVIATIONS 1.5
+#define FILL_DEVIATIONS 2.0
 #define TARGET_DEVIATIONS 0.5
 /* Memory that something unknown uses is forgotten within some seconds. */
 #define HIDDEN_FADE_MS 2000.0
