--- a/common/platform_client.c
+++ b/common/platform_client.c
@@ -536,6 +536,13 @@
                      callbacks, user);
 }
 
+void
+platform_client_poke (struct platform_client *c, uint64_t watch)
+{
+  beryl_platform_poke (c->core, watch);
+  timer_arm (c);
+}
+
 void
 platform_client_unwatch (struct platform_client *c, uint64_t watch)
 {
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -21,9 +21,14 @@
 /* Store calls are short; one that takes longer has met a silent store. */
 #define STORE_CALL_MS 700
 /* A waiting watch is renewed so often: a connection that went silent is
- * noticed by the answer that does not come. */
+ * noticed by the answer that does not come.  With more nodes each renews less
+ * often, since one of them notices as soon and tells the others: the calls of
+ * the fleet stay the same. */
 #define STORE_WATCH_MS 2000
-#define STORE_SPACING_MS 20
+#define STORE_WATCH_NODE_MS 500
+#define STORE_WATCH_MOST_MS 25000
+/* Changes that come together are taken together. */
+#define STORE_SPACING_MS 400
 #define STORE_BACKOFF_MIN_MS 50
 #define STORE_BACKOFF_MAX_MS 400
 /* Part of the fleet's rate that one node may use. */
@@ -224,6 +229,9 @@
 {
   struct gateway *g = of_source (owner);
 
+  if (g->members != NULL)
+    members_set_endpoint_revision (g->members,
+                                   source_endpoint_revision (g->source));
   beryl_forward_lives_changed (g->forward, loop_now_ms (g->loop));
 }
 
@@ -259,6 +267,18 @@
   .metrics = directory_metrics,
 };
 
+/* An isolated node has nobody who would tell it. */
+static void
+set_watch_wait (struct gateway *g)
+{
+  int64_t wait_ms = (int64_t)members_count (g->members) * STORE_WATCH_NODE_MS;
+
+  if (members_isolated (g->members))
+    wait_ms = 0;
+  wait_ms = CLAMP (wait_ms, STORE_WATCH_MS, STORE_WATCH_MOST_MS);
+  beryl_platform_set_watch_wait (platform_client_core (g->store), wait_ms);
+}
+
 static void
 members_count_changed (struct members_owner *owner, uint32_t count)
 {
@@ -275,6 +295,12 @@
                            loop_now_ms (g->loop));
 }
 
+static void
+members_endpoint_revision (struct members_owner *owner, uint64_t revision)
+{
+  source_peer_revision (of_members (owner)->source, revision);
+}
+
 static void
 members_changing (struct members_owner *owner, uint32_t engine)
 {
@@ -300,6 +326,7 @@
 static const struct members_owner_impl members_impl = {
   .count_changed = members_count_changed,
   .loads = members_loads,
+  .endpoint_revision = members_endpoint_revision,
   .changing = members_changing,
   .peer_gone = members_peer_gone,
   .configuration = members_configuration,
@@ -351,6 +378,7 @@
   if (planner_changing (g->planner, &changing, 1) > 0 && g->tell == NULL)
     g->tell = loop_timer_start (g->loop, TELL_DELAY_MS, 0, tell, g);
   beryl_forward_set_isolated (g->forward, members_isolated (g->members));
+  set_watch_wait (g);
   planner_stand (g->planner, g->stop_began_ms == 0
                                  && members_stands_for (
                                      g->members, "stage-planner", PLANNERS));
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -165,6 +165,7 @@
   peer->heard_ms = now_ms (m);
   m->owner->impl->loads (m->owner, message.from, message.runs,
                          message.run_count);
+  m->owner->impl->endpoint_revision (m->owner, message.endpoint_revision);
   for (size_t i = 0; i < message.changing_count; i++)
     m->owner->impl->changing (m->owner, message.changing[i]);
 }
@@ -577,3 +578,9 @@
       return false;
   return true;
 }
+
+void
+members_set_endpoint_revision (struct members *m, uint64_t revision)
+{
+  m->loads.endpoint_revision = revision;
+}
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -25,6 +25,8 @@
   /** PEER has these runs at engines, and no others. */
   void (*loads) (struct members_owner *owner, const char *peer,
                  const struct beryl_engine_run *runs, size_t count);
+  /** A peer has seen changes of endpoints up to REVISION. */
+  void (*endpoint_revision) (struct members_owner *owner, uint64_t revision);
   /** A peer has ordered ENGINE to another stage. */
   void (*changing) (struct members_owner *owner, uint32_t engine);
   /** PEER has gone, and its runs with it. */
@@ -66,6 +68,10 @@
                          const struct beryl_engine_run *runs, size_t count,
                          const uint32_t *changing, size_t changing_count);
 
+/** This node has seen changes of endpoints up to REVISION. */
+void members_set_endpoint_revision (struct members *members,
+                                    uint64_t revision);
+
 /** This node uses the configuration object of REVISION. */
 void members_set_configuration (struct members *members, uint64_t revision,
                                 const char *value, size_t value_bytes);
--- a/gatewayd/registry.c
+++ b/gatewayd/registry.c
@@ -10,9 +10,11 @@
 #define RETRY_MS 200
 /* The first lists come quickly, since the nodes of a fleet start together;
  * later news travels between the nodes and the list only repairs. */
-#define LIST_EARLY_MS 500
-#define LIST_EARLY_COUNT 3
+#define LIST_EARLY_MS 1000
+#define LIST_EARLY_COUNT 2
+/* With more nodes each lists less often. */
 #define LIST_MS 10000
+#define LIST_NODE_MS 2000
 
 struct registry
 {
@@ -130,6 +132,14 @@
   return item->address[0] != '\0' && item->port != 0;
 }
 
+static int64_t
+list_delay_ms (const struct registry *r, size_t nodes)
+{
+  if (r->lists < LIST_EARLY_COUNT)
+    return LIST_EARLY_MS;
+  return MAX (LIST_MS, (int64_t)nodes * LIST_NODE_MS);
+}
+
 static void
 listed (void *user, const struct beryl_platform_result *result)
 {
@@ -139,8 +149,7 @@
 
   r->request = 0;
   r->lists++;
-  schedule (r, r->lists < LIST_EARLY_COUNT ? LIST_EARLY_MS : LIST_MS,
-            list_records);
+  schedule (r, list_delay_ms (r, result->object_count), list_records);
   if (result->code != BERYL_OK)
     return;
   items = g_new0 (struct beryl_listed, result->object_count + 1);
--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
-/* How often lapsed endpoints are looked at. */
+/* A watch that is behind a peer's for so long is asked anew. */
+#define BEHIND_MS 400
+/* How often that and lapsed endpoints are looked at. */
 #define EXPIRE_MS 250
 
 struct source
@@ -19,6 +21,9 @@
   bool has_routes;
   bool has_endpoints;
   bool endpoints_changed;
+  uint64_t endpoint_revision; /* of the newest change seen */
+  uint64_t peer_revision;     /* that a peer has seen */
+  int64_t behind_since_ms;    /* 0: not behind */
   struct loop_timer *expire;
 };
 
@@ -100,6 +105,8 @@
   struct beryl_error error = { 0 };
 
   s->endpoints_changed = true;
+  if (event->object.version > s->endpoint_revision)
+    s->endpoint_revision = event->object.version;
   if (event->deleted)
     {
       g_info ("endpoint id=%s revision=%" G_GUINT64_FORMAT " gone",
@@ -138,11 +145,47 @@
 static const struct platform_watch_callbacks endpoint_callbacks
     = { .event = endpoint_event, .synced = endpoints_synced };
 
+uint64_t
+source_endpoint_revision (const struct source *s)
+{
+  return s->endpoint_revision;
+}
+
+void
+source_peer_revision (struct source *s, uint64_t revision)
+{
+  if (revision > s->peer_revision)
+    s->peer_revision = revision;
+}
+
+/* The waiting watches of all nodes are answered at the same moment.  One that
+ * stays behind waits on a connection that went silent. */
+static void
+check_behind (struct source *s)
+{
+  int64_t now_ms = loop_now_ms (s->loop);
+
+  if (s->peer_revision <= s->endpoint_revision)
+    s->behind_since_ms = 0;
+  else if (s->behind_since_ms == 0)
+    s->behind_since_ms = now_ms;
+  else if (now_ms - s->behind_since_ms >= BEHIND_MS)
+    {
+      g_info ("endpoints behind peers: seen=%" G_GUINT64_FORMAT
+              " peers=%" G_GUINT64_FORMAT,
+              s->endpoint_revision, s->peer_revision);
+      s->behind_since_ms = now_ms;
+      platform_client_poke (s->client, s->endpoint_watch);
+      platform_client_poke (s->client, s->configuration_watch);
+    }
+}
+
 static void
 expire (void *user)
 {
   struct source *s = user;
 
+  check_behind (s);
   if (!beryl_lives_expire (s->lives, loop_now_ms (s->loop)))
     return;
   g_info ("endpoints that lapsed with the outage are not back: gone");
--- a/gatewayd/source.h
+++ b/gatewayd/source.h
@@ -48,6 +48,13 @@
 uint64_t source_revision (const struct source *source);
 const char *source_value (const struct source *source, size_t *value_bytes);
 
+/** Return the revision of the newest change of an endpoint that was seen. */
+uint64_t source_endpoint_revision (const struct source *source);
+
+/** A peer has seen endpoints' changes up to REVISION: look, if this node has
+ * not. */
+void source_peer_revision (struct source *source, uint64_t revision);
+
 /** Whether both were read whole at least once. */
 bool source_complete (const struct source *source);
 
--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -247,6 +247,14 @@
                                enum beryl_platform_use use, const char *kind,
                                int64_t now_ms);
 
+/** Have WATCH look at once, because somebody has seen a change that it has
+ * not: its waiting call may be on a connection that went silent. */
+void beryl_platform_poke (struct beryl_platform *p, uint64_t watch);
+
+/** Change how long a watch may wait, from its next call on. */
+void beryl_platform_set_watch_wait (struct beryl_platform *p,
+                                    int64_t watch_wait_ms);
+
 /** Watch the instance list. */
 uint64_t beryl_platform_watch_instances (struct beryl_platform *p,
                                          int64_t now_ms);
--- a/include/common/platform_client.h
+++ b/include/common/platform_client.h
@@ -127,6 +127,9 @@
     struct platform_client *client,
     const struct platform_watch_callbacks *callbacks, void *user);
 
+/** Have WATCH look at once. */
+void platform_client_poke (struct platform_client *client, uint64_t watch);
+
 /** End a watch. */
 void platform_client_unwatch (struct platform_client *client, uint64_t watch);
 
--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -20,7 +20,8 @@
 {
   char from[BERYL_NAME_BYTES];
   uint64_t incarnation;
-  uint64_t sequence; /**< grows with each message of an incarnation */
+  uint64_t endpoint_revision; /**< of the newest change that it has seen */
+  uint64_t sequence;          /**< grows with each message of an incarnation */
   struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
   size_t run_count;
   /** Engines that this node has ordered to another stage. */
--- a/libberyl/platform/private.h
+++ b/libberyl/platform/private.h
@@ -166,6 +166,7 @@
   char kind[BERYL_NAME_BYTES];
   bool instances;
   bool listing_now;
+  bool poked; /**< the next call must not wait */
   bool ended; /**< freed once its callbacks have returned */
   bool busy;
   uint64_t revision;
--- a/libberyl/platform/watch.c
+++ b/libberyl/platform/watch.c
@@ -349,9 +349,10 @@
   /* A probe must be answered at once, and so must the first look, and the
      first after a failure: who watches must know when the platform is back. */
   bool at_once = p->breaker.state == BREAKER_HALF_OPEN || w->listing_now
-                 || job->failures > 0;
+                 || job->failures > 0 || w->poked;
   int64_t wait_ms = at_once ? 0 : p->settings.watch_wait_ms;
 
+  w->poked = false;
   call->method = "GET";
   call->path = path;
   call->kind = w->kind;
@@ -417,6 +418,40 @@
   return w->id;
 }
 
+static struct watch *
+watch_find (struct beryl_platform *p, uint64_t id)
+{
+  struct watch *w;
+
+  for (w = LIST_FIRST (&p->watches); w; w = LIST_NEXT (w, entry))
+    {
+      if (w->id == id)
+        return w;
+    }
+  return NULL;
+}
+
+void
+beryl_platform_poke (struct beryl_platform *p, uint64_t id)
+{
+  struct watch *w = watch_find (p, id);
+
+  /* A listing is under way or about to begin; it shows all there is. */
+  if (!w || w->busy || w->listing_now)
+    return;
+  w->poked = true;
+  if (w->job.state == JOB_READY)
+    return;
+  platform_job_stop (p, &w->job);
+  platform_job_ready (p, &w->job);
+}
+
+void
+beryl_platform_set_watch_wait (struct beryl_platform *p, int64_t watch_wait_ms)
+{
+  p->settings.watch_wait_ms = watch_wait_ms;
+}
+
 void
 beryl_platform_unwatch (struct beryl_platform *p, uint64_t watch)
 {
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -9,6 +9,7 @@
   FIELD_SEQUENCE,
   FIELD_RUNS,
   FIELD_CHANGING,
+  FIELD_ENDPOINT_REVISION,
 };
 
 /* A run is six numbers in a row: small ones take a byte or two each, a map
@@ -22,6 +23,7 @@
   frame_put_string (writer, FIELD_FROM, message->from);
   frame_put_uint (writer, FIELD_INCARNATION, message->incarnation);
   frame_put_uint (writer, FIELD_SEQUENCE, message->sequence);
+  frame_put_uint (writer, FIELD_ENDPOINT_REVISION, message->endpoint_revision);
   frame_put_array (writer, FIELD_RUNS);
   for (size_t i = 0; i < message->run_count; i++)
     {
@@ -69,6 +71,7 @@
   frame_need_string (map, FIELD_FROM, message->from, sizeof message->from);
   message->incarnation = frame_need_uint (map, FIELD_INCARNATION);
   message->sequence = frame_need_uint (map, FIELD_SEQUENCE);
+  message->endpoint_revision = frame_uint (map, FIELD_ENDPOINT_REVISION, 0);
   for (uint32_t i = 0; i < runs.count; i += NUMBERS_PER_RUN)
     {
       struct beryl_engine_run *run = &message->runs[message->run_count++];
