--- a/gatewayd/directory.c
+++ b/gatewayd/directory.c
@@ -129,6 +129,12 @@
   return NULL;
 }
 
+void
+directory_set_keep (struct directory *d, int64_t keep_ms)
+{
+  d->keep_ms = keep_ms;
+}
+
 void
 directory_destroy (struct directory *d)
 {
--- a/gatewayd/directory.h
+++ b/gatewayd/directory.h
@@ -39,6 +39,9 @@
                                     struct directory_owner *owner,
                                     struct beryl_error *error);
 
+/** Change how long callers may keep an answer. */
+void directory_set_keep (struct directory *directory, int64_t keep_ms);
+
 /** Close all and release; NULL is allowed. */
 void directory_destroy (struct directory *directory);
 
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -7,6 +7,7 @@
 #include "directory.h"
 #include "front.h"
 #include "members.h"
+#include "metrics.h"
 #include "outbound.h"
 #include "planner.h"
 #include "registry.h"
@@ -57,6 +58,7 @@
   const struct gateway_wire *wire;
   struct gateway_settings settings;
   struct counters *counters;
+  struct metrics *metrics;
   struct platform_client *store;
   struct beryl_lives *lives;
   struct beryl_forward *forward;
@@ -179,6 +181,9 @@
 forward_decided (struct beryl_forward_owner *owner,
                  const struct beryl_decision *d)
 {
+  metrics_decided (of_forward (owner)->metrics, d);
+  if (!log_level_enabled (G_LOG_LEVEL_INFO))
+    return;
   g_info ("request id=%s route=%s step=%s outcome=%s endpoint=%s age_ms="
           "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT
           " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
@@ -255,10 +260,36 @@
   members_addresses (g->members, place->data_centre, addresses);
 }
 
+static uint64_t
+endpoints_working (const struct gateway *g)
+{
+  uint64_t count = 0;
+
+  for (size_t i = 0; i < beryl_lives_count (g->lives); i++)
+    count += beryl_live_takes_work (beryl_lives_get (g->lives, i));
+  return count;
+}
+
 static char *
 directory_metrics (struct directory_owner *owner)
 {
-  return counters_format (of_directory (owner)->counters);
+  struct gateway *g = of_directory (owner);
+  int64_t now_ms = loop_now_ms (g->loop);
+  struct metrics_gauges gauges = {
+    .open = beryl_forward_open (g->forward),
+    .waiting = beryl_forward_waiting (g->forward),
+    .connections = h1_server_connections (front_server (g->front)),
+    .malformed = h1_server_counts (front_server (g->front))->malformed,
+    .nodes = members_count (g->members),
+    .endpoints = endpoints_working (g),
+    .configuration = source_version (g->source),
+    .revision = source_revision (g->source),
+    .list_age_ms = now_ms - beryl_lives_synced_ms (g->lives),
+    .ready = directory_ready (owner),
+    .planner = planner_holds (g->planner),
+  };
+
+  return metrics_format (g->metrics, &gauges);
 }
 
 static const struct directory_owner_impl directory_impl = {
@@ -496,6 +527,7 @@
   g->wire = wire;
   g->settings = *settings;
   g->counters = counters_create ();
+  g->metrics = metrics_create (g->counters);
   create_forward (g);
   g->outbound = outbound_create (loop, wire, g->forward);
   create_store (g, http);
@@ -543,6 +575,7 @@
   beryl_forward_destroy (g->forward);
   beryl_lives_destroy (g->lives);
   platform_client_destroy (g->store);
+  metrics_destroy (g->metrics);
   counters_destroy (g->counters);
   g_free (g);
 }
@@ -583,3 +616,43 @@
   g->stop_poll
       = loop_timer_start (g->loop, STOP_POLL_MS, STOP_POLL_MS, stop_poll, g);
 }
+
+/* Whether settings that only a start reads differ. */
+static bool
+needs_restart (const struct gateway_settings *old,
+               const struct gateway_settings *new)
+{
+  return strcmp (old->node, new->node) != 0
+         || strcmp (old->data_centre, new->data_centre) != 0
+         || memcmp (&old->front, &new->front, sizeof old->front) != 0
+         || memcmp (&old->ready, &new->ready, sizeof old->ready) != 0
+         || memcmp (&old->directory, &new->directory, sizeof old->directory)
+                != 0
+         || memcmp (&old->platform, &new->platform, sizeof old->platform) != 0
+         || old->peer_port != new->peer_port
+         || old->metrics_port != new->metrics_port
+         || old->lease_ms != new->lease_ms || old->thaw_ms != new->thaw_ms
+         || old->engines_check_fence != new->engines_check_fence
+         || old->descriptors_max != new->descriptors_max;
+}
+
+void
+gateway_reload (struct gateway *g, const struct gateway_settings *settings)
+{
+  struct gateway_settings *mine = &g->settings;
+  bool restart = needs_restart (mine, settings);
+
+  mine->repeat_ratio = settings->repeat_ratio;
+  mine->repeat_slack = settings->repeat_slack;
+  mine->repeat_window_ms = settings->repeat_window_ms;
+  mine->stop_ms = settings->stop_ms;
+  beryl_forward_set_repeats (g->forward, mine->repeat_ratio,
+                             mine->repeat_slack, mine->repeat_window_ms);
+  if (mine->address_keep_ms != settings->address_keep_ms)
+    {
+      mine->address_keep_ms = settings->address_keep_ms;
+      directory_set_keep (g->directory, mine->address_keep_ms);
+    }
+  g_info ("reload done%s",
+          restart ? ", some settings wait for a restart" : "");
+}
--- a/gatewayd/gateway.h
+++ b/gatewayd/gateway.h
@@ -22,6 +22,12 @@
 /** Release; NULL is allowed. */
 void gateway_destroy (struct gateway *gateway);
 
+/** Use what SETTINGS may change while the process runs: the terms of repeats,
+ * how long addresses are kept, how long a stop may take.  Other differences
+ * are told and take effect at the next start. */
+void gateway_reload (struct gateway *gateway,
+                     const struct gateway_settings *settings);
+
 /** Begin a planned stop: take no new callers, finish what runs, then quit
  * the loop. */
 void gateway_stop (struct gateway *gateway);
--- a/gatewayd/main.c
+++ b/gatewayd/main.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include "common/daemon.h"
 #include "gateway.h"
@@ -15,10 +16,41 @@
   gateway_stop (user);
 }
 
+/* What a reload needs. */
+struct reloader
+{
+  const char *path;
+  struct gateway *gateway;
+};
+
+static void
+reload (void *user)
+{
+  const struct reloader *r = user;
+  struct beryl_findings *findings = beryl_findings_create ();
+  struct gateway_settings settings;
+
+  if (gateway_settings_load (&settings, r->path, findings))
+    {
+      log_set_level (settings.log_level);
+      log_bound (STDOUT_FILENO, settings.log_lines_per_s);
+      gateway_reload (r->gateway, &settings);
+    }
+  else
+    {
+      char *text = beryl_findings_format (findings);
+
+      g_warning ("reload refused, the settings stay as they are: %s", text);
+      free (text);
+    }
+  beryl_findings_destroy (findings);
+}
+
 static int
-run (const struct gateway_settings *settings)
+run (const struct gateway_settings *settings, const char *path)
 {
   struct beryl_error error = { 0 };
+  struct reloader reloader = { .path = path };
   struct loop *loop = loop_create ();
   struct http_context *http;
   struct gateway *gateway;
@@ -31,7 +63,9 @@
   started = gateway != NULL;
   if (started)
     {
+      reloader.gateway = gateway;
       loop_on_stop (loop, stop, gateway);
+      loop_on_reload (loop, reload, &reloader);
       g_info ("started node=%s data_centre=%s version=%s", settings->node,
               settings->data_centre, BERYL_VERSION);
       loop_run (loop);
@@ -64,5 +98,6 @@
   if (!daemon_start (&program, argc, argv, &settings, &status))
     return status;
   log_init (program.name, LOG_FORMAT_TEXT, settings.log_level);
-  return run (&settings);
+  log_bound (STDOUT_FILENO, settings.log_lines_per_s);
+  return run (&settings, argv[argc - 1]);
 }
--- /dev/null
+++ b/gatewayd/metrics.c
@@ -0,0 +1,119 @@
+#include "metrics.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "common/loop.h"
+
+#define LABEL_BYTES 192
+
+struct metrics
+{
+  struct counters *counters;
+};
+
+/* Upper ends of the histogram's buckets; the objectives of small calls and of
+ * first events lie among them. */
+static const int64_t bucket_ends_ms[]
+    = { 5, 10, 20, 50, 100, 200, 300, 500, 900, 1500, 3000, 6000, 14000 };
+
+struct metrics *
+metrics_create (struct counters *counters)
+{
+  struct metrics *metrics = g_new0 (struct metrics, 1);
+
+  metrics->counters = counters;
+  return metrics;
+}
+
+void
+metrics_destroy (struct metrics *metrics)
+{
+  g_free (metrics);
+}
+
+/* Cumulative, as the text format wants it. */
+static void
+observe (struct metrics *metrics, const char *name, const char *service,
+         int64_t value_ms)
+{
+  char labels[LABEL_BYTES];
+  char full[96];
+
+  g_snprintf (full, sizeof full, "%s_bucket", name);
+  for (size_t i = 0; i < G_N_ELEMENTS (bucket_ends_ms); i++)
+    {
+      if (value_ms > bucket_ends_ms[i])
+        continue;
+      g_snprintf (labels, sizeof labels,
+                  "service=\"%s\",le=\"%" G_GINT64_FORMAT "\"", service,
+                  bucket_ends_ms[i]);
+      counters_add (metrics->counters, full, labels, 1);
+    }
+  g_snprintf (labels, sizeof labels, "service=\"%s\",le=\"+Inf\"", service);
+  counters_add (metrics->counters, full, labels, 1);
+  g_snprintf (labels, sizeof labels, "service=\"%s\"", service);
+  g_snprintf (full, sizeof full, "%s_sum", name);
+  counters_add (metrics->counters, full, labels, (uint64_t)value_ms);
+  g_snprintf (full, sizeof full, "%s_count", name);
+  counters_add (metrics->counters, full, labels, 1);
+}
+
+static void
+count_end (struct metrics *metrics, const struct beryl_decision *d)
+{
+  char labels[LABEL_BYTES];
+
+  g_snprintf (labels, sizeof labels, "service=\"%s\",end=\"%s\",cause=\"%s\"",
+              d->service, d->step, d->outcome);
+  counters_add (metrics->counters, "beryl_gateway_requests_total", labels, 1);
+  if (strcmp (d->step, "answer") != 0)
+    return;
+  observe (metrics, "beryl_gateway_first_ms", d->service,
+           d->first_event_ms > 0 ? d->first_event_ms : d->age_ms);
+  observe (metrics, "beryl_gateway_answer_ms", d->service, d->age_ms);
+}
+
+void
+metrics_decided (struct metrics *metrics, const struct beryl_decision *d)
+{
+  char labels[LABEL_BYTES];
+
+  g_snprintf (labels, sizeof labels, "step=\"%s\",outcome=\"%s\"", d->step,
+              d->outcome);
+  counters_add (metrics->counters, "beryl_gateway_steps_total", labels, 1);
+  if (d->final)
+    count_end (metrics, d);
+}
+
+static void
+set (struct metrics *metrics, const char *name, uint64_t value)
+{
+  counters_set (metrics->counters, name, "", value);
+}
+
+char *
+metrics_format (struct metrics *metrics, const struct metrics_gauges *g)
+{
+  struct log_counts lines = log_counts ();
+
+  set (metrics, "beryl_gateway_open", g->open);
+  set (metrics, "beryl_gateway_waiting", g->waiting);
+  set (metrics, "beryl_gateway_connections", g->connections);
+  set (metrics, "beryl_gateway_malformed_total", g->malformed);
+  set (metrics, "beryl_gateway_nodes", g->nodes);
+  set (metrics, "beryl_gateway_endpoints", g->endpoints);
+  set (metrics, "beryl_gateway_configuration_version", g->configuration);
+  set (metrics, "beryl_gateway_configuration_revision", g->revision);
+  set (metrics, "beryl_gateway_endpoint_list_age_ms",
+       (uint64_t)g->list_age_ms);
+  set (metrics, "beryl_gateway_ready", g->ready);
+  set (metrics, "beryl_gateway_planner", g->planner);
+  counters_set (metrics->counters, "beryl_log_lines_total", "end=\"written\"",
+                lines.written);
+  counters_set (metrics->counters, "beryl_log_lines_total",
+                "end=\"suppressed\"", lines.suppressed);
+  counters_set (metrics->counters, "beryl_log_lines_total", "end=\"lost\"",
+                lines.lost);
+  return counters_format (metrics->counters);
+}
--- /dev/null
+++ b/gatewayd/metrics.h
@@ -0,0 +1,43 @@
+/** @file
+ * Counters and latency histograms of a node, from the same decisions that the
+ * log tells.
+ */
+#ifndef GATEWAYD_METRICS_H
+#define GATEWAYD_METRICS_H
+
+#include "beryl/forward.h"
+#include "common/counters.h"
+
+struct metrics;
+
+/** Create; COUNTERS must outlive it. */
+struct metrics *metrics_create (struct counters *counters);
+
+/** Release; NULL is allowed. */
+void metrics_destroy (struct metrics *metrics);
+
+/** Count one decision. */
+void metrics_decided (struct metrics *metrics,
+                      const struct beryl_decision *decision);
+
+/** What is looked at when the metrics are asked for. */
+struct metrics_gauges
+{
+  uint64_t open;          /**< requests without a final answer */
+  uint64_t waiting;       /**< of these, for room at an engine */
+  uint64_t connections;   /**< of callers */
+  uint64_t malformed;     /**< requests that were refused as such */
+  uint64_t nodes;         /**< that may be running */
+  uint64_t endpoints;     /**< that take work */
+  uint64_t configuration; /**< its version; 0: none */
+  uint64_t revision;      /**< of its object */
+  int64_t list_age_ms;    /**< since the list of endpoints was confirmed */
+  bool ready;
+  bool planner; /**< this node holds the planner's lease */
+};
+
+/** Set the gauges and return all metrics as text; free() it. */
+char *metrics_format (struct metrics *metrics,
+                      const struct metrics_gauges *gauges);
+
+#endif
--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -409,3 +409,9 @@
     }
   return count;
 }
+
+bool
+planner_holds (const struct planner *p)
+{
+  return stored_lease_held (p->lease, NULL);
+}
--- a/gatewayd/planner.h
+++ b/gatewayd/planner.h
@@ -29,6 +29,9 @@
 size_t planner_changing (const struct planner *planner, uint32_t *numbers,
                          size_t most);
 
+/** Whether this node holds the lease. */
+bool planner_holds (const struct planner *planner);
+
 /** Whether this node competes for the lease. */
 void planner_stand (struct planner *planner, bool stands);
 
--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -16,6 +16,7 @@
   struct source_owner *owner;
   uint64_t configuration_watch;
   uint64_t endpoint_watch;
+  uint64_t version;  /* of the configuration in use; 0: none */
   uint64_t revision; /* of the configuration object in use */
   GString *value;    /* its text */
   bool has_routes;
@@ -53,6 +54,7 @@
           routes->version, object->version, origin, routes->route_count,
           routes->service_count);
   s->has_routes = true;
+  s->version = routes->version;
   s->revision = object->version;
   g_string_truncate (s->value, 0);
   g_string_append_len (s->value, object->value, (gssize)object->value_bytes);
@@ -84,6 +86,12 @@
   use_configuration (s, &object, "peer");
 }
 
+uint64_t
+source_version (const struct source *s)
+{
+  return s->version;
+}
+
 uint64_t
 source_revision (const struct source *s)
 {
--- a/gatewayd/source.h
+++ b/gatewayd/source.h
@@ -44,6 +44,9 @@
 void source_offer (struct source *source, uint64_t revision, const char *value,
                    size_t value_bytes);
 
+/** Return the configuration's version; 0: none. */
+uint64_t source_version (const struct source *source);
+
 /** Return the revision and the text of the configuration in use. */
 uint64_t source_revision (const struct source *source);
 const char *source_value (const struct source *source, size_t *value_bytes);
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -109,8 +109,10 @@
 struct beryl_decision
 {
   const char *step; /**< stable name, for example "reserve" */
+  bool final;       /**< the request ends by it */
   const char *id;   /**< the request's */
   const char *route;
+  const char *service;
   const struct beryl_live *endpoint; /**< may be NULL */
   const char *outcome;               /**< stable name */
   int64_t age_ms;                    /**< of the request */
@@ -180,6 +182,11 @@
 void beryl_forward_set_routes (struct beryl_forward *forward,
                                struct beryl_routes *routes);
 
+/** Change the terms of repeats. */
+void beryl_forward_set_repeats (struct beryl_forward *forward,
+                                double repeat_ratio, uint32_t repeat_slack,
+                                int64_t repeat_window_ms);
+
 /** How many nodes share the repeat budget; 0 counts as 1. */
 void beryl_forward_set_nodes (struct beryl_forward *forward, uint32_t nodes);
 
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -89,6 +89,9 @@
 /** The list was read or confirmed whole at NOW_MS. */
 void beryl_lives_synced (struct beryl_lives *lives, int64_t now_ms);
 
+/** Return when the list was read or confirmed last; 0: never. */
+int64_t beryl_lives_synced_ms (const struct beryl_lives *lives);
+
 /** Let go of lapsed endpoints whose time is over; true if there were any. */
 bool beryl_lives_expire (struct beryl_lives *lives, int64_t now_ms);
 
--- a/include/common/loop.h
+++ b/include/common/loop.h
@@ -66,6 +66,22 @@
  * LEVEL is one of "error", "warning", "info" and "debug". */
 void log_init (const char *program, enum log_format format, const char *level);
 
+/** Write to FD without ever waiting for its reader, at most LINES_PER_S info
+ * and debug lines; 0: any number.  What is left out is counted, and told in a
+ * line once there is room. */
+void log_bound (int fd, uint32_t lines_per_s);
+
+/** Lines of this process. */
+struct log_counts
+{
+  uint64_t written;
+  uint64_t suppressed; /**< by the rate */
+  uint64_t lost;       /**< since the reader did not read */
+};
+
+/** Return the counts. */
+struct log_counts log_counts (void);
+
 /** Whether records of LEVEL (a GLogLevelFlags) are written; saves building
  * lines that nobody reads. */
 bool log_level_enabled (int level);
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -145,6 +145,15 @@
   f->routes = routes;
 }
 
+void
+beryl_forward_set_repeats (struct beryl_forward *f, double repeat_ratio,
+                           uint32_t repeat_slack, int64_t repeat_window_ms)
+{
+  f->settings.repeat_ratio = repeat_ratio;
+  f->settings.repeat_slack = repeat_slack;
+  f->settings.repeat_window_ms = repeat_window_ms;
+}
+
 void
 beryl_forward_set_nodes (struct beryl_forward *f, uint32_t nodes)
 {
@@ -219,6 +228,18 @@
   forward_exchange_free (f, x);
 }
 
+static bool
+is_final (const char *step)
+{
+  static const char *const finals[]
+      = { "answer", "refuse", "cut", "caller_gone" };
+
+  for (size_t i = 0; i < sizeof finals / sizeof *finals; i++)
+    if (strcmp (finals[i], step) == 0)
+      return true;
+  return false;
+}
+
 void
 request_decided (struct beryl_forward *f, const struct request *r,
                  const char *step, const struct beryl_live *live,
@@ -226,8 +247,10 @@
 {
   struct beryl_decision decision = {
     .step = step,
+    .final = is_final (step),
     .id = r->facts.id,
     .route = r->route->name,
+    .service = r->service->name,
     .endpoint = live,
     .outcome = outcome,
     .age_ms = now_ms - r->facts.arrived_ms,
@@ -442,8 +465,10 @@
   };
   struct beryl_decision decision = {
     .step = "refuse",
+    .final = true,
     .id = facts->id,
     .route = "",
+    .service = "",
     .outcome = beryl_refusal_name (reason),
     .config_version = f->routes != NULL ? f->routes->version : 0,
   };
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -160,6 +160,12 @@
   lives->synced_ms = now_ms;
 }
 
+int64_t
+beryl_lives_synced_ms (const struct beryl_lives *lives)
+{
+  return lives->synced_ms;
+}
+
 bool
 beryl_lives_expire (struct beryl_lives *lives, int64_t now_ms)
 {
