--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <sys/random.h>
 
+#include "cluster_key.h"
 #include "common/counters.h"
 #include "directory.h"
 #include "front.h"
@@ -67,6 +68,7 @@
   struct source *source;
   struct directory *directory;
   struct members *members;
+  struct cluster_key *key;
   struct registry *registry;
   struct planner *planner;
   struct loop_timer *stand; /* looks who stands for the planner's lease */
@@ -510,6 +512,18 @@
   g->forward = beryl_forward_create (&settings, g->lives, &g->base);
 }
 
+/* Without the key nothing of the peers is believed, so that this node joins
+ * them only now. */
+static void
+key_known (void *user, const char *key)
+{
+  struct gateway *g = user;
+
+  members_set_key (g->members, key);
+  g->registry
+      = registry_create (g->loop, g->store, &g->settings, &g->registry_base);
+}
+
 struct gateway *
 gateway_create (struct loop *loop, struct http_context *http,
                 const struct gateway_wire *wire,
@@ -544,8 +558,7 @@
                                  g->counters, error);
   if (g->members != NULL)
     {
-      g->registry
-          = registry_create (loop, g->store, &g->settings, &g->registry_base);
+      g->key = cluster_key_create (loop, g->store, key_known, g);
       g->planner = planner_create (loop, wire, &g->settings, g->store,
                                    g->forward, g->lives);
       g->stand = loop_timer_start (loop, STAND_MS, STAND_MS, stand, g);
@@ -565,6 +578,7 @@
   loop_timer_stop (g->stop_poll);
   loop_timer_stop (g->stand);
   planner_destroy (g->planner);
+  cluster_key_destroy (g->key);
   registry_destroy (g->registry);
   members_destroy (g->members);
   uv_close ((uv_handle_t *)g->prepare, free_handle);
@@ -609,7 +623,8 @@
   g_info ("stop asked open=%u", beryl_forward_open (g->forward));
   g->stop_began_ms = now_ms;
   members_leave (g->members);
-  registry_withdraw (g->registry);
+  if (g->registry != NULL)
+    registry_withdraw (g->registry);
   beryl_forward_stop (g->forward,
                       now_ms + g->settings.stop_ms - STOP_MARGIN_MS, now_ms);
   h1_server_drain (front_server (g->front), g->settings.address_keep_ms);
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -1,5 +1,8 @@
 #include "members.h"
 
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
 #include <string.h>
 
 #include "beryl/clock.h"
@@ -42,6 +45,7 @@
   bool pulling;
   uint64_t revision; /* of the configuration here */
   GString *value;
+  char key[DATAGRAM_KEY_MAX_BYTES + 1]; /* "": not known yet */
   uint32_t count;
 };
 
@@ -177,6 +181,8 @@
   struct members *m = user;
   struct beryl_gossip message;
 
+  if (m->key[0] == '\0')
+    return;
   if (frame_type (frame) == LOADS_DATAGRAM)
     take_loads (m, frame);
   else if (m->table != NULL && gossip_read (frame, &message))
@@ -193,6 +199,30 @@
   wake (m);
 }
 
+#define PROOF_BYTES 32
+
+enum answer_field
+{
+  ANSWER_VALUE = 1,
+  ANSWER_REVISION,
+  ANSWER_PROOF,
+};
+
+/* Proves that a node of this fleet gave the configuration: whoever can only
+ * connect must not be able to hand out one. */
+static void
+prove (const struct members *m, uint64_t revision, const char *value,
+       size_t value_bytes, unsigned char proof[PROOF_BYTES])
+{
+  GString *text = g_string_new_len (value, (gssize)value_bytes);
+  unsigned int bytes = PROOF_BYTES;
+
+  g_string_append_printf (text, "%" G_GUINT64_FORMAT, revision);
+  HMAC (EVP_sha256 (), m->key, (int)strlen (m->key),
+        (const unsigned char *)text->str, text->len, proof, &bytes);
+  g_string_free (text, TRUE);
+}
+
 /* A connection on which a configuration is pulled. */
 struct pull
 {
@@ -237,13 +267,17 @@
 {
   struct members *m = pull->members;
 
+  unsigned char proof[PROOF_BYTES];
+
   if (m->revision <= after)
     gossip_put_number (m->writer, GOSSIP_SAME, m->revision);
   else
     {
+      prove (m, m->revision, m->value->str, m->value->len, proof);
       frame_writer_reset (m->writer, GOSSIP_SNAPSHOT);
-      frame_put_bytes (m->writer, 1, m->value->str, m->value->len);
-      frame_put_uint (m->writer, 2, m->revision);
+      frame_put_bytes (m->writer, ANSWER_VALUE, m->value->str, m->value->len);
+      frame_put_uint (m->writer, ANSWER_REVISION, m->revision);
+      frame_put_bytes (m->writer, ANSWER_PROOF, proof, sizeof proof);
     }
   link_send (pull->link, m->writer);
 }
@@ -253,12 +287,22 @@
 {
   struct members *m = pull->members;
   struct frame_map map = frame_root (frame);
-  uint64_t revision = frame_uint (map, 2, 0);
-  size_t bytes = 0;
-  const char *value = frame_bytes (map, 1, &bytes);
-
-  if (frame_type (frame) == GOSSIP_SNAPSHOT && frame_valid (frame)
-      && value != NULL && revision > m->revision)
+  uint64_t revision = frame_uint (map, ANSWER_REVISION, 0);
+  size_t bytes = 0, proof_bytes = 0;
+  const char *value = frame_bytes (map, ANSWER_VALUE, &bytes);
+  const void *proof = frame_bytes (map, ANSWER_PROOF, &proof_bytes);
+  unsigned char expected[PROOF_BYTES];
+
+  if (frame_type (frame) != GOSSIP_SNAPSHOT || !frame_valid (frame)
+      || value == NULL || proof == NULL || proof_bytes != PROOF_BYTES)
+    {
+      pull_end (pull);
+      return;
+    }
+  prove (m, revision, value, bytes, expected);
+  if (CRYPTO_memcmp (proof, expected, PROOF_BYTES) != 0)
+    g_warning ("configuration from a peer refused: wrong key");
+  else if (revision > m->revision)
     m->owner->impl->configuration (m->owner, revision, value, bytes);
   pull_end (pull);
 }
@@ -447,6 +491,14 @@
   g_free (m);
 }
 
+void
+members_set_key (struct members *m, const char *key)
+{
+  g_strlcpy (m->key, key, sizeof m->key);
+  datagram_clear_keys (m->datagram);
+  datagram_add_key (m->datagram, m->key, strlen (m->key));
+}
+
 void
 members_join (struct members *m, uint64_t incarnation)
 {
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -52,6 +52,9 @@
 /** Close and release; NULL is allowed. */
 void members_destroy (struct members *members);
 
+/** Authenticate what is sent and received by KEY. */
+void members_set_key (struct members *members, const char *key);
+
 /** This life of the node has number INCARNATION: join the others. */
 void members_join (struct members *members, uint64_t incarnation);
 
