The h1 server refuses what a next hop may read differently while the head is read; tests of h1

A request with an unknown last transfer coding waited for its body's end, one with white space before a field's colon was passed on, and white space behind a value was passed on as part of it. Bodies are bounded together (503 when no memory is left), and the store being lost and regained is logged.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -43,6 +43,8 @@
  * said again while the change goes on. */
 #define CHANGING_MS 2000
 
+/* Callers' bodies may take that part of the memory. */
+#define BODIES_PART 4
 /* Nodes that compete for the planner's lease, and how often they are looked
  * up. */
 #define PLANNERS 2
@@ -221,6 +223,7 @@
     .header_timeout_ms = from->header_timeout_ms,
     .idle_timeout_ms = from->idle_timeout_ms,
     .connections = g->settings.descriptors_max / 2,
+    .all_bodies_bytes = ((uint64_t)g->settings.memory_mb << 20) / BODIES_PART,
   };
 
   beryl_forward_set_routes (g->forward, routes);
--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -21,6 +21,7 @@
   GString *value;    /* its text */
   bool has_routes;
   bool has_endpoints;
+  bool store_away;
   bool endpoints_changed;
   uint64_t endpoint_revision; /* of the newest change seen */
   uint64_t peer_revision;     /* that a peer has seen */
@@ -188,11 +189,29 @@
     }
 }
 
+/* Tells once when the store stops answering, and once when it is back. */
+static void
+check_store (struct source *s)
+{
+  bool away = beryl_platform_is_away (platform_client_core (s->client));
+
+  if (away == s->store_away)
+    return;
+  s->store_away = away;
+  if (away)
+    g_warning ("store lost, going on with configuration revision="
+               "%" G_GUINT64_FORMAT " endpoints revision=%" G_GUINT64_FORMAT,
+               s->revision, s->endpoint_revision);
+  else
+    g_info ("store regained");
+}
+
 static void
 expire (void *user)
 {
   struct source *s = user;
 
+  check_store (s);
   check_behind (s);
   if (!beryl_lives_expire (s->lives, loop_now_ms (s->loop)))
     return;
--- a/h1/exchange.c
+++ b/h1/exchange.c
@@ -21,6 +21,7 @@
 void
 exchange_free (struct h1_exchange *ex)
 {
+  ex->connection->server->bodies_bytes -= ex->body->len;
   head_builder_clear (&ex->builder);
   g_string_free (ex->body, TRUE);
   g_free (ex);
--- a/h1/head.c
+++ b/h1/head.c
@@ -121,6 +121,13 @@
   g_string_append_len (b->text, bytes, (gssize)bytes_count);
 }
 
+/* The parser keeps white space behind a value, which is not part of it. */
+static char *
+value_at (const struct head_builder *b, gsize start)
+{
+  return g_strchomp (b->text->str + start);
+}
+
 void
 head_builder_finish (struct head_builder *b, const http_parser *parser)
 {
@@ -141,7 +148,7 @@
   for (size_t i = 0; i < head->field_count; i++)
     {
       head->fields[i].name = b->text->str + starts[1 + 2 * i];
-      head->fields[i].value = b->text->str + starts[2 + 2 * i];
+      head->fields[i].value = value_at (b, starts[2 + 2 * i]);
     }
 }
 
--- a/h1/server.c
+++ b/h1/server.c
@@ -11,6 +11,7 @@
 #define DEFAULT_BODY_BYTES (4U << 20)
 #define DEFAULT_HEADER_TIMEOUT_MS 10000
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
+#define DEFAULT_ALL_BODIES_BYTES (64ULL << 20)
 #define DEFAULT_CONNECTIONS 3000
 #define LISTEN_BACKLOG 512
 #define READ_BYTES 65536
@@ -194,8 +195,13 @@
   struct h1_exchange *ex = connection->exchange;
   GString *out = g_string_new (NULL);
 
-  connection->server->counts.malformed++;
+  if (status == 503)
+    connection->server->counts.crowded_out++;
+  else
+    connection->server->counts.malformed++;
   head_format_answer (out, status, NULL, NULL, 0);
+  if (status == 503)
+    g_string_append (out, "Retry-After: 1\r\n");
   g_string_append (out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
   connection_write (connection, out->str, out->len);
   g_string_free (out, TRUE);
@@ -261,6 +267,37 @@
   return count_head (ex, length);
 }
 
+/* White space before the colon: some take it as part of the name, others do
+ * not, so that the two could disagree about how long the body is. */
+static bool
+name_has_space (const struct h1_head *head)
+{
+  for (size_t i = 0; i < head->field_count; i++)
+    if (strpbrk (head->fields[i].name, " \t") != NULL)
+      return true;
+  return false;
+}
+
+/* What the parser lets pass but a next hop may read differently. */
+static unsigned int
+head_problem (const struct h1_exchange *ex)
+{
+  const struct h1_head *head = &ex->builder.head;
+  const char *coding = h1_head_find (head, "transfer-encoding");
+
+  if (coding != NULL
+      && (g_ascii_strcasecmp (coding, "chunked") != 0
+          || h1_head_count (head, "transfer-encoding") != 1))
+    return 501;
+  if (h1_head_count (head, "content-length") > 1)
+    return 400;
+  if (head->target[0] != '/' || name_has_space (head))
+    return 400;
+  if (h1_head_count (head, "host") != 1 && !ex->http_1_0)
+    return 400;
+  return 0;
+}
+
 static int
 on_head (http_parser *parser)
 {
@@ -271,7 +308,8 @@
   ex->head_request = parser->method == HTTP_HEAD;
   ex->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
   ex->keep_alive = http_should_keep_alive (parser);
-  return 0;
+  ex->refusal = head_problem (ex);
+  return ex->refusal != 0 ? -1 : 0;
 }
 
 static int
@@ -279,8 +317,21 @@
 {
   struct h1_exchange *ex = receiving (parser);
 
-  if (ex->body->len + length > ex->connection->server->limits.body_bytes)
-    return 1;
+  struct h1_server *server = ex->connection->server;
+
+  if (ex->body->len + length > server->limits.body_bytes)
+    {
+      ex->refusal = 413;
+      return 1;
+    }
+  /* Many bodies at a time, each within its limit, would end the process for
+     want of memory, and with it every request. */
+  if (server->bodies_bytes + length > server->limits.all_bodies_bytes)
+    {
+      ex->refusal = 503;
+      return 1;
+    }
+  server->bodies_bytes += length;
   g_string_append_len (ex->body, at, (gssize)length);
   return 0;
 }
@@ -306,6 +357,8 @@
 static unsigned int
 refusal_of (const struct connection *connection)
 {
+  if (connection->exchange != NULL && connection->exchange->refusal != 0)
+    return connection->exchange->refusal;
   switch (HTTP_PARSER_ERRNO (&connection->parser))
     {
     case HPE_CB_url:
@@ -314,8 +367,6 @@
     case HPE_CB_header_value:
     case HPE_HEADER_OVERFLOW:
       return 431;
-    case HPE_CB_body:
-      return 413;
     case HPE_INVALID_TRANSFER_ENCODING:
       return 501;
     default:
@@ -323,26 +374,6 @@
     }
 }
 
-/* What the parser lets pass but a next hop may read differently. */
-static unsigned int
-head_problem (const struct h1_exchange *ex)
-{
-  const struct h1_head *head = &ex->builder.head;
-  const char *coding = h1_head_find (head, "transfer-encoding");
-
-  if (coding != NULL
-      && (g_ascii_strcasecmp (coding, "chunked") != 0
-          || h1_head_count (head, "transfer-encoding") != 1))
-    return 501;
-  if (h1_head_count (head, "content-length") > 1)
-    return 400;
-  if (head->target[0] != '/')
-    return 400;
-  if (h1_head_count (head, "host") != 1 && !ex->http_1_0)
-    return 400;
-  return 0;
-}
-
 static void
 connection_stop_reading (struct connection *connection)
 {
@@ -371,13 +402,7 @@
 {
   struct h1_exchange *ex = connection->exchange;
   struct h1_server *server = connection->server;
-  unsigned int problem = head_problem (ex);
 
-  if (problem != 0)
-    {
-      connection_refuse (connection, problem);
-      return;
-    }
   ex->state = EXCHANGE_WAITING;
   server->open++;
   server->counts.requests++;
@@ -603,6 +628,8 @@
     limits->idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
   if (limits->connections == 0)
     limits->connections = DEFAULT_CONNECTIONS;
+  if (limits->all_bodies_bytes == 0)
+    limits->all_bodies_bytes = DEFAULT_ALL_BODIES_BYTES;
 }
 
 void
--- a/h1/server_private.h
+++ b/h1/server_private.h
@@ -27,6 +27,7 @@
   enum h1_framing framing;
   uint64_t left; /* bytes of a stated length that are to come */
   bool head_request;
+  unsigned int refusal; /* status that the checks found, or 0 */
   bool http_1_0;
   bool keep_alive;
   bool above_water;
@@ -57,7 +58,8 @@
   struct h1_server_counts counts;
   GPtrArray *connections;
   uint32_t open;
-  int64_t drain_at_ms; /* idle connections close from then on; 0: never */
+  uint64_t bodies_bytes; /* of all open requests */
+  int64_t drain_at_ms;   /* idle connections close from then on; 0: never */
   bool destroyed;
   uint32_t handles_open;
 };
--- a/include/h1/server.h
+++ b/include/h1/server.h
@@ -51,6 +51,7 @@
   int64_t header_timeout_ms; /**< from the first byte of a head [10000] */
   int64_t idle_timeout_ms;   /**< without a byte [60000] */
   uint32_t connections;      /**< open at a time [3000] */
+  uint64_t all_bodies_bytes; /**< of all open requests [64 MiB]; more: 503 */
 };
 
 /** Counts of a server. */
@@ -58,6 +59,7 @@
 {
   uint64_t accepted;
   uint64_t requests;
+  uint64_t crowded_out; /**< refused since all bodies are too large */
   uint64_t malformed;   /**< refused with 400, 408, 413, 431 or 501 */
   uint64_t turned_away; /**< connections closed at the limit */
 };
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -14,14 +14,14 @@
   struct request *r = x->request;
   bool wrong_stage = x->head.wrong_stage;
 
-  request_decided (f, r, "send", x->live,
-                   wrong_stage ? "wrong_stage" : "not_run", x->head.status,
-                   now_ms);
+  forward_request_decided (f, r, "send", x->live,
+                           wrong_stage ? "wrong_stage" : "not_run",
+                           x->head.status, now_ms);
   if (x->head.misdirected)
     beryl_live_learn (x->live, BERYL_LIVE_FAILED, now_ms - x->started_ms,
                       now_ms);
   forward_exchange_abort (f, x);
-  if (request_is_generation (r))
+  if (forward_request_is_generation (r))
     generation_not_run (f, r, wrong_stage, now_ms);
   else
     plain_attempt_failed (f, r, now_ms);
@@ -31,7 +31,7 @@
 static bool
 may_try_another (const struct request *r)
 {
-  return !r->begun && request_repeatable (r)
+  return !r->begun && forward_request_repeatable (r)
          && r->endpoints_run < r->route->endpoints_max;
 }
 
@@ -70,10 +70,10 @@
   kv_clear (f, &r->kv);
   beryl_live_learn (x->live, error ? BERYL_LIVE_FAILED : BERYL_LIVE_ANSWERED,
                     took_ms, now_ms);
-  if (!request_is_generation (r))
+  if (!forward_request_is_generation (r))
     service_learn (r->service, took_ms);
-  request_decided (f, r, "head", x->live, error ? "error" : "answered",
-                   x->head.status, now_ms);
+  forward_request_decided (f, r, "head", x->live, error ? "error" : "answered",
+                           x->head.status, now_ms);
   if (r->begun && (x->head.status != 200 || !x->head.events))
     {
       /* The caller has the head of a stream already; another answer's body
@@ -88,7 +88,7 @@
       forward_exchange_abort (f, x);
       return;
     }
-  if (error && may_try_another (r) && !request_is_generation (r))
+  if (error && may_try_another (r) && !forward_request_is_generation (r))
     {
       forward_exchange_abort (f, x);
       plain_attempt_failed (f, r, now_ms);
@@ -97,7 +97,7 @@
   drop_others (f, r, x);
   r->due_ms = r->timeout_ms;
   r->event_ms = now_ms;
-  if (request_is_generation (r))
+  if (forward_request_is_generation (r))
     generation_due (f, r, now_ms);
 }
 
@@ -152,7 +152,7 @@
 
   if (!event_splitter_add (&r->events, bytes, bytes_count))
     {
-      request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+      forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
     }
   while (event_splitter_next (&r->events, &event))
@@ -172,7 +172,7 @@
     }
   if (!buffer_append (&r->held, bytes, bytes_count))
     {
-      request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+      forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
     }
   if (r->begun || r->held.count > HELD_MAX_BYTES)
@@ -207,18 +207,18 @@
     }
   begin (f, r, x);
   pass_held (f, r);
-  request_decided (f, r, "answer", x->live, "whole",
-                   x->head.events ? (int64_t)r->event_count
-                                  : (int64_t)x->head.status,
-                   now_ms);
+  forward_request_decided (f, r, "answer", x->live, "whole",
+                           x->head.events ? (int64_t)r->event_count
+                                          : (int64_t)x->head.status,
+                           now_ms);
   forward_exchange_free (f, x);
-  if (request_is_generation (r))
+  if (forward_request_is_generation (r))
     {
       stream_learn (f, r);
       generation_run_over (f, r);
     }
   handle = r->facts.request;
-  request_end (f, r, now_ms);
+  forward_request_end (f, r, now_ms);
   f->owner->impl->answer_end (f->owner, handle);
 }
 
@@ -238,7 +238,8 @@
   struct request *r = x->request;
   bool headed = x->headed;
 
-  request_decided (f, r, "send", x->live, break_name (how), sent, now_ms);
+  forward_request_decided (f, r, "send", x->live, break_name (how), sent,
+                           now_ms);
   forward_exchange_free (f, x);
   if (sent)
     r->may_have_run = true;
@@ -248,10 +249,10 @@
   event_splitter_reset (&r->events);
   if (headed && move_takes_end (f, r, now_ms))
     return;
-  if (request_is_generation (r))
+  if (forward_request_is_generation (r))
     generation_broken (f, r, BERYL_EXCHANGE_RUN, sent, now_ms);
   else if (r->begun)
-    request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
   else
     plain_attempt_failed (f, r, now_ms);
 }
--- a/libberyl/forward/balance.c
+++ b/libberyl/forward/balance.c
@@ -49,8 +49,8 @@
   if (target != NULL)
     move_start (f, r, target, now_ms);
   else
-    request_decided (f, r, "move", r->reservation.live, "no_target", 0,
-                     now_ms);
+    forward_request_decided (f, r, "move", r->reservation.live, "no_target", 0,
+                             now_ms);
 }
 
 /* An engine that runs out of memory stops its newest run in the middle of its
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -160,7 +160,7 @@
       double cost;
 
       if (!serves (live, r, BERYL_STAGE_DECODE, now_ms)
-          || now_ms < live->full_until_ms || request_tried (r, live)
+          || now_ms < live->full_until_ms || forward_request_tried (r, live)
           || !worth_asking (live, now_ms))
         continue;
       cost = engine_peak_with (f, r, live, FILL_DEVIATIONS, now_ms);
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -241,9 +241,9 @@
 }
 
 void
-request_decided (struct beryl_forward *f, const struct request *r,
-                 const char *step, const struct beryl_live *live,
-                 const char *outcome, int64_t number, int64_t now_ms)
+forward_request_decided (struct beryl_forward *f, const struct request *r,
+                         const char *step, const struct beryl_live *live,
+                         const char *outcome, int64_t number, int64_t now_ms)
 {
   struct beryl_decision decision = {
     .step = step,
@@ -285,7 +285,8 @@
 }
 
 void
-request_end (struct beryl_forward *f, struct request *r, int64_t now_ms)
+forward_request_end (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms)
 {
   while (r->first != NULL)
     exchange_disown (f, r->first);
@@ -318,9 +319,9 @@
 {
   uint64_t handle = r->facts.request;
 
-  request_decided (f, r, "cut", NULL, beryl_refusal_name (reason),
-                   (int64_t)r->event_count, now_ms);
-  request_end (f, r, now_ms);
+  forward_request_decided (f, r, "cut", NULL, beryl_refusal_name (reason),
+                           (int64_t)r->event_count, now_ms);
+  forward_request_end (f, r, now_ms);
   f->owner->impl->answer_cut (f->owner, handle);
 }
 
@@ -328,9 +329,9 @@
  * since another head would follow in its body; and "not run" is said only of
  * what cannot have run. */
 void
-request_refuse (struct beryl_forward *f, struct request *r,
-                unsigned int status, enum beryl_refusal_reason reason,
-                int64_t retry_after_ms, int64_t now_ms)
+forward_request_refuse (struct beryl_forward *f, struct request *r,
+                        unsigned int status, enum beryl_refusal_reason reason,
+                        int64_t retry_after_ms, int64_t now_ms)
 {
   struct beryl_refusal refusal = { .status = status,
                                    .reason = reason,
@@ -348,32 +349,32 @@
       refusal.retry_after_ms = 0;
     }
   refusal.not_run = promises_not_run (refusal.status);
-  request_decided (f, r, "refuse", NULL, beryl_refusal_name (reason),
-                   refusal.retry_after_ms, now_ms);
+  forward_request_decided (f, r, "refuse", NULL, beryl_refusal_name (reason),
+                           refusal.retry_after_ms, now_ms);
   /* What is open is closed first: "not run" must stay true. */
-  request_end (f, r, now_ms);
+  forward_request_end (f, r, now_ms);
   f->owner->impl->refuse (f->owner, handle, &refusal);
 }
 
 void
-request_fail (struct beryl_forward *f, struct request *r,
-              enum beryl_refusal_reason reason, int64_t now_ms)
+forward_request_fail (struct beryl_forward *f, struct request *r,
+                      enum beryl_refusal_reason reason, int64_t now_ms)
 {
   if (!may_have_run (r))
-    request_refuse (f, r, 503, reason, RETRY_AFTER_MS, now_ms);
+    forward_request_refuse (f, r, 503, reason, RETRY_AFTER_MS, now_ms);
   else
-    request_refuse (f, r, reason == BERYL_REFUSAL_DEADLINE ? 504 : 502, reason,
-                    0, now_ms);
+    forward_request_refuse (f, r, reason == BERYL_REFUSAL_DEADLINE ? 504 : 502,
+                            reason, 0, now_ms);
 }
 
 bool
-request_is_generation (const struct request *r)
+forward_request_is_generation (const struct request *r)
 {
   return r->route->generation && r->terms->engines;
 }
 
 bool
-request_repeatable (const struct request *r)
+forward_request_repeatable (const struct request *r)
 {
   return r->route->repeat == BERYL_REPEAT_IDEMPOTENT;
 }
@@ -390,8 +391,8 @@
 }
 
 uint32_t
-request_repeats_left (struct beryl_forward *f, const struct request *r,
-                      int64_t now_ms)
+forward_request_repeats_left (struct beryl_forward *f, const struct request *r,
+                              int64_t now_ms)
 {
   struct repeat_terms terms = repeat_terms (f);
 
@@ -399,8 +400,8 @@
 }
 
 void
-request_take_repeats (struct beryl_forward *f, struct request *r,
-                      uint32_t count, int64_t now_ms)
+forward_request_take_repeats (struct beryl_forward *f, struct request *r,
+                              uint32_t count, int64_t now_ms)
 {
   struct repeat_terms terms = repeat_terms (f);
 
@@ -409,12 +410,12 @@
 }
 
 bool
-request_take_repeat (struct beryl_forward *f, struct request *r,
-                     int64_t now_ms)
+forward_request_take_repeat (struct beryl_forward *f, struct request *r,
+                             int64_t now_ms)
 {
-  if (request_repeats_left (f, r, now_ms) == 0)
+  if (forward_request_repeats_left (f, r, now_ms) == 0)
     return false;
-  request_take_repeats (f, r, 1, now_ms);
+  forward_request_take_repeats (f, r, 1, now_ms);
   return true;
 }
 
@@ -433,14 +434,14 @@
 }
 
 void
-request_note_tried (struct request *r, const struct beryl_live *live)
+forward_request_note_tried (struct request *r, const struct beryl_live *live)
 {
   r->tried[r->tried_count % TRIED_MAX] = id_hash (live);
   r->tried_count++;
 }
 
 bool
-request_tried (const struct request *r, const struct beryl_live *live)
+forward_request_tried (const struct request *r, const struct beryl_live *live)
 {
   uint32_t count = r->tried_count < TRIED_MAX ? r->tried_count : TRIED_MAX;
   uint64_t hash = id_hash (live);
@@ -514,7 +515,7 @@
 
   if (f->end_ms == BERYL_NEVER_MS)
     return true;
-  if (request_is_generation (r))
+  if (forward_request_is_generation (r))
     needed_ms = GENERATION_MS
                 + (int64_t)(r->facts.output_tokens_max
                             * r->service->lengths.ms_per_token);
@@ -543,11 +544,11 @@
   r = request_new (f, facts, route);
   count_request (f, r->service, now_ms);
   if (r->timeout_ms <= now_ms)
-    request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
   else if (!ends_in_time (f, r, now_ms))
-    request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING, STOPPING_RETRY_AFTER_MS,
-                    now_ms);
-  else if (request_is_generation (r))
+    forward_request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
+                            STOPPING_RETRY_AFTER_MS, now_ms);
+  else if (forward_request_is_generation (r))
     generation_start (f, r, now_ms);
   else
     plain_start (f, r, now_ms);
@@ -563,8 +564,8 @@
     {
       next = TAILQ_NEXT (r, entry);
       if (r->waiting && !ends_in_time (f, r, now_ms))
-        request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
-                        STOPPING_RETRY_AFTER_MS, now_ms);
+        forward_request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
+                                STOPPING_RETRY_AFTER_MS, now_ms);
     }
 }
 
@@ -588,9 +589,9 @@
 
   if (r == NULL)
     return;
-  request_decided (f, r, "caller_gone", NULL, "cancelled",
-                   (int64_t)r->event_count, now_ms);
-  request_end (f, r, now_ms);
+  forward_request_decided (f, r, "caller_gone", NULL, "cancelled",
+                           (int64_t)r->event_count, now_ms);
+  forward_request_end (f, r, now_ms);
   generation_pump (f, now_ms);
 }
 
@@ -677,8 +678,8 @@
     answer_broken (f, x, how, sent, now_ms);
   else
     {
-      request_decided (f, r, beryl_exchange_name (kind), x->live, "broken",
-                       (int64_t)how, now_ms);
+      forward_request_decided (f, r, beryl_exchange_name (kind), x->live,
+                               "broken", (int64_t)how, now_ms);
       forward_exchange_free (f, x);
       generation_broken (f, r, kind, sent, now_ms);
     }
@@ -699,9 +700,9 @@
       if (r->phase == PHASE_RUNNING && r->first != NULL && !r->first->headed)
         beryl_live_learn (r->first->live, BERYL_LIVE_SILENT,
                           now_ms - r->first->started_ms, now_ms);
-      request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
+      forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
     }
-  else if (request_is_generation (r))
+  else if (forward_request_is_generation (r))
     generation_due (f, r, now_ms);
   else
     plain_due (f, r, now_ms);
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -85,7 +85,7 @@
 
   r->run_paid = false;
   return r->runs == 0 || r->same_run || paid
-         || request_take_repeat (f, r, now_ms);
+         || forward_request_take_repeat (f, r, now_ms);
 }
 
 /* A prompt is not read unless the run that follows may be sent too. */
@@ -94,9 +94,9 @@
 {
   uint32_t needed = (r->prefilled ? 1 : 0) + (r->runs > 0 ? 1 : 0);
 
-  if (request_repeats_left (f, r, now_ms) < needed)
+  if (forward_request_repeats_left (f, r, now_ms) < needed)
     return false;
-  request_take_repeats (f, r, needed, now_ms);
+  forward_request_take_repeats (f, r, needed, now_ms);
   r->run_paid = r->runs > 0;
   return true;
 }
@@ -109,7 +109,7 @@
 
   if (!run_allowed (f, r, now_ms))
     {
-      request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+      forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
     }
   if (r->reservation.handle[0] != '\0')
@@ -128,9 +128,9 @@
   r->stalled = false;
   r->due_ms = stream_due_ms (r);
   generation_exchange (f, r, &start, live, now_ms);
-  request_decided (f, r, "decode", live,
-                   r->kv.live != NULL ? "kv_taken" : "alone",
-                   r->reservation.tokens, now_ms);
+  forward_request_decided (f, r, "decode", live,
+                           r->kv.live != NULL ? "kv_taken" : "alone",
+                           r->reservation.tokens, now_ms);
   /* The reserved memory is now the run's. */
   r->reservation.handle[0] = '\0';
 }
@@ -188,7 +188,7 @@
     }
   if (!prefill_allowed (f, r, now_ms))
     {
-      request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+      forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
     }
   r->phase = PHASE_PREFILLING;
@@ -196,7 +196,8 @@
   start.tokens = r->facts.prompt_tokens;
   generation_exchange (f, r, &start, live, now_ms);
   f->runs_changed = true;
-  request_decided (f, r, "prefill", live, "sent", start.tokens, now_ms);
+  forward_request_decided (f, r, "prefill", live, "sent", start.tokens,
+                           now_ms);
 }
 
 void
@@ -236,7 +237,7 @@
   r->kv.until_ms = now_ms + (stated_ms > 0 ? stated_ms : KV_HANDLE_MS);
   memcpy (r->kv.handle, result->handle, sizeof r->kv.handle);
   beryl_live_open (x->live);
-  request_decided (f, r, "prefill", x->live, "done", took_ms, now_ms);
+  forward_request_decided (f, r, "prefill", x->live, "done", took_ms, now_ms);
   beryl_live_learn (x->live, BERYL_LIVE_ANSWERED, took_ms, now_ms);
   if (!r->prefilled)
     prefill_learn (r->service, x->tokens, took_ms);
@@ -262,9 +263,9 @@
   if (!kv_usable (r, now_ms))
     generation_release (f, r, now_ms);
   if (now_ms >= r->timeout_ms)
-    request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
   else if (!may_run_again (r))
-    request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
   else
     place_wait (f, r, now_ms);
 }
@@ -284,11 +285,11 @@
                  struct exchange *x, const struct beryl_engine_result *result,
                  int64_t now_ms)
 {
-  bool allowed = request_take_repeat (f, r, now_ms);
+  bool allowed = forward_request_take_repeat (f, r, now_ms);
 
-  request_decided (f, r, "prefill", x->live,
-                   result->wrong_stage ? "wrong_stage" : "refused",
-                   result->status, now_ms);
+  forward_request_decided (f, r, "prefill", x->live,
+                           result->wrong_stage ? "wrong_stage" : "refused",
+                           result->status, now_ms);
   x->live->full_until_ms = now_ms + REJECTED_MS;
   if (result->wrong_stage)
     learn_stage (x->live);
@@ -296,7 +297,7 @@
   if (allowed)
     start_over (f, r, now_ms);
   else
-    request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
 }
 
 void
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -26,8 +26,8 @@
   start.run_id = r->facts.id;
   start.target = target;
   r->second = forward_start (f, r, &start, r->reservation.live, now_ms);
-  request_decided (f, r, "move", target, "asked", (int64_t)r->event_count,
-                   now_ms);
+  forward_request_decided (f, r, "move", target, "asked",
+                           (int64_t)r->event_count, now_ms);
 }
 
 /* Goes on at the new engine once the old one has both stopped the run and
@@ -87,11 +87,11 @@
   struct beryl_live *source = x->live;
   bool stopped = result->handle[0] != '\0';
 
-  request_decided (f, r, "move", r->move_to,
-                   result->ok ? "done"
-                   : stopped  ? "no_room"
-                              : "not_moved",
-                   result->status, now_ms);
+  forward_request_decided (f, r, "move", r->move_to,
+                           result->ok ? "done"
+                           : stopped  ? "no_room"
+                                      : "not_moved",
+                           result->status, now_ms);
   if (stopped)
     keep_memory (f, r, source, result->handle, now_ms);
   if (stopped && !result->ok)
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -112,7 +112,7 @@
     }
   start.tokens = tokens_to_reserve (f, r);
   start.lease_ms = lease_ms (r);
-  request_note_tried (r, live);
+  forward_request_note_tried (r, live);
   r->phase = PHASE_RESERVING;
   r->due_ms = r->timeout_ms;
   generation_exchange (f, r, &start, live, now_ms);
@@ -124,9 +124,10 @@
   if (now_ms < give_up_ms (r))
     place_ask (f, r, now_ms);
   else if (r->begun || r->may_have_run)
-    request_fail (f, r, BERYL_REFUSAL_NO_ROOM, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_NO_ROOM, now_ms);
   else
-    request_refuse (f, r, 503, BERYL_REFUSAL_NO_ROOM, RETRY_AFTER_MS, now_ms);
+    forward_request_refuse (f, r, 503, BERYL_REFUSAL_NO_ROOM, RETRY_AFTER_MS,
+                            now_ms);
 }
 
 void
@@ -144,7 +145,8 @@
   memcpy (place->handle, result->handle, sizeof place->handle);
   beryl_live_open (place->live);
   f->runs_changed = true;
-  request_decided (f, r, "reserve", x->live, "granted", x->tokens, now_ms);
+  forward_request_decided (f, r, "reserve", x->live, "granted", x->tokens,
+                           now_ms);
   forward_exchange_free (f, x);
   generation_placed (f, r, now_ms);
 }
@@ -154,7 +156,8 @@
 {
   struct request *r = x->request;
 
-  request_decided (f, r, "reserve", x->live, "full", x->tokens, now_ms);
+  forward_request_decided (f, r, "reserve", x->live, "full", x->tokens,
+                           now_ms);
   x->live->full_until_ms = now_ms + FULL_MS;
   engine_learn_room (f, r, x->live, x->tokens, false, now_ms);
   forward_exchange_free (f, x);
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -93,11 +93,11 @@
       double cost;
 
       if (strcmp (live->info.service, r->service->name) != 0
-          || !beryl_live_takes_work (live) || request_tried (r, live))
+          || !beryl_live_takes_work (live) || forward_request_tried (r, live))
         continue;
       cost = cost_of (f, r, live, now_ms);
       /* Only a request that may be repeated tries a doubtful endpoint. */
-      if (request_repeatable (r) && r->sends == 0
+      if (forward_request_repeatable (r) && r->sends == 0
           && beryl_live_trial_due (live, now_ms))
         cost = -1;
       if (best == NULL || cost < best_cost)
@@ -118,7 +118,7 @@
   struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RUN };
   struct exchange *x;
 
-  request_note_tried (r, live);
+  forward_request_note_tried (r, live);
   r->sends++;
   r->phase = PHASE_RUNNING;
   x = forward_start (f, r, &start, live, now_ms);
@@ -126,12 +126,12 @@
     r->first = x;
   else
     r->second = x;
-  request_decided (f, r, "send", live, "sent", r->sends, now_ms);
+  forward_request_decided (f, r, "send", live, "sent", r->sends, now_ms);
   r->due_ms = r->timeout_ms;
   /* An idempotent request does not wait for an answer that is unusually
      late: a second endpoint is asked, and the first whole answer counts.  It
      turns the silence of a dead endpoint into some tens of milliseconds. */
-  if (request_repeatable (r) && r->second == NULL
+  if (forward_request_repeatable (r) && r->second == NULL
       && r->sends < r->route->endpoints_max)
     {
       int64_t late_ms = now_ms + service_late_ms (r->service);
@@ -147,7 +147,7 @@
   struct beryl_live *live = plain_choose (f, r, now_ms);
 
   if (live == NULL)
-    request_fail (f, r, BERYL_REFUSAL_NO_ENDPOINT, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_NO_ENDPOINT, now_ms);
   else
     plain_send (f, r, live, now_ms);
 }
@@ -161,20 +161,20 @@
   if (r->first != NULL) /* another one is still under way */
     return;
   if (r->may_have_run
-      && (!request_repeatable (r)
+      && (!forward_request_repeatable (r)
           || r->endpoints_run >= r->route->endpoints_max))
     {
-      request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+      forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
     }
   live = plain_choose (f, r, now_ms);
-  if (live != NULL && request_take_repeat (f, r, now_ms))
+  if (live != NULL && forward_request_take_repeat (f, r, now_ms))
     plain_send (f, r, live, now_ms);
   else if (r->may_have_run)
-    request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
   else
-    request_refuse (f, r, 503, BERYL_REFUSAL_ENDPOINTS_FULL,
-                    FULL_RETRY_AFTER_MS, now_ms);
+    forward_request_refuse (f, r, 503, BERYL_REFUSAL_ENDPOINTS_FULL,
+                            FULL_RETRY_AFTER_MS, now_ms);
 }
 
 void
@@ -187,7 +187,7 @@
     return;
   live = plain_choose (f, r, now_ms);
   if (live == NULL || beryl_live_avoided (live, now_ms)
-      || !request_take_repeat (f, r, now_ms))
+      || !forward_request_take_repeat (f, r, now_ms))
     return;
   beryl_live_learn (r->first->live, BERYL_LIVE_SILENT,
                     now_ms - r->first->started_ms, now_ms);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -163,33 +163,39 @@
 /** Close the connection of X and forget it. */
 void forward_exchange_abort (struct beryl_forward *f, struct exchange *x);
 /** Log one step. */
-void request_decided (struct beryl_forward *f, const struct request *r,
-                      const char *step, const struct beryl_live *live,
-                      const char *outcome, int64_t number, int64_t now_ms);
+void forward_request_decided (struct beryl_forward *f, const struct request *r,
+                              const char *step, const struct beryl_live *live,
+                              const char *outcome, int64_t number,
+                              int64_t now_ms);
 /** End R: abort what is open, free its memory at engines, release it. */
-void request_end (struct beryl_forward *f, struct request *r, int64_t now_ms);
+void forward_request_end (struct beryl_forward *f, struct request *r,
+                          int64_t now_ms);
 /** Answer R by this node's own refusal and end it. */
-void request_refuse (struct beryl_forward *f, struct request *r,
-                     unsigned int status, enum beryl_refusal_reason reason,
-                     int64_t retry_after_ms, int64_t now_ms);
+void forward_request_refuse (struct beryl_forward *f, struct request *r,
+                             unsigned int status,
+                             enum beryl_refusal_reason reason,
+                             int64_t retry_after_ms, int64_t now_ms);
 /** End R with the failure that fits what became of it. */
-void request_fail (struct beryl_forward *f, struct request *r,
-                   enum beryl_refusal_reason reason, int64_t now_ms);
+void forward_request_fail (struct beryl_forward *f, struct request *r,
+                           enum beryl_refusal_reason reason, int64_t now_ms);
 /** Whether R is planned at model engines. */
-bool request_is_generation (const struct request *r);
+bool forward_request_is_generation (const struct request *r);
 /** Whether R may run again although it may have run. */
-bool request_repeatable (const struct request *r);
+bool forward_request_repeatable (const struct request *r);
 /** Whether one more send, a repeat, fits R's terms and the budget; takes it
  * from the budget. */
-bool request_take_repeat (struct beryl_forward *f, struct request *r,
-                          int64_t now_ms);
+bool forward_request_take_repeat (struct beryl_forward *f, struct request *r,
+                                  int64_t now_ms);
 /** Return how many such sends the budget has left, and take COUNT. */
-uint32_t request_repeats_left (struct beryl_forward *f,
-                               const struct request *r, int64_t now_ms);
-void request_take_repeats (struct beryl_forward *f, struct request *r,
-                           uint32_t count, int64_t now_ms);
-void request_note_tried (struct request *r, const struct beryl_live *live);
-bool request_tried (const struct request *r, const struct beryl_live *live);
+uint32_t forward_request_repeats_left (struct beryl_forward *f,
+                                       const struct request *r,
+                                       int64_t now_ms);
+void forward_request_take_repeats (struct beryl_forward *f, struct request *r,
+                                   uint32_t count, int64_t now_ms);
+void forward_request_note_tried (struct request *r,
+                                 const struct beryl_live *live);
+bool forward_request_tried (const struct request *r,
+                            const struct beryl_live *live);
 
 /* plain.c */
 void plain_start (struct beryl_forward *f, struct request *r, int64_t now_ms);
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -54,7 +54,7 @@
                      int64_t now_ms)
 {
   return r->route->resumable && r->endpoints_run < r->route->endpoints_max
-         && request_repeats_left (f, r, now_ms) >= REPEATS_NEEDED;
+         && forward_request_repeats_left (f, r, now_ms) >= REPEATS_NEEDED;
 }
 
 static bool
@@ -78,8 +78,8 @@
   struct beryl_live *target = NULL;
 
   r->stalled = true;
-  request_decided (f, r, "stall", r->first->live, "seen", now_ms - r->event_ms,
-                   now_ms);
+  forward_request_decided (f, r, "stall", r->first->live, "seen",
+                           now_ms - r->event_ms, now_ms);
   if (r->run_events > 0 && r->terms->engine.moves
       && engine_is_full (f, r, now_ms))
     target = engine_choose_target (f, r, now_ms);
@@ -93,8 +93,8 @@
 {
   if (r->first == NULL || !may_go_on_elsewhere (f, r, now_ms))
     return false;
-  request_decided (f, r, "stall", r->first->live, why, now_ms - r->event_ms,
-                   now_ms);
+  forward_request_decided (f, r, "stall", r->first->live, why,
+                           now_ms - r->event_ms, now_ms);
   forward_exchange_abort (f, r->first);
   event_splitter_reset (&r->events);
   generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
--- /dev/null
+++ b/tests/h1/test_client.c
@@ -0,0 +1,274 @@
+#include <string.h>
+#include <unistd.h>
+
+#include "../suite.h"
+#include "h1/client.h"
+#include "raw.h"
+
+/* What a call told. */
+struct teller
+{
+  struct h1_call_handler base;
+  unsigned int status;
+  GString *body;
+  bool done;
+  bool failed;
+  enum h1_failure failure;
+  bool sent;
+};
+
+static struct loop *loop;
+static struct teller teller;
+static int listener;
+static uint16_t port;
+
+static void
+told_head (struct h1_call_handler *handler, struct h1_call *call,
+           const struct h1_head *head)
+{
+  teller.status = head->status;
+}
+
+static void
+told_data (struct h1_call_handler *handler, struct h1_call *call,
+           const char *bytes, size_t bytes_count)
+{
+  g_string_append_len (teller.body, bytes, (gssize)bytes_count);
+}
+
+static void
+told_done (struct h1_call_handler *handler, struct h1_call *call)
+{
+  teller.done = true;
+}
+
+static void
+told_failed (struct h1_call_handler *handler, struct h1_call *call,
+             enum h1_failure failure, bool sent)
+{
+  teller.failed = true;
+  teller.failure = failure;
+  teller.sent = sent;
+}
+
+static const struct h1_call_handler_impl impl = { .head = told_head,
+                                                  .data = told_data,
+                                                  .done = told_done,
+                                                  .failed = told_failed };
+
+static void
+setup (void)
+{
+  loop = loop_create ();
+  teller = (struct teller){ .base.impl = &impl };
+  teller.body = g_string_new (NULL);
+  listener = raw_listen (&port);
+}
+
+static void
+teardown (void)
+{
+  close (listener);
+  raw_turn (loop, 5);
+  g_string_free (teller.body, TRUE);
+  loop_destroy (loop);
+}
+
+static struct h1_call *
+call_start (void)
+{
+  static const char head[] = "POST / HTTP/1.1\r\nHost: h\r\n"
+                             "Content-Length: 4\r\n\r\n";
+  struct h1_request request = { .address = "127.0.0.1",
+                                .port = port,
+                                .head = head,
+                                .head_bytes = sizeof head - 1,
+                                .body = "body",
+                                .body_bytes = 4,
+                                .connect_timeout_ms = 200 };
+
+  return h1_call_start (loop, &request, &teller.base);
+}
+
+static void
+wait_for_end (void)
+{
+  for (int i = 0; i < 3000 && !teller.done && !teller.failed; i++)
+    raw_turn (loop, 1);
+  ck_assert (teller.done || teller.failed);
+}
+
+/* Answers a call with TEXT and ends the connection. */
+static void
+answer (const char *text, bool abrupt)
+{
+  struct raw *raw;
+
+  call_start ();
+  raw = raw_accept (loop, listener);
+  raw_expect (raw, "\r\n\r\nbody");
+  raw_send (raw, text);
+  raw_close (raw, abrupt);
+  wait_for_end ();
+}
+
+START_TEST (test_whole_by_length)
+{
+  answer ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcAND MORE", false);
+  ck_assert (teller.done);
+  ck_assert_uint_eq (teller.status, 200);
+  ck_assert_str_eq (teller.body->str, "abc");
+}
+END_TEST
+
+START_TEST (test_whole_in_chunks)
+{
+  answer ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+          false);
+  ck_assert (teller.done);
+  ck_assert_str_eq (teller.body->str, "abc");
+}
+END_TEST
+
+START_TEST (test_whole_by_end)
+{
+  answer ("HTTP/1.1 200 OK\r\n\r\nabc", false);
+  ck_assert (teller.done);
+  ck_assert_str_eq (teller.body->str, "abc");
+}
+END_TEST
+
+/* An endpoint that dies in the middle of an answer without a stated length
+ * resets the connection.  The event library tells an orderly end, since the
+ * poll said "hung up" after a short read; the caller would get half an answer
+ * as a whole one. */
+START_TEST (test_reset_is_no_end)
+{
+  answer ("HTTP/1.1 200 OK\r\n\r\nhalf of it", true);
+  ck_assert (teller.failed);
+  ck_assert_int_eq (teller.failure, H1_FAILURE_RESET);
+  ck_assert (teller.sent);
+}
+END_TEST
+
+START_TEST (test_cut_chunks)
+{
+  answer ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+          false);
+  ck_assert (teller.failed);
+  ck_assert_int_eq (teller.failure, H1_FAILURE_CLOSED);
+}
+END_TEST
+
+START_TEST (test_short_of_length)
+{
+  answer ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false);
+  ck_assert (teller.failed);
+  ck_assert_int_eq (teller.failure, H1_FAILURE_CLOSED);
+}
+END_TEST
+
+START_TEST (test_garbled)
+{
+  answer ("\x16\x03\x01 not an answer\r\n\r\n", false);
+  ck_assert (teller.failed);
+  ck_assert_int_eq (teller.failure, H1_FAILURE_GARBLED);
+  ck_assert (teller.sent);
+}
+END_TEST
+
+START_TEST (test_nobody_listens)
+{
+  close (listener);
+  call_start ();
+  wait_for_end ();
+  ck_assert (teller.failed);
+  ck_assert_int_eq (teller.failure, H1_FAILURE_REFUSED);
+  ck_assert (!teller.sent);
+  listener = raw_listen (&port);
+}
+END_TEST
+
+/* The endpoint answers before it has read all of a long body.  The answer
+ * counts, and the connection is closed, so that nothing is ever sent where
+ * the rest of the body was due. */
+START_TEST (test_early_answer)
+{
+  char *body = g_strnfill (4U << 20, 'x');
+  static const char head[] = "POST / HTTP/1.1\r\nHost: h\r\n"
+                             "Content-Length: 4194304\r\n\r\n";
+  struct h1_request request = { .address = "127.0.0.1",
+                                .port = port,
+                                .head = head,
+                                .head_bytes = sizeof head - 1,
+                                .body = body,
+                                .body_bytes = 4U << 20 };
+  struct raw *raw;
+
+  h1_call_start (loop, &request, &teller.base);
+  raw = raw_accept (loop, listener);
+  raw_send (raw, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+  wait_for_end ();
+  ck_assert (teller.done);
+  ck_assert_uint_eq (teller.status, 400);
+  raw_turn (loop, 5);
+  raw_close (raw, false);
+  g_free (body);
+}
+END_TEST
+
+START_TEST (test_cancel)
+{
+  struct h1_call *call = call_start ();
+  struct raw *raw = raw_accept (loop, listener);
+
+  raw_expect (raw, "body");
+  h1_call_cancel (call);
+  raw_expect_end (raw, RAW_FIN);
+  ck_assert (!teller.done);
+  ck_assert (!teller.failed);
+  raw_close (raw, false);
+}
+END_TEST
+
+START_TEST (test_pause)
+{
+  struct h1_call *call = call_start ();
+  struct raw *raw = raw_accept (loop, listener);
+
+  raw_expect (raw, "body");
+  raw_send (raw, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc");
+  raw_turn (loop, 20);
+  h1_call_pause (call, true);
+  raw_send (raw, "def");
+  raw_turn (loop, 30);
+  ck_assert_str_eq (teller.body->str, "abc");
+  h1_call_pause (call, false);
+  wait_for_end ();
+  ck_assert_str_eq (teller.body->str, "abcdef");
+  raw_close (raw, false);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("h1 client");
+  TCase *tcase = tcase_create ("client");
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_whole_by_length);
+  tcase_add_test (tcase, test_whole_in_chunks);
+  tcase_add_test (tcase, test_whole_by_end);
+  tcase_add_test (tcase, test_reset_is_no_end);
+  tcase_add_test (tcase, test_cut_chunks);
+  tcase_add_test (tcase, test_short_of_length);
+  tcase_add_test (tcase, test_garbled);
+  tcase_add_test (tcase, test_nobody_listens);
+  tcase_add_test (tcase, test_early_answer);
+  tcase_add_test (tcase, test_cancel);
+  tcase_add_test (tcase, test_pause);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
