--- a/common/loop.c
+++ b/common/loop.c
@@ -114,6 +114,12 @@
   loop->stop_user = user;
 }
 
+bool
+loop_stopping (const struct loop *loop)
+{
+  return loop->stopping;
+}
+
 void
 loop_on_reload (struct loop *loop, loop_stop_cb *cb, void *user)
 {
--- a/include/common/loop.h
+++ b/include/common/loop.h
@@ -33,6 +33,9 @@
 /** Call CB at the first stop signal. */
 void loop_on_stop (struct loop *loop, loop_stop_cb *cb, void *user);
 
+/** Return whether a stop signal has come. */
+bool loop_stopping (const struct loop *loop);
+
 /** Call CB at each SIGHUP, which otherwise changes nothing. */
 void loop_on_reload (struct loop *loop, loop_stop_cb *cb, void *user);
 
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -12,6 +12,8 @@
 #define TARGET_DEVIATIONS 0.5
 /* Memory that something unknown uses is forgotten within some seconds. */
 #define HIDDEN_FADE_MS 2000.0
+/* Costs are multiplied by it, so that a random part decides between equals. */
+#define TIE_PARTS 256
 
 static bool
 serves (const struct beryl_live *live, const struct request *r,
@@ -80,7 +82,7 @@
               const struct beryl_live *live, int64_t now_ms,
               struct book_curve *curve)
 {
-  const struct request *r;
+  const struct request *r = NULL;
 
   *curve = (struct book_curve){ 0 };
   TAILQ_FOREACH (r, &f->requests, entry)
@@ -227,6 +229,7 @@
 {
   struct beryl_live *best = NULL;
   uint64_t best_cost = 0;
+  uint64_t waiting_tokens;
   size_t count = beryl_lives_count (f->lives);
 
   for (size_t i = 0; i < count; i++)
@@ -240,15 +243,16 @@
       cost = live->prefill_tokens
              + book_prefilling (&f->book, beryl_engine_number (live->info.id),
                                 now_ms);
-      cost = cost * 256 + forward_random (f) % 256;
+      cost = cost * TIE_PARTS + forward_random (f) % TIE_PARTS;
       if (best == NULL || cost < best_cost)
         {
           best = live;
           best_cost = cost;
         }
     }
-  *wait_ms = (int64_t)((double)(best_cost / 256)
-                       * r->service->prefill_ms_per_token);
+  waiting_tokens = best_cost / TIE_PARTS;
+  *wait_ms
+      = (int64_t)((double)waiting_tokens * r->service->prefill_ms_per_token);
   return best;
 }
 
@@ -284,7 +288,7 @@
 beryl_forward_runs (struct beryl_forward *f, struct beryl_engine_run *runs,
                     size_t most, int64_t now_ms)
 {
-  const struct request *r;
+  const struct request *r = NULL;
   size_t count = 0;
 
   f->runs_changed = false;
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -727,7 +727,7 @@
 beryl_forward_next_ms (const struct beryl_forward *f)
 {
   int64_t next_ms = BERYL_NEVER_MS;
-  const struct request *r;
+  const struct request *r = NULL;
 
   TAILQ_FOREACH (r, &f->requests, entry)
   {
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -83,8 +83,8 @@
   if (lives->count == lives->capacity)
     {
       lives->capacity = lives->capacity != 0 ? 2 * lives->capacity : 16;
-      lives->items
-          = realloc (lives->items, lives->capacity * sizeof *lives->items);
+      lives->items = realloc (lives->items,
+                              lives->capacity * sizeof (struct beryl_live *));
     }
   lives->items[lives->count++] = live;
   map_put (&lives->by_id, id_key (id), live);
--- a/tests/control/stage.c
+++ b/tests/control/stage.c
@@ -62,14 +62,19 @@
 bool
 stage_await (struct stage *s, bool (*until) (struct stage *s), int64_t most_ms)
 {
+  int64_t begun_ms = loop_now_ms (s->loop);
   struct loop_timer *timer;
 
   s->until = until;
   s->reached = false;
-  s->deadline_ms = loop_now_ms (s->loop) + most_ms;
+  s->deadline_ms = begun_ms + most_ms;
   timer = loop_timer_start (s->loop, 1, POLL_MS, poll_condition, s);
   loop_run (s->loop);
   loop_timer_stop (timer);
+  if (!s->reached && until != stage_never)
+    printf ("not reached after %ld of %ld ms%s\n",
+            (long)(loop_now_ms (s->loop) - begun_ms), (long)most_ms,
+            loop_stopping (s->loop) ? ", by a signal" : "");
   return s->reached;
 }
 
