--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -130,7 +130,7 @@
                        enum beryl_live_outcome outcome, int64_t took_ms,
                        int64_t now_ms);
 
-/** Whether LIVE is avoided at present, and whether a trial is due. */
+/** Whether LIVE is avoided at present, and whether a trial of it is due. */
 bool beryl_live_avoided (const struct beryl_live *live, int64_t now_ms);
 bool beryl_live_trial_due (const struct beryl_live *live, int64_t now_ms);
 
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -63,10 +63,7 @@
       attempt_not_run (f, x, now_ms);
       return;
     }
-  r->may_have_run = true;
-  if (!r->same_run)
-    r->endpoints_run++;
-  r->same_run = false;
+  forward_request_count_run (r);
   kv_clear (f, &r->kv);
   beryl_live_learn (x->live, error ? BERYL_LIVE_FAILED : BERYL_LIVE_ANSWERED,
                     took_ms, now_ms);
@@ -140,6 +137,9 @@
   r->run_events++;
   r->event_ms = now_ms;
   r->stalled = false;
+  /* A stall shows sooner between events than before the first. */
+  if (r->run_events == 1 && forward_request_is_generation (r))
+    r->due_ms = stream_due_ms (r);
   f->owner->impl->answer_data (f->owner, r->facts.request, event->bytes,
                                event->count);
 }
@@ -241,10 +241,8 @@
   forward_request_decided (f, r, "send", x->live, break_name (how), sent,
                            now_ms);
   forward_exchange_free (f, x);
-  if (sent)
-    r->may_have_run = true;
   if (sent && !headed)
-    r->endpoints_run++;
+    forward_request_count_run (r);
   r->held.count = 0;
   event_splitter_reset (&r->events);
   if (headed && move_takes_end (f, r, now_ms))
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -262,7 +262,6 @@
                          int64_t now_ms)
 {
   book_told (&f->book, peer, runs, count, now_ms);
-  generation_pump (f, now_ms);
 }
 
 void
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -54,7 +54,6 @@
   f->random = settings->seed;
   f->end_ms = BERYL_NEVER_MS;
   TAILQ_INIT (&f->requests);
-  TAILQ_INIT (&f->waiting);
   TAILQ_INIT (&f->exchanges);
   return f;
 }
@@ -63,8 +62,6 @@
 request_free (struct beryl_forward *f, struct request *r)
 {
   TAILQ_REMOVE (&f->requests, r, entry);
-  if (r->waiting)
-    TAILQ_REMOVE (&f->waiting, r, waiting_entry);
   map_remove (&f->requests_by_handle, map_key_number (r->facts.request));
   beryl_routes_unref (r->routes);
   buffer_clear (&r->held);
@@ -379,6 +376,16 @@
   return r->route->repeat == BERYL_REPEAT_IDEMPOTENT;
 }
 
+void
+forward_request_count_run (struct request *r)
+{
+  r->may_have_run = true;
+  /* A moved run goes on, it does not begin. */
+  if (!r->same_run)
+    r->endpoints_run++;
+  r->same_run = false;
+}
+
 static struct repeat_terms
 repeat_terms (const struct beryl_forward *f)
 {
@@ -592,7 +599,6 @@
   forward_request_decided (f, r, "caller_gone", NULL, "cancelled",
                            (int64_t)r->event_count, now_ms);
   forward_request_end (f, r, now_ms);
-  generation_pump (f, now_ms);
 }
 
 void
@@ -641,7 +647,6 @@
   if (x == NULL)
     return;
   answer_done (f, x, now_ms);
-  generation_pump (f, now_ms);
 }
 
 void
@@ -653,7 +658,6 @@
   if (x == NULL)
     return;
   generation_result (f, x, result, now_ms);
-  generation_pump (f, now_ms);
 }
 
 void
@@ -683,13 +687,12 @@
       forward_exchange_free (f, x);
       generation_broken (f, r, kind, sent, now_ms);
     }
-  generation_pump (f, now_ms);
 }
 
 void
 beryl_forward_lives_changed (struct beryl_forward *f, int64_t now_ms)
 {
-  generation_pump (f, now_ms);
+  place_look_again (f, now_ms);
 }
 
 static void
@@ -720,7 +723,6 @@
         request_tick (f, r, now_ms);
     }
   generation_balance (f, now_ms);
-  generation_pump (f, now_ms);
 }
 
 int64_t
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -325,11 +325,9 @@
 }
 
 static void
-run_broken (struct beryl_forward *f, struct request *r, bool sent,
-            int64_t now_ms)
+run_broken (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  if (sent)
-    r->may_have_run = true;
+  r->same_run = false;
   generation_run_over (f, r);
   kv_clear (f, &r->kv);
   start_over (f, r, now_ms);
@@ -349,7 +347,7 @@
       place_ask (f, r, now_ms);
       return;
     case BERYL_EXCHANGE_RUN:
-      run_broken (f, r, sent, now_ms);
+      run_broken (f, r, now_ms);
       return;
     default:
       /* A prefill whose answer is lost may have been accepted; the next one
@@ -412,8 +410,3 @@
       return;
     }
 }
-
-void
-generation_pump (struct beryl_forward *f, int64_t now_ms)
-{
-}
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -17,7 +17,9 @@
 /* How long it is avoided; doubled up to eight times while trials fail. */
 #define AVOID_MS 500
 #define AVOID_DOUBLINGS_MAX 3
-/* Distance of trials while it is avoided. */
+/* Distance of trials while it is avoided or its last outcome was bad.
+ * Without them an endpoint that failed once would get nothing while the
+ * others are not busy, and its recovery would not be seen. */
 #define TRIAL_MS 500
 
 /* The list is confirmed every two seconds or so; after a longer silence it was
@@ -266,7 +268,7 @@
 bool
 beryl_live_trial_due (const struct beryl_live *live, int64_t now_ms)
 {
-  return beryl_live_avoided (live, now_ms)
+  return (beryl_live_avoided (live, now_ms) || live->fault_ms != 0)
          && now_ms - live->trial_ms >= TRIAL_MS
          && now_ms - live->fault_ms >= TRIAL_MS;
 }
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -40,7 +40,6 @@
     return;
   r->waiting = false;
   f->waiting_count--;
-  TAILQ_REMOVE (&f->waiting, r, waiting_entry);
 }
 
 /* When R is given up unless it has found a place. */
@@ -65,7 +64,6 @@
       r->waiting = true;
       r->waiting_since_ms = now_ms;
       f->waiting_count++;
-      TAILQ_INSERT_TAIL (&f->waiting, r, waiting_entry);
     }
   r->phase = PHASE_WAITING;
   r->refusals = 0;
@@ -118,6 +116,16 @@
   generation_exchange (f, r, &start, live, now_ms);
 }
 
+void
+place_look_again (struct beryl_forward *f, int64_t now_ms)
+{
+  struct request *r = NULL;
+
+  TAILQ_FOREACH (r, &f->requests, entry)
+  if (r->waiting && r->phase == PHASE_WAITING && r->due_ms > now_ms)
+    r->due_ms = now_ms;
+}
+
 void
 place_due (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -106,7 +106,7 @@
           best_cost = cost;
         }
     }
-  if (best != NULL && beryl_live_avoided (best, now_ms))
+  if (best != NULL && beryl_live_trial_due (best, now_ms))
     best->trial_ms = now_ms;
   return best;
 }
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -79,14 +79,13 @@
 struct request
 {
   TAILQ_ENTRY (request) entry;
-  TAILQ_ENTRY (request) waiting_entry;
   struct beryl_forward_request facts; /**< host and path are not kept */
   struct beryl_routes *routes;
   const struct beryl_route *route;
   const struct beryl_route_service *terms;
   struct service *service;
   enum phase phase;
-  bool waiting;            /**< is in the waiting list */
+  bool waiting;            /**< it has no place yet */
   int64_t timeout_ms;      /**< absolute: its final answer is due */
   int64_t due_ms;          /**< next look at it */
   struct exchange *first;  /**< open exchange */
@@ -137,7 +136,6 @@
   struct map requests_by_handle;
   struct map exchanges_by_id;
   struct request_list requests;
-  struct request_list waiting; /**< generations without a place, in order */
   struct exchange_list exchanges;
   struct service **services;
   size_t service_count;
@@ -182,6 +180,8 @@
 bool forward_request_is_generation (const struct request *r);
 /** Whether R may run again although it may have run. */
 bool forward_request_repeatable (const struct request *r);
+/** The endpoint that R was sent to runs it, or may do so. */
+void forward_request_count_run (struct request *r);
 /** Whether one more send, a repeat, fits R's terms and the budget; takes it
  * from the budget. */
 bool forward_request_take_repeat (struct beryl_forward *f, struct request *r,
@@ -220,6 +220,8 @@
                     const struct beryl_engine_result *result, int64_t now_ms);
 void place_refused (struct beryl_forward *f, struct exchange *x,
                     int64_t now_ms);
+/** Engines have come or gone: those that wait ask again at the next tick. */
+void place_look_again (struct beryl_forward *f, int64_t now_ms);
 /** Forget a claim on memory without telling the engine. */
 void place_clear (struct beryl_forward *f, struct reservation *place);
 /** Give a reservation back to its engine. */
@@ -258,8 +260,6 @@
                          int64_t now_ms);
 /** The run of R at its decode engine ended. */
 void generation_run_over (struct beryl_forward *f, struct request *r);
-/** Try to place those that wait. */
-void generation_pump (struct beryl_forward *f, int64_t now_ms);
 /** Forget a KV cache without telling the engine. */
 void kv_clear (struct beryl_forward *f, struct kv_cache *kv);
 
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -95,6 +95,8 @@
     return false;
   forward_request_decided (f, r, "stall", r->first->live, why,
                            now_ms - r->event_ms, now_ms);
+  if (!r->first->headed)
+    forward_request_count_run (r);
   forward_exchange_abort (f, r->first);
   event_splitter_reset (&r->events);
   generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
--- /dev/null
+++ b/tests/forward/fixture.h
@@ -0,0 +1,128 @@
+/** @file
+ * A forwarder with a clock that tests set, endpoints that tests list, and
+ * exchanges that tests answer.
+ */
+#ifndef TESTS_FORWARD_FIXTURE_H
+#define TESTS_FORWARD_FIXTURE_H
+
+#include <glib.h>
+
+#include "beryl/forward.h"
+
+#define FX_SERVICE "svc"
+#define FX_HOST "h.example"
+/** Memory of an engine, in tokens. */
+#define FX_KV_TOKENS 10000
+#define FX_REQUESTS_MAX 4096
+
+/** An exchange that was started. */
+struct fx_exchange
+{
+  uint64_t id;
+  uint64_t request; /**< 0: clean-up */
+  enum beryl_exchange_kind kind;
+  char endpoint[BERYL_NAME_BYTES];
+  char target[BERYL_NAME_BYTES];          /**< of a MOVE */
+  char handle[BERYL_ENGINE_HANDLE_BYTES]; /**< reservation, or "" */
+  char kv_handle[BERYL_ENGINE_HANDLE_BYTES];
+  uint32_t tokens;
+  bool resumes;
+  uint64_t last_event;
+  bool open;
+  bool aborted;
+  bool paused;
+  int64_t started_ms;
+};
+
+/** What a caller has of its answer. */
+struct fx_answer
+{
+  bool begun;
+  GString *body;
+  uint32_t ends; /**< finals of any kind; must become 1 */
+  bool whole;
+  bool cut;
+  bool refused;
+  struct beryl_refusal refusal;
+};
+
+struct fx
+{
+  struct beryl_forward_owner owner;
+  struct beryl_lives *lives;
+  struct beryl_forward *forward;
+  int64_t now_ms;
+  GPtrArray *exchanges; /**< struct fx_exchange, in order */
+  struct fx_answer answers[FX_REQUESTS_MAX];
+  GString *log; /**< of "step:outcome " */
+  /** Told when an exchange starts; may be NULL. */
+  void (*started) (struct fx *fx, struct fx_exchange *x);
+};
+
+/** Terms of the one route, changed by tests before fx_open. */
+struct fx_terms
+{
+  struct beryl_route route;
+  struct beryl_engine_terms engine;
+  bool engines;
+  double repeat_ratio;
+  uint32_t repeat_slack;
+};
+
+/** Terms of a plain, idempotent service. */
+struct fx_terms fx_plain_terms (void);
+/** Terms of a model service. */
+struct fx_terms fx_model_terms (void);
+
+void fx_open (struct fx *fx, const struct fx_terms *terms);
+void fx_close (struct fx *fx);
+
+/** Show an endpoint, or an engine of STAGE. */
+void fx_endpoint (struct fx *fx, const char *id, enum beryl_stage stage);
+void fx_leaving (struct fx *fx, const char *id);
+void fx_remove (struct fx *fx, const char *id);
+
+/** Return the facts of request NUMBER as it arrives now. */
+struct beryl_forward_request fx_facts (const struct fx *fx, uint64_t number);
+void fx_arrive (struct fx *fx, uint64_t number);
+
+/** Let MS pass, with every tick that is due. */
+void fx_pass (struct fx *fx, int64_t ms);
+
+/** Return the newest exchange of KIND; fails if there is none. */
+struct fx_exchange *fx_last (struct fx *fx, enum beryl_exchange_kind kind);
+/** Return the newest open exchange of KIND for REQUEST, or NULL. */
+struct fx_exchange *fx_open_of (struct fx *fx, uint64_t request,
+                                enum beryl_exchange_kind kind);
+uint32_t fx_count (const struct fx *fx, enum beryl_exchange_kind kind);
+uint32_t fx_count_open (const struct fx *fx);
+
+void fx_head (struct fx *fx, struct fx_exchange *x, unsigned int status);
+/** An answer's head that is a stream of events. */
+void fx_stream (struct fx *fx, struct fx_exchange *x);
+/** The endpoint says that it did not run the request. */
+void fx_not_run (struct fx *fx, struct fx_exchange *x, unsigned int status);
+void fx_data (struct fx *fx, struct fx_exchange *x, const char *text);
+/** Event NUMBER of a stream. */
+void fx_event (struct fx *fx, struct fx_exchange *x, uint64_t number);
+void fx_done (struct fx *fx, struct fx_exchange *x);
+/** A whole answer with STATUS. */
+void fx_answer (struct fx *fx, struct fx_exchange *x, unsigned int status,
+                const char *text);
+void fx_broken (struct fx *fx, struct fx_exchange *x, enum beryl_break how,
+                bool sent);
+/** An engine says yes, with HANDLE, or no. */
+void fx_ok (struct fx *fx, struct fx_exchange *x, const char *handle);
+void fx_refused (struct fx *fx, struct fx_exchange *x);
+void fx_result (struct fx *fx, struct fx_exchange *x,
+                const struct beryl_engine_result *result);
+
+/** Have REQUEST's reservation and prefill answered well; returns its run. */
+struct fx_exchange *fx_to_run (struct fx *fx, uint64_t request);
+/** The same, and its stream has EVENTS events. */
+struct fx_exchange *fx_to_stream (struct fx *fx, uint64_t request,
+                                  uint64_t events);
+
+const struct beryl_live *fx_live (const struct fx *fx, const char *id);
+
+#endif
--- /dev/null
+++ b/tests/forward/test_generation.c
@@ -0,0 +1,737 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "fixture.h"
+
+static struct fx fx;
+static struct fx_terms terms;
+
+static void
+reopen (void)
+{
+  fx_close (&fx);
+  fx_open (&fx, &terms);
+}
+
+static void
+engines (uint32_t prefill, uint32_t decode)
+{
+  char id[16];
+
+  for (uint32_t i = 0; i < prefill; i++)
+    {
+      g_snprintf (id, sizeof id, "p%u", i);
+      fx_endpoint (&fx, id, BERYL_STAGE_PREFILL);
+    }
+  for (uint32_t i = 0; i < decode; i++)
+    {
+      g_snprintf (id, sizeof id, "d%u", i);
+      fx_endpoint (&fx, id, BERYL_STAGE_DECODE);
+    }
+}
+
+static void
+setup (void)
+{
+  terms = fx_model_terms ();
+  fx_open (&fx, &terms);
+  engines (2, 3);
+}
+
+static void
+teardown (void)
+{
+  fx_close (&fx);
+}
+
+static const struct fx_answer *
+answer (uint64_t request)
+{
+  return &fx.answers[request];
+}
+
+static struct fx_exchange *
+open_of (uint64_t request, enum beryl_exchange_kind kind)
+{
+  struct fx_exchange *x = fx_open_of (&fx, request, kind);
+
+  ck_assert_msg (x != NULL, "no open %s of %d; %s", beryl_exchange_name (kind),
+                 (int)request, fx.log->str);
+  return x;
+}
+
+static struct fx_exchange *
+move_asked (uint64_t request)
+{
+  fx_pass (&fx, 200);
+  return open_of (request, BERYL_EXCHANGE_MOVE);
+}
+
+/* Memory is reserved before the prompt is read: engine time spent on a prompt
+ * whose KV cache finds no room is lost. */
+START_TEST (test_order)
+{
+  struct fx_exchange *x;
+
+  fx_arrive (&fx, 1);
+  x = open_of (1, BERYL_EXCHANGE_RESERVE);
+  ck_assert_uint_ge (x->tokens, 1000);
+  ck_assert_uint_lt (x->tokens, 1500);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 0);
+  fx_ok (&fx, x, "place");
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_PREFILL), "kv");
+  x = open_of (1, BERYL_EXCHANGE_RUN);
+  ck_assert_str_eq (x->handle, "place");
+  ck_assert_str_eq (x->kv_handle, "kv");
+  fx_stream (&fx, x);
+  fx_event (&fx, x, 1);
+  fx_event (&fx, x, 2);
+  fx_done (&fx, x);
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str,
+                    "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
+  ck_assert_uint_eq (fx_count_open (&fx), 0);
+  ck_assert_uint_eq (fx_live (&fx, x->endpoint)->open, 0);
+}
+END_TEST
+
+START_TEST (test_full_engine_goes_elsewhere)
+{
+  struct fx_exchange *first;
+
+  fx_arrive (&fx, 1);
+  first = open_of (1, BERYL_EXCHANGE_RESERVE);
+  fx_refused (&fx, first);
+  ck_assert_str_ne (open_of (1, BERYL_EXCHANGE_RESERVE)->endpoint,
+                    first->endpoint);
+  fx_to_run (&fx, 1);
+}
+END_TEST
+
+/* No engine has room for longer than the request could wait.  Its caller gets
+ * a refusal that it can act on, well before its own deadline, and nothing of
+ * the request was sent to run. */
+START_TEST (test_no_room)
+{
+  fx_arrive (&fx, 1);
+  for (int i = 0; i < 200 && answer (1)->ends == 0; i++)
+    {
+      struct fx_exchange *x = fx_open_of (&fx, 1, BERYL_EXCHANGE_RESERVE);
+
+      if (x != NULL)
+        fx_refused (&fx, x);
+      fx_pass (&fx, 10);
+    }
+  ck_assert_uint_eq (answer (1)->refusal.status, 503);
+  ck_assert (answer (1)->refusal.not_run);
+  ck_assert_int_gt (answer (1)->refusal.retry_after_ms, 0);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 0);
+  ck_assert_int_le (fx.now_ms - 100000, 2000);
+}
+END_TEST
+
+/* An engine appears while requests wait for one: they ask it at once, not at
+ * the end of their round. */
+START_TEST (test_new_engine_is_asked)
+{
+  fx_close (&fx);
+  fx_open (&fx, &terms);
+  engines (1, 0);
+  fx_arrive (&fx, 1);
+  fx_pass (&fx, 5);
+  fx_endpoint (&fx, "new", BERYL_STAGE_DECODE);
+  fx_pass (&fx, 2);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RESERVE)->endpoint, "new");
+}
+END_TEST
+
+/* The caller leaves at each step of the way.  What it held at engines is given
+ * back, or it would stay taken until its lease ends. */
+START_TEST (test_caller_leaves_while_reserving)
+{
+  struct fx_exchange *x;
+
+  fx_arrive (&fx, 1);
+  x = open_of (1, BERYL_EXCHANGE_RESERVE);
+  beryl_forward_caller_gone (fx.forward, 1, fx.now_ms);
+  ck_assert (x->open);
+  fx_ok (&fx, x, "late");
+  ck_assert_str_eq (open_of (0, BERYL_EXCHANGE_UNRESERVE)->handle, "late");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 0);
+}
+END_TEST
+
+START_TEST (test_caller_leaves_while_prefilling)
+{
+  fx_arrive (&fx, 1);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  beryl_forward_caller_gone (fx.forward, 1, fx.now_ms);
+  ck_assert (fx_last (&fx, BERYL_EXCHANGE_PREFILL)->aborted);
+  ck_assert_str_eq (open_of (0, BERYL_EXCHANGE_UNRESERVE)->handle, "place");
+}
+END_TEST
+
+START_TEST (test_caller_leaves_while_streaming)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  beryl_forward_caller_gone (fx.forward, 1, fx.now_ms);
+  ck_assert (run->aborted);
+  ck_assert_uint_eq (fx_count_open (&fx), 0);
+}
+END_TEST
+
+/* The engine rejects the run that it granted a place for; the KV cache is
+ * still there, and reading the prompt again would cost engine time. */
+START_TEST (test_kv_cache_is_used_again)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_not_run (&fx, run, 503);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "other");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->kv_handle, "kv-1");
+  ck_assert_str_ne (open_of (1, BERYL_EXCHANGE_RUN)->endpoint, run->endpoint);
+}
+END_TEST
+
+/* Two engines reject the same KV cache: it is gone, and the prompt is read
+ * again. */
+START_TEST (test_kv_cache_is_given_up)
+{
+  fx_arrive (&fx, 1);
+  fx_not_run (&fx, fx_to_run (&fx, 1), 503);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "second");
+  fx_not_run (&fx, open_of (1, BERYL_EXCHANGE_RUN), 503);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "third");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 2);
+}
+END_TEST
+
+/* An engine that changed its stage says so.  The list of endpoints may tell
+ * only later, or never while this node is cut off from it. */
+START_TEST (test_stage_is_learned)
+{
+  struct beryl_answer_head head
+      = { .status = 421, .not_run = true, .wrong_stage = true };
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  beryl_forward_head (fx.forward, run->id, &head, fx.now_ms);
+  ck_assert_int_eq (fx_live (&fx, run->endpoint)->info.stage,
+                    BERYL_STAGE_PREFILL);
+}
+END_TEST
+
+START_TEST (test_stage_is_learned_by_prefill)
+{
+  struct beryl_engine_result result
+      = { .not_run = true, .wrong_stage = true, .status = 421 };
+  struct fx_exchange *x;
+
+  fx_arrive (&fx, 1);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  x = open_of (1, BERYL_EXCHANGE_PREFILL);
+  fx_result (&fx, x, &result);
+  ck_assert_int_eq (fx_live (&fx, x->endpoint)->info.stage,
+                    BERYL_STAGE_DECODE);
+  fx_to_run (&fx, 1);
+  ck_assert_str_ne (fx_last (&fx, BERYL_EXCHANGE_PREFILL)->endpoint,
+                    x->endpoint);
+}
+END_TEST
+
+/* The decode engine dies in the middle of a stream.  The request goes on at
+ * another engine after the last event that was passed on; its caller sees no
+ * seam. */
+START_TEST (test_stream_goes_on)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 3);
+  fx_data (&fx, run, "id: 4\nda");
+  fx_broken (&fx, run, BERYL_BREAK_RESET, true);
+  run = fx_to_run (&fx, 1);
+  ck_assert (run->resumes);
+  ck_assert_uint_eq (run->last_event, 3);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 3); /* begins before what it was asked for */
+  fx_event (&fx, run, 4);
+  fx_done (&fx, run);
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str,
+                    "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+                    "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n");
+}
+END_TEST
+
+/* A begun stream's second engine answers with an error.  Its head must not
+ * follow inside the stream that the caller has. */
+START_TEST (test_error_into_begun_stream)
+{
+  struct fx_exchange *run;
+
+  terms.route.endpoints_max = 2;
+  reopen ();
+  engines (2, 3);
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  fx_broken (&fx, run, BERYL_BREAK_RESET, true);
+  run = fx_to_run (&fx, 1);
+  fx_head (&fx, run, 500);
+  ck_assert (run->aborted);
+  ck_assert (answer (1)->cut);
+  ck_assert_ptr_null (strstr (answer (1)->body->str, "broken"));
+}
+END_TEST
+
+/* No room is found for a stream that has begun: it ends as incomplete, since
+ * a refusal cannot follow in its body. */
+START_TEST (test_refusal_into_begun_stream)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  fx_broken (&fx, run, BERYL_BREAK_RESET, true);
+  for (int i = 0; i < 500 && answer (1)->ends == 0; i++)
+    {
+      struct fx_exchange *x = fx_open_of (&fx, 1, BERYL_EXCHANGE_RESERVE);
+
+      if (x != NULL)
+        fx_refused (&fx, x);
+      fx_pass (&fx, 10);
+    }
+  ck_assert (answer (1)->cut);
+}
+END_TEST
+
+/* A route whose requests may run only once: a stream that breaks off is not
+ * run again. */
+START_TEST (test_once_is_not_resumed)
+{
+  terms.route.resumable = false;
+  terms.route.repeat = BERYL_REPEAT_ONCE;
+  reopen ();
+  engines (2, 3);
+  fx_arrive (&fx, 1);
+  fx_broken (&fx, fx_to_run (&fx, 1), BERYL_BREAK_RESET, true);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+  ck_assert_uint_eq (answer (1)->refusal.status, 502);
+  ck_assert (!answer (1)->refusal.not_run);
+}
+END_TEST
+
+/* The deadline comes while a run is open that has not answered: it may be at
+ * work, and "not run" cannot be said. */
+START_TEST (test_not_run_is_true)
+{
+  struct beryl_forward_request facts = fx_facts (&fx, 1);
+  struct fx_exchange *run;
+
+  facts.deadline_ms = fx.now_ms + 1000;
+  beryl_forward_arrived (fx.forward, &facts, fx.now_ms);
+  run = fx_to_run (&fx, 1);
+  fx_pass (&fx, 1100);
+  ck_assert (run->aborted);
+  ck_assert_uint_eq (answer (1)->ends, 1);
+  ck_assert (!answer (1)->refusal.not_run);
+  ck_assert_uint_ne (answer (1)->refusal.status, 503);
+}
+END_TEST
+
+/* A prefill's answer is lost with its engine.  The engine may have accepted
+ * it, so that the next prefill counts as a repeat; without a budget there is
+ * none. */
+START_TEST (test_lost_prefill_counts)
+{
+  terms.repeat_slack = 0;
+  terms.repeat_ratio = 0;
+  reopen ();
+  engines (2, 3);
+  fx_arrive (&fx, 1);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  fx_broken (&fx, open_of (1, BERYL_EXCHANGE_PREFILL), BERYL_BREAK_RESET,
+             true);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+  ck_assert_uint_eq (answer (1)->refusal.status, 503);
+  ck_assert (answer (1)->refusal.not_run);
+}
+END_TEST
+
+START_TEST (test_unsent_prefill_is_free)
+{
+  terms.repeat_slack = 0;
+  terms.repeat_ratio = 0;
+  reopen ();
+  engines (2, 3);
+  fx_arrive (&fx, 1);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  fx_broken (&fx, open_of (1, BERYL_EXCHANGE_PREFILL), BERYL_BREAK_CONNECT,
+             false);
+  fx_to_run (&fx, 1);
+}
+END_TEST
+
+/* A broken stream needs two repeats: its prompt is read again, and it runs
+ * again.  With only one left the prompt must not be read for nothing. */
+START_TEST (test_repeats_are_paid_first)
+{
+  terms.repeat_slack = 2; /* of which four fifths are used */
+  terms.repeat_ratio = 0;
+  reopen ();
+  engines (2, 3);
+  fx_arrive (&fx, 1);
+  fx_broken (&fx, fx_to_stream (&fx, 1, 2), BERYL_BREAK_RESET, true);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+  ck_assert (answer (1)->cut);
+}
+END_TEST
+
+/* An engine freezes in the middle of a stream.  Its connection stays open;
+ * after a second of silence the request goes on elsewhere. */
+START_TEST (test_frozen_engine)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 3);
+  fx_pass (&fx, 1300);
+  ck_assert (run->aborted);
+  ck_assert_str_ne (open_of (1, BERYL_EXCHANGE_RESERVE)->endpoint,
+                    run->endpoint);
+}
+END_TEST
+
+/* A caller that does not read stops the stream itself; that says nothing about
+ * the engine. */
+START_TEST (test_slow_caller_is_no_stall)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 3);
+  beryl_forward_caller_slow (fx.forward, 1, true);
+  ck_assert (run->paused);
+  fx_pass (&fx, 3000);
+  ck_assert (run->open);
+}
+END_TEST
+
+static void
+tell_runs (const char *engine, uint32_t count)
+{
+  struct beryl_engine_run runs[16] = { 0 };
+
+  for (uint32_t i = 0; i < count; i++)
+    runs[i] = (struct beryl_engine_run){
+      .engine = beryl_engine_number (engine),
+      .prompt_tokens = 2000,
+      .expected_tokens = 1000,
+      .made_tokens = 500,
+      .started = true,
+    };
+  beryl_forward_peer_runs (fx.forward, "peer", runs, count, fx.now_ms);
+}
+
+/* What other nodes run fills engines too; a run goes where there is room for
+ * all of it. */
+START_TEST (test_peers_runs_count)
+{
+  tell_runs ("d0", 4);
+  for (uint64_t i = 1; i <= 4; i++)
+    {
+      fx_arrive (&fx, i);
+      ck_assert_str_ne (open_of (i, BERYL_EXCHANGE_RESERVE)->endpoint, "d0");
+      fx_to_run (&fx, i);
+    }
+}
+END_TEST
+
+/* Other nodes' runs are about to fill the engine, and this node has the newest
+ * run there, which the engine would stop.  It is moved: the engine stops it,
+ * another one goes on from its memory, and it counts as one run. */
+START_TEST (test_move)
+{
+  struct fx_exchange *run, *move;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  tell_runs (run->endpoint, 4);
+  move = move_asked (1);
+  ck_assert_str_eq (move->endpoint, run->endpoint);
+  ck_assert_str_ne (move->target, run->endpoint);
+  fx_ok (&fx, move, "moved");
+  ck_assert (run->open);
+  fx_event (&fx, run, 3);
+  fx_broken (&fx, run, BERYL_BREAK_CLOSED, true);
+  run = open_of (1, BERYL_EXCHANGE_RUN);
+  ck_assert_str_eq (run->endpoint, move->target);
+  ck_assert_str_eq (run->kv_handle, "moved");
+  ck_assert_uint_eq (run->last_event, 3);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 4);
+  fx_done (&fx, run);
+  ck_assert (answer (1)->whole);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+}
+END_TEST
+
+/* The stream of a moved run ends before the engine has answered the move. */
+START_TEST (test_move_answered_last)
+{
+  struct fx_exchange *run, *move;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  tell_runs (run->endpoint, 4);
+  move = move_asked (1);
+  fx_broken (&fx, run, BERYL_BREAK_CLOSED, true);
+  ck_assert_ptr_null (fx_open_of (&fx, 1, BERYL_EXCHANGE_RUN));
+  fx_ok (&fx, move, "moved");
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->endpoint, move->target);
+}
+END_TEST
+
+/* The new engine has no room after all: the run goes on at its old engine,
+ * which still has its memory. */
+START_TEST (test_move_without_room)
+{
+  struct beryl_engine_result no_room
+      = { .status = 503, .handle = "kept", .not_run = true };
+  struct fx_exchange *run, *move;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  tell_runs (run->endpoint, 4);
+  move = move_asked (1);
+  fx_result (&fx, move, &no_room);
+  fx_broken (&fx, run, BERYL_BREAK_CLOSED, true);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->endpoint, run->endpoint);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->kv_handle, "kept");
+}
+END_TEST
+
+/* Story: a moved run was rejected by its new engine and sent to a third one,
+ * which ran it from the beginning: a request that may run once ran twice.  The
+ * memory serves only at the two engines that have it. */
+START_TEST (test_moved_run_is_rejected)
+{
+  struct fx_exchange *run, *move;
+
+  terms.route.resumable = false;
+  terms.route.repeat = BERYL_REPEAT_ONCE;
+  terms.route.endpoints_max = 1;
+  reopen ();
+  engines (2, 3);
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  tell_runs (run->endpoint, 4);
+  move = move_asked (1);
+  fx_ok (&fx, move, "moved");
+  fx_broken (&fx, run, BERYL_BREAK_CLOSED, true);
+  fx_not_run (&fx, open_of (1, BERYL_EXCHANGE_RUN), 503);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->endpoint, run->endpoint);
+  fx_not_run (&fx, open_of (1, BERYL_EXCHANGE_RUN), 503);
+  ck_assert (answer (1)->cut);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+}
+END_TEST
+
+/* The engine is to stop soon.  Its runs move while they can; one that may run
+ * only once would be lost with it. */
+START_TEST (test_leaving_engine)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  fx_leaving (&fx, run->endpoint);
+  ck_assert_str_ne (move_asked (1)->target, run->endpoint);
+}
+END_TEST
+
+/* A full engine stops a run without a word and reads its prompt again later.
+ * Asking it to move the run tells: it does not run it. */
+START_TEST (test_preempted)
+{
+  struct beryl_engine_result not_found = { .status = 404, .not_found = true };
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  tell_runs (run->endpoint, 3);
+  fx_pass (&fx, 200);
+  tell_runs (run->endpoint, 3);
+  fx_result (&fx, open_of (1, BERYL_EXCHANGE_MOVE), &not_found);
+  ck_assert (run->aborted);
+  ck_assert_str_ne (open_of (1, BERYL_EXCHANGE_RESERVE)->endpoint,
+                    run->endpoint);
+}
+END_TEST
+
+/* A node that cannot hear the others cannot foresee what they will use; it
+ * reserves all that a run may need. */
+START_TEST (test_isolated)
+{
+  beryl_forward_set_isolated (fx.forward, true);
+  fx_arrive (&fx, 1);
+  ck_assert_uint_ge (open_of (1, BERYL_EXCHANGE_RESERVE)->tokens, 1450);
+}
+END_TEST
+
+/* An engine refuses although no known run explains it: something unknown uses
+ * its memory, and it is not asked first for some time. */
+START_TEST (test_hidden_use)
+{
+  char first[BERYL_NAME_BYTES];
+
+  fx_arrive (&fx, 1);
+  g_strlcpy (first, open_of (1, BERYL_EXCHANGE_RESERVE)->endpoint,
+             sizeof first);
+  fx_refused (&fx, open_of (1, BERYL_EXCHANGE_RESERVE));
+  fx_pass (&fx, 300);
+  for (uint64_t i = 2; i <= 6; i++)
+    {
+      fx_arrive (&fx, i);
+      ck_assert_str_ne (open_of (i, BERYL_EXCHANGE_RESERVE)->endpoint, first);
+    }
+}
+END_TEST
+
+/* All prefill engines are gone or busy for longer than the request has.  A
+ * decode engine can read the prompt itself, more slowly. */
+START_TEST (test_no_prefill_engine)
+{
+  fx_remove (&fx, "p0");
+  fx_remove (&fx, "p1");
+  fx_arrive (&fx, 1);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->kv_handle, "");
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->handle, "place");
+}
+END_TEST
+
+/* An engine that was ordered to another stage gets no new work, although the
+ * list does not show it yet. */
+START_TEST (test_changing_engine)
+{
+  beryl_forward_engine_changing (fx.forward, beryl_engine_number ("d0"), 5000,
+                                 fx.now_ms);
+  beryl_forward_engine_changing (fx.forward, beryl_engine_number ("d1"), 5000,
+                                 fx.now_ms);
+  for (uint64_t i = 1; i <= 5; i++)
+    {
+      fx_arrive (&fx, i);
+      ck_assert_str_eq (open_of (i, BERYL_EXCHANGE_RESERVE)->endpoint, "d2");
+    }
+}
+END_TEST
+
+START_TEST (test_runs_are_told)
+{
+  struct beryl_engine_run runs[4];
+  struct fx_exchange *run;
+
+  ck_assert (!beryl_forward_runs_changed (fx.forward));
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  ck_assert (beryl_forward_runs_changed (fx.forward));
+  ck_assert_uint_eq (beryl_forward_runs (fx.forward, runs, 4, fx.now_ms), 1);
+  ck_assert (!beryl_forward_runs_changed (fx.forward));
+  ck_assert_uint_eq (runs[0].engine, beryl_engine_number (run->endpoint));
+  ck_assert_uint_eq (runs[0].prompt_tokens, 1000);
+  ck_assert_uint_eq (runs[0].made_tokens, 100);
+  ck_assert (runs[0].started);
+  fx_done (&fx, run);
+  ck_assert (beryl_forward_runs_changed (fx.forward));
+  ck_assert_uint_eq (beryl_forward_runs (fx.forward, runs, 4, fx.now_ms), 0);
+}
+END_TEST
+
+/* A stream's body ends as if whole, but in the middle of an event. */
+START_TEST (test_end_inside_event)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  fx_data (&fx, run, "id: 3\ndata: e");
+  fx_done (&fx, run);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  ck_assert (open_of (1, BERYL_EXCHANGE_RESERVE)->open);
+}
+END_TEST
+
+START_TEST (test_deadline_ends_stream)
+{
+  struct beryl_forward_request facts = fx_facts (&fx, 1);
+  struct fx_exchange *run;
+
+  facts.deadline_ms = fx.now_ms + 400;
+  beryl_forward_arrived (fx.forward, &facts, fx.now_ms);
+  run = fx_to_stream (&fx, 1, 3);
+  for (uint64_t i = 4; run->open && i < 20; i++)
+    {
+      fx_event (&fx, run, i);
+      fx_pass (&fx, 50);
+    }
+  ck_assert (run->aborted);
+  ck_assert (answer (1)->cut);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("forward generations");
+  TCase *tcase = tcase_create ("generations");
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_order);
+  tcase_add_test (tcase, test_full_engine_goes_elsewhere);
+  tcase_add_test (tcase, test_no_room);
+  tcase_add_test (tcase, test_new_engine_is_asked);
+  tcase_add_test (tcase, test_caller_leaves_while_reserving);
+  tcase_add_test (tcase, test_caller_leaves_while_prefilling);
+  tcase_add_test (tcase, test_caller_leaves_while_streaming);
+  tcase_add_test (tcase, test_kv_cache_is_used_again);
+  tcase_add_test (tcase, test_kv_cache_is_given_up);
+  tcase_add_test (tcase, test_stage_is_learned);
+  tcase_add_test (tcase, test_stage_is_learned_by_prefill);
+  tcase_add_test (tcase, test_stream_goes_on);
+  tcase_add_test (tcase, test_error_into_begun_stream);
+  tcase_add_test (tcase, test_refusal_into_begun_stream);
+  tcase_add_test (tcase, test_once_is_not_resumed);
+  tcase_add_test (tcase, test_not_run_is_true);
+  tcase_add_test (tcase, test_lost_prefill_counts);
+  tcase_add_test (tcase, test_unsent_prefill_is_free);
+  tcase_add_test (tcase, test_repeats_are_paid_first);
+  tcase_add_test (tcase, test_frozen_engine);
+  tcase_add_test (tcase, test_slow_caller_is_no_stall);
+  tcase_add_test (tcase, test_peers_runs_count);
+  tcase_add_test (tcase, test_move);
+  tcase_add_test (tcase, test_move_answered_last);
+  tcase_add_test (tcase, test_move_without_room);
+  tcase_add_test (tcase, test_moved_run_is_rejected);
+  tcase_add_test (tcase, test_leaving_engine);
+  tcase_add_test (tcase, test_preempted);
+  tcase_add_test (tcase, test_isolated);
+  tcase_add_test (tcase, test_hidden_use);
+  tcase_add_test (tcase, test_no_prefill_engine);
+  tcase_add_test (tcase, test_changing_engine);
+  tcase_add_test (tcase, test_runs_are_told);
+  tcase_add_test (tcase, test_end_inside_event);
+  tcase_add_test (tcase, test_deadline_ends_stream);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/forward/test_history.c
@@ -0,0 +1,561 @@
+/* Story: hundreds of requests run through engines that refuse, reject, break,
+ * fall silent and lose answers at random, while callers leave and engines come
+ * and go.  Whatever the order: each caller gets one end; a stream has each
+ * event once and in order; "not run" is true; what may run once runs once;
+ * repeats stay in their budget; nothing stays taken at an engine. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "fixture.h"
+
+#define SEEDS 120
+#define REQUESTS 60
+#define ENGINES 9
+#define TIMEOUT_MS 8000
+
+enum fate
+{
+  FATE_REPLY,   /* to an exchange other than RUN */
+  FATE_HEAD,    /* a stream begins */
+  FATE_EVENT,   /* its next event */
+  FATE_REJECT,  /* "not run" */
+  FATE_ERROR,   /* a whole answer with an error */
+  FATE_CONNECT, /* no connection */
+  FATE_LOST,    /* reset before any answer */
+  FATE_ARRIVAL, /* of a request */
+  FATE_LEAVES,  /* its caller */
+  FATE_CHANGE,  /* of an engine */
+  FATE_PEER,    /* a peer tells of runs */
+};
+
+/* Something that will happen. */
+struct due
+{
+  int64_t at_ms;
+  enum fate fate;
+  uint64_t number; /* exchange or request */
+};
+
+struct caller
+{
+  uint64_t events; /* its whole answer */
+  bool left;
+  uint32_t executions;
+  int64_t arrived_ms;
+};
+
+struct history
+{
+  struct fx fx; /* first: the owner finds it */
+  uint64_t random;
+  bool once;
+  double faults; /* part of exchanges that go wrong */
+  GArray *dues;
+  struct caller callers[REQUESTS + 1];
+  GHashTable *next_event; /* exchange id to the next event it sends */
+  GHashTable *places;     /* reservations that engines have granted */
+  uint32_t repeats;
+  bool prefilled[REQUESTS + 1];
+};
+
+static uint64_t
+draw (struct history *h, uint64_t below)
+{
+  uint64_t z = h->random += UINT64_C (0x9e3779b97f4a7c15);
+
+  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
+  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
+  return (z ^ (z >> 31)) % below;
+}
+
+static bool
+chance (struct history *h, double part)
+{
+  return (double)draw (h, 1000000) < part * 1000000;
+}
+
+static void
+later (struct history *h, int64_t after_ms, enum fate fate, uint64_t number)
+{
+  struct due due = { h->fx.now_ms + after_ms, fate, number };
+
+  g_array_append_val (h->dues, due);
+}
+
+static int64_t
+some_ms (struct history *h)
+{
+  return 1 + (int64_t)draw (h, 60);
+}
+
+static bool
+from_move (const struct fx_exchange *x)
+{
+  return g_str_has_prefix (x->kv_handle, "mv");
+}
+
+/* What an engine does with a run; nothing is scheduled if it is silent. */
+static void
+run_fate (struct history *h, struct fx_exchange *x)
+{
+  double faults = h->faults;
+
+  if (chance (h, faults / 5))
+    later (h, some_ms (h), FATE_CONNECT, x->id);
+  else if (chance (h, faults / 2))
+    later (h, some_ms (h), FATE_REJECT, x->id);
+  else
+    {
+      if (!from_move (x))
+        h->callers[x->request].executions++;
+      if (chance (h, faults / 4))
+        later (h, some_ms (h), FATE_LOST, x->id);
+      else if (chance (h, faults / 8))
+        later (h, some_ms (h), FATE_ERROR, x->id);
+      else if (!chance (h, faults / 8))
+        later (h, some_ms (h), FATE_HEAD, x->id);
+    }
+}
+
+static void
+exchange_started (struct fx *fx, struct fx_exchange *x)
+{
+  struct history *h = (struct history *)fx;
+
+  switch (x->kind)
+    {
+    case BERYL_EXCHANGE_RUN:
+      g_hash_table_remove (h->places, x->handle);
+      run_fate (h, x);
+      return;
+    case BERYL_EXCHANGE_UNRESERVE:
+      ck_assert_msg (g_hash_table_remove (h->places, x->handle),
+                     "%s was given back, but is not taken", x->handle);
+      break;
+    default:
+      break;
+    }
+  later (h, some_ms (h), FATE_REPLY, x->id);
+}
+
+static struct fx_exchange *
+find_open (struct history *h, uint64_t id)
+{
+  for (guint i = 0; i < h->fx.exchanges->len; i++)
+    {
+      struct fx_exchange *x = g_ptr_array_index (h->fx.exchanges, i);
+
+      if (x->id == id)
+        return x->open ? x : NULL;
+    }
+  return NULL;
+}
+
+/* The engine stops the run and ends its stream, before or after it says so. */
+static void
+end_moved_stream (struct history *h, const struct fx_exchange *move)
+{
+  struct fx_exchange *run
+      = fx_open_of (&h->fx, move->request, BERYL_EXCHANGE_RUN);
+
+  if (run == NULL)
+    return;
+  if (chance (h, 0.5))
+    fx_broken (&h->fx, run, BERYL_BREAK_CLOSED, true);
+  else
+    later (h, some_ms (h), FATE_LOST, run->id);
+  g_hash_table_remove (h->next_event, GUINT_TO_POINTER (run->id));
+}
+
+static void
+reply_move (struct history *h, struct fx_exchange *x)
+{
+  struct beryl_engine_result result = { .status = 200 };
+  uint64_t kind = draw (h, 10);
+
+  if (kind < 7) /* stopped, and moved or not */
+    {
+      g_snprintf (result.handle, sizeof result.handle, "mv-%u",
+                  (unsigned int)x->id);
+      result.ok = kind < 5;
+      end_moved_stream (h, x);
+    }
+  else if (kind == 7)
+    result.not_found = true;
+  if (x->open && kind == 9)
+    fx_broken (&h->fx, x, BERYL_BREAK_RESET, true);
+  else if (x->open)
+    fx_result (&h->fx, x, &result);
+}
+
+static void
+count_prefill (struct history *h, const struct fx_exchange *x)
+{
+  if (x->kind != BERYL_EXCHANGE_PREFILL)
+    return;
+  h->repeats += h->prefilled[x->request];
+  h->prefilled[x->request] = true;
+}
+
+static void
+reply (struct history *h, struct fx_exchange *x)
+{
+  struct beryl_engine_result result = { .ok = true, .status = 200 };
+
+  if (x->kind == BERYL_EXCHANGE_MOVE)
+    {
+      reply_move (h, x);
+      return;
+    }
+  if (chance (h, h->faults / 4))
+    {
+      bool sent = chance (h, 0.5);
+
+      if (sent)
+        count_prefill (h, x);
+      fx_broken (&h->fx, x, sent ? BERYL_BREAK_RESET : BERYL_BREAK_CONNECT,
+                 sent);
+      return;
+    }
+  if (chance (h, h->faults / 2))
+    {
+      result = (struct beryl_engine_result){ .not_run = true, .status = 503 };
+      result.wrong_stage = chance (h, 0.1);
+    }
+  else
+    {
+      g_snprintf (result.handle, sizeof result.handle, "h-%u",
+                  (unsigned int)x->id);
+      if (x->kind == BERYL_EXCHANGE_RESERVE)
+        g_hash_table_add (h->places, g_strdup (result.handle));
+      count_prefill (h, x);
+    }
+  fx_result (&h->fx, x, &result);
+}
+
+static void
+send_event (struct history *h, struct fx_exchange *x)
+{
+  gpointer key = GUINT_TO_POINTER (x->id);
+  uint64_t next = GPOINTER_TO_UINT (g_hash_table_lookup (h->next_event, key));
+  struct caller *caller = &h->callers[x->request];
+
+  if (next == 0) /* it was stopped */
+    return;
+  if (next > caller->events)
+    {
+      fx_done (&h->fx, x);
+      return;
+    }
+  if (chance (h, h->faults / 10))
+    {
+      fx_data (&h->fx, x, "id: 1\nda");
+      if (x->open)
+        fx_broken (&h->fx, x, BERYL_BREAK_RESET, true);
+      return;
+    }
+  fx_event (&h->fx, x, next);
+  g_hash_table_insert (h->next_event, key, GUINT_TO_POINTER (next + 1));
+  if (!chance (h, h->faults / 30)) /* otherwise silent from now on */
+    later (h, 30 + (int64_t)draw (h, 40), FATE_EVENT, x->id);
+}
+
+static void
+begin_stream (struct history *h, struct fx_exchange *x)
+{
+  uint64_t next = x->resumes ? x->last_event + 1 : 1;
+
+  if (x->resumes && x->last_event > 0 && chance (h, 0.3))
+    next--; /* it may begin a little earlier */
+  g_hash_table_insert (h->next_event, GUINT_TO_POINTER (x->id),
+                       GUINT_TO_POINTER (next > 0 ? next : 1));
+  fx_stream (&h->fx, x);
+  later (h, some_ms (h), FATE_EVENT, x->id);
+}
+
+static void
+exchange_due (struct history *h, enum fate fate, uint64_t number)
+{
+  struct fx_exchange *x = find_open (h, number);
+
+  if (x == NULL)
+    return;
+  switch (fate)
+    {
+    case FATE_REPLY:
+      reply (h, x);
+      return;
+    case FATE_HEAD:
+      begin_stream (h, x);
+      return;
+    case FATE_EVENT:
+      send_event (h, x);
+      return;
+    case FATE_REJECT:
+      fx_not_run (&h->fx, x, 503);
+      return;
+    case FATE_ERROR:
+      fx_answer (&h->fx, x, 500, "error");
+      return;
+    case FATE_CONNECT:
+      fx_broken (&h->fx, x, BERYL_BREAK_CONNECT, false);
+      return;
+    default:
+      fx_broken (&h->fx, x, BERYL_BREAK_RESET, true);
+    }
+}
+
+static void
+change_engine (struct history *h)
+{
+  char id[16];
+
+  g_snprintf (id, sizeof id, "e%u", (unsigned int)draw (h, ENGINES));
+  if (chance (h, 0.4))
+    fx_endpoint (&h->fx, id,
+                 chance (h, 0.4) ? BERYL_STAGE_PREFILL : BERYL_STAGE_DECODE);
+  else if (beryl_lives_find (h->fx.lives, id) != NULL)
+    {
+      if (chance (h, 0.5))
+        fx_leaving (&h->fx, id);
+      else
+        fx_remove (&h->fx, id);
+    }
+}
+
+static void
+peer_tells (struct history *h)
+{
+  struct beryl_engine_run runs[4];
+  size_t count = draw (h, 5);
+  char id[16];
+
+  for (size_t i = 0; i < count; i++)
+    {
+      g_snprintf (id, sizeof id, "e%u", (unsigned int)draw (h, ENGINES));
+      runs[i] = (struct beryl_engine_run){
+        .engine = beryl_engine_number (id),
+        .prompt_tokens = (uint32_t)draw (h, 4000),
+        .expected_tokens = (uint32_t)draw (h, 2000),
+        .made_tokens = (uint32_t)draw (h, 1000),
+        .started = chance (h, 0.8),
+      };
+    }
+  beryl_forward_peer_runs (h->fx.forward, "peer", runs, count, h->fx.now_ms);
+}
+
+static void
+happen (struct history *h, const struct due *due)
+{
+  switch (due->fate)
+    {
+    case FATE_ARRIVAL:
+      h->callers[due->number].arrived_ms = h->fx.now_ms;
+      fx_arrive (&h->fx, due->number);
+      return;
+    case FATE_LEAVES:
+      h->callers[due->number].left = h->fx.answers[due->number].ends == 0;
+      beryl_forward_caller_gone (h->fx.forward, due->number, h->fx.now_ms);
+      return;
+    case FATE_CHANGE:
+      change_engine (h);
+      return;
+    case FATE_PEER:
+      peer_tells (h);
+      return;
+    default:
+      exchange_due (h, due->fate, due->number);
+    }
+}
+
+/* Takes the earliest out; false if there is none up to END_MS. */
+static bool
+next_due (struct history *h, int64_t end_ms, struct due *due)
+{
+  guint best = 0;
+
+  if (h->dues->len == 0)
+    return false;
+  for (guint i = 1; i < h->dues->len; i++)
+    if (g_array_index (h->dues, struct due, i).at_ms
+        < g_array_index (h->dues, struct due, best).at_ms)
+      best = i;
+  *due = g_array_index (h->dues, struct due, best);
+  if (due->at_ms > end_ms)
+    return false;
+  g_array_remove_index (h->dues, best);
+  return true;
+}
+
+/* Ticks bring new things that are due, so that time goes on by one at a
+ * time. */
+static void
+play (struct history *h, int64_t end_ms)
+{
+  while (h->fx.now_ms < end_ms)
+    {
+      struct due due;
+
+      while (next_due (h, h->fx.now_ms, &due))
+        happen (h, &due);
+      fx_pass (&h->fx, 1);
+    }
+}
+
+static void
+check_stream (const struct history *h, uint64_t number)
+{
+  const struct fx_answer *answer = &h->fx.answers[number];
+  GString *expected = g_string_new (NULL);
+  const char *body = answer->body != NULL ? answer->body->str : "";
+  uint64_t count = 0;
+
+  while (expected->len < strlen (body) && count < h->callers[number].events)
+    {
+      count++;
+      g_string_append_printf (expected, "id: %u\ndata: e%u\n\n",
+                              (unsigned int)count, (unsigned int)count);
+    }
+  if (strcmp (body, "error") != 0)
+    {
+      ck_assert_str_eq (body, expected->str);
+      if (answer->whole)
+        ck_assert_uint_eq (count, h->callers[number].events);
+    }
+  g_string_free (expected, TRUE);
+}
+
+static void
+check_caller (const struct history *h, uint64_t number)
+{
+  const struct caller *caller = &h->callers[number];
+  const struct fx_answer *answer = &h->fx.answers[number];
+
+  ck_assert_msg (answer->ends == (caller->left ? 0 : 1),
+                 "request %u has %u ends", (unsigned int)number, answer->ends);
+  check_stream (h, number);
+  if (answer->refused && answer->refusal.not_run)
+    ck_assert_msg (caller->executions == 0, "request %u ran, and not",
+                   (unsigned int)number);
+  ck_assert_uint_le (caller->executions, h->once ? 1 : 3);
+}
+
+static void
+check_none_open (const struct history *h)
+{
+  for (guint i = 0; i < h->fx.exchanges->len; i++)
+    {
+      const struct fx_exchange *x = g_ptr_array_index (h->fx.exchanges, i);
+
+      ck_assert_msg (!x->open, "exchange %u, %s of %u at %s, is open since %d",
+                     (unsigned int)x->id, beryl_exchange_name (x->kind),
+                     (unsigned int)x->request, x->endpoint, (int)(x->started_ms - 100000));
+    }
+}
+
+static void
+check_all (const struct history *h)
+{
+  uint32_t executions = 0, answered = 0;
+
+  for (uint64_t i = 1; i <= REQUESTS; i++)
+    {
+      check_caller (h, i);
+      executions += h->callers[i].executions;
+      answered += h->fx.answers[i].whole;
+    }
+  ck_assert_uint_eq (beryl_forward_open (h->fx.forward), 0);
+  ck_assert_uint_eq (beryl_forward_waiting (h->fx.forward), 0);
+  check_none_open (h);
+  for (size_t i = 0; i < beryl_lives_count (h->fx.lives); i++)
+    {
+      const struct beryl_live *live = beryl_lives_get (h->fx.lives, i);
+
+      ck_assert_uint_eq (live->open, 0);
+      ck_assert_uint_eq (live->prefills, 0);
+      ck_assert_uint_eq (live->prefill_tokens, 0);
+    }
+  ck_assert_uint_gt (answered, 0);
+  /* Runs beyond the first of each request, and prefills beyond it. */
+  ck_assert_uint_le (executions + h->repeats, REQUESTS + 30);
+}
+
+static void
+play_history (uint64_t seed, bool once)
+{
+  struct history *h = g_new0 (struct history, 1);
+  struct fx_terms terms = fx_model_terms ();
+  int64_t begin_ms;
+
+  h->random = seed;
+  h->once = once;
+  terms.route.timeout_ms = TIMEOUT_MS;
+  terms.repeat_ratio = 0;
+  terms.repeat_slack = 30;
+  if (once)
+    {
+      terms.route.repeat = BERYL_REPEAT_ONCE;
+      terms.route.resumable = false;
+      terms.route.endpoints_max = 1;
+    }
+  fx_open (&h->fx, &terms);
+  h->fx.started = exchange_started;
+  h->dues = g_array_new (FALSE, FALSE, sizeof (struct due));
+  h->next_event = g_hash_table_new (NULL, NULL);
+  h->places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  h->faults = (double)draw (h, 5) / 10;
+  begin_ms = h->fx.now_ms;
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "e%u", i);
+      fx_endpoint (&h->fx, id,
+                   i < 3 ? BERYL_STAGE_PREFILL : BERYL_STAGE_DECODE);
+    }
+  for (uint64_t i = 1; i <= REQUESTS; i++)
+    {
+      int64_t after_ms = (int64_t)draw (h, 6000);
+
+      h->callers[i].events = 1 + draw (h, 25);
+      later (h, after_ms, FATE_ARRIVAL, i);
+      if (chance (h, 0.1))
+        later (h, after_ms + 1 + (int64_t)draw (h, 1500), FATE_LEAVES, i);
+    }
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      later (h, (int64_t)draw (h, 6000), FATE_CHANGE, 0);
+      later (h, (int64_t)draw (h, 6000), FATE_PEER, 0);
+    }
+  play (h, begin_ms + 6000 + TIMEOUT_MS + 1000);
+  check_all (h);
+  ck_assert_uint_eq (g_hash_table_size (h->places), 0);
+  g_hash_table_destroy (h->next_event);
+  g_hash_table_destroy (h->places);
+  g_array_free (h->dues, TRUE);
+  fx_close (&h->fx);
+  g_free (h);
+}
+
+START_TEST (test_resumable) { play_history ((uint64_t)_i, false); }
+END_TEST
+
+START_TEST (test_once) { play_history ((uint64_t)_i + 100000, true); }
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  Suite *suite = suite_create ("forward histories");
+  TCase *tcase = tcase_create ("histories");
+  int first = argc > 1 ? atoi (argv[1]) : 0;
+  int count = argc > 2 ? atoi (argv[2]) : SEEDS;
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, test_resumable, first, first + count);
+  tcase_add_loop_test (tcase, test_once, first, first + count);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/forward/test_plain.c
@@ -0,0 +1,418 @@
+#include <check.h>
+
+#include "../suite.h"
+#include "fixture.h"
+
+static struct fx fx;
+static struct fx_terms terms;
+
+static void
+open_with (enum beryl_repeat repeat, const char *const endpoints[])
+{
+  terms = fx_plain_terms ();
+  terms.route.repeat = repeat;
+  fx_open (&fx, &terms);
+  for (size_t i = 0; endpoints[i] != NULL; i++)
+    fx_endpoint (&fx, endpoints[i], BERYL_STAGE_NONE);
+}
+
+static void
+setup (void)
+{
+  static const char *const endpoints[] = { "a", "b", "c", NULL };
+
+  open_with (BERYL_REPEAT_IDEMPOTENT, endpoints);
+}
+
+static void
+setup_once (void)
+{
+  static const char *const endpoints[] = { "a", "b", "c", NULL };
+
+  open_with (BERYL_REPEAT_ONCE, endpoints);
+}
+
+static void
+teardown (void)
+{
+  fx_close (&fx);
+}
+
+static struct fx_exchange *
+run (void)
+{
+  return fx_last (&fx, BERYL_EXCHANGE_RUN);
+}
+
+static const struct fx_answer *
+answer (uint64_t request)
+{
+  return &fx.answers[request];
+}
+
+START_TEST (test_answered)
+{
+  fx_arrive (&fx, 1);
+  fx_answer (&fx, run (), 200, "body");
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str, "body");
+  ck_assert_uint_eq (beryl_forward_open (fx.forward), 0);
+  ck_assert_uint_eq (fx_count_open (&fx), 0);
+}
+END_TEST
+
+START_TEST (test_no_route)
+{
+  struct beryl_forward_request facts = fx_facts (&fx, 1);
+
+  facts.host = "other.example";
+  beryl_forward_arrived (fx.forward, &facts, fx.now_ms);
+  ck_assert_uint_eq (answer (1)->refusal.status, 404);
+}
+END_TEST
+
+/* Nobody serves it: the caller learns so at once, with a time to come back,
+ * instead of waiting for its own deadline. */
+START_TEST (test_no_endpoint)
+{
+  fx_remove (&fx, "a");
+  fx_remove (&fx, "b");
+  fx_leaving (&fx, "c");
+  fx_arrive (&fx, 1);
+  ck_assert_uint_eq (answer (1)->refusal.status, 503);
+  ck_assert (answer (1)->refusal.not_run);
+  ck_assert_int_gt (answer (1)->refusal.retry_after_ms, 0);
+}
+END_TEST
+
+/* The endpoint cannot be connected to: no byte was sent, so that even a
+ * request that may run only once goes to another one. */
+START_TEST (test_once_without_connection)
+{
+  char first[BERYL_NAME_BYTES];
+
+  fx_arrive (&fx, 1);
+  g_strlcpy (first, run ()->endpoint, sizeof first);
+  fx_broken (&fx, run (), BERYL_BREAK_CONNECT, false);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 2);
+  ck_assert_str_ne (run ()->endpoint, first);
+  fx_answer (&fx, run (), 200, "x");
+  ck_assert (answer (1)->whole);
+}
+END_TEST
+
+/* The endpoint dies with the request in hand.  It may have run; for a request
+ * that may run only once nothing is left to do, and "not run" would be a
+ * lie. */
+START_TEST (test_once_dies)
+{
+  fx_arrive (&fx, 1);
+  fx_broken (&fx, run (), BERYL_BREAK_RESET, true);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+  ck_assert_uint_eq (answer (1)->refusal.status, 502);
+  ck_assert (!answer (1)->refusal.not_run);
+}
+END_TEST
+
+/* The endpoint takes a request that may run only once and is silent.  It must
+ * not be sent again, and its caller is told at its deadline without the claim
+ * that it has not run. */
+START_TEST (test_once_silent)
+{
+  fx_arrive (&fx, 1);
+  fx_pass (&fx, 6000);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+  ck_assert_uint_eq (answer (1)->refusal.status, 504);
+  ck_assert (!answer (1)->refusal.not_run);
+  ck_assert (run ()->aborted);
+}
+END_TEST
+
+/* The endpoint says that it did not run it: going on elsewhere runs it for
+ * the first time. */
+START_TEST (test_once_rejected)
+{
+  fx_arrive (&fx, 1);
+  fx_not_run (&fx, run (), 503);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 2);
+  fx_answer (&fx, run (), 200, "x");
+  ck_assert (answer (1)->whole);
+}
+END_TEST
+
+START_TEST (test_once_error_is_passed_on)
+{
+  fx_arrive (&fx, 1);
+  fx_answer (&fx, run (), 500, "broken");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str, "broken");
+}
+END_TEST
+
+START_TEST (test_error_is_repeated)
+{
+  fx_arrive (&fx, 1);
+  fx_answer (&fx, run (), 500, "broken");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 2);
+  fx_answer (&fx, run (), 200, "good");
+  ck_assert_str_eq (answer (1)->body->str, "good");
+}
+END_TEST
+
+/* An answer breaks off in its middle.  What had come was kept back, so that
+ * the caller sees only the whole answer of another endpoint. */
+START_TEST (test_cut_answer_is_repeated)
+{
+  fx_arrive (&fx, 1);
+  fx_head (&fx, run (), 200);
+  fx_data (&fx, run (), "half");
+  fx_broken (&fx, run (), BERYL_BREAK_RESET, true);
+  ck_assert (!answer (1)->begun);
+  fx_answer (&fx, run (), 200, "whole");
+  ck_assert_str_eq (answer (1)->body->str, "whole");
+}
+END_TEST
+
+/* A long answer that was begun breaks off: it must end as incomplete, not be
+ * followed by another one. */
+START_TEST (test_long_answer_is_cut)
+{
+  char *block = g_strnfill (70000, 'x');
+
+  fx_arrive (&fx, 1);
+  fx_head (&fx, run (), 200);
+  fx_data (&fx, run (), block);
+  ck_assert (answer (1)->begun);
+  fx_broken (&fx, run (), BERYL_BREAK_RESET, true);
+  ck_assert (answer (1)->cut);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+  g_free (block);
+}
+END_TEST
+
+/* An endpoint has frozen.  After the usual time of an answer another one is
+ * asked, and whichever answers first is taken; the other is cut off. */
+START_TEST (test_silent_endpoint)
+{
+  struct fx_exchange *first;
+
+  fx_arrive (&fx, 1);
+  first = run ();
+  fx_pass (&fx, 300);
+  ck_assert_ptr_ne (run (), first);
+  ck_assert_str_ne (run ()->endpoint, first->endpoint);
+  fx_answer (&fx, run (), 200, "second");
+  ck_assert (first->aborted);
+  ck_assert_str_eq (answer (1)->body->str, "second");
+  ck_assert_uint_eq (fx_count_open (&fx), 0);
+}
+END_TEST
+
+/* Of two sends one fails with an error; the other may still bring a good
+ * answer. */
+START_TEST (test_error_of_one_of_two)
+{
+  struct fx_exchange *first;
+
+  fx_arrive (&fx, 1);
+  first = run ();
+  fx_pass (&fx, 300);
+  fx_head (&fx, run (), 500);
+  ck_assert (run ()->aborted);
+  fx_answer (&fx, first, 200, "first");
+  ck_assert_str_eq (answer (1)->body->str, "first");
+}
+END_TEST
+
+/* All endpoints are slow at once.  Repeats would double their load; the
+ * budget of the whole fleet bounds them. */
+START_TEST (test_repeats_are_bounded)
+{
+  terms.repeat_slack = 5;
+  fx_close (&fx);
+  fx_open (&fx, &terms);
+  for (int i = 0; i < 20; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "e%d", i);
+      fx_endpoint (&fx, id, BERYL_STAGE_NONE);
+    }
+  for (uint64_t i = 1; i <= 100; i++)
+    fx_arrive (&fx, i);
+  fx_pass (&fx, 4000);
+  ck_assert_uint_gt (fx_count (&fx, BERYL_EXCHANGE_RUN), 105);
+  ck_assert_uint_le (fx_count (&fx, BERYL_EXCHANGE_RUN), 115);
+}
+END_TEST
+
+/* The same with ten nodes: each has its own requests' share, and a tenth of
+ * what all may do beyond. */
+START_TEST (test_slack_is_shared)
+{
+  terms.repeat_slack = 50;
+  terms.repeat_ratio = 0;
+  fx_close (&fx);
+  fx_open (&fx, &terms);
+  beryl_forward_set_nodes (fx.forward, 10);
+  fx_endpoint (&fx, "a", BERYL_STAGE_NONE);
+  fx_endpoint (&fx, "b", BERYL_STAGE_NONE);
+  for (uint64_t i = 1; i <= 50; i++)
+    fx_arrive (&fx, i);
+  fx_pass (&fx, 4000);
+  ck_assert_uint_le (fx_count (&fx, BERYL_EXCHANGE_RUN), 55);
+}
+END_TEST
+
+/* One endpoint answers errors while it says that it is healthy.  It gets a
+ * small part of the work, and it is asked again so that its recovery is
+ * seen. */
+START_TEST (test_failing_endpoint_is_avoided)
+{
+  uint32_t at_failing = 0;
+
+  for (uint64_t i = 1; i <= 300; i++)
+    {
+      fx_arrive (&fx, i);
+      while (fx_open_of (&fx, i, BERYL_EXCHANGE_RUN) != NULL)
+        {
+          struct fx_exchange *x = fx_open_of (&fx, i, BERYL_EXCHANGE_RUN);
+          bool failing = g_str_equal (x->endpoint, "a");
+
+          at_failing += failing;
+          fx_answer (&fx, x, failing ? 500 : 200, "x");
+        }
+      fx_pass (&fx, 20);
+      ck_assert_str_eq (answer (i)->body->str, "x");
+      ck_assert_ptr_null (strstr (fx.log->str, "answer:error"));
+    }
+  ck_assert_uint_ge (at_failing, 4);
+  ck_assert_uint_le (at_failing, 30);
+}
+END_TEST
+
+/* All endpoints fail.  The last ones are still asked: avoiding everything
+ * would turn a fault that passes into a lasting one. */
+START_TEST (test_all_avoided_still_serve)
+{
+  for (uint64_t i = 1; i <= 20; i++)
+    {
+      fx_arrive (&fx, i);
+      while (fx_open_of (&fx, i, BERYL_EXCHANGE_RUN) != NULL)
+        fx_broken (&fx, fx_open_of (&fx, i, BERYL_EXCHANGE_RUN),
+                   BERYL_BREAK_RESET, true);
+    }
+  fx_arrive (&fx, 21);
+  ck_assert_ptr_nonnull (fx_open_of (&fx, 21, BERYL_EXCHANGE_RUN));
+}
+END_TEST
+
+START_TEST (test_caller_gone)
+{
+  fx_arrive (&fx, 1);
+  beryl_forward_caller_gone (fx.forward, 1, fx.now_ms);
+  ck_assert (run ()->aborted);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  ck_assert_uint_eq (beryl_forward_open (fx.forward), 0);
+}
+END_TEST
+
+START_TEST (test_slow_caller)
+{
+  fx_arrive (&fx, 1);
+  beryl_forward_caller_slow (fx.forward, 1, true);
+  ck_assert (run ()->paused);
+  beryl_forward_caller_slow (fx.forward, 1, false);
+  ck_assert (!run ()->paused);
+}
+END_TEST
+
+/* The caller's own deadline is nearer than the route's. */
+START_TEST (test_callers_deadline)
+{
+  struct beryl_forward_request facts = fx_facts (&fx, 1);
+
+  facts.deadline_ms = fx.now_ms + 50;
+  beryl_forward_arrived (fx.forward, &facts, fx.now_ms);
+  fx_pass (&fx, 60);
+  ck_assert_uint_eq (answer (1)->ends, 1);
+  ck_assert (run ()->aborted);
+  facts = fx_facts (&fx, 2);
+  facts.deadline_ms = fx.now_ms;
+  beryl_forward_arrived (fx.forward, &facts, fx.now_ms);
+  ck_assert_uint_eq (answer (2)->refusal.status, 503);
+  ck_assert (answer (2)->refusal.not_run);
+}
+END_TEST
+
+/* A planned stop: what cannot end before the process does is refused as not
+ * run while another node can still serve it. */
+START_TEST (test_stop)
+{
+  fx_arrive (&fx, 1);
+  beryl_forward_stop (fx.forward, fx.now_ms + 1500, fx.now_ms);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  fx_arrive (&fx, 2);
+  ck_assert_ptr_nonnull (fx_open_of (&fx, 2, BERYL_EXCHANGE_RUN));
+  fx.now_ms += 1000;
+  fx_arrive (&fx, 3);
+  ck_assert_uint_eq (answer (3)->refusal.status, 503);
+  ck_assert (answer (3)->refusal.not_run);
+  ck_assert_int_eq (answer (3)->refusal.reason, BERYL_REFUSAL_STOPPING);
+}
+END_TEST
+
+/* A configuration comes while a request is under way: it keeps the one it
+ * began with. */
+START_TEST (test_configuration_changes)
+{
+  struct beryl_routes *empty = beryl_routes_create (2);
+
+  fx_arrive (&fx, 1);
+  beryl_routes_freeze (empty);
+  beryl_forward_set_routes (fx.forward, empty);
+  beryl_routes_unref (empty);
+  fx_broken (&fx, run (), BERYL_BREAK_CONNECT, false);
+  fx_answer (&fx, run (), 200, "x");
+  ck_assert (answer (1)->whole);
+  fx_arrive (&fx, 2);
+  ck_assert_uint_eq (answer (2)->refusal.status, 404);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("forward plain");
+  TCase *tcase = tcase_create ("idempotent");
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_answered);
+  tcase_add_test (tcase, test_no_route);
+  tcase_add_test (tcase, test_no_endpoint);
+  tcase_add_test (tcase, test_error_is_repeated);
+  tcase_add_test (tcase, test_cut_answer_is_repeated);
+  tcase_add_test (tcase, test_long_answer_is_cut);
+  tcase_add_test (tcase, test_silent_endpoint);
+  tcase_add_test (tcase, test_error_of_one_of_two);
+  tcase_add_test (tcase, test_repeats_are_bounded);
+  tcase_add_test (tcase, test_slack_is_shared);
+  tcase_add_test (tcase, test_failing_endpoint_is_avoided);
+  tcase_add_test (tcase, test_all_avoided_still_serve);
+  tcase_add_test (tcase, test_caller_gone);
+  tcase_add_test (tcase, test_slow_caller);
+  tcase_add_test (tcase, test_callers_deadline);
+  tcase_add_test (tcase, test_stop);
+  tcase_add_test (tcase, test_configuration_changes);
+  suite_add_tcase (suite, tcase);
+  tcase = tcase_create ("once");
+  tcase_add_checked_fixture (tcase, setup_once, teardown);
+  tcase_add_test (tcase, test_once_without_connection);
+  tcase_add_test (tcase, test_once_dies);
+  tcase_add_test (tcase, test_once_silent);
+  tcase_add_test (tcase, test_once_rejected);
+  tcase_add_test (tcase, test_once_error_is_passed_on);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
