--- a/libberyl/stages/stages.c
+++ b/libberyl/stages/stages.c
@@ -23,6 +23,7 @@
 struct beryl_stages
 {
   int64_t off_since_ms; /* 0: sizes are right */
+  bool too_many;        /* since then prefill engines; otherwise too few */
   int64_t first_ms;     /* of the first order; 0: none yet */
 };
 
@@ -125,8 +126,9 @@
       stages->off_since_ms = 0;
       return false;
     }
-  if (stages->off_since_ms == 0)
+  if (stages->off_since_ms == 0 || stages->too_many != (off > 0))
     stages->off_since_ms = now_ms;
+  stages->too_many = off > 0;
   if (now_ms - stages->off_since_ms < patience_ms (stages, now_ms)
       || (double)pools.changing >= CHANGING_PART * (double)count)
     return false;
--- a/tests/control/stage.c
+++ b/tests/control/stage.c
@@ -72,9 +72,9 @@
   loop_run (s->loop);
   loop_timer_stop (timer);
   if (!s->reached && until != stage_never)
-    printf ("not reached after %ld of %ld ms%s\n",
-            (long)(loop_now_ms (s->loop) - begun_ms), (long)most_ms,
-            loop_stopping (s->loop) ? ", by a signal" : "");
+    fprintf (stderr, "not reached after %ld of %ld ms%s\n",
+             (long)(loop_now_ms (s->loop) - begun_ms), (long)most_ms,
+             loop_stopping (s->loop) ? ", by a signal" : "");
   return s->reached;
 }
 
--- a/tests/forward/test_history.c
+++ b/tests/forward/test_history.c
@@ -451,7 +451,8 @@
 
       ck_assert_msg (!x->open, "exchange %u, %s of %u at %s, is open since %d",
                      (unsigned int)x->id, beryl_exchange_name (x->kind),
-                     (unsigned int)x->request, x->endpoint, (int)(x->started_ms - 100000));
+                     (unsigned int)x->request, x->endpoint,
+                     (int)(x->started_ms - 100000));
     }
 }
 
