--- /dev/null
+++ b/tests/gateway/test_gateway.c
@@ -0,0 +1,431 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "world.h"
+
+static struct world w;
+
+static void
+setup (void)
+{
+  world_open (&w);
+}
+
+static void
+teardown (void)
+{
+  world_close (&w);
+}
+
+static void
+assert_whole (const struct world_answer *answer)
+{
+  ck_assert_msg (answer->done && answer->status == 200,
+                 "status %u, done %d, failed %d", answer->status, answer->done,
+                 answer->failed);
+  ck_assert_ptr_nonnull (strstr (answer->fields->str, "X-Response-Seal: "));
+}
+
+/* A stream has events 1 to COUNT and no others. */
+static void
+assert_stream (const struct world_answer *answer, uint32_t count)
+{
+  const char *at = answer->body->str;
+  char start[32];
+
+  assert_whole (answer);
+  for (uint32_t i = 1; i <= count; i++)
+    {
+      g_snprintf (start, sizeof start, "id: %u\n", i);
+      ck_assert_msg (g_str_has_prefix (at, start), "event %u: %s", i, at);
+      at = strstr (at, "\n\n");
+      ck_assert_ptr_nonnull (at);
+      at += 2;
+    }
+  ck_assert_str_eq (at, "");
+}
+
+START_TEST (test_path)
+{
+  struct world_answer *answer;
+
+  world_nodes (&w, 1);
+  answer = world_get (&w, 0, "a.example", "/x", "X-Other: 1\r\n");
+  world_wait (&w, answer);
+  assert_whole (answer);
+  ck_assert_ptr_nonnull (strstr (answer->body->str, "q-1 /x at a"));
+  ck_assert_ptr_null (strstr (answer->fields->str, "Connection"));
+  answer = world_get (&w, 0, "unknown.example", "/x", "");
+  world_wait (&w, answer);
+  ck_assert_uint_eq (answer->status, 404);
+}
+END_TEST
+
+START_TEST (test_generation)
+{
+  struct world_answer *answer;
+
+  world_nodes (&w, 1);
+  answer = world_generate (&w, 0, 2000, 500);
+  world_wait (&w, answer);
+  assert_stream (answer, 10);
+  ck_assert_uint_eq (standin_counts (w.standin)->prefills, 1);
+  ck_assert_uint_eq (standin_counts (w.standin)->executions, 1);
+  ck_assert_int_lt (answer->first_ms - answer->begun_ms, 500);
+}
+END_TEST
+
+/* Before the first configuration nothing can be said of any request; the node
+ * is not ready, and says so instead of "not found". */
+START_TEST (test_not_ready)
+{
+  struct world_answer *answer;
+
+  standin_set_silent (w.standin, true);
+  world_node (&w, 0);
+  world_turn (&w, 300);
+  ck_assert_uint_ne (world_ask (&w, 0, WORLD_READY_PORT, "/v1/ready")->status,
+                     200);
+  answer = world_get (&w, 0, "a.example", "/x", "");
+  world_wait (&w, answer);
+  ck_assert_uint_eq (answer->status, 503);
+  ck_assert_ptr_nonnull (strstr (answer->fields->str, "Retry-After: "));
+}
+END_TEST
+
+/* The nodes find each other through the store alone, and one that is killed
+ * is no longer named. */
+static bool
+two_are_named (struct world *world)
+{
+  struct world_answer *answer
+      = world_ask (world, 0, WORLD_DIRECTORY_PORT, "/v1/resolve");
+
+  return strstr (answer->body->str, world->ips[1]) == NULL
+         && strstr (answer->body->str, world->ips[2]) != NULL;
+}
+
+START_TEST (test_killed_node_is_not_named)
+{
+  world_nodes (&w, 3);
+  world_kill (&w, 1);
+  ck_assert (world_until (&w, two_are_named, 8000));
+}
+END_TEST
+
+/* The operator moves a route to another service: every node follows, also one
+ * that does not reach the store and hears of it from its peers. */
+static bool
+route_is_there (struct world *world)
+{
+  for (size_t i = 0; i < 3; i++)
+    {
+      struct world_answer *answer
+          = world_get (world, i, "new.example", "/x", "");
+
+      world_wait (world, answer);
+      if (answer->status != 200)
+        return false;
+    }
+  return true;
+}
+
+START_TEST (test_configuration_spreads)
+{
+  world_nodes (&w, 3);
+  world_configure (&w, "plain", "new.example");
+  ck_assert (world_until (&w, route_is_there, 3000));
+}
+END_TEST
+
+/* A runner says that it leaves: it gets no more work, and what it has runs to
+ * its end. */
+START_TEST (test_draining_runner)
+{
+  uint32_t before;
+
+  world_nodes (&w, 1);
+  standin_runner_drain (w.runners[0]);
+  world_turn (&w, 1500);
+  before = standin_runner_executions (w.runners[0]);
+  for (int i = 0; i < 20; i++)
+    {
+      struct world_answer *answer = world_get (&w, 0, "a.example", "/x", "");
+
+      world_wait (&w, answer);
+      assert_whole (answer);
+    }
+  ck_assert_uint_eq (standin_runner_executions (w.runners[0]), before);
+}
+END_TEST
+
+/* A decode engine dies in the middle of a stream; the caller gets each event
+ * once, from two engines. */
+START_TEST (test_engine_dies)
+{
+  struct world_answer *answer;
+
+  world_nodes (&w, 1);
+  answer = world_generate (&w, 0, 2000, 1000);
+  world_turn (&w, 300);
+  ck_assert_uint_gt (answer->body->len, 0);
+  standin_runner_kill (world_busiest (&w));
+  world_wait (&w, answer);
+  assert_stream (answer, 20);
+  ck_assert_uint_eq (standin_counts (w.standin)->resumed, 1);
+}
+END_TEST
+
+/* An engine freezes; its connections stay open. */
+START_TEST (test_engine_freezes)
+{
+  struct world_answer *answer;
+
+  world_nodes (&w, 1);
+  answer = world_generate (&w, 0, 2000, 1000);
+  world_turn (&w, 300);
+  standin_runner_freeze (world_busiest (&w), true);
+  world_wait (&w, answer);
+  assert_stream (answer, 20);
+}
+END_TEST
+
+/* An engine leaves while it streams: the run moves to another one, from its
+ * memory and without a second prefill. */
+START_TEST (test_engine_leaves)
+{
+  struct world_answer *answer;
+
+  world_nodes (&w, 1);
+  answer = world_generate (&w, 0, 2000, 1500);
+  world_turn (&w, 250);
+  standin_runner_drain (world_busiest (&w));
+  world_wait (&w, answer);
+  assert_stream (answer, 30);
+  ck_assert_uint_eq (standin_counts (w.standin)->moved, 1);
+  ck_assert_uint_eq (standin_counts (w.standin)->prefills, 1);
+  ck_assert_uint_eq (standin_counts (w.standin)->repeated, 0);
+}
+END_TEST
+
+/* A plain runner freezes with requests in hand.  Those that may be repeated
+ * are answered by another one long before their deadline; one that may run
+ * only once waits, and is never sent again. */
+START_TEST (test_plain_runner_freezes)
+{
+  struct world_answer *answers[12];
+  struct world_answer *once;
+  uint32_t whole = 0;
+
+  world_nodes (&w, 1);
+  for (int i = 0; i < 10; i++)
+    world_wait (&w, world_get (&w, 0, "a.example", "/x", ""));
+  standin_runner_freeze (w.runners[0], true);
+  for (int i = 0; i < 12; i++)
+    answers[i] = world_get (&w, 0, "a.example", "/x", "");
+  for (int i = 0; i < 12; i++)
+    {
+      world_wait (&w, answers[i]);
+      assert_whole (answers[i]);
+      ck_assert_int_lt (answers[i]->end_ms - answers[i]->begun_ms, 1000);
+    }
+  for (int i = 0; i < 12; i++)
+    {
+      once = world_get (&w, 0, "a.example", "/once/x", "");
+      world_wait (&w, once);
+      whole += once->done && once->status == 200;
+    }
+  ck_assert_uint_ge (whole, 9);
+  ck_assert_uint_eq (standin_counts (w.standin)->repeated, 0);
+}
+END_TEST
+
+/* The store is silent: everything known goes on to be served, and what changed
+ * meanwhile is known soon after it is back. */
+START_TEST (test_store_silent)
+{
+  world_nodes (&w, 2);
+  standin_set_silent (w.standin, true);
+  for (int i = 0; i < 30; i++)
+    {
+      struct world_answer *answer
+          = world_get (&w, (size_t)i % 2, "a.example", "/x", "");
+
+      world_wait (&w, answer);
+      assert_whole (answer);
+      world_turn (&w, 100);
+    }
+  ck_assert_uint_eq (world_ask (&w, 0, WORLD_READY_PORT, "/v1/ready")->status,
+                     200);
+  standin_runner_drain (w.runners[0]);
+  standin_set_silent (w.standin, false);
+  world_turn (&w, 2000);
+  for (int i = 0; i < 10; i++)
+    {
+      uint32_t before = standin_runner_executions (w.runners[0]);
+      struct world_answer *answer = world_get (&w, 0, "a.example", "/x", "");
+
+      world_wait (&w, answer);
+      ck_assert_uint_eq (standin_runner_executions (w.runners[0]), before);
+    }
+}
+END_TEST
+
+/* The store forgets its history, and something changed in between: the nodes
+ * list everything again. */
+START_TEST (test_store_compacts)
+{
+  world_nodes (&w, 1);
+  standin_set_silent (w.standin, true);
+  world_turn (&w, 100);
+  world_configure (&w, "plain", "new.example");
+  standin_remove (w.standin, "servers", "a1");
+  standin_compact (w.standin);
+  standin_set_silent (w.standin, false);
+  world_turn (&w, 2500);
+  world_wait (&w, world_get (&w, 0, "a.example", "/x", ""));
+  for (int i = 0; i < 3; i++)
+    {
+      struct world_answer *answer = world_get (&w, 0, "new.example", "/x", "");
+
+      world_wait (&w, answer);
+      assert_whole (answer);
+    }
+}
+END_TEST
+
+/* A planned stop in the middle of work: what the node has read it finishes,
+ * its name leaves the directory, and then it takes no more connections. */
+START_TEST (test_planned_stop)
+{
+  struct world_answer *stream, *answer;
+
+  world_nodes (&w, 2);
+  stream = world_generate (&w, 0, 1000, 1500);
+  world_turn (&w, 200);
+  gateway_stop (w.nodes[0]);
+  ck_assert_uint_ne (world_ask (&w, 0, WORLD_READY_PORT, "/v1/ready")->status,
+                     200);
+  /* A caller that has the address still is served, and told to leave. */
+  answer = world_get (&w, 0, "a.example", "/x", "");
+  world_wait (&w, answer);
+  assert_whole (answer);
+  ck_assert_ptr_nonnull (strstr (answer->fields->str, "Connection: close"));
+  world_turn (&w, 300);
+  answer = world_ask (&w, 1, WORLD_DIRECTORY_PORT, "/v1/resolve");
+  ck_assert_ptr_null (strstr (answer->body->str, w.ips[0]));
+  /* The stop ends the loop; nothing is left then. */
+  world_wait (&w, stream);
+  assert_stream (stream, 30);
+  world_turn (&w, 1500);
+  answer = world_get (&w, 0, "a.example", "/x", "");
+  world_wait (&w, answer);
+  ck_assert (answer->failed);
+  ck_assert_int_eq (answer->failure, H1_FAILURE_REFUSED);
+}
+END_TEST
+
+/* A caller leaves in the middle of its stream.  Its engine must stop. */
+START_TEST (test_caller_leaves)
+{
+  struct world_answer *answer;
+
+  world_nodes (&w, 1);
+  answer = world_generate (&w, 0, 1000, 1900);
+  world_turn (&w, 200);
+  ck_assert_uint_gt (answer->body->len, 0);
+  ck_assert_uint_eq (standin_runner_running (world_busiest (&w)), 1);
+  world_leave (&w, answer);
+  world_turn (&w, 100);
+  ck_assert_uint_eq (standin_runner_running (world_busiest (&w)), 0);
+}
+END_TEST
+
+/* Several nodes place generations at the same engines.  Together they keep to
+ * the engines' memory: hardly a run is rejected, none is run twice. */
+START_TEST (test_nodes_share_engines)
+{
+  struct world_answer *answers[60];
+
+  world_nodes (&w, 3);
+  for (size_t i = 0; i < 60; i++)
+    {
+      answers[i] = world_generate (&w, i % 3, 3000, 500);
+      world_turn (&w, 30);
+    }
+  for (size_t i = 0; i < 60; i++)
+    world_wait (&w, answers[i]);
+  for (size_t i = 0; i < 60; i++)
+    assert_stream (answers[i], 10);
+  ck_assert_uint_eq (standin_counts (w.standin)->executions, 60);
+  ck_assert_uint_eq (standin_counts (w.standin)->repeated, 0);
+  ck_assert_uint_le (standin_counts (w.standin)->rejected, 3);
+  for (size_t i = 0; i < w.runner_count; i++)
+    ck_assert_uint_eq (standin_runner_held (w.runners[i]), 0);
+}
+END_TEST
+
+static void
+assert_has (const struct world_answer *answer, const char *line)
+{
+  ck_assert_msg (strstr (answer->body->str, line) != NULL, "no %s in %s", line,
+                 answer->body->str);
+}
+
+/* The metrics tell the same as the callers saw. */
+START_TEST (test_metrics)
+{
+  struct world_answer *answer;
+
+  world_nodes (&w, 1);
+  for (int i = 0; i < 7; i++)
+    world_wait (&w, world_get (&w, 0, "a.example", "/x", ""));
+  for (int i = 0; i < 2; i++)
+    world_wait (&w, world_generate (&w, 0, 1000, 200));
+  world_wait (&w, world_get (&w, 0, "unknown.example", "/x", ""));
+  answer = world_ask (&w, 0, WORLD_METRICS_PORT, "/metrics");
+  ck_assert_uint_eq (answer->status, 200);
+  assert_has (answer, "beryl_gateway_requests_total{service=\"plain\","
+                      "end=\"answer\",cause=\"whole\"} 7\n");
+  assert_has (answer, "beryl_gateway_requests_total{service=\"model\","
+                      "end=\"answer\",cause=\"whole\"} 2\n");
+  assert_has (answer, "beryl_gateway_requests_total{service=\"\","
+                      "end=\"refuse\",cause=\"no_route\"} 1\n");
+  assert_has (answer, "beryl_gateway_steps_total{step=\"prefill\","
+                      "outcome=\"done\"} 2\n");
+  assert_has (answer, "beryl_gateway_answer_ms_bucket{service=\"plain\","
+                      "le=\"+Inf\"} 7\n");
+  assert_has (answer, "beryl_gateway_answer_ms_count{service=\"plain\"} 7\n");
+  assert_has (answer, "beryl_gateway_open 0\n");
+  assert_has (answer, "beryl_gateway_ready 1\n");
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("gateway");
+  TCase *tcase = tcase_create ("whole path");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_path);
+  tcase_add_test (tcase, test_generation);
+  tcase_add_test (tcase, test_not_ready);
+  tcase_add_test (tcase, test_killed_node_is_not_named);
+  tcase_add_test (tcase, test_configuration_spreads);
+  tcase_add_test (tcase, test_draining_runner);
+  tcase_add_test (tcase, test_engine_dies);
+  tcase_add_test (tcase, test_engine_freezes);
+  tcase_add_test (tcase, test_engine_leaves);
+  tcase_add_test (tcase, test_plain_runner_freezes);
+  tcase_add_test (tcase, test_store_silent);
+  tcase_add_test (tcase, test_store_compacts);
+  tcase_add_test (tcase, test_planned_stop);
+  tcase_add_test (tcase, test_caller_leaves);
+  tcase_add_test (tcase, test_nodes_share_engines);
+  tcase_add_test (tcase, test_metrics);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
