--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -146,9 +146,9 @@
   uint32_t before;
 
   world_nodes (&w, 1);
-  standin_runner_drain (w.runners[0]);
+  standin_runner_drain (world_runner (&w, 0));
   world_turn (&w, 1500);
-  before = standin_runner_executions (w.runners[0]);
+  before = standin_runner_executions (world_runner (&w, 0));
   for (int i = 0; i < 20; i++)
     {
       struct world_answer *answer = world_get (&w, 0, "a.example", "/x", "");
@@ -156,7 +156,7 @@
       world_wait (&w, answer);
       assert_whole (answer);
     }
-  ck_assert_uint_eq (standin_runner_executions (w.runners[0]), before);
+  ck_assert_uint_eq (standin_runner_executions (world_runner (&w, 0)), before);
 }
 END_TEST
 
@@ -221,7 +221,7 @@
   world_nodes (&w, 1);
   for (int i = 0; i < 10; i++)
     world_wait (&w, world_get (&w, 0, "a.example", "/x", ""));
-  standin_runner_freeze (w.runners[0], true);
+  standin_runner_freeze (world_runner (&w, 0), true);
   for (int i = 0; i < 12; i++)
     answers[i] = world_get (&w, 0, "a.example", "/x", "");
   for (int i = 0; i < 12; i++)
@@ -258,16 +258,17 @@
     }
   ck_assert_uint_eq (world_ask (&w, 0, WORLD_READY_PORT, "/v1/ready")->status,
                      200);
-  standin_runner_drain (w.runners[0]);
+  standin_runner_drain (world_runner (&w, 0));
   standin_set_silent (w.standin, false);
   world_turn (&w, 2000);
   for (int i = 0; i < 10; i++)
     {
-      uint32_t before = standin_runner_executions (w.runners[0]);
+      uint32_t before = standin_runner_executions (world_runner (&w, 0));
       struct world_answer *answer = world_get (&w, 0, "a.example", "/x", "");
 
       world_wait (&w, answer);
-      ck_assert_uint_eq (standin_runner_executions (w.runners[0]), before);
+      ck_assert_uint_eq (standin_runner_executions (world_runner (&w, 0)),
+                         before);
     }
 }
 END_TEST
@@ -361,8 +362,8 @@
   ck_assert_uint_eq (standin_counts (w.standin)->executions, 60);
   ck_assert_uint_eq (standin_counts (w.standin)->repeated, 0);
   ck_assert_uint_le (standin_counts (w.standin)->rejected, 3);
-  for (size_t i = 0; i < w.runner_count; i++)
-    ck_assert_uint_eq (standin_runner_held (w.runners[i]), 0);
+  for (size_t i = 0; i < WORLD_RUNNERS; i++)
+    ck_assert_uint_eq (standin_runner_held (world_runner (&w, i)), 0);
 }
 END_TEST
 
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "demo.h"
 #include "platform.h"
 
 #define WAIT_MS 10000
@@ -16,78 +17,12 @@
   struct h1_call *call;
 };
 
-static json_t *
-service (const char *name, bool model)
-{
-  json_t *json = json_pack ("{s:s, s:s, s:i}", "name", name, "health_path",
-                            "/health", "max_connections", 100);
-
-  if (model)
-    json_object_set_new (
-        json, "engine",
-        json_pack ("{s:i, s:i, s:i, s:f, s:b, s:i, s:f, s:f, s:i}", "slots",
-                   16, "kv_tokens", 50000, "kv_token_bytes", 1000, "link_mbps",
-                   1000.0, "moves", 1, "stride", 50, "kv_hold_s", 2.0,
-                   "stage_switch_s", 1.0, "hold_ms", 2000));
-  return json;
-}
-
-static json_t *
-route (const char *name, const char *host, const char *prefix,
-       const char *kind, const char *to)
-{
-  return json_pack ("{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "name",
-                    name, "host", host, "path_prefix", prefix, "kind", kind,
-                    "service", to, "max_attempts", 3, "timeout_ms", 5000,
-                    "target_latency_ms", 500, "priority", 1);
-}
-
 void
-world_configure (struct world *w, const char *to, const char *extra_route)
+world_configure (struct world *w, const char *to, const char *extra_host)
 {
-  json_t *stream = route ("chat", "model.example", "/", "streaming", "model");
-  json_t *routes = json_pack (
-      "[o, o, o]", route ("safe", "a.example", "/", "safe", to),
-      route ("once", "a.example", "/once/", "unsafe", to), stream);
-
-  json_object_set_new (stream, "resumable", json_true ());
-  json_object_set_new (stream, "sticky", json_true ());
-  json_object_set_new (stream, "gap_aim_ms", json_integer (300));
-  if (extra_route != NULL)
-    json_array_append_new (routes,
-                           route (extra_route, extra_route, "/", "safe", to));
   w->version += 3;
   standin_put (w->standin, "config", "main",
-               json_pack ("{s:I, s:o, s:[o, o, o], s:{s:i, s:i, s:i, s:i}}",
-                          "version", (json_int_t)w->version, "routes", routes,
-                          "services", service ("plain", false),
-                          service ("other", false), service ("model", true),
-                          "limits", "max_header_bytes", 8192, "max_body_bytes",
-                          100000, "header_timeout_ms", 5000, "idle_timeout_ms",
-                          30000));
-}
-
-static void
-add_runner (struct world *w, const char *id, const char *of, const char *stage)
-{
-  struct standin_runner_settings settings = {
-    .id = id,
-    .service = of,
-    .address = "127.0.0.1",
-    .zone = "dc-1",
-    .stage = stage,
-    .slots = 16,
-    .kv_tokens = 50000,
-    .work_ms = 5,
-    .event_ms = 30,
-    .event_tokens = 50,
-  };
-  struct beryl_error error = { 0 };
-
-  w->runners[w->runner_count]
-      = standin_runner_start (w->standin, &settings, &error);
-  ck_assert_msg (w->runners[w->runner_count] != NULL, "%s", error.message);
-  w->runner_count++;
+               demo_configuration (w->version, to, extra_host));
 }
 
 void
@@ -105,15 +40,8 @@
   for (size_t i = 0; i < WORLD_NODES_MAX; i++)
     g_snprintf (w->ips[i], sizeof w->ips[i], "127.%d.%d.%zu",
                 1 + getpid () / 250 % 250, 1 + getpid () % 250, i + 1);
-  world_configure (w, "plain", NULL);
-  add_runner (w, "a0", "plain", NULL);
-  add_runner (w, "a1", "plain", NULL);
-  add_runner (w, "a2", "plain", NULL);
-  add_runner (w, "p0", "model", "prefill");
-  add_runner (w, "p1", "model", "prefill");
-  add_runner (w, "d0", "model", "decode");
-  add_runner (w, "d1", "model", "decode");
-  add_runner (w, "d2", "model", "decode");
+  w->version = 1;
+  w->runners = demo_fill (w->standin);
 }
 
 static void
@@ -131,6 +59,7 @@
     world_kill (w, i);
   http_context_destroy (w->http);
   standin_destroy (w->standin);
+  g_ptr_array_free (w->runners, TRUE);
   world_turn (w, 20);
   for (guint i = 0; i < w->answers->len; i++)
     caller_free (g_ptr_array_index (w->answers, i));
@@ -392,15 +321,21 @@
   ck_assert (world_until (w, all_know_all, WAIT_MS));
 }
 
+struct standin_runner *
+world_runner (struct world *w, size_t i)
+{
+  return g_ptr_array_index (w->runners, i);
+}
+
 struct standin_runner *
 world_busiest (struct world *w)
 {
   struct standin_runner *best = NULL;
 
-  for (size_t i = 0; i < w->runner_count; i++)
+  for (size_t i = 0; i < WORLD_RUNNERS; i++)
     if (best == NULL
-        || standin_runner_running (w->runners[i])
+        || standin_runner_running (world_runner (w, i))
                > standin_runner_running (best))
-      best = w->runners[i];
+      best = world_runner (w, i);
   return best;
 }
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -10,7 +10,8 @@
 #include "standin.h"
 
 #define WORLD_NODES_MAX 4
-#define WORLD_RUNNERS_MAX 12
+/** Runners of demo_fill. */
+#define WORLD_RUNNERS 8
 #define WORLD_FRONT_PORT 8100
 #define WORLD_READY_PORT 8101
 #define WORLD_DIRECTORY_PORT 8102
@@ -38,16 +39,13 @@
   struct http_context *http;
   struct gateway *nodes[WORLD_NODES_MAX];
   char ips[WORLD_NODES_MAX][32];
-  struct standin_runner *runners[WORLD_RUNNERS_MAX];
-  size_t runner_count;
+  GPtrArray *runners;
   uint64_t requests;
   uint64_t version;
   GPtrArray *answers;
 };
 
-/** Start the store with a configuration of two plain routes, one of which may
- * run a request only once, and a model's; 3 plain runners, 2 prefill and 3
- * decode engines. */
+/** Start the store and the runners of demo_fill. */
 void world_open (struct world *w);
 void world_close (struct world *w);
 
@@ -78,11 +76,12 @@
 /** Turn until ANSWER has ended; fails the test after 10 s. */
 void world_wait (struct world *w, struct world_answer *answer);
 
-/** Write a configuration in which the routes go to services "SERVICE" and
- * "model". */
+/** Write demo_configuration as a new version. */
 void world_configure (struct world *w, const char *service,
-                      const char *extra_route);
+                      const char *extra_host);
 
+/** Return runner I. */
+struct standin_runner *world_runner (struct world *w, size_t i);
 /** Return the runner that runs most at present. */
 struct standin_runner *world_busiest (struct world *w);
 
