--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -37,8 +37,9 @@
 /** What a caller's request says of itself. */
 struct beryl_forward_request
 {
-  uint64_t request; /**< the shell's handle */
-  char id[BERYL_REQUEST_ID_BYTES];
+  uint64_t request;                /**< the shell's handle */
+  char id[BERYL_REQUEST_ID_BYTES]; /**< for the log and for moves */
+  bool id_exact; /**< ID is what the endpoints know the request by */
   const char *host;
   const char *path;
   int64_t arrived_ms;
--- a/libberyl/forward/balance.c
+++ b/libberyl/forward/balance.c
@@ -15,7 +15,7 @@
 {
   return r->phase == PHASE_RUNNING && r->reservation.live != NULL
          && r->move_to == NULL && r->event_count > 0 && r->first != NULL
-         && r->first->headed && !r->stalled && r->terms->engine.moves;
+         && r->first->headed && !r->stalled && forward_request_movable (r);
 }
 
 /* An engine that is leaving may stop before its runs end; each would have to
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -370,6 +370,12 @@
   return r->route->generation && r->terms->engines;
 }
 
+bool
+forward_request_movable (const struct request *r)
+{
+  return r->terms->engine.moves && r->facts.id_exact;
+}
+
 bool
 forward_request_repeatable (const struct request *r)
 {
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -178,6 +178,8 @@
                            enum beryl_refusal_reason reason, int64_t now_ms);
 /** Whether R is planned at model engines. */
 bool forward_request_is_generation (const struct request *r);
+/** Whether R's run can be moved to another engine. */
+bool forward_request_movable (const struct request *r);
 /** Whether R may run again although it may have run. */
 bool forward_request_repeatable (const struct request *r);
 /** The endpoint that R was sent to runs it, or may do so. */
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -80,7 +80,7 @@
   r->stalled = true;
   forward_request_decided (f, r, "stall", r->first->live, "seen",
                            now_ms - r->event_ms, now_ms);
-  if (r->run_events > 0 && r->terms->engine.moves
+  if (r->run_events > 0 && forward_request_movable (r)
       && engine_is_full (f, r, now_ms))
     target = engine_choose_target (f, r, now_ms);
   if (target != NULL)
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -290,6 +290,7 @@
 {
   struct beryl_forward_request facts = {
     .request = number,
+    .id_exact = true,
     .host = FX_HOST,
     .path = "/x",
     .arrived_ms = fx->now_ms,
--- /dev/null
+++ b/tests/platform_wire/test_wire.c
@@ -0,0 +1,668 @@
+/* What goes out to the users' platform and how its answers are understood,
+ * by examples of its published protocol. */
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "platform.h"
+
+static const struct gateway_wire *wire;
+static struct beryl_live endpoint;
+
+static void
+setup (void)
+{
+  wire = platform_gateway_wire ();
+  endpoint = (struct beryl_live){
+    .info = { .id = "i-7f3a91c2", .address = "10.1.64.9", .port = 8080 }
+  };
+}
+
+static struct beryl_object
+object_of (const char *name, const char *value)
+{
+  return (struct beryl_object){ .name = (char *)name,
+                                .version = 7,
+                                .value = value,
+                                .value_bytes = strlen (value) };
+}
+
+static const char configuration[]
+    = "{\"version\":41,\"services\":["
+      "{\"name\":\"api\",\"health_path\":\"/h\",\"max_connections\":96},"
+      "{\"name\":\"llm\",\"health_path\":\"/h\",\"max_connections\":360,"
+      "\"engine\":{\"slots\":64,\"kv_tokens\":106284,"
+      "\"kv_token_bytes\":163840,\"link_mbps\":8800000.0,\"stride\":16,"
+      "\"moves\":true,\"backups\":false,\"kv_hold_s\":1.5,"
+      "\"stage_switch_s\":2,\"pin_ms\":900,\"hold_ms\":2500}}],"
+      "\"routes\":["
+      "{\"name\":\"lookup\",\"host\":\"a.example\",\"path_prefix\":\"/x/\","
+      "\"kind\":\"safe\",\"service\":\"api\",\"max_attempts\":3,"
+      "\"timeout_ms\":1500,\"target_latency_ms\":100,\"priority\":2},"
+      "{\"name\":\"order\",\"host\":\"a.example\",\"path_prefix\":\"/y/\","
+      "\"kind\":\"unsafe\",\"weighted_split\":["
+      "{\"service\":\"api\",\"weight\":3},{\"service\":\"llm\",\"weight\":1}"
+      "]},"
+      "{\"name\":\"advice\",\"host\":\"b.example\",\"path_prefix\":\"/\","
+      "\"kind\":\"streaming\",\"resumable\":true,\"sticky\":true,"
+      "\"service\":\"llm\",\"max_attempts\":2,\"timeout_ms\":14000,"
+      "\"target_latency_ms\":900,\"gap_aim_ms\":300}],"
+      "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
+      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":20000}}";
+
+START_TEST (test_configuration)
+{
+  struct beryl_object object = object_of ("main", configuration);
+  struct beryl_error error = { 0 };
+  struct beryl_routes *routes
+      = wire->impl->read_routes (wire, &object, &error);
+  const struct beryl_route *route;
+  const struct beryl_engine_terms *engine;
+
+  ck_assert_msg (routes != NULL, "%s", error.message);
+  ck_assert_uint_eq (routes->version, 41);
+  ck_assert_uint_eq (routes->limits.body_bytes, 65536);
+  route = beryl_routes_find (routes, "a.example", "/x/1");
+  ck_assert_str_eq (route->name, "lookup");
+  ck_assert_int_eq (route->repeat, BERYL_REPEAT_IDEMPOTENT);
+  ck_assert_uint_eq (route->endpoints_max, 3);
+  ck_assert_int_eq (route->timeout_ms, 1500);
+  ck_assert (!route->streaming && !route->generation);
+  route = beryl_routes_find (routes, "a.example", "/y/");
+  ck_assert_int_eq (route->repeat, BERYL_REPEAT_ONCE);
+  ck_assert_uint_eq (route->endpoints_max, 1);
+  ck_assert_uint_eq (route->target_count, 2);
+  ck_assert_uint_eq (route->targets[0].weight, 3);
+  route = beryl_routes_find (routes, "b.example", "/chat");
+  ck_assert (route->streaming && route->resumable && route->generation);
+  ck_assert_int_eq (route->repeat, BERYL_REPEAT_IDEMPOTENT);
+  ck_assert_int_eq (route->gap_objective_ms, 300);
+  engine = &routes->services[1].engine;
+  ck_assert (routes->services[1].engines && !routes->services[0].engines);
+  ck_assert_uint_eq (engine->kv_tokens, 106284);
+  ck_assert_uint_eq (engine->event_tokens, 16);
+  ck_assert_int_eq (engine->kv_handle_ms, 1500);
+  ck_assert_int_eq (engine->role_change_ms, 2000);
+  ck_assert_int_eq (engine->reservation_ms, 2500);
+  ck_assert (engine->moves && !engine->backups);
+  beryl_routes_unref (routes);
+}
+END_TEST
+
+/* A stream that may not be resumed may run only once. */
+START_TEST (test_stream_without_resume)
+{
+  struct beryl_object object = object_of (
+      "main", "{\"version\":1,\"services\":[{\"name\":\"s\"}],\"routes\":["
+              "{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+              "\"kind\":\"streaming\",\"service\":\"s\"}]}");
+  struct beryl_error error = { 0 };
+  struct beryl_routes *routes
+      = wire->impl->read_routes (wire, &object, &error);
+
+  ck_assert_int_eq (beryl_routes_find (routes, "h", "/")->repeat,
+                    BERYL_REPEAT_ONCE);
+  beryl_routes_unref (routes);
+}
+END_TEST
+
+START_TEST (test_malformed_configurations)
+{
+  static const char *const values[] = {
+    "",
+    "[]",
+    "{}",
+    "{\"version\":\"1\",\"services\":[],\"routes\":[]}",
+    "{\"version\":1,\"services\":[]}",
+    "{\"version\":1,\"services\":[{\"name\":\"\"}],\"routes\":[]}",
+    "{\"version\":1,\"services\":[{\"name\":\"s\"}],"
+    "\"routes\":[{\"name\":\"r\",\"service\":\"other\"}]}",
+    "{\"version\":1,\"services\":[{\"name\":\"s\"}],"
+    "\"routes\":[{\"name\":\"r\",\"weighted_split\":[{\"service\":\"z\"}]}]}",
+    "{\"version\":1,\"services\":[3],\"routes\":[4]}",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      struct beryl_object object = object_of ("main", values[i]);
+      struct beryl_error error = { 0 };
+
+      ck_assert_ptr_null (wire->impl->read_routes (wire, &object, &error));
+      ck_assert_str_ne (error.message, "");
+    }
+}
+END_TEST
+
+START_TEST (test_endpoint)
+{
+  struct beryl_object object = object_of (
+      "i-1", "{\"service\":\"llm\",\"address\":\"10.1.64.9:8080\","
+             "\"zone\":\"hall-a\",\"version\":\"3\",\"slots\":64,"
+             "\"state\":\"ready\",\"stage\":\"decode\",\"sequence\":9}");
+  struct beryl_error error = { 0 };
+  struct beryl_live_info info;
+
+  ck_assert (wire->impl->read_endpoint (wire, &object, &info, &error));
+  ck_assert_str_eq (info.id, "i-1");
+  ck_assert_str_eq (info.service, "llm");
+  ck_assert_str_eq (info.address, "10.1.64.9");
+  ck_assert_uint_eq (info.port, 8080);
+  ck_assert_str_eq (info.data_centre, "hall-a");
+  ck_assert_int_eq (info.stage, BERYL_STAGE_DECODE);
+  ck_assert (!info.leaving);
+  ck_assert_uint_eq (info.revision, 7);
+  object
+      = object_of ("i-1", "{\"service\":\"llm\",\"address\":\"10.1.64.9:1\","
+                          "\"state\":\"draining\"}");
+  ck_assert (wire->impl->read_endpoint (wire, &object, &info, &error));
+  ck_assert (info.leaving);
+  ck_assert_int_eq (info.stage, BERYL_STAGE_NONE);
+}
+END_TEST
+
+START_TEST (test_malformed_endpoints)
+{
+  static const char *const values[] = {
+    "",
+    "{\"service\":\"s\"}",
+    "{\"service\":\"s\",\"address\":\"10.1.1.1\"}",
+    "{\"service\":\"s\",\"address\":\"10.1.1.1:0\"}",
+    "{\"service\":\"s\",\"address\":\"10.1.1.1:70000\"}",
+    "{\"service\":\"s\",\"address\":\":80\"}",
+    "{\"service\":\"\",\"address\":\"10.1.1.1:80\"}",
+    "{\"service\":4,\"address\":\"10.1.1.1:80\"}",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      struct beryl_object object = object_of ("i-1", values[i]);
+      struct beryl_error error = { 0 };
+      struct beryl_live_info info;
+
+      ck_assert_msg (!wire->impl->read_endpoint (wire, &object, &info, &error),
+                     "%s", values[i]);
+    }
+}
+END_TEST
+
+static struct h1_field caller_fields[] = {
+  { "Host", "ficu95.example" },
+  { "X-Request-Id", "9c41d07be2a35f68" },
+  { "Last-Event-Id", "12" },
+  { "X-Model", "m" },
+  { "X-Token-Counts", "1460,80" },
+  { "X-Length-Hint", "64" },
+  { "X-Deadline-Ms", "14000" },
+  { "X-Kv-Hold", "stolen" },
+  { "X-Kv-Source", "10.0.0.1:1/x" },
+  { "X-Expect-Instance", "other" },
+  { "X-Serving-Stage", "prefill" },
+  { "X-Request-Urgency", "0" },
+  { "Connection", "keep-alive, X-Mine" },
+  { "X-Mine", "1" },
+  { "Content-Length", "3" },
+};
+
+static const struct h1_head caller_head = {
+  .method = "POST",
+  .target = "/lohu930/2f?q=1",
+  .fields = caller_fields,
+  .field_count = G_N_ELEMENTS (caller_fields),
+};
+
+START_TEST (test_request_is_read)
+{
+  struct beryl_forward_request request = { 0 };
+
+  wire->impl->read_request (wire, &caller_head, 1000, &request);
+  ck_assert_str_eq (request.id, "9c41d07be2a35f68");
+  ck_assert (request.id_exact);
+  ck_assert_str_eq (request.host, "ficu95.example");
+  ck_assert_str_eq (request.path, "/lohu930/2f?q=1");
+  ck_assert_int_eq (request.deadline_ms, 15000);
+  ck_assert_uint_eq (request.prompt_tokens, 1460);
+  ck_assert_uint_eq (request.output_tokens_max, 80);
+  ck_assert_uint_eq (request.output_tokens_hint, 64);
+  ck_assert (request.resumes);
+  ck_assert_uint_eq (request.last_event, 12);
+}
+END_TEST
+
+/* An id is printed in the log and sent in the body of a move.  One with other
+ * signs than printed ones is kept out of both; one that is too long to be kept
+ * whole names no run. */
+START_TEST (test_strange_ids)
+{
+  struct h1_field field = { "X-Request-Id", NULL };
+  struct h1_head head
+      = { .method = "GET", .target = "/", .fields = &field, .field_count = 1 };
+  struct beryl_forward_request request = { 0 };
+  char *long_id = g_strnfill (200, 'x');
+
+  field.value = "a b\tid=c";
+  wire->impl->read_request (wire, &head, 0, &request);
+  ck_assert_str_eq (request.id, "a_b_id=c");
+  ck_assert (!request.id_exact);
+  field.value = long_id;
+  wire->impl->read_request (wire, &head, 0, &request);
+  ck_assert (!request.id_exact);
+  g_free (long_id);
+}
+END_TEST
+
+static GString *
+formatted (const struct beryl_exchange_start *start)
+{
+  GString *out = g_string_new (NULL);
+
+  wire->impl->format_request (wire, &caller_head, 3, start, out);
+  return out;
+}
+
+/* A caller must not reach what is the system's to say: reservations, memory of
+ * other requests, urgency. */
+START_TEST (test_request_is_passed_on)
+{
+  struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RUN,
+                                        .endpoint = &endpoint,
+                                        .left_ms = 13900 };
+  GString *out = formatted (&start);
+
+  ck_assert_str_eq (out->str, "POST /lohu930/2f?q=1 HTTP/1.1\r\n"
+                              "Host: ficu95.example\r\n"
+                              "X-Request-Id: 9c41d07be2a35f68\r\n"
+                              "Last-Event-Id: 12\r\n"
+                              "X-Model: m\r\n"
+                              "X-Token-Counts: 1460,80\r\n"
+                              "X-Length-Hint: 64\r\n"
+                              "X-Expect-Instance: i-7f3a91c2\r\n"
+                              "X-Deadline-Ms: 13900\r\n"
+                              "Content-Length: 3\r\n"
+                              "Connection: close\r\n\r\n");
+  g_string_free (out, TRUE);
+}
+END_TEST
+
+START_TEST (test_prefill_and_run)
+{
+  struct beryl_exchange_start prefill
+      = { .kind = BERYL_EXCHANGE_PREFILL, .endpoint = &endpoint };
+  struct beryl_exchange_start run = { .kind = BERYL_EXCHANGE_RUN,
+                                      .endpoint = &endpoint,
+                                      .reservation = "h-1",
+                                      .kv_handle = "3fa09c41b7d5",
+                                      .kv_address = "10.1.64.8",
+                                      .kv_port = 8081,
+                                      .resumes = true,
+                                      .last_event = 20 };
+  GString *out = formatted (&prefill);
+
+  ck_assert_ptr_nonnull (strstr (out->str, "X-Serving-Stage: prefill\r\n"));
+  ck_assert_ptr_null (strstr (out->str, "X-Kv-"));
+  g_string_free (out, TRUE);
+  out = formatted (&run);
+  ck_assert_ptr_null (strstr (out->str, "X-Serving-Stage"));
+  ck_assert_ptr_nonnull (strstr (out->str, "X-Kv-Hold: h-1\r\n"));
+  ck_assert_ptr_nonnull (
+      strstr (out->str, "X-Kv-Source: 10.1.64.8:8081/3fa09c41b7d5\r\n"));
+  ck_assert_ptr_nonnull (strstr (out->str, "Last-Event-Id: 20\r\n"));
+  ck_assert_ptr_null (strstr (out->str, "Last-Event-Id: 12\r\n"));
+  g_string_free (out, TRUE);
+}
+END_TEST
+
+static struct beryl_answer_head
+read_answer (unsigned int status, const char *name, const char *value)
+{
+  struct h1_field field = { name, value };
+  struct h1_head head
+      = { .status = status, .fields = &field, .field_count = 1 };
+  struct beryl_answer_head answer = { 0 };
+
+  wire->impl->read_answer (wire, "i-7f3a91c2", &head, &answer);
+  return answer;
+}
+
+START_TEST (test_answers)
+{
+  ck_assert (!read_answer (503, "X-Other", "1").not_run);
+  ck_assert (read_answer (503, "X-Not-Executed", "1").not_run);
+  ck_assert (read_answer (421, "X-Instance-Id", "i-2").misdirected);
+  ck_assert (read_answer (421, "X-Instance-Id", "i-7f3a91c2").wrong_stage);
+  ck_assert (read_answer (421, "X-Other", "1").wrong_stage);
+  ck_assert (
+      read_answer (200, "Content-Type", "text/event-stream; x=y").events);
+  ck_assert (!read_answer (200, "Content-Type", "text/plain").events);
+}
+END_TEST
+
+static struct beryl_engine_result
+engine_result (enum beryl_exchange_kind kind, unsigned int status,
+               const char *body)
+{
+  struct h1_head head = { .status = status };
+  struct beryl_engine_result result = { 0 };
+
+  wire->impl->read_engine_answer (wire, "i-7f3a91c2", kind, &head, body,
+                                  strlen (body), &result);
+  return result;
+}
+
+START_TEST (test_engine_answers)
+{
+  struct beryl_engine_result result;
+
+  result = engine_result (BERYL_EXCHANGE_RESERVE, 200, "{\"hold\":\"h-9\"}");
+  ck_assert (result.ok);
+  ck_assert_str_eq (result.handle, "h-9");
+  result = engine_result (BERYL_EXCHANGE_RESERVE, 200, "{\"hold\":17}");
+  ck_assert_str_eq (result.handle, "17");
+  ck_assert (!engine_result (BERYL_EXCHANGE_RESERVE, 200, "{}").ok);
+  ck_assert (!engine_result (BERYL_EXCHANGE_RESERVE, 503, "").ok);
+  result = engine_result (BERYL_EXCHANGE_PREFILL, 200,
+                          "{\"kv_handle\":\"k\",\"tokens\":1460}");
+  ck_assert (result.ok);
+  ck_assert_uint_eq (result.tokens, 1460);
+  result = engine_result (BERYL_EXCHANGE_MOVE, 503, "{\"kv_handle\":\"k\"}");
+  ck_assert (!result.ok);
+  ck_assert_str_eq (result.handle, "k");
+  ck_assert (engine_result (BERYL_EXCHANGE_MOVE, 404, "").not_found);
+}
+END_TEST
+
+/* A runner's handle goes into the path and the fields of later calls to other
+ * runners; one with a line end would add fields of its own choice. */
+START_TEST (test_unsafe_handles)
+{
+  static const char *const bodies[]
+      = { "{\"hold\":\"a\\r\\nX-Kv-Hold: b\"}", "{\"hold\":\"a b\"}",
+          "{\"hold\":\"../order\"}", "{\"hold\":\"a?b\"}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      struct beryl_engine_result result
+          = engine_result (BERYL_EXCHANGE_RESERVE, 200, bodies[i]);
+
+      ck_assert (!result.ok);
+      ck_assert_str_eq (result.handle, "");
+    }
+}
+END_TEST
+
+static char *
+engine_call (const struct beryl_exchange_start *start)
+{
+  GString *head = g_string_new (NULL);
+  GString *body = g_string_new (NULL);
+
+  wire->impl->format_engine_call (wire, start, head, body);
+  g_string_append (head, body->str);
+  g_string_free (body, TRUE);
+  return g_string_free (head, FALSE);
+}
+
+static void
+assert_call (const struct beryl_exchange_start *start, const char *begins,
+             const char *ends)
+{
+  char *text = engine_call (start);
+
+  ck_assert_msg (g_str_has_prefix (text, begins), "%s", text);
+  ck_assert_msg (g_str_has_suffix (text, ends), "%s", text);
+  ck_assert_ptr_nonnull (strstr (text, "X-Expect-Instance: i-7f3a91c2\r\n"));
+  g_free (text);
+}
+
+START_TEST (test_engine_calls)
+{
+  struct beryl_live target
+      = { .info = { .id = "i-2", .address = "10.1.64.7", .port = 8082 } };
+  struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RESERVE,
+                                        .endpoint = &endpoint,
+                                        .tokens = 1500,
+                                        .lease_ms = 2500 };
+
+  assert_call (&start, "POST /v1/hold-take HTTP/1.1\r\n",
+               "\r\n\r\n{\"tokens\":1500,\"ttl_ms\":2500}");
+  start = (struct beryl_exchange_start){ .kind = BERYL_EXCHANGE_UNRESERVE,
+                                         .endpoint = &endpoint,
+                                         .reservation = "h-9" };
+  assert_call (&start, "DELETE /v1/hold-drop/h-9 HTTP/1.1\r\n", "\r\n\r\n");
+  start = (struct beryl_exchange_start){ .kind = BERYL_EXCHANGE_DROP_KV,
+                                         .endpoint = &endpoint,
+                                         .kv_handle = "k-9" };
+  assert_call (&start, "DELETE /v1/kv-handle/k-9 HTTP/1.1\r\n", "\r\n\r\n");
+  start = (struct beryl_exchange_start){ .kind = BERYL_EXCHANGE_MOVE,
+                                         .endpoint = &endpoint,
+                                         .target = &target,
+                                         .run_id = "a\"b" };
+  assert_call (&start, "POST /v1/kv-move HTTP/1.1\r\n",
+               "\r\n\r\n{\"id\":\"a\\\"b\",\"to\":\"10.1.64.7:8082\","
+               "\"last\":true}");
+}
+END_TEST
+
+START_TEST (test_order)
+{
+  struct gateway_order order = { .engine = &endpoint.info,
+                                 .stage = BERYL_STAGE_PREFILL,
+                                 .holder = "node-7",
+                                 .fence = 41,
+                                 .orders = 2 };
+  GString *head = g_string_new (NULL);
+  GString *body = g_string_new (NULL);
+  struct h1_head answer = { .status = 412 };
+
+  wire->impl->format_order (wire, &order, head, body);
+  ck_assert_str_eq (body->str,
+                    "{\"op\":\"stage\",\"stage\":\"prefill\",\"holder\":"
+                    "\"node-7\",\"fence\":41,\"expected\":2}");
+  ck_assert (g_str_has_prefix (head->str, "POST /v1/order HTTP/1.1\r\n"));
+  ck_assert_int_eq (wire->impl->read_order_answer (wire, &answer),
+                    GATEWAY_ORDER_FENCED);
+  answer.status = 202;
+  ck_assert_int_eq (wire->impl->read_order_answer (wire, &answer),
+                    GATEWAY_ORDER_ACCEPTED);
+  answer.status = 500;
+  ck_assert_int_eq (wire->impl->read_order_answer (wire, &answer),
+                    GATEWAY_ORDER_REFUSED);
+  g_string_free (head, TRUE);
+  g_string_free (body, TRUE);
+}
+END_TEST
+
+START_TEST (test_report)
+{
+  static const char body[]
+      = "{\"stage\":\"decode\",\"models\":[],\"busy\":true,\"sequence\":2}";
+  struct h1_head head = { .status = 200 };
+  struct gateway_report report;
+
+  ck_assert (
+      wire->impl->read_report (wire, &head, body, strlen (body), &report));
+  ck_assert_int_eq (report.stage, BERYL_STAGE_DECODE);
+  ck_assert (report.changing);
+  ck_assert_uint_eq (report.orders, 2);
+  ck_assert (!wire->impl->read_report (wire, &head, "{}", 2, &report));
+}
+END_TEST
+
+static void
+free_field (gpointer pointer)
+{
+  struct h1_field *field = pointer;
+
+  g_free ((char *)field->value);
+  g_free (field);
+}
+
+START_TEST (test_refusal)
+{
+  struct beryl_refusal refusal
+      = { .status = 503, .not_run = true, .retry_after_ms = 1250 };
+  GPtrArray *fields = g_ptr_array_new_with_free_func (free_field);
+  const struct h1_field *field;
+
+  wire->impl->format_refusal (wire, &refusal, "r-1", fields);
+  ck_assert_uint_ge (fields->len, 2);
+  field = g_ptr_array_index (fields, 0);
+  ck_assert_str_eq (field->name, "X-Request-Id");
+  field = g_ptr_array_index (fields, 1);
+  ck_assert_str_eq (field->name, "Retry-After");
+  ck_assert_str_eq (field->value, "1.250");
+  g_ptr_array_free (fields, TRUE);
+}
+END_TEST
+
+static enum gateway_question
+question (const char *method, const char *target, struct gateway_place *place)
+{
+  struct h1_head head = { .method = method, .target = target };
+
+  *place = (struct gateway_place){ 0 };
+  return wire->impl->read_question (wire, &head, place);
+}
+
+START_TEST (test_questions)
+{
+  struct gateway_place place;
+
+  ck_assert_int_eq (question ("GET", "/v1/ready", &place),
+                    GATEWAY_QUESTION_READY);
+  ck_assert_int_eq (
+      question ("GET", "/v1/resolve?name=f&region=lj&zone=hall%2da", &place),
+      GATEWAY_QUESTION_ADDRESSES);
+  ck_assert_str_eq (place.data_centre, "hall-a");
+  ck_assert_str_eq (place.region, "lj");
+  ck_assert_int_eq (question ("GET", "/v1/resolve", &place),
+                    GATEWAY_QUESTION_ADDRESSES);
+  ck_assert_int_eq (question ("POST", "/v1/ready", &place),
+                    GATEWAY_QUESTION_NONE);
+  ck_assert_int_eq (question ("GET", "/v1/readyx", &place),
+                    GATEWAY_QUESTION_NONE);
+}
+END_TEST
+
+START_TEST (test_addresses)
+{
+  const char *addresses[] = { "10.1.0.35:8144", "10.1.0.36:8144" };
+  GString *body = g_string_new (NULL);
+
+  wire->impl->format_addresses (wire, addresses, 2, 2000, body);
+  ck_assert_str_eq (
+      body->str,
+      "{\"addresses\":[\"10.1.0.35:8144\",\"10.1.0.36:8144\"],\"ttl_s\":2}");
+  g_string_free (body, TRUE);
+}
+END_TEST
+
+static void
+assert_store_call (const struct beryl_platform_call *call, const char *method,
+                   const char *path, const char *body)
+{
+  struct platform_wire_call out = { 0 };
+
+  wire->store.impl->call (&wire->store, call, &out);
+  ck_assert_str_eq (out.method, method);
+  ck_assert_str_eq (out.path, path);
+  ck_assert_pstr_eq (out.body, body);
+  g_free (out.path);
+  g_free (out.body);
+}
+
+START_TEST (test_store_calls)
+{
+  struct beryl_platform_call call = { .op = BERYL_OP_PUT,
+                                      .kind = "k",
+                                      .name = "n",
+                                      .condition = BERYL_IF_ABSENT,
+                                      .body = "{\"a\":1}",
+                                      .body_bytes = 7 };
+
+  assert_store_call (&call, "POST", "/v1/objects/k",
+                     "{\"metadata\":{\"name\":\"n\"},\"spec\":{\"a\":1}}");
+  call.condition = BERYL_IF_VERSION;
+  call.version = 12;
+  assert_store_call (&call, "PUT", "/v1/objects/k/n",
+                     "{\"metadata\":{\"name\":\"n\",\"revision\":12},"
+                     "\"spec\":{\"a\":1}}");
+  call.op = BERYL_OP_DELETE;
+  assert_store_call (&call, "DELETE", "/v1/objects/k/n?revision=12", NULL);
+  call.op = BERYL_OP_WATCH;
+  call.revision = 40;
+  call.wait_ms = 2000;
+  assert_store_call (&call, "GET", "/v1/objects/k?watch=40&wait_ms=2000",
+                     NULL);
+}
+END_TEST
+
+static void
+assert_store_answer (enum beryl_platform_op op, unsigned int status,
+                     const char *body, unsigned int native_status,
+                     const char *native)
+{
+  char *text = wire->store.impl->answer (&wire->store, op, "k", &status, body,
+                                         strlen (body));
+
+  ck_assert_uint_eq (status, native_status);
+  ck_assert_pstr_eq (text, native);
+  g_free (text);
+}
+
+START_TEST (test_store_answers)
+{
+  static const char object[]
+      = "{\"metadata\":{\"name\":\"n\",\"revision\":9},\"spec\":{\"a\":1}}";
+
+  assert_store_answer (
+      BERYL_OP_GET, 200, object, 200,
+      "{\"kind\":\"k\",\"name\":\"n\",\"version\":9,\"value\":{\"a\":1}}");
+  assert_store_answer (BERYL_OP_PUT, 200, object, 200, "{\"version\":9}");
+  /* Somebody was faster; the answer has what is there. */
+  assert_store_answer (BERYL_OP_PUT, 409,
+                       "{\"object\":{\"metadata\":{\"revision\":11}}}", 412,
+                       "{\"version\":11}");
+  assert_store_answer (BERYL_OP_PUT, 404, "{}", 412, "{\"version\":0}");
+  assert_store_answer (
+      BERYL_OP_WATCH, 200,
+      "{\"store_revision\":10,\"events\":[{\"tombstone\":true,\"object\":"
+      "{\"metadata\":{\"name\":\"n\",\"revision\":10}}}]}",
+      200,
+      "{\"events\":[{\"kind\":\"k\",\"name\":\"n\",\"version\":10,"
+      "\"type\":\"delete\"}],\"revision\":10}");
+  assert_store_answer (BERYL_OP_WATCH, 410, "{}", 410, NULL);
+  assert_store_answer (BERYL_OP_LIST, 200, "{\"items\":3}", 200, NULL);
+  assert_store_answer (BERYL_OP_LIST, 200, "not json", 200, NULL);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("platform wire");
+  TCase *tcase = tcase_create ("wire");
+
+  tcase_add_checked_fixture (tcase, setup, NULL);
+  tcase_add_test (tcase, test_configuration);
+  tcase_add_test (tcase, test_stream_without_resume);
+  tcase_add_test (tcase, test_malformed_configurations);
+  tcase_add_test (tcase, test_endpoint);
+  tcase_add_test (tcase, test_malformed_endpoints);
+  tcase_add_test (tcase, test_request_is_read);
+  tcase_add_test (tcase, test_strange_ids);
+  tcase_add_test (tcase, test_request_is_passed_on);
+  tcase_add_test (tcase, test_prefill_and_run);
+  tcase_add_test (tcase, test_answers);
+  tcase_add_test (tcase, test_engine_answers);
+  tcase_add_test (tcase, test_unsafe_handles);
+  tcase_add_test (tcase, test_engine_calls);
+  tcase_add_test (tcase, test_order);
+  tcase_add_test (tcase, test_report);
+  tcase_add_test (tcase, test_refusal);
+  tcase_add_test (tcase, test_questions);
+  tcase_add_test (tcase, test_addresses);
+  tcase_add_test (tcase, test_store_calls);
+  tcase_add_test (tcase, test_store_answers);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
