--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -289,7 +289,7 @@
 void beryl_forward_peer_gone (struct beryl_forward *forward, const char *peer);
 
 /** Whether this node's generations at engines changed since they were read;
- * read up to MOST of them. */
+ * read up to MOST of them, the newest first. */
 bool beryl_forward_runs_changed (const struct beryl_forward *forward);
 size_t beryl_forward_runs (struct beryl_forward *forward,
                            struct beryl_engine_run *runs, size_t most,
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -291,7 +291,7 @@
   size_t count = 0;
 
   f->runs_changed = false;
-  TAILQ_FOREACH (r, &f->requests, entry)
+  TAILQ_FOREACH_REVERSE (r, &f->requests, request_list, entry)
   if (r->reservation.live != NULL && count < most)
     engine_describe_run (r, now_ms, &runs[count++]);
   return count;
