Prompts that engines have read are not read again when their callers come back

Nodes now tell each other a key of each run's prompt, and after a start ask the engines once what they keep; a request whose prompt is known at an engine goes there without a prefill. What its caller has of the answer is still read there, for one request at a time. Ruled out: a limit on what may be resumed (0, 1000, 2500 tokens: no difference beyond noise).

Also: heartbeats told the runs as of the last change, so that peers took them for younger than they are, and came up to twice their interval apart; planner and survey share one way to call an engine.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -13,6 +13,7 @@
 #include "planner.h"
 #include "registry.h"
 #include "source.h"
+#include "survey.h"
 #include "wire/loads.h"
 
 /* How often a stopping node looks whether all is answered. */
@@ -73,6 +74,7 @@
   struct cluster_key *key;
   struct registry *registry;
   struct planner *planner;
+  struct survey *survey;
   struct loop_timer *stand; /* looks who stands for the planner's lease */
   struct loop_timer *tell;  /* runs that changed are told when it fires */
   struct loop_timer *tick;
@@ -359,12 +361,21 @@
   source_offer (of_members (owner)->source, revision, value, value_bytes);
 }
 
+static void tell (void *user);
+
+static void
+members_tell_due (struct members_owner *owner)
+{
+  tell (of_members (owner));
+}
+
 static const struct members_owner_impl members_impl = {
   .count_changed = members_count_changed,
   .loads = members_loads,
   .endpoint_revision = members_endpoint_revision,
   .changing = members_changing,
   .peer_gone = members_peer_gone,
+  .tell_due = members_tell_due,
   .configuration = members_configuration,
 };
 
@@ -564,6 +575,7 @@
       g->key = cluster_key_create (loop, g->store, key_known, g);
       g->planner = planner_create (loop, wire, &g->settings, g->store,
                                    g->forward, g->lives);
+      g->survey = survey_create (loop, wire, g->forward, g->lives);
       g->stand = loop_timer_start (loop, STAND_MS, STAND_MS, stand, g);
       return g;
     }
@@ -580,6 +592,7 @@
   loop_timer_stop (g->tell);
   loop_timer_stop (g->stop_poll);
   loop_timer_stop (g->stand);
+  survey_destroy (g->survey);
   planner_destroy (g->planner);
   cluster_key_destroy (g->key);
   registry_destroy (g->registry);
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -15,6 +15,8 @@
 #define ACK_MS 150
 /* Runs are told at least so often, also as a sign of life. */
 #define TELL_MS 500
+/* How often it is looked whether that time is over. */
+#define TELL_LOOK_MS 100
 /* With more peers each is told less often, so that a node's bytes for it stay
  * the same. */
 #define TELL_PEER_MS 10
@@ -423,7 +425,7 @@
 
   expire_pulls (m);
   if (now_ms (m) - m->told_ms >= tell_interval_ms (m))
-    send_loads (m);
+    m->owner->impl->tell_due (m->owner);
 }
 
 void
@@ -468,7 +470,7 @@
       members_destroy (m);
       return NULL;
     }
-  m->tell = loop_timer_start (loop, TELL_MS, TELL_MS, tell_due, m);
+  m->tell = loop_timer_start (loop, TELL_MS, TELL_LOOK_MS, tell_due, m);
   return m;
 }
 
--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -4,7 +4,7 @@
 
 #include "beryl/stages.h"
 #include "common/stored_lease.h"
-#include "h1/client.h"
+#include "engine_call.h"
 
 #define KIND "gateway-leases"
 #define NAME "stage-planner"
@@ -27,9 +27,11 @@
   struct beryl_lives *lives;
   struct stored_lease *lease;
   struct loop_timer *timer;
-  GHashTable *services;     /* name to struct beryl_stages */
-  GPtrArray *pending;       /* struct pending */
-  struct engine_call *call; /* one at a time; NULL: none */
+  GHashTable *services;          /* name to struct beryl_stages */
+  GPtrArray *pending;            /* struct pending */
+  struct engine_call *call;      /* one at a time; NULL: none */
+  char called[BERYL_NAME_BYTES]; /* the engine of CALL */
+  enum beryl_stage called_for;   /* the stage that CALL is about */
 };
 
 /* An order that was given. */
@@ -40,149 +42,42 @@
   int64_t until_ms;
 };
 
-/* A report or an order to one engine. */
-struct engine_call
-{
-  struct h1_call_handler base;
-  struct planner *planner;
-  struct h1_call *http;
-  const struct h1_head *head;
-  GString *body;
-  bool orders;
-  char id[BERYL_NAME_BYTES];
-  enum beryl_stage stage;
-};
-
-static void
-call_end (struct engine_call *call)
-{
-  call->planner->call = NULL;
-  g_string_free (call->body, TRUE);
-  g_free (call);
-}
-
-static void
-call_head (struct h1_call_handler *handler, struct h1_call *http,
-           const struct h1_head *head)
-{
-  ((struct engine_call *)handler)->head = head;
-}
-
-static void
-call_data (struct h1_call_handler *handler, struct h1_call *http,
-           const char *bytes, size_t bytes_count)
-{
-  struct engine_call *call = (struct engine_call *)handler;
-
-  if (call->body->len + bytes_count <= ANSWER_MAX_BYTES)
-    g_string_append_len (call->body, bytes, (gssize)bytes_count);
-}
-
 static void
-call_failed (struct h1_call_handler *handler, struct h1_call *http,
-             enum h1_failure failure, bool sent)
-{
-  struct engine_call *call = (struct engine_call *)handler;
-
-  /* An order without an answer stays pending: it may be carried out. */
-  g_info ("planner engine=%s %s failed=%s sent=%d", call->id,
-          call->orders ? "order" : "report", h1_failure_name (failure), sent);
-  call_end (call);
-}
-
-static void order (struct planner *p, const struct engine_call *report,
-                   uint64_t orders);
-
-static void
-report_done (struct engine_call *call)
+pending_add (struct planner *p, const char *id, enum beryl_stage stage)
 {
-  struct planner *p = call->planner;
-  struct gateway_report report;
+  struct pending *pending = g_new0 (struct pending, 1);
 
-  if (!p->wire->impl->read_report (p->wire, call->head, call->body->str,
-                                   call->body->len, &report))
-    g_info ("planner engine=%s gave no report, status=%u", call->id,
-            call->head->status);
-  else if (!report.changing && report.stage != call->stage)
-    {
-      p->call = NULL;
-      order (p, call, report.orders);
-      g_string_free (call->body, TRUE);
-      g_free (call);
-      return;
-    }
-  call_end (call);
+  g_strlcpy (pending->id, id, sizeof pending->id);
+  pending->stage = stage;
+  pending->until_ms = loop_now_ms (p->loop) + ORDER_SHOWN_MS;
+  g_ptr_array_add (p->pending, pending);
 }
 
 static void
-call_done (struct h1_call_handler *handler, struct h1_call *http)
+order_answered (void *user, const struct engine_answer *answer)
 {
-  struct engine_call *call = (struct engine_call *)handler;
+  struct planner *p = user;
   static const char *const names[]
       = { "accepted", "holds", "busy", "fenced", "refused" };
 
-  if (!call->orders)
-    {
-      report_done (call);
-      return;
-    }
-  g_info ("planner engine=%s order stage=%s answer=%s", call->id,
-          beryl_stage_name (call->stage),
-          names[call->planner->wire->impl->read_order_answer (
-              call->planner->wire, call->head)]);
-  call_end (call);
-}
-
-static const struct h1_call_handler_impl call_impl = {
-  .head = call_head,
-  .data = call_data,
-  .done = call_done,
-  .failed = call_failed,
-};
-
-static void
-call_start (struct planner *p, const struct beryl_live *live,
-            enum beryl_stage stage, bool orders, const GString *head,
-            const GString *body)
-{
-  struct engine_call *call = g_new0 (struct engine_call, 1);
-  struct h1_request request = {
-    .address = live->info.address,
-    .port = live->info.port,
-    .head = head->str,
-    .head_bytes = head->len,
-    .body = body->str,
-    .body_bytes = body->len,
-  };
-
-  call->base.impl = &call_impl;
-  call->planner = p;
-  call->orders = orders;
-  call->stage = stage;
-  call->body = g_string_new (NULL);
-  memcpy (call->id, live->info.id, sizeof call->id);
-  p->call = call;
-  call->http = h1_call_start (p->loop, &request, &call->base);
-}
-
-static void
-pending_add (struct planner *p, const char *id, enum beryl_stage stage)
-{
-  struct pending *pending = g_new0 (struct pending, 1);
-
-  g_strlcpy (pending->id, id, sizeof pending->id);
-  pending->stage = stage;
-  pending->until_ms = loop_now_ms (p->loop) + ORDER_SHOWN_MS;
-  g_ptr_array_add (p->pending, pending);
+  p->call = NULL;
+  /* An order without an answer stays pending: it may be carried out. */
+  if (answer->head == NULL)
+    g_info ("planner engine=%s order failed=%s sent=%d", p->called,
+            h1_failure_name (answer->failure), answer->sent);
+  else
+    g_info ("planner engine=%s order stage=%s answer=%s", p->called,
+            beryl_stage_name (p->called_for),
+            names[p->wire->impl->read_order_answer (p->wire, answer->head)]);
 }
 
 /* Right before an order the lease is asked again: the report's answer may
  * have come after a pause in which another node took over. */
 static void
-order (struct planner *p, const struct engine_call *report, uint64_t orders)
+order (struct planner *p, uint64_t orders)
 {
-  struct beryl_live *live = beryl_lives_find (p->lives, report->id);
-  struct gateway_order o = { .stage = report->stage,
+  struct beryl_live *live = beryl_lives_find (p->lives, p->called);
+  struct gateway_order o = { .stage = p->called_for,
                              .holder = p->settings->node,
                              .orders = orders };
   GString *head, *body;
@@ -198,22 +93,42 @@
           " expected=%" G_GUINT64_FORMAT,
           live->info.id, beryl_stage_name (o.stage), o.fence, o.orders);
   pending_add (p, live->info.id, o.stage);
-  call_start (p, live, o.stage, true, head, body);
+  p->call = engine_call_start (p->loop, &live->info, head, body,
+                               ANSWER_MAX_BYTES, order_answered, p);
   g_string_free (head, TRUE);
   g_string_free (body, TRUE);
 }
 
+static void
+report_answered (void *user, const struct engine_answer *answer)
+{
+  struct planner *p = user;
+  struct gateway_report report;
+
+  p->call = NULL;
+  if (answer->head == NULL)
+    g_info ("planner engine=%s report failed=%s", p->called,
+            h1_failure_name (answer->failure));
+  else if (!p->wire->impl->read_report (p->wire, answer->head, answer->body,
+                                        answer->body_bytes, &report))
+    g_info ("planner engine=%s gave no report, status=%u", p->called,
+            answer->head->status);
+  else if (!report.changing && report.stage != p->called_for)
+    order (p, report.orders);
+}
+
 static void
 ask_report (struct planner *p, const struct beryl_stage_order *wanted)
 {
   struct beryl_live *live = beryl_lives_find (p->lives, wanted->id);
   GString *head = g_string_new (NULL);
-  GString *body = g_string_new (NULL);
 
+  memcpy (p->called, live->info.id, sizeof p->called);
+  p->called_for = wanted->stage;
   p->wire->impl->format_report (p->wire, &live->info, head);
-  call_start (p, live, wanted->stage, false, head, body);
+  p->call = engine_call_start (p->loop, &live->info, head, NULL,
+                               ANSWER_MAX_BYTES, report_answered, p);
   g_string_free (head, TRUE);
-  g_string_free (body, TRUE);
 }
 
 static struct pending *
@@ -379,11 +294,7 @@
   if (p == NULL)
     return;
   loop_timer_stop (p->timer);
-  if (p->call != NULL)
-    {
-      h1_call_cancel (p->call->http);
-      call_end (p->call);
-    }
+  engine_call_cancel (p->call);
   stored_lease_destroy (p->lease);
   g_hash_table_destroy (p->services);
   g_ptr_array_free (p->pending, TRUE);
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -47,7 +47,8 @@
   uint32_t prompt_tokens;
   uint32_t output_tokens_max;
   uint32_t output_tokens_hint; /**< the caller's estimate; 0: none */
-  bool resumes;                /**< the caller goes on after an event */
+  uint32_t prompt_key; /**< the same for the same prompt; 0: not known */
+  bool resumes;        /**< the caller goes on after an event */
   uint64_t last_event;
 };
 
@@ -295,6 +296,10 @@
                            struct beryl_engine_run *runs, size_t most,
                            int64_t now_ms);
 
+/** ENGINE (beryl_engine_number) keeps the prompt with KEY. */
+void beryl_forward_prompt_kept (struct beryl_forward *forward, uint32_t key,
+                                uint32_t engine, int64_t now_ms);
+
 /** Return what this node has learned of SERVICE's generations. */
 struct beryl_generation_mix beryl_forward_mix (struct beryl_forward *forward,
                                                const char *service);
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -109,6 +109,13 @@
   bool (*read_report) (const struct gateway_wire *wire,
                        const struct h1_head *head, const char *body,
                        size_t body_bytes, struct gateway_report *report);
+  /** Ask an engine which prompts it keeps. */
+  void (*format_prompts) (const struct gateway_wire *wire,
+                          const struct beryl_live_info *engine, GString *head);
+  /** Append their keys (uint32_t), as in beryl_forward_request. */
+  void (*read_prompts) (const struct gateway_wire *wire,
+                        const struct h1_head *head, const char *body,
+                        size_t body_bytes, GArray *keys);
   /** Order an engine to another stage. */
   void (*format_order) (const struct gateway_wire *wire,
                         const struct gateway_order *order, GString *head,
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -170,6 +170,19 @@
   peer->told_ms = now_ms;
 }
 
+void
+book_drop_prompt (struct book *book, uint32_t prompt_key)
+{
+  for (size_t i = 0; i < book->count; i++)
+    {
+      struct book_peer *peer = book->peers[i];
+
+      for (size_t k = peer->count; k > 0; k--)
+        if (peer->runs[k - 1].prompt_key == prompt_key)
+          peer->runs[k - 1] = peer->runs[--peer->count];
+    }
+}
+
 void
 book_forget (struct book *book, const char *name)
 {
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -86,6 +86,9 @@
                 const struct beryl_engine_run *runs, size_t count,
                 int64_t now_ms);
 
+/** The run with PROMPT_KEY has ended, although its peer did not say so. */
+void book_drop_prompt (struct book *book, uint32_t prompt_key);
+
 /** PEER has gone. */
 void book_forget (struct book *book, const char *peer);
 
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -52,6 +52,7 @@
     .made_tokens = made_tokens (r, now_ms),
     .started = r->phase == PHASE_RUNNING,
   };
+  run->prompt_key = r->facts.prompt_key;
   if (r->reads_alone && r->run_events == 0)
     run->prefill_engine = run->engine;
   if (r->phase == PHASE_PREFILLING && r->first != NULL)
@@ -143,6 +144,13 @@
          || beryl_live_trial_due (live, now_ms);
 }
 
+bool
+engine_is_warm_for (const struct request *r, const struct beryl_live *live)
+{
+  return r->warm_engine != 0
+         && beryl_engine_number (live->info.id) == r->warm_engine;
+}
+
 /* The engine whose memory is foreseen to stay the emptiest is asked.  All
  * nodes foresee much the same, so a little chance keeps those that ask at the
  * same moment apart; the engine itself counts exactly and has the last
@@ -169,6 +177,8 @@
       if (cost > room && room > 0)
         continue;
       cost += (double)(forward_random (f) % 2048);
+      if (engine_is_warm_for (r, live))
+        cost = -1;
       if (best == NULL || cost < best_cost)
         {
           best = live;
@@ -262,6 +272,16 @@
                          int64_t now_ms)
 {
   book_told (&f->book, peer, runs, count, now_ms);
+  for (size_t i = 0; i < count; i++)
+    if (runs[i].started)
+      prompts_note (&f->prompts, runs[i].prompt_key, runs[i].engine, now_ms);
+}
+
+void
+beryl_forward_prompt_kept (struct beryl_forward *f, uint32_t key,
+                           uint32_t engine, int64_t now_ms)
+{
+  prompts_note (&f->prompts, key, engine, now_ms);
 }
 
 void
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -285,6 +285,9 @@
 forward_request_end (struct beryl_forward *f, struct request *r,
                      int64_t now_ms)
 {
+  if (r->reservation.live != NULL && r->event_count > 0)
+    prompts_note (&f->prompts, r->facts.prompt_key,
+                  beryl_engine_number (r->reservation.live->info.id), now_ms);
   while (r->first != NULL)
     exchange_disown (f, r->first);
   generation_release (f, r, now_ms);
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -29,6 +29,10 @@
 
   s->prompt_tokens
       += MIX_WEIGHT * ((double)r->facts.prompt_tokens - s->prompt_tokens);
+  r->warm_engine = prompts_engine (&f->prompts, r->facts.prompt_key, now_ms);
+  /* Its caller is here: the run that a node told of before has ended. */
+  if (r->warm_engine != 0)
+    book_drop_prompt (&f->book, r->facts.prompt_key);
   r->expected_tokens = length_model_median (
       &s->lengths, r->facts.output_tokens_hint, r->facts.output_tokens_max);
   place_wait (f, r, now_ms);
@@ -126,11 +130,15 @@
   r->event_ms = now_ms;
   r->run_events = 0;
   r->stalled = false;
+  f->runs_changed = true;
   r->due_ms = stream_due_ms (r);
   generation_exchange (f, r, &start, live, now_ms);
   forward_request_decided (f, r, "decode", live,
-                           r->kv.live != NULL ? "kv_taken" : "alone",
+                           r->kv.live != NULL             ? "kv_taken"
+                           : engine_is_warm_for (r, live) ? "warm"
+                                                          : "alone",
                            r->reservation.tokens, now_ms);
+  r->warm_engine = 0;
   /* The reserved memory is now the run's. */
   r->reservation.handle[0] = '\0';
 }
@@ -145,10 +153,27 @@
                      * r->service->lengths.ms_per_token);
 }
 
+/* Whether LIVE reads, or has read a moment ago, for a request of any node: two
+ * in a row make its streams pause for too long. */
+static bool
+engine_reads (struct beryl_forward *f, const struct beryl_live *live,
+              int64_t now_ms)
+{
+  return now_ms - live->alone_ms < ALONE_SPACING_MS
+         || book_prefilling (&f->book, beryl_engine_number (live->info.id),
+                             now_ms)
+                > 0;
+}
+
+static int64_t
+alone_ms (const struct request *r, double tokens)
+{
+  return (int64_t)(ALONE_FACTOR * tokens * r->service->prefill_ms_per_token);
+}
+
 /* A decode engine reads a prompt at half the speed of a prefill engine, and
  * its other runs stand nearly still meanwhile.  That is worth it only if the
- * prefill engines' queue makes the request late, and the engine has not done
- * the same a moment ago: two in a row make its streams pause for too long. */
+ * prefill engines' queue makes the request late. */
 static bool
 reads_alone (struct beryl_forward *f, const struct request *r, int64_t wait_ms,
              int64_t now_ms)
@@ -156,17 +181,35 @@
   double read_ms = r->facts.prompt_tokens * r->service->prefill_ms_per_token;
   int64_t left_ms = r->facts.arrived_ms + r->route->objective_ms - now_ms;
   int64_t apart_ms = wait_ms + (int64_t)read_ms;
-  int64_t alone_ms = (int64_t)(ALONE_FACTOR * read_ms);
+  int64_t busy_ms = alone_ms (r, r->facts.prompt_tokens);
+  struct beryl_live *live = r->reservation.live;
+
+  if (apart_ms < left_ms || busy_ms >= left_ms
+      || engine_reads (f, live, now_ms)
+      || stream_pause_ms (r, busy_ms) > r->route->gap_objective_ms)
+    return false;
+  live->alone_ms = now_ms;
+  return true;
+}
+
+/* The engine that has the prompt still has to read what the caller has of the
+ * answer already. */
+static bool
+goes_warm (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
   struct beryl_live *live = r->reservation.live;
+  double resumed = (double)r->facts.last_event * r->terms->engine.event_tokens;
 
-  if (apart_ms < left_ms || alone_ms >= left_ms
-      || now_ms - live->alone_ms < ALONE_SPACING_MS
-      || book_prefilling (&f->book, beryl_engine_number (live->info.id),
-                          now_ms)
-             > 0
-      || stream_pause_ms (r, alone_ms) > r->route->gap_objective_ms)
+  if (!engine_is_warm_for (r, live))
+    return false;
+  if (resumed == 0)
+    return true;
+  if (engine_reads (f, live, now_ms)
+      || stream_pause_ms (r, alone_ms (r, resumed))
+             > r->route->gap_objective_ms)
     return false;
   live->alone_ms = now_ms;
+  r->reads_alone = true;
   return true;
 }
 
@@ -203,7 +246,7 @@
 void
 generation_placed (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  if (kv_usable (r, now_ms))
+  if (kv_usable (r, now_ms) || goes_warm (f, r, now_ms))
     generation_run (f, r, now_ms);
   else
     prefill (f, r, now_ms);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -12,6 +12,7 @@
 #include "beryl/forward.h"
 #include "book.h"
 #include "events.h"
+#include "prompts.h"
 #include "repeat_budget.h"
 
 /** Endpoints that one request remembers to have tried. */
@@ -114,12 +115,13 @@
   bool moved;                 /**< the engine has stopped it for that */
   uint32_t runs;              /**< sends of the request itself to engines */
   bool prefilled;             /**< an engine has accepted to read its prompt */
-  bool run_paid;     /**< the next run's repeat was taken from the budget */
-  bool reads_alone;  /**< its decode engine reads its prompt itself */
-  bool same_run;     /**< the next run goes on with a moved run's memory */
-  bool stalled;      /**< its stream was silent for a while */
-  bool stream_over;  /**< the old engine's stream has ended */
-  uint32_t refusals; /**< of engines asked for room, in this wait */
+  bool run_paid;        /**< the next run's repeat was taken from the budget */
+  bool reads_alone;     /**< its decode engine reads its prompt itself */
+  uint32_t warm_engine; /**< that has its prompt already; 0: none */
+  bool same_run;        /**< the next run goes on with a moved run's memory */
+  bool stalled;         /**< its stream was silent for a while */
+  bool stream_over;     /**< the old engine's stream has ended */
+  uint32_t refusals;    /**< of engines asked for room, in this wait */
   int64_t waiting_since_ms;
 };
 
@@ -143,10 +145,11 @@
   uint32_t waiting_count;
   uint64_t last_exchange;
   uint64_t random;
-  int64_t balance_ms; /**< next look at the engines' memory */
-  int64_t end_ms;     /**< of the process; BERYL_NEVER_MS: not known */
-  struct book book;   /**< what the other nodes run at engines */
-  bool runs_changed;  /**< this node's runs, since they were read */
+  int64_t balance_ms;     /**< next look at the engines' memory */
+  int64_t end_ms;         /**< of the process; BERYL_NEVER_MS: not known */
+  struct book book;       /**< what the other nodes run at engines */
+  struct prompts prompts; /**< where prompts were run of late */
+  bool runs_changed;      /**< this node's runs, since they were read */
 };
 
 /* forward.c */
@@ -323,6 +326,9 @@
 /** Whether R's run is the newest at its engine. */
 bool engine_newest (struct beryl_forward *f, const struct request *r,
                     int64_t now_ms);
+/** Whether LIVE has read R's prompt already. */
+bool engine_is_warm_for (const struct request *r,
+                         const struct beryl_live *live);
 /** Choose a decode engine to ask for room; NULL: none may have it. */
 struct beryl_live *engine_choose_decode (struct beryl_forward *f,
                                          const struct request *r,
--- a/tests/forward/test_generation.c
+++ b/tests/forward/test_generation.c
@@ -637,6 +637,83 @@
 }
 END_TEST
 
+static struct beryl_engine_run
+told_run (const char *engine, uint32_t prompt_key)
+{
+  return (struct beryl_engine_run){ .engine = beryl_engine_number (engine),
+                                    .prompt_tokens = 1000,
+                                    .expected_tokens = 500,
+                                    .started = true,
+                                    .prompt_key = prompt_key };
+}
+
+static struct fx_exchange *
+arrive_with_prompt (uint64_t request, uint32_t prompt_key)
+{
+  struct beryl_forward_request facts = fx_facts (&fx, request);
+
+  facts.prompt_key = prompt_key;
+  beryl_forward_arrived (fx.forward, &facts, fx.now_ms);
+  return open_of (request, BERYL_EXCHANGE_RESERVE);
+}
+
+/* Another node died, and a caller of its comes here with the same prompt.  The
+ * engine that ran it there has read it. */
+START_TEST (test_warm_engine)
+{
+  struct beryl_engine_run run = told_run ("d1", 77);
+  struct fx_exchange *x;
+
+  beryl_forward_peer_runs (fx.forward, "peer", &run, 1, fx.now_ms);
+  fx_pass (&fx, 2000);
+  x = arrive_with_prompt (1, 77);
+  ck_assert_str_eq (x->endpoint, "d1");
+  fx_ok (&fx, x, "place");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 0);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->kv_handle, "");
+  /* It goes the usual way after a failure. */
+  fx_broken (&fx, open_of (1, BERYL_EXCHANGE_RUN), BERYL_BREAK_CONNECT, false);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place-2");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+}
+END_TEST
+
+/* What was read long ago has yielded to other prompts. */
+START_TEST (test_warm_engine_cools)
+{
+  struct beryl_engine_run run = told_run ("d1", 77);
+
+  beryl_forward_peer_runs (fx.forward, "peer", &run, 1, fx.now_ms);
+  fx_pass (&fx, 10000);
+  fx_ok (&fx, arrive_with_prompt (1, 77), "place");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+}
+END_TEST
+
+/* A caller comes back in the middle of an answer.  The engine has the prompt
+ * but not what it made; it reads that for one request at a time, since its
+ * other streams stand still meanwhile. */
+START_TEST (test_warm_engine_reads_one_at_a_time)
+{
+  struct beryl_engine_run runs[2]
+      = { told_run ("d1", 77), told_run ("d1", 78) };
+  struct beryl_forward_request facts;
+
+  beryl_forward_peer_runs (fx.forward, "peer", runs, 2, fx.now_ms);
+  for (uint64_t i = 1; i <= 2; i++)
+    {
+      facts = fx_facts (&fx, i);
+      facts.prompt_key = (uint32_t)(76 + i);
+      facts.resumes = true;
+      facts.last_event = 5;
+      beryl_forward_arrived (fx.forward, &facts, fx.now_ms);
+      fx_ok (&fx, open_of (i, BERYL_EXCHANGE_RESERVE), "place");
+    }
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+}
+END_TEST
+
 START_TEST (test_runs_are_told)
 {
   struct beryl_engine_run runs[4];
@@ -729,6 +806,9 @@
   tcase_add_test (tcase, test_hidden_use);
   tcase_add_test (tcase, test_no_prefill_engine);
   tcase_add_test (tcase, test_changing_engine);
+  tcase_add_test (tcase, test_warm_engine);
+  tcase_add_test (tcase, test_warm_engine_cools);
+  tcase_add_test (tcase, test_warm_engine_reads_one_at_a_time);
   tcase_add_test (tcase, test_runs_are_told);
   tcase_add_test (tcase, test_end_inside_event);
   tcase_add_test (tcase, test_deadline_ends_stream);
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -343,6 +343,54 @@
 }
 END_TEST
 
+/* A node is killed in the middle of streams.  Their callers come back to
+ * another node with the same prompts, which engines still have: nothing is
+ * read a second time. */
+START_TEST (test_prompts_of_killed_node)
+{
+  static const char *const prompts[]
+      = { "part-1", "part-2", "part-3", "part-4" };
+  struct world_answer *answers[4];
+
+  world_nodes (&w, 2);
+  for (int i = 0; i < 4; i++)
+    world_generate_prompt (&w, 0, prompts[i], 0);
+  world_turn (&w, 700);
+  ck_assert_uint_eq (standin_counts (w.standin)->prefills, 4);
+  world_kill (&w, 0);
+  world_turn (&w, 100);
+  for (int i = 0; i < 4; i++)
+    answers[i] = world_generate_prompt (&w, 1, prompts[i], 0);
+  for (int i = 0; i < 4; i++)
+    {
+      world_wait (&w, answers[i]);
+      assert_stream (answers[i], 30);
+    }
+  ck_assert_uint_eq (standin_counts (w.standin)->prefills, 4);
+  ck_assert_uint_eq (standin_counts (w.standin)->warm, 4);
+}
+END_TEST
+
+/* All nodes lose power at once and start again; nobody remembers where
+ * prompts ran, but the engines do. */
+START_TEST (test_prompts_after_restart_of_all)
+{
+  struct world_answer *answer;
+
+  world_nodes (&w, 2);
+  world_generate_prompt (&w, 0, "part-1", 0);
+  world_turn (&w, 700);
+  world_kill (&w, 0);
+  world_kill (&w, 1);
+  world_nodes (&w, 2);
+  answer = world_generate_prompt (&w, 1, "part-1", 0);
+  world_wait (&w, answer);
+  assert_stream (answer, 30);
+  ck_assert_uint_eq (standin_counts (w.standin)->prefills, 1);
+  ck_assert_uint_eq (standin_counts (w.standin)->warm, 1);
+}
+END_TEST
+
 /* Several nodes place generations at the same engines.  Together they keep to
  * the engines' memory: hardly a run is rejected, none is run twice. */
 START_TEST (test_nodes_share_engines)
@@ -425,6 +473,8 @@
   tcase_add_test (tcase, test_store_compacts);
   tcase_add_test (tcase, test_planned_stop);
   tcase_add_test (tcase, test_caller_leaves);
+  tcase_add_test (tcase, test_prompts_of_killed_node);
+  tcase_add_test (tcase, test_prompts_after_restart_of_all);
   tcase_add_test (tcase, test_nodes_share_engines);
   tcase_add_test (tcase, test_metrics);
   suite_add_tcase (suite, tcase);
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -31,7 +31,8 @@
   struct beryl_error error = { 0 };
 
   memset (w, 0, sizeof *w);
-  log_init ("test", LOG_FORMAT_TEXT, "error");
+  log_init ("test", LOG_FORMAT_TEXT,
+            g_getenv ("BERYL_TEST_LOG") != NULL ? "info" : "error");
   w->loop = loop_create ();
   w->http = http_context_create (w->loop, NULL);
   w->answers = g_ptr_array_new ();
@@ -248,6 +249,24 @@
   return answer;
 }
 
+struct world_answer *
+world_generate_prompt (struct world *w, size_t i, const char *prompt,
+                       uint64_t last_event)
+{
+  char *fields
+      = g_strdup_printf ("X-Token-Counts: 2000,1500\r\nX-Length-Hint: 1500\r\n"
+                         "X-Prompt-Prefix: shared:200,%s:1800\r\n",
+                         prompt);
+  char *resume = g_strdup_printf ("%sLast-Event-Id: %" G_GUINT64_FORMAT "\r\n",
+                                  fields, last_event);
+  struct world_answer *answer = world_get (w, i, "model.example", "/chat",
+                                           last_event > 0 ? resume : fields);
+
+  g_free (fields);
+  g_free (resume);
+  return answer;
+}
+
 void
 world_leave (struct world *w, struct world_answer *answer)
 {
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -68,6 +68,10 @@
 struct world_answer *world_generate (struct world *w, size_t i,
                                      uint32_t prompt_tokens,
                                      uint32_t output_tokens);
+/** The same with a prompt's name, and after an event (0: from the start). */
+struct world_answer *world_generate_prompt (struct world *w, size_t i,
+                                            const char *prompt,
+                                            uint64_t last_event);
 /** Ask another port of node I, and wait for the answer's body. */
 struct world_answer *world_ask (struct world *w, size_t i, uint16_t port,
                                 const char *path);
--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -487,6 +487,28 @@
 }
 END_TEST
 
+START_TEST (test_prompts)
+{
+  static const char body[]
+      = "{\"epoch\":1,\"next\":9,\"held\":[[\"\",\"5c1e07a2\",800,\"m\"],"
+        "[\"\",\"e4402b7d\",250,\"m\"],[],3]}";
+  struct h1_field field
+      = { "X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250" };
+  struct h1_head asked
+      = { .method = "GET", .target = "/", .fields = &field, .field_count = 1 };
+  struct h1_head head = { .status = 200 };
+  struct beryl_forward_request request = { 0 };
+  GArray *keys = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+
+  wire->impl->read_request (wire, &asked, 0, &request);
+  ck_assert_uint_ne (request.prompt_key, 0);
+  wire->impl->read_prompts (wire, &head, body, strlen (body), keys);
+  ck_assert_uint_eq (keys->len, 2);
+  ck_assert_uint_eq (g_array_index (keys, uint32_t, 1), request.prompt_key);
+  g_array_free (keys, TRUE);
+}
+END_TEST
+
 static void
 free_field (gpointer pointer)
 {
@@ -658,6 +680,7 @@
   tcase_add_test (tcase, test_engine_calls);
   tcase_add_test (tcase, test_order);
   tcase_add_test (tcase, test_report);
+  tcase_add_test (tcase, test_prompts);
   tcase_add_test (tcase, test_refusal);
   tcase_add_test (tcase, test_questions);
   tcase_add_test (tcase, test_addresses);
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -10,6 +10,7 @@
   FIELD_RUNS,
   FIELD_CHANGING,
   FIELD_ENDPOINT_REVISION,
+  FIELD_PROMPTS, /* in the order of the runs */
 };
 
 /* A run is six numbers in a row: small ones take a byte or two each, a map
@@ -37,6 +38,10 @@
       frame_put_uint (writer, 0, run->prefill_engine);
     }
   frame_put_end (writer);
+  frame_put_array (writer, FIELD_PROMPTS);
+  for (size_t i = 0; i < message->run_count; i++)
+    frame_put_uint (writer, 0, message->runs[i].prompt_key);
+  frame_put_end (writer);
   if (message->changing_count == 0)
     return;
   frame_put_array (writer, FIELD_CHANGING);
@@ -60,6 +65,7 @@
 {
   struct frame_map map = frame_root (frame);
   struct frame_array runs = frame_array (map, FIELD_RUNS);
+  struct frame_array prompts = frame_array (map, FIELD_PROMPTS);
   struct frame_array changing = frame_array (map, FIELD_CHANGING);
 
   memset (message, 0, sizeof *message);
@@ -83,6 +89,8 @@
       run->started = read_number (frame, runs, i + 4) != 0;
       run->prefill_engine = read_number (frame, runs, i + 5);
     }
+  for (uint32_t i = 0; i < prompts.count && i < message->run_count; i++)
+    message->runs[i].prompt_key = read_number (frame, prompts, i);
   for (uint32_t i = 0; i < changing.count; i++)
     message->changing[message->changing_count++]
         = read_number (frame, changing, i);
