The budget of repeats counts nodes on record; records of nodes that are gone are taken back

A node that cannot hear the others took itself for the only one and could spend all of the fleet's slack; in a partition between nodes that still reach the endpoints the sum would have been N times the bound. It now counts every node whose record is in the store, and takes itself for one of fifty before it has seen the list. Records of replaced machines stayed for ever; the holder of the planner's lease takes back those that were silent for record_keep_ms.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -46,6 +46,8 @@
 
 /* Callers' bodies may take that part of the memory. */
 #define BODIES_PART 4
+/* Before the first list of nodes this one takes itself for one of many. */
+#define NODES_UNKNOWN 50
 /* Nodes that compete for the planner's lease, and how often they are looked
  * up. */
 #define PLANNERS 2
@@ -392,8 +394,23 @@
   members_listed (of_registry (owner)->members, items, count);
 }
 
-static const struct registry_owner_impl registry_impl
-    = { .registered = registry_registered, .listed = registry_listed };
+/* One that fell silent is back within seconds, or never.  Until its record is
+ * taken back its part of the repeats is not used by others: it may only be cut
+ * off from this node, and at work. */
+static bool
+registry_is_over (struct registry_owner *owner, const char *node)
+{
+  struct gateway *g = of_registry (owner);
+
+  return planner_holds (g->planner)
+         && members_silent_ms (g->members, node) >= g->settings.record_keep_ms;
+}
+
+static const struct registry_owner_impl registry_impl = {
+  .registered = registry_registered,
+  .listed = registry_listed,
+  .is_over = registry_is_over,
+};
 
 static void
 tell (void *user)
@@ -524,6 +541,7 @@
           sizeof settings.data_centre);
   g->lives = beryl_lives_create (g->settings.endpoint_leave_ms);
   g->forward = beryl_forward_create (&settings, g->lives, &g->base);
+  beryl_forward_set_nodes (g->forward, NODES_UNKNOWN);
 }
 
 /* Without the key nothing of the peers is believed, so that this node joins
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -42,13 +42,16 @@
   uint64_t sequence;
   struct loads_message loads;
   int64_t told_ms;
-  GHashTable *heard; /* name to struct peer */
-  GPtrArray *pulls;  /* connections, in either direction */
+  GHashTable *heard;   /* name to struct peer */
+  GHashTable *records; /* names that are on record */
+  GHashTable *silent;  /* name to the time since when, int64_t */
+  GPtrArray *pulls;    /* connections, in either direction */
   bool pulling;
   uint64_t revision; /* of the configuration here */
   GString *value;
   char key[DATAGRAM_KEY_MAX_BYTES + 1]; /* "": not known yet */
-  uint32_t count;
+  uint32_t count;                       /* that live */
+  uint32_t at_work; /* that live or are on record; 0: not listed yet */
 };
 
 /* What a peer told last. */
@@ -87,15 +90,56 @@
   return count;
 }
 
+static uint32_t
+count_at_work (const struct members *m)
+{
+  uint32_t count = g_hash_table_size (m->records);
+
+  for (size_t i = 0; i < beryl_membership_count (m->table); i++)
+    {
+      const struct beryl_member *member = beryl_membership_get (m->table, i);
+
+      count += member->state != BERYL_MEMBER_DEAD
+               && !g_hash_table_contains (m->records, member->name);
+    }
+  return count;
+}
+
 static void
 count_check (struct members *m)
 {
-  uint32_t count = members_count (m);
+  uint32_t at_work = count_at_work (m);
 
-  if (count == m->count)
+  m->count = members_count (m);
+  if (at_work == m->at_work || g_hash_table_size (m->records) == 0)
     return;
-  m->count = count;
-  m->owner->impl->count_changed (m->owner, count);
+  m->at_work = at_work;
+  m->owner->impl->count_changed (m->owner, at_work);
+}
+
+static void
+note_silence (struct members *m, const struct beryl_member *member)
+{
+  int64_t *since_ms;
+
+  if (member->state == BERYL_MEMBER_ALIVE)
+    {
+      g_hash_table_remove (m->silent, member->name);
+      return;
+    }
+  if (g_hash_table_contains (m->silent, member->name))
+    return;
+  since_ms = g_new (int64_t, 1);
+  *since_ms = now_ms (m);
+  g_hash_table_insert (m->silent, g_strdup (member->name), since_ms);
+}
+
+int64_t
+members_silent_ms (const struct members *m, const char *node)
+{
+  const int64_t *since_ms = g_hash_table_lookup (m->silent, node);
+
+  return since_ms != NULL ? now_ms (m) - *since_ms : 0;
 }
 
 static void
@@ -109,6 +153,7 @@
           member->name, member->address, member->incarnation,
           beryl_member_state_name (member->state),
           member->leaving ? " leaving" : "");
+  note_silence (m, member);
   if (member->state != BERYL_MEMBER_ALIVE)
     m->owner->impl->peer_gone (m->owner, member->name);
   if (m->table != NULL)
@@ -456,6 +501,8 @@
   m->count = 1;
   m->value = g_string_new (NULL);
   m->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  m->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  m->silent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->pulls = g_ptr_array_new_with_free_func (pull_free);
   m->writer = frame_writer_create (GOSSIP_DATAGRAM);
   m->ticker = ticker_create (loop, tick, m);
@@ -489,6 +536,8 @@
   frame_writer_destroy (m->writer);
   beryl_membership_destroy (m->table);
   g_hash_table_destroy (m->heard);
+  g_hash_table_destroy (m->records);
+  g_hash_table_destroy (m->silent);
   g_string_free (m->value, TRUE);
   g_free (m);
 }
@@ -534,6 +583,9 @@
 {
   if (m->table == NULL)
     return;
+  g_hash_table_remove_all (m->records);
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (m->records, g_strdup (items[i].name));
   beryl_membership_listed (m->table, items, count, now_ms (m));
   count_check (m);
   wake (m);
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -20,7 +20,9 @@
 /** What the owner does with news. */
 struct members_owner_impl
 {
-  /** The number of nodes changed. */
+  /** The number of nodes that may be at work changed: those that live and
+   * those that are on record.  One that cannot be heard may only be cut off
+   * from this one. */
   void (*count_changed) (struct members_owner *owner, uint32_t count);
   /** PEER has these runs at engines, and no others. */
   void (*loads) (struct members_owner *owner, const char *peer,
@@ -58,13 +60,17 @@
 /** Authenticate what is sent and received by KEY. */
 void members_set_key (struct members *members, const char *key);
 
-/** This life of the node has number INCARNATION: join the others. */
+/** This life of the node has number INCARNATION: join the others.  Only the
+ * first call counts. */
 void members_join (struct members *members, uint64_t incarnation);
 
 /** Take the records of all nodes. */
 void members_listed (struct members *members, const struct beryl_listed *items,
                      size_t count);
 
+/** Return for how long NODE has not been heard by any node; 0: it is. */
+int64_t members_silent_ms (const struct members *members, const char *node);
+
 /** A planned stop has begun. */
 void members_leave (struct members *members);
 
--- a/gatewayd/registry.c
+++ b/gatewayd/registry.c
@@ -26,6 +26,7 @@
   uint64_t request;
   uint64_t version; /* of the record; 0: not written by this life */
   uint64_t present; /* version that a former life left */
+  uint64_t removal; /* request that takes back another node's record */
   uint32_t lists;
 };
 
@@ -140,6 +141,41 @@
   return MAX (LIST_MS, (int64_t)nodes * LIST_NODE_MS);
 }
 
+static void
+removed (void *user, const struct beryl_platform_result *result)
+{
+  ((struct registry *)user)->removal = 0;
+}
+
+/* One at a time; the next list shows what is left. */
+static void
+remove_one (struct registry *r, const struct beryl_object *objects,
+            size_t count)
+{
+  for (size_t i = 0; i < count && r->removal == 0; i++)
+    {
+      const char *node = objects[i].name;
+
+      if (strcmp (node, r->settings->node) == 0
+          || !r->owner->impl->is_over (r->owner, node))
+        continue;
+      g_info ("record of node=%s is taken back", node);
+      r->removal
+          = platform_client_delete (r->client, &write_options, KIND, node,
+                                    objects[i].version, removed, r);
+    }
+}
+
+static bool
+has_own (const struct registry *r, const struct beryl_listed *items,
+         size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (items[i].name, r->settings->node) == 0)
+      return true;
+  return false;
+}
+
 static void
 listed (void *user, const struct beryl_platform_result *result)
 {
@@ -156,6 +192,13 @@
   for (size_t i = 0; i < result->object_count; i++)
     count += read_record (&result->objects[i], &items[count]);
   r->owner->impl->listed (r->owner, items, count);
+  remove_one (r, result->objects, result->object_count);
+  /* Another node took this one for gone, for instance in a partition. */
+  if (!has_own (r, items, count))
+    {
+      r->present = 0;
+      schedule (r, 1, write_again);
+    }
   g_free (items);
 }
 
@@ -192,6 +235,8 @@
   loop_timer_stop (r->timer);
   if (r->request != 0)
     platform_client_forget (r->client, r->request);
+  if (r->removal != 0)
+    platform_client_forget (r->client, r->removal);
   g_free (r);
 }
 
--- a/gatewayd/registry.h
+++ b/gatewayd/registry.h
@@ -1,5 +1,7 @@
 /** @file
  * This node's record in the platform's API, and those of the others.
+ * Nothing expires there by itself, so that one node takes back the records of
+ * those that never will.
  *
  * The record's version numbers this life of the node: it only grows,
  * whatever the clock does, and no disk is needed.
@@ -23,6 +25,9 @@
   /** All records. */
   void (*listed) (struct registry_owner *owner,
                   const struct beryl_listed *items, size_t count);
+  /** Whether this node is to take back the record of NODE, which is gone for
+   * good. */
+  bool (*is_over) (struct registry_owner *owner, const char *node);
 };
 
 /** The owner; the first member selects the implementation. */
--- a/gatewayd/settings.h
+++ b/gatewayd/settings.h
@@ -36,6 +36,7 @@
   int64_t address_keep_ms;   /**< how long callers may keep an answer */
   int64_t endpoint_leave_ms; /**< in which one that left may get work */
   int64_t stop_ms;           /**< from the stop signal to the kill */
+  int64_t record_keep_ms; /**< for which the record of a silent node stays */
   int64_t lease_ms;
   int64_t thaw_ms; /**< longest way of an order to an engine */
   bool engines_check_fence;
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -114,6 +114,33 @@
 }
 END_TEST
 
+static bool
+two_records_are_left (struct world *world)
+{
+  return standin_count (world->standin, "gateway-nodes") == 2;
+}
+
+/* A node is gone for good.  Nothing expires in the store by itself: the node
+ * that plans the stages takes its record back, and only that one. */
+START_TEST (test_record_is_taken_back)
+{
+  world_nodes (&w, 3);
+  world_kill (&w, 1);
+  ck_assert (world_until (&w, two_records_are_left, 30000));
+  ck_assert_ptr_null (standin_spec (w.standin, "gateway-nodes", "node-1"));
+}
+END_TEST
+
+/* The store lost a living node's record, as after a partition in which others
+ * took it for gone: it registers again. */
+START_TEST (test_record_is_written_again)
+{
+  world_nodes (&w, 2);
+  standin_remove (w.standin, "gateway-nodes", "node-1");
+  ck_assert (world_until (&w, two_records_are_left, 30000));
+}
+END_TEST
+
 /* The operator moves a route to another service: every node follows, also one
  * that does not reach the store and hears of it from its peers. */
 static bool
@@ -463,6 +490,8 @@
   tcase_add_test (tcase, test_generation);
   tcase_add_test (tcase, test_not_ready);
   tcase_add_test (tcase, test_killed_node_is_not_named);
+  tcase_add_test (tcase, test_record_is_taken_back);
+  tcase_add_test (tcase, test_record_is_written_again);
   tcase_add_test (tcase, test_configuration_spreads);
   tcase_add_test (tcase, test_draining_runner);
   tcase_add_test (tcase, test_engine_dies);
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -91,6 +91,7 @@
     .address_keep_ms = 1000,
     .endpoint_leave_ms = 2000,
     .stop_ms = 4000,
+    .record_keep_ms = 1500,
     .lease_ms = 2000,
     .thaw_ms = 200,
     .descriptors_max = 1000,
