--- a/berylctl/command_explain.c
+++ b/berylctl/command_explain.c
@@ -28,8 +28,8 @@
   }
 }
 
-enum ctl_exit
-command_explain (struct ctl *ctl, int argc, char **argv)
+static enum ctl_exit
+explain_at_entry (struct ctl *ctl, char **argv)
 {
   struct beryl_error error = { 0 };
   char *escaped = g_uri_escape_string (argv[0], NULL, FALSE);
@@ -59,3 +59,11 @@
     return CTL_OK;
   return status == 404 ? CTL_NOT_FOUND : CTL_FAILED;
 }
+
+enum ctl_exit
+command_explain (struct ctl *ctl, int argc, char **argv)
+{
+  if (ctl->log != NULL)
+    return ctl_explain_log (ctl->log, argv[0]);
+  return explain_at_entry (ctl, argv);
+}
--- a/berylctl/ctl.h
+++ b/berylctl/ctl.h
@@ -48,6 +48,7 @@
   uint16_t entry_port; /**< 0: found in the instance list */
   const char *token;   /**< of an operator, for explain */
   int64_t timeout_ms;
+  const char *log; /**< explain reads it; "-": standard input */
   bool force;
   bool whole;
   struct loop *loop;
@@ -91,6 +92,9 @@
                     const char *path, unsigned int *status,
                     struct beryl_error *error);
 
+/** Explain request ID from the log lines of beryl-gatewayd in PATH. */
+enum ctl_exit ctl_explain_log (const char *path, const char *id);
+
 /** Print ERROR and return its exit code. */
 enum ctl_exit ctl_fail (const struct beryl_error *error);
 
--- /dev/null
+++ b/berylctl/explain_log.c
@@ -0,0 +1,297 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+/* Explains a request from the log lines of beryl-gatewayd: its own decisions,
+ * and what its node believed of its endpoints and of the store meanwhile. */
+
+/* News so long before a request may have decided about it. */
+#define BEFORE_MS 3000
+#define AFTER_MS 1000
+
+struct line
+{
+  int64_t at_ms;
+  const char *text; /* behind the level */
+};
+
+/* What a step's outcome says. */
+struct meaning
+{
+  const char *step;
+  const char *outcome;
+  const char *text;
+};
+
+static const struct meaning meanings[] = {
+  { "reserve", "granted", "the engine reserved {n} tokens of memory" },
+  { "reserve", "full", "the engine has no room for {n} tokens" },
+  { "wait", "engines_full",
+    "no engine was asked: the emptiest is foreseen to fill {n}% of its "
+    "memory" },
+  { "wait", "engines_refuse", "all engines that were asked are full" },
+  { "wait", "no_engine", "no engine of the service takes work" },
+  { "prefill", "sent", "{n} prompt tokens are to be read there" },
+  { "prefill", "done", "the prompt was read in {n} ms" },
+  { "prefill", "refused", "the engine did not read the prompt, status {n}" },
+  { "prefill", "wrong_stage", "the engine does other work now" },
+  { "prefill", "broken", "the connection broke" },
+  { "decode", "kv_taken", "sent with its KV cache" },
+  { "decode", "warm", "sent without prefill: the engine has the prompt" },
+  { "decode", "alone", "sent without prefill: the engine reads the prompt" },
+  { "send", "sent", "send number {n}" },
+  { "send", "not_run",
+    "the endpoint said that it did not run it, status {n}" },
+  { "send", "wrong_stage", "the engine does other work now" },
+  { "send", "no_connection", "no connection" },
+  { "send", "reset", "the connection broke" },
+  { "send", "closed", "the connection ended before the answer was whole" },
+  { "send", "garbled", "what came is no answer" },
+  { "head", "answered", "the answer began, status {n}" },
+  { "head", "error", "the endpoint failed, status {n}" },
+  { "stall", "seen", "no event for {n} ms" },
+  { "stall", "preempted",
+    "the engine has stopped the run for want of memory" },
+  { "stall", "engine_silent", "the engine is taken for dead after {n} ms" },
+  { "stall", "engine_dead", "the engine cannot be connected to" },
+  { "move", "asked", "the run is to go on there after {n} events" },
+  { "move", "done", "its memory is there" },
+  { "move", "no_room", "there was no room; it goes on where it was" },
+  { "move", "not_moved", "it was not moved, status {n}" },
+  { "move", "no_target", "the engine is filling up and no other has room" },
+  { "answer", "whole", "answered whole: {n} (events of a stream, or its status)" },
+  { "cut", NULL, "ended as incomplete after {n} events" },
+  { "refuse", "no_route", "refused: no route has its host and path" },
+  { "refuse", "no_configuration",
+    "refused as not run: no configuration is known yet" },
+  { "refuse", "no_endpoint",
+    "refused as not run: no endpoint of the service takes work" },
+  { "refuse", "no_room",
+    "refused as not run: no engine had room in time; back after {n} ms" },
+  { "refuse", "endpoints_full",
+    "refused as not run: every endpoint rejected it; back after {n} ms" },
+  { "refuse", "deadline", "its deadline has passed" },
+  { "refuse", "endpoint_failed",
+    "its endpoint failed and it may not be sent again" },
+  { "refuse", "stopping",
+    "refused as not run: the node is stopping, another one serves" },
+  { "caller_gone", NULL, "its caller has left after {n} events" },
+};
+
+static const char *
+meaning_of (const char *step, const char *outcome)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (meanings); i++)
+    if (strcmp (meanings[i].step, step) == 0
+        && (meanings[i].outcome == NULL
+            || strcmp (meanings[i].outcome, outcome) == 0))
+      return meanings[i].text;
+  return "";
+}
+
+/* Returns the value of KEY in a line of key=value words, to be freed. */
+static char *
+value_of (const char *text, const char *key)
+{
+  char *needle = g_strdup_printf (" %s=", key);
+  const char *at = strstr (text, needle);
+  char *value = g_strdup ("-");
+
+  if (at != NULL)
+    {
+      at += strlen (needle);
+      g_free (value);
+      value = g_strndup (at, strcspn (at, " \r\n"));
+    }
+  g_free (needle);
+  return value;
+}
+
+/* A line is "TIME program level: text", maybe with something before it. */
+static bool
+line_parse (const char *raw, struct line *line)
+{
+  const char *program = strstr (raw, " beryl-gatewayd ");
+  const char *colon = program != NULL ? strstr (program, ": ") : NULL;
+  const char *time = program;
+  GDateTime *at;
+  char *word;
+
+  if (colon == NULL)
+    return false;
+  while (time > raw && time[-1] != ' ')
+    time--;
+  word = g_strndup (time, (gsize)(program - time));
+  at = g_date_time_new_from_iso8601 (word, NULL);
+  g_free (word);
+  if (at == NULL)
+    return false;
+  line->at_ms = g_date_time_to_unix (at) * 1000
+                + g_date_time_get_microsecond (at) / 1000;
+  line->text = colon + 2;
+  g_date_time_unref (at);
+  return true;
+}
+
+/* Lines that point into TEXT, which is cut at its line ends. */
+static GArray *
+split (char *text)
+{
+  GArray *lines = g_array_new (FALSE, FALSE, sizeof (struct line));
+  char *rest = text;
+  char *raw;
+
+  while ((raw = strsep (&rest, "\n")) != NULL)
+    {
+      struct line line;
+
+      if (line_parse (raw, &line))
+        g_array_append_val (lines, line);
+    }
+  return lines;
+}
+
+static bool
+is_of_request (const struct line *line, const char *id)
+{
+  char *own = g_strdup_printf ("request id=%s ", id);
+  bool is = g_str_has_prefix (line->text, own);
+
+  g_free (own);
+  return is;
+}
+
+/* Whether LINE tells of something that a request may depend on. */
+static bool
+is_of_node (const struct line *line, GHashTable *endpoints)
+{
+  static const char *const always[] = {
+    "store ", "configuration ", "started ", "stop", "lease ", "reload "
+  };
+  GHashTableIter iter;
+  void *endpoint;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (always); i++)
+    if (g_str_has_prefix (line->text, always[i]))
+      return true;
+  if (g_str_has_prefix (line->text, "request "))
+    return false;
+  g_hash_table_iter_init (&iter, endpoints);
+  while (g_hash_table_iter_next (&iter, &endpoint, NULL))
+    if (strstr (line->text, endpoint) != NULL)
+      return true;
+  return false;
+}
+
+static void
+print_decision (const struct line *line, int64_t first_ms)
+{
+  char *step = value_of (line->text, "step");
+  char *outcome = value_of (line->text, "outcome");
+  char *endpoint = value_of (line->text, "endpoint");
+  char *number = value_of (line->text, "n");
+  char *configuration = value_of (line->text, "configuration");
+  char *seen = value_of (line->text, "seen");
+
+  char **parts = g_strsplit (meaning_of (step, outcome), "{n}", 2);
+  char *meaning = g_strjoinv (number, parts);
+
+  printf ("%7" G_GINT64_FORMAT " ms  %-11s %-14s %-16s %s"
+          " [configuration %s, entry %s]\n",
+          line->at_ms - first_ms, step, outcome, endpoint, meaning,
+          configuration, seen);
+  g_strfreev (parts);
+  g_free (meaning);
+  g_free (step);
+  g_free (outcome);
+  g_free (endpoint);
+  g_free (number);
+  g_free (configuration);
+  g_free (seen);
+}
+
+static void
+note_endpoint (GHashTable *endpoints, const struct line *line)
+{
+  char *endpoint = value_of (line->text, "endpoint");
+
+  if (strcmp (endpoint, "-") == 0)
+    g_free (endpoint);
+  else
+    g_hash_table_add (endpoints, endpoint);
+}
+
+static void
+print_all (const GArray *lines, const char *id, GHashTable *endpoints,
+           int64_t first_ms, int64_t last_ms)
+{
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const struct line *line = &g_array_index (lines, struct line, i);
+
+      if (is_of_request (line, id))
+        print_decision (line, first_ms);
+      else if (line->at_ms >= first_ms - BEFORE_MS
+               && line->at_ms <= last_ms + AFTER_MS
+               && is_of_node (line, endpoints))
+        printf ("%7" G_GINT64_FORMAT " ms  node: %s\n", line->at_ms - first_ms,
+                line->text);
+    }
+}
+
+static char *
+read_log (const char *path, struct beryl_error *error)
+{
+  GString *text = g_string_new (NULL);
+  FILE *file = strcmp (path, "-") == 0 ? stdin : fopen (path, "r");
+  char block[65536];
+  size_t count;
+
+  if (file == NULL)
+    {
+      beryl_error_set (error, BERYL_ERROR_INVALID, "%s cannot be read", path);
+      g_string_free (text, TRUE);
+      return NULL;
+    }
+  while ((count = fread (block, 1, sizeof block, file)) > 0)
+    g_string_append_len (text, block, (gssize)count);
+  if (file != stdin)
+    fclose (file);
+  return g_string_free (text, FALSE);
+}
+
+enum ctl_exit
+ctl_explain_log (const char *path, const char *id)
+{
+  struct beryl_error error = { 0 };
+  char *text = read_log (path, &error);
+  GHashTable *endpoints;
+  GArray *lines;
+  int64_t first_ms = 0, last_ms = 0;
+
+  if (text == NULL)
+    return ctl_fail (&error);
+  lines = split (text);
+  endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const struct line *line = &g_array_index (lines, struct line, i);
+
+      if (!is_of_request (line, id))
+        continue;
+      if (first_ms == 0)
+        first_ms = line->at_ms;
+      last_ms = line->at_ms;
+      note_endpoint (endpoints, line);
+    }
+  if (first_ms != 0)
+    print_all (lines, id, endpoints, first_ms, last_ms);
+  else
+    fprintf (stderr, "berylctl: %s has no line of request %s\n", path, id);
+  g_hash_table_destroy (endpoints);
+  g_array_free (lines, TRUE);
+  g_free (text);
+  return first_ms != 0 ? CTL_OK : CTL_NOT_FOUND;
+}
--- a/berylctl/main.c
+++ b/berylctl/main.c
@@ -46,6 +46,7 @@
   { "entry", required_argument, NULL, 'e' },
   { "force", no_argument, NULL, 'f' },
   { "help", no_argument, NULL, 'h' },
+  { "log", required_argument, NULL, 'l' },
   { "output", required_argument, NULL, 'o' },
   { "platform", required_argument, NULL, 'p' },
   { "timeout", required_argument, NULL, 't' },
@@ -61,14 +62,16 @@
   for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
     fprintf (out, "  %-9s %-12s %s\n", commands[i].name, commands[i].args,
              commands[i].help);
-  fputs ("\n  -o, --output table|json|yaml\n"
-         "  -p, --platform IP:PORT  the object API (or $BERYL_PLATFORM)\n"
-         "  -e, --entry IP:PORT     an entry node, for explain and top\n"
-         "  -t, --timeout SECONDS   for waiting [15]\n"
-         "  -f, --force             overwrite without a version\n"
-         "  -w, --whole             the files are the whole configuration\n"
-         "  -h, --help\n  -v, --version\n",
-         out);
+  fputs (
+      "\n  -o, --output table|json|yaml\n"
+      "  -p, --platform IP:PORT  the object API (or $BERYL_PLATFORM)\n"
+      "  -e, --entry IP:PORT     an entry node, for explain and top\n"
+      "  -l, --log FILE          explain from a gateway's log (- is stdin)\n"
+      "  -t, --timeout SECONDS   for waiting [15]\n"
+      "  -f, --force             overwrite without a version\n"
+      "  -w, --whole             the files are the whole configuration\n"
+      "  -h, --help\n  -v, --version\n",
+      out);
 }
 
 static int
@@ -132,6 +135,9 @@
     case 'f':
       ctl->force = true;
       return true;
+    case 'l':
+      ctl->log = optarg;
+      return true;
     case 'o':
       return parse_format (optarg, &ctl->format);
     case 'p':
@@ -178,7 +184,7 @@
   ctl.token = g_getenv ("BERYL_TOKEN");
   parse_place (place != NULL ? place : DEFAULT_PLATFORM, ctl.platform_address,
                sizeof ctl.platform_address, &ctl.platform_port);
-  while ((option = getopt_long (argc, argv, "e:fho:p:t:vw", options, NULL))
+  while ((option = getopt_long (argc, argv, "e:fhl:o:p:t:vw", options, NULL))
          != -1)
     {
       if (option == 'h')
--- a/completions/berylctl.bash
+++ b/completions/berylctl.bash
@@ -4,9 +4,10 @@
   local commands='apply delete describe diff drain explain get status top
     validate watch'
   local kinds='service pool model organisation urgency endpoint system'
-  local options='--entry --force --help --output --platform --timeout
+  local options='--entry --force --help --log --output --platform --timeout
     --version --whole'
   case $prev in
+    -l | --log) COMPREPLY=($(compgen -f -- "$cur")) ;;
     -o | --output) COMPREPLY=($(compgen -W 'table json yaml' -- "$cur")) ;;
     get | describe | delete | watch)
       COMPREPLY=($(compgen -W "$kinds" -- "$cur")) ;;
--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -4,6 +4,9 @@
 
 /* A watch that is behind a peer's for so long is asked anew. */
 #define BEHIND_MS 400
+/* And not again for so long: the answer of a slow store must be able to come,
+ * or asking anew would keep this node behind for as long as it is slow. */
+#define ASK_ANEW_MS 2000
 /* How often that and lapsed endpoints are looked at. */
 #define EXPIRE_MS 250
 
@@ -26,6 +29,7 @@
   uint64_t endpoint_revision; /* of the newest change seen */
   uint64_t peer_revision;     /* that a peer has seen */
   int64_t behind_since_ms;    /* 0: not behind */
+  int64_t asked_anew_ms;      /* 0: never */
   struct loop_timer *expire;
 };
 
@@ -178,12 +182,14 @@
     s->behind_since_ms = 0;
   else if (s->behind_since_ms == 0)
     s->behind_since_ms = now_ms;
-  else if (now_ms - s->behind_since_ms >= BEHIND_MS)
+  else if (now_ms - s->behind_since_ms >= BEHIND_MS
+           && (s->asked_anew_ms == 0
+               || now_ms - s->asked_anew_ms >= ASK_ANEW_MS))
     {
       g_info ("endpoints behind peers: seen=%" G_GUINT64_FORMAT
               " peers=%" G_GUINT64_FORMAT,
               s->endpoint_revision, s->peer_revision);
-      s->behind_since_ms = now_ms;
+      s->asked_anew_ms = now_ms;
       platform_client_poke (s->client, s->endpoint_watch);
       platform_client_poke (s->client, s->configuration_watch);
     }
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -157,10 +157,11 @@
  * word. */
 struct beryl_live *
 engine_choose_decode (struct beryl_forward *f, const struct request *r,
-                      int64_t now_ms)
+                      double *lowest, int64_t now_ms)
 {
   struct beryl_live *best = NULL;
   double best_cost = 0;
+  double least = 0;
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
   size_t count = beryl_lives_count (f->lives);
 
@@ -174,6 +175,8 @@
           || !worth_asking (live, now_ms))
         continue;
       cost = engine_peak_with (f, r, live, FILL_DEVIATIONS, now_ms);
+      if (least == 0 || cost < least)
+        least = cost;
       if (cost > room && room > 0)
         continue;
       cost += (double)(forward_random (f) % 2048);
@@ -187,6 +190,7 @@
     }
   if (best != NULL && beryl_live_avoided (best, now_ms))
     best->trial_ms = now_ms;
+  *lowest = room > 0 ? FILL_PART * least / room : 0;
   return best;
 }
 
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -62,6 +62,7 @@
   if (!r->waiting)
     {
       r->waiting = true;
+      r->wait_told = false;
       r->waiting_since_ms = now_ms;
       f->waiting_count++;
     }
@@ -71,12 +72,21 @@
   place_ask (f, r, now_ms);
 }
 
-/* Nobody has room: sleep until the next round, or the end. */
+/* Nobody has room: sleep until the next round, or the end.  LOWEST is of
+ * engine_choose_decode. */
 static void
-wait_round (struct request *r, int64_t now_ms)
+wait_round (struct beryl_forward *f, struct request *r, double lowest,
+            int64_t now_ms)
 {
   int64_t end_ms = give_up_ms (r);
 
+  if (!r->wait_told)
+    forward_request_decided (f, r, "wait", NULL,
+                             r->refusals > 0 ? "engines_refuse"
+                             : lowest > 0    ? "engines_full"
+                                             : "no_engine",
+                             (int64_t)(100 * lowest), now_ms);
+  r->wait_told = true;
   r->phase = PHASE_WAITING;
   r->refusals = 0;
   r->tried_count = 0;
@@ -100,12 +110,13 @@
 {
   struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RESERVE };
   struct beryl_live *live = NULL;
+  double lowest = 0;
 
   if (r->refusals < ASKED_MAX)
-    live = engine_choose_decode (f, r, now_ms);
+    live = engine_choose_decode (f, r, &lowest, now_ms);
   if (live == NULL)
     {
-      wait_round (r, now_ms);
+      wait_round (f, r, lowest, now_ms);
       return;
     }
   start.tokens = tokens_to_reserve (f, r);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -123,6 +123,7 @@
   bool stream_over;     /**< the old engine's stream has ended */
   uint32_t refusals;    /**< of engines asked for room, in this wait */
   int64_t waiting_since_ms;
+  bool wait_told; /**< in the log */
 };
 
 TAILQ_HEAD (request_list, request);
@@ -329,10 +330,12 @@
 /** Whether LIVE has read R's prompt already. */
 bool engine_is_warm_for (const struct request *r,
                          const struct beryl_live *live);
-/** Choose a decode engine to ask for room; NULL: none may have it. */
+/** Choose a decode engine to ask for room; NULL: none may have it.  *LOWEST
+ * is the part of its memory that the emptiest one is foreseen to fill with R;
+ * 0: there is none to be asked. */
 struct beryl_live *engine_choose_decode (struct beryl_forward *f,
                                          const struct request *r,
-                                         int64_t now_ms);
+                                         double *lowest, int64_t now_ms);
 /** Choose an engine to read R's prompt; NULL: none.  WAIT_MS is how long
  * what it has to read already will take. */
 struct beryl_live *engine_choose_prefill (struct beryl_forward *f,
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -300,6 +300,43 @@
 }
 END_TEST
 
+static bool
+both_know_other (struct world *world)
+{
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct world_answer *answer
+          = world_get (world, i, "new.example", "/x", "");
+
+      world_wait (world, answer);
+      if (answer->status != 200)
+        return false;
+    }
+  return true;
+}
+
+/* Each answer of the store takes longer than a node waits before it takes its
+ * watch for dead.  Asking anew before the answer has come, again and again,
+ * would keep it from ever hearing of a change. */
+START_TEST (test_slow_store)
+{
+  struct standin_runner_settings settings = { .id = "o0",
+                                              .service = "other",
+                                              .address = "127.0.0.1",
+                                              .zone = "dc-1",
+                                              .slots = 4,
+                                              .work_ms = 5 };
+  struct beryl_error error = { 0 };
+
+  world_nodes (&w, 2);
+  standin_set_delay (w.standin, 620);
+  world_turn (&w, 2500);
+  standin_runner_start (w.standin, &settings, &error);
+  world_configure (&w, "other", "new.example");
+  ck_assert (world_until (&w, both_know_other, 6000));
+}
+END_TEST
+
 /* The store forgets its history, and something changed in between: the nodes
  * list everything again. */
 START_TEST (test_store_compacts)
@@ -499,6 +536,7 @@
   tcase_add_test (tcase, test_engine_leaves);
   tcase_add_test (tcase, test_plain_runner_freezes);
   tcase_add_test (tcase, test_store_silent);
+  tcase_add_test (tcase, test_slow_store);
   tcase_add_test (tcase, test_store_compacts);
   tcase_add_test (tcase, test_planned_stop);
   tcase_add_test (tcase, test_caller_leaves);
