--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -263,21 +263,18 @@
     f->owner->impl->decided (f->owner, &decision);
 }
 
-/* A reservation that is being asked for when its request ends is let come,
- * so that it can be given back; all else is cut off. */
+/* Takes the first open exchange from R, which ends.  A reservation that is
+ * being asked for is let come, so that it can be given back; all else is cut
+ * off. */
 static void
-exchange_disown (struct beryl_forward *f, struct exchange *x)
+exchange_disown (struct beryl_forward *f, struct request *r)
 {
-  if (x->kind == BERYL_EXCHANGE_RESERVE)
-    {
-      struct request *r = x->request;
+  struct exchange *x = r->first;
 
-      if (r->first == x)
-        r->first = r->second;
-      r->second = NULL;
-      x->request = NULL;
-    }
-  else
+  r->first = r->second;
+  r->second = NULL;
+  x->request = NULL;
+  if (x->kind != BERYL_EXCHANGE_RESERVE)
     forward_exchange_abort (f, x);
 }
 
@@ -289,7 +286,7 @@
     prompts_note (&f->prompts, r->facts.prompt_key,
                   beryl_engine_number (r->reservation.live->info.id), now_ms);
   while (r->first != NULL)
-    exchange_disown (f, r->first);
+    exchange_disown (f, r);
   generation_release (f, r, now_ms);
   f->open--;
   if (r->waiting)
