--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,211 @@
+"""The promises, checked on what callers and runners saw in one run."""
+import collections
+import os
+
+# Processes and proxies of a busy machine are late by some hundred
+# milliseconds; a bound counts as broken beyond it.
+SLACK_S = 0.5
+CONFIG_APPLY_S = 2.0
+NO_REVERT_S = 0.25 + SLACK_S
+GONE_S = 0.5 + SLACK_S
+LOSS_SLACK_S = 0.2 + SLACK_S
+# Of the attempts in the rest at the end so many succeed, and at most this
+# much memory and so many descriptors stay in use.
+RECOVERED_PART = 0.9
+RECOVER_S = 6.0
+MEMORY_MB = 64
+DESCRIPTORS = 120
+
+
+class Begin:
+    """A runner began to work on a request."""
+
+    def __init__(self, at, runner, kind):
+        self.at = at
+        self.runner = runner
+        self.kind = kind  # plain, prefill, run, moved
+        self.ended = None
+        self.whole = False
+
+
+class Record:
+    """What the runners saw."""
+
+    def __init__(self, path):
+        self.begins = collections.defaultdict(list)
+        self.leaves = {}
+        if os.path.exists(path):
+            with open(path) as file:
+                for line in file:
+                    self.take(line.split())
+
+    def take(self, words):
+        at = int(words[0]) / 1000
+        if words[1] == "begin":
+            self.begins[words[2]].append(Begin(at, words[3], words[4]))
+        elif words[1] == "end":
+            for begin in self.begins[words[2]]:
+                if begin.runner == words[3] and begin.ended is None:
+                    begin.ended = at
+                    begin.whole = words[4] == "whole"
+                    break
+        elif words[1] == "leaves":
+            self.leaves.setdefault(words[2], at)
+
+    def runs(self, request):
+        return [b for b in self.begins.get(request, [])
+                if b.kind in ("plain", "run")]
+
+
+def at_most_once(world, record):
+    by_request = collections.Counter()
+    for attempt in world.attempts.values():
+        if not attempt.once():
+            continue
+        runs = record.runs(attempt.id)
+        by_request[attempt.id.rsplit("-", 1)[0]] += len(runs)
+        if attempt.outcome == "refused" and runs:
+            world.broke("REFUSED", f"{attempt.id} got {attempt.status} and "
+                                   f"ran at {runs[0].runner}")
+    for request, count in by_request.items():
+        if count > 1:
+            world.broke("TWICE", f"{request} ran {count} times")
+
+
+def leaving_runners(world, record):
+    bound_s = world.terms["endpoint_leave_ms"] / 1000 + SLACK_S
+    for name, begins in record.begins.items():
+        attempt = world.attempts.get(name)
+        for begin in begins:
+            left_at = record.leaves.get(begin.runner)
+            if attempt is None or left_at is None \
+                    or begin.at < left_at + bound_s:
+                continue
+            if world.in_touch(attempt.node, begin.at):
+                world.broke("DRAIN", f"{name} ({begin.kind}) began at "
+                            f"{begin.runner} {begin.at - left_at:.2f} s "
+                            "after that left")
+
+
+def callers_gone(world, record):
+    for attempt in world.attempts.values():
+        if attempt.outcome != "left":
+            continue
+        gone_at = attempt.ended + GONE_S
+        scopes = [f"node-{attempt.node}", f"front-{attempt.node}", "runner"]
+        if not world.calm(attempt.ended - 3, gone_at, scopes, planned=False):
+            continue
+        for begin in record.begins.get(attempt.id, []):
+            if begin.at > gone_at:
+                world.broke("GONE", f"{attempt.id} began at {begin.runner} "
+                            f"{begin.at - attempt.ended:.2f} s after its "
+                            "caller had left")
+            elif begin.ended is None or begin.ended > gone_at:
+                world.broke("GONE", f"{attempt.id} went on at "
+                                    f"{begin.runner} after its caller left")
+
+
+def planned_work(world, record):
+    """Nothing is cut off where only planned work went on."""
+    for attempt in world.attempts.values():
+        if attempt.sent is None or attempt.outcome not in ("broken",
+                                                           "timeout"):
+            continue
+        if not world.calm(attempt.began - 3, attempt.ended, planned=False) \
+                or world.calm(attempt.began, attempt.ended):
+            continue
+        begins = record.begins.get(attempt.id, [])
+        held_s = attempt.ended - attempt.sent
+        if begins or held_s > LOSS_SLACK_S:
+            world.broke("LOST", f"{attempt.id} ({attempt.kind}) "
+                        f"{attempt.outcome} after {held_s:.2f} s at node "
+                        f"{attempt.node}, "
+                        f"{len(begins)} begins, planned work only")
+
+
+def configurations(world):
+    newest_seen = collections.defaultdict(list)  # node: (time, version)
+    for at, node, version, status in world.probes:
+        acknowledged = [(a, v) for a, v in world.versions
+                        if a + CONFIG_APPLY_S + SLACK_S < at]
+        sent = [v for a, v in world.versions if a - 0.2 < at + 1.5]
+        if not acknowledged or status == 0:
+            continue
+        due, newest_sent = acknowledged[-1][1], max(sent)
+        if world.in_touch(node, at):
+            if version == due == newest_sent and status == 404:
+                world.broke("CONFIG", f"node {node}: host of version "
+                            f"{version} is not there {at - acknowledged[-1][0]:.2f} s "
+                            "after its acknowledgement")
+            if version < due and status == 200:
+                world.broke("CONFIG", f"node {node}: host of version "
+                            f"{version} is there though {due} is due")
+        if status == 200:
+            newest_seen[node].append((at, version))
+    for node, seen in newest_seen.items():
+        starts = world.nodes[node].starts
+        for (before, high), (at, version) in reverts(seen):
+            if not any(before <= start <= at + 1.5 for start in starts) \
+                    and not world.nodes_paused_between(node, before, at):
+                world.broke("CONFIG", f"node {node} went back from version "
+                            f"{high} to {version} after {at - before:.2f} s")
+
+
+def reverts(seen):
+    high = None
+    for at, version in seen:
+        if high is not None and version < high[1] \
+                and at - high[0] > NO_REVERT_S:
+            yield high, (at, version)
+        if high is None or version > high[1]:
+            high = (at, version)
+
+
+def recovery(world):
+    since = world.rest_began + RECOVER_S
+    last = [a for a in world.attempts.values()
+            if a.began > since and a.outcome not in ("left", None)]
+    whole = sum(a.outcome == "whole" for a in last)
+    if len(last) < 5 or whole < RECOVERED_PART * len(last):
+        ways = collections.Counter(a.outcome for a in last)
+        world.broke("RECOVER", f"only {whole} of {len(last)} after the "
+                               f"troubles: {dict(ways)}")
+
+
+def processes(world):
+    for node in world.nodes:
+        for at, status, expected in node.ends:
+            if not expected:
+                world.broke("EXIT", f"node {node.index} ended by itself with "
+                                    f"status {status}")
+            elif status not in (0, -9):
+                world.broke("EXIT", f"node {node.index} was stopped and ended "
+                                    f"with status {status}")
+        if not node.alive():
+            world.broke("EXIT", f"node {node.index} is not running")
+        elif world.measures_memory and node.memory_mb() > MEMORY_MB:
+            world.broke("MEMORY", f"node {node.index} uses "
+                                  f"{node.memory_mb():.0f} MB")
+        elif node.descriptors() > DESCRIPTORS:
+            world.broke("MEMORY", f"node {node.index} keeps "
+                                  f"{node.descriptors()} descriptors")
+
+
+def engine_memory(world, busy):
+    """BUSY is what the stand-in says some seconds after the last caller."""
+    counts = dict(word.split("=") for word in busy.split()[1:])
+    if any(int(count) for count in counts.values()):
+        world.broke("HELD", f"runners still keep: {busy}")
+
+
+def all_of(world, busy):
+    record = Record(world.platform.record)
+    at_most_once(world, record)
+    leaving_runners(world, record)
+    callers_gone(world, record)
+    planned_work(world, record)
+    configurations(world)
+    recovery(world)
+    processes(world)
+    engine_memory(world, busy)
+    return record
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,235 @@
+"""Faults that a soak injects, and their schedule, drawn from a seed."""
+import asyncio
+import time
+
+# How long after its end a disturbance still excuses what depends on it: the
+# time in which a node is back in touch.
+CONTACT_S = 3.0
+
+
+class Disturbance:
+    """What was disturbed, from when to when."""
+
+    def __init__(self, scope, text, planned):
+        self.scope = scope  # "node-N", "store", "runner", "front-N"
+        self.text = text
+        self.planned = planned
+        self.began = time.monotonic()
+        self.ended = None
+
+    def overlaps(self, began, ended):
+        return self.began <= ended and (self.ended is None
+                                        or self.ended >= began)
+
+
+async def node_kill(world, rng, for_s):
+    node = rng.choice(world.nodes)
+    node.restart_s = rng.uniform(0.1, for_s)
+    with world.disturbed(f"node-{node.index}", "killed"):
+        node.kill()
+        await asyncio.sleep(node.restart_s + 1.0)
+
+
+async def node_kill_many(world, rng, for_s):
+    chosen = rng.sample(world.nodes, rng.randint(2, len(world.nodes)))
+    scopes = [f"node-{node.index}" for node in chosen]
+    with world.disturbed(scopes, "killed together"):
+        for node in chosen:
+            node.restart_s = rng.uniform(0.1, 1.0)
+            node.kill()
+        await asyncio.sleep(2.0)
+
+
+async def node_pause(world, rng, for_s):
+    node = rng.choice(world.nodes)
+    with world.disturbed(f"node-{node.index}", f"paused for {for_s:.1f} s"):
+        node.pause(True)
+        await asyncio.sleep(for_s)
+        node.pause(False)
+
+
+async def node_stop(world, rng, for_s):
+    node = rng.choice(world.nodes)
+    if not node.alive() or node.paused:
+        return
+    with world.disturbed(f"node-{node.index}", "SIGTERM", planned=True):
+        node.restart_s = 0.3
+        node.terminate()
+        if rng.random() < 0.3:
+            await asyncio.sleep(0.2)
+            node.terminate()  # a second one must change nothing
+        ends = len(node.ends)
+        while len(node.ends) == ends:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
+
+
+async def node_roll(world, rng, for_s):
+    for _ in range(rng.randint(2, len(world.nodes))):
+        await node_stop(world, rng, for_s)
+
+
+async def node_reload(world, rng, for_s):
+    node = rng.choice(world.nodes)
+    with world.disturbed(f"node-{node.index}", "SIGHUP", planned=True):
+        proxy = world.store_proxies[node.index]
+        node.write_settings((proxy.address, proxy.port),
+                            repeat_slack=rng.randint(30, 60))
+        if node.alive():
+            world.hang_up(node)
+        await asyncio.sleep(0.5)
+
+
+async def store_link(world, rng, for_s):
+    node = rng.choice(world.nodes)
+    proxy = world.store_proxies[node.index]
+    how = rng.choice(["silent", "one way up", "one way down", "resets",
+                      "slow"])
+    with world.disturbed([f"node-{node.index}"], f"link to the store {how}"):
+        spoil(proxy, how, rng)
+        await asyncio.sleep(for_s)
+        proxy.heal()
+
+
+async def runner_link(world, rng, for_s):
+    proxy = rng.choice(world.runner_proxies)
+    how = rng.choice(["silent", "one way up", "one way down", "resets",
+                      "slow"])
+    with world.disturbed("runner", f"link to runner {proxy.port} {how}"):
+        spoil(proxy, how, rng)
+        await asyncio.sleep(for_s)
+        proxy.heal()
+
+
+async def runner_reset(world, rng, for_s):
+    proxy = rng.choice(world.runner_proxies)
+    with world.disturbed("runner", f"connections to {proxy.port} reset"):
+        proxy.reset_all()
+        await asyncio.sleep(0.1)
+
+
+async def front_link(world, rng, for_s):
+    node = rng.choice(world.nodes)
+    proxy = world.front_proxies[node.index]
+    how = rng.choice(["silent", "one way down", "resets", "slow"])
+    with world.disturbed(f"front-{node.index}", f"callers' link {how}"):
+        spoil(proxy, how, rng)
+        await asyncio.sleep(for_s)
+        proxy.heal()
+
+
+def spoil(proxy, how, rng):
+    if how == "silent":
+        proxy.silence(["up", "down"])
+    elif how == "one way up":
+        proxy.silence(["up"])
+    elif how == "one way down":
+        proxy.silence(["down"])
+    elif how == "resets":
+        proxy.resets = True
+        proxy.reset_all()
+    else:
+        proxy.delay_s = rng.uniform(0.02, 0.3)
+
+
+async def store_down(world, rng, for_s):
+    how = rng.choice(["silent", "refuses", "loses", "late"])
+    lapses = rng.random() < 0.3
+    with world.disturbed("store", f"store {how}{', lapse' * lapses}"):
+        world.platform.tell(f"store-{how}")
+        if lapses:
+            await asyncio.sleep(for_s / 2)
+            world.platform.tell("lapse")
+        await asyncio.sleep(for_s / (1 + lapses))
+        world.platform.tell("store-well")
+        if lapses:
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+            world.platform.tell("list")
+
+
+async def store_slow(world, rng, for_s):
+    with world.disturbed("store", "store slow"):
+        world.platform.tell("store-slow", rng.randint(50, 400))
+        await asyncio.sleep(for_s)
+        world.platform.tell("store-well")
+
+
+async def store_forgets(world, rng, for_s):
+    with world.disturbed("store", "history compacted, a change hidden"):
+        world.platform.tell("compact")
+        await asyncio.sleep(0.1)
+
+
+async def runner_dies(world, rng, for_s):
+    runner = world.pick_runner(rng)
+    if runner is None:
+        return
+    with world.disturbed("runner", f"{runner.id} killed"):
+        world.platform.tell("kill", runner.id)
+        await asyncio.sleep(max(for_s, world.terms["endpoint_leave_ms"]
+                                / 1000 + 0.3))
+        await world.replace_runner(runner)
+
+
+async def runner_freezes(world, rng, for_s):
+    runner = world.pick_runner(rng)
+    if runner is None:
+        return
+    with world.disturbed("runner", f"{runner.id} frozen"):
+        world.platform.tell("freeze", runner.id)
+        await asyncio.sleep(for_s)
+        world.platform.tell("wake", runner.id)
+    world.give_back(runner)
+
+
+async def runner_fails(world, rng, for_s):
+    runner = world.pick_runner(rng, service="plain")
+    if runner is None:
+        return
+    with world.disturbed("runner", f"{runner.id} answers 500"):
+        world.platform.tell("fail", runner.id, 500)
+        await asyncio.sleep(for_s)
+        world.platform.tell("fail", runner.id, 0)
+    world.give_back(runner)
+
+
+async def runner_leaves(world, rng, for_s):
+    """The new one starts first; the old one drains, or just vanishes from the
+    list, and serves for a while longer."""
+    runner = world.pick_runner(rng)
+    if runner is None:
+        return
+    with world.disturbed("runner", f"{runner.id} leaves", planned=True):
+        world.platform.tell(rng.choice(["drain", "remove"]), runner.id)
+        await asyncio.sleep(world.terms["endpoint_leave_ms"] / 1000 + 2.0)
+        world.platform.tell("kill", runner.id)
+        await world.replace_runner(runner)
+
+
+async def configuration(world, rng, for_s):
+    for _ in range(rng.choice([1, 1, 1, 6])):
+        await world.configure(rng.choice(["plain", "other"]))
+        await asyncio.sleep(rng.uniform(0.05, 0.4))
+
+
+PLANNED = [node_stop, node_roll, node_reload, runner_leaves, configuration]
+PROCESSES = [node_kill, node_kill_many, node_pause, node_stop]
+LINKS = [store_link, runner_link, runner_reset, front_link]
+STORE = [store_down, store_slow, store_forgets, configuration]
+RUNNERS = [runner_dies, runner_freezes, runner_fails, runner_leaves]
+PROFILES = {
+    "planned": PLANNED,
+    "processes": PROCESSES + [configuration],
+    "links": LINKS + [configuration],
+    "store": STORE + [runner_leaves, node_stop],
+    "runners": RUNNERS,
+    "mixed": PLANNED + PROCESSES + LINKS + STORE + RUNNERS,
+}
+
+
+def schedule(rng, profile, span_s):
+    """When which faults begin, and for how long they last."""
+    count = rng.randint(2, 6)
+    return sorted(((rng.uniform(0, span_s), rng.choice(PROFILES[profile]),
+                    rng.uniform(0.3, 4.0)) for _ in range(count)),
+                  key=lambda step: step[0])
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,125 @@
+"""A loopback proxy before one listener, which can spoil its connections."""
+import asyncio
+import socket
+import struct
+
+CHUNK_BYTES = 65536
+# Closing such a socket sends a reset instead of an orderly end.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Connection:
+    """One accepted connection and the one behind it."""
+
+    def __init__(self, proxy, reader, writer):
+        self.proxy = proxy
+        self.near = (reader, writer)
+        self.far = None
+        # Directions that stay silent for good: "up" to the target, "down".
+        self.silent = set()
+
+    async def run(self):
+        try:
+            self.far = await asyncio.open_connection(*self.proxy.target)
+        except OSError:
+            self.reset()
+            return
+        pumps = [asyncio.ensure_future(self.pump("up", self.near[0],
+                                                 self.far[1])),
+                 asyncio.ensure_future(self.pump("down", self.far[0],
+                                                 self.near[1]))]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_EXCEPTION)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            self.close()
+
+    async def pump(self, direction, reader, writer):
+        while True:
+            try:
+                chunk = await reader.read(CHUNK_BYTES)
+            except OSError:
+                self.reset()
+                raise
+            if direction in self.silent:
+                if not chunk:
+                    raise ConnectionError("closed while it was silent")
+                continue
+            if self.proxy.delay_s > 0:
+                await asyncio.sleep(self.proxy.delay_s)
+            if not chunk:
+                if writer.can_write_eof():
+                    writer.write_eof()
+                return
+            writer.write(chunk)
+            await writer.drain()
+
+    def writers(self):
+        return [end[1] for end in (self.near, self.far) if end is not None]
+
+    def close(self):
+        for writer in self.writers():
+            writer.close()
+
+    def reset(self):
+        for writer in self.writers():
+            sock = writer.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                RESET_ON_CLOSE)
+            writer.transport.abort()
+
+
+class Proxy:
+    """Listens on ADDRESS and passes on to `target`."""
+
+    def __init__(self, address, port):
+        self.address = address
+        self.port = port
+        self.target = None
+        self.delay_s = 0
+        self.silenced = set()
+        self.resets = False
+        self.connections = set()
+        self.server = None
+
+    async def open(self):
+        self.server = await asyncio.start_server(
+            self.accepted, self.address, self.port)
+
+    async def accepted(self, reader, writer):
+        connection = Connection(self, reader, writer)
+        connection.silent = set(self.silenced)
+        self.connections.add(connection)
+        try:
+            if self.resets or self.target is None:
+                connection.reset()
+            else:
+                await connection.run()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.connections.discard(connection)
+
+    def reset_all(self):
+        """Resets what is open, once."""
+        for connection in list(self.connections):
+            connection.reset()
+
+    def silence(self, directions):
+        """What is open is silent from now on, for good; new connections too,
+        until heal()."""
+        self.silenced = set(directions)
+        for connection in self.connections:
+            connection.silent |= self.silenced
+
+    def heal(self):
+        self.silenced = set()
+        self.resets = False
+        self.delay_s = 0
+
+    def close(self):
+        self.reset_all()
+        if self.server is not None:
+            self.server.close()
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,236 @@
+"""One system under test: its processes, proxies, callers and their history."""
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import time
+
+from . import faults
+from .caller import Caller
+from .processes import PORTS, Node, Platform
+from .proxy import Proxy
+
+RUNNERS = [("plain", None)] * 3 + [("other", None)] * 2 \
+    + [("model", "prefill")] * 2 + [("model", "decode")] * 4
+# Of each kind so many are left alone at any time.
+LEFT_ALONE = {("plain", None): 1, ("other", None): 1,
+              ("model", "prefill"): 1, ("model", "decode"): 2}
+STORE_PORT = 8142
+READY_S = 15
+TERMS = {"endpoint_leave_ms": 2000, "address_keep_ms": 1000, "stop_ms": 5000,
+         "lease_ms": 2000, "thaw_ms": 200, "record_keep_ms": 4000,
+         "repeat_slack": 50, "log_lines_per_s": 5000}
+
+
+class Runner:
+    def __init__(self, name, service, stage, proxy):
+        self.id = name
+        self.service = service
+        self.stage = stage
+        self.proxy = proxy
+        self.picked = False
+
+
+class World:
+    def __init__(self, seed, build, directory, nodes, callers):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.directory = directory
+        self.terms = dict(TERMS)
+        # Addresses of this process and seed only: runs do not meet.
+        self.net = f"127.{1 + os.getpid() % 250}.{1 + seed % 250}"
+        self.platform = Platform(build, directory)
+        self.nodes = [Node(i, f"{self.net}.{i + 1}", build, directory,
+                           self.terms) for i in range(nodes)]
+        self.store_proxies = [Proxy(f"{self.net}.{100 + i}", STORE_PORT)
+                              for i in range(nodes)]
+        self.front_proxies = [Proxy(f"{self.net}.{150 + i}", PORTS["front"])
+                              for i in range(nodes)]
+        self.runner_proxies = [Proxy(f"{self.net}.200", 9000 + i)
+                               for i in range(len(RUNNERS))]
+        self.callers_count = callers
+        self.callers_end = False
+        self.runners = []
+        self.runner_count = 0
+        self.attempts = {}
+        self.probes = []         # (time, node, host, status)
+        self.versions = []       # (acknowledged, version)
+        self.disturbances = []
+        self.broken = []         # (rule, text)
+        self.tasks = []
+        self.began = time.monotonic()
+
+    def broke(self, rule, text):
+        self.broken.append((rule, text))
+
+    @contextlib.contextmanager
+    def disturbed(self, scopes, text, planned=False):
+        if isinstance(scopes, str):
+            scopes = [scopes]
+        entries = [faults.Disturbance(scope, text, planned)
+                   for scope in scopes]
+        self.disturbances += entries
+        try:
+            yield
+        finally:
+            for entry in entries:
+                entry.ended = time.monotonic()
+
+    def calm(self, began, ended, scopes=None, planned=True):
+        """Whether nothing (of SCOPES) was disturbed; PLANNED counts too."""
+        return not any(d.overlaps(began, ended) for d in self.disturbances
+                       if (scopes is None or d.scope in scopes)
+                       and (planned or not d.planned))
+
+    def nodes_paused_between(self, node, began, ended):
+        return not self.calm(began, ended, [f"node-{node}"])
+
+    def in_touch(self, node, at):
+        return self.calm(at - faults.CONTACT_S, at,
+                         [f"node-{node}", "store"])
+
+    def spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.append(task)
+        return task
+
+    async def open(self):
+        await self.platform.start()
+        for proxy in self.store_proxies:
+            proxy.target = ("127.0.0.1", self.platform.port)
+        for node, proxy in zip(self.nodes, self.front_proxies):
+            proxy.target = (node.address, PORTS["front"])
+        for proxy in (self.store_proxies + self.front_proxies
+                      + self.runner_proxies):
+            await proxy.open()
+        await self.configure("plain")
+        for (service, stage), proxy in zip(RUNNERS, self.runner_proxies):
+            await self.start_runner(service, stage, proxy)
+        for node in self.nodes:
+            proxy = self.store_proxies[node.index]
+            node.write_settings((proxy.address, proxy.port))
+            self.spawn(node.supervise())
+        await asyncio.wait_for(self.all_known(), READY_S)
+
+    async def all_known(self):
+        while True:
+            try:
+                found = await Caller.ask_directory(self.nodes[0])
+                if len(found["addresses"]) == len(self.nodes):
+                    return
+            except (OSError, ValueError):
+                pass
+            await asyncio.sleep(0.1)
+
+    async def start_runner(self, service, stage, proxy):
+        name = f"{service[0]}{self.runner_count}"
+        self.runner_count += 1
+        said = await self.platform.ask("start", name, service, stage or "-",
+                                       f"{proxy.address}:{proxy.port}")
+        proxy.target = ("127.0.0.1", int(said.split()[2]))
+        self.runners.append(Runner(name, service, stage, proxy))
+
+    def pick_runner(self, rng, service=None):
+        """A runner that no other fault has, or None."""
+        free = [r for r in self.runners if not r.picked
+                and (service is None or r.service == service)]
+        rng.shuffle(free)
+        for runner in free:
+            kind = (runner.service, runner.stage)
+            alone = sum(not r.picked and (r.service, r.stage) == kind
+                        for r in self.runners)
+            if alone > LEFT_ALONE[kind]:
+                runner.picked = True
+                return runner
+        return None
+
+    @staticmethod
+    def give_back(runner):
+        runner.picked = False
+
+    async def replace_runner(self, runner):
+        """Another one comes, of the same kind, at the same address."""
+        self.runners.remove(runner)
+        await self.start_runner(runner.service, runner.stage, runner.proxy)
+
+    async def configure(self, service):
+        version = self.versions[-1][1] + 3 if self.versions else 1
+        await self.platform.ask("configure", version, service,
+                                f"v{version}.example")
+        self.versions.append((time.monotonic(), version))
+
+    @staticmethod
+    def hang_up(node):
+        node.signal(signal.SIGHUP)
+
+    async def probe(self, node):
+        """Asks NODE for the newest host and the one before it."""
+        count = 0
+        while not self.callers_end:
+            for _, version in self.versions[-2:]:
+                count += 1
+                host = f"v{version}.example"
+                began = time.monotonic()
+                status = 0
+                with contextlib.suppress(OSError, asyncio.TimeoutError,
+                                         ValueError, IndexError):
+                    status = await asyncio.wait_for(self.probe_once(
+                        node, host, f"probe-{node.index}-{count}"), 1.5)
+                self.probes.append((began, node.index, version, status))
+            await asyncio.sleep(0.2)
+
+    @staticmethod
+    async def probe_once(node, host, name):
+        reader, writer = await asyncio.open_connection(node.address,
+                                                       PORTS["front"])
+        try:
+            writer.write(f"GET /x HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: "
+                         f"{name}\r\nX-Deadline-Ms: 1000\r\n"
+                         f"Connection: close\r\n\r\n".encode())
+            return int((await reader.read(4096)).split()[1])
+        finally:
+            writer.close()
+
+    async def play(self, profile, calm_s, trouble_s, rest_s):
+        """The whole run: calm, trouble, and a rest in which all is well."""
+        callers = [Caller(self, i, random.Random(self.seed * 1000 + i))
+                   for i in range(self.callers_count)]
+        running = [self.spawn(c.run()) for c in callers]
+        running += [self.spawn(self.probe(node)) for node in self.nodes]
+        await asyncio.sleep(calm_s)
+        await self.trouble(profile, trouble_s)
+        self.rest_began = time.monotonic()
+        await asyncio.sleep(rest_s)
+        self.callers_end = True
+        await asyncio.wait(running)
+        for task in running:
+            if task.exception() is not None:
+                raise task.exception()
+        self.rest_ended = time.monotonic()
+
+    async def trouble(self, profile, span_s):
+        began = time.monotonic()
+        steps = faults.schedule(self.rng, profile, span_s)
+        running = []
+        for at, fault, for_s in steps:
+            await asyncio.sleep(max(0, began + at - time.monotonic()))
+            running.append(asyncio.ensure_future(
+                fault(self, self.rng, for_s)))
+        await asyncio.wait(running)
+        for task in running:
+            if task.exception() is not None:
+                raise task.exception()
+
+    async def close(self):
+        for node in self.nodes:
+            node.restarts = False
+            node.pause(False)
+            node.kill()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.platform.stop()
+        for proxy in (self.store_proxies + self.front_proxies
+                      + self.runner_proxies):
+            proxy.close()
