A stream whose engine stopped it looks for another place before it gives the old one up

Now the stream stays where it is, another engine is asked for room, and it moves only when that has granted it; what comes first counts. How long callers wait for a silent stream is read from their route.

--- a/include/beryl/routes.h
+++ b/include/beryl/routes.h
@@ -42,7 +42,9 @@
   int64_t timeout_ms;       /**< longest wait of a caller; 0: no limit */
   int64_t objective_ms;     /**< to the answer or the first event; 0: none */
   int64_t gap_objective_ms; /**< longest pause between events; 0: none */
-  uint32_t rank;            /**< 0 is the most urgent */
+  /** Callers leave a stream that is silent for so long; 0: not known. */
+  int64_t patience_ms;
+  uint32_t rank; /**< 0 is the most urgent */
   struct beryl_route_target *targets;
   size_t target_count;
 };
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -63,6 +63,7 @@
       attempt_not_run (f, x, now_ms);
       return;
     }
+  seek_end (f, r);
   forward_request_count_run (r);
   kv_clear (f, &r->kv);
   beryl_live_learn (x->live, error ? BERYL_LIVE_FAILED : BERYL_LIVE_ANSWERED,
@@ -137,6 +138,7 @@
   r->run_events++;
   r->event_ms = now_ms;
   r->stalled = false;
+  seek_end (f, r);
   /* A stall shows sooner between events than before the first. */
   if (r->run_events == 1 && forward_request_is_generation (r))
     r->due_ms = stream_due_ms (r);
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -263,15 +263,12 @@
     f->owner->impl->decided (f->owner, &decision);
 }
 
-/* Takes the first open exchange from R, which ends.  A reservation that is
- * being asked for is let come, so that it can be given back; all else is cut
- * off. */
-static void
-exchange_disown (struct beryl_forward *f, struct request *r)
+void
+forward_exchange_disown (struct beryl_forward *f, struct request *r,
+                         struct exchange *x)
 {
-  struct exchange *x = r->first;
-
-  r->first = r->second;
+  if (r->first == x)
+    r->first = r->second;
   r->second = NULL;
   x->request = NULL;
   if (x->kind != BERYL_EXCHANGE_RESERVE)
@@ -286,7 +283,7 @@
     prompts_note (&f->prompts, r->facts.prompt_key,
                   beryl_engine_number (r->reservation.live->info.id), now_ms);
   while (r->first != NULL)
-    exchange_disown (f, r);
+    forward_exchange_disown (f, r, r->first);
   generation_release (f, r, now_ms);
   f->open--;
   if (r->waiting)
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -370,6 +370,7 @@
 static void
 run_broken (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
+  seek_end (f, r);
   r->same_run = false;
   generation_run_over (f, r);
   kv_clear (f, &r->kv);
@@ -386,8 +387,7 @@
       move_broken (f, r, sent, now_ms);
       return;
     case BERYL_EXCHANGE_RESERVE:
-      r->refusals++;
-      place_ask (f, r, now_ms);
+      place_no_answer (f, r, now_ms);
       return;
     case BERYL_EXCHANGE_RUN:
       run_broken (f, r, now_ms);
@@ -417,6 +417,7 @@
 generation_not_run (struct beryl_forward *f, struct request *r,
                     bool wrong_stage, int64_t now_ms)
 {
+  seek_end (f, r);
   if (wrong_stage && r->reservation.live != NULL)
     learn_stage (r->reservation.live);
   blame (r, now_ms);
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -74,9 +74,9 @@
       return;
     }
   move_clear (f, r);
-  if (r->stalled && why != NULL && stream_go_on_elsewhere (f, r, why, now_ms))
-    return;
   r->due_ms = stream_due_ms (r);
+  if (r->stalled && why != NULL)
+    seek_start (f, r, why, now_ms);
 }
 
 void
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -19,7 +19,8 @@
 /* How long a request that cannot be in time any more waits for room. */
 #define LATE_WAIT_MS 600
 /* How long a caller that reads a stream already is kept waiting until the
- * stream goes on; it would leave soon after. */
+ * stream goes on, if its route does not say when such callers leave.  Ended
+ * sooner, the stream would be cut off although room may still come. */
 #define RESUME_WAIT_MS 2000
 #define RETRY_AFTER_MS 2000
 /* Lease of a reservation if the service states none. */
@@ -50,7 +51,9 @@
       = r->facts.arrived_ms + r->route->objective_ms - SERVICE_MS;
 
   if (r->begun)
-    return r->waiting_since_ms + RESUME_WAIT_MS;
+    return r->event_ms
+           + (r->route->patience_ms > 0 ? r->route->patience_ms
+                                        : RESUME_WAIT_MS);
   if (in_time_ms > r->waiting_since_ms)
     return in_time_ms;
   return r->waiting_since_ms + LATE_WAIT_MS;
@@ -105,10 +108,21 @@
   return book_reserved_tokens (r->facts.prompt_tokens, r->expected_tokens);
 }
 
+struct exchange *
+place_reserve (struct beryl_forward *f, struct request *r,
+               struct beryl_live *live, int64_t now_ms)
+{
+  struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RESERVE };
+
+  start.tokens = tokens_to_reserve (f, r);
+  start.lease_ms = lease_ms (r);
+  forward_request_note_tried (r, live);
+  return forward_start (f, r, &start, live, now_ms);
+}
+
 void
 place_ask (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RESERVE };
   struct beryl_live *live = NULL;
   double lowest = 0;
 
@@ -119,12 +133,9 @@
       wait_round (f, r, lowest, now_ms);
       return;
     }
-  start.tokens = tokens_to_reserve (f, r);
-  start.lease_ms = lease_ms (r);
-  forward_request_note_tried (r, live);
   r->phase = PHASE_RESERVING;
   r->due_ms = r->timeout_ms;
-  generation_exchange (f, r, &start, live, now_ms);
+  r->first = place_reserve (f, r, live, now_ms);
 }
 
 void
@@ -150,13 +161,12 @@
 }
 
 void
-place_granted (struct beryl_forward *f, struct exchange *x,
-               const struct beryl_engine_result *result, int64_t now_ms)
+place_take (struct beryl_forward *f, struct exchange *x,
+            const struct beryl_engine_result *result, int64_t now_ms)
 {
   struct request *r = x->request;
   struct reservation *place = &r->reservation;
 
-  wait_end (f, r);
   engine_learn_room (f, r, x->live, x->tokens, true, now_ms);
   place->live = x->live;
   place->tokens = x->tokens;
@@ -167,9 +177,36 @@
   forward_request_decided (f, r, "reserve", x->live, "granted", x->tokens,
                            now_ms);
   forward_exchange_free (f, x);
+}
+
+void
+place_granted (struct beryl_forward *f, struct exchange *x,
+               const struct beryl_engine_result *result, int64_t now_ms)
+{
+  struct request *r = x->request;
+
+  if (r->seeks)
+    {
+      seek_granted (f, x, result, now_ms);
+      return;
+    }
+  wait_end (f, r);
+  place_take (f, x, result, now_ms);
   generation_placed (f, r, now_ms);
 }
 
+void
+place_no_answer (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (r->seeks)
+    {
+      seek_refused (f, r, now_ms);
+      return;
+    }
+  r->refusals++;
+  place_ask (f, r, now_ms);
+}
+
 void
 place_refused (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
 {
@@ -180,8 +217,7 @@
   x->live->full_until_ms = now_ms + FULL_MS;
   engine_learn_room (f, r, x->live, x->tokens, false, now_ms);
   forward_exchange_free (f, x);
-  r->refusals++;
-  place_ask (f, r, now_ms);
+  place_no_answer (f, r, now_ms);
 }
 
 void
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -120,6 +120,7 @@
   uint32_t warm_engine; /**< that has its prompt already; 0: none */
   bool same_run;        /**< the next run goes on with a moved run's memory */
   bool stalled;         /**< its stream was silent for a while */
+  bool seeks;           /**< a new place, while it is still at its engine */
   bool stream_over;     /**< the old engine's stream has ended */
   uint32_t refusals;    /**< of engines asked for room, in this wait */
   int64_t waiting_since_ms;
@@ -164,6 +165,10 @@
 void forward_exchange_free (struct beryl_forward *f, struct exchange *x);
 /** Close the connection of X and forget it. */
 void forward_exchange_abort (struct beryl_forward *f, struct exchange *x);
+/** R does not wait for X any more.  A reservation that is being asked for is
+ * let come, so that it can be given back; all else is cut off. */
+void forward_exchange_disown (struct beryl_forward *f, struct request *r,
+                              struct exchange *x);
 /** Log one step. */
 void forward_request_decided (struct beryl_forward *f, const struct request *r,
                               const char *step, const struct beryl_live *live,
@@ -226,8 +231,17 @@
                     const struct beryl_engine_result *result, int64_t now_ms);
 void place_refused (struct beryl_forward *f, struct exchange *x,
                     int64_t now_ms);
+/** An engine that R asked for room could not be heard. */
+void place_no_answer (struct beryl_forward *f, struct request *r,
+                      int64_t now_ms);
 /** Engines have come or gone: those that wait ask again at the next tick. */
 void place_look_again (struct beryl_forward *f, int64_t now_ms);
+/** Ask LIVE for the memory that R needs. */
+struct exchange *place_reserve (struct beryl_forward *f, struct request *r,
+                                struct beryl_live *live, int64_t now_ms);
+/** Take what the engine of X, which is then forgotten, has granted. */
+void place_take (struct beryl_forward *f, struct exchange *x,
+                 const struct beryl_engine_result *result, int64_t now_ms);
 /** Forget a claim on memory without telling the engine. */
 void place_clear (struct beryl_forward *f, struct reservation *place);
 /** Give a reservation back to its engine. */
@@ -273,13 +287,28 @@
 /** Return when R's stream is to be looked at again. */
 int64_t stream_due_ms (const struct request *r);
 void stream_due (struct beryl_forward *f, struct request *r, int64_t now_ms);
-/** Give up R's stream for a run at another engine; false if its terms or the
- * budget do not allow that. */
-bool stream_go_on_elsewhere (struct beryl_forward *f, struct request *r,
-                             const char *why, int64_t now_ms);
+/** Whether R's stream may go on at another engine by its terms and the
+ * budget. */
+bool stream_may_go_on (struct beryl_forward *f, const struct request *r,
+                       int64_t now_ms);
 /** R's answer is whole: learn from its length. */
 void stream_learn (struct beryl_forward *f, const struct request *r);
 
+/* seek.c */
+/** Look for another engine for R's stream, which its own does not go on
+ * with; WHY is for the log.  Nothing if its terms do not allow that. */
+void seek_start (struct beryl_forward *f, struct request *r, const char *why,
+                 int64_t now_ms);
+/** R's time to look again is over. */
+void seek_due (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** An engine has no room for R, or did not answer. */
+void seek_refused (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** The engine of X has room: R goes on there. */
+void seek_granted (struct beryl_forward *f, struct exchange *x,
+                   const struct beryl_engine_result *result, int64_t now_ms);
+/** R's stream goes on, or has ended: nothing is looked for any more. */
+void seek_end (struct beryl_forward *f, struct request *r);
+
 /* balance.c */
 /** Move runs away from engines that are about to run out of memory. */
 void generation_balance (struct beryl_forward *f, int64_t now_ms);
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -49,11 +49,18 @@
   return due_ms < r->timeout_ms ? due_ms : r->timeout_ms;
 }
 
-static bool
-may_go_on_elsewhere (struct beryl_forward *f, const struct request *r,
-                     int64_t now_ms)
+/* A run without an answer yet may be at work and counts too. */
+static uint32_t
+endpoints_run (const struct request *r)
 {
-  return r->route->resumable && r->endpoints_run < r->route->endpoints_max
+  return r->endpoints_run + (r->first != NULL && !r->first->headed ? 1 : 0);
+}
+
+bool
+stream_may_go_on (struct beryl_forward *f, const struct request *r,
+                  int64_t now_ms)
+{
+  return r->route->resumable && endpoints_run (r) < r->route->endpoints_max
          && forward_request_repeats_left (f, r, now_ms) >= REPEATS_NEEDED;
 }
 
@@ -87,22 +94,6 @@
     move_start (f, r, target, now_ms);
 }
 
-bool
-stream_go_on_elsewhere (struct beryl_forward *f, struct request *r,
-                        const char *why, int64_t now_ms)
-{
-  if (r->first == NULL || !may_go_on_elsewhere (f, r, now_ms))
-    return false;
-  forward_request_decided (f, r, "stall", r->first->live, why,
-                           now_ms - r->event_ms, now_ms);
-  if (!r->first->headed)
-    forward_request_count_run (r);
-  forward_exchange_abort (f, r->first);
-  event_splitter_reset (&r->events);
-  generation_broken (f, r, BERYL_EXCHANGE_RUN, true, now_ms);
-  return true;
-}
-
 void
 stream_due (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
@@ -111,6 +102,11 @@
   r->due_ms = r->timeout_ms;
   if (r->first == NULL || r->move_to != NULL || r->caller_slow)
     return;
+  if (r->seeks)
+    {
+      seek_due (f, r, now_ms);
+      return;
+    }
   if (silent_ms >= stall_after_ms (r) && !r->stalled)
     stalled (f, r, now_ms);
   if (silent_ms < dead_after_ms (r))
@@ -119,7 +115,7 @@
       return;
     }
   beryl_live_learn (r->first->live, BERYL_LIVE_SILENT, silent_ms, now_ms);
-  stream_go_on_elsewhere (f, r, "engine_silent", now_ms);
+  seek_start (f, r, "engine_silent", now_ms);
 }
 
 void
--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -77,6 +77,7 @@
   ck_assert (route->streaming && route->resumable && route->generation);
   ck_assert_int_eq (route->repeat, BERYL_REPEAT_IDEMPOTENT);
   ck_assert_int_eq (route->gap_objective_ms, 300);
+  ck_assert_int_eq (route->patience_ms, MAX (2400, 4 * route->objective_ms));
   engine = &routes->services[1].engine;
   ck_assert (routes->services[1].engines && !routes->services[0].engines);
   ck_assert_uint_eq (engine->kv_tokens, 106284);
