--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -12,8 +12,6 @@
 #define TARGET_DEVIATIONS 0.5
 /* Memory that something unknown uses is forgotten within some seconds. */
 #define HIDDEN_FADE_MS 2000.0
-/* Costs are multiplied by it, so that a random part decides between equals. */
-#define TIE_PARTS 256
 
 static bool
 serves (const struct beryl_live *live, const struct request *r,
@@ -151,24 +149,65 @@
          && beryl_engine_number (live->info.id) == r->warm_engine;
 }
 
-/* The engine whose memory is foreseen to stay the emptiest is asked.  All
- * nodes foresee much the same, so a little chance keeps those that ask at the
- * same moment apart; the engine itself counts exactly and has the last
- * word. */
+/* Engines are compared in pairs drawn at random.  All nodes foresee much the
+ * same, and hear of each other's choices some ten milliseconds late: if each
+ * took the best engine of all, those that ask at the same moment would all ask
+ * the same one, be refused there, and leave others empty.  With 70 nodes that
+ * happened to every second question. */
+#define PAIR 2
+
+struct pair
+{
+  struct
+  {
+    struct beryl_live *live;
+    double cost;
+  } drawn[PAIR];
+  size_t seen;
+};
+
+/* Reservoir sampling: each engine is as likely to be one of the pair. */
+static void
+pair_add (struct beryl_forward *f, struct pair *pair, struct beryl_live *live,
+          double cost)
+{
+  size_t at = pair->seen++;
+
+  if (at >= PAIR)
+    at = forward_random (f) % pair->seen;
+  if (at >= PAIR)
+    return;
+  pair->drawn[at].live = live;
+  pair->drawn[at].cost = cost;
+}
+
+/* Returns the cheaper one, or NULL. */
+static struct beryl_live *
+pair_better (const struct pair *pair, double *cost)
+{
+  bool second
+      = pair->seen >= PAIR && pair->drawn[1].cost < pair->drawn[0].cost;
+
+  if (pair->seen == 0)
+    return NULL;
+  *cost = pair->drawn[second].cost;
+  return pair->drawn[second].live;
+}
+
+/* The engine itself counts exactly and has the last word. */
 struct beryl_live *
 engine_choose_decode (struct beryl_forward *f, const struct request *r,
                       double *lowest, int64_t now_ms)
 {
-  struct beryl_live *best = NULL;
-  double best_cost = 0;
-  double least = 0;
+  struct pair pair = { 0 };
+  struct beryl_live *best, *warm = NULL;
+  double least = 0, cost;
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
   size_t count = beryl_lives_count (f->lives);
 
   for (size_t i = 0; i < count; i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
-      double cost;
 
       if (!serves (live, r, BERYL_STAGE_DECODE, now_ms)
           || now_ms < live->full_until_ms || forward_request_tried (r, live)
@@ -179,15 +218,11 @@
         least = cost;
       if (cost > room && room > 0)
         continue;
-      cost += (double)(forward_random (f) % 2048);
       if (engine_is_warm_for (r, live))
-        cost = -1;
-      if (best == NULL || cost < best_cost)
-        {
-          best = live;
-          best_cost = cost;
-        }
+        warm = live;
+      pair_add (f, &pair, live, cost);
     }
+  best = warm != NULL ? warm : pair_better (&pair, &cost);
   if (best != NULL && beryl_live_avoided (best, now_ms))
     best->trial_ms = now_ms;
   *lowest = room > 0 ? FILL_PART * least / room : 0;
@@ -198,27 +233,24 @@
 engine_choose_target (struct beryl_forward *f, const struct request *r,
                       int64_t now_ms)
 {
-  struct beryl_live *best = NULL;
-  double best_cost = 0;
+  struct pair pair = { 0 };
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
   size_t count = beryl_lives_count (f->lives);
+  double cost;
 
   for (size_t i = 0; i < count; i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
-      double cost;
 
       if (!serves (live, r, BERYL_STAGE_DECODE, now_ms)
           || live == r->reservation.live || now_ms < live->full_until_ms
           || beryl_live_avoided (live, now_ms))
         continue;
       cost = engine_peak_with (f, r, live, TARGET_DEVIATIONS, now_ms);
-      if (cost > room || (best != NULL && cost >= best_cost))
-        continue;
-      best = live;
-      best_cost = cost;
+      if (cost <= room)
+        pair_add (f, &pair, live, cost);
     }
-  return best;
+  return pair_better (&pair, &cost);
 }
 
 bool
@@ -241,32 +273,26 @@
 engine_choose_prefill (struct beryl_forward *f, const struct request *r,
                        int64_t *wait_ms, int64_t now_ms)
 {
-  struct beryl_live *best = NULL;
-  uint64_t best_cost = 0;
-  uint64_t waiting_tokens;
+  struct pair pair = { 0 };
+  struct beryl_live *best;
+  double waiting_tokens = 0;
   size_t count = beryl_lives_count (f->lives);
 
   for (size_t i = 0; i < count; i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
-      uint64_t cost;
+      uint32_t number;
 
       if (!serves (live, r, BERYL_STAGE_PREFILL, now_ms)
           || now_ms < live->full_until_ms || beryl_live_avoided (live, now_ms))
         continue;
-      cost = live->prefill_tokens
-             + book_prefilling (&f->book, beryl_engine_number (live->info.id),
-                                now_ms);
-      cost = cost * TIE_PARTS + forward_random (f) % TIE_PARTS;
-      if (best == NULL || cost < best_cost)
-        {
-          best = live;
-          best_cost = cost;
-        }
+      number = beryl_engine_number (live->info.id);
+      pair_add (f, &pair, live,
+                (double)(live->prefill_tokens
+                         + book_prefilling (&f->book, number, now_ms)));
     }
-  waiting_tokens = best_cost / TIE_PARTS;
-  *wait_ms
-      = (int64_t)((double)waiting_tokens * r->service->prefill_ms_per_token);
+  best = pair_better (&pair, &waiting_tokens);
+  *wait_ms = (int64_t)(waiting_tokens * r->service->prefill_ms_per_token);
   return best;
 }
 
