--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -252,3 +252,20 @@
     }
   return tokens;
 }
+
+uint32_t
+book_waiting (const struct book *book, int64_t now_ms)
+{
+  uint32_t waiting = 0;
+
+  for (size_t i = 0; i < book->count; i++)
+    {
+      const struct book_peer *peer = book->peers[i];
+
+      if (now_ms - peer->told_ms > SILENT_MS)
+        continue;
+      for (size_t k = 0; k < peer->count; k++)
+        waiting += peer->runs[k].engine == 0;
+    }
+  return waiting;
+}
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -197,11 +197,12 @@
 /* The engine itself counts exactly and has the last word. */
 struct beryl_live *
 engine_choose_decode (struct beryl_forward *f, const struct request *r,
-                      double *lowest, int64_t now_ms)
+                      struct engine_outlook *outlook, int64_t now_ms)
 {
   struct pair pair = { 0 };
   struct beryl_live *best, *warm = NULL;
   double least = 0, cost;
+  double need = r->facts.prompt_tokens + r->expected_tokens;
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
   size_t count = beryl_lives_count (f->lives);
 
@@ -220,12 +221,13 @@
         continue;
       if (engine_is_warm_for (r, live))
         warm = live;
+      outlook->places += 1 + (room - cost) / fmax (need, 1);
       pair_add (f, &pair, live, cost);
     }
   best = warm != NULL ? warm : pair_better (&pair, &cost);
   if (best != NULL && beryl_live_avoided (best, now_ms))
     best->trial_ms = now_ms;
-  *lowest = room > 0 ? FILL_PART * least / room : 0;
+  outlook->lowest = room > 0 ? FILL_PART * least / room : 0;
   return best;
 }
 
@@ -342,7 +344,7 @@
 
   f->runs_changed = false;
   TAILQ_FOREACH_REVERSE (r, &f->requests, request_list, entry)
-  if (r->reservation.live != NULL && count < most)
+  if ((r->reservation.live != NULL || r->waiting) && count < most)
     engine_describe_run (r, now_ms, &runs[count++]);
   return count;
 }
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -8,6 +8,9 @@
 /* A request without a place asks again after so long; much shorter and the
  * engines answer little else, much longer and freed memory stands empty. */
 #define ASK_AGAIN_MS 120
+/* How long it takes until other nodes have heard of a choice: they are told
+ * after 30 ms. */
+#define NEWS_MS 50
 /* Engines that are asked for room in one round. */
 #define ASKED_MAX 4
 /* An engine that had no room is not asked again by this node for so long;
@@ -41,6 +44,7 @@
     return;
   r->waiting = false;
   f->waiting_count--;
+  f->runs_changed = true;
 }
 
 /* When R is given up unless it has found a place. */
@@ -68,6 +72,7 @@
       r->wait_told = false;
       r->waiting_since_ms = now_ms;
       f->waiting_count++;
+      f->runs_changed = true;
     }
   r->phase = PHASE_WAITING;
   r->refusals = 0;
@@ -108,6 +113,20 @@
   return book_reserved_tokens (r->facts.prompt_tokens, r->expected_tokens);
 }
 
+/* Requests that wait at many nodes see room at the same moment.  If all asked
+ * for it, an engine would grant it several times before any node has heard of
+ * the others' choices, and stop running requests for want of memory.  As many
+ * ask, on the mean, as there are places. */
+static bool
+stands_back (struct beryl_forward *f, double places, int64_t now_ms)
+{
+  uint32_t waiting = f->waiting_count + book_waiting (&f->book, now_ms);
+  double at_once = (double)waiting * NEWS_MS / ASK_AGAIN_MS;
+  double chance = (double)(forward_random (f) >> 11) * 0x1p-53;
+
+  return at_once > places && chance * at_once > places;
+}
+
 struct exchange *
 place_reserve (struct beryl_forward *f, struct request *r,
                struct beryl_live *live, int64_t now_ms)
@@ -124,13 +143,13 @@
 place_ask (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   struct beryl_live *live = NULL;
-  double lowest = 0;
+  struct engine_outlook outlook = { 0 };
 
   if (r->refusals < ASKED_MAX)
-    live = engine_choose_decode (f, r, &lowest, now_ms);
-  if (live == NULL)
+    live = engine_choose_decode (f, r, &outlook, now_ms);
+  if (live == NULL || stands_back (f, outlook.places, now_ms))
     {
-      wait_round (f, r, lowest, now_ms);
+      wait_round (f, r, outlook.lowest, now_ms);
       return;
     }
   r->phase = PHASE_RESERVING;
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -359,12 +359,21 @@
 /** Whether LIVE has read R's prompt already. */
 bool engine_is_warm_for (const struct request *r,
                          const struct beryl_live *live);
-/** Choose a decode engine to ask for room; NULL: none may have it.  *LOWEST
- * is the part of its memory that the emptiest one is foreseen to fill with R;
- * 0: there is none to be asked. */
+/** What is foreseen of a service's engines. */
+struct engine_outlook
+{
+  /** Part of its memory that the emptiest engine will fill with one more
+   * request; 0: there is none to be asked. */
+  double lowest;
+  double places; /**< for requests of that size */
+};
+
+/** Choose a decode engine to ask for room; NULL: none may have it.  *OUTLOOK
+ * must be zero before. */
 struct beryl_live *engine_choose_decode (struct beryl_forward *f,
                                          const struct request *r,
-                                         double *lowest, int64_t now_ms);
+                                         struct engine_outlook *outlook,
+                                         int64_t now_ms);
 /** Choose an engine to read R's prompt; NULL: none.  WAIT_MS is how long
  * what it has to read already will take. */
 struct beryl_live *engine_choose_prefill (struct beryl_forward *f,
--- a/libberyl/forward/seek.c
+++ b/libberyl/forward/seek.c
@@ -49,12 +49,12 @@
 ask (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   struct beryl_live *live = NULL;
-  double lowest;
+  struct engine_outlook outlook = { 0 };
 
   if (r->tried_count == 0)
     forward_request_note_tried (r, r->reservation.live);
   if (r->refusals < SEEK_ASKED_MAX && stream_may_go_on (f, r, now_ms))
-    live = engine_choose_decode (f, r, &lowest, now_ms);
+    live = engine_choose_decode (f, r, &outlook, now_ms);
   if (live == NULL)
     {
       next_round (r, now_ms);
