--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -202,10 +202,16 @@
 
 void
 fx_open (struct fx *fx, const struct fx_terms *terms)
+{
+  fx_open_seeded (fx, terms, 7);
+}
+
+void
+fx_open_seeded (struct fx *fx, const struct fx_terms *terms, uint64_t seed)
 {
   struct beryl_forward_settings settings = {
     .data_centre = "dc-1",
-    .seed = 7,
+    .seed = seed,
     .repeat_ratio = terms->repeat_ratio,
     .repeat_slack = terms->repeat_slack,
     .repeat_window_ms = 10000,
--- /dev/null
+++ b/tests/forward/test_choice.c
@@ -0,0 +1,189 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "fixture.h"
+
+/* Many nodes choose engines at the same moment, before they can hear of each
+ * other's choices. */
+
+#define NODES 20
+#define ENGINES 10
+#define ROUND_MS 120
+
+static struct fx *nodes[NODES];
+static struct fx_terms terms;
+
+static void
+open_nodes (uint32_t engines)
+{
+  char id[16];
+
+  terms = fx_model_terms ();
+  for (int n = 0; n < NODES; n++)
+    {
+      nodes[n] = g_new0 (struct fx, 1);
+      fx_open_seeded (nodes[n], &terms, (uint64_t)n + 1);
+      fx_endpoint (nodes[n], "p0", BERYL_STAGE_PREFILL);
+      for (uint32_t i = 0; i < engines; i++)
+        {
+          g_snprintf (id, sizeof id, "d%u", i);
+          fx_endpoint (nodes[n], id, BERYL_STAGE_DECODE);
+        }
+    }
+}
+
+static void
+close_nodes (void)
+{
+  for (int n = 0; n < NODES; n++)
+    {
+      fx_close (nodes[n]);
+      g_free (nodes[n]);
+    }
+}
+
+/* A peer tells every node that each engine from FIRST on has one run. */
+static void
+tell_runs (uint32_t first, uint32_t engines)
+{
+  struct beryl_engine_run runs[ENGINES] = { 0 };
+  size_t count = 0;
+  char id[16];
+
+  for (uint32_t i = first; i < engines; i++)
+    {
+      g_snprintf (id, sizeof id, "d%u", i);
+      runs[count++] = (struct beryl_engine_run){
+        .engine = beryl_engine_number (id),
+        .prompt_tokens = 2000,
+        .expected_tokens = 1000,
+        .made_tokens = 100,
+        .started = true,
+      };
+    }
+  for (int n = 0; n < NODES; n++)
+    beryl_forward_peer_runs (nodes[n]->forward, "peer", runs, count,
+                             nodes[n]->now_ms);
+}
+
+/* All nodes see that one engine is emptier than the others.  If each asked
+ * the best one, twenty requests would meet at it: it refuses most, runs out of
+ * memory, and the other nine stand with room. */
+START_TEST (test_nodes_do_not_meet_at_one_engine)
+{
+  uint32_t asked = 0;
+
+  open_nodes (ENGINES);
+  tell_runs (1, ENGINES);
+  for (int n = 0; n < NODES; n++)
+    {
+      fx_arrive (nodes[n], 1);
+      asked += strcmp (fx_last (nodes[n], BERYL_EXCHANGE_RESERVE)->endpoint,
+                       "d0")
+               == 0;
+    }
+  ck_assert_uint_ge (asked, 1);
+  ck_assert_uint_le (asked, NODES / 2);
+  close_nodes ();
+}
+END_TEST
+
+static void
+tell_waiting (struct fx *fx, size_t count)
+{
+  struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX] = { 0 };
+
+  for (size_t i = 0; i < count; i++)
+    runs[i].prompt_tokens = 1000;
+  beryl_forward_peer_runs (fx->forward, "peer", runs, count, fx->now_ms);
+}
+
+/* Has the request of FX refused whenever it asks, for two seconds in which it
+ * is told of WAITING other requests; returns how often it asked. */
+static uint32_t
+asks (struct fx *fx, size_t waiting)
+{
+  uint32_t before = fx_count (fx, BERYL_EXCHANGE_RESERVE);
+
+  for (int i = 0; i < 100; i++)
+    {
+      struct fx_exchange *x = fx_open_of (fx, 1, BERYL_EXCHANGE_RESERVE);
+
+      tell_waiting (fx, waiting);
+      if (x != NULL)
+        fx_refused (fx, x);
+      fx_pass (fx, 20);
+    }
+  return fx_count (fx, BERYL_EXCHANGE_RESERVE) - before;
+}
+
+/* At a peak a hundred requests wait at all nodes when a run ends somewhere.
+ * Asked by all of them, its engine would grant room several times over before
+ * any node has heard of the others.  As many ask as there are places, and one
+ * that waits alone asks in each round. */
+START_TEST (test_waiting_requests_take_turns)
+{
+  uint32_t alone = 0, among_many = 0;
+
+  terms = fx_model_terms ();
+  terms.route.objective_ms = 10000;
+  for (int n = 0; n < 10; n++)
+    {
+      struct fx *fx = g_new0 (struct fx, 1);
+
+      fx_open_seeded (fx, &terms, (uint64_t)n + 1);
+      fx_endpoint (fx, "p0", BERYL_STAGE_PREFILL);
+      fx_endpoint (fx, "d0", BERYL_STAGE_DECODE);
+      fx_arrive (fx, 1);
+      alone += asks (fx, 0);
+      among_many += asks (fx, 100);
+      fx_close (fx);
+      g_free (fx);
+    }
+  ck_assert_uint_ge (alone, 10 * 2000 / ROUND_MS / 2);
+  ck_assert_uint_ge (among_many, 1);
+  ck_assert_uint_le (among_many, alone / 3);
+}
+END_TEST
+
+/* Waiting requests are told to the other nodes, as runs without an engine, and
+ * not any more once they have a place. */
+START_TEST (test_waiting_requests_are_told)
+{
+  struct beryl_engine_run runs[4];
+  struct fx *fx = g_new0 (struct fx, 1);
+
+  terms = fx_model_terms ();
+  fx_open_seeded (fx, &terms, 1);
+  fx_endpoint (fx, "p0", BERYL_STAGE_PREFILL);
+  fx_arrive (fx, 1);
+  ck_assert (beryl_forward_runs_changed (fx->forward));
+  ck_assert_uint_eq (
+      beryl_forward_runs (fx->forward, runs, G_N_ELEMENTS (runs), fx->now_ms),
+      1);
+  ck_assert_uint_eq (runs[0].engine, 0);
+  fx_endpoint (fx, "d0", BERYL_STAGE_DECODE);
+  fx_pass (fx, 200);
+  fx_ok (fx, fx_last (fx, BERYL_EXCHANGE_RESERVE), "hold-1");
+  ck_assert_uint_eq (
+      beryl_forward_runs (fx->forward, runs, G_N_ELEMENTS (runs), fx->now_ms),
+      1);
+  ck_assert_uint_eq (runs[0].engine, beryl_engine_number ("d0"));
+  fx_close (fx);
+  g_free (fx);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("choices of many nodes");
+  TCase *tcase = tcase_create ("choice");
+
+  tcase_add_test (tcase, test_nodes_do_not_meet_at_one_engine);
+  tcase_add_test (tcase, test_waiting_requests_take_turns);
+  tcase_add_test (tcase, test_waiting_requests_are_told);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
