--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -259,16 +259,27 @@
     live->avoid_until_ms = now_ms + avoid_ms (live);
 }
 
+/* Lapsed entries are kept because an outage of the list makes those of healthy
+ * endpoints lapse too.  One that has failed as well is gone: asked for room
+ * again and again, two such engines took half of the time that requests had
+ * to find a place, at a peak when the others were full. */
+static bool
+lapsed_and_failed (const struct beryl_live *live)
+{
+  return live->lapsed_until_ms != 0 && live->fault_ms != 0;
+}
+
 bool
 beryl_live_avoided (const struct beryl_live *live, int64_t now_ms)
 {
-  return now_ms < live->avoid_until_ms;
+  return now_ms < live->avoid_until_ms || lapsed_and_failed (live);
 }
 
 bool
 beryl_live_trial_due (const struct beryl_live *live, int64_t now_ms)
 {
-  return (beryl_live_avoided (live, now_ms) || live->fault_ms != 0)
+  return !lapsed_and_failed (live)
+         && (beryl_live_avoided (live, now_ms) || live->fault_ms != 0)
          && now_ms - live->trial_ms >= TRIAL_MS
          && now_ms - live->fault_ms >= TRIAL_MS;
 }
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -85,6 +85,34 @@
 }
 END_TEST
 
+/* Story: engines died while the store was away.  When it was back their
+ * entries had lapsed, were kept like those of healthy ones, and requests spent
+ * half of their time asking them for room.  One that is not listed and has
+ * failed gets nothing more, unless it is listed again. */
+START_TEST (test_live_lapsed_and_failed)
+{
+  struct beryl_lives *lives = beryl_lives_create (LEAVE_MS);
+  struct beryl_live *dead, *healthy;
+
+  put (lives, "dead", 1, false);
+  put (lives, "healthy", 1, false);
+  beryl_lives_synced (lives, 1000);
+  dead = beryl_lives_find (lives, "dead");
+  healthy = beryl_lives_find (lives, "healthy");
+  beryl_live_learn (dead, BERYL_LIVE_SILENT, 150, 18000);
+  ck_assert (beryl_live_trial_due (dead, 21000));
+  beryl_lives_remove (lives, "dead", 21000);
+  beryl_lives_remove (lives, "healthy", 21000);
+  ck_assert (beryl_live_avoided (dead, 21500));
+  ck_assert (!beryl_live_trial_due (dead, 21500));
+  ck_assert (!beryl_live_avoided (healthy, 21500));
+  put (lives, "dead", 9, false);
+  ck_assert (!beryl_live_avoided (dead, 21600));
+  ck_assert (beryl_live_trial_due (dead, 21600));
+  beryl_lives_destroy (lives);
+}
+END_TEST
+
 /* The same removal without an absence before it is meant. */
 START_TEST (test_live_leaves)
 {
@@ -482,6 +510,7 @@
   tcase_add_test (tcase, test_live_older_news);
   tcase_add_test (tcase, test_live_gone_with_work);
   tcase_add_test (tcase, test_live_lapses);
+  tcase_add_test (tcase, test_live_lapsed_and_failed);
   tcase_add_test (tcase, test_live_leaves);
   tcase_add_test (tcase, test_live_avoided);
   tcase_add_test (tcase, test_events_in_pieces);
