--- a/include/beryl/engine_load.h
+++ b/include/beryl/engine_load.h
@@ -16,7 +16,8 @@
 /** One generation of one node. */
 struct beryl_engine_run
 {
-  uint32_t engine; /**< beryl_engine_number of its id; 0: waits for one */
+  uint32_t engine;  /**< beryl_engine_number of its id; 0: waits for one */
+  uint32_t service; /**< the number of its service's name, while it waits */
   uint32_t prompt_tokens;
   uint32_t expected_tokens; /**< estimate of the whole output */
   uint32_t made_tokens;     /**< so far */
--- /dev/null
+++ b/libberyl/forward/backlog.c
@@ -0,0 +1,80 @@
+#include "private.h"
+
+#include <math.h>
+
+/* How long generations wait for room, and when those that are refused may
+ * come back. */
+
+/* Before anything is known of a service, and where it has no engines. */
+#define RETRY_AFTER_MS 2000
+/* Room that is expected sooner is not worth a new connection. */
+#define RETRY_LEAST_MS 300
+/* Callers do not wait for more than a third of their deadline. */
+#define RETRY_MOST_MS 4500
+/* Part of the places that free up which callers who come back may take; the
+ * rest is for those who come for the first time. */
+#define RETURN_PART 0.5
+
+/* Places that free up in a second at all engines of R's service: a run takes
+ * as long as its output is made. */
+static double
+places_per_s (struct beryl_forward *f, const struct request *r, int64_t now_ms)
+{
+  const struct length_model *lengths = &r->service->lengths;
+  double run_ms = lengths->tokens_mean * lengths->ms_per_token;
+  uint32_t runs = engine_runs (f, r, now_ms);
+
+  return run_ms > 0 ? 1000 * runs / run_ms : 0;
+}
+
+static uint32_t
+waiting (const struct beryl_forward *f, const struct request *r,
+         int64_t now_ms)
+{
+  return r->service->waiting
+         + book_waiting (&f->book, beryl_engine_number (r->service->name),
+                         now_ms);
+}
+
+uint32_t
+backlog_waiting (const struct beryl_forward *f, const struct request *r,
+                 int64_t now_ms)
+{
+  return waiting (f, r, now_ms);
+}
+
+int64_t
+backlog_wait_ms (struct beryl_forward *f, const struct request *r,
+                 int64_t now_ms)
+{
+  double rate = places_per_s (f, r, now_ms);
+
+  if (rate <= 0)
+    return 0;
+  return (int64_t)(1000 * waiting (f, r, now_ms) / rate);
+}
+
+/* Refused callers come back one after the other, at the pace at which places
+ * free up for them.  All told the same time would come back together, meet
+ * the same peak again and be refused for good. */
+int64_t
+backlog_retry_after_ms (struct beryl_forward *f, const struct request *r,
+                        int64_t now_ms)
+{
+  struct service *s = r->service;
+  double rate = RETURN_PART * places_per_s (f, r, now_ms) / f->nodes;
+  int64_t after_ms = backlog_wait_ms (f, r, now_ms);
+  int64_t slot_ms;
+
+  if (rate <= 0)
+    return RETRY_AFTER_MS;
+  if (after_ms < RETRY_LEAST_MS)
+    after_ms = RETRY_LEAST_MS;
+  slot_ms = now_ms + after_ms;
+  if (s->return_ms > slot_ms)
+    slot_ms = s->return_ms;
+  if (slot_ms > now_ms + RETRY_MOST_MS)
+    slot_ms = now_ms + RETRY_MOST_MS;
+  s->return_ms = slot_ms + (int64_t)(1000 / rate);
+  return slot_ms - now_ms;
+}
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -256,7 +256,7 @@
 }
 
 uint32_t
-book_waiting (const struct book *book, int64_t now_ms)
+book_waiting (const struct book *book, uint32_t service, int64_t now_ms)
 {
   uint32_t waiting = 0;
 
@@ -267,7 +267,25 @@
       if (now_ms - peer->told_ms > SILENT_MS)
         continue;
       for (size_t k = 0; k < peer->count; k++)
-        waiting += peer->runs[k].engine == 0;
+        waiting
+            += peer->runs[k].engine == 0 && peer->runs[k].service == service;
     }
   return waiting;
 }
+
+uint32_t
+book_runs (const struct book *book, uint32_t engine, int64_t now_ms)
+{
+  uint32_t runs = 0;
+
+  for (size_t i = 0; i < book->count; i++)
+    {
+      const struct book_peer *peer = book->peers[i];
+
+      if (now_ms - peer->told_ms > TOLD_MAX_MS)
+        continue;
+      for (size_t k = 0; k < peer->count; k++)
+        runs += peer->runs[k].engine == engine;
+    }
+  return runs;
+}
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -72,7 +72,7 @@
   int64_t told_ms;
 };
 
-/** All peers; zero-initialise.  A run with engine 0 waits for a place. */
+/** All peers; zero-initialise. */
 struct book
 {
   struct book_peer **peers;
@@ -105,7 +105,11 @@
 uint64_t book_prefilling (const struct book *book, uint32_t engine,
                           int64_t now_ms);
 
-/** Return how many runs of peers wait for a place. */
-uint32_t book_waiting (const struct book *book, int64_t now_ms);
+/** Return how many runs of peers wait for a place at the service with the
+ * number SERVICE. */
+uint32_t book_waiting (const struct book *book, uint32_t service,
+                       int64_t now_ms);
+/** Return how many runs of peers are at ENGINE. */
+uint32_t book_runs (const struct book *book, uint32_t engine, int64_t now_ms);
 
 #endif
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -51,6 +51,8 @@
     .started = r->phase == PHASE_RUNNING,
   };
   run->prompt_key = r->facts.prompt_key;
+  if (live == NULL)
+    run->service = beryl_engine_number (r->service->name);
   if (r->reads_alone && r->run_events == 0)
     run->prefill_engine = run->engine;
   if (r->phase == PHASE_PREFILLING && r->first != NULL)
@@ -298,6 +300,26 @@
   return best;
 }
 
+uint32_t
+engine_runs (struct beryl_forward *f, const struct request *r, int64_t now_ms)
+{
+  const struct request *other = NULL;
+  uint32_t runs = 0;
+
+  for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
+    {
+      const struct beryl_live *live = beryl_lives_get (f->lives, i);
+
+      if (live->info.stage == BERYL_STAGE_DECODE
+          && strcmp (live->info.service, r->service->name) == 0)
+        runs += book_runs (&f->book, beryl_engine_number (live->info.id),
+                           now_ms);
+    }
+  TAILQ_FOREACH (other, &f->requests, entry)
+  runs += other->service == r->service && other->reservation.live != NULL;
+  return runs;
+}
+
 void
 beryl_forward_peer_runs (struct beryl_forward *f, const char *peer,
                          const struct beryl_engine_run *runs, size_t count,
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -286,8 +286,7 @@
     forward_exchange_disown (f, r, r->first);
   generation_release (f, r, now_ms);
   f->open--;
-  if (r->waiting)
-    f->waiting_count--;
+  place_wait_end (f, r);
   request_free (f, r);
 }
 
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -25,7 +25,6 @@
  * stream goes on, if its route does not say when such callers leave.  Ended
  * sooner, the stream would be cut off although room may still come. */
 #define RESUME_WAIT_MS 2000
-#define RETRY_AFTER_MS 2000
 /* Lease of a reservation if the service states none. */
 #define LEASE_MS 2000
 
@@ -37,13 +36,14 @@
   return stated_ms > 0 ? stated_ms : LEASE_MS;
 }
 
-static void
-wait_end (struct beryl_forward *f, struct request *r)
+void
+place_wait_end (struct beryl_forward *f, struct request *r)
 {
   if (!r->waiting)
     return;
   r->waiting = false;
   f->waiting_count--;
+  r->service->waiting--;
   f->runs_changed = true;
 }
 
@@ -72,6 +72,7 @@
       r->wait_told = false;
       r->waiting_since_ms = now_ms;
       f->waiting_count++;
+      r->service->waiting++;
       f->runs_changed = true;
     }
   r->phase = PHASE_WAITING;
@@ -80,6 +81,23 @@
   place_ask (f, r, now_ms);
 }
 
+static void
+refuse_no_room (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  forward_request_refuse (f, r, 503, BERYL_REFUSAL_NO_ROOM,
+                          backlog_retry_after_ms (f, r, now_ms), now_ms);
+}
+
+/* Whether more requests wait than get a place until R is given up: its caller
+ * hears so at once, and when to come back. */
+static bool
+cannot_be_in_time (struct beryl_forward *f, const struct request *r,
+                   int64_t now_ms)
+{
+  return !r->begun && !r->may_have_run && r->waiting_since_ms == now_ms
+         && now_ms + backlog_wait_ms (f, r, now_ms) > give_up_ms (r);
+}
+
 /* Nobody has room: sleep until the next round, or the end.  LOWEST is of
  * engine_choose_decode. */
 static void
@@ -88,6 +106,11 @@
 {
   int64_t end_ms = give_up_ms (r);
 
+  if (cannot_be_in_time (f, r, now_ms))
+    {
+      refuse_no_room (f, r, now_ms);
+      return;
+    }
   if (!r->wait_told)
     forward_request_decided (f, r, "wait", NULL,
                              r->refusals > 0 ? "engines_refuse"
@@ -118,10 +141,11 @@
  * the others' choices, and stop running requests for want of memory.  As many
  * ask, on the mean, as there are places. */
 static bool
-stands_back (struct beryl_forward *f, double places, int64_t now_ms)
+stands_back (struct beryl_forward *f, const struct request *r, double places,
+             int64_t now_ms)
 {
-  uint32_t waiting = f->waiting_count + book_waiting (&f->book, now_ms);
-  double at_once = (double)waiting * NEWS_MS / ASK_AGAIN_MS;
+  double at_once
+      = (double)backlog_waiting (f, r, now_ms) * NEWS_MS / ASK_AGAIN_MS;
   double chance = (double)(forward_random (f) >> 11) * 0x1p-53;
 
   return at_once > places && chance * at_once > places;
@@ -147,7 +171,7 @@
 
   if (r->refusals < ASKED_MAX)
     live = engine_choose_decode (f, r, &outlook, now_ms);
-  if (live == NULL || stands_back (f, outlook.places, now_ms))
+  if (live == NULL || stands_back (f, r, outlook.places, now_ms))
     {
       wait_round (f, r, outlook.lowest, now_ms);
       return;
@@ -175,8 +199,7 @@
   else if (r->begun || r->may_have_run)
     forward_request_fail (f, r, BERYL_REFUSAL_NO_ROOM, now_ms);
   else
-    forward_request_refuse (f, r, 503, BERYL_REFUSAL_NO_ROOM, RETRY_AFTER_MS,
-                            now_ms);
+    refuse_no_room (f, r, now_ms);
 }
 
 void
@@ -209,7 +232,7 @@
       seek_granted (f, x, result, now_ms);
       return;
     }
-  wait_end (f, r);
+  place_wait_end (f, r);
   place_take (f, x, result, now_ms);
   generation_placed (f, r, now_ms);
 }
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -29,6 +29,8 @@
   double prompt_tokens;        /**< mean of them */
   double prefill_ms_per_token;
   uint64_t kv_tokens; /**< of one engine; 0: unknown */
+  uint32_t waiting;   /**< generations of this node without a place */
+  int64_t return_ms;  /**< when the next refused caller may come back */
 };
 
 struct request;
@@ -222,6 +224,8 @@
 /* place.c */
 /** Have R wait for room at a decode engine, and ask for it. */
 void place_wait (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** R waits for room no more. */
+void place_wait_end (struct beryl_forward *f, struct request *r);
 /** Ask the next engine. */
 void place_ask (struct beryl_forward *f, struct request *r, int64_t now_ms);
 /** R's time to wait or to ask again is over. */
@@ -340,7 +344,22 @@
 /** Forget that R is being moved. */
 void move_clear (struct beryl_forward *f, struct request *r);
 
+/* backlog.c */
+/** Return how many generations of R's service wait for room at all nodes. */
+uint32_t backlog_waiting (const struct beryl_forward *f,
+                          const struct request *r, int64_t now_ms);
+/** Return how long R will wait for room, by the places that free up and those
+ * that wait already; 0: not known. */
+int64_t backlog_wait_ms (struct beryl_forward *f, const struct request *r,
+                         int64_t now_ms);
+/** Return when R's caller may come back after a refusal. */
+int64_t backlog_retry_after_ms (struct beryl_forward *f,
+                                const struct request *r, int64_t now_ms);
+
 /* engines.c */
+/** Return the runs at all decode engines of R's service. */
+uint32_t engine_runs (struct beryl_forward *f, const struct request *r,
+                      int64_t now_ms);
 /** Return the highest expected use of LIVE's memory if R ran there too. */
 double engine_peak_with (struct beryl_forward *f, const struct request *r,
                          const struct beryl_live *live, double deviations,
--- a/tests/forward/test_choice.c
+++ b/tests/forward/test_choice.c
@@ -95,7 +95,10 @@
   struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX] = { 0 };
 
   for (size_t i = 0; i < count; i++)
-    runs[i].prompt_tokens = 1000;
+    {
+      runs[i].service = beryl_engine_number (FX_SERVICE);
+      runs[i].prompt_tokens = 1000;
+    }
   beryl_forward_peer_runs (fx->forward, "peer", runs, count, fx->now_ms);
 }
 
@@ -175,6 +178,90 @@
 }
 END_TEST
 
+/* Fills the only engine of FX with runs that peers told of, and has WAITING
+ * requests wait for it elsewhere. */
+static void
+fill (struct fx *fx, size_t waiting)
+{
+  struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX] = { 0 };
+  size_t count = 0;
+
+  for (; count < 8; count++)
+    runs[count] = (struct beryl_engine_run){
+      .engine = beryl_engine_number ("d0"),
+      .prompt_tokens = FX_KV_TOKENS / 8,
+      .expected_tokens = 1000,
+      .started = true,
+    };
+  for (size_t i = 0; i < waiting; i++)
+    runs[count++].service = beryl_engine_number (FX_SERVICE);
+  beryl_forward_peer_runs (fx->forward, "peer", runs, count, fx->now_ms);
+}
+
+static struct fx *
+open_full (size_t waiting)
+{
+  struct fx *fx = g_new0 (struct fx, 1);
+
+  terms = fx_model_terms ();
+  fx_open_seeded (fx, &terms, 1);
+  fx_endpoint (fx, "p0", BERYL_STAGE_PREFILL);
+  fx_endpoint (fx, "d0", BERYL_STAGE_DECODE);
+  fill (fx, waiting);
+  return fx;
+}
+
+/* A peak: eight runs of some four seconds each, and fifty requests before this
+ * one.  Its caller hears at once that it has not run and when to come back,
+ * instead of after the better part of a second. */
+START_TEST (test_long_backlog_is_told_at_once)
+{
+  struct fx *fx = open_full (50);
+
+  fx_arrive (fx, 1);
+  ck_assert (fx->answers[1].refused);
+  ck_assert (fx->answers[1].refusal.not_run);
+  ck_assert_uint_eq (fx->answers[1].refusal.status, 503);
+  ck_assert_int_ge (fx->answers[1].refusal.retry_after_ms, 1000);
+  fx_close (fx);
+  g_free (fx);
+}
+END_TEST
+
+/* With nobody before it a request waits: a run may end at any moment. */
+START_TEST (test_short_backlog_is_waited_for)
+{
+  struct fx *fx = open_full (0);
+
+  fx_arrive (fx, 1);
+  fx_pass (fx, 300);
+  ck_assert_uint_eq (fx->answers[1].ends, 0);
+  fx_close (fx);
+  g_free (fx);
+}
+END_TEST
+
+/* Callers that are refused at a peak come back one after the other: told the
+ * same time, they would meet again and be refused for good. */
+START_TEST (test_callers_come_back_one_by_one)
+{
+  struct fx *fx = open_full (20);
+  int64_t before_ms = 0;
+
+  for (uint64_t i = 1; i <= 4; i++)
+    {
+      fx_arrive (fx, i);
+      ck_assert (fx->answers[i].refused);
+      ck_assert_int_le (fx->answers[i].refusal.retry_after_ms, 4500);
+      ck_assert (fx->answers[i].refusal.retry_after_ms > before_ms
+                 || before_ms == 4500);
+      before_ms = fx->answers[i].refusal.retry_after_ms;
+    }
+  fx_close (fx);
+  g_free (fx);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -184,6 +271,9 @@
   tcase_add_test (tcase, test_nodes_do_not_meet_at_one_engine);
   tcase_add_test (tcase, test_waiting_requests_take_turns);
   tcase_add_test (tcase, test_waiting_requests_are_told);
+  tcase_add_test (tcase, test_long_backlog_is_told_at_once);
+  tcase_add_test (tcase, test_short_backlog_is_waited_for);
+  tcase_add_test (tcase, test_callers_come_back_one_by_one);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -30,12 +30,15 @@
     {
       const struct beryl_engine_run *run = &message->runs[i];
 
+      /* One that waits reads no prompt: the place of its prefill engine has
+         its service. */
       frame_put_uint (writer, 0, run->engine);
       frame_put_uint (writer, 0, run->prompt_tokens);
       frame_put_uint (writer, 0, run->expected_tokens);
       frame_put_uint (writer, 0, run->made_tokens);
       frame_put_uint (writer, 0, run->started);
-      frame_put_uint (writer, 0, run->prefill_engine);
+      frame_put_uint (writer, 0,
+                      run->engine != 0 ? run->prefill_engine : run->service);
     }
   frame_put_end (writer);
   frame_put_array (writer, FIELD_PROMPTS);
@@ -87,7 +90,10 @@
       run->expected_tokens = read_number (frame, runs, i + 2);
       run->made_tokens = read_number (frame, runs, i + 3);
       run->started = read_number (frame, runs, i + 4) != 0;
-      run->prefill_engine = read_number (frame, runs, i + 5);
+      if (run->engine != 0)
+        run->prefill_engine = read_number (frame, runs, i + 5);
+      else
+        run->service = read_number (frame, runs, i + 5);
     }
   for (uint32_t i = 0; i < prompts.count && i < message->run_count; i++)
     message->runs[i].prompt_key = read_number (frame, prompts, i);
