--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -25,6 +25,10 @@
  * stream goes on, if its route does not say when such callers leave.  Ended
  * sooner, the stream would be cut off although room may still come. */
 #define RESUME_WAIT_MS 2000
+/* With a smaller chance of a place in time a request is refused at once.  At
+ * small peaks of a small fleet more than half of those behind a backlog as
+ * long as their time still got one. */
+#define CHANCE_LEAST 0.4
 /* Lease of a reservation if the service states none. */
 #define LEASE_MS 2000
 
@@ -88,14 +92,18 @@
                           backlog_retry_after_ms (f, r, now_ms), now_ms);
 }
 
-/* Whether more requests wait than get a place until R is given up: its caller
- * hears so at once, and when to come back. */
+/* Whether R would most likely not get a place until it is given up: its caller
+ * hears so at once, and when to come back.  Whose turn it is is left to
+ * chance, so that the chance is the time left by the time that the backlog
+ * takes. */
 static bool
 cannot_be_in_time (struct beryl_forward *f, const struct request *r,
                    int64_t now_ms)
 {
+  int64_t left_ms = give_up_ms (r) - now_ms;
+
   return !r->begun && !r->may_have_run && r->waiting_since_ms == now_ms
-         && now_ms + backlog_wait_ms (f, r, now_ms) > give_up_ms (r);
+         && left_ms < CHANCE_LEAST * (double)backlog_wait_ms (f, r, now_ms);
 }
 
 /* Nobody has room: sleep until the next round, or the end.  LOWEST is of
