--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -666,30 +666,11 @@
       = loop_timer_start (g->loop, STOP_POLL_MS, STOP_POLL_MS, stop_poll, g);
 }
 
-/* Whether settings that only a start reads differ. */
-static bool
-needs_restart (const struct gateway_settings *old,
-               const struct gateway_settings *new)
-{
-  return strcmp (old->node, new->node) != 0
-         || strcmp (old->data_centre, new->data_centre) != 0
-         || memcmp (&old->front, &new->front, sizeof old->front) != 0
-         || memcmp (&old->ready, &new->ready, sizeof old->ready) != 0
-         || memcmp (&old->directory, &new->directory, sizeof old->directory)
-                != 0
-         || memcmp (&old->platform, &new->platform, sizeof old->platform) != 0
-         || old->peer_port != new->peer_port
-         || old->metrics_port != new->metrics_port
-         || old->lease_ms != new->lease_ms || old->thaw_ms != new->thaw_ms
-         || old->engines_check_fence != new->engines_check_fence
-         || old->descriptors_max != new->descriptors_max;
-}
-
 void
 gateway_reload (struct gateway *g, const struct gateway_settings *settings)
 {
   struct gateway_settings *mine = &g->settings;
-  bool restart = needs_restart (mine, settings);
+  bool restart = gateway_settings_need_restart (mine, settings);
 
   mine->repeat_ratio = settings->repeat_ratio;
   mine->repeat_slack = settings->repeat_slack;
--- a/gatewayd/settings.c
+++ b/gatewayd/settings.c
@@ -117,3 +117,21 @@
   return settings_load (path, fields, G_N_ELEMENTS (fields), settings,
                         findings);
 }
+
+bool
+gateway_settings_need_restart (const struct gateway_settings *old,
+                               const struct gateway_settings *new)
+{
+  return strcmp (old->node, new->node) != 0
+         || strcmp (old->data_centre, new->data_centre) != 0
+         || memcmp (&old->front, &new->front, sizeof old->front) != 0
+         || memcmp (&old->ready, &new->ready, sizeof old->ready) != 0
+         || memcmp (&old->directory, &new->directory, sizeof old->directory)
+                != 0
+         || memcmp (&old->platform, &new->platform, sizeof old->platform) != 0
+         || old->peer_port != new->peer_port
+         || old->metrics_port != new->metrics_port
+         || old->lease_ms != new->lease_ms || old->thaw_ms != new->thaw_ms
+         || old->engines_check_fence != new->engines_check_fence
+         || old->descriptors_max != new->descriptors_max;
+}
--- a/gatewayd/settings.h
+++ b/gatewayd/settings.h
@@ -50,4 +50,8 @@
 bool gateway_settings_load (struct gateway_settings *settings,
                             const char *path, struct beryl_findings *findings);
 
+/** Whether settings that only a start reads differ. */
+bool gateway_settings_need_restart (const struct gateway_settings *old,
+                                    const struct gateway_settings *new);
+
 #endif
--- a/libberyl/forward/backlog.c
+++ b/libberyl/forward/backlog.c
@@ -5,8 +5,8 @@
 /* How long generations wait for room, and when those that are refused may
  * come back. */
 
-/* Before anything is known of a service, and where it has no engines. */
-#define RETRY_AFTER_MS 2000
+/* Where no run is known, and so no pace. */
+#define NO_RUNS_RETRY_MS 2000
 /* Room that is expected sooner is not worth a new connection. */
 #define RETRY_LEAST_MS 300
 /* Callers do not wait for more than a third of their deadline. */
@@ -67,7 +67,7 @@
   int64_t slot_ms;
 
   if (rate <= 0)
-    return RETRY_AFTER_MS;
+    return NO_RUNS_RETRY_MS;
   if (after_ms < RETRY_LEAST_MS)
     after_ms = RETRY_LEAST_MS;
   slot_ms = now_ms + after_ms;
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -15,6 +15,8 @@
 #include "prompts.h"
 #include "repeat_budget.h"
 
+/** When a caller that was refused for want of endpoints may come back. */
+#define RETRY_AFTER_MS 1000
 /** Endpoints that one request remembers to have tried. */
 #define TRIED_MAX 8
 
@@ -171,6 +173,17 @@
  * let come, so that it can be given back; all else is cut off. */
 void forward_exchange_disown (struct beryl_forward *f, struct request *r,
                               struct exchange *x);
+
+/* request.c */
+/** Begin ROUTE's terms for FACTS, which are copied. */
+struct request *forward_request_new (struct beryl_forward *f,
+                                     const struct beryl_forward_request *facts,
+                                     const struct beryl_route *route);
+/** Release R, which has no open exchange. */
+void forward_request_free (struct beryl_forward *f, struct request *r);
+/** Count R's arrival at S: repeats are allowed by it. */
+void forward_request_count (struct beryl_forward *f, struct service *s,
+                            int64_t now_ms);
 /** Log one step. */
 void forward_request_decided (struct beryl_forward *f, const struct request *r,
                               const char *step, const struct beryl_live *live,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,9 @@
 # How long after its end a disturbance still excuses what depends on it: the
 # time in which a node is back in touch.
 CONTACT_S = 3.0
+# A node that stops may be late by this much on a busy machine, or paused by
+# another fault meanwhile.
+STOP_SLACK_S = 6.0
 
 
 class Disturbance:
@@ -54,13 +57,18 @@
         return
     with world.disturbed(f"node-{node.index}", "SIGTERM", planned=True):
         node.restart_s = 0.3
+        ends = len(node.ends)
+        until = time.monotonic() + world.terms["stop_ms"] / 1000 + STOP_SLACK_S
         node.terminate()
         if rng.random() < 0.3:
             await asyncio.sleep(0.2)
-            node.terminate()  # a second one must change nothing
-        ends = len(node.ends)
-        while len(node.ends) == ends:
+            if len(node.ends) == ends:
+                node.terminate()  # a second one must change nothing
+        while len(node.ends) == ends and time.monotonic() < until:
             await asyncio.sleep(0.05)
+        if len(node.ends) == ends:
+            world.broke("EXIT", f"node {node.index} did not stop in time")
+            node.kill()
         await asyncio.sleep(1.0)
 
 
