As many engines are compared as may be without meeting others' choices

The soak's runners work for 5 to 120 ms, and their connections are reset in series, so that faults meet requests that run.

--- a/libberyl/forward/backlog.c
+++ b/libberyl/forward/backlog.c
@@ -43,6 +43,15 @@
   return waiting (f, r, now_ms);
 }
 
+/* Those that wait ask once a round, and as many come as runs end. */
+double
+backlog_at_once (struct beryl_forward *f, const struct request *r,
+                 int64_t now_ms)
+{
+  return waiting (f, r, now_ms) * (double)NEWS_MS / ASK_AGAIN_MS
+         + places_per_s (f, r, now_ms) * NEWS_MS / 1000;
+}
+
 int64_t
 backlog_wait_ms (struct beryl_forward *f, const struct request *r,
                  int64_t now_ms)
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -151,49 +151,72 @@
          && beryl_engine_number (live->info.id) == r->warm_engine;
 }
 
-/* Engines are compared in pairs drawn at random.  All nodes foresee much the
+/* Some engines, drawn at random, are compared.  All nodes foresee much the
  * same, and hear of each other's choices some ten milliseconds late: if each
  * took the best engine of all, those that ask at the same moment would all ask
  * the same one, be refused there, and leave others empty.  With 70 nodes that
  * happened to every second question. */
-#define PAIR 2
 
-struct pair
+/* Most engines that are compared. */
+#define SAMPLE_MAX 32
+/* At least so many: the better one of two is far better than one. */
+#define DRAWN_LEAST 2
+/* Another node's choice meets this one's at the best engine with a chance of
+ * one in so many. */
+#define MEETING_PART 4
+
+struct sample
 {
   struct
   {
     struct beryl_live *live;
     double cost;
-  } drawn[PAIR];
+  } items[SAMPLE_MAX];
   size_t seen;
 };
 
-/* Reservoir sampling: each engine is as likely to be one of the pair. */
+/* Reservoir sampling: each engine is as likely to be in it. */
 static void
-pair_add (struct beryl_forward *f, struct pair *pair, struct beryl_live *live,
-          double cost)
+sample_add (struct beryl_forward *f, struct sample *sample,
+            struct beryl_live *live, double cost)
 {
-  size_t at = pair->seen++;
+  size_t at = sample->seen++;
 
-  if (at >= PAIR)
-    at = forward_random (f) % pair->seen;
-  if (at >= PAIR)
+  if (at >= SAMPLE_MAX)
+    at = forward_random (f) % sample->seen;
+  if (at >= SAMPLE_MAX)
     return;
-  pair->drawn[at].live = live;
-  pair->drawn[at].cost = cost;
+  sample->items[at].live = live;
+  sample->items[at].cost = cost;
 }
 
-/* Returns the cheaper one, or NULL. */
+/* Returns the cheapest of some of SAMPLE, the fewer the more nodes choose for
+ * R's service AT_ONCE; NULL if there is none. */
 static struct beryl_live *
-pair_better (const struct pair *pair, double *cost)
+sample_best (struct beryl_forward *f, struct sample *sample, double at_once,
+             double *cost)
 {
-  bool second
-      = pair->seen >= PAIR && pair->drawn[1].cost < pair->drawn[0].cost;
+  size_t count = sample->seen < SAMPLE_MAX ? sample->seen : SAMPLE_MAX;
+  double drawn
+      = fmax ((double)count / fmax (MEETING_PART * at_once, 1), DRAWN_LEAST);
+  size_t best = 0;
 
-  if (pair->seen == 0)
+  if (count == 0)
     return NULL;
-  *cost = pair->drawn[second].cost;
-  return pair->drawn[second].live;
+  for (size_t i = 0; i < count && (double)i < drawn; i++)
+    {
+      size_t k = i + forward_random (f) % (count - i);
+      struct beryl_live *live = sample->items[k].live;
+      double own = sample->items[k].cost;
+
+      sample->items[k] = sample->items[i];
+      sample->items[i].live = live;
+      sample->items[i].cost = own;
+      if (own < sample->items[best].cost)
+        best = i;
+    }
+  *cost = sample->items[best].cost;
+  return sample->items[best].live;
 }
 
 /* The engine itself counts exactly and has the last word. */
@@ -201,7 +224,7 @@
 engine_choose_decode (struct beryl_forward *f, const struct request *r,
                       struct engine_outlook *outlook, int64_t now_ms)
 {
-  struct pair pair = { 0 };
+  struct sample sample = { 0 };
   struct beryl_live *best, *warm = NULL;
   double least = 0, cost;
   double need = r->facts.prompt_tokens + r->expected_tokens;
@@ -224,9 +247,11 @@
       if (engine_is_warm_for (r, live))
         warm = live;
       outlook->places += 1 + (room - cost) / fmax (need, 1);
-      pair_add (f, &pair, live, cost);
+      sample_add (f, &sample, live, cost);
     }
-  best = warm != NULL ? warm : pair_better (&pair, &cost);
+  best = warm != NULL
+             ? warm
+             : sample_best (f, &sample, backlog_at_once (f, r, now_ms), &cost);
   if (best != NULL && beryl_live_avoided (best, now_ms))
     best->trial_ms = now_ms;
   outlook->lowest = room > 0 ? FILL_PART * least / room : 0;
@@ -237,7 +262,7 @@
 engine_choose_target (struct beryl_forward *f, const struct request *r,
                       int64_t now_ms)
 {
-  struct pair pair = { 0 };
+  struct sample sample = { 0 };
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
   size_t count = beryl_lives_count (f->lives);
   double cost;
@@ -252,9 +277,9 @@
         continue;
       cost = engine_peak_with (f, r, live, TARGET_DEVIATIONS, now_ms);
       if (cost <= room)
-        pair_add (f, &pair, live, cost);
+        sample_add (f, &sample, live, cost);
     }
-  return pair_better (&pair, &cost);
+  return sample_best (f, &sample, backlog_at_once (f, r, now_ms), &cost);
 }
 
 bool
@@ -277,7 +302,7 @@
 engine_choose_prefill (struct beryl_forward *f, const struct request *r,
                        int64_t *wait_ms, int64_t now_ms)
 {
-  struct pair pair = { 0 };
+  struct sample sample = { 0 };
   struct beryl_live *best;
   double waiting_tokens = 0;
   size_t count = beryl_lives_count (f->lives);
@@ -291,11 +316,12 @@
           || now_ms < live->full_until_ms || beryl_live_avoided (live, now_ms))
         continue;
       number = beryl_engine_number (live->info.id);
-      pair_add (f, &pair, live,
-                (double)(live->prefill_tokens
-                         + book_prefilling (&f->book, number, now_ms)));
+      sample_add (f, &sample, live,
+                  (double)(live->prefill_tokens
+                           + book_prefilling (&f->book, number, now_ms)));
     }
-  best = pair_better (&pair, &waiting_tokens);
+  best = sample_best (f, &sample, backlog_at_once (f, r, now_ms),
+                      &waiting_tokens);
   *wait_ms = (int64_t)(waiting_tokens * r->service->prefill_ms_per_token);
   return best;
 }
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -5,12 +5,6 @@
 /* Finding a place for a generation: room at a decode engine, before its
  * prompt is read. */
 
-/* A request without a place asks again after so long; much shorter and the
- * engines answer little else, much longer and freed memory stands empty. */
-#define ASK_AGAIN_MS 120
-/* How long it takes until other nodes have heard of a choice: they are told
- * after 30 ms. */
-#define NEWS_MS 50
 /* Engines that are asked for room in one round. */
 #define ASKED_MAX 4
 /* An engine that had no room is not asked again by this node for so long;
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -358,6 +358,16 @@
 void move_clear (struct beryl_forward *f, struct request *r);
 
 /* backlog.c */
+/** A request without a place asks again after so long; much shorter and the
+ * engines answer little else, much longer and freed memory stands empty. */
+#define ASK_AGAIN_MS 120
+/** How long it takes until other nodes have heard of a choice: they are told
+ * after 30 ms. */
+#define NEWS_MS 50
+/** Return how many requests of R's service choose engines before they can hear
+ * of each other's choices. */
+double backlog_at_once (struct beryl_forward *f, const struct request *r,
+                        int64_t now_ms);
 /** Return how many generations of R's service wait for room at all nodes. */
 uint32_t backlog_waiting (const struct beryl_forward *f,
                           const struct request *r, int64_t now_ms);
--- a/libberyl/forward/seek.c
+++ b/libberyl/forward/seek.c
@@ -8,8 +8,6 @@
 
 /* An engine that had no answer by then is not waited for. */
 #define ASK_TIMEOUT_MS 500
-/* A round in which no engine had room is followed by another. */
-#define SEEK_AGAIN_MS 120
 /* Engines that are asked in one round. */
 #define SEEK_ASKED_MAX 4
 
@@ -42,7 +40,7 @@
 {
   r->refusals = 0;
   r->tried_count = 0;
-  r->due_ms = now_ms + SEEK_AGAIN_MS;
+  r->due_ms = now_ms + ASK_AGAIN_MS;
 }
 
 static void
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -110,10 +110,11 @@
 
 
 async def runner_reset(world, rng, for_s):
-    proxy = rng.choice(world.runner_proxies)
-    with world.disturbed("runner", f"connections to {proxy.port} reset"):
-        proxy.reset_all()
-        await asyncio.sleep(0.1)
+    for _ in range(rng.randint(1, 10)):
+        proxy = rng.choice(world.runner_proxies)
+        with world.disturbed("runner", f"connections to {proxy.port} reset"):
+            proxy.reset_all()
+            await asyncio.sleep(rng.uniform(0.05, 0.4))
 
 
 async def front_link(world, rng, for_s):
--- a/soak/world.py
+++ b/soak/world.py
@@ -129,6 +129,8 @@
         said = await self.platform.ask("start", name, service, stage or "-",
                                        f"{proxy.address}:{proxy.port}")
         proxy.target = ("127.0.0.1", int(said.split()[2]))
+        # Long enough that faults meet requests that run.
+        self.platform.tell("work", name, self.rng.randint(5, 120))
         self.runners.append(Runner(name, service, stage, proxy))
 
     def pick_runner(self, rng, service=None):
