--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,6 +26,8 @@
     p.add_argument("--seeds", type=int, default=1, help="how many, from "
                    "--seed on")
     p.add_argument("--seed", type=int, help="the first; fresh ones without")
+    p.add_argument("--regressions", action="store_true",
+                   help="the seeds that failed once")
     p.add_argument("--minutes", type=float, help="fresh seeds for so long")
     p.add_argument("--profile", choices=sorted(faults.PROFILES),
                    help="kinds of faults; drawn from the seed without")
@@ -43,9 +45,19 @@
     return p.parse_args()
 
 
-async def play(seed, o):
-    profile = o.profile or random.Random(seed).choice(
-        sorted(faults.PROFILES))
+def regressions():
+    path = os.path.join(os.path.dirname(__file__), "seeds.txt")
+    with open(path) as file:
+        for line in file:
+            if not line.startswith("#"):
+                seed, profile, _ = line.split(" ", 2)
+                yield int(seed), profile
+
+
+async def play(seed, profile, o):
+    if profile is None:
+        profile = o.profile or random.Random(seed).choice(
+            sorted(faults.PROFILES))
     os.makedirs(o.out, exist_ok=True)
     directory = tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=o.out)
     world = World(seed, o.build, directory, o.nodes, o.callers)
@@ -84,19 +96,21 @@
 
 async def run(o):
     first = o.seed if o.seed is not None else int(time.time()) % 10**8
-    seeds = iter(range(first, first + o.seeds))
+    seeds = ((seed, None) for seed in range(first, first + o.seeds))
     until = None
-    if o.minutes:
-        seeds = iter(range(first, first + 10**6))
+    if o.regressions:
+        seeds = regressions()
+    elif o.minutes:
+        seeds = ((seed, None) for seed in range(first, first + 10**6))
         until = time.monotonic() + 60 * o.minutes
     failed = passed = 0
 
     async def worker():
         nonlocal failed, passed
-        for seed in seeds:
+        for seed, profile in seeds:
             if until and time.monotonic() > until:
                 return
-            world = await play(seed, o)
+            world = await play(seed, profile, o)
             show(world, o)
             failed += bool(world.broken)
             passed += not world.broken
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -32,7 +32,7 @@
         self.outcome = None  # whole refused error broken left timeout none
         self.status = 0
         self.sealed = False
-        self.closed_by_node = False
+        self.silenced = False  # its connection was, by a fault
 
     def once(self):
         """Whether it may run once only."""
@@ -245,6 +245,9 @@
                            headers=fields), body
 
     async def exchange(self, attempt, connection, stream, prompt, left_s):
+        proxy = self.world.front_proxies[connection.node.index]
+        own = connection.writer.get_extra_info("sockname")
+        attempt.silenced = proxy.is_silent(own)
         head, body = self.head(attempt, stream, prompt, left_s)
         bytes_out = connection.h11.send(head)
         if body:
@@ -257,7 +260,6 @@
             return await self.read_answer(attempt, connection, stream, left_s)
         except (OSError, h11.RemoteProtocolError) as error:
             attempt.outcome = "broken"
-            attempt.closed_by_node = True
             if isinstance(error, h11.RemoteProtocolError) \
                     and "EOF" not in str(error) and "closed" not in str(error):
                 self.world.broke("MIXED", f"{attempt.id}: {error}")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -108,8 +108,8 @@
 def planned_work(world, record):
     """Nothing is cut off where only planned work went on."""
     for attempt in world.attempts.values():
-        if attempt.sent is None or attempt.outcome not in ("broken",
-                                                           "timeout"):
+        if attempt.sent is None or attempt.silenced \
+                or attempt.outcome not in ("broken", "timeout"):
             continue
         if not world.calm(attempt.began - 3, attempt.ended, planned=False) \
                 or world.calm(attempt.began, attempt.ended):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -102,6 +102,12 @@
         finally:
             self.connections.discard(connection)
 
+    def is_silent(self, peer):
+        """Whether the connection of PEER, an (address, port), is silent; one
+        that was silenced stays so when the proxy is healed."""
+        return any(c.silent for c in self.connections
+                   if c.near[1].get_extra_info("peername") == peer)
+
     def reset_all(self):
         """Resets what is open, once."""
         for connection in list(self.connections):
