--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -383,20 +383,33 @@
   book_forget (&f->book, peer);
 }
 
-size_t
-beryl_forward_runs (struct beryl_forward *f, struct beryl_engine_run *runs,
-                    size_t most, int64_t now_ms)
+static size_t
+describe_runs (struct beryl_forward *f, bool placed,
+               struct beryl_engine_run *runs, size_t count, size_t most,
+               int64_t now_ms)
 {
   const struct request *r = NULL;
-  size_t count = 0;
 
-  f->runs_changed = false;
   TAILQ_FOREACH_REVERSE (r, &f->requests, request_list, entry)
-  if ((r->reservation.live != NULL || r->waiting) && count < most)
+  if (count < most
+      && (placed ? r->reservation.live != NULL
+                 : r->waiting && r->reservation.live == NULL))
     engine_describe_run (r, now_ms, &runs[count++]);
   return count;
 }
 
+/* What fills engines goes before what waits for them: at a peak of waiting
+ * requests the runs would be forgotten by the other nodes. */
+size_t
+beryl_forward_runs (struct beryl_forward *f, struct beryl_engine_run *runs,
+                    size_t most, int64_t now_ms)
+{
+  size_t count = describe_runs (f, true, runs, 0, most, now_ms);
+
+  f->runs_changed = false;
+  return describe_runs (f, false, runs, count, most, now_ms);
+}
+
 uint64_t
 beryl_forward_engine_used (struct beryl_forward *f, const char *service,
                            const struct beryl_live *engine, int64_t now_ms)
--- a/tests/forward/test_choice.c
+++ b/tests/forward/test_choice.c
@@ -178,6 +178,29 @@
 }
 END_TEST
 
+/* A message has room for one: the run that fills an engine is told, not the
+ * request that came after it and waits.  Otherwise the other nodes would take
+ * the engine for empty right at a peak. */
+START_TEST (test_runs_are_told_first)
+{
+  struct beryl_engine_run run;
+  struct fx *fx = g_new0 (struct fx, 1);
+
+  terms = fx_model_terms ();
+  fx_open_seeded (fx, &terms, 1);
+  fx_endpoint (fx, "p0", BERYL_STAGE_PREFILL);
+  fx_endpoint (fx, "d0", BERYL_STAGE_DECODE);
+  fx_arrive (fx, 1);
+  fx_ok (fx, fx_last (fx, BERYL_EXCHANGE_RESERVE), "hold-1");
+  fx_remove (fx, "d0");
+  fx_arrive (fx, 2);
+  ck_assert_uint_eq (beryl_forward_runs (fx->forward, &run, 1, fx->now_ms), 1);
+  ck_assert_uint_eq (run.engine, beryl_engine_number ("d0"));
+  fx_close (fx);
+  g_free (fx);
+}
+END_TEST
+
 /* Fills the only engine of FX with runs that peers told of, and has WAITING
  * requests wait for it elsewhere. */
 static void
@@ -271,6 +294,7 @@
   tcase_add_test (tcase, test_nodes_do_not_meet_at_one_engine);
   tcase_add_test (tcase, test_waiting_requests_take_turns);
   tcase_add_test (tcase, test_waiting_requests_are_told);
+  tcase_add_test (tcase, test_runs_are_told_first);
   tcase_add_test (tcase, test_long_backlog_is_told_at_once);
   tcase_add_test (tcase, test_short_backlog_is_waited_for);
   tcase_add_test (tcase, test_callers_come_back_one_by_one);
