--- a/tests/forward/test_choice.c
+++ b/tests/forward/test_choice.c
@@ -187,6 +187,7 @@
   struct fx *fx = g_new0 (struct fx, 1);
 
   terms = fx_model_terms ();
+  terms.route.objective_ms = 20000; /* it waits */
   fx_open_seeded (fx, &terms, 1);
   fx_endpoint (fx, "p0", BERYL_STAGE_PREFILL);
   fx_endpoint (fx, "d0", BERYL_STAGE_DECODE);
@@ -196,6 +197,7 @@
   fx_arrive (fx, 2);
   ck_assert_uint_eq (beryl_forward_runs (fx->forward, &run, 1, fx->now_ms), 1);
   ck_assert_uint_eq (run.engine, beryl_engine_number ("d0"));
+  ck_assert_uint_eq (fx->answers[2].ends, 0);
   fx_close (fx);
   g_free (fx);
 }
