Engines of unknown memory are asked; Retry-After keeps to a part of the caller's own time

Found by reading the change: with no stated memory the forecast's room was negative and every request stood back for ever (test_unknown_memory fails before); the longest Retry-After was a constant that fitted one deadline (test_callers_come_back_one_by_one).

--- a/libberyl/forward/backlog.c
+++ b/libberyl/forward/backlog.c
@@ -9,8 +9,8 @@
 #define NO_RUNS_RETRY_MS 2000
 /* Room that is expected sooner is not worth a new connection. */
 #define RETRY_LEAST_MS 300
-/* Callers do not wait for more than a third of their deadline. */
-#define RETRY_MOST_MS 4500
+/* A caller that comes back keeps two thirds of its time for its second try. */
+#define RETRY_MOST_PART 3
 /* Part of the places that free up which callers who come back may take; the
  * rest is for those who come for the first time. */
 #define RETURN_PART 0.5
@@ -27,20 +27,13 @@
   return run_ms > 0 ? 1000 * runs / run_ms : 0;
 }
 
-static uint32_t
-waiting (const struct beryl_forward *f, const struct request *r,
-         int64_t now_ms)
-{
-  return r->service->waiting
-         + book_waiting (&f->book, beryl_engine_number (r->service->name),
-                         now_ms);
-}
-
 uint32_t
 backlog_waiting (const struct beryl_forward *f, const struct request *r,
                  int64_t now_ms)
 {
-  return waiting (f, r, now_ms);
+  return r->service->waiting
+         + book_waiting (&f->book, beryl_engine_number (r->service->name),
+                         now_ms);
 }
 
 /* Those that wait ask once a round, and as many come as runs end. */
@@ -48,7 +41,7 @@
 backlog_at_once (struct beryl_forward *f, const struct request *r,
                  int64_t now_ms)
 {
-  return waiting (f, r, now_ms) * (double)NEWS_MS / ASK_AGAIN_MS
+  return backlog_waiting (f, r, now_ms) * (double)NEWS_MS / ASK_AGAIN_MS
          + places_per_s (f, r, now_ms) * NEWS_MS / 1000;
 }
 
@@ -60,7 +53,7 @@
 
   if (rate <= 0)
     return 0;
-  return (int64_t)(1000 * waiting (f, r, now_ms) / rate);
+  return (int64_t)(1000 * backlog_waiting (f, r, now_ms) / rate);
 }
 
 /* Refused callers come back one after the other, at the pace at which places
@@ -73,8 +66,11 @@
   struct service *s = r->service;
   double rate = RETURN_PART * places_per_s (f, r, now_ms) / f->nodes;
   int64_t after_ms = backlog_wait_ms (f, r, now_ms);
+  int64_t latest_ms = r->timeout_ms;
   int64_t slot_ms;
 
+  if (latest_ms != BERYL_NEVER_MS)
+    latest_ms = now_ms + (latest_ms - now_ms) / RETRY_MOST_PART;
   if (rate <= 0)
     return NO_RUNS_RETRY_MS;
   if (after_ms < RETRY_LEAST_MS)
@@ -82,8 +78,8 @@
   slot_ms = now_ms + after_ms;
   if (s->return_ms > slot_ms)
     slot_ms = s->return_ms;
-  if (slot_ms > now_ms + RETRY_MOST_MS)
-    slot_ms = now_ms + RETRY_MOST_MS;
+  if (slot_ms > latest_ms)
+    slot_ms = latest_ms;
   s->return_ms = slot_ms + (int64_t)(1000 / rate);
   return slot_ms - now_ms;
 }
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -246,7 +246,8 @@
         continue;
       if (engine_is_warm_for (r, live))
         warm = live;
-      outlook->places += 1 + (room - cost) / fmax (need, 1);
+      /* An engine of unknown size counts as one place. */
+      outlook->places += 1 + fmax (room - cost, 0) / fmax (need, 1);
       sample_add (f, &sample, live, cost);
     }
   best = warm != NULL
--- a/tests/forward/test_choice.c
+++ b/tests/forward/test_choice.c
@@ -253,6 +253,24 @@
 }
 END_TEST
 
+/* A deployment does not say how much memory its engines have.  They are asked
+ * all the same: they count for themselves. */
+START_TEST (test_unknown_memory)
+{
+  struct fx *fx = g_new0 (struct fx, 1);
+
+  terms = fx_model_terms ();
+  terms.engine.kv_tokens = 0;
+  fx_open_seeded (fx, &terms, 1);
+  fx_endpoint (fx, "p0", BERYL_STAGE_PREFILL);
+  fx_endpoint (fx, "d0", BERYL_STAGE_DECODE);
+  fx_arrive (fx, 1);
+  ck_assert_ptr_nonnull (fx_open_of (fx, 1, BERYL_EXCHANGE_RESERVE));
+  fx_close (fx);
+  g_free (fx);
+}
+END_TEST
+
 /* With nobody before it a request waits: a run may end at any moment. */
 START_TEST (test_short_backlog_is_waited_for)
 {
@@ -277,9 +295,10 @@
     {
       fx_arrive (fx, i);
       ck_assert (fx->answers[i].refused);
-      ck_assert_int_le (fx->answers[i].refusal.retry_after_ms, 4500);
+      ck_assert_int_le (fx->answers[i].refusal.retry_after_ms,
+                        terms.route.timeout_ms / 3);
       ck_assert (fx->answers[i].refusal.retry_after_ms > before_ms
-                 || before_ms == 4500);
+                 || before_ms == terms.route.timeout_ms / 3);
       before_ms = fx->answers[i].refusal.retry_after_ms;
     }
   fx_close (fx);
@@ -298,6 +317,7 @@
   tcase_add_test (tcase, test_waiting_requests_are_told);
   tcase_add_test (tcase, test_runs_are_told_first);
   tcase_add_test (tcase, test_long_backlog_is_told_at_once);
+  tcase_add_test (tcase, test_unknown_memory);
   tcase_add_test (tcase, test_short_backlog_is_waited_for);
   tcase_add_test (tcase, test_callers_come_back_one_by_one);
   suite_add_tcase (suite, tcase);
