Engines that leave while a prompt is read get no run

Cause: room is reserved at a decode engine before the prompt is read. On engines that read more slowly than those of the users' sites, prompts queued for two to three seconds; an engine that left meanwhile got the run later than endpoints that leave may get work (DRAIN). A run that was stopped for a move could be sent back to its leaving engine as late.

Ruled out: late news of the leaving engine (it was known 2.5 s before), health, and the reservation's lease.

Change: right before a run is sent, its engine must still take work; otherwise the reservation is given back and the KV cache goes to another engine. Only a run that was stopped at a leaving engine may go back, within the part of the bound that lapsed entries are kept for.

Tests: three of the four new ones failed before.

--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -137,7 +137,7 @@
           " service=%s address=%s:%u stage=%s %s",
           info.id, info.revision, info.service, info.address, info.port,
           beryl_stage_name (info.stage), info.leaving ? "leaving" : "ready");
-  beryl_lives_put (s->lives, &info);
+  beryl_lives_put (s->lives, &info, loop_now_ms (s->loop));
 }
 
 static void
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -47,6 +47,7 @@
   /** Its entry has lapsed with an outage of the list; it counts as gone from
    * then on unless it is back.  0: not so. */
   int64_t lapsed_until_ms;
+  int64_t left_ms; /**< when it was first known to leave; 0: it does not */
   int64_t
       changing_until_ms; /**< an engine that was ordered to another stage */
   uint32_t open;         /**< exchanges of this node */
@@ -74,10 +75,11 @@
 /** Release the set; NULL is allowed. */
 void beryl_lives_destroy (struct beryl_lives *lives);
 
-/** Take news of an endpoint; older ones than known are ignored.  Returns
- * the endpoint. */
+/** Take news of an endpoint that came at NOW_MS; older ones than known are
+ * ignored.  Returns the endpoint. */
 struct beryl_live *beryl_lives_put (struct beryl_lives *lives,
-                                    const struct beryl_live_info *info);
+                                    const struct beryl_live_info *info,
+                                    int64_t now_ms);
 
 /** The endpoint left the list.  Entries are kept alive by the endpoints, so
  * that an outage of the list makes those of healthy ones lapse; they are back
@@ -107,6 +109,11 @@
 /** Whether new work may go to LIVE at all. */
 bool beryl_live_takes_work (const struct beryl_live *live);
 
+/** Whether work that only LIVE can do may still go to it: it takes work, or is
+ * known to leave for less time than such endpoints may get some. */
+bool beryl_lives_may_return (const struct beryl_lives *lives,
+                             const struct beryl_live *live, int64_t now_ms);
+
 /** Whether LIVE, an engine, is being changed to another stage. */
 bool beryl_live_changing (const struct beryl_live *live, int64_t now_ms);
 
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -61,10 +61,7 @@
       = { .kind = BERYL_EXCHANGE_DROP_KV, .kv_handle = r->kv.handle };
 
   move_clear (f, r);
-  if (r->reservation.live != NULL && r->reservation.handle[0] != '\0'
-      && now_ms < r->reservation.until_ms)
-    place_give_back (f, r->reservation.live, r->reservation.handle, now_ms);
-  place_clear (f, &r->reservation);
+  place_release (f, &r->reservation, now_ms);
   if (r->kv.live != NULL && now_ms < r->kv.until_ms)
     forward_start (f, NULL, &drop, r->kv.live, now_ms);
   kv_clear (f, &r->kv);
@@ -105,12 +102,47 @@
   return true;
 }
 
+/* Reading a prompt, or a move, may take longer than an engine that leaves may
+ * get work: it would reach an engine that stops any moment.  Only a run that
+ * was stopped there may go back in time, since nobody else has its memory. */
+static bool
+engine_has_left (const struct beryl_forward *f, const struct request *r,
+                 int64_t now_ms)
+{
+  const struct beryl_live *live = r->reservation.live;
+
+  if (r->same_run)
+    return !beryl_lives_may_return (f->lives, live, now_ms);
+  return !beryl_live_takes_work (live);
+}
+
+static void start_over (struct beryl_forward *f, struct request *r,
+                        int64_t now_ms);
+
+/* The engine with R's place does not run it. */
+static void
+place_lost (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  seek_end (f, r);
+  if (r->same_run && move_return (f, r, now_ms))
+    return;
+  move_clear (f, r);
+  place_release (f, &r->reservation, now_ms);
+  start_over (f, r, now_ms);
+}
+
 void
 generation_run (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_RUN };
   struct beryl_live *live = r->reservation.live;
 
+  if (engine_has_left (f, r, now_ms))
+    {
+      forward_request_decided (f, r, "decode", live, "left", 0, now_ms);
+      place_lost (f, r, now_ms);
+      return;
+    }
   if (!run_allowed (f, r, now_ms))
     {
       forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
@@ -417,15 +449,10 @@
 generation_not_run (struct beryl_forward *f, struct request *r,
                     bool wrong_stage, int64_t now_ms)
 {
-  seek_end (f, r);
   if (wrong_stage && r->reservation.live != NULL)
     learn_stage (r->reservation.live);
   blame (r, now_ms);
-  if (r->same_run && move_return (f, r, now_ms))
-    return;
-  move_clear (f, r);
-  place_clear (f, &r->reservation);
-  start_over (f, r, now_ms);
+  place_lost (f, r, now_ms);
 }
 
 void
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -27,8 +27,8 @@
 #define AWAY_MS 3000
 /* Lapsed entries of healthy endpoints are back so soon after its return. */
 #define LAPSE_MS 2500
-/* Part of the time in which an endpoint that left may get work that a lapsed
- * one is kept for; the rest is for news that came late. */
+/* Part of the time in which an endpoint that left may get work that is used
+ * here; the rest is for news that came late. */
 #define KEEP_PART 0.7
 
 struct beryl_lives
@@ -42,6 +42,13 @@
   int64_t returned_ms; /* the list's last return after an absence; 0: none */
 };
 
+/* How long after an endpoint was known to leave it may get work from here. */
+static int64_t
+keep_ms (const struct beryl_lives *lives)
+{
+  return (int64_t)(KEEP_PART * (double)lives->leave_ms);
+}
+
 static struct map_key
 id_key (const char *id)
 {
@@ -107,7 +114,8 @@
 }
 
 struct beryl_live *
-beryl_lives_put (struct beryl_lives *lives, const struct beryl_live_info *info)
+beryl_lives_put (struct beryl_lives *lives, const struct beryl_live_info *info,
+                 int64_t now_ms)
 {
   struct beryl_live *live = beryl_lives_find (lives, info->id);
 
@@ -118,6 +126,10 @@
   live->info = *info;
   live->gone = false;
   live->lapsed_until_ms = 0;
+  if (!info->leaving)
+    live->left_ms = 0;
+  else if (live->left_ms == 0)
+    live->left_ms = now_ms;
   return live;
 }
 
@@ -147,10 +159,11 @@
   if (live == NULL || live->gone)
     return;
   note_return (lives, now_ms);
+  if (live->left_ms == 0)
+    live->left_ms = now_ms;
   if (lives->returned_ms != 0 && now_ms < lives->returned_ms + LAPSE_MS
       && !live->info.leaving)
-    live->lapsed_until_ms
-        = now_ms + (int64_t)(KEEP_PART * (double)lives->leave_ms);
+    live->lapsed_until_ms = now_ms + keep_ms (lives);
   else
     live_gone (lives, live);
 }
@@ -203,6 +216,14 @@
   return !live->gone && !live->info.leaving;
 }
 
+bool
+beryl_lives_may_return (const struct beryl_lives *lives,
+                        const struct beryl_live *live, int64_t now_ms)
+{
+  return beryl_live_takes_work (live)
+         || now_ms < live->left_ms + keep_ms (lives);
+}
+
 bool
 beryl_live_changing (const struct beryl_live *live, int64_t now_ms)
 {
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -274,6 +274,16 @@
   *place = (struct reservation){ 0 };
 }
 
+void
+place_release (struct beryl_forward *f, struct reservation *place,
+               int64_t now_ms)
+{
+  if (place->live != NULL && place->handle[0] != '\0'
+      && now_ms < place->until_ms)
+    place_give_back (f, place->live, place->handle, now_ms);
+  place_clear (f, place);
+}
+
 void
 place_give_back (struct beryl_forward *f, struct beryl_live *live,
                  const char *handle, int64_t now_ms)
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -259,6 +259,9 @@
 /** Take what the engine of X, which is then forgotten, has granted. */
 void place_take (struct beryl_forward *f, struct exchange *x,
                  const struct beryl_engine_result *result, int64_t now_ms);
+/** Give back what is still reserved of PLACE, and forget it. */
+void place_release (struct beryl_forward *f, struct reservation *place,
+                    int64_t now_ms);
 /** Forget a claim on memory without telling the engine. */
 void place_clear (struct beryl_forward *f, struct reservation *place);
 /** Give a reservation back to its engine. */
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -268,7 +268,7 @@
   };
 
   g_strlcpy (info.id, id, sizeof info.id);
-  beryl_lives_put (fx->lives, &info);
+  beryl_lives_put (fx->lives, &info, fx->now_ms);
   beryl_forward_lives_changed (fx->forward, fx->now_ms);
 }
 
--- a/tests/forward/test_generation.c
+++ b/tests/forward/test_generation.c
@@ -564,6 +564,87 @@
 }
 END_TEST
 
+/* Story: prompts queue, and while one is read the engine that has reserved
+ * room for it announces that it leaves.  Sent there two seconds later, the
+ * request reaches an engine that takes no new work any more, and is lost with
+ * it.  The KV cache goes to another engine; nothing is read twice. */
+START_TEST (test_engine_leaves_while_prompt_is_read)
+{
+  struct fx_exchange *place, *other;
+
+  fx_arrive (&fx, 1);
+  place = open_of (1, BERYL_EXCHANGE_RESERVE);
+  fx_ok (&fx, place, "place");
+  fx_leaving (&fx, place->endpoint);
+  fx_pass (&fx, 500);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_PREFILL), "kv");
+  ck_assert_ptr_null (fx_open_of (&fx, 1, BERYL_EXCHANGE_RUN));
+  other = open_of (1, BERYL_EXCHANGE_RESERVE);
+  ck_assert_str_ne (other->endpoint, place->endpoint);
+  fx_ok (&fx, other, "place-2");
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->endpoint,
+                    other->endpoint);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->kv_handle, "kv");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 1);
+}
+END_TEST
+
+/* The same with an engine that is gone without a word. */
+START_TEST (test_engine_goes_while_prompt_is_read)
+{
+  struct fx_exchange *place;
+
+  fx_arrive (&fx, 1);
+  place = open_of (1, BERYL_EXCHANGE_RESERVE);
+  fx_ok (&fx, place, "place");
+  fx_remove (&fx, place->endpoint);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_PREFILL), "kv");
+  ck_assert_ptr_null (fx_open_of (&fx, 1, BERYL_EXCHANGE_RUN));
+  ck_assert_str_ne (open_of (1, BERYL_EXCHANGE_RESERVE)->endpoint,
+                    place->endpoint);
+}
+END_TEST
+
+/* Has a leaving engine stop its run after WAIT_MS for a move to an engine that
+ * has no room after all. */
+static void
+move_off_leaving (int64_t wait_ms)
+{
+  struct beryl_engine_result no_room
+      = { .status = 503, .handle = "kept", .not_run = true };
+  struct fx_exchange *run, *move;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  fx_leaving (&fx, run->endpoint);
+  move = move_asked (1);
+  fx_pass (&fx, wait_ms);
+  fx_result (&fx, move, &no_room);
+  fx_broken (&fx, run, BERYL_BREAK_CLOSED, true);
+}
+
+/* The stopped run's memory is at the leaving engine only.  It goes on there
+ * for as long as endpoints that leave may get work... */
+START_TEST (test_stopped_run_returns_to_leaving_engine)
+{
+  move_off_leaving (100);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->kv_handle, "kept");
+}
+END_TEST
+
+/* ...and begins anew at another one after that. */
+START_TEST (test_stopped_run_does_not_return_late)
+{
+  struct fx_exchange *first;
+
+  move_off_leaving (5000);
+  ck_assert_ptr_null (fx_open_of (&fx, 1, BERYL_EXCHANGE_RUN));
+  first = g_ptr_array_index (fx.exchanges, 0);
+  ck_assert_str_ne (open_of (1, BERYL_EXCHANGE_RESERVE)->endpoint,
+                    first->endpoint);
+}
+END_TEST
+
 /* Brings request 1 to where its engine has stopped it for want of memory;
  * returns its run. */
 static struct fx_exchange *
@@ -911,6 +992,10 @@
   tcase_add_test (tcase, test_move_without_room);
   tcase_add_test (tcase, test_moved_run_is_rejected);
   tcase_add_test (tcase, test_leaving_engine);
+  tcase_add_test (tcase, test_engine_leaves_while_prompt_is_read);
+  tcase_add_test (tcase, test_engine_goes_while_prompt_is_read);
+  tcase_add_test (tcase, test_stopped_run_returns_to_leaving_engine);
+  tcase_add_test (tcase, test_stopped_run_does_not_return_late);
   tcase_add_test (tcase, test_preempted);
   tcase_add_test (tcase, test_preempted_without_room);
   tcase_add_test (tcase, test_preempted_goes_on);
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -22,7 +22,7 @@
       = { .service = "s", .revision = revision, .leaving = leaving };
 
   strcpy (info.id, id);
-  return beryl_lives_put (lives, &info);
+  return beryl_lives_put (lives, &info, 0);
 }
 
 /* News may come twice and out of order, from the store and from peers. */
