Prefill speed is learned from the first prefills

Cause: the estimate of how fast prefill engines read moved up by half a percent a sample from an assumed 0.02 ms a token, so that engines of half that speed were known only after 160 prefills; a node sees one or two a second. The planner had moved three of five prefill engines to decode by the assumption and never took that back: prompts queued for two to three seconds.

Change: the first sample sets the estimate, the next ones move it further; the first plan by a measured mix is as quick as the first one of all.

Tests: test_pace_is_learned and test_stages_correct_what_was_assumed, both failed before.

--- a/include/beryl/stages.h
+++ b/include/beryl/stages.h
@@ -26,6 +26,7 @@
   double prefill_ms_per_token;
   double decode_ms_per_token;
   uint64_t kv_tokens; /**< memory of an engine; 0: unknown */
+  bool measured;      /**< seen, not assumed */
 };
 
 /** One engine. */
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -323,7 +323,7 @@
     }
   best = sample_best (f, &sample, backlog_at_once (f, r, now_ms),
                       &waiting_tokens);
-  *wait_ms = (int64_t)(waiting_tokens * r->service->prefill_ms_per_token);
+  *wait_ms = (int64_t)(waiting_tokens * r->service->prefill.ms_per_token);
   return best;
 }
 
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -7,10 +7,8 @@
  * byte was sent, so that nothing is risked.  Round trips inside a region take
  * a few milliseconds, a busy endpoint's accept some tens. */
 #define CONNECT_TIMEOUT_MS 150
-/* What generations are taken to be like before some were seen: prompts of a
- * few thousand tokens that an engine reads fifty a millisecond. */
+/* Prompts are taken to have so many tokens before some were seen. */
 #define PRIOR_PROMPT_TOKENS 4000.0
-#define PRIOR_PREFILL_MS 0.02
 /* A caller that is refused by a stopping node finds another at once. */
 #define STOPPING_RETRY_AFTER_MS 50
 /* What a plain request may need, and what a generation needs beside the
@@ -103,7 +101,7 @@
   memcpy (s->name, name, strlen (name) + 1);
   length_model_init (&s->lengths);
   s->prompt_tokens = PRIOR_PROMPT_TOKENS;
-  s->prefill_ms_per_token = PRIOR_PREFILL_MS;
+  pace_init (&s->prefill);
   f->services
       = realloc (f->services, (f->service_count + 1) * sizeof (void *));
   f->services[f->service_count++] = s;
@@ -486,9 +484,10 @@
   return (struct beryl_generation_mix){
     .prompt_tokens = s->prompt_tokens,
     .output_tokens = s->lengths.tokens_mean,
-    .prefill_ms_per_token = s->prefill_ms_per_token,
+    .prefill_ms_per_token = s->prefill.ms_per_token,
     .decode_ms_per_token = s->lengths.ms_per_token,
     .kv_tokens = s->kv_tokens,
+    .measured = pace_is_known (&s->prefill),
   };
 }
 
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -17,10 +17,6 @@
 #define ALONE_SPACING_MS 1000
 /* Weight of the newest request in what is known of all. */
 #define MIX_WEIGHT 0.05
-/* The time of reading is a low quantile of what is seen, since most answers
- * contain a queue too; at peaks nearly all do. */
-#define PREFILL_QUANTILE 0.05
-#define PREFILL_STEP 0.1
 
 void
 generation_start (struct beryl_forward *f, struct request *r, int64_t now_ms)
@@ -200,7 +196,7 @@
 static int64_t
 alone_ms (const struct request *r, double tokens)
 {
-  return (int64_t)(ALONE_FACTOR * tokens * r->service->prefill_ms_per_token);
+  return (int64_t)(ALONE_FACTOR * tokens * r->service->prefill.ms_per_token);
 }
 
 /* A decode engine reads a prompt at half the speed of a prefill engine, and
@@ -210,7 +206,7 @@
 reads_alone (struct beryl_forward *f, const struct request *r, int64_t wait_ms,
              int64_t now_ms)
 {
-  double read_ms = r->facts.prompt_tokens * r->service->prefill_ms_per_token;
+  double read_ms = r->facts.prompt_tokens * r->service->prefill.ms_per_token;
   int64_t left_ms = r->facts.arrived_ms + r->route->objective_ms - now_ms;
   int64_t apart_ms = wait_ms + (int64_t)read_ms;
   int64_t busy_ms = alone_ms (r, r->facts.prompt_tokens);
@@ -284,23 +280,6 @@
     prefill (f, r, now_ms);
 }
 
-/* Quantile by steps: each sample moves the estimate by a small part, down
- * further than up, so that it rests where as few samples are below. */
-static void
-prefill_learn (struct service *s, uint32_t tokens, int64_t took_ms)
-{
-  double seen = (double)took_ms / (double)tokens;
-
-  if (tokens == 0)
-    return;
-  if (seen < s->prefill_ms_per_token)
-    s->prefill_ms_per_token
-        -= PREFILL_STEP * (1 - PREFILL_QUANTILE) * s->prefill_ms_per_token;
-  else
-    s->prefill_ms_per_token
-        += PREFILL_STEP * PREFILL_QUANTILE * s->prefill_ms_per_token;
-}
-
 static void
 prefilled (struct beryl_forward *f, struct request *r, struct exchange *x,
            const struct beryl_engine_result *result, int64_t now_ms)
@@ -315,7 +294,7 @@
   forward_request_decided (f, r, "prefill", x->live, "done", took_ms, now_ms);
   beryl_live_learn (x->live, BERYL_LIVE_ANSWERED, took_ms, now_ms);
   if (!r->prefilled)
-    prefill_learn (r->service, x->tokens, took_ms);
+    pace_learn (&r->service->prefill, x->tokens, took_ms);
   r->prefilled = true;
   forward_exchange_free (f, x);
   generation_run (f, r, now_ms);
--- /dev/null
+++ b/libberyl/forward/pace.h
@@ -0,0 +1,27 @@
+/** @file
+ * How fast prefill engines read prompts, learned from the times that prefills
+ * take.  Most of these contain a queue, at peaks nearly all, so that a low
+ * quantile is followed.
+ */
+#ifndef FORWARD_PACE_H
+#define FORWARD_PACE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct pace
+{
+  double ms_per_token;
+  uint32_t seen; /**< prefills that it was learned from */
+};
+
+/** Begin with what is assumed before a prefill was seen. */
+void pace_init (struct pace *pace);
+
+/** Reading TOKENS took TOOK_MS. */
+void pace_learn (struct pace *pace, uint32_t tokens, int64_t took_ms);
+
+/** Whether enough was seen to plan by it. */
+bool pace_is_known (const struct pace *pace);
+
+#endif
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -12,6 +12,7 @@
 #include "beryl/forward.h"
 #include "book.h"
 #include "events.h"
+#include "pace.h"
 #include "prompts.h"
 #include "repeat_budget.h"
 
@@ -29,7 +30,7 @@
   double deviation_ms; /**< its mean deviation */
   struct length_model lengths; /**< of generations */
   double prompt_tokens;        /**< mean of them */
-  double prefill_ms_per_token;
+  struct pace prefill;                 /**< of its prefill engines */
   uint64_t kv_tokens; /**< of one engine; 0: unknown */
   uint32_t waiting;   /**< generations of this node without a place */
   int64_t return_ms;  /**< when the next refused caller may come back */
--- a/libberyl/stages/stages.c
+++ b/libberyl/stages/stages.c
@@ -13,7 +13,8 @@
 #define OFF_ENGINES 1.0
 #define OFF_MS 8000
 /* The first orders come at once: before the first requests an engine's change
- * costs nothing. */
+ * costs nothing.  So do the first ones by what was measured, which correct
+ * what was assumed about engines that nobody had used yet. */
 #define FIRST_MS 500
 /* Orders within this of the first one belong to it. */
 #define FIRST_ORDERS_MS 4000
@@ -25,6 +26,7 @@
   int64_t off_since_ms; /* 0: sizes are right */
   bool too_many;        /* since then prefill engines; otherwise too few */
   int64_t first_ms;     /* of the first order; 0: none yet */
+  bool measured;        /* since then by a measured mix */
 };
 
 struct beryl_stages *
@@ -120,6 +122,11 @@
 
   if (count < 2)
     return false;
+  if (mix->measured && !stages->measured)
+    {
+      stages->measured = true;
+      stages->first_ms = 0;
+    }
   off = (double)pools.prefill - wanted_prefill (mix, count);
   if (fabs (off) < OFF_ENGINES)
     {
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -6,6 +6,7 @@
 
 #include "../../libberyl/forward/book.h"
 #include "../../libberyl/forward/events.h"
+#include "../../libberyl/forward/pace.h"
 #include "../../libberyl/forward/repeat_budget.h"
 #include "../suite.h"
 #include "beryl/live.h"
@@ -487,6 +488,72 @@
 }
 END_TEST
 
+/* Story: before anybody has called, engines are taken to be fast readers, and
+ * most prefill engines are ordered to decode.  They read slowly: the first
+ * requests queue for seconds.  Once their speed was seen, engines are ordered
+ * back at once, not after the time that keeps swings of the load from moving
+ * engines to and fro. */
+START_TEST (test_stages_correct_what_was_assumed)
+{
+  struct beryl_stages *stages = beryl_stages_create ();
+  struct beryl_generation_mix mix = mix_of (500, 4000);
+  struct beryl_stage_engine engines[8] = { 0 };
+  struct beryl_stage_order order;
+  bool ordered = false;
+  int64_t now_ms = 20000;
+
+  for (int i = 0; i < 8; i++)
+    engines[i] = (struct beryl_stage_engine){
+      .id = "e", .stage = i < 3 ? BERYL_STAGE_PREFILL : BERYL_STAGE_DECODE
+    };
+  for (; now_ms < 30000; now_ms += 250)
+    if (beryl_stages_plan (stages, &mix, engines, 8, now_ms, &order))
+      engines[1].stage = engines[2].stage = BERYL_STAGE_DECODE;
+  mix = mix_of (8000, 500);
+  mix.measured = true;
+  for (; now_ms < 31500 && !ordered; now_ms += 250)
+    ordered = beryl_stages_plan (stages, &mix, engines, 8, now_ms, &order);
+  ck_assert (ordered);
+  ck_assert_int_eq (order.stage, BERYL_STAGE_PREFILL);
+  beryl_stages_destroy (stages);
+}
+END_TEST
+
+/* Learns PREFILLS of 5,000 tokens at MS_PER_TOKEN, every second of which waits
+ * behind three others. */
+static double
+learned_pace (double ms_per_token, int prefills)
+{
+  struct pace pace;
+
+  pace_init (&pace);
+  for (int i = 0; i < prefills; i++)
+    pace_learn (&pace, 5000,
+                (int64_t)(5000 * ms_per_token * (i % 2 == 0 ? 4 : 1)));
+  ck_assert (pace_is_known (&pace));
+  return pace.ms_per_token;
+}
+
+/* Story: engines that read at half or a tenth of the assumed speed were taken
+ * for fast ones until 160 prefills had been seen; a node sees one or two a
+ * second. */
+START_TEST (test_pace_is_learned)
+{
+  static const double paces[] = { 0.005, 0.02, 0.045, 0.2 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (paces); i++)
+    {
+      double pace = learned_pace (paces[i], 10);
+
+      ck_assert_double_ge (pace, 0.95 * paces[i]);
+      ck_assert_double_le (pace, 1.3 * paces[i]);
+      pace = learned_pace (paces[i], 300);
+      ck_assert_double_ge (pace, 0.95 * paces[i]);
+      ck_assert_double_le (pace, 1.3 * paces[i]);
+    }
+}
+END_TEST
+
 START_TEST (test_stages_of_one)
 {
   struct beryl_stages *stages = beryl_stages_create ();
@@ -526,6 +593,8 @@
   tcase_add_test (tcase, test_stages_follow_mix);
   tcase_add_test (tcase, test_stages_hold);
   tcase_add_test (tcase, test_stages_change);
+  tcase_add_test (tcase, test_stages_correct_what_was_assumed);
+  tcase_add_test (tcase, test_pace_is_learned);
   tcase_add_test (tcase, test_stages_of_one);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
