The queue of prompts is limited to what can be in time

Cause: a request got memory at a decode engine and was sent to the prefill engine with the shortest queue, however long that was. On engines that read more slowly than the planner had assumed, the queue grew to three seconds: all answers began late, and memory was reserved meanwhile.

Change: a request that the queue makes late, and that no decode engine can read for, is refused when it arrives, with a Retry-After after the queue; one that is late already waits until the queue is shorter than its own prompt. If the queue grew while room was asked for, the room is given back. prefill.c now has all about reading prompts.

--- a/libberyl/forward/backlog.c
+++ b/libberyl/forward/backlog.c
@@ -65,14 +65,17 @@
 {
   struct service *s = r->service;
   double rate = RETURN_PART * places_per_s (f, r, now_ms) / f->nodes;
+  int64_t prefill_ms = engine_prefill_wait_ms (f, r, now_ms);
   int64_t after_ms = backlog_wait_ms (f, r, now_ms);
   int64_t latest_ms = r->timeout_ms;
   int64_t slot_ms;
 
   if (latest_ms != BERYL_NEVER_MS)
     latest_ms = now_ms + (latest_ms - now_ms) / RETRY_MOST_PART;
+  if (after_ms < prefill_ms)
+    after_ms = prefill_ms;
   if (rate <= 0)
-    return NO_RUNS_RETRY_MS;
+    return after_ms > NO_RUNS_RETRY_MS ? after_ms : NO_RUNS_RETRY_MS;
   if (after_ms < RETRY_LEAST_MS)
     after_ms = RETRY_LEAST_MS;
   slot_ms = now_ms + after_ms;
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -299,6 +299,26 @@
                           made, now_ms);
 }
 
+static bool
+reads_prompts (const struct beryl_live *live, const struct request *r,
+               int64_t now_ms)
+{
+  return serves (live, r, BERYL_STAGE_PREFILL, now_ms)
+         && now_ms >= live->full_until_ms
+         && !beryl_live_avoided (live, now_ms);
+}
+
+/* What LIVE has to read, for all nodes. */
+static double
+queued_tokens (const struct beryl_forward *f, const struct beryl_live *live,
+               int64_t now_ms)
+{
+  uint32_t number = beryl_engine_number (live->info.id);
+
+  return (double)(live->prefill_tokens
+                  + book_prefilling (&f->book, number, now_ms));
+}
+
 struct beryl_live *
 engine_choose_prefill (struct beryl_forward *f, const struct request *r,
                        int64_t *wait_ms, int64_t now_ms)
@@ -311,15 +331,9 @@
   for (size_t i = 0; i < count; i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
-      uint32_t number;
 
-      if (!serves (live, r, BERYL_STAGE_PREFILL, now_ms)
-          || now_ms < live->full_until_ms || beryl_live_avoided (live, now_ms))
-        continue;
-      number = beryl_engine_number (live->info.id);
-      sample_add (f, &sample, live,
-                  (double)(live->prefill_tokens
-                           + book_prefilling (&f->book, number, now_ms)));
+      if (reads_prompts (live, r, now_ms))
+        sample_add (f, &sample, live, queued_tokens (f, live, now_ms));
     }
   best = sample_best (f, &sample, backlog_at_once (f, r, now_ms),
                       &waiting_tokens);
@@ -327,6 +341,26 @@
   return best;
 }
 
+int64_t
+engine_prefill_wait_ms (struct beryl_forward *f, const struct request *r,
+                        int64_t now_ms)
+{
+  double least_tokens = -1;
+
+  for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
+    {
+      struct beryl_live *live = beryl_lives_get (f->lives, i);
+      double tokens;
+
+      if (!reads_prompts (live, r, now_ms))
+        continue;
+      tokens = queued_tokens (f, live, now_ms);
+      if (least_tokens < 0 || tokens < least_tokens)
+        least_tokens = tokens;
+    }
+  return (int64_t)(fmax (least_tokens, 0) * r->service->prefill.ms_per_token);
+}
+
 uint32_t
 engine_runs (struct beryl_forward *f, const struct request *r, int64_t now_ms)
 {
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-/* How long a prefill's result is kept if the service does not say. */
-#define KV_HANDLE_MS 500
 /* An engine that rejects a run for which it has granted a reservation is
  * changing its stage or stopping; it is not asked for so long. */
 #define REJECTED_MS 1000
@@ -12,9 +10,6 @@
 /* An engine may be handed one KV cache so often: the second time after the
  * first engine rejected the run, for which the cache may be the reason. */
 #define KV_TRIES_MAX 2
-/* How much longer a decode engine reads, and how long it is spared after. */
-#define ALONE_FACTOR 2.0
-#define ALONE_SPACING_MS 1000
 /* Weight of the newest request in what is known of all. */
 #define MIX_WEIGHT 0.05
 
@@ -85,19 +80,6 @@
          || forward_request_take_repeat (f, r, now_ms);
 }
 
-/* A prompt is not read unless the run that follows may be sent too. */
-static bool
-prefill_allowed (struct beryl_forward *f, struct request *r, int64_t now_ms)
-{
-  uint32_t needed = (r->prefilled ? 1 : 0) + (r->runs > 0 ? 1 : 0);
-
-  if (forward_request_repeats_left (f, r, now_ms) < needed)
-    return false;
-  forward_request_take_repeats (f, r, needed, now_ms);
-  r->run_paid = r->runs > 0;
-  return true;
-}
-
 /* Reading a prompt, or a move, may take longer than an engine that leaves may
  * get work: it would reach an engine that stops any moment.  Only a run that
  * was stopped there may go back in time, since nobody else has its memory. */
@@ -112,9 +94,6 @@
   return !beryl_live_takes_work (live);
 }
 
-static void start_over (struct beryl_forward *f, struct request *r,
-                        int64_t now_ms);
-
 /* The engine with R's place does not run it. */
 static void
 place_lost (struct beryl_forward *f, struct request *r, int64_t now_ms)
@@ -124,7 +103,7 @@
     return;
   move_clear (f, r);
   place_release (f, &r->reservation, now_ms);
-  start_over (f, r, now_ms);
+  generation_start_over (f, r, now_ms);
 }
 
 void
@@ -171,133 +150,13 @@
   r->reservation.handle[0] = '\0';
 }
 
-/* How long other streams pause while an engine does nothing else for BUSY_MS:
- * until their next event, which was half made on the mean. */
-static int64_t
-stream_pause_ms (const struct request *r, int64_t busy_ms)
-{
-  return busy_ms
-         + (int64_t)(2 * r->terms->engine.event_tokens
-                     * r->service->lengths.ms_per_token);
-}
-
-/* Whether LIVE reads, or has read a moment ago, for a request of any node: two
- * in a row make its streams pause for too long. */
-static bool
-engine_reads (struct beryl_forward *f, const struct beryl_live *live,
-              int64_t now_ms)
-{
-  return now_ms - live->alone_ms < ALONE_SPACING_MS
-         || book_prefilling (&f->book, beryl_engine_number (live->info.id),
-                             now_ms)
-                > 0;
-}
-
-static int64_t
-alone_ms (const struct request *r, double tokens)
-{
-  return (int64_t)(ALONE_FACTOR * tokens * r->service->prefill.ms_per_token);
-}
-
-/* A decode engine reads a prompt at half the speed of a prefill engine, and
- * its other runs stand nearly still meanwhile.  That is worth it only if the
- * prefill engines' queue makes the request late. */
-static bool
-reads_alone (struct beryl_forward *f, const struct request *r, int64_t wait_ms,
-             int64_t now_ms)
-{
-  double read_ms = r->facts.prompt_tokens * r->service->prefill.ms_per_token;
-  int64_t left_ms = r->facts.arrived_ms + r->route->objective_ms - now_ms;
-  int64_t apart_ms = wait_ms + (int64_t)read_ms;
-  int64_t busy_ms = alone_ms (r, r->facts.prompt_tokens);
-  struct beryl_live *live = r->reservation.live;
-
-  if (apart_ms < left_ms || busy_ms >= left_ms
-      || engine_reads (f, live, now_ms)
-      || stream_pause_ms (r, busy_ms) > r->route->gap_objective_ms)
-    return false;
-  live->alone_ms = now_ms;
-  return true;
-}
-
-/* The engine that has the prompt still has to read what the caller has of the
- * answer already. */
-static bool
-goes_warm (struct beryl_forward *f, struct request *r, int64_t now_ms)
-{
-  struct beryl_live *live = r->reservation.live;
-  double resumed = (double)r->facts.last_event * r->terms->engine.event_tokens;
-
-  if (!engine_is_warm_for (r, live))
-    return false;
-  if (resumed == 0)
-    return true;
-  if (engine_reads (f, live, now_ms)
-      || stream_pause_ms (r, alone_ms (r, resumed))
-             > r->route->gap_objective_ms)
-    return false;
-  live->alone_ms = now_ms;
-  r->reads_alone = true;
-  return true;
-}
-
-/* The first accepted prefill is not counted as an arrival, later ones are. */
-static void
-prefill (struct beryl_forward *f, struct request *r, int64_t now_ms)
-{
-  struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_PREFILL };
-  int64_t wait_ms;
-  struct beryl_live *live = engine_choose_prefill (f, r, &wait_ms, now_ms);
-
-  kv_clear (f, &r->kv);
-  r->reads_alone = live == NULL || reads_alone (f, r, wait_ms, now_ms);
-  if (r->reads_alone)
-    {
-      f->runs_changed = true;
-      generation_run (f, r, now_ms);
-      return;
-    }
-  if (!prefill_allowed (f, r, now_ms))
-    {
-      forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
-      return;
-    }
-  r->phase = PHASE_PREFILLING;
-  r->due_ms = r->reservation.until_ms;
-  start.tokens = r->facts.prompt_tokens;
-  generation_exchange (f, r, &start, live, now_ms);
-  f->runs_changed = true;
-  forward_request_decided (f, r, "prefill", live, "sent", start.tokens,
-                           now_ms);
-}
-
 void
 generation_placed (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  if (kv_usable (r, now_ms) || goes_warm (f, r, now_ms))
+  if (kv_usable (r, now_ms) || prefill_is_needless (f, r, now_ms))
     generation_run (f, r, now_ms);
   else
-    prefill (f, r, now_ms);
-}
-
-static void
-prefilled (struct beryl_forward *f, struct request *r, struct exchange *x,
-           const struct beryl_engine_result *result, int64_t now_ms)
-{
-  int64_t took_ms = now_ms - x->started_ms;
-  int64_t stated_ms = r->terms->engine.kv_handle_ms;
-
-  r->kv.live = x->live;
-  r->kv.until_ms = now_ms + (stated_ms > 0 ? stated_ms : KV_HANDLE_MS);
-  memcpy (r->kv.handle, result->handle, sizeof r->kv.handle);
-  beryl_live_open (x->live);
-  forward_request_decided (f, r, "prefill", x->live, "done", took_ms, now_ms);
-  beryl_live_learn (x->live, BERYL_LIVE_ANSWERED, took_ms, now_ms);
-  if (!r->prefilled)
-    pace_learn (&r->service->prefill, x->tokens, took_ms);
-  r->prefilled = true;
-  forward_exchange_free (f, x);
-  generation_run (f, r, now_ms);
+    prefill_start (f, r, now_ms);
 }
 
 /* Whether R may be sent to one more engine, by what has happened to it. */
@@ -311,8 +170,9 @@
 
 /* Begins anew after something did not work out; what KV cache there is may
  * still serve. */
-static void
-start_over (struct beryl_forward *f, struct request *r, int64_t now_ms)
+void
+generation_start_over (struct beryl_forward *f, struct request *r,
+                       int64_t now_ms)
 {
   if (!kv_usable (r, now_ms))
     generation_release (f, r, now_ms);
@@ -326,32 +186,18 @@
 
 /* The list of endpoints shows a change of stage late, and a node that is cut
  * off from it not at all; the engine itself knows. */
-static void
-learn_stage (struct beryl_live *live)
+void
+generation_learn_stage (struct beryl_live *live)
 {
   live->info.stage = live->info.stage == BERYL_STAGE_PREFILL
                          ? BERYL_STAGE_DECODE
                          : BERYL_STAGE_PREFILL;
 }
 
-static void
-prefill_refused (struct beryl_forward *f, struct request *r,
-                 struct exchange *x, const struct beryl_engine_result *result,
-                 int64_t now_ms)
+void
+generation_rejected (struct beryl_live *live, int64_t now_ms)
 {
-  bool allowed = forward_request_take_repeat (f, r, now_ms);
-
-  forward_request_decided (f, r, "prefill", x->live,
-                           result->wrong_stage ? "wrong_stage" : "refused",
-                           result->status, now_ms);
-  x->live->full_until_ms = now_ms + REJECTED_MS;
-  if (result->wrong_stage)
-    learn_stage (x->live);
-  forward_exchange_free (f, x);
-  if (allowed)
-    start_over (f, r, now_ms);
-  else
-    forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+  live->full_until_ms = now_ms + REJECTED_MS;
 }
 
 void
@@ -373,7 +219,7 @@
   else if (x->kind == BERYL_EXCHANGE_RESERVE)
     place_refused (f, x, now_ms);
   else if (result->ok)
-    prefilled (f, r, x, result, now_ms);
+    prefill_done (f, r, x, result, now_ms);
   else
     prefill_refused (f, r, x, result, now_ms);
 }
@@ -385,7 +231,7 @@
   r->same_run = false;
   generation_run_over (f, r);
   kv_clear (f, &r->kv);
-  start_over (f, r, now_ms);
+  generation_start_over (f, r, now_ms);
 }
 
 void
@@ -407,7 +253,7 @@
       /* A prefill whose answer is lost may have been accepted; the next one
          counts as a repeat then. */
       r->prefilled = r->prefilled || sent;
-      start_over (f, r, now_ms);
+      generation_start_over (f, r, now_ms);
     }
 }
 
@@ -421,7 +267,7 @@
   if (r->kv.live != NULL && r->kv.tries >= KV_TRIES_MAX)
     engine = r->kv.live;
   if (engine != NULL)
-    engine->full_until_ms = now_ms + REJECTED_MS;
+    generation_rejected (engine, now_ms);
 }
 
 void
@@ -429,7 +275,7 @@
                     bool wrong_stage, int64_t now_ms)
 {
   if (wrong_stage && r->reservation.live != NULL)
-    learn_stage (r->reservation.live);
+    generation_learn_stage (r->reservation.live);
   blame (r, now_ms);
   place_lost (f, r, now_ms);
 }
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -45,34 +45,46 @@
   f->runs_changed = true;
 }
 
+/* When R has to have a place to be in time. */
+static int64_t
+in_time_ms (const struct request *r)
+{
+  return r->facts.arrived_ms + r->route->objective_ms - SERVICE_MS;
+}
+
 /* When R is given up unless it has found a place. */
 static int64_t
 give_up_ms (const struct request *r)
 {
-  int64_t in_time_ms
-      = r->facts.arrived_ms + r->route->objective_ms - SERVICE_MS;
-
   if (r->begun)
     return r->event_ms
            + (r->route->patience_ms > 0 ? r->route->patience_ms
                                         : RESUME_WAIT_MS);
-  if (in_time_ms > r->waiting_since_ms)
-    return in_time_ms;
+  if (in_time_ms (r) > r->waiting_since_ms)
+    return in_time_ms (r);
   return r->waiting_since_ms + LATE_WAIT_MS;
 }
 
+static void
+wait_begin (struct beryl_forward *f, struct request *r)
+{
+  if (r->waiting)
+    return;
+  r->waiting = true;
+  f->waiting_count++;
+  r->service->waiting++;
+  f->runs_changed = true;
+}
+
 void
 place_wait (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   if (!r->waiting)
     {
-      r->waiting = true;
       r->wait_told = false;
       r->waiting_since_ms = now_ms;
-      f->waiting_count++;
-      r->service->waiting++;
-      f->runs_changed = true;
     }
+  wait_begin (f, r);
   r->phase = PHASE_WAITING;
   r->refusals = 0;
   r->tried_count = 0;
@@ -100,11 +112,11 @@
          && left_ms < CHANCE_LEAST * (double)backlog_wait_ms (f, r, now_ms);
 }
 
-/* Nobody has room: sleep until the next round, or the end.  LOWEST is of
- * engine_choose_decode. */
+/* Nobody has room, and WHY with NUMBER, for the log: sleep until the next
+ * round, or the end. */
 static void
-wait_round (struct beryl_forward *f, struct request *r, double lowest,
-            int64_t now_ms)
+wait_round (struct beryl_forward *f, struct request *r, const char *why,
+            int64_t number, int64_t now_ms)
 {
   int64_t end_ms = give_up_ms (r);
 
@@ -114,11 +126,7 @@
       return;
     }
   if (!r->wait_told)
-    forward_request_decided (f, r, "wait", NULL,
-                             r->refusals > 0 ? "engines_refuse"
-                             : lowest > 0    ? "engines_full"
-                                             : "no_engine",
-                             (int64_t)(100 * lowest), now_ms);
+    forward_request_decided (f, r, "wait", NULL, why, number, now_ms);
   r->wait_told = true;
   r->phase = PHASE_WAITING;
   r->refusals = 0;
@@ -171,11 +179,20 @@
   struct beryl_live *live = NULL;
   struct engine_outlook outlook = { 0 };
 
+  if (prefill_is_behind (f, r, now_ms))
+    {
+      place_put_off (f, r, now_ms);
+      return;
+    }
   if (r->refusals < ASKED_MAX)
     live = engine_choose_decode (f, r, &outlook, now_ms);
   if (live == NULL || stands_back (f, r, outlook.places, now_ms))
     {
-      wait_round (f, r, outlook.lowest, now_ms);
+      wait_round (f, r,
+                  r->refusals > 0      ? "engines_refuse"
+                  : outlook.lowest > 0 ? "engines_full"
+                                       : "no_engine",
+                  (int64_t)(100 * outlook.lowest), now_ms);
       return;
     }
   r->phase = PHASE_RESERVING;
@@ -183,6 +200,22 @@
   r->first = place_reserve (f, r, live, now_ms);
 }
 
+/* The queue of the prefill engines is no shorter when its time has passed: a
+ * request that could be in time hears at once that it will not be.  One that
+ * is late anyway waits for a gap. */
+void
+place_put_off (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  wait_begin (f, r);
+  if (now_ms < in_time_ms (r))
+    {
+      refuse_no_room (f, r, now_ms);
+      return;
+    }
+  wait_round (f, r, "prefill_behind", engine_prefill_wait_ms (f, r, now_ms),
+              now_ms);
+}
+
 void
 place_look_again (struct beryl_forward *f, int64_t now_ms)
 {
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -30,10 +30,10 @@
   double deviation_ms; /**< its mean deviation */
   struct length_model lengths; /**< of generations */
   double prompt_tokens;        /**< mean of them */
-  struct pace prefill;                 /**< of its prefill engines */
-  uint64_t kv_tokens; /**< of one engine; 0: unknown */
-  uint32_t waiting;   /**< generations of this node without a place */
-  int64_t return_ms;  /**< when the next refused caller may come back */
+  struct pace prefill;         /**< of its prefill engines */
+  uint64_t kv_tokens;          /**< of one engine; 0: unknown */
+  uint32_t waiting;            /**< generations of this node without a place */
+  int64_t return_ms; /**< when the next refused caller may come back */
 };
 
 struct request;
@@ -238,6 +238,9 @@
 /* place.c */
 /** Have R wait for room at a decode engine, and ask for it. */
 void place_wait (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** R gave up the place that it had found: it waits on. */
+void place_put_off (struct beryl_forward *f, struct request *r,
+                    int64_t now_ms);
 /** R waits for room no more. */
 void place_wait_end (struct beryl_forward *f, struct request *r);
 /** Ask the next engine. */
@@ -304,6 +307,36 @@
 /** Forget a KV cache without telling the engine. */
 void kv_clear (struct beryl_forward *f, struct kv_cache *kv);
 
+/** Begin R anew after something did not work out; what KV cache there is may
+ * still serve. */
+void generation_start_over (struct beryl_forward *f, struct request *r,
+                            int64_t now_ms);
+/** LIVE has said that it has the other stage now. */
+void generation_learn_stage (struct beryl_live *live);
+/** LIVE has rejected what it had room for: leave it alone for a while. */
+void generation_rejected (struct beryl_live *live, int64_t now_ms);
+
+/* prefill.c */
+/** Whether R, which asks for a place, would find that its prompt cannot be
+ * read in time. */
+bool prefill_is_behind (struct beryl_forward *f, const struct request *r,
+                        int64_t now_ms);
+/** Whether the engine with R's place has its prompt already. */
+bool prefill_is_needless (struct beryl_forward *f, struct request *r,
+                          int64_t now_ms);
+/** R has a place: have its prompt read. */
+void prefill_start (struct beryl_forward *f, struct request *r,
+                    int64_t now_ms);
+/** The engine of X has read the prompt. */
+void prefill_done (struct beryl_forward *f, struct request *r,
+                   struct exchange *x,
+                   const struct beryl_engine_result *result, int64_t now_ms);
+/** The engine of X has refused to. */
+void prefill_refused (struct beryl_forward *f, struct request *r,
+                      struct exchange *x,
+                      const struct beryl_engine_result *result,
+                      int64_t now_ms);
+
 /* stream.c */
 /** Return when R's stream is to be looked at again. */
 int64_t stream_due_ms (const struct request *r);
@@ -425,6 +458,10 @@
 struct beryl_live *engine_choose_prefill (struct beryl_forward *f,
                                           const struct request *r,
                                           int64_t *wait_ms, int64_t now_ms);
+/** Return how long the prefill engine with the shortest queue is busy; 0:
+ * there is none. */
+int64_t engine_prefill_wait_ms (struct beryl_forward *f,
+                                const struct request *r, int64_t now_ms);
 /** Describe R's run at its engine. */
 void engine_describe_run (const struct request *r, int64_t now_ms,
                           struct beryl_engine_run *run);
--- a/tests/forward/test_generation.c
+++ b/tests/forward/test_generation.c
@@ -645,6 +645,92 @@
 }
 END_TEST
 
+/* A peer tells that PREFILL has COUNT prompts of 1,000 tokens to read. */
+static void
+tell_queue (const char *prefill, size_t count)
+{
+  struct beryl_engine_run runs[64] = { 0 };
+
+  for (size_t i = 0; i < count; i++)
+    runs[i] = (struct beryl_engine_run){
+      .engine = beryl_engine_number ("elsewhere"),
+      .prefill_engine = beryl_engine_number (prefill),
+      .prompt_tokens = 1000,
+      .expected_tokens = 1000,
+    };
+  beryl_forward_peer_runs (fx.forward, "peer", runs, count, fx.now_ms);
+}
+
+/* Opens a system with one prefill engine, whose decode engines cannot read
+ * prompts themselves without stopping their streams for too long. */
+static void
+one_reader (void)
+{
+  terms.route.gap_objective_ms = 50;
+  reopen ();
+  engines (1, 3);
+}
+
+/* Story: engines read more slowly than prompts came.  All were sent there at
+ * once; the queue grew to three seconds, every answer began late, and memory
+ * stood reserved meanwhile.  A request whose turn would come too late is
+ * refused when it arrives, and told to come back after the queue. */
+START_TEST (test_queue_of_prompts_is_limited)
+{
+  one_reader ();
+  tell_queue ("p0", 60);
+  fx_arrive (&fx, 1);
+  ck_assert (answer (1)->refused);
+  ck_assert_uint_eq (answer (1)->refusal.status, 503);
+  ck_assert (answer (1)->refusal.not_run);
+  ck_assert_int_ge (answer (1)->refusal.retry_after_ms, 1200);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RESERVE), 0);
+}
+END_TEST
+
+START_TEST (test_short_queue_of_prompts)
+{
+  one_reader ();
+  tell_queue ("p0", 20);
+  fx_arrive (&fx, 1);
+  fx_to_run (&fx, 1);
+}
+END_TEST
+
+/* One that comes back late takes the room that those in time leave: it waits
+ * for a short queue, and is not sent behind a long one. */
+START_TEST (test_late_request_waits_for_a_short_queue)
+{
+  struct beryl_forward_request late;
+
+  one_reader ();
+  tell_queue ("p0", 20);
+  late = fx_facts (&fx, 1);
+  late.arrived_ms = fx.now_ms - 2000;
+  beryl_forward_arrived (fx.forward, &late, fx.now_ms);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RESERVE), 0);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  tell_queue ("p0", 1);
+  fx_pass (&fx, 200);
+  fx_to_run (&fx, 1);
+}
+END_TEST
+
+/* The queue grows while room is asked for.  The room is given back at once:
+ * nothing would use it before it is too late. */
+START_TEST (test_queue_grows_while_room_is_asked_for)
+{
+  one_reader ();
+  fx_arrive (&fx, 1);
+  tell_queue ("p0", 60);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  ck_assert (answer (1)->refused);
+  ck_assert (answer (1)->refusal.not_run);
+  ck_assert_str_eq (fx_last (&fx, BERYL_EXCHANGE_UNRESERVE)->handle, "place");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 0);
+}
+END_TEST
+
 /* Brings request 1 to where its engine has stopped it for want of memory;
  * returns its run. */
 static struct fx_exchange *
@@ -996,6 +1082,10 @@
   tcase_add_test (tcase, test_engine_goes_while_prompt_is_read);
   tcase_add_test (tcase, test_stopped_run_returns_to_leaving_engine);
   tcase_add_test (tcase, test_stopped_run_does_not_return_late);
+  tcase_add_test (tcase, test_queue_of_prompts_is_limited);
+  tcase_add_test (tcase, test_short_queue_of_prompts);
+  tcase_add_test (tcase, test_late_request_waits_for_a_short_queue);
+  tcase_add_test (tcase, test_queue_grows_while_room_is_asked_for);
   tcase_add_test (tcase, test_preempted);
   tcase_add_test (tcase, test_preempted_without_room);
   tcase_add_test (tcase, test_preempted_goes_on);
