Nodes tell each other which endpoints are replaced or cannot be reached

Cause: entries of ended engines stay listed for some three seconds. With 64 nodes each calls an engine about once in that time, so that every node found out by itself, at the price of a repeat (421: another process has the address) or of a connection's 150 ms.

Change: an answer of another process at an endpoint's address proves that the endpoint has ended; it is told to all nodes and nobody asks it again. Endpoints that did not accept a connection are told too; they are avoided for half a second once two peers say so, unless this node had an answer a moment ago, or the peer cannot reach a third of all endpoints (then it is cut off itself). The news travel in the datagrams that nodes send anyway.

Tests: tests/forward/test_news.c (test_replaced and test_dark_engine failed with the news ignored), tests/wire/test_loads.c, fuzz_loads compares them.

--- a/fuzz/fuzz_loads.c
+++ b/fuzz/fuzz_loads.c
@@ -23,7 +23,7 @@
   if (frame == NULL || !loads_read (frame, &again)
       || strcmp (again.from, message->from) != 0
       || again.run_count != message->run_count
-      || again.changing_count != message->changing_count
+      || memcmp (&again.news, &message->news, sizeof again.news) != 0
       || memcmp (again.runs, message->runs, sizeof again.runs) != 0)
     abort ();
   frame_destroy (frame);
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -40,9 +40,6 @@
 /* Changes of this node's runs are told together, so often at most.  Others
  * place a request every few tens of milliseconds. */
 #define TELL_DELAY_MS 30
-/* An engine that somebody said is changing is left alone for so long; it is
- * said again while the change goes on. */
-#define CHANGING_MS 2000
 
 /* Callers' bodies may take that part of the memory. */
 #define BODIES_PART 4
@@ -202,6 +199,15 @@
           d->endpoint_revision);
 }
 
+static void
+forward_learned (struct beryl_forward_owner *owner,
+                 const struct beryl_live *live, const char *what,
+                 const char *from)
+{
+  g_info ("endpoint id=%s revision=%" G_GUINT64_FORMAT " %s from=%s",
+          live->info.id, live->info.revision, what, from);
+}
+
 static const struct beryl_forward_owner_impl forward_impl = {
   .start = forward_start_exchange,
   .abort = forward_abort,
@@ -212,6 +218,7 @@
   .answer_cut = forward_cut,
   .refuse = forward_refuse,
   .decided = forward_decided,
+  .learned = forward_learned,
 };
 
 static void
@@ -342,12 +349,12 @@
 }
 
 static void
-members_changing (struct members_owner *owner, uint32_t engine)
+members_news (struct members_owner *owner, const char *peer,
+              const struct beryl_endpoint_news *news)
 {
   struct gateway *g = of_members (owner);
 
-  beryl_forward_engine_changing (g->forward, engine, CHANGING_MS,
-                                 loop_now_ms (g->loop));
+  beryl_forward_peer_news (g->forward, peer, news, loop_now_ms (g->loop));
 }
 
 static void
@@ -375,7 +382,7 @@
   .count_changed = members_count_changed,
   .loads = members_loads,
   .endpoint_revision = members_endpoint_revision,
-  .changing = members_changing,
+  .news = members_news,
   .peer_gone = members_peer_gone,
   .tell_due = members_tell_due,
   .configuration = members_configuration,
@@ -420,16 +427,15 @@
   size_t count = beryl_forward_runs (g->forward, runs, BERYL_ENGINE_RUNS_MAX,
                                      loop_now_ms (g->loop));
 
-  uint32_t changing[LOADS_CHANGING_MAX];
-  size_t changing_count
-      = planner_changing (g->planner, changing, LOADS_CHANGING_MAX);
+  struct beryl_endpoint_news news = { 0 };
 
   loop_timer_stop (g->tell);
   g->tell = NULL;
-  for (size_t i = 0; i < changing_count; i++)
-    beryl_forward_engine_changing (g->forward, changing[i], CHANGING_MS,
-                                   loop_now_ms (g->loop));
-  members_tell_loads (g->members, runs, count, changing, changing_count);
+  planner_changing (g->planner, &news.changing);
+  beryl_forward_peer_news (g->forward, g->settings.node, &news,
+                           loop_now_ms (g->loop));
+  beryl_forward_news (g->forward, &news, loop_now_ms (g->loop));
+  members_tell_loads (g->members, runs, count, &news);
 }
 
 static void
@@ -437,9 +443,10 @@
 {
   struct gateway *g = user;
 
-  uint32_t changing;
+  struct beryl_endpoint_set changing = { 0 };
 
-  if (planner_changing (g->planner, &changing, 1) > 0 && g->tell == NULL)
+  planner_changing (g->planner, &changing);
+  if (changing.count > 0 && g->tell == NULL)
     g->tell = loop_timer_start (g->loop, TELL_DELAY_MS, 0, tell, g);
   beryl_forward_set_isolated (g->forward, members_isolated (g->members));
   set_watch_wait (g);
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -217,8 +217,7 @@
   m->owner->impl->loads (m->owner, message.from, message.runs,
                          message.run_count);
   m->owner->impl->endpoint_revision (m->owner, message.endpoint_revision);
-  for (size_t i = 0; i < message.changing_count; i++)
-    m->owner->impl->changing (m->owner, message.changing[i]);
+  m->owner->impl->news (m->owner, message.from, &message.news);
 }
 
 static void
@@ -475,14 +474,11 @@
 
 void
 members_tell_loads (struct members *m, const struct beryl_engine_run *runs,
-                    size_t count, const uint32_t *changing,
-                    size_t changing_count)
+                    size_t count, const struct beryl_endpoint_news *news)
 {
   m->loads.run_count = MIN (count, (size_t)BERYL_ENGINE_RUNS_MAX);
   memcpy (m->loads.runs, runs, m->loads.run_count * sizeof *runs);
-  m->loads.changing_count = MIN (changing_count, (size_t)LOADS_CHANGING_MAX);
-  memcpy (m->loads.changing, changing,
-          m->loads.changing_count * sizeof *changing);
+  m->loads.news = *news;
   send_loads (m);
 }
 
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -29,8 +29,9 @@
                  const struct beryl_engine_run *runs, size_t count);
   /** A peer has seen changes of endpoints up to REVISION. */
   void (*endpoint_revision) (struct members_owner *owner, uint64_t revision);
-  /** A peer has ordered ENGINE to another stage. */
-  void (*changing) (struct members_owner *owner, uint32_t engine);
+  /** PEER has found out NEWS about endpoints. */
+  void (*news) (struct members_owner *owner, const char *peer,
+                const struct beryl_endpoint_news *news);
   /** PEER has gone, and its runs with it. */
   void (*peer_gone) (struct members_owner *owner, const char *peer);
   /** Nothing was told for a while: call members_tell_loads, since peers take
@@ -74,11 +75,10 @@
 /** A planned stop has begun. */
 void members_leave (struct members *members);
 
-/** Tell the peers all runs of this node, and the engines that it has ordered
- * to another stage. */
+/** Tell the peers all runs of this node, and NEWS about endpoints. */
 void members_tell_loads (struct members *members,
                          const struct beryl_engine_run *runs, size_t count,
-                         const uint32_t *changing, size_t changing_count);
+                         const struct beryl_endpoint_news *news);
 
 /** This node has seen changes of endpoints up to REVISION. */
 void members_set_endpoint_revision (struct members *members,
--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -307,18 +307,15 @@
   stored_lease_want (p->lease, stands || stored_lease_held (p->lease, NULL));
 }
 
-size_t
-planner_changing (const struct planner *p, uint32_t *numbers, size_t most)
+void
+planner_changing (const struct planner *p, struct beryl_endpoint_set *set)
 {
-  size_t count = MIN (p->pending->len, most);
-
-  for (size_t i = 0; i < count; i++)
+  for (guint i = 0; i < p->pending->len; i++)
     {
       const struct pending *pending = g_ptr_array_index (p->pending, i);
 
-      numbers[i] = beryl_engine_number (pending->id);
+      beryl_endpoint_set_add (set, beryl_engine_number (pending->id));
     }
-  return count;
 }
 
 bool
--- a/gatewayd/planner.h
+++ b/gatewayd/planner.h
@@ -24,10 +24,10 @@
 /** Release; NULL is allowed. */
 void planner_destroy (struct planner *planner);
 
-/** Write the numbers of engines whose orders are being carried out, as far as
- * this node gave them; returns how many. */
-size_t planner_changing (const struct planner *planner, uint32_t *numbers,
-                         size_t most);
+/** Add to SET the engines whose orders are being carried out, as far as this
+ * node gave them. */
+void planner_changing (const struct planner *planner,
+                       struct beryl_endpoint_set *set);
 
 /** Whether this node holds the lease. */
 bool planner_holds (const struct planner *planner);
--- a/include/beryl/engine_load.h
+++ b/include/beryl/engine_load.h
@@ -32,4 +32,29 @@
 /** Most runs in one message; a node with more tells the newest. */
 #define BERYL_ENGINE_RUNS_MAX 128
 
+/** Most endpoints of one kind in one message; what is left out is told with
+ * the next one. */
+#define BERYL_ENDPOINT_SET_MAX 64
+
+/** Numbers of endpoints (beryl_engine_number). */
+struct beryl_endpoint_set
+{
+  uint32_t numbers[BERYL_ENDPOINT_SET_MAX];
+  size_t count;
+};
+
+/** What a node knows of endpoints before the list of them shows it. */
+struct beryl_endpoint_news
+{
+  /** Engines that it has ordered to another stage. */
+  struct beryl_endpoint_set changing;
+  /** Their addresses are used by another process: they have ended. */
+  struct beryl_endpoint_set replaced;
+  /** They did not accept a connection of it a moment ago. */
+  struct beryl_endpoint_set unreachable;
+};
+
+/** Add NUMBER unless SET is full. */
+void beryl_endpoint_set_add (struct beryl_endpoint_set *set, uint32_t number);
+
 #endif
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -153,6 +153,11 @@
   /** Something was decided; may be NULL. */
   void (*decided) (struct beryl_forward_owner *owner,
                    const struct beryl_decision *decision);
+  /** WHAT is believed of ENDPOINT from now on, before the list shows it; FROM
+   * is the peer who told, or "own call".  May be NULL. */
+  void (*learned) (struct beryl_forward_owner *owner,
+                   const struct beryl_live *endpoint, const char *what,
+                   const char *from);
 };
 
 /** The owner; the first member selects the implementation. */
@@ -280,11 +285,13 @@
                               const struct beryl_engine_run *runs,
                               size_t count, int64_t now_ms);
 
-/** The engine with NUMBER (beryl_engine_number) was ordered to another stage:
- * it gets no new work for FOR_MS. */
-void beryl_forward_engine_changing (struct beryl_forward *forward,
-                                    uint32_t number, int64_t for_ms,
-                                    int64_t now_ms);
+/** Add to NEWS what this node found out about endpoints by its own calls, and
+ * take what PEER (also this node itself) tells. */
+void beryl_forward_news (const struct beryl_forward *forward,
+                         struct beryl_endpoint_news *news, int64_t now_ms);
+void beryl_forward_peer_news (struct beryl_forward *forward, const char *peer,
+                              const struct beryl_endpoint_news *news,
+                              int64_t now_ms);
 
 /** PEER has gone, and its generations with it. */
 void beryl_forward_peer_gone (struct beryl_forward *forward, const char *peer);
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -47,7 +47,15 @@
   /** Its entry has lapsed with an outage of the list; it counts as gone from
    * then on unless it is back.  0: not so. */
   int64_t lapsed_until_ms;
-  int64_t left_ms; /**< when it was first known to leave; 0: it does not */
+  /** When an answer showed that another process has its address, which proves
+   * that this one has ended; 0: none did. */
+  int64_t replaced_ms;
+  int64_t unreachable_ms; /**< last connection of this node that it did not
+                             accept; 0: none since an answer */
+  int64_t answered_ms;    /**< last answer to this node; 0: none */
+  uint32_t doubted_by; /**< the peer that could not reach it last; a number */
+  int64_t doubted_ms;  /**< when that was told */
+  int64_t left_ms;     /**< when it was first known to leave; 0: it does not */
   int64_t
       changing_until_ms; /**< an engine that was ordered to another stage */
   uint32_t open;         /**< exchanges of this node */
@@ -137,6 +145,16 @@
                        enum beryl_live_outcome outcome, int64_t took_ms,
                        int64_t now_ms);
 
+/** Another process has answered at LIVE's address. */
+void beryl_live_replaced (struct beryl_live *live, int64_t now_ms);
+
+/** LIVE did not accept a connection of this node. */
+void beryl_live_unreachable (struct beryl_live *live, int64_t now_ms);
+
+/** The peer with number BY could not reach LIVE a moment ago.  True if LIVE is
+ * avoided because of that from now on. */
+bool beryl_live_doubt (struct beryl_live *live, uint32_t by, int64_t now_ms);
+
 /** Whether LIVE is avoided at present, and whether a trial of it is due. */
 bool beryl_live_avoided (const struct beryl_live *live, int64_t now_ms);
 bool beryl_live_trial_due (const struct beryl_live *live, int64_t now_ms);
--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -1,6 +1,6 @@
 /** @file
- * Datagram with all generations that a node has at engines; it replaces what
- * the node told before.
+ * Datagram with all generations that a node has at engines, which replaces
+ * what the node told before, and what it found out about endpoints.
  */
 #ifndef WIRE_LOADS_H
 #define WIRE_LOADS_H
@@ -12,9 +12,6 @@
 /** Frame type; other datagrams are of enum gossip_frame. */
 #define LOADS_DATAGRAM 48
 
-/** Most engines that may be changing at a time. */
-#define LOADS_CHANGING_MAX 64
-
 /** The message. */
 struct loads_message
 {
@@ -24,9 +21,7 @@
   uint64_t sequence;          /**< grows with each message of an incarnation */
   struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
   size_t run_count;
-  /** Engines that this node has ordered to another stage. */
-  uint32_t changing[LOADS_CHANGING_MAX];
-  size_t changing_count;
+  struct beryl_endpoint_news news;
 };
 
 /** Begin a frame in WRITER and put MESSAGE into it. */
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -18,8 +18,7 @@
                            wrong_stage ? "wrong_stage" : "not_run",
                            x->head.status, now_ms);
   if (x->head.misdirected)
-    beryl_live_learn (x->live, BERYL_LIVE_FAILED, now_ms - x->started_ms,
-                      now_ms);
+    news_replaced (f, x->live, now_ms);
   forward_exchange_abort (f, x);
   if (forward_request_is_generation (r))
     generation_not_run (f, r, wrong_stage, now_ms);
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -399,19 +399,6 @@
   prompts_note (&f->prompts, key, engine, now_ms);
 }
 
-void
-beryl_forward_engine_changing (struct beryl_forward *f, uint32_t number,
-                               int64_t for_ms, int64_t now_ms)
-{
-  for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
-    {
-      struct beryl_live *live = beryl_lives_get (f->lives, i);
-
-      if (beryl_engine_number (live->info.id) == number)
-        live->changing_until_ms = now_ms + for_ms;
-    }
-}
-
 void
 beryl_forward_peer_gone (struct beryl_forward *f, const char *peer)
 {
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -405,6 +405,8 @@
 
   if (x == NULL)
     return;
+  if (how == BERYL_BREAK_CONNECT)
+    news_unreachable (f, x->live, now_ms);
   beryl_live_learn (x->live,
                     how == BERYL_BREAK_CONNECT ? BERYL_LIVE_SILENT
                                                : BERYL_LIVE_BROKE,
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -206,6 +206,8 @@
 {
   struct request *r = x->request;
 
+  if (result->misdirected)
+    news_replaced (f, x->live, now_ms);
   if (r == NULL)
     {
       if (x->kind == BERYL_EXCHANGE_RESERVE && result->ok)
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -22,6 +22,10 @@
  * others are not busy, and its recovery would not be seen. */
 #define TRIAL_MS 500
 
+/* What peers say of an endpoint that they cannot reach, and what this node has
+ * seen of it itself, counts for so long. */
+#define DOUBT_MS 1000
+
 /* The list is confirmed every two seconds or so; after a longer silence it was
  * away, or this node was. */
 #define AWAY_MS 3000
@@ -213,7 +217,7 @@
 bool
 beryl_live_takes_work (const struct beryl_live *live)
 {
-  return !live->gone && !live->info.leaving;
+  return !live->gone && !live->info.leaving && live->replaced_ms == 0;
 }
 
 bool
@@ -221,7 +225,8 @@
                         const struct beryl_live *live, int64_t now_ms)
 {
   return beryl_live_takes_work (live)
-         || now_ms < live->left_ms + keep_ms (lives);
+         || (live->left_ms != 0 && live->replaced_ms == 0
+             && now_ms < live->left_ms + keep_ms (lives));
 }
 
 bool
@@ -266,6 +271,8 @@
     {
       live->faults = 0;
       live->fault_ms = 0;
+      live->unreachable_ms = 0;
+      live->answered_ms = now_ms;
       if (live->answer_ms == 0)
         live->answer_ms = (double)took_ms;
       live->answer_ms += TIME_WEIGHT * ((double)took_ms - live->answer_ms);
@@ -280,6 +287,42 @@
     live->avoid_until_ms = now_ms + avoid_ms (live);
 }
 
+void
+beryl_live_replaced (struct beryl_live *live, int64_t now_ms)
+{
+  if (live->replaced_ms == 0)
+    live->replaced_ms = now_ms;
+}
+
+void
+beryl_live_unreachable (struct beryl_live *live, int64_t now_ms)
+{
+  live->unreachable_ms = now_ms;
+}
+
+/* With many nodes each calls an endpoint seldom, and would find out by itself
+ * that it is dead long after the first ones.  One node alone may be cut off
+ * from what others reach, so that two must say so, and what this node has seen
+ * itself goes before it. */
+bool
+beryl_live_doubt (struct beryl_live *live, uint32_t by, int64_t now_ms)
+{
+  bool again = live->doubted_ms != 0 && live->doubted_by != by
+               && now_ms - live->doubted_ms < DOUBT_MS;
+  bool was_avoided = beryl_live_avoided (live, now_ms);
+
+  if (live->answered_ms != 0 && now_ms - live->answered_ms < DOUBT_MS)
+    return false;
+  live->doubted_by = by;
+  live->doubted_ms = now_ms;
+  if (!again)
+    return false;
+  if (live->avoid_until_ms < now_ms + AVOID_MS)
+    live->avoid_until_ms = now_ms + AVOID_MS;
+  live->trial_ms = now_ms;
+  return !was_avoided;
+}
+
 /* Lapsed entries are kept because an outage of the list makes those of healthy
  * endpoints lapse too.  One that has failed as well is gone: asked for room
  * again and again, two such engines took half of the time that requests had
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -175,6 +175,14 @@
 void forward_exchange_disown (struct beryl_forward *f, struct request *r,
                               struct exchange *x);
 
+/* news.c */
+/** An answer showed that another process has LIVE's address. */
+void news_replaced (struct beryl_forward *f, struct beryl_live *live,
+                    int64_t now_ms);
+/** LIVE did not accept a connection. */
+void news_unreachable (struct beryl_forward *f, struct beryl_live *live,
+                       int64_t now_ms);
+
 /* request.c */
 /** Begin ROUTE's terms for FACTS, which are copied. */
 struct request *forward_request_new (struct beryl_forward *f,
--- a/tests/forward/test_generation.c
+++ b/tests/forward/test_generation.c
@@ -902,10 +902,11 @@
  * list does not show it yet. */
 START_TEST (test_changing_engine)
 {
-  beryl_forward_engine_changing (fx.forward, beryl_engine_number ("d0"), 5000,
-                                 fx.now_ms);
-  beryl_forward_engine_changing (fx.forward, beryl_engine_number ("d1"), 5000,
-                                 fx.now_ms);
+  struct beryl_endpoint_news news = { 0 };
+
+  beryl_endpoint_set_add (&news.changing, beryl_engine_number ("d0"));
+  beryl_endpoint_set_add (&news.changing, beryl_engine_number ("d1"));
+  beryl_forward_peer_news (fx.forward, "planner", &news, fx.now_ms);
   for (uint64_t i = 1; i <= 5; i++)
     {
       fx_arrive (&fx, i);
--- /dev/null
+++ b/tests/forward/test_news.c
@@ -0,0 +1,221 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "fixture.h"
+
+/* Nodes that tell each other what they found out about endpoints. */
+
+#define NODES 3
+#define ENGINES 8
+
+static struct fx *nodes[NODES];
+static uint64_t requests;
+
+static void
+setup (void)
+{
+  struct fx_terms terms = fx_model_terms ();
+  char id[16];
+
+  requests = 0;
+  for (int n = 0; n < NODES; n++)
+    {
+      nodes[n] = g_new0 (struct fx, 1);
+      fx_open_seeded (nodes[n], &terms, (uint64_t)n + 1);
+      fx_endpoint (nodes[n], "p0", BERYL_STAGE_PREFILL);
+      for (int i = 0; i < ENGINES; i++)
+        {
+          g_snprintf (id, sizeof id, "d%d", i);
+          fx_endpoint (nodes[n], id, BERYL_STAGE_DECODE);
+        }
+    }
+}
+
+static void
+teardown (void)
+{
+  for (int n = 0; n < NODES; n++)
+    {
+      fx_close (nodes[n]);
+      g_free (nodes[n]);
+    }
+}
+
+static void
+tell (int from, int to)
+{
+  struct beryl_endpoint_news news = { 0 };
+  char name[16];
+
+  g_snprintf (name, sizeof name, "node-%d", from);
+  beryl_forward_news (nodes[from]->forward, &news, nodes[from]->now_ms);
+  beryl_forward_peer_news (nodes[to]->forward, name, &news, nodes[to]->now_ms);
+}
+
+/* Node N's next request; returns its question for room. */
+static struct fx_exchange *
+asks (int n)
+{
+  struct fx_exchange *x;
+
+  fx_arrive (nodes[n], ++requests);
+  x = fx_open_of (nodes[n], requests, BERYL_EXCHANGE_RESERVE);
+  ck_assert_ptr_nonnull (x);
+  return x;
+}
+
+/* Sends requests to node N until it asks ENGINE for room; the others get
+ * theirs. */
+static struct fx_exchange *
+asks_for (int n, const char *engine)
+{
+  for (int i = 0; i < 200; i++)
+    {
+      struct fx_exchange *x = asks (n);
+
+      if (strcmp (x->endpoint, engine) == 0)
+        return x;
+      fx_refused (nodes[n], x);
+      fx_pass (nodes[n], 5000);
+    }
+  ck_abort_msg ("never asked %s", engine);
+  return NULL;
+}
+
+/* Whether node N asks ENGINE in one of many rounds within a few
+ * milliseconds. */
+static bool
+still_asks (int n, const char *engine)
+{
+  for (int i = 0; i < 100; i++)
+    {
+      struct fx_exchange *x = asks (n);
+
+      if (strcmp (x->endpoint, engine) == 0)
+        return true;
+      beryl_forward_caller_gone (nodes[n]->forward, requests,
+                                 nodes[n]->now_ms);
+    }
+  return false;
+}
+
+/* Node N cannot connect to ENGINE. */
+static void
+fails_at (int n, const char *engine)
+{
+  fx_broken (nodes[n], asks_for (n, engine), BERYL_BREAK_CONNECT, false);
+}
+
+/* Story: an engine crashed and was back under a new id at the same address.
+ * Its old entry stayed listed for three seconds, and each of 64 nodes sent
+ * requests there until it had been told itself that it met another process:
+ * each cost one of the few repeats, and callers were refused for want of
+ * them.  One such answer proves the old engine's end to all nodes. */
+START_TEST (test_replaced)
+{
+  struct beryl_engine_result misdirected
+      = { .status = 421, .not_run = true, .misdirected = true };
+
+  ck_assert (still_asks (0, "d3"));
+  ck_assert (still_asks (1, "d3"));
+  fx_result (nodes[0], asks_for (0, "d3"), &misdirected);
+  ck_assert (!still_asks (0, "d3"));
+  tell (0, 1);
+  ck_assert (!still_asks (1, "d3"));
+  fx_pass (nodes[1], 60000);
+  ck_assert (!still_asks (1, "d3"));
+}
+END_TEST
+
+/* Entries of ended engines may be written once more by a beat that was on its
+ * way.  The proof goes before that. */
+START_TEST (test_late_entry_of_replaced)
+{
+  struct beryl_engine_result misdirected
+      = { .status = 421, .not_run = true, .misdirected = true };
+
+  fx_result (nodes[0], asks_for (0, "d3"), &misdirected);
+  fx_endpoint (nodes[0], "d3", BERYL_STAGE_DECODE);
+  ck_assert (!still_asks (0, "d3"));
+}
+END_TEST
+
+/* Story: a fifth of the engines went dark.  A node with one request a second
+ * lost 150 ms to each of them on its own.  Two nodes that could not connect
+ * are believed. */
+START_TEST (test_dark_engine)
+{
+  fails_at (0, "d3");
+  tell (0, 2);
+  ck_assert (still_asks (2, "d3"));
+  nodes[1]->now_ms = nodes[0]->now_ms;
+  fails_at (1, "d3");
+  tell (1, 2);
+  ck_assert (!still_asks (2, "d3"));
+  fx_pass (nodes[2], 3000);
+  ck_assert (still_asks (2, "d3"));
+}
+END_TEST
+
+/* One node that says so twice may only be cut off itself. */
+START_TEST (test_one_node_is_not_believed)
+{
+  fails_at (0, "d3");
+  tell (0, 2);
+  tell (0, 2);
+  ck_assert (still_asks (2, "d3"));
+}
+END_TEST
+
+/* What this node has seen a moment ago goes before what others say. */
+START_TEST (test_own_answer_counts_more)
+{
+  struct beryl_live *live;
+
+  fails_at (0, "d3");
+  fails_at (1, "d3");
+  live = beryl_lives_find (nodes[2]->lives, "d3");
+  beryl_live_learn (live, BERYL_LIVE_ANSWERED, 10, nodes[2]->now_ms);
+  tell (0, 2);
+  tell (1, 2);
+  ck_assert (still_asks (2, "d3"));
+}
+END_TEST
+
+/* Two nodes are cut off from all engines.  If the others believed them, nobody
+ * would be served any more. */
+START_TEST (test_cut_nodes_are_not_believed)
+{
+  struct beryl_endpoint_news all = { 0 };
+  char id[16];
+
+  for (int i = 0; i < ENGINES; i++)
+    {
+      g_snprintf (id, sizeof id, "d%d", i);
+      beryl_endpoint_set_add (&all.unreachable, beryl_engine_number (id));
+    }
+  beryl_forward_peer_news (nodes[2]->forward, "node-0", &all,
+                           nodes[2]->now_ms);
+  beryl_forward_peer_news (nodes[2]->forward, "node-1", &all,
+                           nodes[2]->now_ms);
+  asks (2);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("news of endpoints");
+  TCase *tcase = tcase_create ("news");
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_replaced);
+  tcase_add_test (tcase, test_late_entry_of_replaced);
+  tcase_add_test (tcase, test_dark_engine);
+  tcase_add_test (tcase, test_one_node_is_not_believed);
+  tcase_add_test (tcase, test_own_answer_counts_more);
+  tcase_add_test (tcase, test_cut_nodes_are_not_believed);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/wire/test_loads.c
@@ -0,0 +1,101 @@
+#include <string.h>
+
+#include "../suite.h"
+#include "wire/loads.h"
+
+/* Writes MESSAGE and reads it again; false if that fails. */
+static bool
+pass (const struct loads_message *message, struct loads_message *again)
+{
+  struct frame_writer *writer = frame_writer_create (LOADS_DATAGRAM);
+  size_t count;
+  const void *bytes;
+  struct frame *frame;
+  bool read;
+
+  loads_put (writer, message);
+  bytes = frame_writer_finish (writer, &count);
+  frame = frame_parse (bytes, count, NULL);
+  read = frame != NULL && loads_read (frame, again);
+  frame_destroy (frame);
+  frame_writer_destroy (writer);
+  return read;
+}
+
+START_TEST (test_round_trip)
+{
+  static struct loads_message message, again;
+
+  strcpy (message.from, "node-1");
+  message.incarnation = 7;
+  message.sequence = 9;
+  message.endpoint_revision = 11;
+  message.run_count = 2;
+  message.runs[0] = (struct beryl_engine_run){ .engine = 5,
+                                               .prompt_tokens = 4000,
+                                               .expected_tokens = 300,
+                                               .made_tokens = 20,
+                                               .started = true,
+                                               .prompt_key = 77 };
+  message.runs[1]
+      = (struct beryl_engine_run){ .service = 3, .prompt_tokens = 10 };
+  for (uint32_t i = 0; i < BERYL_ENDPOINT_SET_MAX; i++)
+    beryl_endpoint_set_add (&message.news.unreachable, i + 1);
+  beryl_endpoint_set_add (&message.news.changing, UINT32_MAX);
+  beryl_endpoint_set_add (&message.news.replaced, 1);
+  beryl_endpoint_set_add (&message.news.replaced, 2);
+  ck_assert (pass (&message, &again));
+  ck_assert_mem_eq (&again, &message, sizeof message);
+}
+END_TEST
+
+/* What does not fit is left out, not written past the end. */
+START_TEST (test_full_set)
+{
+  struct beryl_endpoint_set set = { 0 };
+
+  for (uint32_t i = 0; i < 2 * BERYL_ENDPOINT_SET_MAX; i++)
+    beryl_endpoint_set_add (&set, i);
+  ck_assert_uint_eq (set.count, BERYL_ENDPOINT_SET_MAX);
+  ck_assert_uint_eq (set.numbers[BERYL_ENDPOINT_SET_MAX - 1],
+                     BERYL_ENDPOINT_SET_MAX - 1);
+}
+END_TEST
+
+/* A message with more endpoints than a set holds is not a node's. */
+START_TEST (test_too_many)
+{
+  static struct loads_message again;
+  struct frame_writer *writer = frame_writer_create (LOADS_DATAGRAM);
+  struct frame *frame;
+  const void *bytes;
+  size_t count;
+
+  frame_put_string (writer, 1, "node-1");
+  frame_put_uint (writer, 2, 1);
+  frame_put_uint (writer, 3, 1);
+  frame_put_array (writer, 8);
+  for (uint32_t i = 0; i <= BERYL_ENDPOINT_SET_MAX; i++)
+    frame_put_uint (writer, 0, i);
+  frame_put_end (writer);
+  bytes = frame_writer_finish (writer, &count);
+  frame = frame_parse (bytes, count, NULL);
+  ck_assert_ptr_nonnull (frame);
+  ck_assert (!loads_read (frame, &again));
+  frame_destroy (frame);
+  frame_writer_destroy (writer);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("loads");
+  TCase *tcase = tcase_create ("loads");
+
+  tcase_add_test (tcase, test_round_trip);
+  tcase_add_test (tcase, test_full_set);
+  tcase_add_test (tcase, test_too_many);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -11,12 +11,26 @@
   FIELD_CHANGING,
   FIELD_ENDPOINT_REVISION,
   FIELD_PROMPTS, /* in the order of the runs */
+  FIELD_REPLACED,
+  FIELD_UNREACHABLE,
 };
 
 /* A run is six numbers in a row: small ones take a byte or two each, a map
  * with keys would double them. */
 #define NUMBERS_PER_RUN 6
 
+static void
+put_set (struct frame_writer *writer, enum field field,
+         const struct beryl_endpoint_set *set)
+{
+  if (set->count == 0)
+    return;
+  frame_put_array (writer, field);
+  for (size_t i = 0; i < set->count; i++)
+    frame_put_uint (writer, 0, set->numbers[i]);
+  frame_put_end (writer);
+}
+
 void
 loads_put (struct frame_writer *writer, const struct loads_message *message)
 {
@@ -45,12 +59,9 @@
   for (size_t i = 0; i < message->run_count; i++)
     frame_put_uint (writer, 0, message->runs[i].prompt_key);
   frame_put_end (writer);
-  if (message->changing_count == 0)
-    return;
-  frame_put_array (writer, FIELD_CHANGING);
-  for (size_t i = 0; i < message->changing_count; i++)
-    frame_put_uint (writer, 0, message->changing[i]);
-  frame_put_end (writer);
+  put_set (writer, FIELD_CHANGING, &message->news.changing);
+  put_set (writer, FIELD_REPLACED, &message->news.replaced);
+  put_set (writer, FIELD_UNREACHABLE, &message->news.unreachable);
 }
 
 static uint32_t
@@ -63,19 +74,32 @@
   return (uint32_t)number;
 }
 
+static void
+read_set (struct frame *frame, struct frame_map map, enum field field,
+          struct beryl_endpoint_set *set)
+{
+  struct frame_array array = frame_array (map, field);
+
+  if (array.count > BERYL_ENDPOINT_SET_MAX)
+    {
+      frame_fail (frame);
+      return;
+    }
+  for (uint32_t i = 0; i < array.count; i++)
+    beryl_endpoint_set_add (set, read_number (frame, array, i));
+}
+
 bool
 loads_read (struct frame *frame, struct loads_message *message)
 {
   struct frame_map map = frame_root (frame);
   struct frame_array runs = frame_array (map, FIELD_RUNS);
   struct frame_array prompts = frame_array (map, FIELD_PROMPTS);
-  struct frame_array changing = frame_array (map, FIELD_CHANGING);
 
   memset (message, 0, sizeof *message);
   if (frame_type (frame) != LOADS_DATAGRAM
       || runs.count > BERYL_ENGINE_RUNS_MAX * NUMBERS_PER_RUN
-      || runs.count % NUMBERS_PER_RUN != 0
-      || changing.count > LOADS_CHANGING_MAX)
+      || runs.count % NUMBERS_PER_RUN != 0)
     return false;
   frame_need_string (map, FIELD_FROM, message->from, sizeof message->from);
   message->incarnation = frame_need_uint (map, FIELD_INCARNATION);
@@ -97,8 +121,8 @@
     }
   for (uint32_t i = 0; i < prompts.count && i < message->run_count; i++)
     message->runs[i].prompt_key = read_number (frame, prompts, i);
-  for (uint32_t i = 0; i < changing.count; i++)
-    message->changing[message->changing_count++]
-        = read_number (frame, changing, i);
+  read_set (frame, map, FIELD_CHANGING, &message->news.changing);
+  read_set (frame, map, FIELD_REPLACED, &message->news.replaced);
+  read_set (frame, map, FIELD_UNREACHABLE, &message->news.unreachable);
   return frame_valid (frame);
 }
