Runs are found by engine, and at most 64 engines are compared

Change: peers' runs are indexed by engine, by prefill engine and by service they wait for; 64 engines drawn at random are foreseen, and their places are scaled up to all. Fleets of up to 64 engines are compared whole, as before. A wait's reason is logged before a refusal at once, too; berylctl explain knows the new steps.

Test: test_index_finds_what_a_walk_finds compares the index with a walk, 20 seeds of 200 steps.

--- a/berylctl/explain_log.c
+++ b/berylctl/explain_log.c
@@ -32,6 +32,8 @@
     "no engine was asked: the emptiest is foreseen to fill {n}% of its "
     "memory" },
   { "wait", "engines_refuse", "all engines that were asked are full" },
+  { "wait", "prefill_behind",
+    "its prompt would be read {n} ms later, behind others: too late" },
   { "wait", "no_engine", "no engine of the service takes work" },
   { "prefill", "sent", "{n} prompt tokens are to be read there" },
   { "prefill", "done", "the prompt was read in {n} ms" },
@@ -39,6 +41,8 @@
   { "prefill", "wrong_stage", "the engine does other work now" },
   { "prefill", "broken", "the connection broke" },
   { "decode", "kv_taken", "sent with its KV cache" },
+  { "decode", "left",
+    "not sent: the engine is leaving; another one is looked for" },
   { "decode", "warm", "sent without prefill: the engine has the prompt" },
   { "decode", "alone", "sent without prefill: the engine reads the prompt" },
   { "send", "sent", "send number {n}" },
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -139,6 +139,9 @@
   for (size_t i = 0; i < book->count; i++)
     free (book->peers[i]);
   free (book->peers);
+  run_index_clear (&book->at_engine);
+  run_index_clear (&book->prefilled);
+  run_index_clear (&book->waiting);
   *book = (struct book){ 0 };
 }
 
@@ -151,6 +154,38 @@
   return NULL;
 }
 
+static void
+index_runs (struct book *book, const struct book_peer *peer)
+{
+  for (uint32_t k = 0; k < peer->count; k++)
+    {
+      const struct beryl_engine_run *run = &peer->runs[k];
+
+      if (run->engine != 0)
+        run_index_add (&book->at_engine, run->engine, peer, k);
+      else
+        run_index_add (&book->waiting, run->service, peer, k);
+      if (run->prefill_engine != 0)
+        run_index_add (&book->prefilled, run->prefill_engine, peer, k);
+    }
+}
+
+static void
+unindex_runs (struct book *book, const struct book_peer *peer)
+{
+  for (uint32_t k = 0; k < peer->count; k++)
+    {
+      const struct beryl_engine_run *run = &peer->runs[k];
+
+      if (run->engine != 0)
+        run_index_remove (&book->at_engine, run->engine, peer, k);
+      else
+        run_index_remove (&book->waiting, run->service, peer, k);
+      if (run->prefill_engine != 0)
+        run_index_remove (&book->prefilled, run->prefill_engine, peer, k);
+    }
+}
+
 void
 book_told (struct book *book, const char *name,
            const struct beryl_engine_run *runs, size_t count, int64_t now_ms)
@@ -166,23 +201,38 @@
     }
   if (count > BERYL_ENGINE_RUNS_MAX)
     count = BERYL_ENGINE_RUNS_MAX;
+  unindex_runs (book, peer);
   if (count > 0)
     memcpy (peer->runs, runs, count * sizeof *runs);
   peer->count = count;
   peer->told_ms = now_ms;
+  index_runs (book, peer);
+}
+
+static void
+peer_drop_prompt (struct book *book, struct book_peer *peer,
+                  uint32_t prompt_key)
+{
+  size_t left = 0;
+
+  for (size_t k = 0; k < peer->count; k++)
+    left += peer->runs[k].prompt_key != prompt_key;
+  if (left == peer->count)
+    return;
+  unindex_runs (book, peer);
+  left = 0;
+  for (size_t k = 0; k < peer->count; k++)
+    if (peer->runs[k].prompt_key != prompt_key)
+      peer->runs[left++] = peer->runs[k];
+  peer->count = left;
+  index_runs (book, peer);
 }
 
 void
 book_drop_prompt (struct book *book, uint32_t prompt_key)
 {
   for (size_t i = 0; i < book->count; i++)
-    {
-      struct book_peer *peer = book->peers[i];
-
-      for (size_t k = peer->count; k > 0; k--)
-        if (peer->runs[k - 1].prompt_key == prompt_key)
-          peer->runs[k - 1] = peer->runs[--peer->count];
-    }
+    peer_drop_prompt (book, book->peers[i], prompt_key);
 }
 
 void
@@ -190,8 +240,43 @@
 {
   struct book_peer *peer = book_find (book, name);
 
-  if (peer != NULL)
-    peer->count = 0;
+  if (peer == NULL)
+    return;
+  unindex_runs (book, peer);
+  peer->count = 0;
+}
+
+/* Calls VISIT_ONE for each run in LIST that was told at most MOST_MS ago. */
+static void
+visit (const struct run_list *list, int64_t most_ms, int64_t now_ms,
+       void (*visit_one) (const struct beryl_engine_run *run, int64_t age_ms,
+                          void *user),
+       void *user)
+{
+  for (size_t i = 0; list != NULL && i < list->count; i++)
+    {
+      const struct run_ref *ref = &list->items[i];
+      int64_t age_ms = now_ms - ref->peer->told_ms;
+
+      if (age_ms <= most_ms)
+        visit_one (&ref->peer->runs[ref->at], age_ms, user);
+    }
+}
+
+struct adding
+{
+  struct book_curve *curve;
+  const struct length_model *model;
+  uint32_t count;
+};
+
+static void
+add_one (const struct beryl_engine_run *run, int64_t age_ms, void *user)
+{
+  struct adding *adding = user;
+
+  book_add (adding->curve, adding->model, run, age_ms);
+  adding->count++;
 }
 
 uint32_t
@@ -199,42 +284,46 @@
                 const struct length_model *model, uint32_t engine,
                 int64_t now_ms)
 {
-  uint32_t count = 0;
+  struct adding adding = { .curve = curve, .model = model };
 
-  for (size_t i = 0; i < book->count; i++)
-    {
-      const struct book_peer *peer = book->peers[i];
-      int64_t age_ms = now_ms - peer->told_ms;
-
-      if (age_ms > TOLD_MAX_MS)
-        continue;
-      for (size_t k = 0; k < peer->count; k++)
-        if (peer->runs[k].engine == engine)
-          {
-            book_add (curve, model, &peer->runs[k], age_ms);
-            count++;
-          }
-    }
-  return count;
+  visit (run_index_find (&book->at_engine, engine), TOLD_MAX_MS, now_ms,
+         add_one, &adding);
+  return adding.count;
+}
+
+struct newest
+{
+  double ms_per_token;
+  double made; /* least of what runs have made */
+};
+
+static void
+note_newest (const struct beryl_engine_run *run, int64_t age_ms, void *user)
+{
+  struct newest *newest = user;
+
+  newest->made = fmin (
+      newest->made, run->made_tokens + (double)age_ms / newest->ms_per_token);
 }
 
 bool
 book_has_newer (const struct book *book, const struct length_model *model,
                 uint32_t engine, uint32_t made, int64_t now_ms)
 {
-  for (size_t i = 0; i < book->count; i++)
-    {
-      const struct book_peer *peer = book->peers[i];
-      double since = (double)(now_ms - peer->told_ms) / model->ms_per_token;
-
-      if (now_ms - peer->told_ms > TOLD_MAX_MS)
-        continue;
-      for (size_t k = 0; k < peer->count; k++)
-        if (peer->runs[k].engine == engine
-            && peer->runs[k].made_tokens + since < made)
-          return true;
-    }
-  return false;
+  struct newest newest
+      = { .ms_per_token = model->ms_per_token, .made = INFINITY };
+
+  visit (run_index_find (&book->at_engine, engine), TOLD_MAX_MS, now_ms,
+         note_newest, &newest);
+  return newest.made < made;
+}
+
+static void
+sum_prompts (const struct beryl_engine_run *run, int64_t age_ms, void *user)
+{
+  uint64_t *tokens = user;
+
+  *tokens += run->prompt_tokens;
 }
 
 uint64_t
@@ -242,34 +331,26 @@
 {
   uint64_t tokens = 0;
 
-  for (size_t i = 0; i < book->count; i++)
-    {
-      const struct book_peer *peer = book->peers[i];
-
-      if (now_ms - peer->told_ms > PREFILL_MAX_MS)
-        continue;
-      for (size_t k = 0; k < peer->count; k++)
-        if (peer->runs[k].prefill_engine == engine)
-          tokens += peer->runs[k].prompt_tokens;
-    }
+  visit (run_index_find (&book->prefilled, engine), PREFILL_MAX_MS, now_ms,
+         sum_prompts, &tokens);
   return tokens;
 }
 
+static void
+count_one (const struct beryl_engine_run *run, int64_t age_ms, void *user)
+{
+  uint32_t *count = user;
+
+  (*count)++;
+}
+
 uint32_t
 book_waiting (const struct book *book, uint32_t service, int64_t now_ms)
 {
   uint32_t waiting = 0;
 
-  for (size_t i = 0; i < book->count; i++)
-    {
-      const struct book_peer *peer = book->peers[i];
-
-      if (now_ms - peer->told_ms > SILENT_MS)
-        continue;
-      for (size_t k = 0; k < peer->count; k++)
-        waiting
-            += peer->runs[k].engine == 0 && peer->runs[k].service == service;
-    }
+  visit (run_index_find (&book->waiting, service), SILENT_MS, now_ms,
+         count_one, &waiting);
   return waiting;
 }
 
@@ -278,14 +359,7 @@
 {
   uint32_t runs = 0;
 
-  for (size_t i = 0; i < book->count; i++)
-    {
-      const struct book_peer *peer = book->peers[i];
-
-      if (now_ms - peer->told_ms > TOLD_MAX_MS)
-        continue;
-      for (size_t k = 0; k < peer->count; k++)
-        runs += peer->runs[k].engine == engine;
-    }
+  visit (run_index_find (&book->at_engine, engine), TOLD_MAX_MS, now_ms,
+         count_one, &runs);
   return runs;
 }
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -15,6 +15,7 @@
 
 #include "beryl/engine_load.h"
 #include "beryl/ids.h"
+#include "run_index.h"
 
 /** Points in time that are looked at: now, and as many steps ahead as the
  * longest runs last. */
@@ -77,6 +78,9 @@
 {
   struct book_peer **peers;
   size_t count;
+  struct run_index at_engine; /**< runs with a place, by its engine */
+  struct run_index prefilled; /**< those whose prompts are read, by engine */
+  struct run_index waiting;   /**< those without a place, by service */
 };
 
 void book_clear (struct book *book);
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -157,28 +157,38 @@
  * the same one, be refused there, and leave others empty.  With 70 nodes that
  * happened to every second question. */
 
-/* Most engines that are compared. */
-#define SAMPLE_MAX 32
+/* Most engines that are compared.  To foresee one costs some ten microseconds;
+ * among so many the best one is nearly as good as the best of all. */
+#define SAMPLE_MAX 64
 /* At least so many: the better one of two is far better than one. */
 #define DRAWN_LEAST 2
 /* Another node's choice meets this one's at the best engine with a chance of
  * one in so many. */
 #define MEETING_PART 4
 
+/* An engine and what choosing it would cost. */
+struct candidate
+{
+  struct beryl_live *live;
+  double cost;
+};
+
 struct sample
 {
-  struct
-  {
-    struct beryl_live *live;
-    double cost;
-  } items[SAMPLE_MAX];
+  struct candidate items[SAMPLE_MAX];
   size_t seen;
 };
 
+static size_t
+sample_count (const struct sample *sample)
+{
+  return sample->seen < SAMPLE_MAX ? sample->seen : SAMPLE_MAX;
+}
+
 /* Reservoir sampling: each engine is as likely to be in it. */
 static void
 sample_add (struct beryl_forward *f, struct sample *sample,
-            struct beryl_live *live, double cost)
+            struct beryl_live *live)
 {
   size_t at = sample->seen++;
 
@@ -186,8 +196,19 @@
     at = forward_random (f) % sample->seen;
   if (at >= SAMPLE_MAX)
     return;
-  sample->items[at].live = live;
-  sample->items[at].cost = cost;
+  sample->items[at] = (struct candidate){ .live = live };
+}
+
+/* Keeps those of SAMPLE that cost at most MOST. */
+static void
+sample_limit (struct sample *sample, double most)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < sample_count (sample); i++)
+    if (sample->items[i].cost <= most)
+      sample->items[kept++] = sample->items[i];
+  sample->seen = kept;
 }
 
 /* Returns the cheapest of some of SAMPLE, the fewer the more nodes choose for
@@ -196,7 +217,7 @@
 sample_best (struct beryl_forward *f, struct sample *sample, double at_once,
              double *cost)
 {
-  size_t count = sample->seen < SAMPLE_MAX ? sample->seen : SAMPLE_MAX;
+  size_t count = sample_count (sample);
   double drawn
       = fmax ((double)count / fmax (MEETING_PART * at_once, 1), DRAWN_LEAST);
   size_t best = 0;
@@ -206,56 +227,85 @@
   for (size_t i = 0; i < count && (double)i < drawn; i++)
     {
       size_t k = i + forward_random (f) % (count - i);
-      struct beryl_live *live = sample->items[k].live;
-      double own = sample->items[k].cost;
+      struct candidate one = sample->items[k];
 
       sample->items[k] = sample->items[i];
-      sample->items[i].live = live;
-      sample->items[i].cost = own;
-      if (own < sample->items[best].cost)
+      sample->items[i] = one;
+      if (one.cost < sample->items[best].cost)
         best = i;
     }
   *cost = sample->items[best].cost;
   return sample->items[best].live;
 }
 
+/* Whether LIVE may be asked to run R. */
+static bool
+may_be_asked (const struct request *r, const struct beryl_live *live,
+              int64_t now_ms)
+{
+  return serves (live, r, BERYL_STAGE_DECODE, now_ms)
+         && now_ms >= live->full_until_ms && !forward_request_tried (r, live)
+         && worth_asking (live, now_ms);
+}
+
+/* Notes in OUTLOOK what SAMPLE, whose costs are known, tells of all engines
+ * that it was drawn from. */
+static void
+foresee (const struct request *r, const struct sample *sample, double room,
+         struct engine_outlook *outlook)
+{
+  double need = r->facts.prompt_tokens + r->expected_tokens;
+  double least = 0;
+
+  for (size_t i = 0; i < sample_count (sample); i++)
+    {
+      double cost = sample->items[i].cost;
+
+      if (least == 0 || cost < least)
+        least = cost;
+      /* An engine of unknown size counts as one place. */
+      if (cost <= room || room <= 0)
+        outlook->places += 1 + fmax (room - cost, 0) / fmax (need, 1);
+    }
+  if (sample->seen > SAMPLE_MAX)
+    outlook->places *= (double)sample->seen / SAMPLE_MAX;
+  outlook->lowest = room > 0 ? FILL_PART * least / room : 0;
+}
+
 /* The engine itself counts exactly and has the last word. */
 struct beryl_live *
 engine_choose_decode (struct beryl_forward *f, const struct request *r,
                       struct engine_outlook *outlook, int64_t now_ms)
 {
   struct sample sample = { 0 };
-  struct beryl_live *best, *warm = NULL;
-  double least = 0, cost;
-  double need = r->facts.prompt_tokens + r->expected_tokens;
+  struct beryl_live *best = NULL, *warm = NULL;
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
-  size_t count = beryl_lives_count (f->lives);
+  double cost;
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
 
-      if (!serves (live, r, BERYL_STAGE_DECODE, now_ms)
-          || now_ms < live->full_until_ms || forward_request_tried (r, live)
-          || !worth_asking (live, now_ms))
-        continue;
-      cost = engine_peak_with (f, r, live, FILL_DEVIATIONS, now_ms);
-      if (least == 0 || cost < least)
-        least = cost;
-      if (cost > room && room > 0)
+      if (!may_be_asked (r, live, now_ms))
         continue;
       if (engine_is_warm_for (r, live))
         warm = live;
-      /* An engine of unknown size counts as one place. */
-      outlook->places += 1 + fmax (room - cost, 0) / fmax (need, 1);
-      sample_add (f, &sample, live, cost);
+      sample_add (f, &sample, live);
     }
-  best = warm != NULL
-             ? warm
-             : sample_best (f, &sample, backlog_at_once (f, r, now_ms), &cost);
+  for (size_t i = 0; i < sample_count (&sample); i++)
+    sample.items[i].cost = engine_peak_with (f, r, sample.items[i].live,
+                                             FILL_DEVIATIONS, now_ms);
+  foresee (r, &sample, room, outlook);
+  if (room > 0)
+    sample_limit (&sample, room);
+  if (warm != NULL
+      && (room <= 0
+          || engine_peak_with (f, r, warm, FILL_DEVIATIONS, now_ms) <= room))
+    best = warm;
+  else
+    best = sample_best (f, &sample, backlog_at_once (f, r, now_ms), &cost);
   if (best != NULL && beryl_live_avoided (best, now_ms))
     best->trial_ms = now_ms;
-  outlook->lowest = room > 0 ? FILL_PART * least / room : 0;
   return best;
 }
 
@@ -265,21 +315,21 @@
 {
   struct sample sample = { 0 };
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
-  size_t count = beryl_lives_count (f->lives);
   double cost;
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
 
-      if (!serves (live, r, BERYL_STAGE_DECODE, now_ms)
-          || live == r->reservation.live || now_ms < live->full_until_ms
-          || beryl_live_avoided (live, now_ms))
-        continue;
-      cost = engine_peak_with (f, r, live, TARGET_DEVIATIONS, now_ms);
-      if (cost <= room)
-        sample_add (f, &sample, live, cost);
+      if (serves (live, r, BERYL_STAGE_DECODE, now_ms)
+          && live != r->reservation.live && now_ms >= live->full_until_ms
+          && !beryl_live_avoided (live, now_ms))
+        sample_add (f, &sample, live);
     }
+  for (size_t i = 0; i < sample_count (&sample); i++)
+    sample.items[i].cost = engine_peak_with (f, r, sample.items[i].live,
+                                             TARGET_DEVIATIONS, now_ms);
+  sample_limit (&sample, room);
   return sample_best (f, &sample, backlog_at_once (f, r, now_ms), &cost);
 }
 
@@ -326,15 +376,16 @@
   struct sample sample = { 0 };
   struct beryl_live *best;
   double waiting_tokens = 0;
-  size_t count = beryl_lives_count (f->lives);
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
 
       if (reads_prompts (live, r, now_ms))
-        sample_add (f, &sample, live, queued_tokens (f, live, now_ms));
+        sample_add (f, &sample, live);
     }
+  for (size_t i = 0; i < sample_count (&sample); i++)
+    sample.items[i].cost = queued_tokens (f, sample.items[i].live, now_ms);
   best = sample_best (f, &sample, backlog_at_once (f, r, now_ms),
                       &waiting_tokens);
   *wait_ms = (int64_t)(waiting_tokens * r->service->prefill.ms_per_token);
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -112,11 +112,19 @@
          && left_ms < CHANCE_LEAST * (double)backlog_wait_ms (f, r, now_ms);
 }
 
-/* Nobody has room, and WHY with NUMBER, for the log: sleep until the next
- * round, or the end. */
+/* Logs, once a wait, WHY with NUMBER there is no place. */
 static void
-wait_round (struct beryl_forward *f, struct request *r, const char *why,
-            int64_t number, int64_t now_ms)
+tell_why (struct beryl_forward *f, struct request *r, const char *why,
+          int64_t number, int64_t now_ms)
+{
+  if (!r->wait_told)
+    forward_request_decided (f, r, "wait", NULL, why, number, now_ms);
+  r->wait_told = true;
+}
+
+/* Nobody has room: sleep until the next round, or the end. */
+static void
+wait_round (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   int64_t end_ms = give_up_ms (r);
 
@@ -125,9 +133,6 @@
       refuse_no_room (f, r, now_ms);
       return;
     }
-  if (!r->wait_told)
-    forward_request_decided (f, r, "wait", NULL, why, number, now_ms);
-  r->wait_told = true;
   r->phase = PHASE_WAITING;
   r->refusals = 0;
   r->tried_count = 0;
@@ -188,11 +193,12 @@
     live = engine_choose_decode (f, r, &outlook, now_ms);
   if (live == NULL || stands_back (f, r, outlook.places, now_ms))
     {
-      wait_round (f, r,
-                  r->refusals > 0      ? "engines_refuse"
-                  : outlook.lowest > 0 ? "engines_full"
-                                       : "no_engine",
-                  (int64_t)(100 * outlook.lowest), now_ms);
+      tell_why (f, r,
+                r->refusals > 0      ? "engines_refuse"
+                : outlook.lowest > 0 ? "engines_full"
+                                     : "no_engine",
+                (int64_t)(100 * outlook.lowest), now_ms);
+      wait_round (f, r, now_ms);
       return;
     }
   r->phase = PHASE_RESERVING;
@@ -207,13 +213,12 @@
 place_put_off (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   wait_begin (f, r);
+  tell_why (f, r, "prefill_behind", engine_prefill_wait_ms (f, r, now_ms),
+            now_ms);
   if (now_ms < in_time_ms (r))
-    {
-      refuse_no_room (f, r, now_ms);
-      return;
-    }
-  wait_round (f, r, "prefill_behind", engine_prefill_wait_ms (f, r, now_ms),
-              now_ms);
+    refuse_no_room (f, r, now_ms);
+  else
+    wait_round (f, r, now_ms);
 }
 
 void
--- /dev/null
+++ b/libberyl/forward/run_index.c
@@ -0,0 +1,82 @@
+#include "run_index.h"
+
+#include <stdlib.h>
+
+#define CAPACITY_FIRST 8
+
+const struct run_list *
+run_index_find (const struct run_index *index, uint32_t number)
+{
+  return map_get (&index->lists, map_key_number (number));
+}
+
+static struct run_list *
+list_of (struct run_index *index, uint32_t number)
+{
+  struct map_key key = map_key_number (number);
+  struct run_list *list = map_get (&index->lists, key);
+
+  if (list != NULL)
+    return list;
+  list = calloc (1, sizeof *list);
+  map_put (&index->lists, key, list);
+  return list;
+}
+
+void
+run_index_add (struct run_index *index, uint32_t number,
+               const struct book_peer *peer, uint32_t at)
+{
+  struct run_list *list = list_of (index, number);
+
+  if (list->count == list->capacity)
+    {
+      list->capacity
+          = list->capacity != 0 ? 2 * list->capacity : CAPACITY_FIRST;
+      list->items
+          = realloc (list->items, list->capacity * sizeof *list->items);
+    }
+  list->items[list->count++] = (struct run_ref){ peer, at };
+}
+
+/* Engines come and go: a list that is empty is released. */
+static void
+list_release (struct run_index *index, uint32_t number, struct run_list *list)
+{
+  map_remove (&index->lists, map_key_number (number));
+  free (list->items);
+  free (list);
+}
+
+void
+run_index_remove (struct run_index *index, uint32_t number,
+                  const struct book_peer *peer, uint32_t at)
+{
+  struct run_list *list = map_get (&index->lists, map_key_number (number));
+
+  if (list == NULL)
+    return;
+  for (size_t i = 0; i < list->count; i++)
+    if (list->items[i].peer == peer && list->items[i].at == at)
+      {
+        list->items[i] = list->items[--list->count];
+        break;
+      }
+  if (list->count == 0)
+    list_release (index, number, list);
+}
+
+void
+run_index_clear (struct run_index *index)
+{
+  for (size_t i = 0; i < index->lists.capacity; i++)
+    {
+      struct run_list *list = index->lists.slots[i].value;
+
+      if (list == NULL)
+        continue;
+      free (list->items);
+      free (list);
+    }
+  map_clear (&index->lists);
+}
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -407,6 +407,104 @@
 }
 END_TEST
 
+/* Sums over all runs that were told, as the index must give them. */
+struct told
+{
+  struct beryl_engine_run runs[4][BERYL_ENGINE_RUNS_MAX];
+  size_t counts[4];
+};
+
+static void
+check_sums (const struct book *book, const struct told *told, uint32_t number)
+{
+  struct length_model model;
+  struct book_curve curve = { 0 };
+  uint32_t at_engine = 0, waiting = 0;
+  uint64_t prefilling = 0;
+
+  length_model_init (&model);
+  for (int peer = 0; peer < 4; peer++)
+    for (size_t i = 0; i < told->counts[peer]; i++)
+      {
+        const struct beryl_engine_run *run = &told->runs[peer][i];
+
+        at_engine += run->engine == number;
+        waiting += run->engine == 0 && run->service == number;
+        if (run->prefill_engine == number)
+          prefilling += run->prompt_tokens;
+      }
+  ck_assert_uint_eq (book_runs (book, number, 0), at_engine);
+  ck_assert_uint_eq (book_add_peers (book, &curve, &model, number, 0),
+                     at_engine);
+  ck_assert_uint_eq (book_waiting (book, number, 0), waiting);
+  ck_assert_uint_eq (book_prefilling (book, number, 0), prefilling);
+}
+
+static void
+told_at_random (struct told *told, int peer, GRand *random)
+{
+  told->counts[peer] = (size_t)g_rand_int_range (random, 0, 40);
+  for (size_t i = 0; i < told->counts[peer]; i++)
+    told->runs[peer][i] = (struct beryl_engine_run){
+      .engine = (uint32_t)g_rand_int_range (random, 0, 6),
+      .service = (uint32_t)g_rand_int_range (random, 1, 3),
+      .prefill_engine = (uint32_t)g_rand_int_range (random, 0, 6),
+      .prompt_tokens = (uint32_t)g_rand_int_range (random, 1, 5000),
+      .prompt_key = (uint32_t)g_rand_int_range (random, 1, 20),
+    };
+}
+
+static void
+drop_prompt (struct told *told, uint32_t key)
+{
+  for (int peer = 0; peer < 4; peer++)
+    {
+      size_t left = 0;
+
+      for (size_t i = 0; i < told->counts[peer]; i++)
+        if (told->runs[peer][i].prompt_key != key)
+          told->runs[peer][left++] = told->runs[peer][i];
+      told->counts[peer] = left;
+    }
+}
+
+/* Peers tell anew, end runs untold and go; what is found by engine and by
+ * service is what a walk over all runs finds. */
+START_TEST (test_index_finds_what_a_walk_finds)
+{
+  static const char *const names[] = { "a", "b", "c", "d" };
+  struct told told = { 0 };
+  struct book book = { 0 };
+  GRand *random = g_rand_new_with_seed ((guint32)_i);
+
+  for (int step = 0; step < 200; step++)
+    {
+      int peer = g_rand_int_range (random, 0, 4);
+      uint32_t key = (uint32_t)g_rand_int_range (random, 1, 20);
+
+      switch (g_rand_int_range (random, 0, 4))
+        {
+        case 0:
+          drop_prompt (&told, key);
+          book_drop_prompt (&book, key);
+          break;
+        case 1:
+          told.counts[peer] = 0;
+          book_forget (&book, names[peer]);
+          break;
+        default:
+          told_at_random (&told, peer, random);
+          book_told (&book, names[peer], told.runs[peer], told.counts[peer],
+                     0);
+        }
+      for (uint32_t number = 1; number < 6; number++)
+        check_sums (&book, &told, number);
+    }
+  book_clear (&book);
+  g_rand_free (random);
+}
+END_TEST
+
 static struct beryl_generation_mix
 mix_of (double prompt_tokens, double output_tokens)
 {
@@ -590,6 +688,7 @@
   tcase_add_test (tcase, test_lengths_are_learned);
   tcase_add_test (tcase, test_curve_grows_and_ends);
   tcase_add_test (tcase, test_silent_peer_fades);
+  tcase_add_loop_test (tcase, test_index_finds_what_a_walk_finds, 0, 20);
   tcase_add_test (tcase, test_stages_follow_mix);
   tcase_add_test (tcase, test_stages_hold);
   tcase_add_test (tcase, test_stages_change);
