Nodes lend each other repeats that they do not need

Cause: the slack of the budget of repeats is parted among the nodes. Ruled out: the fleet's bound itself (264 in ten seconds), engines without room.

Change: a node with fewer than two repeats left asks a peer, in the datagram that it sends anyway, and is lent up to four. The lender counts them as sent until the last window that they can fall into has passed, the borrower uses them within two seconds of its asking: no lost, late or double message can break the bound.

--- a/fuzz/fuzz_loads.c
+++ b/fuzz/fuzz_loads.c
@@ -23,6 +23,8 @@
   if (frame == NULL || !loads_read (frame, &again)
       || strcmp (again.from, message->from) != 0
       || again.run_count != message->run_count
+      || memcmp (&again.asks, &message->asks, sizeof again.asks) != 0
+      || memcmp (&again.loans, &message->loans, sizeof again.loans) != 0
       || memcmp (&again.news, &message->news, sizeof again.news) != 0
       || memcmp (again.runs, message->runs, sizeof again.runs) != 0)
     abort ();
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -342,6 +342,17 @@
                            loop_now_ms (g->loop));
 }
 
+static void
+members_transfers (struct members_owner *owner, const char *peer,
+                   const struct beryl_repeat_transfers *asks,
+                   const struct beryl_repeat_transfers *loans)
+{
+  struct gateway *g = of_members (owner);
+
+  beryl_forward_peer_transfers (g->forward, peer, asks, loans,
+                                loop_now_ms (g->loop));
+}
+
 static void
 members_endpoint_revision (struct members_owner *owner, uint64_t revision)
 {
@@ -383,6 +394,7 @@
   .loads = members_loads,
   .endpoint_revision = members_endpoint_revision,
   .news = members_news,
+  .transfers = members_transfers,
   .peer_gone = members_peer_gone,
   .tell_due = members_tell_due,
   .configuration = members_configuration,
@@ -428,6 +440,7 @@
                                      loop_now_ms (g->loop));
 
   struct beryl_endpoint_news news = { 0 };
+  struct beryl_repeat_transfers asks, loans;
 
   loop_timer_stop (g->tell);
   g->tell = NULL;
@@ -435,7 +448,9 @@
   beryl_forward_peer_news (g->forward, g->settings.node, &news,
                            loop_now_ms (g->loop));
   beryl_forward_news (g->forward, &news, loop_now_ms (g->loop));
-  members_tell_loads (g->members, runs, count, &news);
+  beryl_forward_repeat_transfers (g->forward, &asks, &loans,
+                                  loop_now_ms (g->loop));
+  members_tell_loads (g->members, runs, count, &news, &asks, &loans);
 }
 
 static void
@@ -544,6 +559,7 @@
     .repeat_window_ms = g->settings.repeat_window_ms,
   };
 
+  memcpy (settings.node, g->settings.node, sizeof settings.node);
   memcpy (settings.data_centre, g->settings.data_centre,
           sizeof settings.data_centre);
   g->lives = beryl_lives_create (g->settings.endpoint_leave_ms);
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -32,6 +32,10 @@
   /** PEER has found out NEWS about endpoints. */
   void (*news) (struct members_owner *owner, const char *peer,
                 const struct beryl_endpoint_news *news);
+  /** PEER asks some nodes for repeats, and lends some to others. */
+  void (*transfers) (struct members_owner *owner, const char *peer,
+                     const struct beryl_repeat_transfers *asks,
+                     const struct beryl_repeat_transfers *loans);
   /** PEER has gone, and its runs with it. */
   void (*peer_gone) (struct members_owner *owner, const char *peer);
   /** Nothing was told for a while: call members_tell_loads, since peers take
@@ -75,10 +79,13 @@
 /** A planned stop has begun. */
 void members_leave (struct members *members);
 
-/** Tell the peers all runs of this node, and NEWS about endpoints. */
+/** Tell the peers all runs of this node, NEWS about endpoints, and transfers
+ * of repeats. */
 void members_tell_loads (struct members *members,
                          const struct beryl_engine_run *runs, size_t count,
-                         const struct beryl_endpoint_news *news);
+                         const struct beryl_endpoint_news *news,
+                         const struct beryl_repeat_transfers *asks,
+                         const struct beryl_repeat_transfers *loans);
 
 /** This node has seen changes of endpoints up to REVISION. */
 void members_set_endpoint_revision (struct members *members,
--- a/include/beryl/engine_load.h
+++ b/include/beryl/engine_load.h
@@ -54,6 +54,25 @@
   struct beryl_endpoint_set unreachable;
 };
 
+/** A node's question to another for repeats that the other does not need, or
+ * the answer to it. */
+struct beryl_repeat_transfer
+{
+  uint32_t node;    /**< whom it is for: the number of its name */
+  uint32_t service; /**< the number of its name */
+  uint32_t count;   /**< wanted at most, or lent */
+  uint32_t serial;  /**< of the question; the answer repeats it */
+};
+
+/** Most questions, or answers, in one message. */
+#define BERYL_REPEAT_TRANSFERS_MAX 16
+
+struct beryl_repeat_transfers
+{
+  struct beryl_repeat_transfer items[BERYL_REPEAT_TRANSFERS_MAX];
+  size_t count;
+};
+
 /** Add NUMBER unless SET is full. */
 void beryl_endpoint_set_add (struct beryl_endpoint_set *set, uint32_t number);
 
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -169,6 +169,7 @@
 /** Terms that the whole fleet keeps to. */
 struct beryl_forward_settings
 {
+  char node[BERYL_NAME_BYTES]; /**< this one's name */
   char data_centre[BERYL_NAME_BYTES];
   uint64_t seed;
   double repeat_ratio;   /**< second sends per request, fleet-wide */
@@ -293,6 +294,21 @@
                               const struct beryl_endpoint_news *news,
                               int64_t now_ms);
 
+/** Write the questions for repeats that this node has now, and the loans that
+ * it gives. */
+void beryl_forward_repeat_transfers (struct beryl_forward *forward,
+                                     struct beryl_repeat_transfers *asks,
+                                     struct beryl_repeat_transfers *loans,
+                                     int64_t now_ms);
+
+/** PEER asks for repeats and lends some; those that are for other nodes are
+ * passed over. */
+void beryl_forward_peer_transfers (struct beryl_forward *forward,
+                                   const char *peer,
+                                   const struct beryl_repeat_transfers *asks,
+                                   const struct beryl_repeat_transfers *loans,
+                                   int64_t now_ms);
+
 /** PEER has gone, and its generations with it. */
 void beryl_forward_peer_gone (struct beryl_forward *forward, const char *peer);
 
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -26,6 +26,8 @@
 {
   char name[BERYL_NAME_BYTES];
   struct repeat_budget budget;
+  uint32_t asked_serial; /**< of the last question for repeats; 0: none open */
+  int64_t asked_ms;      /**< when it was asked */
   double answer_ms;    /**< usual time to the head of an answer; 0: unknown */
   double deviation_ms; /**< its mean deviation */
   struct length_model lengths; /**< of generations */
@@ -156,7 +158,9 @@
   int64_t end_ms;         /**< of the process; BERYL_NEVER_MS: not known */
   struct book book;       /**< what the other nodes run at engines */
   struct prompts prompts; /**< where prompts were run of late */
-  bool runs_changed;      /**< this node's runs, since they were read */
+  struct beryl_repeat_transfers loans; /**< given, not told yet */
+  uint32_t last_serial;
+  bool runs_changed; /**< this node's runs, since they were read */
 };
 
 /* forward.c */
@@ -183,6 +187,11 @@
 void news_unreachable (struct beryl_forward *f, struct beryl_live *live,
                        int64_t now_ms);
 
+/* loans.c */
+/** A repeat of S was sent, or could not be: ask others for some if few are
+ * left. */
+void loans_check (struct beryl_forward *f, struct service *s, int64_t now_ms);
+
 /* request.c */
 /** Begin ROUTE's terms for FACTS, which are copied. */
 struct request *forward_request_new (struct beryl_forward *f,
@@ -190,6 +199,8 @@
                                      const struct beryl_route *route);
 /** Release R, which has no open exchange. */
 void forward_request_free (struct beryl_forward *f, struct request *r);
+/** The terms of repeats for all services. */
+struct repeat_terms forward_repeat_terms (const struct beryl_forward *f);
 /** Count R's arrival at S: repeats are allowed by it. */
 void forward_request_count (struct beryl_forward *f, struct service *s,
                             int64_t now_ms);
--- a/libberyl/forward/repeat_budget.c
+++ b/libberyl/forward/repeat_budget.c
@@ -45,26 +45,87 @@
   b->requests[b->bucket % REPEAT_BUCKETS]++;
 }
 
-uint32_t
-repeat_budget_left (struct repeat_budget *b, const struct repeat_terms *terms,
-                    int64_t now_ms)
+static uint32_t
+lent_out (const struct repeat_budget *b, int64_t now_ms)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < REPEAT_LOANS_MAX; i++)
+    if (now_ms < b->lent[i].until_ms)
+      count += b->lent[i].count;
+  return count;
+}
+
+/* What is left of this node's own part. */
+static uint32_t
+own_left (struct repeat_budget *b, const struct repeat_terms *terms,
+          int64_t now_ms)
 {
   uint32_t nodes = terms->nodes > 0 ? terms->nodes : 1;
   uint32_t spent;
   double allowed;
 
   advance (b, terms, now_ms);
-  spent = sum (b->repeats);
+  spent = sum (b->repeats) + lent_out (b, now_ms);
   allowed = USED_PART
             * (terms->ratio * sum (b->requests)
                + (double)terms->slack / (double)nodes);
   return allowed > spent ? (uint32_t)(allowed - spent) : 0;
 }
 
+static uint32_t
+borrowed_left (const struct repeat_budget *b, int64_t now_ms)
+{
+  return now_ms < b->borrowed.until_ms ? b->borrowed.count : 0;
+}
+
+uint32_t
+repeat_budget_left (struct repeat_budget *b, const struct repeat_terms *terms,
+                    int64_t now_ms)
+{
+  return own_left (b, terms, now_ms) + borrowed_left (b, now_ms);
+}
+
+uint32_t
+repeat_budget_lend (struct repeat_budget *b, const struct repeat_terms *terms,
+                    uint32_t most, int64_t now_ms)
+{
+  uint32_t count = own_left (b, terms, now_ms) / 2;
+
+  if (count > most)
+    count = most;
+  for (int i = 0; i < REPEAT_LOANS_MAX && count > 0; i++)
+    if (now_ms >= b->lent[i].until_ms)
+      {
+        b->lent[i] = (struct repeat_loan){
+          .count = count,
+          .until_ms = now_ms + terms->window_ms + REPEAT_LOAN_MS,
+        };
+        return count;
+      }
+  return 0;
+}
+
+void
+repeat_budget_borrow (struct repeat_budget *b, uint32_t count,
+                      int64_t asked_ms, int64_t now_ms)
+{
+  int64_t until_ms = asked_ms + REPEAT_LOAN_MS;
+
+  /* An older loan's rest is used for no longer than this one. */
+  b->borrowed.count = borrowed_left (b, now_ms) + count;
+  if (b->borrowed.count == count || until_ms < b->borrowed.until_ms)
+    b->borrowed.until_ms = until_ms;
+}
+
+/* What was borrowed goes first: it lapses sooner, and its lender counts it. */
 void
 repeat_budget_spend (struct repeat_budget *b, const struct repeat_terms *terms,
                      int64_t now_ms)
 {
   advance (b, terms, now_ms);
-  b->repeats[b->bucket % REPEAT_BUCKETS]++;
+  if (borrowed_left (b, now_ms) > 0)
+    b->borrowed.count--;
+  else
+    b->repeats[b->bucket % REPEAT_BUCKETS]++;
 }
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -168,8 +168,8 @@
   r->same_run = false;
 }
 
-static struct repeat_terms
-repeat_terms (const struct beryl_forward *f)
+struct repeat_terms
+forward_repeat_terms (const struct beryl_forward *f)
 {
   return (struct repeat_terms){
     .ratio = f->settings.repeat_ratio,
@@ -183,7 +183,7 @@
 forward_request_repeats_left (struct beryl_forward *f, const struct request *r,
                               int64_t now_ms)
 {
-  struct repeat_terms terms = repeat_terms (f);
+  struct repeat_terms terms = forward_repeat_terms (f);
 
   return repeat_budget_left (&r->service->budget, &terms, now_ms);
 }
@@ -192,10 +192,12 @@
 forward_request_take_repeats (struct beryl_forward *f, struct request *r,
                               uint32_t count, int64_t now_ms)
 {
-  struct repeat_terms terms = repeat_terms (f);
+  struct repeat_terms terms = forward_repeat_terms (f);
 
   for (uint32_t i = 0; i < count; i++)
     repeat_budget_spend (&r->service->budget, &terms, now_ms);
+  if (count > 0)
+    loans_check (f, r->service, now_ms);
 }
 
 bool
@@ -203,7 +205,10 @@
                              int64_t now_ms)
 {
   if (forward_request_repeats_left (f, r, now_ms) == 0)
-    return false;
+    {
+      loans_check (f, r->service, now_ms);
+      return false;
+    }
   forward_request_take_repeats (f, r, 1, now_ms);
   return true;
 }
@@ -212,7 +217,7 @@
 forward_request_count (struct beryl_forward *f, struct service *s,
                        int64_t now_ms)
 {
-  struct repeat_terms terms = repeat_terms (f);
+  struct repeat_terms terms = forward_repeat_terms (f);
 
   repeat_budget_request (&s->budget, &terms, now_ms);
 }
--- /dev/null
+++ b/libberyl/platform/rate.c
@@ -0,0 +1,16 @@
+#include "beryl/platform.h"
+
+/* Part of the fleet's rate that all nodes together plan to use; the rest is
+ * for endpoints, operators and nodes that are not counted yet. */
+#define FLEET_PART 0.5
+/* A node needs so many calls a second however many there are: two watches and
+ * a lease, each after every change. */
+#define LEAST_PER_S 4.0
+
+double
+beryl_platform_node_rate (double fleet_per_s, uint32_t nodes)
+{
+  double rate = FLEET_PART * fleet_per_s / (nodes > 0 ? nodes : 1);
+
+  return rate > LEAST_PER_S ? rate : LEAST_PER_S;
+}
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -223,6 +223,8 @@
   struct beryl_routes *routes = beryl_routes_create (1);
 
   memset (fx, 0, sizeof *fx);
+  g_snprintf (settings.node, sizeof settings.node, "node-%" G_GUINT64_FORMAT,
+              seed);
   fx->owner.impl = &owner_impl;
   fx->now_ms = 100000;
   fx->exchanges = g_ptr_array_new_with_free_func (g_free);
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -75,7 +75,8 @@
 struct fx_terms fx_model_terms (void);
 
 void fx_open (struct fx *fx, const struct fx_terms *terms);
-/** The same with another chance; for several nodes in one test. */
+/** The same with another chance, and the name "node-SEED"; for several nodes
+ * in one test. */
 void fx_open_seeded (struct fx *fx, const struct fx_terms *terms,
                      uint64_t seed);
 void fx_close (struct fx *fx);
--- /dev/null
+++ b/tests/forward/test_loans.c
@@ -0,0 +1,294 @@
+#include <check.h>
+#include <string.h>
+
+#include "../../libberyl/forward/repeat_budget.h"
+#include "../suite.h"
+#include "fixture.h"
+
+/* Repeats that nodes lend each other, and the fleet's bound on them. */
+
+#define WINDOW_MS 10000
+#define SLACK 20
+#define NODES 8
+/* What the nodes may send together: 0.8 of the slack, parted into whole
+ * numbers. */
+#define BOUND 16
+
+/* A loan on its way. */
+struct message
+{
+  int borrower;
+  uint32_t count;
+  int64_t asked_ms;
+  int64_t arrives_ms;
+};
+
+struct fleet
+{
+  struct repeat_budget budgets[NODES];
+  struct repeat_terms terms;
+  GArray *messages;
+  GArray *sent_ms;
+  GRand *random;
+};
+
+static void
+send_repeats (struct fleet *fleet, int node, int64_t now_ms)
+{
+  struct repeat_budget *b = &fleet->budgets[node];
+
+  if (repeat_budget_left (b, &fleet->terms, now_ms) == 0)
+    return;
+  repeat_budget_spend (b, &fleet->terms, now_ms);
+  g_array_append_val (fleet->sent_ms, now_ms);
+}
+
+/* NODE asks another one, which answers at once; the answer is lost, late, or
+ * twice there. */
+static void
+ask (struct fleet *fleet, int node, int64_t now_ms)
+{
+  int lender = g_rand_int_range (fleet->random, 0, NODES);
+  int64_t hears_ms = now_ms + g_rand_int_range (fleet->random, 0, 1500);
+  struct message message
+      = { .borrower = node, .asked_ms = now_ms, .arrives_ms = hears_ms };
+
+  if (lender == node)
+    return;
+  message.count = repeat_budget_lend (&fleet->budgets[lender], &fleet->terms,
+                                      4, hears_ms);
+  message.arrives_ms += g_rand_int_range (fleet->random, 0, 1500);
+  if (message.count > 0 && g_rand_int_range (fleet->random, 0, 4) > 0)
+    g_array_append_val (fleet->messages, message);
+}
+
+static void
+deliver (struct fleet *fleet, int64_t now_ms)
+{
+  for (guint i = fleet->messages->len; i > 0; i--)
+    {
+      struct message *m
+          = &g_array_index (fleet->messages, struct message, i - 1);
+
+      if (m->arrives_ms > now_ms)
+        continue;
+      repeat_budget_borrow (&fleet->budgets[m->borrower], m->count,
+                            m->asked_ms, now_ms);
+      g_array_remove_index_fast (fleet->messages, i - 1);
+    }
+}
+
+/* Nodes spend in bursts, now these, now those, and borrow from each other over
+ * a network that loses and delays.  In no window may the fleet send more than
+ * all parts together. */
+START_TEST (test_bound_holds)
+{
+  struct fleet fleet = {
+    .terms = { .slack = SLACK, .window_ms = WINDOW_MS, .nodes = NODES },
+    .messages = g_array_new (FALSE, FALSE, sizeof (struct message)),
+    .sent_ms = g_array_new (FALSE, FALSE, sizeof (int64_t)),
+    .random = g_rand_new_with_seed ((guint32)_i),
+  };
+
+  for (int64_t now_ms = 1; now_ms < 200000; now_ms += 20)
+    {
+      int busy = (int)(now_ms / 3000 % NODES);
+
+      deliver (&fleet, now_ms);
+      if (g_rand_int_range (fleet.random, 0, 3) == 0)
+        send_repeats (&fleet, busy, now_ms);
+      if (g_rand_int_range (fleet.random, 0, 10) == 0)
+        ask (&fleet, busy, now_ms);
+    }
+  ck_assert_uint_gt (fleet.sent_ms->len, 100);
+  for (guint i = BOUND; i < fleet.sent_ms->len; i++)
+    ck_assert_int_ge (g_array_index (fleet.sent_ms, int64_t, i)
+                          - g_array_index (fleet.sent_ms, int64_t, i - BOUND),
+                      WINDOW_MS);
+  g_array_free (fleet.messages, TRUE);
+  g_array_free (fleet.sent_ms, TRUE);
+  g_rand_free (fleet.random);
+}
+END_TEST
+
+/* What was borrowed is used first, lapses, and is not counted as the node's
+ * own; what was lent comes back after the window. */
+START_TEST (test_loan)
+{
+  struct repeat_budget lender = { 0 }, borrower = { 0 };
+  struct repeat_terms terms
+      = { .slack = 20, .window_ms = WINDOW_MS, .nodes = 2 };
+
+  ck_assert_uint_eq (repeat_budget_lend (&lender, &terms, 3, 1000), 3);
+  ck_assert_uint_eq (repeat_budget_left (&lender, &terms, 1000), 5);
+  repeat_budget_borrow (&borrower, 3, 1000, 1100);
+  ck_assert_uint_eq (repeat_budget_left (&borrower, &terms, 1100), 11);
+  repeat_budget_spend (&borrower, &terms, 1100);
+  ck_assert_uint_eq (repeat_budget_left (&borrower, &terms, 1100), 10);
+  ck_assert_uint_eq (
+      repeat_budget_left (&borrower, &terms, 1000 + REPEAT_LOAN_MS), 8);
+  ck_assert_uint_eq (repeat_budget_left (&lender, &terms, 1000 + WINDOW_MS),
+                     5);
+  ck_assert_uint_eq (
+      repeat_budget_left (&lender, &terms, 1000 + WINDOW_MS + REPEAT_LOAN_MS),
+      8);
+}
+END_TEST
+
+/* A loan that comes when its time is over is not used. */
+START_TEST (test_late_loan)
+{
+  struct repeat_budget borrower = { 0 };
+  struct repeat_terms terms = { .window_ms = WINDOW_MS, .nodes = 2 };
+
+  repeat_budget_borrow (&borrower, 3, 1000, 1000 + REPEAT_LOAN_MS);
+  ck_assert_uint_eq (
+      repeat_budget_left (&borrower, &terms, 1000 + REPEAT_LOAN_MS), 0);
+}
+END_TEST
+
+static struct fx *nodes[2];
+static uint64_t requests;
+
+/* So many that the failures are not all at one. */
+static void
+add_prefill_engines (struct fx *fx)
+{
+  char id[16];
+
+  for (int i = 0; i < 40; i++)
+    {
+      g_snprintf (id, sizeof id, "p%d", i);
+      fx_endpoint (fx, id, BERYL_STAGE_PREFILL);
+    }
+}
+
+static void
+setup (void)
+{
+  struct fx_terms terms = fx_model_terms ();
+
+  requests = 0;
+  terms.repeat_ratio = 0;
+  terms.repeat_slack = 20;
+  for (int n = 0; n < 2; n++)
+    {
+      nodes[n] = g_new0 (struct fx, 1);
+      fx_open_seeded (nodes[n], &terms, (uint64_t)n + 1);
+      beryl_forward_set_nodes (nodes[n]->forward, 4);
+      add_prefill_engines (nodes[n]);
+      fx_endpoint (nodes[n], "d0", BERYL_STAGE_DECODE);
+      fx_endpoint (nodes[n], "d1", BERYL_STAGE_DECODE);
+    }
+}
+
+static void
+teardown (void)
+{
+  for (int n = 0; n < 2; n++)
+    {
+      fx_close (nodes[n]);
+      g_free (nodes[n]);
+    }
+}
+
+static const char *const names[] = { "node-1", "node-2" };
+
+static void
+tell (int from, int to)
+{
+  struct beryl_repeat_transfers asks, loans;
+
+  beryl_forward_peer_runs (nodes[to]->forward, names[from], NULL, 0,
+                           nodes[to]->now_ms);
+  beryl_forward_repeat_transfers (nodes[from]->forward, &asks, &loans,
+                                  nodes[from]->now_ms);
+  beryl_forward_peer_transfers (nodes[to]->forward, names[from], &asks, &loans,
+                                nodes[to]->now_ms);
+}
+
+/* Sends node 0 a request whose first prefill's answer is lost; true if it was
+ * sent again, false if it was refused for want of repeats. */
+static bool
+is_repeated (void)
+{
+  uint64_t number = ++requests;
+  struct fx_exchange *x;
+
+  fx_arrive (nodes[0], number);
+  fx_ok (nodes[0], fx_last (nodes[0], BERYL_EXCHANGE_RESERVE), "place");
+  x = fx_open_of (nodes[0], number, BERYL_EXCHANGE_PREFILL);
+  ck_assert_ptr_nonnull (x);
+  fx_broken (nodes[0], x, BERYL_BREAK_RESET, true);
+  x = fx_open_of (nodes[0], number, BERYL_EXCHANGE_RESERVE);
+  if (x != NULL)
+    fx_ok (nodes[0], x, "place");
+  if (nodes[0]->answers[number].ends > 0)
+    return false;
+  beryl_forward_caller_gone (nodes[0]->forward, number, nodes[0]->now_ms);
+  return true;
+}
+
+/* Story: runners lost some of their answers for a few seconds.  Nodes that had
+ * three such requests had used up their part of the repeats and refused the
+ * next ones, while the other nodes' parts lay unused. */
+START_TEST (test_node_borrows)
+{
+  int repeated = 0;
+
+  tell (1, 0);
+  while (is_repeated ())
+    repeated++;
+  ck_assert_int_eq (repeated, 4);
+  ck_assert (beryl_forward_runs_changed (nodes[0]->forward));
+  tell (0, 1);
+  tell (1, 0);
+  ck_assert (is_repeated ());
+  ck_assert (is_repeated ());
+}
+END_TEST
+
+/* An answer that comes twice, or to a question that was given up, lends
+ * nothing more. */
+START_TEST (test_answer_counts_once)
+{
+  struct beryl_repeat_transfers asks, loans, none = { 0 };
+  int repeated = 0;
+
+  tell (1, 0);
+  while (is_repeated ())
+    ;
+  beryl_forward_repeat_transfers (nodes[0]->forward, &asks, &loans,
+                                  nodes[0]->now_ms);
+  ck_assert_uint_eq (asks.count, 1);
+  beryl_forward_peer_transfers (nodes[1]->forward, names[0], &asks, &none,
+                                nodes[1]->now_ms);
+  beryl_forward_repeat_transfers (nodes[1]->forward, &asks, &loans,
+                                  nodes[1]->now_ms);
+  ck_assert_uint_eq (loans.count, 1);
+  for (int i = 0; i < 3; i++)
+    beryl_forward_peer_transfers (nodes[0]->forward, names[1], &none, &loans,
+                                  nodes[0]->now_ms);
+  while (is_repeated ())
+    repeated++;
+  ck_assert_int_eq (repeated, (int)loans.items[0].count);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("loans of repeats");
+  TCase *arithmetic = tcase_create ("arithmetic");
+  TCase *tcase = tcase_create ("nodes");
+
+  tcase_add_loop_test (arithmetic, test_bound_holds, 0, 100);
+  tcase_add_test (arithmetic, test_loan);
+  tcase_add_test (arithmetic, test_late_loan);
+  suite_add_tcase (suite, arithmetic);
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_node_borrows);
+  tcase_add_test (tcase, test_answer_counts_once);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- a/tests/platform/test_client.c
+++ b/tests/platform/test_client.c
@@ -5,6 +5,22 @@
 
 #include "ask.h"
 
+/* Story: a store gave all six nodes together 120 reads a second, and each kept
+ * to a fiftieth of that.  While configurations came every third of a second
+ * their watch used it up, the one of endpoints was asked again 2.2 s late, and
+ * requests reached an endpoint that had left.  A node's part goes by the
+ * number of nodes, and many nodes do not exceed what all may use. */
+START_TEST (test_node_rate)
+{
+  ck_assert_double_ge (beryl_platform_node_rate (120, 6), 8);
+  ck_assert_double_le (6 * beryl_platform_node_rate (120, 6), 120);
+  ck_assert_double_le (64 * beryl_platform_node_rate (6000, 64), 6000);
+  ck_assert_double_le (400 * beryl_platform_node_rate (2000, 400), 2000);
+  ck_assert_double_ge (beryl_platform_node_rate (100, 400), 2);
+  ck_assert_double_gt (beryl_platform_node_rate (100, 0), 10);
+}
+END_TEST
+
 START_TEST (test_read_and_write)
 {
   struct fake f;
@@ -319,6 +335,7 @@
   int failed;
 
   tcase_set_timeout (tc, 30);
+  tcase_add_test (tc, test_node_rate);
   tcase_add_test (tc, test_read_and_write);
   tcase_add_test (tc, test_list_has_all_pages);
   tcase_add_test (tc, test_lost_reply_is_settled);
--- a/tests/wire/test_loads.c
+++ b/tests/wire/test_loads.c
@@ -44,6 +44,10 @@
   beryl_endpoint_set_add (&message.news.changing, UINT32_MAX);
   beryl_endpoint_set_add (&message.news.replaced, 1);
   beryl_endpoint_set_add (&message.news.replaced, 2);
+  message.asks.items[message.asks.count++]
+      = (struct beryl_repeat_transfer){ 1, 2, 3, 4 };
+  message.loans.items[message.loans.count++]
+      = (struct beryl_repeat_transfer){ 5, 6, 7, UINT32_MAX };
   ck_assert (pass (&message, &again));
   ck_assert_mem_eq (&again, &message, sizeof message);
 }
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -13,8 +13,13 @@
   FIELD_PROMPTS, /* in the order of the runs */
   FIELD_REPLACED,
   FIELD_UNREACHABLE,
+  FIELD_ASKS,
+  FIELD_LOANS,
 };
 
+/* So is a transfer of repeats. */
+#define NUMBERS_PER_TRANSFER 4
+
 /* A run is six numbers in a row: small ones take a byte or two each, a map
  * with keys would double them. */
 #define NUMBERS_PER_RUN 6
@@ -31,6 +36,25 @@
   frame_put_end (writer);
 }
 
+static void
+put_transfers (struct frame_writer *writer, enum field field,
+               const struct beryl_repeat_transfers *transfers)
+{
+  if (transfers->count == 0)
+    return;
+  frame_put_array (writer, field);
+  for (size_t i = 0; i < transfers->count; i++)
+    {
+      const struct beryl_repeat_transfer *transfer = &transfers->items[i];
+
+      frame_put_uint (writer, 0, transfer->node);
+      frame_put_uint (writer, 0, transfer->service);
+      frame_put_uint (writer, 0, transfer->count);
+      frame_put_uint (writer, 0, transfer->serial);
+    }
+  frame_put_end (writer);
+}
+
 void
 loads_put (struct frame_writer *writer, const struct loads_message *message)
 {
@@ -62,6 +86,8 @@
   put_set (writer, FIELD_CHANGING, &message->news.changing);
   put_set (writer, FIELD_REPLACED, &message->news.replaced);
   put_set (writer, FIELD_UNREACHABLE, &message->news.unreachable);
+  put_transfers (writer, FIELD_ASKS, &message->asks);
+  put_transfers (writer, FIELD_LOANS, &message->loans);
 }
 
 static uint32_t
@@ -89,6 +115,27 @@
     beryl_endpoint_set_add (set, read_number (frame, array, i));
 }
 
+static void
+read_transfers (struct frame *frame, struct frame_map map, enum field field,
+                struct beryl_repeat_transfers *transfers)
+{
+  struct frame_array array = frame_array (map, field);
+
+  if (array.count > BERYL_REPEAT_TRANSFERS_MAX * NUMBERS_PER_TRANSFER
+      || array.count % NUMBERS_PER_TRANSFER != 0)
+    {
+      frame_fail (frame);
+      return;
+    }
+  for (uint32_t i = 0; i < array.count; i += NUMBERS_PER_TRANSFER)
+    transfers->items[transfers->count++] = (struct beryl_repeat_transfer){
+      .node = read_number (frame, array, i),
+      .service = read_number (frame, array, i + 1),
+      .count = read_number (frame, array, i + 2),
+      .serial = read_number (frame, array, i + 3),
+    };
+}
+
 bool
 loads_read (struct frame *frame, struct loads_message *message)
 {
@@ -124,5 +171,7 @@
   read_set (frame, map, FIELD_CHANGING, &message->news.changing);
   read_set (frame, map, FIELD_REPLACED, &message->news.replaced);
   read_set (frame, map, FIELD_UNREACHABLE, &message->news.unreachable);
+  read_transfers (frame, map, FIELD_ASKS, &message->asks);
+  read_transfers (frame, map, FIELD_LOANS, &message->loans);
   return frame_valid (frame);
 }
