A node's part of the store's rate goes by the number of nodes

Cause: each node kept to 0.02 of the store's rates. Where these are low (120 reads a second), the watch of configurations used a node's 2.4 reads a second up while these came every third of a second. The node heard from its peers that it was behind, but its question for the endpoints waited for its own budget: 2.2 s after an endpoint had announced that it leaves, a request was sent there (DRAIN, bound 2 s). At 400 nodes the same part is eight times what the store gives.

Ruled out: the store (four nodes had the news within 0.2 s), loss of datagrams (the node had heard).

Change: half of the fleet's rate, parted by the nodes that may be at work, at least four calls a second.

Test: test_node_rate (the old part gives 2.4 where 8 are needed).

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -34,8 +34,6 @@
 #define STORE_SPACING_MS 400
 #define STORE_BACKOFF_MIN_MS 50
 #define STORE_BACKOFF_MAX_MS 400
-/* Part of the fleet's rate that one node may use. */
-#define STORE_RATE_PART 0.02
 
 /* Changes of this node's runs are told together, so often at most.  Others
  * place a request every few tens of milliseconds. */
@@ -329,7 +327,13 @@
 static void
 members_count_changed (struct members_owner *owner, uint32_t count)
 {
-  beryl_forward_set_nodes (of_members (owner)->forward, count);
+  struct gateway *g = of_members (owner);
+
+  beryl_forward_set_nodes (g->forward, count);
+  beryl_platform_set_rates (
+      platform_client_core (g->store),
+      beryl_platform_node_rate (g->settings.platform_reads_per_s, count),
+      beryl_platform_node_rate (g->settings.platform_writes_per_s, count));
 }
 
 static void
@@ -536,8 +540,10 @@
     .wire = &g->wire->store,
     .seed = random_number (),
     .core = {
-      .reads_per_s = g->settings.platform_reads_per_s * STORE_RATE_PART,
-      .writes_per_s = g->settings.platform_writes_per_s * STORE_RATE_PART,
+      .reads_per_s = beryl_platform_node_rate (
+          g->settings.platform_reads_per_s, NODES_UNKNOWN),
+      .writes_per_s = beryl_platform_node_rate (
+          g->settings.platform_writes_per_s, NODES_UNKNOWN),
       .call_timeout_ms = STORE_CALL_MS,
       .watch_wait_ms = STORE_WATCH_MS,
       .watch_spacing_ms = STORE_SPACING_MS,
