--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -1,12 +1,10 @@
 #include "members.h"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 #include <string.h>
 
 #include "beryl/clock.h"
 #include "common/ticker.h"
+#include "pulls.h"
 #include "wire/gossip.h"
 #include "wire/link.h"
 #include "wire/loads.h"
@@ -22,18 +20,16 @@
 #define TELL_PEER_MS 10
 /* A peer that was silent for so many of these is not handed to callers. */
 #define SILENT_TELLS 3
-/* A pull that is not answered by then is given up. */
-#define PULL_MS 1000
 
 struct members
 {
   struct beryl_membership_owner base;
+  struct pulls_owner pulls_base;
   struct loop *loop;
   const struct gateway_settings *settings;
   struct members_owner *owner;
   struct counters *counters;
   struct datagram *datagram;
-  struct link_listener *listener;
   struct frame_writer *writer;
   struct ticker *ticker;
   struct loop_timer *tell;
@@ -45,10 +41,8 @@
   GHashTable *heard;   /* name to struct peer */
   GHashTable *records; /* names that are on record */
   GHashTable *silent;  /* name to the time since when, int64_t */
-  GPtrArray *pulls;    /* connections, in either direction */
-  bool pulling;
-  uint64_t revision; /* of the configuration here */
-  GString *value;
+  struct pulls *pulls;
+  uint64_t revision;                    /* of the configuration here */
   char key[DATAGRAM_KEY_MAX_BYTES + 1]; /* "": not known yet */
   uint32_t count;                       /* that live */
   uint32_t at_work; /* that live or are on record; 0: not listed yet */
@@ -160,13 +154,13 @@
     count_check (m);
 }
 
-static void pull_from (struct members *m, const struct beryl_member *peer);
-
 static void
 membership_behind (struct beryl_membership_owner *owner,
                    const struct beryl_member *peer)
 {
-  pull_from ((struct members *)owner, peer);
+  const struct members *m = (const struct members *)owner;
+
+  pulls_ask (m->pulls, peer->address, peer->port);
 }
 
 static void
@@ -247,196 +241,6 @@
   wake (m);
 }
 
-#define PROOF_BYTES 32
-
-enum answer_field
-{
-  ANSWER_VALUE = 1,
-  ANSWER_REVISION,
-  ANSWER_PROOF,
-};
-
-/* Proves that a node of this fleet gave the configuration: whoever can only
- * connect must not be able to hand out one. */
-static void
-prove (const struct members *m, uint64_t revision, const char *value,
-       size_t value_bytes, unsigned char proof[PROOF_BYTES])
-{
-  GString *text = g_string_new_len (value, (gssize)value_bytes);
-  unsigned int bytes = PROOF_BYTES;
-
-  g_string_append_printf (text, "%" G_GUINT64_FORMAT, revision);
-  HMAC (EVP_sha256 (), m->key, (int)strlen (m->key),
-        (const unsigned char *)text->str, text->len, proof, &bytes);
-  g_string_free (text, TRUE);
-}
-
-/* A connection on which a configuration is pulled. */
-struct pull
-{
-  struct link_handler base;
-  struct members *members;
-  struct link *link;
-  bool asks; /* this side does */
-  int64_t began_ms;
-};
-
-static void
-pull_free (void *pointer)
-{
-  struct pull *pull = pointer;
-
-  if (pull->asks)
-    pull->members->pulling = false;
-  g_free (pull);
-}
-
-static void
-pull_end (struct pull *pull)
-{
-  struct link *link = pull->link;
-
-  g_ptr_array_remove_fast (pull->members->pulls, pull);
-  link_close (link);
-}
-
-static void
-pull_opened (struct link_handler *handler, struct link *link)
-{
-  struct pull *pull = (struct pull *)handler;
-
-  gossip_put_number (pull->members->writer, GOSSIP_PULL,
-                     pull->members->revision);
-  link_send (link, pull->members->writer);
-}
-
-static void
-answer_pull (struct pull *pull, uint64_t after)
-{
-  struct members *m = pull->members;
-
-  unsigned char proof[PROOF_BYTES];
-
-  if (m->revision <= after)
-    gossip_put_number (m->writer, GOSSIP_SAME, m->revision);
-  else
-    {
-      prove (m, m->revision, m->value->str, m->value->len, proof);
-      frame_writer_reset (m->writer, GOSSIP_SNAPSHOT);
-      frame_put_bytes (m->writer, ANSWER_VALUE, m->value->str, m->value->len);
-      frame_put_uint (m->writer, ANSWER_REVISION, m->revision);
-      frame_put_bytes (m->writer, ANSWER_PROOF, proof, sizeof proof);
-    }
-  link_send (pull->link, m->writer);
-}
-
-static void
-take_answer (struct pull *pull, struct frame *frame)
-{
-  struct members *m = pull->members;
-  struct frame_map map = frame_root (frame);
-  uint64_t revision = frame_uint (map, ANSWER_REVISION, 0);
-  size_t bytes = 0, proof_bytes = 0;
-  const char *value = frame_bytes (map, ANSWER_VALUE, &bytes);
-  const void *proof = frame_bytes (map, ANSWER_PROOF, &proof_bytes);
-  unsigned char expected[PROOF_BYTES];
-
-  if (frame_type (frame) != GOSSIP_SNAPSHOT || !frame_valid (frame)
-      || value == NULL || proof == NULL || proof_bytes != PROOF_BYTES)
-    {
-      pull_end (pull);
-      return;
-    }
-  prove (m, revision, value, bytes, expected);
-  if (CRYPTO_memcmp (proof, expected, PROOF_BYTES) != 0)
-    g_warning ("configuration from a peer refused: wrong key");
-  else if (revision > m->revision)
-    m->owner->impl->configuration (m->owner, revision, value, bytes);
-  pull_end (pull);
-}
-
-static void
-pull_frame (struct link_handler *handler, struct link *link,
-            struct frame *frame)
-{
-  struct pull *pull = (struct pull *)handler;
-  uint64_t after = 0;
-
-  if (pull->asks)
-    take_answer (pull, frame);
-  else if (frame_type (frame) == GOSSIP_PULL
-           && gossip_read_number (frame, &after))
-    answer_pull (pull, after);
-  else
-    pull_end (pull);
-}
-
-static void
-pull_closed (struct link_handler *handler, struct link *link,
-             const char *reason)
-{
-  struct pull *pull = (struct pull *)handler;
-
-  g_ptr_array_remove_fast (pull->members->pulls, pull);
-}
-
-static const struct link_handler_impl pull_impl
-    = { .opened = pull_opened, .frame = pull_frame, .closed = pull_closed };
-
-static struct pull *
-pull_create (struct members *m, bool asks)
-{
-  struct pull *pull = g_new0 (struct pull, 1);
-
-  pull->base.impl = &pull_impl;
-  pull->members = m;
-  pull->asks = asks;
-  pull->began_ms = now_ms (m);
-  return pull;
-}
-
-static void
-pull_from (struct members *m, const struct beryl_member *peer)
-{
-  struct pull *pull;
-
-  if (m->pulling)
-    return;
-  pull = pull_create (m, true);
-  pull->link
-      = link_connect (m->loop, peer->address, peer->port, &pull->base, NULL);
-  if (pull->link == NULL)
-    {
-      g_free (pull);
-      return;
-    }
-  m->pulling = true;
-  g_ptr_array_add (m->pulls, pull);
-}
-
-static struct link_handler *
-accept_pull (void *user, struct link *link)
-{
-  struct members *m = user;
-  struct pull *pull = pull_create (m, false);
-
-  pull->link = link;
-  g_ptr_array_add (m->pulls, pull);
-  return &pull->base;
-}
-
-static void
-expire_pulls (struct members *m)
-{
-  for (guint i = m->pulls->len; i > 0; i--)
-    {
-      struct pull *pull = g_ptr_array_index (m->pulls, i - 1);
-
-      if (now_ms (m) - pull->began_ms > PULL_MS)
-        pull_end (pull);
-    }
-}
-
 static int64_t
 tell_interval_ms (const struct members *m)
 {
@@ -469,7 +273,7 @@
 {
   struct members *m = user;
 
-  expire_pulls (m);
+  pulls_expire (m->pulls);
   if (now_ms (m) - m->told_ms >= tell_interval_ms (m))
     m->owner->impl->tell_due (m->owner);
 }
@@ -488,6 +292,19 @@
   send_loads (m);
 }
 
+static void
+pulled (struct pulls_owner *owner, uint64_t revision, const char *value,
+        size_t value_bytes)
+{
+  struct members *m
+      = (struct members *)((char *)owner
+                           - offsetof (struct members, pulls_base));
+
+  m->owner->impl->configuration (m->owner, revision, value, value_bytes);
+}
+
+static const struct pulls_owner_impl pulls_impl = { .configuration = pulled };
+
 struct members *
 members_create (struct loop *loop, const struct gateway_settings *settings,
                 struct members_owner *owner, struct counters *counters,
@@ -496,25 +313,24 @@
   struct members *m = g_new0 (struct members, 1);
 
   m->base.impl = &membership_impl;
+  m->pulls_base.impl = &pulls_impl;
   m->loop = loop;
   m->settings = settings;
   m->owner = owner;
   m->counters = counters;
   m->count = 1;
-  m->value = g_string_new (NULL);
   m->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   m->silent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  m->pulls = g_ptr_array_new_with_free_func (pull_free);
   m->writer = frame_writer_create (GOSSIP_DATAGRAM);
   m->ticker = ticker_create (loop, tick, m);
   m->datagram = datagram_open (loop, settings->front.ip, settings->peer_port,
                                datagram_received, m, error);
   if (m->datagram != NULL)
-    m->listener
-        = link_listen (loop, settings->front.ip, datagram_port (m->datagram),
-                       accept_pull, m, error);
-  if (m->listener == NULL)
+    m->pulls
+        = pulls_create (loop, settings->front.ip, datagram_port (m->datagram),
+                        &m->pulls_base, error);
+  if (m->pulls == NULL)
     {
       members_destroy (m);
       return NULL;
@@ -529,10 +345,7 @@
   if (m == NULL)
     return;
   loop_timer_stop (m->tell);
-  while (m->pulls->len > 0)
-    pull_end (g_ptr_array_index (m->pulls, 0));
-  g_ptr_array_free (m->pulls, TRUE);
-  link_listener_close (m->listener);
+  pulls_destroy (m->pulls);
   datagram_close (m->datagram);
   ticker_destroy (m->ticker);
   frame_writer_destroy (m->writer);
@@ -540,7 +353,6 @@
   g_hash_table_destroy (m->heard);
   g_hash_table_destroy (m->records);
   g_hash_table_destroy (m->silent);
-  g_string_free (m->value, TRUE);
   g_free (m);
 }
 
@@ -550,6 +362,7 @@
   g_strlcpy (m->key, key, sizeof m->key);
   datagram_clear_keys (m->datagram);
   datagram_add_key (m->datagram, m->key, strlen (m->key));
+  pulls_set_key (m->pulls, m->key);
 }
 
 void
@@ -607,8 +420,7 @@
                            const char *value, size_t value_bytes)
 {
   m->revision = revision;
-  g_string_truncate (m->value, 0);
-  g_string_append_len (m->value, value, (gssize)value_bytes);
+  pulls_set_configuration (m->pulls, revision, value, value_bytes);
   if (m->table == NULL)
     return;
   beryl_membership_set_config (m->table, revision, now_ms (m));
--- /dev/null
+++ b/gatewayd/pulls.c
@@ -0,0 +1,259 @@
+#include "pulls.h"
+
+#include <glib.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <string.h>
+
+#include "wire/gossip.h"
+#include "wire/link.h"
+
+/* A question that is not answered by then is given up. */
+#define PULL_MS 1000
+#define PROOF_BYTES 32
+
+enum answer_field
+{
+  ANSWER_VALUE = 1,
+  ANSWER_REVISION,
+  ANSWER_PROOF,
+};
+
+struct pulls
+{
+  struct pulls_owner *owner;
+  struct loop *loop;
+  struct link_listener *listener;
+  struct frame_writer *writer;
+  GPtrArray *open; /* struct pull, in either direction */
+  bool pulling;
+  uint64_t revision; /* of the configuration here */
+  GString *value;
+  char key[DATAGRAM_KEY_MAX_BYTES + 1]; /* "": not known yet */
+};
+
+/* Proves that a node of this fleet gave the configuration: whoever can only
+ * connect must not be able to hand out one. */
+static void
+prove (const struct pulls *p, uint64_t revision, const char *value,
+       size_t value_bytes, unsigned char proof[PROOF_BYTES])
+{
+  GString *text = g_string_new_len (value, (gssize)value_bytes);
+  unsigned int bytes = PROOF_BYTES;
+
+  g_string_append_printf (text, "%" G_GUINT64_FORMAT, revision);
+  HMAC (EVP_sha256 (), p->key, (int)strlen (p->key),
+        (const unsigned char *)text->str, text->len, proof, &bytes);
+  g_string_free (text, TRUE);
+}
+
+/* A connection on which a configuration is pulled. */
+struct pull
+{
+  struct link_handler base;
+  struct pulls *pulls;
+  struct link *link;
+  bool asks; /* this side does */
+  int64_t began_ms;
+};
+
+static void
+pull_free (void *pointer)
+{
+  struct pull *pull = pointer;
+
+  if (pull->asks)
+    pull->pulls->pulling = false;
+  g_free (pull);
+}
+
+static void
+pull_end (struct pull *pull)
+{
+  struct link *link = pull->link;
+
+  g_ptr_array_remove_fast (pull->pulls->open, pull);
+  link_close (link);
+}
+
+static void
+pull_opened (struct link_handler *handler, struct link *link)
+{
+  struct pull *pull = (struct pull *)handler;
+
+  gossip_put_number (pull->pulls->writer, GOSSIP_PULL, pull->pulls->revision);
+  link_send (link, pull->pulls->writer);
+}
+
+static void
+answer_pull (struct pull *pull, uint64_t after)
+{
+  struct pulls *p = pull->pulls;
+  unsigned char proof[PROOF_BYTES];
+
+  if (p->revision <= after)
+    gossip_put_number (p->writer, GOSSIP_SAME, p->revision);
+  else
+    {
+      prove (p, p->revision, p->value->str, p->value->len, proof);
+      frame_writer_reset (p->writer, GOSSIP_SNAPSHOT);
+      frame_put_bytes (p->writer, ANSWER_VALUE, p->value->str, p->value->len);
+      frame_put_uint (p->writer, ANSWER_REVISION, p->revision);
+      frame_put_bytes (p->writer, ANSWER_PROOF, proof, sizeof proof);
+    }
+  link_send (pull->link, p->writer);
+}
+
+static void
+take_answer (struct pull *pull, struct frame *frame)
+{
+  struct pulls *p = pull->pulls;
+  struct frame_map map = frame_root (frame);
+  uint64_t revision = frame_uint (map, ANSWER_REVISION, 0);
+  size_t bytes = 0, proof_bytes = 0;
+  const char *value = frame_bytes (map, ANSWER_VALUE, &bytes);
+  const void *proof = frame_bytes (map, ANSWER_PROOF, &proof_bytes);
+  unsigned char expected[PROOF_BYTES];
+
+  if (frame_type (frame) != GOSSIP_SNAPSHOT || !frame_valid (frame)
+      || value == NULL || proof == NULL || proof_bytes != PROOF_BYTES)
+    {
+      pull_end (pull);
+      return;
+    }
+  prove (p, revision, value, bytes, expected);
+  if (CRYPTO_memcmp (proof, expected, PROOF_BYTES) != 0)
+    g_warning ("configuration from a peer refused: wrong key");
+  else if (revision > p->revision)
+    p->owner->impl->configuration (p->owner, revision, value, bytes);
+  pull_end (pull);
+}
+
+static void
+pull_frame (struct link_handler *handler, struct link *link,
+            struct frame *frame)
+{
+  struct pull *pull = (struct pull *)handler;
+  uint64_t after = 0;
+
+  if (pull->asks)
+    take_answer (pull, frame);
+  else if (frame_type (frame) == GOSSIP_PULL
+           && gossip_read_number (frame, &after))
+    answer_pull (pull, after);
+  else
+    pull_end (pull);
+}
+
+static void
+pull_closed (struct link_handler *handler, struct link *link,
+             const char *reason)
+{
+  struct pull *pull = (struct pull *)handler;
+
+  g_ptr_array_remove_fast (pull->pulls->open, pull);
+}
+
+static const struct link_handler_impl pull_impl
+    = { .opened = pull_opened, .frame = pull_frame, .closed = pull_closed };
+
+static struct pull *
+pull_create (struct pulls *p, bool asks)
+{
+  struct pull *pull = g_new0 (struct pull, 1);
+
+  pull->base.impl = &pull_impl;
+  pull->pulls = p;
+  pull->asks = asks;
+  pull->began_ms = loop_now_ms (p->loop);
+  return pull;
+}
+
+void
+pulls_ask (struct pulls *p, const char *address, uint16_t port)
+{
+  struct pull *pull;
+
+  if (p->pulling)
+    return;
+  pull = pull_create (p, true);
+  pull->link = link_connect (p->loop, address, port, &pull->base, NULL);
+  if (pull->link == NULL)
+    {
+      g_free (pull);
+      return;
+    }
+  p->pulling = true;
+  g_ptr_array_add (p->open, pull);
+}
+
+static struct link_handler *
+accept_pull (void *user, struct link *link)
+{
+  struct pulls *p = user;
+  struct pull *pull = pull_create (p, false);
+
+  pull->link = link;
+  g_ptr_array_add (p->open, pull);
+  return &pull->base;
+}
+
+void
+pulls_expire (struct pulls *p)
+{
+  for (guint i = p->open->len; i > 0; i--)
+    {
+      struct pull *pull = g_ptr_array_index (p->open, i - 1);
+
+      if (loop_now_ms (p->loop) - pull->began_ms > PULL_MS)
+        pull_end (pull);
+    }
+}
+
+void
+pulls_set_key (struct pulls *p, const char *key)
+{
+  g_strlcpy (p->key, key, sizeof p->key);
+}
+
+void
+pulls_set_configuration (struct pulls *p, uint64_t revision, const char *value,
+                         size_t value_bytes)
+{
+  p->revision = revision;
+  g_string_truncate (p->value, 0);
+  g_string_append_len (p->value, value, (gssize)value_bytes);
+}
+
+struct pulls *
+pulls_create (struct loop *loop, const char *ip, uint16_t port,
+              struct pulls_owner *owner, struct beryl_error *error)
+{
+  struct pulls *p = g_new0 (struct pulls, 1);
+
+  p->owner = owner;
+  p->loop = loop;
+  p->open = g_ptr_array_new_with_free_func (pull_free);
+  p->value = g_string_new (NULL);
+  p->writer = frame_writer_create (GOSSIP_PULL);
+  p->listener = link_listen (loop, ip, port, accept_pull, p, error);
+  if (p->listener != NULL)
+    return p;
+  pulls_destroy (p);
+  return NULL;
+}
+
+void
+pulls_destroy (struct pulls *p)
+{
+  if (p == NULL)
+    return;
+  while (p->open->len > 0)
+    pull_end (g_ptr_array_index (p->open, 0));
+  g_ptr_array_free (p->open, TRUE);
+  link_listener_close (p->listener);
+  frame_writer_destroy (p->writer);
+  g_string_free (p->value, TRUE);
+  g_free (p);
+}
