--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -81,7 +81,7 @@
 {
   if (!r->waiting)
     {
-      r->wait_told = false;
+      r->wait_told = NULL;
       r->waiting_since_ms = now_ms;
     }
   wait_begin (f, r);
@@ -112,14 +112,14 @@
          && left_ms < CHANCE_LEAST * (double)backlog_wait_ms (f, r, now_ms);
 }
 
-/* Logs, once a wait, WHY with NUMBER there is no place. */
+/* Logs WHY with NUMBER there is no place, if that is new. */
 static void
 tell_why (struct beryl_forward *f, struct request *r, const char *why,
           int64_t number, int64_t now_ms)
 {
-  if (!r->wait_told)
+  if (r->wait_told == NULL || strcmp (r->wait_told, why) != 0)
     forward_request_decided (f, r, "wait", NULL, why, number, now_ms);
-  r->wait_told = true;
+  r->wait_told = why;
 }
 
 /* Nobody has room: sleep until the next round, or the end. */
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -131,7 +131,7 @@
   bool stream_over;     /**< the old engine's stream has ended */
   uint32_t refusals;    /**< of engines asked for room, in this wait */
   int64_t waiting_since_ms;
-  bool wait_told; /**< in the log */
+  const char *wait_told; /**< why it waits, in the log; NULL: nothing yet */
 };
 
 TAILQ_HEAD (request_list, request);
--- a/tests/forward/test_prompts.c
+++ b/tests/forward/test_prompts.c
@@ -181,6 +181,7 @@
   ck_assert_uint_eq (answer (1)->refusal.status, 503);
   ck_assert (answer (1)->refusal.not_run);
   ck_assert_int_ge (answer (1)->refusal.retry_after_ms, 1200);
+  ck_assert_ptr_nonnull (strstr (fx.log->str, "wait:prefill_behind"));
   ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RESERVE), 0);
 }
 END_TEST
@@ -213,6 +214,23 @@
 }
 END_TEST
 
+/* A request that found all engines full is refused later for the queue of
+ * prompts.  Its log must name both, or a reader looks for the cause in vain.
+ */
+START_TEST (test_each_reason_of_a_wait_is_told)
+{
+  one_reader ();
+  fx_arrive (&fx, 1);
+  for (int i = 0; i < 3; i++)
+    fx_refused (&fx, open_of (1, BERYL_EXCHANGE_RESERVE));
+  ck_assert_ptr_nonnull (strstr (fx.log->str, "wait:engines_refuse"));
+  tell_queue ("p0", 60);
+  fx_pass (&fx, 200);
+  ck_assert (answer (1)->refused);
+  ck_assert_ptr_nonnull (strstr (fx.log->str, "wait:prefill_behind"));
+}
+END_TEST
+
 /* The queue grows while room is asked for.  The room is given back at once:
  * nothing would use it before it is too late. */
 START_TEST (test_queue_grows_while_room_is_asked_for)
@@ -336,6 +354,7 @@
   tcase_add_test (tcase, test_queue_of_prompts_is_limited);
   tcase_add_test (tcase, test_short_queue_of_prompts);
   tcase_add_test (tcase, test_late_request_waits_for_a_short_queue);
+  tcase_add_test (tcase, test_each_reason_of_a_wait_is_told);
   tcase_add_test (tcase, test_queue_grows_while_room_is_asked_for);
   tcase_add_test (tcase, test_no_prefill_engine);
   tcase_add_test (tcase, test_warm_engine);
