--- a/load/bench/place.c
+++ b/load/bench/place.c
@@ -223,6 +223,7 @@
   struct measure *m = g_new0 (struct measure, 1);
   uint32_t warm = 500 / STEP_MS;
   int64_t total_ns = 0;
+  const int64_t *p99_ns;
   json_t *row;
 
   add_engines (lives, engines);
@@ -237,12 +238,12 @@
               &m->arrival_ns[i]);
       total_ns += m->arrival_ns[i];
     }
+  p99_ns = &m->arrival_ns[ARRIVALS * 99 / 100];
   qsort (m->arrival_ns, ARRIVALS, sizeof *m->arrival_ns, compare);
   row = json_pack (
       "{s:i, s:i, s:f, s:f, s:f, s:I, s:I}", "engines", (int)engines, "nodes",
       (int)nodes, "arrival_us", (double)total_ns / ARRIVALS / 1000,
-      "arrival_p99_us", (double)m->arrival_ns[ARRIVALS * 99 / 100] / 1000,
-      "message_us",
+      "arrival_p99_us", (double)*p99_ns / 1000, "message_us",
       m->messages > 0 ? (double)m->message_ns / (double)m->messages / 1000
                       : 0.0,
       "asked", (json_int_t)owner.asked, "refused", (json_int_t)owner.refused);
