--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -164,35 +164,23 @@
   return NULL;
 }
 
+/* Puts all runs of PEER into the indices, or takes them out: APPLY is
+ * run_index_add or run_index_remove. */
 static void
-index_runs (struct book *book, const struct book_peer *peer)
+index_runs (struct book *book, const struct book_peer *peer,
+            void (*apply) (struct run_index *index, uint32_t number,
+                           const struct book_peer *peer, uint32_t at))
 {
   for (uint32_t k = 0; k < peer->count; k++)
     {
       const struct beryl_engine_run *run = &peer->runs[k];
 
       if (run->engine != 0)
-        run_index_add (&book->at_engine, run->engine, peer, k);
+        apply (&book->at_engine, run->engine, peer, k);
       else
-        run_index_add (&book->waiting, run->service, peer, k);
+        apply (&book->waiting, run->service, peer, k);
       if (run->prefill_engine != 0)
-        run_index_add (&book->prefilled, run->prefill_engine, peer, k);
-    }
-}
-
-static void
-unindex_runs (struct book *book, const struct book_peer *peer)
-{
-  for (uint32_t k = 0; k < peer->count; k++)
-    {
-      const struct beryl_engine_run *run = &peer->runs[k];
-
-      if (run->engine != 0)
-        run_index_remove (&book->at_engine, run->engine, peer, k);
-      else
-        run_index_remove (&book->waiting, run->service, peer, k);
-      if (run->prefill_engine != 0)
-        run_index_remove (&book->prefilled, run->prefill_engine, peer, k);
+        apply (&book->prefilled, run->prefill_engine, peer, k);
     }
 }
 
@@ -211,12 +199,12 @@
     }
   if (count > BERYL_ENGINE_RUNS_MAX)
     count = BERYL_ENGINE_RUNS_MAX;
-  unindex_runs (book, peer);
+  index_runs (book, peer, run_index_remove);
   if (count > 0)
     memcpy (peer->runs, runs, count * sizeof *runs);
   peer->count = count;
   peer->told_ms = now_ms;
-  index_runs (book, peer);
+  index_runs (book, peer, run_index_add);
 }
 
 static void
@@ -229,13 +217,13 @@
     left += peer->runs[k].prompt_key != prompt_key;
   if (left == peer->count)
     return;
-  unindex_runs (book, peer);
+  index_runs (book, peer, run_index_remove);
   left = 0;
   for (size_t k = 0; k < peer->count; k++)
     if (peer->runs[k].prompt_key != prompt_key)
       peer->runs[left++] = peer->runs[k];
   peer->count = left;
-  index_runs (book, peer);
+  index_runs (book, peer, run_index_add);
 }
 
 void
@@ -252,7 +240,7 @@
 
   if (peer == NULL)
     return;
-  unindex_runs (book, peer);
+  index_runs (book, peer, run_index_remove);
   peer->count = 0;
 }
 
