--- a/libberyl/forward/mix.c
+++ b/libberyl/forward/mix.c
@@ -64,14 +64,6 @@
     }
 }
 
-/* A prompt of one token that waits for seconds has a pace that does not fit.
- */
-static uint32_t
-ns_of (double ms)
-{
-  return (uint32_t)fmin (ms * NS_PER_MS, UINT32_MAX);
-}
-
 static struct beryl_mix_report
 own_report (const struct service *s)
 {
@@ -79,10 +71,10 @@
     .service = beryl_engine_number (s->name),
     .prefills = s->prefill.seen,
     .prompt_tokens = (uint32_t)s->prompt_tokens,
-    .prefill_ns_per_token = ns_of (s->prefill.ms_per_token),
+    .prefill_ns_per_token = (uint32_t)(s->prefill.ms_per_token * NS_PER_MS),
     .runs = s->lengths.seen,
     .output_tokens = (uint32_t)s->lengths.seen_mean,
-    .decode_ns_per_token = ns_of (s->lengths.ms_per_token),
+    .decode_ns_per_token = (uint32_t)(s->lengths.ms_per_token * NS_PER_MS),
   };
 }
 
