--- a/fuzz/fuzz_loads.c
+++ b/fuzz/fuzz_loads.c
@@ -23,7 +23,6 @@
   if (frame == NULL || !loads_read (frame, &again)
       || strcmp (again.from, message->from) != 0
       || again.run_count != message->run_count
-      || memcmp (&again.mixes, &message->mixes, sizeof again.mixes) != 0
       || memcmp (&again.asks, &message->asks, sizeof again.asks) != 0
       || memcmp (&again.loans, &message->loans, sizeof again.loans) != 0
       || memcmp (&again.news, &message->news, sizeof again.news) != 0
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -346,15 +346,6 @@
                            loop_now_ms (g->loop));
 }
 
-static void
-members_mixes (struct members_owner *owner, const char *peer,
-               const struct beryl_mix_reports *mixes)
-{
-  struct gateway *g = of_members (owner);
-
-  beryl_forward_peer_mix (g->forward, peer, mixes, loop_now_ms (g->loop));
-}
-
 static void
 members_transfers (struct members_owner *owner, const char *peer,
                    const struct beryl_repeat_transfers *asks,
@@ -407,7 +398,6 @@
   .loads = members_loads,
   .endpoint_revision = members_endpoint_revision,
   .news = members_news,
-  .mixes = members_mixes,
   .transfers = members_transfers,
   .peer_gone = members_peer_gone,
   .tell_due = members_tell_due,
@@ -453,18 +443,18 @@
   size_t count = beryl_forward_runs (g->forward, runs, BERYL_ENGINE_RUNS_MAX,
                                      loop_now_ms (g->loop));
 
-  struct members_news news = { 0 };
+  struct beryl_endpoint_news news = { 0 };
+  struct beryl_repeat_transfers asks, loans;
 
   loop_timer_stop (g->tell);
   g->tell = NULL;
-  planner_changing (g->planner, &news.endpoints.changing);
-  beryl_forward_peer_news (g->forward, g->settings.node, &news.endpoints,
+  planner_changing (g->planner, &news.changing);
+  beryl_forward_peer_news (g->forward, g->settings.node, &news,
                            loop_now_ms (g->loop));
-  beryl_forward_news (g->forward, &news.endpoints, loop_now_ms (g->loop));
-  beryl_forward_mix_reports (g->forward, &news.mixes);
-  beryl_forward_repeat_transfers (g->forward, &news.asks, &news.loans,
+  beryl_forward_news (g->forward, &news, loop_now_ms (g->loop));
+  beryl_forward_repeat_transfers (g->forward, &asks, &loans,
                                   loop_now_ms (g->loop));
-  members_tell_loads (g->members, runs, count, &news);
+  members_tell_loads (g->members, runs, count, &news, &asks, &loans);
 }
 
 static void
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -212,7 +212,6 @@
                          message.run_count);
   m->owner->impl->endpoint_revision (m->owner, message.endpoint_revision);
   m->owner->impl->news (m->owner, message.from, &message.news);
-  m->owner->impl->mixes (m->owner, message.from, &message.mixes);
   m->owner->impl->transfers (m->owner, message.from, &message.asks,
                              &message.loans);
 }
@@ -281,14 +280,15 @@
 
 void
 members_tell_loads (struct members *m, const struct beryl_engine_run *runs,
-                    size_t count, const struct members_news *news)
+                    size_t count, const struct beryl_endpoint_news *news,
+                    const struct beryl_repeat_transfers *asks,
+                    const struct beryl_repeat_transfers *loans)
 {
   m->loads.run_count = MIN (count, (size_t)BERYL_ENGINE_RUNS_MAX);
   memcpy (m->loads.runs, runs, m->loads.run_count * sizeof *runs);
-  m->loads.news = news->endpoints;
-  m->loads.mixes = news->mixes;
-  m->loads.asks = news->asks;
-  m->loads.loans = news->loans;
+  m->loads.news = *news;
+  m->loads.asks = *asks;
+  m->loads.loans = *loans;
   send_loads (m);
 }
 
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -32,9 +32,6 @@
   /** PEER has found out NEWS about endpoints. */
   void (*news) (struct members_owner *owner, const char *peer,
                 const struct beryl_endpoint_news *news);
-  /** PEER has learned MIXES of services' generations. */
-  void (*mixes) (struct members_owner *owner, const char *peer,
-                 const struct beryl_mix_reports *mixes);
   /** PEER asks some nodes for repeats, and lends some to others. */
   void (*transfers) (struct members_owner *owner, const char *peer,
                      const struct beryl_repeat_transfers *asks,
@@ -82,19 +79,13 @@
 /** A planned stop has begun. */
 void members_leave (struct members *members);
 
-/** What a node tells its peers beside its runs. */
-struct members_news
-{
-  struct beryl_endpoint_news endpoints;
-  struct beryl_mix_reports mixes;
-  struct beryl_repeat_transfers asks;  /**< for repeats */
-  struct beryl_repeat_transfers loans; /**< that it gives */
-};
-
-/** Tell the peers all runs of this node, and NEWS. */
+/** Tell the peers all runs of this node, NEWS about endpoints, and transfers
+ * of repeats. */
 void members_tell_loads (struct members *members,
                          const struct beryl_engine_run *runs, size_t count,
-                         const struct members_news *news);
+                         const struct beryl_endpoint_news *news,
+                         const struct beryl_repeat_transfers *asks,
+                         const struct beryl_repeat_transfers *loans);
 
 /** This node has seen changes of endpoints up to REVISION. */
 void members_set_endpoint_revision (struct members *members,
--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -188,8 +188,7 @@
               struct beryl_stages *stages)
 {
   GArray *engines = engines_of (p, service);
-  struct beryl_generation_mix mix
-      = beryl_forward_mix (p->forward, service, loop_now_ms (p->loop));
+  struct beryl_generation_mix mix = beryl_forward_mix (p->forward, service);
   struct beryl_stage_order wanted;
 
   if (beryl_stages_plan (
--- a/include/beryl/engine_load.h
+++ b/include/beryl/engine_load.h
@@ -73,27 +73,6 @@
   size_t count;
 };
 
-/** What a node has learned of a service's generations; means. */
-struct beryl_mix_report
-{
-  uint32_t service;  /**< the number of its name */
-  uint32_t prefills; /**< that the first two were learned from */
-  uint32_t prompt_tokens;
-  uint32_t prefill_ns_per_token;
-  uint32_t runs; /**< whole ones that the last two were learned from */
-  uint32_t output_tokens;
-  uint32_t decode_ns_per_token;
-};
-
-/** Most services in one message. */
-#define BERYL_MIX_REPORTS_MAX 8
-
-struct beryl_mix_reports
-{
-  struct beryl_mix_report items[BERYL_MIX_REPORTS_MAX];
-  size_t count;
-};
-
 /** Add NUMBER unless SET is full. */
 void beryl_endpoint_set_add (struct beryl_endpoint_set *set, uint32_t number);
 
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -323,18 +323,9 @@
 void beryl_forward_prompt_kept (struct beryl_forward *forward, uint32_t key,
                                 uint32_t engine, int64_t now_ms);
 
-/** Return what this node and its peers have learned of SERVICE's
- * generations. */
+/** Return what this node has learned of SERVICE's generations. */
 struct beryl_generation_mix beryl_forward_mix (struct beryl_forward *forward,
-                                               const char *service,
-                                               int64_t now_ms);
-
-/** Write what this node has learned, and take what PEER has. */
-void beryl_forward_mix_reports (const struct beryl_forward *forward,
-                                struct beryl_mix_reports *reports);
-void beryl_forward_peer_mix (struct beryl_forward *forward, const char *peer,
-                             const struct beryl_mix_reports *reports,
-                             int64_t now_ms);
+                                               const char *service);
 
 /** Return the memory that all nodes' runs use at ENGINE of SERVICE. */
 uint64_t beryl_forward_engine_used (struct beryl_forward *forward,
--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -22,7 +22,6 @@
   struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
   size_t run_count;
   struct beryl_endpoint_news news;
-  struct beryl_mix_reports mixes;
   struct beryl_repeat_transfers asks;  /**< for repeats */
   struct beryl_repeat_transfers loans; /**< that this node gives */
 };
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -40,12 +40,6 @@
   return prompt_tokens + (uint32_t)(RESERVED_PART * expected_tokens);
 }
 
-double
-length_model_joint_mean (double sum, double count)
-{
-  return (PRIOR_WEIGHT * PRIOR_TOKENS + sum) / (PRIOR_WEIGHT + count);
-}
-
 void
 length_model_init (struct length_model *model)
 {
@@ -65,13 +59,9 @@
 
   if (tokens == 0)
     return;
-  model->seen++;
-  model->seen_mean += ((double)tokens - model->seen_mean)
-                      / fmin ((double)model->seen, WEIGHT_MAX);
-  /* The first runs count more: what was assumed may be far off. */
   if (took_ms > 0)
     model->ms_per_token
-        += fmax (PACE_WEIGHT, 1.0 / model->seen)
+        += PACE_WEIGHT
            * ((double)took_ms / (double)tokens - model->ms_per_token);
   if (model->weight < WEIGHT_MAX)
     model->weight++;
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -37,8 +37,6 @@
   double weight;      /**< of what was learned */
   double tokens_mean; /**< of outputs without an estimate */
   double ms_per_token;
-  uint32_t seen;    /**< runs that it was learned from */
-  double seen_mean; /**< of their outputs, without what was assumed */
 };
 
 /** Return how much is reserved for a run before it begins. */
@@ -48,10 +46,6 @@
 /** Begin with what is assumed before anything ended. */
 void length_model_init (struct length_model *model);
 
-/** Return the mean of COUNT outputs that add up to SUM, and of what was
- * assumed before. */
-double length_model_joint_mean (double sum, double count);
-
 /** A run that was estimated at HINT tokens (0: not) made TOKENS in TOOK_MS
  * from its first to its last event. */
 void length_model_learn (struct length_model *model, uint32_t hint,
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -73,7 +73,6 @@
   free (f->services);
   map_clear (&f->requests_by_handle);
   map_clear (&f->exchanges_by_id);
-  free (f->mixes);
   book_clear (&f->book);
   beryl_routes_unref (f->routes);
   free (f);
@@ -479,6 +478,21 @@
   return next_ms;
 }
 
+struct beryl_generation_mix
+beryl_forward_mix (struct beryl_forward *f, const char *name)
+{
+  const struct service *s = forward_service (f, name);
+
+  return (struct beryl_generation_mix){
+    .prompt_tokens = s->prompt_tokens,
+    .output_tokens = s->lengths.tokens_mean,
+    .prefill_ms_per_token = s->prefill.ms_per_token,
+    .decode_ms_per_token = s->lengths.ms_per_token,
+    .kv_tokens = s->kv_tokens,
+    .measured = pace_is_known (&s->prefill),
+  };
+}
+
 uint32_t
 beryl_forward_open (const struct beryl_forward *f)
 {
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -1,6 +1,5 @@
 #include "private.h"
 
-#include <math.h>
 #include <string.h>
 
 /* An engine that rejects a run for which it has granted a reservation is
@@ -19,9 +18,8 @@
 {
   struct service *s = r->service;
 
-  s->prompts_seen++;
-  s->prompt_tokens += fmax (MIX_WEIGHT, 1.0 / s->prompts_seen)
-                      * ((double)r->facts.prompt_tokens - s->prompt_tokens);
+  s->prompt_tokens
+      += MIX_WEIGHT * ((double)r->facts.prompt_tokens - s->prompt_tokens);
   r->warm_engine = prompts_engine (&f->prompts, r->facts.prompt_key, now_ms);
   /* Its caller is here: the run that a node told of before has ended. */
   if (r->warm_engine != 0)
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -32,11 +32,10 @@
   double deviation_ms; /**< its mean deviation */
   struct length_model lengths; /**< of generations */
   double prompt_tokens;        /**< mean of them */
-  uint32_t prompts_seen;
-  struct pace prefill; /**< of its prefill engines */
-  uint64_t kv_tokens;  /**< of one engine; 0: unknown */
-  uint32_t waiting;    /**< generations of this node without a place */
-  int64_t return_ms;   /**< when the next refused caller may come back */
+  struct pace prefill;         /**< of its prefill engines */
+  uint64_t kv_tokens;          /**< of one engine; 0: unknown */
+  uint32_t waiting;            /**< generations of this node without a place */
+  int64_t return_ms; /**< when the next refused caller may come back */
 };
 
 struct request;
@@ -137,14 +136,6 @@
 
 TAILQ_HEAD (request_list, request);
 
-/** What a peer has learned of a service. */
-struct peer_mix
-{
-  uint32_t peer; /**< the number of its name */
-  struct beryl_mix_report report;
-  int64_t told_ms;
-};
-
 struct beryl_forward
 {
   struct beryl_forward_settings settings;
@@ -167,8 +158,6 @@
   int64_t end_ms;         /**< of the process; BERYL_NEVER_MS: not known */
   struct book book;       /**< what the other nodes run at engines */
   struct prompts prompts; /**< where prompts were run of late */
-  struct peer_mix *mixes; /**< what peers have learned */
-  size_t mix_count;
   struct beryl_repeat_transfers loans; /**< given, not told yet */
   uint32_t last_serial;
   bool runs_changed; /**< this node's runs, since they were read */
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -628,6 +628,7 @@
   for (int i = 0; i < prefills; i++)
     pace_learn (&pace, 5000,
                 (int64_t)(5000 * ms_per_token * (i % 2 == 0 ? 4 : 1)));
+  ck_assert (pace_is_known (&pace));
   return pace.ms_per_token;
 }
 
--- a/tests/wire/test_loads.c
+++ b/tests/wire/test_loads.c
@@ -44,8 +44,6 @@
   beryl_endpoint_set_add (&message.news.changing, UINT32_MAX);
   beryl_endpoint_set_add (&message.news.replaced, 1);
   beryl_endpoint_set_add (&message.news.replaced, 2);
-  message.mixes.items[message.mixes.count++]
-      = (struct beryl_mix_report){ 1, 2, 3, 4, 5, 6, 7 };
   message.asks.items[message.asks.count++]
       = (struct beryl_repeat_transfer){ 1, 2, 3, 4 };
   message.loans.items[message.loans.count++]
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -15,12 +15,10 @@
   FIELD_UNREACHABLE,
   FIELD_ASKS,
   FIELD_LOANS,
-  FIELD_MIXES,
 };
 
 /* So is a transfer of repeats. */
 #define NUMBERS_PER_TRANSFER 4
-#define NUMBERS_PER_MIX 7
 
 /* A run is six numbers in a row: small ones take a byte or two each, a map
  * with keys would double them. */
@@ -57,27 +55,6 @@
   frame_put_end (writer);
 }
 
-static void
-put_mixes (struct frame_writer *writer, const struct beryl_mix_reports *mixes)
-{
-  if (mixes->count == 0)
-    return;
-  frame_put_array (writer, FIELD_MIXES);
-  for (size_t i = 0; i < mixes->count; i++)
-    {
-      const struct beryl_mix_report *mix = &mixes->items[i];
-
-      frame_put_uint (writer, 0, mix->service);
-      frame_put_uint (writer, 0, mix->prefills);
-      frame_put_uint (writer, 0, mix->prompt_tokens);
-      frame_put_uint (writer, 0, mix->prefill_ns_per_token);
-      frame_put_uint (writer, 0, mix->runs);
-      frame_put_uint (writer, 0, mix->output_tokens);
-      frame_put_uint (writer, 0, mix->decode_ns_per_token);
-    }
-  frame_put_end (writer);
-}
-
 void
 loads_put (struct frame_writer *writer, const struct loads_message *message)
 {
@@ -109,7 +86,6 @@
   put_set (writer, FIELD_CHANGING, &message->news.changing);
   put_set (writer, FIELD_REPLACED, &message->news.replaced);
   put_set (writer, FIELD_UNREACHABLE, &message->news.unreachable);
-  put_mixes (writer, &message->mixes);
   put_transfers (writer, FIELD_ASKS, &message->asks);
   put_transfers (writer, FIELD_LOANS, &message->loans);
 }
@@ -160,30 +136,6 @@
     };
 }
 
-static void
-read_mixes (struct frame *frame, struct frame_map map,
-            struct beryl_mix_reports *mixes)
-{
-  struct frame_array array = frame_array (map, FIELD_MIXES);
-
-  if (array.count > BERYL_MIX_REPORTS_MAX * NUMBERS_PER_MIX
-      || array.count % NUMBERS_PER_MIX != 0)
-    {
-      frame_fail (frame);
-      return;
-    }
-  for (uint32_t i = 0; i < array.count; i += NUMBERS_PER_MIX)
-    mixes->items[mixes->count++] = (struct beryl_mix_report){
-      .service = read_number (frame, array, i),
-      .prefills = read_number (frame, array, i + 1),
-      .prompt_tokens = read_number (frame, array, i + 2),
-      .prefill_ns_per_token = read_number (frame, array, i + 3),
-      .runs = read_number (frame, array, i + 4),
-      .output_tokens = read_number (frame, array, i + 5),
-      .decode_ns_per_token = read_number (frame, array, i + 6),
-    };
-}
-
 bool
 loads_read (struct frame *frame, struct loads_message *message)
 {
@@ -219,7 +171,6 @@
   read_set (frame, map, FIELD_CHANGING, &message->news.changing);
   read_set (frame, map, FIELD_REPLACED, &message->news.replaced);
   read_set (frame, map, FIELD_UNREACHABLE, &message->news.unreachable);
-  read_mixes (frame, map, &message->mixes);
   read_transfers (frame, map, FIELD_ASKS, &message->asks);
   read_transfers (frame, map, FIELD_LOANS, &message->loans);
   return frame_valid (frame);
