--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -187,8 +187,8 @@
 void beryl_platform_set_rates (struct beryl_platform *p, double reads_per_s,
                                double writes_per_s);
 
-/** Return how many calls a second one of NODES may make of the FLEET_PER_S that
- * the API gives to all. */
+/** Return how many calls a second one of NODES may make of the FLEET_PER_S
+ * that the API gives to all. */
 double beryl_platform_node_rate (double fleet_per_s, uint32_t nodes);
 
 /** How long a request may take and what it does in an outage. */
