An engine's forecast is no more than if none of its runs ended

The spread of the ends of six runs, two deviations of it taken as normal, adds more than all of them can use.

--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -140,6 +140,7 @@
 
       curve->tokens[i] += chance * tokens;
       curve->variance[i] += chance * (1 - chance) * tokens * tokens;
+      curve->most[i] += tokens;
     }
 }
 
@@ -149,8 +150,11 @@
   double peak = 0;
 
   for (int i = 0; i < BOOK_STEPS && i * BOOK_STEP_MS <= until_ms; i++)
-    peak = fmax (peak,
-                 curve->tokens[i] + deviations * sqrt (curve->variance[i]));
+    {
+      double spread = deviations * sqrt (curve->variance[i]);
+
+      peak = fmax (peak, fmin (curve->tokens[i] + spread, curve->most[i]));
+    }
   return peak;
 }
 
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -22,11 +22,13 @@
 #define BOOK_STEPS 14
 #define BOOK_STEP_MS 300
 
-/** Expected tokens at each point, and the variance of that. */
+/** Expected tokens at each point, the variance of that, and what there would
+ * be if no run ended. */
 struct book_curve
 {
   double tokens[BOOK_STEPS];
   double variance[BOOK_STEPS];
+  double most[BOOK_STEPS];
 };
 
 /** How outputs relate to callers' estimates, and how fast they are made. */
@@ -68,7 +70,7 @@
                const struct beryl_engine_run *run, int64_t age_ms);
 
 /** Return the highest point of CURVE up to UNTIL_MS, with DEVIATIONS standard
- * deviations added. */
+ * deviations added, but no more than there would be if no run ended. */
 double book_peak (const struct book_curve *curve, int64_t until_ms,
                   double deviations);
 
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -75,7 +75,12 @@
             struct book_curve *curve)
 {
   for (int i = 0; i < BOOK_STEPS; i++)
-    curve->tokens[i] += hidden_at (live, now_ms, i * BOOK_STEP_MS);
+    {
+      double hidden = hidden_at (live, now_ms, i * BOOK_STEP_MS);
+
+      curve->tokens[i] += hidden;
+      curve->most[i] += hidden;
+    }
 }
 
 void
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -365,6 +365,35 @@
 }
 END_TEST
 
+/* Story: engines with room for six runs got five.  The spread of when six runs
+ * end, taken as normal, added more to their sum than all of them could use if
+ * none ended. */
+START_TEST (test_peak_is_no_more_than_all)
+{
+  struct length_model model;
+  struct book_curve curve = { 0 };
+  struct beryl_engine_run run = {
+    .engine = 1, .prompt_tokens = 3200, .expected_tokens = 800, .started = true
+  };
+  double all = 0;
+
+  length_model_init (&model);
+  model.ms_per_token = 4.8;
+  for (int i = 0; i < 6; i++)
+    {
+      run.made_tokens = 100 * (uint32_t)i;
+      book_add (&curve, &model, &run, 0);
+      all += 3200 + run.made_tokens + BOOK_STEPS * BOOK_STEP_MS / 4.8;
+    }
+  ck_assert (book_peak (&curve, BOOK_STEPS * BOOK_STEP_MS, 100) <= all);
+  /* Runs do end: with one deviation it is less. */
+  ck_assert (book_peak (&curve, BOOK_STEPS * BOOK_STEP_MS, 1)
+             < book_peak (&curve, BOOK_STEPS * BOOK_STEP_MS, 100));
+  /* Now, with all of them there, nothing is uncertain. */
+  ck_assert (fabs (book_peak (&curve, 0, 2) - curve.tokens[0]) < 1);
+}
+END_TEST
+
 START_TEST (test_curve_grows_and_ends)
 {
   struct length_model model;
@@ -690,6 +719,7 @@
   tcase_add_test (tcase, test_routes);
   tcase_add_test (tcase, test_routes_by_weight);
   tcase_add_test (tcase, test_lengths_are_learned);
+  tcase_add_test (tcase, test_peak_is_no_more_than_all);
   tcase_add_test (tcase, test_curve_grows_and_ends);
   tcase_add_test (tcase, test_silent_peer_fades);
   tcase_add_loop_test (tcase, test_index_finds_what_a_walk_finds, 0, 20);
