Engines of the own data centre first, where that serves no later

Change: the best engine near is taken unless the best one far fills 0.15 of its memory less, or has the prompt's turn 50 ms sooner; decode engines near the node, prefill engines and targets of moves near the decode engine. A lost or small data centre's load goes to the others as soon as its engines are that much fuller.

Tests: forward-near.

--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "private.h"
+#include "sample.h"
 
 /* Part of an engine's memory that runs may be foreseen to fill, the spread of
  * what is foreseen included: an engine that runs over stalls all its runs. */
@@ -10,6 +11,13 @@
  * the engine that a run is moved to. */
 #define FILL_DEVIATIONS 2.0
 #define TARGET_DEVIATIONS 0.5
+/* An engine of another data centre is taken only if the best one near will
+ * fill this part of its memory more, or has its prompt's turn so much later:
+ * KV caches take twice as long there, and their bytes and those of the answer
+ * are paid for.  Both are small against what an engine's memory, and the time
+ * to a first event, swing by themselves. */
+#define FAR_PART 0.15
+#define FAR_WAIT_MS 50
 /* Memory that something unknown uses is forgotten within some seconds. */
 #define HIDDEN_FADE_MS 2000.0
 
@@ -155,91 +163,21 @@
   return r->warm_engine != 0 && beryl_live_number (live) == r->warm_engine;
 }
 
-/* Some engines, drawn at random, are compared.  All nodes foresee much the
- * same, and hear of each other's choices some ten milliseconds late: if each
- * took the best engine of all, those that ask at the same moment would all ask
- * the same one, be refused there, and leave others empty.  With 70 nodes that
- * happened to every second question. */
-
-/* Most engines that are compared.  To foresee one costs some ten microseconds;
- * among so many the best one is nearly as good as the best of all. */
-#define SAMPLE_MAX 64
-/* At least so many: the better one of two is far better than one. */
-#define DRAWN_LEAST 2
-/* Another node's choice meets this one's at the best engine with a chance of
- * one in so many. */
-#define MEETING_PART 4
-
-/* An engine and what choosing it would cost. */
-struct candidate
-{
-  struct beryl_live *live;
-  double cost;
-};
-
-struct sample
-{
-  struct candidate items[SAMPLE_MAX];
-  size_t seen;
-};
-
-static size_t
-sample_count (const struct sample *sample)
-{
-  return sample->seen < SAMPLE_MAX ? sample->seen : SAMPLE_MAX;
-}
-
-/* Reservoir sampling: each engine is as likely to be in it. */
-static void
-sample_add (struct beryl_forward *f, struct sample *sample,
-            struct beryl_live *live)
-{
-  size_t at = sample->seen++;
-
-  if (at >= SAMPLE_MAX)
-    at = forward_random (f) % sample->seen;
-  if (at >= SAMPLE_MAX)
-    return;
-  sample->items[at] = (struct candidate){ .live = live };
-}
-
-/* Keeps those of SAMPLE that cost at most MOST. */
-static void
-sample_limit (struct sample *sample, double most)
-{
-  size_t kept = 0;
-
-  for (size_t i = 0; i < sample_count (sample); i++)
-    if (sample->items[i].cost <= most)
-      sample->items[kept++] = sample->items[i];
-  sample->seen = kept;
-}
-
-/* Returns the cheapest of some of SAMPLE, the fewer the more nodes choose for
- * R's service AT_ONCE; NULL if there is none. */
+/* Chooses from SAMPLE for R, which is best served in HOME unless that costs
+ * more by FAR_COST. */
 static struct beryl_live *
-sample_best (struct beryl_forward *f, struct sample *sample, double at_once,
-             double *cost)
-{
-  size_t count = sample_count (sample);
-  double drawn
-      = fmax ((double)count / fmax (MEETING_PART * at_once, 1), DRAWN_LEAST);
-  size_t best = 0;
-
-  if (count == 0)
-    return NULL;
-  for (size_t i = 0; i < count && (double)i < drawn; i++)
-    {
-      size_t k = i + forward_random (f) % (count - i);
-      struct candidate one = sample->items[k];
+choose (struct beryl_forward *f, const struct request *r,
+        struct sample *sample, const char *home, double far_cost,
+        int64_t now_ms, double *cost)
+{
+  struct sample_terms terms = {
+    .at_once = backlog_at_once (f, r, now_ms),
+    .home = home,
+    .far_cost = far_cost,
+    .random = forward_random (f),
+  };
 
-      sample->items[k] = sample->items[i];
-      sample->items[i] = one;
-      if (one.cost < sample->items[best].cost)
-        best = i;
-    }
-  *cost = sample->items[best].cost;
-  return sample->items[best].live;
+  return sample_best (sample, &terms, cost);
 }
 
 /* Whether LIVE may be asked to run R. */
@@ -294,7 +232,7 @@
         continue;
       if (engine_is_warm_for (r, live))
         warm = live;
-      sample_add (f, &sample, live);
+      sample_add (&sample, live, forward_random (f));
     }
   for (size_t i = 0; i < sample_count (&sample); i++)
     sample.items[i].cost = engine_peak_with (f, r, sample.items[i].live,
@@ -307,7 +245,8 @@
           || engine_peak_with (f, r, warm, FILL_DEVIATIONS, now_ms) <= room))
     best = warm;
   else
-    best = sample_best (f, &sample, backlog_at_once (f, r, now_ms), &cost);
+    best = choose (f, r, &sample, f->settings.data_centre, FAR_PART * room,
+                   now_ms, &cost);
   if (best != NULL && beryl_live_avoided (best, now_ms))
     best->trial_ms = now_ms;
   return best;
@@ -328,13 +267,14 @@
       if (serves (live, r, BERYL_STAGE_DECODE, now_ms)
           && live != r->reservation.live && now_ms >= live->full_until_ms
           && !beryl_live_avoided (live, now_ms))
-        sample_add (f, &sample, live);
+        sample_add (&sample, live, forward_random (f));
     }
   for (size_t i = 0; i < sample_count (&sample); i++)
     sample.items[i].cost = engine_peak_with (f, r, sample.items[i].live,
                                              TARGET_DEVIATIONS, now_ms);
   sample_limit (&sample, room);
-  return sample_best (f, &sample, backlog_at_once (f, r, now_ms), &cost);
+  return choose (f, r, &sample, r->reservation.live->info.data_centre,
+                 FAR_PART * room, now_ms, &cost);
 }
 
 bool
@@ -386,12 +326,13 @@
       struct beryl_live *live = beryl_lives_get (f->lives, i);
 
       if (reads_prompts (live, r, now_ms))
-        sample_add (f, &sample, live);
+        sample_add (&sample, live, forward_random (f));
     }
   for (size_t i = 0; i < sample_count (&sample); i++)
     sample.items[i].cost = queued_tokens (f, sample.items[i].live, now_ms);
-  best = sample_best (f, &sample, backlog_at_once (f, r, now_ms),
-                      &waiting_tokens);
+  best = choose (f, r, &sample, r->reservation.live->info.data_centre,
+                 FAR_WAIT_MS / r->service->prefill.ms_per_token, now_ms,
+                 &waiting_tokens);
   *wait_ms = (int64_t)(waiting_tokens * r->service->prefill.ms_per_token);
   return best;
 }
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -112,6 +112,15 @@
   return s;
 }
 
+struct service *
+forward_service_numbered (const struct beryl_forward *f, uint32_t number)
+{
+  for (size_t i = 0; i < f->service_count; i++)
+    if (beryl_engine_number (f->services[i]->name) == number)
+      return f->services[i];
+  return NULL;
+}
+
 static void
 note_engines (struct beryl_forward *f, const struct beryl_routes *routes)
 {
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -176,6 +176,9 @@
 /* forward.c */
 uint64_t forward_random (struct beryl_forward *f);
 struct service *forward_service (struct beryl_forward *f, const char *name);
+/** Return the service whose name has NUMBER, or NULL. */
+struct service *forward_service_numbered (const struct beryl_forward *f,
+                                          uint32_t number);
 /** Start an exchange for R (NULL: clean-up). */
 struct exchange *forward_start (struct beryl_forward *f, struct request *r,
                                 struct beryl_exchange_start *start,
--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -148,22 +148,14 @@
     s->lengths.ms_per_token = mix.decode_ms_per_token;
 }
 
-static struct service *
-service_of (const struct beryl_forward *f, uint32_t number)
-{
-  for (size_t i = 0; i < f->service_count; i++)
-    if (beryl_engine_number (f->services[i]->name) == number)
-      return f->services[i];
-  return NULL;
-}
-
 void
 beryl_forward_peer_profiles (struct beryl_forward *f, const char *peer,
                              const struct beryl_generation_profiles *profiles)
 {
   for (size_t i = 0; i < profiles->count; i++)
     {
-      struct service *s = service_of (f, profiles->items[i].service);
+      struct service *s
+          = forward_service_numbered (f, profiles->items[i].service);
 
       if (s == NULL)
         continue;
--- /dev/null
+++ b/tests/forward/test_near.c
@@ -0,0 +1,117 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "../../libberyl/forward/sample.h"
+
+/* Which engine is chosen where data centres differ.  The pattern: seventy
+ * nodes and a hundred engines in three data centres; bytes between these are
+ * paid for and KV caches take twice as long. */
+
+#define ENGINES 30
+#define FAR_COST 15.0
+
+static struct beryl_live lives[ENGINES];
+
+static void
+setup (void)
+{
+  memset (lives, 0, sizeof lives);
+  for (int i = 0; i < ENGINES; i++)
+    strcpy (lives[i].info.data_centre, i % 3 == 0 ? "home" : "away");
+}
+
+/* Chooses where engines at home cost NEAR and the others FAR. */
+static const struct beryl_live *
+chosen (double near, double far, uint64_t seed)
+{
+  struct sample sample = { 0 };
+  struct sample_terms terms
+      = { .at_once = 2, .home = "home", .far_cost = FAR_COST, .random = seed };
+  double cost = 0;
+  const struct beryl_live *live;
+
+  for (int i = 0; i < ENGINES; i++)
+    sample_add (&sample, &lives[i], seed + (uint64_t)i);
+  for (size_t i = 0; i < sample_count (&sample); i++)
+    sample.items[i].cost
+        = strcmp (sample.items[i].live->info.data_centre, "home") == 0 ? near
+                                                                       : far;
+  live = sample_best (&sample, &terms, &cost);
+  ck_assert (live == NULL || cost == near || cost == far);
+  return live;
+}
+
+static uint32_t
+chosen_at_home (double near, double far)
+{
+  uint32_t count = 0;
+
+  for (uint64_t seed = 0; seed < 100; seed++)
+    count += strcmp (chosen (near, far, seed)->info.data_centre, "home") == 0;
+  return count;
+}
+
+START_TEST (test_near_ones_first)
+{
+  ck_assert_uint_eq (chosen_at_home (50, 50), 100);
+  ck_assert_uint_eq (chosen_at_home (50, 50 - FAR_COST + 1), 100);
+}
+END_TEST
+
+/* Nobody is refused, or served later, for the sake of distance. */
+START_TEST (test_far_ones_where_near_ones_are_full)
+{
+  ck_assert_uint_eq (chosen_at_home (80, 50), 0);
+}
+END_TEST
+
+/* A data centre without engines, and a node that does not know its own. */
+START_TEST (test_no_home)
+{
+  for (int i = 0; i < ENGINES; i++)
+    strcpy (lives[i].info.data_centre, "away");
+  ck_assert_ptr_nonnull (chosen (50, 50, 1));
+  for (int i = 0; i < ENGINES; i++)
+    strcpy (lives[i].info.data_centre, "");
+  ck_assert_ptr_nonnull (chosen (50, 50, 1));
+}
+END_TEST
+
+/* With few engines near, the load there still spreads over all of them. */
+START_TEST (test_load_spreads)
+{
+  bool seen[ENGINES] = { false };
+
+  for (uint64_t seed = 0; seed < 300; seed++)
+    seen[chosen (50, 50, seed * 7919) - lives] = true;
+  for (int i = 0; i < ENGINES; i += 3)
+    ck_assert_msg (seen[i], "engine %d is never chosen", i);
+}
+END_TEST
+
+START_TEST (test_nothing_to_choose)
+{
+  struct sample sample = { 0 };
+  struct sample_terms terms = { .home = "home" };
+  double cost;
+
+  ck_assert_ptr_null (sample_best (&sample, &terms, &cost));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("near engines");
+  TCase *tcase = tcase_create ("near");
+
+  tcase_add_checked_fixture (tcase, setup, NULL);
+  tcase_add_test (tcase, test_near_ones_first);
+  tcase_add_test (tcase, test_far_ones_where_near_ones_are_full);
+  tcase_add_test (tcase, test_no_home);
+  tcase_add_test (tcase, test_load_spreads);
+  tcase_add_test (tcase, test_nothing_to_choose);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
