--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -174,7 +174,7 @@
     .at_once = backlog_at_once (f, r, now_ms),
     .home = home,
     .far_cost = far_cost,
-    .random = forward_random (f),
+    .random = &f->random,
   };
 
   return sample_best (sample, &terms, cost);
@@ -232,7 +232,7 @@
         continue;
       if (engine_is_warm_for (r, live))
         warm = live;
-      sample_add (&sample, live, forward_random (f));
+      sample_add (&sample, live, &f->random);
     }
   for (size_t i = 0; i < sample_count (&sample); i++)
     sample.items[i].cost = engine_peak_with (f, r, sample.items[i].live,
@@ -267,7 +267,7 @@
       if (serves (live, r, BERYL_STAGE_DECODE, now_ms)
           && live != r->reservation.live && now_ms >= live->full_until_ms
           && !beryl_live_avoided (live, now_ms))
-        sample_add (&sample, live, forward_random (f));
+        sample_add (&sample, live, &f->random);
     }
   for (size_t i = 0; i < sample_count (&sample); i++)
     sample.items[i].cost = engine_peak_with (f, r, sample.items[i].live,
@@ -326,7 +326,7 @@
       struct beryl_live *live = beryl_lives_get (f->lives, i);
 
       if (reads_prompts (live, r, now_ms))
-        sample_add (&sample, live, forward_random (f));
+        sample_add (&sample, live, &f->random);
     }
   for (size_t i = 0; i < sample_count (&sample); i++)
     sample.items[i].cost = queued_tokens (f, sample.items[i].live, now_ms);
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -81,17 +81,6 @@
   free (f);
 }
 
-uint64_t
-forward_random (struct beryl_forward *f)
-{
-  /* splitmix64 */
-  uint64_t z = f->random += UINT64_C (0x9e3779b97f4a7c15);
-
-  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
-  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
-  return z ^ (z >> 31);
-}
-
 struct service *
 forward_service (struct beryl_forward *f, const char *name)
 {
--- a/libberyl/forward/loans.c
+++ b/libberyl/forward/loans.c
@@ -38,7 +38,7 @@
       const struct book_peer *peer = f->book.peers[i];
 
       if (now_ms - peer->told_ms < PEER_SILENT_MS
-          && forward_random (f) % ++seen == 0)
+          && random_next (&f->random) % ++seen == 0)
         drawn = peer;
     }
   return drawn;
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -161,7 +161,7 @@
 {
   double at_once
       = (double)backlog_waiting (f, r, now_ms) * NEWS_MS / ASK_AGAIN_MS;
-  double chance = (double)(forward_random (f) >> 11) * 0x1p-53;
+  double chance = random_part (&f->random);
 
   return at_once > places && chance * at_once > places;
 }
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -84,7 +84,7 @@
   struct beryl_live *best = NULL;
   double best_cost = 0;
   size_t count = beryl_lives_count (f->lives);
-  size_t start = count > 0 ? forward_random (f) % count : 0;
+  size_t start = count > 0 ? random_next (&f->random) % count : 0;
 
   for (size_t i = 0; i < count; i++)
     {
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -8,6 +8,7 @@
 
 #include "../base/buffer.h"
 #include "../base/map.h"
+#include "../base/random.h"
 #include "beryl/clock.h"
 #include "beryl/forward.h"
 #include "book.h"
@@ -174,7 +175,6 @@
 };
 
 /* forward.c */
-uint64_t forward_random (struct beryl_forward *f);
 struct service *forward_service (struct beryl_forward *f, const char *name);
 /** Return the service whose name has NUMBER, or NULL. */
 struct service *forward_service_numbered (const struct beryl_forward *f,
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -253,7 +253,7 @@
                      const struct beryl_route *route)
 {
   struct request *r = calloc (1, sizeof *r);
-  double point = (double)(forward_random (f) >> 11) * 0x1p-53;
+  double point = random_part (&f->random);
 
   r->facts = *facts;
   r->facts.host = NULL;
--- a/libberyl/forward/sample.c
+++ b/libberyl/forward/sample.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "../base/random.h"
+
 /* At least so many: the better one of two is far better than one. */
 #define DRAWN_LEAST 2
 /* Another node's choice meets this one's at the best engine with a chance of
@@ -17,12 +19,12 @@
 
 /* Reservoir sampling. */
 void
-sample_add (struct sample *sample, struct beryl_live *live, uint64_t random)
+sample_add (struct sample *sample, struct beryl_live *live, uint64_t *random)
 {
   size_t at = sample->seen++;
 
   if (at >= SAMPLE_MAX)
-    at = random % sample->seen;
+    at = random_next (random) % sample->seen;
   if (at >= SAMPLE_MAX)
     return;
   sample->items[at] = (struct candidate){ .live = live };
@@ -69,17 +71,6 @@
   return near;
 }
 
-/* One step of splitmix64. */
-static uint64_t
-next_random (uint64_t *state)
-{
-  uint64_t z = *state += UINT64_C (0x9e3779b97f4a7c15);
-
-  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
-  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
-  return z ^ (z >> 31);
-}
-
 /* The cheapest of some of ITEMS, among which AT_ONCE choices are made. */
 static const struct candidate *
 best_of_drawn (struct candidate *items, size_t count, double at_once,
@@ -93,7 +84,7 @@
     return NULL;
   for (size_t i = 0; i < count && (double)i < drawn; i++)
     {
-      swap (&items[i], &items[i + next_random (random) % (count - i)]);
+      swap (&items[i], &items[i + random_next (random) % (count - i)]);
       if (items[i].cost < items[best].cost)
         best = i;
     }
@@ -106,14 +97,13 @@
 {
   size_t count = sample_count (sample);
   size_t near = near_first (sample->items, count, terms->home);
-  uint64_t random = terms->random;
   /* The others stay at home too: as many meet among these as are these. */
   double per_engine = terms->at_once / (double)(count > 0 ? count : 1);
   const struct candidate *best = best_of_drawn (
-      sample->items, near, per_engine * (double)near, &random);
+      sample->items, near, per_engine * (double)near, terms->random);
   const struct candidate *far
       = best_of_drawn (sample->items + near, count - near,
-                       per_engine * (double)(count - near), &random);
+                       per_engine * (double)(count - near), terms->random);
 
   if (best == NULL
       || (far != NULL && far->cost + terms->far_cost < best->cost))
--- a/libberyl/forward/sample.h
+++ b/libberyl/forward/sample.h
@@ -42,7 +42,7 @@
   double at_once;   /**< choices that are made before others hear of them */
   const char *home; /**< the data centre to stay in; "" for any */
   double far_cost;  /**< by how much the best one there may cost more */
-  uint64_t random;
+  uint64_t *random; /**< state of random_next */
 };
 
 /** Return how many engines SAMPLE holds. */
@@ -50,7 +50,7 @@
 
 /** Offer LIVE; each one is as likely to be held. */
 void sample_add (struct sample *sample, struct beryl_live *live,
-                 uint64_t random);
+                 uint64_t *random);
 
 /** Keep those of SAMPLE that cost at most MOST. */
 void sample_limit (struct sample *sample, double most);
--- a/libberyl/membership/membership.c
+++ b/libberyl/membership/membership.c
@@ -3,6 +3,7 @@
 
 #include "beryl/clock.h"
 #include "../base/guard_control.h"
+#include "../base/random.h"
 #include "private.h"
 
 #define PROBE_MS 1000
@@ -20,11 +21,7 @@
 uint64_t
 membership_random (struct beryl_membership *m, uint64_t limit)
 {
-  uint64_t z = (m->random += 0x9e3779b97f4a7c15U);
-
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9U;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111ebU;
-  return (z ^ (z >> 31)) % limit;
+  return random_next (&m->random) % limit;
 }
 
 static bool
--- a/libberyl/platform/client.c
+++ b/libberyl/platform/client.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../base/random.h"
 #include "private.h"
 
 /** Defaults of the settings. */
@@ -137,8 +138,8 @@
 void
 beryl_platform_nonce (struct beryl_platform *p, char nonce[BERYL_NONCE_BYTES])
 {
-  uint64_t high = platform_random_next (&p->random);
-  uint64_t low = platform_random_next (&p->random);
+  uint64_t high = random_next (&p->random);
+  uint64_t low = random_next (&p->random);
 
   snprintf (nonce, BERYL_NONCE_BYTES, "%016" PRIx64 "%016" PRIx64, high, low);
 }
--- a/libberyl/platform/private.h
+++ b/libberyl/platform/private.h
@@ -197,7 +197,6 @@
 };
 
 /* random.c */
-uint64_t platform_random_next (uint64_t *state);
 /** Return a delay of up to LIMIT_MS, at least half of it. */
 int64_t platform_random_jitter_ms (uint64_t *state, int64_t limit_ms);
 
--- a/libberyl/requests/claims.c
+++ b/libberyl/requests/claims.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../base/random.h"
 #include "claim_private.h"
 
 #define XXH_INLINE_ALL
@@ -128,21 +129,11 @@
   return call;
 }
 
-static uint64_t
-next_random (struct beryl_claims *claims)
-{
-  uint64_t z = claims->random += UINT64_C (0x9e3779b97f4a7c15);
-
-  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
-  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
-  return z ^ (z >> 31);
-}
-
 void
 claims_nonce (struct beryl_claims *claims, char nonce[33])
 {
-  uint64_t high = next_random (claims);
-  uint64_t low = next_random (claims);
+  uint64_t high = random_next (&claims->random);
+  uint64_t low = random_next (&claims->random);
 
   snprintf (nonce, 33, "%016llx%016llx", (unsigned long long)high,
             (unsigned long long)low);
--- a/libberyl/router/baselines.c
+++ b/libberyl/router/baselines.c
@@ -1,3 +1,4 @@
+#include "../base/random.h"
 #include "private.h"
 
 /* The baselines choose at once, without reservation or admission. */
@@ -29,7 +30,7 @@
 choose_random (struct beryl_router *r, struct router_service *s,
                const struct router_list *list, bool prefill, int64_t now_ms)
 {
-  return list->items[router_random (r) % list->count];
+  return list->items[random_next (&r->random) % list->count];
 }
 
 static uint32_t
@@ -46,7 +47,7 @@
                        const struct router_list *list, bool prefill,
                        int64_t now_ms)
 {
-  size_t at = router_random (r) % list->count; /* breaks ties */
+  size_t at = random_next (&r->random) % list->count; /* breaks ties */
   uint32_t best = list->items[at];
   for (size_t i = 1; i < list->count; i++)
     {
@@ -62,8 +63,8 @@
 choose_of_two (struct beryl_router *r, struct router_service *s,
                const struct router_list *list, bool prefill, int64_t now_ms)
 {
-  uint32_t a = list->items[router_random (r) % list->count];
-  uint32_t b = list->items[router_random (r) % list->count];
+  uint32_t a = list->items[random_next (&r->random) % list->count];
+  uint32_t b = list->items[random_next (&r->random) % list->count];
   return load_with_own (s, &r->endpoints[a], prefill, now_ms)
                  <= load_with_own (s, &r->endpoints[b], prefill, now_ms)
              ? a
--- a/libberyl/router/fleet.c
+++ b/libberyl/router/fleet.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../base/random.h"
 #include "private.h"
 #include "shares.h"
 
@@ -121,7 +122,7 @@
 {
   size_t count = s->decode.count;
   size_t looks = count < SPARE_SAMPLE ? count : SPARE_SAMPLE;
-  size_t at = count > looks ? router_random (r) % count : 0;
+  size_t at = count > looks ? random_next (&r->random) % count : 0;
   double spare = 0;
   for (size_t i = 0; i < looks; i++)
     {
--- a/libberyl/router/pair.c
+++ b/libberyl/router/pair.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../base/random.h"
 #include "private.h"
 
 /* Prefill engines looked at in a large pool, beside those with a prefix. */
@@ -111,7 +112,7 @@
     try_prefill (q, matches[i].endpoint, matches[i].blocks);
   for (size_t i = 0; i < SAMPLE; i++)
     {
-      uint32_t number = list->items[router_random (q->r) % list->count];
+      uint32_t number = list->items[random_next (&q->r->random) % list->count];
       try_prefill (q, number, blocks_of (matches, known, number));
     }
 }
@@ -122,7 +123,7 @@
 {
   size_t count = s->own.count;
   size_t looks = count < DECODE_SAMPLE ? count : DECODE_SAMPLE;
-  size_t at = count ? router_random (r) % count : 0;
+  size_t at = count ? random_next (&r->random) % count : 0;
   uint32_t best = ROUTER_NONE;
   double best_score = 0;
   for (size_t i = 0; i < count && (i < looks || best == ROUTER_NONE); i++)
@@ -152,7 +153,7 @@
 {
   const struct router_list *list = &s->decode;
   size_t looks = list->count < DECODE_SAMPLE ? list->count : DECODE_SAMPLE;
-  size_t at = list->count ? router_random (r) % list->count : 0;
+  size_t at = list->count ? random_next (&r->random) % list->count : 0;
   uint32_t best = ROUTER_NONE;
   uint32_t best_free = 0;
   for (size_t i = 0; i < looks; i++)
--- a/libberyl/router/plain.c
+++ b/libberyl/router/plain.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "../base/random.h"
 #include "private.h"
 
 #define HEAD_RETRY_MS 10
@@ -43,7 +44,7 @@
               struct beryl_plan *plan)
 {
   bool urgent = job->call_class == BERYL_CLASS_URGENT;
-  size_t at = s->plain.count ? router_random (r) % s->plain.count : 0;
+  size_t at = s->plain.count ? random_next (&r->random) % s->plain.count : 0;
   uint32_t best = ROUTER_NONE;
   double best_cost = 0;
   for (size_t i = 0; i < s->plain.count; i++)
--- a/libberyl/router/private.h
+++ b/libberyl/router/private.h
@@ -192,7 +192,6 @@
 };
 
 /* router.c */
-uint64_t router_random (struct beryl_router *r);
 struct router_service *router_service_find (struct beryl_router *r,
                                             const char *name);
 void router_refuse (struct beryl_plan *plan, const char *reason,
--- a/libberyl/router/router.c
+++ b/libberyl/router/router.c
@@ -61,16 +61,6 @@
   free (r);
 }
 
-/* splitmix64: small, seeded and the same everywhere. */
-uint64_t
-router_random (struct beryl_router *r)
-{
-  uint64_t x = r->random += UINT64_C (0x9e3779b97f4a7c15);
-  x = (x ^ (x >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
-  x = (x ^ (x >> 27)) * UINT64_C (0x94d049bb133111eb);
-  return x ^ (x >> 31);
-}
-
 struct router_service *
 router_service_find (struct beryl_router *r, const char *name)
 {
--- a/tests/forward/test_near.c
+++ b/tests/forward/test_near.c
@@ -27,12 +27,12 @@
 {
   struct sample sample = { 0 };
   struct sample_terms terms
-      = { .at_once = 2, .home = "home", .far_cost = FAR_COST, .random = seed };
+      = { .at_once = 2, .home = "home", .far_cost = FAR_COST, .random = &seed };
   double cost = 0;
   const struct beryl_live *live;
 
   for (int i = 0; i < ENGINES; i++)
-    sample_add (&sample, &lives[i], seed + (uint64_t)i);
+    sample_add (&sample, &lives[i], &seed);
   for (size_t i = 0; i < sample_count (&sample); i++)
     sample.items[i].cost
         = strcmp (sample.items[i].live->info.data_centre, "home") == 0 ? near
