Refused callers come back in the last part of the time that they have

They are late in any case. Change: the time is drawn from the second half of the longest one that they may be told.

Test: test_callers_come_back_after_the_peak.

--- a/libberyl/forward/backlog.c
+++ b/libberyl/forward/backlog.c
@@ -1,6 +1,7 @@
 #include "private.h"
 
 #include <math.h>
+#include <sys/param.h>
 
 /* How long generations wait for room, and when those that are refused may
  * come back. */
@@ -11,6 +12,11 @@
 #define RETRY_LEAST_MS 300
 /* A caller that comes back keeps two thirds of its time for its second try. */
 #define RETRY_MOST_PART 3
+/* And it comes back in the last part of the time that it may be told, at
+ * random: it is late in any case, and a peak that had no room for it lasts for
+ * seconds.  Told to come as soon as the backlog could be over, half of those
+ * who came were refused again, and then have no further try. */
+#define RETRY_LAST_PART 0.5
 /* Part of the places that free up which callers who come back may take; the
  * rest is for those who come for the first time. */
 #define RETURN_PART 0.5
@@ -56,6 +62,14 @@
   return (int64_t)(1000 * backlog_waiting (f, r, now_ms) / rate);
 }
 
+static int64_t
+drawn_ms (struct beryl_forward *f, int64_t most_ms)
+{
+  double part = 1 - RETRY_LAST_PART * random_part (&f->random);
+
+  return (int64_t)(part * (double)most_ms);
+}
+
 /* Refused callers come back one after the other, at the pace at which places
  * free up for them.  All told the same time would come back together, meet
  * the same peak again and be refused for good. */
@@ -78,6 +92,8 @@
     return after_ms > NO_RUNS_RETRY_MS ? after_ms : NO_RUNS_RETRY_MS;
   if (after_ms < RETRY_LEAST_MS)
     after_ms = RETRY_LEAST_MS;
+  if (latest_ms != BERYL_NEVER_MS)
+    after_ms = MAX (after_ms, drawn_ms (f, latest_ms - now_ms));
   slot_ms = now_ms + after_ms;
   if (s->return_ms > slot_ms)
     slot_ms = s->return_ms;
--- a/tests/forward/test_choice.c
+++ b/tests/forward/test_choice.c
@@ -283,6 +283,27 @@
 }
 END_TEST
 
+/* Story: a peak lasts some seconds.  Callers that were refused at its
+ * beginning and told to come back in half a second met the same peak, were
+ * refused again, and had no further try.  They use the time that they have. */
+START_TEST (test_callers_come_back_after_the_peak)
+{
+  struct fx *fx = open_full (20);
+  int64_t most_ms = terms.route.timeout_ms / 3;
+
+  for (uint64_t i = 1; i <= 4; i++)
+    {
+      arrive_long (fx, i);
+      ck_assert (fx->answers[i].refused);
+      ck_assert_int_ge (fx->answers[i].refusal.retry_after_ms, most_ms / 2);
+      ck_assert_int_le (fx->answers[i].refusal.retry_after_ms, most_ms);
+      fx_pass (fx, 1);
+    }
+  fx_close (fx);
+  g_free (fx);
+}
+END_TEST
+
 /* With nobody before it a request waits: a run may end at any moment. */
 START_TEST (test_short_backlog_is_waited_for)
 {
@@ -332,6 +353,7 @@
   tcase_add_test (tcase, test_unknown_memory);
   tcase_add_test (tcase, test_short_backlog_is_waited_for);
   tcase_add_test (tcase, test_callers_come_back_one_by_one);
+  tcase_add_test (tcase, test_callers_come_back_after_the_peak);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
