--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -219,11 +219,12 @@
 engine_choose_decode (struct beryl_forward *f, const struct request *r,
                       struct engine_outlook *outlook, int64_t now_ms)
 {
-  struct sample sample = { 0 };
+  struct sample sample;
   struct beryl_live *best = NULL, *warm = NULL;
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
   double cost;
 
+  sample_init (&sample);
   for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
@@ -256,10 +257,11 @@
 engine_choose_target (struct beryl_forward *f, const struct request *r,
                       int64_t now_ms)
 {
-  struct sample sample = { 0 };
+  struct sample sample;
   double room = FILL_PART * (double)r->terms->engine.kv_tokens;
   double cost;
 
+  sample_init (&sample);
   for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
@@ -317,10 +319,11 @@
 engine_choose_prefill (struct beryl_forward *f, const struct request *r,
                        int64_t *wait_ms, int64_t now_ms)
 {
-  struct sample sample = { 0 };
+  struct sample sample;
   struct beryl_live *best;
   double waiting_tokens = 0;
 
+  sample_init (&sample);
   for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
--- a/libberyl/forward/sample.c
+++ b/libberyl/forward/sample.c
@@ -11,6 +11,12 @@
  * one in so many. */
 #define MEETING_PART 4
 
+void
+sample_init (struct sample *sample)
+{
+  *sample = (struct sample){ 0 };
+}
+
 size_t
 sample_count (const struct sample *sample)
 {
--- a/libberyl/forward/sample.h
+++ b/libberyl/forward/sample.h
@@ -29,7 +29,7 @@
   double cost;
 };
 
-/** Zero-initialise. */
+/** Begin with sample_init. */
 struct sample
 {
   struct candidate items[SAMPLE_MAX];
@@ -45,6 +45,9 @@
   uint64_t *random; /**< state of random_next */
 };
 
+/** Make SAMPLE empty. */
+void sample_init (struct sample *sample);
+
 /** Return how many engines SAMPLE holds. */
 size_t sample_count (const struct sample *sample);
 
