A stream that seeks another engine stays where it is if no repeats are left

Cause, by reading: a full engine stops several streams at once, each asks for room elsewhere while repeats are left, and the first ones use them up; the next one had ended its old stream when it found that, and was cut off in front of its caller, although its engine would have gone on. Change: the repeats are asked for again before the old stream is ended; the granted room is given back. Test: test_preempted_without_repeats, failed before and passes.

--- a/libberyl/forward/seek.c
+++ b/libberyl/forward/seek.c
@@ -98,6 +98,21 @@
   ask (f, r, now_ms);
 }
 
+/* Other streams may have used up the repeats since R asked.  Given up now, it
+ * could neither be read elsewhere nor go on where it is: it stays. */
+static void
+stay (struct beryl_forward *f, struct exchange *x,
+      const struct beryl_engine_result *result, int64_t now_ms)
+{
+  struct request *r = x->request;
+
+  forward_request_decided (f, r, "stall", r->first->live, "no_repeats", 0,
+                           now_ms);
+  place_give_back (f, x->live, result->handle, now_ms);
+  forward_exchange_free (f, x);
+  next_round (r, now_ms);
+}
+
 /* The old engine's stream is closed before the request goes on, so that it
  * never runs at two. */
 void
@@ -107,6 +122,11 @@
   struct request *r = x->request;
   struct exchange *old = r->first;
 
+  if (!stream_may_go_on (f, r, now_ms))
+    {
+      stay (f, x, result, now_ms);
+      return;
+    }
   r->seeks = false;
   if (!old->headed)
     forward_request_count_run (r);
--- a/tests/forward/test_streams.c
+++ b/tests/forward/test_streams.c
@@ -337,6 +337,29 @@
 }
 END_TEST
 
+/* Story: a full engine stops two streams of a node at the same moment.  Both
+ * ask for room elsewhere while the repeats are left for one; the other was
+ * given up at its engine when room was granted, and only then found that its
+ * prompt might not be read again: cut off in front of a caller who still
+ * waits, though its engine would have gone on. */
+START_TEST (test_preempted_without_repeats)
+{
+  struct fx_exchange *run = preempted ();
+  struct fx_exchange *place = open_of (1, BERYL_EXCHANGE_RESERVE);
+
+  beryl_forward_set_repeats (fx.forward, 0, 0, 10000);
+  fx_ok (&fx, place, "hold-2");
+  ck_assert (!run->aborted);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  ck_assert_str_eq (fx_last (&fx, BERYL_EXCHANGE_UNRESERVE)->handle, "hold-2");
+  fx_pass (&fx, 300);
+  ck_assert (!run->aborted);
+  fx_event (&fx, run, 3);
+  fx_done (&fx, run);
+  ck_assert (answer (1)->whole);
+}
+END_TEST
+
 /* An engine takes the question for room and never answers: the next one is
  * asked, and what the first one grants late is given back. */
 START_TEST (test_preempted_asks_a_frozen_engine)
@@ -442,6 +465,7 @@
   tcase_add_test (tcase, test_stopped_run_does_not_return_late);
   tcase_add_test (tcase, test_preempted);
   tcase_add_test (tcase, test_preempted_without_room);
+  tcase_add_test (tcase, test_preempted_without_repeats);
   tcase_add_test (tcase, test_preempted_goes_on);
   tcase_add_test (tcase, test_preempted_asks_a_frozen_engine);
   tcase_add_test (tcase, test_preempted_engine_dies);
