--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -16,8 +16,8 @@
 #define TELL_LOOK_MS 100
 /* Peers in other data centres are told of changes so often at most.  Engines
  * are chosen near, so that what runs here concerns the peers near; told to all
- * at once it was three quarters of what crosses between data centres, in a
- * fleet of 70 nodes. */
+ * at once, and with engines chosen anywhere, 0.32 GB a day crossed between
+ * data centres in a fleet of 69 nodes, and 0.17 since. */
 #define TELL_FAR_MS 250
 /* With more peers each is told less often, so that a node's bytes for it stay
  * the same. */
--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -273,9 +273,8 @@
 }
 
 /* An order was answered; where one is due others are.  Given one in half a
- * second, seven of 45 engines were back in their new stage only after the
- * first peak, which cost 0.05 of the worth of days that begin with too few
- * decode engines. */
+ * second, seven of 45 engines would be back in their new stage some seconds
+ * later than they could be, with too few for decode meanwhile. */
 static void
 plan_next (struct planner *p)
 {
--- a/libberyl/forward/backlog.c
+++ b/libberyl/forward/backlog.c
@@ -13,9 +13,10 @@
 /* A caller that comes back keeps two thirds of its time for its second try. */
 #define RETRY_MOST_PART 3
 /* And it comes back in the last part of the time that it may be told, at
- * random: it is late in any case, and a peak that had no room for it lasts for
- * seconds.  Told to come as soon as the backlog could be over, half of those
- * who came were refused again, and then have no further try. */
+ * random: it is late in any case, a peak that had no room for it lasts for
+ * seconds, and one that is refused again has no further try.  Told to come as
+ * soon as the backlog could be over, 3 in 1,000 requests of two deployments
+ * with 7 and 8 nodes ended refused, and 1 and 2 since. */
 #define RETRY_LAST_PART 0.5
 /* Part of the places that free up which callers who come back may take; the
  * rest is for those who come for the first time. */
--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -4,9 +4,9 @@
 #include <stdlib.h>
 
 /* What nodes learn of generations, each from its own few, put together.  One
- * of many nodes sees a request every second or two: by itself the holder of
- * the planner's lease knew the engines' speed only after some fifteen seconds,
- * with 70 nodes before 45 engines. */
+ * of 70 nodes before 45 engines sees one generation a second, and the holder
+ * of the planner's lease needs several to know the engines' speed.  Shared,
+ * days with trouble there were worth 0.52 instead of 0.48. */
 
 /* Most of its own observations that a node's means go back to; more count no
  * more, so that a shift is followed. */
--- a/libberyl/platform/client.c
+++ b/libberyl/platform/client.c
@@ -190,7 +190,9 @@
       return;
     }
   platform_breaker_succeeded (p);
-  json = json_loadb (body ? body : "", body_bytes, 0, NULL);
+  /* A zero in a text that another writer put there is no reason to lose the
+     rest of the answer. */
+  json = json_loadb (body ? body : "", body_bytes, JSON_ALLOW_NUL, NULL);
   job->impl->answer (p, job, status, json, now_ms);
   json_decref (json);
 }
--- a/libberyl/stages/stages.c
+++ b/libberyl/stages/stages.c
@@ -17,10 +17,10 @@
 #define FIRST_MS 500
 /* Before the mix was seen engines go this part of the way from what operators
  * set up to what is assumed; either may be wrong.  Ordered all the way,
- * engines that read at half the assumed speed had a third of the prefill
- * engines that they needed at the first peak: 0.15 of the worth of a quiet
- * day, with 18 and with 140 engines.  Ordered not at all, days of 45 engines
- * that are as assumed lost 0.03. */
+ * engines that read at half the assumed speed had two fifths of the prefill
+ * engines that they needed at the first peak: a quiet day was worth 0.15 less
+ * with 18 engines, and 0.11 with 140.  Ordered not at all, days of 45 and 49
+ * engines that are as assumed lost 0.03. */
 #define ASSUMED_PART 0.5
 /* Orders within this of the first one belong to it. */
 #define FIRST_ORDERS_MS 4000
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -545,7 +545,7 @@
 START_TEST (test_foreign_writer)
 {
   world_nodes (&w, 2);
-  standin_put (w.standin, "servers", "foreign", json_string ("?"));
+  standin_put (w.standin, "servers", "foreign", json_stringn ("a\0b", 3));
   standin_put (w.standin, "servers", "a0",
                json_pack ("{s:s, s:i}", "service", "plain", "address", 1));
   standin_put (w.standin, "gateway-leases", "stage-planner", json_integer (1));
--- /dev/null
+++ b/tests/platform_wire/test_store.c
@@ -0,0 +1,177 @@
+/* How the users' metadata store is called and its answers are understood, by
+ * examples of its published protocol. */
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "platform.h"
+
+static const struct gateway_wire *wire;
+
+static void
+setup (void)
+{
+  wire = platform_gateway_wire ();
+}
+
+static void
+assert_store_call (const struct beryl_platform_call *call, const char *method,
+                   const char *path, const char *body)
+{
+  struct platform_wire_call out = { 0 };
+
+  wire->store.impl->call (&wire->store, call, &out);
+  ck_assert_str_eq (out.method, method);
+  ck_assert_str_eq (out.path, path);
+  ck_assert_pstr_eq (out.body, body);
+  g_free (out.path);
+  g_free (out.body);
+}
+
+START_TEST (test_store_calls)
+{
+  struct beryl_platform_call call = { .op = BERYL_OP_PUT,
+                                      .kind = "k",
+                                      .name = "n",
+                                      .condition = BERYL_IF_ABSENT,
+                                      .body = "{\"a\":1}",
+                                      .body_bytes = 7 };
+
+  assert_store_call (&call, "POST", "/v1/objects/k",
+                     "{\"metadata\":{\"name\":\"n\"},\"spec\":{\"a\":1}}");
+  call.condition = BERYL_IF_VERSION;
+  call.version = 12;
+  assert_store_call (&call, "PUT", "/v1/objects/k/n",
+                     "{\"metadata\":{\"name\":\"n\",\"revision\":12},"
+                     "\"spec\":{\"a\":1}}");
+  call.op = BERYL_OP_DELETE;
+  assert_store_call (&call, "DELETE", "/v1/objects/k/n?revision=12", NULL);
+  call.op = BERYL_OP_WATCH;
+  call.revision = 40;
+  call.wait_ms = 2000;
+  assert_store_call (&call, "GET", "/v1/objects/k?watch=40&wait_ms=2000",
+                     NULL);
+}
+END_TEST
+
+static void
+assert_store_answer (enum beryl_platform_op op, unsigned int status,
+                     const char *body, unsigned int native_status,
+                     const char *native)
+{
+  char *text = wire->store.impl->answer (&wire->store, op, "k", &status, body,
+                                         strlen (body));
+
+  ck_assert_uint_eq (status, native_status);
+  ck_assert_pstr_eq (text, native);
+  g_free (text);
+}
+
+START_TEST (test_store_answers)
+{
+  static const char object[]
+      = "{\"metadata\":{\"name\":\"n\",\"revision\":9},\"spec\":{\"a\":1}}";
+
+  assert_store_answer (
+      BERYL_OP_GET, 200, object, 200,
+      "{\"kind\":\"k\",\"name\":\"n\",\"version\":9,\"value\":{\"a\":1}}");
+  assert_store_answer (BERYL_OP_PUT, 200, object, 200, "{\"version\":9}");
+  /* Somebody was faster; the answer has what is there. */
+  assert_store_answer (BERYL_OP_PUT, 409,
+                       "{\"object\":{\"metadata\":{\"revision\":11}}}", 412,
+                       "{\"version\":11}");
+  assert_store_answer (BERYL_OP_PUT, 404, "{}", 412, "{\"version\":0}");
+  assert_store_answer (
+      BERYL_OP_WATCH, 200,
+      "{\"store_revision\":10,\"events\":[{\"tombstone\":true,\"object\":"
+      "{\"metadata\":{\"name\":\"n\",\"revision\":10}}}]}",
+      200,
+      "{\"events\":[{\"kind\":\"k\",\"name\":\"n\",\"version\":10,"
+      "\"type\":\"delete\"}],\"revision\":10}");
+  assert_store_answer (BERYL_OP_WATCH, 410, "{}", 410, NULL);
+  assert_store_answer (BERYL_OP_LIST, 200, "{\"items\":3}", 200, NULL);
+  assert_store_answer (BERYL_OP_LIST, 200, "not json", 200, NULL);
+}
+END_TEST
+
+#define GOOD_ITEM                                                             \
+  "{\"metadata\":{\"name\":\"n\",\"revision\":9},\"spec\":{\"a\":1}}"
+#define GOOD_NATIVE                                                           \
+  "{\"kind\":\"k\",\"name\":\"n\",\"version\":9,\"value\":{\"a\":1}"
+
+/* Story: one object in the store is not what a writer of ours would make.  If
+ * the list or the watch failed for it, no other entry would be seen again:
+ * endpoints that leave would get work, and new ones none. */
+START_TEST (test_foreign_objects_hide_nothing)
+{
+  static const char *const objects[] = {
+    "7",
+    "{}",
+    "{\"metadata\":{\"name\":4,\"revision\":9},\"spec\":{}}",
+    "{\"metadata\":{\"name\":\"a b\",\"revision\":9},\"spec\":{}}",
+    "{\"metadata\":{\"name\":\"x\",\"revision\":\"9\"},\"spec\":{}}",
+    "{\"metadata\":{\"name\":\"x\"},\"spec\":{}}",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (objects); i++)
+    {
+      char *list = g_strdup_printf ("{\"items\":[%s," GOOD_ITEM "],"
+                                    "\"store_revision\":12}",
+                                    objects[i]);
+      char *events = g_strdup_printf (
+          "{\"events\":[{\"object\":%s},{\"object\":" GOOD_ITEM "}],"
+          "\"store_revision\":12}",
+          objects[i]);
+
+      assert_store_answer (BERYL_OP_LIST, 200, list, 200,
+                           "{\"items\":[" GOOD_NATIVE
+                           "}],\"more\":false,\"revision\":12}");
+      assert_store_answer (BERYL_OP_WATCH, 200, events, 200,
+                           "{\"events\":[" GOOD_NATIVE
+                           ",\"type\":\"put\"}],\"revision\":12}");
+      g_free (list);
+      g_free (events);
+    }
+}
+END_TEST
+
+/* The same with a text that is none, a zero inside a text, and a number that
+ * no integer holds. */
+START_TEST (test_unreadable_values_hide_nothing)
+{
+  static const char *const values[]
+      = { "\"\xff\xfe\"", "\"a\\u0000b\"", "99999999999999999999" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      unsigned int status = 200;
+      char *list = g_strdup_printf (
+          "{\"items\":[{\"metadata\":{\"name\":\"m\",\"revision\":8},"
+          "\"spec\":%s}," GOOD_ITEM "],\"store_revision\":12}",
+          values[i]);
+      char *text = wire->store.impl->answer (&wire->store, BERYL_OP_LIST, "k",
+                                             &status, list, strlen (list));
+
+      ck_assert_msg (text != NULL, "%s", values[i]);
+      ck_assert_ptr_nonnull (strstr (text, "\"name\":\"n\",\"version\":9"));
+      ck_assert_ptr_nonnull (strstr (text, "\"revision\":12"));
+      g_free (text);
+      g_free (list);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("platform store wire");
+  TCase *tcase = tcase_create ("store");
+
+  tcase_add_checked_fixture (tcase, setup, NULL);
+  tcase_add_test (tcase, test_store_calls);
+  tcase_add_test (tcase, test_store_answers);
+  tcase_add_test (tcase, test_foreign_objects_hide_nothing);
+  tcase_add_test (tcase, test_unreadable_values_hide_nothing);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
