Log transfers of configurations that are cut off

A node that did not get a configuration left no line about it: a call to the store that was given up while its answer arrived was a debug line without the bytes, a pull from a peer that timed out none at all. Now each leaves one with bytes, age and reason.

--- a/common/platform_client.c
+++ b/common/platform_client.c
@@ -45,6 +45,7 @@
   char kind[BERYL_NAME_BYTES];
   struct http_call *http;
   GString *body;
+  int64_t began_ms;
 };
 
 struct request
@@ -141,6 +142,18 @@
   g_hash_table_steal (call->client->calls, &call->id);
 }
 
+/** Tell of an answer that had begun to arrive and will not be read: what came
+ * of it was received for nothing. */
+static void
+log_cut_off (const struct call *call, const char *reason)
+{
+  if (call->body->len > 0)
+    g_info ("store answer cut off kind=%s op=%s bytes=%zu age_ms="
+            "%" G_GINT64_FORMAT " reason=%s",
+            call->kind, beryl_platform_op_name (call->op), call->body->len,
+            loop_now_ms (call->client->loop) - call->began_ms, reason);
+}
+
 static void
 call_data (struct http_call_handler *handler, struct http_call *http,
            const void *bytes, size_t bytes_count)
@@ -193,6 +206,7 @@
 
   call_steal (call);
   g_debug ("platform call failed: %s", reason);
+  log_cut_off (call, reason);
   beryl_platform_failed (c->core, call->id, sent, loop_now_ms (c->loop));
   call_free (call);
   timer_arm (c);
@@ -247,6 +261,7 @@
   call->op = core_call->op;
   g_strlcpy (call->kind, core_call->kind, sizeof call->kind);
   call->body = g_string_new (NULL);
+  call->began_ms = loop_now_ms (c->loop);
   g_hash_table_insert (c->calls, &call->id, call);
   if (c->wire != NULL)
     {
@@ -264,7 +279,12 @@
 static void
 core_abort (struct beryl_platform_handler *handler, uint64_t id)
 {
-  g_hash_table_remove (((struct platform_client *)handler)->calls, &id);
+  struct platform_client *c = (struct platform_client *)handler;
+  const struct call *call = g_hash_table_lookup (c->calls, &id);
+
+  if (call != NULL)
+    log_cut_off (call, "given up");
+  g_hash_table_remove (c->calls, &id);
 }
 
 static void
--- a/gatewayd/pulls.c
+++ b/gatewayd/pulls.c
@@ -54,7 +54,8 @@
   struct link_handler base;
   struct pulls *pulls;
   struct link *link;
-  bool asks; /* this side does */
+  bool asks;     /* this side does */
+  char peer[64]; /* its address */
   int64_t began_ms;
 };
 
@@ -68,11 +69,23 @@
   g_free (pull);
 }
 
+/* One line for each configuration that was asked of a peer. */
 static void
-pull_end (struct pull *pull)
+log_end (const struct pull *pull, const char *outcome)
+{
+  if (pull->asks)
+    g_info ("configuration pull peer=%s outcome=%s bytes=%" G_GUINT64_FORMAT
+            " age_ms=%" G_GINT64_FORMAT,
+            pull->peer, outcome, link_received_bytes (pull->link),
+            loop_now_ms (pull->pulls->loop) - pull->began_ms);
+}
+
+static void
+pull_end (struct pull *pull, const char *outcome)
 {
   struct link *link = pull->link;
 
+  log_end (pull, outcome);
   g_ptr_array_remove_fast (pull->pulls->open, pull);
   link_close (link);
 }
@@ -119,7 +132,7 @@
   if (frame_type (frame) != GOSSIP_SNAPSHOT || !frame_valid (frame)
       || value == NULL || proof == NULL || proof_bytes != PROOF_BYTES)
     {
-      pull_end (pull);
+      pull_end (pull, "none");
       return;
     }
   prove (p, revision, value, bytes, expected);
@@ -127,7 +140,7 @@
     g_warning ("configuration from a peer refused: wrong key");
   else if (revision > p->revision)
     p->owner->impl->configuration (p->owner, revision, value, bytes);
-  pull_end (pull);
+  pull_end (pull, "whole");
 }
 
 static void
@@ -143,7 +156,7 @@
            && gossip_read_number (frame, &after))
     answer_pull (pull, after);
   else
-    pull_end (pull);
+    pull_end (pull, "malformed");
 }
 
 static void
@@ -152,6 +165,7 @@
 {
   struct pull *pull = (struct pull *)handler;
 
+  log_end (pull, "closed");
   g_ptr_array_remove_fast (pull->pulls->open, pull);
 }
 
@@ -178,6 +192,7 @@
   if (p->pulling)
     return;
   pull = pull_create (p, true);
+  g_strlcpy (pull->peer, address, sizeof pull->peer);
   pull->link = link_connect (p->loop, address, port, &pull->base, NULL);
   if (pull->link == NULL)
     {
@@ -207,7 +222,7 @@
       struct pull *pull = g_ptr_array_index (p->open, i - 1);
 
       if (loop_now_ms (p->loop) - pull->began_ms > PULL_MS)
-        pull_end (pull);
+        pull_end (pull, "timeout");
     }
 }
 
@@ -250,7 +265,7 @@
   if (p == NULL)
     return;
   while (p->open->len > 0)
-    pull_end (g_ptr_array_index (p->open, 0));
+    pull_end (g_ptr_array_index (p->open, 0), "stopped");
   g_ptr_array_free (p->open, TRUE);
   link_listener_close (p->listener);
   frame_writer_destroy (p->writer);
--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -121,6 +121,9 @@
   BERYL_OP_INSTANCES,
 };
 
+/** Return the name of OP, for logs. */
+const char *beryl_platform_op_name (enum beryl_platform_op op);
+
 /** A call to make.  The typed members say the same as METHOD, PATH and the
  * two conditions, for platforms that spell their calls differently. */
 struct beryl_platform_call
--- a/libberyl/platform/client.c
+++ b/libberyl/platform/client.c
@@ -31,6 +31,15 @@
   return use_names[use];
 }
 
+const char *
+beryl_platform_op_name (enum beryl_platform_op op)
+{
+  static const char *const names[]
+      = { "get", "list", "put", "delete", "watch", "instances" };
+
+  return names[op];
+}
+
 static void
 default_ms (int64_t *value, int64_t fallback)
 {
