The gateway's store client has a file of its own

gateway.c wired all parts and set the store client up beside; its limits, rates and waits are in store.c now, so that tests can make the same client. No behaviour changed.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -13,6 +13,7 @@
 #include "planner.h"
 #include "registry.h"
 #include "source.h"
+#include "store.h"
 #include "survey.h"
 #include "wire/loads.h"
 
@@ -21,20 +22,6 @@
 /* What is still open so long before the kill is ended, so that callers hear
  * it from this node. */
 #define STOP_MARGIN_MS 700
-/* Store calls are short; one that takes longer has met a silent store. */
-#define STORE_CALL_MS 700
-/* A waiting watch is renewed so often: a connection that went silent is
- * noticed by the answer that does not come.  With more nodes each renews less
- * often, since one of them notices as soon and tells the others: the calls of
- * the fleet stay the same. */
-#define STORE_WATCH_MS 2000
-#define STORE_WATCH_NODE_MS 500
-#define STORE_WATCH_MOST_MS 25000
-/* Changes that come together are taken together. */
-#define STORE_SPACING_MS 400
-#define STORE_BACKOFF_MIN_MS 50
-#define STORE_BACKOFF_MAX_MS 400
-
 /* Changes of this node's runs are told together, so often at most.  Others
  * place a request every few tens of milliseconds. */
 #define TELL_DELAY_MS 30
@@ -44,7 +31,8 @@
 
 /* Callers' bodies may take that part of the memory. */
 #define BODIES_PART 4
-/* Before the first list of nodes this one takes itself for one of many. */
+/* Before the first list of nodes this one takes itself for one of many when it
+ * pays for repeats. */
 #define NODES_UNKNOWN 50
 /* Nodes that compete for the planner's lease, and how often they are looked
  * up. */
@@ -316,28 +304,13 @@
   .metrics = directory_metrics,
 };
 
-/* An isolated node has nobody who would tell it. */
-static void
-set_watch_wait (struct gateway *g)
-{
-  int64_t wait_ms = (int64_t)members_count (g->members) * STORE_WATCH_NODE_MS;
-
-  if (members_isolated (g->members))
-    wait_ms = 0;
-  wait_ms = CLAMP (wait_ms, STORE_WATCH_MS, STORE_WATCH_MOST_MS);
-  beryl_platform_set_watch_wait (platform_client_core (g->store), wait_ms);
-}
-
 static void
 members_count_changed (struct members_owner *owner, uint32_t count)
 {
   struct gateway *g = of_members (owner);
 
   beryl_forward_set_nodes (g->forward, count);
-  beryl_platform_set_rates (
-      platform_client_core (g->store),
-      beryl_platform_node_rate (g->settings.platform_reads_per_s, count),
-      beryl_platform_node_rate (g->settings.platform_writes_per_s, count));
+  store_set_nodes (g->store, &g->settings, count);
 }
 
 static void
@@ -445,14 +418,14 @@
 stand (void *user)
 {
   struct gateway *g = user;
-
   struct beryl_endpoint_set changing = { 0 };
+  bool isolated = members_isolated (g->members);
 
   planner_changing (g->planner, &changing);
   if (changing.count > 0 && g->tell == NULL)
     g->tell = loop_timer_start (g->loop, TELL_DELAY_MS, 0, tell, g);
-  beryl_forward_set_isolated (g->forward, members_isolated (g->members));
-  set_watch_wait (g);
+  beryl_forward_set_isolated (g->forward, isolated);
+  store_set_watch_wait (g->store, members_count (g->members), isolated);
   planner_stand (g->planner, g->stop_began_ms == 0
                                  && members_stands_for (
                                      g->members, "stage-planner", PLANNERS));
@@ -515,30 +488,6 @@
   return number;
 }
 
-static void
-create_store (struct gateway *g, struct http_context *http)
-{
-  struct platform_client_settings settings = {
-    .address = g->settings.platform.ip,
-    .port = g->settings.platform.port,
-    .wire = &g->wire->store,
-    .seed = random_number (),
-    .core = {
-      .reads_per_s = beryl_platform_node_rate (
-          g->settings.platform_reads_per_s, NODES_UNKNOWN),
-      .writes_per_s = beryl_platform_node_rate (
-          g->settings.platform_writes_per_s, NODES_UNKNOWN),
-      .call_timeout_ms = STORE_CALL_MS,
-      .watch_wait_ms = STORE_WATCH_MS,
-      .watch_spacing_ms = STORE_SPACING_MS,
-      .backoff_min_ms = STORE_BACKOFF_MIN_MS,
-      .backoff_max_ms = STORE_BACKOFF_MAX_MS,
-    },
-  };
-
-  g->store = platform_client_create (g->loop, http, &settings, g->counters);
-}
-
 static void
 create_forward (struct gateway *g)
 {
@@ -589,7 +538,8 @@
   g->metrics = metrics_create (g->counters);
   create_forward (g);
   g->outbound = outbound_create (loop, wire, g->forward);
-  create_store (g, http);
+  g->store = store_create (loop, http, wire, &g->settings, g->counters,
+                           random_number ());
   create_prepare (g);
   g->front = front_create (loop, wire, &g->settings.front, g->forward, error);
   if (g->front != NULL)
--- /dev/null
+++ b/gatewayd/store.h
@@ -0,0 +1,30 @@
+/** @file
+ * The client of the platform's API, with the limits that a gateway keeps to.
+ */
+#ifndef GATEWAYD_STORE_H
+#define GATEWAYD_STORE_H
+
+#include "common/counters.h"
+#include "common/loop.h"
+#include "common/platform_client.h"
+#include "gateway/wire.h"
+#include "settings.h"
+
+/** Create the client; SEED fixes its jitter. */
+struct platform_client *store_create (struct loop *loop,
+                                      struct http_context *http,
+                                      const struct gateway_wire *wire,
+                                      const struct gateway_settings *settings,
+                                      struct counters *counters,
+                                      uint64_t seed);
+
+/** Keep to this node's part of the API's rates, as one of NODES. */
+void store_set_nodes (struct platform_client *client,
+                      const struct gateway_settings *settings, uint32_t nodes);
+
+/** Change how long a watch waits.  NODES live; an ISOLATED one has nobody who
+ * would tell it of a change. */
+void store_set_watch_wait (struct platform_client *client, uint32_t nodes,
+                           bool isolated);
+
+#endif
