A configuration on a slow link is never in force: failing tests

Callers saw routes that had been added answered 404, and requests handled by a version confirmed as replaced more than three seconds before. Four tests, each on a link of 200 KB a second with a configuration of 400 KB: a node that starts, one whose peers have seen later changes of endpoints, one that has it from a peer alone, one that has both at once.

--- /dev/null
+++ b/tests/gateway/test_transfers.c
@@ -0,0 +1,308 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "common/counters.h"
+#include "common/daemon.h"
+#include "demo.h"
+#include "platform.h"
+#include "pulls.h"
+#include "slow_link.h"
+#include "source.h"
+#include "store.h"
+
+/* A change of configuration is in force everywhere by then. */
+#define IN_FORCE_MS 7000
+/* A link that needs two seconds for the large configuration: three times as
+ * long as a call to the store may be silent. */
+#define LINK_BYTES_PER_S 200000
+#define LARGE_ROUTES 2000
+/* How often peers tell what they have seen, and what they ask is renewed. */
+#define PEERS_MS 100
+
+static struct loop *loop;
+static struct http_context *http;
+static struct standin *standin;
+static struct slow_link *slow_link;
+static uint64_t version;
+
+/* A node's part that has to do with configurations. */
+struct node
+{
+  struct source_owner source_base; /* first member */
+  struct pulls_owner pulls_base;
+  struct platform_client *store;
+  struct beryl_lives *lives;
+  struct counters *counters;
+  struct source *source;
+  struct pulls *pulls;
+  size_t routes;
+  uint64_t routes_version;
+};
+
+static struct node node, peer;
+
+static void
+take_routes (struct source_owner *owner, struct beryl_routes *routes)
+{
+  struct node *n = (struct node *)owner;
+  size_t value_bytes;
+  const char *value = source_value (n->source, &value_bytes);
+
+  n->routes = routes->route_count;
+  n->routes_version = routes->version;
+  beryl_routes_unref (routes);
+  pulls_set_configuration (n->pulls, source_revision (n->source), value,
+                           value_bytes);
+}
+
+static void
+take_endpoints (struct source_owner *owner)
+{
+}
+
+static const struct source_owner_impl source_impl
+    = { .routes = take_routes, .endpoints = take_endpoints };
+
+static void
+take_pulled (struct pulls_owner *owner, uint64_t revision, const char *value,
+             size_t value_bytes)
+{
+  struct node *n
+      = (struct node *)((char *)owner - offsetof (struct node, pulls_base));
+
+  source_offer (n->source, revision, value, value_bytes);
+}
+
+static const struct pulls_owner_impl pulls_impl
+    = { .configuration = take_pulled };
+
+/* Starts a node that reaches the store at STORE_PORT and listens for peers at
+ * PORT of 127.0.0.1. */
+static void
+node_open (struct node *n, uint16_t store_port, uint16_t port)
+{
+  struct gateway_settings settings
+      = { .platform = { .ip = "127.0.0.1", .port = store_port },
+          .platform_reads_per_s = 2000,
+          .platform_writes_per_s = 400 };
+  struct beryl_error error = { 0 };
+
+  memset (n, 0, sizeof *n);
+  n->source_base.impl = &source_impl;
+  n->pulls_base.impl = &pulls_impl;
+  n->counters = counters_create ();
+  n->lives = beryl_lives_create (2000);
+  n->store = store_create (loop, http, platform_gateway_wire (), &settings,
+                           n->counters, 1);
+  n->pulls = pulls_create (loop, "127.0.0.1", port, &n->pulls_base, &error);
+  ck_assert_msg (n->pulls != NULL, "%s", error.message);
+  pulls_set_key (n->pulls, "key");
+  n->source = source_create (loop, platform_gateway_wire (), n->store,
+                             n->lives, n->counters, &n->source_base);
+}
+
+static void
+node_close (struct node *n)
+{
+  if (n->source == NULL)
+    return;
+  source_destroy (n->source);
+  pulls_destroy (n->pulls);
+  platform_client_destroy (n->store);
+  beryl_lives_destroy (n->lives);
+  counters_destroy (n->counters);
+  n->source = NULL;
+}
+
+static void
+time_over (void *user)
+{
+  loop_quit (loop);
+}
+
+static void
+turn (int64_t ms)
+{
+  struct loop_timer *timer = loop_timer_start (loop, ms, 0, time_over, NULL);
+
+  loop_run (loop);
+  loop_timer_stop (timer);
+}
+
+static void
+setup (void)
+{
+  struct beryl_error error = { 0 };
+
+  log_init ("test", LOG_FORMAT_TEXT,
+            g_getenv ("BERYL_TEST_LOG") != NULL ? "info" : "error");
+  loop = loop_create ();
+  http = http_context_create (loop, NULL);
+  standin = standin_create (loop, "127.0.0.1", 0, &error);
+  ck_assert_msg (standin != NULL, "%s", error.message);
+  slow_link = slow_link_create (loop, LINK_BYTES_PER_S);
+  version = 0;
+}
+
+static void
+teardown (void)
+{
+  node_close (&node);
+  node_close (&peer);
+  slow_link_destroy (slow_link);
+  http_context_destroy (http);
+  standin_destroy (standin);
+  turn (20);
+  loop_destroy (loop);
+}
+
+/* Writes a configuration with COUNT routes more than the smallest, of about
+ * 200 bytes each; returns its version. */
+static uint64_t
+configure (size_t count)
+{
+  json_t *spec = demo_configuration (++version, "plain", NULL);
+  json_t *routes = json_object_get (spec, "routes");
+
+  for (size_t i = 0; i < count; i++)
+    {
+      json_t *route = json_deep_copy (json_array_get (routes, 0));
+      char name[32];
+
+      g_snprintf (name, sizeof name, "host-%zu.example", i);
+      json_object_set_new (route, "name", json_string (name));
+      json_object_set_new (route, "host", json_string (name));
+      json_array_append_new (routes, route);
+    }
+  standin_put (standin, "config", "main", spec);
+  return version;
+}
+
+/* What a node hears from peers meanwhile. */
+struct peers_say
+{
+  uint64_t endpoints; /* revision that grows each time; 0: nothing */
+  uint16_t pull_port; /* of one that has a newer configuration; 0: none */
+};
+
+/* Turns until the node uses VERSION, and fails if it does so too late. */
+static void
+wait_in_force (uint64_t wanted, struct peers_say say)
+{
+  int64_t end_ms = loop_now_ms (loop) + IN_FORCE_MS;
+
+  while (node.routes_version < wanted)
+    {
+      ck_assert_msg (loop_now_ms (loop) < end_ms,
+                     "version %" G_GUINT64_FORMAT " is not in force after "
+                     "%d ms, %" G_GUINT64_FORMAT " bytes came",
+                     wanted, IN_FORCE_MS, slow_link_carried (slow_link));
+      turn (PEERS_MS);
+      pulls_expire (node.pulls);
+      if (say.endpoints > 0)
+        source_peer_revision (node.source, ++say.endpoints);
+      if (say.pull_port > 0)
+        pulls_ask (node.pulls, "127.0.0.1", say.pull_port);
+    }
+}
+
+/* Operators start a new node on a link of 200 KB a second while the
+ * configuration has 400 KB: it never serves.  It lists the configuration,
+ * which takes two seconds, and a call of its store client may take 700 ms in
+ * all; each time it gives up and begins at the first byte again. */
+START_TEST (test_node_starts)
+{
+  uint64_t wanted = configure (LARGE_ROUTES);
+
+  node_open (&node, slow_link_to (slow_link, standin_port (standin)), 0);
+  wait_in_force (wanted, (struct peers_say){ 0 });
+}
+END_TEST
+
+/* A route that was added answers 404 at some nodes for ever.  The store sends
+ * the new configuration to all; on a slow link it is still arriving when a
+ * peer tells of a change of endpoints that this node has not seen; the node
+ * takes its connections for silent ones, gives the answer up and asks for
+ * both lists anew, and from then on has 700 ms for all of it. */
+START_TEST (test_peers_are_ahead)
+{
+  node_open (&node, slow_link_to (slow_link, standin_port (standin)), 0);
+  wait_in_force (configure (0), (struct peers_say){ 0 });
+  wait_in_force (configure (LARGE_ROUTES),
+                 (struct peers_say){ .endpoints = 1000 });
+}
+END_TEST
+
+/* Returns a port that nothing listens on. */
+static uint16_t
+free_port (void)
+{
+  struct beryl_error error = { 0 };
+  struct standin *other = standin_create (loop, "127.0.0.1", 0, &error);
+  uint16_t port = standin_port (other);
+
+  standin_destroy (other);
+  turn (1);
+  return port;
+}
+
+/* A peer that has the newest configuration; returns where the node may ask
+ * for it over the slow link. */
+static uint16_t
+peer_with (uint64_t wanted)
+{
+  uint16_t port = free_port ();
+
+  node_open (&peer, standin_port (standin), port);
+  for (int i = 0; i < 100 && peer.routes_version < wanted; i++)
+    turn (10);
+  ck_assert_uint_eq (peer.routes_version, wanted);
+  return slow_link_to (slow_link, port);
+}
+
+/* The store turns one node away, so that it can take the configuration from
+ * its peers alone.  Each time it gives up after a second, with half of it, and
+ * asks the next peer. */
+START_TEST (test_pulled_from_peer)
+{
+  uint64_t wanted = configure (LARGE_ROUTES);
+  uint16_t port = peer_with (wanted);
+
+  node_open (&node, free_port (), 0);
+  wait_in_force (wanted, (struct peers_say){ .pull_port = port });
+}
+END_TEST
+
+/* A node on a slow link hears of a new configuration from a peer while the
+ * store sends it: it asks the peer too, and each gets half of the link.  In
+ * the end it had neither. */
+START_TEST (test_store_and_peer_share_the_link)
+{
+  uint16_t port;
+  uint64_t wanted;
+
+  node_open (&node, slow_link_to (slow_link, standin_port (standin)), 0);
+  wait_in_force (configure (0), (struct peers_say){ 0 });
+  wanted = configure (LARGE_ROUTES);
+  port = peer_with (wanted);
+  wait_in_force (wanted,
+                 (struct peers_say){ .endpoints = 1000, .pull_port = port });
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("gateway-transfers");
+  TCase *tc = tcase_create ("slow links");
+
+  tcase_set_timeout (tc, 30);
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, test_node_starts);
+  tcase_add_test (tc, test_peers_are_ahead);
+  tcase_add_test (tc, test_pulled_from_peer);
+  tcase_add_test (tc, test_store_and_peer_share_the_link);
+  suite_add_tcase (s, tc);
+  return suite_run (s);
+}
