Answers of the store may take as long as their link needs

What callers saw: routes of a confirmed version missing at some nodes, for as long as those nodes lived. Cause: a call to the store was given up 700 ms after its start, also while its answer arrived. A node whose link needs longer for the configuration began at the first byte again, without an end; the list that a new node begins with met it too. Change: the limit holds until the answer's first byte and then for silence within it. An answer that stops in the middle is still given up after 700 ms. Ruled out: a longer limit (a link half as fast, or a configuration twice as large, brings it back). Tests: test_node_starts and test_peers_are_ahead failed after 7 s with 1.1 MB received for 0.4 MB, now pass; test_silent_in_the_middle holds the other side. Pulls from peers are still red.

--- a/common/platform_client.c
+++ b/common/platform_client.c
@@ -249,6 +249,7 @@
     .body = core_call->body,
     .body_bytes = core_call->body_bytes,
     .timeout_ms = core_call->timeout_ms,
+    .idle_timeout_ms = core_call->idle_timeout_ms,
     .tls = c->tls,
     .tls_host = c->tls_host,
   };
--- a/http/client.c
+++ b/http/client.c
@@ -12,6 +12,8 @@
   struct http_call_handler *handler;
   struct lws *wsi;
   struct loop_timer *timer;
+  int64_t idle_timeout_ms;
+  int64_t heard_ms; /* time of the body's last bytes; 0: none yet */
   char *method;
   char *address;
   char *host;
@@ -116,6 +118,39 @@
   kill_connection (context, wsi);
 }
 
+/* Bytes of the body only move a time, and the timer looks whether it is old
+ * enough: moving the timer with each of them would cost more. */
+static void
+idle_check (void *user)
+{
+  struct http_call *call = user;
+  int64_t idle_ms = loop_now_ms (call->context->loop) - call->heard_ms;
+
+  if (idle_ms >= call->idle_timeout_ms)
+    {
+      timed_out (call);
+      return;
+    }
+  loop_timer_stop (call->timer);
+  call->timer
+      = loop_timer_start (call->context->loop, call->idle_timeout_ms - idle_ms,
+                          0, idle_check, call);
+}
+
+/* A large answer on a slow link needs longer than any call that the network
+ * has lost; from its first byte on only silence shows a loss. */
+static void
+note_heard (struct http_call *call)
+{
+  bool first = call->heard_ms == 0;
+
+  if (call->idle_timeout_ms == 0)
+    return;
+  call->heard_ms = loop_now_ms (call->context->loop);
+  if (first)
+    idle_check (call);
+}
+
 static void
 fail_later (void *user)
 {
@@ -247,6 +282,7 @@
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
       return read_body (call, wsi);
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+      note_heard (call);
       if (call->handler->impl->data != NULL)
         call->handler->impl->data (call->handler, call, in, len);
       return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
@@ -372,6 +408,7 @@
       call->timer = loop_timer_start (context->loop, 0, 0, fail_later, call);
       return call;
     }
+  call->idle_timeout_ms = request->idle_timeout_ms;
   if (request->timeout_ms > 0)
     call->timer = loop_timer_start (context->loop, request->timeout_ms, 0,
                                     timed_out, call);
--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -52,8 +52,10 @@
   double reads_per_s;                /**< this process's budget [20] */
   double writes_per_s;               /**< [10] */
   uint32_t weights[BERYL_USE_COUNT]; /**< shares under contention */
-  int64_t call_timeout_ms;           /**< of one call, watches apart [2000] */
-  int64_t watch_wait_ms;             /**< how long a watch may wait [20000] */
+  /** Until a call's answer begins, watches apart, and the longest silence
+   * within any answer [2000]. */
+  int64_t call_timeout_ms;
+  int64_t watch_wait_ms;     /**< how long a watch may wait [20000] */
   int64_t watch_spacing_ms;  /**< least time between two watches [100] */
   int64_t backoff_min_ms;    /**< [100] */
   int64_t backoff_max_ms;    /**< [5000] */
@@ -143,7 +145,10 @@
   bool if_none_match;   /**< send "If-None-Match: *" */
   const char *body;     /**< NULL: none */
   size_t body_bytes;
-  int64_t timeout_ms;
+  int64_t timeout_ms; /**< until the answer begins to arrive */
+  /** Longest silence within the answer.  The whole of it has no bound: what a
+   * slow link needs for a large object would come in vain, again and again. */
+  int64_t idle_timeout_ms;
 };
 
 struct beryl_platform_handler;
--- a/include/http/client.h
+++ b/include/http/client.h
@@ -58,7 +58,12 @@
   size_t header_count;
   const void *body;
   size_t body_bytes;
-  int64_t timeout_ms; /**< for the whole call; 0: none */
+  /** Until the first byte of the answer's body, or, without the next member,
+   * for the whole call; 0: none. */
+  int64_t timeout_ms;
+  /** Longest silence within the answer's body, which may then take as long as
+   * the network needs for it; 0: none. */
+  int64_t idle_timeout_ms;
   bool tls;
   const char *tls_host; /**< name to verify; NULL: ADDRESS */
 };
--- a/libberyl/platform/schedule.c
+++ b/libberyl/platform/schedule.c
@@ -174,7 +174,9 @@
 job_call (struct beryl_platform *p, struct budget *b, struct job *job)
 {
   struct beryl_platform_call call
-      = { .id = ++p->last_id, .timeout_ms = p->settings.call_timeout_ms };
+      = { .id = ++p->last_id,
+          .timeout_ms = p->settings.call_timeout_ms,
+          .idle_timeout_ms = p->settings.call_timeout_ms };
   char path[PATH_BYTES];
   double start = b->finish[job->use];
 
--- a/tests/gateway/slow_link.c
+++ b/tests/gateway/slow_link.c
@@ -20,7 +20,6 @@
 {
   struct loop *loop;
   uint32_t bytes_per_s;
-  bool stopped;
   uint64_t carried;
   struct loop_timer *timer;
   GPtrArray *connections; /* struct connection */
@@ -38,6 +37,7 @@
   GByteArray *held; /* on the way to the node */
   bool reading;     /* from the far end */
   bool far_ended;
+  bool silent;
   bool closing;
   unsigned int open; /* sockets */
 };
@@ -166,6 +166,8 @@
 {
   size_t n = MIN (bytes, c->held->len);
 
+  if (c->silent)
+    return;
   if (n > 0)
     {
       forward (&c->node, c->held->data, n);
@@ -192,11 +194,11 @@
     {
       const struct connection *c = g_ptr_array_index (link->connections, i);
 
-      busy += c->held->len > 0;
+      busy += c->held->len > 0 && !c->silent;
     }
   if (busy > 0)
     bytes /= busy;
-  for (guint i = link->connections->len; i > 0 && !link->stopped; i--)
+  for (guint i = link->connections->len; i > 0; i--)
     carry (g_ptr_array_index (link->connections, i - 1), bytes);
 }
 
@@ -237,9 +239,15 @@
 }
 
 void
-slow_link_stop (struct slow_link *link, bool stopped)
+slow_link_silence (struct slow_link *link)
 {
-  link->stopped = stopped;
+  for (guint i = 0; i < link->connections->len; i++)
+    {
+      struct connection *c = g_ptr_array_index (link->connections, i);
+
+      c->silent = true;
+      uv_read_stop ((uv_stream_t *)&c->far);
+    }
 }
 
 uint64_t
--- a/tests/gateway/slow_link.h
+++ b/tests/gateway/slow_link.h
@@ -16,8 +16,8 @@
  * connect to instead.  Fails the test if it cannot. */
 uint16_t slow_link_to (struct slow_link *link, uint16_t port);
 
-/** Carry nothing towards the node any more, or go on. */
-void slow_link_stop (struct slow_link *link, bool stopped);
+/** Let all connections that are open go silent for good; new ones work. */
+void slow_link_silence (struct slow_link *link);
 
 /** Return the bytes that were carried towards the node. */
 uint64_t slow_link_carried (const struct slow_link *link);
--- a/tests/gateway/test_transfers.c
+++ b/tests/gateway/test_transfers.c
@@ -207,6 +207,16 @@
     }
 }
 
+/* Turns until the slow link has carried BYTES more. */
+static void
+wait_carried (uint64_t bytes)
+{
+  uint64_t wanted = slow_link_carried (slow_link) + bytes;
+
+  while (slow_link_carried (slow_link) < wanted)
+    turn (5);
+}
+
 /* Operators start a new node on a link of 200 KB a second while the
  * configuration has 400 KB: it never serves.  It lists the configuration,
  * which takes two seconds, and a call of its store client may take 700 ms in
@@ -234,6 +244,24 @@
 }
 END_TEST
 
+/* A route that was added answers 404 at one node for half a minute: its
+ * connection to the store goes silent while the configuration arrives, and
+ * the watch may wait for that long.  New connections work. */
+START_TEST (test_silent_in_the_middle)
+{
+  uint64_t wanted;
+
+  node_open (&node, slow_link_to (slow_link, standin_port (standin)), 0);
+  wait_in_force (configure (0), (struct peers_say){ 0 });
+  store_set_watch_wait (node.store, 100, false);
+  turn (2500); /* a watch that waits so long is open */
+  wanted = configure (LARGE_ROUTES);
+  wait_carried (100000);
+  slow_link_silence (slow_link);
+  wait_in_force (wanted, (struct peers_say){ 0 });
+}
+END_TEST
+
 /* Returns a port that nothing listens on. */
 static uint16_t
 free_port (void)
@@ -301,6 +329,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_node_starts);
   tcase_add_test (tc, test_peers_are_ahead);
+  tcase_add_test (tc, test_silent_in_the_middle);
   tcase_add_test (tc, test_pulled_from_peer);
   tcase_add_test (tc, test_store_and_peer_share_the_link);
   suite_add_tcase (s, tc);
