Tests release the stand-in before the HTTP context

A test aborted while it was torn down (seen twice in some 25 runs of a new test): libwebsockets closes a descriptor of its own twice when its context is released, and between the two the stand-in had accepted a connection under the same number (strace: close(12), accept4 = 12, close(12), epoll_ctl EBADF).

--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -58,8 +58,10 @@
 {
   for (size_t i = 0; i < WORLD_NODES_MAX; i++)
     world_kill (w, i);
-  http_context_destroy (w->http);
+  /* Nothing may accept a connection any more: the library closes a descriptor
+     of its own twice when it is released. */
   standin_destroy (w->standin);
+  http_context_destroy (w->http);
   g_ptr_array_free (w->runners, TRUE);
   world_turn (w, 20);
   for (guint i = 0; i < w->answers->len; i++)
