A pull from a peer may take as long as the link needs

What callers saw: a node that the store turns away, or whose answer of the store took too long, stayed with an old configuration. Cause: both sides of a pull gave it up a second after its start. Change: a pull is given up when nothing has come or gone for a second. The link's count of waiting bytes is the event library's, which also falls within one long frame. Tests: test_pulled_from_peer failed after 7 s with 1.4 MB received for 0.6 MB, now passes; test_peer_falls_silent holds the other side (a mutant without the limit fails it). A mutant whose answering side keeps the old limit is not noticed: the kernel takes a frame of that size at once on loopback.

--- a/gatewayd/pulls.c
+++ b/gatewayd/pulls.c
@@ -9,8 +9,10 @@
 #include "wire/gossip.h"
 #include "wire/link.h"
 
-/* A question that is not answered by then is given up. */
-#define PULL_MS 1000
+/* A connection on which nothing moves for so long is given up.  The whole
+ * transfer has no bound: a slow link needs what it needs, and with a bound it
+ * would begin again with the next peer, without an end. */
+#define SILENT_MS 1000
 #define PROOF_BYTES 32
 
 enum answer_field
@@ -57,6 +59,9 @@
   bool asks;     /* this side does */
   char peer[64]; /* its address */
   int64_t began_ms;
+  int64_t moved_ms; /* when bytes last came or went */
+  uint64_t received_bytes;
+  size_t pending_bytes;
 };
 
 static void
@@ -181,6 +186,7 @@
   pull->pulls = p;
   pull->asks = asks;
   pull->began_ms = loop_now_ms (p->loop);
+  pull->moved_ms = pull->began_ms;
   return pull;
 }
 
@@ -214,14 +220,32 @@
   return &pull->base;
 }
 
+/* Notes whether bytes came or went since the last look. */
+static void
+note_moved (struct pull *pull, int64_t now_ms)
+{
+  uint64_t received_bytes = link_received_bytes (pull->link);
+  size_t pending_bytes = link_pending_bytes (pull->link);
+
+  if (received_bytes == pull->received_bytes
+      && pending_bytes == pull->pending_bytes)
+    return;
+  pull->received_bytes = received_bytes;
+  pull->pending_bytes = pending_bytes;
+  pull->moved_ms = now_ms;
+}
+
 void
 pulls_expire (struct pulls *p)
 {
+  int64_t now_ms = loop_now_ms (p->loop);
+
   for (guint i = p->open->len; i > 0; i--)
     {
       struct pull *pull = g_ptr_array_index (p->open, i - 1);
 
-      if (loop_now_ms (p->loop) - pull->began_ms > PULL_MS)
+      note_moved (pull, now_ms);
+      if (now_ms - pull->moved_ms > SILENT_MS)
         pull_end (pull, "timeout");
     }
 }
--- a/gatewayd/pulls.h
+++ b/gatewayd/pulls.h
@@ -49,7 +49,8 @@
  * is open. */
 void pulls_ask (struct pulls *pulls, const char *address, uint16_t port);
 
-/** Give up what takes too long. */
+/** Give up connections on which nothing moves; to be called several times a
+ * second. */
 void pulls_expire (struct pulls *pulls);
 
 #endif
--- a/include/wire/link.h
+++ b/include/wire/link.h
@@ -53,7 +53,8 @@
  * closing, or the queue is full; nothing is sent then. */
 bool link_send (struct link *link, struct frame_writer *writer);
 
-/** Return queued bytes that the kernel has not taken. */
+/** Return queued bytes that the kernel has not taken; they get fewer while a
+ * long frame is on its way. */
 size_t link_pending_bytes (const struct link *link);
 
 /** Return whether the peer's machine refused the connection: nobody listens
--- a/tests/gateway/test_transfers.c
+++ b/tests/gateway/test_transfers.c
@@ -114,6 +114,7 @@
   beryl_lives_destroy (n->lives);
   counters_destroy (n->counters);
   n->source = NULL;
+  n->pulls = NULL;
 }
 
 static void
@@ -203,6 +204,8 @@
                      wanted, IN_FORCE_MS, slow_link_carried (slow_link));
       turn (PEERS_MS);
       pulls_expire (node.pulls);
+      if (peer.pulls != NULL)
+        pulls_expire (peer.pulls);
       if (say.endpoints > 0)
         source_peer_revision (node.source, ++say.endpoints);
       if (say.pull_port > 0)
@@ -293,8 +296,9 @@
 }
 
 /* The store turns one node away, so that it can take the configuration from
- * its peers alone.  Each time it gives up after a second, with half of it, and
- * asks the next peer. */
+ * its peers alone; a route that was added answers 404 there for ever.  A pull
+ * was given up a second after its start by both sides: the node had a third
+ * of the configuration and began anew with the next peer. */
 START_TEST (test_pulled_from_peer)
 {
   uint64_t wanted = configure (LARGE_ROUTES);
@@ -305,6 +309,21 @@
 }
 END_TEST
 
+/* The same, and the peer loses its power while it answers.  The node must not
+ * wait for it, but ask the next one. */
+START_TEST (test_peer_falls_silent)
+{
+  uint64_t wanted = configure (LARGE_ROUTES);
+  uint16_t port = peer_with (wanted);
+
+  node_open (&node, free_port (), 0);
+  pulls_ask (node.pulls, "127.0.0.1", port);
+  wait_carried (100000);
+  slow_link_silence (slow_link);
+  wait_in_force (wanted, (struct peers_say){ .pull_port = port });
+}
+END_TEST
+
 /* A node on a slow link hears of a new configuration from a peer while the
  * store sends it: it asks the peer too, and each gets half of the link.  In
  * the end it had neither. */
@@ -334,6 +353,7 @@
   tcase_add_test (tc, test_peers_are_ahead);
   tcase_add_test (tc, test_silent_in_the_middle);
   tcase_add_test (tc, test_pulled_from_peer);
+  tcase_add_test (tc, test_peer_falls_silent);
   tcase_add_test (tc, test_store_and_peer_share_the_link);
   suite_add_tcase (s, tc);
   return suite_run (s);
--- a/wire/link.c
+++ b/wire/link.c
@@ -18,7 +18,6 @@
   unsigned char *received; /**< bytes of frames that are not whole yet */
   size_t received_size;
   size_t received_capacity;
-  size_t pending_bytes;
   uint64_t received_total;
   uint64_t sent_total;
   bool connected;
@@ -39,7 +38,6 @@
 {
   uv_write_t request;
   struct link *link;
-  size_t bytes_count;
   char bytes[];
 };
 
@@ -229,7 +227,6 @@
   struct send *send = request->data;
   struct link *l = send->link;
 
-  l->pending_bytes -= send->bytes_count;
   free (send);
   if (status < 0)
     link_fail (l, uv_strerror (status));
@@ -246,11 +243,10 @@
   /* A peer that has stopped reading would otherwise fill this process's
      memory; past the bound the owner is refused and decides. */
   if (!bytes || l->closing
-      || l->pending_bytes + bytes_count > LINK_QUEUE_BYTES)
+      || link_pending_bytes (l) + bytes_count > LINK_QUEUE_BYTES)
     return false;
   send = malloc (sizeof *send + bytes_count);
   send->link = l;
-  send->bytes_count = bytes_count;
   send->request.data = send;
   memcpy (send->bytes, bytes, bytes_count);
   buffer = uv_buf_init (send->bytes, (unsigned int)bytes_count);
@@ -260,7 +256,6 @@
       free (send);
       return false;
     }
-  l->pending_bytes += bytes_count;
   l->sent_total += bytes_count;
   return true;
 }
@@ -268,7 +263,7 @@
 size_t
 link_pending_bytes (const struct link *l)
 {
-  return l->pending_bytes;
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&l->tcp);
 }
 
 bool
