Peers are asked for a configuration only if the store does not bring it

What callers saw: a change of configuration came into force late at nodes on slow links. Cause: a node that heard of a newer configuration from a peer asked for it at once, while the store was sending it, so that each transfer had half of the link. Change: a peer is asked if no answer has begun to arrive 400 ms after it was known to be ahead, if the answer is still arriving after 3.5 s, or at once if the store is away.

--- a/common/platform_client.c
+++ b/common/platform_client.c
@@ -566,6 +566,12 @@
   timer_arm (c);
 }
 
+bool
+platform_client_watch_arriving (struct platform_client *c, uint64_t watch)
+{
+  return beryl_platform_watch_arriving (c->core, watch);
+}
+
 void
 platform_client_unwatch (struct platform_client *c, uint64_t watch)
 {
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -335,6 +335,12 @@
   beryl_forward_peer_gone (of_members (owner)->forward, peer);
 }
 
+static bool
+members_should_pull (struct members_owner *owner)
+{
+  return source_should_pull (of_members (owner)->source);
+}
+
 static void
 members_configuration (struct members_owner *owner, uint64_t revision,
                        const char *value, size_t value_bytes)
@@ -355,6 +361,7 @@
   .loads = members_loads,
   .peer_gone = members_peer_gone,
   .tell_due = members_tell_due,
+  .should_pull = members_should_pull,
   .configuration = members_configuration,
 };
 
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -165,7 +165,8 @@
 {
   const struct members *m = (const struct members *)owner;
 
-  pulls_ask (m->pulls, peer->address, peer->port);
+  if (m->owner->impl->should_pull (m->owner))
+    pulls_ask (m->pulls, peer->address, peer->port);
 }
 
 static void
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -33,6 +33,9 @@
   /** Nothing was told for a while: call members_tell_loads, since peers take
    * silence for death, and with what runs now, since they count from it. */
   void (*tell_due) (struct members_owner *owner);
+  /** A peer has a configuration that is newer than this node's: return whether
+   * to ask for it now. */
+  bool (*should_pull) (struct members_owner *owner);
   /** A peer gave a configuration that is newer than this node's. */
   void (*configuration) (struct members_owner *owner, uint64_t revision,
                          const char *value, size_t value_bytes);
--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -11,6 +11,14 @@
 #define EXPIRE_MS 250
 /* A line about entries that no endpoint wrote comes so often at most. */
 #define FOREIGN_TOLD_MS 1000
+/* The store sends a change to all at the same moment, so that a peer that is
+ * ahead is only quicker.  What the peer sends would take half of a slow link
+ * from the store's answer, which then comes twice as late: a peer is asked if
+ * no answer has begun to arrive by then ... */
+#define STORE_BEGINS_MS 400
+/* ... or it is still arriving then: less than half of the time in which a
+ * change must be in force is left. */
+#define STORE_ENDS_MS 3500
 #define FOREIGN_COUNTER "beryl_foreign_entries_total"
 
 struct source
@@ -32,6 +40,7 @@
   uint64_t endpoint_revision; /* of the newest change seen */
   uint64_t peer_revision;     /* that a peer has seen */
   int64_t behind_since_ms;    /* 0: not behind */
+  int64_t peer_ahead_ms;      /* a peer's configuration, since; 0: not known */
   int64_t asked_anew_ms;      /* 0: never */
   struct loop_timer *expire;
   struct counters *counters;
@@ -67,6 +76,7 @@
   s->has_routes = true;
   s->version = routes->version;
   s->revision = object->version;
+  s->peer_ahead_ms = 0;
   g_string_truncate (s->value, 0);
   g_string_append_len (s->value, object->value, (gssize)object->value_bytes);
   s->owner->impl->routes (s->owner, routes);
@@ -196,6 +206,21 @@
     s->peer_revision = revision;
 }
 
+bool
+source_should_pull (struct source *s)
+{
+  int64_t now_ms = loop_now_ms (s->loop);
+  int64_t wait_ms
+      = platform_client_watch_arriving (s->client, s->configuration_watch)
+            ? STORE_ENDS_MS
+            : STORE_BEGINS_MS;
+
+  if (s->peer_ahead_ms == 0)
+    s->peer_ahead_ms = now_ms;
+  return now_ms - s->peer_ahead_ms >= wait_ms
+         || beryl_platform_is_away (platform_client_core (s->client));
+}
+
 /* The waiting watches of all nodes are answered at the same moment.  One that
  * stays behind waits on a connection that went silent. */
 static void
--- a/gatewayd/source.h
+++ b/gatewayd/source.h
@@ -57,6 +57,10 @@
  * not. */
 void source_peer_revision (struct source *source, uint64_t revision);
 
+/** A peer has a newer configuration: return whether to ask it for that now.
+ * Not if the store is likely to bring it as soon. */
+bool source_should_pull (struct source *source);
+
 /** Whether both were read whole at least once. */
 bool source_complete (const struct source *source);
 
--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -264,6 +264,9 @@
  * an answer is arriving. */
 void beryl_platform_poke (struct beryl_platform *p, uint64_t watch);
 
+/** Whether an answer for WATCH is arriving. */
+bool beryl_platform_watch_arriving (struct beryl_platform *p, uint64_t watch);
+
 /** Change how long a watch may wait, from its next call on. */
 void beryl_platform_set_watch_wait (struct beryl_platform *p,
                                     int64_t watch_wait_ms);
--- a/include/common/platform_client.h
+++ b/include/common/platform_client.h
@@ -130,6 +130,10 @@
 /** Have WATCH look at once. */
 void platform_client_poke (struct platform_client *client, uint64_t watch);
 
+/** Whether an answer for WATCH is arriving. */
+bool platform_client_watch_arriving (struct platform_client *client,
+                                     uint64_t watch);
+
 /** End a watch. */
 void platform_client_unwatch (struct platform_client *client, uint64_t watch);
 
--- a/libberyl/platform/watch.c
+++ b/libberyl/platform/watch.c
@@ -431,6 +431,12 @@
   return NULL;
 }
 
+static bool
+is_arriving (const struct watch *w)
+{
+  return w->job.state == JOB_CALLING && w->job.arriving;
+}
+
 void
 beryl_platform_poke (struct beryl_platform *p, uint64_t id)
 {
@@ -441,7 +447,7 @@
     return;
   /* An answer that arrives is no silent connection; given up, a large one on a
      slow link would never be read whole. */
-  if (w->job.state == JOB_CALLING && w->job.arriving)
+  if (is_arriving (w))
     return;
   w->poked = true;
   if (w->job.state == JOB_READY)
@@ -450,6 +456,14 @@
   platform_job_ready (p, &w->job);
 }
 
+bool
+beryl_platform_watch_arriving (struct beryl_platform *p, uint64_t id)
+{
+  const struct watch *w = watch_find (p, id);
+
+  return w && is_arriving (w);
+}
+
 void
 beryl_platform_set_watch_wait (struct beryl_platform *p, int64_t watch_wait_ms)
 {
--- a/tests/gateway/test_transfers.c
+++ b/tests/gateway/test_transfers.c
@@ -208,7 +208,7 @@
         pulls_expire (peer.pulls);
       if (say.endpoints > 0)
         source_peer_revision (node.source, ++say.endpoints);
-      if (say.pull_port > 0)
+      if (say.pull_port > 0 && source_should_pull (node.source))
         pulls_ask (node.pulls, "127.0.0.1", say.pull_port);
     }
 }
@@ -324,20 +324,25 @@
 }
 END_TEST
 
-/* A node on a slow link hears of a new configuration from a peer while the
- * store sends it: it asks the peer too, and each gets half of the link.  In
- * the end it had neither. */
+/* A new configuration takes twice as long as the link needs for it: the node
+ * hears of it from a peer while the store sends it, asks the peer too, and
+ * each gets half of the link. */
 START_TEST (test_store_and_peer_share_the_link)
 {
   uint16_t port;
-  uint64_t wanted;
+  uint64_t wanted, before;
+  size_t value_bytes;
 
   node_open (&node, slow_link_to (slow_link, standin_port (standin)), 0);
   wait_in_force (configure (0), (struct peers_say){ 0 });
   wanted = configure (LARGE_ROUTES);
+  before = slow_link_carried (slow_link);
   port = peer_with (wanted);
   wait_in_force (wanted,
                  (struct peers_say){ .endpoints = 1000, .pull_port = port });
+  source_value (node.source, &value_bytes);
+  ck_assert_uint_lt (slow_link_carried (slow_link) - before,
+                     value_bytes + value_bytes / 4);
 }
 END_TEST
 
