A pull's answering side looks at what it sends only

Whoever connects and sends its question byte by byte would have kept the connection since pulls are bounded by silence; what comes in there does not count as progress any more.

--- a/gatewayd/pulls.c
+++ b/gatewayd/pulls.c
@@ -59,9 +59,8 @@
   bool asks;     /* this side does */
   char peer[64]; /* its address */
   int64_t began_ms;
-  int64_t moved_ms; /* when bytes last came or went */
-  uint64_t received_bytes;
-  size_t pending_bytes;
+  int64_t moved_ms;  /* when it last got further */
+  uint64_t progress; /* as it was seen then */
 };
 
 static void
@@ -220,18 +219,18 @@
   return &pull->base;
 }
 
-/* Notes whether bytes came or went since the last look. */
+/* Notes whether the answer got further since the last look.  What comes in at
+ * the answering side does not count: whoever sends its question byte by byte
+ * would hold the connection for as long as it likes. */
 static void
 note_moved (struct pull *pull, int64_t now_ms)
 {
-  uint64_t received_bytes = link_received_bytes (pull->link);
-  size_t pending_bytes = link_pending_bytes (pull->link);
+  uint64_t progress = pull->asks ? link_received_bytes (pull->link)
+                                 : link_pending_bytes (pull->link);
 
-  if (received_bytes == pull->received_bytes
-      && pending_bytes == pull->pending_bytes)
+  if (progress == pull->progress)
     return;
-  pull->received_bytes = received_bytes;
-  pull->pending_bytes = pending_bytes;
+  pull->progress = progress;
   pull->moved_ms = now_ms;
 }
 
