Settings that a platform fills in may be fractions

Cause: bounds are whole numbers or fractions, but repeat_slack, lease_ms, thaw_ms, endpoint_leave_ms, descriptors_max and memory_mb were read as whole numbers only, and two bounds in seconds became milliseconds by writing "000" behind them.

Fields say now how they are rounded, in which unit they are given and whether null leaves the default. A number beyond 64 bits is read as a number (errno of the former attempt made text of it).

--- a/common/yaml.c
+++ b/common/yaml.c
@@ -125,6 +125,7 @@
   integer = g_ascii_strtoll (text, &end, 10);
   if (*end == '\0' && errno == 0)
     return json_integer (integer);
+  errno = 0;
   number = g_ascii_strtod (text, &end);
   if (*end == '\0' && errno == 0)
     return json_real (number);
--- a/gatewayd/settings.c
+++ b/gatewayd/settings.c
@@ -7,7 +7,9 @@
 #include "beryl/fields.h"
 #include "common/settings.h"
 
-#define HOUR_MS 3600000.0
+#define SECOND_MS 1000.0
+#define HOUR_S 3600.0
+#define HOUR_MS (HOUR_S * SECOND_MS)
 #define DESCRIPTORS_LEAST 64
 
 static void
@@ -49,16 +51,23 @@
   {                                                                           \
     .key = #member, .type = type_, OFFSET (member),                           \
     .bytes = sizeof (((struct gateway_settings *)0)->member),                 \
-    .required = need                                                          \
+    .required = need, .null_is_default = !(need)                              \
   }
 #define NUMBER(type_, member, low, high)                                      \
   {                                                                           \
     .key = #member, .type = type_, OFFSET (member), .min = low, .max = high   \
   }
+/* A bound that is filled in by the platform, in any form that a number has:
+ * rounded to the side on which it holds. */
+#define BOUND(key_, type_, member, unit_, low, high, rounding_)               \
+  {                                                                           \
+    .key = key_, .type = type_, OFFSET (member), .unit = unit_, .min = low,   \
+    .max = high, .rounding = rounding_, .null_is_default = true               \
+  }
 #define ADDRESS(member, need)                                                 \
   {                                                                           \
     .key = #member, .type = BERYL_FIELD_CUSTOM, .custom = read_##member,      \
-    .required = need                                                          \
+    .required = need, .null_is_default = !(need)                              \
   }
 
 static const struct beryl_field fields[] = {
@@ -71,22 +80,35 @@
   ADDRESS (platform, true),
   NUMBER (BERYL_FIELD_UINT16, peer_port, 0, 65535),
   NUMBER (BERYL_FIELD_UINT16, metrics_port, 0, 65535),
-  NUMBER (BERYL_FIELD_DOUBLE, platform_reads_per_s, 0.1, 1e9),
-  NUMBER (BERYL_FIELD_DOUBLE, platform_writes_per_s, 0.1, 1e9),
-  NUMBER (BERYL_FIELD_DOUBLE, repeat_ratio, 0, 100),
-  NUMBER (BERYL_FIELD_UINT32, repeat_slack, 0, 1e9),
+  BOUND ("platform_reads_per_s", BERYL_FIELD_DOUBLE, platform_reads_per_s, 1,
+         0.1, 1e9, BERYL_ROUND_DOWN),
+  BOUND ("platform_writes_per_s", BERYL_FIELD_DOUBLE, platform_writes_per_s, 1,
+         0.1, 1e9, BERYL_ROUND_DOWN),
+  BOUND ("repeat_ratio", BERYL_FIELD_DOUBLE, repeat_ratio, 1, 0, 100,
+         BERYL_ROUND_DOWN),
+  BOUND ("repeat_slack", BERYL_FIELD_UINT32, repeat_slack, 1, 0, 1e9,
+         BERYL_ROUND_DOWN),
   NUMBER (BERYL_FIELD_INT64, repeat_window_ms, 100, HOUR_MS),
+  BOUND ("repeat_window_s", BERYL_FIELD_INT64, repeat_window_ms, SECOND_MS,
+         0.1, HOUR_S, BERYL_ROUND_UP),
   NUMBER (BERYL_FIELD_INT64, address_keep_ms, 1000, HOUR_MS),
-  NUMBER (BERYL_FIELD_INT64, endpoint_leave_ms, 0, HOUR_MS),
+  BOUND ("endpoint_leave_ms", BERYL_FIELD_INT64, endpoint_leave_ms, 1, 0,
+         HOUR_MS, BERYL_ROUND_DOWN),
   NUMBER (BERYL_FIELD_INT64, stop_ms, 100, HOUR_MS),
+  BOUND ("stop_s", BERYL_FIELD_INT64, stop_ms, SECOND_MS, 0, HOUR_S,
+         BERYL_ROUND_DOWN),
   NUMBER (BERYL_FIELD_INT64, record_keep_ms, 1000, HOUR_MS),
-  NUMBER (BERYL_FIELD_INT64, lease_ms, 100, HOUR_MS),
-  NUMBER (BERYL_FIELD_INT64, thaw_ms, 0, HOUR_MS),
+  BOUND ("lease_ms", BERYL_FIELD_INT64, lease_ms, 1, 100, HOUR_MS,
+         BERYL_ROUND_UP),
+  BOUND ("thaw_ms", BERYL_FIELD_INT64, thaw_ms, 1, 0, HOUR_MS, BERYL_ROUND_UP),
   { .key = "engines_check_fence",
     .type = BERYL_FIELD_BOOL,
-    OFFSET (engines_check_fence) },
-  NUMBER (BERYL_FIELD_UINT32, descriptors_max, DESCRIPTORS_LEAST, 1e7),
-  NUMBER (BERYL_FIELD_UINT32, memory_mb, 16, 1e7),
+    OFFSET (engines_check_fence),
+    .null_is_default = true },
+  BOUND ("descriptors_max", BERYL_FIELD_UINT32, descriptors_max, 1,
+         DESCRIPTORS_LEAST, 1e7, BERYL_ROUND_DOWN),
+  BOUND ("memory_mb", BERYL_FIELD_UINT32, memory_mb, 1, 16, 1e7,
+         BERYL_ROUND_DOWN),
   TEXT (BERYL_FIELD_TEXT, log_level, false),
   NUMBER (BERYL_FIELD_UINT32, log_lines_per_s, 1, 1e6),
 };
--- a/include/beryl/fields.h
+++ b/include/beryl/fields.h
@@ -35,6 +35,14 @@
   BERYL_FIELD_CUSTOM,  /**< read by a function of its own */
 };
 
+/** What becomes of a number that a member cannot hold as it is. */
+enum beryl_rounding
+{
+  BERYL_ROUND_NONE, /**< a finding */
+  BERYL_ROUND_DOWN, /**< rounded down, and no more than the greatest */
+  BERYL_ROUND_UP,   /**< rounded up, and no less than the least */
+};
+
 /** One member of a JSON object and where it goes. */
 struct beryl_field
 {
@@ -42,9 +50,12 @@
   enum beryl_field_type type;
   size_t offset;
   size_t bytes; /**< of text buffers */
-  double min;   /**< of numbers */
+  double min;   /**< of numbers, in the unit of the text */
   double max;
+  enum beryl_rounding rounding;
+  double unit; /**< the member's units in one of the text's; 0: 1 */
   bool required;
+  bool null_is_default; /**< null leaves the member as it was */
   void (*custom) (const struct beryl_place *place, json_t *value,
                   void *target);
 };
--- a/libberyl/config/fields.c
+++ b/libberyl/config/fields.c
@@ -1,6 +1,7 @@
 #include "beryl/fields.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -8,6 +9,9 @@
 
 #include "beryl/config.h"
 
+/* What a product such as 7.3 * 1000 may be beside the whole number. */
+#define ROUNDING_ERROR 1e-6
+
 void
 beryl_place_finding (const struct beryl_place *place, const char *member,
                      const char *format, ...)
@@ -111,35 +115,62 @@
     }
 }
 
-static void
-read_integer (const struct beryl_place *place, const struct beryl_field *field,
-              json_t *value, void *target)
+/* Moves N into the field's range if the field allows it at that end; a
+   negative number is never meant as zero. */
+static double
+clamp_number (const struct beryl_field *field, double n)
 {
-  json_int_t n = json_integer_value (value);
+  if (field->rounding == BERYL_ROUND_DOWN && n > field->max)
+    return field->max;
+  if (field->rounding == BERYL_ROUND_UP && n >= 0 && n < field->min)
+    return field->min;
+  return n;
+}
 
-  if (!json_is_integer (value))
+/* Reads a number in the field's range, in the unit of the text. */
+static bool
+read_number (const struct beryl_place *place, const struct beryl_field *field,
+             json_t *value, double *number)
+{
+  bool whole = field->type != BERYL_FIELD_DOUBLE;
+  double n = clamp_number (field, json_number_value (value));
+
+  if (whole && field->rounding == BERYL_ROUND_NONE && !json_is_integer (value))
     beryl_place_finding (place, field->key, "%s must be an integer",
                          field->key);
-  else if ((double)n < field->min || (double)n > field->max)
-    beryl_place_finding (place, field->key, "%s must be from %.0f to %.0f",
+  else if (!json_is_number (value))
+    beryl_place_finding (place, field->key, "%s must be a number", field->key);
+  else if (n < field->min || n > field->max)
+    beryl_place_finding (place, field->key,
+                         whole ? "%s must be from %.0f to %.0f"
+                               : "%s must be from %g to %g",
                          field->key, field->min, field->max);
   else
-    store_integer (field, n, target);
+    {
+      *number = n;
+      return true;
+    }
+  return false;
 }
 
 static void
-read_double (const struct beryl_place *place, const struct beryl_field *field,
-             json_t *value, double *target)
+read_integer (const struct beryl_place *place, const struct beryl_field *field,
+              json_t *value, void *target)
 {
-  double n = json_number_value (value);
+  double unit = field->unit != 0 ? field->unit : 1;
+  double n;
 
-  if (!json_is_number (value))
-    beryl_place_finding (place, field->key, "%s must be a number", field->key);
-  else if (n < field->min || n > field->max)
-    beryl_place_finding (place, field->key, "%s must be from %g to %g",
-                         field->key, field->min, field->max);
+  if (!read_number (place, field, value, &n))
+    return;
+  if (json_is_integer (value) && n == (double)json_integer_value (value)
+      && unit == 1)
+    store_integer (field, json_integer_value (value), target);
+  else if (field->rounding == BERYL_ROUND_UP)
+    store_integer (field, (json_int_t)ceil (n * unit - ROUNDING_ERROR),
+                   target);
   else
-    *target = n;
+    store_integer (field, (json_int_t)floor (n * unit + ROUNDING_ERROR),
+                   target);
 }
 
 static void
@@ -206,7 +237,7 @@
       read_integer (place, field, value, p);
       return;
     case BERYL_FIELD_DOUBLE:
-      read_double (place, field, value, p);
+      read_number (place, field, value, p);
       return;
     case BERYL_FIELD_BOOL:
       read_bool (place, field, value, p);
@@ -256,7 +287,7 @@
 
     if (field == NULL)
       beryl_place_finding (place, key, "unknown key \"%.64s\"", key);
-    else
+    else if (!json_is_null (value) || !field->null_is_default)
       read_field (place, field, value, target);
   }
   for (size_t i = 0; i < field_count; i++)
