--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -296,6 +296,8 @@
   message->endpoint_revision = m->endpoint_revision;
   g_strlcpy (message->from, m->settings->node, sizeof message->from);
   loads_put (m->writer, message);
+  if (!datagram_seal (m->datagram, m->writer))
+    return;
   for (size_t i = 0; i < beryl_membership_count (m->table); i++)
     {
       const struct beryl_member *peer = beryl_membership_get (m->table, i);
@@ -303,7 +305,7 @@
       if (peer->state != BERYL_MEMBER_DEAD
           && strcmp (peer->name, m->settings->node) != 0
           && (all || is_near (m, peer)))
-        datagram_send (m->datagram, peer->address, peer->port, m->writer);
+        datagram_send_sealed (m->datagram, peer->address, peer->port);
     }
 }
 
--- a/include/wire/link.h
+++ b/include/wire/link.h
@@ -130,6 +130,15 @@
 bool datagram_send (struct datagram *datagram, const char *address,
                     uint16_t port, struct frame_writer *writer);
 
+/** Keep one frame, with its MAC, for datagram_send_sealed; false if it is too
+ * long. */
+bool datagram_seal (struct datagram *datagram, struct frame_writer *writer);
+
+/** Send the frame that was sealed last; false if there is none or the socket
+ * refused. */
+bool datagram_send_sealed (struct datagram *datagram, const char *address,
+                           uint16_t port);
+
 /** Return the port in use. */
 uint16_t datagram_port (const struct datagram *datagram);
 
--- a/wire/datagram.c
+++ b/wire/datagram.c
@@ -1,6 +1,7 @@
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,34 +10,52 @@
 #define SHA256_BYTES 32
 #define RECEIVE_BYTES 2048
 
-struct key
-{
-  unsigned char bytes[DATAGRAM_KEY_MAX_BYTES];
-  int bytes_count;
-};
-
 struct datagram
 {
   uv_udp_t udp;
   datagram_cb *cb;
   void *user;
-  struct key keys[DATAGRAM_KEYS_MAX];
+  EVP_MAC_CTX *keys[DATAGRAM_KEYS_MAX]; /* each keyed once, then reused */
   uint32_t key_count;
   uint16_t port;
   uint64_t received_total;
   uint64_t sent_total;
   uint64_t refused;
   char buffer[RECEIVE_BYTES];
+  unsigned char sealed[DATAGRAM_MAX_BYTES + DATAGRAM_MAC_BYTES];
+  size_t sealed_bytes; /* 0: none */
 };
 
-static void
-mac_compute (const struct key *key, const void *bytes, size_t bytes_count,
+/** Compute the MAC of BYTES under KEY.  Fetching the algorithm takes longer
+ * than the hash of a datagram, so that the context keeps it and the key. */
+static bool
+mac_compute (EVP_MAC_CTX *key, const void *bytes, size_t bytes_count,
              unsigned char mac[SHA256_BYTES])
 {
-  unsigned int length = 0;
+  size_t length = 0;
+
+  return EVP_MAC_init (key, NULL, 0, NULL) == 1
+         && EVP_MAC_update (key, bytes, bytes_count) == 1
+         && EVP_MAC_final (key, mac, &length, SHA256_BYTES) == 1
+         && length == SHA256_BYTES;
+}
+
+/** Return a context that holds KEY; NULL if the library has none. */
+static EVP_MAC_CTX *
+mac_create (const void *key, size_t key_bytes)
+{
+  char digest[] = "SHA256";
+  const OSSL_PARAM params[]
+      = { OSSL_PARAM_construct_utf8_string (OSSL_MAC_PARAM_DIGEST, digest, 0),
+          OSSL_PARAM_construct_end () };
+  EVP_MAC *mac = EVP_MAC_fetch (NULL, "HMAC", NULL);
+  EVP_MAC_CTX *context = mac != NULL ? EVP_MAC_CTX_new (mac) : NULL;
 
-  HMAC (EVP_sha256 (), key->bytes, key->bytes_count, bytes, bytes_count, mac,
-        &length);
+  EVP_MAC_free (mac);
+  if (context != NULL && EVP_MAC_init (context, key, key_bytes, params) == 1)
+    return context;
+  EVP_MAC_CTX_free (context);
+  return NULL;
 }
 
 /** Whether one of the keys gives the MAC that follows BYTES.  Guards against
@@ -49,8 +68,8 @@
     {
       unsigned char mac[SHA256_BYTES];
 
-      mac_compute (&d->keys[i], bytes, bytes_count, mac);
-      if (CRYPTO_memcmp (mac, bytes + bytes_count, DATAGRAM_MAC_BYTES) == 0)
+      if (mac_compute (d->keys[i], bytes, bytes_count, mac)
+          && CRYPTO_memcmp (mac, bytes + bytes_count, DATAGRAM_MAC_BYTES) == 0)
         return true;
     }
   return false;
@@ -164,46 +183,58 @@
 bool
 datagram_add_key (struct datagram *d, const void *key, size_t key_bytes)
 {
-  struct key *k = &d->keys[d->key_count];
+  EVP_MAC_CTX *context;
 
-  if (d->key_count == DATAGRAM_KEYS_MAX || key_bytes > sizeof k->bytes)
+  if (d->key_count == DATAGRAM_KEYS_MAX || key_bytes > DATAGRAM_KEY_MAX_BYTES)
     return false;
-  memcpy (k->bytes, key, key_bytes);
-  k->bytes_count = (int)key_bytes;
-  d->key_count++;
+  context = mac_create (key, key_bytes);
+  if (context == NULL)
+    return false;
+  d->keys[d->key_count++] = context;
   return true;
 }
 
 void
 datagram_clear_keys (struct datagram *d)
 {
-  OPENSSL_cleanse (d->keys, sizeof d->keys);
+  for (uint32_t i = 0; i < d->key_count; i++)
+    EVP_MAC_CTX_free (d->keys[i]);
   d->key_count = 0;
 }
 
 bool
-datagram_send (struct datagram *d, const char *address, uint16_t port,
-               struct frame_writer *writer)
+datagram_seal (struct datagram *d, struct frame_writer *writer)
 {
-  struct sockaddr_storage storage = { 0 };
   unsigned char mac[SHA256_BYTES];
   size_t bytes_count;
   const void *bytes = frame_writer_finish (writer, &bytes_count);
-  uv_buf_t buffers[2];
-  unsigned int buffer_count = 1;
-  int sent;
 
-  if (!bytes || bytes_count > DATAGRAM_MAX_BYTES
-      || !address_parse (address, port, &storage))
+  d->sealed_bytes = 0;
+  if (!bytes || bytes_count > DATAGRAM_MAX_BYTES)
     return false;
-  buffers[0] = uv_buf_init ((char *)bytes, (unsigned int)bytes_count);
+  memcpy (d->sealed, bytes, bytes_count);
   if (d->key_count > 0)
     {
-      mac_compute (&d->keys[0], bytes, bytes_count, mac);
-      buffers[1] = uv_buf_init ((char *)mac, DATAGRAM_MAC_BYTES);
-      buffer_count = 2;
+      if (!mac_compute (d->keys[0], bytes, bytes_count, mac))
+        return false;
+      memcpy (d->sealed + bytes_count, mac, DATAGRAM_MAC_BYTES);
+      bytes_count += DATAGRAM_MAC_BYTES;
     }
-  sent = uv_udp_try_send (&d->udp, buffers, buffer_count,
+  d->sealed_bytes = bytes_count;
+  return true;
+}
+
+bool
+datagram_send_sealed (struct datagram *d, const char *address, uint16_t port)
+{
+  struct sockaddr_storage storage = { 0 };
+  uv_buf_t buffer
+      = uv_buf_init ((char *)d->sealed, (unsigned int)d->sealed_bytes);
+  int sent;
+
+  if (d->sealed_bytes == 0 || !address_parse (address, port, &storage))
+    return false;
+  sent = uv_udp_try_send (&d->udp, &buffer, 1,
                           (const struct sockaddr *)&storage);
   if (sent < 0)
     return false;
@@ -211,6 +242,13 @@
   return true;
 }
 
+bool
+datagram_send (struct datagram *d, const char *address, uint16_t port,
+               struct frame_writer *writer)
+{
+  return datagram_seal (d, writer) && datagram_send_sealed (d, address, port);
+}
+
 uint16_t
 datagram_port (const struct datagram *d)
 {
