Lookups for each received message no longer read all peers

Cause: each announcement looked its peer up by comparing names one after the other (strcmp is the first line of the profile, 9%), each profile summed those of all peers although the sum is used only by a node that has seen nothing itself, and each gossip message read the whole table once for each of its records. Peers stand in order of names now, the sum is made when it is used, and the records to pass on are picked in one pass; their order is as before.

--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -170,13 +170,49 @@
   *book = (struct book){ 0 };
 }
 
+/* Returns the place of NAME among the peers, which are in order of names. */
+static size_t
+book_place (const struct book *book, const char *name, bool *found)
+{
+  size_t low = 0;
+  size_t high = book->count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+
+      if (strcmp (book->peers[middle]->name, name) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  *found = low < book->count && strcmp (book->peers[low]->name, name) == 0;
+  return low;
+}
+
 static struct book_peer *
 book_find (struct book *book, const char *name)
 {
-  for (size_t i = 0; i < book->count; i++)
-    if (strcmp (book->peers[i]->name, name) == 0)
-      return book->peers[i];
-  return NULL;
+  bool found;
+  size_t place = book_place (book, name, &found);
+
+  return found ? book->peers[place] : NULL;
+}
+
+static struct book_peer *
+book_add_peer (struct book *book, const char *name)
+{
+  struct book_peer *peer = calloc (1, sizeof *peer);
+  bool found;
+  size_t place = book_place (book, name, &found);
+
+  strncpy (peer->name, name, sizeof peer->name - 1);
+  book->peers = realloc (book->peers, (book->count + 1) * sizeof *book->peers);
+  memmove (&book->peers[place + 1], &book->peers[place],
+           (book->count - place) * sizeof *book->peers);
+  book->peers[place] = peer;
+  book->count++;
+  return peer;
 }
 
 /* Puts all runs of PEER into the indices, or takes them out: APPLY is
@@ -206,12 +242,7 @@
   struct book_peer *peer = book_find (book, name);
 
   if (peer == NULL)
-    {
-      peer = calloc (1, sizeof *peer);
-      strncpy (peer->name, name, sizeof peer->name - 1);
-      book->peers = realloc (book->peers, (book->count + 1) * sizeof (void *));
-      book->peers[book->count++] = peer;
-    }
+    peer = book_add_peer (book, name);
   if (count > BERYL_ENGINE_RUNS_MAX)
     count = BERYL_ENGINE_RUNS_MAX;
   index_runs (book, peer, run_index_remove);
--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -140,8 +140,11 @@
 static void
 take_paces (struct service *s)
 {
-  struct beryl_generation_mix mix = mix_of (s);
+  struct beryl_generation_mix mix;
 
+  if (s->prefill.seen != 0 && s->lengths.paces != 0)
+    return;
+  mix = mix_of (s);
   if (s->prefill.seen == 0)
     s->prefill.ms_per_token = mix.prefill_ms_per_token;
   if (s->lengths.paces == 0)
--- a/libberyl/membership/gossip.c
+++ b/libberyl/membership/gossip.c
@@ -27,23 +27,56 @@
   message->updates[message->update_count++] = *member;
 }
 
-static struct slot *
-update_next (struct beryl_membership *m, const struct beryl_gossip *message)
+/* How often a record is still to be sent. */
+static uint32_t
+sendings_left (const struct slot *slot)
+{
+  return slot->transmits + slot->news_left;
+}
+
+/* Puts SLOT among the COUNT PICKED ones, in falling order of what is left to
+ * send, MOST at most; returns their new count. */
+static size_t
+pick_record (struct slot *picked[], size_t count, size_t most,
+             struct slot *slot)
+{
+  size_t place = count;
+
+  while (place > 0 && sendings_left (picked[place - 1]) < sendings_left (slot))
+    place--;
+  if (place == most)
+    return count;
+  count += count < most;
+  memmove (&picked[place + 1], &picked[place],
+           (count - 1 - place) * sizeof (picked[0]));
+  picked[place] = slot;
+  return count;
+}
+
+/* Adds the records that are to be passed on, those with the most sendings
+ * left first. */
+static void
+updates_add_due (struct beryl_membership *m, struct beryl_gossip *message)
 {
-  struct slot *best = NULL;
+  struct slot *picked[BERYL_GOSSIP_UPDATES_MAX];
+  size_t most = BERYL_GOSSIP_UPDATES_MAX - message->update_count;
+  size_t count = 0;
 
   for (size_t i = 0; i < m->count; i++)
     {
       struct slot *slot = &m->slots[i];
 
-      if (slot->transmits == 0 || update_listed (message, slot->member.name))
-        continue;
-      if (best == NULL
-          || slot->transmits + slot->news_left
-                 > best->transmits + best->news_left)
-        best = slot;
+      if (slot->transmits > 0 && !update_listed (message, slot->member.name))
+        count = pick_record (picked, count, most, slot);
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      message->updates[message->update_count++] = picked[i]->member;
+      if (message->type == BERYL_GOSSIP_NEWS && picked[i]->news_left > 0)
+        picked[i]->news_left--;
+      else
+        picked[i]->transmits--;
     }
-  return best;
 }
 
 static uint32_t
@@ -78,18 +111,7 @@
       if (to->member.incarnation != 0)
         update_add (message, &to->member);
     }
-  while (message->update_count < BERYL_GOSSIP_UPDATES_MAX)
-    {
-      struct slot *slot = update_next (m, message);
-
-      if (slot == NULL)
-        return;
-      update_add (message, &slot->member);
-      if (type == BERYL_GOSSIP_NEWS && slot->news_left > 0)
-        slot->news_left--;
-      else
-        slot->transmits--;
-    }
+  updates_add_due (m, message);
 }
 
 void
