Peers in other data centres hear of runs within a bound for the fleet

Cause: at 295 nodes nearly every announcement went to all of them. A node's part of the repeats is 630 / 295, so that most announcements carried a question for repeats, which is for one peer and was sent to all; what was learned went to all twice a second; and each of 245 peers elsewhere was told four times a second.

A question or its answer goes to the peer that it is for, what was learned rides on what is told to all anyway, and each node tells peers elsewhere every 4 ms for each of them (250 ms at least), so that a node hears 250 announcements a second from elsewhere, whatever the fleet. Engines that are changing their stage are told of as before.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -25,8 +25,8 @@
 /* Changes of this node's runs are told together, so often at most.  Others
  * place a request every few tens of milliseconds. */
 #define TELL_DELAY_MS 30
-/* What was learned of generations goes with one message in so long: some 30
- * bytes, and it changes slowly. */
+/* What was learned of generations changes slowly: it goes to all peers, with
+ * one message in so long at most. */
 #define PROFILES_MS 500
 
 /* Callers' bodies may take that part of the memory. */
@@ -413,7 +413,7 @@
   beryl_forward_news (g->forward, &message.news, now_ms);
   beryl_forward_repeat_transfers (g->forward, &message.asks, &message.loans,
                                   now_ms);
-  if (now_ms - g->profiles_ms >= PROFILES_MS)
+  if (now_ms - g->profiles_ms >= PROFILES_MS && members_tells_far (g->members))
     {
       beryl_forward_profiles (g->forward, &message.profiles);
       g->profiles_ms = now_ms;
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -14,11 +14,12 @@
 #define TELL_MS 500
 /* How often it is looked whether that time is over. */
 #define TELL_LOOK_MS 100
-/* Peers in other data centres are told of changes so often at most.  Engines
- * are chosen near, so that what runs here concerns the peers near; told to all
- * at once, and with engines chosen anywhere, 0.32 GB a day crossed between
- * data centres in a fleet of 69 nodes, and 0.17 since. */
+/* Peers in other data centres are told of changes so often at most: engines
+ * are chosen near, so that what runs here concerns the peers near. */
 #define TELL_FAR_MS 250
+/* With more of them each tells them less often, so that what a node hears from
+ * other data centres does not grow with the fleet. */
+#define TELL_FAR_PEER_MS 4
 /* With more peers each is told less often, so that a node's bytes for it stay
  * the same. */
 #define TELL_PEER_MS 10
@@ -50,6 +51,7 @@
   uint64_t revision;                    /* of the configuration here */
   char key[DATAGRAM_KEY_MAX_BYTES + 1]; /* "": not known yet */
   uint32_t count;                       /* that live */
+  uint32_t far_count;                   /* of them, in other data centres */
   uint32_t at_work; /* that live or are on record; 0: not listed yet */
 };
 
@@ -89,6 +91,26 @@
   return count;
 }
 
+static bool
+is_near (const struct members *m, const struct beryl_member *peer)
+{
+  return strcmp (peer->data_centre, m->settings->data_centre) == 0;
+}
+
+static uint32_t
+count_far (const struct members *m)
+{
+  uint32_t count = 0;
+
+  for (size_t i = 0; i < beryl_membership_count (m->table); i++)
+    {
+      const struct beryl_member *member = beryl_membership_get (m->table, i);
+
+      count += member->state != BERYL_MEMBER_DEAD && !is_near (m, member);
+    }
+  return count;
+}
+
 static uint32_t
 count_at_work (const struct members *m)
 {
@@ -110,6 +132,7 @@
   uint32_t at_work = count_at_work (m);
 
   m->count = members_count (m);
+  m->far_count = count_far (m);
   if (at_work == m->at_work || g_hash_table_size (m->records) == 0)
     return;
   m->at_work = at_work;
@@ -248,12 +271,18 @@
   return MAX (TELL_MS, (int64_t)m->count * TELL_PEER_MS);
 }
 
+bool
+members_tells_far (const struct members *m)
+{
+  return now_ms (m) - m->told_far_ms
+         >= MAX (TELL_FAR_MS, (int64_t)m->far_count * TELL_FAR_PEER_MS);
+}
+
 /* Whether peers in other data centres have missed news for long enough. */
 static bool
 far_is_due (const struct members *m)
 {
-  return m->told_far_ms != m->told_ms
-         && now_ms (m) - m->told_far_ms >= TELL_FAR_MS;
+  return m->told_far_ms != m->told_ms && members_tells_far (m);
 }
 
 static void
@@ -267,28 +296,46 @@
 }
 
 static bool
-is_near (const struct members *m, const struct beryl_member *peer)
+has_transfer_for (const struct beryl_repeat_transfers *transfers,
+                  uint32_t node)
 {
-  return strcmp (peer->data_centre, m->settings->data_centre) == 0;
+  for (size_t i = 0; i < transfers->count; i++)
+    if (transfers->items[i].node == node)
+      return true;
+  return false;
+}
+
+/* A question for repeats, or its answer, is told once and to the peer that it
+ * is for. */
+static bool
+is_for (const struct loads_message *message, const struct beryl_member *peer)
+{
+  uint32_t node;
+
+  if (message->asks.count + message->loans.count == 0)
+    return false;
+  node = beryl_engine_number (peer->name);
+  return has_transfer_for (&message->asks, node)
+         || has_transfer_for (&message->loans, node);
 }
 
-/* A loan is told once, and what was learned twice a second. */
+/* An engine that has been ordered to another stage rejects what any node sends
+ * it, before its entry shows the change. */
 static bool
-concerns_all (const struct loads_message *message)
+is_urgent (const struct members *m, const struct loads_message *message)
 {
-  return message->asks.count + message->loans.count + message->profiles.count
-         > 0;
+  return message->news.changing.count > 0
+         && now_ms (m) - m->told_far_ms >= TELL_FAR_MS;
 }
 
 void
 members_tell_loads (struct members *m, struct loads_message *message)
 {
-  bool all;
+  bool all = members_tells_far (m) || is_urgent (m, message);
 
   if (m->table == NULL)
     return;
   m->told_ms = now_ms (m);
-  all = m->told_ms - m->told_far_ms >= TELL_FAR_MS || concerns_all (message);
   if (all)
     m->told_far_ms = m->told_ms;
   message->sequence = ++m->sequence;
@@ -304,7 +351,7 @@
 
       if (peer->state != BERYL_MEMBER_DEAD
           && strcmp (peer->name, m->settings->node) != 0
-          && (all || is_near (m, peer)))
+          && (all || is_near (m, peer) || is_for (message, peer)))
         datagram_send_sealed (m->datagram, peer->address, peer->port);
     }
 }
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -74,6 +74,9 @@
 /** A planned stop has begun. */
 void members_leave (struct members *members);
 
+/** Whether what is told next goes to the peers in other data centres too. */
+bool members_tells_far (const struct members *members);
+
 /** Tell the peers MESSAGE, of which the caller sets what runs and what this
  * node has found out, learned, asks for and lends. */
 void members_tell_loads (struct members *members,
