A few nodes of each data centre watch the list of endpoints for the others

Cause: every node watched the list, so that a change cost one call a node, and while the store was away each asked again after 0.4 s at most.

After a failure a node asks again by the size of the fleet, 0.4 to 1.3 s.

--- a/common/platform_client.c
+++ b/common/platform_client.c
@@ -576,6 +576,23 @@
   timer_arm (c);
 }
 
+bool
+platform_client_feed (struct platform_client *c, uint64_t watch,
+                      uint64_t after, uint64_t revision,
+                      const struct beryl_platform_event *events, size_t count)
+{
+  return beryl_platform_feed (c->core, watch, after, revision, events, count);
+}
+
+void
+platform_client_watch_rest (struct platform_client *c, uint64_t watch,
+                            bool resting, int64_t wait_ms)
+{
+  beryl_platform_watch_wait (c->core, watch, wait_ms);
+  beryl_platform_watch_rest (c->core, watch, resting);
+  timer_arm (c);
+}
+
 bool
 platform_client_watch_arriving (struct platform_client *c, uint64_t watch)
 {
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -12,6 +12,7 @@
 #include "outbound.h"
 #include "planner.h"
 #include "registry.h"
+#include "relay.h"
 #include "source.h"
 #include "store.h"
 #include "survey.h"
@@ -62,6 +63,7 @@
   struct members *members;
   struct cluster_key *key;
   struct registry *registry;
+  struct relay *relay;
   struct planner *planner;
   struct survey *survey;
   struct loop_timer *stand; /* looks who stands for the planner's lease */
@@ -246,8 +248,22 @@
   beryl_forward_lives_changed (g->forward, loop_now_ms (g->loop));
 }
 
-static const struct source_owner_impl source_impl
-    = { .routes = source_routes, .endpoints = source_endpoints };
+static void
+source_answered (struct source_owner *owner, uint64_t after, uint64_t revision,
+                 const struct entry_change *changes, size_t count,
+                 bool complete)
+{
+  struct gateway *g = of_source (owner);
+
+  if (g->relay != NULL)
+    relay_answered (g->relay, after, revision, changes, count, complete);
+}
+
+static const struct source_owner_impl source_impl = {
+  .routes = source_routes,
+  .endpoints = source_endpoints,
+  .answered = source_answered,
+};
 
 static bool
 directory_ready (struct directory_owner *owner)
@@ -293,6 +309,7 @@
     .list_age_ms = now_ms - beryl_lives_synced_ms (g->lives),
     .ready = directory_ready (owner),
     .planner = planner_holds (g->planner),
+    .watcher = relay_watches (g->relay),
   };
 
   return metrics_format (g->metrics, &gauges);
@@ -311,6 +328,7 @@
 
   beryl_forward_set_nodes (g->forward, count);
   store_set_nodes (g->store, &g->settings, count);
+  store_set_watch_wait (g->store, count, members_isolated (g->members));
 }
 
 static void
@@ -329,6 +347,16 @@
   beryl_forward_peer_profiles (g->forward, message->from, &message->profiles);
 }
 
+static void
+members_changes (struct members_owner *owner,
+                 const struct changes_message *message)
+{
+  struct gateway *g = of_members (owner);
+
+  if (g->relay != NULL)
+    relay_received (g->relay, message);
+}
+
 static void
 members_peer_gone (struct members_owner *owner, const char *peer)
 {
@@ -359,6 +387,7 @@
 static const struct members_owner_impl members_impl = {
   .count_changed = members_count_changed,
   .loads = members_loads,
+  .changes = members_changes,
   .peer_gone = members_peer_gone,
   .tell_due = members_tell_due,
   .should_pull = members_should_pull,
@@ -560,6 +589,8 @@
                                  g->counters, error);
   if (g->members != NULL)
     {
+      g->relay = relay_create (loop, &g->settings, g->source, g->members,
+                               g->counters);
       g->key = cluster_key_create (loop, g->store, key_known, g);
       g->planner = planner_create (loop, wire, &g->settings, g->store,
                                    g->forward, g->lives);
@@ -584,6 +615,7 @@
   planner_destroy (g->planner);
   cluster_key_destroy (g->key);
   registry_destroy (g->registry);
+  relay_destroy (g->relay);
   members_destroy (g->members);
   uv_close ((uv_handle_t *)g->prepare, free_handle);
   directory_destroy (g->directory);
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -240,6 +240,15 @@
   m->owner->impl->loads (m->owner, &message);
 }
 
+static void
+take_changes (struct members *m, struct frame *frame)
+{
+  struct changes_message message;
+
+  if (changes_read (frame, &message))
+    m->owner->impl->changes (m->owner, &message);
+}
+
 static void
 datagram_received (void *user, struct frame *frame, const char *address,
                    uint16_t port)
@@ -251,6 +260,8 @@
     return;
   if (frame_type (frame) == LOADS_DATAGRAM)
     take_loads (m, frame);
+  else if (frame_type (frame) == CHANGES_DATAGRAM)
+    take_changes (m, frame);
   else if (m->table != NULL && gossip_read (frame, &message))
     beryl_membership_receive (m->table, &message, address, port, now_ms (m));
   wake (m);
@@ -356,6 +367,24 @@
     }
 }
 
+void
+members_tell_changes (struct members *m, const struct changes_message *message)
+{
+  if (m->table == NULL)
+    return;
+  changes_put (m->writer, message);
+  if (!datagram_seal (m->datagram, m->writer))
+    return;
+  for (size_t i = 0; i < beryl_membership_count (m->table); i++)
+    {
+      const struct beryl_member *peer = beryl_membership_get (m->table, i);
+
+      if (peer->state != BERYL_MEMBER_DEAD && is_near (m, peer)
+          && strcmp (peer->name, m->settings->node) != 0)
+        datagram_send_sealed (m->datagram, peer->address, peer->port);
+    }
+}
+
 static void
 pulled (struct pulls_owner *owner, uint64_t revision, const char *value,
         size_t value_bytes)
@@ -547,6 +576,20 @@
          && beryl_membership_stands_for (m->table, role, "", most);
 }
 
+bool
+members_stands_near (const struct members *m, const char *role, uint32_t most)
+{
+  return m->table != NULL
+         && beryl_membership_stands_for (m->table, role,
+                                         m->settings->data_centre, most);
+}
+
+uint32_t
+members_near_count (const struct members *m)
+{
+  return m->count - m->far_count;
+}
+
 bool
 members_isolated (const struct members *m)
 {
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -13,6 +13,7 @@
 #include "common/counters.h"
 #include "common/loop.h"
 #include "settings.h"
+#include "wire/changes.h"
 #include "wire/loads.h"
 
 struct members;
@@ -28,6 +29,9 @@
   /** A peer told MESSAGE, which is newer than all before. */
   void (*loads) (struct members_owner *owner,
                  const struct loads_message *message);
+  /** A peer passed changes of the list of endpoints on. */
+  void (*changes) (struct members_owner *owner,
+                   const struct changes_message *message);
   /** PEER has gone, and its runs with it. */
   void (*peer_gone) (struct members_owner *owner, const char *peer);
   /** Nothing was told for a while: call members_tell_loads, since peers take
@@ -82,6 +86,19 @@
 void members_tell_loads (struct members *members,
                          struct loads_message *message);
 
+/** Pass MESSAGE on to the peers in this data centre. */
+void members_tell_changes (struct members *members,
+                           const struct changes_message *message);
+
+/** Return how many nodes of this data centre may be running, this one
+ * included. */
+uint32_t members_near_count (const struct members *members);
+
+/** Whether this node is among the MOST live ones of its data centre that stand
+ * for ROLE. */
+bool members_stands_near (const struct members *members, const char *role,
+                          uint32_t most);
+
 /** This node has seen changes of endpoints up to REVISION. */
 void members_set_endpoint_revision (struct members *members,
                                     uint64_t revision);
--- a/gatewayd/metrics.c
+++ b/gatewayd/metrics.c
@@ -109,6 +109,7 @@
        (uint64_t)g->list_age_ms);
   set (metrics, "beryl_gateway_ready", g->ready);
   set (metrics, "beryl_gateway_planner", g->planner);
+  set (metrics, "beryl_gateway_endpoint_watcher", g->watcher);
   counters_set (metrics->counters, "beryl_log_lines_total", "end=\"written\"",
                 lines.written);
   counters_set (metrics->counters, "beryl_log_lines_total",
--- a/gatewayd/metrics.h
+++ b/gatewayd/metrics.h
@@ -34,6 +34,7 @@
   int64_t list_age_ms;    /**< since the list of endpoints was confirmed */
   bool ready;
   bool planner; /**< this node holds the planner's lease */
+  bool watcher; /**< it passes changes of the list of endpoints on */
 };
 
 /** Set the gauges and return all metrics as text; free() it. */
--- /dev/null
+++ b/gatewayd/relay.c
@@ -0,0 +1,163 @@
+#include "relay.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "beryl/relay.h"
+#include "store.h"
+#include "wire/link.h"
+
+/* How often it is looked who watches and whether the watchers fell silent. */
+#define LOOK_MS 100
+/* Watchers in each data centre: with one, its loss would be noticed by all of
+ * its followers at once. */
+#define WATCHERS 2
+#define ROLE "endpoint-watcher"
+/* Bytes of one message: a datagram's, less the fields of the message. */
+#define MESSAGE_BYTES (DATAGRAM_MAX_BYTES - 64)
+/* Of one change, beside its name and value. */
+#define CHANGE_BYTES 24
+
+struct relay
+{
+  struct loop *loop;
+  const struct gateway_settings *settings;
+  struct source *source;
+  struct members *members;
+  struct counters *counters;
+  struct beryl_relay *core;
+  enum beryl_relay_role role;
+  struct loop_timer *timer;
+};
+
+static void
+look (void *user)
+{
+  struct relay *r = user;
+  enum beryl_relay_role role;
+
+  beryl_relay_set_group (r->core, members_near_count (r->members),
+                         members_stands_near (r->members, ROLE, WATCHERS));
+  role = beryl_relay_role (r->core, loop_now_ms (r->loop));
+  if (role == r->role)
+    return;
+  g_info ("endpoint list role=%s before=%s", beryl_relay_role_name (role),
+          beryl_relay_role_name (r->role));
+  r->role = role;
+  source_set_role (r->source, role,
+                   beryl_relay_wait_ms (r->core, STORE_SPACING_MS));
+}
+
+struct relay *
+relay_create (struct loop *loop, const struct gateway_settings *settings,
+              struct source *source, struct members *members,
+              struct counters *counters)
+{
+  struct relay *r = g_new0 (struct relay, 1);
+
+  r->loop = loop;
+  r->settings = settings;
+  r->source = source;
+  r->members = members;
+  r->counters = counters;
+  r->core = beryl_relay_create (settings->endpoint_leave_ms);
+  r->timer = loop_timer_start (loop, LOOK_MS, LOOK_MS, look, r);
+  return r;
+}
+
+void
+relay_destroy (struct relay *r)
+{
+  if (r == NULL)
+    return;
+  loop_timer_stop (r->timer);
+  beryl_relay_destroy (r->core);
+  g_free (r);
+}
+
+static size_t
+change_bytes (const struct entry_change *change)
+{
+  return strlen (change->name) + change->value_bytes + CHANGE_BYTES;
+}
+
+/* Takes into MESSAGE as many of COUNT changes as one datagram holds; returns
+ * their number, 0 if the first is too large. */
+static size_t
+take_part (struct changes_message *message, const struct entry_change *changes,
+           size_t count)
+{
+  size_t bytes = 0;
+
+  message->count = 0;
+  while (message->count < count && message->count < CHANGES_MAX)
+    {
+      const struct entry_change *change = &changes[message->count];
+
+      bytes += change_bytes (change);
+      if (bytes > MESSAGE_BYTES)
+        break;
+      message->changes[message->count++] = *change;
+    }
+  return message->count;
+}
+
+/* Whether all changes have versions of their own.  Those that a whole list
+ * shows by absence have not, and two messages could not share them. */
+static bool
+is_strict (const struct entry_change *changes, size_t count)
+{
+  for (size_t i = 1; i < count; i++)
+    if (changes[i].version == changes[i - 1].version)
+      return false;
+  return true;
+}
+
+void
+relay_answered (struct relay *r, uint64_t after, uint64_t revision,
+                const struct entry_change *changes, size_t count,
+                bool complete)
+{
+  struct changes_message message = { .after = after };
+  size_t sent = 0;
+
+  if (r->role != BERYL_RELAY_WATCHER || after == 0)
+    return;
+  if (!complete || !is_strict (changes, count))
+    {
+      /* Followers see a gap in it and look by themselves. */
+      message.after = revision;
+      count = 0;
+    }
+  if (count == 0)
+    {
+      message.revision = revision;
+      members_tell_changes (r->members, &message);
+    }
+  while (sent < count)
+    {
+      size_t taken = take_part (&message, changes + sent, count - sent);
+
+      /* One that no datagram holds is left out, which is a gap too. */
+      sent += taken > 0 ? taken : 1;
+      message.revision = sent == count ? revision : changes[sent - 1].version;
+      if (taken > 0)
+        members_tell_changes (r->members, &message);
+      message.after = message.revision;
+    }
+}
+
+bool
+relay_watches (const struct relay *r)
+{
+  return r->role == BERYL_RELAY_WATCHER;
+}
+
+void
+relay_received (struct relay *r, const struct changes_message *message)
+{
+  counters_add (r->counters, "beryl_gateway_changes_fed_total", "", 1);
+  beryl_relay_heard (r->core, loop_now_ms (r->loop));
+  if (r->role != BERYL_RELAY_WATCHER)
+    source_feed (r->source, message);
+}
--- a/gatewayd/source.c
+++ b/gatewayd/source.c
@@ -19,6 +19,10 @@
 /* ... or it is still arriving then: less than half of the time in which a
  * change must be in force is left. */
 #define STORE_ENDS_MS 3500
+/* Changes of one answer that are kept to be passed on. */
+#define CHANGES_KEPT_MAX 128
+/* A node that missed what was passed on looks by itself so often at most. */
+#define GAP_MS 400
 #define FOREIGN_COUNTER "beryl_foreign_entries_total"
 
 struct source
@@ -46,8 +50,64 @@
   struct counters *counters;
   uint32_t foreign_untold; /* entries since the last line about them */
   int64_t foreign_told_ms; /* 0: never */
+  GArray *changes; /* of the answer that is read, struct entry_change */
+  bool changes_complete;
+  bool feeding;          /* what is told now comes from a peer */
+  uint64_t synced;       /* revision up to which all changes were told */
+  int64_t gap_looked_ms; /* 0: never */
 };
 
+static void
+change_clear (void *item)
+{
+  g_free ((char *)((struct entry_change *)item)->value);
+}
+
+/* Keeps what the store told until all of its answer is read. */
+static void
+keep_change (struct source *s, const struct beryl_platform_event *event)
+{
+  struct entry_change change = { .version = event->object.version };
+
+  if (s->feeding)
+    return;
+  if (s->changes->len == CHANGES_KEPT_MAX)
+    {
+      s->changes_complete = false;
+      return;
+    }
+  g_strlcpy (change.name, event->object.name, sizeof change.name);
+  if (!event->deleted)
+    {
+      change.value
+          = g_strndup (event->object.value, event->object.value_bytes);
+      change.value_bytes = event->object.value_bytes;
+    }
+  g_array_append_val (s->changes, change);
+}
+
+static int
+compare_versions (const void *a, const void *b)
+{
+  uint64_t left = ((const struct entry_change *)a)->version;
+  uint64_t right = ((const struct entry_change *)b)->version;
+
+  return left < right ? -1 : left > right;
+}
+
+/* Passes on what the store's answer brought. */
+static void
+answer_read (struct source *s, uint64_t revision)
+{
+  g_array_sort (s->changes, compare_versions);
+  if (s->owner->impl->answered != NULL)
+    s->owner->impl->answered (s->owner, s->synced, revision,
+                              (const struct entry_change *)s->changes->data,
+                              s->changes->len, s->changes_complete);
+  g_array_set_size (s->changes, 0);
+  s->changes_complete = true;
+}
+
 /* Uses a configuration unless it is older than the one in use: an answer of
  * the platform and a peer's copy may overtake each other, and what is in
  * force must never go back. */
@@ -154,6 +214,7 @@
   struct beryl_error error = { 0 };
 
   s->endpoints_changed = true;
+  keep_change (s, event);
   if (event->object.version > s->endpoint_revision)
     s->endpoint_revision = event->object.version;
   if (event->deleted)
@@ -182,6 +243,9 @@
 
   s->has_endpoints = true;
   beryl_lives_synced (s->lives, loop_now_ms (s->loop));
+  if (!s->feeding)
+    answer_read (s, revision);
+  s->synced = MAX (s->synced, revision);
   if (!s->endpoints_changed)
     return;
   s->endpoints_changed = false;
@@ -206,6 +270,57 @@
     s->peer_revision = revision;
 }
 
+/* Looks by itself for changes that were passed on and did not come. */
+static void
+look_for_gap (struct source *s, uint64_t after)
+{
+  int64_t now_ms = loop_now_ms (s->loop);
+
+  if (s->gap_looked_ms != 0 && now_ms - s->gap_looked_ms < GAP_MS)
+    return;
+  s->gap_looked_ms = now_ms;
+  g_info ("endpoints missed changes: seen=%" G_GUINT64_FORMAT
+          " passed on after=%" G_GUINT64_FORMAT,
+          s->synced, after);
+  platform_client_poke (s->client, s->endpoint_watch);
+}
+
+void
+source_feed (struct source *s, const struct changes_message *message)
+{
+  struct beryl_platform_event events[CHANGES_MAX] = { 0 };
+  bool fed;
+
+  for (size_t i = 0; i < message->count; i++)
+    {
+      const struct entry_change *change = &message->changes[i];
+
+      events[i].watch = s->endpoint_watch;
+      events[i].deleted = change->value == NULL;
+      events[i].object = (struct beryl_object){
+        .kind = s->wire->impl->endpoint_kind,
+        .name = change->name,
+        .version = change->version,
+        .value = change->value,
+        .value_bytes = change->value_bytes,
+      };
+    }
+  s->feeding = true;
+  fed = platform_client_feed (s->client, s->endpoint_watch, message->after,
+                              message->revision, events, message->count);
+  s->feeding = false;
+  if (!fed && s->has_endpoints)
+    look_for_gap (s, message->after);
+}
+
+void
+source_set_role (struct source *s, enum beryl_relay_role role, int64_t wait_ms)
+{
+  platform_client_watch_rest (s->client, s->endpoint_watch,
+                              role == BERYL_RELAY_FOLLOWER,
+                              role == BERYL_RELAY_WATCHER ? wait_ms : 0);
+}
+
 bool
 source_should_pull (struct source *s)
 {
@@ -289,6 +404,9 @@
   s->counters = counters;
   s->owner = owner;
   s->value = g_string_new (NULL);
+  s->changes = g_array_new (FALSE, FALSE, sizeof (struct entry_change));
+  g_array_set_clear_func (s->changes, change_clear);
+  s->changes_complete = true;
   s->expire = loop_timer_start (loop, EXPIRE_MS, EXPIRE_MS, expire, s);
   s->configuration_watch = platform_client_watch (
       client, BERYL_USE_CONFIG, wire->impl->configuration_kind,
@@ -308,6 +426,7 @@
   platform_client_unwatch (s->client, s->endpoint_watch);
   loop_timer_stop (s->expire);
   g_string_free (s->value, TRUE);
+  g_array_free (s->changes, TRUE);
   g_free (s);
 }
 
--- a/gatewayd/source.h
+++ b/gatewayd/source.h
@@ -6,10 +6,12 @@
 #define GATEWAYD_SOURCE_H
 
 #include "beryl/live.h"
+#include "beryl/relay.h"
 #include "common/counters.h"
 #include "common/loop.h"
 #include "common/platform_client.h"
 #include "gateway/wire.h"
+#include "wire/changes.h"
 
 struct source;
 struct source_owner;
@@ -21,6 +23,12 @@
   void (*routes) (struct source_owner *owner, struct beryl_routes *routes);
   /** The set of endpoints changed. */
   void (*endpoints) (struct source_owner *owner);
+  /** The store answered: these are the COUNT changes after revision AFTER, up
+   * to REVISION, in order of versions.  If COMPLETE is not set there were more
+   * than are kept.  May be NULL. */
+  void (*answered) (struct source_owner *owner, uint64_t after,
+                    uint64_t revision, const struct entry_change *changes,
+                    size_t count, bool complete);
 };
 
 /** The owner; the first member selects the implementation. */
@@ -57,6 +65,15 @@
  * not. */
 void source_peer_revision (struct source *source, uint64_t revision);
 
+/** A node that watches the list of endpoints passed MESSAGE on. */
+void source_feed (struct source *source,
+                  const struct changes_message *message);
+
+/** Watch the list of endpoints as ROLE asks; calls of a watcher wait for
+ * WAIT_MS. */
+void source_set_role (struct source *source, enum beryl_relay_role role,
+                      int64_t wait_ms);
+
 /** A peer has a newer configuration: return whether to ask it for that now.
  * Not if the store is likely to bring it as soon. */
 bool source_should_pull (struct source *source);
--- a/gatewayd/store.c
+++ b/gatewayd/store.c
@@ -9,10 +9,11 @@
 #define WATCH_MS 2000
 #define WATCH_NODE_MS 500
 #define WATCH_MOST_MS 25000
-/* Changes that come together are taken together. */
-#define SPACING_MS 400
 #define BACKOFF_MIN_MS 50
 #define BACKOFF_MAX_MS 400
+/* While the store is away the calls of the fleet stay the same too. */
+#define BACKOFF_NODE_MS 15
+#define BACKOFF_MOST_MS 1300
 /* Before the first list of nodes this one takes itself for one of many. */
 #define NODES_UNKNOWN 50
 
@@ -34,7 +35,7 @@
                                                 NODES_UNKNOWN),
       .call_timeout_ms = CALL_MS,
       .watch_wait_ms = WATCH_MS,
-      .watch_spacing_ms = SPACING_MS,
+      .watch_spacing_ms = STORE_SPACING_MS,
       .backoff_min_ms = BACKOFF_MIN_MS,
       .backoff_max_ms = BACKOFF_MAX_MS,
     },
@@ -43,6 +44,13 @@
   return platform_client_create (loop, http, &settings, counters);
 }
 
+static int64_t
+backoff_max_ms (uint32_t nodes)
+{
+  return CLAMP ((int64_t)nodes * BACKOFF_NODE_MS, BACKOFF_MAX_MS,
+                BACKOFF_MOST_MS);
+}
+
 void
 store_set_nodes (struct platform_client *client,
                  const struct gateway_settings *settings, uint32_t nodes)
@@ -51,6 +59,8 @@
       platform_client_core (client),
       beryl_platform_node_rate (settings->platform_reads_per_s, nodes),
       beryl_platform_node_rate (settings->platform_writes_per_s, nodes));
+  beryl_platform_set_backoff_max (platform_client_core (client),
+                                  backoff_max_ms (nodes));
 }
 
 void
--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -267,6 +267,29 @@
  * an answer is arriving. */
 void beryl_platform_poke (struct beryl_platform *p, uint64_t watch);
 
+/** Take the COUNT changes that another watcher of the same kind saw after
+ * revision AFTER, up to REVISION, in order of versions, as though the platform
+ * had told them.  The callbacks of events run inside the call.  False if WATCH
+ * has not seen all up to AFTER, or has not been listed yet: nothing is taken
+ * then. */
+bool beryl_platform_feed (struct beryl_platform *p, uint64_t watch,
+                          uint64_t after, uint64_t revision,
+                          const struct beryl_platform_event *events,
+                          size_t count);
+
+/** While RESTING, have WATCH make no call but those that a poke asks for:
+ * somebody else feeds it.  It looks at once when the rest ends. */
+void beryl_platform_watch_rest (struct beryl_platform *p, uint64_t watch,
+                                bool resting);
+
+/** Have calls of WATCH wait for WAIT_MS from the next one on; 0: as all. */
+void beryl_platform_watch_wait (struct beryl_platform *p, uint64_t watch,
+                                int64_t wait_ms);
+
+/** Change the longest delay before a call that failed is made again. */
+void beryl_platform_set_backoff_max (struct beryl_platform *p,
+                                     int64_t backoff_max_ms);
+
 /** Whether an answer for WATCH is arriving. */
 bool beryl_platform_watch_arriving (struct beryl_platform *p, uint64_t watch);
 
--- a/libberyl/platform/private.h
+++ b/libberyl/platform/private.h
@@ -170,6 +170,8 @@
   bool poked; /**< the next call must not wait */
   bool ended; /**< freed once its callbacks have returned */
   bool busy;
+  bool resting;    /**< fed by others; calls only when poked */
+  int64_t wait_ms; /**< of its calls; 0: as in the settings */
   uint64_t revision;
   struct listing listing;
   struct known *known; /**< in order of names */
--- a/libberyl/platform/watch.c
+++ b/libberyl/platform/watch.c
@@ -153,6 +153,9 @@
 static void
 answer_stale (struct beryl_platform *p, struct watch *w, int64_t now_ms)
 {
+  /* What was fed meanwhile is newer than the answer. */
+  if (w->resting && !w->listing_now)
+    return;
   p->counts.stale++;
   platform_listing_clear (&w->listing);
   platform_job_back_off (p, &w->job, now_ms);
@@ -171,6 +174,8 @@
 watch_again (struct beryl_platform *p, struct watch *w, int64_t now_ms)
 {
   w->job.failures = 0;
+  if (w->resting)
+    return;
   platform_job_sleep (p, &w->job, now_ms + p->settings.watch_spacing_ms);
 }
 
@@ -350,7 +355,8 @@
      first after a failure: who watches must know when the platform is back. */
   bool at_once = p->breaker.state == BREAKER_HALF_OPEN || w->listing_now
                  || job->failures > 0 || w->poked;
-  int64_t wait_ms = at_once ? 0 : p->settings.watch_wait_ms;
+  int64_t set_ms = w->wait_ms != 0 ? w->wait_ms : p->settings.watch_wait_ms;
+  int64_t wait_ms = at_once ? 0 : set_ms;
 
   w->poked = false;
   call->method = "GET";
@@ -456,6 +462,59 @@
   platform_job_ready (p, &w->job);
 }
 
+bool
+beryl_platform_feed (struct beryl_platform *p, uint64_t id, uint64_t after,
+                     uint64_t revision,
+                     const struct beryl_platform_event *events, size_t count)
+{
+  struct watch *w = watch_find (p, id);
+  uint64_t seen;
+
+  if (!w || w->busy || w->listing_now || after > w->revision)
+    return false;
+  seen = w->revision;
+  w->busy = true;
+  /* A change that was seen already may have been undone since. */
+  for (size_t i = 0; i < count; i++)
+    if (events[i].object.version <= seen)
+      continue;
+    else if (events[i].deleted)
+      apply_delete (p, w, &events[i].object);
+    else
+      apply_put (p, w, &events[i].object);
+  if (revision > w->revision)
+    w->revision = revision;
+  tell_synced (p, w);
+  w->busy = false;
+  if (w->ended)
+    platform_watch_free (p, w);
+  return true;
+}
+
+void
+beryl_platform_watch_rest (struct beryl_platform *p, uint64_t id, bool resting)
+{
+  struct watch *w = watch_find (p, id);
+
+  if (!w || w->resting == resting)
+    return;
+  w->resting = resting;
+  if (!resting)
+    beryl_platform_poke (p, id);
+  else if (w->job.state == JOB_SLEEPING && !w->listing_now)
+    platform_job_stop (p, &w->job);
+}
+
+void
+beryl_platform_watch_wait (struct beryl_platform *p, uint64_t id,
+                           int64_t wait_ms)
+{
+  struct watch *w = watch_find (p, id);
+
+  if (w)
+    w->wait_ms = wait_ms;
+}
+
 bool
 beryl_platform_watch_arriving (struct beryl_platform *p, uint64_t id)
 {
@@ -470,6 +529,13 @@
   p->settings.watch_wait_ms = watch_wait_ms;
 }
 
+void
+beryl_platform_set_backoff_max (struct beryl_platform *p,
+                                int64_t backoff_max_ms)
+{
+  p->settings.backoff_max_ms = backoff_max_ms;
+}
+
 void
 beryl_platform_unwatch (struct beryl_platform *p, uint64_t watch)
 {
--- /dev/null
+++ b/libberyl/relay/relay.c
@@ -0,0 +1,88 @@
+#include "beryl/relay.h"
+
+#include <stdlib.h>
+
+/* Smaller data centres have as many watchers as nodes, or nearly so. */
+#define NODES_LEAST 8
+/* Parts of the time in which a change must be known: what a follower waits for
+ * watchers that fell silent, before its own look, and how often a watcher is
+ * answered.  Each follower hears two watchers, so that one that is lost makes
+ * none of them look. */
+#define SILENCE_PART 0.4
+#define ANSWER_PART 0.3
+
+struct beryl_relay
+{
+  int64_t leave_ms;
+  uint32_t nodes;
+  bool stands;
+  bool heard;
+  int64_t heard_ms;
+};
+
+struct beryl_relay *
+beryl_relay_create (int64_t leave_ms)
+{
+  struct beryl_relay *relay = calloc (1, sizeof *relay);
+
+  if (relay != NULL)
+    relay->leave_ms = leave_ms;
+  return relay;
+}
+
+void
+beryl_relay_destroy (struct beryl_relay *relay)
+{
+  free (relay);
+}
+
+void
+beryl_relay_set_group (struct beryl_relay *relay, uint32_t nodes, bool stands)
+{
+  relay->nodes = nodes;
+  relay->stands = stands;
+}
+
+void
+beryl_relay_heard (struct beryl_relay *relay, int64_t now_ms)
+{
+  relay->heard = true;
+  relay->heard_ms = now_ms;
+}
+
+enum beryl_relay_role
+beryl_relay_role (const struct beryl_relay *relay, int64_t now_ms)
+{
+  int64_t silence_ms = (int64_t)(SILENCE_PART * (double)relay->leave_ms);
+
+  if (relay->nodes < NODES_LEAST)
+    return BERYL_RELAY_ALONE;
+  if (relay->stands)
+    return BERYL_RELAY_WATCHER;
+  if (relay->heard && now_ms - relay->heard_ms < silence_ms)
+    return BERYL_RELAY_FOLLOWER;
+  return BERYL_RELAY_ALONE;
+}
+
+int64_t
+beryl_relay_wait_ms (const struct beryl_relay *relay, int64_t spacing_ms)
+{
+  int64_t answer_ms = (int64_t)(ANSWER_PART * (double)relay->leave_ms);
+
+  return answer_ms > spacing_ms ? answer_ms - spacing_ms : 1;
+}
+
+const char *
+beryl_relay_role_name (enum beryl_relay_role role)
+{
+  switch (role)
+    {
+    case BERYL_RELAY_ALONE:
+      return "alone";
+    case BERYL_RELAY_WATCHER:
+      return "watcher";
+    case BERYL_RELAY_FOLLOWER:
+      return "follower";
+    }
+  return "unknown";
+}
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -9,7 +9,7 @@
 #include "h1/client.h"
 #include "standin.h"
 
-#define WORLD_NODES_MAX 4
+#define WORLD_NODES_MAX 8
 /** Runners of demo_fill. */
 #define WORLD_RUNNERS 8
 #define WORLD_FRONT_PORT 8100
--- /dev/null
+++ b/tests/platform/test_feed.c
@@ -0,0 +1,184 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "ask.h"
+
+static struct beryl_platform_event
+put_of (const char *name, uint64_t version)
+{
+  return (struct beryl_platform_event){
+    .object = { .kind = "log",
+                .name = name,
+                .version = version,
+                .value = "{}",
+                .value_bytes = 2 },
+  };
+}
+
+static struct beryl_platform_event
+delete_of (const char *name, uint64_t version)
+{
+  return (struct beryl_platform_event){
+    .deleted = true,
+    .object = { .kind = "log", .name = name, .version = version },
+  };
+}
+
+/* Opens a fake store with object "a" and a client that watches; returns the
+ * watch. */
+static uint64_t
+open_watch (struct fake *f, struct fake_client **client)
+{
+  uint64_t watch;
+
+  fake_init (f, 1);
+  *client = fake_add (f, NULL);
+  ask_store_set (f, "a", "{}");
+  watch = beryl_platform_watch ((*client)->core, BERYL_USE_INSTANCES, "log",
+                                f->now_ms);
+  fake_run (f, f->now_ms + 500);
+  ck_assert_str_eq ((*client)->events, "+a");
+  return watch;
+}
+
+/* A fleet's list changes: a node that is fed makes no calls. */
+START_TEST (test_fed_watch_makes_no_calls)
+{
+  struct fake f;
+  struct fake_client *c;
+  uint64_t watch = open_watch (&f, &c);
+  uint64_t sent;
+  struct beryl_platform_event event;
+
+  beryl_platform_watch_rest (c->core, watch, true);
+  /* The call that waits is answered by the first change. */
+  ask_store_set (&f, "b", "{}");
+  fake_run (&f, f.now_ms + 1000);
+  sent = c->sent;
+  for (uint64_t version = 3; version < 40; version++)
+    {
+      ask_store_set (&f, "c", "{}");
+      event = put_of ("c", version);
+      ck_assert (beryl_platform_feed (c->core, watch, version - 1, version,
+                                      &event, 1));
+      fake_run (&f, f.now_ms + 100);
+    }
+  ck_assert_uint_eq (c->sent, sent);
+  ck_assert_uint_eq (c->revision, 39);
+  fake_destroy (&f);
+}
+END_TEST
+
+/* Guards against a lost datagram: what came after it must not hide it. */
+START_TEST (test_gap_is_refused)
+{
+  struct fake f;
+  struct fake_client *c;
+  uint64_t watch = open_watch (&f, &c);
+  struct beryl_platform_event event = put_of ("d", 5);
+
+  ck_assert (!beryl_platform_feed (c->core, watch, 4, 5, &event, 1));
+  ck_assert_str_eq (c->events, "+a");
+  ck_assert_uint_eq (c->revision, 1);
+  ck_assert (!beryl_platform_feed (c->core, watch + 9, 1, 5, &event, 1));
+  fake_destroy (&f);
+}
+END_TEST
+
+/* Guards against an endpoint that is back from the dead, because the second
+ * watcher's datagram came after the first one told of its end. */
+START_TEST (test_late_datagram_takes_nothing_back)
+{
+  struct fake f;
+  struct fake_client *c;
+  uint64_t watch = open_watch (&f, &c);
+  struct beryl_platform_event born = put_of ("b", 2);
+  struct beryl_platform_event both[] = { born, delete_of ("b", 3) };
+
+  ck_assert (beryl_platform_feed (c->core, watch, 1, 3, both, 2));
+  ck_assert_str_eq (c->events, "+a +b -b");
+  ck_assert (beryl_platform_feed (c->core, watch, 1, 2, &born, 1));
+  ck_assert_str_eq (c->events, "+a +b -b");
+  ck_assert_uint_eq (c->revision, 3);
+  fake_destroy (&f);
+}
+END_TEST
+
+/* Before the first list it is not known what changes are to. */
+START_TEST (test_not_listed_yet)
+{
+  struct fake f;
+  struct fake_client *c;
+  struct beryl_platform_event event = put_of ("a", 1);
+  uint64_t watch;
+
+  fake_init (&f, 1);
+  c = fake_add (&f, NULL);
+  watch = beryl_platform_watch (c->core, BERYL_USE_INSTANCES, "log", f.now_ms);
+  ck_assert (!beryl_platform_feed (c->core, watch, 0, 1, &event, 1));
+  ck_assert_str_eq (c->events, "");
+  fake_destroy (&f);
+}
+END_TEST
+
+/* The watchers fell silent: what changed meanwhile is known at once. */
+START_TEST (test_rest_ends_with_a_look)
+{
+  struct fake f;
+  struct fake_client *c;
+  uint64_t watch = open_watch (&f, &c);
+
+  beryl_platform_watch_rest (c->core, watch, true);
+  ask_store_set (&f, "b", "{}");
+  fake_run (&f, f.now_ms + 2000);
+  ask_store_set (&f, "c", "{}");
+  fake_run (&f, f.now_ms + 2000);
+  ck_assert_str_eq (c->events, "+a +b");
+  beryl_platform_watch_rest (c->core, watch, false);
+  fake_run (&f, f.now_ms + 100);
+  ck_assert_str_eq (c->events, "+a +b +c");
+  /* And it watches again. */
+  ask_store_set (&f, "d", "{}");
+  fake_run (&f, f.now_ms + 2000);
+  ck_assert_str_eq (c->events, "+a +b +c +d");
+  fake_destroy (&f);
+}
+END_TEST
+
+/* A poke fills a gap while the watch rests, and the rest goes on. */
+START_TEST (test_poke_while_resting)
+{
+  struct fake f;
+  struct fake_client *c;
+  uint64_t watch = open_watch (&f, &c);
+  uint64_t sent;
+
+  beryl_platform_watch_rest (c->core, watch, true);
+  ask_store_set (&f, "b", "{}");
+  fake_run (&f, f.now_ms + 1000);
+  ask_store_set (&f, "c", "{}");
+  sent = c->sent;
+  beryl_platform_poke (c->core, watch);
+  fake_run (&f, f.now_ms + 5000);
+  ck_assert_str_eq (c->events, "+a +b +c");
+  ck_assert_uint_eq (c->sent, sent + 1);
+  fake_destroy (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("feed");
+  TCase *tcase = tcase_create ("feed");
+
+  tcase_add_test (tcase, test_fed_watch_makes_no_calls);
+  tcase_add_test (tcase, test_gap_is_refused);
+  tcase_add_test (tcase, test_late_datagram_takes_nothing_back);
+  tcase_add_test (tcase, test_not_listed_yet);
+  tcase_add_test (tcase, test_rest_ends_with_a_look);
+  tcase_add_test (tcase, test_poke_while_resting);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/relay/test_relay.c
@@ -0,0 +1,92 @@
+#include "../suite.h"
+#include "beryl/relay.h"
+
+#define LEAVE_MS 4000
+#define SPACING_MS 400
+
+static struct beryl_relay *
+relay_of (uint32_t nodes, bool stands)
+{
+  struct beryl_relay *relay = beryl_relay_create (LEAVE_MS);
+
+  beryl_relay_set_group (relay, nodes, stands);
+  return relay;
+}
+
+/* A data centre of few nodes gains nothing: all of them watch. */
+START_TEST (test_small_data_centre)
+{
+  struct beryl_relay *relay = relay_of (3, false);
+
+  beryl_relay_heard (relay, 1000);
+  ck_assert_int_eq (beryl_relay_role (relay, 1000), BERYL_RELAY_ALONE);
+  beryl_relay_set_group (relay, 3, true);
+  ck_assert_int_eq (beryl_relay_role (relay, 1000), BERYL_RELAY_ALONE);
+  beryl_relay_destroy (relay);
+}
+END_TEST
+
+/* Guards against a node that rests before anybody feeds it. */
+START_TEST (test_nobody_heard_yet)
+{
+  struct beryl_relay *relay = relay_of (50, false);
+
+  ck_assert_int_eq (beryl_relay_role (relay, 0), BERYL_RELAY_ALONE);
+  ck_assert_int_eq (beryl_relay_role (relay, 10), BERYL_RELAY_ALONE);
+  beryl_relay_heard (relay, 10);
+  ck_assert_int_eq (beryl_relay_role (relay, 10), BERYL_RELAY_FOLLOWER);
+  beryl_relay_set_group (relay, 50, true);
+  ck_assert_int_eq (beryl_relay_role (relay, 10), BERYL_RELAY_WATCHER);
+  beryl_relay_destroy (relay);
+}
+END_TEST
+
+/* Guards against an endpoint that left being used for as long as its watchers
+ * are cut off: less than half of the bound may pass before the own look. */
+START_TEST (test_silent_watchers)
+{
+  struct beryl_relay *relay = relay_of (50, false);
+
+  beryl_relay_heard (relay, 1000);
+  ck_assert_int_eq (beryl_relay_role (relay, 1000 + LEAVE_MS / 2),
+                    BERYL_RELAY_ALONE);
+  beryl_relay_heard (relay, 9000);
+  ck_assert_int_eq (beryl_relay_role (relay, 9000), BERYL_RELAY_FOLLOWER);
+  beryl_relay_destroy (relay);
+}
+END_TEST
+
+/* Guards against followers that look by themselves whenever one of two
+ * watchers is late by a part of its interval. */
+START_TEST (test_watcher_is_answered_in_time)
+{
+  for (int64_t leave_ms = 1000; leave_ms <= 8000; leave_ms += 500)
+    {
+      struct beryl_relay *relay = beryl_relay_create (leave_ms);
+      int64_t interval_ms
+          = beryl_relay_wait_ms (relay, SPACING_MS) + SPACING_MS;
+
+      beryl_relay_set_group (relay, 50, false);
+      beryl_relay_heard (relay, 1000);
+      if (leave_ms >= 2000)
+        ck_assert_int_eq (beryl_relay_role (relay, 1000 + interval_ms),
+                          BERYL_RELAY_FOLLOWER);
+      ck_assert_int_gt (beryl_relay_wait_ms (relay, SPACING_MS), 0);
+      beryl_relay_destroy (relay);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("relay");
+  TCase *tcase = tcase_create ("relay");
+
+  tcase_add_test (tcase, test_small_data_centre);
+  tcase_add_test (tcase, test_nobody_heard_yet);
+  tcase_add_test (tcase, test_silent_watchers);
+  tcase_add_test (tcase, test_watcher_is_answered_in_time);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
