--- a/libberyl/forward/backlog.c
+++ b/libberyl/forward/backlog.c
@@ -14,9 +14,7 @@
 #define RETRY_MOST_PART 3
 /* And it comes back in the last part of the time that it may be told, at
  * random: it is late in any case, a peak that had no room for it lasts for
- * seconds, and one that is refused again has no further try.  Told to come as
- * soon as the backlog could be over, 3 in 1,000 requests of two deployments
- * with 7 and 8 nodes ended refused, and 1 and 2 since. */
+ * seconds, and one that is refused again has no further try. */
 #define RETRY_LAST_PART 0.5
 /* Part of the places that free up which callers who come back may take; the
  * rest is for those who come for the first time. */
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -17,8 +17,7 @@
 /* A run older than this many times its estimate still has some chance. */
 #define SURVIVAL_LEAST 0.02
 /* Part of the expected output that is reserved.  A reservation takes memory
- * from the runs that are there, and a full engine stops one of them: with a
- * quarter, full engines stopped a twentieth more runs. */
+ * from the runs that are there, and a full engine stops one of them. */
 #define RESERVED_PART 0.1
 /* A prefill that a peer told of has ended by then; the end may come untold. */
 #define PREFILL_MAX_MS 1000
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -13,10 +13,7 @@
 #define TARGET_DEVIATIONS 0.5
 /* An engine of another data centre is taken only if the best one near will
  * fill this part of its memory more, or has its prompt's turn so much later:
- * KV caches take twice as long there, and bytes between data centres are paid
- * for.  Both are guesses: a run or so of an engine that holds six, and half of
- * a prompt's reading.  Together with telling peers there less often, 0.17 GB a
- * day crosses instead of 0.32, with 69 nodes and 140 engines. */
+ * KV caches take longer there, and bytes between data centres are paid for. */
 #define FAR_PART 0.15
 #define FAR_WAIT_MS 50
 /* Memory that something unknown uses is forgotten within some seconds. */
--- a/libberyl/forward/loans.c
+++ b/libberyl/forward/loans.c
@@ -1,9 +1,9 @@
 #include "private.h"
 
-/* Borrowing repeats from other nodes.  Each node has a small part of the
- * fleet's: with 64 nodes and 168 for all some two in ten seconds, and less
- * than one at 400 nodes.  A sick engine makes the requests of a few nodes fail
- * within a second, while the parts of all others are not needed. */
+/* Borrowing repeats from other nodes.  In a large fleet a node's part of the
+ * repeats is one or two in a window.  A sick engine makes the requests of a
+ * few nodes fail within a second, while the parts of all others are not
+ * needed. */
 
 /* With fewer left others are asked, before the next request needs them: a
  * stream that goes on elsewhere takes two. */
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -19,9 +19,7 @@
  * stream goes on, if its route does not say when such callers leave.  Ended
  * sooner, the stream would be cut off although room may still come. */
 #define RESUME_WAIT_MS 2000
-/* With a smaller chance of a place in time a request is refused at once.  At
- * small peaks of a small fleet more than half of those behind a backlog as
- * long as their time still got one. */
+/* With a smaller chance of a place in time a request is refused at once. */
 #define CHANCE_LEAST 0.4
 /* Lease of a reservation if the service states none. */
 #define LEASE_MS 2000
--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -3,10 +3,9 @@
 #include <math.h>
 #include <stdlib.h>
 
-/* What nodes learn of generations, each from its own few, put together.  One
- * of 70 nodes before 45 engines sees one generation a second, and the holder
- * of the planner's lease needs several to know the engines' speed.  Shared,
- * days with trouble there were worth 0.52 instead of 0.48. */
+/* What nodes learn of generations, each from its own few, put together.  In a
+ * large fleet a node sees a generation now and then, and the holder of the
+ * planner's lease needs several to know the engines' speed. */
 
 /* Most of its own observations that a node's means go back to; more count no
  * more, so that a shift is followed. */
--- a/libberyl/stages/stages.c
+++ b/libberyl/stages/stages.c
@@ -16,11 +16,7 @@
  * nothing, and what was assumed is corrected by what was measured. */
 #define FIRST_MS 500
 /* Before the mix was seen engines go this part of the way from what operators
- * set up to what is assumed; either may be wrong.  Ordered all the way,
- * engines that read at half the assumed speed had two fifths of the prefill
- * engines that they needed at the first peak: a quiet day was worth 0.15 less
- * with 18 engines, and 0.11 with 140.  Ordered not at all, days of 45 and 49
- * engines that are as assumed lost 0.03. */
+ * set up to what is assumed; either may be wrong. */
 #define ASSUMED_PART 0.5
 /* Orders within this of the first one belong to it. */
 #define FIRST_ORDERS_MS 4000
