What peers run counts for as long as they may be silent

Cause: a peer that had told nothing for a second was taken for one that may be cut off, so that its runs faded and those of it that wait were not counted. A node of 295 tells every 2.95 s if nothing changed there, one of 64 every 640 ms: engines were taken for emptier the larger the fleet.

A peer is silent after two of the intervals in which it tells.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -327,6 +327,7 @@
   struct gateway *g = of_members (owner);
 
   beryl_forward_set_nodes (g->forward, count);
+  beryl_forward_set_interval (g->forward, members_interval_ms (g->members));
   store_set_nodes (g->store, &g->settings, count);
   store_set_watch_wait (g->store, count, members_isolated (g->members));
 }
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -276,8 +276,8 @@
   wake (m);
 }
 
-static int64_t
-tell_interval_ms (const struct members *m)
+int64_t
+members_interval_ms (const struct members *m)
 {
   return MAX (TELL_MS, (int64_t)m->count * TELL_PEER_MS);
 }
@@ -302,7 +302,7 @@
   struct members *m = user;
 
   pulls_expire (m->pulls);
-  if (now_ms (m) - m->told_ms >= tell_interval_ms (m) || far_is_due (m))
+  if (now_ms (m) - m->told_ms >= members_interval_ms (m) || far_is_due (m))
     m->owner->impl->tell_due (m->owner);
 }
 
@@ -534,7 +534,8 @@
   if (strcmp (member->name, m->settings->node) == 0)
     return true;
   return peer != NULL
-         && now_ms (m) - peer->heard_ms <= SILENT_TELLS * tell_interval_ms (m);
+         && now_ms (m) - peer->heard_ms
+                <= SILENT_TELLS * members_interval_ms (m);
 }
 
 static void
@@ -601,7 +602,7 @@
   g_hash_table_iter_init (&iter, m->heard);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (now_ms (m) - ((const struct peer *)value)->heard_ms
-        <= SILENT_TELLS * tell_interval_ms (m))
+        <= SILENT_TELLS * members_interval_ms (m))
       return false;
   return true;
 }
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -119,6 +119,9 @@
 /** Whether there are other nodes and none of them is heard. */
 bool members_isolated (const struct members *members);
 
+/** Return the time in which a live peer tells what it runs. */
+int64_t members_interval_ms (const struct members *members);
+
 /** Return how many nodes may be running, this one included. */
 uint32_t members_count (const struct members *members);
 
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -198,6 +198,11 @@
 /** How many nodes share the repeat budget; 0 counts as 1. */
 void beryl_forward_set_nodes (struct beryl_forward *forward, uint32_t nodes);
 
+/** A peer that lives tells what it runs in INTERVAL_MS, also if nothing
+ * changed. */
+void beryl_forward_set_interval (struct beryl_forward *forward,
+                                 int64_t interval_ms);
+
 /** Whether other nodes live that this one cannot hear. */
 void beryl_forward_set_isolated (struct beryl_forward *forward, bool isolated);
 
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -21,9 +21,10 @@
 #define RESERVED_PART 0.1
 /* A prefill that a peer told of has ended by then; the end may come untold. */
 #define PREFILL_MAX_MS 1000
-/* A peer that told nothing for so long may be cut off; live ones tell twice a
- * second at least. */
-#define SILENT_MS 1000
+/* A peer that told nothing for so many of its intervals may be cut off. */
+#define SILENT_INTERVALS 2
+/* Of peers that were not told to be slower. */
+#define INTERVAL_MS 500
 /* What a peer told is used for so long at most. */
 #define TOLD_MAX_MS 5000
 
@@ -117,7 +118,7 @@
 
 void
 book_add (struct book_curve *curve, const struct length_model *model,
-          const struct beryl_engine_run *run, int64_t age_ms)
+          const struct beryl_engine_run *run, int64_t age_ms, bool heard)
 {
   double median
       = run->expected_tokens > 0 ? run->expected_tokens : model->tokens_mean;
@@ -125,7 +126,7 @@
   double now = told + (double)age_ms / model->ms_per_token;
   /* Ends are told at once, so that a run of a peer that is heard lives; of a
      silent peer's it is known only that it lived when it was told. */
-  double alive = survival (model, median, age_ms < SILENT_MS ? now : told);
+  double alive = survival (model, median, heard ? now : told);
   /* Once the run has begun, its reservation is used up. */
   double reserved = run->started ? 0
                                  : book_reserved_tokens (run->prompt_tokens,
@@ -157,6 +158,13 @@
   return peak;
 }
 
+int64_t
+book_silent_ms (const struct book *book)
+{
+  return SILENT_INTERVALS
+         * (book->interval_ms > INTERVAL_MS ? book->interval_ms : INTERVAL_MS);
+}
+
 void
 book_clear (struct book *book)
 {
@@ -308,6 +316,7 @@
 
 struct adding
 {
+  const struct book *book;
   struct book_curve *curve;
   const struct length_model *model;
   uint32_t count;
@@ -318,7 +327,8 @@
 {
   struct adding *adding = user;
 
-  book_add (adding->curve, adding->model, run, age_ms);
+  book_add (adding->curve, adding->model, run, age_ms,
+            age_ms < book_silent_ms (adding->book));
   adding->count++;
 }
 
@@ -327,7 +337,7 @@
                 const struct length_model *model, uint32_t engine,
                 int64_t now_ms)
 {
-  struct adding adding = { .curve = curve, .model = model };
+  struct adding adding = { .book = book, .curve = curve, .model = model };
 
   visit (run_index_find (&book->at_engine, engine), TOLD_MAX_MS, now_ms,
          add_one, &adding);
@@ -392,8 +402,8 @@
 {
   uint32_t waiting = 0;
 
-  visit (run_index_find (&book->waiting, service), SILENT_MS, now_ms,
-         count_one, &waiting);
+  visit (run_index_find (&book->waiting, service), book_silent_ms (book),
+         now_ms, count_one, &waiting);
   return waiting;
 }
 
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -65,9 +65,10 @@
 uint32_t length_model_median (const struct length_model *model, uint32_t hint,
                               uint32_t most);
 
-/** Add the expected memory of RUN, as told AGE_MS ago, to CURVE. */
+/** Add the expected memory of RUN, as told AGE_MS ago, to CURVE.  If its node
+ * is not HEARD any more, it is known only that the run lived then. */
 void book_add (struct book_curve *curve, const struct length_model *model,
-               const struct beryl_engine_run *run, int64_t age_ms);
+               const struct beryl_engine_run *run, int64_t age_ms, bool heard);
 
 /** Return the highest point of CURVE up to UNTIL_MS, with DEVIATIONS standard
  * deviations added, but no more than there would be if no run ended. */
@@ -91,8 +92,12 @@
   struct run_index at_engine; /**< runs with a place, by its engine */
   struct run_index prefilled; /**< those whose prompts are read, by engine */
   struct run_index waiting;   /**< those without a place, by service */
+  int64_t interval_ms; /**< in which a live peer tells something; 0: usual */
 };
 
+/** Return how long a live peer may tell nothing. */
+int64_t book_silent_ms (const struct book *book);
+
 void book_clear (struct book *book);
 
 /** PEER has these runs and no others. */
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -104,7 +104,7 @@
     if (r->reservation.live != live)
       continue;
     engine_describe_run (r, now_ms, &run);
-    book_add (curve, &s->lengths, &run, 0);
+    book_add (curve, &s->lengths, &run, 0, true);
   }
   book_add_peers (&f->book, curve, &s->lengths, beryl_live_number (live),
                   now_ms);
@@ -142,7 +142,7 @@
 
   engine_curve (f, r->service, live, now_ms, &curve);
   engine_describe_run (r, now_ms, &run);
-  book_add (&curve, &r->service->lengths, &run, 0);
+  book_add (&curve, &r->service->lengths, &run, 0, true);
   return book_peak (&curve, BOOK_STEPS * BOOK_STEP_MS, deviations);
 }
 
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -143,6 +143,12 @@
   f->nodes = nodes > 0 ? nodes : 1;
 }
 
+void
+beryl_forward_set_interval (struct beryl_forward *f, int64_t interval_ms)
+{
+  f->book.interval_ms = interval_ms;
+}
+
 void
 beryl_forward_set_isolated (struct beryl_forward *f, bool isolated)
 {
--- a/libberyl/forward/loans.c
+++ b/libberyl/forward/loans.c
@@ -13,8 +13,6 @@
 /* A question without an answer is put to another node after so long; answers
  * take twice the 30 ms after which news are told, and the way. */
 #define ASK_AGAIN_AFTER_MS 150
-/* A peer that told nothing for so long is not asked. */
-#define PEER_SILENT_MS 1000
 
 void
 loans_check (struct beryl_forward *f, struct service *s, int64_t now_ms)
@@ -37,7 +35,7 @@
     {
       const struct book_peer *peer = f->book.peers[i];
 
-      if (now_ms - peer->told_ms < PEER_SILENT_MS
+      if (now_ms - peer->told_ms < book_silent_ms (&f->book)
           && random_next (&f->random) % ++seen == 0)
         drawn = peer;
     }
