--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -214,9 +214,9 @@
   size_t place = book_place (book, name, &found);
 
   strncpy (peer->name, name, sizeof peer->name - 1);
-  book->peers = realloc (book->peers, (book->count + 1) * sizeof *book->peers);
+  book->peers = realloc (book->peers, (book->count + 1) * sizeof (void *));
   memmove (&book->peers[place + 1], &book->peers[place],
-           (book->count - place) * sizeof *book->peers);
+           (book->count - place) * sizeof (void *));
   book->peers[place] = peer;
   book->count++;
   return peer;
--- a/libberyl/membership/gossip.c
+++ b/libberyl/membership/gossip.c
@@ -47,8 +47,8 @@
   if (place == most)
     return count;
   count += count < most;
-  memmove (&picked[place + 1], &picked[place],
-           (count - 1 - place) * sizeof (picked[0]));
+  for (size_t i = count - 1; i > place; i--)
+    picked[i] = picked[i - 1];
   picked[place] = slot;
   return count;
 }
