Peers in other data centres hear of changes four times a second at any size

Cause: with an interval that grew with the fleet (984 ms at 295 nodes) nodes took engines of other data centres by what had run there a second ago. The bound on what a node hears, which test_peak_in_a_large_fleet asserted, was bought with requests.

The interval is 250 ms again, at any size; questions for repeats still go to the peer that they are for only, and what was learned rides along.

--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -274,7 +274,7 @@
 bool
 members_tells_far (const struct members *m)
 {
-  return beryl_announce_far (&m->announce, false, now_ms (m));
+  return beryl_announce_far (&m->announce, now_ms (m));
 }
 
 static void
@@ -314,10 +314,7 @@
 void
 members_tell_loads (struct members *m, struct loads_message *message)
 {
-  /* An engine that has been ordered to another stage rejects what any node
-     sends it, before its entry shows the change. */
-  bool urgent = message->news.changing.count > 0;
-  bool all = beryl_announce_far (&m->announce, urgent, now_ms (m));
+  bool all = beryl_announce_far (&m->announce, now_ms (m));
 
   if (m->table == NULL)
     return;
--- a/include/beryl/announce.h
+++ b/include/beryl/announce.h
@@ -2,9 +2,10 @@
  * When a node announces what it runs, and to whom.
  *
  * Engines are chosen in the own data centre first, so that its nodes hear of
- * each change at once.  The others hear of changes within an interval that
- * grows with their number, so that what a node receives from other data
- * centres does not grow with the fleet.
+ * each change at once.  The others hear of several together: bytes between
+ * data centres are paid for.  Their interval does not grow with the fleet,
+ * since at a peak each node takes engines of all data centres, and one that
+ * knows of others' runs too late sends what an engine has no room for.
  */
 #ifndef BERYL_ANNOUNCE_H
 #define BERYL_ANNOUNCE_H
@@ -29,9 +30,8 @@
 bool beryl_announce_due (const struct beryl_announce *announce,
                          int64_t now_ms);
 
-/** Whether what is announced now goes to all peers.  URGENT: others do harm
- * until they hear of it. */
-bool beryl_announce_far (const struct beryl_announce *announce, bool urgent,
+/** Whether what is announced now goes to all peers. */
+bool beryl_announce_far (const struct beryl_announce *announce,
                          int64_t now_ms);
 
 /** Something was announced, to all peers if FAR. */
--- a/libberyl/relay/announce.c
+++ b/libberyl/relay/announce.c
@@ -3,10 +3,8 @@
 /* A sign of life comes so often at least, less often in a large fleet. */
 #define LIFE_MS 500
 #define LIFE_NODE_MS 10
-/* Peers in other data centres hear of changes so often at most, and less often
- * if they are many. */
+/* Peers in other data centres hear of changes so often at most. */
 #define FAR_MS 250
-#define FAR_NODE_MS 4
 
 static int64_t
 at_least (int64_t least, int64_t value)
@@ -23,14 +21,9 @@
 }
 
 bool
-beryl_announce_far (const struct beryl_announce *a, bool urgent,
-                    int64_t now_ms)
+beryl_announce_far (const struct beryl_announce *a, int64_t now_ms)
 {
-  int64_t since_ms = now_ms - a->told_far_ms;
-
-  if (urgent && since_ms >= FAR_MS)
-    return true;
-  return since_ms >= at_least (FAR_MS, (int64_t)a->far_count * FAR_NODE_MS);
+  return now_ms - a->told_far_ms >= FAR_MS;
 }
 
 bool
@@ -39,7 +32,7 @@
   bool far_missed = a->told_far_ms != a->told_ms;
 
   return now_ms - a->told_ms >= beryl_announce_interval_ms (a)
-         || (far_missed && beryl_announce_far (a, false, now_ms));
+         || (far_missed && beryl_announce_far (a, now_ms));
 }
 
 void
