Log lines tell which requests ask the same

Callers saw engines end one after the other; each arrival of what did it has a new id, so that the logs could not tell one culprit from many, nor a culprit from what ran beside it. A request whose run broke off is logged with a fingerprint of caller, method, target and body.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -6,6 +6,7 @@
 #include "cluster_key.h"
 #include "common/counters.h"
 #include "directory.h"
+#include "fingerprint.h"
 #include "front.h"
 #include "members.h"
 #include "metrics.h"
@@ -174,21 +175,50 @@
   front_refuse (of_forward (owner)->front, request, refusal);
 }
 
+static uint64_t
+forward_fingerprint (struct beryl_forward_owner *owner, uint64_t request)
+{
+  struct gateway *g = of_forward (owner);
+  size_t body_bytes = 0;
+  const char *body = NULL;
+  const struct h1_head *head
+      = front_request (g->front, request, &body, &body_bytes);
+
+  if (head == NULL)
+    return 0;
+  return fingerprint_request (
+      head, g->wire->impl->read_caller (g->wire, head), body, body_bytes);
+}
+
+/* Only what became of a request after its run broke off has one. */
+static const char *
+fingerprint_text (uint64_t fingerprint, char *text, size_t room)
+{
+  if (fingerprint == 0)
+    return "-";
+  g_snprintf (text, room, "%016" G_GINT64_MODIFIER "x", fingerprint);
+  return text;
+}
+
 static void
 forward_decided (struct beryl_forward_owner *owner,
                  const struct beryl_decision *d)
 {
+  char fingerprint[20];
+
   metrics_decided (of_forward (owner)->metrics, d);
   if (!log_level_enabled (G_LOG_LEVEL_INFO))
     return;
   g_info ("request id=%s route=%s step=%s outcome=%s endpoint=%s age_ms="
           "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT
           " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
-          " configuration=%" G_GUINT64_FORMAT " seen=%" G_GUINT64_FORMAT,
+          " configuration=%" G_GUINT64_FORMAT " seen=%" G_GUINT64_FORMAT
+          " fingerprint=%s",
           d->id, d->route, d->step, d->outcome,
           d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms,
           d->number, d->first_event_ms, d->longest_gap_ms, d->config_version,
-          d->endpoint_revision);
+          d->endpoint_revision,
+          fingerprint_text (d->fingerprint, fingerprint, sizeof fingerprint));
 }
 
 static void
@@ -209,6 +239,7 @@
   .answer_end = forward_end,
   .answer_cut = forward_cut,
   .refuse = forward_refuse,
+  .fingerprint = forward_fingerprint,
   .decided = forward_decided,
   .learned = forward_learned,
 };
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -121,6 +121,7 @@
   int64_t first_event_ms;            /**< from its arrival; 0: none yet */
   int64_t longest_gap_ms;            /**< between two events */
   int64_t number; /**< tokens, bytes, milliseconds: STEP tells */
+  uint64_t fingerprint; /**< of what is asked; 0: was not needed so far */
   uint64_t config_version;
   uint64_t endpoint_revision;
 };
@@ -150,6 +151,11 @@
   /** The only answer: this node's own. */
   void (*refuse) (struct beryl_forward_owner *owner, uint64_t request,
                   const struct beryl_refusal *refusal);
+  /** Return the fingerprint of what REQUEST, which is open, asks: the same for
+   * the same caller, target and body, whatever its id; 0: not known.  May be
+   * NULL. */
+  uint64_t (*fingerprint) (struct beryl_forward_owner *owner,
+                           uint64_t request);
   /** Something was decided; may be NULL. */
   void (*decided) (struct beryl_forward_owner *owner,
                    const struct beryl_decision *decision);
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -82,6 +82,10 @@
   void (*read_request) (const struct gateway_wire *wire,
                         const struct h1_head *head, int64_t now_ms,
                         struct beryl_forward_request *request);
+  /** Return what names the caller of a request, "" if nothing does; borrowed
+   * from HEAD. */
+  const char *(*read_caller) (const struct gateway_wire *wire,
+                              const struct h1_head *head);
   /** Format the head of a RUN or PREFILL: HEAD as the caller sent it, less
    * what concerns its connection or is not a caller's to say. */
   void (*format_request) (const struct gateway_wire *wire,
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -241,6 +241,8 @@
   struct request *r = x->request;
   bool headed = x->headed;
 
+  if (sent)
+    forward_request_fingerprint (f, r);
   forward_request_decided (f, r, "send", x->live, break_name (how), sent,
                            now_ms);
   forward_exchange_free (f, x);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -112,6 +112,7 @@
   uint32_t sends;          /**< RUN and PREFILL that count as arrivals */
   uint32_t endpoints_run;  /**< that may have run it */
   bool may_have_run;
+  uint64_t fingerprint;      /**< of what it asks; 0: was not needed so far */
   uint64_t tried[TRIED_MAX]; /**< hashes of endpoint ids */
   uint32_t tried_count;
   /* The answer. */
@@ -222,6 +223,9 @@
 /** Count R's arrival at S: repeats are allowed by it. */
 void forward_request_count (struct beryl_forward *f, struct service *s,
                             int64_t now_ms);
+/** Return the fingerprint of what R asks; 0: the owner does not know it. */
+uint64_t forward_request_fingerprint (struct beryl_forward *f,
+                                      struct request *r);
 /** Log one step. */
 void forward_request_decided (struct beryl_forward *f, const struct request *r,
                               const char *step, const struct beryl_live *live,
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -29,6 +29,15 @@
   return false;
 }
 
+uint64_t
+forward_request_fingerprint (struct beryl_forward *f, struct request *r)
+{
+  if (r->fingerprint == 0 && f->owner->impl->fingerprint != NULL)
+    r->fingerprint
+        = f->owner->impl->fingerprint (f->owner, r->facts.request);
+  return r->fingerprint;
+}
+
 void
 forward_request_decided (struct beryl_forward *f, const struct request *r,
                          const char *step, const struct beryl_live *live,
@@ -47,6 +56,7 @@
     = r->first_event_ms > 0 ? r->first_event_ms - r->facts.arrived_ms : 0,
     .longest_gap_ms = r->longest_gap_ms,
     .number = number,
+    .fingerprint = r->fingerprint,
     .config_version = r->routes->version,
     .endpoint_revision = live != NULL ? live->info.revision : 0,
   };
--- /dev/null
+++ b/tests/gateway/test_fingerprint.c
@@ -0,0 +1,54 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "fingerprint.h"
+
+static uint64_t
+of (const char *id, const char *host, const char *target, const char *caller,
+    const char *body)
+{
+  struct h1_field fields[] = { { "Host", host }, { "X-Request-Id", id } };
+  struct h1_head head = { .method = "POST",
+                          .target = target,
+                          .fields = fields,
+                          .field_count = 2 };
+
+  return fingerprint_request (&head, caller, body, strlen (body));
+}
+
+/* A request that comes again under another id is not recognised. */
+START_TEST (test_same_request)
+{
+  ck_assert_uint_eq (of ("1", "h", "/x", "c", "body"),
+                     of ("2", "h", "/x", "c", "body"));
+}
+END_TEST
+
+/* Requests that differ are taken for the same. */
+START_TEST (test_other_requests)
+{
+  uint64_t one = of ("1", "h", "/x", "c", "body");
+
+  ck_assert_uint_ne (one, 0);
+  ck_assert_uint_ne (one, of ("1", "h", "/x", "c", "other"));
+  ck_assert_uint_ne (one, of ("1", "h", "/x", "d", "body"));
+  ck_assert_uint_ne (one, of ("1", "h", "/y", "c", "body"));
+  ck_assert_uint_ne (one, of ("1", "i", "/x", "c", "body"));
+  ck_assert_uint_ne (of ("1", "h", "/x", "c", ""), 0);
+  ck_assert_uint_ne (of ("1", "h", "/x", "ab", ""),
+                     of ("1", "h", "/x", "a", "b"));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("fingerprints");
+  TCase *tcase = tcase_create ("fingerprints");
+
+  tcase_add_test (tcase, test_same_request);
+  tcase_add_test (tcase, test_other_requests);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
