--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -186,8 +186,8 @@
 
   if (head == NULL)
     return 0;
-  return fingerprint_request (
-      head, g->wire->impl->read_caller (g->wire, head), body, body_bytes);
+  return fingerprint_request (head, g->wire->impl->read_caller (g->wire, head),
+                              body, body_bytes);
 }
 
 /* Only what became of a request after its run broke off has one. */
--- a/tests/gateway/world.c
+++ b/tests/gateway/world.c
@@ -343,6 +343,12 @@
 {
   for (size_t i = 0; i < count; i++)
     world_node (w, i);
+  world_all_known (w);
+}
+
+void
+world_all_known (struct world *w)
+{
   ck_assert (world_until (w, all_know_all, WAIT_MS));
 }
 
--- a/tests/gateway/world.h
+++ b/tests/gateway/world.h
@@ -56,6 +56,8 @@
 void world_kill (struct world *w, size_t i);
 /** Start COUNT nodes and wait until each is ready and knows all. */
 void world_nodes (struct world *w, size_t count);
+/** Wait until each node that was started is ready and knows all. */
+void world_all_known (struct world *w);
 
 /** Turn the loop for MS, or until UNTIL holds; false if it did not within
  * MS. */
