--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -10,8 +10,10 @@
 #include "front.h"
 #include "members.h"
 #include "metrics.h"
+#include "notices.h"
 #include "outbound.h"
 #include "planner.h"
+#include "quarantine_records.h"
 #include "registry.h"
 #include "relay.h"
 #include "source.h"
@@ -64,6 +66,8 @@
   struct members *members;
   struct cluster_key *key;
   struct registry *registry;
+  struct quarantine_records *quarantine_records;
+  struct notices *notices;
   struct relay *relay;
   struct planner *planner;
   struct survey *survey;
@@ -190,6 +194,20 @@
                               body, body_bytes);
 }
 
+static void
+forward_quarantined (struct beryl_forward_owner *owner, uint64_t fingerprint,
+                     int64_t left_ms, enum beryl_quarantine_cause cause)
+{
+  struct gateway *g = of_forward (owner);
+
+  g_info ("quarantine fingerprint=%016" G_GINT64_MODIFIER
+          "x left_ms=%" G_GINT64_FORMAT " cause=%s",
+          fingerprint, left_ms, beryl_quarantine_cause_name (cause));
+  metrics_quarantined (g->metrics, beryl_quarantine_cause_name (cause));
+  if (cause == BERYL_QUARANTINE_CRASHES)
+    quarantine_records_add (g->quarantine_records, fingerprint, left_ms);
+}
+
 /* Only what became of a request after its run broke off has one. */
 static const char *
 fingerprint_text (uint64_t fingerprint, char *text, size_t room)
@@ -240,6 +258,7 @@
   .answer_cut = forward_cut,
   .refuse = forward_refuse,
   .fingerprint = forward_fingerprint,
+  .quarantined = forward_quarantined,
   .decided = forward_decided,
   .learned = forward_learned,
 };
@@ -341,6 +360,10 @@
     .ready = directory_ready (owner),
     .planner = planner_holds (g->planner),
     .watcher = relay_watches (g->relay),
+    .quarantined
+    = beryl_quarantine_count (beryl_forward_quarantine (g->forward)),
+    .suspects
+    = beryl_quarantine_suspect_count (beryl_forward_quarantine (g->forward)),
   };
 
   return metrics_format (g->metrics, &gauges);
@@ -389,6 +412,13 @@
     relay_received (g->relay, message);
 }
 
+static void
+members_notices (struct members_owner *owner,
+                 const struct notices_message *message)
+{
+  notices_take (of_members (owner)->notices, message);
+}
+
 static void
 members_peer_gone (struct members_owner *owner, const char *peer)
 {
@@ -420,6 +450,7 @@
   .count_changed = members_count_changed,
   .loads = members_loads,
   .changes = members_changes,
+  .notices = members_notices,
   .peer_gone = members_peer_gone,
   .tell_due = members_tell_due,
   .should_pull = members_should_pull,
@@ -439,6 +470,14 @@
   members_listed (of_registry (owner)->members, items, count);
 }
 
+static void
+registry_objects (struct registry_owner *owner,
+                  const struct beryl_object *objects, size_t count)
+{
+  quarantine_records_listed (of_registry (owner)->quarantine_records, objects,
+                             count);
+}
+
 /* One that fell silent is back within seconds, or never.  Until its record is
  * taken back its part of the repeats is not used by others: it may only be cut
  * off from this node, and at work. */
@@ -454,6 +493,7 @@
 static const struct registry_owner_impl registry_impl = {
   .registered = registry_registered,
   .listed = registry_listed,
+  .objects = registry_objects,
   .is_over = registry_is_over,
 };
 
@@ -521,6 +561,10 @@
   if (g->tell == NULL && g->members != NULL
       && beryl_forward_runs_changed (g->forward))
     g->tell = loop_timer_start (g->loop, TELL_DELAY_MS, 0, tell, g);
+  /* A node that hears no other may not have heard what is on record. */
+  if (g->notices != NULL && notices_look (g->notices) && g->registry != NULL
+      && members_isolated (g->members))
+    registry_look (g->registry);
 
   if (next_ms == BERYL_NEVER_MS || (g->tick != NULL && g->tick_ms <= next_ms))
     return;
@@ -623,6 +667,9 @@
     {
       g->relay = relay_create (loop, &g->settings, g->source, g->members,
                                g->counters);
+      g->quarantine_records = quarantine_records_create (
+          loop, g->store, &g->settings, beryl_forward_quarantine (g->forward));
+      g->notices = notices_create (loop, g->forward, g->members);
       g->key = cluster_key_create (loop, g->store, key_known, g);
       g->planner = planner_create (loop, wire, &g->settings, g->store,
                                    g->forward, g->lives);
@@ -647,6 +694,8 @@
   planner_destroy (g->planner);
   cluster_key_destroy (g->key);
   registry_destroy (g->registry);
+  notices_destroy (g->notices);
+  quarantine_records_destroy (g->quarantine_records);
   relay_destroy (g->relay);
   members_destroy (g->members);
   uv_close ((uv_handle_t *)g->prepare, free_handle);
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -238,6 +238,15 @@
     m->owner->impl->changes (m->owner, &message);
 }
 
+static void
+take_notices (struct members *m, struct frame *frame)
+{
+  struct notices_message message;
+
+  if (notices_read (frame, &message))
+    m->owner->impl->notices (m->owner, &message);
+}
+
 static void
 datagram_received (void *user, struct frame *frame, const char *address,
                    uint16_t port)
@@ -251,6 +260,8 @@
     take_loads (m, frame);
   else if (frame_type (frame) == CHANGES_DATAGRAM)
     take_changes (m, frame);
+  else if (frame_type (frame) == NOTICES_DATAGRAM)
+    take_notices (m, frame);
   else if (m->table != NULL && gossip_read (frame, &message))
     beryl_membership_receive (m->table, &message, address, port, now_ms (m));
   wake (m);
@@ -355,6 +366,35 @@
     }
 }
 
+/* One after the other is drawn with the chance that leaves MOST of them. */
+void
+members_tell_notices (struct members *m, const struct notices_message *message,
+                      uint32_t most)
+{
+  uint32_t left = m->table != NULL ? members_count (m) - 1 : 0;
+
+  if (left == 0)
+    return;
+  notices_put (m->writer, message);
+  if (!datagram_seal (m->datagram, m->writer))
+    return;
+  for (size_t i = 0; i < beryl_membership_count (m->table); i++)
+    {
+      const struct beryl_member *peer = beryl_membership_get (m->table, i);
+
+      if (peer->state == BERYL_MEMBER_DEAD
+          || strcmp (peer->name, m->settings->node) == 0)
+        continue;
+      if (most >= left
+          || (uint32_t)g_random_int_range (0, (gint32)left) < most)
+        {
+          datagram_send_sealed (m->datagram, peer->address, peer->port);
+          most--;
+        }
+      left--;
+    }
+}
+
 static void
 pulled (struct pulls_owner *owner, uint64_t revision, const char *value,
         size_t value_bytes)
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -15,6 +15,7 @@
 #include "settings.h"
 #include "wire/changes.h"
 #include "wire/loads.h"
+#include "wire/notices.h"
 
 struct members;
 struct members_owner;
@@ -32,6 +33,9 @@
   /** A peer passed changes of the list of endpoints on. */
   void (*changes) (struct members_owner *owner,
                    const struct changes_message *message);
+  /** A peer told what it has found out. */
+  void (*notices) (struct members_owner *owner,
+                   const struct notices_message *message);
   /** PEER has gone, and its runs with it. */
   void (*peer_gone) (struct members_owner *owner, const char *peer);
   /** Nothing was told for a while: call members_tell_loads, since peers take
@@ -90,6 +94,11 @@
 void members_tell_changes (struct members *members,
                            const struct changes_message *message);
 
+/** Tell MESSAGE to all peers, or to MOST of them drawn at random. */
+void members_tell_notices (struct members *members,
+                           const struct notices_message *message,
+                           uint32_t most);
+
 /** Return how many nodes of this data centre may be running, this one
  * included. */
 uint32_t members_near_count (const struct members *members);
--- a/gatewayd/metrics.c
+++ b/gatewayd/metrics.c
@@ -86,6 +86,16 @@
     count_end (metrics, d);
 }
 
+void
+metrics_quarantined (struct metrics *metrics, const char *cause)
+{
+  char labels[LABEL_BYTES];
+
+  g_snprintf (labels, sizeof labels, "cause=\"%s\"", cause);
+  counters_add (metrics->counters, "beryl_gateway_quarantine_total", labels,
+                1);
+}
+
 static void
 set (struct metrics *metrics, const char *name, uint64_t value)
 {
@@ -110,6 +120,8 @@
   set (metrics, "beryl_gateway_ready", g->ready);
   set (metrics, "beryl_gateway_planner", g->planner);
   set (metrics, "beryl_gateway_endpoint_watcher", g->watcher);
+  set (metrics, "beryl_gateway_quarantined", g->quarantined);
+  set (metrics, "beryl_gateway_suspects", g->suspects);
   counters_set (metrics->counters, "beryl_log_lines_total", "end=\"written\"",
                 lines.written);
   counters_set (metrics->counters, "beryl_log_lines_total",
--- a/gatewayd/metrics.h
+++ b/gatewayd/metrics.h
@@ -20,6 +20,9 @@
 void metrics_decided (struct metrics *metrics,
                       const struct beryl_decision *decision);
 
+/** A request came into quarantine, or out of it, for CAUSE. */
+void metrics_quarantined (struct metrics *metrics, const char *cause);
+
 /** What is looked at when the metrics are asked for. */
 struct metrics_gauges
 {
@@ -33,8 +36,10 @@
   uint64_t revision;      /**< of its object */
   int64_t list_age_ms;    /**< since the list of endpoints was confirmed */
   bool ready;
-  bool planner; /**< this node holds the planner's lease */
-  bool watcher; /**< it passes changes of the list of endpoints on */
+  bool planner;         /**< this node holds the planner's lease */
+  bool watcher;         /**< it passes changes of the list of endpoints on */
+  uint64_t quarantined; /**< requests that go to no endpoint */
+  uint64_t suspects;    /**< requests under which an endpoint has ended */
 };
 
 /** Set the gauges and return all metrics as text; free() it. */
--- /dev/null
+++ b/gatewayd/notices.h
@@ -0,0 +1,31 @@
+/** @file
+ * Tells the other nodes what this one has found out about requests that crash
+ * endpoints.  What is new goes to all, some times; what is older goes to a few
+ * drawn at random, so that nodes that were away hear of it and a node's share
+ * does not grow with the fleet.
+ */
+#ifndef GATEWAYD_NOTICES_H
+#define GATEWAYD_NOTICES_H
+
+#include "beryl/forward.h"
+#include "common/loop.h"
+#include "members.h"
+
+struct notices;
+
+/** Create; FORWARD and MEMBERS must outlive it. */
+struct notices *notices_create (struct loop *loop,
+                                struct beryl_forward *forward,
+                                struct members *members);
+
+/** Release; NULL is allowed. */
+void notices_destroy (struct notices *notices);
+
+/** Return whether something is new since the last look; it is told soon. */
+bool notices_look (struct notices *notices);
+
+/** Take what a peer tells. */
+void notices_take (struct notices *notices,
+                   const struct notices_message *message);
+
+#endif
--- a/gatewayd/outbound.c
+++ b/gatewayd/outbound.c
@@ -82,9 +82,12 @@
   struct outbound *o = call->outbound;
   struct beryl_engine_result result = { 0 };
 
-  o->wire->impl->read_engine_answer (o->wire, call->endpoint, call->kind,
-                                     call->head, call->body->str,
-                                     call->body->len, &result);
+  if (call->kind == BERYL_EXCHANGE_DIAL)
+    result.ok = true;
+  else
+    o->wire->impl->read_engine_answer (o->wire, call->endpoint, call->kind,
+                                       call->head, call->body->str,
+                                       call->body->len, &result);
   call_steal (call);
   beryl_forward_result (o->forward, call->exchange, &result,
                         loop_now_ms (o->loop));
@@ -191,7 +194,9 @@
   GString *out = g_string_sized_new (1024);
   GString *own = g_string_new (NULL);
 
-  if (passes_request (start->kind))
+  if (start->kind == BERYL_EXCHANGE_DIAL)
+    request.connect_only = true;
+  else if (passes_request (start->kind))
     {
       o->wire->impl->format_request (o->wire, head, body_bytes, start, out);
       request.body = body;
--- /dev/null
+++ b/gatewayd/quarantine_records.c
@@ -0,0 +1,206 @@
+#include "quarantine_records.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "registry.h"
+
+#define PREFIX "quarantine-"
+#define NAME_BYTES 32
+#define CALL_MS 3000
+#define RETRY_MS 500
+
+struct quarantine_records
+{
+  struct loop *loop;
+  struct platform_client *client;
+  const struct gateway_settings *settings;
+  struct beryl_quarantine *quarantine;
+  GQueue *pending; /* struct record, the first is being written */
+  uint64_t request;
+  uint64_t removal;
+  struct loop_timer *retry;
+};
+
+/* One that is to be written. */
+struct record
+{
+  uint64_t fingerprint;
+  int64_t until_s;  /* Unix time */
+  uint64_t present; /* version of a record that stands there; 0: none does */
+};
+
+static const struct platform_client_options options
+    = { .use = BERYL_USE_STATUS, .timeout_ms = CALL_MS, .wait = true };
+
+static int64_t
+unix_s (void)
+{
+  return g_get_real_time () / G_USEC_PER_SEC;
+}
+
+static void write_first (struct quarantine_records *q);
+
+static void
+retry_due (void *user)
+{
+  struct quarantine_records *q = user;
+
+  loop_timer_stop (q->retry);
+  q->retry = NULL;
+  write_first (q);
+}
+
+static void
+written (void *user, const struct beryl_platform_result *result)
+{
+  struct quarantine_records *q = user;
+  struct record *record = g_queue_peek_head (q->pending);
+
+  q->request = 0;
+  if (result->code == BERYL_OK)
+    {
+      g_free (g_queue_pop_head (q->pending));
+      write_first (q);
+      return;
+    }
+  /* What stands there may be from a former time. */
+  if (result->code == BERYL_ERROR_CONFLICT)
+    record->present = result->version;
+  else
+    g_warning ("record of fingerprint=%016" G_GINT64_MODIFIER
+               "x is not written: %s",
+               record->fingerprint, beryl_error_code_name (result->code));
+  q->retry = loop_timer_start (q->loop, RETRY_MS, 0, retry_due, q);
+}
+
+static void
+write_first (struct quarantine_records *q)
+{
+  const struct record *record = g_queue_peek_head (q->pending);
+  char nonce[BERYL_NONCE_BYTES];
+  char name[NAME_BYTES];
+  struct beryl_platform_write write
+      = { .kind = REGISTRY_KIND, .name = name, .nonce = nonce };
+  json_t *value;
+  char *text;
+
+  if (record == NULL || q->request != 0 || q->retry != NULL)
+    return;
+  g_snprintf (name, sizeof name, PREFIX "%016" G_GINT64_MODIFIER "x",
+              record->fingerprint);
+  write.condition = record->present != 0 ? BERYL_IF_VERSION : BERYL_IF_ABSENT;
+  write.version = record->present;
+  beryl_platform_nonce (platform_client_core (q->client), nonce);
+  value = json_pack ("{s:I, s:s, s:s}", "until_s", (json_int_t)record->until_s,
+                     "node", q->settings->node, "nonce", nonce);
+  text = json_dumps (value, JSON_COMPACT);
+  write.value = text;
+  write.value_bytes = strlen (text);
+  q->request = platform_client_put (q->client, &options, &write, written, q);
+  free (text);
+  json_decref (value);
+}
+
+struct quarantine_records *
+quarantine_records_create (struct loop *loop, struct platform_client *client,
+                           const struct gateway_settings *settings,
+                           struct beryl_quarantine *quarantine)
+{
+  struct quarantine_records *q = g_new0 (struct quarantine_records, 1);
+
+  q->loop = loop;
+  q->client = client;
+  q->settings = settings;
+  q->quarantine = quarantine;
+  q->pending = g_queue_new ();
+  return q;
+}
+
+void
+quarantine_records_destroy (struct quarantine_records *q)
+{
+  if (q == NULL)
+    return;
+  loop_timer_stop (q->retry);
+  if (q->request != 0)
+    platform_client_forget (q->client, q->request);
+  if (q->removal != 0)
+    platform_client_forget (q->client, q->removal);
+  g_queue_free_full (q->pending, g_free);
+  g_free (q);
+}
+
+void
+quarantine_records_add (struct quarantine_records *q, uint64_t fingerprint,
+                        int64_t left_ms)
+{
+  struct record *record = g_new0 (struct record, 1);
+
+  record->fingerprint = fingerprint;
+  record->until_s = unix_s () + left_ms / 1000;
+  g_queue_push_tail (q->pending, record);
+  write_first (q);
+}
+
+static bool
+read_fingerprint (const char *name, uint64_t *fingerprint)
+{
+  char *end;
+
+  if (!g_str_has_prefix (name, PREFIX))
+    return false;
+  *fingerprint = g_ascii_strtoull (name + strlen (PREFIX), &end, 16);
+  return *end == '\0' && *fingerprint != 0;
+}
+
+static int64_t
+read_left_ms (const struct beryl_object *object)
+{
+  json_t *value = json_loadb (object->value, object->value_bytes, 0, NULL);
+  json_int_t until_s = json_integer_value (json_object_get (value, "until_s"));
+  int64_t now_s = unix_s ();
+
+  json_decref (value);
+  return until_s > now_s ? (until_s - now_s) * 1000 : 0;
+}
+
+static void
+removed (void *user, const struct beryl_platform_result *result)
+{
+  ((struct quarantine_records *)user)->removal = 0;
+}
+
+/* One at a time; the next list shows what is left. */
+static void
+remove_record (struct quarantine_records *q, const struct beryl_object *object)
+{
+  if (q->removal == 0)
+    q->removal
+        = platform_client_delete (q->client, &options, REGISTRY_KIND,
+                                  object->name, object->version, removed, q);
+}
+
+void
+quarantine_records_listed (struct quarantine_records *q,
+                           const struct beryl_object *objects, size_t count)
+{
+  int64_t now_ms = loop_now_ms (q->loop);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t fingerprint;
+      int64_t left_ms;
+
+      if (!read_fingerprint (objects[i].name, &fingerprint))
+        continue;
+      left_ms = read_left_ms (&objects[i]);
+      if (left_ms == 0
+          || !beryl_quarantine_stored (q->quarantine, fingerprint, left_ms,
+                                       now_ms))
+        remove_record (q, &objects[i]);
+    }
+  beryl_quarantine_listed (q->quarantine, now_ms);
+}
--- a/gatewayd/registry.c
+++ b/gatewayd/registry.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KIND "gateway-nodes"
 #define CALL_MS 3000
 #define RETRY_MS 200
 /* The first lists come quickly, since the nodes of a fleet start together;
@@ -92,7 +91,7 @@
 {
   char nonce[BERYL_NONCE_BYTES];
   struct beryl_platform_write write = {
-    .kind = KIND,
+    .kind = REGISTRY_KIND,
     .name = r->settings->node,
     .condition = r->present != 0 ? BERYL_IF_VERSION : BERYL_IF_ABSENT,
     .version = r->present,
@@ -161,8 +160,8 @@
         continue;
       g_info ("record of node=%s is taken back", node);
       r->removal
-          = platform_client_delete (r->client, &write_options, KIND, node,
-                                    objects[i].version, removed, r);
+          = platform_client_delete (r->client, &write_options, REGISTRY_KIND,
+                                    node, objects[i].version, removed, r);
     }
 }
 
@@ -188,6 +187,7 @@
   schedule (r, list_delay_ms (r, result->object_count), list_records);
   if (result->code != BERYL_OK)
     return;
+  r->owner->impl->objects (r->owner, result->objects, result->object_count);
   items = g_new0 (struct beryl_listed, result->object_count + 1);
   for (size_t i = 0; i < result->object_count; i++)
     count += read_record (&result->objects[i], &items[count]);
@@ -209,7 +209,15 @@
   struct platform_client_options options = write_options;
 
   options.wait = false;
-  r->request = platform_client_list (r->client, &options, KIND, "", listed, r);
+  r->request = platform_client_list (r->client, &options, REGISTRY_KIND, "",
+                                     listed, r);
+}
+
+void
+registry_look (struct registry *r)
+{
+  if (r->version != 0 && r->request == 0)
+    schedule (r, 1, list_records);
 }
 
 struct registry *
@@ -261,6 +269,6 @@
   r->request = 0;
   if (r->version != 0)
     r->request
-        = platform_client_delete (r->client, &write_options, KIND,
+        = platform_client_delete (r->client, &write_options, REGISTRY_KIND,
                                   r->settings->node, r->version, withdrawn, r);
 }
--- a/gatewayd/registry.h
+++ b/gatewayd/registry.h
@@ -14,6 +14,9 @@
 #include "common/platform_client.h"
 #include "settings.h"
 
+/** Kind of the records; also of others that concern the whole fleet. */
+#define REGISTRY_KIND "gateway-nodes"
+
 struct registry;
 struct registry_owner;
 
@@ -25,6 +28,9 @@
   /** All records. */
   void (*listed) (struct registry_owner *owner,
                   const struct beryl_listed *items, size_t count);
+  /** All objects of the kind; told before the records. */
+  void (*objects) (struct registry_owner *owner,
+                   const struct beryl_object *objects, size_t count);
   /** Whether this node is to take back the record of NODE, which is gone for
    * good. */
   bool (*is_over) (struct registry_owner *owner, const char *node);
@@ -45,6 +51,9 @@
 /** Release; the record stays.  NULL is allowed. */
 void registry_destroy (struct registry *registry);
 
+/** Read the records now rather than later. */
+void registry_look (struct registry *registry);
+
 /** Take the record back, at a planned stop. */
 void registry_withdraw (struct registry *registry);
 
--- a/h1/client.c
+++ b/h1/client.c
@@ -23,6 +23,7 @@
   struct head_builder builder;
   uint32_t handles_open;
   bool no_answer_body;
+  bool connect_only;
   bool connected;
   bool sent;
   bool head_told;
@@ -280,6 +281,12 @@
       return;
     }
   call->connected = true;
+  if (call->connect_only)
+    {
+      call_close (call);
+      call->handler->impl->done (call->handler, call);
+      return;
+    }
   uv_tcp_nodelay (&call->tcp, 1);
   call_send (call);
 }
@@ -307,6 +314,7 @@
 
   call->handler = handler;
   call->no_answer_body = request->no_answer_body;
+  call->connect_only = request->connect_only;
   call->handles_open = 2;
   call->out = g_string_sized_new (request->head_bytes + request->body_bytes);
   g_string_append_len (call->out, request->head, (gssize)request->head_bytes);
--- a/include/beryl/engine_load.h
+++ b/include/beryl/engine_load.h
@@ -22,6 +22,7 @@
   uint32_t expected_tokens; /**< estimate of the whole output */
   uint32_t made_tokens;     /**< so far */
   bool started;             /**< it streams; otherwise it is only reserved */
+  bool suspect;             /**< its engine may crash by it */
   uint32_t prefill_engine;  /**< that reads its prompt now; 0: none */
   uint32_t prompt_key;      /**< stands for its prompt; 0: not known */
 };
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -23,6 +23,7 @@
 #include "beryl/clock.h"
 #include "beryl/engine_load.h"
 #include "beryl/live.h"
+#include "beryl/quarantine.h"
 #include "beryl/routes.h"
 #include "beryl/stages.h"
 
@@ -62,6 +63,8 @@
   BERYL_EXCHANGE_DROP_KV, /**< free a KV cache that nobody will take */
   /** Stop a run and copy its memory to another engine, where it goes on. */
   BERYL_EXCHANGE_MOVE,
+  /** Connect and close: whether something still listens there. */
+  BERYL_EXCHANGE_DIAL,
 };
 
 /** An exchange to start. */
@@ -96,6 +99,7 @@
   BERYL_REFUSAL_DEADLINE,
   BERYL_REFUSAL_ENDPOINT_FAILED,
   BERYL_REFUSAL_STOPPING,
+  BERYL_REFUSAL_QUARANTINED, /**< endpoints that run it crash */
 };
 
 /** The final answer that this node gives itself. */
@@ -120,7 +124,7 @@
   int64_t age_ms;                    /**< of the request */
   int64_t first_event_ms;            /**< from its arrival; 0: none yet */
   int64_t longest_gap_ms;            /**< between two events */
-  int64_t number; /**< tokens, bytes, milliseconds: STEP tells */
+  int64_t number;       /**< tokens, bytes, milliseconds: STEP tells */
   uint64_t fingerprint; /**< of what is asked; 0: was not needed so far */
   uint64_t config_version;
   uint64_t endpoint_revision;
@@ -156,6 +160,10 @@
    * NULL. */
   uint64_t (*fingerprint) (struct beryl_forward_owner *owner,
                            uint64_t request);
+  /** FINGERPRINT goes to no endpoint for LEFT_MS, or may again (0).  May be
+   * NULL. */
+  void (*quarantined) (struct beryl_forward_owner *owner, uint64_t fingerprint,
+                       int64_t left_ms, enum beryl_quarantine_cause cause);
   /** Something was decided; may be NULL. */
   void (*decided) (struct beryl_forward_owner *owner,
                    const struct beryl_decision *decision);
@@ -288,6 +296,11 @@
 void beryl_forward_stop (struct beryl_forward *forward, int64_t end_ms,
                          int64_t now_ms);
 
+/** Return what is known of requests that crash endpoints; what is taken from
+ * peers and records goes there. */
+struct beryl_quarantine *
+beryl_forward_quarantine (struct beryl_forward *forward);
+
 /** The set of endpoints changed: look again who waits for one. */
 void beryl_forward_lives_changed (struct beryl_forward *forward,
                                   int64_t now_ms);
--- a/include/h1/client.h
+++ b/include/h1/client.h
@@ -60,6 +60,9 @@
   size_t body_bytes;
   bool no_answer_body;        /**< the method is HEAD */
   int64_t connect_timeout_ms; /**< 0: 1000 */
+  /** Close the connection as soon as there is one; that is told as a whole
+   * answer without a head. */
+  bool connect_only;
 };
 
 /** Start a call.  Never calls HANDLER before it returns. */
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -40,6 +40,12 @@
   return status >= 500;
 }
 
+static bool
+is_success (unsigned int status)
+{
+  return status / 100 == 2;
+}
+
 /* Whichever of two sends answers first is taken; the other is cut off. */
 static void
 drop_others (struct beryl_forward *f, struct request *r,
@@ -208,6 +214,8 @@
       answer_broken (f, x, BERYL_BREAK_CLOSED, true, now_ms);
       return;
     }
+  if (is_success (x->head.status))
+    crashes_answered (f, r, now_ms);
   begin (f, r, x);
   pass_held (f, r);
   forward_request_decided (f, r, "answer", x->live, "whole",
@@ -241,8 +249,8 @@
   struct request *r = x->request;
   bool headed = x->headed;
 
-  if (sent)
-    forward_request_fingerprint (f, r);
+  if (sent && (how == BERYL_BREAK_RESET || how == BERYL_BREAK_CLOSED))
+    crashes_run_broke (f, r, x->live, now_ms);
   forward_request_decided (f, r, "send", x->live, break_name (how), sent,
                            now_ms);
   forward_exchange_free (f, x);
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -416,3 +416,21 @@
          count_one, &runs);
   return runs;
 }
+
+static void
+note_suspect (const struct beryl_engine_run *run, int64_t age_ms, void *user)
+{
+  bool *found = user;
+
+  *found = *found || run->suspect;
+}
+
+bool
+book_has_suspect (const struct book *book, uint32_t engine, int64_t now_ms)
+{
+  bool found = false;
+
+  visit (run_index_find (&book->at_engine, engine), book_silent_ms (book),
+         now_ms, note_suspect, &found);
+  return found;
+}
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -128,6 +128,9 @@
  * number SERVICE. */
 uint32_t book_waiting (const struct book *book, uint32_t service,
                        int64_t now_ms);
+/** Whether a peer has a run at ENGINE by which that may crash. */
+bool book_has_suspect (const struct book *book, uint32_t engine,
+                       int64_t now_ms);
 /** Return how many runs of peers are at ENGINE. */
 uint32_t book_runs (const struct book *book, uint32_t engine, int64_t now_ms);
 
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -55,6 +55,7 @@
     .expected_tokens = r->expected_tokens,
     .made_tokens = made_tokens (r, now_ms),
     .started = r->phase == PHASE_RUNNING,
+    .suspect = crashes_watches (r, now_ms),
   };
   run->prompt_key = r->facts.prompt_key;
   if (live == NULL)
@@ -212,10 +213,10 @@
   outlook->lowest = room > 0 ? FILL_PART * least / room : 0;
 }
 
-/* The engine itself counts exactly and has the last word. */
-struct beryl_live *
-engine_choose_decode (struct beryl_forward *f, const struct request *r,
-                      struct engine_outlook *outlook, int64_t now_ms)
+/* Chooses among the engines that run no suspect (APART), or all. */
+static struct beryl_live *
+choose_decode (struct beryl_forward *f, const struct request *r, bool apart,
+               struct engine_outlook *outlook, int64_t now_ms)
 {
   struct sample sample;
   struct beryl_live *best = NULL, *warm = NULL;
@@ -227,7 +228,8 @@
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
 
-      if (!may_be_asked (r, live, now_ms))
+      if (!may_be_asked (r, live, now_ms)
+          || (apart && crashes_shares (f, r, live, now_ms)))
         continue;
       if (engine_is_warm_for (r, live))
         warm = live;
@@ -246,6 +248,23 @@
   else
     best = choose (f, r, &sample, f->settings.data_centre, FAR_PART * room,
                    now_ms, &cost);
+  return best;
+}
+
+/* The engine itself counts exactly and has the last word. */
+struct beryl_live *
+engine_choose_decode (struct beryl_forward *f, const struct request *r,
+                      struct engine_outlook *outlook, int64_t now_ms)
+{
+  struct beryl_live *best = NULL;
+
+  if (!beryl_quarantine_empty (f->quarantine))
+    best = choose_decode (f, r, true, outlook, now_ms);
+  if (best == NULL)
+    {
+      *outlook = (struct engine_outlook){ 0 };
+      best = choose_decode (f, r, false, outlook, now_ms);
+    }
   if (best != NULL && beryl_live_avoided (best, now_ms))
     best->trial_ms = now_ms;
   return best;
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -20,8 +20,9 @@
 beryl_refusal_name (enum beryl_refusal_reason reason)
 {
   static const char *const names[]
-      = { "no_configuration", "no_route", "no_endpoint",     "no_room",
-          "endpoints_full",   "deadline", "endpoint_failed", "stopping" };
+      = { "no_configuration", "no_route",       "no_endpoint",
+          "no_room",          "endpoints_full", "deadline",
+          "endpoint_failed",  "stopping",       "quarantined" };
 
   return names[reason];
 }
@@ -29,8 +30,9 @@
 const char *
 beryl_exchange_name (enum beryl_exchange_kind kind)
 {
-  static const char *const names[]
-      = { "run", "prefill", "reserve", "unreserve", "drop_kv", "move" };
+  static const char *const names[] = { "run",       "prefill", "reserve",
+                                       "unreserve", "drop_kv", "move",
+                                       "dial" };
 
   return names[kind];
 }
@@ -50,6 +52,7 @@
   f->end_ms = BERYL_NEVER_MS;
   TAILQ_INIT (&f->requests);
   TAILQ_INIT (&f->exchanges);
+  crashes_init (f);
   return f;
 }
 
@@ -77,6 +80,7 @@
   map_clear (&f->requests_by_handle);
   map_clear (&f->exchanges_by_id);
   book_clear (&f->book);
+  beryl_quarantine_destroy (f->quarantine);
   beryl_routes_unref (f->routes);
   free (f);
 }
@@ -292,12 +296,17 @@
       return;
     }
   r = forward_request_new (f, facts, route);
+  r->suspect = !beryl_quarantine_empty (f->quarantine)
+               && beryl_quarantine_suspects (
+                   f->quarantine, forward_request_fingerprint (f, r));
   forward_request_count (f, r->service, now_ms);
   if (r->timeout_ms <= now_ms)
     forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
   else if (!ends_in_time (f, r, now_ms))
     forward_request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
                             STOPPING_RETRY_AFTER_MS, now_ms);
+  else if (crashes_refuse (f, r, now_ms))
+    return;
   else if (forward_request_is_generation (r))
     generation_start (f, r, now_ms);
   else
@@ -414,7 +423,10 @@
   if (x == NULL)
     return;
   if (how == BERYL_BREAK_CONNECT)
-    news_unreachable (f, x->live, now_ms);
+    {
+      news_unreachable (f, x->live, now_ms);
+      crashes_ended (f, x->live, now_ms);
+    }
   beryl_live_learn (x->live,
                     how == BERYL_BREAK_CONNECT ? BERYL_LIVE_SILENT
                                                : BERYL_LIVE_BROKE,
@@ -468,12 +480,13 @@
         request_tick (f, r, now_ms);
     }
   generation_balance (f, now_ms);
+  crashes_tick (f, now_ms);
 }
 
 int64_t
 beryl_forward_next_ms (const struct beryl_forward *f)
 {
-  int64_t next_ms = BERYL_NEVER_MS;
+  int64_t next_ms = f->sweep_ms;
   const struct request *r = NULL;
 
   TAILQ_FOREACH (r, &f->requests, entry)
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -155,6 +155,7 @@
   r->phase = PHASE_RUNNING;
   r->runs++;
   r->event_ms = now_ms;
+  r->run_ms = now_ms;
   r->run_events = 0;
   r->stalled = false;
   f->runs_changed = true;
@@ -200,7 +201,7 @@
     forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
   else if (!may_run_again (r))
     forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
-  else
+  else if (!crashes_refuse (f, r, now_ms))
     place_wait (f, r, now_ms);
 }
 
--- a/libberyl/forward/news.c
+++ b/libberyl/forward/news.c
@@ -41,6 +41,7 @@
   if (live->replaced_ms != 0)
     return;
   beryl_live_replaced (live, now_ms);
+  crashes_ended (f, live, now_ms);
   f->runs_changed = true;
   learned (f, live, "replaced", "own call");
 }
@@ -96,6 +97,7 @@
   if (set_has (&news->replaced, number) && live->replaced_ms == 0)
     {
       beryl_live_replaced (live, now_ms);
+      crashes_ended (f, live, now_ms);
       learned (f, live, "replaced", peer);
     }
   if (set_has (&news->unreachable, number)
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -14,6 +14,8 @@
 /* Before anything is known of a service, and at the least. */
 #define LATE_UNKNOWN_MS 200
 #define LATE_MIN_MS 30
+/* An endpoint that may crash by another request looks that much busier. */
+#define SUSPECT_COST 10
 /* When a caller whose service is full may come back. */
 #define FULL_RETRY_AFTER_MS 500
 
@@ -74,6 +76,8 @@
   cost += 20 * live->fail_rate;
   if (beryl_live_avoided (live, now_ms))
     cost += 1000;
+  if (crashes_shares (f, r, live, now_ms))
+    cost += SUSPECT_COST;
   cost += 100 * stalled_at (f, live, service_late_ms (r->service) * 2, now_ms);
   return cost;
 }
@@ -121,6 +125,7 @@
   forward_request_note_tried (r, live);
   r->sends++;
   r->phase = PHASE_RUNNING;
+  r->run_ms = now_ms;
   x = forward_start (f, r, &start, live, now_ms);
   if (r->first == NULL)
     r->first = x;
@@ -160,6 +165,8 @@
 
   if (r->first != NULL) /* another one is still under way */
     return;
+  if (crashes_refuse (f, r, now_ms))
+    return;
   if (r->may_have_run
       && (!forward_request_repeatable (r)
           || r->endpoints_run >= r->route->endpoints_max))
@@ -183,7 +190,8 @@
   struct beryl_live *live;
 
   r->due_ms = r->timeout_ms;
-  if (r->first == NULL || r->first->headed || r->second != NULL)
+  if (r->first == NULL || r->first->headed || r->second != NULL
+      || crashes_quarantined (f, r, now_ms))
     return;
   live = plain_choose (f, r, now_ms);
   if (live == NULL || beryl_live_avoided (live, now_ms)
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -4,6 +4,7 @@
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
 
+#include <stddef.h>
 #include <sys/queue.h>
 
 #include "../base/buffer.h"
@@ -142,6 +143,8 @@
   bool seeks;           /**< a new place, while it is still at its engine */
   bool stream_over;     /**< the old engine's stream has ended */
   uint32_t refusals;    /**< of engines asked for room, in this wait */
+  bool suspect;         /**< an endpoint may have crashed by it */
+  int64_t run_ms;       /**< when its present run was sent */
   int64_t waiting_since_ms;
   const char *wait_told; /**< why it waits, in the log; NULL: nothing yet */
 };
@@ -173,6 +176,10 @@
   struct beryl_repeat_transfers loans; /**< given, not told yet */
   uint32_t last_serial;
   bool runs_changed; /**< this node's runs, since they were read */
+  struct beryl_quarantine_owner quarantine_owner;
+  struct beryl_quarantine *quarantine;
+  int64_t sweep_ms; /**< when open requests are looked through for newly
+                       quarantined ones; BERYL_NEVER_MS: there are none */
 };
 
 /* forward.c */
@@ -201,6 +208,30 @@
 void news_unreachable (struct beryl_forward *f, struct beryl_live *live,
                        int64_t now_ms);
 
+/* crashes.c */
+void crashes_init (struct beryl_forward *f);
+/** R's run at LIVE broke off. */
+void crashes_run_broke (struct beryl_forward *f, struct request *r,
+                        struct beryl_live *live, int64_t now_ms);
+/** LIVE accepts no connections, or its address belongs to another process. */
+void crashes_ended (struct beryl_forward *f, const struct beryl_live *live,
+                    int64_t now_ms);
+/** R was answered whole. */
+void crashes_answered (struct beryl_forward *f, struct request *r,
+                       int64_t now_ms);
+/** Whether R may go to no endpoint. */
+bool crashes_quarantined (struct beryl_forward *f, struct request *r,
+                          int64_t now_ms);
+/** If so, R gets its answer and ends. */
+bool crashes_refuse (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms);
+/** Whether R, a suspect, may crash its endpoint yet. */
+bool crashes_watches (const struct request *r, int64_t now_ms);
+/** Whether a suspect other than R runs at LIVE. */
+bool crashes_shares (const struct beryl_forward *f, const struct request *r,
+                     const struct beryl_live *live, int64_t now_ms);
+void crashes_tick (struct beryl_forward *f, int64_t now_ms);
+
 /* profile.c */
 void profile_clear (struct peer_profiles *profiles);
 /** PEER has gone. */
@@ -384,7 +415,7 @@
 void stream_due (struct beryl_forward *f, struct request *r, int64_t now_ms);
 /** Whether R's stream may go on at another engine by its terms and the
  * budget. */
-bool stream_may_go_on (struct beryl_forward *f, const struct request *r,
+bool stream_may_go_on (struct beryl_forward *f, struct request *r,
                        int64_t now_ms);
 /** R's stream has had one more event: learn how fast it goes. */
 void stream_learn_pace (const struct request *r, int64_t now_ms);
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -33,8 +33,7 @@
 forward_request_fingerprint (struct beryl_forward *f, struct request *r)
 {
   if (r->fingerprint == 0 && f->owner->impl->fingerprint != NULL)
-    r->fingerprint
-        = f->owner->impl->fingerprint (f->owner, r->facts.request);
+    r->fingerprint = f->owner->impl->fingerprint (f->owner, r->facts.request);
   return r->fingerprint;
 }
 
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -60,11 +60,11 @@
 }
 
 bool
-stream_may_go_on (struct beryl_forward *f, const struct request *r,
-                  int64_t now_ms)
+stream_may_go_on (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   return r->route->resumable && endpoints_run (r) < r->route->endpoints_max
-         && forward_request_repeats_left (f, r, now_ms) >= REPEATS_NEEDED;
+         && forward_request_repeats_left (f, r, now_ms) >= REPEATS_NEEDED
+         && !crashes_quarantined (f, r, now_ms);
 }
 
 static bool
--- /dev/null
+++ b/libberyl/quarantine/quarantine.c
@@ -0,0 +1,631 @@
+#include "beryl/quarantine.h"
+
+#include <stdlib.h>
+#include <sys/queue.h>
+
+#include "../base/map.h"
+
+/* Endpoints that end under a request before it goes to no other; one more if
+ * another request ran at the same ones, since either may be the cause. */
+#define CRASHES_MOST 3
+/* Endings that are kept of one request, more than it needs: they explain what
+ * happened to others. */
+#define CRASHES_KEPT 8
+/* Requests that are remembered. */
+#define SUSPECTS_MAX 512
+/* A run that broke off is blamed on an end of its endpoint that shows within
+ * this time. */
+#define CONFIRM_MS 5000
+/* Endings that are older do not count. */
+#define CRASH_KEPT_MS INT64_C (3600000)
+#define QUARANTINE_MS INT64_C (86400000)
+/* How often it is looked for what is over. */
+#define EXPIRE_MS 1000
+/* What is new is told for so long; datagrams may be lost. */
+#define TELL_MS 3000
+/* A request that was cleared is not quarantined by what peers still tell. */
+#define CLEARED_MS 60000
+
+enum crash_state
+{
+  CRASH_PENDING, /* a run broke off; the endpoint may be well */
+  CRASH_OWN,     /* the endpoint has ended */
+  CRASH_FROM_PEER,
+};
+
+struct crash
+{
+  uint32_t endpoint;
+  enum crash_state state;
+  int64_t since_ms;
+};
+
+struct suspect
+{
+  TAILQ_ENTRY (suspect) entry;
+  uint64_t fingerprint;
+  struct crash crashes[CRASHES_KEPT]; /* the oldest first */
+  uint32_t crash_count;
+  int64_t cleared_ms;     /* 0: never */
+  bool cleared_here;      /* by an answer that this node has seen */
+  int64_t until_ms;       /* in quarantine; 0: not */
+  int64_t quarantined_ms; /* since when this node knows */
+  bool on_record;
+  bool listed; /* in the list of records that is being read */
+};
+
+TAILQ_HEAD (suspect_list, suspect);
+
+struct beryl_quarantine
+{
+  struct beryl_quarantine_owner *owner;
+  struct suspect_list suspects; /* what was seen last comes last */
+  struct map by_fingerprint;
+  uint32_t count;       /* of suspects, those in quarantine included */
+  uint32_t quarantined; /* of these */
+  uint32_t pending;     /* endings that are not confirmed */
+  bool changed;
+  int64_t expired_ms; /* when it was last looked for what is over */
+};
+
+const char *
+beryl_quarantine_cause_name (enum beryl_quarantine_cause cause)
+{
+  static const char *const names[]
+      = { "crashes", "told", "stored", "answered", "lifted", "expired" };
+
+  return names[cause];
+}
+
+struct beryl_quarantine *
+beryl_quarantine_create (struct beryl_quarantine_owner *owner)
+{
+  struct beryl_quarantine *q = calloc (1, sizeof *q);
+
+  q->owner = owner;
+  TAILQ_INIT (&q->suspects);
+  return q;
+}
+
+static void
+crash_remove (struct beryl_quarantine *q, struct suspect *s, uint32_t at)
+{
+  q->pending -= s->crashes[at].state == CRASH_PENDING;
+  s->crash_count--;
+  for (uint32_t i = at; i < s->crash_count; i++)
+    s->crashes[i] = s->crashes[i + 1];
+}
+
+static void
+suspect_free (struct beryl_quarantine *q, struct suspect *s)
+{
+  while (s->crash_count > 0)
+    crash_remove (q, s, 0);
+  TAILQ_REMOVE (&q->suspects, s, entry);
+  map_remove (&q->by_fingerprint, map_key_number (s->fingerprint));
+  q->quarantined -= s->until_ms != 0;
+  q->count--;
+  free (s);
+}
+
+void
+beryl_quarantine_destroy (struct beryl_quarantine *q)
+{
+  struct suspect *s;
+
+  if (q == NULL)
+    return;
+  while ((s = TAILQ_FIRST (&q->suspects)) != NULL)
+    suspect_free (q, s);
+  map_clear (&q->by_fingerprint);
+  free (q);
+}
+
+bool
+beryl_quarantine_empty (const struct beryl_quarantine *q)
+{
+  return q->count == 0;
+}
+
+static struct suspect *
+suspect_find (const struct beryl_quarantine *q, uint64_t fingerprint)
+{
+  return map_get (&q->by_fingerprint, map_key_number (fingerprint));
+}
+
+/* Those in quarantine are kept for as long as there are others. */
+static void
+make_room (struct beryl_quarantine *q)
+{
+  struct suspect *s = NULL;
+
+  if (q->count < SUSPECTS_MAX)
+    return;
+  TAILQ_FOREACH (s, &q->suspects, entry)
+  if (s->until_ms == 0)
+    break;
+  suspect_free (q, s != NULL ? s : TAILQ_FIRST (&q->suspects));
+}
+
+static struct suspect *
+suspect_get (struct beryl_quarantine *q, uint64_t fingerprint)
+{
+  struct suspect *s = suspect_find (q, fingerprint);
+
+  if (s != NULL)
+    {
+      TAILQ_REMOVE (&q->suspects, s, entry);
+      TAILQ_INSERT_TAIL (&q->suspects, s, entry);
+      return s;
+    }
+  make_room (q);
+  s = calloc (1, sizeof *s);
+  s->fingerprint = fingerprint;
+  TAILQ_INSERT_TAIL (&q->suspects, s, entry);
+  map_put (&q->by_fingerprint, map_key_number (fingerprint), s);
+  q->count++;
+  return s;
+}
+
+static struct crash *
+crash_find (struct suspect *s, uint32_t endpoint)
+{
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].endpoint == endpoint)
+      return &s->crashes[i];
+  return NULL;
+}
+
+static struct crash *
+crash_add (struct beryl_quarantine *q, struct suspect *s, uint32_t endpoint,
+           enum crash_state state, int64_t now_ms)
+{
+  struct crash *crash;
+
+  if (s->crash_count == CRASHES_KEPT)
+    crash_remove (q, s, 0);
+  crash = &s->crashes[s->crash_count++];
+  *crash = (struct crash){ endpoint, state, now_ms };
+  q->pending += state == CRASH_PENDING;
+  return crash;
+}
+
+/* Whether a request in quarantine ran at the endpoint when it ended. */
+static bool
+is_explained (const struct beryl_quarantine *q, uint32_t endpoint)
+{
+  struct suspect *s = NULL;
+
+  TAILQ_FOREACH (s, &q->suspects, entry)
+  {
+    const struct crash *crash
+        = s->until_ms != 0 ? crash_find (s, endpoint) : NULL;
+
+    if (crash != NULL && crash->state != CRASH_PENDING)
+      return true;
+  }
+  return false;
+}
+
+static bool
+counts (const struct beryl_quarantine *q, const struct crash *crash)
+{
+  return crash->state != CRASH_PENDING && !is_explained (q, crash->endpoint);
+}
+
+static uint32_t
+count_unexplained (const struct beryl_quarantine *q, const struct suspect *s)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    count += counts (q, &s->crashes[i]);
+  return count;
+}
+
+static bool
+ran_at_all_of (const struct beryl_quarantine *q, struct suspect *other,
+               const struct suspect *s)
+{
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    {
+      const struct crash *crash = &s->crashes[i];
+
+      if (counts (q, crash) && crash_find (other, crash->endpoint) == NULL)
+        return false;
+    }
+  return true;
+}
+
+/* Whether another request explains as much as S does. */
+static bool
+is_ambiguous (const struct beryl_quarantine *q, const struct suspect *s)
+{
+  struct suspect *other = NULL;
+
+  TAILQ_FOREACH (other, &q->suspects, entry)
+  if (other != s && other->until_ms == 0 && ran_at_all_of (q, other, s))
+    return true;
+  return false;
+}
+
+static bool
+has_own_crash (const struct suspect *s)
+{
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].state == CRASH_OWN)
+      return true;
+  return false;
+}
+
+/* Whoever saw one of the crashes answers for the record. */
+static void
+quarantine_begin (struct beryl_quarantine *q, struct suspect *s,
+                  int64_t left_ms, enum beryl_quarantine_cause cause,
+                  int64_t now_ms)
+{
+  if (cause == BERYL_QUARANTINE_TOLD && has_own_crash (s))
+    cause = BERYL_QUARANTINE_CRASHES;
+  s->until_ms = now_ms + left_ms;
+  s->quarantined_ms = now_ms;
+  q->quarantined++;
+  q->changed = true;
+  q->owner->impl->changed (q->owner, s->fingerprint, left_ms, cause, now_ms);
+}
+
+static void
+quarantine_end (struct beryl_quarantine *q, struct suspect *s,
+                enum beryl_quarantine_cause cause, int64_t now_ms)
+{
+  s->until_ms = 0;
+  s->on_record = false;
+  q->quarantined--;
+  q->owner->impl->changed (q->owner, s->fingerprint, 0, cause, now_ms);
+}
+
+static void
+check_crashes (struct beryl_quarantine *q, struct suspect *s,
+               enum beryl_quarantine_cause cause, int64_t now_ms)
+{
+  uint32_t count;
+
+  if (s->until_ms != 0)
+    return;
+  count = count_unexplained (q, s);
+  if (count > CRASHES_MOST || (count == CRASHES_MOST && !is_ambiguous (q, s)))
+    quarantine_begin (q, s, QUARANTINE_MS, cause, now_ms);
+}
+
+void
+beryl_quarantine_broke (struct beryl_quarantine *q, uint64_t fingerprint,
+                        uint32_t endpoint, int64_t now_ms)
+{
+  struct suspect *s;
+
+  if (fingerprint == 0)
+    return;
+  s = suspect_get (q, fingerprint);
+  if (crash_find (s, endpoint) == NULL)
+    crash_add (q, s, endpoint, CRASH_PENDING, now_ms);
+}
+
+/* Confirms what S had at the endpoint; returns whether there was something. */
+static bool
+confirm (struct beryl_quarantine *q, struct suspect *s, uint32_t endpoint,
+         int64_t now_ms)
+{
+  struct crash *crash = crash_find (s, endpoint);
+
+  if (crash == NULL || crash->state != CRASH_PENDING
+      || now_ms - crash->since_ms > CONFIRM_MS)
+    return false;
+  crash->state = CRASH_OWN;
+  crash->since_ms = now_ms;
+  q->pending--;
+  q->changed = true;
+  return true;
+}
+
+/* All are confirmed before any is judged: what one explains does not count
+ * against the others. */
+void
+beryl_quarantine_ended (struct beryl_quarantine *q, uint32_t endpoint,
+                        int64_t now_ms)
+{
+  struct suspect *s = NULL;
+  bool any = false;
+
+  if (q->pending == 0)
+    return;
+  TAILQ_FOREACH (s, &q->suspects, entry)
+  any = confirm (q, s, endpoint, now_ms) || any;
+  if (!any)
+    return;
+  TAILQ_FOREACH (s, &q->suspects, entry)
+  if (crash_find (s, endpoint) != NULL)
+    check_crashes (q, s, BERYL_QUARANTINE_CRASHES, now_ms);
+}
+
+static void
+suspect_clear (struct beryl_quarantine *q, struct suspect *s,
+               enum beryl_quarantine_cause cause, int64_t now_ms)
+{
+  while (s->crash_count > 0)
+    crash_remove (q, s, 0);
+  s->cleared_ms = now_ms;
+  if (s->until_ms != 0)
+    quarantine_end (q, s, cause, now_ms);
+}
+
+void
+beryl_quarantine_answered (struct beryl_quarantine *q, uint64_t fingerprint,
+                           int64_t now_ms)
+{
+  struct suspect *s = suspect_find (q, fingerprint);
+
+  if (s == NULL || (s->crash_count == 0 && s->until_ms == 0))
+    return;
+  suspect_clear (q, s, BERYL_QUARANTINE_ANSWERED, now_ms);
+  s->cleared_here = true;
+  q->changed = true;
+}
+
+int64_t
+beryl_quarantine_left_ms (const struct beryl_quarantine *q,
+                          uint64_t fingerprint, int64_t now_ms)
+{
+  const struct suspect *s;
+
+  if (q->quarantined == 0)
+    return 0;
+  s = suspect_find (q, fingerprint);
+  return s != NULL && s->until_ms > now_ms ? s->until_ms - now_ms : 0;
+}
+
+bool
+beryl_quarantine_suspects (const struct beryl_quarantine *q,
+                           uint64_t fingerprint)
+{
+  const struct suspect *s = suspect_find (q, fingerprint);
+
+  return s != NULL && s->crash_count > 0;
+}
+
+static bool
+is_new (int64_t since_ms, int64_t now_ms)
+{
+  return since_ms != 0 && now_ms - since_ms < TELL_MS;
+}
+
+static void
+write_suspect (const struct suspect *s, struct beryl_quarantine_news *news,
+               int64_t now_ms)
+{
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    {
+      const struct crash *crash = &s->crashes[i];
+
+      if (crash->state == CRASH_OWN && is_new (crash->since_ms, now_ms)
+          && news->crash_count < BERYL_CRASHES_MAX)
+        news->crashes[news->crash_count++]
+            = (struct beryl_crash){ s->fingerprint, crash->endpoint };
+    }
+  if (s->cleared_here && is_new (s->cleared_ms, now_ms)
+      && news->cleared_count < BERYL_CLEARED_MAX)
+    news->cleared[news->cleared_count++] = s->fingerprint;
+}
+
+static void
+write_quarantined (const struct suspect *s, struct beryl_quarantine_news *news,
+                   int64_t now_ms)
+{
+  if (s->until_ms > now_ms && news->quarantined_count < BERYL_QUARANTINED_MAX)
+    news->quarantined[news->quarantined_count++] = (struct beryl_quarantined){
+      s->fingerprint, (uint32_t)((s->until_ms - now_ms + 999) / 1000)
+    };
+}
+
+/* What was told goes behind the others, so that each has its turn. */
+static void
+write_older (struct beryl_quarantine *q, struct beryl_quarantine_news *news,
+             int64_t now_ms)
+{
+  uint32_t left = q->count;
+  struct suspect *s, *next;
+
+  for (s = TAILQ_FIRST (&q->suspects);
+       left-- > 0 && news->quarantined_count < BERYL_QUARANTINED_MAX; s = next)
+    {
+      next = TAILQ_NEXT (s, entry);
+      if (s->until_ms == 0 || is_new (s->quarantined_ms, now_ms))
+        continue;
+      write_quarantined (s, news, now_ms);
+      TAILQ_REMOVE (&q->suspects, s, entry);
+      TAILQ_INSERT_TAIL (&q->suspects, s, entry);
+    }
+}
+
+bool
+beryl_quarantine_write (struct beryl_quarantine *q,
+                        struct beryl_quarantine_news *news, bool all,
+                        int64_t now_ms)
+{
+  struct suspect *s = NULL;
+
+  *news = (struct beryl_quarantine_news){ 0 };
+  if (q->count == 0)
+    return false;
+  TAILQ_FOREACH_REVERSE (s, &q->suspects, suspect_list, entry)
+  {
+    write_suspect (s, news, now_ms);
+    if (is_new (s->quarantined_ms, now_ms))
+      write_quarantined (s, news, now_ms);
+  }
+  if (all)
+    write_older (q, news, now_ms);
+  return news->crash_count + news->cleared_count + news->quarantined_count > 0;
+}
+
+static bool
+was_cleared (const struct suspect *s, int64_t now_ms)
+{
+  return s != NULL && s->cleared_ms != 0
+         && now_ms - s->cleared_ms < CLEARED_MS;
+}
+
+static void
+take_crash (struct beryl_quarantine *q, const struct beryl_crash *told,
+            int64_t now_ms)
+{
+  struct suspect *s = suspect_find (q, told->fingerprint);
+  struct crash *crash;
+
+  if (told->fingerprint == 0 || was_cleared (s, now_ms))
+    return;
+  s = suspect_get (q, told->fingerprint);
+  crash = crash_find (s, told->endpoint);
+  if (crash == NULL)
+    crash_add (q, s, told->endpoint, CRASH_FROM_PEER, now_ms);
+  else if (crash->state == CRASH_PENDING)
+    {
+      crash->state = CRASH_FROM_PEER;
+      q->pending--;
+    }
+  else
+    return;
+  check_crashes (q, s, BERYL_QUARANTINE_TOLD, now_ms);
+}
+
+static void
+take_quarantined (struct beryl_quarantine *q, uint64_t fingerprint,
+                  int64_t left_ms, enum beryl_quarantine_cause cause,
+                  int64_t now_ms)
+{
+  struct suspect *s = suspect_find (q, fingerprint);
+
+  if (fingerprint == 0 || left_ms <= 0 || was_cleared (s, now_ms)
+      || (s != NULL && s->until_ms != 0))
+    return;
+  if (left_ms > QUARANTINE_MS)
+    left_ms = QUARANTINE_MS;
+  quarantine_begin (q, suspect_get (q, fingerprint), left_ms, cause, now_ms);
+}
+
+void
+beryl_quarantine_take (struct beryl_quarantine *q,
+                       const struct beryl_quarantine_news *news,
+                       int64_t now_ms)
+{
+  for (size_t i = 0; i < news->cleared_count; i++)
+    {
+      struct suspect *s = suspect_find (q, news->cleared[i]);
+
+      if (s != NULL && !was_cleared (s, now_ms))
+        suspect_clear (q, s, BERYL_QUARANTINE_ANSWERED, now_ms);
+    }
+  for (size_t i = 0; i < news->quarantined_count; i++)
+    take_quarantined (q, news->quarantined[i].fingerprint,
+                      (int64_t)news->quarantined[i].left_s * 1000,
+                      BERYL_QUARANTINE_TOLD, now_ms);
+  for (size_t i = 0; i < news->crash_count; i++)
+    take_crash (q, &news->crashes[i], now_ms);
+}
+
+bool
+beryl_quarantine_take_changed (struct beryl_quarantine *q)
+{
+  bool changed = q->changed;
+
+  q->changed = false;
+  return changed;
+}
+
+bool
+beryl_quarantine_stored (struct beryl_quarantine *q, uint64_t fingerprint,
+                         int64_t left_ms, int64_t now_ms)
+{
+  struct suspect *s;
+
+  take_quarantined (q, fingerprint, left_ms, BERYL_QUARANTINE_STORED, now_ms);
+  s = suspect_find (q, fingerprint);
+  if (s == NULL || s->until_ms == 0)
+    return false;
+  s->on_record = true;
+  s->listed = true;
+  return true;
+}
+
+void
+beryl_quarantine_listed (struct beryl_quarantine *q, int64_t now_ms)
+{
+  struct suspect *s = NULL;
+
+  TAILQ_FOREACH (s, &q->suspects, entry)
+  {
+    if (s->on_record && !s->listed)
+      {
+        suspect_clear (q, s, BERYL_QUARANTINE_LIFTED, now_ms);
+        s->cleared_here = true;
+        q->changed = true;
+      }
+    s->listed = false;
+  }
+}
+
+static void
+expire_crashes (struct beryl_quarantine *q, struct suspect *s, int64_t now_ms)
+{
+  for (uint32_t i = s->crash_count; i > 0; i--)
+    {
+      const struct crash *crash = &s->crashes[i - 1];
+      int64_t kept_ms
+          = crash->state == CRASH_PENDING ? CONFIRM_MS : CRASH_KEPT_MS;
+
+      if (now_ms - crash->since_ms > kept_ms)
+        crash_remove (q, s, i - 1);
+    }
+}
+
+/* After its time it is tried again, and one more crash brings it back: it
+ * keeps endings, less one, at numbers that no endpoint has. */
+static void
+begin_probation (struct beryl_quarantine *q, struct suspect *s, int64_t now_ms)
+{
+  quarantine_end (q, s, BERYL_QUARANTINE_EXPIRED, now_ms);
+  while (s->crash_count > 0)
+    crash_remove (q, s, 0);
+  for (uint32_t i = 1; i < CRASHES_MOST; i++)
+    crash_add (q, s, (uint32_t)s->fingerprint + i, CRASH_FROM_PEER, now_ms);
+}
+
+void
+beryl_quarantine_expire (struct beryl_quarantine *q, int64_t now_ms)
+{
+  struct suspect *s, *next;
+
+  if (now_ms - q->expired_ms < EXPIRE_MS)
+    return;
+  q->expired_ms = now_ms;
+  for (s = TAILQ_FIRST (&q->suspects); s != NULL; s = next)
+    {
+      next = TAILQ_NEXT (s, entry);
+      if (s->until_ms != 0 && now_ms >= s->until_ms)
+        begin_probation (q, s, now_ms);
+      else if (s->until_ms == 0)
+        expire_crashes (q, s, now_ms);
+      if (s->until_ms == 0 && s->crash_count == 0 && !was_cleared (s, now_ms))
+        suspect_free (q, s);
+    }
+}
+
+uint32_t
+beryl_quarantine_count (const struct beryl_quarantine *q)
+{
+  return q->quarantined;
+}
+
+uint32_t
+beryl_quarantine_suspect_count (const struct beryl_quarantine *q)
+{
+  return q->count - q->quarantined;
+}
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -149,6 +149,14 @@
                           decision->outcome);
 }
 
+static uint64_t
+owner_fingerprint (struct beryl_forward_owner *owner, uint64_t request)
+{
+  const struct fx *fx = fx_of (owner);
+
+  return fx->fingerprint != NULL ? fx->fingerprint (request) : 0;
+}
+
 static const struct beryl_forward_owner_impl owner_impl = {
   .start = owner_start,
   .abort = owner_abort,
@@ -158,6 +166,7 @@
   .answer_end = owner_end,
   .answer_cut = owner_cut,
   .refuse = owner_refuse,
+  .fingerprint = owner_fingerprint,
   .decided = owner_decided,
 };
 
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -55,6 +55,8 @@
   GPtrArray *exchanges; /**< struct fx_exchange, in order */
   struct fx_answer answers[FX_REQUESTS_MAX];
   GString *log; /**< of "step:outcome " */
+  /** What a request asks; NULL: not known. */
+  uint64_t (*fingerprint) (uint64_t request);
   /** Told when an exchange starts; may be NULL. */
   void (*started) (struct fx *fx, struct fx_exchange *x);
 };
--- a/tests/forward/test_history.c
+++ b/tests/forward/test_history.c
@@ -483,8 +483,15 @@
   ck_assert_uint_le (executions + h->repeats, REQUESTS + 30);
 }
 
+/* Some requests ask the same. */
+static uint64_t
+fingerprint (uint64_t request)
+{
+  return 1 + request % (REQUESTS / 2);
+}
+
 static void
-play_history (uint64_t seed, bool once)
+play_history (uint64_t seed, bool once, bool fingerprints)
 {
   struct history *h = g_new0 (struct history, 1);
   struct fx_terms terms = fx_model_terms ();
@@ -503,6 +510,8 @@
     }
   fx_open (&h->fx, &terms);
   h->fx.started = exchange_started;
+  if (fingerprints)
+    h->fx.fingerprint = fingerprint;
   h->dues = g_array_new (FALSE, FALSE, sizeof (struct due));
   h->next_event = g_hash_table_new (NULL, NULL);
   h->places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -540,10 +549,17 @@
   g_free (h);
 }
 
-START_TEST (test_resumable) { play_history ((uint64_t)_i, false); }
+START_TEST (test_resumable) { play_history ((uint64_t)_i, false, false); }
 END_TEST
 
-START_TEST (test_once) { play_history ((uint64_t)_i + 100000, true); }
+START_TEST (test_once) { play_history ((uint64_t)_i + 100000, true, false); }
+END_TEST
+
+/* Engines that end under runs bring requests into quarantine. */
+START_TEST (test_suspects)
+{
+  play_history ((uint64_t)_i + 200000, _i % 3 == 0, true);
+}
 END_TEST
 
 int
@@ -557,6 +573,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, test_resumable, first, first + count);
   tcase_add_loop_test (tcase, test_once, first, first + count);
+  tcase_add_loop_test (tcase, test_suspects, first, first + count / 2);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- /dev/null
+++ b/tests/quarantine/test_quarantine.c
@@ -0,0 +1,314 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "beryl/quarantine.h"
+
+#define NODES 3
+#define CULPRIT 100
+#define NEIGHBOUR 200
+
+struct node
+{
+  struct beryl_quarantine_owner owner;
+  struct beryl_quarantine *quarantine;
+  enum beryl_quarantine_cause cause; /* of the last change */
+  uint32_t changes;
+};
+
+static struct node nodes[NODES];
+static int64_t now_ms;
+
+static void
+changed (struct beryl_quarantine_owner *owner, uint64_t fingerprint,
+         int64_t left_ms, enum beryl_quarantine_cause cause, int64_t at_ms)
+{
+  struct node *node = (struct node *)owner;
+
+  ck_assert_int_eq (at_ms, now_ms);
+  node->cause = cause;
+  node->changes++;
+}
+
+static const struct beryl_quarantine_owner_impl impl = { .changed = changed };
+
+static void
+setup (void)
+{
+  now_ms = 100000;
+  for (int i = 0; i < NODES; i++)
+    {
+      nodes[i] = (struct node){ .owner = { &impl } };
+      nodes[i].quarantine = beryl_quarantine_create (&nodes[i].owner);
+    }
+}
+
+static void
+teardown (void)
+{
+  for (int i = 0; i < NODES; i++)
+    beryl_quarantine_destroy (nodes[i].quarantine);
+}
+
+/* A run of FINGERPRINT at node N breaks off with its endpoint. */
+static void
+crash (int n, uint64_t fingerprint, uint32_t endpoint)
+{
+  beryl_quarantine_broke (nodes[n].quarantine, fingerprint, endpoint, now_ms);
+  beryl_quarantine_ended (nodes[n].quarantine, endpoint, now_ms);
+}
+
+static void
+tell (int from, int to)
+{
+  struct beryl_quarantine_news news;
+
+  beryl_quarantine_write (nodes[from].quarantine, &news, true, now_ms);
+  beryl_quarantine_take (nodes[to].quarantine, &news, now_ms);
+}
+
+static bool
+holds (int n, uint64_t fingerprint)
+{
+  return beryl_quarantine_left_ms (nodes[n].quarantine, fingerprint, now_ms)
+         > 0;
+}
+
+/* A request under which three endpoints have ended goes to a fourth. */
+START_TEST (test_third_crash)
+{
+  crash (0, CULPRIT, 1);
+  crash (0, CULPRIT, 2);
+  ck_assert (!holds (0, CULPRIT));
+  ck_assert (beryl_quarantine_suspects (nodes[0].quarantine, CULPRIT));
+  crash (0, CULPRIT, 3);
+  ck_assert (holds (0, CULPRIT));
+  ck_assert_int_eq (nodes[0].cause, BERYL_QUARANTINE_CRASHES);
+  ck_assert (!holds (0, NEIGHBOUR));
+}
+END_TEST
+
+/* The same endpoint's end, reported more than once, counts as three. */
+START_TEST (test_one_crash_counts_once)
+{
+  for (int i = 0; i < 5; i++)
+    {
+      crash (0, CULPRIT, 1);
+      tell (0, 1);
+    }
+  ck_assert (!holds (0, CULPRIT));
+  ck_assert (!holds (1, CULPRIT));
+}
+END_TEST
+
+/* Connections that break although their endpoints live are taken for
+ * crashes. */
+START_TEST (test_broken_connections)
+{
+  for (uint32_t i = 1; i <= 10; i++)
+    beryl_quarantine_broke (nodes[0].quarantine, CULPRIT, i, now_ms);
+  ck_assert (!holds (0, CULPRIT));
+  now_ms += 60000;
+  for (uint32_t i = 1; i <= 10; i++)
+    beryl_quarantine_ended (nodes[0].quarantine, i, now_ms);
+  ck_assert (!holds (0, CULPRIT));
+  beryl_quarantine_expire (nodes[0].quarantine, now_ms);
+  ck_assert (beryl_quarantine_empty (nodes[0].quarantine));
+}
+END_TEST
+
+/* Each node sees one crash, and none knows enough. */
+START_TEST (test_crashes_at_different_nodes)
+{
+  for (int n = 0; n < NODES; n++)
+    crash (n, CULPRIT, (uint32_t)n + 1);
+  for (int n = 1; n < NODES; n++)
+    tell (n, 0);
+  ck_assert (holds (0, CULPRIT));
+  /* Who saw one of them answers for the record. */
+  ck_assert_int_eq (nodes[0].cause, BERYL_QUARANTINE_CRASHES);
+  tell (0, 1);
+  ck_assert (holds (1, CULPRIT));
+  ck_assert_int_eq (nodes[1].cause, BERYL_QUARANTINE_CRASHES);
+}
+END_TEST
+
+/* A node that was away when it happened is never told. */
+START_TEST (test_node_comes_late)
+{
+  for (uint32_t i = 1; i <= 3; i++)
+    crash (0, CULPRIT, i);
+  now_ms += 600000;
+  tell (0, 1);
+  ck_assert (holds (1, CULPRIT));
+  ck_assert_int_eq (nodes[1].cause, BERYL_QUARANTINE_TOLD);
+}
+END_TEST
+
+/* A request beside the culprit at two of its crashes is blamed for a third
+ * that the culprit explains. */
+START_TEST (test_explained_crashes)
+{
+  for (uint32_t i = 1; i <= 2; i++)
+    {
+      beryl_quarantine_broke (nodes[0].quarantine, NEIGHBOUR, i, now_ms);
+      crash (0, CULPRIT, i);
+    }
+  crash (0, CULPRIT, 3);
+  ck_assert (holds (0, CULPRIT));
+  crash (0, NEIGHBOUR, 7);
+  crash (0, NEIGHBOUR, 8);
+  ck_assert (!holds (0, NEIGHBOUR));
+}
+END_TEST
+
+/* Two requests ran at the same three endpoints, and the wrong one is blamed
+ * with the right one. */
+START_TEST (test_same_three_endpoints)
+{
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      beryl_quarantine_broke (nodes[0].quarantine, NEIGHBOUR, i, now_ms);
+      crash (0, CULPRIT, i);
+    }
+  ck_assert (!holds (0, NEIGHBOUR));
+  ck_assert (!holds (0, CULPRIT));
+  crash (0, CULPRIT, 4);
+  ck_assert (holds (0, CULPRIT));
+  ck_assert (!holds (0, NEIGHBOUR));
+}
+END_TEST
+
+/* A request that was served in between is blamed for crashes before and
+ * after. */
+START_TEST (test_answered_in_between)
+{
+  crash (0, NEIGHBOUR, 1);
+  crash (0, NEIGHBOUR, 2);
+  tell (0, 1);
+  beryl_quarantine_answered (nodes[0].quarantine, NEIGHBOUR, now_ms);
+  tell (0, 1);
+  crash (0, NEIGHBOUR, 3);
+  crash (1, NEIGHBOUR, 3);
+  ck_assert (!holds (0, NEIGHBOUR));
+  ck_assert (!holds (1, NEIGHBOUR));
+}
+END_TEST
+
+/* A request that was blamed wrongly is answered by an endpoint, and goes on
+ * being refused. */
+START_TEST (test_answer_ends_quarantine)
+{
+  for (uint32_t i = 1; i <= 3; i++)
+    crash (0, NEIGHBOUR, i);
+  tell (0, 1);
+  ck_assert (holds (1, NEIGHBOUR));
+  now_ms += 2000;
+  beryl_quarantine_answered (nodes[1].quarantine, NEIGHBOUR, now_ms);
+  tell (1, 0);
+  ck_assert (!holds (0, NEIGHBOUR));
+  /* What others still tell does not bring it back. */
+  tell (0, 1);
+  ck_assert (!holds (1, NEIGHBOUR));
+  ck_assert (
+      !beryl_quarantine_stored (nodes[1].quarantine, NEIGHBOUR, 1000, now_ms));
+}
+END_TEST
+
+/* All nodes were killed, and what is on record is not used. */
+START_TEST (test_on_record)
+{
+  ck_assert (
+      beryl_quarantine_stored (nodes[0].quarantine, CULPRIT, 50000, now_ms));
+  beryl_quarantine_listed (nodes[0].quarantine, now_ms);
+  ck_assert (holds (0, CULPRIT));
+  ck_assert_int_eq (nodes[0].cause, BERYL_QUARANTINE_STORED);
+}
+END_TEST
+
+/* An operator deletes the record, and nodes go on refusing. */
+START_TEST (test_lifted)
+{
+  for (uint32_t i = 1; i <= 3; i++)
+    crash (0, CULPRIT, i);
+  /* Not yet on record: its absence tells nothing. */
+  beryl_quarantine_listed (nodes[0].quarantine, now_ms);
+  ck_assert (holds (0, CULPRIT));
+  beryl_quarantine_stored (nodes[0].quarantine, CULPRIT, 50000, now_ms);
+  beryl_quarantine_listed (nodes[0].quarantine, now_ms);
+  ck_assert (holds (0, CULPRIT));
+  tell (0, 1);
+  beryl_quarantine_listed (nodes[0].quarantine, now_ms);
+  ck_assert (!holds (0, CULPRIT));
+  ck_assert_int_eq (nodes[0].cause, BERYL_QUARANTINE_LIFTED);
+  tell (0, 1);
+  ck_assert (!holds (1, CULPRIT));
+}
+END_TEST
+
+/* A request that was tried again after its time crashes three more. */
+START_TEST (test_tried_again)
+{
+  for (uint32_t i = 1; i <= 3; i++)
+    crash (0, CULPRIT, i);
+  now_ms += INT64_C (25) * 3600 * 1000;
+  beryl_quarantine_expire (nodes[0].quarantine, now_ms);
+  ck_assert (!holds (0, CULPRIT));
+  ck_assert_int_eq (nodes[0].cause, BERYL_QUARANTINE_EXPIRED);
+  crash (0, CULPRIT, 9);
+  ck_assert (holds (0, CULPRIT));
+}
+END_TEST
+
+/* Many crashes make a node forget what is quarantined, or use memory without
+ * bound. */
+START_TEST (test_many_suspects)
+{
+  for (uint32_t i = 1; i <= 3; i++)
+    crash (0, CULPRIT, i);
+  for (uint64_t i = 0; i < 5000; i++)
+    crash (0, 1000 + i, 10 + (uint32_t)i % 7);
+  ck_assert (holds (0, CULPRIT));
+  ck_assert_uint_le (beryl_quarantine_suspect_count (nodes[0].quarantine),
+                     512);
+}
+END_TEST
+
+/* With more in quarantine than a message holds, some are never told. */
+START_TEST (test_many_quarantined)
+{
+  for (uint64_t i = 0; i < 100; i++)
+    for (uint32_t k = 0; k < 3; k++)
+      crash (0, 1000 + i, (uint32_t)(10 * i) + k);
+  ck_assert_uint_eq (beryl_quarantine_count (nodes[0].quarantine), 100);
+  now_ms += 10000;
+  for (int i = 0; i < 7; i++)
+    tell (0, 1);
+  ck_assert_uint_eq (beryl_quarantine_count (nodes[1].quarantine), 100);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("quarantine");
+  TCase *tcase = tcase_create ("quarantine");
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_third_crash);
+  tcase_add_test (tcase, test_one_crash_counts_once);
+  tcase_add_test (tcase, test_broken_connections);
+  tcase_add_test (tcase, test_crashes_at_different_nodes);
+  tcase_add_test (tcase, test_node_comes_late);
+  tcase_add_test (tcase, test_explained_crashes);
+  tcase_add_test (tcase, test_same_three_endpoints);
+  tcase_add_test (tcase, test_answered_in_between);
+  tcase_add_test (tcase, test_answer_ends_quarantine);
+  tcase_add_test (tcase, test_on_record);
+  tcase_add_test (tcase, test_lifted);
+  tcase_add_test (tcase, test_tried_again);
+  tcase_add_test (tcase, test_many_suspects);
+  tcase_add_test (tcase, test_many_quarantined);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -28,6 +28,10 @@
  * with keys would double them. */
 #define NUMBERS_PER_RUN 6
 
+/* Bits of the fifth. */
+#define RUN_STARTED 1
+#define RUN_SUSPECT 2
+
 static void
 put_set (struct frame_writer *writer, enum field field,
          const struct beryl_endpoint_set *set)
@@ -101,7 +105,9 @@
       frame_put_uint (writer, 0, run->prompt_tokens);
       frame_put_uint (writer, 0, run->expected_tokens);
       frame_put_uint (writer, 0, run->made_tokens);
-      frame_put_uint (writer, 0, run->started);
+      frame_put_uint (writer, 0,
+                      (run->started ? RUN_STARTED : 0)
+                          | (run->suspect ? RUN_SUSPECT : 0));
       frame_put_uint (writer, 0,
                       run->engine != 0 ? run->prefill_engine : run->service);
     }
@@ -213,7 +219,8 @@
       run->prompt_tokens = read_number (frame, runs, i + 1);
       run->expected_tokens = read_number (frame, runs, i + 2);
       run->made_tokens = read_number (frame, runs, i + 3);
-      run->started = read_number (frame, runs, i + 4) != 0;
+      run->started = (read_number (frame, runs, i + 4) & RUN_STARTED) != 0;
+      run->suspect = (read_number (frame, runs, i + 4) & RUN_SUSPECT) != 0;
       if (run->engine != 0)
         run->prefill_engine = read_number (frame, runs, i + 5);
       else
