A popular request is not blamed for a failing rack; the soak learns crashes

What was answered within a minute is above suspicion, and a node that has answered it tells those that suspect it. test_popular_request fails without.

--- a/include/beryl/quarantine.h
+++ b/include/beryl/quarantine.h
@@ -6,7 +6,8 @@
  * off and its endpoint turns out to have ended, all requests that ran there
  * are suspects.  One under which several endpoints have ended is quarantined;
  * endpoints whose end that explains no longer count against others.  A whole
- * answer clears a suspect.  What nodes see of crashes is a set that only
+ * answer clears a suspect, and stands for a while: many callers may send the
+ * same request.  What nodes see of crashes is a set that only
  * grows, so that it may come late, twice, or in any order.
  *
  * No I/O.  Not thread-safe.
--- a/libberyl/forward/crashes.c
+++ b/libberyl/forward/crashes.c
@@ -82,9 +82,10 @@
 void
 crashes_answered (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  if (!beryl_quarantine_empty (f->quarantine))
-    beryl_quarantine_answered (f->quarantine,
-                               forward_request_fingerprint (f, r), now_ms);
+  uint64_t fingerprint = forward_request_fingerprint (f, r);
+
+  if (fingerprint != 0)
+    beryl_quarantine_answered (f->quarantine, fingerprint, now_ms);
 }
 
 static int64_t
--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -19,6 +19,11 @@
 /* Endings that are older do not count. */
 #define CRASH_KEPT_MS INT64_C (3600000)
 #define QUARANTINE_MS INT64_C (86400000)
+/* Answered requests that are remembered, and for how long they stand above
+ * suspicion: many callers may send the same one, and it runs at all endpoints
+ * of a rack that fails. */
+#define ANSWERED_SLOTS 1024
+#define ANSWERED_MS 60000
 /* How often it is looked for what is over. */
 #define EXPIRE_MS 1000
 /* What is new is told for so long; datagrams may be lost. */
@@ -56,6 +61,12 @@
 
 TAILQ_HEAD (suspect_list, suspect);
 
+struct answered
+{
+  uint64_t fingerprint;
+  int64_t at_ms;
+};
+
 struct beryl_quarantine
 {
   struct beryl_quarantine_owner *owner;
@@ -65,6 +76,7 @@
   uint32_t quarantined; /* of these */
   uint32_t pending;     /* endings that are not confirmed */
   bool changed;
+  struct answered answered[ANSWERED_SLOTS]; /* by fingerprint */
   int64_t expired_ms; /* when it was last looked for what is over */
 };
 
@@ -296,13 +308,28 @@
     quarantine_begin (q, s, QUARANTINE_MS, cause, now_ms);
 }
 
+static struct answered *
+answered_slot (struct beryl_quarantine *q, uint64_t fingerprint)
+{
+  return &q->answered[fingerprint % ANSWERED_SLOTS];
+}
+
+static bool
+was_answered (struct beryl_quarantine *q, uint64_t fingerprint, int64_t now_ms)
+{
+  const struct answered *answered = answered_slot (q, fingerprint);
+
+  return answered->fingerprint == fingerprint
+         && now_ms - answered->at_ms < ANSWERED_MS;
+}
+
 void
 beryl_quarantine_broke (struct beryl_quarantine *q, uint64_t fingerprint,
                         uint32_t endpoint, int64_t now_ms)
 {
   struct suspect *s;
 
-  if (fingerprint == 0)
+  if (fingerprint == 0 || was_answered (q, fingerprint, now_ms))
     return;
   s = suspect_get (q, fingerprint);
   if (crash_find (s, endpoint) == NULL)
@@ -363,6 +390,7 @@
 {
   struct suspect *s = suspect_find (q, fingerprint);
 
+  *answered_slot (q, fingerprint) = (struct answered){ fingerprint, now_ms };
   if (s == NULL || (s->crash_count == 0 && s->until_ms == 0))
     return;
   suspect_clear (q, s, BERYL_QUARANTINE_ANSWERED, now_ms);
@@ -473,6 +501,22 @@
          && now_ms - s->cleared_ms < CLEARED_MS;
 }
 
+/* A peer suspects what was answered here: it hears so. */
+static bool
+vouch (struct beryl_quarantine *q, uint64_t fingerprint, int64_t now_ms)
+{
+  struct suspect *s;
+
+  if (!was_answered (q, fingerprint, now_ms))
+    return false;
+  s = suspect_get (q, fingerprint);
+  if (!is_new (s->cleared_ms, now_ms))
+    q->changed = true;
+  s->cleared_ms = now_ms;
+  s->cleared_here = true;
+  return true;
+}
+
 static void
 take_crash (struct beryl_quarantine *q, const struct beryl_crash *told,
             int64_t now_ms)
@@ -480,7 +524,8 @@
   struct suspect *s = suspect_find (q, told->fingerprint);
   struct crash *crash;
 
-  if (told->fingerprint == 0 || was_cleared (s, now_ms))
+  if (told->fingerprint == 0 || was_cleared (s, now_ms)
+      || vouch (q, told->fingerprint, now_ms))
     return;
   s = suspect_get (q, told->fingerprint);
   crash = crash_find (s, told->endpoint);
@@ -504,7 +549,7 @@
   struct suspect *s = suspect_find (q, fingerprint);
 
   if (fingerprint == 0 || left_ms <= 0 || was_cleared (s, now_ms)
-      || (s != NULL && s->until_ms != 0))
+      || (s != NULL && s->until_ms != 0) || vouch (q, fingerprint, now_ms))
     return;
   if (left_ms > QUARANTINE_MS)
     left_ms = QUARANTINE_MS;
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -17,6 +17,7 @@
 CHUNK_BYTES = 65536
 # A stream without an event for so long is given up.
 GAP_S = 2.5
+LATE_RETRY_S = 60
 
 
 class Attempt:
@@ -34,6 +35,10 @@
         self.sealed = False
         self.silenced = False  # its connection was, by a fault
 
+    def crashes(self):
+        """Whether it crashes the runners that run it."""
+        return self.kind.endswith("crash")
+
     def once(self):
         """Whether it may run once only."""
         return self.kind in ("unsafe", "stream-once")
@@ -227,6 +232,8 @@
     def head(self, attempt, stream, prompt, left_s):
         generation = attempt.kind.startswith("stream")
         path = "/once/x" if attempt.once() else "/x"
+        if attempt.crashes():
+            path = "/crash/x"
         fields = [("Host", "model.example" if generation else "a.example"),
                   ("X-Request-Id", attempt.id),
                   ("X-Deadline-Ms", str(int(left_s * 1000)))]
@@ -238,7 +245,7 @@
                        ("X-Length-Hint", str(tokens))]
         if stream.last() > 0:
             fields.append(("Last-Event-Id", str(stream.last())))
-        body = b"" if attempt.kind == "safe" else b"x" * prompt
+        body = b"" if attempt.kind in ("safe", "crash") else b"x" * prompt
         if body:
             fields.append(("Content-Length", str(len(body))))
         return h11.Request(method="GET" if not body else "POST", target=path,
@@ -303,6 +310,11 @@
             if attempt.status == 503 and "retry-after" not in fields:
                 self.world.broke("RETRY", f"{attempt.id}: 503 without "
                                           "Retry-After")
+            # Only one in quarantine is told to come back so late.
+            if float(fields.get("retry-after", 0)) > LATE_RETRY_S \
+                    and not attempt.crashes():
+                self.world.broke("BLAMED", f"{attempt.id} ({attempt.kind}) is "
+                                           "refused as one that crashes")
             return
         attempt.outcome = "whole"
         if fields.get("x-response-seal") != f"seal.{attempt.id}" \
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,6 +2,8 @@
 import collections
 import os
 
+from .faults import CONTACT_S
+
 # Processes and proxies of a busy machine are late by some hundred
 # milliseconds; a bound counts as broken beyond it.
 SLACK_S = 0.5
@@ -14,6 +16,9 @@
 RECOVERED_PART = 0.9
 RECOVER_S = 6.0
 MEMORY_MB = 64
+# A request that has crashed so many runners reaches so many more at most.
+CRASHES_MOST = 3
+LATE_CRASHES = 3
 DESCRIPTORS = 120
 
 
@@ -34,6 +39,7 @@
     def __init__(self, path):
         self.begins = collections.defaultdict(list)
         self.leaves = {}
+        self.crashes = []  # (time, request)
         if os.path.exists(path):
             with open(path) as file:
                 for line in file:
@@ -49,6 +55,8 @@
                     begin.ended = at
                     begin.whole = words[4] == "whole"
                     break
+        elif words[1] == "crash":
+            self.crashes.append((at, words[2]))
         elif words[1] == "leaves":
             self.leaves.setdefault(words[2], at)
 
@@ -87,6 +95,27 @@
                             "after that left")
 
 
+def crashing_requests(world, record):
+    """One that has crashed three runners reaches hardly any more."""
+    late = collections.Counter()
+    for attempt in world.attempts.values():
+        if not attempt.crashes():
+            continue
+        begins = record.begins.get(attempt.id, [])
+        crashes = [at for at, name in record.crashes
+                   if world.attempts[name].kind == attempt.kind]
+        if len(crashes) < CRASHES_MOST:
+            continue
+        bound = crashes[CRASHES_MOST - 1] + CONTACT_S + SLACK_S
+        late[attempt.kind] += sum(
+            begin.at > bound and world.in_touch(attempt.node, begin.at)
+            for begin in begins)
+    for kind, count in late.items():
+        if count > LATE_CRASHES:
+            world.broke("BUDGET", f"{kind} reached runners {count} times after "
+                                  f"{CRASHES_MOST} had ended")
+
+
 def callers_gone(world, record):
     for attempt in world.attempts.values():
         if attempt.outcome != "left":
@@ -164,7 +193,8 @@
 def recovery(world):
     since = world.rest_began + RECOVER_S
     last = [a for a in world.attempts.values()
-            if a.began > since and a.outcome not in ("left", None)]
+            if a.began > since and a.outcome not in ("left", None)
+            and not a.crashes()]
     whole = sum(a.outcome == "whole" for a in last)
     if len(last) < 5 or whole < RECOVERED_PART * len(last):
         ways = collections.Counter(a.outcome for a in last)
@@ -202,6 +232,7 @@
     record = Record(world.platform.record)
     at_most_once(world, record)
     leaving_runners(world, record)
+    crashing_requests(world, record)
     callers_gone(world, record)
     planned_work(world, record)
     configurations(world)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -227,6 +227,17 @@
     world.give_back(runner)
 
 
+async def crashing_requests(world, rng, for_s):
+    """One that crashes the runners which run it comes again and again."""
+    with world.disturbed("runner", "a request crashes runners"):
+        world.platform.tell("crash", "/crash/", rng.randint(300, 1200))
+        kind = rng.choice(["crash", "stream-crash"])
+        until = time.monotonic() + CONTACT_S + 2 * for_s
+        while time.monotonic() < until:
+            await world.send_crashing(kind, rng)
+            await asyncio.sleep(rng.uniform(0.02, 0.3))
+
+
 async def foreign_entries(world, rng, for_s):
     world.platform.tell("foreign")
     await asyncio.sleep(0.1)
@@ -251,6 +262,8 @@
     "runners": RUNNERS,
     "restarts": [runner_restarts, foreign_entries, node_kill, store_down,
                  runner_leaves],
+    "crashes": [crashing_requests, crashing_requests, node_kill, node_stop,
+                node_kill_many, runner_dies, store_down, configuration],
     "mixed": PLANNED + PROCESSES + LINKS + STORE + RUNNERS,
 }
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -7,7 +7,7 @@
 import time
 
 from . import faults
-from .caller import Caller
+from .caller import Attempt, Caller, Stream
 from .processes import PORTS, Node, Platform
 from .proxy import Proxy
 
@@ -133,6 +133,16 @@
         self.platform.tell("work", name, self.rng.randint(5, 120))
         self.runners.append(Runner(name, service, stage, proxy))
 
+    async def send_crashing(self, kind, rng):
+        """One more of the requests that crash runners, at any node."""
+        caller = Caller(self, len(self.attempts), rng)
+        node = rng.choice(self.nodes)
+        attempt = Attempt(f"crash-{len(self.attempts)}", kind, node.index)
+        self.attempts[attempt.id] = attempt
+        await caller.send(attempt, node, Stream(attempt.id, 0, 20), 1000, 4.0,
+                          None)
+        attempt.ended = time.monotonic()
+
     def pick_runner(self, rng, service=None):
         """A runner that no other fault has, or None."""
         free = [r for r in self.runners if not r.picked
--- a/tests/quarantine/test_quarantine.c
+++ b/tests/quarantine/test_quarantine.c
@@ -215,6 +215,29 @@
 }
 END_TEST
 
+/* A rack fails: a request that many callers send ran at all of its endpoints,
+ * and is refused everywhere. */
+START_TEST (test_popular_request)
+{
+  beryl_quarantine_answered (nodes[0].quarantine, NEIGHBOUR, now_ms);
+  now_ms += 1000;
+  for (uint32_t i = 1; i <= 5; i++)
+    {
+      crash (0, NEIGHBOUR, i);
+      crash (1, NEIGHBOUR, i);
+    }
+  ck_assert (!holds (0, NEIGHBOUR));
+  /* The other has not answered it yet, and hears that it is well. */
+  ck_assert (holds (1, NEIGHBOUR));
+  tell (1, 0);
+  ck_assert (!holds (0, NEIGHBOUR));
+  tell (0, 1);
+  ck_assert (!holds (1, NEIGHBOUR));
+  tell (1, 0);
+  ck_assert (!holds (0, NEIGHBOUR));
+}
+END_TEST
+
 /* All nodes were killed, and what is on record is not used. */
 START_TEST (test_on_record)
 {
@@ -304,6 +327,7 @@
   tcase_add_test (tcase, test_same_three_endpoints);
   tcase_add_test (tcase, test_answered_in_between);
   tcase_add_test (tcase, test_answer_ends_quarantine);
+  tcase_add_test (tcase, test_popular_request);
   tcase_add_test (tcase, test_on_record);
   tcase_add_test (tcase, test_lifted);
   tcase_add_test (tcase, test_tried_again);
