--- a/berylctl/explain_log.c
+++ b/berylctl/explain_log.c
@@ -80,6 +80,8 @@
   { "refuse", "deadline", "its deadline has passed" },
   { "refuse", "endpoint_failed",
     "its endpoint failed and it may not be sent again" },
+  { "refuse", "quarantined",
+    "refused: endpoints that ran what it asks have crashed" },
   { "refuse", "stopping",
     "refused as not run: the node is stopping, another one serves" },
   { "caller_gone", NULL, "its caller has left after {n} events" },
--- a/include/beryl/quarantine.h
+++ b/include/beryl/quarantine.h
@@ -65,8 +65,8 @@
                              int64_t now_ms);
 
 /** The endpoint has ended: runs that broke off there a moment ago did so by
- * its crash. */
-void beryl_quarantine_ended (struct beryl_quarantine *quarantine,
+ * its crash.  Returns whether there were any that this was not known of. */
+bool beryl_quarantine_ended (struct beryl_quarantine *quarantine,
                              uint32_t endpoint, int64_t now_ms);
 
 /** FINGERPRINT was answered whole by an endpoint that ran it. */
--- a/libberyl/forward/crashes.c
+++ b/libberyl/forward/crashes.c
@@ -76,7 +76,9 @@
 crashes_ended (struct beryl_forward *f, const struct beryl_live *live,
                int64_t now_ms)
 {
-  beryl_quarantine_ended (f->quarantine, beryl_live_number (live), now_ms);
+  if (beryl_quarantine_ended (f->quarantine, beryl_live_number (live), now_ms)
+      && f->owner->impl->learned != NULL)
+    f->owner->impl->learned (f->owner, live, "crashed", "own call");
 }
 
 void
--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -355,7 +355,7 @@
 
 /* All are confirmed before any is judged: what one explains does not count
  * against the others. */
-void
+bool
 beryl_quarantine_ended (struct beryl_quarantine *q, uint32_t endpoint,
                         int64_t now_ms)
 {
@@ -363,14 +363,15 @@
   bool any = false;
 
   if (q->pending == 0)
-    return;
+    return false;
   TAILQ_FOREACH (s, &q->suspects, entry)
   any = confirm (q, s, endpoint, now_ms) || any;
   if (!any)
-    return;
+    return false;
   TAILQ_FOREACH (s, &q->suspects, entry)
   if (crash_find (s, endpoint) != NULL)
     check_crashes (q, s, BERYL_QUARANTINE_CRASHES, now_ms);
+  return true;
 }
 
 static void
