--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -236,6 +236,7 @@
 /** What the head of an exchange's answer says. */
 struct beryl_answer_head
 {
+  struct beryl_rate_limit limit;
   unsigned int status;
   bool not_run;     /**< the endpoint says that it did not run the request */
   bool events;      /**< the body is a series of events */
@@ -259,6 +260,7 @@
 /** How an exchange other than RUN ended. */
 struct beryl_engine_result
 {
+  struct beryl_rate_limit limit;
   bool ok;
   bool not_run;     /**< PREFILL: the engine says that it did not read */
   bool misdirected; /**< another endpoint has the address now */
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -47,10 +47,18 @@
 /** Former lives of an endpoint that are remembered. */
 #define BERYL_LIVE_FORMER_MAX 4
 
+/** The most that an endpoint takes from all nodes together. */
+struct beryl_rate_limit
+{
+  bool named;           /**< otherwise it takes whatever it has room for */
+  uint32_t milli_per_s; /**< thousandths of a request a second */
+};
+
 /** One endpoint. */
 struct beryl_live
 {
   struct beryl_live_info info;
+  struct beryl_rate_limit limit; /**< that its last answer here named */
   bool gone; /**< left the list; kept while work is open there */
   /** Its entry has lapsed with an outage of the list; it counts as gone from
    * then on unless it is back.  0: not so. */
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -232,6 +232,11 @@
                      const struct beryl_live *live, int64_t now_ms);
 void crashes_tick (struct beryl_forward *f, int64_t now_ms);
 
+/* rates.c */
+/** LIVE has named its limit, or none, in the answer of X. */
+void rates_heard (struct beryl_forward *f, const struct exchange *x,
+                  const struct beryl_rate_limit *limit, int64_t now_ms);
+
 /* profile.c */
 void profile_clear (struct peer_profiles *profiles);
 /** PEER has gone. */
--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -392,6 +392,23 @@
 }
 END_TEST
 
+/* A limit that cannot be read is taken for none, or for zero. */
+START_TEST (test_limits)
+{
+  ck_assert (!read_answer (200, "X-Other", "1").limit.named);
+  ck_assert (read_answer (200, "Server-Limit", "5.2").limit.named);
+  ck_assert_uint_eq (
+      read_answer (200, "server-limit", "5.2").limit.milli_per_s, 5200);
+  ck_assert (read_answer (503, "Server-Limit", "0").limit.named);
+  ck_assert_uint_eq (
+      read_answer (200, "Server-Limit", "1e99").limit.milli_per_s, UINT32_MAX);
+  ck_assert (!read_answer (200, "Server-Limit", "").limit.named);
+  ck_assert (!read_answer (200, "Server-Limit", "few").limit.named);
+  ck_assert (!read_answer (200, "Server-Limit", "-1").limit.named);
+  ck_assert (!read_answer (200, "Server-Limit", "nan").limit.named);
+}
+END_TEST
+
 static struct beryl_engine_result
 engine_result (enum beryl_exchange_kind kind, unsigned int status,
                const char *body)
@@ -652,6 +669,7 @@
   tcase_add_test (tcase, test_request_is_passed_on);
   tcase_add_test (tcase, test_prefill_and_run);
   tcase_add_test (tcase, test_answers);
+  tcase_add_test (tcase, test_limits);
   tcase_add_test (tcase, test_engine_answers);
   tcase_add_test (tcase, test_unsafe_handles);
   tcase_add_test (tcase, test_engine_calls);
