Limits that endpoints name hold for the whole fleet

What callers and operators saw: endpoints in need named the most requests a second that they take from all nodes, and got twice as many.

Cause: nobody read the field; it went on to callers like any other. Each node for itself could not keep to it either, since the limit is that of all nodes.

Each node follows one token bucket an endpoint. Whoever sends takes a token and tells the others within some 30 ms; what two nodes send at the same moment both pay for later, and of the requests that might take the same token as many do, on the mean, as there are tokens. A node that hears only some of the others uses their part of the rate. Limits themselves are told too, with the age of the answer that named them, and end with a served answer of the same kind that names none. A plain request beyond all limits is refused at once, as not run, with a time to come back; generations look for other engines.

A fleet of 400 in virtual time keeps limits of 0.5 to 40 a second and uses 0.6 of them at least (tests/limits).

--- a/berylctl/explain_log.c
+++ b/berylctl/explain_log.c
@@ -82,6 +82,9 @@
     "its endpoint failed and it may not be sent again" },
   { "refuse", "quarantined",
     "refused: endpoints that ran what it asks have crashed" },
+  { "refuse", "limited",
+    "refused as not run: its endpoints name a limit and have reached it; back "
+    "after {n} ms" },
   { "refuse", "stopping",
     "refused as not run: the node is stopping, another one serves" },
   { "caller_gone", NULL, "its caller has left after {n} events" },
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -360,6 +360,7 @@
     .ready = directory_ready (owner),
     .planner = planner_holds (g->planner),
     .watcher = relay_watches (g->relay),
+    .limited = beryl_limits_count (beryl_forward_limits (g->forward)),
     .quarantined
     = beryl_quarantine_count (beryl_forward_quarantine (g->forward)),
     .suspects
@@ -669,7 +670,8 @@
                                g->counters);
       g->quarantine_records = quarantine_records_create (
           loop, g->store, &g->settings, beryl_forward_quarantine (g->forward));
-      g->notices = notices_create (loop, g->forward, g->members);
+      g->notices
+          = notices_create (loop, g->settings.node, g->forward, g->members);
       g->key = cluster_key_create (loop, g->store, key_known, g);
       g->planner = planner_create (loop, wire, &g->settings, g->store,
                                    g->forward, g->lives);
--- a/gatewayd/metrics.c
+++ b/gatewayd/metrics.c
@@ -120,6 +120,7 @@
   set (metrics, "beryl_gateway_ready", g->ready);
   set (metrics, "beryl_gateway_planner", g->planner);
   set (metrics, "beryl_gateway_endpoint_watcher", g->watcher);
+  set (metrics, "beryl_gateway_limited_endpoints", g->limited);
   set (metrics, "beryl_gateway_quarantined", g->quarantined);
   set (metrics, "beryl_gateway_suspects", g->suspects);
   counters_set (metrics->counters, "beryl_log_lines_total", "end=\"written\"",
--- a/gatewayd/metrics.h
+++ b/gatewayd/metrics.h
@@ -38,6 +38,7 @@
   bool ready;
   bool planner;         /**< this node holds the planner's lease */
   bool watcher;         /**< it passes changes of the list of endpoints on */
+  uint64_t limited;     /**< endpoints that name a limit */
   uint64_t quarantined; /**< requests that go to no endpoint */
   uint64_t suspects;    /**< requests under which an endpoint has ended */
 };
--- a/gatewayd/notices.c
+++ b/gatewayd/notices.c
@@ -12,18 +12,32 @@
   struct loop *loop;
   struct beryl_forward *forward;
   struct members *members;
+  uint32_t node; /* the number of this one's name */
   struct loop_timer *repeat;
   struct loop_timer *tell;
 };
 
+/* Writes what is new, with ALL also older things in turns; false if there is
+ * nothing. */
+static bool
+write_message (struct notices *n, struct notices_message *message, bool all)
+{
+  int64_t now_ms = loop_now_ms (n->loop);
+  bool crashes = beryl_quarantine_write (beryl_forward_quarantine (n->forward),
+                                         &message->quarantine, all, now_ms);
+  bool limits = beryl_limits_write (beryl_forward_limits (n->forward),
+                                    &message->limits, all, now_ms);
+
+  message->limits.node = n->node;
+  return crashes || limits;
+}
+
 static void
 tell_all (struct notices *n)
 {
   struct notices_message message = { 0 };
 
-  if (beryl_quarantine_write (beryl_forward_quarantine (n->forward),
-                              &message.quarantine, false,
-                              loop_now_ms (n->loop)))
+  if (write_message (n, &message, false))
     members_tell_notices (n->members, &message, UINT32_MAX);
 }
 
@@ -41,27 +55,25 @@
 repeat_due (void *user)
 {
   struct notices *n = user;
-  struct beryl_quarantine *quarantine = beryl_forward_quarantine (n->forward);
   struct notices_message message = { 0 };
 
-  if (beryl_quarantine_empty (quarantine))
-    return;
-  beryl_quarantine_expire (quarantine, loop_now_ms (n->loop));
+  beryl_quarantine_expire (beryl_forward_quarantine (n->forward),
+                           loop_now_ms (n->loop));
   tell_all (n);
-  if (beryl_quarantine_write (quarantine, &message.quarantine, true,
-                              loop_now_ms (n->loop)))
+  if (write_message (n, &message, true))
     members_tell_notices (n->members, &message, OLDER_PEERS);
 }
 
 struct notices *
-notices_create (struct loop *loop, struct beryl_forward *forward,
-                struct members *members)
+notices_create (struct loop *loop, const char *node,
+                struct beryl_forward *forward, struct members *members)
 {
   struct notices *n = g_new0 (struct notices, 1);
 
   n->loop = loop;
   n->forward = forward;
   n->members = members;
+  n->node = beryl_engine_number (node);
   n->repeat = loop_timer_start (loop, REPEAT_MS, REPEAT_MS, repeat_due, n);
   return n;
 }
@@ -79,16 +91,21 @@
 bool
 notices_look (struct notices *n)
 {
-  if (!beryl_quarantine_take_changed (beryl_forward_quarantine (n->forward)))
-    return false;
-  if (n->tell == NULL)
+  bool crashes
+      = beryl_quarantine_take_changed (beryl_forward_quarantine (n->forward));
+
+  if ((crashes || beryl_limits_changed (beryl_forward_limits (n->forward)))
+      && n->tell == NULL)
     n->tell = loop_timer_start (n->loop, TELL_DELAY_MS, 0, tell_due, n);
-  return true;
+  return crashes;
 }
 
 void
 notices_take (struct notices *n, const struct notices_message *message)
 {
+  int64_t now_ms = loop_now_ms (n->loop);
+
   beryl_quarantine_take (beryl_forward_quarantine (n->forward),
-                         &message->quarantine, loop_now_ms (n->loop));
+                         &message->quarantine, now_ms);
+  beryl_forward_peer_limits (n->forward, &message->limits, now_ms);
 }
--- a/gatewayd/notices.h
+++ b/gatewayd/notices.h
@@ -1,8 +1,9 @@
 /** @file
  * Tells the other nodes what this one has found out about requests that crash
- * endpoints.  What is new goes to all, some times; what is older goes to a few
- * drawn at random, so that nodes that were away hear of it and a node's share
- * does not grow with the fleet.
+ * endpoints, about limits that endpoints name, and what it sends there.  What
+ * is new goes to all, some times; what is older goes to a few drawn at random,
+ * so that nodes that were away hear of it and a node's share does not grow
+ * with the fleet.
  */
 #ifndef GATEWAYD_NOTICES_H
 #define GATEWAYD_NOTICES_H
@@ -13,15 +14,15 @@
 
 struct notices;
 
-/** Create; FORWARD and MEMBERS must outlive it. */
-struct notices *notices_create (struct loop *loop,
+/** Create for the node with this name; FORWARD and MEMBERS must outlive it. */
+struct notices *notices_create (struct loop *loop, const char *node,
                                 struct beryl_forward *forward,
                                 struct members *members);
 
 /** Release; NULL is allowed. */
 void notices_destroy (struct notices *notices);
 
-/** Return whether something is new since the last look; it is told soon. */
+/** Have what is new told soon; returns whether a crash or a quarantine is. */
 bool notices_look (struct notices *notices);
 
 /** Take what a peer tells. */
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -22,6 +22,7 @@
 
 #include "beryl/clock.h"
 #include "beryl/engine_load.h"
+#include "beryl/limits.h"
 #include "beryl/live.h"
 #include "beryl/quarantine.h"
 #include "beryl/routes.h"
@@ -100,6 +101,7 @@
   BERYL_REFUSAL_ENDPOINT_FAILED,
   BERYL_REFUSAL_STOPPING,
   BERYL_REFUSAL_QUARANTINED, /**< endpoints that run it crash */
+  BERYL_REFUSAL_LIMITED,     /**< endpoints take no more a second */
 };
 
 /** The final answer that this node gives itself. */
@@ -303,6 +305,14 @@
 struct beryl_quarantine *
 beryl_forward_quarantine (struct beryl_forward *forward);
 
+/** Return the limits that endpoints name. */
+struct beryl_limits *beryl_forward_limits (struct beryl_forward *forward);
+
+/** A peer tells of limits, and of what it sends there. */
+void beryl_forward_peer_limits (struct beryl_forward *forward,
+                                const struct beryl_limits_news *news,
+                                int64_t now_ms);
+
 /** The set of endpoints changed: look again who waits for one. */
 void beryl_forward_lives_changed (struct beryl_forward *forward,
                                   int64_t now_ms);
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -58,7 +58,6 @@
 struct beryl_live
 {
   struct beryl_live_info info;
-  struct beryl_rate_limit limit; /**< that its last answer here named */
   bool gone; /**< left the list; kept while work is open there */
   /** Its entry has lapsed with an outage of the list; it counts as gone from
    * then on unless it is back.  0: not so. */
--- a/include/wire/notices.h
+++ b/include/wire/notices.h
@@ -1,10 +1,12 @@
 /** @file
- * Datagram with what a node has found out about requests that crash endpoints.
+ * Datagram with what a node has found out about requests that crash endpoints,
+ * and about endpoints that take only so many requests a second.
  * Each item stands by itself: it may come late, twice, or never.
  */
 #ifndef WIRE_NOTICES_H
 #define WIRE_NOTICES_H
 
+#include "beryl/limits.h"
 #include "beryl/quarantine.h"
 #include "wire/frame.h"
 
@@ -15,6 +17,7 @@
 struct notices_message
 {
   struct beryl_quarantine_news quarantine;
+  struct beryl_limits_news limits;
 };
 
 /** Begin a frame in WRITER and put MESSAGE into it. */
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -63,7 +63,7 @@
   int64_t took_ms = now_ms - x->started_ms;
   bool error = is_server_error (x->head.status);
 
-  rates_heard (f, x, &x->head.limit, now_ms);
+  rates_heard (f, x, &x->head.limit, is_success (x->head.status), now_ms);
   if (x->head.not_run)
     {
       attempt_not_run (f, x, now_ms);
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -229,6 +229,7 @@
       struct beryl_live *live = beryl_lives_get (f->lives, i);
 
       if (!may_be_asked (r, live, now_ms)
+          || !rates_allow (f, r->service, live, now_ms)
           || (apart && crashes_shares (f, r, live, now_ms)))
         continue;
       if (engine_is_warm_for (r, live))
@@ -285,7 +286,7 @@
 
       if (serves (live, r, BERYL_STAGE_DECODE, now_ms)
           && live != r->reservation.live && now_ms >= live->full_until_ms
-          && !beryl_live_avoided (live, now_ms))
+          && !beryl_live_avoided (live, now_ms) && !rates_limited (f, live))
         sample_add (&sample, live, &f->random);
     }
   for (size_t i = 0; i < sample_count (&sample); i++)
@@ -345,7 +346,8 @@
     {
       struct beryl_live *live = beryl_lives_get (f->lives, i);
 
-      if (reads_prompts (live, r, now_ms))
+      if (reads_prompts (live, r, now_ms)
+          && rates_allow (f, r->service, live, now_ms))
         sample_add (&sample, live, &f->random);
     }
   for (size_t i = 0; i < sample_count (&sample); i++)
@@ -357,6 +359,16 @@
   return best;
 }
 
+bool
+engine_may_prefill (struct beryl_forward *f, const struct request *r,
+                    int64_t now_ms)
+{
+  for (size_t i = 0; i < beryl_lives_count (f->lives); i++)
+    if (reads_prompts (beryl_lives_get (f->lives, i), r, now_ms))
+      return true;
+  return false;
+}
+
 int64_t
 engine_prefill_wait_ms (struct beryl_forward *f, const struct request *r,
                         int64_t now_ms)
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -20,9 +20,9 @@
 beryl_refusal_name (enum beryl_refusal_reason reason)
 {
   static const char *const names[]
-      = { "no_configuration", "no_route",       "no_endpoint",
-          "no_room",          "endpoints_full", "deadline",
-          "endpoint_failed",  "stopping",       "quarantined" };
+      = { "no_configuration", "no_route", "no_endpoint",     "no_room",
+          "endpoints_full",   "deadline", "endpoint_failed", "stopping",
+          "quarantined",      "limited" };
 
   return names[reason];
 }
@@ -53,6 +53,7 @@
   TAILQ_INIT (&f->requests);
   TAILQ_INIT (&f->exchanges);
   crashes_init (f);
+  f->limits = beryl_limits_create ();
   return f;
 }
 
@@ -81,6 +82,7 @@
   map_clear (&f->exchanges_by_id);
   book_clear (&f->book);
   beryl_quarantine_destroy (f->quarantine);
+  beryl_limits_destroy (f->limits);
   beryl_routes_unref (f->routes);
   free (f);
 }
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -230,7 +230,7 @@
   if (result->misdirected)
     news_replaced (f, x->live, now_ms);
   if (x->kind == BERYL_EXCHANGE_PREFILL)
-    rates_heard (f, x, &result->limit, now_ms);
+    rates_heard (f, x, &result->limit, result->ok, now_ms);
   if (r == NULL)
     {
       if (x->kind == BERYL_EXCHANGE_RESERVE && result->ok)
--- a/libberyl/forward/place.c
+++ b/libberyl/forward/place.c
@@ -248,6 +248,7 @@
   struct reservation *place = &r->reservation;
 
   engine_learn_room (f, r, x->live, x->tokens, true, now_ms);
+  rates_sent (f, r->service, x->live, now_ms);
   place->live = x->live;
   place->tokens = x->tokens;
   place->until_ms = x->started_ms + lease_ms (r);
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -97,7 +97,8 @@
       double cost;
 
       if (strcmp (live->info.service, r->service->name) != 0
-          || !beryl_live_takes_work (live) || forward_request_tried (r, live))
+          || !beryl_live_takes_work (live) || forward_request_tried (r, live)
+          || !rates_allow (f, r->service, live, now_ms))
         continue;
       cost = cost_of (f, r, live, now_ms);
       /* Only a request that may be repeated tries a doubtful endpoint. */
@@ -123,6 +124,7 @@
   struct exchange *x;
 
   forward_request_note_tried (r, live);
+  rates_sent (f, r->service, live, now_ms);
   r->sends++;
   r->phase = PHASE_RUNNING;
   r->run_ms = now_ms;
@@ -150,11 +152,19 @@
 plain_start (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   struct beryl_live *live = plain_choose (f, r, now_ms);
+  int64_t after_ms;
 
-  if (live == NULL)
-    forward_request_fail (f, r, BERYL_REFUSAL_NO_ENDPOINT, now_ms);
+  if (live != NULL)
+    {
+      plain_send (f, r, live, now_ms);
+      return;
+    }
+  after_ms = rates_retry_after_ms (f, r->service, now_ms);
+  if (after_ms > 0)
+    forward_request_refuse (f, r, 503, BERYL_REFUSAL_LIMITED, after_ms,
+                            now_ms);
   else
-    plain_send (f, r, live, now_ms);
+    forward_request_fail (f, r, BERYL_REFUSAL_NO_ENDPOINT, now_ms);
 }
 
 void
--- a/libberyl/forward/prefill.c
+++ b/libberyl/forward/prefill.c
@@ -155,6 +155,7 @@
       forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
     }
+  rates_sent (f, r->service, live, now_ms);
   r->phase = PHASE_PREFILLING;
   r->due_ms = r->reservation.until_ms;
   start.tokens = r->facts.prompt_tokens;
@@ -171,6 +172,11 @@
   struct beryl_live *live = engine_choose_prefill (f, r, &wait_ms, now_ms);
 
   kv_clear (f, &r->kv);
+  if (live == NULL && engine_may_prefill (f, r, now_ms))
+    {
+      put_off (f, r, now_ms);
+      return;
+    }
   r->reads_alone = live == NULL || reads_alone (f, r, wait_ms, now_ms);
   if (r->reads_alone)
     {
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -176,6 +176,9 @@
   struct beryl_repeat_transfers loans; /**< given, not told yet */
   uint32_t last_serial;
   bool runs_changed; /**< this node's runs, since they were read */
+  struct beryl_limits *limits;
+  uint32_t heard;   /**< nodes that can be heard, this one included */
+  int64_t heard_ms; /**< when they were counted */
   struct beryl_quarantine_owner quarantine_owner;
   struct beryl_quarantine *quarantine;
   int64_t sweep_ms; /**< when open requests are looked through for newly
@@ -233,9 +236,23 @@
 void crashes_tick (struct beryl_forward *f, int64_t now_ms);
 
 /* rates.c */
-/** LIVE has named its limit, or none, in the answer of X. */
+/** The answer of X, which was SERVED or not, named LIMIT. */
 void rates_heard (struct beryl_forward *f, const struct exchange *x,
-                  const struct beryl_rate_limit *limit, int64_t now_ms);
+                  const struct beryl_rate_limit *limit, bool served,
+                  int64_t now_ms);
+/** Whether LIVE names a limit. */
+bool rates_limited (const struct beryl_forward *f,
+                    const struct beryl_live *live);
+/** Whether a request of S may go to LIVE now, by its limit. */
+bool rates_allow (struct beryl_forward *f, struct service *s,
+                  const struct beryl_live *live, int64_t now_ms);
+/** One goes there. */
+void rates_sent (struct beryl_forward *f, struct service *s,
+                 const struct beryl_live *live, int64_t now_ms);
+/** Return when a caller of S may come back for which no limit leaves room; 0:
+ * no endpoint of S names one. */
+int64_t rates_retry_after_ms (struct beryl_forward *f, struct service *s,
+                              int64_t now_ms);
 
 /* profile.c */
 void profile_clear (struct peer_profiles *profiles);
@@ -537,6 +554,9 @@
 struct beryl_live *engine_choose_prefill (struct beryl_forward *f,
                                           const struct request *r,
                                           int64_t *wait_ms, int64_t now_ms);
+/** Whether there is an engine that reads prompts, limits apart. */
+bool engine_may_prefill (struct beryl_forward *f, const struct request *r,
+                         int64_t now_ms);
 /** Return how long the prefill engine with the shortest queue is busy; 0:
  * there is none. */
 int64_t engine_prefill_wait_ms (struct beryl_forward *f,
--- a/libberyl/forward/repeat_budget.c
+++ b/libberyl/forward/repeat_budget.c
@@ -45,6 +45,14 @@
   b->requests[b->bucket % REPEAT_BUCKETS]++;
 }
 
+uint32_t
+repeat_budget_requests (struct repeat_budget *b,
+                        const struct repeat_terms *terms, int64_t now_ms)
+{
+  advance (b, terms, now_ms);
+  return sum (b->requests);
+}
+
 static uint32_t
 lent_out (const struct repeat_budget *b, int64_t now_ms)
 {
--- a/libberyl/forward/repeat_budget.h
+++ b/libberyl/forward/repeat_budget.h
@@ -59,6 +59,11 @@
 void repeat_budget_request (struct repeat_budget *b,
                             const struct repeat_terms *terms, int64_t now_ms);
 
+/** Return the requests of the window that ends now. */
+uint32_t repeat_budget_requests (struct repeat_budget *b,
+                                 const struct repeat_terms *terms,
+                                 int64_t now_ms);
+
 /** Return how many repeats may be sent now. */
 uint32_t repeat_budget_left (struct repeat_budget *b,
                              const struct repeat_terms *terms, int64_t now_ms);
--- /dev/null
+++ b/libberyl/limits/limits.c
@@ -0,0 +1,381 @@
+#include "beryl/limits.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Endpoints whose limits are known, and nodes that send to one of them. */
+#define LIMITS_MAX 128
+#define SENDERS_MAX 512
+/* An endpoint that names less still gets a request now and then: only its
+ * answer can tell that it takes more. */
+#define LEAST_MILLI_PER_S 100
+/* What a bucket holds at most: what refills it in so long, or one request. */
+#define BUCKET_MS 500
+/* Nobody has had an answer for so long: what is known is dropped. */
+#define SILENT_MS INT64_C (600000)
+/* A limit that has ended is told for so long; datagrams may be lost. */
+#define TELL_MS 3000
+
+/* What another node has told of its sends. */
+struct sender
+{
+  uint32_t node;
+  uint32_t sent;
+};
+
+struct limit
+{
+  uint32_t endpoint;
+  struct beryl_rate_limit rate;
+  uint32_t kind;    /* of the answers that name it */
+  int64_t since_ms; /* it names a limit, or names none any more */
+  int64_t heard_ms; /* of the newest answer that is known of */
+  double tokens;    /* below 0: more was sent than it takes */
+  int64_t filled_ms;
+  uint32_t sent; /* by this node */
+  bool changed;  /* since it was written last */
+  struct sender *senders;
+  uint32_t sender_count;
+  uint32_t sender_next; /* to be replaced once there are as many as may be */
+};
+
+struct beryl_limits
+{
+  struct limit items[LIMITS_MAX];
+  uint32_t count;
+  uint32_t turn; /* whose turn it is to be written again */
+};
+
+struct beryl_limits *
+beryl_limits_create (void)
+{
+  return calloc (1, sizeof (struct beryl_limits));
+}
+
+void
+beryl_limits_destroy (struct beryl_limits *limits)
+{
+  if (limits == NULL)
+    return;
+  for (uint32_t i = 0; i < limits->count; i++)
+    free (limits->items[i].senders);
+  free (limits);
+}
+
+static struct limit *
+limit_find (const struct beryl_limits *limits, uint32_t endpoint)
+{
+  for (uint32_t i = 0; i < limits->count; i++)
+    if (limits->items[i].endpoint == endpoint)
+      return (struct limit *)&limits->items[i];
+  return NULL;
+}
+
+static void
+limit_remove (struct beryl_limits *limits, struct limit *limit)
+{
+  free (limit->senders);
+  *limit = limits->items[--limits->count];
+}
+
+static void
+expire (struct beryl_limits *limits, int64_t now_ms)
+{
+  for (uint32_t i = limits->count; i > 0; i--)
+    {
+      struct limit *limit = &limits->items[i - 1];
+      int64_t kept_ms = limit->rate.named ? SILENT_MS : TELL_MS;
+
+      if (now_ms - limit->heard_ms > kept_ms)
+        limit_remove (limits, limit);
+    }
+}
+
+/* The one that was silent for longest goes if there are too many. */
+static struct limit *
+limit_add (struct beryl_limits *limits, uint32_t endpoint, int64_t now_ms)
+{
+  struct limit *limit;
+
+  expire (limits, now_ms);
+  if (limits->count == LIMITS_MAX)
+    {
+      limit = &limits->items[0];
+      for (uint32_t i = 1; i < limits->count; i++)
+        if (limits->items[i].heard_ms < limit->heard_ms)
+          limit = &limits->items[i];
+      limit_remove (limits, limit);
+    }
+  limit = &limits->items[limits->count++];
+  *limit = (struct limit){ .endpoint = endpoint,
+                           .since_ms = now_ms,
+                           .heard_ms = now_ms,
+                           .filled_ms = now_ms };
+  return limit;
+}
+
+static bool
+is_same (const struct beryl_rate_limit *a, const struct beryl_rate_limit *b)
+{
+  return a->named == b->named
+         && (!a->named || a->milli_per_s == b->milli_per_s);
+}
+
+/* The bucket of one that begins to name a limit is empty: what it got just
+ * before was more than it takes. */
+static bool
+limit_set (struct limit *limit, const struct beryl_rate_limit *rate,
+           int64_t heard_ms, int64_t now_ms)
+{
+  bool begins = rate->named && !limit->rate.named;
+
+  limit->heard_ms = heard_ms;
+  if (is_same (&limit->rate, rate))
+    return false;
+  if (begins || !rate->named)
+    limit->since_ms = now_ms;
+  if (begins)
+    {
+      limit->tokens = 0;
+      limit->filled_ms = now_ms;
+    }
+  limit->rate = *rate;
+  return true;
+}
+
+/* An answer without a limit to a request from before it was named tells
+ * nothing: answers overtake each other. */
+bool
+beryl_limits_heard (struct beryl_limits *limits, uint32_t endpoint,
+                    uint32_t kind, const struct beryl_rate_limit *rate,
+                    int64_t sent_ms, int64_t now_ms)
+{
+  struct limit *limit = limit_find (limits, endpoint);
+
+  if (limit == NULL && !rate->named)
+    return false;
+  if (limit == NULL)
+    limit = limit_add (limits, endpoint, now_ms);
+  else if (!rate->named && (kind != limit->kind || sent_ms <= limit->since_ms))
+    return false;
+  limit->kind = kind;
+  if (!limit_set (limit, rate, now_ms, now_ms))
+    return false;
+  limit->changed = true;
+  return true;
+}
+
+static double
+tokens_per_ms (const struct limit *limit,
+               const struct beryl_limit_terms *terms)
+{
+  uint32_t milli_per_s = limit->rate.milli_per_s;
+
+  if (milli_per_s < LEAST_MILLI_PER_S)
+    milli_per_s = LEAST_MILLI_PER_S;
+  return terms->part * milli_per_s / 1e6;
+}
+
+static void
+refill (struct limit *limit, const struct beryl_limit_terms *terms,
+        int64_t now_ms)
+{
+  double per_ms = tokens_per_ms (limit, terms);
+  double most = per_ms * BUCKET_MS > 1 ? per_ms * BUCKET_MS : 1;
+
+  limit->tokens += per_ms * (double)(now_ms - limit->filled_ms);
+  limit->filled_ms = now_ms;
+  if (limit->tokens > most)
+    limit->tokens = most;
+}
+
+/* Other nodes see the same token at the same moment.  Of all requests that
+ * might take it before their nodes hear of each other as many do, on the mean,
+ * as there are tokens. */
+bool
+beryl_limits_allow (struct beryl_limits *limits, uint32_t endpoint,
+                    const struct beryl_limit_terms *terms, double chance,
+                    int64_t now_ms)
+{
+  struct limit *limit = limit_find (limits, endpoint);
+
+  if (limit == NULL || !limit->rate.named)
+    return true;
+  refill (limit, terms, now_ms);
+  return limit->tokens >= 1 && chance * terms->at_once <= limit->tokens;
+}
+
+void
+beryl_limits_sent (struct beryl_limits *limits, uint32_t endpoint,
+                   const struct beryl_limit_terms *terms, int64_t now_ms)
+{
+  struct limit *limit = limit_find (limits, endpoint);
+
+  if (limit == NULL || !limit->rate.named)
+    return;
+  refill (limit, terms, now_ms);
+  limit->tokens--;
+  limit->sent++;
+  limit->changed = true;
+}
+
+int64_t
+beryl_limits_wait_ms (struct beryl_limits *limits, uint32_t endpoint,
+                      const struct beryl_limit_terms *terms, int64_t now_ms)
+{
+  struct limit *limit = limit_find (limits, endpoint);
+
+  if (limit == NULL || !limit->rate.named)
+    return 0;
+  refill (limit, terms, now_ms);
+  if (limit->tokens >= 1)
+    return 0;
+  return 1 + (int64_t)((1 - limit->tokens) / tokens_per_ms (limit, terms));
+}
+
+struct beryl_rate_limit
+beryl_limits_get (const struct beryl_limits *limits, uint32_t endpoint)
+{
+  const struct limit *limit = limit_find (limits, endpoint);
+
+  return limit != NULL ? limit->rate : (struct beryl_rate_limit){ 0 };
+}
+
+static bool
+is_news (const struct limit *limit, int64_t now_ms)
+{
+  return limit->changed || now_ms - limit->since_ms < TELL_MS;
+}
+
+static void
+write_one (struct limit *limit, struct beryl_limits_news *news, int64_t now_ms)
+{
+  int64_t age_ms = now_ms - limit->heard_ms;
+
+  news->items[news->count++] = (struct beryl_limit_news){
+    .endpoint = limit->endpoint,
+    .named = limit->rate.named,
+    .kind = limit->kind,
+    .milli_per_s = limit->rate.milli_per_s,
+    .age_ms = age_ms > 0 ? (uint32_t)age_ms : 0,
+    .sent = limit->sent,
+  };
+  limit->changed = false;
+}
+
+static bool
+is_written (const struct beryl_limits_news *news, uint32_t endpoint)
+{
+  for (size_t i = 0; i < news->count; i++)
+    if (news->items[i].endpoint == endpoint)
+      return true;
+  return false;
+}
+
+bool
+beryl_limits_write (struct beryl_limits *limits,
+                    struct beryl_limits_news *news, bool all, int64_t now_ms)
+{
+  news->count = 0;
+  for (uint32_t i = 0; i < limits->count && news->count < BERYL_LIMIT_NEWS_MAX;
+       i++)
+    if (is_news (&limits->items[i], now_ms))
+      write_one (&limits->items[i], news, now_ms);
+  for (uint32_t i = 0;
+       all && i < limits->count && news->count < BERYL_LIMIT_NEWS_MAX; i++)
+    {
+      struct limit *limit = &limits->items[limits->turn++ % limits->count];
+
+      if (!is_written (news, limit->endpoint))
+        write_one (limit, news, now_ms);
+    }
+  return news->count > 0;
+}
+
+static struct sender *
+sender_get (struct limit *limit, uint32_t node)
+{
+  struct sender *sender;
+
+  for (uint32_t i = 0; i < limit->sender_count; i++)
+    if (limit->senders[i].node == node)
+      return &limit->senders[i];
+  if (limit->sender_count == SENDERS_MAX)
+    sender = &limit->senders[limit->sender_next++ % SENDERS_MAX];
+  else
+    {
+      limit->senders = realloc (limit->senders, (limit->sender_count + 1)
+                                                    * sizeof *limit->senders);
+      sender = &limit->senders[limit->sender_count++];
+    }
+  *sender = (struct sender){ .node = node };
+  return sender;
+}
+
+/* How many sends of NODE are new by its count SENT.  What it sent before it
+ * was first heard is long paid for, all but the last one; a smaller count than
+ * before is that of another life. */
+static uint32_t
+new_sends (struct limit *limit, uint32_t node, uint32_t sent)
+{
+  struct sender *sender = sender_get (limit, node);
+  uint32_t before = sender->sent;
+
+  sender->sent = sent;
+  if (before == 0)
+    return sent > 0 ? 1 : 0;
+  return sent >= before ? sent - before : sent;
+}
+
+static void
+take_one (struct beryl_limits *limits, uint32_t node,
+          const struct beryl_limit_news *told,
+          const struct beryl_limit_terms *terms, int64_t now_ms)
+{
+  struct beryl_rate_limit rate = { told->named, told->milli_per_s };
+  int64_t heard_ms = now_ms - told->age_ms;
+  struct limit *limit = limit_find (limits, told->endpoint);
+
+  if (limit == NULL && (!told->named || told->age_ms > SILENT_MS))
+    return;
+  if (limit == NULL)
+    {
+      limit = limit_add (limits, told->endpoint, now_ms);
+      limit->heard_ms = heard_ms - 1;
+    }
+  if (heard_ms > limit->heard_ms)
+    {
+      limit->kind = told->kind;
+      limit_set (limit, &rate, heard_ms, now_ms);
+    }
+  refill (limit, terms, now_ms);
+  limit->tokens -= new_sends (limit, node, told->sent);
+}
+
+void
+beryl_limits_take (struct beryl_limits *limits,
+                   const struct beryl_limits_news *news,
+                   const struct beryl_limit_terms *terms, int64_t now_ms)
+{
+  for (size_t i = 0; i < news->count; i++)
+    take_one (limits, news->node, &news->items[i], terms, now_ms);
+}
+
+bool
+beryl_limits_changed (const struct beryl_limits *limits)
+{
+  for (uint32_t i = 0; i < limits->count; i++)
+    if (limits->items[i].changed)
+      return true;
+  return false;
+}
+
+uint32_t
+beryl_limits_count (const struct beryl_limits *limits)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < limits->count; i++)
+    count += limits->items[i].rate.named;
+  return count;
+}
--- /dev/null
+++ b/tests/limits/test_limits.c
@@ -0,0 +1,360 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "beryl/limits.h"
+
+#define ENDPOINT 7
+#define KIND 1
+#define NODES_MAX 400
+/* What a node has to tell goes out after so long, and takes its way. */
+#define TELL_MS 20
+#define WAY_MS 8
+#define WINDOW_MS 4000
+#define RUN_MS 24000
+#define SENDS_MAX 20000
+#define QUEUE_MAX 65536
+
+/* A fleet of nodes before one endpoint that names a limit. */
+struct fleet
+{
+  struct beryl_limits *nodes[NODES_MAX];
+  uint32_t count;
+  struct beryl_limit_terms terms;
+  double lost;  /* part of the datagrams */
+  uint32_t cut; /* nodes from this number on hear only each other */
+  int64_t tell_ms[NODES_MAX]; /* 0: nothing to tell */
+  struct
+  {
+    int64_t at_ms;
+    uint32_t from;
+    struct beryl_limits_news news;
+  } queue[QUEUE_MAX];
+  uint32_t queue_first, queue_end;
+  int64_t sends[SENDS_MAX];
+  uint32_t send_count;
+};
+
+static struct fleet fleet;
+static uint64_t random_state;
+static int64_t now_ms;
+
+static double
+chance (void)
+{
+  uint64_t z = random_state += UINT64_C (0x9e3779b97f4a7c15);
+
+  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
+  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
+  return (double)((z ^ (z >> 31)) >> 11) / (double)(UINT64_C (1) << 53);
+}
+
+static void
+setup (void)
+{
+  memset (&fleet, 0, sizeof fleet);
+  fleet.terms.part = 1;
+  fleet.cut = NODES_MAX;
+  now_ms = 100000;
+  random_state = 1;
+}
+
+static void
+teardown (void)
+{
+  for (uint32_t i = 0; i < fleet.count; i++)
+    beryl_limits_destroy (fleet.nodes[i]);
+}
+
+static void
+hear (uint32_t node, double per_s, int64_t sent_ms)
+{
+  struct beryl_rate_limit limit
+      = { .named = per_s >= 0,
+          .milli_per_s = per_s >= 0 ? (uint32_t)(per_s * 1000) : 0 };
+
+  beryl_limits_heard (fleet.nodes[node], ENDPOINT, KIND, &limit, sent_ms,
+                      now_ms);
+}
+
+static void
+open_fleet (uint32_t count, double per_s)
+{
+  fleet.count = count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      fleet.nodes[i] = beryl_limits_create ();
+      hear (i, per_s, now_ms);
+    }
+}
+
+static bool
+allowed (uint32_t node)
+{
+  return beryl_limits_allow (fleet.nodes[node], ENDPOINT, &fleet.terms,
+                             chance (), now_ms);
+}
+
+static void
+send_one (uint32_t node)
+{
+  beryl_limits_sent (fleet.nodes[node], ENDPOINT, &fleet.terms, now_ms);
+  ck_assert_uint_lt (fleet.send_count, SENDS_MAX);
+  fleet.sends[fleet.send_count++] = now_ms;
+}
+
+static void
+tell (uint32_t node)
+{
+  struct beryl_limits_news news = { .node = node + 1 };
+
+  if (!beryl_limits_write (fleet.nodes[node], &news, false, now_ms))
+    return;
+  fleet.queue[fleet.queue_end % QUEUE_MAX].at_ms = now_ms + WAY_MS;
+  fleet.queue[fleet.queue_end % QUEUE_MAX].from = node;
+  fleet.queue[fleet.queue_end++ % QUEUE_MAX].news = news;
+}
+
+static void
+deliver (void)
+{
+  while (fleet.queue_first != fleet.queue_end
+         && fleet.queue[fleet.queue_first % QUEUE_MAX].at_ms <= now_ms)
+    {
+      uint32_t at = fleet.queue_first++ % QUEUE_MAX;
+      uint32_t from = fleet.queue[at].from;
+
+      for (uint32_t i = 0; i < fleet.count; i++)
+        if (i != from && (i < fleet.cut) == (from < fleet.cut)
+            && chance () >= fleet.lost)
+          beryl_limits_take (fleet.nodes[i], &fleet.queue[at].news,
+                             &fleet.terms, now_ms);
+    }
+}
+
+/* Lets PER_S requests a second arrive at the fleet, each at some node, and has
+ * all go to the endpoint that may. */
+static void
+run (double per_s)
+{
+  int64_t end_ms = now_ms + RUN_MS;
+
+  fleet.terms.at_once = per_s * (TELL_MS + WAY_MS) / 1000;
+  for (; now_ms < end_ms; now_ms++)
+    {
+      deliver ();
+      for (double left = per_s / 1000; left > 0; left--)
+        {
+          uint32_t node = (uint32_t)(chance () * fleet.count);
+
+          if (chance () < left && allowed (node))
+            send_one (node);
+        }
+      for (uint32_t i = 0; i < fleet.count; i++)
+        if (fleet.tell_ms[i] != 0 && now_ms >= fleet.tell_ms[i])
+          {
+            fleet.tell_ms[i] = 0;
+            tell (i);
+          }
+        else if (fleet.tell_ms[i] == 0
+                 && beryl_limits_changed (fleet.nodes[i]))
+          fleet.tell_ms[i] = now_ms + TELL_MS;
+    }
+}
+
+static uint32_t
+most_in_window (void)
+{
+  uint32_t most = 0;
+
+  for (uint32_t first = 0, last = 0; last < fleet.send_count; last++)
+    {
+      while (fleet.sends[last] - fleet.sends[first] >= WINDOW_MS)
+        first++;
+      if (last - first + 1 > most)
+        most = last - first + 1;
+    }
+  return most;
+}
+
+static void
+assert_kept (double per_s)
+{
+  ck_assert_msg (most_in_window () <= 1.5 * per_s * WINDOW_MS / 1000 + 5,
+                 "%u in some window, %u in all", most_in_window (),
+                 fleet.send_count);
+}
+
+static void
+assert_used (double per_s, double part)
+{
+  ck_assert_msg (fleet.send_count >= part * per_s * RUN_MS / 1000,
+                 "only %u sends", fleet.send_count);
+}
+
+static const double rates[] = { 0.5, 3.8, 8.8, 40 };
+#define RATES 4
+
+/* Each node takes the whole limit for its own. */
+START_TEST (test_small_fleet)
+{
+  open_fleet (8, rates[_i]);
+  run (60);
+  assert_kept (rates[_i]);
+  if (rates[_i] < 10)
+    assert_used (rates[_i], 0.7);
+}
+END_TEST
+
+/* Of many nodes all see the same token at the same moment, or each has too
+ * small a part to send anything. */
+START_TEST (test_large_fleet)
+{
+  open_fleet (NODES_MAX, rates[_i]);
+  run (500);
+  assert_kept (rates[_i]);
+  assert_used (rates[_i], 0.6);
+}
+END_TEST
+
+/* Few requests: the endpoint takes all of them, and gets only a part. */
+START_TEST (test_light_load)
+{
+  open_fleet (8, 8.8);
+  run (4);
+  assert_used (4, 0.8);
+}
+END_TEST
+
+/* Datagrams are lost. */
+START_TEST (test_lost_datagrams)
+{
+  open_fleet (8, rates[_i]);
+  fleet.lost = 0.05;
+  run (60);
+  assert_kept (rates[_i]);
+}
+END_TEST
+
+/* The fleet falls apart, and both halves use the whole limit. */
+START_TEST (test_partition)
+{
+  open_fleet (8, rates[_i]);
+  fleet.cut = 4;
+  fleet.terms.part = 0.5;
+  run (60);
+  assert_kept (rates[_i]);
+}
+END_TEST
+
+/* A node that has had no answer of the endpoint does not know its limit. */
+START_TEST (test_told_by_peers)
+{
+  struct beryl_limits_news news = { .node = 1 };
+
+  open_fleet (1, 3);
+  fleet.nodes[fleet.count++] = beryl_limits_create ();
+  now_ms += 10;
+  ck_assert (beryl_limits_write (fleet.nodes[0], &news, true, now_ms));
+  beryl_limits_take (fleet.nodes[1], &news, &fleet.terms, now_ms);
+  ck_assert (beryl_limits_get (fleet.nodes[1], ENDPOINT).named);
+  ck_assert (!allowed (1));
+}
+END_TEST
+
+/* The endpoint names no limit any more: one that has heard so is overruled by
+ * what others heard before. */
+START_TEST (test_limit_ends)
+{
+  struct beryl_limits_news old = { .node = 1 }, new = { .node = 2 };
+
+  open_fleet (2, 3);
+  now_ms += 100;
+  hear (0, 3, now_ms - 50);
+  beryl_limits_write (fleet.nodes[0], &old, true, now_ms);
+  now_ms += 10;
+  hear (1, -1, now_ms - 5);
+  ck_assert (!beryl_limits_get (fleet.nodes[1], ENDPOINT).named);
+  old.items[0].age_ms += 10;
+  beryl_limits_take (fleet.nodes[1], &old, &fleet.terms, now_ms);
+  ck_assert (!beryl_limits_get (fleet.nodes[1], ENDPOINT).named);
+  beryl_limits_write (fleet.nodes[1], &new, true, now_ms);
+  beryl_limits_take (fleet.nodes[0], &new, &fleet.terms, now_ms);
+  ck_assert (!beryl_limits_get (fleet.nodes[0], ENDPOINT).named);
+  ck_assert (allowed (0));
+}
+END_TEST
+
+/* An answer from before the limit was named comes late and ends it. */
+START_TEST (test_late_answer)
+{
+  open_fleet (1, 3);
+  now_ms += 20;
+  hear (0, -1, now_ms - 100);
+  ck_assert (beryl_limits_get (fleet.nodes[0], ENDPOINT).named);
+}
+END_TEST
+
+/* Answers of another kind name no limits, and end it. */
+START_TEST (test_other_kind_of_answer)
+{
+  struct beryl_rate_limit none = { 0 };
+
+  open_fleet (1, 3);
+  now_ms += 100;
+  beryl_limits_heard (fleet.nodes[0], ENDPOINT, KIND + 1, &none, now_ms - 5,
+                      now_ms);
+  ck_assert (beryl_limits_get (fleet.nodes[0], ENDPOINT).named);
+}
+END_TEST
+
+/* A limit of zero is kept for ever, since no answer comes that could end it.
+ */
+START_TEST (test_zero)
+{
+  open_fleet (8, 0);
+  run (60);
+  ck_assert_uint_ge (fleet.send_count, 1);
+  ck_assert_uint_le (most_in_window (), 5);
+}
+END_TEST
+
+/* Endpoints come and go, and memory grows. */
+START_TEST (test_many_endpoints)
+{
+  struct beryl_rate_limit limit = { .named = true, .milli_per_s = 1000 };
+
+  open_fleet (1, 3);
+  for (uint32_t i = 100; i < 1100; i++)
+    {
+      now_ms++;
+      beryl_limits_heard (fleet.nodes[0], i, KIND, &limit, now_ms, now_ms);
+    }
+  ck_assert_uint_le (beryl_limits_count (fleet.nodes[0]), 128);
+  ck_assert (beryl_limits_get (fleet.nodes[0], 1099).named);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("limits");
+  TCase *tcase = tcase_create ("limits");
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, test_small_fleet, 0, RATES);
+  tcase_add_loop_test (tcase, test_large_fleet, 0, RATES);
+  tcase_add_test (tcase, test_light_load);
+  tcase_add_loop_test (tcase, test_lost_datagrams, 0, RATES);
+  tcase_add_loop_test (tcase, test_partition, 0, RATES);
+  tcase_add_test (tcase, test_told_by_peers);
+  tcase_add_test (tcase, test_limit_ends);
+  tcase_add_test (tcase, test_late_answer);
+  tcase_add_test (tcase, test_other_kind_of_answer);
+  tcase_add_test (tcase, test_zero);
+  tcase_add_test (tcase, test_many_endpoints);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- a/tests/wire/test_notices.c
+++ b/tests/wire/test_notices.c
@@ -19,6 +19,12 @@
   for (uint32_t i = 0; i < BERYL_QUARANTINED_MAX; i++)
     news->quarantined[news->quarantined_count++]
         = (struct beryl_quarantined){ UINT64_MAX - i, UINT32_MAX - i };
+  message.limits.node = UINT32_MAX;
+  for (uint32_t i = 0; i < BERYL_LIMIT_NEWS_MAX; i++)
+    message.limits.items[message.limits.count++]
+        = (struct beryl_limit_news){ UINT32_MAX - i, true,
+                                     UINT32_MAX - i, UINT32_MAX - i,
+                                     UINT32_MAX - i, UINT32_MAX - i };
   return message;
 }
 
--- a/wire/notices.c
+++ b/wire/notices.c
@@ -7,10 +7,13 @@
   FIELD_CRASHES = 1, /* numbers in a row, as the others */
   FIELD_CLEARED,
   FIELD_QUARANTINED,
+  FIELD_NODE,
+  FIELD_LIMITS,
 };
 
 #define NUMBERS_PER_CRASH 2
 #define NUMBERS_PER_QUARANTINED 2
+#define NUMBERS_PER_LIMIT 6
 
 static void
 put_quarantine (struct frame_writer *writer,
@@ -36,12 +39,32 @@
   frame_put_end (writer);
 }
 
+static void
+put_limits (struct frame_writer *writer, const struct beryl_limits_news *news)
+{
+  frame_put_uint (writer, FIELD_NODE, news->node);
+  frame_put_array (writer, FIELD_LIMITS);
+  for (size_t i = 0; i < news->count; i++)
+    {
+      const struct beryl_limit_news *item = &news->items[i];
+
+      frame_put_uint (writer, 0, item->endpoint);
+      frame_put_uint (writer, 0, item->named);
+      frame_put_uint (writer, 0, item->kind);
+      frame_put_uint (writer, 0, item->milli_per_s);
+      frame_put_uint (writer, 0, item->age_ms);
+      frame_put_uint (writer, 0, item->sent);
+    }
+  frame_put_end (writer);
+}
+
 void
 notices_put (struct frame_writer *writer,
              const struct notices_message *message)
 {
   frame_writer_reset (writer, NOTICES_DATAGRAM);
   put_quarantine (writer, &message->quarantine);
+  put_limits (writer, &message->limits);
 }
 
 static uint32_t
@@ -94,6 +117,27 @@
     };
 }
 
+static void
+read_limits (struct frame *frame, struct beryl_limits_news *news)
+{
+  struct frame_array array = read_array (
+      frame, FIELD_LIMITS, BERYL_LIMIT_NEWS_MAX, NUMBERS_PER_LIMIT);
+  uint64_t node = frame_uint (frame_root (frame), FIELD_NODE, 0);
+
+  if (node > UINT32_MAX)
+    frame_fail (frame);
+  news->node = (uint32_t)node;
+  for (uint32_t i = 0; i < array.count; i += NUMBERS_PER_LIMIT)
+    news->items[news->count++] = (struct beryl_limit_news){
+      .endpoint = read_number (frame, array, i),
+      .named = read_number (frame, array, i + 1) != 0,
+      .kind = read_number (frame, array, i + 2),
+      .milli_per_s = read_number (frame, array, i + 3),
+      .age_ms = read_number (frame, array, i + 4),
+      .sent = read_number (frame, array, i + 5),
+    };
+}
+
 bool
 notices_read (struct frame *frame, struct notices_message *message)
 {
@@ -101,5 +145,6 @@
   if (frame_type (frame) != NOTICES_DATAGRAM)
     return false;
   read_quarantine (frame, &message->quarantine);
+  read_limits (frame, &message->limits);
   return frame_valid (frame);
 }
