--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,7 @@
 # A request that has crashed so many runners reaches so many more at most.
 CRASHES_MOST = 3
 LATE_CRASHES = 3
+LIMIT_WINDOW_S = 4.0
 DESCRIPTORS = 120
 
 
@@ -40,6 +41,7 @@
         self.begins = collections.defaultdict(list)
         self.leaves = {}
         self.crashes = []  # (time, request)
+        self.limits = []   # (time, runner, a second; None: no longer)
         if os.path.exists(path):
             with open(path) as file:
                 for line in file:
@@ -55,6 +57,9 @@
                     begin.ended = at
                     begin.whole = words[4] == "whole"
                     break
+        elif words[1] == "limit":
+            self.limits.append((at, words[2], float(words[3])
+                                if words[3] != "-" else None))
         elif words[1] == "crash":
             self.crashes.append((at, words[2]))
         elif words[1] == "leaves":
@@ -116,6 +121,26 @@
                                   f"{CRASHES_MOST} had ended")
 
 
+def limited_runners(world, record):
+    """No more reaches a runner than the limit that it names allows."""
+    for at, runner, limit in record.limits:
+        if limit is None:
+            continue
+        until = min((t for t, r, _ in record.limits if r == runner and t > at),
+                    default=world.rest_ended)
+        times = sorted(
+            begin.at for name, begins in record.begins.items()
+            for begin in begins
+            if begin.runner == runner and name in world.attempts
+            and at + CONTACT_S + SLACK_S < begin.at < until
+            and world.in_touch(world.attempts[name].node, begin.at))
+        most = max((sum(t <= s < t + LIMIT_WINDOW_S for s in times)
+                    for t in times), default=0)
+        if most > 1.5 * limit * LIMIT_WINDOW_S + 5:
+            world.broke("LIMIT", f"{runner} named {limit} a second and got "
+                                 f"{most} in {LIMIT_WINDOW_S:.0f} s")
+
+
 def callers_gone(world, record):
     for attempt in world.attempts.values():
         if attempt.outcome != "left":
@@ -233,6 +258,7 @@
     at_most_once(world, record)
     leaving_runners(world, record)
     crashing_requests(world, record)
+    limited_runners(world, record)
     callers_gone(world, record)
     planned_work(world, record)
     configurations(world)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -238,6 +238,19 @@
             await asyncio.sleep(rng.uniform(0.02, 0.3))
 
 
+async def runner_limits(world, rng, for_s):
+    """Its answers name a limit, for long enough that nodes keep to it."""
+    runner = world.pick_runner(rng)
+    if runner is None:
+        return
+    with world.disturbed("runner", f"{runner.id} names a limit"):
+        world.platform.tell("limit", runner.id,
+                            round(rng.uniform(0.5, 2.0), 1))
+        await asyncio.sleep(CONTACT_S + 4.0 + for_s)
+        world.platform.tell("limit", runner.id, "-")
+    world.give_back(runner)
+
+
 async def foreign_entries(world, rng, for_s):
     world.platform.tell("foreign")
     await asyncio.sleep(0.1)
@@ -264,6 +277,8 @@
                  runner_leaves],
     "crashes": [crashing_requests, crashing_requests, node_kill, node_stop,
                 node_kill_many, runner_dies, store_down, configuration],
+    "limits": [runner_limits, runner_limits, runner_limits, node_kill,
+               node_stop, node_pause, runner_dies, configuration],
     "mixed": PLANNED + PROCESSES + LINKS + STORE + RUNNERS,
 }
 
