Suspects are looked for only while one may be watched

After a crash its evidence is kept for an hour, and for as long each choice of an engine looked through all open requests and peers' runs for suspects. Now only while a suspect of this node is open, or a peer has told of one a moment ago.

--- a/include/wire/frame.h
+++ b/include/wire/frame.h
@@ -145,6 +145,8 @@
 /** Read element I of ARRAY, as the functions above. */
 struct frame_map frame_array_map (struct frame_array array, uint32_t i);
 uint64_t frame_array_uint (struct frame_array array, uint32_t i);
+/** The same; a larger number makes the frame invalid. */
+uint32_t frame_array_uint32 (struct frame_array array, uint32_t i);
 void frame_array_string (struct frame_array array, uint32_t i, char *value,
                          size_t value_bytes);
 
--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -255,6 +255,9 @@
   index_runs (book, peer, run_index_remove);
   if (count > 0)
     memcpy (peer->runs, runs, count * sizeof *runs);
+  for (size_t i = 0; i < count; i++)
+    if (runs[i].suspect)
+      book->suspect_ms = now_ms;
   peer->count = count;
   peer->told_ms = now_ms;
   index_runs (book, peer, run_index_add);
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -92,6 +92,7 @@
   struct run_index at_engine; /**< runs with a place, by its engine */
   struct run_index prefilled; /**< those whose prompts are read, by engine */
   struct run_index waiting;   /**< those without a place, by service */
+  int64_t suspect_ms;  /**< when a run of a suspect was told last; 0: never */
   int64_t interval_ms; /**< in which a live peer tells something; 0: usual */
 };
 
--- a/libberyl/forward/crashes.c
+++ b/libberyl/forward/crashes.c
@@ -6,6 +6,8 @@
 
 /* A suspect that has run for so long is no danger to what runs beside it. */
 #define WATCH_MS 1000
+/* One without a deadline is looked for so long. */
+#define WATCHED_MOST_MS 60000
 
 static void
 quarantine_changed (struct beryl_quarantine_owner *owner, uint64_t fingerprint,
@@ -52,6 +54,26 @@
   return false;
 }
 
+void
+crashes_suspect (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  int64_t until_ms = r->timeout_ms;
+
+  if (until_ms == BERYL_NEVER_MS)
+    until_ms = now_ms + WATCHED_MOST_MS;
+  r->suspect = true;
+  if (until_ms > f->watch_ms)
+    f->watch_ms = until_ms;
+}
+
+bool
+crashes_watching (const struct beryl_forward *f, int64_t now_ms)
+{
+  return now_ms < f->watch_ms
+         || (f->book.suspect_ms != 0
+             && now_ms - f->book.suspect_ms < book_silent_ms (&f->book));
+}
+
 /* A run may also break off by itself.  Only an endpoint that has ended refuses
  * connections, and its entry stays listed for seconds. */
 void
@@ -63,7 +85,7 @@
 
   if (fingerprint == 0)
     return;
-  r->suspect = true;
+  crashes_suspect (f, r, now_ms);
   beryl_quarantine_broke (f->quarantine, fingerprint, beryl_live_number (live),
                           now_ms);
   if (live->replaced_ms != 0)
@@ -131,7 +153,7 @@
 {
   const struct request *other = NULL;
 
-  if (beryl_quarantine_empty (f->quarantine))
+  if (!crashes_watching (f, now_ms))
     return false;
   TAILQ_FOREACH (other, &f->requests, entry)
   {
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -259,7 +259,7 @@
 {
   struct beryl_live *best = NULL;
 
-  if (!beryl_quarantine_empty (f->quarantine))
+  if (crashes_watching (f, now_ms))
     best = choose_decode (f, r, true, outlook, now_ms);
   if (best == NULL)
     {
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -298,9 +298,10 @@
       return;
     }
   r = forward_request_new (f, facts, route);
-  r->suspect = !beryl_quarantine_empty (f->quarantine)
-               && beryl_quarantine_suspects (
-                   f->quarantine, forward_request_fingerprint (f, r));
+  if (!beryl_quarantine_empty (f->quarantine)
+      && beryl_quarantine_suspects (f->quarantine,
+                                    forward_request_fingerprint (f, r)))
+    crashes_suspect (f, r, now_ms);
   forward_request_count (f, r->service, now_ms);
   if (r->timeout_ms <= now_ms)
     forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -181,6 +181,7 @@
   int64_t heard_ms; /**< when they were counted */
   struct beryl_quarantine_owner quarantine_owner;
   struct beryl_quarantine *quarantine;
+  int64_t watch_ms; /**< until then a suspect of this node may be watched */
   int64_t sweep_ms; /**< when open requests are looked through for newly
                        quarantined ones; BERYL_NEVER_MS: there are none */
 };
@@ -228,6 +229,11 @@
 /** If so, R gets its answer and ends. */
 bool crashes_refuse (struct beryl_forward *f, struct request *r,
                      int64_t now_ms);
+/** An endpoint may crash by R, or has. */
+void crashes_suspect (struct beryl_forward *f, struct request *r,
+                      int64_t now_ms);
+/** Whether there may be suspects that are watched, here or at peers. */
+bool crashes_watching (const struct beryl_forward *f, int64_t now_ms);
 /** Whether R, a suspect, may crash its endpoint yet. */
 bool crashes_watches (const struct request *r, int64_t now_ms);
 /** Whether a suspect other than R runs at LIVE. */
--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -145,18 +145,17 @@
   return map_get (&q->by_fingerprint, map_key_number (fingerprint));
 }
 
-/* Those in quarantine are kept for as long as there are others. */
-static void
-make_room (struct beryl_quarantine *q)
+/* Returns who is forgotten first: those in quarantine are kept for as long as
+ * there are others. */
+static struct suspect *
+first_to_forget (const struct beryl_quarantine *q)
 {
   struct suspect *s = NULL;
 
-  if (q->count < SUSPECTS_MAX)
-    return;
   TAILQ_FOREACH (s, &q->suspects, entry)
   if (s->until_ms == 0)
-    break;
-  suspect_free (q, s != NULL ? s : TAILQ_FIRST (&q->suspects));
+    return s;
+  return TAILQ_FIRST (&q->suspects);
 }
 
 static struct suspect *
@@ -170,7 +169,8 @@
       TAILQ_INSERT_TAIL (&q->suspects, s, entry);
       return s;
     }
-  make_room (q);
+  if (q->count == SUSPECTS_MAX)
+    suspect_free (q, first_to_forget (q));
   s = calloc (1, sizeof *s);
   s->fingerprint = fingerprint;
   TAILQ_INSERT_TAIL (&q->suspects, s, entry);
--- a/tests/gateway/test_fingerprint.c
+++ b/tests/gateway/test_fingerprint.c
@@ -9,10 +9,9 @@
     const char *body)
 {
   struct h1_field fields[] = { { "Host", host }, { "X-Request-Id", id } };
-  struct h1_head head = { .method = "POST",
-                          .target = target,
-                          .fields = fields,
-                          .field_count = 2 };
+  struct h1_head head = {
+    .method = "POST", .target = target, .fields = fields, .field_count = 2
+  };
 
   return fingerprint_request (&head, caller, body, strlen (body));
 }
--- a/tests/wire/test_loads.c
+++ b/tests/wire/test_loads.c
@@ -36,6 +36,7 @@
                                                .expected_tokens = 300,
                                                .made_tokens = 20,
                                                .started = true,
+                                               .suspect = true,
                                                .prompt_key = 77 };
   message.runs[1]
       = (struct beryl_engine_run){ .service = 3, .prompt_tokens = 10 };
--- a/wire/frame_read.c
+++ b/wire/frame_read.c
@@ -329,6 +329,16 @@
                                                                   : 0;
 }
 
+uint32_t
+frame_array_uint32 (struct frame_array array, uint32_t i)
+{
+  uint64_t number = frame_array_uint (array, i);
+
+  if (number > UINT32_MAX)
+    frame_fail (array.frame);
+  return (uint32_t)number;
+}
+
 void
 frame_array_string (struct frame_array array, uint32_t i, char *value,
                     size_t value_bytes)
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -124,16 +124,6 @@
   put_profiles (writer, &message->profiles);
 }
 
-static uint32_t
-read_number (struct frame *frame, struct frame_array array, uint32_t i)
-{
-  uint64_t number = frame_array_uint (array, i);
-
-  if (number > UINT32_MAX)
-    frame_fail (frame);
-  return (uint32_t)number;
-}
-
 static void
 read_set (struct frame *frame, struct frame_map map, enum field field,
           struct beryl_endpoint_set *set)
@@ -146,7 +136,7 @@
       return;
     }
   for (uint32_t i = 0; i < array.count; i++)
-    beryl_endpoint_set_add (set, read_number (frame, array, i));
+    beryl_endpoint_set_add (set, frame_array_uint32 (array, i));
 }
 
 static void
@@ -163,10 +153,10 @@
     }
   for (uint32_t i = 0; i < array.count; i += NUMBERS_PER_TRANSFER)
     transfers->items[transfers->count++] = (struct beryl_repeat_transfer){
-      .node = read_number (frame, array, i),
-      .service = read_number (frame, array, i + 1),
-      .count = read_number (frame, array, i + 2),
-      .serial = read_number (frame, array, i + 3),
+      .node = frame_array_uint32 (array, i),
+      .service = frame_array_uint32 (array, i + 1),
+      .count = frame_array_uint32 (array, i + 2),
+      .serial = frame_array_uint32 (array, i + 3),
     };
 }
 
@@ -184,14 +174,14 @@
     }
   for (uint32_t i = 0; i < array.count; i += NUMBERS_PER_PROFILE)
     profiles->items[profiles->count++] = (struct beryl_generation_profile){
-      .service = read_number (frame, array, i),
-      .arrived = read_number (frame, array, i + 1),
-      .prompt_tokens = read_number (frame, array, i + 2),
-      .output_tokens = read_number (frame, array, i + 3),
-      .prefills = read_number (frame, array, i + 4),
-      .prefill_ns_per_token = read_number (frame, array, i + 5),
-      .streams = read_number (frame, array, i + 6),
-      .decode_ns_per_token = read_number (frame, array, i + 7),
+      .service = frame_array_uint32 (array, i),
+      .arrived = frame_array_uint32 (array, i + 1),
+      .prompt_tokens = frame_array_uint32 (array, i + 2),
+      .output_tokens = frame_array_uint32 (array, i + 3),
+      .prefills = frame_array_uint32 (array, i + 4),
+      .prefill_ns_per_token = frame_array_uint32 (array, i + 5),
+      .streams = frame_array_uint32 (array, i + 6),
+      .decode_ns_per_token = frame_array_uint32 (array, i + 7),
     };
 }
 
@@ -215,19 +205,19 @@
     {
       struct beryl_engine_run *run = &message->runs[message->run_count++];
 
-      run->engine = read_number (frame, runs, i);
-      run->prompt_tokens = read_number (frame, runs, i + 1);
-      run->expected_tokens = read_number (frame, runs, i + 2);
-      run->made_tokens = read_number (frame, runs, i + 3);
-      run->started = (read_number (frame, runs, i + 4) & RUN_STARTED) != 0;
-      run->suspect = (read_number (frame, runs, i + 4) & RUN_SUSPECT) != 0;
+      run->engine = frame_array_uint32 (runs, i);
+      run->prompt_tokens = frame_array_uint32 (runs, i + 1);
+      run->expected_tokens = frame_array_uint32 (runs, i + 2);
+      run->made_tokens = frame_array_uint32 (runs, i + 3);
+      run->started = (frame_array_uint32 (runs, i + 4) & RUN_STARTED) != 0;
+      run->suspect = (frame_array_uint32 (runs, i + 4) & RUN_SUSPECT) != 0;
       if (run->engine != 0)
-        run->prefill_engine = read_number (frame, runs, i + 5);
+        run->prefill_engine = frame_array_uint32 (runs, i + 5);
       else
-        run->service = read_number (frame, runs, i + 5);
+        run->service = frame_array_uint32 (runs, i + 5);
     }
   for (uint32_t i = 0; i < prompts.count && i < message->run_count; i++)
-    message->runs[i].prompt_key = read_number (frame, prompts, i);
+    message->runs[i].prompt_key = frame_array_uint32 (prompts, i);
   read_set (frame, map, FIELD_CHANGING, &message->news.changing);
   read_set (frame, map, FIELD_REPLACED, &message->news.replaced);
   read_set (frame, map, FIELD_UNREACHABLE, &message->news.unreachable);
--- a/wire/notices.c
+++ b/wire/notices.c
@@ -67,16 +67,6 @@
   put_limits (writer, &message->limits);
 }
 
-static uint32_t
-read_number (struct frame *frame, struct frame_array array, uint32_t i)
-{
-  uint64_t number = frame_array_uint (array, i);
-
-  if (number > UINT32_MAX)
-    frame_fail (frame);
-  return (uint32_t)number;
-}
-
 /* Returns the array KEY of at most MOST items of NUMBERS each; an empty one,
  * and FRAME fails, if it is not that. */
 static struct frame_array
@@ -106,14 +96,14 @@
   for (uint32_t i = 0; i < crashes.count; i += NUMBERS_PER_CRASH)
     news->crashes[news->crash_count++] = (struct beryl_crash){
       .fingerprint = frame_array_uint (crashes, i),
-      .endpoint = read_number (frame, crashes, i + 1),
+      .endpoint = frame_array_uint32 (crashes, i + 1),
     };
   for (uint32_t i = 0; i < cleared.count; i++)
     news->cleared[news->cleared_count++] = frame_array_uint (cleared, i);
   for (uint32_t i = 0; i < quarantined.count; i += NUMBERS_PER_QUARANTINED)
     news->quarantined[news->quarantined_count++] = (struct beryl_quarantined){
       .fingerprint = frame_array_uint (quarantined, i),
-      .left_s = read_number (frame, quarantined, i + 1),
+      .left_s = frame_array_uint32 (quarantined, i + 1),
     };
 }
 
@@ -129,12 +119,12 @@
   news->node = (uint32_t)node;
   for (uint32_t i = 0; i < array.count; i += NUMBERS_PER_LIMIT)
     news->items[news->count++] = (struct beryl_limit_news){
-      .endpoint = read_number (frame, array, i),
-      .named = read_number (frame, array, i + 1) != 0,
-      .kind = read_number (frame, array, i + 2),
-      .milli_per_s = read_number (frame, array, i + 3),
-      .age_ms = read_number (frame, array, i + 4),
-      .sent = read_number (frame, array, i + 5),
+      .endpoint = frame_array_uint32 (array, i),
+      .named = frame_array_uint32 (array, i + 1) != 0,
+      .kind = frame_array_uint32 (array, i + 2),
+      .milli_per_s = frame_array_uint32 (array, i + 3),
+      .age_ms = frame_array_uint32 (array, i + 4),
+      .sent = frame_array_uint32 (array, i + 5),
     };
 }
 
