A node with many runs tells as many as a datagram holds

Found by reading: BERYL_ENGINE_RUNS_MAX (128) runs take 2,721 bytes, a datagram holds 1,300, and datagram_seal dropped the message without a word. A node with that many streams and waiting requests would have told its peers nothing at all, and they would have taken it for dead. test_many_runs failed before (2,721 bytes); now the first ones that fit are told, which are those at engines, the newest first.

--- a/tests/wire/test_loads.c
+++ b/tests/wire/test_loads.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "../suite.h"
+#include "wire/link.h"
 #include "wire/loads.h"
 
 /* Writes MESSAGE and reads it again; false if that fails. */
@@ -94,6 +95,38 @@
 }
 END_TEST
 
+/* A node with many runs tells nothing at all, since no datagram holds its
+ * message; peers take it for dead. */
+START_TEST (test_many_runs)
+{
+  static struct loads_message message, again;
+  struct frame_writer *writer = frame_writer_create (LOADS_DATAGRAM);
+  struct frame *frame;
+  const void *bytes;
+  size_t count;
+
+  strcpy (message.from, "node-1");
+  for (uint32_t i = 0; i < BERYL_ENGINE_RUNS_MAX; i++)
+    message.runs[message.run_count++]
+        = (struct beryl_engine_run){ .engine = UINT32_MAX - i,
+                                     .prompt_tokens = 30000,
+                                     .expected_tokens = 3000,
+                                     .made_tokens = 300,
+                                     .started = true,
+                                     .prompt_key = UINT32_MAX - i };
+  loads_put (writer, &message);
+  bytes = frame_writer_finish (writer, &count);
+  ck_assert_uint_le (count, DATAGRAM_MAX_BYTES);
+  frame = frame_parse (bytes, count, NULL);
+  ck_assert (frame != NULL && loads_read (frame, &again));
+  ck_assert_uint_ge (again.run_count, 40);
+  ck_assert_mem_eq (&again.runs, &message.runs,
+                    again.run_count * sizeof *again.runs);
+  frame_destroy (frame);
+  frame_writer_destroy (writer);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -103,6 +136,7 @@
   tcase_add_test (tcase, test_round_trip);
   tcase_add_test (tcase, test_full_set);
   tcase_add_test (tcase, test_too_many);
+  tcase_add_test (tcase, test_many_runs);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "wire/link.h"
+
 enum field
 {
   FIELD_FROM = 1,
@@ -86,8 +88,9 @@
   frame_put_end (writer);
 }
 
-void
-loads_put (struct frame_writer *writer, const struct loads_message *message)
+static void
+put_message (struct frame_writer *writer, const struct loads_message *message,
+             size_t run_count)
 {
   frame_writer_reset (writer, LOADS_DATAGRAM);
   frame_put_string (writer, FIELD_FROM, message->from);
@@ -95,7 +98,7 @@
   frame_put_uint (writer, FIELD_SEQUENCE, message->sequence);
   frame_put_uint (writer, FIELD_ENDPOINT_REVISION, message->endpoint_revision);
   frame_put_array (writer, FIELD_RUNS);
-  for (size_t i = 0; i < message->run_count; i++)
+  for (size_t i = 0; i < run_count; i++)
     {
       const struct beryl_engine_run *run = &message->runs[i];
 
@@ -113,7 +116,7 @@
     }
   frame_put_end (writer);
   frame_put_array (writer, FIELD_PROMPTS);
-  for (size_t i = 0; i < message->run_count; i++)
+  for (size_t i = 0; i < run_count; i++)
     frame_put_uint (writer, 0, message->runs[i].prompt_key);
   frame_put_end (writer);
   put_set (writer, FIELD_CHANGING, &message->news.changing);
@@ -124,6 +127,25 @@
   put_profiles (writer, &message->profiles);
 }
 
+/* The runs that come first are the ones to be told. */
+void
+loads_put (struct frame_writer *writer, const struct loads_message *message)
+{
+  size_t run_count = message->run_count;
+  size_t bytes = 0;
+
+  put_message (writer, message, run_count);
+  frame_writer_finish (writer, &bytes);
+  while (bytes > DATAGRAM_MAX_BYTES && run_count > 0)
+    {
+      size_t fitting = run_count * DATAGRAM_MAX_BYTES / bytes;
+
+      run_count = fitting < run_count ? fitting : run_count - 1;
+      put_message (writer, message, run_count);
+      frame_writer_finish (writer, &bytes);
+    }
+}
+
 static void
 read_set (struct frame *frame, struct frame_map map, enum field field,
           struct beryl_endpoint_set *set)
