A page of foreign entries hides no list

A foreign writer that fills a page of the store's list (500 objects) with names that no endpoint has blinded every node: the page had no object, which counted as a list that does not go on, and the next try met it again. The list goes on after the page's last name, whatever it is, escaped; only a page that brings no further is refused. test_page_of_foreign_entries (a node before 600 such entries) and its namesake of the wire failed before.

--- a/libberyl/platform/private.h
+++ b/libberyl/platform/private.h
@@ -107,6 +107,9 @@
 
 LIST_HEAD (waiter_list, waiter);
 
+/** Longest name after which a list goes on. */
+#define LISTING_AFTER_BYTES 256
+
 /** Objects gathered from one or more pages. */
 struct listing
 {
@@ -115,7 +118,7 @@
   size_t capacity;
   uint64_t revision; /**< lowest of the pages; 0 before the first */
   bool more;
-  char after[BERYL_NAME_BYTES];
+  char after[LISTING_AFTER_BYTES]; /**< may be the name of a foreign object */
 };
 
 enum fetch_type
--- a/libberyl/platform/reply.c
+++ b/libberyl/platform/reply.c
@@ -90,20 +90,34 @@
   return true;
 }
 
+/** Go on after the last object of a page, also if it is none of ours. */
+static void
+listing_advance (struct listing *l, const json_t *json)
+{
+  const char *after = json_string_value (json_object_get (json, "after"));
+
+  if (after && strlen (after) < sizeof l->after
+      && strcmp (after, l->after) > 0)
+    memcpy (l->after, after, strlen (after) + 1);
+}
+
 bool
 platform_listing_add (struct listing *l, const json_t *json, const char *kind)
 {
   const json_t *items = json_object_get (json, "items");
   const json_t *more = json_object_get (json, "more");
   uint64_t revision;
+  char before[LISTING_AFTER_BYTES];
 
   if (!json_is_array (items) || !json_is_boolean (more)
       || !platform_number_read (json, "revision", &revision))
     return false;
+  memcpy (before, l->after, sizeof before);
   if (!listing_add_items (l, items, kind))
     return false;
+  listing_advance (l, json);
   l->more = json_is_true (more);
-  if (l->more && json_array_size (items) == 0)
+  if (l->more && strcmp (before, l->after) == 0)
     return false;
   /* Pages may show different revisions; only what happened after the lowest
      is sure to be told by a watch that starts from it. */
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -599,6 +599,25 @@
 }
 END_TEST
 
+/* A foreign writer fills a page of the list of endpoints, and no node finds
+ * one of those behind it. */
+START_TEST (test_page_of_foreign_entries)
+{
+  struct world_answer *answer;
+  char name[16];
+
+  for (int i = 0; i < 600; i++)
+    {
+      g_snprintf (name, sizeof name, "A b/%03d", i);
+      standin_put (w.standin, "servers", name, json_object ());
+    }
+  world_nodes (&w, 1);
+  answer = world_get (&w, 0, "a.example", "/x", "");
+  world_wait (&w, answer);
+  assert_whole (answer);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -607,6 +626,7 @@
 
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_page_of_foreign_entries);
   tcase_add_test (tcase, test_path);
   tcase_add_test (tcase, test_generation);
   tcase_add_test (tcase, test_not_ready);
--- a/tests/platform_wire/test_store.c
+++ b/tests/platform_wire/test_store.c
@@ -173,6 +173,24 @@
 }
 END_TEST
 
+/* A page has no object of a proper name: the list goes on after it. */
+START_TEST (test_page_of_foreign_objects)
+{
+  struct beryl_platform_call call
+      = { .op = BERYL_OP_LIST, .kind = "k", .after = "\xc3\xa4 b/&" };
+
+  assert_store_answer (BERYL_OP_LIST, 200,
+                       "{\"items\":[{\"metadata\":{\"name\":\"A\"}},"
+                       "{\"metadata\":{\"name\":\"\xc3\xa4 b/&\"}}],"
+                       "\"more_pages\":true,\"store_revision\":12}",
+                       200,
+                       "{\"items\":[],\"more\":true,\"revision\":12,"
+                       "\"after\":\"\xc3\xa4 b/&\"}");
+  assert_store_call (&call, "GET", "/v1/objects/k?after=%C3%A4%20b%2F%26",
+                     NULL);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -184,6 +202,7 @@
   tcase_add_test (tcase, test_store_answers);
   tcase_add_test (tcase, test_foreign_objects_hide_nothing);
   tcase_add_test (tcase, test_unreadable_values_hide_nothing);
+  tcase_add_test (tcase, test_page_of_foreign_objects);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
