A number beyond a double's range hides no list

One object with such a number (1e999) made the whole answer of the store unreadable, and with it all other entries, again and again.

--- a/tests/platform_wire/test_store.c
+++ b/tests/platform_wire/test_store.c
@@ -153,7 +153,8 @@
 START_TEST (test_unreadable_values_hide_nothing)
 {
   static const char *const values[]
-      = { "\"\xff\xfe\"", "\"a\\u0000b\"", "99999999999999999999" };
+      = { "\"\xff\xfe\"", "\"a\\u0000b\"", "99999999999999999999", "1e999",
+          "[-2.5E+400, \"1e999\"]" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
     {
