--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -27,8 +27,8 @@
   struct beryl_generation_profiles profiles; /**< none in most messages */
 };
 
-/** Begin a frame in WRITER and put MESSAGE into it, with as many of its runs as
- * a datagram holds. */
+/** Begin a frame in WRITER and put MESSAGE into it, with as many of its runs
+ * as a datagram holds. */
 void loads_put (struct frame_writer *writer,
                 const struct loads_message *message);
 
