--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -366,7 +366,8 @@
     }
 }
 
-/* One after the other is drawn with the chance that leaves MOST of them. */
+/* Selection sampling: of the peers that are left each is taken with the chance
+ * that makes MOST of them in all. */
 void
 members_tell_notices (struct members *m, const struct notices_message *message,
                       uint32_t most)
