The planner's line tells what its pace of prefill is made of

Sight for the RECOVER entries: whether one node's first late sample, the late ones of a few, or a delay that all samples have moved the engines could not be told apart from the line.

--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -223,10 +223,13 @@
           engines->len, loop_now_ms (p->loop), &wanted))
     {
       g_info ("planner service=%s engines=%u prefill_wanted=%.2f prompt=%.0f "
-              "output=%.0f prefill_ms=%.4f decode_ms=%.3f",
+              "output=%.0f prefill_ms=%.4f decode_ms=%.3f prefills=%u "
+              "prefill_nodes=%u prefill_least=%.4f prefill_most=%.4f",
               service, engines->len, beryl_stages_prefill (&mix, engines->len),
               mix.prompt_tokens, mix.output_tokens, mix.prefill_ms_per_token,
-              mix.decode_ms_per_token);
+              mix.decode_ms_per_token, mix.prefill_seen.prefills,
+              mix.prefill_seen.nodes, mix.prefill_seen.least,
+              mix.prefill_seen.most);
       ask_report (p, &wanted);
     }
   g_array_free (engines, TRUE);
--- a/include/beryl/stages.h
+++ b/include/beryl/stages.h
@@ -27,6 +27,13 @@
   double decode_ms_per_token;
   uint64_t kv_tokens; /**< memory of an engine; 0: unknown */
   bool measured;      /**< seen, not assumed */
+  /** What the pace of prefill is put together from, for logs. */
+  struct
+  {
+    uint32_t nodes;     /**< that have seen a prefill */
+    uint32_t prefills;  /**< that count */
+    double least, most; /**< of single nodes, in ms a token */
+  } prefill_seen;
 };
 
 /** One engine. */
--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -90,16 +90,33 @@
   return count > 0 ? sum / count : otherwise;
 }
 
+static void
+note_prefills (struct beryl_generation_mix *mix,
+               const struct beryl_generation_profile *profile)
+{
+  double pace = profile->prefill_ns_per_token / NS_PER_MS;
+
+  if (profile->prefills == 0)
+    return;
+  if (mix->prefill_seen.nodes == 0 || pace < mix->prefill_seen.least)
+    mix->prefill_seen.least = pace;
+  if (mix->prefill_seen.nodes == 0 || pace > mix->prefill_seen.most)
+    mix->prefill_seen.most = pace;
+  mix->prefill_seen.nodes++;
+  mix->prefill_seen.prefills += profile->prefills;
+}
+
 static struct beryl_generation_mix
 mix_of (const struct service *s)
 {
   struct beryl_generation_profile own = own_profile (s);
+  struct beryl_generation_mix mix;
   struct sums sums = { 0 };
 
   sums_add (&sums, &own);
   for (size_t i = 0; i < s->peers.count; i++)
     sums_add (&sums, &s->peers.items[i].profile);
-  return (struct beryl_generation_mix){
+  mix = (struct beryl_generation_mix){
     .prompt_tokens = mean_of (sums.prompt, sums.arrived, s->prompt_tokens),
     .output_tokens = mean_of (sums.output, sums.arrived, s->output_tokens),
     .prefill_ms_per_token = mean_of (sums.prefill_ns / NS_PER_MS,
@@ -110,6 +127,10 @@
     .measured
     = sums.prefills >= KNOWN_PREFILLS && sums.streams >= KNOWN_STREAMS,
   };
+  note_prefills (&mix, &own);
+  for (size_t i = 0; i < s->peers.count; i++)
+    note_prefills (&mix, &s->peers.items[i].profile);
+  return mix;
 }
 
 struct beryl_generation_mix
