One node's late prefill moves no engines of the fleet

The fleet's pace of prefill was a mean over the nodes. A node that was paused during its first prefill (5 s, 1.57 ms a token) beside three with eight good ones made .086 of .020, by which five of six engines read prompts; in a large fleet, where most nodes have seen two prefills, those of some late ones made .074. Now it is the median of the observations.

Both tests (test_first_prefill_of_a_paused_node, test_late_prefills_in_a_large_fleet) failed before with these figures.

--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -67,19 +67,30 @@
 struct sums
 {
   double arrived, prompt, output;
-  double prefills, prefill_ns;
   double streams, decode_ns;
 };
 
+/* A pace that a node has learned from COUNT observations. */
+struct node_pace
+{
+  double ms_per_token;
+  uint32_t count;
+};
+
+/* The paces of all nodes that have learned one. */
+struct node_paces
+{
+  struct node_pace *items;
+  size_t count;
+  uint32_t observations;
+};
+
 static void
 sums_add (struct sums *sums, const struct beryl_generation_profile *profile)
 {
   sums->arrived += profile->arrived;
   sums->prompt += (double)profile->arrived * profile->prompt_tokens;
   sums->output += (double)profile->arrived * profile->output_tokens;
-  sums->prefills += profile->prefills;
-  sums->prefill_ns
-      += (double)profile->prefills * profile->prefill_ns_per_token;
   sums->streams += profile->streams;
   sums->decode_ns += (double)profile->streams * profile->decode_ns_per_token;
 }
@@ -91,45 +102,77 @@
 }
 
 static void
-note_prefills (struct beryl_generation_mix *mix,
-               const struct beryl_generation_profile *profile)
+paces_add (struct node_paces *paces, uint32_t ns_per_token, uint32_t count)
 {
-  double pace = profile->prefill_ns_per_token / NS_PER_MS;
-
-  if (profile->prefills == 0)
+  if (count == 0)
     return;
-  if (mix->prefill_seen.nodes == 0 || pace < mix->prefill_seen.least)
-    mix->prefill_seen.least = pace;
-  if (mix->prefill_seen.nodes == 0 || pace > mix->prefill_seen.most)
-    mix->prefill_seen.most = pace;
-  mix->prefill_seen.nodes++;
-  mix->prefill_seen.prefills += profile->prefills;
+  paces->items[paces->count++]
+      = (struct node_pace){ ns_per_token / NS_PER_MS, count };
+  paces->observations += count;
+}
+
+static int
+compare_paces (const void *a, const void *b)
+{
+  double left = ((const struct node_pace *)a)->ms_per_token;
+  double right = ((const struct node_pace *)b)->ms_per_token;
+
+  return (left > right) - (left < right);
+}
+
+/* Sorts PACES and returns the median of the observations.  In a mean one node
+ * that was paused during its first prefill outweighs many others. */
+static double
+paces_median (struct node_paces *paces, double otherwise)
+{
+  uint32_t below = 0;
+
+  qsort (paces->items, paces->count, sizeof *paces->items, compare_paces);
+  for (size_t i = 0; i < paces->count; i++)
+    {
+      below += paces->items[i].count;
+      if (2 * below >= paces->observations)
+        return paces->items[i].ms_per_token;
+    }
+  return otherwise;
 }
 
 static struct beryl_generation_mix
 mix_of (const struct service *s)
 {
   struct beryl_generation_profile own = own_profile (s);
+  struct node_paces prefills
+      = { .items = calloc (s->peers.count + 1, sizeof *prefills.items) };
   struct beryl_generation_mix mix;
   struct sums sums = { 0 };
 
   sums_add (&sums, &own);
+  paces_add (&prefills, own.prefill_ns_per_token, own.prefills);
   for (size_t i = 0; i < s->peers.count; i++)
-    sums_add (&sums, &s->peers.items[i].profile);
+    {
+      const struct beryl_generation_profile *peer = &s->peers.items[i].profile;
+
+      sums_add (&sums, peer);
+      paces_add (&prefills, peer->prefill_ns_per_token, peer->prefills);
+    }
   mix = (struct beryl_generation_mix){
     .prompt_tokens = mean_of (sums.prompt, sums.arrived, s->prompt_tokens),
     .output_tokens = mean_of (sums.output, sums.arrived, s->output_tokens),
-    .prefill_ms_per_token = mean_of (sums.prefill_ns / NS_PER_MS,
-                                     sums.prefills, s->prefill.ms_per_token),
+    .prefill_ms_per_token = paces_median (&prefills, s->prefill.ms_per_token),
     .decode_ms_per_token = mean_of (sums.decode_ns / NS_PER_MS, sums.streams,
                                     s->lengths.ms_per_token),
     .kv_tokens = s->kv_tokens,
     .measured
-    = sums.prefills >= KNOWN_PREFILLS && sums.streams >= KNOWN_STREAMS,
+    = prefills.observations >= KNOWN_PREFILLS && sums.streams >= KNOWN_STREAMS,
+    .prefill_seen
+    = { .nodes = (uint32_t)prefills.count, .prefills = prefills.observations },
   };
-  note_prefills (&mix, &own);
-  for (size_t i = 0; i < s->peers.count; i++)
-    note_prefills (&mix, &s->peers.items[i].profile);
+  if (prefills.count > 0)
+    {
+      mix.prefill_seen.least = prefills.items[0].ms_per_token;
+      mix.prefill_seen.most = prefills.items[prefills.count - 1].ms_per_token;
+    }
+  free (prefills.items);
   return mix;
 }
 
--- a/tests/forward/test_profile.c
+++ b/tests/forward/test_profile.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <math.h>
 
+#include "../../libberyl/forward/pace.h"
 #include "../suite.h"
 #include "model.h"
 
@@ -142,6 +143,20 @@
 /* Of engines that read at ENGINE_PACE. */
 #define ENGINE_PACE 0.02
 #define LONG_PROMPT 3000
+#define NS_PER_MS 1e6
+
+/* PEER has seen PREFILLS at PACE and as many streams at 1 ms a token. */
+static void
+peer_tells (const char *peer, uint32_t prefills, double pace)
+{
+  struct beryl_generation_profiles profiles = told (LONG_PROMPT);
+
+  profiles.items[0].prefills = prefills;
+  profiles.items[0].prefill_ns_per_token = (uint32_t)(pace * NS_PER_MS);
+  profiles.items[0].streams = prefills;
+  profiles.items[0].decode_ns_per_token = (uint32_t)NS_PER_MS;
+  beryl_forward_peer_profiles (fx.forward, peer, &profiles);
+}
 
 static void
 check_pace (double pace)
@@ -167,6 +182,41 @@
   beryl_forward_caller_gone (fx.forward, number, fx.now_ms);
 }
 
+/* Guards against a node that was paused during its first prefill and moves the
+ * engines of the whole fleet. */
+START_TEST (test_first_prefill_of_a_paused_node)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      char peer[16];
+
+      g_snprintf (peer, sizeof peer, "peer-%d", i);
+      peer_tells (peer, 8, ENGINE_PACE);
+    }
+  peer_tells ("paused", 1, 5000.0 / LONG_PROMPT);
+  check_pace (mix ().prefill_ms_per_token);
+}
+END_TEST
+
+/* Guards against late prefills that move engines where most nodes have seen
+ * two: every third node has one late prefill, every sixth two. */
+START_TEST (test_late_prefills_in_a_large_fleet)
+{
+  for (int i = 0; i < 300; i++)
+    {
+      struct pace pace;
+      char peer[16];
+
+      pace_init (&pace);
+      pace_learn (&pace, LONG_PROMPT, i % 3 == 0 ? 700 : 60);
+      pace_learn (&pace, LONG_PROMPT, i % 6 == 0 ? 900 : 60);
+      g_snprintf (peer, sizeof peer, "peer-%d", i);
+      peer_tells (peer, pace.seen, pace.ms_per_token);
+    }
+  check_pace (mix ().prefill_ms_per_token);
+}
+END_TEST
+
 /* Guards against a slow link's delay that is taken for reading time. */
 START_TEST (test_links_of_50_ms)
 {
@@ -187,6 +237,8 @@
   tcase_add_test (tcase, test_each_of_many_nodes_sees_few);
   tcase_add_test (tcase, test_paces_are_taken_over);
   tcase_add_test (tcase, test_unknown_service);
+  tcase_add_test (tcase, test_first_prefill_of_a_paused_node);
+  tcase_add_test (tcase, test_late_prefills_in_a_large_fleet);
   tcase_add_test (tcase, test_links_of_50_ms);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
