The pace of bad seconds is not kept when they are over

A node's pace of prefill follows a low quantile by steps of a tenth. Now the second least of the newest eight prefills bounds it; the least may be of a prompt that the engine had read before.

--- a/libberyl/forward/pace.h
+++ b/libberyl/forward/pace.h
@@ -8,10 +8,13 @@
 
 #include <stdint.h>
 
+#define PACE_RECENT 8
+
 struct pace
 {
   double ms_per_token;
-  uint32_t seen; /**< prefills that it was learned from */
+  uint32_t seen;              /**< prefills that it was learned from */
+  double recent[PACE_RECENT]; /**< the newest of them, in ms a token */
 };
 
 /** Begin with what is assumed before a prefill was seen. */
--- a/tests/forward/test_profile.c
+++ b/tests/forward/test_profile.c
@@ -226,6 +226,18 @@
 }
 END_TEST
 
+/* Guards against a pace of bad seconds that is kept when they are over: with
+ * few engines left for decode few prefills come to correct it. */
+START_TEST (test_bad_seconds_are_forgotten)
+{
+  for (uint64_t i = 1; i <= 12; i++)
+    generate (i, 0, 400 + (int64_t)(LONG_PROMPT * ENGINE_PACE));
+  for (uint64_t i = 13; i <= 15; i++)
+    generate (i, 0, (int64_t)(LONG_PROMPT * ENGINE_PACE));
+  check_pace (mix ().prefill_ms_per_token);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -240,6 +252,7 @@
   tcase_add_test (tcase, test_first_prefill_of_a_paused_node);
   tcase_add_test (tcase, test_late_prefills_in_a_large_fleet);
   tcase_add_test (tcase, test_links_of_50_ms);
+  tcase_add_test (tcase, test_bad_seconds_are_forgotten);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
