A node's own late prefill refuses no callers

A node went by its own prefills from the first one on. After one of 5 s it took any queue before the prefill engines for seconds and refused what came (prefill_behind), until many more had been seen. With fewer than eight of its own it now goes by what all nodes have seen, put together when an eighth of its peers has told something.

test_late_prefill_refuses_nobody failed before: refused behind a queue of 10,000 tokens (200 ms of the objective's second).

--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -353,9 +353,9 @@
   for (size_t i = 0; i < sample_count (&sample); i++)
     sample.items[i].cost = queued_tokens (f, sample.items[i].live, now_ms);
   best = choose (f, r, &sample, r->reservation.live->info.data_centre,
-                 FAR_WAIT_MS / r->service->prefill.ms_per_token, now_ms,
+                 FAR_WAIT_MS / r->service->prefill_ms_per_token, now_ms,
                  &waiting_tokens);
-  *wait_ms = (int64_t)(waiting_tokens * r->service->prefill.ms_per_token);
+  *wait_ms = (int64_t)(waiting_tokens * r->service->prefill_ms_per_token);
   return best;
 }
 
@@ -386,7 +386,7 @@
       if (least_tokens < 0 || tokens < least_tokens)
         least_tokens = tokens;
     }
-  return (int64_t)(fmax (least_tokens, 0) * r->service->prefill.ms_per_token);
+  return (int64_t)(fmax (least_tokens, 0) * r->service->prefill_ms_per_token);
 }
 
 uint32_t
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -101,6 +101,7 @@
   s->prompt_tokens = PRIOR_PROMPT_TOKENS;
   s->output_tokens = s->lengths.tokens_mean;
   pace_init (&s->prefill);
+  s->prefill_ms_per_token = s->prefill.ms_per_token;
   f->services
       = realloc (f->services, (f->service_count + 1) * sizeof (void *));
   f->services[f->service_count++] = s;
--- a/libberyl/forward/prefill.c
+++ b/libberyl/forward/prefill.c
@@ -52,14 +52,14 @@
 static double
 read_ms (const struct request *r)
 {
-  return r->facts.prompt_tokens * r->service->prefill.ms_per_token
+  return r->facts.prompt_tokens * r->service->prefill_ms_per_token
          + (double)call_times_least_ms (&r->service->calls);
 }
 
 static int64_t
 alone_ms (const struct request *r, double tokens)
 {
-  return (int64_t)(ALONE_FACTOR * tokens * r->service->prefill.ms_per_token);
+  return (int64_t)(ALONE_FACTOR * tokens * r->service->prefill_ms_per_token);
 }
 
 /* A decode engine reads a prompt at half the speed of a prefill engine, and
@@ -200,7 +200,7 @@
   int64_t busy_ms = took_ms - call_times_least_ms (&s->calls);
 
   if (busy_ms > 0)
-    pace_learn (&s->prefill, tokens, busy_ms);
+    profile_learn_prefill (s, tokens, busy_ms);
 }
 
 void
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -29,6 +29,7 @@
 {
   struct peer_profile *items;
   size_t count;
+  size_t changed; /**< that were told since paces were put together */
 };
 
 /** What is known of a service. */
@@ -44,7 +45,8 @@
   double prompt_tokens;        /**< mean of them */
   double output_tokens;        /**< mean of what they are expected to make */
   uint32_t seen;               /**< generations that arrived */
-  struct pace prefill;         /**< of its prefill engines */
+  struct pace prefill; /**< of its prefill engines, as this node saw them */
+  double prefill_ms_per_token; /**< that this node goes by */
   struct call_times calls;     /**< reservations at its engines */
   struct peer_profiles peers;
   uint64_t kv_tokens; /**< of one engine; 0: unknown */
@@ -264,6 +266,9 @@
 
 /* profile.c */
 void profile_clear (struct peer_profiles *profiles);
+/** Reading TOKENS took an engine of S TOOK_MS. */
+void profile_learn_prefill (struct service *s, uint32_t tokens,
+                            int64_t took_ms);
 /** PEER has gone. */
 void profile_forget (struct beryl_forward *f, const char *peer);
 
--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -16,6 +16,9 @@
 #define KNOWN_PREFILLS 8
 #define KNOWN_STREAMS 4
 #define NS_PER_MS 1e6
+/* The fleet's paces are put together again once this part of the peers, one in
+ * so many, has told something. */
+#define CHANGED_PART 8
 
 struct peer_profile
 {
@@ -199,21 +202,31 @@
   peers->items[i] = (struct peer_profile){ .peer = peer, .profile = *profile };
 }
 
-/* Until this node has seen for itself it goes by what the others have. */
+/* Until this node has seen enough for itself it goes by what all have seen. */
 static void
 take_paces (struct service *s)
 {
   struct beryl_generation_mix mix;
 
-  if (s->prefill.seen != 0 && s->lengths.paces != 0)
+  s->peers.changed = 0;
+  if (s->prefill.seen >= PREFILLS_MOST)
+    s->prefill_ms_per_token = s->prefill.ms_per_token;
+  if (s->prefill.seen >= PREFILLS_MOST && s->lengths.paces != 0)
     return;
   mix = mix_of (s);
-  if (s->prefill.seen == 0)
-    s->prefill.ms_per_token = mix.prefill_ms_per_token;
+  if (s->prefill.seen < PREFILLS_MOST)
+    s->prefill_ms_per_token = mix.prefill_ms_per_token;
   if (s->lengths.paces == 0)
     s->lengths.ms_per_token = mix.decode_ms_per_token;
 }
 
+void
+profile_learn_prefill (struct service *s, uint32_t tokens, int64_t took_ms)
+{
+  pace_learn (&s->prefill, tokens, took_ms);
+  take_paces (s);
+}
+
 void
 beryl_forward_peer_profiles (struct beryl_forward *f, const char *peer,
                              const struct beryl_generation_profiles *profiles)
@@ -226,7 +239,8 @@
       if (s == NULL)
         continue;
       keep (&s->peers, beryl_engine_number (peer), &profiles->items[i]);
-      take_paces (s);
+      if (++s->peers.changed > s->peers.count / CHANGED_PART)
+        take_paces (s);
     }
 }
 
--- a/tests/forward/test_profile.c
+++ b/tests/forward/test_profile.c
@@ -226,6 +226,31 @@
 }
 END_TEST
 
+/* Guards against callers that are refused until a node which was paused during
+ * its first prefill has seen many more. */
+START_TEST (test_late_prefill_refuses_nobody)
+{
+  struct beryl_engine_run queue[10] = { 0 };
+
+  terms.route.gap_objective_ms = 50;
+  reopen ();
+  engines (1, 3);
+  peer_tells ("peer", 8, ENGINE_PACE);
+  generate (1, 0, 5000);
+  for (size_t i = 0; i < G_N_ELEMENTS (queue); i++)
+    queue[i] = (struct beryl_engine_run){
+      .engine = beryl_engine_number ("elsewhere"),
+      .prefill_engine = beryl_engine_number ("p0"),
+      .prompt_tokens = 1000,
+      .expected_tokens = 1000,
+    };
+  beryl_forward_peer_runs (fx.forward, "peer", queue, G_N_ELEMENTS (queue),
+                           fx.now_ms);
+  fx_arrive (&fx, 2);
+  ck_assert_msg (!answer (2)->refused, "%s", fx.log->str);
+}
+END_TEST
+
 /* Guards against a pace of bad seconds that is kept when they are over: with
  * few engines left for decode few prefills come to correct it. */
 START_TEST (test_bad_seconds_are_forgotten)
@@ -252,6 +277,7 @@
   tcase_add_test (tcase, test_first_prefill_of_a_paused_node);
   tcase_add_test (tcase, test_late_prefills_in_a_large_fleet);
   tcase_add_test (tcase, test_links_of_50_ms);
+  tcase_add_test (tcase, test_late_prefill_refuses_nobody);
   tcase_add_test (tcase, test_bad_seconds_are_forgotten);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
