One node's late stream makes decode slow for nobody else

The same fault in the pace of decode, found by looking for its kind: a mean over the nodes, in which a stream that was paused for 5 s counted with 14.3 ms a token beside 24 of 1 ms (1.53 together). Memory, places that free up and Retry-After are foreseen by it. Now it is the median of the observations, as for prefill.

test_late_stream_of_one_node failed before (1.53).

--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -70,7 +70,6 @@
 struct sums
 {
   double arrived, prompt, output;
-  double streams, decode_ns;
 };
 
 /* A pace that a node has learned from COUNT observations. */
@@ -94,8 +93,6 @@
   sums->arrived += profile->arrived;
   sums->prompt += (double)profile->arrived * profile->prompt_tokens;
   sums->output += (double)profile->arrived * profile->output_tokens;
-  sums->streams += profile->streams;
-  sums->decode_ns += (double)profile->streams * profile->decode_ns_per_token;
 }
 
 static double
@@ -104,6 +101,12 @@
   return count > 0 ? sum / count : otherwise;
 }
 
+static void
+paces_init (struct node_paces *paces, size_t most)
+{
+  *paces = (struct node_paces){ .items = calloc (most, sizeof *paces->items) };
+}
+
 static void
 paces_add (struct node_paces *paces, uint32_t ns_per_token, uint32_t count)
 {
@@ -140,42 +143,62 @@
   return otherwise;
 }
 
+/* What all nodes have learned. */
+struct fleet
+{
+  struct sums sums;
+  struct node_paces prefills;
+  struct node_paces streams;
+};
+
+static void
+fleet_add (struct fleet *fleet, const struct beryl_generation_profile *profile)
+{
+  sums_add (&fleet->sums, profile);
+  paces_add (&fleet->prefills, profile->prefill_ns_per_token,
+             profile->prefills);
+  paces_add (&fleet->streams, profile->decode_ns_per_token, profile->streams);
+}
+
+static void
+note_prefills (struct beryl_generation_mix *mix,
+               const struct node_paces *prefills)
+{
+  if (prefills->count == 0)
+    return;
+  mix->prefill_seen.nodes = (uint32_t)prefills->count;
+  mix->prefill_seen.prefills = prefills->observations;
+  mix->prefill_seen.least = prefills->items[0].ms_per_token;
+  mix->prefill_seen.most = prefills->items[prefills->count - 1].ms_per_token;
+}
+
 static struct beryl_generation_mix
 mix_of (const struct service *s)
 {
   struct beryl_generation_profile own = own_profile (s);
-  struct node_paces prefills
-      = { .items = calloc (s->peers.count + 1, sizeof *prefills.items) };
   struct beryl_generation_mix mix;
-  struct sums sums = { 0 };
+  struct fleet fleet = { 0 };
+  const struct sums *sums = &fleet.sums;
 
-  sums_add (&sums, &own);
-  paces_add (&prefills, own.prefill_ns_per_token, own.prefills);
+  paces_init (&fleet.prefills, s->peers.count + 1);
+  paces_init (&fleet.streams, s->peers.count + 1);
+  fleet_add (&fleet, &own);
   for (size_t i = 0; i < s->peers.count; i++)
-    {
-      const struct beryl_generation_profile *peer = &s->peers.items[i].profile;
-
-      sums_add (&sums, peer);
-      paces_add (&prefills, peer->prefill_ns_per_token, peer->prefills);
-    }
+    fleet_add (&fleet, &s->peers.items[i].profile);
   mix = (struct beryl_generation_mix){
-    .prompt_tokens = mean_of (sums.prompt, sums.arrived, s->prompt_tokens),
-    .output_tokens = mean_of (sums.output, sums.arrived, s->output_tokens),
-    .prefill_ms_per_token = paces_median (&prefills, s->prefill.ms_per_token),
-    .decode_ms_per_token = mean_of (sums.decode_ns / NS_PER_MS, sums.streams,
-                                    s->lengths.ms_per_token),
+    .prompt_tokens = mean_of (sums->prompt, sums->arrived, s->prompt_tokens),
+    .output_tokens = mean_of (sums->output, sums->arrived, s->output_tokens),
+    .prefill_ms_per_token
+    = paces_median (&fleet.prefills, s->prefill.ms_per_token),
+    .decode_ms_per_token
+    = paces_median (&fleet.streams, s->lengths.ms_per_token),
     .kv_tokens = s->kv_tokens,
-    .measured
-    = prefills.observations >= KNOWN_PREFILLS && sums.streams >= KNOWN_STREAMS,
-    .prefill_seen
-    = { .nodes = (uint32_t)prefills.count, .prefills = prefills.observations },
+    .measured = fleet.prefills.observations >= KNOWN_PREFILLS
+                && fleet.streams.observations >= KNOWN_STREAMS,
   };
-  if (prefills.count > 0)
-    {
-      mix.prefill_seen.least = prefills.items[0].ms_per_token;
-      mix.prefill_seen.most = prefills.items[prefills.count - 1].ms_per_token;
-    }
-  free (prefills.items);
+  note_prefills (&mix, &fleet.prefills);
+  free (fleet.prefills.items);
+  free (fleet.streams.items);
   return mix;
 }
 
--- a/tests/forward/test_profile.c
+++ b/tests/forward/test_profile.c
@@ -263,6 +263,25 @@
 }
 END_TEST
 
+/* Guards against one node with a late stream that makes the fleet take decode
+ * for slow. */
+START_TEST (test_late_stream_of_one_node)
+{
+  struct beryl_generation_profiles late = told (LONG_PROMPT);
+
+  for (int i = 0; i < 3; i++)
+    {
+      char peer[16];
+
+      g_snprintf (peer, sizeof peer, "peer-%d", i);
+      peer_tells (peer, 8, ENGINE_PACE);
+    }
+  late.items[0].decode_ns_per_token = (uint32_t)(5000.0 / 350 * NS_PER_MS);
+  beryl_forward_peer_profiles (fx.forward, "paused", &late);
+  ck_assert_double_le (mix ().decode_ms_per_token, 1.25);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -279,6 +298,7 @@
   tcase_add_test (tcase, test_links_of_50_ms);
   tcase_add_test (tcase, test_late_prefill_refuses_nobody);
   tcase_add_test (tcase, test_bad_seconds_are_forgotten);
+  tcase_add_test (tcase, test_late_stream_of_one_node);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
