A pause amid a stream makes decode slow for no node

The same fault within a node: a stream that was paused for 5 s weighed a tenth, 2.39 ms a token after eight of .80, and a node's first one all: a peer's run was taken to have made 19 tokens in 300 ms. Now one counts for twice the mean at most once four were seen, and with fewer than eight of its own a node goes by the median of all.

Both tests (test_pause_amid_a_stream, test_first_stream_of_a_paused_node) failed before with these figures.

--- a/libberyl/forward/book.c
+++ b/libberyl/forward/book.c
@@ -14,6 +14,10 @@
 #define PRIOR_WEIGHT 10.0
 #define WEIGHT_MAX 200.0
 #define PACE_WEIGHT 0.1
+/* Once so many streams were seen, one counts for no more than this many times
+ * the mean: it may have been this process that was paused. */
+#define PACES_KNOWN 4
+#define PACE_MOST 2.0
 /* A run older than this many times its estimate still has some chance. */
 #define SURVIVAL_LEAST 0.02
 /* Part of the expected output that is reserved.  A reservation takes memory
@@ -48,6 +52,7 @@
     .weight = PRIOR_WEIGHT,
     .tokens_mean = PRIOR_TOKENS,
     .ms_per_token = PRIOR_MS_PER_TOKEN,
+    .seen_ms_per_token = PRIOR_MS_PER_TOKEN,
   };
 }
 
@@ -55,14 +60,17 @@
 length_model_learn_pace (struct length_model *model, uint32_t tokens,
                          int64_t took_ms)
 {
-  double weight;
+  double sample, weight;
 
   if (tokens == 0 || took_ms <= 0)
     return;
+  sample = (double)took_ms / (double)tokens;
+  if (model->paces >= PACES_KNOWN)
+    sample = fmin (sample, PACE_MOST * model->seen_ms_per_token);
   model->paces++;
   weight = fmax (PACE_WEIGHT, 1.0 / model->paces);
-  model->ms_per_token
-      += weight * ((double)took_ms / (double)tokens - model->ms_per_token);
+  model->seen_ms_per_token += weight * (sample - model->seen_ms_per_token);
+  model->ms_per_token = model->seen_ms_per_token;
 }
 
 void
--- a/libberyl/forward/book.h
+++ b/libberyl/forward/book.h
@@ -36,10 +36,11 @@
 {
   double log_mean; /**< of the logarithm of output by estimate */
   double log_variance;
-  double weight;      /**< of what was learned */
-  double tokens_mean; /**< of outputs without an estimate */
-  double ms_per_token;
-  uint32_t paces; /**< streams whose pace was learned */
+  double weight;            /**< of what was learned */
+  double tokens_mean;       /**< of outputs without an estimate */
+  double ms_per_token;      /**< that runs are foreseen by */
+  double seen_ms_per_token; /**< mean of the node's own streams */
+  uint32_t paces;           /**< streams that it is learned from */
 };
 
 /** Return how much is reserved for a run before it begins. */
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -269,6 +269,9 @@
 /** Reading TOKENS took an engine of S TOOK_MS. */
 void profile_learn_prefill (struct service *s, uint32_t tokens,
                             int64_t took_ms);
+/** A stream of S made TOKENS in TOOK_MS. */
+void profile_learn_stream (struct service *s, uint32_t tokens,
+                           int64_t took_ms);
 /** PEER has gone. */
 void profile_forget (struct beryl_forward *f, const char *peer);
 
--- a/libberyl/forward/profile.c
+++ b/libberyl/forward/profile.c
@@ -42,6 +42,9 @@
 static struct beryl_generation_profile
 own_profile (const struct service *s)
 {
+  double decode_ms = s->lengths.paces > 0 ? s->lengths.seen_ms_per_token
+                                          : s->lengths.ms_per_token;
+
   return (struct beryl_generation_profile){
     .service = beryl_engine_number (s->name),
     .arrived = at_most (s->seen, ARRIVED_MOST),
@@ -50,7 +53,7 @@
     .prefills = at_most (s->prefill.seen, PREFILLS_MOST),
     .prefill_ns_per_token = (uint32_t)(s->prefill.ms_per_token * NS_PER_MS),
     .streams = at_most (s->lengths.paces, STREAMS_MOST),
-    .decode_ns_per_token = (uint32_t)(s->lengths.ms_per_token * NS_PER_MS),
+    .decode_ns_per_token = (uint32_t)(decode_ms * NS_PER_MS),
   };
 }
 
@@ -84,7 +87,7 @@
 {
   struct node_pace *items;
   size_t count;
-  uint32_t observations;
+  uint64_t observations;
 };
 
 static void
@@ -131,7 +134,7 @@
 static double
 paces_median (struct node_paces *paces, double otherwise)
 {
-  uint32_t below = 0;
+  uint64_t below = 0;
 
   qsort (paces->items, paces->count, sizeof *paces->items, compare_paces);
   for (size_t i = 0; i < paces->count; i++)
@@ -167,7 +170,7 @@
   if (prefills->count == 0)
     return;
   mix->prefill_seen.nodes = (uint32_t)prefills->count;
-  mix->prefill_seen.prefills = prefills->observations;
+  mix->prefill_seen.prefills = (uint32_t)prefills->observations;
   mix->prefill_seen.least = prefills->items[0].ms_per_token;
   mix->prefill_seen.most = prefills->items[prefills->count - 1].ms_per_token;
 }
@@ -191,7 +194,7 @@
     .prefill_ms_per_token
     = paces_median (&fleet.prefills, s->prefill.ms_per_token),
     .decode_ms_per_token
-    = paces_median (&fleet.streams, s->lengths.ms_per_token),
+    = paces_median (&fleet.streams, s->lengths.seen_ms_per_token),
     .kv_tokens = s->kv_tokens,
     .measured = fleet.prefills.observations >= KNOWN_PREFILLS
                 && fleet.streams.observations >= KNOWN_STREAMS,
@@ -229,17 +232,18 @@
 static void
 take_paces (struct service *s)
 {
+  bool prefills_known = s->prefill.seen >= PREFILLS_MOST;
+  bool streams_known = s->lengths.paces >= STREAMS_MOST;
   struct beryl_generation_mix mix;
 
   s->peers.changed = 0;
-  if (s->prefill.seen >= PREFILLS_MOST)
-    s->prefill_ms_per_token = s->prefill.ms_per_token;
-  if (s->prefill.seen >= PREFILLS_MOST && s->lengths.paces != 0)
+  s->prefill_ms_per_token = s->prefill.ms_per_token;
+  if (prefills_known && streams_known)
     return;
   mix = mix_of (s);
-  if (s->prefill.seen < PREFILLS_MOST)
+  if (!prefills_known)
     s->prefill_ms_per_token = mix.prefill_ms_per_token;
-  if (s->lengths.paces == 0)
+  if (!streams_known)
     s->lengths.ms_per_token = mix.decode_ms_per_token;
 }
 
@@ -250,6 +254,13 @@
   take_paces (s);
 }
 
+void
+profile_learn_stream (struct service *s, uint32_t tokens, int64_t took_ms)
+{
+  length_model_learn_pace (&s->lengths, tokens, took_ms);
+  take_paces (s);
+}
+
 void
 beryl_forward_peer_profiles (struct beryl_forward *f, const char *peer,
                              const struct beryl_generation_profiles *profiles)
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -130,10 +130,9 @@
   uint64_t after_first = r->event_count - 1;
 
   if (r->run_events == PACE_EVENTS && r->event_count == r->run_events)
-    length_model_learn_pace (&r->service->lengths,
-                             (uint32_t)after_first
-                                 * r->terms->engine.event_tokens,
-                             now_ms - r->first_event_ms);
+    profile_learn_stream (
+        r->service, (uint32_t)after_first * r->terms->engine.event_tokens,
+        now_ms - r->first_event_ms);
 }
 
 void
--- a/tests/forward/test_profile.c
+++ b/tests/forward/test_profile.c
@@ -282,6 +282,59 @@
 }
 END_TEST
 
+/* Request NUMBER streams its first events, with a pause of PAUSE_MS. */
+static void
+stream (uint64_t number, int64_t pause_ms)
+{
+  struct fx_exchange *run = arrive (number);
+
+  fx_stream (&fx, run);
+  for (uint64_t event = 1; event <= 10; event++)
+    {
+      fx_event (&fx, run, event);
+      fx.now_ms += EVENT_MS + (event == 5 ? pause_ms : 0);
+    }
+  beryl_forward_caller_gone (fx.forward, number, fx.now_ms);
+}
+
+/* Guards against a node that was paused amid a stream and then takes all
+ * streams for slow. */
+START_TEST (test_pause_amid_a_stream)
+{
+  double pace = (double)EVENT_MS / terms.engine.event_tokens;
+
+  for (uint64_t i = 1; i <= 8; i++)
+    stream (i, 0);
+  ck_assert_double_le (mix ().decode_ms_per_token, 1.01 * pace);
+  stream (9, 5000);
+  ck_assert_double_le (mix ().decode_ms_per_token, 1.25 * pace);
+}
+END_TEST
+
+/* Guards against a first stream that was paused and outweighs what all other
+ * nodes have seen. */
+START_TEST (test_first_stream_of_a_paused_node)
+{
+  const struct beryl_live *d0;
+  uint64_t used, grown;
+
+  for (int i = 0; i < 3; i++)
+    {
+      char peer[16];
+
+      g_snprintf (peer, sizeof peer, "peer-%d", i);
+      peer_tells (peer, 8, ENGINE_PACE);
+    }
+  stream (1, 5000);
+  d0 = beryl_lives_find (fx.lives, "d0");
+  tell_runs ("d0", 1);
+  used = beryl_forward_engine_used (fx.forward, FX_SERVICE, d0, fx.now_ms);
+  fx.now_ms += 300;
+  grown = beryl_forward_engine_used (fx.forward, FX_SERVICE, d0, fx.now_ms);
+  ck_assert_uint_ge (grown - used, 200);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -299,6 +352,8 @@
   tcase_add_test (tcase, test_late_prefill_refuses_nobody);
   tcase_add_test (tcase, test_bad_seconds_are_forgotten);
   tcase_add_test (tcase, test_late_stream_of_one_node);
+  tcase_add_test (tcase, test_pause_amid_a_stream);
+  tcase_add_test (tcase, test_first_stream_of_a_paused_node);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
