The soak's callers tell their own time-outs from closed connections

A caller that gave a stream up after 2.5 s without an event was recorded as "broken", as if its node had closed the connection: asyncio.TimeoutError is an OSError since Python 3.11, and the first handler took it. The lines of LOST named the wrong side (soak halted for 3 s: "c8-36-0 broken after 3.64 s", whose node had answered whole). Both outcomes count as before.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -265,13 +265,13 @@
             await connection.writer.drain()
             attempt.sent = time.monotonic()
             return await self.read_answer(attempt, connection, stream, left_s)
+        except asyncio.TimeoutError:  # an OSError, too
+            attempt.outcome = "timeout"
         except (OSError, h11.RemoteProtocolError) as error:
             attempt.outcome = "broken"
             if isinstance(error, h11.RemoteProtocolError) \
                     and "EOF" not in str(error) and "closed" not in str(error):
                 self.world.broke("MIXED", f"{attempt.id}: {error}")
-        except asyncio.TimeoutError:
-            attempt.outcome = "timeout"
         connection.close()
         return 0.05
 
