--- a/soak/faults.py
+++ b/soak/faults.py
@@ -67,7 +67,8 @@
         while len(node.ends) == ends and time.monotonic() < until:
             await asyncio.sleep(0.05)
         if len(node.ends) == ends:
-            world.broke("EXIT", f"node {node.index} did not stop in time")
+            world.broke("EXIT", f"node {node.index} did not stop in time",
+                        timed=True)
             node.kill()
         await asyncio.sleep(1.0)
 
--- a/soak/report.py
+++ b/soak/report.py
@@ -52,8 +52,8 @@
     ways = collections.Counter(a.outcome for a in world.attempts.values())
     rows = "".join(f"<tr><td>{html.escape(str(w))}<td>{c}"
                    for w, c in ways.most_common())
-    broken = "".join(f"<li>{html.escape(r)}: {html.escape(t)}"
-                     for r, t in world.broken) or "<li>none"
+    broken = "".join(f"<li>{html.escape(b.rule)}: {html.escape(b.text)}"
+                     for b in world.broken) or "<li>none"
     with open(path, "w") as file:
         file.write(
             "<!doctype html><meta charset=utf-8><title>Fault soak</title>"
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,7 @@
 
 from . import faults
 from .caller import Attempt, Caller, Stream
+from .clock import LoopClock
 from .processes import PORTS, Node, Platform
 from .proxy import Proxy
 
@@ -23,6 +24,20 @@
          "repeat_slack": 50, "log_lines_per_s": 5000}
 
 
+# These are seen in bytes, counts and exit statuses, however late.
+UNTIMED = {"TWICE", "REFUSED", "MIXED", "ORDER", "RETRY", "BLAMED", "EXIT",
+           "MEMORY"}
+
+
+class Broken:
+    """A rule that a run has broken."""
+
+    def __init__(self, rule, text, timed):
+        self.rule = rule
+        self.text = text
+        self.timed = timed  # a late loop may have brought it about
+
+
 class Runner:
     def __init__(self, name, service, stage, proxy):
         self.id = name
@@ -57,12 +72,15 @@
         self.probes = []         # (time, node, host, status)
         self.versions = []       # (acknowledged, version)
         self.disturbances = []
-        self.broken = []         # (rule, text)
+        self.broken = []         # Broken
+        self.clock = LoopClock()
         self.tasks = []
         self.began = time.monotonic()
 
-    def broke(self, rule, text):
-        self.broken.append((rule, text))
+    def broke(self, rule, text, timed=None):
+        if timed is None:
+            timed = rule not in UNTIMED
+        self.broken.append(Broken(rule, text, timed))
 
     @contextlib.contextmanager
     def disturbed(self, scopes, text, planned=False):
@@ -96,6 +114,7 @@
         return task
 
     async def open(self):
+        self.spawn(self.clock.watch())
         await self.platform.start()
         for proxy in self.store_proxies:
             proxy.target = ("127.0.0.1", self.platform.port)
