--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -191,6 +191,28 @@
 }
 END_TEST
 
+/* Guards against a stand-in that lists a runner again after its entry was
+ * removed for leaving, by which nodes would send it work until it exits. */
+START_TEST (test_removed_runner_stays_removed)
+{
+  uint32_t before;
+
+  world_nodes (&w, 1);
+  standin_runner_leave (world_runner (&w, 0));
+  standin_runner_list (world_runner (&w, 0));
+  world_turn (&w, 1500);
+  before = standin_runner_executions (world_runner (&w, 0));
+  for (int i = 0; i < 20; i++)
+    {
+      struct world_answer *answer = world_get (&w, 0, "a.example", "/x", "");
+
+      world_wait (&w, answer);
+      assert_whole (answer);
+    }
+  ck_assert_uint_eq (standin_runner_executions (world_runner (&w, 0)), before);
+}
+END_TEST
+
 /* A decode engine dies in the middle of a stream; the caller gets each event
  * once, from two engines. */
 START_TEST (test_engine_dies)
@@ -635,6 +657,7 @@
   tcase_add_test (tcase, test_record_is_written_again);
   tcase_add_test (tcase, test_configuration_spreads);
   tcase_add_test (tcase, test_draining_runner);
+  tcase_add_test (tcase, test_removed_runner_stays_removed);
   tcase_add_test (tcase, test_engine_dies);
   tcase_add_test (tcase, test_engine_freezes);
   tcase_add_test (tcase, test_engine_leaves);
