LOST of the soak allows what its rule allows: the deadline, the end of a stop

RULES, LOST, does not count an answer that ends because the deadline or the route's timeout was reached, nor one at whose request the runner was still at work in the last sixth of the time to stop, if it was sent within three seconds of the signal. The check had neither.

An end before the deadline by any clock, one held past it, a stop that ends sooner, or without a runner at work, a caller that sees no event: all still fail, each by a test in tests/soak.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -29,6 +29,7 @@
         self.node = node
         self.began = time.monotonic()
         self.sent = None
+        self.left_s = None  # how long its caller waits from then on
         self.ended = None
         self.outcome = None  # whole refused error broken left timeout none
         self.status = 0
@@ -255,6 +256,7 @@
         proxy = self.world.front_proxies[connection.node.index]
         own = connection.writer.get_extra_info("sockname")
         attempt.silenced = proxy.is_silent(own)
+        attempt.left_s = left_s
         head, body = self.head(attempt, stream, prompt, left_s)
         bytes_out = connection.h11.send(head)
         if body:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,12 @@
 CRASHES_MOST = 3
 LATE_CRASHES = 3
 LIMIT_WINDOW_S = 4.0
+# As the stand-in's operator configures them.
+ROUTE_TIMEOUT_S = 5.0
+# A stopping node may end what a runner still works on in this part of its time
+# at the end, if it was sent so soon after the signal.
+STOP_LAST_PART = 1 / 6
+STOP_SENT_S = 3.0
 DESCRIPTORS = 120
 
 
@@ -159,6 +165,28 @@
                                     f"{begin.runner} after its caller left")
 
 
+def ends_at_deadline(attempt):
+    """Not before its time is up by any clock, and not held any longer."""
+    left_s = min(attempt.left_s, ROUTE_TIMEOUT_S)
+    return attempt.began + left_s <= attempt.ended \
+        <= attempt.sent + left_s + LOSS_SLACK_S
+
+
+def ends_with_the_stop(world, attempt, record):
+    """Whether a runner was still at work when its node's time to stop ended."""
+    stop_s = world.terms["stop_ms"] / 1000
+    for stop in world.disturbances:
+        last = stop.began + stop_s * (1 - STOP_LAST_PART)
+        if stop.scope == f"node-{attempt.node}" and stop.text == "SIGTERM" \
+                and attempt.sent <= stop.began + STOP_SENT_S \
+                and last <= attempt.ended <= stop.began + stop_s + SLACK_S \
+                and any(b.at <= attempt.ended
+                        and (b.ended is None or b.ended >= last)
+                        for b in record.runs(attempt.id)):
+            return True
+    return False
+
+
 def planned_work(world, record):
     """Nothing is cut off where only planned work went on."""
     for attempt in world.attempts.values():
@@ -170,6 +198,9 @@
             continue
         begins = record.begins.get(attempt.id, [])
         held_s = attempt.ended - attempt.sent
+        if ends_at_deadline(attempt) \
+                or ends_with_the_stop(world, attempt, record):
+            continue
         if begins or held_s > LOSS_SLACK_S:
             world.broke("LOST", f"{attempt.id} ({attempt.kind}) "
                         f"{attempt.outcome} after {held_s:.2f} s at node "
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,9 +3,125 @@
 import types
 import unittest
 
+from soak import checks
+from soak.caller import Attempt
 from soak.clock import STEP_S, LoopClock
+from soak.faults import Disturbance
 from soak.world import World
 
+NODE = 1
+RUNNER = "m7"
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.world = World(1, "build", "/nonexistent", 2, 1)
+        self.record = checks.Record("/nonexistent")
+
+    def disturb(self, began, ended, scope=f"node-{NODE}", text="SIGTERM",
+                planned=True):
+        disturbance = Disturbance(scope, text, planned)
+        disturbance.began, disturbance.ended = began, ended
+        self.world.disturbances.append(disturbance)
+
+    def attempt(self, began, ended, outcome="broken", left_s=8.0):
+        attempt = Attempt("c1-1-0", "stream-once", NODE)
+        attempt.began, attempt.sent = began, began + 0.01
+        attempt.ended, attempt.outcome = ended, outcome
+        attempt.left_s = left_s
+        self.world.attempts[attempt.id] = attempt
+
+    def run_at(self, began, ended):
+        begin = checks.Begin(began, RUNNER, "run")
+        begin.ended = ended
+        self.record.begins["c1-1-0"].append(begin)
+
+    def lost(self):
+        checks.planned_work(self.world, self.record)
+        return [broken.rule for broken in self.world.broken]
+
+
+class PlannedWork(Case):
+    def test_cut_amid_a_stop(self):
+        """Guards against a stopping node that ends an open answer."""
+        self.disturb(100, 106)
+        self.attempt(99.9, 102)
+        self.run_at(100, 102)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_request_that_never_runs(self):
+        """Guards against a stopping node that holds a request and drops it."""
+        self.disturb(100, 106)
+        self.attempt(101, 102.5)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_end_at_the_route_timeout(self):
+        self.disturb(100, 106)
+        self.attempt(100.5, 105.6)
+        self.run_at(101, 105.5)
+        self.assertEqual(self.lost(), [])
+
+    def test_end_at_the_deadline_of_a_retry(self):
+        self.disturb(100, 106)
+        self.attempt(100.5, 102.6, left_s=2.05)
+        self.run_at(101, 102.5)
+        self.assertEqual(self.lost(), [])
+
+    def test_end_just_before_the_deadline(self):
+        """Guards against a cut that is taken for the deadline's."""
+        self.disturb(100, 106)
+        self.attempt(101, 105.9)
+        self.run_at(101.5, 103)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_held_past_the_deadline(self):
+        """Guards against a request that is forgotten and ends much later."""
+        self.disturb(100, 106)
+        self.attempt(100.5, 137.5, outcome="timeout")
+        self.run_at(101, 102)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_runner_at_work_as_the_stop_ends(self):
+        self.disturb(100, 106)
+        self.attempt(99.9, 104.3)
+        self.run_at(103.8, 104.3)
+        self.assertEqual(self.lost(), [])
+
+    def test_stop_ends_early(self):
+        """Guards against a stop that does not take the time that it has."""
+        self.disturb(100, 106)
+        self.attempt(99.9, 104.1)
+        self.run_at(103.8, 104.1)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_no_runner_at_work_as_the_stop_ends(self):
+        """Guards against a whole answer that the stop keeps from its caller."""
+        self.disturb(100, 106)
+        self.attempt(99.9, 104.3)
+        self.run_at(100, 103)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_sent_long_after_the_signal(self):
+        """Guards against a node that takes new requests to the last."""
+        self.disturb(100, 106)
+        self.attempt(103.1, 104.9)
+        self.run_at(103.5, 104.9)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_stop_of_another_node(self):
+        """Guards against a cut by a node that does not stop."""
+        self.disturb(100, 106, scope="node-0")
+        self.attempt(99.9, 104.3)
+        self.run_at(103.8, 104.3)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_silence_at_any_time(self):
+        """Guards against a stream that its node leaves without an event."""
+        self.disturb(100, 106)
+        self.attempt(100.5, 103.2, outcome="timeout")
+        self.run_at(100.6, 103)
+        self.assertEqual(self.lost(), ["LOST"])
+
 
 class Clock(unittest.TestCase):
     @staticmethod
