--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -114,8 +114,7 @@
     verdict = judge(world)
     print(f"{LABELS[verdict]} seed {world.seed} profile {world.profile} "
           f"{told}")
-    if verdict != Verdict.PASSED:
-        print(f"       {world.clock.text(world.began)}")
+    print(f"       {world.clock.text(world.began)}")
     for broken in world.broken[:8]:
         print(f"       {broken.rule}: {broken.text}")
     if verdict != Verdict.PASSED:
