Two soak runs of one seed have addresses of their own

A run took its part of the loopback range from its process id modulo 250. A run now holds a socket on the part that it takes, and takes the next one if that is held.

test_runs_do_not_meet failed before: three worlds, one network.

--- a/soak/world.py
+++ b/soak/world.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import socket
 import time
 
 from . import faults
@@ -19,6 +20,8 @@
               ("model", "prefill"): 1, ("model", "decode"): 2}
 STORE_PORT = 8142
 READY_S = 15
+NETS = 250
+LOCK_PORT = 8099
 TERMS = {"endpoint_leave_ms": 2000, "address_keep_ms": 1000, "stop_ms": 5000,
          "lease_ms": 2000, "thaw_ms": 200, "record_keep_ms": 4000,
          "repeat_slack": 50, "log_lines_per_s": 5000}
@@ -38,6 +41,20 @@
         self.timed = timed  # a late loop may have brought it about
 
 
+def claim_net(seed):
+    """A part of the loopback range that no other run on this machine has, and
+    the socket that keeps it."""
+    for number in range(NETS):
+        net = f"127.{1 + (os.getpid() + number) % NETS}.{1 + seed % NETS}"
+        lock = socket.socket()
+        try:
+            lock.bind((f"{net}.{NETS + 1}", LOCK_PORT))
+            return net, lock
+        except OSError:
+            lock.close()
+    raise OSError("all networks of this seed are in use")
+
+
 class Runner:
     def __init__(self, name, service, stage, proxy):
         self.id = name
@@ -53,8 +70,7 @@
         self.rng = random.Random(seed)
         self.directory = directory
         self.terms = dict(TERMS)
-        # Addresses of this process and seed only: runs do not meet.
-        self.net = f"127.{1 + os.getpid() % 250}.{1 + seed % 250}"
+        self.net, self.lock = claim_net(seed)
         self.platform = Platform(build, directory)
         self.nodes = [Node(i, f"{self.net}.{i + 1}", build, directory,
                            self.terms) for i in range(nodes)]
@@ -265,3 +281,4 @@
         for proxy in (self.store_proxies + self.front_proxies
                       + self.runner_proxies):
             proxy.close()
+        self.lock.close()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -16,6 +16,7 @@
 class Case(unittest.TestCase):
     def setUp(self):
         self.world = World(1, "build", "/nonexistent", 2, 1)
+        self.addCleanup(self.world.lock.close)
         self.record = checks.Record("/nonexistent")
 
     def disturb(self, began, ended, scope=f"node-{NODE}", text="SIGTERM",
@@ -123,6 +124,15 @@
         self.assertEqual(self.lost(), ["LOST"])
 
 
+class Addresses(unittest.TestCase):
+    def test_runs_do_not_meet(self):
+        """Guards against two runs of one seed on the same addresses."""
+        worlds = [World(1, "build", "/nonexistent", 2, 1) for _ in range(3)]
+        self.assertEqual(len({world.net for world in worlds}), 3)
+        for world in worlds:
+            world.lock.close()
+
+
 class Clock(unittest.TestCase):
     @staticmethod
     def clock(*delays):
@@ -152,6 +162,7 @@
     def judge(held, *rules):
         from soak.__main__ import judge
         world = World(1, "build", "/nonexistent", 2, 1)
+        world.lock.close()
         world.clock = types.SimpleNamespace(held=lambda: held)
         for rule in rules:
             world.broke(rule, "")
