--- a/soak/world.py
+++ b/soak/world.py
@@ -130,7 +130,6 @@
         return task
 
     async def open(self):
-        self.spawn(self.clock.watch())
         await self.platform.start()
         for proxy in self.store_proxies:
             proxy.target = ("127.0.0.1", self.platform.port)
@@ -241,6 +240,7 @@
 
     async def play(self, profile, calm_s, trouble_s, rest_s):
         """The whole run: calm, trouble, and a rest in which all is well."""
+        self.spawn(self.clock.watch())
         callers = [Caller(self, i, random.Random(self.seed * 1000 + i))
                    for i in range(self.callers_count)]
         running = [self.spawn(c.run()) for c in callers]
