A signal to a node that is ending does not lose its exit status

Soak, on a machine whose cores were all taken (load 88, loop late by 5.4 s): EXIT, 'node 0 was stopped and ended with status 255'. The node had been killed, and a SIGTERM followed before its end was seen.

test_signal_to_one_that_is_ending failed before (255).

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,5 +1,6 @@
 """The programs that a soak starts.  It ends only these, by their ids."""
 import asyncio
+import contextlib
 import os
 import signal
 import time
@@ -63,6 +64,7 @@
         self.log = os.path.join(directory, f"node-{index}.log")
         self.terms = terms
         self.process = None
+        self.handle = None  # a pidfd of it while it runs
         self.paused = False
         self.restarts = True
         self.restart_s = 0.5
@@ -90,8 +92,13 @@
                     self.program, self.settings, stdout=log, stderr=log,
                     stdin=asyncio.subprocess.DEVNULL)
             self.expected_end = False
+            self.handle = os.pidfd_open(self.process.pid)
             self.starts.append(time.monotonic())
-            status = await self.process.wait()
+            try:
+                status = await self.process.wait()
+            finally:
+                os.close(self.handle)
+                self.handle = None
             self.ends.append((time.monotonic(), status, self.expected_end))
             if not self.restarts:
                 return
@@ -101,8 +108,11 @@
         return self.process is not None and self.process.returncode is None
 
     def signal(self, number):
-        if self.alive():
-            self.process.send_signal(number)
+        """Process.send_signal would first reap a process that has just ended,
+        and its exit status would be lost."""
+        if self.handle is not None:
+            with contextlib.suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self.handle, number)
 
     def kill(self):
         self.expected_end = True
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,5 +1,8 @@
 """What the soak lets pass, and what it does not; from made-up records, with no
 process started."""
+import asyncio
+import tempfile
+import time
 import types
 import unittest
 
@@ -7,6 +10,7 @@
 from soak.caller import Attempt
 from soak.clock import STEP_S, LoopClock
 from soak.faults import Disturbance
+from soak.processes import Node
 from soak.world import World
 
 NODE = 1
@@ -133,6 +137,31 @@
             world.lock.close()
 
 
+class Processes(unittest.IsolatedAsyncioTestCase):
+    @staticmethod
+    async def status_after_two_signals(directory):
+        node = Node(0, "127.0.0.1", "build", directory, {})
+        node.program, node.settings = "/bin/sleep", "30"
+        node.restarts = False
+        task = asyncio.ensure_future(node.supervise())
+        while not node.alive():
+            await asyncio.sleep(0.001)
+        node.kill()
+        until = time.monotonic() + 0.0001
+        while time.monotonic() < until:
+            pass
+        node.terminate()
+        await task
+        return node.ends[0][1]
+
+    async def test_signal_to_one_that_is_ending(self):
+        """Guards against an exit status that a second signal makes unknown."""
+        with tempfile.TemporaryDirectory() as directory:
+            statuses = {await self.status_after_two_signals(directory)
+                        for _ in range(60)}
+        self.assertEqual(statuses, {-9})
+
+
 class Clock(unittest.TestCase):
     @staticmethod
     def clock(*delays):
