--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,11 +26,11 @@
     PASSED = 0
     FAILED = 1
     INCONCLUSIVE = 3  # it could not hold its own clock
-    BROKE_OFF = 4     # the soak itself failed
+    ERROR = 4         # the soak itself failed
 
 
 LABELS = {Verdict.PASSED: "ok  ", Verdict.FAILED: "FAIL",
-          Verdict.INCONCLUSIVE: "inconclusive", Verdict.BROKE_OFF: "broke off"}
+          Verdict.INCONCLUSIVE: "inconclusive", Verdict.ERROR: "error"}
 
 
 def options():
@@ -133,9 +133,9 @@
     try:
         return show(await play(o.seed, o.profile, o), o)
     except Exception:
-        print(f"{LABELS[Verdict.BROKE_OFF]} seed {o.seed}, no verdict")
+        print(f"{LABELS[Verdict.ERROR]} seed {o.seed}, no verdict")
         traceback.print_exc(file=sys.stdout)
-        return Verdict.BROKE_OFF
+        return Verdict.ERROR
 
 
 async def start(seed, profile, o):
@@ -154,9 +154,9 @@
     print(said.decode(errors="replace"), end="", flush=True)
     if process.returncode in list(Verdict):
         return Verdict(process.returncode)
-    print(f"{LABELS[Verdict.BROKE_OFF]} seed {seed}, exit status "
+    print(f"{LABELS[Verdict.ERROR]} seed {seed}, exit status "
           f"{process.returncode}", flush=True)
-    return Verdict.BROKE_OFF
+    return Verdict.ERROR
 
 
 async def run(o):
@@ -180,7 +180,7 @@
 
     await asyncio.gather(*(worker() for _ in range(o.jobs)))
     rest = "".join(f", {counts[v]} {LABELS[v]}" for v in (
-        Verdict.INCONCLUSIVE, Verdict.BROKE_OFF) if counts[v])
+        Verdict.INCONCLUSIVE, Verdict.ERROR) if counts[v])
     print(f"{counts[Verdict.PASSED]} passed, {counts[Verdict.FAILED]} failed"
           f"{rest}")
     # A run of nothing has shown nothing.
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -92,18 +92,25 @@
                     self.program, self.settings, stdout=log, stderr=log,
                     stdin=asyncio.subprocess.DEVNULL)
             self.expected_end = False
-            self.handle = os.pidfd_open(self.process.pid)
             self.starts.append(time.monotonic())
-            try:
-                status = await self.process.wait()
-            finally:
-                os.close(self.handle)
-                self.handle = None
+            status = await self.end()
             self.ends.append((time.monotonic(), status, self.expected_end))
             if not self.restarts:
                 return
             await asyncio.sleep(self.restart_s)
 
+    async def end(self):
+        """Waits for the process, which signals can reach meanwhile."""
+        try:
+            self.handle = os.pidfd_open(self.process.pid)
+        except ProcessLookupError:  # it has ended already
+            return await self.process.wait()
+        try:
+            return await self.process.wait()
+        finally:
+            os.close(self.handle)
+            self.handle = None
+
     def alive(self):
         return self.process is not None and self.process.returncode is None
 
--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -170,16 +170,12 @@
 }
 END_TEST
 
-/* A runner says that it leaves: it gets no more work, and what it has runs to
- * its end. */
-START_TEST (test_draining_runner)
+/* Twenty requests are answered whole, none of them by RUNNER. */
+static void
+assert_gets_no_work (const struct standin_runner *runner)
 {
-  uint32_t before;
+  uint32_t before = standin_runner_executions (runner);
 
-  world_nodes (&w, 1);
-  standin_runner_drain (world_runner (&w, 0));
-  world_turn (&w, 1500);
-  before = standin_runner_executions (world_runner (&w, 0));
   for (int i = 0; i < 20; i++)
     {
       struct world_answer *answer = world_get (&w, 0, "a.example", "/x", "");
@@ -187,7 +183,17 @@
       world_wait (&w, answer);
       assert_whole (answer);
     }
-  ck_assert_uint_eq (standin_runner_executions (world_runner (&w, 0)), before);
+  ck_assert_uint_eq (standin_runner_executions (runner), before);
+}
+
+/* A runner says that it leaves: it gets no more work, and what it has runs to
+ * its end. */
+START_TEST (test_draining_runner)
+{
+  world_nodes (&w, 1);
+  standin_runner_drain (world_runner (&w, 0));
+  world_turn (&w, 1500);
+  assert_gets_no_work (world_runner (&w, 0));
 }
 END_TEST
 
@@ -195,21 +201,11 @@
  * removed for leaving, by which nodes would send it work until it exits. */
 START_TEST (test_removed_runner_stays_removed)
 {
-  uint32_t before;
-
   world_nodes (&w, 1);
   standin_runner_leave (world_runner (&w, 0));
   standin_runner_list (world_runner (&w, 0));
   world_turn (&w, 1500);
-  before = standin_runner_executions (world_runner (&w, 0));
-  for (int i = 0; i < 20; i++)
-    {
-      struct world_answer *answer = world_get (&w, 0, "a.example", "/x", "");
-
-      world_wait (&w, answer);
-      assert_whole (answer);
-    }
-  ck_assert_uint_eq (standin_runner_executions (world_runner (&w, 0)), before);
+  assert_gets_no_work (world_runner (&w, 0));
 }
 END_TEST
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -139,10 +139,22 @@
 
 class Processes(unittest.IsolatedAsyncioTestCase):
     @staticmethod
-    async def status_after_two_signals(directory):
+    def node(directory, program, argument):
         node = Node(0, "127.0.0.1", "build", directory, {})
-        node.program, node.settings = "/bin/sleep", "30"
+        node.program, node.settings = program, argument
         node.restarts = False
+        return node
+
+    async def test_process_that_ends_at_once(self):
+        """Guards against a node that is not watched since it ended early."""
+        with tempfile.TemporaryDirectory() as directory:
+            for _ in range(20):
+                node = self.node(directory, "/bin/true", "-")
+                await node.supervise()
+                self.assertEqual(node.ends[0][1], 0)
+
+    async def status_after_two_signals(self, directory):
+        node = self.node(directory, "/bin/sleep", "30")
         task = asyncio.ensure_future(node.supervise())
         while not node.alive():
             await asyncio.sleep(0.001)
