allotments: rate limits of organisations for the whole fleet

Cause: the platform's organisations have allotments in tokens, for all nodes together; what is refused below one is lost to its callers, what is sent beyond it breaks the limit. libberyl/router limits by an even part for each node, which at 78 nodes is 372 tokens a second for an organisation of 29,000: less than one prompt. Change: libberyl/allotments, one bucket per organisation that all nodes follow by reports of growing counters. A peer's part of the rate counts only when its report shows that it was heard until then; stock counts as far as reports are fresh; a lost peer takes its part along; a node uses at most four parts of the stock before it has reported.

--- /dev/null
+++ b/libberyl/allotments/allotments.c
@@ -0,0 +1,530 @@
+#include "beryl/allotments.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/random.h"
+#include "fleet.h"
+
+/* Number of nodes that is assumed until it is known. */
+#define ASSUMED_NODES 50
+/* Time until peers know of a node's use: reports are batched and cross the
+ * network. */
+#define REPORT_DELAY_MS 300
+/* A report is due if a node has used this many times its even part of a bucket
+ * since the last one. */
+#define REPORT_DUE_PARTS 1
+/* A node may use this many times its part of a bucket before it has reported
+ * what it used. */
+#define UNREPORTED_PARTS 4
+/* Time over which use and refusals are averaged. */
+#define RATE_MS 1000.0
+/* Smallest capacity of a bucket: the refill of this time. */
+#define BURST_MIN_MS 250
+/* Part of the slack that a bucket may hold on top of the burst.  The rest is
+ * for use that is not known everywhere yet. */
+#define CREDIT_PART 0.4
+/* Part of the slack that a bucket holds when its use is not known yet. */
+#define START_PART 0.25
+/* Part of the slack that one request may overdraw a bucket by. */
+#define DEBT_PART 0.25
+/* Part of the refill that refused callers are invited to return for; the rest
+ * is for new requests. */
+#define RETURN_PART 0.5
+/* Bounds of the Retry-After of a refused request. */
+#define RETRY_MIN_MS 500
+#define RETRY_MAX_MS 10000
+
+/* Last counters of one peer. */
+struct peer_use
+{
+  uint32_t used;
+  uint32_t refused;
+  uint16_t contact; /* fleet_peer's; 0: none seen */
+};
+
+/* Exponentially decaying average of a rate. */
+struct rate
+{
+  double per_s;
+  int64_t updated_ms;
+};
+
+/* One organisation's bucket. */
+struct bucket
+{
+  uint32_t organisation;
+  struct beryl_allotment allotment;
+  double level;        /* below 0 if overdrawn */
+  double share;        /* of the fleet, at the last refill */
+  int64_t refilled_ms; /* 0: never */
+  double peer_ms;      /* fleet's, at the last refill */
+  double kept_log;     /* the same */
+  double set_aside;    /* of requests admitted, but not sent yet */
+  struct rate use;     /* of all nodes */
+  struct rate refusals;
+  struct rate own_demand; /* use and refusals of this node */
+  double unreported;      /* use of this node since its last report */
+  uint32_t used;          /* counters of this node; wrap around */
+  uint32_t refused;
+  uint32_t used_before[2]; /* USED one and two checkpoints ago */
+  int64_t checkpoint_ms;
+  int64_t changed_ms; /* last change of a counter of this node */
+  int64_t next_return_ms;
+  struct peer_use *peers; /* by index of the fleet's peers */
+  uint32_t peer_count;
+};
+
+struct beryl_allotments
+{
+  struct bucket *buckets; /* by ascending organisation */
+  size_t count;
+  size_t next_report; /* rotation position */
+  bool any_new;       /* some buckets were never refilled */
+  bool report_due;
+  double slack;
+  uint64_t random;
+  struct fleet fleet;
+};
+
+struct beryl_allotments *
+beryl_allotments_create (double slack, uint64_t seed)
+{
+  struct beryl_allotments *a = calloc (1, sizeof *a);
+
+  a->slack = slack;
+  a->random = seed;
+  a->fleet.nodes = ASSUMED_NODES;
+  return a;
+}
+
+static void
+buckets_free (struct bucket *buckets, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    free (buckets[i].peers);
+  free (buckets);
+}
+
+void
+beryl_allotments_destroy (struct beryl_allotments *a)
+{
+  if (a == NULL)
+    return;
+  buckets_free (a->buckets, a->count);
+  fleet_clear (&a->fleet);
+  free (a);
+}
+
+void
+beryl_allotments_set_slack (struct beryl_allotments *a, double slack)
+{
+  a->slack = slack;
+}
+
+void
+beryl_allotments_set_fleet (struct beryl_allotments *a, uint32_t nodes,
+                            int64_t report_interval_ms)
+{
+  a->fleet.nodes = nodes > 0 ? nodes : 1;
+  a->fleet.report_interval_ms = report_interval_ms;
+}
+
+uint32_t
+beryl_allotment_cost (const struct beryl_allotment *allotment, uint64_t tokens)
+{
+  if (!allotment->in_tokens)
+    return 1;
+  if (tokens == 0)
+    return allotment->plain_tokens;
+  return tokens < UINT32_MAX ? (uint32_t)tokens : UINT32_MAX;
+}
+
+static struct bucket *
+bucket_find (const struct beryl_allotments *a, uint32_t organisation)
+{
+  size_t low = 0, high = a->count;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+
+      if (a->buckets[middle].organisation < organisation)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low < a->count && a->buckets[low].organisation == organisation
+             ? &a->buckets[low]
+             : NULL;
+}
+
+void
+beryl_allotments_set (struct beryl_allotments *a,
+                      const struct beryl_allotment_entry *entries,
+                      size_t count)
+{
+  struct bucket *buckets = calloc (count + 1, sizeof *buckets);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct bucket *old = bucket_find (a, entries[i].organisation);
+
+      if (old != NULL)
+        {
+          buckets[i] = *old;
+          old->peers = NULL;
+        }
+      else
+        a->any_new = true;
+      buckets[i].organisation = entries[i].organisation;
+      buckets[i].allotment = entries[i].allotment;
+    }
+  buckets_free (a->buckets, a->count);
+  a->buckets = buckets;
+  a->count = count;
+}
+
+static bool
+is_limited (const struct bucket *b)
+{
+  return b->allotment.per_s > 0;
+}
+
+static double
+capacity (const struct beryl_allotments *a, const struct bucket *b)
+{
+  double least = b->allotment.per_s * BURST_MIN_MS / 1000;
+  double burst = b->allotment.burst > least ? b->allotment.burst : least;
+
+  return burst + CREDIT_PART * a->slack;
+}
+
+/* Every node adds its part of the rate as time passes, and a peer's only when
+ * its report shows that it was heard until then: the parts of a fleet that has
+ * just been divided do not both count on the whole rate until they notice.
+ * They divide what is in the bucket as well. */
+static void
+refill (struct beryl_allotments *a, struct bucket *b, int64_t now_ms)
+{
+  double share = fleet_share (&a->fleet, now_ms);
+  double node_ms = (double)(now_ms - b->refilled_ms);
+  double limit = capacity (a, b) * share;
+
+  if (b->refilled_ms == 0)
+    {
+      node_ms = 0;
+      b->peer_ms = a->fleet.peer_ms;
+      b->level = START_PART * a->slack * share;
+    }
+  else if (b->level > 0)
+    b->level *= exp (a->fleet.kept_log - b->kept_log);
+  b->share = share;
+  node_ms += a->fleet.peer_ms - b->peer_ms;
+  b->level += b->allotment.per_s / fleet_size (&a->fleet) * node_ms / 1000;
+  b->refilled_ms = now_ms;
+  b->peer_ms = a->fleet.peer_ms;
+  b->kept_log = a->fleet.kept_log;
+  if (b->level > limit)
+    b->level = limit;
+}
+
+static void
+start_new_buckets (struct beryl_allotments *a, int64_t now_ms)
+{
+  if (!a->any_new)
+    return;
+  a->any_new = false;
+  for (size_t i = 0; i < a->count; i++)
+    refill (a, &a->buckets[i], now_ms);
+}
+
+static double
+rate_get (const struct rate *rate, int64_t now_ms)
+{
+  return rate->per_s * exp (-(double)(now_ms - rate->updated_ms) / RATE_MS);
+}
+
+static void
+rate_add (struct rate *rate, double amount, int64_t now_ms)
+{
+  rate->per_s = rate_get (rate, now_ms) + amount * 1000 / RATE_MS;
+  rate->updated_ms = now_ms;
+}
+
+static double
+demand_per_s (const struct bucket *b, int64_t now_ms)
+{
+  return rate_get (&b->use, now_ms) + rate_get (&b->refusals, now_ms);
+}
+
+/* What all nodes that are heard are asked for until they learn of each other's
+ * use. */
+static double
+competing_demand (const struct bucket *b, int64_t now_ms)
+{
+  return demand_per_s (b, now_ms) * REPORT_DELAY_MS / 1000;
+}
+
+/* Returns this node's part of the demand, at least an even one. */
+static double
+part_of_demand (struct beryl_allotments *a, const struct bucket *b,
+                int64_t now_ms)
+{
+  double even = 1.0 / a->fleet.heard;
+  double demand = demand_per_s (b, now_ms);
+  double own = rate_get (&b->own_demand, now_ms);
+
+  return own > even * demand && demand > 0 ? own / demand : even;
+}
+
+/* All nodes see what is left in the bucket at the same time.  Each admits a
+ * request with a chance such that together, on average, they use no more than
+ * that.  A request is admitted whatever its size as long as anything is left,
+ * or a bucket that is kept near empty by small requests would never admit a
+ * large one. */
+static bool
+admits (struct beryl_allotments *a, const struct bucket *b, uint32_t cost,
+        int64_t now_ms)
+{
+  double stock = b->level > 0
+                     ? b->level * fleet_fresh_share (&a->fleet, now_ms)
+                     : b->level;
+  double available = stock - b->set_aside;
+  double debt_max = DEBT_PART * a->slack * b->share;
+  double unreported = b->unreported + b->set_aside;
+
+  if (available <= 0 || cost > available + debt_max)
+    return false;
+  if (unreported > 0
+      && unreported + cost > UNREPORTED_PARTS * part_of_demand (a, b, now_ms)
+                                 * (stock + b->unreported))
+    return false;
+  return random_unit (&a->random) * competing_demand (b, now_ms) <= available;
+}
+
+/* Callers are invited one after the other, at the pace at which the bucket
+ * refills for this node. */
+static int64_t
+retry_after_ms (struct beryl_allotments *a, struct bucket *b, uint32_t cost,
+                int64_t now_ms)
+{
+  double per_ms = b->allotment.per_s * b->share / 1000;
+  double debt = b->set_aside - b->level;
+  double pause_ms = cost * a->fleet.heard / (RETURN_PART * per_ms);
+  int64_t return_ms = now_ms + RETRY_MIN_MS;
+
+  if (debt > 0)
+    return_ms += (int64_t)(debt / per_ms);
+  if (b->next_return_ms > return_ms)
+    return_ms = b->next_return_ms;
+  if (return_ms > now_ms + RETRY_MAX_MS)
+    return_ms = now_ms + RETRY_MAX_MS;
+  b->next_return_ms
+      = return_ms + (int64_t)(2 * random_unit (&a->random) * pause_ms);
+  return return_ms - now_ms;
+}
+
+static struct beryl_allotment_state
+bucket_state (struct beryl_allotments *a, const struct bucket *b,
+              int64_t now_ms)
+{
+  return (struct beryl_allotment_state){
+    .limited = true,
+    .per_s = b->allotment.per_s,
+    .available = b->level - b->set_aside,
+    .used_per_s = rate_get (&b->use, now_ms),
+    .refused_per_s = rate_get (&b->refusals, now_ms),
+    .share = b->share,
+    .report_age_ms = fleet_report_age_ms (&a->fleet, now_ms),
+  };
+}
+
+bool
+beryl_allotments_admit (struct beryl_allotments *a, uint32_t organisation,
+                        uint32_t cost, int64_t now_ms,
+                        struct beryl_allotment_state *state)
+{
+  struct bucket *b = bucket_find (a, organisation);
+  bool admitted;
+
+  if (state != NULL)
+    *state = (struct beryl_allotment_state){ 0 };
+  if (b == NULL || !is_limited (b))
+    return true;
+  start_new_buckets (a, now_ms);
+  refill (a, b, now_ms);
+  admitted = admits (a, b, cost, now_ms);
+  if (state != NULL)
+    *state = bucket_state (a, b, now_ms);
+  if (admitted)
+    {
+      b->set_aside += cost;
+      return true;
+    }
+  if (state != NULL)
+    state->retry_after_ms = retry_after_ms (a, b, cost, now_ms);
+  b->refused += cost;
+  rate_add (&b->own_demand, cost, now_ms);
+  b->changed_ms = now_ms;
+  rate_add (&b->refusals, cost, now_ms);
+  return false;
+}
+
+static void
+put_back (struct bucket *b, uint32_t cost)
+{
+  b->set_aside -= cost;
+  if (b->set_aside < 0)
+    b->set_aside = 0;
+}
+
+void
+beryl_allotments_use (struct beryl_allotments *a, uint32_t organisation,
+                      uint32_t cost, int64_t now_ms)
+{
+  struct bucket *b = bucket_find (a, organisation);
+
+  if (b == NULL || !is_limited (b))
+    return;
+  refill (a, b, now_ms);
+  put_back (b, cost);
+  b->level -= cost;
+  b->used += cost;
+  b->unreported += cost;
+  if (b->unreported > REPORT_DUE_PARTS * b->level / a->fleet.heard)
+    a->report_due = true;
+  rate_add (&b->own_demand, cost, now_ms);
+  b->changed_ms = now_ms;
+  rate_add (&b->use, cost, now_ms);
+}
+
+void
+beryl_allotments_release (struct beryl_allotments *a, uint32_t organisation,
+                          uint32_t cost)
+{
+  struct bucket *b = bucket_find (a, organisation);
+
+  if (b != NULL)
+    put_back (b, cost);
+}
+
+struct beryl_allotment_state
+beryl_allotments_state (struct beryl_allotments *a, uint32_t organisation,
+                        int64_t now_ms)
+{
+  struct bucket *b = bucket_find (a, organisation);
+
+  if (b == NULL || !is_limited (b))
+    return (struct beryl_allotment_state){ 0 };
+  refill (a, b, now_ms);
+  return bucket_state (a, b, now_ms);
+}
+
+/* Keeps the counter's value of at least USE_REPEAT_MS ago. */
+static void
+take_checkpoint (struct bucket *b, int64_t now_ms)
+{
+  if (now_ms - b->checkpoint_ms < USE_REPEAT_MS)
+    return;
+  b->used_before[1] = b->used_before[0];
+  b->used_before[0] = b->used;
+  b->checkpoint_ms = now_ms;
+}
+
+static bool
+is_reported (const struct bucket *b, int64_t now_ms)
+{
+  return b->changed_ms != 0 && now_ms - b->changed_ms <= USE_REPEAT_MS;
+}
+
+bool
+beryl_allotments_report_due (const struct beryl_allotments *a)
+{
+  return a->report_due;
+}
+
+void
+beryl_allotments_report (struct beryl_allotments *a,
+                         struct beryl_allotment_report *report, int64_t now_ms)
+{
+  size_t first = a->count > 0 ? a->next_report % a->count : 0;
+
+  start_new_buckets (a, now_ms);
+  report->count = 0;
+  a->report_due = false;
+  for (size_t i = 0; i < a->count && report->count < BERYL_ALLOTMENT_USES_MAX;
+       i++)
+    {
+      struct bucket *b = &a->buckets[(first + i) % a->count];
+
+      take_checkpoint (b, now_ms);
+      b->unreported = 0;
+      a->next_report = first + i + 1;
+      if (is_reported (b, now_ms))
+        report->items[report->count++] = (struct beryl_allotment_use){
+          .organisation = b->organisation,
+          .used = b->used,
+          .recent = b->used - b->used_before[1],
+          .refused = b->refused,
+        };
+    }
+}
+
+static struct peer_use *
+peer_use_get (struct bucket *b, uint32_t peer)
+{
+  if (peer >= b->peer_count)
+    {
+      b->peers = realloc (b->peers, (peer + 1) * sizeof *b->peers);
+      memset (b->peers + b->peer_count, 0,
+              (peer + 1 - b->peer_count) * sizeof *b->peers);
+      b->peer_count = peer + 1;
+    }
+  return &b->peers[peer];
+}
+
+/* Applies a peer's counters.  If they do not continue known ones, only what
+ * was used since the contact began counts. */
+static void
+apply_use (struct beryl_allotments *a, struct bucket *b, uint32_t peer_index,
+           const struct beryl_allotment_use *item, int64_t now_ms)
+{
+  const struct fleet_peer *peer = &a->fleet.peers[peer_index];
+  struct peer_use *known = peer_use_get (b, peer_index);
+  bool continues = known->contact == peer->contact;
+  uint32_t used = 0, refused = 0;
+
+  if (continues)
+    {
+      used = item->used - known->used;
+      refused = item->refused - known->refused;
+    }
+  else if (now_ms - peer->contact_ms >= USE_REPEAT_MS)
+    used = item->recent;
+  *known = (struct peer_use){ .used = item->used,
+                              .refused = item->refused,
+                              .contact = peer->contact };
+  refill (a, b, now_ms);
+  b->level -= used;
+  rate_add (&b->use, used, now_ms);
+  rate_add (&b->refusals, refused, now_ms);
+}
+
+void
+beryl_allotments_apply (struct beryl_allotments *a, uint32_t node,
+                        uint64_t incarnation,
+                        const struct beryl_allotment_report *report,
+                        int64_t now_ms)
+{
+  uint32_t peer = fleet_hear (&a->fleet, node, incarnation, now_ms);
+
+  for (size_t i = 0; i < report->count; i++)
+    {
+      struct bucket *b = bucket_find (a, report->items[i].organisation);
+
+      if (b != NULL && is_limited (b))
+        apply_use (a, b, peer, &report->items[i], now_ms);
+    }
+}
