--- a/include/beryl/routes.h
+++ b/include/beryl/routes.h
@@ -1,5 +1,6 @@
 /** @file
- * Maps requests by host and path to services and request policies.
+ * Maps requests by host and path to services and request policies, and
+ * callers' keys to organisations.
  *
  * A table is immutable once frozen and reference-counted, so that each request
  * keeps the table it started with while a new one replaces it.
@@ -11,6 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "beryl/allotments.h"
 #include "beryl/ids.h"
 
 /** How often a request may be executed. */
@@ -37,6 +39,7 @@
   bool streaming;  /**< the response is an event stream */
   bool resumable;  /**< a stream may be resumed at another endpoint */
   bool generation; /**< model call: prompt and output are counted in tokens */
+  bool anonymous;  /**< callers without a key are served too */
   uint32_t endpoints_max; /**< maximum number of endpoints that one request may
                              be sent to; at least 1 */
   int64_t timeout_ms;     /**< request timeout; 0: no limit */
@@ -69,6 +72,16 @@
   int64_t reservation_ms;  /**< maximum lease on decode memory */
 };
 
+/** Organisation whose callers authenticate by keys. */
+struct beryl_route_organisation
+{
+  char name[BERYL_NAME_BYTES];
+  uint32_t id; /**< set by beryl_routes_freeze; unique in the table */
+  bool has_rank;
+  uint32_t rank; /**< priority rank, instead of the route's; if has_rank */
+  struct beryl_allotment allotment;
+};
+
 /** Service that routes can target. */
 struct beryl_route_service
 {
@@ -89,10 +102,18 @@
   int64_t idle_timeout_ms;
 };
 
+struct beryl_route_key;
+
 /** Routing table. */
 struct beryl_routes
 {
   uint64_t version;
+  bool authenticates; /**< callers need a key, except on anonymous routes */
+  struct beryl_route_organisation *organisations; /**< by ascending id */
+  size_t organisation_count;
+  struct beryl_route_key *keys; /**< digests of the organisations' keys */
+  size_t key_count;
+  unsigned char key_secret[32]; /**< of the digests, random in each table */
   struct beryl_route *routes;
   size_t route_count;
   struct beryl_route_service *services;
@@ -117,8 +138,24 @@
 bool beryl_routes_service_index (const struct beryl_routes *routes,
                                  const char *name, size_t *index);
 
-/** Sort the table for lookup; nothing may be added afterwards. */
-void beryl_routes_freeze (struct beryl_routes *routes);
+/** Add an organisation and return its index. */
+size_t
+beryl_routes_add_organisation (struct beryl_routes *routes,
+                               const struct beryl_route_organisation *added);
+
+/** Add a key of the organisation with index ORGANISATION.  Only a digest is
+ * kept.  A key of two organisations identifies neither; beryl_routes_freeze
+ * reports it. */
+void beryl_routes_add_key (struct beryl_routes *routes, size_t organisation,
+                           const char *key);
+
+/** Sort the table for lookup; nothing may be added afterwards.  Returns false
+ * if two organisations have the same name or share a key. */
+bool beryl_routes_freeze (struct beryl_routes *routes);
+
+/** Return the organisation that holds KEY, or NULL. */
+const struct beryl_route_organisation *
+beryl_routes_authenticate (const struct beryl_routes *routes, const char *key);
 
 struct beryl_routes *beryl_routes_ref (struct beryl_routes *routes);
 
--- a/libberyl/routes/routes.c
+++ b/libberyl/routes/routes.c
@@ -1,4 +1,4 @@
-#include "beryl/routes.h"
+#include "private.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +11,7 @@
 
   routes->version = version;
   routes->references = 1;
+  organisations_init (routes);
   return routes;
 }
 
@@ -37,6 +38,8 @@
   free (routes->routes);
   free (routes->services);
   free (routes->by_host);
+  free (routes->organisations);
+  free (routes->keys);
   free (routes);
 }
 
@@ -102,7 +105,7 @@
   return (left_bytes < right_bytes) - (left_bytes > right_bytes);
 }
 
-void
+bool
 beryl_routes_freeze (struct beryl_routes *routes)
 {
   routes->by_host = malloc ((routes->route_count + 1) * sizeof (uint32_t));
@@ -110,6 +113,7 @@
     routes->by_host[i] = (uint32_t)i;
   qsort_r (routes->by_host, routes->route_count, sizeof (uint32_t),
            compare_routes, routes);
+  return organisations_freeze (routes);
 }
 
 /* Compares the first HOST_BYTES bytes of HOST with the whole of NAME. */
