gateway: callers authenticate, and organisations keep to their allotments

Change: 401 for a caller without a valid key, before the route is looked at; 429 with a Retry-After once the allotment is used up; the organisation goes to the endpoint, the key does not. What is set aside for a request that is never sent is free again. Nodes put the use of organisations into the announcements that they send anyway. Quarantine fingerprints hold the organisation instead of the key. The log line of a 429 tells rate, stock, use and age of the reports.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -183,8 +183,11 @@
   frontend_refuse (gateway_from_forward (owner)->frontend, request, refusal);
 }
 
+/* The organisation stands for the caller where there is one: its keys may
+ * change, and the fingerprint is logged. */
 static uint64_t
-forward_fingerprint (struct beryl_forward_owner *owner, uint64_t request)
+forward_fingerprint (struct beryl_forward_owner *owner, uint64_t request,
+                     const char *organisation)
 {
   struct gateway *g = gateway_from_forward (owner);
   size_t body_bytes = 0;
@@ -194,8 +197,9 @@
 
   if (head == NULL)
     return 0;
-  return fingerprint_request (head, g->wire->impl->read_caller (g->wire, head),
-                              body, body_bytes);
+  if (organisation == NULL)
+    organisation = g->wire->impl->read_caller (g->wire, head);
+  return fingerprint_request (head, organisation, body, body_bytes);
 }
 
 /* Logs that a request entered quarantine for REMAINING_MS, or left it (0). */
@@ -225,11 +229,28 @@
   return text;
 }
 
+/* Formats what a refusal for an allotment was decided by; "" for all other
+ * steps. */
+static const char *
+format_allotment (const struct beryl_allotment_state *a, char *text,
+                  size_t text_bytes)
+{
+  text[0] = '\0';
+  if (a != NULL)
+    g_snprintf (text, text_bytes,
+                " limit_per_s=%.0f left=%.0f used_per_s=%.0f"
+                " refused_per_s=%.0f share=%.3f heard_ms=%" G_GINT64_FORMAT,
+                a->per_s, a->available, a->used_per_s, a->refused_per_s,
+                a->share, a->report_age_ms);
+  return text;
+}
+
 static void
 forward_log_decision (struct beryl_forward_owner *owner,
                       const struct beryl_request_step *d)
 {
   char fingerprint[20];
+  char allotment[160];
 
   metrics_count_decision (gateway_from_forward (owner)->metrics, d);
   if (!log_level_enabled (G_LOG_LEVEL_INFO))
@@ -238,12 +259,14 @@
       "request id=%s route=%s step=%s outcome=%s endpoint=%s age_ms="
       "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
       " gap_ms=%" G_GINT64_FORMAT " configuration=%" G_GUINT64_FORMAT
-      " seen=%" G_GUINT64_FORMAT " fingerprint=%s",
+      " seen=%" G_GUINT64_FORMAT " fingerprint=%s organisation=%s%s",
       d->id, d->route, d->step, d->outcome,
       d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms, d->value,
       d->first_event_ms, d->longest_gap_ms, d->config_version,
       d->endpoint_revision,
-      format_fingerprint (d->fingerprint, fingerprint, sizeof fingerprint));
+      format_fingerprint (d->fingerprint, fingerprint, sizeof fingerprint),
+      d->organisation[0] != '\0' ? d->organisation : "-",
+      format_allotment (d->allotment, allotment, sizeof allotment));
 }
 
 /* Logs a STATE that the endpoint list does not show yet; SOURCE is the peer
@@ -421,6 +444,9 @@
   beryl_forward_peer_transfers (g->forward, message->from, &message->asks,
                                 &message->loans, now_ms);
   beryl_forward_peer_profiles (g->forward, message->from, &message->profiles);
+  beryl_allotments_apply (beryl_forward_allotments (g->forward),
+                          beryl_name_hash (message->from),
+                          message->incarnation, &message->allotments, now_ms);
 }
 
 static void
@@ -545,6 +571,8 @@
       beryl_forward_profiles (g->forward, &message.profiles);
       g->profiles_sent_ms = now_ms;
     }
+  beryl_allotments_report (beryl_forward_allotments (g->forward),
+                           &message.allotments, now_ms);
   members_announce_loads (g->members, &message);
 }
 
@@ -642,6 +670,7 @@
     .repeat_ratio = g->settings.repeat_ratio,
     .repeat_slack = g->settings.repeat_slack,
     .repeat_window_ms = g->settings.repeat_window_ms,
+    .allotment_slack = g->settings.allotment_slack,
   };
 
   memcpy (settings.node, g->settings.node, sizeof settings.node);
@@ -801,6 +830,8 @@
   beryl_forward_set_repeat_limits (g->forward, current->repeat_ratio,
                                    current->repeat_slack,
                                    current->repeat_window_ms);
+  current->allotment_slack = settings->allotment_slack;
+  beryl_forward_set_allotment_slack (g->forward, current->allotment_slack);
   if (current->address_keep_ms != settings->address_keep_ms)
     {
       current->address_keep_ms = settings->address_keep_ms;
--- a/gatewayd/platform_source.c
+++ b/gatewayd/platform_source.c
@@ -135,9 +135,9 @@
     }
   g_info ("configuration version=%" G_GUINT64_FORMAT
           " revision=%" G_GUINT64_FORMAT
-          " from=%s routes=%zu services=%zu in force",
+          " from=%s routes=%zu services=%zu organisations=%zu in force",
           routes->version, object->version, origin, routes->route_count,
-          routes->service_count);
+          routes->service_count, routes->organisation_count);
   s->has_routes = true;
   s->configuration_version = routes->version;
   s->configuration_revision = object->version;
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -20,6 +20,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "beryl/allotments.h"
 #include "beryl/clock.h"
 #include "beryl/engine_load.h"
 #include "beryl/limits.h"
@@ -46,6 +47,8 @@
                     the request too; needed to move its run */
   const char *host;
   const char *path;
+  const char
+      *key; /**< that identifies the caller's organisation; NULL: none */
   int64_t arrived_ms;
   int64_t deadline_ms; /**< absolute; BERYL_NEVER_MS if none was given */
   uint32_t prompt_tokens;
@@ -94,6 +97,9 @@
                    earlier runs, up to LAST_EVENT_ID; not set for a resumption
                    that only the caller requested */
   uint64_t last_event_id;
+  const char *organisation; /**< RUN, PREFILL: the caller's; NULL if unknown */
+  bool authenticated; /**< RUN, PREFILL: callers' keys are for this node, not
+                         for endpoints */
   const char *run_id; /**< MOVE: the request's id */
   const struct beryl_live_endpoint
       *target; /**< MOVE: engine to move the run to */
@@ -112,8 +118,10 @@
   BERYL_REFUSAL_DEADLINE,
   BERYL_REFUSAL_ENDPOINT_FAILED,
   BERYL_REFUSAL_STOPPING,
-  BERYL_REFUSAL_QUARANTINED, /**< it has crashed endpoints that ran it */
-  BERYL_REFUSAL_LIMITED,     /**< the endpoints' rate limits are reached */
+  BERYL_REFUSAL_QUARANTINED,     /**< it has crashed endpoints that ran it */
+  BERYL_REFUSAL_LIMITED,         /**< the endpoints' rate limits are reached */
+  BERYL_REFUSAL_UNAUTHENTICATED, /**< no key, or one of no organisation */
+  BERYL_REFUSAL_ALLOTMENT, /**< its organisation's allotment is used up */
 };
 
 /** A final answer that this node generates itself. */
@@ -133,6 +141,9 @@
   const char *id;   /**< id of the request */
   const char *route;
   const char *service;
+  const char *organisation; /**< the caller's; "" if unknown */
+  /** What its refusal was decided by; NULL unless the allotment is used up. */
+  const struct beryl_allotment_state *allotment;
   const struct beryl_live_endpoint *endpoint; /**< may be NULL */
   const char *outcome;                        /**< stable name */
   int64_t age_ms;         /**< since the request's arrival */
@@ -171,9 +182,10 @@
                   const struct beryl_refusal *refusal);
   /** Return the fingerprint of an open request's content, which is equal for
    * requests with the same caller, target and body, whatever their ids; 0 if
-   * unknown. May be NULL. */
-  uint64_t (*fingerprint) (struct beryl_forward_owner *owner,
-                           uint64_t request);
+   * unknown. ORGANISATION is the caller, or NULL if callers do not
+   * authenticate. May be NULL. */
+  uint64_t (*fingerprint) (struct beryl_forward_owner *owner, uint64_t request,
+                           const char *organisation);
   /** Requests with FINGERPRINT are sent to no endpoint for LEFT_MS; 0 lifts
    * the quarantine. May be NULL. */
   void (*quarantine_changed) (struct beryl_forward_owner *owner,
@@ -208,6 +220,8 @@
                             fleet-wide */
   uint32_t repeat_slack; /**< repeats allowed beyond the ratio, fleet-wide */
   int64_t repeat_window_ms;
+  double allotment_slack; /**< what an organisation may exceed its allotment
+                             by, fleet-wide */
 };
 
 /** Create an instance. ENDPOINTS and OWNER must outlive it. */
@@ -229,7 +243,12 @@
                                       uint32_t repeat_slack,
                                       int64_t repeat_window_ms);
 
-/** Set the number of nodes that share the repeat budget; 0 counts as 1. */
+/** Change what organisations may exceed their allotments by. */
+void beryl_forward_set_allotment_slack (struct beryl_forward *forward,
+                                        double slack);
+
+/** Set the number of nodes that share the repeat budget and the allotments; 0
+ * counts as 1. */
 void beryl_forward_set_node_count (struct beryl_forward *forward,
                                    uint32_t nodes);
 
@@ -333,6 +352,14 @@
 struct beryl_quarantine *
 beryl_forward_quarantine (struct beryl_forward *forward);
 
+/** Return the organisations' allotments, to exchange reports of their use. */
+struct beryl_allotments *
+beryl_forward_allotments (struct beryl_forward *forward);
+
+/** Return the routes in use; NULL before the first configuration. */
+const struct beryl_routes *
+beryl_forward_routes (const struct beryl_forward *forward);
+
 /** Return the rate limits that endpoints have stated. */
 struct beryl_limits *beryl_forward_limits (struct beryl_forward *forward);
 
@@ -395,7 +422,8 @@
 
 /** Return whether a report to the peers is due: since the last call of
  * beryl_forward_runs this node's runs have changed, an endpoint was found to
- * be replaced or unreachable, or a loan of repeats is wanted or granted. */
+ * be replaced or unreachable, a loan of repeats is wanted or granted, or much
+ * of an organisation's allotment was used here. */
 bool beryl_forward_report_due (const struct beryl_forward *forward);
 
 /** Write up to MOST of this node's runs and return their number: first those
--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -1,10 +1,12 @@
 /** @file
  * Datagram with all generations that a node has at engines, which replaces
- * what the node told before, and what it found out about endpoints.
+ * what the node told before, what it found out about endpoints, and what
+ * organisations have used there.
  */
 #ifndef WIRE_LOADS_H
 #define WIRE_LOADS_H
 
+#include "beryl/allotments.h"
 #include "beryl/engine_load.h"
 #include "beryl/ids.h"
 #include "wire/frame.h"
@@ -25,6 +27,7 @@
   struct beryl_budget_transfers asks;        /**< for repeats */
   struct beryl_budget_transfers loans;       /**< that this node gives */
   struct beryl_generation_profiles profiles; /**< none in most messages */
+  struct beryl_allotment_report allotments;  /**< use of organisations */
 };
 
 /** Begin a frame in WRITER and put MESSAGE into it, with as many of its runs
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -23,7 +23,7 @@
   static const char *const names[]
       = { "no_configuration", "no_route", "no_endpoint",     "no_room",
           "endpoints_full",   "deadline", "endpoint_failed", "stopping",
-          "quarantined",      "limited" };
+          "quarantined",      "limited",  "unauthenticated", "allotment" };
 
   return names[reason];
 }
@@ -55,6 +55,8 @@
   TAILQ_INIT (&f->exchanges);
   crashes_init (f);
   f->limits = beryl_limits_create ();
+  f->allotments
+      = beryl_allotments_create (settings->allotment_slack, settings->seed);
   return f;
 }
 
@@ -84,6 +86,7 @@
   run_table_clear (&f->run_table);
   beryl_quarantine_destroy (f->quarantine);
   beryl_limits_destroy (f->limits);
+  beryl_allotments_destroy (f->allotments);
   beryl_routes_unref (f->routes);
   free (f);
 }
@@ -131,11 +134,18 @@
 beryl_forward_set_routes (struct beryl_forward *f, struct beryl_routes *routes)
 {
   update_kv_sizes (f, routes);
+  allotment_set_routes (f, routes);
   beryl_routes_ref (routes);
   beryl_routes_unref (f->routes);
   f->routes = routes;
 }
 
+const struct beryl_routes *
+beryl_forward_routes (const struct beryl_forward *f)
+{
+  return f->routes;
+}
+
 void
 beryl_forward_set_repeat_limits (struct beryl_forward *f, double repeat_ratio,
                                  uint32_t repeat_slack,
@@ -150,6 +160,8 @@
 beryl_forward_set_node_count (struct beryl_forward *f, uint32_t nodes)
 {
   f->nodes = nodes > 0 ? nodes : 1;
+  beryl_allotments_set_fleet (f->allotments, f->nodes,
+                              f->run_table.report_interval_ms);
 }
 
 void
@@ -157,6 +169,7 @@
                                    int64_t interval_ms)
 {
   f->run_table.report_interval_ms = interval_ms;
+  beryl_allotments_set_fleet (f->allotments, f->nodes, interval_ms);
 }
 
 void
@@ -165,6 +178,25 @@
   f->reports_incomplete = incomplete;
 }
 
+static bool
+forwards_request (enum beryl_exchange_kind kind)
+{
+  return kind == BERYL_EXCHANGE_RUN || kind == BERYL_EXCHANGE_PREFILL;
+}
+
+static void
+set_request_fields (struct beryl_forward *f, struct request *r,
+                    struct beryl_exchange_start *start, int64_t now_ms)
+{
+  start->remaining_ms
+      = r->deadline_ms == BERYL_NEVER_MS ? 0 : r->deadline_ms - now_ms;
+  if (!forwards_request (start->kind))
+    return;
+  start->authenticated = r->routes->authenticates;
+  start->organisation = r->organisation != NULL ? r->organisation->name : NULL;
+  allotment_count_sent (f, r, now_ms);
+}
+
 struct exchange *
 forward_exchange_start (struct beryl_forward *f, struct request *r,
                         struct beryl_exchange_start *start,
@@ -191,8 +223,7 @@
   start->endpoint = endpoint;
   start->connect_timeout_ms = CONNECT_TIMEOUT_MS;
   if (r != NULL)
-    start->remaining_ms
-        = r->deadline_ms == BERYL_NEVER_MS ? 0 : r->deadline_ms - now_ms;
+    set_request_fields (f, r, start, now_ms);
   f->owner->impl->start (f->owner, start);
   return x;
 }
@@ -257,6 +288,7 @@
     .id = params->id,
     .route = "",
     .service = "",
+    .organisation = "",
     .outcome = beryl_refusal_name (reason),
     .config_version = f->routes != NULL ? f->routes->version : 0,
   };
@@ -287,6 +319,7 @@
                       const struct beryl_forward_request *params,
                       int64_t now_ms)
 {
+  const struct beryl_route_organisation *organisation = NULL;
   const struct beryl_route *route;
   struct request *r;
 
@@ -296,12 +329,22 @@
       return;
     }
   route = beryl_routes_find (f->routes, params->host, params->path);
+  if (params->key != NULL)
+    organisation = beryl_routes_authenticate (f->routes, params->key);
+  /* Before the route is known to exist: a caller without a key must not find
+     out which routes there are. */
+  if (f->routes->authenticates && organisation == NULL
+      && (route == NULL || !route->anonymous))
+    {
+      refuse_at_once (f, params, 401, BERYL_REFUSAL_UNAUTHENTICATED);
+      return;
+    }
   if (route == NULL || route->target_count == 0)
     {
       refuse_at_once (f, params, 404, BERYL_REFUSAL_NO_ROUTE);
       return;
     }
-  r = forward_request_new (f, params, route);
+  r = forward_request_new (f, params, route, organisation);
   if (!beryl_quarantine_empty (f->quarantine)
       && beryl_quarantine_is_suspect (f->quarantine,
                                       forward_request_fingerprint (f, r)))
@@ -312,7 +355,7 @@
   else if (!can_end_in_time (f, r, now_ms))
     forward_request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
                             STOPPING_RETRY_AFTER_MS, now_ms);
-  else if (crashes_refuse (f, r, now_ms))
+  else if (crashes_refuse (f, r, now_ms) || allotment_refuse (f, r, now_ms))
     return;
   else if (forward_request_is_generation (r))
     generation_start (f, r, now_ms);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -119,6 +119,11 @@
   struct beryl_routes *routes;
   const struct beryl_route *route;
   const struct beryl_route_service *config;
+  const struct beryl_route_organisation *organisation; /**< NULL if unknown */
+  uint32_t allotment_cost; /**< set aside in its organisation's allotment,
+                              until it is sent; 0 if none */
+  const struct beryl_allotment_state
+      *allotment; /**< while it is refused for it */
   struct service *service;
   enum phase phase;
   bool waiting; /**< counted as waiting for memory, in PHASE_RESERVING too */
@@ -201,6 +206,7 @@
   uint32_t last_loan_serial;
   bool report_due; /**< a report to the peers is due, see
                       beryl_forward_report_due */
+  struct beryl_allotments *allotments;
   struct beryl_limits *limits;
   uint32_t reachable_nodes; /**< nodes whose reports have arrived recently, and
                                this one */
@@ -277,6 +283,20 @@
                          int64_t now_ms);
 void crashes_tick (struct beryl_forward *f, int64_t now_ms);
 
+/* allotment.c */
+/** Take over the organisations' allotments from ROUTES. */
+void allotment_set_routes (struct beryl_forward *f,
+                           const struct beryl_routes *routes);
+/** If the allotment of R's organisation is used up, refuse R and return
+ * true. */
+bool allotment_refuse (struct beryl_forward *f, struct request *r,
+                       int64_t now_ms);
+/** R is sent to an endpoint; its first send counts. */
+void allotment_count_sent (struct beryl_forward *f, struct request *r,
+                           int64_t now_ms);
+/** R ends; what was set aside for it, and not sent, is free again. */
+void allotment_release (struct beryl_forward *f, struct request *r);
+
 /* rates.c */
 /** The answer to X stated LIMIT; SERVED tells whether the request was
  * served. */
@@ -317,11 +337,12 @@
 
 /* request.c */
 /** Create a request from PARAMS, which are copied, and choose one of ROUTE's
- * services for it. */
+ * services for it.  ORGANISATION is the caller's, or NULL. */
 struct request *
 forward_request_new (struct beryl_forward *f,
                      const struct beryl_forward_request *params,
-                     const struct beryl_route *route);
+                     const struct beryl_route *route,
+                     const struct beryl_route_organisation *organisation);
 /** Free R, which must have no open exchange. */
 void forward_request_free (struct beryl_forward *f, struct request *r);
 /** Return the limits on repeats, which are the same for all services. */
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -11,6 +11,7 @@
 {
   TAILQ_REMOVE (&f->requests, r, entry);
   map_remove (&f->requests_by_handle, map_key_from_number (r->params.handle));
+  allotment_release (f, r);
   beryl_routes_unref (r->routes);
   buffer_clear (&r->buffered);
   event_splitter_clear (&r->events);
@@ -32,8 +33,12 @@
 uint64_t
 forward_request_fingerprint (struct beryl_forward *f, struct request *r)
 {
+  const char *organisation
+      = r->organisation != NULL ? r->organisation->name : NULL;
+
   if (r->fingerprint == 0 && f->owner->impl->fingerprint != NULL)
-    r->fingerprint = f->owner->impl->fingerprint (f->owner, r->params.handle);
+    r->fingerprint = f->owner->impl->fingerprint (f->owner, r->params.handle,
+                                                  organisation);
   return r->fingerprint;
 }
 
@@ -49,6 +54,8 @@
     .id = r->params.id,
     .route = r->route->name,
     .service = r->service->name,
+    .organisation = r->organisation != NULL ? r->organisation->name : "",
+    .allotment = r->allotment,
     .endpoint = endpoint,
     .outcome = outcome,
     .age_ms = now_ms - r->params.arrived_ms,
@@ -263,7 +270,8 @@
 struct request *
 forward_request_new (struct beryl_forward *f,
                      const struct beryl_forward_request *params,
-                     const struct beryl_route *route)
+                     const struct beryl_route *route,
+                     const struct beryl_route_organisation *organisation)
 {
   struct request *r = calloc (1, sizeof *r);
   double random_value = random_unit (&f->random);
@@ -271,8 +279,10 @@
   r->params = *params;
   r->params.host = NULL;
   r->params.path = NULL;
+  r->params.key = NULL;
   r->routes = beryl_routes_ref (f->routes);
   r->route = route;
+  r->organisation = organisation;
   r->config = beryl_routes_choose (f->routes, route, random_value);
   r->service = forward_service (f, r->config->name);
   r->deadline_ms = params->deadline_ms;
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -150,7 +150,8 @@
 }
 
 static uint64_t
-owner_fingerprint (struct beryl_forward_owner *owner, uint64_t request)
+owner_fingerprint (struct beryl_forward_owner *owner, uint64_t request,
+                   const char *organisation)
 {
   const struct fx *fx = fx_of (owner);
 
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -18,6 +18,7 @@
   FIELD_ASKS,
   FIELD_LOANS,
   FIELD_PROFILES,
+  FIELD_ALLOTMENTS,
 };
 
 /* So is a profile. */
@@ -26,6 +27,9 @@
 /* So is a transfer of repeats. */
 #define NUMBERS_PER_TRANSFER 4
 
+/* So is the use of an organisation. */
+#define NUMBERS_PER_USE 4
+
 /* A run is six numbers in a row: small ones take a byte or two each, a map
  * with keys would double them. */
 #define NUMBERS_PER_RUN 6
@@ -88,6 +92,25 @@
   frame_put_end (writer);
 }
 
+static void
+put_allotments (struct frame_writer *writer,
+                const struct beryl_allotment_report *report)
+{
+  if (report->count == 0)
+    return;
+  frame_put_array (writer, FIELD_ALLOTMENTS);
+  for (size_t i = 0; i < report->count; i++)
+    {
+      const struct beryl_allotment_use *use = &report->items[i];
+
+      frame_put_uint (writer, 0, use->organisation);
+      frame_put_uint (writer, 0, use->used);
+      frame_put_uint (writer, 0, use->recent);
+      frame_put_uint (writer, 0, use->refused);
+    }
+  frame_put_end (writer);
+}
+
 static void
 put_message (struct frame_writer *writer, const struct loads_message *message,
              size_t run_count)
@@ -125,6 +148,7 @@
   put_transfers (writer, FIELD_ASKS, &message->asks);
   put_transfers (writer, FIELD_LOANS, &message->loans);
   put_profiles (writer, &message->profiles);
+  put_allotments (writer, &message->allotments);
 }
 
 /* The runs that come first are the ones to be told. */
@@ -207,6 +231,27 @@
     };
 }
 
+static void
+read_allotments (struct frame *frame, struct frame_map map,
+                 struct beryl_allotment_report *report)
+{
+  struct frame_array array = frame_array (map, FIELD_ALLOTMENTS);
+
+  if (array.count > BERYL_ALLOTMENT_USES_MAX * NUMBERS_PER_USE
+      || array.count % NUMBERS_PER_USE != 0)
+    {
+      frame_fail (frame);
+      return;
+    }
+  for (uint32_t i = 0; i < array.count; i += NUMBERS_PER_USE)
+    report->items[report->count++] = (struct beryl_allotment_use){
+      .organisation = frame_array_uint32 (array, i),
+      .used = frame_array_uint32 (array, i + 1),
+      .recent = frame_array_uint32 (array, i + 2),
+      .refused = frame_array_uint32 (array, i + 3),
+    };
+}
+
 bool
 loads_read (struct frame *frame, struct loads_message *message)
 {
@@ -246,5 +291,6 @@
   read_transfers (frame, map, FIELD_ASKS, &message->asks);
   read_transfers (frame, map, FIELD_LOANS, &message->loans);
   read_profiles (frame, map, &message->profiles);
+  read_allotments (frame, map, &message->allotments);
   return frame_valid (frame);
 }
