Prompts are not sent again to an engine that breaks them off at once

Change: a request does not go back to the prefill engine that broke its prompt off. If that happened in less than half of the time that the prompt needs, the engine does not work: this node avoids it and tells its peers.

--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -348,7 +348,8 @@
 {
   return serves (endpoint, r, BERYL_STAGE_PREFILL, now_ms)
          && now_ms >= endpoint->full_until_ms
-         && !beryl_live_avoided (endpoint, now_ms);
+         && !beryl_live_avoided (endpoint, now_ms)
+         && beryl_live_hash (endpoint) != r->broken_prefill_engine;
 }
 
 /* Returns the prompt tokens queued at ENDPOINT by all nodes. */
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -473,18 +473,19 @@
   struct exchange *x = exchange_find (f, id);
   struct request *r;
   enum beryl_exchange_kind kind;
+  bool not_working;
 
   if (x == NULL)
     return;
+  not_working
+      = how == BERYL_FAILURE_CONNECT || prefill_broke_early (x, now_ms);
+  if (not_working)
+    endpoint_report_unreachable (f, x->endpoint, now_ms);
   if (how == BERYL_FAILURE_CONNECT)
-    {
-      endpoint_report_unreachable (f, x->endpoint, now_ms);
-      crashes_endpoint_ended (f, x->endpoint, now_ms);
-    }
+    crashes_endpoint_ended (f, x->endpoint, now_ms);
   /* A failed connection counts as a time-out, even if it was refused. */
   beryl_live_record_outcome (
-      x->endpoint,
-      how == BERYL_FAILURE_CONNECT ? BERYL_LIVE_TIMED_OUT : BERYL_LIVE_BROKEN,
+      x->endpoint, not_working ? BERYL_LIVE_TIMED_OUT : BERYL_LIVE_BROKEN,
       now_ms - x->started_ms, now_ms);
   r = x->request;
   kind = x->kind;
@@ -496,6 +497,8 @@
     {
       forward_request_log (f, r, beryl_exchange_name (kind), x->endpoint,
                            "broken", (int64_t)how, now_ms);
+      if (kind == BERYL_EXCHANGE_PREFILL)
+        r->broken_prefill_engine = beryl_live_hash (x->endpoint);
       forward_exchange_free (f, x);
       generation_exchange_failed (f, r, kind, sent, now_ms);
     }
--- a/libberyl/forward/prefill.c
+++ b/libberyl/forward/prefill.c
@@ -11,6 +11,9 @@
    between two of them at one engine. */
 #define LOCAL_FACTOR 2.0
 #define LOCAL_SPACING_MS 1000
+/* A prefill that breaks off within this part of the time that it needs shows
+   that its engine was not working. */
+#define EARLY_BREAK_PART 0.5
 /* Time from the end of the prefill to the first event, in which the KV cache
    is transferred and one event is produced. */
 #define TRANSFER_AND_EVENT_MS 100
@@ -239,6 +242,17 @@
   generation_run (f, r, now_ms);
 }
 
+/* An engine that does not work breaks off each prompt at once, and so has the
+   shortest queue of all: it would attract the prompts of all nodes until each
+   has failed there.  One that loses an answer has read the prompt before. */
+bool
+prefill_broke_early (const struct exchange *x, int64_t now_ms)
+{
+  return x->kind == BERYL_EXCHANGE_PREFILL && x->request != NULL
+         && (double)(now_ms - x->started_ms)
+                < EARLY_BREAK_PART * prefill_ms (x->request);
+}
+
 void
 prefill_refused (struct beryl_forward *f, struct request *r,
                  struct exchange *x, const struct beryl_engine_result *result,
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -162,11 +162,13 @@
       prefilled; /**< a prefill engine has, or may have, accepted its prompt */
   bool run_repeat_taken; /**< the next run's repeat was already taken from the
                             budget */
-  bool local_prefill;    /**< its decode engine prefills the prompt itself */
-  uint32_t warm_engine;  /**< beryl_live_hash of the engine that has its prompt
-                            cached; 0 if none */
-  bool continues_run;    /**< the next run continues a moved one */
-  bool stalled;          /**< its stream has produced no event for too long */
+  uint32_t broken_prefill_engine; /**< beryl_live_hash of the engine at which
+                                     its last prefill broke off; 0 if none */
+  bool local_prefill;   /**< its decode engine prefills the prompt itself */
+  uint32_t warm_engine; /**< beryl_live_hash of the engine that has its prompt
+                           cached; 0 if none */
+  bool continues_run;   /**< the next run continues a moved one */
+  bool stalled;         /**< its stream has produced no event for too long */
   bool relocating; /**< looks for another engine while its run is still open */
   bool stream_ended;    /**< the stream of a move's source engine has ended */
   uint32_t failed_asks; /**< engines that refused or did not answer in the
@@ -243,7 +245,7 @@
 void endpoint_report_replaced (struct beryl_forward *f,
                                struct beryl_live_endpoint *endpoint,
                                int64_t now_ms);
-/** ENDPOINT did not accept a connection. */
+/** ENDPOINT did not accept a connection, or broke off a prefill at once. */
 void endpoint_report_unreachable (struct beryl_forward *f,
                                   struct beryl_live_endpoint *endpoint,
                                   int64_t now_ms);
@@ -525,6 +527,9 @@
 void prefill_done (struct beryl_forward *f, struct request *r,
                    struct exchange *x,
                    const struct beryl_engine_result *result, int64_t now_ms);
+/** Return whether X is a prefill that has broken off before its engine can
+ * have processed the prompt. */
+bool prefill_broke_early (const struct exchange *x, int64_t now_ms);
 /** The engine of X has refused to prefill the prompt. */
 void prefill_refused (struct beryl_forward *f, struct request *r,
                       struct exchange *x,
