platform client: pauses double while the store refuses every call

Other failures back off, 429 did not. Change: with each 429 in a row the pause doubles, up to the longest backoff; any other answer ends that.

--- a/libberyl/platform/client.c
+++ b/libberyl/platform/client.c
@@ -153,21 +153,36 @@
   snprintf (nonce, BERYL_NONCE_BYTES, "%016" PRIx64 "%016" PRIx64, high, low);
 }
 
-/** Handle a 429 answer: this process or the whole fleet exceeds its rate. */
+/** Return the pause after a 429 answer: the one that the platform asks for, or
+ * one that doubles with each refusal in a row. */
+static int64_t
+refused_pause_ms (const struct beryl_platform *p, const struct budget *b,
+                  int64_t retry_after_ms)
+{
+  int64_t pause_ms
+      = retry_after_ms > 0 ? retry_after_ms : p->settings.backoff_min_ms;
+
+  for (uint32_t i = 1;
+       i < b->refusals && pause_ms < p->settings.backoff_max_ms; i++)
+    pause_ms *= 2;
+  return pause_ms < p->settings.backoff_max_ms ? pause_ms
+                                               : p->settings.backoff_max_ms;
+}
+
+/** Handle a 429 answer: this process or the whole fleet exceeds its rate, or
+ * the platform turns this node away. */
 static void
 answer_limited (struct beryl_platform *p, struct job *job,
                 int64_t retry_after_ms, int64_t now_ms)
 {
   struct budget *b = &p->budgets[job->rate_class];
-  int64_t pause_ms
-      = retry_after_ms > 0 ? retry_after_ms : p->settings.backoff_min_ms;
+  int64_t pause_ms;
 
-  /* The pause that the platform asks for is limited to the longest backoff.
-     Jitter of up to half of it keeps the fleet from returning all at once. */
-  if (pause_ms > p->settings.backoff_max_ms)
-    pause_ms = p->settings.backoff_max_ms;
+  b->refusals++;
+  pause_ms = refused_pause_ms (p, b, retry_after_ms);
   p->counts.refused++;
   platform_breaker_succeeded (p);
+  /* Jitter keeps the fleet from returning all at once. */
   b->paused_until_ms = now_ms + pause_ms
                        + platform_random_jitter_ms (&p->random, pause_ms / 2);
   platform_job_ready (p, job);
@@ -187,6 +202,7 @@
       answer_limited (p, job, retry_after_ms, now_ms);
       return;
     }
+  p->budgets[job->rate_class].refusals = 0;
   if (status >= 500)
     {
       p->counts.errors++;
--- a/libberyl/platform/private.h
+++ b/libberyl/platform/private.h
@@ -72,6 +72,7 @@
   double tokens;
   int64_t refilled_ms;
   int64_t paused_until_ms; /**< end of the pause after a 429 answer */
+  uint32_t refusals;       /**< 429 answers in a row */
   struct job_queue ready[BERYL_USE_COUNT];
   double finish[BERYL_USE_COUNT]; /**< virtual finish time of the last call */
   double virtual_time;
--- a/tests/platform/fake.c
+++ b/tests/platform/fake.c
@@ -199,7 +199,8 @@
       request->client, MESSAGE_REPLY, request->call, f->now_ms + delay_ms (f));
 
   m->status = status;
-  m->retry_after_ms = status == 429 ? 1000 : 0;
+  m->retry_after_ms
+      = status == 429 && !f->faults.limit_without_delay ? 1000 : 0;
   m->body = strdup (body);
   if (fake_random (f, 100) < f->faults.lose_reply_percent)
     message_free (m);
--- a/tests/platform/fake.h
+++ b/tests/platform/fake.h
@@ -17,11 +17,12 @@
 {
   uint32_t lose_request_percent;
   uint32_t lose_reply_percent;
-  int64_t delay_max_ms; /**< longest delay of a message; at least 1 */
-  int64_t stale_max_ms; /**< greatest staleness of reads */
-  bool outage;          /**< answer every call with 503 */
-  bool hang;            /**< answer no call */
-  uint32_t limit_next;  /**< number of calls to answer with 429 */
+  int64_t delay_max_ms;     /**< longest delay of a message; at least 1 */
+  int64_t stale_max_ms;     /**< greatest staleness of reads */
+  bool outage;              /**< answer every call with 503 */
+  bool hang;                /**< answer no call */
+  uint32_t limit_next;      /**< number of calls to answer with 429 */
+  bool limit_without_delay; /**< these answers have no Retry-After */
   int64_t
       write_delay_ms; /**< additional delay before a write reaches the store */
 };
--- a/tests/platform/test_outage.c
+++ b/tests/platform/test_outage.c
@@ -266,6 +266,28 @@
 }
 END_TEST
 
+/* Guards against a node that the platform turns away for seconds, without
+ * saying for how long, and that keeps asking many times a second. */
+START_TEST (test_rate_limited_for_long)
+{
+  struct fake f;
+  struct fake_client *c;
+  uint64_t refused;
+
+  fake_init (&f, 1);
+  c = fake_add (&f, &(struct beryl_platform_settings){
+                        .backoff_min_ms = 50, .backoff_max_ms = 1000 });
+  f.faults.limit_next = UINT32_MAX;
+  f.faults.limit_without_delay = true;
+  beryl_platform_watch (c->core, BERYL_USE_CONFIG, "log", f.now_ms);
+  fake_run (&f, f.now_ms + 10000);
+  refused = beryl_platform_counts (c->core)->refused;
+  ck_assert_uint_ge (refused, 6);
+  ck_assert_uint_le (refused, 20);
+  fake_destroy (&f);
+}
+END_TEST
+
 /* Guards against a lease that expires because its renewal is queued behind a
    thousand status writes. */
 START_TEST (test_budget_is_shared)
@@ -337,6 +359,7 @@
   tcase_add_test (tc, test_watch_probes_during_outage);
   tcase_add_test (tc, test_open_breaker_refuses_at_once);
   tcase_add_test (tc, test_rate_limited_answer);
+  tcase_add_test (tc, test_rate_limited_for_long);
   tcase_add_test (tc, test_budget_is_shared);
   tcase_add_test (tc, test_queue_limit_and_cancel);
   suite_add_tcase (suite, tc);
