--- a/berylctl/explain_log.c
+++ b/berylctl/explain_log.c
@@ -90,6 +90,12 @@
   { "refuse", "limited",
     "refused as not run: its endpoints report a limit and have reached it; "
     "retry after {n} ms" },
+  { "refuse", "unauthenticated",
+    "refused: it has no key, or one that no organisation holds" },
+  { "refuse", "allotment",
+    "refused as not run: organisation {organisation} has {left} left of its "
+    "{limit_per_s} per second, {used_per_s} per second were used, by reports "
+    "up to {heard_ms} ms old; retry after {n} ms" },
   { "refuse", "stopping",
     "refused as not run: the node is stopping, another one serves" },
   { "caller_gone", NULL, "its caller disconnected after {n} events" },
@@ -125,6 +131,33 @@
   return value;
 }
 
+/* Returns TEMPLATE with each {key} replaced by the key's value in a line of
+ * key=value words; to be released with g_free(). */
+static char *
+expand_template (const char *template, const char *line)
+{
+  GString *out = g_string_new (NULL);
+  const char *open;
+
+  while ((open = strchr (template, '{')) != NULL)
+    {
+      const char *end = strchr (open, '}');
+      char *key, *value;
+
+      if (end == NULL)
+        break;
+      key = g_strndup (open + 1, (gsize)(end - open - 1));
+      value = line_value (line, key);
+      g_string_append_len (out, template, (gssize)(open - template));
+      g_string_append (out, value);
+      g_free (key);
+      g_free (value);
+      template = end + 1;
+    }
+  g_string_append (out, template);
+  return g_string_free (out, FALSE);
+}
+
 /* Parses "TIME program level: text", which may follow other words. */
 static bool
 line_parse (const char *raw, struct line *line)
@@ -208,23 +241,19 @@
   char *step = line_value (line->text, "step");
   char *outcome = line_value (line->text, "outcome");
   char *endpoint = line_value (line->text, "endpoint");
-  char *number = line_value (line->text, "n");
   char *configuration = line_value (line->text, "configuration");
   char *seen = line_value (line->text, "seen");
 
-  char **parts = g_strsplit (outcome_text (step, outcome), "{n}", 2);
-  char *text = g_strjoinv (number, parts);
+  char *text = expand_template (outcome_text (step, outcome), line->text);
 
   printf ("%7" G_GINT64_FORMAT " ms  %-11s %-14s %-16s %s"
           " [configuration %s, entry %s]\n",
           line->at_ms - first_ms, step, outcome, endpoint, text, configuration,
           seen);
-  g_strfreev (parts);
   g_free (text);
   g_free (step);
   g_free (outcome);
   g_free (endpoint);
-  g_free (number);
   g_free (configuration);
   g_free (seen);
 }
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -255,18 +255,18 @@
   metrics_count_decision (gateway_from_forward (owner)->metrics, d);
   if (!log_level_enabled (G_LOG_LEVEL_INFO))
     return;
-  g_info (
-      "request id=%s route=%s step=%s outcome=%s endpoint=%s age_ms="
-      "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT " first_ms=%" G_GINT64_FORMAT
-      " gap_ms=%" G_GINT64_FORMAT " configuration=%" G_GUINT64_FORMAT
-      " seen=%" G_GUINT64_FORMAT " fingerprint=%s organisation=%s%s",
-      d->id, d->route, d->step, d->outcome,
-      d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms, d->value,
-      d->first_event_ms, d->longest_gap_ms, d->config_version,
-      d->endpoint_revision,
-      format_fingerprint (d->fingerprint, fingerprint, sizeof fingerprint),
-      d->organisation[0] != '\0' ? d->organisation : "-",
-      format_allotment (d->allotment, allotment, sizeof allotment));
+  g_info ("request id=%s route=%s step=%s outcome=%s endpoint=%s age_ms="
+          "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT
+          " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
+          " configuration=%" G_GUINT64_FORMAT " seen=%" G_GUINT64_FORMAT
+          " fingerprint=%s organisation=%s%s",
+          d->id, d->route, d->step, d->outcome,
+          d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms,
+          d->value, d->first_event_ms, d->longest_gap_ms, d->config_version,
+          d->endpoint_revision,
+          format_fingerprint (d->fingerprint, fingerprint, sizeof fingerprint),
+          d->organisation[0] != '\0' ? d->organisation : "-",
+          format_allotment (d->allotment, allotment, sizeof allotment));
 }
 
 /* Logs a STATE that the endpoint list does not show yet; SOURCE is the peer
@@ -380,6 +380,27 @@
   return count;
 }
 
+static void
+sample_allotments (struct gateway *g, struct metrics_gauges *gauges,
+                   int64_t now_ms)
+{
+  const struct beryl_routes *routes = beryl_forward_routes (g->forward);
+
+  for (size_t i = 0; routes != NULL && i < routes->organisation_count; i++)
+    {
+      const struct beryl_route_organisation *organisation
+          = &routes->organisations[i];
+      struct beryl_allotment_state state = beryl_allotments_state (
+          beryl_forward_allotments (g->forward), organisation->id, now_ms);
+
+      metrics_set_allotment (g->metrics, organisation->name, &state);
+      if (!state.limited)
+        continue;
+      gauges->allotment_share_permille = (uint64_t)(1000 * state.share);
+      gauges->allotment_report_age_ms = state.report_age_ms;
+    }
+}
+
 static char *
 directory_format_metrics (struct directory_owner *owner)
 {
@@ -408,6 +429,7 @@
     = beryl_quarantine_suspect_count (beryl_forward_quarantine (g->forward)),
   };
 
+  sample_allotments (g, &gauges, now_ms);
   return metrics_format (g->metrics, &gauges);
 }
 
--- a/gatewayd/metrics.c
+++ b/gatewayd/metrics.c
@@ -7,9 +7,15 @@
 
 #define LABEL_BYTES 192
 
+/* Number of organisations with counters of their own; the others share those
+ * of OTHER_ORGANISATIONS. */
+#define ORGANISATIONS_MAX 100
+#define OTHER_ORGANISATIONS "other"
+
 struct metrics
 {
   struct counters *counters;
+  GHashTable *organisations; /* names with counters of their own */
 };
 
 /* Upper bounds of the histogram buckets.  They include the latency objectives
@@ -23,15 +29,32 @@
   struct metrics *metrics = g_new0 (struct metrics, 1);
 
   metrics->counters = counters;
+  metrics->organisations
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return metrics;
 }
 
 void
 metrics_destroy (struct metrics *metrics)
 {
+  if (metrics == NULL)
+    return;
+  g_hash_table_destroy (metrics->organisations);
   g_free (metrics);
 }
 
+/* Returns the label of an organisation. */
+static const char *
+organisation_label (struct metrics *metrics, const char *name)
+{
+  if (g_hash_table_contains (metrics->organisations, name))
+    return name;
+  if (g_hash_table_size (metrics->organisations) >= ORGANISATIONS_MAX)
+    return OTHER_ORGANISATIONS;
+  g_hash_table_add (metrics->organisations, g_strdup (name));
+  return name;
+}
+
 /* Adds VALUE_MS to a histogram, whose buckets are cumulative in the text
  * format. */
 static void
@@ -69,6 +92,14 @@
   g_snprintf (labels, sizeof labels, "service=\"%s\",end=\"%s\",cause=\"%s\"",
               d->service, d->step, d->outcome);
   counters_add (metrics->counters, "beryl_gateway_requests_total", labels, 1);
+  if (d->organisation[0] != '\0')
+    {
+      g_snprintf (
+          labels, sizeof labels, "organisation=\"%s\",end=\"%s\",cause=\"%s\"",
+          organisation_label (metrics, d->organisation), d->step, d->outcome);
+      counters_add (metrics->counters,
+                    "beryl_gateway_organisation_requests_total", labels, 1);
+    }
   if (strcmp (d->step, "answer") != 0)
     return;
   observe (metrics, "beryl_gateway_first_ms", d->service,
@@ -99,6 +130,26 @@
                 1);
 }
 
+void
+metrics_set_allotment (struct metrics *metrics, const char *organisation,
+                       const struct beryl_allotment_state *state)
+{
+  const char *label = organisation_label (metrics, organisation);
+  char labels[LABEL_BYTES];
+
+  if (!state->limited || strcmp (label, organisation) != 0)
+    return;
+  g_snprintf (labels, sizeof labels, "organisation=\"%s\"", label);
+  counters_set (metrics->counters, "beryl_gateway_allotment_per_s", labels,
+                (uint64_t)state->per_s);
+  counters_set (metrics->counters, "beryl_gateway_allotment_left", labels,
+                (uint64_t)MAX (state->available, 0));
+  counters_set (metrics->counters, "beryl_gateway_allotment_used_per_s",
+                labels, (uint64_t)state->used_per_s);
+  counters_set (metrics->counters, "beryl_gateway_allotment_refused_per_s",
+                labels, (uint64_t)state->refused_per_s);
+}
+
 static void
 set_gauge (struct metrics *metrics, const char *name, uint64_t value)
 {
@@ -129,6 +180,10 @@
   set_gauge (metrics, "beryl_gateway_limited_endpoints", g->limited_endpoints);
   set_gauge (metrics, "beryl_gateway_quarantined", g->quarantined_requests);
   set_gauge (metrics, "beryl_gateway_suspects", g->suspect_requests);
+  set_gauge (metrics, "beryl_gateway_allotment_share_permille",
+             g->allotment_share_permille);
+  set_gauge (metrics, "beryl_gateway_allotment_report_age_ms",
+             (uint64_t)g->allotment_report_age_ms);
   counters_set (metrics->counters, "beryl_log_lines_total", "end=\"written\"",
                 lines.written);
   counters_set (metrics->counters, "beryl_log_lines_total",
