--- a/libberyl/forward/prefill.c
+++ b/libberyl/forward/prefill.c
@@ -13,7 +13,7 @@
 #define LOCAL_SPACING_MS 1000
 /* A prefill that breaks off within this part of the time that it needs shows
    that its engine was not working. */
-#define EARLY_BREAK_PART 0.5
+#define EARLY_BREAK_PART 0.1
 /* Time from the end of the prefill to the first event, in which the KV cache
    is transferred and one event is produced. */
 #define TRANSFER_AND_EVENT_MS 100
