Heartbeats of nodes that start together drift apart

Change: that, in the gateway too. Also tried, and taken out again: generations that wait up to 400 ms for repeats that a peer may lend.

--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -336,6 +336,8 @@
   if (m->table == NULL)
     return;
   beryl_announce_done (&m->announce, includes_remote, now_ms (m));
+  m->announce.early_ms = g_random_int_range (
+      0, (gint32)beryl_announce_early_max_ms (&m->announce) + 1);
   message->sequence = ++m->sequence;
   message->incarnation = m->incarnation;
   message->endpoint_revision = m->endpoint_revision;
--- a/include/beryl/announce.h
+++ b/include/beryl/announce.h
@@ -20,8 +20,13 @@
   uint32_t remote_count; /**< nodes of other data centres */
   int64_t announced_ms;  /**< last announcement */
   int64_t announced_remote_ms; /**< last announcement to all peers */
+  int64_t early_ms; /**< by which the next heartbeat comes early; random, so
+                       that nodes that start together do not go on together */
 };
 
+/** Return the upper bound of early_ms. */
+int64_t beryl_announce_early_max_ms (const struct beryl_announce *announce);
+
 /** Return the heartbeat interval: the longest time between two announcements
  * of a live node. */
 int64_t beryl_announce_heartbeat_ms (const struct beryl_announce *announce);
--- a/libberyl/relay/announce.c
+++ b/libberyl/relay/announce.c
@@ -3,6 +3,8 @@
 /* Heartbeat interval: at least this long, and longer in a large fleet. */
 #define HEARTBEAT_MS 500
 #define HEARTBEAT_PER_NODE_MS 10
+/* Heartbeats come early by up to a quarter of their interval. */
+#define EARLY_DIVISOR 4
 /* Minimum interval between announcements to other data centres. */
 #define REMOTE_INTERVAL_MS 250
 
@@ -20,6 +22,12 @@
   return max_ms (HEARTBEAT_MS, nodes * HEARTBEAT_PER_NODE_MS);
 }
 
+int64_t
+beryl_announce_early_max_ms (const struct beryl_announce *a)
+{
+  return beryl_announce_heartbeat_ms (a) / EARLY_DIVISOR;
+}
+
 bool
 beryl_announce_includes_remote (const struct beryl_announce *a, int64_t now_ms)
 {
@@ -31,7 +39,8 @@
 {
   bool remote_pending = a->announced_remote_ms != a->announced_ms;
 
-  return now_ms - a->announced_ms >= beryl_announce_heartbeat_ms (a)
+  return now_ms - a->announced_ms
+             >= beryl_announce_heartbeat_ms (a) - a->early_ms
          || (remote_pending && beryl_announce_includes_remote (a, now_ms));
 }
 
