--- a/libberyl/forward/allotment.c
+++ b/libberyl/forward/allotment.c
@@ -36,7 +36,6 @@
 allotment_refuse (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   const struct beryl_route_organisation *organisation = r->organisation;
-  struct beryl_allotment_state state;
   uint32_t cost;
 
   if (organisation == NULL)
@@ -45,14 +44,14 @@
                                (uint64_t)r->params.prompt_tokens
                                    + r->params.output_tokens_max);
   if (beryl_allotments_admit (f->allotments, organisation->id, cost, now_ms,
-                              &state))
+                              &r->allotment))
     {
-      r->allotment_cost = state.limited ? cost : 0;
+      r->allotment_cost = r->allotment.limited ? cost : 0;
       return false;
     }
-  r->allotment = &state;
+  r->over_allotment = true;
   forward_request_refuse (f, r, 429, BERYL_REFUSAL_ALLOTMENT,
-                          state.retry_after_ms, now_ms);
+                          r->allotment.retry_after_ms, now_ms);
   return true;
 }
 
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -122,8 +122,8 @@
   const struct beryl_route_organisation *organisation; /**< NULL if unknown */
   uint32_t allotment_cost; /**< set aside in its organisation's allotment,
                               until it is sent; 0 if none */
-  const struct beryl_allotment_state
-      *allotment; /**< while it is refused for it */
+  struct beryl_allotment_state allotment; /**< as of its arrival */
+  bool over_allotment;                    /**< it is refused for that */
   struct service *service;
   enum phase phase;
   bool waiting; /**< counted as waiting for memory, in PHASE_RESERVING too */
--- a/libberyl/routes/organisations.c
+++ b/libberyl/routes/organisations.c
@@ -137,7 +137,7 @@
 const struct beryl_route_organisation *
 beryl_routes_authenticate (const struct beryl_routes *routes, const char *key)
 {
-  struct beryl_route_key wanted;
+  struct beryl_route_key wanted = { 0 };
   const struct beryl_route_key *found;
 
   if (routes->key_count == 0)
--- a/tests/routes/test_organisations.c
+++ b/tests/routes/test_organisations.c
@@ -166,6 +166,8 @@
   Suite *suite = suite_create ("organisations");
   TCase *tcase = tcase_create ("organisations");
 
+  /* Ten thousand digests take seconds under the sanitizers. */
+  tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_test (tcase, test_keys);
   tcase_add_test (tcase, test_no_organisations);
