--- a/libberyl/allotments/allotments.c
+++ b/libberyl/allotments/allotments.c
@@ -29,8 +29,8 @@
 #define START_PART 0.25
 /* Part of the slack that one request may overdraw a bucket by. */
 #define DEBT_PART 0.25
-/* Part of the refill that refused callers are invited to return for; the rest
- * is for new requests. */
+/* Part of the refill that is meant for refused callers when they retry; the
+ * rest is for new requests. */
 #define RETURN_PART 0.5
 /* Bounds of the Retry-After of a refused request. */
 #define RETRY_MIN_MS 500
@@ -201,10 +201,10 @@
   return burst + CREDIT_PART * a->slack;
 }
 
-/* Every node adds its part of the rate as time passes, and a peer's only when
- * its report shows that it was heard until then: the parts of a fleet that has
- * just been divided do not both count on the whole rate until they notice.
- * They divide what is in the bucket as well. */
+/* A node adds its own part of the rate as time passes, and a peer's part when
+ * a report shows that the peer was in contact until then.  After a partition
+ * each side thus gets only its own parts, before it has detected the
+ * partition. */
 static void
 refill (struct beryl_allotments *a, struct bucket *b, int64_t now_ms)
 {
@@ -279,11 +279,12 @@
   return own > even * demand && demand > 0 ? own / demand : even;
 }
 
-/* All nodes see what is left in the bucket at the same time.  Each admits a
- * request with a chance such that together, on average, they use no more than
- * that.  A request is admitted whatever its size as long as anything is left,
- * or a bucket that is kept near empty by small requests would never admit a
- * large one. */
+/* All nodes see what is left in the bucket at the same time, so each admits a
+ * request with the probability with which all of them together use what is
+ * left on average.  Peers without a fresh report may be in another partition
+ * and see it too: their part is left out.  The size of a request does not
+ * matter as long as anything is left; a bucket that small requests keep nearly
+ * empty would otherwise never admit a large one. */
 static bool
 admits (struct beryl_allotments *a, const struct bucket *b, uint32_t cost,
         int64_t now_ms)
@@ -304,8 +305,8 @@
   return random_unit (&a->random) * competing_demand (b, now_ms) <= available;
 }
 
-/* Callers are invited one after the other, at the pace at which the bucket
- * refills for this node. */
+/* Spreads the retries of refused callers: they follow each other at the pace
+ * at which the bucket refills for this node. */
 static int64_t
 retry_after_ms (struct beryl_allotments *a, struct bucket *b, uint32_t cost,
                 int64_t now_ms)
