--- a/berylctl/explain_log.c
+++ b/berylctl/explain_log.c
@@ -92,7 +92,7 @@
     "retry after {n} ms" },
   { "refuse", "unauthenticated",
     "refused: it has no key, or one that no organisation holds" },
-  { "refuse", "allotment",
+  { "refuse", "quota",
     "refused as not run: organisation {organisation} has {left} left of its "
     "{limit_per_s} per second, {used_per_s} per second were used, by reports "
     "up to {heard_ms} ms old; retry after {n} ms" },
--- a/fuzz/fuzz_loads.c
+++ b/fuzz/fuzz_loads.c
@@ -41,9 +41,7 @@
       || !same_runs (message, &again)
       || memcmp (&again.asks, &message->asks, sizeof again.asks) != 0
       || memcmp (&again.loans, &message->loans, sizeof again.loans) != 0
-      || memcmp (&again.allotments, &message->allotments,
-                 sizeof again.allotments)
-             != 0
+      || memcmp (&again.quotas, &message->quotas, sizeof again.quotas) != 0
       || memcmp (&again.news, &message->news, sizeof again.news) != 0)
     abort ();
   frame_destroy (frame);
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -229,11 +229,10 @@
   return text;
 }
 
-/* Formats what a refusal for an allotment was decided by; "" for all other
+/* Formats what a refusal for a quota was decided by; "" for all other
  * steps. */
 static const char *
-format_allotment (const struct beryl_allotment_state *a, char *text,
-                  size_t text_bytes)
+format_quota (const struct beryl_quota_state *a, char *text, size_t text_bytes)
 {
   text[0] = '\0';
   if (a != NULL)
@@ -250,7 +249,7 @@
                       const struct beryl_request_step *d)
 {
   char fingerprint[20];
-  char allotment[160];
+  char quota[160];
 
   metrics_count_decision (gateway_from_forward (owner)->metrics, d);
   if (!log_level_enabled (G_LOG_LEVEL_INFO))
@@ -266,7 +265,7 @@
           d->endpoint_revision,
           format_fingerprint (d->fingerprint, fingerprint, sizeof fingerprint),
           d->organisation[0] != '\0' ? d->organisation : "-",
-          format_allotment (d->allotment, allotment, sizeof allotment));
+          format_quota (d->quota, quota, sizeof quota));
 }
 
 /* Logs a STATE that the endpoint list does not show yet; SOURCE is the peer
@@ -381,8 +380,8 @@
 }
 
 static void
-sample_allotments (struct gateway *g, struct metrics_gauges *gauges,
-                   int64_t now_ms)
+sample_quotas (struct gateway *g, struct metrics_gauges *gauges,
+               int64_t now_ms)
 {
   const struct beryl_routes *routes = beryl_forward_routes (g->forward);
 
@@ -390,14 +389,14 @@
     {
       const struct beryl_route_organisation *organisation
           = &routes->organisations[i];
-      struct beryl_allotment_state state = beryl_allotments_state (
-          beryl_forward_allotments (g->forward), organisation->id, now_ms);
+      struct beryl_quota_state state = beryl_quotas_state (
+          beryl_forward_quotas (g->forward), organisation->id, now_ms);
 
-      metrics_set_allotment (g->metrics, organisation->name, &state);
+      metrics_set_quota (g->metrics, organisation->name, &state);
       if (!state.limited)
         continue;
-      gauges->allotment_share_permille = (uint64_t)(1000 * state.share);
-      gauges->allotment_report_age_ms = state.report_age_ms;
+      gauges->quota_share_permille = (uint64_t)(1000 * state.share);
+      gauges->quota_report_age_ms = state.report_age_ms;
     }
 }
 
@@ -429,7 +428,7 @@
     = beryl_quarantine_suspect_count (beryl_forward_quarantine (g->forward)),
   };
 
-  sample_allotments (g, &gauges, now_ms);
+  sample_quotas (g, &gauges, now_ms);
   return metrics_format (g->metrics, &gauges);
 }
 
@@ -466,9 +465,9 @@
   beryl_forward_peer_transfers (g->forward, message->from, &message->asks,
                                 &message->loans, now_ms);
   beryl_forward_peer_profiles (g->forward, message->from, &message->profiles);
-  beryl_allotments_apply (beryl_forward_allotments (g->forward),
-                          beryl_name_hash (message->from),
-                          message->incarnation, &message->allotments, now_ms);
+  beryl_quotas_apply (beryl_forward_quotas (g->forward),
+                      beryl_name_hash (message->from), message->incarnation,
+                      &message->quotas, now_ms);
 }
 
 static void
@@ -593,8 +592,8 @@
       beryl_forward_profiles (g->forward, &message.profiles);
       g->profiles_sent_ms = now_ms;
     }
-  beryl_allotments_report (beryl_forward_allotments (g->forward),
-                           &message.allotments, now_ms);
+  beryl_quotas_report (beryl_forward_quotas (g->forward), &message.quotas,
+                       now_ms);
   members_announce_loads (g->members, &message);
 }
 
@@ -692,7 +691,7 @@
     .repeat_ratio = g->settings.repeat_ratio,
     .repeat_slack = g->settings.repeat_slack,
     .repeat_window_ms = g->settings.repeat_window_ms,
-    .allotment_slack = g->settings.allotment_slack,
+    .quota_slack = g->settings.quota_slack,
   };
 
   memcpy (settings.node, g->settings.node, sizeof settings.node);
@@ -852,8 +851,8 @@
   beryl_forward_set_repeat_limits (g->forward, current->repeat_ratio,
                                    current->repeat_slack,
                                    current->repeat_window_ms);
-  current->allotment_slack = settings->allotment_slack;
-  beryl_forward_set_allotment_slack (g->forward, current->allotment_slack);
+  current->quota_slack = settings->quota_slack;
+  beryl_forward_set_quota_slack (g->forward, current->quota_slack);
   if (current->address_keep_ms != settings->address_keep_ms)
     {
       current->address_keep_ms = settings->address_keep_ms;
--- a/gatewayd/metrics.c
+++ b/gatewayd/metrics.c
@@ -131,8 +131,8 @@
 }
 
 void
-metrics_set_allotment (struct metrics *metrics, const char *organisation,
-                       const struct beryl_allotment_state *state)
+metrics_set_quota (struct metrics *metrics, const char *organisation,
+                   const struct beryl_quota_state *state)
 {
   const char *label = organisation_label (metrics, organisation);
   char labels[LABEL_BYTES];
@@ -140,14 +140,14 @@
   if (!state->limited || strcmp (label, organisation) != 0)
     return;
   g_snprintf (labels, sizeof labels, "organisation=\"%s\"", label);
-  counters_set (metrics->counters, "beryl_gateway_allotment_per_s", labels,
+  counters_set (metrics->counters, "beryl_gateway_quota_per_s", labels,
                 (uint64_t)state->per_s);
-  counters_set (metrics->counters, "beryl_gateway_allotment_left", labels,
+  counters_set (metrics->counters, "beryl_gateway_quota_left", labels,
                 (uint64_t)MAX (state->available, 0));
-  counters_set (metrics->counters, "beryl_gateway_allotment_used_per_s",
-                labels, (uint64_t)state->used_per_s);
-  counters_set (metrics->counters, "beryl_gateway_allotment_refused_per_s",
-                labels, (uint64_t)state->refused_per_s);
+  counters_set (metrics->counters, "beryl_gateway_quota_used_per_s", labels,
+                (uint64_t)state->used_per_s);
+  counters_set (metrics->counters, "beryl_gateway_quota_refused_per_s", labels,
+                (uint64_t)state->refused_per_s);
 }
 
 static void
@@ -180,10 +180,10 @@
   set_gauge (metrics, "beryl_gateway_limited_endpoints", g->limited_endpoints);
   set_gauge (metrics, "beryl_gateway_quarantined", g->quarantined_requests);
   set_gauge (metrics, "beryl_gateway_suspects", g->suspect_requests);
-  set_gauge (metrics, "beryl_gateway_allotment_share_permille",
-             g->allotment_share_permille);
-  set_gauge (metrics, "beryl_gateway_allotment_report_age_ms",
-             (uint64_t)g->allotment_report_age_ms);
+  set_gauge (metrics, "beryl_gateway_quota_share_permille",
+             g->quota_share_permille);
+  set_gauge (metrics, "beryl_gateway_quota_report_age_ms",
+             (uint64_t)g->quota_report_age_ms);
   counters_set (metrics->counters, "beryl_log_lines_total", "end=\"written\"",
                 lines.written);
   counters_set (metrics->counters, "beryl_log_lines_total",
--- a/gatewayd/metrics.h
+++ b/gatewayd/metrics.h
@@ -23,10 +23,10 @@
 /** Count a request that entered or left quarantine for CAUSE. */
 void metrics_count_quarantine (struct metrics *metrics, const char *cause);
 
-/** Set the gauges of an organisation's allotment; does nothing for those
+/** Set the gauges of an organisation's quota; does nothing for those
  * beyond the number of organisations that have metrics of their own. */
-void metrics_set_allotment (struct metrics *metrics, const char *organisation,
-                            const struct beryl_allotment_state *state);
+void metrics_set_quota (struct metrics *metrics, const char *organisation,
+                        const struct beryl_quota_state *state);
 
 /** Values sampled when the metrics are read. */
 struct metrics_gauges
@@ -46,9 +46,9 @@
   uint64_t limited_endpoints;    /**< endpoints that announce a rate limit */
   uint64_t quarantined_requests; /**< not sent to any endpoint */
   uint64_t suspect_requests;     /**< whose endpoint ended while it ran them */
-  uint64_t allotment_share_permille; /**< part of each allotment that this node
+  uint64_t quota_share_permille; /**< part of each quota that this node
                                         counts on; 0 if there are none */
-  int64_t allotment_report_age_ms;   /**< of the oldest report of use */
+  int64_t quota_report_age_ms;   /**< of the oldest report of use */
 };
 
 /** Set the gauges and return all metrics as text, to be freed with free(). */
--- a/gatewayd/settings.c
+++ b/gatewayd/settings.c
@@ -94,7 +94,7 @@
   NUMBER (BERYL_FIELD_INT64, repeat_window_ms, 100, HOUR_MS),
   BOUND ("repeat_window_s", BERYL_FIELD_INT64, repeat_window_ms, SECOND_MS,
          0.1, HOUR_S, BERYL_ROUND_UP),
-  BOUND ("allotment_slack", BERYL_FIELD_DOUBLE, allotment_slack, 1, 0, 1e12,
+  BOUND ("quota_slack", BERYL_FIELD_DOUBLE, quota_slack, 1, 0, 1e12,
          BERYL_ROUND_DOWN),
   NUMBER (BERYL_FIELD_INT64, address_keep_ms, 1000, HOUR_MS),
   BOUND ("endpoint_leave_ms", BERYL_FIELD_INT64, endpoint_leave_ms, 1, 0,
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -20,7 +20,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "beryl/allotments.h"
+#include "beryl/quotas.h"
 #include "beryl/clock.h"
 #include "beryl/engine_load.h"
 #include "beryl/limits.h"
@@ -121,7 +121,7 @@
   BERYL_REFUSAL_QUARANTINED,     /**< it has crashed endpoints that ran it */
   BERYL_REFUSAL_LIMITED,         /**< the endpoints' rate limits are reached */
   BERYL_REFUSAL_UNAUTHENTICATED, /**< no key, or one of no organisation */
-  BERYL_REFUSAL_ALLOTMENT, /**< its organisation's allotment is used up */
+  BERYL_REFUSAL_QUOTA,           /**< its organisation's quota is used up */
 };
 
 /** A final answer that this node generates itself. */
@@ -142,8 +142,8 @@
   const char *route;
   const char *service;
   const char *organisation; /**< the caller's; "" if unknown */
-  /** What its refusal was decided by; NULL unless the allotment is used up. */
-  const struct beryl_allotment_state *allotment;
+  /** What its refusal was decided by; NULL unless the quota is used up. */
+  const struct beryl_quota_state *quota;
   const struct beryl_live_endpoint *endpoint; /**< may be NULL */
   const char *outcome;                        /**< stable name */
   int64_t age_ms;         /**< since the request's arrival */
@@ -220,7 +220,7 @@
                             fleet-wide */
   uint32_t repeat_slack; /**< repeats allowed beyond the ratio, fleet-wide */
   int64_t repeat_window_ms;
-  double allotment_slack; /**< what an organisation may exceed its allotment
+  double quota_slack; /**< what an organisation may exceed its quota
                              by, fleet-wide */
 };
 
@@ -243,11 +243,11 @@
                                       uint32_t repeat_slack,
                                       int64_t repeat_window_ms);
 
-/** Change what organisations may exceed their allotments by. */
-void beryl_forward_set_allotment_slack (struct beryl_forward *forward,
-                                        double slack);
+/** Change what organisations may exceed their quotas by. */
+void beryl_forward_set_quota_slack (struct beryl_forward *forward,
+                                    double slack);
 
-/** Set the number of nodes that share the repeat budget and the allotments; 0
+/** Set the number of nodes that share the repeat budget and the quotas; 0
  * counts as 1. */
 void beryl_forward_set_node_count (struct beryl_forward *forward,
                                    uint32_t nodes);
@@ -352,9 +352,8 @@
 struct beryl_quarantine *
 beryl_forward_quarantine (struct beryl_forward *forward);
 
-/** Return the organisations' allotments, to exchange reports of their use. */
-struct beryl_allotments *
-beryl_forward_allotments (struct beryl_forward *forward);
+/** Return the organisations' quotas, to exchange reports of their use. */
+struct beryl_quotas *beryl_forward_quotas (struct beryl_forward *forward);
 
 /** Return the routes in use; NULL before the first configuration. */
 const struct beryl_routes *
@@ -423,7 +422,7 @@
 /** Return whether a report to the peers is due: since the last call of
  * beryl_forward_runs this node's runs have changed, an endpoint was found to
  * be replaced or unreachable, a loan of repeats is wanted or granted, or much
- * of an organisation's allotment was used here. */
+ * of an organisation's quota was used here. */
 bool beryl_forward_report_due (const struct beryl_forward *forward);
 
 /** Write up to MOST of this node's runs and return their number: first those
--- a/include/beryl/routes.h
+++ b/include/beryl/routes.h
@@ -12,7 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "beryl/allotments.h"
+#include "beryl/quotas.h"
 #include "beryl/ids.h"
 
 /** How often a request may be executed. */
@@ -79,7 +79,7 @@
   uint32_t id; /**< set by beryl_routes_freeze; unique in the table */
   bool has_rank;
   uint32_t rank; /**< priority rank, instead of the route's; if has_rank */
-  struct beryl_allotment allotment;
+  struct beryl_quota quota;
 };
 
 /** Service that routes can target. */
--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -6,7 +6,7 @@
 #ifndef WIRE_LOADS_H
 #define WIRE_LOADS_H
 
-#include "beryl/allotments.h"
+#include "beryl/quotas.h"
 #include "beryl/engine_load.h"
 #include "beryl/ids.h"
 #include "wire/frame.h"
@@ -27,7 +27,7 @@
   struct beryl_budget_transfers asks;        /**< for repeats */
   struct beryl_budget_transfers loans;       /**< that this node gives */
   struct beryl_generation_profiles profiles; /**< none in most messages */
-  struct beryl_allotment_report allotments;  /**< use of organisations */
+  struct beryl_quota_report quotas;          /**< use of organisations */
 };
 
 /** Begin a frame in WRITER and put MESSAGE into it, with as many of its runs
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -511,5 +511,5 @@
 bool
 beryl_forward_report_due (const struct beryl_forward *f)
 {
-  return f->report_due || beryl_allotments_report_due (f->allotments);
+  return f->report_due || beryl_quotas_report_due (f->quotas);
 }
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -23,7 +23,7 @@
   static const char *const names[]
       = { "no_configuration", "no_route", "no_endpoint",     "no_room",
           "endpoints_full",   "deadline", "endpoint_failed", "stopping",
-          "quarantined",      "limited",  "unauthenticated", "allotment" };
+          "quarantined",      "limited",  "unauthenticated", "quota" };
 
   return names[reason];
 }
@@ -55,8 +55,7 @@
   TAILQ_INIT (&f->exchanges);
   crashes_init (f);
   f->limits = beryl_limits_create ();
-  f->allotments
-      = beryl_allotments_create (settings->allotment_slack, settings->seed);
+  f->quotas = beryl_quotas_create (settings->quota_slack, settings->seed);
   return f;
 }
 
@@ -86,7 +85,7 @@
   run_table_clear (&f->run_table);
   beryl_quarantine_destroy (f->quarantine);
   beryl_limits_destroy (f->limits);
-  beryl_allotments_destroy (f->allotments);
+  beryl_quotas_destroy (f->quotas);
   beryl_routes_unref (f->routes);
   free (f);
 }
@@ -134,7 +133,7 @@
 beryl_forward_set_routes (struct beryl_forward *f, struct beryl_routes *routes)
 {
   update_kv_sizes (f, routes);
-  allotment_set_routes (f, routes);
+  quota_set_routes (f, routes);
   beryl_routes_ref (routes);
   beryl_routes_unref (f->routes);
   f->routes = routes;
@@ -160,8 +159,8 @@
 beryl_forward_set_node_count (struct beryl_forward *f, uint32_t nodes)
 {
   f->nodes = nodes > 0 ? nodes : 1;
-  beryl_allotments_set_fleet (f->allotments, f->nodes,
-                              f->run_table.report_interval_ms);
+  beryl_quotas_set_fleet (f->quotas, f->nodes,
+                          f->run_table.report_interval_ms);
 }
 
 void
@@ -169,7 +168,7 @@
                                    int64_t interval_ms)
 {
   f->run_table.report_interval_ms = interval_ms;
-  beryl_allotments_set_fleet (f->allotments, f->nodes, interval_ms);
+  beryl_quotas_set_fleet (f->quotas, f->nodes, interval_ms);
 }
 
 void
@@ -194,7 +193,7 @@
     return;
   start->authenticated = r->routes->authenticates;
   start->organisation = r->organisation != NULL ? r->organisation->name : NULL;
-  allotment_count_sent (f, r, now_ms);
+  quota_count_sent (f, r, now_ms);
 }
 
 struct exchange *
@@ -355,7 +354,7 @@
   else if (!can_end_in_time (f, r, now_ms))
     forward_request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
                             STOPPING_RETRY_AFTER_MS, now_ms);
-  else if (crashes_refuse (f, r, now_ms) || allotment_refuse (f, r, now_ms))
+  else if (crashes_refuse (f, r, now_ms) || quota_refuse (f, r, now_ms))
     return;
   else if (forward_request_is_generation (r))
     generation_start (f, r, now_ms);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -120,10 +120,10 @@
   const struct beryl_route *route;
   const struct beryl_route_service *config;
   const struct beryl_route_organisation *organisation; /**< NULL if unknown */
-  uint32_t allotment_cost; /**< set aside in its organisation's allotment,
-                              until it is sent; 0 if none */
-  struct beryl_allotment_state allotment; /**< as of its arrival */
-  bool over_allotment;                    /**< it is refused for that */
+  uint32_t quota_cost;            /**< set aside in its organisation's quota,
+                                         until it is sent; 0 if none */
+  struct beryl_quota_state quota; /**< as of its arrival */
+  bool over_quota;                /**< it is refused for that */
   struct service *service;
   enum phase phase;
   bool waiting; /**< counted as waiting for memory, in PHASE_RESERVING too */
@@ -208,7 +208,7 @@
   uint32_t last_loan_serial;
   bool report_due; /**< a report to the peers is due, see
                       beryl_forward_report_due */
-  struct beryl_allotments *allotments;
+  struct beryl_quotas *quotas;
   struct beryl_limits *limits;
   uint32_t reachable_nodes; /**< nodes whose reports have arrived recently, and
                                this one */
@@ -285,19 +285,18 @@
                          int64_t now_ms);
 void crashes_tick (struct beryl_forward *f, int64_t now_ms);
 
-/* allotment.c */
-/** Take over the organisations' allotments from ROUTES. */
-void allotment_set_routes (struct beryl_forward *f,
-                           const struct beryl_routes *routes);
-/** If the allotment of R's organisation is used up, refuse R and return
+/* quota.c */
+/** Take over the organisations' quotas from ROUTES. */
+void quota_set_routes (struct beryl_forward *f,
+                       const struct beryl_routes *routes);
+/** If the quota of R's organisation is used up, refuse R and return
  * true. */
-bool allotment_refuse (struct beryl_forward *f, struct request *r,
-                       int64_t now_ms);
+bool quota_refuse (struct beryl_forward *f, struct request *r, int64_t now_ms);
 /** R is sent to an endpoint; its first send counts. */
-void allotment_count_sent (struct beryl_forward *f, struct request *r,
-                           int64_t now_ms);
+void quota_count_sent (struct beryl_forward *f, struct request *r,
+                       int64_t now_ms);
 /** R ends; what was set aside for it, and not sent, is free again. */
-void allotment_release (struct beryl_forward *f, struct request *r);
+void quota_release (struct beryl_forward *f, struct request *r);
 
 /* rates.c */
 /** The answer to X stated LIMIT; SERVED tells whether the request was
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -11,7 +11,7 @@
 {
   TAILQ_REMOVE (&f->requests, r, entry);
   map_remove (&f->requests_by_handle, map_key_from_number (r->params.handle));
-  allotment_release (f, r);
+  quota_release (f, r);
   beryl_routes_unref (r->routes);
   buffer_clear (&r->buffered);
   event_splitter_clear (&r->events);
@@ -55,7 +55,7 @@
     .route = r->route->name,
     .service = r->service->name,
     .organisation = r->organisation != NULL ? r->organisation->name : "",
-    .allotment = r->over_allotment ? &r->allotment : NULL,
+    .quota = r->over_quota ? &r->quota : NULL,
     .endpoint = endpoint,
     .outcome = outcome,
     .age_ms = now_ms - r->params.arrived_ms,
--- a/libberyl/allotments/fleet.h
+++ b/libberyl/quotas/fleet.h
@@ -1,9 +1,9 @@
 /** @file
- * The other nodes as far as allotments need to know them: which of them are
+ * The other nodes as far as quotas need to know them: which of them are
  * heard, and what part of the fleet that is.
  */
-#ifndef BERYL_ALLOTMENTS_FLEET_H
-#define BERYL_ALLOTMENTS_FLEET_H
+#ifndef BERYL_QUOTAS_FLEET_H
+#define BERYL_QUOTAS_FLEET_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -56,7 +56,7 @@
 /** Return the part of the fleet that is heard, from 0 to 1. */
 double fleet_share (struct fleet *fleet, int64_t now_ms);
 
-/** Return the number of nodes that divide an allotment. */
+/** Return the number of nodes that divide a quota. */
 uint32_t fleet_size (const struct fleet *fleet);
 
 /** Return the part of the fleet that has reported just now, from 0 to 1.  The
--- a/libberyl/allotments/allotments.c
+++ b/libberyl/quotas/quotas.c
@@ -1,4 +1,4 @@
-#include "beryl/allotments.h"
+#include "beryl/quotas.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -55,7 +55,7 @@
 struct bucket
 {
   uint32_t organisation;
-  struct beryl_allotment allotment;
+  struct beryl_quota quota;
   double level;        /* below 0 if overdrawn */
   double share;        /* of the fleet, at the last refill */
   int64_t refilled_ms; /* 0: never */
@@ -76,7 +76,7 @@
   uint32_t peer_count;
 };
 
-struct beryl_allotments
+struct beryl_quotas
 {
   struct bucket *buckets; /* by ascending organisation */
   size_t count;
@@ -88,10 +88,10 @@
   struct fleet fleet;
 };
 
-struct beryl_allotments *
-beryl_allotments_create (double slack, uint64_t seed)
+struct beryl_quotas *
+beryl_quotas_create (double slack, uint64_t seed)
 {
-  struct beryl_allotments *a = calloc (1, sizeof *a);
+  struct beryl_quotas *a = calloc (1, sizeof *a);
 
   a->slack = slack;
   a->random = seed;
@@ -108,7 +108,7 @@
 }
 
 void
-beryl_allotments_destroy (struct beryl_allotments *a)
+beryl_quotas_destroy (struct beryl_quotas *a)
 {
   if (a == NULL)
     return;
@@ -118,31 +118,31 @@
 }
 
 void
-beryl_allotments_set_slack (struct beryl_allotments *a, double slack)
+beryl_quotas_set_slack (struct beryl_quotas *a, double slack)
 {
   a->slack = slack;
 }
 
 void
-beryl_allotments_set_fleet (struct beryl_allotments *a, uint32_t nodes,
-                            int64_t report_interval_ms)
+beryl_quotas_set_fleet (struct beryl_quotas *a, uint32_t nodes,
+                        int64_t report_interval_ms)
 {
   a->fleet.nodes = nodes > 0 ? nodes : 1;
   a->fleet.report_interval_ms = report_interval_ms;
 }
 
 uint32_t
-beryl_allotment_cost (const struct beryl_allotment *allotment, uint64_t tokens)
+beryl_quota_cost (const struct beryl_quota *quota, uint64_t tokens)
 {
-  if (!allotment->in_tokens)
+  if (!quota->in_tokens)
     return 1;
   if (tokens == 0)
-    return allotment->plain_tokens;
+    return quota->plain_tokens;
   return tokens < UINT32_MAX ? (uint32_t)tokens : UINT32_MAX;
 }
 
 static struct bucket *
-bucket_find (const struct beryl_allotments *a, uint32_t organisation)
+bucket_find (const struct beryl_quotas *a, uint32_t organisation)
 {
   size_t low = 0, high = a->count;
 
@@ -161,9 +161,8 @@
 }
 
 void
-beryl_allotments_set (struct beryl_allotments *a,
-                      const struct beryl_allotment_entry *entries,
-                      size_t count)
+beryl_quotas_set (struct beryl_quotas *a,
+                  const struct beryl_quota_entry *entries, size_t count)
 {
   struct bucket *buckets = calloc (count + 1, sizeof *buckets);
 
@@ -179,7 +178,7 @@
       else
         a->any_new = true;
       buckets[i].organisation = entries[i].organisation;
-      buckets[i].allotment = entries[i].allotment;
+      buckets[i].quota = entries[i].quota;
     }
   buckets_free (a->buckets, a->count);
   a->buckets = buckets;
@@ -189,14 +188,14 @@
 static bool
 is_limited (const struct bucket *b)
 {
-  return b->allotment.per_s > 0;
+  return b->quota.per_s > 0;
 }
 
 static double
-capacity (const struct beryl_allotments *a, const struct bucket *b)
+capacity (const struct beryl_quotas *a, const struct bucket *b)
 {
-  double least = b->allotment.per_s * BURST_MIN_MS / 1000;
-  double burst = b->allotment.burst > least ? b->allotment.burst : least;
+  double least = b->quota.per_s * BURST_MIN_MS / 1000;
+  double burst = b->quota.burst > least ? b->quota.burst : least;
 
   return burst + CREDIT_PART * a->slack;
 }
@@ -206,7 +205,7 @@
  * each side thus gets only its own parts, before it has detected the
  * partition. */
 static void
-refill (struct beryl_allotments *a, struct bucket *b, int64_t now_ms)
+refill (struct beryl_quotas *a, struct bucket *b, int64_t now_ms)
 {
   double share = fleet_share (&a->fleet, now_ms);
   double node_ms = (double)(now_ms - b->refilled_ms);
@@ -222,7 +221,7 @@
     b->level *= exp (a->fleet.kept_log - b->kept_log);
   b->share = share;
   node_ms += a->fleet.peer_ms - b->peer_ms;
-  b->level += b->allotment.per_s / fleet_size (&a->fleet) * node_ms / 1000;
+  b->level += b->quota.per_s / fleet_size (&a->fleet) * node_ms / 1000;
   b->refilled_ms = now_ms;
   b->peer_ms = a->fleet.peer_ms;
   b->kept_log = a->fleet.kept_log;
@@ -231,7 +230,7 @@
 }
 
 static void
-start_new_buckets (struct beryl_allotments *a, int64_t now_ms)
+start_new_buckets (struct beryl_quotas *a, int64_t now_ms)
 {
   if (!a->any_new)
     return;
@@ -269,8 +268,7 @@
 
 /* Returns this node's part of the demand, at least an even one. */
 static double
-part_of_demand (struct beryl_allotments *a, const struct bucket *b,
-                int64_t now_ms)
+part_of_demand (struct beryl_quotas *a, const struct bucket *b, int64_t now_ms)
 {
   double even = 1.0 / a->fleet.heard;
   double demand = demand_per_s (b, now_ms);
@@ -286,7 +284,7 @@
  * matter as long as anything is left; a bucket that small requests keep nearly
  * empty would otherwise never admit a large one. */
 static bool
-admits (struct beryl_allotments *a, const struct bucket *b, uint32_t cost,
+admits (struct beryl_quotas *a, const struct bucket *b, uint32_t cost,
         int64_t now_ms)
 {
   double stock = b->level > 0
@@ -308,10 +306,10 @@
 /* Spreads the retries of refused callers: they follow each other at the pace
  * at which the bucket refills for this node. */
 static int64_t
-retry_after_ms (struct beryl_allotments *a, struct bucket *b, uint32_t cost,
+retry_after_ms (struct beryl_quotas *a, struct bucket *b, uint32_t cost,
                 int64_t now_ms)
 {
-  double per_ms = b->allotment.per_s * b->share / 1000;
+  double per_ms = b->quota.per_s * b->share / 1000;
   double debt = b->set_aside - b->level;
   double pause_ms = cost * a->fleet.heard / (RETURN_PART * per_ms);
   int64_t return_ms = now_ms + RETRY_MIN_MS;
@@ -327,13 +325,12 @@
   return return_ms - now_ms;
 }
 
-static struct beryl_allotment_state
-bucket_state (struct beryl_allotments *a, const struct bucket *b,
-              int64_t now_ms)
+static struct beryl_quota_state
+bucket_state (struct beryl_quotas *a, const struct bucket *b, int64_t now_ms)
 {
-  return (struct beryl_allotment_state){
+  return (struct beryl_quota_state){
     .limited = true,
-    .per_s = b->allotment.per_s,
+    .per_s = b->quota.per_s,
     .available = b->level - b->set_aside,
     .used_per_s = rate_get (&b->use, now_ms),
     .refused_per_s = rate_get (&b->refusals, now_ms),
@@ -343,15 +340,15 @@
 }
 
 bool
-beryl_allotments_admit (struct beryl_allotments *a, uint32_t organisation,
-                        uint32_t cost, int64_t now_ms,
-                        struct beryl_allotment_state *state)
+beryl_quotas_admit (struct beryl_quotas *a, uint32_t organisation,
+                    uint32_t cost, int64_t now_ms,
+                    struct beryl_quota_state *state)
 {
   struct bucket *b = bucket_find (a, organisation);
   bool admitted;
 
   if (state != NULL)
-    *state = (struct beryl_allotment_state){ 0 };
+    *state = (struct beryl_quota_state){ 0 };
   if (b == NULL || !is_limited (b))
     return true;
   start_new_buckets (a, now_ms);
@@ -382,8 +379,8 @@
 }
 
 void
-beryl_allotments_use (struct beryl_allotments *a, uint32_t organisation,
-                      uint32_t cost, int64_t now_ms)
+beryl_quotas_use (struct beryl_quotas *a, uint32_t organisation, uint32_t cost,
+                  int64_t now_ms)
 {
   struct bucket *b = bucket_find (a, organisation);
 
@@ -402,8 +399,8 @@
 }
 
 void
-beryl_allotments_release (struct beryl_allotments *a, uint32_t organisation,
-                          uint32_t cost)
+beryl_quotas_release (struct beryl_quotas *a, uint32_t organisation,
+                      uint32_t cost)
 {
   struct bucket *b = bucket_find (a, organisation);
 
@@ -411,14 +408,14 @@
     put_back (b, cost);
 }
 
-struct beryl_allotment_state
-beryl_allotments_state (struct beryl_allotments *a, uint32_t organisation,
-                        int64_t now_ms)
+struct beryl_quota_state
+beryl_quotas_state (struct beryl_quotas *a, uint32_t organisation,
+                    int64_t now_ms)
 {
   struct bucket *b = bucket_find (a, organisation);
 
   if (b == NULL || !is_limited (b))
-    return (struct beryl_allotment_state){ 0 };
+    return (struct beryl_quota_state){ 0 };
   refill (a, b, now_ms);
   return bucket_state (a, b, now_ms);
 }
@@ -441,22 +438,21 @@
 }
 
 bool
-beryl_allotments_report_due (const struct beryl_allotments *a)
+beryl_quotas_report_due (const struct beryl_quotas *a)
 {
   return a->report_due;
 }
 
 void
-beryl_allotments_report (struct beryl_allotments *a,
-                         struct beryl_allotment_report *report, int64_t now_ms)
+beryl_quotas_report (struct beryl_quotas *a, struct beryl_quota_report *report,
+                     int64_t now_ms)
 {
   size_t first = a->count > 0 ? a->next_report % a->count : 0;
 
   start_new_buckets (a, now_ms);
   report->count = 0;
   a->report_due = false;
-  for (size_t i = 0; i < a->count && report->count < BERYL_ALLOTMENT_USES_MAX;
-       i++)
+  for (size_t i = 0; i < a->count && report->count < BERYL_QUOTA_USES_MAX; i++)
     {
       struct bucket *b = &a->buckets[(first + i) % a->count];
 
@@ -464,7 +460,7 @@
       b->unreported = 0;
       a->next_report = first + i + 1;
       if (is_reported (b, now_ms))
-        report->items[report->count++] = (struct beryl_allotment_use){
+        report->items[report->count++] = (struct beryl_quota_use){
           .organisation = b->organisation,
           .used = b->used,
           .recent = b->used - b->used_before[1],
@@ -489,8 +485,8 @@
 /* Applies a peer's counters.  If they do not continue known ones, only what
  * was used since the contact began counts. */
 static void
-apply_use (struct beryl_allotments *a, struct bucket *b, uint32_t peer_index,
-           const struct beryl_allotment_use *item, int64_t now_ms)
+apply_use (struct beryl_quotas *a, struct bucket *b, uint32_t peer_index,
+           const struct beryl_quota_use *item, int64_t now_ms)
 {
   const struct fleet_peer *peer = &a->fleet.peers[peer_index];
   struct peer_use *known = peer_use_get (b, peer_index);
@@ -514,10 +510,9 @@
 }
 
 void
-beryl_allotments_apply (struct beryl_allotments *a, uint32_t node,
-                        uint64_t incarnation,
-                        const struct beryl_allotment_report *report,
-                        int64_t now_ms)
+beryl_quotas_apply (struct beryl_quotas *a, uint32_t node,
+                    uint64_t incarnation,
+                    const struct beryl_quota_report *report, int64_t now_ms)
 {
   uint32_t peer = fleet_hear (&a->fleet, node, incarnation, now_ms);
 
--- a/tests/forward/test_organisations.c
+++ b/tests/forward/test_organisations.c
@@ -20,7 +20,7 @@
   struct beryl_route route = fx_plain_terms ().route;
   struct beryl_route_organisation organisation
       = { .name = "org",
-          .allotment = { .in_tokens = true, .per_s = per_s, .burst = per_s } };
+          .quota = { .in_tokens = true, .per_s = per_s, .burst = per_s } };
 
   target.service = beryl_routes_add_service (routes, &service);
   route.targets = &target;
@@ -128,8 +128,8 @@
 END_TEST
 
 /* Guards against one organisation that takes all endpoints: what is beyond its
- * allotment is refused at once and has not run. */
-START_TEST (test_allotment_is_used_up)
+ * quota is refused at once and has not run. */
+START_TEST (test_quota_is_used_up)
 {
   uint64_t number = 0;
 
@@ -144,17 +144,17 @@
   while (!fx.answers[number].refused);
   ck_assert_uint_gt (number, 2);
   ck_assert_uint_eq (refusal (number)->status, 429);
-  ck_assert_int_eq (refusal (number)->reason, BERYL_REFUSAL_ALLOTMENT);
+  ck_assert_int_eq (refusal (number)->reason, BERYL_REFUSAL_QUOTA);
   ck_assert (refusal (number)->not_run);
   ck_assert_int_gt (refusal (number)->retry_after_ms, 0);
-  ck_assert_ptr_nonnull (strstr (fx.log->str, "refuse:allotment"));
+  ck_assert_ptr_nonnull (strstr (fx.log->str, "refuse:quota"));
   fx_pass (&fx, 10000);
   arrive (++number, KEY, "/x");
   ck_assert_ptr_nonnull (fx_open_of (&fx, number, BERYL_EXCHANGE_RUN));
 }
 END_TEST
 
-/* Guards against requests that no endpoint takes using up the allotment. */
+/* Guards against requests that no endpoint takes using up the quota. */
 START_TEST (test_unsent_requests_do_not_count)
 {
   configure (REQUEST_TOKENS, false);
@@ -181,7 +181,7 @@
   tcase_add_test (tcase, test_no_valid_key);
   tcase_add_test (tcase, test_anonymous_route);
   tcase_add_test (tcase, test_key_is_taken_away);
-  tcase_add_test (tcase, test_allotment_is_used_up);
+  tcase_add_test (tcase, test_quota_is_used_up);
   tcase_add_test (tcase, test_unsent_requests_do_not_count);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
--- a/tests/gateway/test_organisations.c
+++ b/tests/gateway/test_organisations.c
@@ -102,9 +102,9 @@
 }
 END_TEST
 
-/* Guards against nodes that each allow the whole allotment: callers use all
+/* Guards against nodes that each allow the whole quota: callers use all
  * nodes in turn, at six times the limit. */
-START_TEST (test_allotment)
+START_TEST (test_quota)
 {
   GPtrArray *responses = g_ptr_array_new ();
   int64_t end_ms;
@@ -149,7 +149,7 @@
   response = testbed_query (&t, 0, TESTBED_METRICS_PORT, "/metrics");
   ck_assert_ptr_nonnull (
       strstr (response->body->str,
-              "beryl_gateway_allotment_per_s{organisation=\"first\"} 40"));
+              "beryl_gateway_quota_per_s{organisation=\"first\"} 40"));
   ck_assert_ptr_nonnull (strstr (response->body->str,
                                  "beryl_gateway_organisation_requests_total{"
                                  "organisation=\"first\""));
@@ -167,7 +167,7 @@
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_test (tcase, test_keys);
   tcase_add_test (tcase, test_key_is_taken_away);
-  tcase_add_test (tcase, test_allotment);
+  tcase_add_test (tcase, test_quota);
   tcase_add_test (tcase, test_metrics);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -688,10 +688,10 @@
   ck_assert_ptr_nonnull (organisation);
   ck_assert_str_eq (organisation->name, "o");
   ck_assert (organisation->has_rank && organisation->rank == 0);
-  ck_assert (organisation->allotment.in_tokens);
-  ck_assert_uint_eq (organisation->allotment.plain_tokens, 200);
-  ck_assert_double_eq (organisation->allotment.per_s, 2500);
-  ck_assert_double_eq (organisation->allotment.burst, 4000);
+  ck_assert (organisation->quota.in_tokens);
+  ck_assert_uint_eq (organisation->quota.plain_tokens, 200);
+  ck_assert_double_eq (organisation->quota.per_s, 2500);
+  ck_assert_double_eq (organisation->quota.burst, 4000);
   ck_assert_uint_eq (routes->organisation_count, 2);
   beryl_routes_unref (routes);
 }
@@ -721,7 +721,7 @@
       WITH_ORGANISATIONS ("[{\"name\":\"o\",\"unit\":\"bytes\"}]"), &error);
 
   ck_assert_ptr_nonnull (routes);
-  ck_assert (!routes->organisations[0].allotment.in_tokens);
+  ck_assert (!routes->organisations[0].quota.in_tokens);
   beryl_routes_unref (routes);
 }
 END_TEST
--- a/tests/allotments/test_allotments.c
+++ b/tests/quotas/test_quotas.c
@@ -1,6 +1,6 @@
-/* Allotments in simulated fleets, against a count of all that was sent: the
+/* Quotas in simulated fleets, against a count of all that was sent: the
  * bound that the fleet must keep to in every window, and the part of an
- * allotment that can be used. */
+ * quota that can be used. */
 #include <check.h>
 #include <math.h>
 #include <stdio.h>
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #include "../suite.h"
-#include "beryl/allotments.h"
+#include "beryl/quotas.h"
 
 #define ORGANISATION 7
 #define NODES_MAX 400
@@ -33,7 +33,7 @@
 
 struct node
 {
-  struct beryl_allotments *allotments;
+  struct beryl_quotas *quotas;
   uint64_t incarnation;
   uint32_t group; /* nodes of one group hear each other */
   bool running;
@@ -41,7 +41,7 @@
   int64_t reported_ms;
   int64_t heartbeat_ms; /* until the next report of a node at rest */
   double demand;        /* tokens per second */
-  struct beryl_allotment_report report;
+  struct beryl_quota_report report;
   bool reports; /* in this step */
 };
 
@@ -49,7 +49,7 @@
 {
   struct node nodes[NODES_MAX];
   uint32_t count;
-  struct beryl_allotment allotment;
+  struct beryl_quota quota;
   double slack;
   double loss; /* fraction of the datagrams lost */
   double sent[STEPS_MAX];
@@ -92,31 +92,31 @@
 static void
 configure (struct node *node)
 {
-  struct beryl_allotment_entry entry
-      = { .organisation = ORGANISATION, .allotment = fleet.allotment };
+  struct beryl_quota_entry entry
+      = { .organisation = ORGANISATION, .quota = fleet.quota };
 
-  beryl_allotments_set (node->allotments, &entry, 1);
+  beryl_quotas_set (node->quotas, &entry, 1);
 }
 
 static void
 node_start (struct node *node)
 {
-  node->allotments = beryl_allotments_create (
+  node->quotas = beryl_quotas_create (
       fleet.slack, (uint64_t)(chance () * (double)(UINT64_C (1) << 53)));
   node->incarnation++;
   node->running = true;
   node->changed = false;
   node->reported_ms = now_ms () - pick (REPORT_MS);
   node->heartbeat_ms = pick ((uint32_t)heartbeat_ms ());
-  beryl_allotments_set_fleet (node->allotments, fleet.count, heartbeat_ms ());
+  beryl_quotas_set_fleet (node->quotas, fleet.count, heartbeat_ms ());
   configure (node);
 }
 
 static void
 node_kill (struct node *node)
 {
-  beryl_allotments_destroy (node->allotments);
-  node->allotments = NULL;
+  beryl_quotas_destroy (node->quotas);
+  node->quotas = NULL;
   node->running = false;
 }
 
@@ -126,10 +126,10 @@
   memset (&fleet, 0, sizeof fleet);
   random_state = seed;
   fleet.count = count;
-  fleet.allotment = (struct beryl_allotment){ .in_tokens = true,
-                                              .plain_tokens = PLAIN_TOKENS,
-                                              .per_s = per_s,
-                                              .burst = per_s };
+  fleet.quota = (struct beryl_quota){ .in_tokens = true,
+                                      .plain_tokens = PLAIN_TOKENS,
+                                      .per_s = per_s,
+                                      .burst = per_s };
   fleet.slack = count > SLACK_NODES ? SLACK * count / SLACK_NODES : SLACK;
   fleet.loss = 0.02;
   for (uint32_t i = 0; i < count; i++)
@@ -140,15 +140,15 @@
 fleet_close (void)
 {
   for (uint32_t i = 0; i < fleet.count; i++)
-    beryl_allotments_destroy (fleet.nodes[i].allotments);
+    beryl_quotas_destroy (fleet.nodes[i].quotas);
 }
 
-/* Spreads TIMES the allotment's rate over all nodes. */
+/* Spreads TIMES the quota's rate over all nodes. */
 static void
 demand_even (double times)
 {
   for (uint32_t i = 0; i < fleet.count; i++)
-    fleet.nodes[i].demand = times * fleet.allotment.per_s / fleet.count;
+    fleet.nodes[i].demand = times * fleet.quota.per_s / fleet.count;
 }
 
 static void
@@ -163,10 +163,10 @@
       if (requests < 1 && chance () >= requests)
         break;
       node->changed = true;
-      if (!beryl_allotments_admit (node->allotments, ORGANISATION, cost,
-                                   now_ms (), NULL))
+      if (!beryl_quotas_admit (node->quotas, ORGANISATION, cost, now_ms (),
+                               NULL))
         continue;
-      beryl_allotments_use (node->allotments, ORGANISATION, cost, now_ms ());
+      beryl_quotas_use (node->quotas, ORGANISATION, cost, now_ms ());
       fleet.sent[fleet.step] += cost;
     }
 }
@@ -182,7 +182,7 @@
   node->reported_ms = now_ms ();
   node->heartbeat_ms = heartbeat_ms () - pick ((uint32_t)heartbeat_ms () / 4);
   node->changed = false;
-  beryl_allotments_report (node->allotments, &node->report, now_ms ());
+  beryl_quotas_report (node->quotas, &node->report, now_ms ());
 }
 
 static void
@@ -196,9 +196,8 @@
 
       if (i != from && node->running && node->group == sender->group
           && chance () >= fleet.loss)
-        beryl_allotments_apply (node->allotments, from + 1,
-                                sender->incarnation, &sender->report,
-                                now_ms ());
+        beryl_quotas_apply (node->quotas, from + 1, sender->incarnation,
+                            &sender->report, now_ms ());
     }
 }
 
@@ -250,8 +249,7 @@
 static double
 bound (void)
 {
-  double allowed
-      = fleet.allotment.per_s * WINDOW_MS / 1000 + fleet.allotment.burst;
+  double allowed = fleet.quota.per_s * WINDOW_MS / 1000 + fleet.quota.burst;
 
   return allowed * (1 + OVERRUN) + fleet.slack;
 }
@@ -263,7 +261,7 @@
 
   if (getenv ("BERYL_TEST_PRINT") != NULL)
     printf ("nodes=%u per_s=%.0f window=%.0f bound=%.0f\n", fleet.count,
-            fleet.allotment.per_s, worst, bound ());
+            fleet.quota.per_s, worst, bound ());
   ck_assert_msg (worst <= bound (), "%.0f tokens in a window, bound %.0f",
                  worst, bound ());
 }
@@ -273,15 +271,15 @@
 {
   double seconds = (double)(fleet.step - from) * STEP_MS / 1000;
   double part
-      = sent_between (from, fleet.step) / (seconds * fleet.allotment.per_s);
+      = sent_between (from, fleet.step) / (seconds * fleet.quota.per_s);
 
   if (getenv ("BERYL_TEST_PRINT") != NULL)
-    printf ("nodes=%u per_s=%.0f used=%.3f\n", fleet.count,
-            fleet.allotment.per_s, part);
+    printf ("nodes=%u per_s=%.0f used=%.3f\n", fleet.count, fleet.quota.per_s,
+            part);
   return part;
 }
 
-/* Guards against a fleet that refuses what is below the allotment, or exceeds
+/* Guards against a fleet that refuses what is below the quota, or exceeds
  * it, although all nodes hear each other. */
 static void
 check_even_load (uint32_t count, double per_s)
@@ -317,7 +315,7 @@
 
   fleet_open (counts[_i], 240000, 2);
   pass (2000);
-  fleet.nodes[3].demand = 3 * fleet.allotment.per_s;
+  fleet.nodes[3].demand = 3 * fleet.quota.per_s;
   pass (4000);
   warm = fleet.step;
   pass (10000);
@@ -327,7 +325,7 @@
 }
 END_TEST
 
-/* Guards against a divided fleet whose parts each use the whole allotment: an
+/* Guards against a divided fleet whose parts each use the whole quota: an
  * organisation asks for six times its rate while a third of the nodes hear
  * nobody. */
 START_TEST (test_hot_organisation_in_a_cut)
@@ -377,7 +375,7 @@
   fleet_open (78, 240000, 5);
   demand_even (0.9);
   pass (4000);
-  fleet.allotment.per_s = fleet.allotment.burst = 40000;
+  fleet.quota.per_s = fleet.quota.burst = 40000;
   for (uint32_t i = 0; i < fleet.count; i++)
     configure (&fleet.nodes[i]);
   lowered = fleet.step;
@@ -451,11 +449,10 @@
 
       fleet.step++;
       asked[large]++;
-      if (!beryl_allotments_admit (fleet.nodes[0].allotments, ORGANISATION,
-                                   cost, now_ms (), NULL))
+      if (!beryl_quotas_admit (fleet.nodes[0].quotas, ORGANISATION, cost,
+                               now_ms (), NULL))
         continue;
-      beryl_allotments_use (fleet.nodes[0].allotments, ORGANISATION, cost,
-                            now_ms ());
+      beryl_quotas_use (fleet.nodes[0].quotas, ORGANISATION, cost, now_ms ());
       admitted[large]++;
     }
   ck_assert_double_ge ((double)admitted[1] / asked[1],
@@ -467,16 +464,16 @@
 /* What was set aside for a request that is refused later is not used up. */
 START_TEST (test_released_request_is_not_counted)
 {
-  struct beryl_allotments *a;
+  struct beryl_quotas *a;
 
   fleet_open (1, 29000, 7);
-  a = fleet.nodes[0].allotments;
+  a = fleet.nodes[0].quotas;
   for (uint32_t i = 0; i < 1000; i++)
     {
       fleet.step++;
-      ck_assert (beryl_allotments_admit (a, ORGANISATION, PROMPT_TOKENS,
-                                         now_ms (), NULL));
-      beryl_allotments_release (a, ORGANISATION, PROMPT_TOKENS);
+      ck_assert (beryl_quotas_admit (a, ORGANISATION, PROMPT_TOKENS, now_ms (),
+                                     NULL));
+      beryl_quotas_release (a, ORGANISATION, PROMPT_TOKENS);
     }
   fleet_close ();
 }
@@ -485,16 +482,16 @@
 /* Guards against callers that are all told to return at the same moment. */
 START_TEST (test_returns_are_spread)
 {
-  struct beryl_allotment_state state;
+  struct beryl_quota_state state;
   int64_t first_ms = 0, last_ms = 0;
   uint32_t refused = 0;
 
   fleet_open (1, 29000, 8);
   while (refused < 40)
-    if (beryl_allotments_admit (fleet.nodes[0].allotments, ORGANISATION,
-                                PROMPT_TOKENS, now_ms (), &state))
-      beryl_allotments_use (fleet.nodes[0].allotments, ORGANISATION,
-                            PROMPT_TOKENS, now_ms ());
+    if (beryl_quotas_admit (fleet.nodes[0].quotas, ORGANISATION, PROMPT_TOKENS,
+                            now_ms (), &state))
+      beryl_quotas_use (fleet.nodes[0].quotas, ORGANISATION, PROMPT_TOKENS,
+                        now_ms ());
     else
       {
         ck_assert_int_gt (state.retry_after_ms, 0);
@@ -510,18 +507,18 @@
 
 START_TEST (test_no_limit)
 {
-  struct beryl_allotment requests = { .per_s = 5, .burst = 5 };
-  struct beryl_allotment_state state;
+  struct beryl_quota requests = { .per_s = 5, .burst = 5 };
+  struct beryl_quota_state state;
 
   fleet_open (1, 0, 9);
-  ck_assert (beryl_allotments_admit (fleet.nodes[0].allotments, ORGANISATION,
-                                     UINT32_MAX, now_ms (), &state));
+  ck_assert (beryl_quotas_admit (fleet.nodes[0].quotas, ORGANISATION,
+                                 UINT32_MAX, now_ms (), &state));
   ck_assert (!state.limited);
-  ck_assert (beryl_allotments_admit (fleet.nodes[0].allotments, 99, 1,
-                                     now_ms (), &state));
-  ck_assert_uint_eq (beryl_allotment_cost (&requests, 5000), 1);
-  ck_assert_uint_eq (beryl_allotment_cost (&fleet.allotment, 0), PLAIN_TOKENS);
-  ck_assert_uint_eq (beryl_allotment_cost (&fleet.allotment, 5000), 5000);
+  ck_assert (
+      beryl_quotas_admit (fleet.nodes[0].quotas, 99, 1, now_ms (), &state));
+  ck_assert_uint_eq (beryl_quota_cost (&requests, 5000), 1);
+  ck_assert_uint_eq (beryl_quota_cost (&fleet.quota, 0), PLAIN_TOKENS);
+  ck_assert_uint_eq (beryl_quota_cost (&fleet.quota, 5000), 5000);
   fleet_close ();
 }
 END_TEST
@@ -529,8 +526,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("allotments");
-  TCase *tcase = tcase_create ("allotments");
+  Suite *suite = suite_create ("quotas");
+  TCase *tcase = tcase_create ("quotas");
 
   tcase_set_timeout (tcase, 120);
   tcase_add_loop_test (tcase, test_even_load, 0, 4);
--- a/tests/wire/test_loads.c
+++ b/tests/wire/test_loads.c
@@ -52,10 +52,10 @@
       = (struct beryl_budget_transfer){ 5, 6, 7, UINT32_MAX };
   message.profiles.items[message.profiles.count++]
       = (struct beryl_generation_profile){ 1, 2, 3, 4, 5, 6, 7, UINT32_MAX };
-  message.allotments.items[message.allotments.count++]
-      = (struct beryl_allotment_use){ 1, 2, 3, UINT32_MAX };
-  message.allotments.items[message.allotments.count++]
-      = (struct beryl_allotment_use){ UINT32_MAX, 0, 0, 0 };
+  message.quotas.items[message.quotas.count++]
+      = (struct beryl_quota_use){ 1, 2, 3, UINT32_MAX };
+  message.quotas.items[message.quotas.count++]
+      = (struct beryl_quota_use){ UINT32_MAX, 0, 0, 0 };
   ck_assert (pass (&message, &again));
   ck_assert_mem_eq (&again, &message, sizeof message);
 }
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -18,7 +18,7 @@
   FIELD_ASKS,
   FIELD_LOANS,
   FIELD_PROFILES,
-  FIELD_ALLOTMENTS,
+  FIELD_QUOTAS,
 };
 
 /* So is a profile. */
@@ -93,15 +93,15 @@
 }
 
 static void
-put_allotments (struct frame_writer *writer,
-                const struct beryl_allotment_report *report)
+put_quotas (struct frame_writer *writer,
+            const struct beryl_quota_report *report)
 {
   if (report->count == 0)
     return;
-  frame_put_array (writer, FIELD_ALLOTMENTS);
+  frame_put_array (writer, FIELD_QUOTAS);
   for (size_t i = 0; i < report->count; i++)
     {
-      const struct beryl_allotment_use *use = &report->items[i];
+      const struct beryl_quota_use *use = &report->items[i];
 
       frame_put_uint (writer, 0, use->organisation);
       frame_put_uint (writer, 0, use->used);
@@ -148,7 +148,7 @@
   put_transfers (writer, FIELD_ASKS, &message->asks);
   put_transfers (writer, FIELD_LOANS, &message->loans);
   put_profiles (writer, &message->profiles);
-  put_allotments (writer, &message->allotments);
+  put_quotas (writer, &message->quotas);
 }
 
 /* The runs that come first are the ones to be told. */
@@ -232,19 +232,19 @@
 }
 
 static void
-read_allotments (struct frame *frame, struct frame_map map,
-                 struct beryl_allotment_report *report)
+read_quotas (struct frame *frame, struct frame_map map,
+             struct beryl_quota_report *report)
 {
-  struct frame_array array = frame_array (map, FIELD_ALLOTMENTS);
+  struct frame_array array = frame_array (map, FIELD_QUOTAS);
 
-  if (array.count > BERYL_ALLOTMENT_USES_MAX * NUMBERS_PER_USE
+  if (array.count > BERYL_QUOTA_USES_MAX * NUMBERS_PER_USE
       || array.count % NUMBERS_PER_USE != 0)
     {
       frame_fail (frame);
       return;
     }
   for (uint32_t i = 0; i < array.count; i += NUMBERS_PER_USE)
-    report->items[report->count++] = (struct beryl_allotment_use){
+    report->items[report->count++] = (struct beryl_quota_use){
       .organisation = frame_array_uint32 (array, i),
       .used = frame_array_uint32 (array, i + 1),
       .recent = frame_array_uint32 (array, i + 2),
@@ -291,6 +291,6 @@
   read_transfers (frame, map, FIELD_ASKS, &message->asks);
   read_transfers (frame, map, FIELD_LOANS, &message->loans);
   read_profiles (frame, map, &message->profiles);
-  read_allotments (frame, map, &message->allotments);
+  read_quotas (frame, map, &message->quotas);
   return frame_valid (frame);
 }
