Quarantine: peers are heard before a request is judged

Its node saw m8, m9 and m10 end under it and put it into quarantine in the same millisecond as the third crash was confirmed; that the culprit had run at the same three engines arrived 20 ms later.

Change: the third crash holds a request back for 300 ms (refused, with that time as Retry-After) and only then it is judged, the one with most crashes first, so that what it explains no longer counts against the others.

--- a/include/beryl/quarantine.h
+++ b/include/beryl/quarantine.h
@@ -4,11 +4,12 @@
  *
  * A request is identified by its fingerprint, whatever its id.  When a run
  * breaks off and its endpoint turns out to have ended, all requests that ran
- * there become suspects.  A suspect with several crashes is quarantined;
- * crashes that it explains no longer count against other requests.  A complete
- * answer clears a suspect for a while, since many callers may send the same
- * request.  Nodes merge the crashes that others observe as a set until these
- * expire, so that updates may arrive late, twice or out of order.
+ * there become suspects.  A suspect with several crashes is held back while
+ * peers report what else ran at these endpoints, and then quarantined; crashes
+ * that it explains no longer count against other requests.  A complete answer
+ * clears a suspect for a while, since many callers may send the same request.
+ * Nodes merge the crashes that others observe as a set until these expire, so
+ * that updates may arrive late, twice or out of order.
  *
  * No I/O.  Not thread-safe.
  */
@@ -75,7 +76,11 @@
 void beryl_quarantine_run_answered (struct beryl_quarantine *quarantine,
                                     uint64_t fingerprint, int64_t now_ms);
 
-/** Return the remaining quarantine of FINGERPRINT; 0: not quarantined. */
+/** Return whether any request is held back, so that lookups can be skipped. */
+bool beryl_quarantine_holds_any (const struct beryl_quarantine *quarantine);
+
+/** Return for how long FINGERPRINT is still held back, by its quarantine or
+ * the review before it; 0: not held back. */
 int64_t
 beryl_quarantine_remaining_ms (const struct beryl_quarantine *quarantine,
                                uint64_t fingerprint, int64_t now_ms);
@@ -146,10 +151,14 @@
 void beryl_quarantine_records_synced (struct beryl_quarantine *quarantine,
                                       int64_t now_ms);
 
-/** Remove expired crashes and quarantines. */
+/** Decide on requests whose review is over, and remove expired crashes and
+ * quarantines. */
 void beryl_quarantine_expire (struct beryl_quarantine *quarantine,
                               int64_t now_ms);
 
+/** Return when the next review is over; BERYL_NEVER_MS: none is open. */
+int64_t beryl_quarantine_next_ms (const struct beryl_quarantine *quarantine);
+
 /** Return the number of quarantined requests, and of the other tracked
  * requests: suspects and recently cleared ones. */
 uint32_t beryl_quarantine_count (const struct beryl_quarantine *quarantine);
--- a/libberyl/forward/crashes.c
+++ b/libberyl/forward/crashes.c
@@ -126,7 +126,7 @@
 static int64_t
 quarantine_left_ms (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  if (beryl_quarantine_count (f->quarantine) == 0)
+  if (!beryl_quarantine_holds_any (f->quarantine))
     return 0;
   return beryl_quarantine_remaining_ms (
       f->quarantine, forward_request_fingerprint (f, r), now_ms);
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -544,9 +544,12 @@
 int64_t
 beryl_forward_next_tick_ms (const struct beryl_forward *f)
 {
-  int64_t next_ms = f->quarantine_check_ms;
+  int64_t next_ms = beryl_quarantine_next_ms (f->quarantine);
   const struct request *r = NULL;
 
+  if (f->quarantine_check_ms < next_ms)
+    next_ms = f->quarantine_check_ms;
+
   TAILQ_FOREACH (r, &f->requests, entry)
   {
     if (r->timer_ms < next_ms)
--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -4,6 +4,7 @@
 #include <sys/queue.h>
 
 #include "../base/map.h"
+#include "beryl/clock.h"
 
 /* Crashes that quarantine a request; one more is needed if another request ran
  * at the same endpoints, since either may be the cause. */
@@ -11,6 +12,9 @@
 /* Crashes kept per request.  More than the threshold, because they explain
  * crashes of other requests. */
 #define CRASHES_MAX 8
+/* Time for peers to report which other requests ran at the crashed endpoints,
+ * before a request with enough crashes is quarantined. */
+#define REVIEW_MS 300
 /* Maximum number of tracked requests. */
 #define SUSPECTS_MAX 512
 /* A broken run counts as a crash if its endpoint is found to have ended within
@@ -54,12 +58,13 @@
   struct crash
       crashes[CRASHES_MAX]; /* in the order in which they were added */
   uint32_t crash_count;
-  int64_t cleared_ms;     /* 0: never */
-  bool cleared_locally;   /* cleared by an answer at this node */
-  int64_t expires_ms;     /* end of the quarantine; 0: not quarantined */
-  int64_t quarantined_ms; /* when this node learned of it */
-  bool has_record;        /* a stored record of it has been read */
-  bool record_seen;       /* found in the stored records that are being read */
+  int64_t cleared_ms;      /* 0: never */
+  bool cleared_locally;    /* cleared by an answer at this node */
+  int64_t review_until_ms; /* 0: not under review */
+  int64_t expires_ms;      /* end of the quarantine; 0: not quarantined */
+  int64_t quarantined_ms;  /* when this node learned of it */
+  bool has_record;         /* a stored record of it has been read */
+  bool record_seen; /* found in the stored records that are being read */
 };
 
 TAILQ_HEAD (suspect_list, suspect);
@@ -78,7 +83,8 @@
   uint32_t tracked_count; /* entries of suspects: suspected, quarantined and
                              recently cleared requests */
   uint32_t quarantined;   /* quarantined ones among them */
-  uint32_t pending;       /* unconfirmed crashes */
+  uint32_t under_review;
+  uint32_t pending; /* unconfirmed crashes */
   bool changed;
   struct answered answered[ANSWERED_SLOTS]; /* indexed by fingerprint */
   int64_t last_expire_ms;                   /* last expiry scan */
@@ -112,9 +118,17 @@
     s->crashes[i] = s->crashes[i + 1];
 }
 
+static void
+review_end (struct beryl_quarantine *q, struct suspect *s)
+{
+  q->under_review -= s->review_until_ms != 0;
+  s->review_until_ms = 0;
+}
+
 static void
 suspect_free (struct beryl_quarantine *q, struct suspect *s)
 {
+  review_end (q, s);
   while (s->crash_count > 0)
     crash_remove (q, s, 0);
   TAILQ_REMOVE (&q->suspects, s, entry);
@@ -149,7 +163,13 @@
   return map_get (&q->by_fingerprint, map_key_from_number (fingerprint));
 }
 
-/* Returns the entry to evict: quarantined requests only if there are no
+static bool
+is_held_back (const struct suspect *s)
+{
+  return s->expires_ms != 0 || s->review_until_ms != 0;
+}
+
+/* Returns the entry to evict: requests that are held back only if there are no
  * others. */
 static struct suspect *
 eviction_candidate (const struct beryl_quarantine *q)
@@ -157,7 +177,7 @@
   struct suspect *s = NULL;
 
   TAILQ_FOREACH (s, &q->suspects, entry)
-  if (s->expires_ms == 0)
+  if (!is_held_back (s))
     return s;
   return TAILQ_FIRST (&q->suspects);
 }
@@ -286,6 +306,7 @@
 {
   if (cause == BERYL_QUARANTINE_FROM_PEER && has_confirmed_crash (s))
     cause = BERYL_QUARANTINE_CRASHES;
+  review_end (q, s);
   s->expires_ms = now_ms + remaining_ms;
   s->quarantined_ms = now_ms;
   q->quarantined++;
@@ -304,18 +325,62 @@
   q->owner->impl->changed (q->owner, s->fingerprint, 0, cause, now_ms);
 }
 
-static void
-check_crashes (struct beryl_quarantine *q, struct suspect *s,
-               enum beryl_quarantine_cause cause, int64_t now_ms)
+static bool
+has_enough_crashes (const struct beryl_quarantine *q, const struct suspect *s)
 {
-  uint32_t count;
+  uint32_t count = count_unexplained (q, s);
 
-  if (s->expires_ms != 0)
+  return count > CRASH_THRESHOLD
+         || (count == CRASH_THRESHOLD && !is_ambiguous (q, s));
+}
+
+/* The review holds the request back before it is quarantined: the node that
+ * observes the last crash may not know yet which requests of other nodes ran
+ * at the same endpoints. */
+static void
+check_crashes (struct beryl_quarantine *q, struct suspect *s, int64_t now_ms)
+{
+  if (is_held_back (s) || !has_enough_crashes (q, s))
     return;
-  count = count_unexplained (q, s);
-  if (count > CRASH_THRESHOLD
-      || (count == CRASH_THRESHOLD && !is_ambiguous (q, s)))
-    quarantine_begin (q, s, QUARANTINE_MS, cause, now_ms);
+  s->review_until_ms = now_ms + REVIEW_MS;
+  q->under_review++;
+}
+
+/* Returns the request with most crashes among those whose review is over: its
+ * quarantine may explain the crashes of the others. */
+static struct suspect *
+next_reviewed (const struct beryl_quarantine *q, int64_t now_ms)
+{
+  struct suspect *s = NULL, *best = NULL;
+  uint32_t best_count = 0;
+
+  TAILQ_FOREACH (s, &q->suspects, entry)
+  {
+    uint32_t count;
+
+    if (s->review_until_ms == 0 || now_ms < s->review_until_ms)
+      continue;
+    count = count_unexplained (q, s);
+    if (best != NULL && count <= best_count)
+      continue;
+    best = s;
+    best_count = count;
+  }
+  return best;
+}
+
+static void
+finish_reviews (struct beryl_quarantine *q, int64_t now_ms)
+{
+  struct suspect *s;
+
+  while (q->under_review > 0 && (s = next_reviewed (q, now_ms)) != NULL)
+    {
+      review_end (q, s);
+      if (has_enough_crashes (q, s))
+        quarantine_begin (q, s, QUARANTINE_MS, BERYL_QUARANTINE_FROM_PEER,
+                          now_ms);
+    }
 }
 
 static struct answered *
@@ -381,7 +446,7 @@
     return false;
   TAILQ_FOREACH (s, &q->suspects, entry)
   if (crash_find (s, endpoint) != NULL)
-    check_crashes (q, s, BERYL_QUARANTINE_CRASHES, now_ms);
+    check_crashes (q, s, now_ms);
   return true;
 }
 
@@ -389,6 +454,7 @@
 suspect_clear (struct beryl_quarantine *q, struct suspect *s,
                enum beryl_quarantine_cause cause, int64_t now_ms)
 {
+  review_end (q, s);
   while (s->crash_count > 0)
     crash_remove (q, s, 0);
   s->cleared_ms = now_ms;
@@ -410,16 +476,26 @@
   q->changed = true;
 }
 
+bool
+beryl_quarantine_holds_any (const struct beryl_quarantine *q)
+{
+  return q->quarantined + q->under_review > 0;
+}
+
 int64_t
 beryl_quarantine_remaining_ms (const struct beryl_quarantine *q,
                                uint64_t fingerprint, int64_t now_ms)
 {
   const struct suspect *s;
+  int64_t until_ms;
 
-  if (q->quarantined == 0)
+  if (!beryl_quarantine_holds_any (q))
     return 0;
   s = suspect_find (q, fingerprint);
-  return s != NULL && s->expires_ms > now_ms ? s->expires_ms - now_ms : 0;
+  if (s == NULL)
+    return 0;
+  until_ms = s->expires_ms != 0 ? s->expires_ms : s->review_until_ms;
+  return until_ms > now_ms ? until_ms - now_ms : 0;
 }
 
 bool
@@ -558,7 +634,7 @@
     }
   else
     return;
-  check_crashes (q, s, BERYL_QUARANTINE_FROM_PEER, now_ms);
+  check_crashes (q, s, now_ms);
 }
 
 static void
@@ -672,6 +748,7 @@
 {
   struct suspect *s, *next;
 
+  finish_reviews (q, now_ms);
   if (now_ms - q->last_expire_ms < EXPIRE_INTERVAL_MS)
     return;
   q->last_expire_ms = now_ms;
@@ -688,6 +765,20 @@
     }
 }
 
+int64_t
+beryl_quarantine_next_ms (const struct beryl_quarantine *q)
+{
+  int64_t next_ms = BERYL_NEVER_MS;
+  const struct suspect *s = NULL;
+
+  if (q->under_review == 0)
+    return next_ms;
+  TAILQ_FOREACH (s, &q->suspects, entry)
+  if (s->review_until_ms != 0 && s->review_until_ms < next_ms)
+    next_ms = s->review_until_ms;
+  return next_ms;
+}
+
 uint32_t
 beryl_quarantine_count (const struct beryl_quarantine *q)
 {
--- a/tests/forward/test_crashes.c
+++ b/tests/forward/test_crashes.c
@@ -263,6 +263,9 @@
   ck_assert (answer (CULPRIT + 1)->refused);
   fx_done (&fx, neighbour);
   ck_assert (answer (1)->whole);
+  fx_pass (&fx, 300); /* the review of its crashes */
+  fx_arrive (&fx, CULPRIT + 2);
+  ck_assert (answer (CULPRIT + 2)->refused);
   ck_assert_uint_eq (
       beryl_quarantine_count (beryl_forward_quarantine (fx.forward)), 1);
 }
--- a/tests/quarantine/test_quarantine.c
+++ b/tests/quarantine/test_quarantine.c
@@ -77,6 +77,15 @@
          > 0;
 }
 
+/* Waits until the peers' reports are in and requests are judged. */
+static void
+end_reviews (void)
+{
+  now_ms += 300;
+  for (int i = 0; i < NODES; i++)
+    beryl_quarantine_expire (nodes[i].quarantine, now_ms);
+}
+
 /* Guards against a request that crashed three endpoints being sent to a
  * fourth. */
 START_TEST (test_third_crash)
@@ -87,6 +96,10 @@
   ck_assert (beryl_quarantine_is_suspect (nodes[0].quarantine, CULPRIT));
   crash (0, CULPRIT, 3);
   ck_assert (is_quarantined (0, CULPRIT));
+  ck_assert_uint_eq (nodes[0].changes, 0);
+  end_reviews ();
+  ck_assert (is_quarantined (0, CULPRIT));
+  ck_assert_uint_eq (nodes[0].changes, 1);
   ck_assert_int_eq (nodes[0].cause, BERYL_QUARANTINE_CRASHES);
   ck_assert (!is_quarantined (0, BYSTANDER));
 }
@@ -131,6 +144,8 @@
   for (int n = 1; n < NODES; n++)
     send_update (n, 0);
   ck_assert (is_quarantined (0, CULPRIT));
+  end_reviews ();
+  ck_assert (is_quarantined (0, CULPRIT));
   /* A node that observed a crash writes the record. */
   ck_assert_int_eq (nodes[0].cause, BERYL_QUARANTINE_CRASHES);
   send_update (0, 1);
@@ -145,6 +160,7 @@
 {
   for (uint32_t i = 1; i <= 3; i++)
     crash (0, CULPRIT, i);
+  end_reviews ();
   now_ms += 600000;
   send_update (0, 1);
   ck_assert (is_quarantined (1, CULPRIT));
@@ -163,6 +179,7 @@
     }
   crash (0, CULPRIT, 3);
   ck_assert (is_quarantined (0, CULPRIT));
+  end_reviews ();
   crash (0, BYSTANDER, 7);
   crash (0, BYSTANDER, 8);
   ck_assert (!is_quarantined (0, BYSTANDER));
@@ -182,6 +199,49 @@
   ck_assert (!is_quarantined (0, CULPRIT));
   crash (0, CULPRIT, 4);
   ck_assert (is_quarantined (0, CULPRIT));
+  end_reviews ();
+  ck_assert (is_quarantined (0, CULPRIT));
+  ck_assert (!is_quarantined (0, BYSTANDER));
+}
+END_TEST
+
+/* Guards against blaming a request for three crashes that its node observes
+ * itself, before the peers have reported that another one ran there too. */
+START_TEST (test_culprit_at_peers)
+{
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      crash (0, BYSTANDER, i);
+      crash (1, CULPRIT, i);
+    }
+  crash (2, CULPRIT, 4);
+  now_ms += 20;
+  for (int n = 1; n < NODES; n++)
+    {
+      send_update (n, 0);
+      send_update (0, n);
+    }
+  end_reviews ();
+  ck_assert (!is_quarantined (0, BYSTANDER));
+  ck_assert (is_quarantined (0, CULPRIT));
+  send_update (0, 1);
+  ck_assert (is_quarantined (1, CULPRIT));
+  ck_assert (!is_quarantined (1, BYSTANDER));
+}
+END_TEST
+
+/* Guards against quarantining both of two requests that ran at the same
+ * endpoints when one of them explains all crashes of the other. */
+START_TEST (test_most_crashes_first)
+{
+  for (uint32_t i = 1; i <= 4; i++)
+    {
+      beryl_quarantine_run_broken (nodes[0].quarantine, BYSTANDER, i, now_ms);
+      crash (0, CULPRIT, i);
+    }
+  crash (0, CULPRIT, 5);
+  end_reviews ();
+  ck_assert (is_quarantined (0, CULPRIT));
   ck_assert (!is_quarantined (0, BYSTANDER));
 }
 END_TEST
@@ -208,6 +268,7 @@
 {
   for (uint32_t i = 1; i <= 3; i++)
     crash (0, BYSTANDER, i);
+  end_reviews ();
   send_update (0, 1);
   ck_assert (is_quarantined (1, BYSTANDER));
   now_ms += 2000;
@@ -261,6 +322,7 @@
 {
   for (uint32_t i = 1; i <= 3; i++)
     crash (0, CULPRIT, i);
+  end_reviews ();
   /* Not stored yet: its absence from the list means nothing. */
   beryl_quarantine_records_synced (nodes[0].quarantine, now_ms);
   ck_assert (is_quarantined (0, CULPRIT));
@@ -282,6 +344,7 @@
 {
   for (uint32_t i = 1; i <= 3; i++)
     crash (0, CULPRIT, i);
+  end_reviews ();
   now_ms += INT64_C (25) * 3600 * 1000;
   beryl_quarantine_expire (nodes[0].quarantine, now_ms);
   ck_assert (!is_quarantined (0, CULPRIT));
@@ -300,6 +363,10 @@
   for (uint64_t i = 0; i < 5000; i++)
     crash (0, 1000 + i, 10 + (uint32_t)i % 7);
   ck_assert (is_quarantined (0, CULPRIT));
+  end_reviews ();
+  for (uint64_t i = 0; i < 5000; i++)
+    crash (0, 1000 + i, 10 + (uint32_t)i % 7);
+  ck_assert (is_quarantined (0, CULPRIT));
   ck_assert_uint_le (beryl_quarantine_suspect_count (nodes[0].quarantine),
                      512);
 }
@@ -312,6 +379,7 @@
   for (uint64_t i = 0; i < 100; i++)
     for (uint32_t k = 0; k < 3; k++)
       crash (0, 1000 + i, (uint32_t)(10 * i) + k);
+  end_reviews ();
   ck_assert_uint_eq (beryl_quarantine_count (nodes[0].quarantine), 100);
   now_ms += 10000;
   for (int i = 0; i < 7; i++)
@@ -334,6 +402,8 @@
   tcase_add_test (tcase, test_late_joining_node);
   tcase_add_test (tcase, test_explained_crashes);
   tcase_add_test (tcase, test_same_three_endpoints);
+  tcase_add_test (tcase, test_culprit_at_peers);
+  tcase_add_test (tcase, test_most_crashes_first);
   tcase_add_test (tcase, test_answered_in_between);
   tcase_add_test (tcase, test_answer_ends_quarantine);
   tcase_add_test (tcase, test_popular_request);
