Quarantine: an end that one node found counts for all broken runs

A node whose broken run met an endpoint through a relay never found out that the endpoint had ended, so that the culprit was known at fewer endpoints than the harmless stream; and a review that ended 20 ms before the culprit's quarantined the stream, which then explained the culprit's crashes.

Change: a peer's report of a crash confirms the own broken runs at that endpoint; all that are under review are judged together, the one with most crashes first.

--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -346,36 +346,53 @@
   q->under_review++;
 }
 
-/* Returns the request with most crashes among those whose review is over: its
- * quarantine may explain the crashes of the others. */
+/* Returns the request under review with most crashes: its quarantine may
+ * explain the crashes of the others. */
 static struct suspect *
-next_reviewed (const struct beryl_quarantine *q, int64_t now_ms)
+first_to_judge (const struct beryl_quarantine *q)
 {
-  struct suspect *s = NULL, *best = NULL;
-  uint32_t best_count = 0;
+  struct suspect *s = NULL, *first = NULL;
+  uint32_t most = 0;
 
   TAILQ_FOREACH (s, &q->suspects, entry)
   {
     uint32_t count;
 
-    if (s->review_until_ms == 0 || now_ms < s->review_until_ms)
+    if (s->review_until_ms == 0)
       continue;
     count = count_unexplained (q, s);
-    if (best != NULL && count <= best_count)
+    if (first != NULL && count <= most)
       continue;
-    best = s;
-    best_count = count;
+    first = s;
+    most = count;
   }
-  return best;
+  return first;
 }
 
+int64_t
+beryl_quarantine_next_ms (const struct beryl_quarantine *q)
+{
+  int64_t next_ms = BERYL_NEVER_MS;
+  const struct suspect *s = NULL;
+
+  if (q->under_review == 0)
+    return next_ms;
+  TAILQ_FOREACH (s, &q->suspects, entry)
+  if (s->review_until_ms != 0 && s->review_until_ms < next_ms)
+    next_ms = s->review_until_ms;
+  return next_ms;
+}
+
+/* Judges all requests under review once the first review is over. */
 static void
 finish_reviews (struct beryl_quarantine *q, int64_t now_ms)
 {
-  struct suspect *s;
-
-  while (q->under_review > 0 && (s = next_reviewed (q, now_ms)) != NULL)
+  if (now_ms < beryl_quarantine_next_ms (q))
+    return;
+  while (q->under_review > 0)
     {
+      struct suspect *s = first_to_judge (q);
+
       review_end (q, s);
       if (has_enough_crashes (q, s))
         quarantine_begin (q, s, QUARANTINE_MS, BERYL_QUARANTINE_FROM_PEER,
@@ -620,6 +637,9 @@
   struct suspect *s = suspect_find (q, reported->fingerprint);
   struct crash *crash;
 
+  /* An endpoint that a peer found to have ended has ended for the runs of this
+     node as well. */
+  beryl_quarantine_endpoint_ended (q, reported->endpoint, now_ms);
   if (reported->fingerprint == 0 || was_cleared (s, now_ms)
       || clear_if_answered (q, reported->fingerprint, now_ms))
     return;
@@ -765,20 +785,6 @@
     }
 }
 
-int64_t
-beryl_quarantine_next_ms (const struct beryl_quarantine *q)
-{
-  int64_t next_ms = BERYL_NEVER_MS;
-  const struct suspect *s = NULL;
-
-  if (q->under_review == 0)
-    return next_ms;
-  TAILQ_FOREACH (s, &q->suspects, entry)
-  if (s->review_until_ms != 0 && s->review_until_ms < next_ms)
-    next_ms = s->review_until_ms;
-  return next_ms;
-}
-
 uint32_t
 beryl_quarantine_count (const struct beryl_quarantine *q)
 {
--- a/tests/quarantine/test_quarantine.c
+++ b/tests/quarantine/test_quarantine.c
@@ -230,6 +230,46 @@
 }
 END_TEST
 
+/* Guards against missing the culprit's crash at an endpoint whose end only
+ * another node has observed. */
+START_TEST (test_peer_observes_end)
+{
+  for (uint32_t i = 1; i <= 4; i++)
+    {
+      beryl_quarantine_run_broken (nodes[1].quarantine, CULPRIT, i, now_ms);
+      if (i > 1)
+        beryl_quarantine_endpoint_ended (nodes[1].quarantine, i, now_ms);
+    }
+  for (uint32_t i = 1; i <= 3; i++)
+    crash (0, BYSTANDER, i);
+  now_ms += 20;
+  send_update (0, 1);
+  send_update (1, 0);
+  end_reviews ();
+  ck_assert (!is_quarantined (0, BYSTANDER));
+  ck_assert (!is_quarantined (1, BYSTANDER));
+  ck_assert (is_quarantined (0, CULPRIT));
+  ck_assert (is_quarantined (1, CULPRIT));
+}
+END_TEST
+
+/* Guards against judging a request whose review ends first, while one that
+ * explains all its crashes is still under review. */
+START_TEST (test_reviews_end_apart)
+{
+  for (uint32_t i = 1; i <= 4; i++)
+    crash (0, BYSTANDER, i);
+  now_ms += 100;
+  for (uint32_t i = 1; i <= 5; i++)
+    crash (1, CULPRIT, i);
+  send_update (1, 0);
+  now_ms += 200;
+  beryl_quarantine_expire (nodes[0].quarantine, now_ms);
+  ck_assert (is_quarantined (0, CULPRIT));
+  ck_assert (!is_quarantined (0, BYSTANDER));
+}
+END_TEST
+
 /* Guards against quarantining both of two requests that ran at the same
  * endpoints when one of them explains all crashes of the other. */
 START_TEST (test_most_crashes_first)
@@ -403,6 +443,8 @@
   tcase_add_test (tcase, test_explained_crashes);
   tcase_add_test (tcase, test_same_three_endpoints);
   tcase_add_test (tcase, test_culprit_at_peers);
+  tcase_add_test (tcase, test_peer_observes_end);
+  tcase_add_test (tcase, test_reviews_end_apart);
   tcase_add_test (tcase, test_most_crashes_first);
   tcase_add_test (tcase, test_answered_in_between);
   tcase_add_test (tcase, test_answer_ends_quarantine);
