Moves: reserved and covered runs are not the next to be preempted

Nodes move the newest run before that happens, but took requests for it that had only reserved their place, or whose reservation still covers them, which the engine does not preempt: then nobody moved anything.

Change: only runs that the engine may preempt are compared.

The tests fail on the code before.

--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -325,21 +325,28 @@
                  REMOTE_COST_PART * usable_tokens, now_ms, &cost);
 }
 
-/* The number of produced tokens stands for the age of a run. */
+/* The number of generated tokens stands for the age of a run. */
 bool
 engine_is_newest_run (struct beryl_forward *f, const struct request *r,
                       int64_t now_ms)
 {
   const struct request *other;
-  uint32_t produced = produced_tokens (r, now_ms);
+  struct beryl_engine_run run, other_run;
 
-  TAILQ_FOREACH (other, &f->requests, entry)
-  if (other != r && other->reservation.endpoint == r->reservation.endpoint
-      && produced_tokens (other, now_ms) < produced)
+  engine_describe_run (r, now_ms, &run);
+  if (!engine_run_is_preemptible (&run))
     return false;
-  return !run_table_has_newer (&f->run_table, &r->service->output_model,
-                               beryl_live_hash (r->reservation.endpoint),
-                               produced, now_ms);
+  TAILQ_FOREACH (other, &f->requests, entry)
+  {
+    if (other == r || other->reservation.endpoint != r->reservation.endpoint)
+      continue;
+    engine_describe_run (other, now_ms, &other_run);
+    if (engine_run_is_preemptible (&other_run)
+        && other_run.generated_tokens < run.generated_tokens)
+      return false;
+  }
+  return !run_table_has_newer (&f->run_table, &r->service->output_model, &run,
+                               now_ms);
 }
 
 static bool
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -643,8 +643,8 @@
 struct beryl_live_endpoint *engine_choose_target (struct beryl_forward *f,
                                                   const struct request *r,
                                                   int64_t now_ms);
-/** Return whether R's run is the newest at its engine, that is the one that
- * has produced the fewest tokens. */
+/** Return whether R's run is the one that its engine would preempt next: the
+ * newest preemptible one, with the fewest generated tokens. */
 bool engine_is_newest_run (struct beryl_forward *f, const struct request *r,
                            int64_t now_ms);
 /** Return whether ENDPOINT has R's prompt cached. */
--- a/libberyl/forward/run_table.c
+++ b/libberyl/forward/run_table.c
@@ -375,33 +375,42 @@
   return forecast_visit.count;
 }
 
+bool
+engine_run_is_preemptible (const struct beryl_engine_run *run)
+{
+  return run->started
+         && run->prompt_tokens + run->generated_tokens > reservation_tokens (
+                run->prompt_tokens, run->expected_tokens);
+}
+
 struct newest
 {
   double ms_per_token;
-  double produced; /* fewest tokens that a run has produced */
+  double generated; /* fewest tokens of a run that may be preempted */
 };
 
 static void
 update_newest (const struct beryl_engine_run *run, int64_t age_ms, void *user)
 {
   struct newest *newest = user;
+  struct beryl_engine_run now = *run;
 
-  newest->produced
-      = fmin (newest->produced,
-              run->generated_tokens + (double)age_ms / newest->ms_per_token);
+  now.generated_tokens += (uint32_t)((double)age_ms / newest->ms_per_token);
+  if (engine_run_is_preemptible (&now))
+    newest->generated = fmin (newest->generated, now.generated_tokens);
 }
 
 bool
 run_table_has_newer (const struct run_table *table,
-                     const struct output_model *model, uint32_t engine,
-                     uint32_t produced, int64_t now_ms)
+                     const struct output_model *model,
+                     const struct beryl_engine_run *run, int64_t now_ms)
 {
   struct newest newest
-      = { .ms_per_token = model->ms_per_token, .produced = INFINITY };
+      = { .ms_per_token = model->ms_per_token, .generated = INFINITY };
 
-  visit (run_index_find (&table->by_engine, engine), REPORT_MAX_AGE_MS, now_ms,
-         update_newest, &newest);
-  return newest.produced < produced;
+  visit (run_index_find (&table->by_engine, run->engine), REPORT_MAX_AGE_MS,
+         now_ms, update_newest, &newest);
+  return newest.generated < run->generated_tokens;
 }
 
 static void
--- a/libberyl/forward/run_table.h
+++ b/libberyl/forward/run_table.h
@@ -131,11 +131,15 @@
                              const struct output_model *model, uint32_t engine,
                              int64_t now_ms);
 
-/** Return whether a peer has a run at ENGINE that has produced fewer than
- * PRODUCED tokens. */
+/** Return whether RUN's engine may preempt it: not before it runs, nor while
+ * its reservation covers its memory. */
+bool engine_run_is_preemptible (const struct beryl_engine_run *run);
+
+/** Return whether a peer has a preemptible run at RUN's engine that is newer:
+ * fewer of its tokens have been generated. */
 bool run_table_has_newer (const struct run_table *table,
-                          const struct output_model *model, uint32_t engine,
-                          uint32_t produced, int64_t now_ms);
+                          const struct output_model *model,
+                          const struct beryl_engine_run *run, int64_t now_ms);
 
 /** Return the prompt tokens that peers have queued at prefill engine
  * ENGINE. */
--- a/tests/forward/test_streams.c
+++ b/tests/forward/test_streams.c
@@ -150,6 +150,48 @@
 }
 END_TEST
 
+/* Lets request 1 stream at an engine that peers' runs fill, NEIGHBOUR among
+   them; returns whether it is moved. */
+static bool
+is_moved_beside (struct beryl_engine_run neighbour)
+{
+  struct beryl_engine_run runs[5] = { 0 };
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 5);
+  neighbour.engine = beryl_name_hash (run->endpoint);
+  neighbour.prompt_tokens = 2000;
+  neighbour.expected_tokens = 1000;
+  for (int i = 0; i < 4; i++)
+    {
+      runs[i] = neighbour;
+      runs[i].started = true;
+      runs[i].generated_tokens = 500;
+    }
+  runs[4] = neighbour;
+  beryl_forward_peer_runs (fx.forward, "peer", runs, 5, fx.now_ms);
+  fx_pass (&fx, 110); /* before the stream counts as stalled */
+  return fx_open_of (&fx, 1, BERYL_EXCHANGE_MOVE) != NULL;
+}
+
+/* Guards against moving no run of a full engine because a request that waits
+   for its prompt there is taken for the one to be preempted. */
+START_TEST (test_move_beside_reserved_run)
+{
+  ck_assert (is_moved_beside ((struct beryl_engine_run){ .started = false }));
+}
+END_TEST
+
+/* Guards against the same because of a run that its reservation still
+   covers. */
+START_TEST (test_move_beside_covered_run)
+{
+  ck_assert (is_moved_beside (
+      (struct beryl_engine_run){ .started = true, .generated_tokens = 1 }));
+}
+END_TEST
+
 /* The stream of a moved run ends before the engine has answered the move. */
 START_TEST (test_move_answered_last)
 {
@@ -458,6 +500,8 @@
   tcase_add_test (tcase, test_frozen_engine);
   tcase_add_test (tcase, test_slow_caller_is_no_stall);
   tcase_add_test (tcase, test_move);
+  tcase_add_test (tcase, test_move_beside_reserved_run);
+  tcase_add_test (tcase, test_move_beside_covered_run);
   tcase_add_test (tcase, test_move_answered_last);
   tcase_add_test (tcase, test_move_without_room);
   tcase_add_test (tcase, test_moved_run_is_rejected);
