quotas: the quotas are q, as the type is named

A rename of a local left over from the former name of the module. The machine code of quotas.c is the same (objdump).

--- a/libberyl/quotas/quotas.c
+++ b/libberyl/quotas/quotas.c
@@ -89,12 +89,12 @@
 struct beryl_quotas *
 beryl_quotas_create (double slack, uint64_t seed)
 {
-  struct beryl_quotas *a = calloc (1, sizeof *a);
+  struct beryl_quotas *q = calloc (1, sizeof *q);
 
-  a->slack = slack;
-  a->random = seed;
-  a->fleet.nodes = 1;
-  return a;
+  q->slack = slack;
+  q->random = seed;
+  q->fleet.nodes = 1;
+  return q;
 }
 
 static void
@@ -106,27 +106,27 @@
 }
 
 void
-beryl_quotas_destroy (struct beryl_quotas *a)
+beryl_quotas_destroy (struct beryl_quotas *q)
 {
-  if (a == NULL)
+  if (q == NULL)
     return;
-  buckets_free (a->buckets, a->count);
-  fleet_clear (&a->fleet);
-  free (a);
+  buckets_free (q->buckets, q->count);
+  fleet_clear (&q->fleet);
+  free (q);
 }
 
 void
-beryl_quotas_set_slack (struct beryl_quotas *a, double slack)
+beryl_quotas_set_slack (struct beryl_quotas *q, double slack)
 {
-  a->slack = slack;
+  q->slack = slack;
 }
 
 void
-beryl_quotas_set_fleet (struct beryl_quotas *a, uint32_t nodes,
+beryl_quotas_set_fleet (struct beryl_quotas *q, uint32_t nodes,
                         int64_t report_interval_ms)
 {
-  a->fleet.nodes = nodes > 0 ? nodes : 1;
-  a->fleet.report_interval_ms = report_interval_ms;
+  q->fleet.nodes = nodes > 0 ? nodes : 1;
+  q->fleet.report_interval_ms = report_interval_ms;
 }
 
 uint32_t
@@ -140,33 +140,33 @@
 }
 
 static struct bucket *
-bucket_find (const struct beryl_quotas *a, uint32_t organisation)
+bucket_find (const struct beryl_quotas *q, uint32_t organisation)
 {
-  size_t low = 0, high = a->count;
+  size_t low = 0, high = q->count;
 
   while (low < high)
     {
       size_t middle = low + (high - low) / 2;
 
-      if (a->buckets[middle].organisation < organisation)
+      if (q->buckets[middle].organisation < organisation)
         low = middle + 1;
       else
         high = middle;
     }
-  return low < a->count && a->buckets[low].organisation == organisation
-             ? &a->buckets[low]
+  return low < q->count && q->buckets[low].organisation == organisation
+             ? &q->buckets[low]
              : NULL;
 }
 
 void
-beryl_quotas_set (struct beryl_quotas *a,
+beryl_quotas_set (struct beryl_quotas *q,
                   const struct beryl_quota_entry *entries, size_t count)
 {
   struct bucket *buckets = calloc (count + 1, sizeof *buckets);
 
   for (size_t i = 0; i < count; i++)
     {
-      struct bucket *old = bucket_find (a, entries[i].organisation);
+      struct bucket *old = bucket_find (q, entries[i].organisation);
 
       if (old != NULL)
         {
@@ -174,13 +174,13 @@
           old->peers = NULL;
         }
       else
-        a->any_new = true;
+        q->any_new = true;
       buckets[i].organisation = entries[i].organisation;
       buckets[i].quota = entries[i].quota;
     }
-  buckets_free (a->buckets, a->count);
-  a->buckets = buckets;
-  a->count = count;
+  buckets_free (q->buckets, q->count);
+  q->buckets = buckets;
+  q->count = count;
 }
 
 static bool
@@ -190,12 +190,12 @@
 }
 
 static double
-capacity (const struct beryl_quotas *a, const struct bucket *b)
+capacity (const struct beryl_quotas *q, const struct bucket *b)
 {
   double least = b->quota.per_s * BURST_MIN_MS / 1000;
   double burst = b->quota.burst > least ? b->quota.burst : least;
 
-  return burst + CREDIT_PART * a->slack;
+  return burst + CREDIT_PART * q->slack;
 }
 
 /* A node adds its own part of the rate as time passes, and a peer's part when
@@ -203,38 +203,38 @@
  * each side thus gets only its own parts, before it has detected the
  * partition. */
 static void
-refill (struct beryl_quotas *a, struct bucket *b, int64_t now_ms)
+refill (struct beryl_quotas *q, struct bucket *b, int64_t now_ms)
 {
-  double share = fleet_share (&a->fleet, now_ms);
+  double share = fleet_share (&q->fleet, now_ms);
   double node_ms = (double)(now_ms - b->refilled_ms);
-  double limit = capacity (a, b) * share;
+  double limit = capacity (q, b) * share;
 
   if (b->refilled_ms == 0)
     {
       node_ms = 0;
-      b->peer_ms = a->fleet.peer_ms;
-      b->level = START_PART * a->slack * share;
+      b->peer_ms = q->fleet.peer_ms;
+      b->level = START_PART * q->slack * share;
     }
   else if (b->level > 0)
-    b->level *= exp (a->fleet.retained_log - b->retained_log);
+    b->level *= exp (q->fleet.retained_log - b->retained_log);
   b->share = share;
-  node_ms += a->fleet.peer_ms - b->peer_ms;
-  b->level += b->quota.per_s / fleet_size (&a->fleet) * node_ms / 1000;
+  node_ms += q->fleet.peer_ms - b->peer_ms;
+  b->level += b->quota.per_s / fleet_size (&q->fleet) * node_ms / 1000;
   b->refilled_ms = now_ms;
-  b->peer_ms = a->fleet.peer_ms;
-  b->retained_log = a->fleet.retained_log;
+  b->peer_ms = q->fleet.peer_ms;
+  b->retained_log = q->fleet.retained_log;
   if (b->level > limit)
     b->level = limit;
 }
 
 static void
-start_new_buckets (struct beryl_quotas *a, int64_t now_ms)
+start_new_buckets (struct beryl_quotas *q, int64_t now_ms)
 {
-  if (!a->any_new)
+  if (!q->any_new)
     return;
-  a->any_new = false;
-  for (size_t i = 0; i < a->count; i++)
-    refill (a, &a->buckets[i], now_ms);
+  q->any_new = false;
+  for (size_t i = 0; i < q->count; i++)
+    refill (q, &q->buckets[i], now_ms);
 }
 
 static double
@@ -266,9 +266,9 @@
 
 /* Returns this node's part of the demand, at least an even one. */
 static double
-part_of_demand (struct beryl_quotas *a, const struct bucket *b, int64_t now_ms)
+part_of_demand (struct beryl_quotas *q, const struct bucket *b, int64_t now_ms)
 {
-  double even = 1.0 / a->fleet.reachable;
+  double even = 1.0 / q->fleet.reachable;
   double demand = demand_per_s (b, now_ms);
   double own = rate_get (&b->own_demand, now_ms);
 
@@ -282,34 +282,34 @@
  * matter as long as anything is left; a bucket that small requests keep nearly
  * empty would otherwise never admit a large one. */
 static bool
-admits (struct beryl_quotas *a, const struct bucket *b, uint32_t cost,
+admits (struct beryl_quotas *q, const struct bucket *b, uint32_t cost,
         int64_t now_ms)
 {
   double stock = b->level > 0
-                     ? b->level * fleet_fresh_share (&a->fleet, now_ms)
+                     ? b->level * fleet_fresh_share (&q->fleet, now_ms)
                      : b->level;
   double available = stock - b->reserved;
-  double debt_max = DEBT_PART * a->slack * b->share;
+  double debt_max = DEBT_PART * q->slack * b->share;
   double unreported = b->unreported + b->reserved;
 
   if (available <= 0 || cost > available + debt_max)
     return false;
   if (unreported > 0
-      && unreported + cost > UNREPORTED_PARTS * part_of_demand (a, b, now_ms)
+      && unreported + cost > UNREPORTED_PARTS * part_of_demand (q, b, now_ms)
                                  * (stock + b->unreported))
     return false;
-  return random_unit (&a->random) * competing_demand (b, now_ms) <= available;
+  return random_unit (&q->random) * competing_demand (b, now_ms) <= available;
 }
 
 /* Spreads the retries of refused callers: they follow each other at the pace
  * at which the bucket refills for this node. */
 static int64_t
-retry_after_ms (struct beryl_quotas *a, struct bucket *b, uint32_t cost,
+retry_after_ms (struct beryl_quotas *q, struct bucket *b, uint32_t cost,
                 int64_t now_ms)
 {
   double per_ms = b->quota.per_s * b->share / 1000;
   double debt = b->reserved - b->level;
-  double pause_ms = cost * a->fleet.reachable / (RETURN_PART * per_ms);
+  double pause_ms = cost * q->fleet.reachable / (RETURN_PART * per_ms);
   int64_t return_ms = now_ms + RETRY_MIN_MS;
 
   if (debt > 0)
@@ -319,12 +319,12 @@
   if (return_ms > now_ms + RETRY_MAX_MS)
     return_ms = now_ms + RETRY_MAX_MS;
   b->next_return_ms
-      = return_ms + (int64_t)(2 * random_unit (&a->random) * pause_ms);
+      = return_ms + (int64_t)(2 * random_unit (&q->random) * pause_ms);
   return return_ms - now_ms;
 }
 
 static struct beryl_quota_state
-bucket_state (struct beryl_quotas *a, const struct bucket *b, int64_t now_ms)
+bucket_state (struct beryl_quotas *q, const struct bucket *b, int64_t now_ms)
 {
   return (struct beryl_quota_state){
     .limited = true,
@@ -333,34 +333,34 @@
     .used_per_s = rate_get (&b->use, now_ms),
     .refused_per_s = rate_get (&b->refusals, now_ms),
     .share = b->share,
-    .report_age_ms = fleet_report_age_ms (&a->fleet, now_ms),
+    .report_age_ms = fleet_report_age_ms (&q->fleet, now_ms),
   };
 }
 
 bool
-beryl_quotas_admit (struct beryl_quotas *a, uint32_t organisation,
+beryl_quotas_admit (struct beryl_quotas *q, uint32_t organisation,
                     uint32_t cost, int64_t now_ms,
                     struct beryl_quota_state *state)
 {
-  struct bucket *b = bucket_find (a, organisation);
+  struct bucket *b = bucket_find (q, organisation);
   bool admitted;
 
   if (state != NULL)
     *state = (struct beryl_quota_state){ 0 };
   if (b == NULL || !is_limited (b))
     return true;
-  start_new_buckets (a, now_ms);
-  refill (a, b, now_ms);
-  admitted = admits (a, b, cost, now_ms);
+  start_new_buckets (q, now_ms);
+  refill (q, b, now_ms);
+  admitted = admits (q, b, cost, now_ms);
   if (state != NULL)
-    *state = bucket_state (a, b, now_ms);
+    *state = bucket_state (q, b, now_ms);
   if (admitted)
     {
       b->reserved += cost;
       return true;
     }
   if (state != NULL)
-    state->retry_after_ms = retry_after_ms (a, b, cost, now_ms);
+    state->retry_after_ms = retry_after_ms (q, b, cost, now_ms);
   b->refused += cost;
   rate_add (&b->own_demand, cost, now_ms);
   b->changed_ms = now_ms;
@@ -377,45 +377,45 @@
 }
 
 void
-beryl_quotas_use (struct beryl_quotas *a, uint32_t organisation, uint32_t cost,
+beryl_quotas_use (struct beryl_quotas *q, uint32_t organisation, uint32_t cost,
                   int64_t now_ms)
 {
-  struct bucket *b = bucket_find (a, organisation);
+  struct bucket *b = bucket_find (q, organisation);
 
   if (b == NULL || !is_limited (b))
     return;
-  refill (a, b, now_ms);
+  refill (q, b, now_ms);
   unreserve (b, cost);
   b->level -= cost;
   b->used += cost;
   b->unreported += cost;
-  if (b->unreported > REPORT_DUE_PARTS * b->level / a->fleet.reachable)
-    a->report_due = true;
+  if (b->unreported > REPORT_DUE_PARTS * b->level / q->fleet.reachable)
+    q->report_due = true;
   rate_add (&b->own_demand, cost, now_ms);
   b->changed_ms = now_ms;
   rate_add (&b->use, cost, now_ms);
 }
 
 void
-beryl_quotas_release (struct beryl_quotas *a, uint32_t organisation,
+beryl_quotas_release (struct beryl_quotas *q, uint32_t organisation,
                       uint32_t cost)
 {
-  struct bucket *b = bucket_find (a, organisation);
+  struct bucket *b = bucket_find (q, organisation);
 
   if (b != NULL)
     unreserve (b, cost);
 }
 
 struct beryl_quota_state
-beryl_quotas_state (struct beryl_quotas *a, uint32_t organisation,
+beryl_quotas_state (struct beryl_quotas *q, uint32_t organisation,
                     int64_t now_ms)
 {
-  struct bucket *b = bucket_find (a, organisation);
+  struct bucket *b = bucket_find (q, organisation);
 
   if (b == NULL || !is_limited (b))
     return (struct beryl_quota_state){ 0 };
-  refill (a, b, now_ms);
-  return bucket_state (a, b, now_ms);
+  refill (q, b, now_ms);
+  return bucket_state (q, b, now_ms);
 }
 
 /* Keeps the counter's value of at least USE_REPEAT_MS ago. */
@@ -436,27 +436,27 @@
 }
 
 bool
-beryl_quotas_report_due (const struct beryl_quotas *a)
+beryl_quotas_report_due (const struct beryl_quotas *q)
 {
-  return a->report_due;
+  return q->report_due;
 }
 
 void
-beryl_quotas_report (struct beryl_quotas *a, struct beryl_quota_report *report,
+beryl_quotas_report (struct beryl_quotas *q, struct beryl_quota_report *report,
                      int64_t now_ms)
 {
-  size_t first = a->count > 0 ? a->next_report % a->count : 0;
+  size_t first = q->count > 0 ? q->next_report % q->count : 0;
 
-  start_new_buckets (a, now_ms);
+  start_new_buckets (q, now_ms);
   report->count = 0;
-  a->report_due = false;
-  for (size_t i = 0; i < a->count && report->count < BERYL_QUOTA_USES_MAX; i++)
+  q->report_due = false;
+  for (size_t i = 0; i < q->count && report->count < BERYL_QUOTA_USES_MAX; i++)
     {
-      struct bucket *b = &a->buckets[(first + i) % a->count];
+      struct bucket *b = &q->buckets[(first + i) % q->count];
 
       take_checkpoint (b, now_ms);
       b->unreported = 0;
-      a->next_report = first + i + 1;
+      q->next_report = first + i + 1;
       if (is_reported (b, now_ms))
         report->items[report->count++] = (struct beryl_quota_use){
           .organisation = b->organisation,
@@ -483,10 +483,10 @@
 /* Applies a peer's counters.  If they do not continue known ones, only what
  * was used since the epoch began counts. */
 static void
-apply_use (struct beryl_quotas *a, struct bucket *b, uint32_t peer_index,
+apply_use (struct beryl_quotas *q, struct bucket *b, uint32_t peer_index,
            const struct beryl_quota_use *item, int64_t now_ms)
 {
-  const struct fleet_peer *peer = &a->fleet.peers[peer_index];
+  const struct fleet_peer *peer = &q->fleet.peers[peer_index];
   struct peer_use *known = peer_use_get (b, peer_index);
   bool continues = known->epoch == peer->epoch;
   uint32_t used = 0, refused = 0;
@@ -501,24 +501,24 @@
   *known = (struct peer_use){ .used = item->used,
                               .refused = item->refused,
                               .epoch = peer->epoch };
-  refill (a, b, now_ms);
+  refill (q, b, now_ms);
   b->level -= used;
   rate_add (&b->use, used, now_ms);
   rate_add (&b->refusals, refused, now_ms);
 }
 
 void
-beryl_quotas_apply (struct beryl_quotas *a, uint32_t node,
+beryl_quotas_apply (struct beryl_quotas *q, uint32_t node,
                     uint64_t incarnation,
                     const struct beryl_quota_report *report, int64_t now_ms)
 {
-  uint32_t peer = fleet_record_report (&a->fleet, node, incarnation, now_ms);
+  uint32_t peer = fleet_record_report (&q->fleet, node, incarnation, now_ms);
 
   for (size_t i = 0; i < report->count; i++)
     {
-      struct bucket *b = bucket_find (a, report->items[i].organisation);
+      struct bucket *b = bucket_find (q, report->items[i].organisation);
 
       if (b != NULL && is_limited (b))
-        apply_use (a, b, peer, &report->items[i], now_ms);
+        apply_use (q, b, peer, &report->items[i], now_ms);
     }
 }
