--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -330,7 +330,7 @@
 engine_is_newest_run (struct beryl_forward *f, const struct request *r,
                       int64_t now_ms)
 {
-  const struct request *other;
+  const struct request *other = NULL;
   struct beryl_engine_run run, other_run;
 
   engine_describe_run (r, now_ms, &run);
