--- a/tests/gateway/testbed.c
+++ b/tests/gateway/testbed.c
@@ -8,6 +8,9 @@
 #include "platform.h"
 
 #define WAIT_MS 10000
+/* Last part of the address at which node 0 finds the endpoints, if it has
+ * links of its own; those of other nodes follow. */
+#define LINK_HOST ((size_t)101)
 
 struct caller
 {
@@ -77,6 +80,17 @@
   address->port = port;
 }
 
+void
+testbed_link_node (struct testbed *t, size_t i)
+{
+  struct beryl_error error = { 0 };
+
+  g_snprintf (t->link_ips[i], sizeof t->link_ips[i], "127.%d.%d.%zu",
+              1 + getpid () / 250 % 250, 1 + getpid () % 250, LINK_HOST + i);
+  t->links[i] = standin_link_create (t->standin, t->link_ips[i], &error);
+  ck_assert_msg (t->links[i] != NULL, "%s", error.message);
+}
+
 void
 testbed_start_node (struct testbed *t, size_t i)
 {
@@ -109,6 +123,9 @@
   set_address (&settings.ready, t->ips[i], TESTBED_READY_PORT);
   set_address (&settings.directory, t->ips[i], TESTBED_DIRECTORY_PORT);
   set_address (&settings.platform, "127.0.0.1", standin_port (t->standin));
+  if (t->links[i] != NULL)
+    set_address (&settings.platform, t->link_ips[i],
+                 standin_link_port (t->links[i]));
   t->nodes[i] = gateway_create (t->loop, t->http, platform_gateway_wire (),
                                 &settings, &error);
   ck_assert_msg (t->nodes[i] != NULL, "%s", error.message);
@@ -311,6 +328,18 @@
   return response;
 }
 
+size_t
+testbed_listed_count (struct testbed *t, size_t i)
+{
+  struct testbed_response *response
+      = testbed_query (t, i, TESTBED_DIRECTORY_PORT, "/v1/resolve?zone=dc-1");
+  char **parts = g_strsplit (response->body->str, ":8100", -1);
+  size_t count = g_strv_length (parts) - 1;
+
+  g_strfreev (parts);
+  return count;
+}
+
 /* Returns whether each node is ready and lists as many addresses as there are
  * nodes. */
 static bool
@@ -323,20 +352,13 @@
   for (size_t i = 0; i < TESTBED_NODES_MAX; i++)
     {
       struct testbed_response *response;
-      char **parts;
-      size_t listed;
 
       if (t->nodes[i] == NULL)
         continue;
       response = testbed_query (t, i, TESTBED_READY_PORT, "/v1/ready");
       if (response->status != 200)
         return false;
-      response = testbed_query (t, i, TESTBED_DIRECTORY_PORT,
-                                "/v1/resolve?zone=dc-1");
-      parts = g_strsplit (response->body->str, ":8100", -1);
-      listed = g_strv_length (parts) - 1;
-      g_strfreev (parts);
-      if (listed != count)
+      if (testbed_listed_count (t, i) != count)
         return false;
     }
   return true;
--- a/tests/gateway/testbed.h
+++ b/tests/gateway/testbed.h
@@ -42,6 +42,10 @@
   /** Data centre of each node; NULL: that of the endpoints.  Set before
    * testbed_start_node. */
   const char *data_centres[TESTBED_NODES_MAX];
+  /** Links of a node to the endpoints; NULL: it shares those of the others.
+   * Set by testbed_link_node. */
+  struct standin_link *links[TESTBED_NODES_MAX];
+  char link_ips[TESTBED_NODES_MAX][32];
   GPtrArray *endpoints;
   uint64_t request_count;
   uint64_t configuration_version;
@@ -52,6 +56,8 @@
 void testbed_open (struct testbed *t);
 void testbed_close (struct testbed *t);
 
+/** Give node I, which is not running, links of its own to the endpoints. */
+void testbed_link_node (struct testbed *t, size_t i);
 /** Start node I; destroy it without a graceful shutdown. */
 void testbed_start_node (struct testbed *t, size_t i);
 void testbed_kill_node (struct testbed *t, size_t i);
@@ -79,6 +85,8 @@
 struct testbed_response *testbed_generate_prompt (struct testbed *t, size_t i,
                                                   const char *prompt,
                                                   uint64_t last_event);
+/** Return the number of addresses that node I lists to callers. */
+size_t testbed_listed_count (struct testbed *t, size_t i);
 /** Send a GET to another port of node I and wait for the response. */
 struct testbed_response *testbed_query (struct testbed *t, size_t i,
                                         uint16_t port, const char *path);
