Nodes notice that they have lost all endpoints

An operator could not see that a node reached no endpoint: it showed only as requests refused for want of room.

Failed connections to two endpoints with no answer from any since raise a doubt; three others are dialled, and if none takes a connection the endpoints count as lost until a dial, or another exchange that began later, succeeds. A line tells the loss and its end, beryl_gateway_reaches_endpoints shows it. Requests are routed as before.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -235,6 +235,18 @@
   request_log_endpoint (endpoint, state, source);
 }
 
+static void
+forward_contact_changed (struct beryl_forward_owner *owner, bool lost,
+                         int64_t lasted_ms)
+{
+  if (lost)
+    g_warning (
+        "endpoints lost: none can be reached after_ms=%" G_GINT64_FORMAT,
+        lasted_ms);
+  else
+    g_info ("endpoints reached again after_ms=%" G_GINT64_FORMAT, lasted_ms);
+}
+
 static const struct beryl_forward_owner_impl forward_impl = {
   .start = forward_start_exchange,
   .abort = forward_abort,
@@ -248,6 +260,7 @@
   .quarantine_changed = forward_quarantine_changed,
   .log_step = forward_log_step,
   .log_endpoint_state = forward_log_endpoint_state,
+  .contact_changed = forward_contact_changed,
 };
 
 static void
@@ -374,6 +387,7 @@
     = platform_source_configuration_revision (g->source),
     .list_age_ms = now_ms - beryl_live_set_synced_ms (g->endpoints),
     .ready = directory_is_ready (owner),
+    .reaches_endpoints = beryl_forward_reaches_endpoints (g->forward),
     .holds_planner_lease = planner_holds_lease (g->planner),
     .is_endpoint_watcher = relay_is_watcher (g->relay),
     .limited_endpoints
--- a/gatewayd/metrics.c
+++ b/gatewayd/metrics.c
@@ -174,6 +174,7 @@
   set_gauge (metrics, "beryl_gateway_endpoint_list_age_ms",
              (uint64_t)g->list_age_ms);
   set_gauge (metrics, "beryl_gateway_ready", g->ready);
+  set_gauge (metrics, "beryl_gateway_reaches_endpoints", g->reaches_endpoints);
   set_gauge (metrics, "beryl_gateway_planner", g->holds_planner_lease);
   set_gauge (metrics, "beryl_gateway_endpoint_watcher",
              g->is_endpoint_watcher);
--- a/gatewayd/metrics.h
+++ b/gatewayd/metrics.h
@@ -41,6 +41,7 @@
   uint64_t configuration_revision; /**< of the configuration object */
   int64_t list_age_ms; /**< time since the endpoint list was confirmed */
   bool ready;
+  bool reaches_endpoints;        /**< it can connect to any of them */
   bool holds_planner_lease;      /**< this node's planner is the active one */
   bool is_endpoint_watcher;      /**< it relays changes of the endpoint list */
   uint64_t limited_endpoints;    /**< endpoints that announce a rate limit */
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -205,6 +205,10 @@
   void (*log_endpoint_state) (struct beryl_forward_owner *owner,
                               const struct beryl_live_endpoint *endpoint,
                               const char *what, const char *from);
+  /** This node has lost the connection to all endpoints (LOST), or has it
+   * back; the state before has lasted for LASTED_MS. May be NULL. */
+  void (*contact_changed) (struct beryl_forward_owner *owner, bool lost,
+                           int64_t lasted_ms);
 };
 
 /** The owner; its first member selects the implementation. */
@@ -458,6 +462,10 @@
 /** Return when the next tick is due, or BERYL_NEVER_MS. */
 int64_t beryl_forward_next_tick_ms (const struct beryl_forward *forward);
 
+/** Return whether this node can connect to endpoints, as far as it has
+ * tried. */
+bool beryl_forward_reaches_endpoints (const struct beryl_forward *forward);
+
 /** Return the number of open requests. */
 uint32_t beryl_forward_open_count (const struct beryl_forward *forward);
 
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -70,7 +70,9 @@
   int64_t replaced_ms;
   int64_t unreachable_ms; /**< last failed connection attempt of this node; 0:
                              none since an answer */
-  int64_t answered_ms;    /**< last answer to this node; 0: none */
+  int64_t connect_failed_ms; /**< start of the last failed connection attempt;
+                                0: none since an answer */
+  int64_t answered_ms;       /**< last answer to this node; 0: none */
   uint32_t
       suspected_by; /**< hash of the peer that last reported it unreachable */
   int64_t suspected_ms;     /**< time of that report */
--- /dev/null
+++ b/libberyl/forward/contact.c
@@ -0,0 +1,176 @@
+#include "private.h"
+
+#include <string.h>
+
+/* Detects that this node has lost the connection to all endpoints, while its
+   callers, its peers and the platform may still reach it. Failed connections
+   to several endpoints raise a doubt, which dialling others confirms or
+   clears: the endpoints that failed may have crashed together. */
+
+/* Endpoints to which connections must fail before others are dialled. */
+#define DOUBT_ENDPOINTS 2
+/* Endpoints that are dialled in one round. */
+#define DIALS_PER_ROUND 3
+/* Longer than the timeout of other connections, so that a slow node does not
+   take its own delays for lost endpoints. */
+#define DIAL_TIMEOUT_MS 400
+#define ROUND_INTERVAL_MS 400
+
+static bool
+is_known (const struct beryl_live_endpoint *endpoint)
+{
+  return !endpoint->gone && endpoint->replaced_ms == 0;
+}
+
+/* Returns whether a connection to ENDPOINT has failed since this node last
+   reached any endpoint. */
+static bool
+has_failed (const struct beryl_forward *f,
+            const struct beryl_live_endpoint *endpoint)
+{
+  return endpoint->connect_failed_ms > f->contact.reached_ms;
+}
+
+static bool
+is_doubtful (const struct beryl_forward *f)
+{
+  uint32_t known = 0, failed = 0;
+
+  for (size_t i = 0; i < beryl_live_set_count (f->endpoints); i++)
+    {
+      const struct beryl_live_endpoint *endpoint
+          = beryl_live_set_get (f->endpoints, i);
+
+      if (!is_known (endpoint))
+        continue;
+      known++;
+      failed += has_failed (f, endpoint);
+    }
+  return failed > 0
+         && failed >= (known < DOUBT_ENDPOINTS ? known : DOUBT_ENDPOINTS);
+}
+
+static void
+set_state (struct beryl_forward *f, enum contact_state state, int64_t now_ms)
+{
+  struct contact *c = &f->contact;
+  bool was_lost = c->state == CONTACT_LOST;
+  int64_t lasted_ms = now_ms - c->since_ms;
+
+  if (c->state == state)
+    return;
+  c->state = state;
+  c->since_ms = now_ms;
+  if (state != CONTACT_LOST && !was_lost)
+    return;
+  f->report_due = true;
+  if (f->owner->impl->contact_changed != NULL)
+    f->owner->impl->contact_changed (f->owner, state == CONTACT_LOST,
+                                     lasted_ms);
+}
+
+static void
+dial (struct beryl_forward *f, struct beryl_live_endpoint *endpoint,
+      int64_t now_ms)
+{
+  struct beryl_exchange_start start
+      = { .kind = BERYL_EXCHANGE_DIAL, .connect_timeout_ms = DIAL_TIMEOUT_MS };
+
+  forward_exchange_start (f, NULL, &start, endpoint, now_ms)->contact_dial
+      = true;
+  f->contact.dials_open++;
+}
+
+/* Dials up to COUNT endpoints, of those that have failed or of the others;
+   returns how many. */
+static uint32_t
+dial_some (struct beryl_forward *f, bool failed, uint32_t count,
+           int64_t now_ms)
+{
+  size_t known = beryl_live_set_count (f->endpoints);
+  size_t start = known > 0 ? random_next (&f->random) % known : 0;
+  uint32_t dialled = 0;
+
+  for (size_t i = 0; i < known && dialled < count; i++)
+    {
+      struct beryl_live_endpoint *endpoint
+          = beryl_live_set_get (f->endpoints, (start + i) % known);
+
+      if (!is_known (endpoint) || has_failed (f, endpoint) != failed)
+        continue;
+      dial (f, endpoint, now_ms);
+      dialled++;
+    }
+  return dialled;
+}
+
+static void
+start_round (struct beryl_forward *f, int64_t now_ms)
+{
+  uint32_t dialled;
+
+  f->contact.round_ms = now_ms + ROUND_INTERVAL_MS;
+  dialled = dial_some (f, false, DIALS_PER_ROUND, now_ms);
+  dial_some (f, true, DIALS_PER_ROUND - dialled, now_ms);
+}
+
+static void
+end_dial (struct beryl_forward *f, struct exchange *x)
+{
+  if (!x->contact_dial)
+    return;
+  x->contact_dial = false;
+  f->contact.dials_open--;
+}
+
+void
+contact_failed (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
+{
+  struct contact *c = &f->contact;
+
+  end_dial (f, x);
+  x->endpoint->connect_failed_ms = x->started_ms;
+  if (c->state == CONTACT_OK && is_doubtful (f))
+    {
+      set_state (f, CONTACT_DOUBTED, now_ms);
+      start_round (f, now_ms);
+    }
+  else if (c->state == CONTACT_DOUBTED && c->dials_open == 0)
+    set_state (f, is_doubtful (f) ? CONTACT_LOST : CONTACT_OK, now_ms);
+}
+
+/* A connection that was opened earlier may outlive a partition, so only
+   exchanges that began after the loss show its end. */
+void
+contact_answered (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
+{
+  struct contact *c = &f->contact;
+
+  end_dial (f, x);
+  x->endpoint->connect_failed_ms = 0;
+  if (x->started_ms > c->reached_ms)
+    c->reached_ms = x->started_ms;
+  if (c->state == CONTACT_LOST ? x->started_ms >= c->since_ms
+                               : !is_doubtful (f))
+    set_state (f, CONTACT_OK, now_ms);
+}
+
+bool
+beryl_forward_reaches_endpoints (const struct beryl_forward *f)
+{
+  return f->contact.state != CONTACT_LOST;
+}
+
+void
+contact_tick (struct beryl_forward *f, int64_t now_ms)
+{
+  if (f->contact.state == CONTACT_LOST && now_ms >= f->contact.round_ms)
+    start_round (f, now_ms);
+}
+
+int64_t
+contact_next_ms (const struct beryl_forward *f)
+{
+  return f->contact.state == CONTACT_LOST ? f->contact.round_ms
+                                          : BERYL_NEVER_MS;
+}
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -220,7 +220,8 @@
   start->exchange = x->id;
   start->request = r != NULL ? r->params.handle : 0;
   start->endpoint = endpoint;
-  start->connect_timeout_ms = CONNECT_TIMEOUT_MS;
+  if (start->connect_timeout_ms == 0)
+    start->connect_timeout_ms = CONNECT_TIMEOUT_MS;
   if (r != NULL)
     set_request_fields (f, r, start, now_ms);
   f->owner->impl->start (f->owner, start);
@@ -425,6 +426,7 @@
 
   if (x == NULL || x->request == NULL)
     return;
+  contact_answered (f, x, now_ms);
   x->has_head = true;
   x->head = *head;
   answer_head (f, x, now_ms);
@@ -461,6 +463,7 @@
 
   if (x == NULL)
     return;
+  contact_answered (f, x, now_ms);
   generation_exchange_result (f, x, result, now_ms);
 }
 
@@ -481,7 +484,10 @@
   if (not_working)
     endpoint_report_unreachable (f, x->endpoint, now_ms);
   if (how == BERYL_FAILURE_CONNECT)
-    crashes_endpoint_ended (f, x->endpoint, now_ms);
+    {
+      contact_failed (f, x, now_ms);
+      crashes_endpoint_ended (f, x->endpoint, now_ms);
+    }
   /* A failed connection counts as a time-out, even if it was refused. */
   beryl_live_record_outcome (
       x->endpoint, not_working ? BERYL_LIVE_TIMED_OUT : BERYL_LIVE_BROKEN,
@@ -537,6 +543,7 @@
       if (r->timer_ms <= now_ms)
         request_tick (f, r, now_ms);
     }
+  contact_tick (f, now_ms);
   generation_balance (f, now_ms);
   crashes_tick (f, now_ms);
 }
@@ -549,7 +556,8 @@
 
   if (f->quarantine_check_ms < next_ms)
     next_ms = f->quarantine_check_ms;
-
+  if (contact_next_ms (f) < next_ms)
+    next_ms = contact_next_ms (f);
   TAILQ_FOREACH (r, &f->requests, entry)
   {
     if (r->timer_ms < next_ms)
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -32,6 +32,24 @@
   size_t unmerged; /**< received since the fleet's paces were last merged */
 };
 
+/** Whether this node can connect to its endpoints. */
+enum contact_state
+{
+  CONTACT_OK,
+  CONTACT_DOUBTED, /**< connections to some have failed, others are dialled */
+  CONTACT_LOST,    /**< no endpoint can be reached */
+};
+
+struct contact
+{
+  enum contact_state state;
+  int64_t since_ms;   /**< when it entered this state */
+  int64_t reached_ms; /**< start of the newest exchange that an endpoint has
+                         answered; 0: none */
+  int64_t round_ms;   /**< when the next round of dials is due, while lost */
+  uint32_t dials_open;
+};
+
 /** State of a service. */
 struct service
 {
@@ -74,6 +92,7 @@
   int64_t started_ms;
   bool has_head;
   bool paused;
+  bool contact_dial; /**< counted in the dials_open of struct contact */
   struct beryl_answer_head head;
   uint32_t tokens;
 };
@@ -200,8 +219,9 @@
   uint32_t waiting_count;
   uint64_t last_exchange_id;
   uint64_t random;
-  int64_t next_balance_ms;    /**< next check of the engines' memory */
-  int64_t stop_ms;            /**< planned stop; BERYL_NEVER_MS if none */
+  int64_t next_balance_ms; /**< next check of the engines' memory */
+  int64_t stop_ms;         /**< planned stop; BERYL_NEVER_MS if none */
+  struct contact contact;
   struct run_table run_table; /**< runs of the other nodes at engines */
   struct prompt_locations prompt_locations; /**< where prompts ran recently */
   struct beryl_budget_transfers pending_loans; /**< granted, not sent yet */
@@ -250,6 +270,16 @@
                                   struct beryl_live_endpoint *endpoint,
                                   int64_t now_ms);
 
+/* contact.c */
+/** The connection attempt of X failed. */
+void contact_failed (struct beryl_forward *f, struct exchange *x,
+                     int64_t now_ms);
+/** X was answered by its endpoint. */
+void contact_answered (struct beryl_forward *f, struct exchange *x,
+                       int64_t now_ms);
+void contact_tick (struct beryl_forward *f, int64_t now_ms);
+int64_t contact_next_ms (const struct beryl_forward *f);
+
 /* crashes.c */
 void crashes_init (struct beryl_forward *f);
 /** R's run at ENDPOINT ended in a reset or closed connection. */
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -149,6 +149,13 @@
                           decision->outcome);
 }
 
+static void
+owner_contact_changed (struct beryl_forward_owner *owner, bool lost,
+                       int64_t lasted_ms)
+{
+  g_string_append (fx_of (owner)->log, lost ? "contact:lost " : "contact:ok ");
+}
+
 static uint64_t
 owner_fingerprint (struct beryl_forward_owner *owner, uint64_t request,
                    const char *organisation)
@@ -169,6 +176,7 @@
   .refuse = owner_refuse,
   .fingerprint = owner_fingerprint,
   .log_step = owner_decided,
+  .contact_changed = owner_contact_changed,
 };
 
 struct fx_terms
--- /dev/null
+++ b/tests/forward/test_contact.c
@@ -0,0 +1,195 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "fixture.h"
+
+#define ENDPOINTS 8
+/* Time by which a loss must be known. */
+#define DETECTION_MS 1000
+/* Timeout of connections, as the owner would apply it. */
+#define CONNECT_MS 150
+
+static struct fx fx;
+static uint64_t connected; /* exchange whose connection was opened before */
+
+static void
+setup (void)
+{
+  struct fx_terms terms = fx_plain_terms ();
+
+  connected = 0;
+  fx_open (&fx, &terms);
+  for (size_t i = 0; i < ENDPOINTS; i++)
+    {
+      char id[] = { (char)('a' + i), '\0' };
+
+      fx_endpoint (&fx, id, BERYL_STAGE_NONE);
+    }
+}
+
+static void
+teardown (void)
+{
+  fx_close (&fx);
+}
+
+static size_t
+count_in_log (const char *text)
+{
+  char **parts = g_strsplit (fx.log->str, text, -1);
+  size_t count = g_strv_length (parts) - 1;
+
+  g_strfreev (parts);
+  return count;
+}
+
+static bool
+is_connecting (const struct fx_exchange *x)
+{
+  return x->open && x->id != connected
+         && (x->kind == BERYL_EXCHANGE_RUN || x->kind == BERYL_EXCHANGE_DIAL);
+}
+
+/* Fails every connection attempt that is open for CONNECT_MS, for MS. */
+static void
+pass_without_endpoints (int64_t ms)
+{
+  for (int64_t end_ms = fx.now_ms + ms; fx.now_ms < end_ms;)
+    {
+      fx_pass (&fx, 10);
+      for (guint i = 0; i < fx.exchanges->len; i++)
+        {
+          struct fx_exchange *x = g_ptr_array_index (fx.exchanges, i);
+
+          if (is_connecting (x) && fx.now_ms - x->started_ms >= CONNECT_MS)
+            fx_broken (&fx, x, BERYL_FAILURE_CONNECT, false);
+        }
+    }
+}
+
+static void
+answer_dials (void)
+{
+  struct fx_exchange *x;
+
+  while ((x = fx_open_of (&fx, 0, BERYL_EXCHANGE_DIAL)) != NULL)
+    fx_ok (&fx, x, "");
+}
+
+static void
+lose_endpoints (void)
+{
+  fx_arrive (&fx, 1);
+  pass_without_endpoints (DETECTION_MS);
+  ck_assert (!beryl_forward_reaches_endpoints (fx.forward));
+}
+
+/* Guards against a node that does not know that it has lost all endpoints, and
+ * against one that does not notice that it has them back. */
+START_TEST (test_endpoints_lost)
+{
+  lose_endpoints ();
+  pass_without_endpoints (3 * DETECTION_MS);
+  ck_assert (!beryl_forward_reaches_endpoints (fx.forward));
+  fx_pass (&fx, DETECTION_MS);
+  answer_dials ();
+  ck_assert (beryl_forward_reaches_endpoints (fx.forward));
+  ck_assert (g_str_has_suffix (fx.log->str, "contact:ok "));
+  ck_assert_uint_eq (count_in_log ("contact:lost"), 1);
+  ck_assert_uint_eq (count_in_log ("contact:ok"), 1);
+}
+END_TEST
+
+/* Guards against a loss that is believed because one endpoint is dead. */
+START_TEST (test_one_endpoint_dead)
+{
+  for (uint64_t i = 1; i <= 20; i++)
+    {
+      struct fx_exchange *x;
+
+      fx_arrive (&fx, i);
+      x = fx_last (&fx, BERYL_EXCHANGE_RUN);
+      fx_pass (&fx, CONNECT_MS);
+      if (x->endpoint[0] == 'a')
+        fx_broken (&fx, x, BERYL_FAILURE_CONNECT, false);
+      x = fx_open_of (&fx, i, BERYL_EXCHANGE_RUN);
+      fx_answer (&fx, x, 200, "x");
+    }
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_DIAL), 0);
+  ck_assert (beryl_forward_reaches_endpoints (fx.forward));
+}
+END_TEST
+
+/* Guards against a loss that is believed because several endpoints have
+ * crashed together while there was nothing to send to the others. */
+START_TEST (test_some_endpoints_dead)
+{
+  fx_arrive (&fx, 1);
+  for (size_t i = 0; i < 2; i++)
+    {
+      fx_pass (&fx, CONNECT_MS);
+      fx_broken (&fx, fx_open_of (&fx, 1, BERYL_EXCHANGE_RUN),
+                 BERYL_FAILURE_CONNECT, false);
+    }
+  ck_assert_uint_gt (fx_count (&fx, BERYL_EXCHANGE_DIAL), 0);
+  answer_dials ();
+  fx_answer (&fx, fx_open_of (&fx, 1, BERYL_EXCHANGE_RUN), 200, "x");
+  fx_pass (&fx, DETECTION_MS);
+  ck_assert (beryl_forward_reaches_endpoints (fx.forward));
+  ck_assert_uint_eq (count_in_log ("contact:"), 0);
+}
+END_TEST
+
+/* Guards against a loss that is believed because an endpoint is silent for a
+ * second. */
+START_TEST (test_endpoint_silent)
+{
+  for (uint64_t i = 1; i <= 20; i++)
+    {
+      struct fx_exchange *x;
+
+      fx_arrive (&fx, i);
+      fx_pass (&fx, 50);
+      while ((x = fx_open_of (&fx, i, BERYL_EXCHANGE_RUN)) != NULL
+             && x->endpoint[0] != 'a')
+        fx_answer (&fx, x, 200, "x");
+    }
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_DIAL), 0);
+  ck_assert (beryl_forward_reaches_endpoints (fx.forward));
+}
+END_TEST
+
+/* Guards against a loss that is taken for over because a connection from
+ * before it still delivers. */
+START_TEST (test_old_connection_lives_on)
+{
+  struct fx_exchange *x;
+
+  fx_arrive (&fx, 2);
+  x = fx_last (&fx, BERYL_EXCHANGE_RUN);
+  connected = x->id;
+  fx_head (&fx, x, 200);
+  lose_endpoints ();
+  fx_data (&fx, x, "late");
+  fx_done (&fx, x);
+  ck_assert (fx.answers[2].whole);
+  ck_assert (!beryl_forward_reaches_endpoints (fx.forward));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("loss of all endpoints");
+  TCase *tcase = tcase_create ("contact");
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_endpoints_lost);
+  tcase_add_test (tcase, test_one_endpoint_dead);
+  tcase_add_test (tcase, test_some_endpoints_dead);
+  tcase_add_test (tcase, test_endpoint_silent);
+  tcase_add_test (tcase, test_old_connection_lives_on);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
