Nodes that reach no endpoint hand requests over to a peer

Each request tried two to seven endpoints and was refused endpoints_full or no_room.

Cause: no node passed a request to another, and callers keep a node's address for seconds after it is known to be of no use. Class: a node takes its own view of a dependency for that of the fleet.

Change: while no endpoint can be reached, or several connections have failed and it is not known yet whether others would, a request that cannot have run, or may be repeated, goes to a peer that says it reaches endpoints. The peer treats it as its own, except that arrival and quota were counted by the first node, which authenticated the caller and names its organisation under a MAC. A request is not handed over twice; a peer that stops, or has an older configuration, declines, and another is tried.

--- a/gatewayd/frontend.c
+++ b/gatewayd/frontend.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "handoff.h"
+
 struct frontend
 {
   struct h1_server_handler base;
@@ -11,6 +13,7 @@
   struct h1_server *server;
   GHashTable *requests; /* request number to h1_exchange */
   uint64_t last_request;
+  const char *key; /* "" until it is known */
 };
 
 /* State of a request, attached to its h1_exchange: the request and response at
@@ -50,6 +53,7 @@
   struct frontend *frontend = (struct frontend *)handler;
   struct request_state *state = g_new0 (struct request_state, 1);
   struct beryl_forward_request request = { 0 };
+  struct beryl_handoff handoff;
   int64_t now_ms = loop_now_ms (frontend->loop);
 
   state->request = ++frontend->last_request;
@@ -60,6 +64,8 @@
   g_strlcpy (state->id, request.id, sizeof state->id);
   request.handle = state->request;
   request.arrived_ms = now_ms;
+  if (handoff_read (frontend->key, h1_exchange_head (ex), &handoff))
+    request.handoff = &handoff;
   beryl_forward_submit (frontend->forward, &request, now_ms);
 }
 
@@ -106,6 +112,7 @@
   frontend->loop = loop;
   frontend->wire = wire;
   frontend->forward = forward;
+  frontend->key = "";
   frontend->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
   frontend->server = h1_server_create (loop, address->ip, address->port,
                                        &frontend->base, error);
@@ -115,6 +122,12 @@
   return NULL;
 }
 
+void
+frontend_set_key (struct frontend *frontend, const char *key)
+{
+  frontend->key = key;
+}
+
 void
 frontend_destroy (struct frontend *frontend)
 {
@@ -227,6 +240,7 @@
   struct request_state *state;
   GPtrArray *pointers;
   struct h1_field *fields;
+  size_t count;
 
   if (ex == NULL)
     return;
@@ -234,10 +248,13 @@
   pointers = g_ptr_array_new_with_free_func (field_free);
   frontend->wire->impl->format_refusal (frontend->wire, refusal, state->id,
                                         pointers);
-  fields = g_new (struct h1_field, pointers->len + 1);
-  for (guint i = 0; i < pointers->len; i++)
+  count = pointers->len;
+  fields = g_new (struct h1_field, count + 1);
+  for (guint i = 0; i < count; i++)
     fields[i] = *(struct h1_field *)g_ptr_array_index (pointers, i);
-  h1_exchange_reply (ex, refusal->status, fields, pointers->len, "", 0);
+  if (refusal->declined)
+    fields[count++] = (struct h1_field){ GATEWAY_HANDOFF_FIELD, "declined" };
+  h1_exchange_reply (ex, refusal->status, fields, count, "", 0);
   g_free (fields);
   g_ptr_array_free (pointers, TRUE);
 }
--- a/gatewayd/frontend.h
+++ b/gatewayd/frontend.h
@@ -21,6 +21,10 @@
                                   struct beryl_forward *forward,
                                   struct beryl_error *error);
 
+/** Set the key that authenticates requests that peers hand over; it must stay
+ * valid. */
+void frontend_set_key (struct frontend *frontend, const char *key);
+
 /** Close all connections and release; NULL is allowed. */
 void frontend_destroy (struct frontend *frontend);
 
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -8,6 +8,7 @@
 #include "directory.h"
 #include "fingerprint.h"
 #include "frontend.h"
+#include "handoff.h"
 #include "members.h"
 #include "metrics.h"
 #include "notices.h"
@@ -80,7 +81,8 @@
   int64_t tick_due_ms;
   uv_prepare_t *prepare;
   struct loop_timer *stop_timer;
-  int64_t stop_start_ms; /* 0 if not stopping */
+  int64_t stop_start_ms;       /* 0 if not stopping */
+  char key[CLUSTER_KEY_BYTES]; /* "" until it is known */
 };
 
 static struct gateway *
@@ -117,6 +119,19 @@
                             - offsetof (struct gateway, registry_base));
 }
 
+static void
+start_handoff (struct gateway *g, const struct beryl_exchange_start *start,
+               const struct h1_head *head, const char *body, size_t body_bytes)
+{
+  struct beryl_exchange_start with_field = *start;
+  GString *field = g_string_new (NULL);
+
+  handoff_append (g->key, head, &start->handoff, field);
+  with_field.extra_fields = field->str;
+  outbound_start (g->outbound, &with_field, head, body, body_bytes);
+  g_string_free (field, TRUE);
+}
+
 static void
 forward_start_exchange (struct beryl_forward_owner *owner,
                         const struct beryl_exchange_start *start)
@@ -128,7 +143,10 @@
 
   if (start->request != 0)
     head = frontend_request (g->frontend, start->request, &body, &body_bytes);
-  outbound_start (g->outbound, start, head, body, body_bytes);
+  if (start->kind == BERYL_EXCHANGE_HANDOFF)
+    start_handoff (g, start, head, body, body_bytes);
+  else
+    outbound_start (g->outbound, start, head, body, body_bytes);
 }
 
 static void
@@ -420,6 +438,23 @@
   store_set_watch_wait (g->store, count, members_isolated (g->members));
 }
 
+static void
+update_peer (struct gateway *g, const struct loads_message *message,
+             int64_t now_ms)
+{
+  const struct beryl_member *member = members_find (g->members, message->from);
+  struct beryl_forward_peer peer = { 0 };
+
+  if (member == NULL || member->http_port == 0)
+    return;
+  memcpy (peer.name, member->name, sizeof peer.name);
+  g_strlcpy (peer.address, member->address, sizeof peer.address);
+  memcpy (peer.data_centre, member->data_centre, sizeof peer.data_centre);
+  peer.port = member->http_port;
+  peer.takes_requests = !member->leaving && !message->endpoints_lost;
+  beryl_forward_set_peer (g->forward, &peer, now_ms);
+}
+
 static void
 members_loads_received (struct members_owner *owner,
                         const struct loads_message *message)
@@ -427,6 +462,7 @@
   struct gateway *g = gateway_from_members (owner);
   int64_t now_ms = loop_now_ms (g->loop);
 
+  update_peer (g, message, now_ms);
   beryl_forward_peer_runs (g->forward, message->from, message->runs,
                            message->run_count, now_ms);
   platform_source_set_peer_revision (g->source, message->endpoint_revision);
@@ -546,6 +582,7 @@
 
   loop_timer_stop (g->announce_timer);
   g->announce_timer = NULL;
+  message.endpoints_lost = !beryl_forward_reaches_endpoints (g->forward);
   message.run_count = beryl_forward_runs (g->forward, message.runs,
                                           BERYL_ENGINE_RUNS_MAX, now_ms);
   /* Engines that are ordered to change their stage are added for the peers
@@ -679,7 +716,9 @@
 {
   struct gateway *g = user;
 
-  members_set_key (g->members, key);
+  g_strlcpy (g->key, key, sizeof g->key);
+  members_set_key (g->members, g->key);
+  frontend_set_key (g->frontend, g->key);
   g->registry
       = registry_create (g->loop, g->store, &g->settings, &g->registry_base);
 }
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -157,6 +157,21 @@
   return since_ms != NULL ? now_ms (m) - *since_ms : 0;
 }
 
+const struct beryl_member *
+members_find (const struct members *m, const char *node)
+{
+  size_t count = m->table != NULL ? beryl_membership_count (m->table) : 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct beryl_member *member = beryl_membership_get (m->table, i);
+
+      if (strcmp (member->name, node) == 0)
+        return member;
+    }
+  return NULL;
+}
+
 static void
 membership_changed (struct beryl_membership_owner *owner,
                     const struct beryl_member *member)
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -88,6 +88,10 @@
  * milliseconds; 0 if it is alive or unknown. */
 int64_t members_silent_ms (const struct members *members, const char *node);
 
+/** Return what is known of NODE, or NULL; valid until the next event. */
+const struct beryl_member *members_find (const struct members *members,
+                                         const char *node);
+
 /** Announce that this node is shutting down. */
 void members_leave (struct members *members);
 
--- a/gatewayd/outbound.c
+++ b/gatewayd/outbound.c
@@ -4,8 +4,8 @@
 
 #include "h1/client.h"
 
-/* Maximum response body that is kept of an exchange other than RUN; pieces
- * that exceed it are dropped.  Valid responses are smaller. */
+/* Maximum response body that is kept if it is not forwarded; pieces that
+ * exceed it are dropped.  Valid responses are smaller. */
 #define ENGINE_RESPONSE_MAX_BYTES 65536
 
 struct outbound
@@ -25,7 +25,7 @@
   char endpoint[BERYL_NAME_BYTES];
   struct h1_call *http;
   const struct h1_head *head; /* NULL until it has arrived */
-  GString *body;              /* response body; unused for RUN */
+  GString *body;              /* response body; unused if it is forwarded */
 };
 
 static void
@@ -39,6 +39,14 @@
   g_free (call);
 }
 
+/* Returns whether the caller gets the answer to CALL. */
+static bool
+forwards_answer (const struct call *call)
+{
+  return call->kind == BERYL_EXCHANGE_RUN
+         || call->kind == BERYL_EXCHANGE_HANDOFF;
+}
+
 static void
 call_head (struct h1_call_handler *handler, struct h1_call *http,
            const struct h1_head *head)
@@ -48,9 +56,11 @@
   struct beryl_answer_head response = { 0 };
 
   call->head = head;
-  if (call->kind != BERYL_EXCHANGE_RUN)
+  if (!forwards_answer (call))
     return;
   o->wire->impl->read_response (o->wire, call->endpoint, head, &response);
+  response.declined = call->kind == BERYL_EXCHANGE_HANDOFF
+                      && h1_head_find (head, GATEWAY_HANDOFF_FIELD) != NULL;
   beryl_forward_answer_head (o->forward, call->exchange, &response,
                              loop_now_ms (o->loop));
 }
@@ -62,7 +72,7 @@
   struct call *call = (struct call *)handler;
   struct outbound *o = call->outbound;
 
-  if (call->kind == BERYL_EXCHANGE_RUN)
+  if (forwards_answer (call))
     beryl_forward_answer_data (o->forward, call->exchange, bytes, bytes_count,
                                loop_now_ms (o->loop));
   else if (call->body->len + bytes_count <= ENGINE_RESPONSE_MAX_BYTES)
@@ -104,7 +114,7 @@
   uint64_t exchange = call->exchange;
 
   call->http = NULL;
-  if (call->kind != BERYL_EXCHANGE_RUN)
+  if (!forwards_answer (call))
     {
       report_result (call);
       return;
--- a/gatewayd/outbound.h
+++ b/gatewayd/outbound.h
@@ -19,8 +19,8 @@
 /** Cancel all calls and release; NULL is allowed. */
 void outbound_destroy (struct outbound *outbound);
 
-/** Start an exchange.  HEAD and BODY are the caller's request; only RUN and
- * PREFILL use them. */
+/** Start an exchange.  HEAD and BODY are the caller's request, which RUN,
+ * PREFILL and HANDOFF use. */
 void outbound_start (struct outbound *outbound,
                      const struct beryl_exchange_start *start,
                      const struct h1_head *head, const char *body,
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -38,6 +38,15 @@
  * included. */
 #define BERYL_ENGINE_HANDLE_BYTES 64
 
+/** What a node states about a request that it hands over to a peer, since it
+ * reaches no endpoint itself. */
+struct beryl_handoff
+{
+  char organisation[BERYL_NAME_BYTES]; /**< the caller's; "" if unknown */
+  uint32_t endpoints_run; /**< endpoints that may have run the request */
+  uint64_t configuration_version; /**< the peer must have it, or a newer one */
+};
+
 /** A caller's request. */
 struct beryl_forward_request
 {
@@ -57,6 +66,8 @@
   uint32_t prompt_hash;        /**< hash of the prompt; 0 if unknown */
   bool resumes; /**< the caller resumes a stream after LAST_EVENT_ID */
   uint64_t last_event_id;
+  const struct beryl_handoff *handoff; /**< of the peer that handed it over;
+                                          NULL: it came from its caller */
 };
 
 /** Kinds of exchanges with endpoints. */
@@ -72,6 +83,9 @@
   BERYL_EXCHANGE_MOVE,
   /** Connect and close, to test whether a process still listens there. */
   BERYL_EXCHANGE_DIAL,
+  /** The request itself, to a peer that sends it to an endpoint; its answer is
+   * forwarded. */
+  BERYL_EXCHANGE_HANDOFF,
 };
 
 /** Return whether exchanges of KIND carry the caller's request. */
@@ -103,7 +117,10 @@
   const char *organisation; /**< RUN, PREFILL: the caller's; NULL if unknown */
   bool authenticated; /**< RUN, PREFILL: callers' keys are for this node, not
                          for endpoints */
-  const char *run_id; /**< MOVE: the request's id */
+  struct beryl_handoff handoff; /**< HANDOFF */
+  const char *extra_fields; /**< HANDOFF: header fields to add, complete lines;
+                               set by the owner */
+  const char *run_id;       /**< MOVE: the request's id */
   const struct beryl_live_endpoint
       *target; /**< MOVE: engine to move the run to */
 };
@@ -132,7 +149,8 @@
 {
   unsigned int status;
   enum beryl_refusal_reason reason;
-  bool not_run;           /**< the request has not run and never will */
+  bool not_run;  /**< the request has not run and never will */
+  bool declined; /**< a peer handed the request over, and may try another */
   int64_t retry_after_ms; /**< 0: none */
 };
 
@@ -292,6 +310,7 @@
   bool event_stream; /**< the body is a stream of server-sent events */
   bool misdirected;  /**< another endpoint has the address now */
   bool wrong_stage;  /**< the engine has another stage now */
+  bool declined;     /**< HANDOFF: the peer did not take the request */
 };
 
 /** The head of the answer to a RUN exchange has arrived. */
@@ -422,6 +441,21 @@
                                    const struct beryl_budget_transfers *loans,
                                    int64_t now_ms);
 
+/** A peer that requests may be handed over to. */
+struct beryl_forward_peer
+{
+  char name[BERYL_NAME_BYTES];
+  char address[48]; /**< IP address for callers */
+  uint16_t port;
+  char data_centre[BERYL_NAME_BYTES];
+  bool takes_requests; /**< it reaches endpoints and is not stopping */
+};
+
+/** Add or update a peer, which is removed by beryl_forward_remove_peer. */
+void beryl_forward_set_peer (struct beryl_forward *forward,
+                             const struct beryl_forward_peer *peer,
+                             int64_t now_ms);
+
 /** PEER has left the fleet; its runs and profiles are dropped. */
 void beryl_forward_remove_peer (struct beryl_forward *forward,
                                 const char *peer);
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -211,6 +211,9 @@
 bool beryl_live_suspect (struct beryl_live_endpoint *endpoint, uint32_t by,
                          int64_t now_ms);
 
+/** Forget the failures of ENDPOINT: their cause was not the endpoint. */
+void beryl_live_forget_failures (struct beryl_live_endpoint *endpoint);
+
 /** Return whether ENDPOINT is avoided, and whether a probe of it is due. */
 bool beryl_live_avoided (const struct beryl_live_endpoint *endpoint,
                          int64_t now_ms);
--- a/include/beryl/routes.h
+++ b/include/beryl/routes.h
@@ -155,6 +155,11 @@
 const struct beryl_route_organisation *
 beryl_routes_authenticate (const struct beryl_routes *routes, const char *key);
 
+/** Return the organisation called NAME, or NULL. */
+const struct beryl_route_organisation *
+beryl_routes_find_organisation (const struct beryl_routes *routes,
+                                const char *name);
+
 struct beryl_routes *beryl_routes_ref (struct beryl_routes *routes);
 
 /** Release a reference; NULL is allowed. */
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -23,6 +23,11 @@
 
 struct gateway_wire;
 
+/** Header field of a request that a node hands over to a peer, and of the
+ * peer's response if it does not take the request on.  It is for nodes alone:
+ * neither callers nor endpoints get or set it. */
+#define GATEWAY_HANDOFF_FIELD "Beryl-Handoff"
+
 /** Location of a caller that asks for the addresses of nodes. */
 struct gateway_location
 {
@@ -97,8 +102,8 @@
    * into HEAD. */
   const char *(*read_caller) (const struct gateway_wire *wire,
                               const struct h1_head *head);
-  /** Format the head of a RUN or PREFILL exchange: the caller's HEAD without
-   * hop-by-hop fields and without fields that callers must not set. */
+  /** Format the head of a RUN, PREFILL or HANDOFF exchange: the caller's HEAD
+   * without hop-by-hop fields and without fields that callers must not set. */
   void (*format_request) (const struct gateway_wire *wire,
                           const struct h1_head *head, size_t body_bytes,
                           const struct beryl_exchange_start *start,
--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -23,6 +23,7 @@
   uint64_t sequence;          /**< grows with each message of an incarnation */
   struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
   size_t run_count;
+  bool endpoints_lost; /**< this node can connect to no endpoint */
   struct beryl_endpoint_updates news;
   struct beryl_budget_transfers asks;        /**< for repeats */
   struct beryl_budget_transfers loans;       /**< that this node gives */
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -126,10 +126,21 @@
   r->buffered.count = 0;
 }
 
+/* Returns whether X is a generation that this node has sent to an engine
+   itself. */
+static bool
+is_own_generation (const struct exchange *x)
+{
+  return x->kind == BERYL_EXCHANGE_RUN
+         && forward_request_is_generation (x->request);
+}
+
 static void
 forward_event (struct beryl_forward *f, struct request *r, struct exchange *x,
                const struct event *event, int64_t now_ms)
 {
+  bool own_generation = is_own_generation (x);
+
   /* An endpoint that resumes may start before the event that it was asked to
      resume after; those events were forwarded already. */
   if (event->has_id && (r->event_count > 0 || r->params.resumes)
@@ -147,10 +158,10 @@
   r->last_event_ms = now_ms;
   r->stalled = false;
   relocate_end (f, r);
-  if (forward_request_is_generation (r))
+  if (own_generation)
     stream_learn_pace (r, now_ms);
   /* A stall is detected sooner between events than before the first. */
-  if (r->run_events == 1 && forward_request_is_generation (r))
+  if (r->run_events == 1 && own_generation)
     r->timer_ms = stream_timer_ms (r);
   f->owner->impl->answer_data (f->owner, r->params.handle, event->bytes,
                                event->count);
@@ -206,6 +217,7 @@
 answer_done (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
 {
   struct request *r = x->request;
+  bool own_generation;
   uint64_t handle;
 
   if (r == NULL)
@@ -213,6 +225,7 @@
       forward_exchange_free (f, x);
       return;
     }
+  own_generation = is_own_generation (x);
   if (ends_in_event (r, x))
     {
       answer_interrupted (f, x, BERYL_FAILURE_CLOSED, true, now_ms);
@@ -227,7 +240,7 @@
                                             : (int64_t)x->head.status,
                        now_ms);
   forward_exchange_free (f, x);
-  if (forward_request_is_generation (r))
+  if (own_generation)
     {
       stream_learn_length (f, r);
       generation_run_ended (f, r);
@@ -252,16 +265,23 @@
 {
   struct request *r = x->request;
   bool has_head = x->has_head;
+  bool handoff = x->kind == BERYL_EXCHANGE_HANDOFF;
 
-  if (sent && (how == BERYL_FAILURE_RESET || how == BERYL_FAILURE_CLOSED))
+  if (sent && !handoff
+      && (how == BERYL_FAILURE_RESET || how == BERYL_FAILURE_CLOSED))
     crashes_run_interrupted (f, r, x->endpoint, now_ms);
-  forward_request_log (f, r, "send", x->endpoint, failure_name (how), sent,
-                       now_ms);
+  forward_request_log (f, r, handoff ? "handoff" : "send", x->endpoint,
+                       failure_name (how), sent, now_ms);
   forward_exchange_free (f, x);
-  if (sent && !has_head)
-    forward_request_record_run (r);
   r->buffered.count = 0;
   event_splitter_reset (&r->events);
+  if (handoff)
+    {
+      handoff_interrupted (f, r, sent && !has_head, now_ms);
+      return;
+    }
+  if (sent && !has_head)
+    forward_request_record_run (r);
   if (has_head && move_stream_ended (f, r, now_ms))
     return;
   if (forward_request_is_generation (r))
--- a/libberyl/forward/contact.c
+++ b/libberyl/forward/contact.c
@@ -50,6 +50,21 @@
          && failed >= (known < DOUBT_ENDPOINTS ? known : DOUBT_ENDPOINTS);
 }
 
+/* What failed during the loss says nothing about the endpoints. They would be
+   avoided for seconds after its end, and generations would find no engine. */
+static void
+forget_failures (struct beryl_forward *f)
+{
+  for (size_t i = 0; i < beryl_live_set_count (f->endpoints); i++)
+    {
+      struct beryl_live_endpoint *endpoint
+          = beryl_live_set_get (f->endpoints, i);
+
+      if (endpoint->connect_failed_ms != 0)
+        beryl_live_forget_failures (endpoint);
+    }
+}
+
 static void
 set_state (struct beryl_forward *f, enum contact_state state, int64_t now_ms)
 {
@@ -64,6 +79,9 @@
   if (state != CONTACT_LOST && !was_lost)
     return;
   f->report_due = true;
+  c->handoff_due = state == CONTACT_LOST;
+  if (was_lost)
+    forget_failures (f);
   if (f->owner->impl->contact_changed != NULL)
     f->owner->impl->contact_changed (f->owner, state == CONTACT_LOST,
                                      lasted_ms);
@@ -164,6 +182,11 @@
 void
 contact_tick (struct beryl_forward *f, int64_t now_ms)
 {
+  if (f->contact.handoff_due)
+    {
+      f->contact.handoff_due = false;
+      handoff_all (f, now_ms);
+    }
   if (f->contact.state == CONTACT_LOST && now_ms >= f->contact.round_ms)
     start_round (f, now_ms);
 }
@@ -171,6 +194,8 @@
 int64_t
 contact_next_ms (const struct beryl_forward *f)
 {
+  if (f->contact.handoff_due)
+    return f->contact.since_ms;
   return f->contact.state == CONTACT_LOST ? f->contact.round_ms
                                           : BERYL_NEVER_MS;
 }
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -474,6 +474,7 @@
 {
   run_table_remove_peer (&f->run_table, peer);
   profile_remove_peer (f, peer);
+  beryl_live_set_remove (f->peers, peer, 0);
 }
 
 static size_t
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -31,9 +31,9 @@
 const char *
 beryl_exchange_name (enum beryl_exchange_kind kind)
 {
-  static const char *const names[] = { "run",       "prefill", "reserve",
-                                       "unreserve", "drop_kv", "move",
-                                       "dial" };
+  static const char *const names[]
+      = { "run",     "prefill", "reserve", "unreserve",
+          "drop_kv", "move",    "dial",    "handoff" };
 
   return names[kind];
 }
@@ -51,6 +51,7 @@
   f->nodes = 1;
   f->random = settings->seed;
   f->stop_ms = BERYL_NEVER_MS;
+  f->peers = beryl_live_set_create (0);
   TAILQ_INIT (&f->requests);
   TAILQ_INIT (&f->exchanges);
   crashes_init (f);
@@ -83,6 +84,7 @@
   map_clear (&f->requests_by_handle);
   map_clear (&f->exchanges_by_id);
   run_table_clear (&f->run_table);
+  beryl_live_set_destroy (f->peers);
   beryl_quarantine_destroy (f->quarantine);
   beryl_limits_destroy (f->limits);
   beryl_quotas_destroy (f->quotas);
@@ -180,7 +182,8 @@
 bool
 beryl_exchange_carries_request (enum beryl_exchange_kind kind)
 {
-  return kind == BERYL_EXCHANGE_RUN || kind == BERYL_EXCHANGE_PREFILL;
+  return kind == BERYL_EXCHANGE_RUN || kind == BERYL_EXCHANGE_PREFILL
+         || kind == BERYL_EXCHANGE_HANDOFF;
 }
 
 static void
@@ -247,7 +250,9 @@
       x->endpoint->open_prefills--;
       x->endpoint->open_prefill_tokens -= x->tokens;
     }
-  beryl_live_close (f->endpoints, x->endpoint);
+  beryl_live_close (x->kind == BERYL_EXCHANGE_HANDOFF ? f->peers
+                                                      : f->endpoints,
+                    x->endpoint);
   free (x);
 }
 
@@ -280,6 +285,7 @@
     .status = status,
     .reason = reason,
     .not_run = true,
+    .declined = params->handoff != NULL && status == 503,
     .retry_after_ms = status == 503 ? RETRY_AFTER_MS : 0,
   };
   struct beryl_request_step step = {
@@ -314,23 +320,58 @@
   return now_ms + needed_ms <= f->stop_ms;
 }
 
+/* Returns whether this node's configuration is as new as that by which a peer
+   has routed the request that it hands over. */
+static bool
+knows_configuration (const struct beryl_forward *f,
+                     const struct beryl_handoff *handoff)
+{
+  return f->routes != NULL
+         && (handoff == NULL
+             || f->routes->version >= handoff->configuration_version);
+}
+
+/* Returns the organisation of the caller, or NULL. The peer that hands a
+   request over has authenticated its caller. */
+static const struct beryl_route_organisation *
+find_organisation (const struct beryl_forward *f,
+                   const struct beryl_forward_request *params)
+{
+  if (params->handoff != NULL)
+    return beryl_routes_find_organisation (f->routes,
+                                           params->handoff->organisation);
+  return params->key != NULL
+             ? beryl_routes_authenticate (f->routes, params->key)
+             : NULL;
+}
+
+/* Counts a request that its caller has sent to this node. */
+static void
+count_from_caller (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (!r->handed_over)
+    forward_request_count_arrival (f, r->service, now_ms);
+  else
+    forward_request_log (f, r, "handoff", NULL, "taken",
+                         r->endpoints_run_count, now_ms);
+}
+
 void
 beryl_forward_submit (struct beryl_forward *f,
                       const struct beryl_forward_request *params,
                       int64_t now_ms)
 {
-  const struct beryl_route_organisation *organisation = NULL;
+  const struct beryl_route_organisation *organisation;
   const struct beryl_route *route;
   struct request *r;
 
-  if (f->routes == NULL)
+  if (!knows_configuration (f, params->handoff))
     {
       refuse_at_once (f, params, 503, BERYL_REFUSAL_NO_CONFIGURATION);
       return;
     }
   route = beryl_routes_find (f->routes, params->host, params->path);
-  if (params->key != NULL)
-    organisation = beryl_routes_authenticate (f->routes, params->key);
+  organisation = find_organisation (f, params);
   /* Before the route is known to exist: a caller without a key must not find
      out which routes there are. */
   if (f->routes->authenticates && organisation == NULL
@@ -349,14 +390,17 @@
       && beryl_quarantine_is_suspect (f->quarantine,
                                       forward_request_fingerprint (f, r)))
     crashes_mark_suspect (f, r, now_ms);
-  forward_request_count_arrival (f, r->service, now_ms);
+  count_from_caller (f, r, now_ms);
   if (r->deadline_ms <= now_ms)
     forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
   else if (!can_end_in_time (f, r, now_ms))
     forward_request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
                             STOPPING_RETRY_AFTER_MS, now_ms);
-  else if (crashes_refuse (f, r, now_ms) || quota_refuse (f, r, now_ms))
+  else if (crashes_refuse (f, r, now_ms) || quota_refuse (f, r, now_ms)
+           || handoff_if_lost (f, r, now_ms))
     return;
+  else if (r->handed_over && f->contact.state == CONTACT_LOST)
+    forward_request_fail (f, r, BERYL_REFUSAL_NO_ENDPOINT, now_ms);
   else if (forward_request_is_generation (r))
     generation_start (f, r, now_ms);
   else
@@ -426,9 +470,14 @@
 
   if (x == NULL || x->request == NULL)
     return;
-  contact_answered (f, x, now_ms);
   x->has_head = true;
   x->head = *head;
+  if (x->kind == BERYL_EXCHANGE_HANDOFF)
+    {
+      handoff_answer_head (f, x, now_ms);
+      return;
+    }
+  contact_answered (f, x, now_ms);
   answer_head (f, x, now_ms);
 }
 
@@ -479,6 +528,13 @@
 
   if (x == NULL)
     return;
+  if (x->kind == BERYL_EXCHANGE_HANDOFF)
+    {
+      beryl_live_record_outcome (x->endpoint, BERYL_LIVE_TIMED_OUT,
+                                 now_ms - x->started_ms, now_ms);
+      answer_interrupted (f, x, how, sent, now_ms);
+      return;
+    }
   not_working
       = how == BERYL_FAILURE_CONNECT || prefill_broke_early (x, now_ms);
   if (not_working)
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -283,7 +283,8 @@
       move_failed (f, r, sent, now_ms);
       return;
     case BERYL_EXCHANGE_RESERVE:
-      placement_ask_failed (f, r, now_ms);
+      if (!handoff_if_doubted (f, r, now_ms))
+        placement_ask_failed (f, r, now_ms);
       return;
     case BERYL_EXCHANGE_RUN:
       run_failed (f, r, now_ms);
@@ -342,6 +343,7 @@
       return;
     case PHASE_RESERVING:
     case PHASE_PREFILLING:
+    case PHASE_HANDED_OFF:
       r->timer_ms = r->deadline_ms;
       return;
     }
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -414,6 +414,17 @@
   return !was_avoided;
 }
 
+void
+beryl_live_forget_failures (struct beryl_live_endpoint *endpoint)
+{
+  endpoint->failure_rate = 0;
+  endpoint->consecutive_failures = 0;
+  endpoint->last_failure_ms = 0;
+  endpoint->avoid_until_ms = 0;
+  endpoint->unreachable_ms = 0;
+  endpoint->connect_failed_ms = 0;
+}
+
 /* Lapsed entries are kept because an outage of the list makes those of healthy
    endpoints lapse too. An endpoint that has also failed is taken for dead:
    while all other engines are full, requests that wait for memory would ask it
--- a/libberyl/forward/placement.c
+++ b/libberyl/forward/placement.c
@@ -187,6 +187,8 @@
   struct beryl_live_endpoint *endpoint = NULL;
   struct engine_capacity capacity = { 0 };
 
+  if (handoff_if_lost (f, r, now_ms))
+    return;
   if (prefill_would_be_late (f, r, now_ms))
     {
       placement_refuse_or_defer (f, r, now_ms);
@@ -242,6 +244,8 @@
 {
   if (now_ms < give_up_ms (r))
     placement_ask (f, r, now_ms);
+  else if (handoff_if_doubted (f, r, now_ms))
+    return;
   else if (r->answer_begun || r->may_have_run)
     forward_request_fail (f, r, BERYL_REFUSAL_NO_ROOM, now_ms);
   else
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -188,7 +188,7 @@
 
   if (r->primary != NULL) /* another send is still open */
     return;
-  if (crashes_refuse (f, r, now_ms))
+  if (crashes_refuse (f, r, now_ms) || handoff_if_doubted (f, r, now_ms))
     return;
   if (r->may_have_run
       && (!forward_request_is_repeatable (r)
@@ -214,7 +214,8 @@
 
   r->timer_ms = r->deadline_ms;
   if (r->primary == NULL || r->primary->has_head || r->secondary != NULL
-      || crashes_is_quarantined (f, r, now_ms))
+      || crashes_is_quarantined (f, r, now_ms)
+      || handoff_if_lost (f, r, now_ms))
     return;
   endpoint = plain_choose (f, r, now_ms);
   if (endpoint == NULL || beryl_live_avoided (endpoint, now_ms)
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -48,6 +48,8 @@
                          answered; 0: none */
   int64_t round_ms;   /**< when the next round of dials is due, while lost */
   uint32_t dials_open;
+  bool handoff_due; /**< the loss was noticed, open requests are not yet handed
+                       over */
 };
 
 /** State of a service. */
@@ -104,7 +106,8 @@
   PHASE_WAITING,   /**< waits until it asks an engine for memory again */
   PHASE_RESERVING, /**< a decode engine was asked for a reservation */
   PHASE_PREFILLING,
-  PHASE_RUNNING, /**< the request was sent to an endpoint */
+  PHASE_RUNNING,    /**< the request was sent to an endpoint */
+  PHASE_HANDED_OFF, /**< the request was sent to a peer */
 };
 
 /** A generation's memory at a decode engine. */
@@ -154,6 +157,8 @@
   uint32_t plain_sends;       /**< times a plain request was sent */
   uint32_t endpoints_run_count; /**< endpoints that may have run it */
   bool may_have_run;
+  bool handed_over;          /**< a peer has handed it over to this node */
+  uint32_t handoffs;         /**< peers that this node has handed it over to */
   uint64_t fingerprint;      /**< of its content; 0 if not computed yet */
   uint64_t tried[TRIED_MAX]; /**< hashes of endpoint ids */
   uint32_t tried_count;
@@ -222,7 +227,8 @@
   int64_t next_balance_ms; /**< next check of the engines' memory */
   int64_t stop_ms;         /**< planned stop; BERYL_NEVER_MS if none */
   struct contact contact;
-  struct run_table run_table; /**< runs of the other nodes at engines */
+  struct beryl_live_set *peers; /**< that requests may be handed over to */
+  struct run_table run_table;   /**< runs of the other nodes at engines */
   struct prompt_locations prompt_locations; /**< where prompts ran recently */
   struct beryl_budget_transfers pending_loans; /**< granted, not sent yet */
   uint32_t last_loan_serial;
@@ -280,6 +286,28 @@
 void contact_tick (struct beryl_forward *f, int64_t now_ms);
 int64_t contact_next_ms (const struct beryl_forward *f);
 
+/* handoff.c */
+/** Hand R over to a peer; return false if it may not be, or if there is no
+ * peer. */
+bool handoff_start (struct beryl_forward *f, struct request *r,
+                    int64_t now_ms);
+/** Do so if no endpoint can be reached. */
+bool handoff_if_lost (struct beryl_forward *f, struct request *r,
+                      int64_t now_ms);
+/** Do so if some endpoints cannot be reached, and it is not known yet whether
+ * others can. */
+bool handoff_if_doubted (struct beryl_forward *f, struct request *r,
+                         int64_t now_ms);
+/** Hand over the open requests that have no answer yet. */
+void handoff_all (struct beryl_forward *f, int64_t now_ms);
+/** The head of the answer to X, a handoff, has arrived. */
+void handoff_answer_head (struct beryl_forward *f, struct exchange *x,
+                          int64_t now_ms);
+/** R's handoff ended early. MAY_RUN: it was sent, so that it may run, and no
+ * answer to it had begun. */
+void handoff_interrupted (struct beryl_forward *f, struct request *r,
+                          bool may_run, int64_t now_ms);
+
 /* crashes.c */
 void crashes_init (struct beryl_forward *f);
 /** R's run at ENDPOINT ended in a reset or closed connection. */
--- a/libberyl/forward/quota.c
+++ b/libberyl/forward/quota.c
@@ -37,7 +37,9 @@
   const struct beryl_route_organisation *organisation = r->organisation;
   uint32_t cost;
 
-  if (organisation == NULL)
+  /* The node that the caller asked has counted a request that was handed
+     over. */
+  if (organisation == NULL || r->handed_over)
     return false;
   cost = beryl_quota_cost (&organisation->quota,
                            (uint64_t)r->params.prompt_tokens
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -89,14 +89,20 @@
   forward_request_free (f, r);
 }
 
+static bool
+may_run (const struct exchange *x)
+{
+  return x != NULL
+         && (x->kind == BERYL_EXCHANGE_RUN
+             || x->kind == BERYL_EXCHANGE_HANDOFF);
+}
+
 /* An open run may have reached its endpoint and may be in progress there,
    whether or not it was answered, so "not run" can no longer be claimed. */
 static bool
 may_have_run_with_open (const struct request *r)
 {
-  return r->may_have_run
-         || (r->primary != NULL && r->primary->kind == BERYL_EXCHANGE_RUN)
-         || (r->secondary != NULL && r->secondary->kind == BERYL_EXCHANGE_RUN);
+  return r->may_have_run || may_run (r->primary) || may_run (r->secondary);
 }
 
 static bool
@@ -141,6 +147,9 @@
       refusal.retry_after_ms = 0;
     }
   refusal.not_run = promises_not_run (refusal.status);
+  refusal.declined = r->handed_over && refusal.not_run
+                     && (reason == BERYL_REFUSAL_STOPPING
+                         || reason == BERYL_REFUSAL_NO_ENDPOINT);
   forward_request_log (f, r, "refuse", NULL, beryl_refusal_name (reason),
                        refusal.retry_after_ms, now_ms);
   /* Open exchanges are closed first, so that "not run" stays true. */
@@ -284,6 +293,12 @@
   r->routes = beryl_routes_ref (f->routes);
   r->route = route;
   r->organisation = organisation;
+  if (params->handoff != NULL)
+    {
+      r->handed_over = true;
+      r->endpoints_run_count = params->handoff->endpoints_run;
+    }
+  r->params.handoff = NULL;
   r->config = beryl_routes_choose (f->routes, route, random_value);
   r->service = forward_service (f, r->config->name);
   r->deadline_ms = params->deadline_ms;
--- a/libberyl/routes/organisations.c
+++ b/libberyl/routes/organisations.c
@@ -147,3 +147,13 @@
                    sizeof *routes->keys, compare_digests);
   return found != NULL ? &routes->organisations[found->organisation] : NULL;
 }
+
+const struct beryl_route_organisation *
+beryl_routes_find_organisation (const struct beryl_routes *routes,
+                                const char *name)
+{
+  for (size_t i = 0; i < routes->organisation_count; i++)
+    if (strcmp (routes->organisations[i].name, name) == 0)
+      return &routes->organisations[i];
+  return NULL;
+}
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -3,6 +3,8 @@
 #include <check.h>
 #include <string.h>
 
+#define CONNECT_TIMEOUT_MS 150
+
 static struct fx *
 fx_of (struct beryl_forward_owner *owner)
 {
@@ -49,6 +51,8 @@
   if (run)
     copy (x->handle, sizeof x->handle, start->reservation);
   copy (x->kv_handle, sizeof x->kv_handle, start->kv_handle);
+  copy (x->organisation, sizeof x->organisation, start->organisation);
+  x->handoff = start->handoff;
   if (start->target != NULL)
     copy (x->target, sizeof x->target, start->target->info.id);
   ck_assert_ptr_null (find (fx, x->id));
@@ -429,6 +433,15 @@
   beryl_forward_answer_head (fx->forward, x->id, &head, fx->now_ms);
 }
 
+void
+fx_declined (struct fx *fx, struct fx_exchange *x)
+{
+  struct beryl_answer_head head = { .status = 503, .declined = true };
+
+  ck_assert (x->open);
+  beryl_forward_answer_head (fx->forward, x->id, &head, fx->now_ms);
+}
+
 void
 fx_not_run (struct fx *fx, struct fx_exchange *x, unsigned int status)
 {
@@ -552,3 +565,27 @@
   ck_assert_ptr_nonnull (live);
   return live;
 }
+
+static bool
+is_connecting (const struct fx *fx, const struct fx_exchange *x)
+{
+  return x->open && x->id != fx->connected
+         && x->kind != BERYL_EXCHANGE_HANDOFF;
+}
+
+void
+fx_fail_connections (struct fx *fx, int64_t ms)
+{
+  for (int64_t end_ms = fx->now_ms + ms; fx->now_ms < end_ms;)
+    {
+      fx_pass (fx, 10);
+      for (guint i = 0; i < fx->exchanges->len; i++)
+        {
+          struct fx_exchange *x = g_ptr_array_index (fx->exchanges, i);
+
+          if (is_connecting (fx, x)
+              && fx->now_ms - x->started_ms >= CONNECT_TIMEOUT_MS)
+            fx_broken (fx, x, BERYL_FAILURE_CONNECT, false);
+        }
+    }
+}
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -32,6 +32,8 @@
   bool aborted;
   bool paused;
   int64_t started_ms;
+  struct beryl_handoff handoff;
+  char organisation[BERYL_NAME_BYTES];
 };
 
 /** What a caller has received. */
@@ -54,7 +56,8 @@
   int64_t now_ms;
   GPtrArray *exchanges; /**< struct fx_exchange, in order */
   struct fx_answer answers[FX_REQUESTS_MAX];
-  GString *log; /**< the steps, each as "step:outcome " */
+  GString *log;       /**< the steps, each as "step:outcome " */
+  uint64_t connected; /**< exchange spared by fx_fail_connections; 0: none */
   /** Returns the fingerprint of a request; NULL if unknown. */
   uint64_t (*fingerprint) (uint64_t request);
   /** Called when an exchange starts; may be NULL. */
@@ -97,6 +100,9 @@
 /** Advance the clock by MS and run every tick that is due. */
 void fx_pass (struct fx *fx, int64_t ms);
 
+/** Advance the clock by MS; connections to endpoints fail after 150 ms. */
+void fx_fail_connections (struct fx *fx, int64_t ms);
+
 /** Return the newest exchange of KIND; fails if there is none. */
 struct fx_exchange *fx_last (struct fx *fx, enum beryl_exchange_kind kind);
 /** Return the newest open exchange of KIND for REQUEST, or NULL. */
@@ -108,6 +114,8 @@
 void fx_head (struct fx *fx, struct fx_exchange *x, unsigned int status);
 /** Answer with the head of an event stream. */
 void fx_stream (struct fx *fx, struct fx_exchange *x);
+/** Answer as a peer that does not take a handoff. */
+void fx_declined (struct fx *fx, struct fx_exchange *x);
 /** Answer that the endpoint did not run the request. */
 void fx_not_run (struct fx *fx, struct fx_exchange *x, unsigned int status);
 void fx_data (struct fx *fx, struct fx_exchange *x, const char *text);
--- a/tests/forward/test_contact.c
+++ b/tests/forward/test_contact.c
@@ -11,14 +11,12 @@
 #define CONNECT_MS 150
 
 static struct fx fx;
-static uint64_t connected; /* exchange whose connection was opened before */
 
 static void
 setup (void)
 {
   struct fx_terms terms = fx_plain_terms ();
 
-  connected = 0;
   fx_open (&fx, &terms);
   for (size_t i = 0; i < ENDPOINTS; i++)
     {
@@ -44,30 +42,6 @@
   return count;
 }
 
-static bool
-is_connecting (const struct fx_exchange *x)
-{
-  return x->open && x->id != connected
-         && (x->kind == BERYL_EXCHANGE_RUN || x->kind == BERYL_EXCHANGE_DIAL);
-}
-
-/* Fails every connection attempt that is open for CONNECT_MS, for MS. */
-static void
-pass_without_endpoints (int64_t ms)
-{
-  for (int64_t end_ms = fx.now_ms + ms; fx.now_ms < end_ms;)
-    {
-      fx_pass (&fx, 10);
-      for (guint i = 0; i < fx.exchanges->len; i++)
-        {
-          struct fx_exchange *x = g_ptr_array_index (fx.exchanges, i);
-
-          if (is_connecting (x) && fx.now_ms - x->started_ms >= CONNECT_MS)
-            fx_broken (&fx, x, BERYL_FAILURE_CONNECT, false);
-        }
-    }
-}
-
 static void
 answer_dials (void)
 {
@@ -81,7 +55,7 @@
 lose_endpoints (void)
 {
   fx_arrive (&fx, 1);
-  pass_without_endpoints (DETECTION_MS);
+  fx_fail_connections (&fx, DETECTION_MS);
   ck_assert (!beryl_forward_reaches_endpoints (fx.forward));
 }
 
@@ -90,7 +64,7 @@
 START_TEST (test_endpoints_lost)
 {
   lose_endpoints ();
-  pass_without_endpoints (3 * DETECTION_MS);
+  fx_fail_connections (&fx, 3 * DETECTION_MS);
   ck_assert (!beryl_forward_reaches_endpoints (fx.forward));
   fx_pass (&fx, DETECTION_MS);
   answer_dials ();
@@ -168,7 +142,7 @@
 
   fx_arrive (&fx, 2);
   x = fx_last (&fx, BERYL_EXCHANGE_RUN);
-  connected = x->id;
+  fx.connected = x->id;
   fx_head (&fx, x, 200);
   lose_endpoints ();
   fx_data (&fx, x, "late");
--- a/tests/gateway/test_handoff.c
+++ b/tests/gateway/test_handoff.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "../suite.h"
+#include "demo.h"
 #include "testbed.h"
 
 #define NODES 3
@@ -78,6 +79,103 @@
 }
 END_TEST
 
+static void
+lose_endpoints (size_t node)
+{
+  standin_link_cut (t.links[node], STANDIN_CUT_HANGS);
+  count_served (node);
+}
+
+/* Guards against a node that needs longer than CONTACT_MS until it serves
+ * callers again. */
+START_TEST (test_served_in_time)
+{
+  int64_t cut_ms = loop_now_ms (t.loop);
+  struct testbed_response *response;
+
+  standin_link_cut (t.links[0], cuts[_i]);
+  do
+    {
+      response = testbed_get (&t, 0, "a.example", "/once/x", "");
+      testbed_wait (&t, response);
+    }
+  while (response->status != 200);
+  ck_assert_int_lt (response->end_ms - cut_ms, CONTACT_MS);
+}
+END_TEST
+
+/* Guards against a caller whose key is passed to a peer or an endpoint, and
+ * against one that claims to be another organisation. */
+START_TEST (test_organisations)
+{
+  json_t *json = demo_configuration (++t.configuration_version, "plain", NULL);
+  struct testbed_response *response;
+
+  json_object_set_new (json, "tenants",
+                       json_pack ("[{s:s, s:[s]}]", "name", "first",
+                                  "api_keys", "key-of-first"));
+  standin_put (t.standin, "config", "main", json);
+  lose_endpoints (0);
+  for (size_t i = 0; i < 6; i++)
+    {
+      response = testbed_get (&t, 0, "a.example", "/x",
+                              "Authorization: Bearer key-of-first\r\n"
+                              "X-Tenant: second\r\n");
+      testbed_wait (&t, response);
+      ck_assert_uint_eq (response->status, 200);
+    }
+  ck_assert_uint_ge (standin_organisation_runs (t.standin, "first"), 6);
+  ck_assert_uint_eq (standin_organisation_runs (t.standin, "second"), 0);
+  ck_assert_uint_eq (standin_key_leaks (t.standin), 0);
+  for (size_t i = 0; i < NODES; i++)
+    {
+      response = testbed_get (&t, i, "a.example", "/x",
+                              "Beryl-Handoff: 0 0 00 first\r\n");
+      testbed_wait (&t, response);
+      ck_assert_uint_eq (response->status, 401);
+    }
+}
+END_TEST
+
+static bool
+endpoints_idle (struct testbed *testbed)
+{
+  return standin_runner_active_count (testbed_busiest_endpoint (testbed)) == 0;
+}
+
+static bool
+endpoints_busy (struct testbed *testbed)
+{
+  return !endpoints_idle (testbed);
+}
+
+/* Guards against work for a caller that has left the node which handed its
+ * request over. */
+START_TEST (test_caller_leaves)
+{
+  struct testbed_response *response;
+
+  lose_endpoints (0);
+  ck_assert (testbed_run_until (&t, endpoints_idle, 2000));
+  response = testbed_generate (&t, 0, 1000, 5000);
+  ck_assert (testbed_run_until (&t, endpoints_busy, 1000));
+  testbed_disconnect (&t, response);
+  ck_assert (testbed_run_until (&t, endpoints_idle, 500));
+}
+END_TEST
+
+/* Guards against callers that are refused while the only peer which reaches
+ * endpoints is restarted. */
+START_TEST (test_helper_restarts)
+{
+  lose_endpoints (0);
+  gateway_stop (t.nodes[1]);
+  ck_assert_uint_eq (count_served (0), REQUESTS);
+  testbed_kill_node (&t, 1);
+  ck_assert_uint_eq (count_served (0), REQUESTS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -87,6 +185,10 @@
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, test_served_without_endpoints, 0, CUT_MODES);
+  tcase_add_loop_test (tcase, test_served_in_time, 0, CUT_MODES);
+  tcase_add_test (tcase, test_organisations);
+  tcase_add_test (tcase, test_caller_leaves);
+  tcase_add_test (tcase, test_helper_restarts);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -19,6 +19,7 @@
   FIELD_LOANS,
   FIELD_PROFILES,
   FIELD_QUOTAS,
+  FIELD_ENDPOINTS_LOST,
 };
 
 /* So is a profile. */
@@ -149,6 +150,8 @@
   put_transfers (writer, FIELD_LOANS, &message->loans);
   put_profiles (writer, &message->profiles);
   put_quotas (writer, &message->quotas);
+  if (message->endpoints_lost)
+    frame_put_uint (writer, FIELD_ENDPOINTS_LOST, 1);
 }
 
 /* The runs that come first are the ones to be told. */
@@ -292,5 +295,6 @@
   read_transfers (frame, map, FIELD_LOANS, &message->loans);
   read_profiles (frame, map, &message->profiles);
   read_quotas (frame, map, &message->quotas);
+  message->endpoints_lost = frame_uint (map, FIELD_ENDPOINTS_LOST, 0) != 0;
   return frame_valid (frame);
 }
