A failed connection counts against an endpoint only if others are reached

In simulation: a request whose run broke off at a node that then lost its endpoints was put into quarantine as one that crashes engines.

Cause: each failed connection was taken for the endpoint's fault.

Change: an endpoint is reported as unreachable, or counts as ended, once an exchange that began later than the failed one was answered. Where an endpoint was dialled since runs broke off there, another one is dialled too, as no other exchange may follow.

--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -70,6 +70,9 @@
   int64_t replaced_ms;
   int64_t unreachable_ms; /**< last failed connection attempt of this node; 0:
                              none since an answer */
+  int64_t unreachable_begun_ms; /**< start of that attempt */
+  bool end_unconfirmed;      /**< a connection failed, which may be this node's
+                                fault */
   int64_t connect_failed_ms; /**< start of the last failed connection attempt;
                                 0: none since an answer */
   int64_t answered_ms;       /**< last answer to this node; 0: none */
--- a/libberyl/forward/contact.c
+++ b/libberyl/forward/contact.c
@@ -15,6 +15,9 @@
    take its own delays for lost endpoints. */
 #define DIAL_TIMEOUT_MS 400
 #define ROUND_INTERVAL_MS 400
+/* How long after a failed connection another one may show that the endpoint
+   was the cause. */
+#define CONFIRM_MAX_MS 1000
 
 static bool
 is_known (const struct beryl_live_endpoint *endpoint)
@@ -141,13 +144,49 @@
   f->contact.dials_open--;
 }
 
+bool
+contact_since (const struct beryl_forward *f, int64_t begun_ms)
+{
+  return f->contact.reached_ms >= begun_ms;
+}
+
+/* Concludes from the endpoints that were reached which others have ended. What
+   failed long before may have been during a short partition. */
+static void
+confirm_ends (struct beryl_forward *f, int64_t now_ms)
+{
+  if (!f->contact.ends_unconfirmed)
+    return;
+  f->contact.ends_unconfirmed = false;
+  f->report_due = true;
+  for (size_t i = 0; i < beryl_live_set_count (f->endpoints); i++)
+    {
+      struct beryl_live_endpoint *endpoint
+          = beryl_live_set_get (f->endpoints, i);
+
+      if (!endpoint->end_unconfirmed)
+        continue;
+      endpoint->end_unconfirmed
+          = !contact_since (f, endpoint->connect_failed_ms);
+      if (endpoint->end_unconfirmed)
+        f->contact.ends_unconfirmed = true;
+      else if (f->contact.reached_ms
+               < endpoint->connect_failed_ms + CONFIRM_MAX_MS)
+        crashes_endpoint_ended (f, endpoint, now_ms);
+    }
+}
+
 void
 contact_failed (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
 {
   struct contact *c = &f->contact;
+  bool may_have_crashed = x->kind == BERYL_EXCHANGE_DIAL && !x->contact_dial;
 
   end_dial (f, x);
   x->endpoint->connect_failed_ms = x->started_ms;
+  x->endpoint->end_unconfirmed = true;
+  c->ends_unconfirmed = true;
+  confirm_ends (f, now_ms);
   if (c->state == CONTACT_OK && is_doubtful (f))
     {
       set_state (f, CONTACT_DOUBTED, now_ms);
@@ -155,6 +194,9 @@
     }
   else if (c->state == CONTACT_DOUBTED && c->dials_open == 0)
     set_state (f, is_doubtful (f) ? CONTACT_LOST : CONTACT_OK, now_ms);
+  /* There may be no other exchange soon that would show the cause. */
+  if (may_have_crashed && x->endpoint->end_unconfirmed && c->dials_open == 0)
+    dial_some (f, false, 1, now_ms);
 }
 
 /* A connection that was opened earlier may outlive a partition, so only
@@ -166,11 +208,13 @@
 
   end_dial (f, x);
   x->endpoint->connect_failed_ms = 0;
+  x->endpoint->end_unconfirmed = false;
   if (x->started_ms > c->reached_ms)
     c->reached_ms = x->started_ms;
   if (c->state == CONTACT_LOST ? x->started_ms >= c->since_ms
                                : !is_doubtful (f))
     set_state (f, CONTACT_OK, now_ms);
+  confirm_ends (f, now_ms);
 }
 
 bool
--- a/libberyl/forward/endpoint_reports.c
+++ b/libberyl/forward/endpoint_reports.c
@@ -49,14 +49,26 @@
 }
 
 void
-endpoint_report_unreachable (struct beryl_forward *f,
-                             struct beryl_live_endpoint *endpoint,
+endpoint_report_unreachable (struct beryl_forward *f, const struct exchange *x,
                              int64_t now_ms)
 {
-  beryl_live_mark_unreachable (endpoint, now_ms);
+  beryl_live_mark_unreachable (x->endpoint, now_ms);
+  x->endpoint->unreachable_begun_ms = x->started_ms;
   f->report_due = true;
 }
 
+/* A node that may have lost the connection to all endpoints has nothing to say
+   of any: two such nodes would make all others avoid sound endpoints. */
+static bool
+is_known_unreachable (const struct beryl_forward *f,
+                      const struct beryl_live_endpoint *endpoint,
+                      int64_t now_ms)
+{
+  return endpoint->unreachable_ms != 0
+         && now_ms - endpoint->unreachable_ms < UNREACHABLE_REPORT_MS
+         && contact_since (f, endpoint->unreachable_begun_ms);
+}
+
 void
 beryl_forward_endpoint_reports (const struct beryl_forward *f,
                                 struct beryl_endpoint_updates *reports,
@@ -76,7 +88,7 @@
           if (now_ms - endpoint->replaced_ms < REPLACED_REPORT_MS)
             beryl_endpoint_set_add (&reports->replaced, hash);
         }
-      else if (now_ms - endpoint->unreachable_ms < UNREACHABLE_REPORT_MS)
+      else if (is_known_unreachable (f, endpoint, now_ms))
         beryl_endpoint_set_add (&reports->unreachable, hash);
     }
 }
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -538,12 +538,9 @@
   not_working
       = how == BERYL_FAILURE_CONNECT || prefill_broke_early (x, now_ms);
   if (not_working)
-    endpoint_report_unreachable (f, x->endpoint, now_ms);
+    endpoint_report_unreachable (f, x, now_ms);
   if (how == BERYL_FAILURE_CONNECT)
-    {
-      contact_failed (f, x, now_ms);
-      crashes_endpoint_ended (f, x->endpoint, now_ms);
-    }
+    contact_failed (f, x, now_ms);
   /* A failed connection counts as a time-out, even if it was refused. */
   beryl_live_record_outcome (
       x->endpoint, not_working ? BERYL_LIVE_TIMED_OUT : BERYL_LIVE_BROKEN,
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -422,6 +422,7 @@
   endpoint->last_failure_ms = 0;
   endpoint->avoid_until_ms = 0;
   endpoint->unreachable_ms = 0;
+  endpoint->end_unconfirmed = false;
   endpoint->connect_failed_ms = 0;
 }
 
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -48,6 +48,7 @@
                          answered; 0: none */
   int64_t round_ms;   /**< when the next round of dials is due, while lost */
   uint32_t dials_open;
+  bool ends_unconfirmed; /**< of some endpoints, see contact_failed */
   bool handoff_due; /**< the loss was noticed, open requests are not yet handed
                        over */
 };
@@ -271,18 +272,22 @@
 void endpoint_report_replaced (struct beryl_forward *f,
                                struct beryl_live_endpoint *endpoint,
                                int64_t now_ms);
-/** ENDPOINT did not accept a connection, or broke off a prefill at once. */
+/** The endpoint of X did not accept a connection, or broke off a prefill at
+ * once. */
 void endpoint_report_unreachable (struct beryl_forward *f,
-                                  struct beryl_live_endpoint *endpoint,
-                                  int64_t now_ms);
+                                  const struct exchange *x, int64_t now_ms);
 
 /* contact.c */
-/** The connection attempt of X failed. */
+/** The connection attempt of X failed. Its endpoint counts as ended once an
+ * exchange that began later was answered: until then the fault may be this
+ * node's. */
 void contact_failed (struct beryl_forward *f, struct exchange *x,
                      int64_t now_ms);
 /** X was answered by its endpoint. */
 void contact_answered (struct beryl_forward *f, struct exchange *x,
                        int64_t now_ms);
+/** Return whether an exchange that began at BEGUN_MS or later was answered. */
+bool contact_since (const struct beryl_forward *f, int64_t begun_ms);
 void contact_tick (struct beryl_forward *f, int64_t now_ms);
 int64_t contact_next_ms (const struct beryl_forward *f);
 
--- a/tests/forward/test_crashes.c
+++ b/tests/forward/test_crashes.c
@@ -136,6 +136,30 @@
 }
 END_TEST
 
+/* Guards against requests that are put into quarantine because their node has
+ * lost its endpoints, and not one endpoint has crashed. */
+START_TEST (test_node_loses_engines)
+{
+  more_engines (4);
+  for (uint64_t i = 0; i < 6; i++)
+    {
+      struct fx_exchange *x;
+
+      fx_arrive (&fx, CULPRIT + i);
+      x = fx_to_run (&fx, CULPRIT + i);
+      fx_pass (&fx, 10);
+      fx_broken (&fx, x, BERYL_FAILURE_RESET, true);
+      fx_fail_connections (&fx, 3000);
+      ck_assert (!beryl_forward_reaches_endpoints (fx.forward));
+      while ((x = fx_open_of (&fx, 0, BERYL_EXCHANGE_DIAL)) != NULL)
+        fx_ok (&fx, x, "");
+      fx_pass (&fx, 2000);
+    }
+  ck_assert_uint_eq (
+      beryl_quarantine_count (beryl_forward_quarantine (fx.forward)), 0);
+}
+END_TEST
+
 /* Guards against a broken connection to a live engine being counted as a
    crash. */
 START_TEST (test_broken_connection_is_no_crash)
@@ -278,6 +302,7 @@
   TCase *tcase = tcase_create ("crashes");
 
   tcase_add_checked_fixture (tcase, setup, model_teardown);
+  tcase_add_test (tcase, test_node_loses_engines);
   tcase_add_test (tcase, test_fourth_engine);
   tcase_add_test (tcase, test_not_run_is_true);
   tcase_add_test (tcase, test_open_requests);
