Directory: nodes that have lost all endpoints are not listed

Callers were still sent to nodes that reached no endpoint, where each request takes one more step. They are left out of the list of addresses unless all nodes have lost them; their readiness does not change, since they serve.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -257,6 +257,10 @@
 forward_contact_changed (struct beryl_forward_owner *owner, bool lost,
                          int64_t lasted_ms)
 {
+  struct gateway *g = gateway_from_forward (owner);
+
+  if (g->members != NULL)
+    members_set_reaches_endpoints (g->members, !lost);
   if (lost)
     g_warning (
         "endpoints lost: none can be reached after_ms=%" G_GINT64_FORMAT,
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -43,12 +43,14 @@
   uint64_t configuration_revision;      /* of this node's configuration */
   char key[DATAGRAM_KEY_MAX_BYTES + 1]; /* "" until known */
   uint32_t count;                       /* nodes that are not dead */
+  bool endpoints_lost;                  /* this node can connect to none */
   uint32_t possible_count; /* not dead or on record; 0 until listed */
 };
 
 /* The last announcement of a peer. */
 struct announcement
 {
+  bool endpoints_lost;
   uint64_t incarnation;
   uint64_t sequence;
   int64_t heard_ms;
@@ -244,6 +246,7 @@
   last->incarnation = message.incarnation;
   last->sequence = message.sequence;
   last->heard_ms = now_ms (m);
+  last->endpoints_lost = message.endpoints_lost;
   m->owner->impl->loads_received (m->owner, &message);
 }
 
@@ -583,8 +586,21 @@
                 <= SILENT_INTERVALS * members_announce_interval_ms (m);
 }
 
+static bool
+reaches_endpoints (const struct members *m, const struct beryl_member *member)
+{
+  const struct announcement *last
+      = g_hash_table_lookup (m->announcements, member->name);
+
+  if (strcmp (member->name, m->settings->node) == 0)
+    return !m->endpoints_lost;
+  return last != NULL && !last->endpoints_lost;
+}
+
+/* Appends the nodes of DATA_CENTRE (NULL: all) that accept callers, with or
+ * without those that have lost all endpoints. */
 static void
-append_addresses (struct members *m, const char *data_centre,
+append_addresses (struct members *m, const char *data_centre, bool with_lost,
                   GPtrArray *addresses)
 {
   for (size_t i = 0; i < beryl_membership_count (m->table); i++)
@@ -592,6 +608,7 @@
       const struct beryl_member *member = beryl_membership_get (m->table, i);
 
       if (accepts_callers (m, member)
+          && (with_lost || reaches_endpoints (m, member))
           && (data_centre == NULL
               || strcmp (member->data_centre, data_centre) == 0))
         g_ptr_array_add (addresses, g_strdup_printf ("%s:%u", member->address,
@@ -609,11 +626,19 @@
 {
   if (m->table == NULL)
     return;
-  append_addresses (m, data_centre, addresses);
+  append_addresses (m, data_centre, false, addresses);
   if (addresses->len >= LOCAL_NODES_MIN)
     return;
   g_ptr_array_set_size (addresses, 0);
-  append_addresses (m, NULL, addresses);
+  append_addresses (m, NULL, false, addresses);
+  if (addresses->len == 0)
+    append_addresses (m, NULL, true, addresses);
+}
+
+void
+members_set_reaches_endpoints (struct members *m, bool reaches)
+{
+  m->endpoints_lost = !reaches;
 }
 
 bool
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -130,8 +130,12 @@
 void members_set_configuration (struct members *members, uint64_t revision,
                                 const char *value, size_t value_bytes);
 
+/** Set whether this node can connect to endpoints. */
+void members_set_reaches_endpoints (struct members *members, bool reaches);
+
 /** Append the addresses of the nodes that accept callers, as g_malloc'd
- * "ip:port" strings: those of DATA_CENTRE, or all if it has fewer than two. */
+ * "ip:port" strings: those of DATA_CENTRE, or all if it has fewer than two.
+ * Nodes that have lost all endpoints are left out unless all have. */
 void members_append_addresses (struct members *members,
                                const char *data_centre, GPtrArray *addresses);
 
--- a/tests/gateway/test_handoff.c
+++ b/tests/gateway/test_handoff.c
@@ -104,6 +104,36 @@
 }
 END_TEST
 
+static bool
+lists_two (struct testbed *testbed)
+{
+  return testbed_listed_count (testbed, 0) == NODES - 1
+         && testbed_listed_count (testbed, 1) == NODES - 1;
+}
+
+static bool
+lists_all (struct testbed *testbed)
+{
+  return testbed_listed_count (testbed, 0) == NODES
+         && testbed_listed_count (testbed, 1) == NODES;
+}
+
+/* Guards against callers that are sent to a node which has lost its endpoints,
+ * and against an empty list where all nodes have. */
+START_TEST (test_listed_addresses)
+{
+  lose_endpoints (0);
+  ck_assert (testbed_run_until (&t, lists_two, CONTACT_MS));
+  for (size_t i = 1; i < NODES; i++)
+    lose_endpoints (i);
+  ck_assert (testbed_run_until (&t, lists_all, CONTACT_MS));
+  for (size_t i = 0; i < NODES; i++)
+    standin_link_cut (t.links[i], STANDIN_CUT_NONE);
+  testbed_run (&t, CONTACT_MS);
+  ck_assert (lists_all (&t));
+}
+END_TEST
+
 /* Guards against a caller whose key is passed to a peer or an endpoint, and
  * against one that claims to be another organisation. */
 START_TEST (test_organisations)
@@ -186,6 +216,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, test_served_without_endpoints, 0, CUT_MODES);
   tcase_add_loop_test (tcase, test_served_in_time, 0, CUT_MODES);
+  tcase_add_test (tcase, test_listed_addresses);
   tcase_add_test (tcase, test_organisations);
   tcase_add_test (tcase, test_caller_leaves);
   tcase_add_test (tcase, test_helper_restarts);
