Soak: nodes lose their links to all runners (profile cuts)

In this profile each node finds the runners at an address of its own, so that its links can be cut; the check RECOVER compares the first tries at nodes that are cut with those at the others.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,7 +46,7 @@
     p.add_argument("--minutes", type=float, help="fresh seeds for so long")
     p.add_argument("--profile", choices=sorted(faults.PROFILES),
                    help="kinds of faults; drawn from the seed without, "
-                   "from all but crashes and limits")
+                   "from all but crashes, limits and cuts")
     p.add_argument("--nodes", type=int, default=4)
     p.add_argument("--callers", type=int, default=10)
     p.add_argument("--trouble", type=float, default=10, metavar="S",
@@ -79,7 +79,8 @@
         profile = random.Random(seed).choice(faults.DRAWN)
     os.makedirs(o.out, exist_ok=True)
     directory = tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=o.out)
-    world = World(seed, o.build, directory, o.nodes, o.callers)
+    world = World(seed, o.build, directory, o.nodes, o.callers,
+                  profile in faults.LINKED)
     world.measures_memory = "sanitized" not in o.build
     world.profile = profile
     try:
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -18,6 +18,8 @@
 # A stream without an event for so long is given up.
 GAP_S = 2.5
 LATE_RETRY_S = 60
+# For all of a run, so that callers still come to nodes that are cut.
+KEPT_LONG_S = 60
 
 
 class Attempt:
@@ -133,6 +135,8 @@
                 continue
             self.addresses = found["addresses"]
             kept_s = found["ttl_s"] * self.rng.choice([1, 1, 3])
+            if self.world.linked:
+                kept_s = KEPT_LONG_S
             self.addresses_until = time.monotonic() + kept_s
             self.avoided.clear()
             return
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,10 @@
 CRASHES_MOST = 3
 LATE_CRASHES = 3
 LIMIT_WINDOW_S = 4.0
+# While a node has lost all runners, its first tries are served this often
+# compared with those at other nodes, or so few of them fail.
+CUT_PART = 2 / 3
+CUT_FAILED_MOST = 10
 # As the stand-in's operator configures them.
 ROUTE_TIMEOUT_S = 5.0
 # A stopping node may end what a runner still works on in this part of its time
@@ -260,6 +264,36 @@
                                f"troubles: {dict(ways)}")
 
 
+def first_tries(world, cut):
+    """The first tries during CUT, and whether each was served, at the nodes
+    that were cut and at the others."""
+    at_cut, elsewhere = [], []
+    for attempt in world.attempts.values():
+        if attempt.began < cut.began + CONTACT_S \
+                or attempt.began > cut.ended \
+                or not attempt.id.endswith("-0") or attempt.crashes() \
+                or attempt.outcome in ("left", None) \
+                or not world.in_touch(attempt.node, attempt.began):
+            continue
+        tries = at_cut if attempt.node in cut.nodes else elsewhere
+        tries.append(attempt.outcome == "whole")
+    return at_cut, elsewhere
+
+
+def cut_nodes(world):
+    """Callers of nodes that have lost all runners are served like others."""
+    for cut in world.cuts:
+        at_cut, elsewhere = first_tries(world, cut)
+        if not at_cut or not elsewhere:
+            continue
+        failed = len(at_cut) - sum(at_cut)
+        if sum(at_cut) / len(at_cut) < CUT_PART * sum(elsewhere) \
+                / len(elsewhere) and failed > CUT_FAILED_MOST + len(at_cut) / 50:
+            world.broke("RECOVER", f"nodes {sorted(cut.nodes)} without runners "
+                        f"served {sum(at_cut)} of {len(at_cut)} first tries, "
+                        f"the others {sum(elsewhere)} of {len(elsewhere)}")
+
+
 def processes(world):
     for node in world.nodes:
         for at, status, expected in node.ends:
@@ -296,6 +330,7 @@
     planned_work(world, record)
     configurations(world)
     recovery(world)
+    cut_nodes(world)
     processes(world)
     engine_memory(world, busy)
     return record
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,15 @@
                                         or self.ended >= began)
 
 
+class Cut:
+    """Which nodes had lost all runners, from when to when."""
+
+    def __init__(self, nodes):
+        self.nodes = nodes
+        self.began = time.monotonic()
+        self.ended = None
+
+
 async def node_kill(world, rng, for_s):
     node = rng.choice(world.nodes)
     node.restart_s = rng.uniform(0.1, for_s)
@@ -142,6 +151,29 @@
         proxy.delay_s = rng.uniform(0.02, 0.3)
 
 
+async def nodes_cut(world, rng, for_s):
+    """Some nodes, or all but one, lose their links to all runners, while
+    callers, the store and the other nodes still reach them."""
+    whole = [node for node in world.nodes if node.index not in world.cut]
+    if len(whole) < 2:
+        return
+    nodes = rng.sample(whole, rng.randint(1, len(whole) - 1))
+    how = rng.choice(["refuses", "resets", "hangs"])
+    indices = {node.index for node in nodes}
+    with world.disturbed([f"cut-{i}" for i in indices],
+                         f"links to all runners: {how}"):
+        world.cut |= indices
+        cut = Cut(indices)
+        world.cuts.append(cut)
+        for node in nodes:
+            world.platform.tell("cut", world.link(node), how)
+        await asyncio.sleep(CONTACT_S + 4.0 + for_s)
+        for node in nodes:
+            world.platform.tell("cut", world.link(node), "-")
+        cut.ended = time.monotonic()
+        world.cut -= indices
+
+
 async def store_down(world, rng, for_s):
     how = rng.choice(["silent", "refuses", "loses", "late"])
     lapses = rng.random() < 0.3
@@ -280,13 +312,19 @@
                 node_kill_many, runner_dies, store_down, configuration],
     "limits": [runner_limits, runner_limits, runner_limits, node_kill,
                node_stop, node_pause, runner_dies, configuration],
+    "cuts": [nodes_cut, nodes_cut, nodes_cut, node_kill, node_stop,
+             node_reload, runner_freezes, runner_dies, store_down,
+             configuration],
     "mixed": PLANNED + PROCESSES + LINKS + STORE + RUNNERS,
 }
 
 
 # A seed draws one of these; the others are asked for by name, so that seeds go
 # on to mean what they meant.
-DRAWN = sorted(set(PROFILES) - {"crashes", "limits"})
+DRAWN = sorted(set(PROFILES) - {"crashes", "limits", "cuts"})
+# In these each node finds the runners at an address of its own, so that its
+# links can be cut; there are no proxies before the runners.
+LINKED = {"cuts"}
 
 
 def schedule(rng, profile, span_s):
--- a/soak/world.py
+++ b/soak/world.py
@@ -65,8 +65,12 @@
 
 
 class World:
-    def __init__(self, seed, build, directory, nodes, callers):
+    def __init__(self, seed, build, directory, nodes, callers,
+                 linked=False):
         self.seed = seed
+        self.linked = linked     # nodes have links of their own to the runners
+        self.cuts = []           # faults.Cut
+        self.cut = set()         # indices of the nodes that are cut now
         self.rng = random.Random(seed)
         self.directory = directory
         self.terms = dict(TERMS)
@@ -131,8 +135,12 @@
 
     async def open(self):
         await self.platform.start()
-        for proxy in self.store_proxies:
-            proxy.target = ("127.0.0.1", self.platform.port)
+        for node, proxy in zip(self.nodes, self.store_proxies):
+            port = self.platform.port
+            if self.linked:
+                said = await self.platform.ask("link", self.link(node))
+                port = int(said.split()[2])
+            proxy.target = ("127.0.0.1", port)
         for node, proxy in zip(self.nodes, self.front_proxies):
             proxy.target = (node.address, PORTS["front"])
         for proxy in (self.store_proxies + self.front_proxies
@@ -147,6 +155,10 @@
             self.spawn(node.supervise())
         await asyncio.wait_for(self.all_known(), READY_S)
 
+    def link(self, node):
+        """The address at which NODE finds the runners."""
+        return f"{self.net}.{220 + node.index}"
+
     async def all_known(self):
         while True:
             try:
@@ -160,8 +172,9 @@
     async def start_runner(self, service, stage, proxy):
         name = f"{service[0]}{self.runner_count}"
         self.runner_count += 1
+        address = "-" if self.linked else f"{proxy.address}:{proxy.port}"
         said = await self.platform.ask("start", name, service, stage or "-",
-                                       f"{proxy.address}:{proxy.port}")
+                                       address)
         proxy.target = ("127.0.0.1", int(said.split()[2]))
         # Long enough that faults meet requests that run.
         self.platform.tell("work", name, self.rng.randint(5, 120))
--- a/tests/gateway/testbed.c
+++ b/tests/gateway/testbed.c
@@ -84,10 +84,11 @@
 testbed_link_node (struct testbed *t, size_t i)
 {
   struct beryl_error error = { 0 };
+  char address[32];
 
-  g_snprintf (t->link_ips[i], sizeof t->link_ips[i], "127.%d.%d.%zu",
+  g_snprintf (address, sizeof address, "127.%d.%d.%zu",
               1 + getpid () / 250 % 250, 1 + getpid () % 250, LINK_HOST + i);
-  t->links[i] = standin_link_create (t->standin, t->link_ips[i], &error);
+  t->links[i] = standin_link_create (t->standin, address, &error);
   ck_assert_msg (t->links[i] != NULL, "%s", error.message);
 }
 
@@ -124,8 +125,7 @@
   set_address (&settings.directory, t->ips[i], TESTBED_DIRECTORY_PORT);
   set_address (&settings.platform, "127.0.0.1", standin_port (t->standin));
   if (t->links[i] != NULL)
-    set_address (&settings.platform, t->link_ips[i],
-                 standin_link_port (t->links[i]));
+    settings.platform.port = standin_link_port (t->links[i]);
   t->nodes[i] = gateway_create (t->loop, t->http, platform_gateway_wire (),
                                 &settings, &error);
   ck_assert_msg (t->nodes[i] != NULL, "%s", error.message);
--- a/tests/gateway/testbed.h
+++ b/tests/gateway/testbed.h
@@ -45,7 +45,6 @@
   /** Links of a node to the endpoints; NULL: it shares those of the others.
    * Set by testbed_link_node. */
   struct standin_link *links[TESTBED_NODES_MAX];
-  char link_ips[TESTBED_NODES_MAX][32];
   GPtrArray *endpoints;
   uint64_t request_count;
   uint64_t configuration_version;
