--- a/tests/gateway/testbed.c
+++ b/tests/gateway/testbed.c
@@ -8,6 +8,8 @@
 #include "platform.h"
 
 #define WAIT_MS 10000
+/* Interval of testbed_send_for. */
+#define REQUEST_GAP_MS 15
 /* Last part of the address at which node 0 finds the endpoints, if it has
  * links of its own; those of other nodes follow. */
 #define LINK_HOST ((size_t)101)
@@ -396,3 +398,35 @@
       best = testbed_endpoint (t, i);
   return best;
 }
+
+/* Idempotent and at-most-once requests, and generations. */
+static void
+send_any (struct testbed *t, size_t i, size_t number)
+{
+  if (number % 2 == 1)
+    testbed_generate (t, i, 400, 100);
+  else
+    testbed_get (t, i, "a.example", number % 4 == 0 ? "/x" : "/once/x", "");
+}
+
+void
+testbed_send_for (struct testbed *t, size_t i, int64_t ms)
+{
+  int64_t end_ms = loop_now_ms (t->loop) + ms;
+
+  for (size_t number = 0; loop_now_ms (t->loop) < end_ms; number++)
+    {
+      send_any (t, i, number);
+      testbed_run (t, REQUEST_GAP_MS);
+    }
+}
+
+bool
+testbed_serves_within (struct testbed *t, size_t i, size_t endpoint,
+                       int64_t ms)
+{
+  uint32_t before = standin_runner_executions (testbed_endpoint (t, endpoint));
+
+  testbed_send_for (t, i, ms);
+  return standin_runner_executions (testbed_endpoint (t, endpoint)) > before;
+}
--- a/tests/gateway/testbed.h
+++ b/tests/gateway/testbed.h
@@ -89,6 +89,11 @@
 /** Send a GET to another port of node I and wait for the response. */
 struct testbed_response *testbed_query (struct testbed *t, size_t i,
                                         uint16_t port, const char *path);
+/** Send a mix of requests to node I for MS. */
+void testbed_send_for (struct testbed *t, size_t i, int64_t ms);
+/** Do so and return whether ENDPOINT has begun to run any. */
+bool testbed_serves_within (struct testbed *t, size_t i, size_t endpoint,
+                            int64_t ms);
 /** Close the caller's connection. */
 void testbed_disconnect (struct testbed *t, struct testbed_response *response);
 /** Run the loop until RESPONSE has ended; fails the test after 10 s. */
