Endpoints that say in an answer that they leave get no new work

What callers and runners saw: requests reached a runner 2,341 ms after an answer, passed on by the same node, had said that it leaves; the store, which was away, said so 13 s later.

Cause: nobody read the field. Class: what an endpoint states of itself was taken from the list alone.

Change: any answer, also to a prefill or a reservation and a rejection, marks the incarnation as leaving, whatever its entry says. Peers are told for three seconds.

--- a/include/beryl/engine_load.h
+++ b/include/beryl/engine_load.h
@@ -56,6 +56,8 @@
   struct beryl_endpoint_set changing;
   /** Endpoints that have ended: another process uses their address. */
   struct beryl_endpoint_set replaced;
+  /** Endpoints that have stated in an answer that they leave. */
+  struct beryl_endpoint_set leaving;
   /** Endpoints to which a recent connection attempt of the node failed. */
   struct beryl_endpoint_set unreachable;
 };
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -305,6 +305,7 @@
 struct beryl_answer_head
 {
   struct beryl_rate_limit limit;
+  bool leaving; /**< the endpoint states that it leaves */
   unsigned int status;
   bool not_run; /**< the endpoint states that it did not run the request */
   bool event_stream; /**< the body is a stream of server-sent events */
@@ -332,6 +333,7 @@
 struct beryl_engine_result
 {
   struct beryl_rate_limit limit;
+  bool leaving; /**< the endpoint states that it leaves */
   bool ok;
   bool not_run;     /**< PREFILL: the engine states that it did not process the
                        prompt */
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -78,7 +78,9 @@
   int64_t answered_ms;       /**< last answer to this node; 0: none */
   uint32_t
       suspected_by; /**< hash of the peer that last reported it unreachable */
-  int64_t suspected_ms;     /**< time of that report */
+  int64_t suspected_ms; /**< time of that report */
+  bool says_leaving; /**< it has stated in an answer that it leaves, whatever
+                        its entry says; final for an incarnation */
   int64_t leaving_since_ms; /**< when it was first known to be leaving or to
                                have left the list; 0: neither */
   int64_t stage_change_until_ms; /**< time until which it is assumed to be
@@ -205,6 +207,11 @@
 void beryl_live_mark_replaced (struct beryl_live_endpoint *endpoint,
                                int64_t now_ms);
 
+/** Record that ENDPOINT has stated in an answer, to this node or to a peer,
+ * that it leaves.  Returns whether that is new. */
+bool beryl_live_mark_leaving (struct beryl_live_endpoint *endpoint,
+                              int64_t now_ms);
+
 /** Record that a connection attempt of this node to ENDPOINT failed. */
 void beryl_live_mark_unreachable (struct beryl_live_endpoint *endpoint,
                                   int64_t now_ms);
--- a/libberyl/forward/endpoint_reports.c
+++ b/libberyl/forward/endpoint_reports.c
@@ -11,6 +11,9 @@
 /* How long a replaced endpoint is reported; long enough for a report to arrive
    although datagrams are lost, and for the endpoint's list entry to expire. */
 #define REPLACED_REPORT_MS 3000
+/* How long a leaving endpoint is reported; likewise. A node that starts later
+   learns it from the list, or from an answer of its own. */
+#define LEAVING_REPORT_MS 3000
 /* How long an unreachable endpoint is reported; it may be back after that. */
 #define UNREACHABLE_REPORT_MS 1000
 /* How long an engine that was reported to change its stage is avoided; the
@@ -48,6 +51,16 @@
   log_state (f, endpoint, "replaced", "own call");
 }
 
+void
+endpoint_report_leaving (struct beryl_forward *f,
+                         struct beryl_live_endpoint *endpoint, int64_t now_ms)
+{
+  if (!beryl_live_mark_leaving (endpoint, now_ms))
+    return;
+  f->report_due = true;
+  log_state (f, endpoint, "leaving", "own call");
+}
+
 void
 endpoint_report_unreachable (struct beryl_forward *f, const struct exchange *x,
                              int64_t now_ms)
@@ -80,9 +93,13 @@
           = beryl_live_set_get (f->endpoints, i);
       uint32_t hash;
 
-      if (endpoint->replaced_ms == 0 && endpoint->unreachable_ms == 0)
+      if (endpoint->replaced_ms == 0 && endpoint->unreachable_ms == 0
+          && !endpoint->says_leaving)
         continue;
       hash = beryl_live_hash (endpoint);
+      if (endpoint->says_leaving
+          && now_ms - endpoint->leaving_since_ms < LEAVING_REPORT_MS)
+        beryl_endpoint_set_add (&reports->leaving, hash);
       if (endpoint->replaced_ms != 0)
         {
           if (now_ms - endpoint->replaced_ms < REPLACED_REPORT_MS)
@@ -117,6 +134,9 @@
       crashes_endpoint_ended (f, endpoint, now_ms);
       log_state (f, endpoint, "replaced", peer);
     }
+  if (set_has (&reports->leaving, hash)
+      && beryl_live_mark_leaving (endpoint, now_ms))
+    log_state (f, endpoint, "leaving", peer);
   if (set_has (&reports->unreachable, hash)
       && beryl_live_suspect (endpoint, peer_hash, now_ms))
     log_state (f, endpoint, "unreachable", peer);
@@ -134,7 +154,7 @@
   if (reports->unreachable.count * UNREACHABLE_MAX_DIVISOR > count)
     accepted.unreachable.count = 0;
   if (accepted.changing.count + accepted.replaced.count
-          + accepted.unreachable.count
+          + accepted.unreachable.count + accepted.leaving.count
       == 0)
     return;
   for (size_t i = 0; i < count; i++)
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -478,6 +478,8 @@
       return;
     }
   contact_answered (f, x, now_ms);
+  if (head->leaving)
+    endpoint_report_leaving (f, x->endpoint, now_ms);
   answer_head (f, x, now_ms);
 }
 
@@ -513,6 +515,8 @@
   if (x == NULL)
     return;
   contact_answered (f, x, now_ms);
+  if (result->leaving)
+    endpoint_report_leaving (f, x->endpoint, now_ms);
   generation_exchange_result (f, x, result, now_ms);
 }
 
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -202,7 +202,7 @@
   endpoint->info.process_start_ms = start_ms;
   endpoint->gone = false;
   endpoint->grace_end_ms = 0;
-  if (!info->leaving)
+  if (!info->leaving && !endpoint->says_leaving)
     endpoint->leaving_since_ms = 0;
   else if (endpoint->leaving_since_ms == 0)
     endpoint->leaving_since_ms = now_ms;
@@ -231,7 +231,7 @@
   if (endpoint->leaving_since_ms == 0)
     endpoint->leaving_since_ms = now_ms;
   if (set->resumed_ms != 0 && now_ms < set->resumed_ms + RELIST_MS
-      && !endpoint->info.leaving)
+      && !endpoint->info.leaving && !endpoint->says_leaving)
     endpoint->grace_end_ms = now_ms + leaving_work_ms (set);
   else
     mark_gone (set, endpoint);
@@ -295,7 +295,7 @@
 bool
 beryl_live_accepts_work (const struct beryl_live_endpoint *endpoint)
 {
-  return !endpoint->gone && !endpoint->info.leaving
+  return !endpoint->gone && !endpoint->info.leaving && !endpoint->says_leaving
          && endpoint->replaced_ms == 0;
 }
 
@@ -381,6 +381,17 @@
     endpoint->replaced_ms = now_ms;
 }
 
+bool
+beryl_live_mark_leaving (struct beryl_live_endpoint *endpoint, int64_t now_ms)
+{
+  if (endpoint->says_leaving)
+    return false;
+  endpoint->says_leaving = true;
+  if (endpoint->leaving_since_ms == 0)
+    endpoint->leaving_since_ms = now_ms;
+  return true;
+}
+
 void
 beryl_live_mark_unreachable (struct beryl_live_endpoint *endpoint,
                              int64_t now_ms)
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -272,6 +272,10 @@
 void endpoint_report_replaced (struct beryl_forward *f,
                                struct beryl_live_endpoint *endpoint,
                                int64_t now_ms);
+/** ENDPOINT has stated in an answer that it leaves. */
+void endpoint_report_leaving (struct beryl_forward *f,
+                              struct beryl_live_endpoint *endpoint,
+                              int64_t now_ms);
 /** The endpoint of X did not accept a connection, or broke off a prefill at
  * once. */
 void endpoint_report_unreachable (struct beryl_forward *f,
--- a/tests/forward/test_news.c
+++ b/tests/forward/test_news.c
@@ -207,6 +207,39 @@
 }
 END_TEST
 
+/* Guards against requests to an engine that has stated in an answer of any
+ * kind that it leaves, by its node and by those that hear of it, although its
+ * entry says that it is ready. */
+START_TEST (test_engine_says_leaving)
+{
+  struct beryl_engine_result leaving
+      = { .ok = _i == 0, .status = _i == 0 ? 200 : 503, .leaving = true };
+
+  strcpy (leaving.handle, "h");
+  ck_assert (still_asks (1, "d3"));
+  fx_result (nodes[0], reserve_call_to (0, "d3"), &leaving);
+  fx_endpoint (nodes[0], "d3", BERYL_STAGE_DECODE);
+  ck_assert (!still_asks (0, "d3"));
+  tell (0, 1);
+  ck_assert (!still_asks (1, "d3"));
+  fx_pass (nodes[1], 60000);
+  ck_assert (!still_asks (1, "d3"));
+}
+END_TEST
+
+/* Guards against reports of a leaving engine that never end. */
+START_TEST (test_leaving_report_ends)
+{
+  struct beryl_engine_result leaving = { .status = 503, .leaving = true };
+  struct beryl_endpoint_updates news = { 0 };
+
+  fx_result (nodes[0], reserve_call_to (0, "d3"), &leaving);
+  fx_pass (nodes[0], 10000);
+  beryl_forward_endpoint_reports (nodes[0]->forward, &news, nodes[0]->now_ms);
+  ck_assert_uint_eq (news.leaving.count, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -214,6 +247,8 @@
   TCase *tcase = tcase_create ("news");
 
   tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_loop_test (tcase, test_engine_says_leaving, 0, 2);
+  tcase_add_test (tcase, test_leaving_report_ends);
   tcase_add_test (tcase, test_replaced);
   tcase_add_test (tcase, test_late_entry_of_replaced);
   tcase_add_test (tcase, test_unreachable_engine);
--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -413,6 +413,15 @@
 }
 END_TEST
 
+START_TEST (test_leaving)
+{
+  ck_assert (response_head (200, "Server-Leaving", "1").leaving);
+  ck_assert (response_head (503, "server-leaving", "1").leaving);
+  ck_assert (!response_head (200, "Server-Leaving", "0").leaving);
+  ck_assert (!response_head (200, "Server-Limit", "1").leaving);
+}
+END_TEST
+
 static struct beryl_engine_result
 engine_result (enum beryl_exchange_kind kind, unsigned int status,
                const char *body)
@@ -664,6 +673,7 @@
   TCase *tcase = tcase_create ("wire");
 
   tcase_add_checked_fixture (tcase, setup, NULL);
+  tcase_add_test (tcase, test_leaving);
   tcase_add_test (tcase, test_configuration);
   tcase_add_test (tcase, test_stream_without_resume);
   tcase_add_test (tcase, test_malformed_configurations);
--- a/tests/wire/test_loads.c
+++ b/tests/wire/test_loads.c
@@ -45,6 +45,7 @@
   for (uint32_t i = 0; i < BERYL_ENDPOINT_SET_MAX; i++)
     beryl_endpoint_set_add (&message.news.unreachable, i + 1);
   beryl_endpoint_set_add (&message.news.changing, UINT32_MAX);
+  beryl_endpoint_set_add (&message.news.leaving, 3);
   beryl_endpoint_set_add (&message.news.replaced, 1);
   beryl_endpoint_set_add (&message.news.replaced, 2);
   message.asks.items[message.asks.count++]
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -20,6 +20,7 @@
   FIELD_PROFILES,
   FIELD_QUOTAS,
   FIELD_ENDPOINTS_LOST,
+  FIELD_LEAVING,
 };
 
 /* So is a profile. */
@@ -146,6 +147,7 @@
   put_set (writer, FIELD_CHANGING, &message->news.changing);
   put_set (writer, FIELD_REPLACED, &message->news.replaced);
   put_set (writer, FIELD_UNREACHABLE, &message->news.unreachable);
+  put_set (writer, FIELD_LEAVING, &message->news.leaving);
   put_transfers (writer, FIELD_ASKS, &message->asks);
   put_transfers (writer, FIELD_LOANS, &message->loans);
   put_profiles (writer, &message->profiles);
@@ -291,6 +293,7 @@
   read_set (frame, map, FIELD_CHANGING, &message->news.changing);
   read_set (frame, map, FIELD_REPLACED, &message->news.replaced);
   read_set (frame, map, FIELD_UNREACHABLE, &message->news.unreachable);
+  read_set (frame, map, FIELD_LEAVING, &message->news.leaving);
   read_transfers (frame, map, FIELD_ASKS, &message->asks);
   read_transfers (frame, map, FIELD_LOANS, &message->loans);
   read_profiles (frame, map, &message->profiles);
