Endpoints that ask for a pause get nothing from the node that they asked

What was seen: an endpoint had answered 503 with Retry-After: 3 and got five and eight requests from each of two nodes in that time.

Cause: nobody read Retry-After of endpoints; and since a rejection is no failure, the quick answers of one that rejects drew more requests to it. Class: what an endpoint states of itself was not read.

Change: for the time that it names, an endpoint gets no request, reservation, prefill, move or hedged send. Callers are refused at once, with the time left, if all endpoints of a service pause for longer than they may wait.

--- a/berylctl/explain_log.c
+++ b/berylctl/explain_log.c
@@ -101,6 +101,9 @@
   { "refuse", "limited",
     "refused as not run: its endpoints report a limit and have reached it; "
     "retry after {n} ms" },
+  { "refuse", "paused",
+    "refused as not run: all its endpoints have asked for a pause; retry "
+    "after {n} ms" },
   { "refuse", "unauthenticated",
     "refused: it has no key, or one that no organisation holds" },
   { "refuse", "quota",
--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -203,6 +203,7 @@
 {
   GArray *engines
       = g_array_new (FALSE, FALSE, sizeof (struct beryl_stage_engine));
+  int64_t now_ms = loop_now_ms (p->loop);
 
   for (size_t i = 0; i < beryl_live_set_count (p->endpoints); i++)
     {
@@ -212,9 +213,9 @@
       struct beryl_stage_engine engine = {
         .id = endpoint->info.id,
         .stage = pending != NULL ? pending->stage : endpoint->info.stage,
-        .changing = pending != NULL,
-        .used_tokens = beryl_forward_engine_used_tokens (
-            p->forward, service, endpoint, loop_now_ms (p->loop)),
+        .changing = pending != NULL || beryl_live_paused (endpoint, now_ms),
+        .used_tokens = beryl_forward_engine_used_tokens (p->forward, service,
+                                                         endpoint, now_ms),
       };
 
       if (endpoint->info.stage != BERYL_STAGE_NONE
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -141,7 +141,8 @@
   BERYL_REFUSAL_QUARANTINED,     /**< it has crashed endpoints that ran it */
   BERYL_REFUSAL_LIMITED,         /**< the endpoints' rate limits are reached */
   BERYL_REFUSAL_UNAUTHENTICATED, /**< no key, or one of no organisation */
-  BERYL_REFUSAL_QUOTA,           /**< its organisation's quota is used up */
+  BERYL_REFUSAL_PAUSED, /**< all its endpoints have asked for a pause */
+  BERYL_REFUSAL_QUOTA,  /**< its organisation's quota is used up */
 };
 
 /** A final answer that this node generates itself. */
@@ -305,7 +306,9 @@
 struct beryl_answer_head
 {
   struct beryl_rate_limit limit;
-  bool leaving; /**< the endpoint states that it leaves */
+  bool leaving;     /**< the endpoint states that it leaves */
+  int64_t pause_ms; /**< the endpoint wants no requests from this node for so
+                       long; 0: it does not say so */
   unsigned int status;
   bool not_run; /**< the endpoint states that it did not run the request */
   bool event_stream; /**< the body is a stream of server-sent events */
@@ -333,7 +336,8 @@
 struct beryl_engine_result
 {
   struct beryl_rate_limit limit;
-  bool leaving; /**< the endpoint states that it leaves */
+  bool leaving;     /**< the endpoint states that it leaves */
+  int64_t pause_ms; /**< as in struct beryl_answer_head */
   bool ok;
   bool not_run;     /**< PREFILL: the engine states that it did not process the
                        prompt */
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -100,9 +100,10 @@
   int64_t unreported_updated_ms; /**< when unreported_tokens was updated */
   int64_t last_local_prefill_ms; /**< when this node last sent it, a decode
                                     engine, a prompt to prefill itself */
-  int64_t full_until_ms;  /**< do not send work before; it answered that it is
-                             full */
-  uint32_t open_prefills; /**< open prefills of this node */
+  int64_t paused_until_ms; /**< it wants no requests from this node before */
+  int64_t full_until_ms;   /**< do not send work before; it answered that it is
+                              full */
+  uint32_t open_prefills;  /**< open prefills of this node */
   uint64_t open_prefill_tokens; /**< prompt tokens of the open prefills */
   /** process_start_ms of previous incarnations under the same id, newest
    * first; late messages may still name them.  0: none. */
@@ -212,6 +213,15 @@
 bool beryl_live_mark_leaving (struct beryl_live_endpoint *endpoint,
                               int64_t now_ms);
 
+/** Record that ENDPOINT wants no requests from this node for PAUSE_MS.
+ * Returns whether it was not paused before. */
+bool beryl_live_pause (struct beryl_live_endpoint *endpoint, int64_t pause_ms,
+                       int64_t now_ms);
+
+/** Return whether ENDPOINT wants no requests from this node now. */
+bool beryl_live_paused (const struct beryl_live_endpoint *endpoint,
+                        int64_t now_ms);
+
 /** Record that a connection attempt of this node to ENDPOINT failed. */
 void beryl_live_mark_unreachable (struct beryl_live_endpoint *endpoint,
                                   int64_t now_ms);
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -28,6 +28,7 @@
 {
   return endpoint->info.stage == stage && beryl_live_accepts_work (endpoint)
          && !beryl_live_stage_changing (endpoint, now_ms)
+         && !beryl_live_paused (endpoint, now_ms)
          && strcmp (endpoint->info.service, r->service->name) == 0;
 }
 
@@ -304,6 +305,9 @@
   double usable_tokens = FILL_PART * (double)r->config->engine.kv_tokens;
   double cost;
 
+  /* A move is a call to the run's engine. */
+  if (beryl_live_paused (r->reservation.endpoint, now_ms))
+    return NULL;
   sample_init (&sample);
   for (size_t i = 0; i < beryl_live_set_count (f->endpoints); i++)
     {
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -20,10 +20,19 @@
 const char *
 beryl_refusal_name (enum beryl_refusal_reason reason)
 {
-  static const char *const names[]
-      = { "no_configuration", "no_route", "no_endpoint",     "no_room",
-          "endpoints_full",   "deadline", "endpoint_failed", "stopping",
-          "quarantined",      "limited",  "unauthenticated", "quota" };
+  static const char *const names[] = { "no_configuration",
+                                       "no_route",
+                                       "no_endpoint",
+                                       "no_room",
+                                       "endpoints_full",
+                                       "deadline",
+                                       "endpoint_failed",
+                                       "stopping",
+                                       "quarantined",
+                                       "limited",
+                                       "unauthenticated",
+                                       "paused",
+                                       "quota" };
 
   return names[reason];
 }
@@ -461,6 +470,17 @@
   f->owner->impl->pause (f->owner, r->primary->id, paused);
 }
 
+/* Learns what the endpoint of X states of itself in its answer. */
+static void
+learn_notices (struct beryl_forward *f, const struct exchange *x, bool leaving,
+               int64_t pause_ms, int64_t now_ms)
+{
+  if (leaving)
+    endpoint_report_leaving (f, x->endpoint, now_ms);
+  if (pause_ms > 0)
+    pauses_learn (f, x->endpoint, pause_ms, now_ms);
+}
+
 void
 beryl_forward_answer_head (struct beryl_forward *f, uint64_t id,
                            const struct beryl_answer_head *head,
@@ -478,8 +498,7 @@
       return;
     }
   contact_answered (f, x, now_ms);
-  if (head->leaving)
-    endpoint_report_leaving (f, x->endpoint, now_ms);
+  learn_notices (f, x, head->leaving, head->pause_ms, now_ms);
   answer_head (f, x, now_ms);
 }
 
@@ -515,8 +534,7 @@
   if (x == NULL)
     return;
   contact_answered (f, x, now_ms);
-  if (result->leaving)
-    endpoint_report_leaving (f, x->endpoint, now_ms);
+  learn_notices (f, x, result->leaving, result->pause_ms, now_ms);
   generation_exchange_result (f, x, result, now_ms);
 }
 
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -79,6 +79,7 @@
   move_clear (f, r);
   reservation_release (f, &r->reservation, now_ms);
   if (r->kv.endpoint != NULL && r->kv.endpoint->replaced_ms == 0
+      && !beryl_live_paused (r->kv.endpoint, now_ms)
       && now_ms < r->kv.expires_ms)
     forward_exchange_start (f, NULL, &drop, r->kv.endpoint, now_ms);
   kv_clear (f, &r->kv);
@@ -108,9 +109,10 @@
 }
 
 /* Returns whether R must not be sent to the engine of its reservation any
-   more, because it is leaving or gone. It may have become so during a prefill
-   or a move, and may stop at any moment. A moved run, whose memory no other
-   engine has, may still be sent to a leaving engine for a limited time. */
+   more, because it is leaving or gone, or has asked for a pause. It may have
+   become so during a prefill or a move, and may stop at any moment. A moved
+   run, whose memory no other engine has, may still be sent to a leaving engine
+   for a limited time. */
 static bool
 engine_is_unavailable (const struct beryl_forward *f, const struct request *r,
                        int64_t now_ms)
@@ -119,7 +121,8 @@
 
   if (r->continues_run)
     return !beryl_live_set_allows_bound_work (f->endpoints, endpoint, now_ms);
-  return !beryl_live_accepts_work (endpoint);
+  return !beryl_live_accepts_work (endpoint)
+         || beryl_live_paused (endpoint, now_ms);
 }
 
 /* Handles that R cannot run at the engine of its reservation, because the
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -392,6 +392,24 @@
   return true;
 }
 
+bool
+beryl_live_pause (struct beryl_live_endpoint *endpoint, int64_t pause_ms,
+                  int64_t now_ms)
+{
+  bool was_paused = beryl_live_paused (endpoint, now_ms);
+
+  /* A later, shorter pause does not shorten one that was asked for before. */
+  if (endpoint->paused_until_ms < now_ms + pause_ms)
+    endpoint->paused_until_ms = now_ms + pause_ms;
+  return !was_paused && pause_ms > 0;
+}
+
+bool
+beryl_live_paused (const struct beryl_live_endpoint *endpoint, int64_t now_ms)
+{
+  return now_ms < endpoint->paused_until_ms;
+}
+
 void
 beryl_live_mark_unreachable (struct beryl_live_endpoint *endpoint,
                              int64_t now_ms)
--- a/libberyl/forward/placement.c
+++ b/libberyl/forward/placement.c
@@ -187,7 +187,9 @@
   struct beryl_live_endpoint *endpoint = NULL;
   struct engine_capacity capacity = { 0 };
 
-  if (handoff_if_lost (f, r, now_ms))
+  if (handoff_if_lost (f, r, now_ms)
+      || pauses_refuse (f, r, BERYL_STAGE_DECODE, give_up_ms (r) - now_ms,
+                        now_ms))
     return;
   if (prefill_would_be_late (f, r, now_ms))
     {
@@ -342,8 +344,9 @@
   struct beryl_exchange_start start
       = { .kind = BERYL_EXCHANGE_UNRESERVE, .reservation = handle };
 
-  /* The next incarnation may have given the handle to another request. */
-  if (endpoint->replaced_ms != 0)
+  /* The next incarnation may have given the handle to another request. At a
+     paused engine the reservation expires by itself. */
+  if (endpoint->replaced_ms != 0 || beryl_live_paused (endpoint, now_ms))
     return;
   forward_exchange_start (f, NULL, &start, endpoint, now_ms);
 }
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -112,6 +112,7 @@
       if (strcmp (endpoint->info.service, r->service->name) != 0
           || !beryl_live_accepts_work (endpoint)
           || forward_request_was_tried (r, endpoint)
+          || beryl_live_paused (endpoint, now_ms)
           || !rates_allows (f, r->service, endpoint, now_ms))
         continue;
       cost = endpoint_cost (f, r, endpoint, now_ms);
@@ -173,6 +174,8 @@
       plain_send (f, r, endpoint, now_ms);
       return;
     }
+  if (pauses_refuse (f, r, BERYL_STAGE_NONE, 0, now_ms))
+    return;
   after_ms = rates_retry_after_ms (f, r->service, now_ms);
   if (after_ms > 0)
     forward_request_refuse (f, r, 503, BERYL_REFUSAL_LIMITED, after_ms,
@@ -198,6 +201,8 @@
       return;
     }
   endpoint = plain_choose (f, r, now_ms);
+  if (endpoint == NULL && pauses_refuse (f, r, BERYL_STAGE_NONE, 0, now_ms))
+    return;
   if (endpoint != NULL && forward_request_take_repeat (f, r, now_ms))
     plain_send (f, r, endpoint, now_ms);
   else if (r->may_have_run)
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -365,6 +365,20 @@
 /** R ends; what was set aside for it, and not sent, is free again. */
 void quota_release (struct beryl_forward *f, struct request *r);
 
+/* pauses.c */
+/** ENDPOINT wants no requests from this node for PAUSE_MS. */
+void pauses_learn (struct beryl_forward *f,
+                   struct beryl_live_endpoint *endpoint, int64_t pause_ms,
+                   int64_t now_ms);
+/** Return how long all endpoints of S with STAGE that accept work are paused;
+ * 0 if one is not, or if there is none. */
+int64_t pauses_left_ms (const struct beryl_forward *f, const struct service *s,
+                        enum beryl_stage stage, int64_t now_ms);
+/** If all endpoints of STAGE that could serve R are paused for longer than R
+ * may wait (WAIT_MS), refuse it and return true. R has not run. */
+bool pauses_refuse (struct beryl_forward *f, struct request *r,
+                    enum beryl_stage stage, int64_t wait_ms, int64_t now_ms);
+
 /* rates.c */
 /** The answer to X stated LIMIT; SERVED tells whether the request was
  * served. */
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -433,6 +433,20 @@
   beryl_forward_answer_head (fx->forward, x->id, &head, fx->now_ms);
 }
 
+void
+fx_paused (struct fx *fx, struct fx_exchange *x, int64_t pause_ms)
+{
+  struct beryl_answer_head head
+      = { .status = 503, .not_run = true, .pause_ms = pause_ms };
+  struct beryl_engine_result result
+      = { .status = 503, .not_run = true, .pause_ms = pause_ms };
+
+  if (x->kind != BERYL_EXCHANGE_RUN)
+    fx_result (fx, x, &result);
+  else
+    beryl_forward_answer_head (fx->forward, x->id, &head, fx->now_ms);
+}
+
 void
 fx_declined (struct fx *fx, struct fx_exchange *x)
 {
--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -413,6 +413,26 @@
 }
 END_TEST
 
+START_TEST (test_pause)
+{
+  static const char *const unreadable[] = {
+    "", "0", "-3", "soon", "nan", "3 s", "Wed, 21 Oct 2026 07:28:00 GMT"
+  };
+
+  ck_assert_int_eq (response_head (503, "Retry-After", "3").pause_ms, 3000);
+  ck_assert_int_eq (response_head (503, "retry-after", "2.5").pause_ms, 2500);
+  ck_assert_int_eq (response_head (429, "Retry-After", "1").pause_ms, 1000);
+  ck_assert_int_eq (response_head (200, "Retry-After", "3").pause_ms, 0);
+  ck_assert_int_eq (response_head (503, "Retry-After", "1e99").pause_ms,
+                    3600000);
+  ck_assert_int_eq (response_head (503, "Retry-After", "inf").pause_ms,
+                    3600000);
+  for (size_t i = 0; i < G_N_ELEMENTS (unreadable); i++)
+    ck_assert_int_eq (
+        response_head (503, "Retry-After", unreadable[i]).pause_ms, 0);
+}
+END_TEST
+
 START_TEST (test_leaving)
 {
   ck_assert (response_head (200, "Server-Leaving", "1").leaving);
@@ -673,6 +693,7 @@
   TCase *tcase = tcase_create ("wire");
 
   tcase_add_checked_fixture (tcase, setup, NULL);
+  tcase_add_test (tcase, test_pause);
   tcase_add_test (tcase, test_leaving);
   tcase_add_test (tcase, test_configuration);
   tcase_add_test (tcase, test_stream_without_resume);
