Soak: runners that say that they leave, and that ask for pauses (notices)

The checks DRAIN and BUDGET compare what each node's answers said with what reached the runner from it later.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,7 +46,7 @@
     p.add_argument("--minutes", type=float, help="fresh seeds for so long")
     p.add_argument("--profile", choices=sorted(faults.PROFILES),
                    help="kinds of faults; drawn from the seed without, "
-                   "from all but crashes, limits and cuts")
+                   "from all but crashes, limits, cuts and notices")
     p.add_argument("--nodes", type=int, default=4)
     p.add_argument("--callers", type=int, default=10)
     p.add_argument("--trouble", type=float, default=10, metavar="S",
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,8 @@
 CRASHES_MOST = 3
 LATE_CRASHES = 3
 LIMIT_WINDOW_S = 4.0
+# A node may send so many requests to a runner that has asked it for a pause.
+PAUSE_REQUESTS_MOST = 2
 # While a node has lost all runners, its first tries are served this often
 # compared with those at other nodes, or so few of them fail.
 CUT_PART = 2 / 3
@@ -51,6 +53,9 @@
         self.begins = collections.defaultdict(list)
         self.leaves = {}
         self.crashes = []  # (time, request)
+        self.pauses = []   # (time, request, runner, seconds)
+        self.said_leaving = {}  # runner: time
+        self.arrivals = []  # (time, request, runner), also rejected ones
         self.limits = []   # (time, runner, a second; None: no longer)
         if os.path.exists(path):
             with open(path) as file:
@@ -61,12 +66,20 @@
         at = int(words[0]) / 1000
         if words[1] == "begin":
             self.begins[words[2]].append(Begin(at, words[3], words[4]))
+            self.arrivals.append((at, words[2], words[3]))
         elif words[1] == "end":
             for begin in self.begins[words[2]]:
                 if begin.runner == words[3] and begin.ended is None:
                     begin.ended = at
                     begin.whole = words[4] == "whole"
                     break
+        elif words[1] == "says-leaving":
+            self.said_leaving.setdefault(words[2], at)
+        elif words[1] == "pause":
+            self.pauses.append((at, words[2], words[3], float(words[4])))
+            self.arrivals.append((at, words[2], words[3]))
+        elif words[1] == "reject":
+            self.arrivals.append((at, words[2], words[3]))
         elif words[1] == "limit":
             self.limits.append((at, words[2], float(words[3])
                                 if words[3] != "-" else None))
@@ -110,6 +123,56 @@
                             "after that left")
 
 
+def answered_at(world, record, runner, since):
+    """When each node first passed on an answer that RUNNER gave after SINCE."""
+    first = {}
+    for name, begins in record.begins.items():
+        attempt = world.attempts.get(name)
+        if attempt is None or attempt.outcome != "whole":
+            continue
+        for begin in begins:
+            if begin.runner == runner and begin.at > since and begin.whole \
+                    and begin.kind in ("plain", "run"):
+                first[attempt.node] = min(attempt.ended,
+                                          first.get(attempt.node, attempt.ended))
+    return first
+
+
+def runners_that_said_so(world, record):
+    """A runner gets no more from a node to which an answer has said that it
+    leaves."""
+    bound_s = world.terms["endpoint_leave_ms"] / 1000 + SLACK_S
+    for runner, since in record.said_leaving.items():
+        first = answered_at(world, record, runner, since)
+        for at, name, to in record.arrivals:
+            attempt = world.attempts.get(name)
+            if to != runner or attempt is None or attempt.node not in first:
+                continue
+            told = first[attempt.node]
+            if attempt.began > told + bound_s and not any(
+                    told <= start <= at
+                    for start in world.nodes[attempt.node].starts):
+                world.broke("DRAIN", f"{name} reached {runner} "
+                            f"{at - told:.2f} s after its answer to node "
+                            f"{attempt.node} that it leaves")
+
+
+def pausing_runners(world, record):
+    """A node leaves a runner alone for as long as that has asked it to."""
+    for asked, name, runner, pause_s in record.pauses:
+        attempt = world.attempts.get(name)
+        if attempt is None or not world.calm(asked, asked + pause_s,
+                                             [f"node-{attempt.node}"]):
+            continue
+        late = sum(asked + SLACK_S < at < asked + pause_s - SLACK_S
+                   and to == runner and other in world.attempts
+                   and world.attempts[other].node == attempt.node
+                   for at, other, to in record.arrivals)
+        if late > PAUSE_REQUESTS_MOST:
+            world.broke("BUDGET", f"{runner} asked node {attempt.node} for "
+                        f"{pause_s} s and got {late} requests from it")
+
+
 def crashing_requests(world, record):
     """One that has crashed three runners reaches hardly any more."""
     late = collections.Counter()
@@ -324,6 +387,8 @@
     record = Record(world.platform.record)
     at_most_once(world, record)
     leaving_runners(world, record)
+    runners_that_said_so(world, record)
+    pausing_runners(world, record)
     crashing_requests(world, record)
     limited_runners(world, record)
     callers_gone(world, record)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -284,6 +284,34 @@
     world.give_back(runner)
 
 
+async def runner_says_leaving(world, rng, for_s):
+    """It leaves, and only its answers say so; later its entry goes."""
+    runner = world.pick_runner(rng)
+    if runner is None:
+        return
+    with world.disturbed("runner", f"{runner.id} says that it leaves",
+                         planned=True):
+        world.platform.tell("leaving", runner.id)
+        await asyncio.sleep(world.terms["endpoint_leave_ms"] / 1000 + 2 + for_s)
+        world.platform.tell("remove", runner.id)
+        await asyncio.sleep(world.terms["endpoint_leave_ms"] / 1000 + 2.0)
+        world.platform.tell("kill", runner.id)
+        await world.replace_runner(runner)
+
+
+async def runner_pauses(world, rng, for_s):
+    """It turns all requests away and asks for a pause each time."""
+    runner = world.pick_runner(rng)
+    if runner is None:
+        return
+    with world.disturbed("runner", f"{runner.id} asks for a pause"):
+        world.platform.tell("pause", runner.id,
+                            round(rng.uniform(2.5, 4.0), 1))
+        await asyncio.sleep(CONTACT_S + 2 + for_s)
+        world.platform.tell("pause", runner.id, "-")
+    world.give_back(runner)
+
+
 async def foreign_entries(world, rng, for_s):
     world.platform.tell("foreign")
     await asyncio.sleep(0.1)
@@ -312,6 +340,9 @@
                 node_kill_many, runner_dies, store_down, configuration],
     "limits": [runner_limits, runner_limits, runner_limits, node_kill,
                node_stop, node_pause, runner_dies, configuration],
+    "notices": [runner_says_leaving, runner_says_leaving, runner_pauses,
+                runner_pauses, node_stop, node_kill, runner_freezes,
+                store_down, configuration],
     "cuts": [nodes_cut, nodes_cut, nodes_cut, node_kill, node_stop,
              node_reload, runner_freezes, runner_dies, store_down,
              configuration],
@@ -321,7 +352,7 @@
 
 # A seed draws one of these; the others are asked for by name, so that seeds go
 # on to mean what they meant.
-DRAWN = sorted(set(PROFILES) - {"crashes", "limits", "cuts"})
+DRAWN = sorted(set(PROFILES) - {"crashes", "limits", "cuts", "notices"})
 # In these each node finds the runners at an address of its own, so that its
 # links can be cut; there are no proxies before the runners.
 LINKED = {"cuts"}
