Handoffs go only to nodes that say that they take them

A node of an older program would take a handed-over request for its caller's and answer 401 where callers authenticate. Peers that are not alive get none. An answer looks at all endpoints only while contact is in doubt.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -455,7 +455,8 @@
   g_strlcpy (peer.address, member->address, sizeof peer.address);
   memcpy (peer.data_centre, member->data_centre, sizeof peer.data_centre);
   peer.port = member->http_port;
-  peer.takes_requests = !member->leaving && !message->endpoints_lost;
+  peer.takes_requests = message->takes_handoffs && !member->leaving
+                        && member->state == BERYL_MEMBER_ALIVE;
   beryl_forward_set_peer (g->forward, &peer, now_ms);
 }
 
@@ -587,6 +588,7 @@
   loop_timer_stop (g->announce_timer);
   g->announce_timer = NULL;
   message.endpoints_lost = !beryl_forward_reaches_endpoints (g->forward);
+  message.takes_handoffs = !message.endpoints_lost && g->stop_start_ms == 0;
   message.run_count = beryl_forward_runs (g->forward, message.runs,
                                           BERYL_ENGINE_RUNS_MAX, now_ms);
   /* Engines that are ordered to change their stage are added for the peers
--- a/include/wire/loads.h
+++ b/include/wire/loads.h
@@ -24,6 +24,8 @@
   struct beryl_engine_run runs[BERYL_ENGINE_RUNS_MAX];
   size_t run_count;
   bool endpoints_lost; /**< this node can connect to no endpoint */
+  bool takes_handoffs; /**< peers may hand requests over to this node; older
+                          programs do not say so */
   struct beryl_endpoint_updates news;
   struct beryl_budget_transfers asks;        /**< for repeats */
   struct beryl_budget_transfers loans;       /**< that this node gives */
--- a/libberyl/forward/contact.c
+++ b/libberyl/forward/contact.c
@@ -211,8 +211,8 @@
   x->endpoint->end_unconfirmed = false;
   if (x->started_ms > c->reached_ms)
     c->reached_ms = x->started_ms;
-  if (c->state == CONTACT_LOST ? x->started_ms >= c->since_ms
-                               : !is_doubtful (f))
+  if ((c->state == CONTACT_LOST && x->started_ms >= c->since_ms)
+      || (c->state == CONTACT_DOUBTED && !is_doubtful (f)))
     set_state (f, CONTACT_OK, now_ms);
   confirm_ends (f, now_ms);
 }
--- a/tests/wire/test_loads.c
+++ b/tests/wire/test_loads.c
@@ -33,6 +33,7 @@
   message.endpoint_revision = 11;
   message.run_count = 2;
   message.endpoints_lost = true;
+  message.takes_handoffs = true;
   message.runs[0] = (struct beryl_engine_run){ .engine = 5,
                                                .prompt_tokens = 4000,
                                                .expected_tokens = 300,
--- a/wire/loads.c
+++ b/wire/loads.c
@@ -21,6 +21,7 @@
   FIELD_QUOTAS,
   FIELD_ENDPOINTS_LOST,
   FIELD_LEAVING,
+  FIELD_TAKES_HANDOFFS,
 };
 
 /* So is a profile. */
@@ -154,6 +155,8 @@
   put_quotas (writer, &message->quotas);
   if (message->endpoints_lost)
     frame_put_uint (writer, FIELD_ENDPOINTS_LOST, 1);
+  if (message->takes_handoffs)
+    frame_put_uint (writer, FIELD_TAKES_HANDOFFS, 1);
 }
 
 /* The runs that come first are the ones to be told. */
@@ -299,5 +302,6 @@
   read_profiles (frame, map, &message->profiles);
   read_quotas (frame, map, &message->quotas);
   message->endpoints_lost = frame_uint (map, FIELD_ENDPOINTS_LOST, 0) != 0;
+  message->takes_handoffs = frame_uint (map, FIELD_TAKES_HANDOFFS, 0) != 0;
   return frame_valid (frame);
 }
