--- a/tests/forward/test_pauses.c
+++ b/tests/forward/test_pauses.c
@@ -126,6 +126,18 @@
       fx_remove (&fx, ids[i]);
 }
 
+/* Guards against a late generation that is refused as if engines had asked for
+ * a pause, without a time to come back. */
+START_TEST (test_late_without_pause)
+{
+  fx_arrive (&fx, 1);
+  fx_pass (&fx, terms.route.objective_ms);
+  fx_refused (&fx, open_of (1, BERYL_EXCHANGE_RESERVE));
+  open_of (1, BERYL_EXCHANGE_RESERVE);
+  ck_assert (!answer (1)->refused);
+}
+END_TEST
+
 /* Guards against a run at the engine that has granted a reservation and has
  * asked for a pause since, and against the call that would give it back. */
 START_TEST (test_reserved_engine_pauses)
@@ -181,6 +193,7 @@
   suite_add_tcase (suite, plain);
   tcase_add_checked_fixture (engines_case, model_setup, model_teardown);
   tcase_add_test (engines_case, test_paused_engines);
+  tcase_add_test (engines_case, test_late_without_pause);
   tcase_add_test (engines_case, test_reserved_engine_pauses);
   tcase_add_test (engines_case, test_prefill_engine_pauses);
   suite_add_tcase (suite, engines_case);
