--- a/tests/gateway/test_gateway.c
+++ b/tests/gateway/test_gateway.c
@@ -651,6 +651,29 @@
 }
 END_TEST
 
+static bool
+knows_new_host (struct testbed *testbed)
+{
+  struct testbed_response *response
+      = testbed_get (testbed, 0, "new.example", "/x", "");
+
+  testbed_wait (testbed, response);
+  return response->status == 200;
+}
+
+/* Guards against a change of the configuration that is lost, since it was made
+ * while the store was silent. */
+START_TEST (test_change_while_store_is_silent)
+{
+  testbed_start_nodes (&t, 2);
+  standin_set_unresponsive (t.standin, true);
+  testbed_configure (&t, "plain", "new.example");
+  testbed_run (&t, 300);
+  standin_set_unresponsive (t.standin, false);
+  ck_assert (testbed_run_until (&t, knows_new_host, 2000));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -659,6 +682,7 @@
 
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_test (tcase, test_change_while_store_is_silent);
   tcase_add_test (tcase, test_many_foreign_entries);
   tcase_add_test (tcase, test_plain_request);
   tcase_add_test (tcase, test_generation);
