--- a/libberyl/forward/pauses.c
+++ b/libberyl/forward/pauses.c
@@ -50,8 +50,7 @@
 {
   int64_t left_ms = pauses_left_ms (f, r->service, stage, now_ms);
 
-  if (left_ms == 0 || left_ms <= wait_ms || r->may_have_run
-      || r->answer_begun)
+  if (left_ms == 0 || left_ms <= wait_ms || r->may_have_run || r->answer_begun)
     return false;
   forward_request_refuse (
       f, r, 503, BERYL_REFUSAL_PAUSED,
