Log: versions of endpoints, and the request whose stream is resumed

Neither the nodes' logs nor their metrics told whether a stream that went on had changed the software version of its engine, nor which attempt of its caller it belonged to, so that the hypotheses of the incident could not be told apart. The entry's version is read into the endpoint's state and logged with it; an entry whose version is no text is rejected as malformed. A request's Resumes is read and logged. No decision uses either yet.

--- a/gatewayd/platform_source.c
+++ b/gatewayd/platform_source.c
@@ -240,9 +240,11 @@
       return;
     }
   g_info ("endpoint id=%s revision=%" G_GUINT64_FORMAT
-          " service=%s address=%s:%u stage=%s %s",
+          " service=%s address=%s:%u stage=%s version=%s %s",
           info.id, info.revision, info.service, info.address, info.port,
-          beryl_stage_name (info.stage), info.leaving ? "leaving" : "ready");
+          beryl_stage_name (info.stage),
+          info.software_version[0] != '\0' ? info.software_version : "-",
+          info.leaving ? "leaving" : "ready");
   beryl_live_set_put (s->endpoints, &info, loop_now_ms (s->loop));
 }
 
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -66,6 +66,9 @@
   uint32_t prompt_hash;        /**< hash of the prompt; 0 if unknown */
   bool resumes; /**< the caller resumes a stream after LAST_EVENT_ID */
   uint64_t last_event_id;
+  /** Id of the caller's request that brought the first event of the stream;
+   * "" if not stated. */
+  char resumed_id[BERYL_REQUEST_ID_BYTES];
   const struct beryl_handoff *handoff; /**< of the peer that handed it over;
                                           NULL: it came from its caller */
 };
@@ -158,9 +161,11 @@
 /** One step in the processing of a request, for the log. */
 struct beryl_request_step
 {
-  const char *step; /**< stable name, for example "reserve" */
-  bool final;       /**< last step of the request */
-  const char *id;   /**< id of the request */
+  const char *step;       /**< stable name, for example "reserve" */
+  bool final;             /**< last step of the request */
+  const char *id;         /**< id of the request */
+  const char *resumed_id; /**< of the request whose stream it resumes; "" if
+                             none */
   const char *route;
   const char *service;
   const char *organisation; /**< the caller's; "" if unknown */
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -37,6 +37,7 @@
   uint32_t slots; /**< concurrent requests; 0: unknown */
   bool leaving;   /**< accepts no new work */
   enum beryl_stage stage;
+  char software_version[BERYL_NAME_BYTES]; /**< "" if not stated */
   /** Start of the process, in Unix milliseconds of its own clock; 0: not
    * reported.  A process may restart under its id, so the two together
    * identify one incarnation.  Compared for equality only, never with local
--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -172,12 +172,14 @@
   ck_assert (!info.leaving);
   ck_assert_uint_eq (info.revision, 7);
   ck_assert_uint_eq (info.process_start_ms, 1780000000123);
+  ck_assert_str_eq (info.software_version, "3");
   object
       = object_of ("i-1", "{\"service\":\"llm\",\"address\":\"10.1.64.9:1\","
                           "\"zone\":\"hall-a\",\"state\":\"draining\"}");
   ck_assert (wire->impl->read_endpoint (wire, &object, &info, &error));
   ck_assert (info.leaving);
   ck_assert_int_eq (info.stage, BERYL_STAGE_NONE);
+  ck_assert_str_eq (info.software_version, "");
   ck_assert_uint_eq (info.process_start_ms, 0);
 }
 END_TEST
@@ -203,6 +205,9 @@
     ENTRY ("\"z\"", "\"ready\"", ",\"slots\":-1"),
     ENTRY ("\"z\"", "\"ready\"", ",\"stage\":\"juggle\""),
     ENTRY ("\"z\"", "\"ready\"", ",\"stage\":null"),
+    ENTRY ("\"z\"", "\"ready\"", ",\"version\":\"\""),
+    ENTRY ("\"z\"", "\"ready\"", ",\"version\":2"),
+    ENTRY ("\"z\"", "\"ready\"", ",\"version\":\"v\\u00001\""),
     ENTRY ("\"z\"", "\"ready\"", ",\"born\":\"today\""),
     ENTRY ("\"z\"", "\"ready\"", ",\"born\":1.5"),
     ENTRY ("\"z\"", "\"ready\"", ",\"born\":0"),
@@ -247,6 +252,7 @@
   { "Host", "ficu95.example" },
   { "X-Request-Id", "9c41d07be2a35f68" },
   { "Last-Event-Id", "12" },
+  { "Resumes", "77aa01" },
   { "X-Model", "m" },
   { "X-Token-Counts", "1460,80" },
   { "X-Length-Hint", "64" },
@@ -274,6 +280,7 @@
 
   wire->impl->read_request (wire, &caller_head, 1000, &request);
   ck_assert_str_eq (request.id, "9c41d07be2a35f68");
+  ck_assert_str_eq (request.resumed_id, "77aa01");
   ck_assert (request.id_exact);
   ck_assert_str_eq (request.host, "ficu95.example");
   ck_assert_str_eq (request.path, "/lohu930/2f?q=1");
