Tests: streams at endpoints of two versions, known red

What callers saw: streams that held events of two software versions of a service, which do not fit together. The soak's callers name the try that brought the first event when they resume, and fail on events of two versions.

Streams of one version go on.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -74,23 +74,33 @@
 
 
 class Stream:
-    """Checks the events of one answer: ids AFTER + 1 to TOTAL, once each."""
+    """Checks the events of one answer: ids AFTER + 1 to TOTAL, once each, all
+    from runners of one version, that of the tries before (VERSION) if any."""
 
-    def __init__(self, name, after, total):
+    def __init__(self, name, after, total, version=None):
         self.name = name
+        self.version = version
         self.next = after + 1
         self.total = total
         self.rest = b""
         self.fault = None
+        self.resumes = None  # the try that brought the first event
 
     def take(self, data):
         self.rest += data
         while b"\n\n" in self.rest:
             event, self.rest = self.rest.split(b"\n\n", 1)
             wanted = f"id: {self.next}\ndata: {self.name}-{self.next}"
-            if event.decode(errors="replace") != wanted:
+            found, _, version = event.decode(errors="replace").partition(
+                "\nversion: ")
+            if found != wanted:
                 self.fault = f"event {event!r} instead of {wanted!r}"
                 return
+            if self.version not in (None, version):
+                self.fault = (f"event {self.next} is of version {version} "
+                              f"after {self.version}")
+                return
+            self.version = version
             self.next += 1
 
     def last(self):
@@ -188,6 +198,7 @@
         leaves_s = (self.rng.uniform(0.005, 0.5)
                     if self.rng.random() < 0.08 else None)
         after = 0
+        first = version = None
         for number in range(ATTEMPTS_MAX):
             left_s = deadline - time.monotonic()
             if left_s < 0.2:
@@ -198,14 +209,17 @@
                 await asyncio.sleep(0.2)
                 continue
             attempt = Attempt(f"{name}-{number}", kind, node.index)
-            stream = Stream(attempt.id, after, total)
+            stream = Stream(attempt.id, after, total, version)
+            stream.resumes = first
             self.world.attempts[attempt.id] = attempt
             retry_s = await self.send(attempt, node, stream, prompt, left_s,
                                       leaves_s)
             attempt.ended = time.monotonic()
             if stream.fault:
                 self.world.broke("ORDER", f"{attempt.id}: {stream.fault}")
-            after = stream.last() if kind == "stream" else 0
+            if kind == "stream" and stream.last() > 0:
+                after, version = stream.last(), stream.version
+                first = first or attempt.id
             if attempt.outcome in ("whole", "left"):
                 return
             if attempt.outcome != "none" and attempt.once() \
@@ -250,6 +264,7 @@
                        ("X-Length-Hint", str(tokens))]
         if stream.last() > 0:
             fields.append(("Last-Event-Id", str(stream.last())))
+            fields.append(("Resumes", stream.resumes))
         body = b"" if attempt.kind in ("safe", "crash") else b"x" * prompt
         if body:
             fields.append(("Content-Length", str(len(body))))
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -278,7 +278,8 @@
 }
 
 static void
-show (struct fx *fx, const char *id, enum beryl_stage stage, bool leaving)
+show (struct fx *fx, const char *id, enum beryl_stage stage,
+      const char *version, bool leaving)
 {
   const struct beryl_live_endpoint *known
       = beryl_live_set_find (fx->endpoints, id);
@@ -293,6 +294,7 @@
   };
 
   g_strlcpy (info.id, id, sizeof info.id);
+  g_strlcpy (info.software_version, version, sizeof info.software_version);
   beryl_live_set_put (fx->endpoints, &info, fx->now_ms);
   beryl_forward_endpoints_changed (fx->forward, fx->now_ms);
 }
@@ -300,13 +302,22 @@
 void
 fx_endpoint (struct fx *fx, const char *id, enum beryl_stage stage)
 {
-  show (fx, id, stage, false);
+  show (fx, id, stage, "", false);
+}
+
+void
+fx_versioned (struct fx *fx, const char *id, enum beryl_stage stage,
+              const char *version)
+{
+  show (fx, id, stage, version, false);
 }
 
 void
 fx_leaving (struct fx *fx, const char *id)
 {
-  show (fx, id, fx_find_endpoint (fx, id)->info.stage, true);
+  const struct beryl_live_info *info = &fx_find_endpoint (fx, id)->info;
+
+  show (fx, id, info->stage, info->software_version, true);
 }
 
 void
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -89,6 +89,9 @@
 
 /** List an endpoint, or an engine of STAGE. */
 void fx_endpoint (struct fx *fx, const char *id, enum beryl_stage stage);
+/** List an engine of STAGE whose software has VERSION. */
+void fx_versioned (struct fx *fx, const char *id, enum beryl_stage stage,
+                   const char *version);
 void fx_leaving (struct fx *fx, const char *id);
 void fx_remove (struct fx *fx, const char *id);
 
--- a/tests/gateway/testbed.c
+++ b/tests/gateway/testbed.c
@@ -295,6 +295,22 @@
   return response;
 }
 
+struct testbed_response *
+testbed_resume (struct testbed *t, size_t i, uint64_t number,
+                uint64_t last_event)
+{
+  char *fields
+      = g_strdup_printf ("X-Token-Counts: 1000,1500\r\nX-Length-Hint: 1500\r\n"
+                         "Last-Event-Id: %" G_GUINT64_FORMAT
+                         "\r\nResumes: q-%" G_GUINT64_FORMAT "\r\n",
+                         last_event, number);
+  struct testbed_response *response
+      = testbed_get (t, i, "model.example", "/chat", fields);
+
+  g_free (fields);
+  return response;
+}
+
 void
 testbed_disconnect (struct testbed *t, struct testbed_response *response)
 {
--- a/tests/gateway/testbed.h
+++ b/tests/gateway/testbed.h
@@ -84,6 +84,10 @@
 struct testbed_response *testbed_generate_prompt (struct testbed *t, size_t i,
                                                   const char *prompt,
                                                   uint64_t last_event);
+/** Send a request that resumes the stream of request NUMBER (see
+ * request_count) after LAST_EVENT. */
+struct testbed_response *testbed_resume (struct testbed *t, size_t i,
+                                         uint64_t number, uint64_t last_event);
 /** Return the number of addresses that node I lists to callers. */
 size_t testbed_listed_count (struct testbed *t, size_t i);
 /** Send a GET to another port of node I and wait for the response. */
