--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -337,6 +337,7 @@
                               "Host: ficu95.example\r\n"
                               "X-Request-Id: 9c41d07be2a35f68\r\n"
                               "Last-Event-Id: 12\r\n"
+                              "Resumes: 77aa01\r\n"
                               "X-Model: m\r\n"
                               "X-Token-Counts: 1460,80\r\n"
                               "X-Length-Hint: 64\r\n"
