Streams stay at the version that began them

Cause: no code read the version of an endpoint's entry, so that each way of a stream to another engine took the versions for one. The callers' way is worse: the node that they come to has never seen the stream.

A request has the version of the endpoint that sent the first event its caller got. Broken runs, stalls, cached prompts, plain streams and moves go to that version only; without an endpoint of it the stream ends at once, and the grace period of leaving ones is used. The digest of a stream's id is recorded at five peers that any node finds from it, unless the node is certain that only one version has served for as long as streams last.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -20,6 +20,7 @@
 #include "request_log.h"
 #include "platform_source.h"
 #include "store.h"
+#include "streams.h"
 #include "survey.h"
 #include "wire/loads.h"
 
@@ -72,6 +73,7 @@
   struct registry *registry;
   struct quarantine_records *quarantine_records;
   struct notices *notices;
+  struct streams *streams;
   struct relay *relay;
   struct planner *planner;
   struct survey *survey;
@@ -269,6 +271,25 @@
     g_info ("endpoints reached again after_ms=%" G_GINT64_FORMAT, lasted_ms);
 }
 
+static void
+forward_stream_begun (struct beryl_forward_owner *owner,
+                      const struct beryl_stream_record *record)
+{
+  struct gateway *g = gateway_from_forward (owner);
+
+  if (g->streams != NULL)
+    streams_tell (g->streams, record);
+}
+
+static uint32_t
+forward_find_stream (struct beryl_forward_owner *owner,
+                     const struct beryl_stream_question *question)
+{
+  struct gateway *g = gateway_from_forward (owner);
+
+  return g->streams != NULL ? streams_ask (g->streams, question) : 0;
+}
+
 static const struct beryl_forward_owner_impl forward_impl = {
   .start = forward_start_exchange,
   .abort = forward_abort,
@@ -282,6 +303,8 @@
   .quarantine_changed = forward_quarantine_changed,
   .log_step = forward_log_step,
   .log_endpoint_state = forward_log_endpoint_state,
+  .stream_begun = forward_stream_begun,
+  .find_stream = forward_find_stream,
   .contact_changed = forward_contact_changed,
 };
 
@@ -498,6 +521,15 @@
   notices_receive (gateway_from_members (owner)->notices, message);
 }
 
+static void
+members_streams_received (struct members_owner *owner,
+                          const struct streams_message *message,
+                          const char *address, uint16_t port)
+{
+  streams_receive (gateway_from_members (owner)->streams, message, address,
+                   port);
+}
+
 static void
 members_peer_lost (struct members_owner *owner, const char *peer)
 {
@@ -531,6 +563,7 @@
   .loads_received = members_loads_received,
   .changes_received = members_changes_received,
   .notices_received = members_notices_received,
+  .streams_received = members_streams_received,
   .peer_lost = members_peer_lost,
   .announce_due = members_announce_due,
   .should_pull = members_should_pull,
@@ -771,6 +804,7 @@
           loop, g->store, &g->settings, beryl_forward_quarantine (g->forward));
       g->notices
           = notices_create (loop, g->settings.node, g->forward, g->members);
+      g->streams = streams_create (loop, g->forward, g->members);
       g->cluster_key
           = cluster_key_create (loop, g->store, cluster_key_ready, g);
       g->planner = planner_create (loop, wire, &g->settings, g->store,
@@ -798,6 +832,7 @@
   cluster_key_destroy (g->cluster_key);
   registry_destroy (g->registry);
   notices_destroy (g->notices);
+  streams_destroy (g->streams);
   quarantine_records_destroy (g->quarantine_records);
   relay_destroy (g->relay);
   members_destroy (g->members);
--- a/gatewayd/members.c
+++ b/gatewayd/members.c
@@ -1,6 +1,7 @@
 #include "members.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "beryl/announce.h"
 #include "beryl/clock.h"
@@ -268,6 +269,16 @@
     m->owner->impl->notices_received (m->owner, &message);
 }
 
+static void
+receive_streams (struct members *m, struct frame *frame, const char *address,
+                 uint16_t port)
+{
+  struct streams_message message;
+
+  if (streams_read (frame, &message))
+    m->owner->impl->streams_received (m->owner, &message, address, port);
+}
+
 static void
 datagram_received (void *user, struct frame *frame, const char *address,
                    uint16_t port)
@@ -283,6 +294,8 @@
     receive_changes (m, frame);
   else if (frame_type (frame) == NOTICES_DATAGRAM)
     receive_notices (m, frame);
+  else if (frame_type (frame) == STREAMS_DATAGRAM)
+    receive_streams (m, frame, address, port);
   else if (m->table != NULL && gossip_read (frame, &message))
     beryl_membership_receive (m->table, &message, address, port, now_ms (m));
   schedule_tick (m);
@@ -423,6 +436,68 @@
     }
 }
 
+/* A peer and its rank for a key, by rendezvous hashing. */
+struct ranked_peer
+{
+  const struct beryl_member *peer;
+  uint64_t rank;
+};
+
+/* Inserts PEER into the COUNT first of at most MAX; returns the new count. */
+static uint32_t
+rank_peer (struct ranked_peer *first, uint32_t count, uint32_t max,
+           const struct beryl_member *peer, uint64_t key)
+{
+  uint64_t rank = XXH3_64bits_withSeed (peer->name, strlen (peer->name), key);
+  uint32_t at = count;
+
+  while (at > 0 && first[at - 1].rank < rank)
+    at--;
+  if (at == max)
+    return count;
+  if (count < max)
+    count++;
+  memmove (&first[at + 1], &first[at], (count - at - 1) * sizeof *first);
+  first[at] = (struct ranked_peer){ peer, rank };
+  return count;
+}
+
+uint32_t
+members_send_streams (struct members *m, const struct streams_message *message,
+                      uint64_t key, uint32_t max)
+{
+  struct ranked_peer first[MEMBERS_RANKED_MAX];
+  uint32_t count = 0;
+
+  if (m->table == NULL)
+    return 0;
+  for (size_t i = 0; i < beryl_membership_count (m->table); i++)
+    {
+      const struct beryl_member *peer = beryl_membership_get (m->table, i);
+
+      if (peer->state != BERYL_MEMBER_DEAD
+          && strcmp (peer->name, m->settings->node) != 0)
+        count = rank_peer (first, count, MIN (max, MEMBERS_RANKED_MAX), peer,
+                           key);
+    }
+  streams_put (m->writer, message);
+  if (count == 0 || !datagram_seal (m->datagram, m->writer))
+    return 0;
+  for (uint32_t i = 0; i < count; i++)
+    datagram_send_sealed (m->datagram, first[i].peer->address,
+                          first[i].peer->port);
+  return count;
+}
+
+void
+members_reply_streams (struct members *m,
+                       const struct streams_message *message,
+                       const char *address, uint16_t port)
+{
+  streams_put (m->writer, message);
+  datagram_send (m->datagram, address, port, m->writer);
+}
+
 static void
 configuration_pulled (struct config_sync_owner *owner, uint64_t revision,
                       const char *value, size_t value_bytes)
--- a/gatewayd/members.h
+++ b/gatewayd/members.h
@@ -18,6 +18,7 @@
 #include "wire/changes.h"
 #include "wire/loads.h"
 #include "wire/notices.h"
+#include "wire/streams.h"
 
 struct members;
 struct members_owner;
@@ -39,6 +40,11 @@
   /** A peer sent notices of crashes, quarantined requests or rate limits. */
   void (*notices_received) (struct members_owner *owner,
                             const struct notices_message *message);
+  /** The peer at ADDRESS and PORT sent records of streams, questions or
+   * answers. */
+  void (*streams_received) (struct members_owner *owner,
+                            const struct streams_message *message,
+                            const char *address, uint16_t port);
   /** PEER is suspect or dead; disregard its runs. */
   void (*peer_lost) (struct members_owner *owner, const char *peer);
   /** An announcement is due: call members_announce_loads with the current
@@ -113,6 +119,18 @@
                            const struct notices_message *message,
                            uint32_t max);
 
+/** Send MESSAGE to the MAX peers that rank first for KEY, at most
+ * MEMBERS_RANKED_MAX; return how many they are. All nodes rank alike. */
+#define MEMBERS_RANKED_MAX 8
+uint32_t members_send_streams (struct members *members,
+                               const struct streams_message *message,
+                               uint64_t key, uint32_t max);
+
+/** Send MESSAGE to the peer at ADDRESS and PORT. */
+void members_reply_streams (struct members *members,
+                            const struct streams_message *message,
+                            const char *address, uint16_t port);
+
 /** Return how many nodes of this data centre are not dead, this one
  * included. */
 uint32_t members_local_count (const struct members *members);
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -146,6 +146,10 @@
   BERYL_REFUSAL_UNAUTHENTICATED, /**< no key, or one of no organisation */
   BERYL_REFUSAL_PAUSED, /**< all its endpoints have asked for a pause */
   BERYL_REFUSAL_QUOTA,  /**< its organisation's quota is used up */
+  BERYL_REFUSAL_UNKNOWN_STREAM, /**< it is not known which version began the
+                                   stream that it resumes */
+  BERYL_REFUSAL_VERSION_GONE,   /**< no endpoint has the version that began its
+                                   stream */
 };
 
 /** A final answer that this node generates itself. */
@@ -182,6 +186,32 @@
   uint64_t endpoint_revision;
 };
 
+/** The software version at which a stream began. */
+struct beryl_stream_record
+{
+  uint64_t stream;       /**< digest of the request's id and its scope */
+  uint32_t version;      /**< digest of the version */
+  uint32_t remaining_ms; /**< time for which the stream can be resumed */
+};
+
+/** Question of a peer that does not know STREAM. */
+struct beryl_stream_question
+{
+  uint64_t stream;
+  uint32_t service; /**< beryl_name_hash of its name */
+};
+
+/** Answer to it. */
+struct beryl_stream_answer
+{
+  uint64_t stream;
+  uint32_t version;      /**< at which it began; 0: unknown here too */
+  uint32_t sole_version; /**< the only one that any stream of the service that
+                            is still open can have begun at; 0: unknown */
+  bool several_versions; /**< the service has, or had until recently, several
+                            versions */
+};
+
 struct beryl_forward_owner;
 
 /** Actions. Pointers are valid only during the call. */
@@ -229,6 +259,14 @@
   void (*log_endpoint_state) (struct beryl_forward_owner *owner,
                               const struct beryl_live_endpoint *endpoint,
                               const char *what, const char *from);
+  /** The stream of RECORD has begun, and several versions may be in service:
+   * give the record to some peers. May be NULL. */
+  void (*stream_begun) (struct beryl_forward_owner *owner,
+                        const struct beryl_stream_record *record);
+  /** Ask those peers which have the record; return how many are asked. Answers
+   * come by beryl_forward_stream_answered. May be NULL. */
+  uint32_t (*find_stream) (struct beryl_forward_owner *owner,
+                           const struct beryl_stream_question *question);
   /** This node has lost the connection to all endpoints (LOST), or has it
    * back; the state before has lasted for LASTED_MS. May be NULL. */
   void (*contact_changed) (struct beryl_forward_owner *owner, bool lost,
@@ -405,6 +443,23 @@
                                 const struct beryl_limits_update *update,
                                 int64_t now_ms);
 
+/** Keep RECORD for a peer. */
+void beryl_forward_learn_stream (struct beryl_forward *forward,
+                                 const struct beryl_stream_record *record,
+                                 int64_t now_ms);
+
+/** Answer a peer's question. */
+void
+beryl_forward_describe_stream (struct beryl_forward *forward,
+                               const struct beryl_stream_question *question,
+                               struct beryl_stream_answer *answer,
+                               int64_t now_ms);
+
+/** A peer has answered a question of this node. */
+void beryl_forward_stream_answered (struct beryl_forward *forward,
+                                    const struct beryl_stream_answer *answer,
+                                    int64_t now_ms);
+
 /** The set of endpoints has changed: requests that wait for an engine try
  * again. */
 void beryl_forward_endpoints_changed (struct beryl_forward *forward,
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -149,6 +149,7 @@
   begin_answer (f, r, x);
   if (event->has_id)
     r->last_event_id = event->id;
+  resume_first_event (f, r, x, now_ms);
   if (r->event_count == 0)
     r->first_event_ms = now_ms;
   else if (now_ms - r->last_event_ms > r->longest_gap_ms)
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -22,16 +22,31 @@
    decays. */
 #define UNREPORTED_DECAY_MS 2000.0
 
+/* Which engines may be chosen. */
+enum choice
+{
+  CHOICE_WITHOUT_SUSPECTS = 1, /* none that runs a suspect */
+  CHOICE_WITH_LEAVING = 2,     /* also those that are leaving */
+};
+
 static bool
-serves (const struct beryl_live_endpoint *endpoint, const struct request *r,
-        enum beryl_stage stage, int64_t now_ms)
+is_in_stage (const struct beryl_live_endpoint *endpoint,
+             const struct request *r, enum beryl_stage stage, int64_t now_ms)
 {
-  return endpoint->info.stage == stage && beryl_live_accepts_work (endpoint)
+  return endpoint->info.stage == stage
          && !beryl_live_stage_changing (endpoint, now_ms)
          && !beryl_live_paused (endpoint, now_ms)
          && strcmp (endpoint->info.service, r->service->name) == 0;
 }
 
+static bool
+serves (const struct beryl_live_endpoint *endpoint, const struct request *r,
+        enum beryl_stage stage, int64_t now_ms)
+{
+  return is_in_stage (endpoint, r, stage, now_ms)
+         && beryl_live_accepts_work (endpoint);
+}
+
 static uint32_t
 produced_tokens (const struct request *r, int64_t now_ms)
 {
@@ -197,10 +212,17 @@
 
 /* Returns whether ENDPOINT may be asked to run R. */
 static bool
-may_be_asked (const struct request *r,
-              const struct beryl_live_endpoint *endpoint, int64_t now_ms)
+may_be_asked (const struct beryl_forward *f, const struct request *r,
+              const struct beryl_live_endpoint *endpoint, int choice,
+              int64_t now_ms)
 {
-  return serves (endpoint, r, BERYL_STAGE_DECODE, now_ms)
+  bool takes_work
+      = (choice & CHOICE_WITH_LEAVING) != 0
+            ? beryl_live_set_allows_bound_work (f->endpoints, endpoint, now_ms)
+            : beryl_live_accepts_work (endpoint);
+
+  return takes_work && is_in_stage (endpoint, r, BERYL_STAGE_DECODE, now_ms)
+         && resume_keeps_version (r, endpoint)
          && now_ms >= endpoint->full_until_ms
          && !forward_request_was_tried (r, endpoint)
          && worth_asking (endpoint, now_ms);
@@ -233,13 +255,11 @@
       = usable_tokens > 0 ? FILL_PART * least / usable_tokens : 0;
 }
 
-/* Chooses among the engines that run no suspect if WITHOUT_SUSPECTS, and
-   otherwise among all. The forecast is an estimate; the engine itself counts
-   exactly and decides. */
+/* CHOICE is a set of flags of enum choice. The forecast is an estimate; the
+   engine itself counts exactly and decides. */
 static struct beryl_live_endpoint *
-choose_decode (struct beryl_forward *f, const struct request *r,
-               bool without_suspects, struct engine_capacity *capacity,
-               int64_t now_ms)
+choose_decode (struct beryl_forward *f, const struct request *r, int choice,
+               struct engine_capacity *capacity, int64_t now_ms)
 {
   struct sample sample;
   struct beryl_live_endpoint *best = NULL, *warm = NULL;
@@ -252,9 +272,10 @@
       struct beryl_live_endpoint *endpoint
           = beryl_live_set_get (f->endpoints, i);
 
-      if (!may_be_asked (r, endpoint, now_ms)
+      if (!may_be_asked (f, r, endpoint, choice, now_ms)
           || !rates_allows (f, r->service, endpoint, now_ms)
-          || (without_suspects && crashes_suspect_at (f, r, endpoint, now_ms)))
+          || ((choice & CHOICE_WITHOUT_SUSPECTS) != 0
+              && crashes_suspect_at (f, r, endpoint, now_ms)))
         continue;
       if (engine_has_prompt_cached (r, endpoint))
         warm = endpoint;
@@ -277,20 +298,25 @@
   return best;
 }
 
-/* Prefers engines that run no suspect. The choice of an avoided engine counts
-   as a probe of it. */
+/* Prefers engines that run no suspect. A stream whose version has only leaving
+   engines goes on at one of these. The choice of an avoided engine counts as a
+   probe of it. */
 struct beryl_live_endpoint *
 engine_choose_decode (struct beryl_forward *f, const struct request *r,
                       struct engine_capacity *capacity, int64_t now_ms)
 {
   struct beryl_live_endpoint *best = NULL;
+  int choice = 0;
 
+  if (r->version != 0 && resume_places (f, r, now_ms) == RESUME_AT_LEAVING)
+    choice = CHOICE_WITH_LEAVING;
   if (crashes_any_suspect (f, now_ms))
-    best = choose_decode (f, r, true, capacity, now_ms);
+    best = choose_decode (f, r, choice | CHOICE_WITHOUT_SUSPECTS, capacity,
+                          now_ms);
   if (best == NULL)
     {
       *capacity = (struct engine_capacity){ 0 };
-      best = choose_decode (f, r, false, capacity, now_ms);
+      best = choose_decode (f, r, choice, capacity, now_ms);
     }
   if (best != NULL && beryl_live_avoided (best, now_ms))
     best->last_probe_ms = now_ms;
@@ -316,6 +342,8 @@
 
       if (serves (endpoint, r, BERYL_STAGE_DECODE, now_ms)
           && endpoint != r->reservation.endpoint
+          && endpoint_version (endpoint)
+                 == endpoint_version (r->reservation.endpoint)
           && now_ms >= endpoint->full_until_ms
           && !beryl_live_avoided (endpoint, now_ms)
           && !rates_is_limited (f, endpoint))
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -32,7 +32,9 @@
                                        "limited",
                                        "unauthenticated",
                                        "paused",
-                                       "quota" };
+                                       "quota",
+                                       "unknown_stream",
+                                       "version_gone" };
 
   return names[reason];
 }
@@ -64,6 +66,7 @@
   TAILQ_INIT (&f->requests);
   TAILQ_INIT (&f->exchanges);
   crashes_init (f);
+  stream_records_init (&f->streams);
   f->limits = beryl_limits_create ();
   f->quotas = beryl_quotas_create (settings->quota_slack, settings->seed);
   return f;
@@ -93,6 +96,7 @@
   map_clear (&f->requests_by_handle);
   map_clear (&f->exchanges_by_id);
   run_table_clear (&f->run_table);
+  stream_records_clear (&f->streams);
   beryl_live_set_destroy (f->peers);
   beryl_quarantine_destroy (f->quarantine);
   beryl_limits_destroy (f->limits);
@@ -220,6 +224,7 @@
   x->kind = start->kind;
   x->endpoint = endpoint;
   x->started_ms = now_ms;
+  x->version = endpoint_version (endpoint);
   x->tokens = start->tokens;
   TAILQ_INSERT_TAIL (&f->exchanges, x, entry);
   map_put (&f->exchanges_by_id, map_key_from_number (x->id), x);
@@ -366,6 +371,16 @@
                          r->endpoints_run_count, now_ms);
 }
 
+void
+forward_request_place (struct beryl_forward *f, struct request *r,
+                       int64_t now_ms)
+{
+  if (forward_request_is_generation (r))
+    generation_start (f, r, now_ms);
+  else
+    plain_start (f, r, now_ms);
+}
+
 void
 beryl_forward_submit (struct beryl_forward *f,
                       const struct beryl_forward_request *params,
@@ -411,10 +426,8 @@
     return;
   else if (r->handed_over && f->contact.state == CONTACT_LOST)
     forward_request_fail (f, r, BERYL_REFUSAL_NO_ENDPOINT, now_ms);
-  else if (forward_request_is_generation (r))
-    generation_start (f, r, now_ms);
-  else
-    plain_start (f, r, now_ms);
+  else if (!resume_look_up (f, r, now_ms))
+    forward_request_place (f, r, now_ms);
 }
 
 void
@@ -588,6 +601,7 @@
 void
 beryl_forward_endpoints_changed (struct beryl_forward *f, int64_t now_ms)
 {
+  resume_endpoints_changed (f, now_ms);
   placement_wake_all (f, now_ms);
 }
 
@@ -602,6 +616,8 @@
                                    now_ms - r->primary->started_ms, now_ms);
       forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
     }
+  else if (r->phase == PHASE_LOOKING_UP)
+    resume_timer (f, r, now_ms);
   else if (forward_request_is_generation (r))
     generation_timer (f, r, now_ms);
   else
@@ -620,6 +636,7 @@
         request_tick (f, r, now_ms);
     }
   contact_tick (f, now_ms);
+  resume_tick (f, now_ms);
   generation_balance (f, now_ms);
   crashes_tick (f, now_ms);
 }
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -119,8 +119,14 @@
 {
   const struct beryl_live_endpoint *endpoint = r->reservation.endpoint;
 
+  if (!resume_keeps_version (r, endpoint))
+    return true;
   if (r->continues_run)
     return !beryl_live_set_allows_bound_work (f->endpoints, endpoint, now_ms);
+  if (r->version != 0 && !beryl_live_accepts_work (endpoint))
+    return resume_places (f, r, now_ms) != RESUME_AT_LEAVING
+           || !beryl_live_set_allows_bound_work (f->endpoints, endpoint,
+                                                 now_ms);
   return !beryl_live_accepts_work (endpoint)
          || beryl_live_paused (endpoint, now_ms);
 }
@@ -214,7 +220,8 @@
     forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
   else if (!may_run_again (r))
     forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
-  else if (!crashes_refuse (f, r, now_ms))
+  else if (!crashes_refuse (f, r, now_ms)
+           && !resume_refuse_without_version (f, r, now_ms))
     placement_start (f, r, now_ms);
 }
 
@@ -344,6 +351,7 @@
     case PHASE_RUNNING:
       stream_timer (f, r, now_ms);
       return;
+    case PHASE_LOOKING_UP:
     case PHASE_RESERVING:
     case PHASE_PREFILLING:
     case PHASE_HANDED_OFF:
--- a/libberyl/forward/handoff.c
+++ b/libberyl/forward/handoff.c
@@ -180,6 +180,8 @@
     return;
   if (r->may_have_run || f->contact.state != CONTACT_OK)
     forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+  else if (resume_look_up (f, r, now_ms))
+    return;
   else if (forward_request_is_generation (r))
     placement_start (f, r, now_ms);
   else
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -111,6 +111,7 @@
 
       if (strcmp (endpoint->info.service, r->service->name) != 0
           || !beryl_live_accepts_work (endpoint)
+          || !resume_keeps_version (r, endpoint)
           || forward_request_was_tried (r, endpoint)
           || beryl_live_paused (endpoint, now_ms)
           || !rates_allows (f, r->service, endpoint, now_ms))
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -18,6 +18,7 @@
 #include "pace.h"
 #include "prompt_locations.h"
 #include "repeat_budget.h"
+#include "versions.h"
 
 /** Retry-After for a request that finds no endpoint. */
 #define RETRY_AFTER_MS 1000
@@ -76,8 +77,10 @@
   struct call_overhead call_overhead; /**< durations of reservation calls, as
                                          the overhead of a call */
   struct peer_profiles peer_profiles;
-  uint64_t kv_tokens;        /**< KV memory of one engine; 0 if unknown */
-  uint32_t waiting;          /**< this node's waiting generations */
+  uint64_t kv_tokens; /**< KV memory of one engine; 0 if unknown */
+  uint32_t waiting;   /**< this node's waiting generations */
+  struct version_history versions;
+  int64_t stream_life_ms;    /**< longest time that a caller had for one */
   int64_t earliest_retry_ms; /**< earliest retry time for the next refused
                                 caller */
 };
@@ -93,6 +96,7 @@
   enum beryl_exchange_kind kind;
   struct beryl_live_endpoint *endpoint;
   int64_t started_ms;
+  uint32_t version; /**< of its endpoint's software when it began */
   bool has_head;
   bool paused;
   bool contact_dial; /**< counted in the dials_open of struct contact */
@@ -104,8 +108,9 @@
 
 enum phase
 {
-  PHASE_WAITING,   /**< waits until it asks an engine for memory again */
-  PHASE_RESERVING, /**< a decode engine was asked for a reservation */
+  PHASE_LOOKING_UP, /**< peers are asked where the resumed stream began */
+  PHASE_WAITING,    /**< waits until it asks an engine for memory again */
+  PHASE_RESERVING,  /**< a decode engine was asked for a reservation */
   PHASE_PREFILLING,
   PHASE_RUNNING,    /**< the request was sent to an endpoint */
   PHASE_HANDED_OFF, /**< the request was sent to a peer */
@@ -134,6 +139,17 @@
   uint32_t uses; /**< runs it was handed to */
 };
 
+/** Looking up the version at which a stream began. */
+struct version_lookup
+{
+  int64_t begun_ms;
+  uint32_t asked; /**< peers */
+  uint32_t answers;
+  uint32_t agreeing; /**< peers that have seen this version only */
+  bool contradicted; /**< a peer has seen another version */
+  bool repeated;
+};
+
 /** One request of a caller. */
 struct request
 {
@@ -173,6 +189,9 @@
   uint64_t last_event_id;
   int64_t last_event_ms; /**< time of the last event, of the answer's head or
                             of the start of the run */
+  uint32_t version;      /**< that its stream began at; 0: it has no event */
+  bool version_told;     /**< peers have a record of that */
+  struct version_lookup lookup; /**< in PHASE_LOOKING_UP */
   /* Generations. */
   struct reservation reservation;
   struct kv_cache kv;
@@ -242,6 +261,9 @@
   int64_t reachable_counted_ms; /**< when they were last counted */
   struct beryl_quarantine_owner quarantine_owner;
   struct beryl_quarantine *quarantine;
+  struct stream_records streams; /**< that callers may resume here */
+  int64_t versions_known_ms;     /**< when endpoints were first listed; 0 */
+  int64_t next_version_check_ms;
   int64_t suspects_until_ms;   /**< latest deadline of this node's suspects */
   int64_t quarantine_check_ms; /**< when to check open requests for newly
                                   quarantined ones; BERYL_NEVER_MS if none */
@@ -267,6 +289,43 @@
 void forward_exchange_detach (struct beryl_forward *f, struct request *r,
                               struct exchange *x);
 
+/** Send R to an endpoint, or look for one. */
+void forward_request_place (struct beryl_forward *f, struct request *r,
+                            int64_t now_ms);
+
+/* resume.c */
+/** Where a stream can go on. */
+enum resume_places
+{
+  RESUME_NO_ENDPOINT, /**< the service has none of any version */
+  RESUME_NOWHERE,     /**< only other versions have endpoints */
+  RESUME_AT_LEAVING,  /**< only at endpoints that are leaving */
+  RESUME_AT_READY,
+};
+
+/** Find the version that R must keep, if it resumes a stream; return true if R
+ * was refused, or waits for peers' answers. */
+bool resume_look_up (struct beryl_forward *f, struct request *r,
+                     int64_t now_ms);
+/** R's timer has fired in PHASE_LOOKING_UP. */
+void resume_timer (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** X brings the first event of R's stream that its caller gets. */
+void resume_first_event (struct beryl_forward *f, struct request *r,
+                         const struct exchange *x, int64_t now_ms);
+/** Return whether R's stream may go on at ENDPOINT. */
+bool resume_keeps_version (const struct request *r,
+                           const struct beryl_live_endpoint *endpoint);
+/** Return where endpoints of R's version are, whether or not they have
+ * room. */
+enum resume_places resume_places (const struct beryl_forward *f,
+                                  const struct request *r, int64_t now_ms);
+/** If only endpoints of other versions than R's are left, end R and return
+ * true. */
+bool resume_refuse_without_version (struct beryl_forward *f, struct request *r,
+                                    int64_t now_ms);
+void resume_endpoints_changed (struct beryl_forward *f, int64_t now_ms);
+void resume_tick (struct beryl_forward *f, int64_t now_ms);
+
 /* endpoint_reports.c */
 /** An answer shows that another process now has ENDPOINT's address. */
 void endpoint_report_replaced (struct beryl_forward *f,
