Planner: each version keeps an engine for decode

Streams go on only at engines of the version that began them. With two engines of a version left, both of which read prompts, none of its streams could go on (LOST). The planner gives such a version a decode engine at once, and takes none of its last one for prefill.

test_version_without_decode and test_last_decode_of_version failed before.

--- a/gatewayd/planner.c
+++ b/gatewayd/planner.c
@@ -213,6 +213,7 @@
       struct beryl_stage_engine engine = {
         .id = endpoint->info.id,
         .stage = pending != NULL ? pending->stage : endpoint->info.stage,
+        .version = beryl_live_version (endpoint),
         .changing = pending != NULL || beryl_live_paused (endpoint, now_ms),
         .used_tokens = beryl_forward_engine_used_tokens (p->forward, service,
                                                          endpoint, now_ms),
--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -126,6 +126,9 @@
  * messages. */
 uint32_t beryl_live_hash (const struct beryl_live_endpoint *endpoint);
 
+/** Return a number for the version of ENDPOINT's software; never 0. */
+uint32_t beryl_live_version (const struct beryl_live_endpoint *endpoint);
+
 /** Add or update an endpoint listed at NOW_MS and return it.  Entries older
  * than the known one and those of a previous incarnation are ignored.  A
  * restarted process becomes a new endpoint without history; the previous one
--- a/include/beryl/stages.h
+++ b/include/beryl/stages.h
@@ -43,6 +43,8 @@
 {
   const char *id;
   enum beryl_stage stage;
+  uint32_t version;     /**< digest of its software version; streams stay at
+                           the version that began them */
   bool changing;        /**< a stage change is in progress */
   uint64_t used_tokens; /**< KV cache in use, as far as known */
 };
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -342,8 +342,8 @@
 
       if (serves (endpoint, r, BERYL_STAGE_DECODE, now_ms)
           && endpoint != r->reservation.endpoint
-          && endpoint_version (endpoint)
-                 == endpoint_version (r->reservation.endpoint)
+          && beryl_live_version (endpoint)
+                 == beryl_live_version (r->reservation.endpoint)
           && now_ms >= endpoint->full_until_ms
           && !beryl_live_avoided (endpoint, now_ms)
           && !rates_is_limited (f, endpoint))
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -224,7 +224,7 @@
   x->kind = start->kind;
   x->endpoint = endpoint;
   x->started_ms = now_ms;
-  x->version = endpoint_version (endpoint);
+  x->version = beryl_live_version (endpoint);
   x->tokens = start->tokens;
   TAILQ_INSERT_TAIL (&f->exchanges, x, entry);
   map_put (&f->exchanges_by_id, map_key_from_number (x->id), x);
--- a/libberyl/forward/live.c
+++ b/libberyl/forward/live.c
@@ -66,6 +66,15 @@
   return (struct map_key){ hash.high64, hash.low64 };
 }
 
+uint32_t
+beryl_live_version (const struct beryl_live_endpoint *endpoint)
+{
+  const char *version = endpoint->info.software_version;
+  uint32_t hash = (uint32_t)XXH3_64bits (version, strlen (version));
+
+  return hash != 0 ? hash : 1;
+}
+
 uint32_t
 beryl_live_hash (const struct beryl_live_endpoint *endpoint)
 {
--- a/libberyl/forward/resume.c
+++ b/libberyl/forward/resume.c
@@ -136,7 +136,7 @@
 
       version_history_list (
           &forward_service (f, endpoint->info.service)->versions,
-          endpoint_version (endpoint), now_ms);
+          beryl_live_version (endpoint), now_ms);
     }
   if (f->versions_known_ms == 0 && count > 0)
     f->versions_known_ms = now_ms;
@@ -187,7 +187,7 @@
 resume_keeps_version (const struct request *r,
                       const struct beryl_live_endpoint *endpoint)
 {
-  return r->version == 0 || endpoint_version (endpoint) == r->version;
+  return r->version == 0 || beryl_live_version (endpoint) == r->version;
 }
 
 /* Returns whether ENDPOINT could serve R, whatever its version. */
--- a/libberyl/forward/versions.c
+++ b/libberyl/forward/versions.c
@@ -2,19 +2,9 @@
 
 #include <stdlib.h>
 
-#include "beryl/engine_load.h"
-
 /* Some 6 MB; a node begins far fewer streams within their lifetime. */
 #define RECORDS_MAX 65536
 
-uint32_t
-endpoint_version (const struct beryl_live_endpoint *endpoint)
-{
-  uint32_t hash = beryl_name_hash (endpoint->info.software_version);
-
-  return hash != 0 ? hash : 1;
-}
-
 void
 version_history_begin (struct version_history *history, int64_t now_ms)
 {
--- a/libberyl/forward/versions.h
+++ b/libberyl/forward/versions.h
@@ -11,7 +11,6 @@
 #include <sys/queue.h>
 
 #include "../base/map.h"
-#include "beryl/live.h"
 
 /** Versions that are remembered of one service. */
 #define VERSIONS_MAX 8
@@ -19,7 +18,7 @@
 /** One version of a service. */
 struct version_seen
 {
-  uint32_t version; /**< as returned by endpoint_version */
+  uint32_t version; /**< as returned by beryl_live_version */
   bool listed;      /**< an endpoint of the list has it */
   int64_t seen_ms;  /**< when one last had it */
 };
@@ -31,9 +30,6 @@
   size_t count;
 };
 
-/** Return a number for the version of ENDPOINT's software; never 0. */
-uint32_t endpoint_version (const struct beryl_live_endpoint *endpoint);
-
 /** Begin an update: no version counts as listed until version_history_list. */
 void version_history_begin (struct version_history *history, int64_t now_ms);
 void version_history_list (struct version_history *history, uint32_t version,
--- a/libberyl/stages/stages.c
+++ b/libberyl/stages/stages.c
@@ -84,6 +84,28 @@
   return pools;
 }
 
+static size_t
+count_version (const struct beryl_stage_engine *engines, size_t count,
+               uint32_t version, enum beryl_stage stage)
+{
+  size_t found = 0;
+
+  for (size_t i = 0; i < count; i++)
+    found += engines[i].version == version && engines[i].stage == stage;
+  return found;
+}
+
+/* Returns whether ENGINE is the last decode engine of its version, without
+ * which the streams of that version could go on nowhere. */
+static bool
+is_needed_by_streams (const struct beryl_stage_engine *engines, size_t count,
+                      const struct beryl_stage_engine *engine)
+{
+  return engine->stage == BERYL_STAGE_DECODE
+         && count_version (engines, count, engine->version, BERYL_STAGE_DECODE)
+                == 1;
+}
+
 /* Returns the engine of STAGE with the least memory in use, which has the
  * least to finish before it can change. */
 static const struct beryl_stage_engine *
@@ -94,6 +116,7 @@
 
   for (size_t i = 0; i < count; i++)
     if (engines[i].stage == stage && !engines[i].changing
+        && !is_needed_by_streams (engines, count, &engines[i])
         && (best == NULL || engines[i].used_tokens < best->used_tokens))
       best = &engines[i];
   return best;
@@ -139,6 +162,25 @@
   return initial_phase ? INITIAL_DELAY_MS : IMBALANCE_MS;
 }
 
+/* Returns a prefill engine of a version that has several engines, but none for
+ * decode while another version has; NULL if there is none. */
+static const struct beryl_stage_engine *
+missing_decode (const struct beryl_stage_engine *engines, size_t count)
+{
+  if (count_pools (engines, count).prefill == count)
+    return NULL;
+  for (size_t i = 0; i < count; i++)
+    if (engines[i].stage == BERYL_STAGE_PREFILL && !engines[i].changing
+        && count_version (engines, count, engines[i].version,
+                          BERYL_STAGE_DECODE)
+               == 0
+        && count_version (engines, count, engines[i].version,
+                          BERYL_STAGE_PREFILL)
+               > 1)
+      return &engines[i];
+  return NULL;
+}
+
 bool
 beryl_stages_plan (struct beryl_stages *stages,
                    const struct beryl_generation_mix *mix,
@@ -152,6 +194,12 @@
   if (count < 2)
     return false;
   update_initial_split (stages, mix, &pools);
+  engine = missing_decode (engines, count);
+  if (engine != NULL)
+    {
+      *order = (struct beryl_stage_order){ engine->id, BERYL_STAGE_DECODE };
+      return true;
+    }
   imbalance = (double)pools.prefill - target_prefill (stages, mix, count);
   if (fabs (imbalance) < IMBALANCE_ENGINES)
     {
--- a/tests/forward/test_stages.c
+++ b/tests/forward/test_stages.c
@@ -164,6 +164,49 @@
 }
 END_TEST
 
+/* Guards against a version whose last engines all read prompts, so that its
+   streams can go on nowhere. */
+START_TEST (test_version_without_decode)
+{
+  struct beryl_stages *stages = beryl_stages_create ();
+  struct beryl_generation_mix mix = mix_of (500, 4000);
+  struct beryl_stage_engine engines[8] = { 0 };
+  struct beryl_stage_order order;
+
+  for (int i = 0; i < 8; i++)
+    engines[i]
+        = (struct beryl_stage_engine){ .id = i < 2 ? "old" : "new",
+                                       .version = i < 2 ? 1 : 2,
+                                       .stage = i < 2 ? BERYL_STAGE_PREFILL
+                                                      : BERYL_STAGE_DECODE };
+  ck_assert (beryl_stages_plan (stages, &mix, engines, 8, 20000, &order));
+  ck_assert_str_eq (order.id, "old");
+  ck_assert_int_eq (order.stage, BERYL_STAGE_DECODE);
+  beryl_stages_destroy (stages);
+}
+END_TEST
+
+/* Guards against the last decode engine of a version being made one that reads
+   prompts. */
+START_TEST (test_last_decode_of_version)
+{
+  struct beryl_stages *stages = beryl_stages_create ();
+  struct beryl_generation_mix mix = mix_of (8000, 100);
+  struct beryl_stage_engine engines[8] = { 0 };
+  struct beryl_stage_order order;
+
+  for (int i = 0; i < 8; i++)
+    engines[i] = (struct beryl_stage_engine){ .id = i == 0 ? "old" : "new",
+                                              .version = i == 0 ? 1 : 2,
+                                              .used_tokens = (uint64_t)i,
+                                              .stage = BERYL_STAGE_DECODE };
+  for (int64_t now_ms = 20000; now_ms < 40000; now_ms += 250)
+    if (beryl_stages_plan (stages, &mix, engines, 8, now_ms, &order))
+      ck_assert_str_eq (order.id, "new");
+  beryl_stages_destroy (stages);
+}
+END_TEST
+
 START_TEST (test_stages_of_one)
 {
   struct beryl_stages *stages = beryl_stages_create ();
@@ -189,6 +232,8 @@
   tcase_add_test (tcase, test_stages_change);
   tcase_add_test (tcase, test_stages_go_half_way_unmeasured);
   tcase_add_test (tcase, test_pace_is_learned);
+  tcase_add_test (tcase, test_version_without_decode);
+  tcase_add_test (tcase, test_last_decode_of_version);
   tcase_add_test (tcase, test_stages_of_one);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
