Soak: releases of new versions (profile versions)

Model runners are replaced by those of a new version, one after the other, while nodes and runners end, connections break and the store is away.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -37,6 +37,9 @@
         self.status = 0
         self.sealed = False
         self.silenced = False  # its connection was, by a fault
+        self.resumes = False   # it goes on with the stream of an earlier one
+        self.served = False    # two runners of its stream's version were there
+        self.events = 0        # new ones
 
     def crashes(self):
         """Whether it crashes the runners that run it."""
@@ -211,10 +214,13 @@
             attempt = Attempt(f"{name}-{number}", kind, node.index)
             stream = Stream(attempt.id, after, total, version)
             stream.resumes = first
+            attempt.resumes = first is not None
+            attempt.served = self.world.has_runners(version)
             self.world.attempts[attempt.id] = attempt
             retry_s = await self.send(attempt, node, stream, prompt, left_s,
                                       leaves_s)
             attempt.ended = time.monotonic()
+            attempt.events = stream.last() - after
             if stream.fault:
                 self.world.broke("ORDER", f"{attempt.id}: {stream.fault}")
             if kind == "stream" and stream.last() > 0:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -33,6 +33,10 @@
 STOP_LAST_PART = 1 / 6
 STOP_SENT_S = 3.0
 DESCRIPTORS = 120
+# Of so many streams that are taken up again, a share goes on that is at least
+# this part of that of new streams which begin.
+RESUMED_LEAST = 12
+RESUMED_PART = 0.5
 
 
 class Begin:
@@ -343,6 +347,24 @@
     return at_cut, elsewhere
 
 
+def resumed_streams(world):
+    """Streams go on when their callers take them up again."""
+    tries = {True: [], False: []}
+    for attempt in world.attempts.values():
+        if attempt.kind == "stream" and attempt.served \
+                and attempt.sent is not None and attempt.outcome != "left" \
+                and world.in_touch(attempt.node, attempt.began):
+            tries[attempt.resumes].append(attempt.events > 0)
+    if len(tries[True]) < RESUMED_LEAST or not tries[False]:
+        return
+    resumed = sum(tries[True]) / len(tries[True])
+    begun = sum(tries[False]) / len(tries[False])
+    if resumed < RESUMED_PART * begun:
+        world.broke("LOST", f"{resumed:.0%} of {len(tries[True])} streams that "
+                    f"were taken up again went on, {begun:.0%} of "
+                    f"{len(tries[False])} new ones began")
+
+
 def cut_nodes(world):
     """Callers of nodes that have lost all runners are served like others."""
     for cut in world.cuts:
@@ -396,6 +418,7 @@
     configurations(world)
     recovery(world)
     cut_nodes(world)
+    resumed_streams(world)
     processes(world)
     engine_memory(world, busy)
     return record
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -248,6 +248,21 @@
         await world.replace_runner(runner)
 
 
+async def release(world, rng, for_s):
+    """Model runners are replaced by those of a new version, one by one."""
+    world.release()
+    for _ in range(rng.randint(1, 4)):
+        runner = world.pick_runner(rng, service="model")
+        if runner is None:
+            return
+        with world.disturbed("runner", f"{runner.id} is replaced by version "
+                             f"{world.software}", planned=True):
+            world.platform.tell(rng.choice(["drain", "remove"]), runner.id)
+            await asyncio.sleep(rng.uniform(0.2, 2.5))
+            world.platform.tell("kill", runner.id)
+            await world.replace_runner(runner)
+
+
 async def runner_restarts(world, rng, for_s):
     """It starts again under its id, once or in quick succession."""
     runner = world.pick_runner(rng)
@@ -343,6 +358,9 @@
     "notices": [runner_says_leaving, runner_says_leaving, runner_pauses,
                 runner_pauses, node_stop, node_kill, runner_freezes,
                 store_down, configuration],
+    "versions": [release, release, release, release, node_kill,
+                 node_kill_many, node_stop, runner_dies, runner_reset,
+                 runner_link, store_down],
     "cuts": [nodes_cut, nodes_cut, nodes_cut, node_kill, node_stop,
              node_reload, runner_freezes, runner_dies, store_down,
              configuration],
@@ -352,7 +370,8 @@
 
 # A seed draws one of these; the others are asked for by name, so that seeds go
 # on to mean what they meant.
-DRAWN = sorted(set(PROFILES) - {"crashes", "limits", "cuts", "notices"})
+DRAWN = sorted(set(PROFILES) - {"crashes", "limits", "cuts", "notices",
+                                "versions"})
 # In these each node finds the runners at an address of its own, so that its
 # links can be cut; there are no proxies before the runners.
 LINKED = {"cuts"}
--- a/soak/world.py
+++ b/soak/world.py
@@ -56,8 +56,9 @@
 
 
 class Runner:
-    def __init__(self, name, service, stage, proxy):
+    def __init__(self, name, service, stage, proxy, version):
         self.id = name
+        self.version = version
         self.service = service
         self.stage = stage
         self.proxy = proxy
@@ -91,6 +92,7 @@
         self.attempts = {}
         self.probes = []         # (time, node, host, status)
         self.versions = []       # (acknowledged, version)
+        self.software = 1        # version of the runners that start
         self.disturbances = []
         self.broken = []         # Broken
         self.clock = LoopClock()
@@ -178,7 +180,20 @@
         proxy.target = ("127.0.0.1", int(said.split()[2]))
         # Long enough that faults meet requests that run.
         self.platform.tell("work", name, self.rng.randint(5, 120))
-        self.runners.append(Runner(name, service, stage, proxy))
+        self.runners.append(Runner(name, service, stage, proxy,
+                                   str(self.software)))
+
+    def release(self):
+        """Runners that start from now on have a new version."""
+        self.software += 1
+        self.platform.tell("release", self.software)
+
+    def has_runners(self, version):
+        """Whether two decode runners of VERSION, or of any, are left alone by
+        all faults."""
+        return sum(r.stage == "decode" and not r.picked
+                   and version in (None, r.version)
+                   for r in self.runners) >= 2
 
     async def send_crashing(self, kind, rng):
         """One more of the requests that crash runners, at any node."""
