--- a/soak/faults.py
+++ b/soak/faults.py
@@ -255,14 +255,36 @@
         runner = world.pick_runner(rng, service="model")
         if runner is None:
             return
+        # Streams of a version that has no runner left end: no planned work.
         with world.disturbed("runner", f"{runner.id} is replaced by version "
-                             f"{world.software}", planned=True):
+                             f"{world.software}"):
             world.platform.tell(rng.choice(["drain", "remove"]), runner.id)
             await asyncio.sleep(rng.uniform(0.2, 2.5))
             world.platform.tell("kill", runner.id)
             await world.replace_runner(runner)
 
 
+async def streams_break(world, rng, for_s):
+    """Connections to decode runners are reset, again and again."""
+    until = time.monotonic() + 3.0 + for_s
+    while time.monotonic() < until:
+        proxy = rng.choice([r.proxy for r in world.runners
+                            if r.stage == "decode"])
+        with world.disturbed("runner", f"connections to {proxy.port} reset"):
+            proxy.reset_all()
+            await asyncio.sleep(rng.uniform(0.1, 0.5))
+
+
+async def callers_break(world, rng, for_s):
+    """Connections of callers are reset, who then go to other nodes."""
+    until = time.monotonic() + 3.0 + for_s
+    while time.monotonic() < until:
+        node = rng.choice(world.nodes)
+        with world.disturbed(f"front-{node.index}", "connections reset"):
+            world.front_proxies[node.index].reset_all()
+            await asyncio.sleep(rng.uniform(0.1, 0.4))
+
+
 async def runner_restarts(world, rng, for_s):
     """It starts again under its id, once or in quick succession."""
     runner = world.pick_runner(rng)
@@ -358,9 +380,9 @@
     "notices": [runner_says_leaving, runner_says_leaving, runner_pauses,
                 runner_pauses, node_stop, node_kill, runner_freezes,
                 store_down, configuration],
-    "versions": [release, release, release, release, node_kill,
-                 node_kill_many, node_stop, runner_dies, runner_reset,
-                 runner_link, store_down],
+    "versions": [release, release, streams_break, streams_break, node_kill,
+                 node_kill_many, node_stop, runner_dies, runner_link,
+                 store_down],
     "cuts": [nodes_cut, nodes_cut, nodes_cut, node_kill, node_stop,
              node_reload, runner_freezes, runner_dies, store_down,
              configuration],
@@ -377,9 +399,16 @@
 LINKED = {"cuts"}
 
 
+# Each run of these has these faults, too.
+ALWAYS = {"versions": [release, release, streams_break, callers_break,
+                       callers_break]}
+
+
 def schedule(rng, profile, span_s):
     """When which faults begin, and for how long they last."""
     count = rng.randint(2, 6)
-    return sorted(((rng.uniform(0, span_s), rng.choice(PROFILES[profile]),
-                    rng.uniform(0.3, 4.0)) for _ in range(count)),
-                  key=lambda step: step[0])
+    steps = [(rng.uniform(0, span_s), rng.choice(PROFILES[profile]),
+              rng.uniform(0.3, 4.0)) for _ in range(count)]
+    steps += [(rng.uniform(0, span_s), fault, rng.uniform(0.3, 4.0))
+              for fault in ALWAYS.get(profile, [])]
+    return sorted(steps, key=lambda step: step[0])
