Test: requests with a part that crashes engines have targets of their own

With one target and no body all requests of the test had one fingerprint, so that the quarantine of whole requests met sound ones, which differ only in their prompts.

--- a/tests/gateway/test_prompt_parts.c
+++ b/tests/gateway/test_prompt_parts.c
@@ -36,7 +36,7 @@
 send_prompt (size_t node, const char *format, ...)
 {
   va_list arguments;
-  char *prompt, *fields;
+  char *prompt, *fields, *path;
   struct testbed_response *response;
 
   va_start (arguments, format);
@@ -45,7 +45,9 @@
   fields = g_strdup_printf ("X-Token-Counts: 1000,200\r\nX-Length-Hint: 200"
                             "\r\nX-Prompt-Prefix: %s\r\n",
                             prompt);
-  response = testbed_get (&t, node, "model.example", "/chat", fields);
+  path = g_strdup_printf ("/chat?%s", prompt);
+  response = testbed_get (&t, node, "model.example", path, fields);
+  g_free (path);
   g_free (prompt);
   g_free (fields);
   return response;
