Quarantine: parts of prompts that crash engines

What callers saw: up to 90 engines ended one after the other, while requests came that shared one part of their prompts and nothing else.

Cause: the quarantine identified a request by its content as a whole, so that requests which are no two alike counted a crash or two each, and none reached the threshold.

Each part of a prompt, except the last, has a fingerprint and is tracked as requests are. The parts of a run that broke off before its first event are suspects; a first event proves parts sound, at all nodes.

--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -38,6 +38,9 @@
  * included. */
 #define BERYL_ENGINE_HANDLE_BYTES 64
 
+/** Parts of a prompt that are looked at; those after them are not. */
+#define BERYL_PROMPT_PARTS_MAX 64
+
 /** What a node states about a request that it hands over to a peer, since it
  * reaches no endpoint itself. */
 struct beryl_handoff
@@ -64,6 +67,9 @@
   uint32_t output_tokens_max;
   uint32_t output_tokens_hint; /**< caller's estimate; 0 if none */
   uint32_t prompt_hash;        /**< hash of the prompt; 0 if unknown */
+  /** Digests of the parts of the prompt that other requests may share. */
+  uint64_t prompt_parts[BERYL_PROMPT_PARTS_MAX];
+  uint32_t prompt_part_count;
   bool resumes; /**< the caller resumes a stream after LAST_EVENT_ID */
   uint64_t last_event_id;
   /** Id of the caller's request that brought the first event of the stream;
--- a/include/beryl/quarantine.h
+++ b/include/beryl/quarantine.h
@@ -2,14 +2,16 @@
  * Detects requests that crash the endpoints which run them, and keeps them
  * from other endpoints.
  *
- * A request is identified by its fingerprint, whatever its id.  When a run
- * breaks off and its endpoint turns out to have ended, all requests that ran
- * there become suspects.  A suspect with several crashes is held back while
- * peers report what else ran at these endpoints, and then quarantined; crashes
- * that it explains no longer count against other requests.  A complete answer
- * clears a suspect for a while, since many callers may send the same request.
- * Nodes merge the crashes that others observe as a set until these expire, so
- * that updates may arrive late, twice or out of order.
+ * A request is identified by its fingerprint, whatever its id, and so is each
+ * part of a prompt that many requests may share.  When a run breaks off and
+ * its endpoint turns out to have ended, all requests that ran there become
+ * suspects, and the parts of those that had written nothing yet.  A suspect
+ * with several crashes is held back while peers report what else ran at these
+ * endpoints, and then quarantined; crashes that it explains no longer count
+ * against other requests.  A complete answer clears a suspect for a while,
+ * since many callers may send the same request. Nodes merge the crashes that
+ * others observe as a set until these expire, so that updates may arrive late,
+ * twice or out of order.
  *
  * No I/O.  Not thread-safe.
  */
@@ -23,6 +25,12 @@
 struct beryl_quarantine;
 struct beryl_quarantine_owner;
 
+/** Return the fingerprint of a part of prompts whose digest is DIGEST, or that
+ * of a request.  The two differ in one bit, so that all that is told or stored
+ * of one is the same for both. */
+uint64_t beryl_quarantine_part (uint64_t digest);
+uint64_t beryl_quarantine_request (uint64_t digest);
+
 /** Cause of a change of a request's quarantine. */
 enum beryl_quarantine_cause
 {
@@ -72,7 +80,8 @@
 bool beryl_quarantine_endpoint_ended (struct beryl_quarantine *quarantine,
                                       uint32_t endpoint, int64_t now_ms);
 
-/** Record that an endpoint answered FINGERPRINT completely. */
+/** Record that an endpoint answered the request FINGERPRINT completely, or has
+ * begun to write on a prompt with the part FINGERPRINT. */
 void beryl_quarantine_run_answered (struct beryl_quarantine *quarantine,
                                     uint64_t fingerprint, int64_t now_ms);
 
@@ -85,6 +94,18 @@
 beryl_quarantine_remaining_ms (const struct beryl_quarantine *quarantine,
                                uint64_t fingerprint, int64_t now_ms);
 
+/** Return the same for a request with COUNT parts PARTS.  Parts that occur
+ * only together are held back only together, so that those which are sound can
+ * be told apart by requests that have some of them. */
+int64_t
+beryl_quarantine_parts_remaining_ms (const struct beryl_quarantine *quarantine,
+                                     const uint64_t *parts, size_t count,
+                                     int64_t now_ms);
+
+/** Return whether FINGERPRINT was answered recently, as this node knows. */
+bool beryl_quarantine_was_answered (const struct beryl_quarantine *quarantine,
+                                    uint64_t fingerprint, int64_t now_ms);
+
 /** Return whether an endpoint crashed, or may have crashed, during a run of
  * FINGERPRINT. */
 bool beryl_quarantine_is_suspect (const struct beryl_quarantine *quarantine,
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -151,7 +151,10 @@
     r->last_event_id = event->id;
   resume_first_event (f, r, x, now_ms);
   if (r->event_count == 0)
-    r->first_event_ms = now_ms;
+    {
+      r->first_event_ms = now_ms;
+      crashes_written (f, r, now_ms);
+    }
   else if (now_ms - r->last_event_ms > r->longest_gap_ms)
     r->longest_gap_ms = now_ms - r->last_event_ms;
   r->event_count++;
--- a/libberyl/forward/crashes.c
+++ b/libberyl/forward/crashes.c
@@ -1,5 +1,8 @@
 #include "private.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 /* Detects requests that crash the endpoints they run at. Requests that were
    interrupted by the same crash are sent to different endpoints: if they ran
    at one endpoint again, the next crash would again interrupt all of them, and
@@ -80,6 +83,54 @@
                     < run_table_peer_timeout_ms (&f->run_table));
 }
 
+/* The service and the organisation are part of a fingerprint: one
+   organisation's requests must not hold those of another back. */
+void
+crashes_set_parts (struct request *r)
+{
+  uint64_t scope = XXH3_64bits (r->service->name, strlen (r->service->name));
+
+  if (r->organisation != NULL)
+    scope = XXH3_64bits_withSeed (r->organisation->name,
+                                  strlen (r->organisation->name), scope);
+  for (uint32_t i = 0; i < r->params.prompt_part_count; i++)
+    {
+      uint64_t *part = &r->params.prompt_parts[i];
+
+      *part = beryl_quarantine_part (
+          XXH3_64bits_withSeed (part, sizeof *part, scope));
+    }
+}
+
+void
+crashes_written (struct beryl_forward *f, const struct request *r,
+                 int64_t now_ms)
+{
+  for (uint32_t i = 0; i < r->params.prompt_part_count; i++)
+    beryl_quarantine_run_answered (f->quarantine, r->params.prompt_parts[i],
+                                   now_ms);
+}
+
+static bool
+has_suspect_part (const struct beryl_forward *f, const struct request *r)
+{
+  for (uint32_t i = 0; i < r->params.prompt_part_count; i++)
+    if (beryl_quarantine_is_suspect (f->quarantine, r->params.prompt_parts[i]))
+      return true;
+  return false;
+}
+
+void
+crashes_arrived (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (beryl_quarantine_empty (f->quarantine))
+    return;
+  if (beryl_quarantine_is_suspect (f->quarantine,
+                                   forward_request_fingerprint (f, r))
+      || has_suspect_part (f, r))
+    crashes_mark_suspect (f, r, now_ms);
+}
+
 /* A broken connection does not prove that the endpoint has crashed, so the
    endpoint is dialled: if it does not accept a connection, also because the
    attempt times out, it is assumed to have ended. The endpoint list shows that
@@ -96,6 +147,11 @@
   crashes_mark_suspect (f, r, now_ms);
   beryl_quarantine_run_broken (f->quarantine, fingerprint,
                                beryl_live_hash (endpoint), now_ms);
+  /* The parts of a run that has written are sound. */
+  for (uint32_t i = 0; i < r->params.prompt_part_count && r->run_events == 0;
+       i++)
+    beryl_quarantine_run_broken (f->quarantine, r->params.prompt_parts[i],
+                                 beryl_live_hash (endpoint), now_ms);
   if (endpoint->replaced_ms != 0)
     crashes_endpoint_ended (f, endpoint, now_ms);
   else if (!is_dialled (f, endpoint))
@@ -126,10 +182,16 @@
 static int64_t
 quarantine_left_ms (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
+  int64_t request_ms, parts_ms;
+
   if (!beryl_quarantine_holds_any (f->quarantine))
     return 0;
-  return beryl_quarantine_remaining_ms (
+  request_ms = beryl_quarantine_remaining_ms (
       f->quarantine, forward_request_fingerprint (f, r), now_ms);
+  parts_ms = beryl_quarantine_parts_remaining_ms (
+      f->quarantine, r->params.prompt_parts, r->params.prompt_part_count,
+      now_ms);
+  return parts_ms > request_ms ? parts_ms : request_ms;
 }
 
 bool
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -411,10 +411,7 @@
       return;
     }
   r = forward_request_new (f, params, route, organisation);
-  if (!beryl_quarantine_empty (f->quarantine)
-      && beryl_quarantine_is_suspect (f->quarantine,
-                                      forward_request_fingerprint (f, r)))
-    crashes_mark_suspect (f, r, now_ms);
+  crashes_arrived (f, r, now_ms);
   count_from_caller (f, r, now_ms);
   if (r->deadline_ms <= now_ms)
     forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -387,6 +387,15 @@
 void crashes_endpoint_ended (struct beryl_forward *f,
                              const struct beryl_live_endpoint *endpoint,
                              int64_t now_ms);
+/** Turn the digests of R's prompt parts into their fingerprints. */
+void crashes_set_parts (struct request *r);
+/** An endpoint has begun to write R's answer: the parts of its prompt are
+ * sound. */
+void crashes_written (struct beryl_forward *f, const struct request *r,
+                      int64_t now_ms);
+/** R has arrived: mark it if it may crash endpoints. */
+void crashes_arrived (struct beryl_forward *f, struct request *r,
+                      int64_t now_ms);
 /** R was answered completely. */
 void crashes_answered (struct beryl_forward *f, struct request *r,
                        int64_t now_ms);
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -38,8 +38,12 @@
   if (r->organisation != NULL)
     organisation = r->organisation->name;
   if (r->fingerprint == 0 && f->owner->impl->fingerprint != NULL)
-    r->fingerprint = f->owner->impl->fingerprint (f->owner, r->params.handle,
-                                                  organisation);
+    {
+      uint64_t digest = f->owner->impl->fingerprint (
+          f->owner, r->params.handle, organisation);
+
+      r->fingerprint = digest != 0 ? beryl_quarantine_request (digest) : 0;
+    }
   return r->fingerprint;
 }
 
@@ -302,6 +306,7 @@
   r->params.handoff = NULL;
   r->config = beryl_routes_choose (f->routes, route, random_value);
   r->service = forward_service (f, r->config->name);
+  crashes_set_parts (r);
   r->deadline_ms = params->deadline_ms;
   if (route->timeout_ms > 0
       && params->arrived_ms + route->timeout_ms < r->deadline_ms)
--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -9,6 +9,11 @@
 /* Crashes that quarantine a request; one more is needed if another request ran
  * at the same endpoints, since either may be the cause. */
 #define CRASH_THRESHOLD 3
+/* Crashes that follow each other faster count once against a part: many
+ * requests share it, and may run at all endpoints of a rack that fails. */
+#define PART_CRASH_SPACING_MS 50
+/* Bit of a fingerprint that tells a part from a request. */
+#define PART_BIT (UINT64_C (1) << 63)
 /* Crashes kept per request.  More than the threshold, because they explain
  * crashes of other requests. */
 #define CRASHES_MAX 8
@@ -27,7 +32,7 @@
  * a request that many callers send runs at all endpoints, so it would be
  * suspected of each crash when several endpoints fail at once, as in a failing
  * rack. */
-#define ANSWERED_SLOTS 1024
+#define ANSWERED_SLOTS 4096
 #define ANSWERED_TTL_MS 60000
 /* Interval between expiry scans. */
 #define EXPIRE_INTERVAL_MS 1000
@@ -90,6 +95,24 @@
   int64_t last_expire_ms;                   /* last expiry scan */
 };
 
+uint64_t
+beryl_quarantine_part (uint64_t digest)
+{
+  return digest | PART_BIT;
+}
+
+uint64_t
+beryl_quarantine_request (uint64_t digest)
+{
+  return (digest & ~PART_BIT) != 0 ? digest & ~PART_BIT : 1;
+}
+
+static bool
+is_part (const struct suspect *s)
+{
+  return (s->fingerprint & PART_BIT) != 0;
+}
+
 const char *
 beryl_quarantine_cause_name (enum beryl_quarantine_cause cause)
 {
@@ -260,6 +283,34 @@
   return count;
 }
 
+/* Returns the number of crashes of the part S, whatever else may explain them:
+ * its requests are no two alike, and each explains at most those that it has
+ * caused itself. */
+static uint32_t
+count_part_crashes (const struct suspect *s)
+{
+  uint32_t count = 0;
+  int64_t last_ms = 0;
+
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    {
+      const struct crash *crash = &s->crashes[i];
+
+      if (crash->state == CRASH_PENDING
+          || (count > 0 && crash->since_ms - last_ms < PART_CRASH_SPACING_MS))
+        continue;
+      count++;
+      last_ms = crash->since_ms;
+    }
+  return count;
+}
+
+static uint32_t
+count_crashes (const struct beryl_quarantine *q, const struct suspect *s)
+{
+  return is_part (s) ? count_part_crashes (s) : count_unexplained (q, s);
+}
+
 static bool
 ran_at_all_crashes (const struct beryl_quarantine *q, struct suspect *other,
                     const struct suspect *s)
@@ -283,7 +334,44 @@
   struct suspect *other = NULL;
 
   TAILQ_FOREACH (other, &q->suspects, entry)
-  if (other != s && other->expires_ms == 0 && ran_at_all_crashes (q, other, s))
+  if (other != s && !is_part (other) && other->expires_ms == 0
+      && ran_at_all_crashes (q, other, s))
+    return true;
+  return false;
+}
+
+static bool
+ran_wherever (struct suspect *other, const struct suspect *s)
+{
+  for (uint32_t i = 0; i < s->crash_count; i++)
+    if (s->crashes[i].state != CRASH_PENDING
+        && crash_find (other, s->crashes[i].endpoint) == NULL)
+      return false;
+  return s->crash_count > 0;
+}
+
+static bool
+contains (const uint64_t *parts, size_t count, uint64_t part)
+{
+  for (size_t i = 0; i < count; i++)
+    if (parts[i] == part)
+      return true;
+  return false;
+}
+
+/* Returns whether a request with PARTS, S among them, may be sound although S
+ * is held back: another part was there at all crashes of S, and is not among
+ * PARTS. If it runs and crashes its endpoint, that part is out of question. */
+static bool
+may_be_sound (const struct beryl_quarantine *q, const struct suspect *s,
+              const uint64_t *parts, size_t count)
+{
+  struct suspect *other = NULL;
+
+  TAILQ_FOREACH (other, &q->suspects, entry)
+  if (other != s && is_part (other)
+      && !contains (parts, count, other->fingerprint)
+      && ran_wherever (other, s))
     return true;
   return false;
 }
@@ -328,10 +416,11 @@
 static bool
 has_enough_crashes (const struct beryl_quarantine *q, const struct suspect *s)
 {
-  uint32_t count = count_unexplained (q, s);
+  uint32_t count = count_crashes (q, s);
 
   return count > CRASH_THRESHOLD
-         || (count == CRASH_THRESHOLD && !is_ambiguous (q, s));
+         || (count == CRASH_THRESHOLD
+             && (is_part (s) || !is_ambiguous (q, s)));
 }
 
 /* The review holds the request back before it is quarantined: the node that
@@ -360,7 +449,7 @@
 
     if (s->review_until_ms == 0)
       continue;
-    count = count_unexplained (q, s);
+    count = count_crashes (q, s);
     if (first != NULL && count <= most)
       continue;
     first = s;
@@ -400,16 +489,17 @@
     }
 }
 
-static struct answered *
-answered_slot (struct beryl_quarantine *q, uint64_t fingerprint)
+static size_t
+answered_slot (uint64_t fingerprint)
 {
-  return &q->answered[fingerprint % ANSWERED_SLOTS];
+  return fingerprint % ANSWERED_SLOTS;
 }
 
-static bool
-was_answered (struct beryl_quarantine *q, uint64_t fingerprint, int64_t now_ms)
+bool
+beryl_quarantine_was_answered (const struct beryl_quarantine *q,
+                               uint64_t fingerprint, int64_t now_ms)
 {
-  const struct answered *answered = answered_slot (q, fingerprint);
+  const struct answered *answered = &q->answered[answered_slot (fingerprint)];
 
   return answered->fingerprint == fingerprint
          && now_ms - answered->at_ms < ANSWERED_TTL_MS;
@@ -421,7 +511,8 @@
 {
   struct suspect *s;
 
-  if (fingerprint == 0 || was_answered (q, fingerprint, now_ms))
+  if (fingerprint == 0
+      || beryl_quarantine_was_answered (q, fingerprint, now_ms))
     return;
   s = suspect_get (q, fingerprint);
   if (crash_find (s, endpoint) == NULL)
@@ -485,7 +576,8 @@
 {
   struct suspect *s = suspect_find (q, fingerprint);
 
-  *answered_slot (q, fingerprint) = (struct answered){ fingerprint, now_ms };
+  q->answered[answered_slot (fingerprint)]
+      = (struct answered){ fingerprint, now_ms };
   if (s == NULL || (s->crash_count == 0 && s->expires_ms == 0))
     return;
   suspect_clear (q, s, BERYL_QUARANTINE_ANSWERED, now_ms);
@@ -499,22 +591,46 @@
   return q->quarantined + q->under_review > 0;
 }
 
-int64_t
-beryl_quarantine_remaining_ms (const struct beryl_quarantine *q,
-                               uint64_t fingerprint, int64_t now_ms)
+static int64_t
+remaining_ms (const struct suspect *s, int64_t now_ms)
 {
-  const struct suspect *s;
   int64_t until_ms;
 
-  if (!beryl_quarantine_holds_any (q))
-    return 0;
-  s = suspect_find (q, fingerprint);
   if (s == NULL)
     return 0;
   until_ms = s->expires_ms != 0 ? s->expires_ms : s->review_until_ms;
   return until_ms > now_ms ? until_ms - now_ms : 0;
 }
 
+int64_t
+beryl_quarantine_remaining_ms (const struct beryl_quarantine *q,
+                               uint64_t fingerprint, int64_t now_ms)
+{
+  if (!beryl_quarantine_holds_any (q))
+    return 0;
+  return remaining_ms (suspect_find (q, fingerprint), now_ms);
+}
+
+int64_t
+beryl_quarantine_parts_remaining_ms (const struct beryl_quarantine *q,
+                                     const uint64_t *parts, size_t count,
+                                     int64_t now_ms)
+{
+  int64_t longest_ms = 0;
+
+  if (!beryl_quarantine_holds_any (q))
+    return 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct suspect *s = suspect_find (q, parts[i]);
+      int64_t left_ms = remaining_ms (s, now_ms);
+
+      if (left_ms > longest_ms && !may_be_sound (q, s, parts, count))
+        longest_ms = left_ms;
+    }
+  return longest_ms;
+}
+
 bool
 beryl_quarantine_is_suspect (const struct beryl_quarantine *q,
                              uint64_t fingerprint)
@@ -620,7 +736,7 @@
 {
   struct suspect *s;
 
-  if (!was_answered (q, fingerprint, now_ms))
+  if (!beryl_quarantine_was_answered (q, fingerprint, now_ms))
     return false;
   s = suspect_get (q, fingerprint);
   if (!is_recent (s->cleared_ms, now_ms))
@@ -760,7 +876,8 @@
   while (s->crash_count > 0)
     crash_remove (q, s, 0);
   for (uint32_t i = 1; i < CRASH_THRESHOLD; i++)
-    crash_add (q, s, (uint32_t)s->fingerprint + i, CRASH_FROM_PEER, now_ms);
+    crash_add (q, s, (uint32_t)s->fingerprint + i, CRASH_FROM_PEER,
+               now_ms - (CRASH_THRESHOLD - i) * PART_CRASH_SPACING_MS);
 }
 
 void
--- a/tests/platform_wire/test_wire.c
+++ b/tests/platform_wire/test_wire.c
@@ -274,6 +274,55 @@
   .field_count = G_N_ELEMENTS (caller_fields),
 };
 
+/* Guards against parts of prompts that are confused, and against the last one,
+ * which belongs to the request, being taken for one that others share. */
+START_TEST (test_prompt_parts)
+{
+  static const struct
+  {
+    const char *prompt;
+    uint32_t parts;
+  } cases[] = {
+    { "", 0 },      { "a:5", 0 }, { "a:1,b:2", 1 },  { "a:1,b:2,c:3", 2 },
+    { "a,b,c", 2 }, { ",,", 0 },  { "a:1,,c:3", 1 }, { ":3,b:1,c:1", 1 },
+  };
+  struct h1_field field = { "X-Prompt-Prefix", NULL };
+  struct h1_head head = {
+    .method = "POST", .target = "/x", .fields = &field, .field_count = 1
+  };
+  struct beryl_forward_request first = { 0 };
+  GString *many = g_string_new (NULL);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct beryl_forward_request request = { 0 };
+
+      field.value = cases[i].prompt;
+      wire->impl->read_request (wire, &head, 0, &request);
+      ck_assert_msg (request.prompt_part_count == cases[i].parts, "%s",
+                     cases[i].prompt);
+    }
+  field.value = "5c1e07a2:800,91bd3f06:410,e4402b7d:250";
+  wire->impl->read_request (wire, &head, 0, &first);
+  field.value = "91bd3f06:9,5c1e07a2:8,5c1e07a2:250";
+  {
+    struct beryl_forward_request other = { 0 };
+
+    wire->impl->read_request (wire, &head, 0, &other);
+    ck_assert_uint_eq (first.prompt_parts[0], other.prompt_parts[1]);
+    ck_assert_uint_eq (first.prompt_parts[1], other.prompt_parts[0]);
+    ck_assert_uint_ne (first.prompt_parts[0], first.prompt_parts[1]);
+  }
+  for (int i = 0; i < 3 * BERYL_PROMPT_PARTS_MAX; i++)
+    g_string_append_printf (many, "%x:1,", i);
+  field.value = many->str;
+  first = (struct beryl_forward_request){ 0 };
+  wire->impl->read_request (wire, &head, 0, &first);
+  ck_assert_uint_eq (first.prompt_part_count, BERYL_PROMPT_PARTS_MAX);
+  g_string_free (many, TRUE);
+}
+END_TEST
+
 START_TEST (test_read_request)
 {
   struct beryl_forward_request request = { 0 };
@@ -709,6 +758,7 @@
   tcase_add_test (tcase, test_endpoint);
   tcase_add_test (tcase, test_malformed_endpoints);
   tcase_add_test (tcase, test_minimal_endpoint);
+  tcase_add_test (tcase, test_prompt_parts);
   tcase_add_test (tcase, test_read_request);
   tcase_add_test (tcase, test_unprintable_ids);
   tcase_add_test (tcase, test_format_request);
