Streams that end with their connections are not taken for whole too soon

What callers could see: a stream that looks complete and is not. An answer may have neither a length nor chunks and end with its connection. Such a stream counted as whole also when its engine had crashed before the first event (and then cleared the request that crashed it), when its run had been stopped to be moved, and when the engine had crashed between two events: the kernel closes the connection in the same way.

An end without an event, or during a move, is a break. After any other end the endpoint is dialled, and the stream is whole only if it accepts the connection; answers with a length or chunks are not affected.

--- a/h1/exchange.c
+++ b/h1/exchange.c
@@ -87,7 +87,7 @@
   if (ex->framing == H1_FRAMING_LENGTH)
     g_string_append_printf (out, "Content-Length: %" G_GUINT64_FORMAT "\r\n",
                             (guint64)length);
-  else if (!ex->http_1_0)
+  else if (ex->framing == H1_FRAMING_CHUNKED)
     g_string_append (out, "Transfer-Encoding: chunked\r\n");
 }
 
@@ -105,6 +105,8 @@
   if (status_without_body (status))
     ex->framing = H1_FRAMING_LENGTH;
   if (ex->framing == H1_FRAMING_CHUNKED && ex->http_1_0)
+    ex->framing = H1_FRAMING_CLOSE;
+  if (ex->framing == H1_FRAMING_CLOSE)
     ex->keep_alive = false;
   head_format_answer (out, status, reason, fields, field_count);
   format_framing (out, ex, status, length);
@@ -145,7 +147,7 @@
       ex->left -= bytes_count;
       connection_write (ex->connection, bytes, bytes_count);
     }
-  else if (ex->http_1_0)
+  else if (ex->framing == H1_FRAMING_CLOSE)
     connection_write (ex->connection, bytes, bytes_count);
   else
     write_chunk (ex, bytes, bytes_count);
@@ -165,7 +167,7 @@
       h1_exchange_cut (ex);
       return;
     }
-  if (ex->framing == H1_FRAMING_CHUNKED && !ex->http_1_0 && !ex->head_request)
+  if (ex->framing == H1_FRAMING_CHUNKED && !ex->head_request)
     connection_write (connection, "0\r\n\r\n", 5);
   ex->state = EXCHANGE_FINISHED;
   if (h1_exchange_pending_bytes (ex) == 0)
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -361,6 +361,7 @@
   unsigned int status;
   bool not_run; /**< the endpoint states that it did not run the request */
   bool event_stream; /**< the body is a stream of server-sent events */
+  bool ends_with_connection; /**< the body has no length and no chunks */
   bool misdirected;  /**< another endpoint has the address now */
   bool wrong_stage;  /**< the engine has another stage now */
   bool declined;     /**< HANDOFF: the peer did not take the request */
--- a/include/h1/server.h
+++ b/include/h1/server.h
@@ -114,6 +114,7 @@
 {
   H1_FRAMING_LENGTH,
   H1_FRAMING_CHUNKED, /**< closing the connection for HTTP/1.0 callers */
+  H1_FRAMING_CLOSE,   /**< ended by the connection's end */
 };
 
 /** Answer at once; framing and connection fields are added. */
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -209,49 +209,108 @@
     }
 }
 
-/* If the body ends within an event, the stream was cut off, although the
-   answer itself is complete. */
+/* Returns whether a stream was cut off although its answer seems complete: it
+   ends within an event, or it ends with its connection, which an engine also
+   closes when it crashes, and when it stops a run to move it. */
 static bool
-ends_in_event (const struct request *r, const struct exchange *x)
+is_cut_off (const struct request *r, const struct exchange *x)
 {
-  return x->head.event_stream && event_splitter_partial (&r->events);
+  if (!x->head.event_stream)
+    return false;
+  if (event_splitter_partial (&r->events))
+    return true;
+  return x->head.ends_with_connection
+         && (r->run_events == 0 || r->move_target != NULL);
+}
+
+/* R's caller has all of its answer, by X. GENERATED: this node has had it
+   generated. */
+static void
+complete (struct beryl_forward *f, struct request *r, struct exchange *x,
+          bool generated, int64_t value, int64_t now_ms)
+{
+  uint64_t handle = r->params.handle;
+
+  forward_request_log (f, r, "answer", x->endpoint, "whole", value, now_ms);
+  forward_exchange_free (f, x);
+  if (generated)
+    {
+      stream_learn_length (f, r);
+      generation_run_ended (f, r);
+    }
+  forward_request_end (f, r, now_ms);
+  f->owner->impl->answer_end (f->owner, handle);
+}
+
+/* X's stream has ended with its connection, which the kernel closes in the
+   same way if the endpoint has crashed. The endpoint is dialled, and the
+   stream is whole only if it still accepts connections. */
+static void
+confirm_end (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
+{
+  struct beryl_exchange_start dial = { .kind = BERYL_EXCHANGE_DIAL };
+  struct beryl_live_endpoint *endpoint = x->endpoint;
+  struct request *r = x->request;
+
+  /* The endpoint must outlive the exchange if it is gone. */
+  beryl_live_open (endpoint);
+  forward_exchange_free (f, x);
+  r->phase = PHASE_CONFIRMING;
+  r->timer_ms = r->deadline_ms;
+  r->primary = forward_exchange_start (f, r, &dial, endpoint, now_ms);
+  beryl_live_close (f->endpoints, endpoint);
+}
+
+void
+answer_end_confirmed (struct beryl_forward *f, struct exchange *x,
+                      int64_t now_ms)
+{
+  struct request *r = x->request;
+
+  crashes_answered (f, r, now_ms);
+  complete (f, r, x, forward_request_is_generation (r),
+            (int64_t)r->event_count, now_ms);
+}
+
+void
+answer_end_refuted (struct beryl_forward *f, struct exchange *x,
+                    int64_t now_ms)
+{
+  x->kind = BERYL_EXCHANGE_RUN;
+  x->has_head = true;
+  x->request->phase = PHASE_RUNNING;
+  answer_interrupted (f, x, BERYL_FAILURE_CLOSED, true, now_ms);
 }
 
 void
 answer_done (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
 {
   struct request *r = x->request;
-  bool own_generation;
-  uint64_t handle;
+  int64_t value;
 
   if (r == NULL)
     {
       forward_exchange_free (f, x);
       return;
     }
-  own_generation = is_own_generation (x);
-  if (ends_in_event (r, x))
+  if (is_cut_off (r, x))
     {
       answer_interrupted (f, x, BERYL_FAILURE_CLOSED, true, now_ms);
       return;
     }
+  if (x->kind == BERYL_EXCHANGE_RUN && x->head.event_stream
+      && x->head.ends_with_connection && r->secondary == NULL)
+    {
+      confirm_end (f, x, now_ms);
+      return;
+    }
+  value = x->head.event_stream ? (int64_t)r->event_count
+                               : (int64_t)x->head.status;
   if (is_success (x->head.status))
     crashes_answered (f, r, now_ms);
   begin_answer (f, r, x);
   forward_buffered (f, r);
-  forward_request_log (f, r, "answer", x->endpoint, "whole",
-                       x->head.event_stream ? (int64_t)r->event_count
-                                            : (int64_t)x->head.status,
-                       now_ms);
-  forward_exchange_free (f, x);
-  if (own_generation)
-    {
-      stream_learn_length (f, r);
-      generation_run_ended (f, r);
-    }
-  handle = r->params.handle;
-  forward_request_end (f, r, now_ms);
-  f->owner->impl->answer_end (f->owner, handle);
+  complete (f, r, x, is_own_generation (x), value, now_ms);
 }
 
 static const char *
--- a/libberyl/forward/crashes.c
+++ b/libberyl/forward/crashes.c
@@ -244,7 +244,8 @@
 static bool
 has_open_run (const struct request *r)
 {
-  return (r->phase == PHASE_RUNNING || r->phase == PHASE_HANDED_OFF)
+  return (r->phase == PHASE_RUNNING || r->phase == PHASE_CONFIRMING
+          || r->phase == PHASE_HANDED_OFF)
          && r->primary != NULL;
 }
 
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -475,7 +475,8 @@
   if (r == NULL || r->caller_slow == paused)
     return;
   r->caller_slow = paused;
-  if (r->primary == NULL || r->primary->paused == paused)
+  if (r->primary == NULL || r->primary->paused == paused
+      || r->phase == PHASE_CONFIRMING)
     return;
   r->primary->paused = paused;
   f->owner->impl->pause (f->owner, r->primary->id, paused);
@@ -546,6 +547,11 @@
     return;
   contact_answered (f, x, now_ms);
   learn_notices (f, x, result->leaving, result->pause_ms, now_ms);
+  if (x->kind == BERYL_EXCHANGE_DIAL && x->request != NULL)
+    {
+      answer_end_confirmed (f, x, now_ms);
+      return;
+    }
   generation_exchange_result (f, x, result, now_ms);
 }
 
@@ -584,6 +590,8 @@
     forward_exchange_free (f, x);
   else if (kind == BERYL_EXCHANGE_RUN)
     answer_interrupted (f, x, how, sent, now_ms);
+  else if (kind == BERYL_EXCHANGE_DIAL)
+    answer_end_refuted (f, x, now_ms);
   else
     {
       forward_request_log (f, r, beryl_exchange_name (kind), x->endpoint,
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -352,6 +352,7 @@
       stream_timer (f, r, now_ms);
       return;
     case PHASE_LOOKING_UP:
+    case PHASE_CONFIRMING:
     case PHASE_RESERVING:
     case PHASE_PREFILLING:
     case PHASE_HANDED_OFF:
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -219,7 +219,8 @@
   struct beryl_live_endpoint *endpoint;
 
   r->timer_ms = r->deadline_ms;
-  if (r->primary == NULL || r->primary->has_head || r->secondary != NULL
+  if (r->phase == PHASE_CONFIRMING || r->primary == NULL
+      || r->primary->has_head || r->secondary != NULL
       || crashes_is_quarantined (f, r, now_ms)
       || handoff_if_lost (f, r, now_ms))
     return;
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -113,6 +113,7 @@
   PHASE_RESERVING,  /**< a decode engine was asked for a reservation */
   PHASE_PREFILLING,
   PHASE_RUNNING,    /**< the request was sent to an endpoint */
+  PHASE_CONFIRMING, /**< its stream has ended, and the endpoint is dialled */
   PHASE_HANDED_OFF, /**< the request was sent to a peer */
 };
 
@@ -725,6 +726,12 @@
 void answer_data (struct beryl_forward *f, struct exchange *x,
                   const char *bytes, size_t bytes_count, int64_t now_ms);
 void answer_done (struct beryl_forward *f, struct exchange *x, int64_t now_ms);
+/** X, which dials the endpoint of a stream that has ended with its connection,
+ * was accepted, or failed. */
+void answer_end_confirmed (struct beryl_forward *f, struct exchange *x,
+                           int64_t now_ms);
+void answer_end_refuted (struct beryl_forward *f, struct exchange *x,
+                         int64_t now_ms);
 void answer_interrupted (struct beryl_forward *f, struct exchange *x,
                          enum beryl_exchange_failure how, bool sent,
                          int64_t now_ms);
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -444,6 +444,16 @@
   beryl_forward_answer_head (fx->forward, x->id, &head, fx->now_ms);
 }
 
+void
+fx_stream_unframed (struct fx *fx, struct fx_exchange *x)
+{
+  struct beryl_answer_head head
+      = { .status = 200, .event_stream = true, .ends_with_connection = true };
+
+  ck_assert (x->open);
+  beryl_forward_answer_head (fx->forward, x->id, &head, fx->now_ms);
+}
+
 void
 fx_paused (struct fx *fx, struct fx_exchange *x, int64_t pause_ms)
 {
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -117,6 +117,8 @@
 void fx_head (struct fx *fx, struct fx_exchange *x, unsigned int status);
 /** Answer with the head of an event stream. */
 void fx_stream (struct fx *fx, struct fx_exchange *x);
+/** The same for one that ends with its connection. */
+void fx_stream_unframed (struct fx *fx, struct fx_exchange *x);
 /** Reject with a pause of PAUSE_MS. */
 void fx_paused (struct fx *fx, struct fx_exchange *x, int64_t pause_ms);
 /** Answer as a peer that does not take a handoff. */
--- a/tests/forward/test_streams.c
+++ b/tests/forward/test_streams.c
@@ -468,6 +468,88 @@
 }
 END_TEST
 
+/* Guards against a stream that ends with its connection, of an engine that
+   crashed before the first event, being taken for a whole one. */
+START_TEST (test_unframed_without_events)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_stream_unframed (&fx, run);
+  fx_done (&fx, run);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  open_of (1, BERYL_EXCHANGE_RESERVE);
+}
+END_TEST
+
+/* Guards against a stream that ends with its connection being taken for a
+   whole one when its run is stopped to be moved. */
+START_TEST (test_unframed_stream_is_moved)
+{
+  struct fx_exchange *run, *move;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_stream_unframed (&fx, run);
+  fx_event (&fx, run, 1);
+  fx_event (&fx, run, 2);
+  fx_leaving (&fx, run->endpoint);
+  move = move_asked (1);
+  fx_done (&fx, run);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  fx_ok (&fx, move, "moved");
+  run = open_of (1, BERYL_EXCHANGE_RUN);
+  ck_assert_str_eq (run->endpoint, move->target);
+  ck_assert_uint_eq (run->last_event, 2);
+  fx_stream_unframed (&fx, run);
+  fx_event (&fx, run, 3);
+  fx_done (&fx, run);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_DIAL), "");
+  ck_assert (answer (1)->whole);
+}
+END_TEST
+
+/* Guards against a stream that ends with its connection after an event,
+   because its engine has crashed, being taken for a whole one. */
+START_TEST (test_unframed_stream_of_crashed_engine)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_stream_unframed (&fx, run);
+  fx_event (&fx, run, 1);
+  fx_event (&fx, run, 2);
+  fx_done (&fx, run);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  fx_pass (&fx, 100);
+  fx_broken (&fx, open_of (1, BERYL_EXCHANGE_DIAL), BERYL_FAILURE_CONNECT,
+             false);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  run = fx_to_run (&fx, 1);
+  ck_assert_uint_eq (run->last_event, 2);
+}
+END_TEST
+
+/* Guards against a caller that leaves, or a request that is put into
+   quarantine, while the end of its stream is being confirmed. */
+START_TEST (test_leaves_while_confirming)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_stream_unframed (&fx, run);
+  fx_event (&fx, run, 1);
+  fx_done (&fx, run);
+  beryl_forward_set_caller_paused (fx.forward, 1, true);
+  fx_remove (&fx, run->endpoint);
+  beryl_forward_cancel (fx.forward, 1, fx.now_ms);
+  ck_assert_uint_eq (fx_count_open (&fx), 0);
+}
+END_TEST
+
 START_TEST (test_deadline_ends_stream)
 {
   struct beryl_forward_request facts = fx_request_params (&fx, 1);
@@ -516,6 +598,10 @@
   tcase_add_test (tcase, test_preempted_engine_dies);
   tcase_add_test (tcase, test_caller_waits_for_its_stream);
   tcase_add_test (tcase, test_end_inside_event);
+  tcase_add_test (tcase, test_unframed_without_events);
+  tcase_add_test (tcase, test_unframed_stream_is_moved);
+  tcase_add_test (tcase, test_unframed_stream_of_crashed_engine);
+  tcase_add_test (tcase, test_leaves_while_confirming);
   tcase_add_test (tcase, test_deadline_ends_stream);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
