Streams: counted messages, and tests of what peers are told and asked

No record leaves a node that is certain of the only version; the open stream is told once a second version is listed, or the list is silent.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -804,7 +804,7 @@
           loop, g->store, &g->settings, beryl_forward_quarantine (g->forward));
       g->notices
           = notices_create (loop, g->settings.node, g->forward, g->members);
-      g->streams = streams_create (loop, g->forward, g->members);
+      g->streams = streams_create (loop, g->forward, g->members, g->counters);
       g->cluster_key
           = cluster_key_create (loop, g->store, cluster_key_ready, g);
       g->planner = planner_create (loop, wire, &g->settings, g->store,
--- a/gatewayd/streams.c
+++ b/gatewayd/streams.c
@@ -12,17 +12,26 @@
   struct loop *loop;
   struct beryl_forward *forward;
   struct members *members;
+  struct counters *counters;
 };
 
+static void
+count_sent (struct streams *s, const char *label, uint64_t datagrams)
+{
+  counters_add (s->counters, "beryl_gateway_stream_messages_total", label,
+                datagrams);
+}
+
 struct streams *
 streams_create (struct loop *loop, struct beryl_forward *forward,
-                struct members *members)
+                struct members *members, struct counters *counters)
 {
   struct streams *s = g_new0 (struct streams, 1);
 
   s->loop = loop;
   s->forward = forward;
   s->members = members;
+  s->counters = counters;
   return s;
 }
 
@@ -38,17 +47,22 @@
   struct streams_message message = { .record_count = 1 };
 
   message.records[0] = *record;
-  members_send_streams (s->members, &message, record->stream, KEEPERS);
+  count_sent (
+      s, "kind=\"record\"",
+      members_send_streams (s->members, &message, record->stream, KEEPERS));
 }
 
 uint32_t
 streams_ask (struct streams *s, const struct beryl_stream_question *question)
 {
   struct streams_message message = { .question_count = 1 };
+  uint32_t asked;
 
   message.questions[0] = *question;
-  return members_send_streams (s->members, &message, question->stream,
-                               ASKED_PEERS);
+  asked = members_send_streams (s->members, &message, question->stream,
+                                ASKED_PEERS);
+  count_sent (s, "kind=\"question\"", asked);
+  return asked;
 }
 
 void
@@ -65,7 +79,10 @@
                                    &reply.answers[reply.answer_count++],
                                    now_ms);
   if (reply.answer_count > 0)
-    members_reply_streams (s->members, &reply, address, port);
+    {
+      members_reply_streams (s->members, &reply, address, port);
+      count_sent (s, "kind=\"answer\"", 1);
+    }
   for (size_t i = 0; i < message->answer_count; i++)
     beryl_forward_stream_answered (s->forward, &message->answers[i], now_ms);
 }
--- a/gatewayd/streams.h
+++ b/gatewayd/streams.h
@@ -6,6 +6,7 @@
 #define GATEWAYD_STREAMS_H
 
 #include "beryl/forward.h"
+#include "common/counters.h"
 #include "common/loop.h"
 #include "members.h"
 #include "wire/streams.h"
@@ -14,7 +15,8 @@
 
 struct streams *streams_create (struct loop *loop,
                                 struct beryl_forward *forward,
-                                struct members *members);
+                                struct members *members,
+                                struct counters *counters);
 void streams_destroy (struct streams *streams);
 
 /** Give RECORD to the peers that keep it. */
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -169,6 +169,23 @@
   return fx->fingerprint != NULL ? fx->fingerprint (request) : 0;
 }
 
+static void
+owner_stream_begun (struct beryl_forward_owner *owner,
+                    const struct beryl_stream_record *record)
+{
+  g_array_append_vals (fx_of (owner)->told, record, 1);
+}
+
+static uint32_t
+owner_find_stream (struct beryl_forward_owner *owner,
+                   const struct beryl_stream_question *question)
+{
+  struct fx *fx = fx_of (owner);
+
+  g_array_append_vals (fx->questions, question, 1);
+  return fx->peers;
+}
+
 static const struct beryl_forward_owner_impl owner_impl = {
   .start = owner_start,
   .abort = owner_abort,
@@ -180,6 +197,8 @@
   .refuse = owner_refuse,
   .fingerprint = owner_fingerprint,
   .log_step = owner_decided,
+  .stream_begun = owner_stream_begun,
+  .find_stream = owner_find_stream,
   .contact_changed = owner_contact_changed,
 };
 
@@ -251,6 +270,9 @@
   fx->now_ms = 100000;
   fx->exchanges = g_ptr_array_new_with_free_func (g_free);
   fx->log = g_string_new (NULL);
+  fx->told = g_array_new (FALSE, FALSE, sizeof (struct beryl_stream_record));
+  fx->questions
+      = g_array_new (FALSE, FALSE, sizeof (struct beryl_stream_question));
   fx->endpoints = beryl_live_set_create (5000);
   beryl_live_set_synced (fx->endpoints, fx->now_ms);
   fx->forward = beryl_forward_create (&settings, fx->endpoints, &fx->owner);
@@ -272,6 +294,8 @@
   beryl_live_set_destroy (fx->endpoints);
   g_ptr_array_free (fx->exchanges, TRUE);
   g_string_free (fx->log, TRUE);
+  g_array_free (fx->told, TRUE);
+  g_array_free (fx->questions, TRUE);
   for (size_t i = 0; i < FX_REQUESTS_MAX; i++)
     if (fx->answers[i].body != NULL)
       g_string_free (fx->answers[i].body, TRUE);
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -60,6 +60,9 @@
   uint64_t connected; /**< exchange spared by fx_fail_connections; 0: none */
   /** Returns the fingerprint of a request; NULL if unknown. */
   uint64_t (*fingerprint) (uint64_t request);
+  GArray *told;      /**< struct beryl_stream_record, for peers */
+  GArray *questions; /**< struct beryl_stream_question, to peers */
+  uint32_t peers;    /**< that are asked */
   /** Called when an exchange starts; may be NULL. */
   void (*started) (struct fx *fx, struct fx_exchange *x);
 };
--- a/tests/forward/test_versions.c
+++ b/tests/forward/test_versions.c
@@ -281,6 +281,170 @@
 }
 END_TEST
 
+/* Lets MS pass, during which the list is confirmed again and again. */
+static void
+pass_in_contact (int64_t ms)
+{
+  for (int64_t end_ms = fx.now_ms + ms; fx.now_ms < end_ms;)
+    {
+      fx_pass (&fx, 500);
+      beryl_live_set_synced (fx.endpoints, fx.now_ms);
+    }
+}
+
+/* Opens the node with one version, which has served for long. */
+static void
+one_version (void)
+{
+  fx_close (&fx);
+  fx_open (&fx, &terms);
+  fx_versioned (&fx, "pa", BERYL_STAGE_PREFILL, "v1");
+  fx_versioned (&fx, "a0", BERYL_STAGE_DECODE, "v1");
+  fx_versioned (&fx, "a1", BERYL_STAGE_DECODE, "v1");
+  pass_in_contact (SETTLED_MS);
+}
+
+/* Guards against messages for each stream while one version alone serves, and
+ * against streams that peers are not told of once a second one comes, or once
+ * the list falls silent. */
+START_TEST (test_peers_are_told)
+{
+  one_version ();
+  fx_arrive (&fx, 1);
+  fx_to_stream (&fx, 1, 2);
+  ck_assert_uint_eq (fx.told->len, 0);
+  if (_i == 0)
+    fx_versioned (&fx, "b0", BERYL_STAGE_DECODE, "v2");
+  else
+    {
+      for (uint64_t event = 3; event < 50; event++)
+        {
+          fx_pass (&fx, 50);
+          fx_event (&fx, open_of (1, BERYL_EXCHANGE_RUN), event);
+        }
+    }
+  ck_assert_uint_eq (fx.told->len, 1);
+  fx_arrive (&fx, 2);
+  fx_to_stream (&fx, 2, 2);
+  ck_assert_uint_eq (fx.told->len, 2);
+}
+END_TEST
+
+static struct beryl_stream_answer
+answer_for_last_question (void)
+{
+  ck_assert_uint_gt (fx.questions->len, 0);
+  return (struct beryl_stream_answer){
+    .stream = g_array_index (fx.questions, struct beryl_stream_question,
+                             fx.questions->len - 1)
+                  .stream
+  };
+}
+
+static void
+answer_question (const struct beryl_stream_answer *reply)
+{
+  beryl_forward_stream_answered (fx.forward, reply, fx.now_ms);
+}
+
+/* Guards against a stream that goes on at another version than the one that a
+ * peer has recorded. */
+START_TEST (test_peer_has_record)
+{
+  struct beryl_stream_answer reply;
+
+  two_versions ((uint64_t)_i + 1);
+  fx.peers = 2;
+  resume (2, 1, 3);
+  reply = answer_for_last_question ();
+  answer_question (&reply);
+  reply.version = beryl_live_version (fx_find_endpoint (&fx, "b0"));
+  answer_question (&reply);
+  assert_asks_like ("b0", 2, 300);
+}
+END_TEST
+
+/* Guards against a caller that is kept waiting although no peer has a record,
+ * and against one that waits for peers which do not answer. */
+START_TEST (test_no_peer_has_record)
+{
+  struct beryl_stream_answer reply;
+
+  two_versions (1);
+  fx.peers = 2;
+  resume (2, 1, 3);
+  reply = answer_for_last_question ();
+  if (_i == 0)
+    {
+      answer_question (&reply);
+      answer_question (&reply);
+    }
+  else
+    fx_pass (&fx, 2000);
+  ck_assert (answer (2)->refused);
+  ck_assert (answer (2)->refusal.not_run);
+  ck_assert_int_gt (answer (2)->refusal.retry_after_ms, 0);
+  answer_question (&reply);
+}
+END_TEST
+
+/* Guards against a version that is inferred although a peer has seen another
+ * one, or has not seen the list for long. */
+START_TEST (test_version_inferred_from_peers)
+{
+  struct beryl_stream_answer reply;
+
+  fx_close (&fx);
+  fx_open (&fx, &terms);
+  fx_versioned (&fx, "pa", BERYL_STAGE_PREFILL, "v1");
+  fx_versioned (&fx, "a0", BERYL_STAGE_DECODE, "v1");
+  fx.peers = 3;
+  resume (2, 1, 3);
+  reply = answer_for_last_question ();
+  if (_i < 2)
+    reply.sole_version = beryl_live_version (fx_find_endpoint (&fx, "a0"));
+  answer_question (&reply);
+  if (_i == 1)
+    {
+      reply.sole_version = 0;
+      reply.several_versions = true;
+    }
+  answer_question (&reply);
+  reply.several_versions = false;
+  answer_question (&reply);
+  fx_pass (&fx, 2000);
+  if (_i == 0)
+    open_of (2, BERYL_EXCHANGE_RESERVE);
+  else
+    ck_assert (answer (2)->refused);
+}
+END_TEST
+
+/* Guards against a peer that is told the version of another stream, or of
+ * another service. */
+START_TEST (test_question_of_peer)
+{
+  struct beryl_stream_answer reply;
+  struct beryl_stream_question question;
+
+  two_versions (1);
+  fx_arrive (&fx, 1);
+  fx_to_stream (&fx, 1, 1);
+  ck_assert_uint_eq (fx.told->len, 1);
+  question.stream
+      = g_array_index (fx.told, struct beryl_stream_record, 0).stream;
+  question.service = beryl_name_hash (FX_SERVICE);
+  beryl_forward_describe_stream (fx.forward, &question, &reply, fx.now_ms);
+  ck_assert_uint_ne (reply.version, 0);
+  ck_assert (reply.several_versions);
+  question.stream++;
+  question.service++;
+  beryl_forward_describe_stream (fx.forward, &question, &reply, fx.now_ms);
+  ck_assert_uint_eq (reply.version, 0);
+  ck_assert (!reply.several_versions);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -298,6 +462,11 @@
   tcase_add_loop_test (tcase, test_unknown_stream_one_version, 0, 2);
   tcase_add_loop_test (tcase, test_cached_prompt, 0, SEEDS);
   tcase_add_loop_test (tcase, test_plain_stream, 0, SEEDS);
+  tcase_add_loop_test (tcase, test_peers_are_told, 0, 2);
+  tcase_add_loop_test (tcase, test_peer_has_record, 0, SEEDS);
+  tcase_add_loop_test (tcase, test_no_peer_has_record, 0, 2);
+  tcase_add_loop_test (tcase, test_version_inferred_from_peers, 0, 3);
+  tcase_add_test (tcase, test_question_of_peer);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
