--- a/include/beryl/quarantine.h
+++ b/include/beryl/quarantine.h
@@ -102,10 +102,6 @@
                                      const uint64_t *parts, size_t count,
                                      int64_t now_ms);
 
-/** Return whether FINGERPRINT was answered recently, as this node knows. */
-bool beryl_quarantine_was_answered (const struct beryl_quarantine *quarantine,
-                                    uint64_t fingerprint, int64_t now_ms);
-
 /** Return whether an endpoint crashed, or may have crashed, during a run of
  * FINGERPRINT. */
 bool beryl_quarantine_is_suspect (const struct beryl_quarantine *quarantine,
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -80,7 +80,7 @@
   uint64_t kv_tokens; /**< KV memory of one engine; 0 if unknown */
   uint32_t waiting;   /**< this node's waiting generations */
   struct version_history versions;
-  int64_t stream_life_ms;    /**< longest time that a caller had for one */
+  int64_t stream_life_ms;    /**< longest time that callers gave a stream */
   int64_t earliest_retry_ms; /**< earliest retry time for the next refused
                                 caller */
 };
@@ -263,7 +263,8 @@
   struct beryl_quarantine_owner quarantine_owner;
   struct beryl_quarantine *quarantine;
   struct stream_records streams; /**< that callers may resume here */
-  int64_t versions_known_ms;     /**< when endpoints were first listed; 0 */
+  int64_t versions_known_ms;     /**< when endpoints were first listed;
+                                    0: never */
   int64_t next_version_check_ms;
   int64_t suspects_until_ms;   /**< latest deadline of this node's suspects */
   int64_t quarantine_check_ms; /**< when to check open requests for newly
--- a/libberyl/forward/resume.c
+++ b/libberyl/forward/resume.c
@@ -163,9 +163,11 @@
   return r->params.deadline_ms + LIFE_MARGIN_MS;
 }
 
+/* Binds R's stream to VERSION and records that, also for a request that
+   resumes it: its record is then kept until the latest deadline. */
 static void
-bind (struct beryl_forward *f, struct request *r, uint32_t version,
-      int64_t now_ms)
+bind_version (struct beryl_forward *f, struct request *r, uint32_t version,
+              int64_t now_ms)
 {
   uint64_t stream = stream_of (r);
 
@@ -183,7 +185,7 @@
                     const struct exchange *x, int64_t now_ms)
 {
   if (x->kind == BERYL_EXCHANGE_RUN && r->version == 0)
-    bind (f, r, x->version, now_ms);
+    bind_version (f, r, x->version, now_ms);
 }
 
 bool
@@ -247,13 +249,12 @@
   return true;
 }
 
-/* A second request may carry the first one's version on, so it is recorded
-   again with the later deadline. */
+/* Lets R go on at VERSION; HOW that is known is logged. */
 static void
 go_on (struct beryl_forward *f, struct request *r, uint32_t version,
        const char *how, int64_t now_ms)
 {
-  bind (f, r, version, now_ms);
+  bind_version (f, r, version, now_ms);
   forward_request_log (f, r, "resume", NULL, how,
                        (int64_t)r->params.last_event_id, now_ms);
 }
--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -495,9 +495,9 @@
   return fingerprint % ANSWERED_SLOTS;
 }
 
-bool
-beryl_quarantine_was_answered (const struct beryl_quarantine *q,
-                               uint64_t fingerprint, int64_t now_ms)
+static bool
+was_answered (const struct beryl_quarantine *q, uint64_t fingerprint,
+              int64_t now_ms)
 {
   const struct answered *answered = &q->answered[answered_slot (fingerprint)];
 
@@ -511,8 +511,7 @@
 {
   struct suspect *s;
 
-  if (fingerprint == 0
-      || beryl_quarantine_was_answered (q, fingerprint, now_ms))
+  if (fingerprint == 0 || was_answered (q, fingerprint, now_ms))
     return;
   s = suspect_get (q, fingerprint);
   if (crash_find (s, endpoint) == NULL)
@@ -736,7 +735,7 @@
 {
   struct suspect *s;
 
-  if (!beryl_quarantine_was_answered (q, fingerprint, now_ms))
+  if (!was_answered (q, fingerprint, now_ms))
     return false;
   s = suspect_get (q, fingerprint);
   if (!is_recent (s->cleared_ms, now_ms))
