--- a/tests/gateway/test_versions.c
+++ b/tests/gateway/test_versions.c
@@ -210,6 +210,26 @@
 }
 END_TEST
 
+/* Guards against an event after the last one of a stream whose caller has all
+ * events but not its end, and resumes it. */
+START_TEST (test_resumed_after_last_event)
+{
+  struct testbed_response *response;
+  uint64_t request;
+
+  testbed_start_nodes (&t, NODES);
+  response = testbed_generate (&t, 0, 1000, 1500);
+  request = t.request_count;
+  testbed_wait (&t, response);
+  ck_assert_uint_eq (events (response), 30);
+  response = testbed_resume (&t, 0, request, 30);
+  testbed_wait (&t, response);
+  ck_assert (response->done);
+  ck_assert_uint_eq (response->status, 200);
+  ck_assert_uint_eq (events (response), 0);
+}
+END_TEST
+
 /* Guards against a caller that is held for long when it names a stream that
  * nobody knows, and against one that goes on at any version. */
 START_TEST (test_unknown_stream)
@@ -240,6 +260,7 @@
   tcase_add_test (tcase, test_resumed_at_new_node);
   tcase_add_test (tcase, test_all_nodes_killed);
   tcase_add_test (tcase, test_one_version);
+  tcase_add_test (tcase, test_resumed_after_last_event);
   tcase_add_test (tcase, test_unknown_stream);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
