--- a/gatewayd/request_log.c
+++ b/gatewayd/request_log.c
@@ -74,15 +74,15 @@
           "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT
           " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
           " configuration=%" G_GUINT64_FORMAT " seen=%s"
-          " fingerprint=%s organisation=%s%s%s%s%s",
+          " fingerprint=%s organisation=%s sends=%u repeats=%u%s%s%s%s",
           d->id, d->route, d->step, d->outcome,
           d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms,
           d->value, d->first_event_ms, d->longest_gap_ms, d->config_version,
           beryl_revision_text (d->endpoint_revision, seen),
           format_fingerprint (d->fingerprint, fingerprint, sizeof fingerprint),
-          d->organisation[0] != '\0' ? d->organisation : "-",
-          d->resumed_id[0] != '\0' ? " resumes=" : "", d->resumed_id,
-          format_quota (d->quota, quota, sizeof quota),
+          d->organisation[0] != '\0' ? d->organisation : "-", d->sends,
+          d->repeats, d->resumed_id[0] != '\0' ? " resumes=" : "",
+          d->resumed_id, format_quota (d->quota, quota, sizeof quota),
           format_configuration (d, configuration, state, sizeof state));
 }
 
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -187,6 +187,8 @@
   int64_t first_event_ms; /**< first event, since the arrival; 0 if none yet */
   int64_t longest_gap_ms; /**< longest time between two events */
   int64_t value;          /**< meaning depends on STEP and OUTCOME */
+  uint32_t sends;   /**< prompts and runs sent to endpoints from this node */
+  uint32_t repeats; /**< repeats taken from the service's budget for it */
   uint64_t fingerprint; /**< of the request's content; 0 if not computed yet */
   uint64_t config_version;
   uint64_t endpoint_revision;
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -241,6 +241,8 @@
     start->connect_timeout_ms = CONNECT_TIMEOUT_MS;
   if (r != NULL)
     set_request_fields (f, r, start, now_ms);
+  if (x->kind == BERYL_EXCHANGE_RUN || x->kind == BERYL_EXCHANGE_PREFILL)
+    r->sends++;
   f->owner->impl->start (f->owner, start);
   return x;
 }
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -173,6 +173,8 @@
   struct exchange *secondary; /**< concurrent exchange: a hedged send, a move
                                  or a reservation */
   uint32_t plain_sends;       /**< times a plain request was sent */
+  uint32_t sends;             /**< prompts and runs sent to endpoints */
+  uint32_t repeats_taken;     /**< from the budget of its service */
   uint32_t endpoints_run_count; /**< endpoints that may have run it */
   bool may_have_run;
   bool handed_over;          /**< a peer has handed it over to this node */
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -69,6 +69,8 @@
     = r->first_event_ms > 0 ? r->first_event_ms - r->params.arrived_ms : 0,
     .longest_gap_ms = r->longest_gap_ms,
     .value = number,
+    .sends = r->sends,
+    .repeats = r->repeats_taken,
     .fingerprint = r->fingerprint,
     .config_version = r->routes->version,
     .endpoint_revision = endpoint != NULL ? endpoint->info.revision : 0,
@@ -247,6 +249,7 @@
     return;
   for (uint32_t i = 0; i < count; i++)
     repeat_budget_spend (&r->service->budget, &limits, now_ms);
+  r->repeats_taken += count;
   forward_request_log (f, r, "repeat", NULL, "taken",
                        forward_request_repeats_left (f, r, now_ms), now_ms);
   loans_report_if_low (f, r->service, now_ms);
