Repeats: a file of their own

Cause: the count of a request's sends is about to grow, and request.c has the creation and end of requests. Change: what request.c did with the budget stands in repeats.c; no change of what it does.

--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -367,7 +367,7 @@
 count_from_caller (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   if (!r->handed_over)
-    forward_request_count_arrival (f, r->service, now_ms);
+    repeats_count_request (f, r->service, now_ms);
   else
     forward_request_log (f, r, "handoff", NULL, "taken",
                          r->endpoints_run_count, now_ms);
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -105,7 +105,7 @@
 
   r->run_repeat_taken = false;
   return r->engine_sends == 0 || r->continues_run || repeat_already_taken
-         || forward_request_take_repeat (f, r, now_ms);
+         || repeats_take (f, r, now_ms);
 }
 
 /* Returns whether R must not be sent to the engine of its reservation any
--- a/libberyl/forward/handoff.c
+++ b/libberyl/forward/handoff.c
@@ -95,7 +95,7 @@
   bool runs_again = run_open || r->may_have_run;
   bool prefills_again = r->prefilled || has_open (r, BERYL_EXCHANGE_PREFILL);
   uint32_t needed = (uint32_t)runs_again + (uint32_t)prefills_again;
-  uint32_t left = forward_request_repeats_left (f, r, now_ms);
+  uint32_t left = repeats_left (f, r, now_ms);
 
   if (runs_again && !may_run_again (r, run_open))
     return false;
@@ -104,7 +104,7 @@
       forward_request_log (f, r, "repeat", NULL, "denied", left, now_ms);
       return false;
     }
-  forward_request_take_repeats (f, r, needed, now_ms);
+  repeats_take_count (f, r, needed, now_ms);
   return true;
 }
 
--- a/libberyl/forward/loans.c
+++ b/libberyl/forward/loans.c
@@ -18,7 +18,7 @@
 loans_report_if_low (struct beryl_forward *f, struct service *s,
                      int64_t now_ms)
 {
-  struct repeat_limits limits = forward_repeat_limits (f, now_ms);
+  struct repeat_limits limits = repeats_limits (f, now_ms);
 
   if (repeat_budget_left (&s->budget, &limits, now_ms) < LOW_WATERMARK
       && now_ms - s->loan_requested_ms >= LOAN_REQUEST_TIMEOUT_MS)
@@ -56,7 +56,7 @@
 request_loan (struct beryl_forward *f, struct service *s,
               struct beryl_budget_transfers *asks, int64_t now_ms)
 {
-  struct repeat_limits limits = forward_repeat_limits (f, now_ms);
+  struct repeat_limits limits = repeats_limits (f, now_ms);
   const struct peer_runs *peer;
 
   if (repeat_budget_left (&s->budget, &limits, now_ms) >= LOW_WATERMARK
@@ -91,7 +91,7 @@
 lend (struct beryl_forward *f, const char *peer,
       const struct beryl_budget_transfer *request, int64_t now_ms)
 {
-  struct repeat_limits limits = forward_repeat_limits (f, now_ms);
+  struct repeat_limits limits = repeats_limits (f, now_ms);
   struct service *s = forward_service_by_hash (f, request->service);
   uint32_t max_count = request->count < LOAN_MAX ? request->count : LOAN_MAX;
   uint32_t count;
--- a/libberyl/forward/prefill.c
+++ b/libberyl/forward/prefill.c
@@ -24,14 +24,14 @@
 prefill_allowed (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   uint32_t needed = (r->prefilled ? 1 : 0) + (r->engine_sends > 0 ? 1 : 0);
-  uint32_t left = forward_request_repeats_left (f, r, now_ms);
+  uint32_t left = repeats_left (f, r, now_ms);
 
   if (left < needed)
     {
       forward_request_log (f, r, "repeat", NULL, "denied", left, now_ms);
       return false;
     }
-  forward_request_take_repeats (f, r, needed, now_ms);
+  repeats_take_count (f, r, needed, now_ms);
   r->run_repeat_taken = r->engine_sends > 0;
   return true;
 }
@@ -262,7 +262,7 @@
                  struct exchange *x, const struct beryl_engine_result *result,
                  int64_t now_ms)
 {
-  bool allowed = forward_request_take_repeat (f, r, now_ms);
+  bool allowed = repeats_take (f, r, now_ms);
 
   forward_request_log (f, r, "prefill", x->endpoint,
                        result->wrong_stage ? "wrong_stage" : "refused",
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -427,6 +427,21 @@
                          int64_t now_ms);
 void crashes_tick (struct beryl_forward *f, int64_t now_ms);
 
+/* repeats.c */
+/** Return the limits on repeats, which are the same for all services. */
+struct repeat_limits repeats_limits (struct beryl_forward *f, int64_t now_ms);
+/** Count the arrival of a request at S; the repeat budget grows with it. */
+void repeats_count_request (struct beryl_forward *f, struct service *s,
+                            int64_t now_ms);
+/** Take one repeat from the budget of R's service; false if none is left. */
+bool repeats_take (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** Return how many repeats the budget of R's service has left. */
+uint32_t repeats_left (struct beryl_forward *f, const struct request *r,
+                       int64_t now_ms);
+/** Take COUNT repeats from the budget of R's service. */
+void repeats_take_count (struct beryl_forward *f, struct request *r,
+                         uint32_t count, int64_t now_ms);
+
 /* quota.c */
 /** Take over the organisations' quotas from ROUTES. */
 void quota_set_routes (struct beryl_forward *f,
@@ -502,12 +517,6 @@
                      const struct beryl_route_organisation *organisation);
 /** Free R, which must have no open exchange. */
 void forward_request_free (struct beryl_forward *f, struct request *r);
-/** Return the limits on repeats, which are the same for all services. */
-struct repeat_limits forward_repeat_limits (struct beryl_forward *f,
-                                            int64_t now_ms);
-/** Count the arrival of a request at S; the repeat budget grows with it. */
-void forward_request_count_arrival (struct beryl_forward *f, struct service *s,
-                                    int64_t now_ms);
 /** Return the fingerprint of R's content; 0 if the owner does not know it. */
 uint64_t forward_request_fingerprint (struct beryl_forward *f,
                                       struct request *r);
@@ -539,16 +548,6 @@
  * endpoint. A run that continues a moved one is not counted again. Clears R's
  * continues_run. */
 void forward_request_record_run (struct request *r);
-/** Take one repeat from the budget of R's service; false if none is left. */
-bool forward_request_take_repeat (struct beryl_forward *f, struct request *r,
-                                  int64_t now_ms);
-/** Return how many repeats the budget of R's service has left. */
-uint32_t forward_request_repeats_left (struct beryl_forward *f,
-                                       const struct request *r,
-                                       int64_t now_ms);
-/** Take COUNT repeats from the budget of R's service. */
-void forward_request_take_repeats (struct beryl_forward *f, struct request *r,
-                                   uint32_t count, int64_t now_ms);
 void forward_request_mark_tried (struct request *r,
                                  const struct beryl_live_endpoint *endpoint);
 bool forward_request_was_tried (const struct request *r,
--- a/libberyl/forward/rates.c
+++ b/libberyl/forward/rates.c
@@ -44,7 +44,7 @@
 static struct beryl_limit_cluster
 cluster_state (struct beryl_forward *f, struct service *s, int64_t now_ms)
 {
-  struct repeat_limits repeats = forward_repeat_limits (f, now_ms);
+  struct repeat_limits repeats = repeats_limits (f, now_ms);
   double requests = repeat_budget_requests (&s->budget, &repeats, now_ms);
 
   return (struct beryl_limit_cluster){
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -68,7 +68,7 @@
 {
   return r->route->resumable
          && endpoints_run_with_open (r) < r->route->endpoints_max
-         && forward_request_repeats_left (f, r, now_ms) >= REPEATS_NEEDED
+         && repeats_left (f, r, now_ms) >= REPEATS_NEEDED
          && !crashes_is_quarantined (f, r, now_ms);
 }
 
