Repeats: a request's sends are counted, not the cases that repeat them

What callers saw: endpoints got more repeats than the fleet may send while they broke off their runs, so that a failing service got the more load. Cause: each place that sends decided for itself whether its send was a repeat, by flags of what came before. A run after a prompt that had broken off, with no second prompt, was its request's first run and took nothing; so did a request that was handed over after its endpoint had rejected it, or after a peer had read its prompt. Fix: a request counts its sends and whether a prompt was accepted. Before each send the repeats are taken that are missing whatever becomes of it. What had no connection was not sent and counts no more, so that a node that loses its endpoints can still hand requests over.

--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -241,8 +241,6 @@
     start->connect_timeout_ms = CONNECT_TIMEOUT_MS;
   if (r != NULL)
     set_request_fields (f, r, start, now_ms);
-  if (x->kind == BERYL_EXCHANGE_RUN || x->kind == BERYL_EXCHANGE_PREFILL)
-    r->sends++;
   f->owner->impl->start (f->owner, start);
   return x;
 }
@@ -588,6 +586,8 @@
       now_ms - x->started_ms, now_ms);
   r = x->request;
   kind = x->kind;
+  if (r != NULL && !sent)
+    repeats_not_sent (r, kind);
   if (r == NULL)
     forward_exchange_free (f, x);
   else if (kind == BERYL_EXCHANGE_RUN)
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -96,18 +96,6 @@
   r->primary = forward_exchange_start (f, r, start, endpoint, now_ms);
 }
 
-/* The first run of a request does not count as a repeat, nor does a moved run
-   that continues. All others do. */
-static bool
-run_allowed (struct beryl_forward *f, struct request *r, int64_t now_ms)
-{
-  bool repeat_already_taken = r->run_repeat_taken;
-
-  r->run_repeat_taken = false;
-  return r->engine_sends == 0 || r->continues_run || repeat_already_taken
-         || repeats_take (f, r, now_ms);
-}
-
 /* Returns whether R must not be sent to the engine of its reservation any
    more, because it is leaving or gone, or has asked for a pause. It may have
    become so during a prefill or a move, and may stop at any moment. A moved
@@ -157,10 +145,15 @@
       reservation_unusable (f, r, now_ms);
       return;
     }
-  if (!run_allowed (f, r, now_ms))
+  /* A moved run that continues is no repeat. */
+  if (!r->continues_run)
     {
-      forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
-      return;
+      if (!repeats_take (f, r, repeats_for_run (r), now_ms))
+        {
+          forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+          return;
+        }
+      repeats_count_send (r);
     }
   if (r->reservation.handle[0] != '\0')
     start.reservation = r->reservation.handle;
@@ -172,7 +165,6 @@
       r->kv.uses++;
     }
   r->phase = PHASE_RUNNING;
-  r->engine_sends++;
   r->last_event_ms = now_ms;
   r->run_ms = now_ms;
   r->run_events = 0;
@@ -300,8 +292,6 @@
       run_failed (f, r, now_ms);
       return;
     default:
-      /* A prefill whose answer is lost may have been accepted; the next one
-         then counts as a repeat. */
       r->prefilled = r->prefilled || sent;
       generation_restart (f, r, now_ms);
     }
--- a/libberyl/forward/handoff.c
+++ b/libberyl/forward/handoff.c
@@ -86,26 +86,17 @@
          && r->endpoints_run_count + run_open < r->route->endpoints_max;
 }
 
-/* Takes the repeats that the next run, and the next prefill, of R count as;
-   returns false if R may not run again or too few are left. */
+/* Takes the repeats for what R's peer sends; returns false if R may not run
+   again or too few are left. */
 static bool
 take_repeats (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   bool run_open = has_open (r, BERYL_EXCHANGE_RUN);
   bool runs_again = run_open || r->may_have_run;
-  bool prefills_again = r->prefilled || has_open (r, BERYL_EXCHANGE_PREFILL);
-  uint32_t needed = (uint32_t)runs_again + (uint32_t)prefills_again;
-  uint32_t left = repeats_left (f, r, now_ms);
 
   if (runs_again && !may_run_again (r, run_open))
     return false;
-  if (left < needed)
-    {
-      forward_request_log (f, r, "repeat", NULL, "denied", left, now_ms);
-      return false;
-    }
-  repeats_take_count (f, r, needed, now_ms);
-  return true;
+  return repeats_take (f, r, repeats_for_prompt_and_run (r), now_ms);
 }
 
 static void
@@ -224,6 +215,9 @@
       return;
     }
   if (may_run)
-    forward_request_record_run (r);
+    {
+      forward_request_record_run (r);
+      repeats_count_handoff (r);
+    }
   try_again (f, r, now_ms);
 }
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -142,6 +142,7 @@
   forward_request_mark_tried (r, endpoint);
   rates_count_sent (f, r->service, endpoint, now_ms);
   r->plain_sends++;
+  repeats_count_send (r);
   r->phase = PHASE_RUNNING;
   r->run_ms = now_ms;
   x = forward_exchange_start (f, r, &start, endpoint, now_ms);
@@ -204,7 +205,7 @@
   endpoint = plain_choose (f, r, now_ms);
   if (endpoint == NULL && pauses_refuse (f, r, BERYL_STAGE_NONE, 0, now_ms))
     return;
-  if (endpoint != NULL && repeats_take (f, r, now_ms))
+  if (endpoint != NULL && repeats_take (f, r, repeats_for_run (r), now_ms))
     plain_send (f, r, endpoint, now_ms);
   else if (r->may_have_run)
     forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
@@ -226,7 +227,7 @@
     return;
   endpoint = plain_choose (f, r, now_ms);
   if (endpoint == NULL || beryl_live_avoided (endpoint, now_ms)
-      || !repeats_take (f, r, now_ms))
+      || !repeats_take (f, r, repeats_for_run (r), now_ms))
     return;
   beryl_live_record_outcome (r->primary->endpoint, BERYL_LIVE_TIMED_OUT,
                              now_ms - r->primary->started_ms, now_ms);
--- a/libberyl/forward/prefill.c
+++ b/libberyl/forward/prefill.c
@@ -18,24 +18,6 @@
    is transferred and one event is produced. */
 #define TRANSFER_AND_EVENT_MS 100
 
-/* Takes the repeats that a prefill and the run after it need. A prompt is not
-   prefilled unless its run may be sent too. */
-static bool
-prefill_allowed (struct beryl_forward *f, struct request *r, int64_t now_ms)
-{
-  uint32_t needed = (r->prefilled ? 1 : 0) + (r->engine_sends > 0 ? 1 : 0);
-  uint32_t left = repeats_left (f, r, now_ms);
-
-  if (left < needed)
-    {
-      forward_request_log (f, r, "repeat", NULL, "denied", left, now_ms);
-      return false;
-    }
-  repeats_take_count (f, r, needed, now_ms);
-  r->run_repeat_taken = r->engine_sends > 0;
-  return true;
-}
-
 /* Returns an upper bound of the time between two events of other streams while
    their engine prefills for BUSY_MS: that time plus twice the time of an
    event. */
@@ -163,15 +145,14 @@
   placement_refuse_or_defer (f, r, now_ms);
 }
 
-/* The first accepted prefill does not count as a repeat, later ones do; a
-   prefill sent after a refused one does, too (prefill_refused). */
+/* A prompt is not prefilled unless its run may be sent too. */
 static void
 send_prefill (struct beryl_forward *f, struct request *r,
               struct beryl_live_endpoint *endpoint, int64_t now_ms)
 {
   struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_PREFILL };
 
-  if (!prefill_allowed (f, r, now_ms))
+  if (!repeats_take (f, r, repeats_for_prompt_and_run (r), now_ms))
     {
       forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
@@ -180,6 +161,7 @@
   r->phase = PHASE_PREFILLING;
   r->timer_ms = r->reservation.expires_ms;
   start.tokens = r->params.prompt_tokens;
+  repeats_count_send (r);
   generation_start_exchange (f, r, &start, endpoint, now_ms);
   f->report_due = true;
   forward_request_log (f, r, "prefill", endpoint, "sent", start.tokens,
@@ -242,6 +224,7 @@
   if (!r->prefilled)
     learn_pace (r->service, x->tokens, took_ms);
   r->prefilled = true;
+  r->prompt_accepted = true;
   forward_exchange_free (f, x);
   generation_run (f, r, now_ms);
 }
@@ -262,8 +245,6 @@
                  struct exchange *x, const struct beryl_engine_result *result,
                  int64_t now_ms)
 {
-  bool allowed = repeats_take (f, r, now_ms);
-
   forward_request_log (f, r, "prefill", x->endpoint,
                        result->wrong_stage ? "wrong_stage" : "refused",
                        result->status, now_ms);
@@ -271,8 +252,5 @@
   if (result->wrong_stage)
     generation_record_other_stage (x->endpoint);
   forward_exchange_free (f, x);
-  if (allowed)
-    generation_restart (f, r, now_ms);
-  else
-    forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+  generation_restart (f, r, now_ms);
 }
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -174,6 +174,7 @@
                                  or a reservation */
   uint32_t plain_sends;       /**< times a plain request was sent */
   uint32_t sends;             /**< prompts and runs sent to endpoints */
+  bool prompt_accepted;       /**< an engine has accepted its prompt */
   uint32_t repeats_taken;     /**< from the budget of its service */
   uint32_t endpoints_run_count; /**< endpoints that may have run it */
   bool may_have_run;
@@ -202,13 +203,9 @@
   int64_t first_event_ms;
   int64_t longest_gap_ms;
   struct beryl_live_endpoint *move_target; /**< NULL if none; reference held */
-  bool move_stopped;     /**< the engine has stopped the run for the move */
-  uint32_t engine_sends; /**< number of times the request itself was sent to
-                            engines */
+  bool move_stopped; /**< the engine has stopped the run for the move */
   bool
       prefilled; /**< a prefill engine has, or may have, accepted its prompt */
-  bool run_repeat_taken; /**< the next run's repeat was already taken from the
-                            budget */
   uint32_t broken_prefill_engine; /**< beryl_live_hash of the engine at which
                                      its last prefill broke off; 0 if none */
   bool local_prefill;   /**< its decode engine prefills the prompt itself */
@@ -433,14 +430,24 @@
 /** Count the arrival of a request at S; the repeat budget grows with it. */
 void repeats_count_request (struct beryl_forward *f, struct service *s,
                             int64_t now_ms);
-/** Take one repeat from the budget of R's service; false if none is left. */
-bool repeats_take (struct beryl_forward *f, struct request *r, int64_t now_ms);
 /** Return how many repeats the budget of R's service has left. */
 uint32_t repeats_left (struct beryl_forward *f, const struct request *r,
                        int64_t now_ms);
-/** Take COUNT repeats from the budget of R's service. */
-void repeats_take_count (struct beryl_forward *f, struct request *r,
-                         uint32_t count, int64_t now_ms);
+/** Return how many repeats must be taken before R's next run is sent. */
+uint32_t repeats_for_run (const struct request *r);
+/** Return how many must be taken before R's prompt and then its run are sent,
+ * or before R is handed over, whatever becomes of these sends. */
+uint32_t repeats_for_prompt_and_run (const struct request *r);
+/** Take COUNT repeats for R; false if fewer are left, and none is taken. */
+bool repeats_take (struct beryl_forward *f, struct request *r, uint32_t count,
+                   int64_t now_ms);
+/** R's prompt, or R itself, is sent to an endpoint. */
+void repeats_count_send (struct request *r);
+/** The exchange of KIND that was started last for R got no connection, so that
+ * nothing was sent. */
+void repeats_not_sent (struct request *r, enum beryl_exchange_kind kind);
+/** A peer that R was handed over to may have sent it. */
+void repeats_count_handoff (struct request *r);
 
 /* quota.c */
 /** Take over the organisations' quotas from ROUTES. */
--- a/libberyl/forward/repeats.c
+++ b/libberyl/forward/repeats.c
@@ -38,33 +38,77 @@
   return repeat_budget_left (&r->service->budget, &limits, now_ms);
 }
 
-void
-repeats_take_count (struct beryl_forward *f, struct request *r, uint32_t count,
-                    int64_t now_ms)
+/* Returns how many repeats R lacks if SENDS of its sends, the first of which
+   was none, had arrived. */
+static uint32_t
+missing (const struct request *r, uint32_t sends)
+{
+  uint32_t repeats = sends > 0 ? sends - 1 : 0;
+
+  return repeats > r->repeats_taken ? repeats - r->repeats_taken : 0;
+}
+
+/* The first prompt that an engine accepts is no repeat. One that breaks off is
+   the request's first arrival, and the run after it a repeat. */
+uint32_t
+repeats_for_run (const struct request *r)
+{
+  return missing (r, r->sends + 1 - r->prompt_accepted);
+}
+
+/* If the prompt is accepted, and no other was before, only the run counts; if
+   it breaks off, only the prompt does. If another was accepted, both count. */
+uint32_t
+repeats_for_prompt_and_run (const struct request *r)
+{
+  return missing (r, r->sends + 1);
+}
+
+bool
+repeats_take (struct beryl_forward *f, struct request *r, uint32_t count,
+              int64_t now_ms)
 {
   struct repeat_limits limits = repeats_limits (f, now_ms);
+  uint32_t left = repeats_left (f, r, now_ms);
+  bool allowed = left >= count;
 
   if (count == 0)
-    return;
-  for (uint32_t i = 0; i < count; i++)
+    return true;
+  for (uint32_t i = 0; allowed && i < count; i++)
     repeat_budget_spend (&r->service->budget, &limits, now_ms);
-  r->repeats_taken += count;
-  forward_request_log (f, r, "repeat", NULL, "taken",
+  if (allowed)
+    r->repeats_taken += count;
+  forward_request_log (f, r, "repeat", NULL, allowed ? "taken" : "denied",
                        repeats_left (f, r, now_ms), now_ms);
   loans_report_if_low (f, r->service, now_ms);
+  return allowed;
 }
 
-bool
-repeats_take (struct beryl_forward *f, struct request *r, int64_t now_ms)
+void
+repeats_count_send (struct request *r)
+{
+  r->sends++;
+}
+
+void
+repeats_not_sent (struct request *r, enum beryl_exchange_kind kind)
 {
-  if (repeats_left (f, r, now_ms) == 0)
-    {
-      forward_request_log (f, r, "repeat", NULL, "denied", 0, now_ms);
-      loans_report_if_low (f, r->service, now_ms);
-      return false;
-    }
-  repeats_take_count (f, r, 1, now_ms);
-  return true;
+  bool counted = kind == BERYL_EXCHANGE_PREFILL
+                 || (kind == BERYL_EXCHANGE_RUN && !r->continues_run);
+
+  if (counted)
+    r->sends--;
+}
+
+/* The peer takes repeats for what it sends beyond the first of each kind. */
+void
+repeats_count_handoff (struct request *r)
+{
+  r->sends++;
+  if (!forward_request_is_generation (r))
+    return;
+  r->sends++;
+  r->prompt_accepted = true;
 }
 
 void
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -21,8 +21,6 @@
 /* Events of a run after which its pace is learned: enough that a single pause
    for the prefill of another prompt does not dominate. */
 #define PACE_EVENTS 8
-/* Continuing at another engine takes a prefill and a run. */
-#define REPEATS_NEEDED 2
 
 static int64_t
 stall_after_ms (const struct request *r)
@@ -68,7 +66,7 @@
 {
   return r->route->resumable
          && endpoints_run_with_open (r) < r->route->endpoints_max
-         && repeats_left (f, r, now_ms) >= REPEATS_NEEDED
+         && repeats_left (f, r, now_ms) >= repeats_for_prompt_and_run (r)
          && !crashes_is_quarantined (f, r, now_ms);
 }
 
--- a/tests/forward/test_handoff.c
+++ b/tests/forward/test_handoff.c
@@ -243,6 +243,35 @@
 }
 END_TEST
 
+/* Guards against a rejected send that takes no repeat when its request is
+ * handed over. */
+START_TEST (test_rejected_before_handoff)
+{
+  struct fx_exchange *rejected;
+
+  reopen (false);
+  fx_arrive (&fx, 1);
+  rejected = fx_last (&fx, BERYL_EXCHANGE_RUN);
+  fx.connected = rejected->id;
+  lose_endpoints ();
+  beryl_forward_set_repeat_limits (fx.forward, 0, 0, 10000);
+  fx_not_run (&fx, rejected, 503);
+  ck_assert_ptr_null (fx_open_of (&fx, 1, BERYL_EXCHANGE_HANDOFF));
+  ck_assert_uint_eq (fx.answers[1].refusal.status, 503);
+}
+END_TEST
+
+/* Guards against callers that are refused since connections that failed have
+ * used up the repeats. */
+START_TEST (test_failed_connection_takes_nothing)
+{
+  beryl_forward_set_repeat_limits (fx.forward, 0, 0, 10000);
+  fx_arrive (&fx, 1);
+  fx_fail_connections (&fx, DETECTION_MS);
+  handoff_of (1);
+}
+END_TEST
+
 /* Guards against an at-most-once request that is sent again because it hangs
  * at an endpoint that was lost meanwhile. */
 START_TEST (test_hanging_run)
@@ -424,6 +453,8 @@
   tcase_add_test (tcase, test_next_peer);
   tcase_add_test (tcase, test_peer_breaks_off);
   tcase_add_test (tcase, test_peers_break_off);
+  tcase_add_test (tcase, test_rejected_before_handoff);
+  tcase_add_test (tcase, test_failed_connection_takes_nothing);
   tcase_add_test (tcase, test_hanging_run);
   tcase_add_test (tcase, test_hanging_prefill);
   tcase_add_test (tcase, test_stream_breaks_off);
