Moves: a moved run that its engine does not take is a repeat

What callers saw: nothing by itself; endpoints that rejected moved runs got more sends than the fleet may repeat. Cause: a moved run that goes on counts as the same run, so that its send took nothing, whatever became of it. Rejected or broken off, it is an arrival. Fix: a repeat is set aside before a run is moved, given back once the engine answers, and taken if it does not. With none left a run stays where it is.

--- a/berylctl/explain_log.c
+++ b/berylctl/explain_log.c
@@ -70,6 +70,8 @@
   { "handoff", "garbled", "the peer's answer is malformed" },
   { "repeat", "taken",
     "the next send is a repeat; the budget has {n} more for the service" },
+  { "repeat", "move_lost",
+    "a moved run was not taken by its engine and counts as a repeat" },
   { "repeat", "denied",
     "not sent again: the budget of repeats has {n} left, fewer than needed" },
   { "head", "answered", "the answer began, status {n}" },
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -19,6 +19,7 @@
   if (x->head.misdirected)
     endpoint_report_replaced (f, x->endpoint, now_ms);
   forward_exchange_abort (f, x);
+  repeats_count_lost_move (f, r, now_ms);
   if (forward_request_is_generation (r))
     generation_run_rejected (f, r, wrong_stage, now_ms);
   else
@@ -344,7 +345,7 @@
       return;
     }
   if (sent && !has_head)
-    forward_request_record_run (r);
+    forward_request_record_lost_run (f, r, now_ms);
   if (has_head && move_stream_ended (f, r, now_ms))
     return;
   if (forward_request_is_generation (r))
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -269,6 +269,7 @@
 {
   relocate_end (f, r);
   r->continues_run = false;
+  repeats_release (r);
   generation_run_ended (f, r);
   kv_clear (f, &r->kv);
   generation_restart (f, r, now_ms);
--- a/libberyl/forward/handoff.c
+++ b/libberyl/forward/handoff.c
@@ -105,7 +105,7 @@
   placement_wait_end (f, r);
   relocate_end (f, r);
   if (has_open (r, BERYL_EXCHANGE_RUN))
-    forward_request_record_run (r);
+    forward_request_record_lost_run (f, r, now_ms);
   while (r->primary != NULL)
     forward_exchange_detach (f, r, r->primary);
   generation_release (f, r, now_ms);
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -23,6 +23,8 @@
 {
   struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_MOVE };
 
+  if (!repeats_hold (f, r, now_ms))
+    return;
   r->move_target = target;
   beryl_live_open (target);
   start.run_id = r->params.id;
@@ -82,6 +84,7 @@
       return;
     }
   move_clear (f, r);
+  repeats_release (r);
   r->timer_ms = stream_timer_ms (r);
   if (r->stalled && why != NULL)
     relocate_start (f, r, why, now_ms);
@@ -145,9 +148,10 @@
   struct beryl_live_endpoint *source = r->kv.endpoint;
 
   if (source == NULL || source == r->reservation.endpoint
-      || now_ms >= r->kv.expires_ms)
+      || now_ms >= r->kv.expires_ms || !repeats_hold (f, r, now_ms))
     {
       r->continues_run = false;
+      repeats_release (r);
       kv_clear (f, &r->kv);
       return false;
     }
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -176,6 +176,7 @@
   uint32_t sends;             /**< prompts and runs sent to endpoints */
   bool prompt_accepted;       /**< an engine has accepted its prompt */
   uint32_t repeats_taken;     /**< from the budget of its service */
+  bool repeat_held;           /**< one is set aside there for a moved run */
   uint32_t endpoints_run_count; /**< endpoints that may have run it */
   bool may_have_run;
   bool handed_over;          /**< a peer has handed it over to this node */
@@ -446,6 +447,15 @@
 /** The exchange of KIND that was started last for R got no connection, so that
  * nothing was sent. */
 void repeats_not_sent (struct request *r, enum beryl_exchange_kind kind);
+/** Set a repeat aside in case that a moved run of R is not taken; false if
+ * none is left. Does nothing if there is one already. */
+bool repeats_hold (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** Give it back, if there is one. */
+void repeats_release (struct request *r);
+/** If R's run continues a moved one: its engine has not taken it, so that it
+ * is a send like any other. */
+void repeats_count_lost_move (struct beryl_forward *f, struct request *r,
+                              int64_t now_ms);
 /** A peer that R was handed over to may have sent it. */
 void repeats_count_handoff (struct request *r);
 
@@ -555,6 +565,9 @@
  * endpoint. A run that continues a moved one is not counted again. Clears R's
  * continues_run. */
 void forward_request_record_run (struct request *r);
+/** Do so for a run that ends before it was answered. */
+void forward_request_record_lost_run (struct beryl_forward *f,
+                                      struct request *r, int64_t now_ms);
 void forward_request_mark_tried (struct request *r,
                                  const struct beryl_live_endpoint *endpoint);
 bool forward_request_was_tried (const struct request *r,
--- a/libberyl/forward/relocate.c
+++ b/libberyl/forward/relocate.c
@@ -135,7 +135,7 @@
     }
   r->relocating = false;
   if (!old->has_head)
-    forward_request_record_run (r);
+    forward_request_record_lost_run (f, r, now_ms);
   forward_exchange_abort (f, old);
   event_splitter_reset (&r->events);
   r->continues_run = false;
--- a/libberyl/forward/repeat_budget.c
+++ b/libberyl/forward/repeat_budget.c
@@ -114,7 +114,9 @@
 repeat_budget_left (struct repeat_budget *b,
                     const struct repeat_limits *limits, int64_t now_ms)
 {
-  return own_left (b, limits, now_ms) + borrowed_left (b, now_ms);
+  uint32_t left = own_left (b, limits, now_ms) + borrowed_left (b, now_ms);
+
+  return left > b->held ? left - b->held : 0;
 }
 
 uint32_t
@@ -122,7 +124,8 @@
                     const struct repeat_limits *limits, uint32_t most,
                     int64_t now_ms)
 {
-  uint32_t count = own_left (b, limits, now_ms) / 2;
+  uint32_t own = own_left (b, limits, now_ms);
+  uint32_t count = own > b->held ? (own - b->held) / 2 : 0;
 
   if (count > most)
     count = most;
--- a/libberyl/forward/repeat_budget.h
+++ b/libberyl/forward/repeat_budget.h
@@ -54,6 +54,7 @@
   uint32_t repeats[REPEAT_BUCKETS];
   struct repeat_loan lent[REPEAT_LOANS_MAX];
   struct repeat_loan borrowed;
+  uint32_t held; /**< set aside for sends that may turn out to be repeats */
 };
 
 /** Fleet-wide limits. */
--- a/libberyl/forward/repeats.c
+++ b/libberyl/forward/repeats.c
@@ -64,20 +64,27 @@
   return missing (r, r->sends + 1);
 }
 
+static void
+spend (struct beryl_forward *f, struct request *r, uint32_t count,
+       int64_t now_ms)
+{
+  struct repeat_limits limits = repeats_limits (f, now_ms);
+
+  for (uint32_t i = 0; i < count; i++)
+    repeat_budget_spend (&r->service->budget, &limits, now_ms);
+  r->repeats_taken += count;
+}
+
 bool
 repeats_take (struct beryl_forward *f, struct request *r, uint32_t count,
               int64_t now_ms)
 {
-  struct repeat_limits limits = repeats_limits (f, now_ms);
-  uint32_t left = repeats_left (f, r, now_ms);
-  bool allowed = left >= count;
+  bool allowed = repeats_left (f, r, now_ms) >= count;
 
   if (count == 0)
     return true;
-  for (uint32_t i = 0; allowed && i < count; i++)
-    repeat_budget_spend (&r->service->budget, &limits, now_ms);
   if (allowed)
-    r->repeats_taken += count;
+    spend (f, r, count, now_ms);
   forward_request_log (f, r, "repeat", NULL, allowed ? "taken" : "denied",
                        repeats_left (f, r, now_ms), now_ms);
   loans_report_if_low (f, r->service, now_ms);
@@ -100,6 +107,47 @@
     r->sends--;
 }
 
+bool
+repeats_hold (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (r->repeat_held)
+    return true;
+  if (repeats_left (f, r, now_ms) == 0)
+    {
+      forward_request_log (f, r, "repeat", NULL, "denied", 0, now_ms);
+      loans_report_if_low (f, r->service, now_ms);
+      return false;
+    }
+  r->service->budget.held++;
+  r->repeat_held = true;
+  return true;
+}
+
+void
+repeats_release (struct request *r)
+{
+  if (!r->repeat_held)
+    return;
+  r->service->budget.held--;
+  r->repeat_held = false;
+}
+
+/* Whether an engine takes a moved run is known only afterwards, and a run that
+   was stopped to be moved cannot stay where it was. The repeat is taken even
+   if none is left, which denies others. */
+void
+repeats_count_lost_move (struct beryl_forward *f, struct request *r,
+                         int64_t now_ms)
+{
+  if (!r->continues_run)
+    return;
+  repeats_release (r);
+  repeats_count_send (r);
+  spend (f, r, missing (r, r->sends - r->prompt_accepted), now_ms);
+  forward_request_log (f, r, "repeat", NULL, "move_lost",
+                       repeats_left (f, r, now_ms), now_ms);
+}
+
 /* The peer takes repeats for what it sends beyond the first of each kind. */
 void
 repeats_count_handoff (struct request *r)
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -91,6 +91,7 @@
   while (r->primary != NULL)
     forward_exchange_detach (f, r, r->primary);
   generation_release (f, r, now_ms);
+  repeats_release (r);
   f->open_count--;
   placement_wait_end (f, r);
   forward_request_free (f, r);
@@ -201,6 +202,7 @@
   if (!r->continues_run)
     r->endpoints_run_count++;
   r->continues_run = false;
+  repeats_release (r);
 }
 
 static uint64_t
@@ -230,6 +232,14 @@
   return false;
 }
 
+void
+forward_request_record_lost_run (struct beryl_forward *f, struct request *r,
+                                 int64_t now_ms)
+{
+  repeats_count_lost_move (f, r, now_ms);
+  forward_request_record_run (r);
+}
+
 struct request *
 forward_request_new (struct beryl_forward *f,
                      const struct beryl_forward_request *params,
