Generations: a run that breaks off at once leaves its KV cache for the next

What callers saw: while engines broke off half of their runs, streams failed for want of repeats, and most of the engines' time went into prompts that were read again. Cause: a run that broke off before its answer dropped the KV cache, though an engine that breaks off a run at once has not fetched it. The next try took two repeats, for a prompt and a run. Red before: test_run_that_breaks_at_once.

--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -12,6 +12,8 @@
    the run a second one is tried; if it rejects the run too, the cache is the
    reason. */
 #define KV_USES_MAX 2
+/* A run that breaks off within the time of so many calls has not begun. */
+#define AT_ONCE_CALLS 2
 /* Minimum weight of the newest request in the means, which are plain means
    until it is reached and moving ones after that. */
 #define MEAN_WEIGHT_MIN 0.05
@@ -264,6 +266,15 @@
     prefill_refused (f, r, x, result, now_ms);
 }
 
+/* Returns whether R's run broke off sooner than its engine can have fetched
+   the KV cache. The time of a call without work is not known exactly. */
+static bool
+run_broke_at_once (const struct request *r, int64_t now_ms)
+{
+  return now_ms - r->run_ms
+         < AT_ONCE_CALLS * call_overhead_min_ms (&r->service->call_overhead);
+}
+
 static void
 run_failed (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
@@ -271,7 +282,8 @@
   r->continues_run = false;
   repeats_release (r);
   generation_run_ended (f, r);
-  kv_clear (f, &r->kv);
+  if (!run_broke_at_once (r, now_ms))
+    kv_clear (f, &r->kv);
   generation_restart (f, r, now_ms);
 }
 
--- a/tests/forward/test_repeats.c
+++ b/tests/forward/test_repeats.c
@@ -30,6 +30,41 @@
 }
 END_TEST
 
+/* Lets request 1 reach its run, which breaks off after MS; returns the number
+ * of prompts sent once it has another reservation. */
+static uint32_t
+prompts_after_break (int64_t ms)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  fx_pass (&fx, 5);
+  run = fx_to_run (&fx, 1);
+  fx_pass (&fx, ms);
+  fx_broken (&fx, run, BERYL_FAILURE_RESET, true);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  return fx_count (&fx, BERYL_EXCHANGE_PREFILL);
+}
+
+/* Guards against prompts that are read again for each run that an engine
+ * breaks off at once, which takes two repeats instead of one. */
+START_TEST (test_run_that_breaks_at_once)
+{
+  const struct fx_exchange *run;
+
+  ck_assert_uint_eq (prompts_after_break (1), 1);
+  run = open_of (1, BERYL_EXCHANGE_RUN);
+  ck_assert_str_eq (run->kv_handle, "kv-1");
+}
+END_TEST
+
+/* Guards against a run whose KV cache the engine before has fetched. */
+START_TEST (test_run_that_breaks_later)
+{
+  ck_assert_uint_eq (prompts_after_break (100), 2);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -38,6 +73,8 @@
 
   tcase_add_checked_fixture (tcase, model_setup, model_teardown);
   tcase_add_test (tcase, test_run_after_broken_prompt);
+  tcase_add_test (tcase, test_run_that_breaks_at_once);
+  tcase_add_test (tcase, test_run_that_breaks_later);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
