Soak: repeats are judged by what reaches the runners (profile strikes)

Change: runners of the stand-in break off a share of their requests before they begin them; the profile strikes has all runners of a service do so, beside killed, stopped and paused nodes; checks.repeats counts, in every run, what runners begin, reject and break off, by window and service.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -37,6 +37,10 @@
 # Of so many streams that are taken up again, a share goes on that is at least
 # this part of that of new streams which begin.
 RESUMED_LEAST = 12
+# The services of runners, by the first letter of their names.
+SERVICES = {"p": "plain", "o": "other", "m": "model"}
+REPEAT_RATIO = 0.2  # nodes have the default
+REPEAT_WINDOW_S = 10.0
 RESUMED_PART = 0.5
 
 
@@ -51,6 +55,26 @@
         self.whole = False
 
 
+class Send:
+    """A request as it reached a runner, whatever became of it there."""
+
+    def __init__(self, at, request, runner, begin=None):
+        self.at = at
+        self.request = request
+        self.runner = runner
+        self.begin = begin  # None: rejected, or broken off before it began
+
+    def service(self):
+        return SERVICES[self.runner[0]]
+
+    def is_moved(self):
+        return self.begin is not None and self.begin.kind == "moved"
+
+    def is_accepted_prompt(self):
+        return self.begin is not None and self.begin.kind == "prefill" \
+            and self.begin.whole
+
+
 class Record:
     """What the runners saw."""
 
@@ -61,6 +85,7 @@
         self.pauses = []   # (time, request, runner, seconds)
         self.said_leaving = {}  # runner: time
         self.arrivals = []  # (time, request, runner), also rejected ones
+        self.sends = []  # Send, in order
         self.limits = []   # (time, runner, a second; None: no longer)
         if os.path.exists(path):
             with open(path) as file:
@@ -70,8 +95,10 @@
     def take(self, words):
         at = int(words[0]) / 1000
         if words[1] == "begin":
-            self.begins[words[2]].append(Begin(at, words[3], words[4]))
+            begin = Begin(at, words[3], words[4])
+            self.begins[words[2]].append(begin)
             self.arrivals.append((at, words[2], words[3]))
+            self.sends.append(Send(at, words[2], words[3], begin))
         elif words[1] == "end":
             for begin in self.begins[words[2]]:
                 if begin.runner == words[3] and begin.ended is None:
@@ -83,8 +110,10 @@
         elif words[1] == "pause":
             self.pauses.append((at, words[2], words[3], float(words[4])))
             self.arrivals.append((at, words[2], words[3]))
-        elif words[1] == "reject":
+            self.sends.append(Send(at, words[2], words[3]))
+        elif words[1] in ("reject", "break"):
             self.arrivals.append((at, words[2], words[3]))
+            self.sends.append(Send(at, words[2], words[3]))
         elif words[1] == "limit":
             self.limits.append((at, words[2], float(words[3])
                                 if words[3] != "-" else None))
@@ -221,6 +250,58 @@
                                  f"{most} in {LIMIT_WINDOW_S:.0f} s")
 
 
+def repeated_sends(record):
+    """The sends that are repeats: all but the first of a request, the first
+    prompt of it that was accepted, and moved runs that were."""
+    reached, prompted = set(), set()
+    for send in record.sends:
+        if send.request == "-" or send.is_moved():
+            continue
+        if send.is_accepted_prompt() and send.request not in prompted:
+            prompted.add(send.request)
+        elif send.request not in reached:
+            reached.add(send.request)
+        else:
+            yield send
+
+
+def requests_of(world, record, service):
+    """When callers sent the requests for SERVICE. Those that reached no runner
+    may have been for either plain service."""
+    first = {}
+    for send in record.sends:
+        first.setdefault(send.request, send)
+    times = [send.at for send in first.values() if send.service() == service]
+    for attempt in world.attempts.values():
+        model = attempt.kind.startswith("stream")
+        if attempt.id not in first and model == (service == "model"):
+            times.append(attempt.began)
+    return times
+
+
+def repeats(world, record):
+    """In no window does a service get more repeats than its budget."""
+    sent = collections.defaultdict(list)
+    for send in repeated_sends(record):
+        sent[send.service()].append(send.at)
+    for service, times in sent.items():
+        requests = requests_of(world, record, service)
+        half = REPEAT_WINDOW_S / 2
+        for start in times:
+            arrived = sum(start <= at < start + REPEAT_WINDOW_S
+                          for at in times)
+            counted = max(sum(since <= at < since + REPEAT_WINDOW_S
+                              for at in requests)
+                          for since in (start, start - half,
+                                        start - REPEAT_WINDOW_S))
+            allowed = REPEAT_RATIO * counted + world.repeat_slack
+            if arrived > allowed:
+                world.broke("BUDGET", f"{service} got {arrived} repeats in "
+                            f"{REPEAT_WINDOW_S:.0f} s for {counted} requests, "
+                            f"{allowed:.0f} are allowed")
+                break
+
+
 def callers_gone(world, record):
     for attempt in world.attempts.values():
         if attempt.outcome != "left":
@@ -451,6 +532,7 @@
     pausing_runners(world, record)
     crashing_requests(world, record)
     limited_runners(world, record)
+    repeats(world, record)
     callers_gone(world, record)
     planned_work(world, record)
     configurations(world)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -93,8 +93,9 @@
     node = rng.choice(world.nodes)
     with world.disturbed(f"node-{node.index}", "SIGHUP", planned=True):
         proxy = world.store_proxies[node.index]
-        node.write_settings((proxy.address, proxy.port),
-                            repeat_slack=rng.randint(30, 60))
+        slack = rng.randint(30, 60)
+        world.repeat_slack = max(world.repeat_slack, slack)
+        node.write_settings((proxy.address, proxy.port), repeat_slack=slack)
         if node.alive():
             world.hang_up(node)
         await asyncio.sleep(0.5)
@@ -262,6 +263,36 @@
     world.give_back(runner)
 
 
+async def break_off(world, rng, for_s, service, stages):
+    """All runners of SERVICE with one of STAGES break off most requests
+    before they begin them."""
+    share = round(rng.uniform(0.4, 0.7), 1)
+    struck = [r for r in world.runners
+              if r.service == service and r.stage in stages]
+    with world.disturbed("runner", f"{service} {stages} break off {share}"):
+        for runner in struck:
+            world.platform.tell("break", runner.id, share)
+        await asyncio.sleep(3 + for_s)
+        for runner in struck:
+            world.platform.tell("break", runner.id, 0)
+
+
+async def prompts_break(world, rng, for_s):
+    await break_off(world, rng, for_s, "model", ("prefill",))
+
+
+async def runs_break(world, rng, for_s):
+    await break_off(world, rng, for_s, "model", ("decode",))
+
+
+async def generations_break(world, rng, for_s):
+    await break_off(world, rng, for_s, "model", ("prefill", "decode"))
+
+
+async def plain_requests_break(world, rng, for_s):
+    await break_off(world, rng, for_s, "plain", (None,))
+
+
 async def runner_leaves(world, rng, for_s):
     """The new one starts first; the old one drains, or just vanishes from the
     list, and serves for a while longer."""
@@ -485,15 +516,20 @@
                  configuration, storm, runner_leaves, runner_dies,
                  runner_restarts, store_link, node_kill, node_kill_many,
                  node_stop, node_pause],
+    "strikes": [prompts_break, runs_break, generations_break,
+                plain_requests_break, node_kill, node_kill_many, node_stop,
+                node_pause, runner_leaves, runner_dies, store_down],
     "mixed": PLANNED + PROCESSES + LINKS + STORE + RUNNERS,
 }
+# Settings of the nodes: a budget that the load of the callers can use up.
+SETTINGS = {"strikes": {"repeat_slack": 6}}
 
 
 # A seed draws one of these; the others are asked for by name, so that seeds go
 # on to mean what they meant.
 DRAWN = sorted(set(PROFILES) - {"crashes", "limits", "cuts", "notices",
                                 "versions", "parts", "changes",
-                                "restores"})
+                                "restores", "strikes"})
 # In these each node finds the runners at an address of its own, so that its
 # links can be cut; there are no proxies before the runners, which would accept
 # connections in the place of those that have crashed.
@@ -501,7 +537,8 @@
 
 
 # Each run of these has these faults, too.
-ALWAYS = {"restores": [store_restored, configuration, runner_leaves],
+ALWAYS = {"strikes": [prompts_break, generations_break],
+          "restores": [store_restored, configuration, runner_leaves],
           "changes": [large_configuration, calls_silent, calls_silent,
                       storm],
           "versions": [release, release, streams_break, callers_break,
--- a/soak/world.py
+++ b/soak/world.py
@@ -77,6 +77,7 @@
         self.rng = random.Random(seed)
         self.directory = directory
         self.terms = dict(TERMS)
+        self.repeat_slack = TERMS["repeat_slack"]  # most that a node has had
         self.net, self.lock = claim_net(seed)
         self.platform = Platform(build, directory)
         self.nodes = [Node(i, f"{self.net}.{i + 1}", build, directory,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -128,6 +128,50 @@
         self.assertEqual(self.lost(), ["LOST"])
 
 
+class Repeats(Case):
+    def reach(self, count, lines):
+        """Lets COUNT requests reach runners as LINES of the record tell."""
+        for number in range(count):
+            at = 100000 + 10 * number
+            for line in lines:
+                words = [word.replace("R", f"r{number}")
+                         for word in line.split()]
+                self.record.take([str(at)] + words)
+
+    def judged(self):
+        checks.repeats(self.world, self.record)
+        return [broken.rule for broken in self.world.broken]
+
+    def test_runs_after_broken_prompts(self):
+        """Guards against runs that take no repeat after a broken prompt."""
+        self.reach(100, ["break R m1", "begin R m2 run"])
+        self.assertEqual(self.judged(), ["BUDGET"])
+
+    def test_rejected_runs(self):
+        self.reach(100, ["reject R m1 503", "begin R m2 run"])
+        self.assertEqual(self.judged(), ["BUDGET"])
+
+    def test_rejected_plain_requests(self):
+        self.reach(100, ["pause R p1 3", "begin R p2 plain"])
+        self.assertEqual(self.judged(), ["BUDGET"])
+
+    def test_second_accepted_prompts(self):
+        self.reach(100, ["begin R m1 prefill", "end R m1 whole",
+                         "begin R m1 prefill", "end R m1 whole",
+                         "begin R m2 run"])
+        self.assertEqual(self.judged(), ["BUDGET"])
+
+    def test_prompt_run_and_move(self):
+        self.reach(100, ["begin R m1 prefill", "end R m1 whole",
+                         "begin R m2 run", "end R m2 cut",
+                         "begin R m3 moved"])
+        self.assertEqual(self.judged(), [])
+
+    def test_as_many_as_allowed(self):
+        self.reach(50, ["break R m1", "begin R m2 run"])
+        self.assertEqual(self.judged(), [])
+
+
 class Addresses(unittest.TestCase):
     def test_runs_do_not_meet(self):
         """Guards against two runs of one seed on the same addresses."""
