Mutants: each way of sending once more that takes nothing

Cause: the ways in which a request may be sent again without a repeat had no mutant, in the tests nor in the soak.

--- a/tests/forward/test_repeats.c
+++ b/tests/forward/test_repeats.c
@@ -65,6 +65,43 @@
 }
 END_TEST
 
+/* Guards against runs that are moved although nothing is left for the case
+ * that the other engine does not take them. */
+START_TEST (test_no_move_without_repeat)
+{
+  const struct fx_exchange *run;
+
+  without_repeats (2, 3);
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  report_runs (run->endpoint, 4);
+  fx_pass (&fx, 200);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_MOVE), 0);
+  ck_assert (!answer (1)->cut);
+}
+END_TEST
+
+/* Guards against a repeat that stays set aside after its run was moved. */
+START_TEST (test_moves_share_one_repeat)
+{
+  without_repeats (2, 3);
+  beryl_forward_set_repeat_limits (fx.forward, 0, 2, 10000);
+  for (uint64_t i = 1; i <= 2; i++)
+    {
+      struct fx_exchange *run;
+
+      fx_arrive (&fx, i);
+      run = fx_to_stream (&fx, i, 2);
+      report_runs (run->endpoint, 4);
+      fx_ok (&fx, move_asked (i), "moved");
+      fx_broken (&fx, run, BERYL_FAILURE_CLOSED, true);
+      run = open_of (i, BERYL_EXCHANGE_RUN);
+      ck_assert_str_eq (run->kv_handle, "moved");
+      fx_stream (&fx, run);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -73,6 +110,8 @@
 
   tcase_add_checked_fixture (tcase, model_setup, model_teardown);
   tcase_add_test (tcase, test_run_after_broken_prompt);
+  tcase_add_test (tcase, test_no_move_without_repeat);
+  tcase_add_test (tcase, test_moves_share_one_repeat);
   tcase_add_test (tcase, test_run_that_breaks_at_once);
   tcase_add_test (tcase, test_run_that_breaks_later);
   suite_add_tcase (suite, tcase);
