Repeats: bursts of requests are not counted together

Cause: a node allowed repeats by the requests of its last window, which may hold two bursts, while the limit goes by the window itself, the one before it or the one half a window before it. Fix: it keeps to every window that includes the moment, by finer buckets. Red before: forward-repeat_windows, 179 of 300 patterns; after, 0 of 3,000.

--- a/libberyl/forward/repeat_budget.c
+++ b/libberyl/forward/repeat_budget.c
@@ -12,10 +12,10 @@
 advance (struct repeat_budget *b, const struct repeat_limits *limits,
          int64_t now_ms)
 {
-  int64_t bucket_ms = limits->window_ms / (REPEAT_BUCKETS - 1);
+  int64_t bucket_ms = limits->window_ms / REPEAT_WINDOW_BUCKETS;
   int64_t bucket = now_ms / (bucket_ms > 0 ? bucket_ms : 1);
 
-  if (bucket - b->bucket >= REPEAT_BUCKETS)
+  if (bucket - b->bucket >= REQUEST_BUCKETS)
     {
       memset (b->requests, 0, sizeof b->requests);
       memset (b->repeats, 0, sizeof b->repeats);
@@ -24,36 +24,42 @@
   while (b->bucket < bucket)
     {
       b->bucket++;
-      b->requests[b->bucket % REPEAT_BUCKETS] = 0;
+      b->requests[b->bucket % REQUEST_BUCKETS] = 0;
       b->repeats[b->bucket % REPEAT_BUCKETS] = 0;
     }
 }
 
-static uint32_t
-sum (const uint32_t counts[REPEAT_BUCKETS])
-{
-  uint32_t total = 0;
-
-  for (int i = 0; i < REPEAT_BUCKETS; i++)
-    total += counts[i];
-  return total;
-}
-
 void
 repeat_budget_count_request (struct repeat_budget *b,
                              const struct repeat_limits *limits,
                              int64_t now_ms)
 {
   advance (b, limits, now_ms);
-  b->requests[b->bucket % REPEAT_BUCKETS]++;
+  b->requests[b->bucket % REQUEST_BUCKETS]++;
+}
+
+/* Sets SUMS[i] to the requests of the newest I buckets. */
+static void
+sum_requests (const struct repeat_budget *b,
+              uint32_t sums[REQUEST_BUCKETS + 1])
+{
+  sums[0] = 0;
+  for (int64_t i = 0; i < REQUEST_BUCKETS; i++)
+    sums[i + 1]
+        = sums[i]
+          + (i <= b->bucket ? b->requests[(b->bucket - i) % REQUEST_BUCKETS]
+                            : 0);
 }
 
 uint32_t
 repeat_budget_requests (struct repeat_budget *b,
                         const struct repeat_limits *limits, int64_t now_ms)
 {
+  uint32_t sums[REQUEST_BUCKETS + 1];
+
   advance (b, limits, now_ms);
-  return sum (b->requests);
+  sum_requests (b, sums);
+  return sums[REPEAT_BUCKETS];
 }
 
 static uint32_t
@@ -75,14 +81,35 @@
   return now_ms - limits->started_ms < limits->window_ms + REPEAT_LOAN_MS;
 }
 
-/* Returns how many repeats this node may send in the current window. An
+static uint32_t
+larger (uint32_t a, uint32_t b)
+{
+  return a > b ? a : b;
+}
+
+/* Returns the requests that count for a window that began within the bucket of
+   AGE buckets ago, by their sums. Buckets that such a window touches only in
+   part are left out. */
+static uint32_t
+counted_requests (const uint32_t sums[REQUEST_BUCKETS + 1], int64_t age)
+{
+  int64_t half = REPEAT_WINDOW_BUCKETS / 2 - 1;
+  int64_t newest = age > half ? age - half : 0;
+  uint32_t here = sums[age];
+  uint32_t before = sums[age + REPEAT_WINDOW_BUCKETS] - sums[age + 1];
+  uint32_t between = sums[age + half + 1] - sums[newest];
+
+  return larger (here, larger (before, between));
+}
+
+/* Returns how many repeats this node may send in a window with REQUESTS. An
    earlier process is taken to have used all that the node could, so that only
    the reserve is left of what new requests allow, and nothing of the slack. */
 static double
-allowance (struct repeat_budget *b, const struct repeat_limits *limits,
+allowance (const struct repeat_limits *limits, uint32_t requests,
            int64_t now_ms)
 {
-  double by_requests = limits->ratio * sum (b->requests);
+  double by_requests = limits->ratio * requests;
   uint32_t nodes = limits->nodes > 0 ? limits->nodes : 1;
 
   if (predecessor_counts (limits, now_ms))
@@ -90,18 +117,31 @@
   return USED_SHARE * (by_requests + (double)limits->slack / nodes);
 }
 
-/* Returns what is left of this node's own share. */
+/* Returns what is left of this node's own share: the least that any window
+   leaves which includes now. */
 static uint32_t
 own_left (struct repeat_budget *b, const struct repeat_limits *limits,
           int64_t now_ms)
 {
+  uint32_t sums[REQUEST_BUCKETS + 1];
+  uint32_t least = UINT32_MAX;
   uint32_t spent;
-  double allowed;
 
   advance (b, limits, now_ms);
-  spent = sum (b->repeats) + lent_count (b, now_ms);
-  allowed = allowance (b, limits, now_ms);
-  return allowed > spent ? (uint32_t)(allowed - spent) : 0;
+  sum_requests (b, sums);
+  spent = lent_count (b, now_ms);
+  for (int64_t age = 0; age < REPEAT_BUCKETS && age <= b->bucket; age++)
+    {
+      double allowed
+          = allowance (limits, counted_requests (sums, age), now_ms);
+      uint32_t left;
+
+      spent += b->repeats[(b->bucket - age) % REPEAT_BUCKETS];
+      left = allowed > spent ? (uint32_t)(allowed - spent) : 0;
+      if (left < least)
+        least = left;
+    }
+  return least;
 }
 
 static uint32_t
--- a/libberyl/forward/repeat_budget.h
+++ b/libberyl/forward/repeat_budget.h
@@ -6,9 +6,10 @@
  * Without the limit a failing service would get the most load when it can bear
  * it least, since every failed or refused request is sent again. In any window
  * a node sends at most RATIO times its own requests, plus its share of the
- * SLACK. The sum over the nodes stays within the fleet's limit whatever
- * messages are lost, as long as no more nodes are alive than the slack was
- * divided by.
+ * SLACK. The requests are those of that window, of the one before it or of the
+ * one half a window before it, whichever has most. The sum over the nodes
+ * stays within the fleet's limit whatever messages are lost, as long as no
+ * more nodes are alive than the slack was divided by.
  *
  * The counters end with the process. A restarted node does not know what it
  * sent before, so for a window it sends only the part of the limit that is
@@ -27,9 +28,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Number of buckets: those of a window, and one more that has partly left it
- * but counts in full. */
-#define REPEAT_BUCKETS 20
+/** Buckets of a window. */
+#define REPEAT_WINDOW_BUCKETS 39
+/** Buckets of repeats: a window that begins and ends within buckets touches
+ * one more. */
+#define REPEAT_BUCKETS (REPEAT_WINDOW_BUCKETS + 1)
+/** Buckets of requests: those of the window before count, too. */
+#define REQUEST_BUCKETS (REPEAT_BUCKETS + REPEAT_WINDOW_BUCKETS)
 
 /** Loans that a node may have outstanding. */
 #define REPEAT_LOANS_MAX 16
@@ -50,7 +55,7 @@
 struct repeat_budget
 {
   int64_t bucket; /**< number of the current bucket */
-  uint32_t requests[REPEAT_BUCKETS];
+  uint32_t requests[REQUEST_BUCKETS];
   uint32_t repeats[REPEAT_BUCKETS];
   struct repeat_loan lent[REPEAT_LOANS_MAX];
   struct repeat_loan borrowed;
