--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -12,7 +12,8 @@
    the run a second one is tried; if it rejects the run too, the cache is the
    reason. */
 #define KV_USES_MAX 2
-/* A run that breaks off within the time of so many calls has not begun. */
+/* A run that breaks off within the time of so many calls without work has not
+   begun. */
 #define AT_ONCE_CALLS 2
 /* Minimum weight of the newest request in the means, which are plain means
    until it is reached and moving ones after that. */
@@ -266,8 +267,8 @@
     prefill_refused (f, r, x, result, now_ms);
 }
 
-/* Returns whether R's run broke off sooner than its engine can have fetched
-   the KV cache. The time of a call without work is not known exactly. */
+/* Returns whether R's run broke off too soon for its engine to have fetched
+   the KV cache. */
 static bool
 run_broke_at_once (const struct request *r, int64_t now_ms)
 {
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -452,8 +452,8 @@
 bool repeats_hold (struct beryl_forward *f, struct request *r, int64_t now_ms);
 /** Give it back, if there is one. */
 void repeats_release (struct request *r);
-/** If R's run continues a moved one: its engine has not taken it, so that it
- * is a send like any other. */
+/** The engine of R's run has not taken it. If it continued a moved run, it
+ * counts as a send now. */
 void repeats_count_lost_move (struct beryl_forward *f, struct request *r,
                               int64_t now_ms);
 /** A peer that R was handed over to may have sent it. */
@@ -565,7 +565,7 @@
  * endpoint. A run that continues a moved one is not counted again. Clears R's
  * continues_run. */
 void forward_request_record_run (struct request *r);
-/** Do so for a run that ends before it was answered. */
+/** Record it, too, if the run ends before it was answered. */
 void forward_request_record_lost_run (struct beryl_forward *f,
                                       struct request *r, int64_t now_ms);
 void forward_request_mark_tried (struct request *r,
--- a/libberyl/forward/repeats.c
+++ b/libberyl/forward/repeats.c
@@ -1,7 +1,7 @@
 #include "private.h"
 
-/* The sends of requests beyond the first, against the budget of their service.
- */
+/* Counts the sends of requests, and takes repeats from the budget of their
+   service for those beyond the first. */
 
 /* Returns the number of nodes that may have sent repeats in the current
    window: those that have left meanwhile count until it has passed. */
@@ -38,8 +38,8 @@
   return repeat_budget_left (&r->service->budget, &limits, now_ms);
 }
 
-/* Returns how many repeats R lacks if SENDS of its sends, the first of which
-   was none, had arrived. */
+/* Returns how many repeats R has yet to take if SENDS of its sends count, the
+   first of which is no repeat. */
 static uint32_t
 missing (const struct request *r, uint32_t sends)
 {
@@ -132,9 +132,8 @@
   r->repeat_held = false;
 }
 
-/* Whether an engine takes a moved run is known only afterwards, and a run that
-   was stopped to be moved cannot stay where it was. The repeat is taken even
-   if none is left, which denies others. */
+/* Takes the repeat that was held, as only now it is known that the engine does
+   not go on with the run. */
 void
 repeats_count_lost_move (struct beryl_forward *f, struct request *r,
                          int64_t now_ms)
