--- a/tests/forward/arrivals.c
+++ b/tests/forward/arrivals.c
@@ -88,20 +88,16 @@
 }
 
 void
-arrivals_check (const struct fx *fx, double ratio, uint32_t slack,
-                int64_t window_ms)
+arrivals_check (const GArray *repeats, const GArray *requests, double ratio,
+                uint32_t slack, int64_t window_ms)
 {
-  GArray *repeats = arrivals_repeats (fx);
-
   for (guint i = 0; i < repeats->len; i++)
     {
       int64_t from_ms = g_array_index (repeats, int64_t, i);
       uint32_t arrived = count_within (repeats, from_ms, from_ms + window_ms);
-      uint32_t here
-          = count_within (fx->requests_ms, from_ms, from_ms + window_ms);
-      uint32_t before
-          = count_within (fx->requests_ms, from_ms - window_ms, from_ms);
-      uint32_t half = count_within (fx->requests_ms, from_ms - window_ms / 2,
+      uint32_t here = count_within (requests, from_ms, from_ms + window_ms);
+      uint32_t before = count_within (requests, from_ms - window_ms, from_ms);
+      uint32_t half = count_within (requests, from_ms - window_ms / 2,
                                     from_ms + window_ms / 2);
       double allowed = ratio * MAX (MAX (here, before), half) + slack;
 
@@ -109,5 +105,4 @@
                      "%u repeats arrive from %d ms on, %.1f are allowed",
                      arrived, (int)from_ms, allowed);
     }
-  g_array_unref (repeats);
 }
--- a/tests/forward/arrivals.h
+++ b/tests/forward/arrivals.h
@@ -15,9 +15,10 @@
  * with g_array_unref. */
 GArray *arrivals_repeats (const struct fx *fx);
 
-/** Fail if more repeats arrive in any window than RATIO of the requests in it,
- * or in the window before, and SLACK. */
-void arrivals_check (const struct fx *fx, double ratio, uint32_t slack,
-                     int64_t window_ms);
+/** Fail if more REPEATS arrive in any window than RATIO of the requests of
+ * that window, the one before or the one half a window before, and SLACK. Both
+ * are arrays of int64_t, in ms. */
+void arrivals_check (const GArray *repeats, const GArray *requests,
+                     double ratio, uint32_t slack, int64_t window_ms);
 
 #endif
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -258,6 +258,7 @@
     .repeat_ratio = terms->repeat_ratio,
     .repeat_slack = terms->repeat_slack,
     .repeat_window_ms = REPEAT_WINDOW_MS,
+    .started_ms = terms->started_ms,
   };
   struct beryl_route_service service
       = { .name = FX_SERVICE, .has_engines = terms->engines };
@@ -294,8 +295,11 @@
 void
 fx_close (struct fx *fx)
 {
-  arrivals_check (fx, fx->terms.repeat_ratio, fx->terms.repeat_slack,
-                  REPEAT_WINDOW_MS);
+  GArray *repeats = arrivals_repeats (fx);
+
+  arrivals_check (repeats, fx->requests_ms, fx->terms.repeat_ratio,
+                  fx->terms.repeat_slack, REPEAT_WINDOW_MS);
+  g_array_unref (repeats);
   beryl_forward_destroy (fx->forward);
   beryl_live_set_destroy (fx->endpoints);
   g_ptr_array_free (fx->exchanges, TRUE);
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -60,6 +60,7 @@
   bool engines;
   double repeat_ratio;
   uint32_t repeat_slack;
+  int64_t started_ms; /**< start of the node's process */
 };
 
 struct fx
