Moves: a run leaves a leaving engine even if no repeat is left

What callers would have seen: for a window after a node's start, when it has no repeats, streams ended with their leaving engines. Cause: since a run is moved only if a repeat can be set aside in case that it is not taken. Fix: that holds for moves for want of memory. A run whose engine leaves is moved, and a repeat is taken afterwards if it is lost.

--- a/libberyl/forward/balance.c
+++ b/libberyl/forward/balance.c
@@ -42,19 +42,22 @@
          && engine_is_newest_run (f, r, now_ms);
 }
 
+/* A run at a leaving engine would be lost, so that it is moved even if no
+   repeat is left in case that the other engine does not take it. */
 static void
 balance_one (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
+  bool must_leave = must_leave_engine (r);
   struct beryl_live_endpoint *target;
 
-  if (!must_leave_engine (r) && !will_be_preempted (f, r, now_ms))
+  if (!must_leave && !will_be_preempted (f, r, now_ms))
     return;
   target = engine_choose_target (f, r, now_ms);
-  if (target != NULL)
-    move_start (f, r, target, now_ms);
-  else
+  if (target == NULL)
     forward_request_log (f, r, "move", r->reservation.endpoint, "no_target", 0,
                          now_ms);
+  else if (repeats_hold (f, r, now_ms) || must_leave)
+    move_start (f, r, target, now_ms);
 }
 
 /* An engine that runs out of memory preempts its newest run in the middle of
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -23,8 +23,6 @@
 {
   struct beryl_exchange_start start = { .kind = BERYL_EXCHANGE_MOVE };
 
-  if (!repeats_hold (f, r, now_ms))
-    return;
   r->move_target = target;
   beryl_live_open (target);
   start.run_id = r->params.id;
@@ -148,7 +146,8 @@
   struct beryl_live_endpoint *source = r->kv.endpoint;
 
   if (source == NULL || source == r->reservation.endpoint
-      || now_ms >= r->kv.expires_ms || !repeats_hold (f, r, now_ms))
+      || now_ms >= r->kv.expires_ms
+      || (!repeats_hold (f, r, now_ms) && beryl_live_accepts_work (source)))
     {
       r->continues_run = false;
       repeats_release (r);
--- a/libberyl/forward/repeats.c
+++ b/libberyl/forward/repeats.c
@@ -132,8 +132,8 @@
   r->repeat_held = false;
 }
 
-/* Takes the repeat that was held, as only now it is known that the engine does
-   not go on with the run. */
+/* Takes the repeat that was held, or one that is not left: only now it is
+   known that the engine does not go on with the run. */
 void
 repeats_count_lost_move (struct beryl_forward *f, struct request *r,
                          int64_t now_ms)
--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -96,7 +96,7 @@
   if (r->run_events > 0 && forward_request_is_movable (r)
       && engine_is_full (f, r, now_ms))
     target = engine_choose_target (f, r, now_ms);
-  if (target != NULL)
+  if (target != NULL && repeats_hold (f, r, now_ms))
     move_start (f, r, target, now_ms);
 }
 
--- a/tests/forward/test_repeats.c
+++ b/tests/forward/test_repeats.c
@@ -81,6 +81,21 @@
 }
 END_TEST
 
+/* Guards against streams that are lost with a leaving engine since no repeat
+ * is left, although a move needs none. */
+START_TEST (test_leaving_engine_without_repeat)
+{
+  const struct fx_exchange *run;
+
+  without_repeats (2, 3);
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  fx_leaving (&fx, run->endpoint);
+  fx_pass (&fx, 200);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_MOVE), 1);
+}
+END_TEST
+
 /* Guards against a repeat that stays set aside after its run was moved. */
 START_TEST (test_moves_share_one_repeat)
 {
@@ -111,6 +126,7 @@
   tcase_add_checked_fixture (tcase, model_setup, model_teardown);
   tcase_add_test (tcase, test_run_after_broken_prompt);
   tcase_add_test (tcase, test_no_move_without_repeat);
+  tcase_add_test (tcase, test_leaving_engine_without_repeat);
   tcase_add_test (tcase, test_moves_share_one_repeat);
   tcase_add_test (tcase, test_run_that_breaks_at_once);
   tcase_add_test (tcase, test_run_that_breaks_later);
