--- a/tests/control/config_fleet.c
+++ b/tests/control/config_fleet.c
@@ -16,6 +16,8 @@
 #define WATCH_MAX_MS 25000
 /* Of a node's links' rate to the store's. */
 #define STORE_LINK_FACTOR 100
+/* How long after its start a node knows of no other. */
+#define ALONE_MS 500
 
 /* A call of a node, from when it is sent until it is answered or fails. */
 struct call
@@ -305,6 +307,22 @@
              pull_end, n, p);
 }
 
+/* Sets the waits of N's watch as if it knew NODES nodes, RANK of which sort
+ * before it. */
+static void
+set_waits (struct config_node *n, int nodes, uint32_t rank)
+{
+  int64_t bound_ms = n->fleet->bound_ms;
+  int64_t wait_ms = nodes * bound_ms / CALLS_PER_BOUND;
+
+  if (wait_ms < bound_ms / 2)
+    wait_ms = bound_ms / 2;
+  if (wait_ms > WATCH_MAX_MS)
+    wait_ms = WATCH_MAX_MS;
+  beryl_platform_set_watch_waits (
+      n->store, beryl_platform_first_wait_ms (wait_ms, rank), wait_ms);
+}
+
 static void
 node_step (void *user, void *data)
 {
@@ -315,6 +333,8 @@
   sim_after (f->cluster->sim, STEP_MS, node_step, n, NULL);
   if (!is_running (n))
     return;
+  if (now_ms (f) - f->started_ms >= ALONE_MS)
+    set_waits (n, f->count, (uint32_t)n->member->index);
   if (beryl_platform_next_ms (n->store) <= now_ms (f))
     beryl_platform_tick (n->store, now_ms (f));
   store.unreachable = beryl_platform_is_unreachable (n->store);
@@ -345,7 +365,6 @@
 open_node (struct config_fleet *f, int i)
 {
   struct config_node *n = &f->nodes[i];
-  int64_t wait_ms = f->count * f->bound_ms / CALLS_PER_BOUND;
   struct beryl_platform_settings settings
       = { .reads_per_s = 50,
           .call_timeout_ms = CALL_TIMEOUT_MS,
@@ -353,14 +372,12 @@
           .backoff_min_ms = 50,
           .backoff_max_ms = 1300 };
 
-  wait_ms = wait_ms < WATCH_MAX_MS ? wait_ms : WATCH_MAX_MS;
   n->base.impl = &node_impl;
   n->fleet = f;
   n->member = &f->cluster->nodes[i];
   n->freshness = beryl_freshness_create (f->bound_ms);
   n->store = beryl_platform_create (&settings, &n->base, (uint64_t)i + 1);
-  beryl_platform_set_watch_waits (
-      n->store, beryl_platform_first_wait_ms (wait_ms, (uint32_t)i), wait_ms);
+  set_waits (n, 1, 0);
   n->watch
       = beryl_platform_watch (n->store, BERYL_USE_CONFIG, KIND, now_ms (f));
   sim_after (f->cluster->sim, 1 + (int64_t)sim_random (f->cluster->sim, 10),
@@ -381,6 +398,7 @@
   f->revision = 1;
   f->store_revision = 1;
   f->transfer_ms = 1;
+  f->started_ms = now_ms (f);
   for (int i = 0; i < nodes; i++)
     open_node (f, i);
   sim_after (f->cluster->sim, STEP_MS, store_step, f, NULL);
--- a/tests/control/config_fleet.h
+++ b/tests/control/config_fleet.h
@@ -37,6 +37,7 @@
   struct config_node nodes[NODES_MAX];
   int count;
   int64_t bound_ms;
+  int64_t started_ms;
   uint64_t revision;       /**< of the configuration in the store */
   uint64_t store_revision; /**< of the newest change of any object */
   uint64_t history_start;
--- a/tests/control/test_config_news.c
+++ b/tests/control/test_config_news.c
@@ -19,6 +19,9 @@
 #define SITE_COUNT ((int)(sizeof sites / sizeof sites[0]))
 #define DATA_CENTRES 4
 
+/* How long after a start nothing happens. */
+static const int64_t quiet_ms[] = { 0, 3000, 12000, 28000, 60000 };
+
 static struct config_fleet *
 open_fleet (const struct site *site)
 {
@@ -67,6 +70,26 @@
 }
 END_TEST
 
+/* Guards against a change that no node hears of, since all nodes have started
+ * together and their calls wait in step until the first change. */
+START_TEST (calls_are_silent_after_start)
+{
+  const struct site *site = &sites[_i];
+
+  for (size_t i = 0; i < sizeof quiet_ms / sizeof quiet_ms[0]; i++)
+    {
+      struct config_fleet *f = config_fleet_create (
+          site->seed, site->nodes, DATA_CENTRES, site->bound_ms);
+
+      config_fleet_run (f, quiet_ms[i]);
+      config_fleet_silence (f, -1, -1);
+      config_fleet_change (f);
+      expect_in_use (f, site->contact_ms, "silent after a start");
+      config_fleet_destroy (f);
+    }
+}
+END_TEST
+
 /* Guards against a change that stays at the few nodes that have heard of it:
  * one node, or all but one data centre, or all but one. */
 START_TEST (some_calls_are_silent)
@@ -173,6 +196,7 @@
 
   tcase_set_timeout (tcase, 100);
   tcase_add_loop_test (tcase, all_calls_are_silent, first, end);
+  tcase_add_loop_test (tcase, calls_are_silent_after_start, first, end);
   tcase_add_loop_test (tcase, some_calls_are_silent, first, end);
   tcase_add_loop_test (tcase, most_nodes_are_turned_away, first, end);
   tcase_add_loop_test (tcase, large_configuration, first, end);
