Watches: calls end at fixed times after the last change

What callers saw: after a start of all nodes (a power loss, a release that stops all), a change that no node hears of if connections to the store go silent together: its routes are refused with 404, keys that it takes away go on to be accepted.

Cause: the wait of a call was counted from when it was made, by the rank that the node had in its first call. A node that starts knows no other, so that all had one rank, and whole waits kept them in step until the next change.

Now a call ends at the next of a row of times that follow from the last change, the rank and the whole wait, all as known when it is made. A node that learns of others moves to its place with its next call, and calls out of turn move nothing.

--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -61,7 +61,8 @@
    * idle timeout within any answer [2000]. */
   int64_t call_timeout_ms;
   int64_t watch_wait_ms;    /**< long-poll time of a watch call [20000] */
-  int64_t first_wait_ms;    /**< that of one after a change [watch_wait_ms] */
+  int64_t first_wait_ms;    /**< how long after a change the first call ends
+                               [watch_wait_ms] */
   int64_t watch_spacing_ms; /**< delay between two calls of a watch [100] */
   int64_t backoff_min_ms;   /**< first backoff delay [100] */
   int64_t backoff_max_ms;   /**< longest backoff delay [5000] */
@@ -215,10 +216,11 @@
  * least 4. */
 double beryl_platform_node_rate (double fleet_per_s, uint32_t nodes);
 
-/** Return which part of WAIT_MS the first call of a watch waits at the node
- * with RANK in the fleet.  A change answers the calls of all nodes together;
- * by first calls of unlike length the later ones end at different times, and
- * one node soon asks anew if all calls have gone silent. */
+/** Return how long after a change the first call of a watch ends at the node
+ * with RANK in the fleet, a part of WAIT_MS.  A change answers the calls of
+ * all nodes together; by first calls of unlike length the later ones end at
+ * different times, and one node soon asks anew if all calls have gone
+ * silent. */
 int64_t beryl_platform_first_wait_ms (int64_t wait_ms, uint32_t rank);
 
 /** Deadline of a request and its behaviour during an outage. */
@@ -317,9 +319,10 @@
 bool beryl_platform_watch_is_receiving (struct beryl_platform *p,
                                         uint64_t watch);
 
-/** Set the default long-poll times of watches from their next calls on:
- * WAIT_MS for a call that follows one without a change, and FIRST_MS for any
- * other; see beryl_platform_first_wait_ms. */
+/** Set the default long-poll times of watches from their next calls on: the
+ * first ends FIRST_MS after the last change, the others follow at intervals of
+ * WAIT_MS and the delay between two calls; see
+ * beryl_platform_first_wait_ms. */
 void beryl_platform_set_watch_waits (struct beryl_platform *p,
                                      int64_t first_ms, int64_t wait_ms);
 
--- a/libberyl/platform/fetch.c
+++ b/libberyl/platform/fetch.c
@@ -353,7 +353,8 @@
 
 static void
 fetch_call (struct beryl_platform *p, struct job *job,
-            struct beryl_platform_call *call, char path[PATH_BYTES])
+            struct beryl_platform_call *call, char path[PATH_BYTES],
+            int64_t now_ms)
 {
   struct fetch *f = (struct fetch *)job;
 
--- a/libberyl/platform/private.h
+++ b/libberyl/platform/private.h
@@ -28,7 +28,8 @@
 {
   /** Fill in CALL; PATH is its buffer. */
   void (*call) (struct beryl_platform *p, struct job *job,
-                struct beryl_platform_call *call, char path[PATH_BYTES]);
+                struct beryl_platform_call *call, char path[PATH_BYTES],
+                int64_t now_ms);
   /** Handle an answer with a status below 500 other than 429; JSON is NULL if
    * malformed.
    * The job is idle and must be queued again or freed. */
@@ -195,9 +196,9 @@
   bool removed;     /**< to be freed once its callbacks have returned */
   bool in_callback;
   bool paused; /**< calls only on refresh; see beryl_platform_watch_pause */
-  int64_t wait_ms; /**< long-poll time; 0: as in the settings */
-  bool waits;      /**< the last call was a long poll */
-  bool unchanged;  /**< it ended without a change */
+  int64_t wait_ms;    /**< long-poll time; 0: as in the settings */
+  int64_t changed_ms; /**< when the store last answered with a change, or a
+                         list */
   uint64_t revision;
   struct listing listing;
   struct known_object *known; /**< sorted by name */
--- a/libberyl/platform/schedule.c
+++ b/libberyl/platform/schedule.c
@@ -176,7 +176,8 @@
 }
 
 static void
-job_call (struct beryl_platform *p, struct budget *b, struct job *job)
+job_call (struct beryl_platform *p, struct budget *b, struct job *job,
+          int64_t now_ms)
 {
   struct beryl_platform_call call
       = { .id = ++p->last_id,
@@ -197,7 +198,7 @@
   TAILQ_INSERT_TAIL (&p->calling, job, entry);
   platform_breaker_sent (p, call.id);
   count_call (p, job);
-  job->impl->call (p, job, &call, path);
+  job->impl->call (p, job, &call, path, now_ms);
   p->handler->impl->send (p->handler, &call);
 }
 
@@ -237,7 +238,7 @@
           count_delayed (p, b);
           return;
         }
-      job_call (p, b, job);
+      job_call (p, b, job, now_ms);
     }
 }
 
--- a/libberyl/platform/watch.c
+++ b/libberyl/platform/watch.c
@@ -297,6 +297,7 @@
   apply_listing (p, w, now_ms < w->relist_ms);
   w->hides_deleted = false;
   w->revision = w->listing.revision;
+  w->changed_ms = now_ms;
   w->list_due = false;
   relist_done (w, now_ms);
   platform_listing_clear (&w->listing);
@@ -381,7 +382,8 @@
     return;
   }
   w->revision = revision;
-  w->unchanged = w->waits && json_array_size (events) == 0;
+  if (json_array_size (events) > 0)
+    w->changed_ms = now_ms;
   emit_synced (p, w);
   watch_again (p, w, now_ms);
 }
@@ -430,6 +432,7 @@
     {
       w->list_due = false;
       w->revision = revision;
+      w->changed_ms = now_ms;
       list = instances_read (p, items, &count);
       p->handler->impl->instances (p->handler, w->id, revision, list, count);
       free (list);
@@ -506,26 +509,41 @@
   platform_job_ready (p, &w->job);
 }
 
+/** Return the long-poll time of a call that is made now.  Calls end at fixed
+ * times after the last change, which all nodes hear of together: whenever a
+ * node learns its place among them, and whatever calls it makes in between,
+ * its later ones end there. */
+static int64_t
+scheduled_wait_ms (const struct beryl_platform_settings *s,
+                   const struct watch *w, int64_t now_ms)
+{
+  int64_t period_ms = s->watch_wait_ms + s->watch_spacing_ms;
+  int64_t since_ms = now_ms - w->changed_ms - s->first_wait_ms;
+  int64_t left_ms
+      = since_ms < 0 ? -since_ms : period_ms - since_ms % period_ms;
+
+  return left_ms < s->watch_wait_ms ? left_ms : s->watch_wait_ms;
+}
+
 static void
 watch_call (struct beryl_platform *p, struct job *job,
-            struct beryl_platform_call *call, char path[PATH_BYTES])
+            struct beryl_platform_call *call, char path[PATH_BYTES],
+            int64_t now_ms)
 {
   struct watch *w = (struct watch *)job;
   /* Breaker probes, the first call and the first call after a failure must be
      answered at once, to show that the platform is available again. */
   bool at_once = p->breaker.state == BREAKER_HALF_OPEN || w->list_due
                  || job->failures > 0 || w->refresh_due;
-  int64_t default_ms
-      = w->unchanged ? p->settings.watch_wait_ms : p->settings.first_wait_ms;
-  int64_t configured_ms = w->wait_ms != 0 ? w->wait_ms : default_ms;
+  int64_t configured_ms = w->wait_ms != 0
+                              ? w->wait_ms
+                              : scheduled_wait_ms (&p->settings, w, now_ms);
   int64_t wait_ms = at_once ? 0 : configured_ms;
 
   if (w->relist_ms != 0 && wait_ms > UNTRUSTED_POLL_MS)
     wait_ms = UNTRUSTED_POLL_MS;
 
   w->refresh_due = false;
-  w->unchanged = false;
-  w->waits = wait_ms > 0;
   call->method = "GET";
   call->path = path;
   call->kind = w->kind;
--- a/tests/control/config_fleet.h
+++ b/tests/control/config_fleet.h
@@ -38,6 +38,7 @@
   int count;
   int64_t bound_ms;
   int64_t started_ms;
+  int missing;             /**< node that the others take for gone; -1: none */
   uint64_t revision;       /**< of the configuration in the store */
   uint64_t store_revision; /**< of the newest change of any object */
   uint64_t history_start;
--- a/tests/platform/test_client.c
+++ b/tests/platform/test_client.c
@@ -91,6 +91,40 @@
 }
 END_TEST
 
+/* Guards against calls that stay in step with those of other nodes: a node
+ * that has just started learns its place late, and a call out of turn must not
+ * move it. */
+START_TEST (test_place_is_kept)
+{
+  struct fake f;
+  struct fake_client *c;
+  uint64_t watch;
+  uint32_t syncs;
+  int64_t start_ms;
+
+  fake_init (&f, 1);
+  c = fake_add (&f, NULL);
+  start_ms = f.now_ms;
+  beryl_platform_set_watch_waits (c->core, 500, 500);
+  watch = beryl_platform_watch (c->core, BERYL_USE_CONFIG, "log", f.now_ms);
+  fake_run (&f, start_ms + 300);
+  beryl_platform_set_watch_waits (c->core, 2000, 5000);
+  fake_run (&f, start_ms + 800);
+  syncs = c->syncs;
+  fake_run (&f, start_ms + 1900);
+  ck_assert_uint_eq (c->syncs, syncs);
+  fake_run (&f, start_ms + 2300);
+  ck_assert_uint_eq (c->syncs, syncs + 1);
+  fake_run (&f, start_ms + 4000);
+  beryl_platform_watch_refresh (c->core, watch);
+  fake_run (&f, start_ms + 6900);
+  ck_assert_uint_eq (c->syncs, syncs + 2);
+  fake_run (&f, start_ms + 7400);
+  ck_assert_uint_eq (c->syncs, syncs + 3);
+  fake_destroy (&f);
+}
+END_TEST
+
 /* Guards against a node that reads each version of a large object in an answer
  * that brings several of them, and halts meanwhile. */
 START_TEST (test_only_last_write_is_reported)
@@ -431,6 +465,7 @@
   tcase_add_test (tc, test_node_rate);
   tcase_add_test (tc, test_first_waits_are_spread);
   tcase_add_test (tc, test_only_first_wait_is_short);
+  tcase_add_test (tc, test_place_is_kept);
   tcase_add_test (tc, test_only_last_write_is_reported);
   tcase_add_test (tc, test_read_and_write);
   tcase_add_test (tc, test_list_has_all_pages);
