Moves: runs leave an engine without a repeat one at a time

Cause: a run at a leaving engine is moved even if no repeat is left, since most moves need none, and nothing bounded how many were moved so at once or after one was lost. Now one run of a service at a time goes without, and no more of them while the share is overdrawn by one that was not taken.

--- a/libberyl/forward/balance.c
+++ b/libberyl/forward/balance.c
@@ -42,8 +42,6 @@
          && engine_is_newest_run (f, r, now_ms);
 }
 
-/* A run at a leaving engine would be lost, so that it is moved even if no
-   repeat is left in case that the other engine does not take it. */
 static void
 balance_one (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
@@ -56,7 +54,8 @@
   if (target == NULL)
     forward_request_log (f, r, "move", r->reservation.endpoint, "no_target", 0,
                          now_ms);
-  else if (repeats_hold (f, r, now_ms) || must_leave)
+  else if (must_leave ? repeats_hold_to_leave (f, r, now_ms)
+                      : repeats_hold (f, r, now_ms))
     move_start (f, r, target, now_ms);
 }
 
--- a/libberyl/forward/move.c
+++ b/libberyl/forward/move.c
@@ -137,6 +137,17 @@
   return true;
 }
 
+/* Returns whether a repeat is set aside for the case that SOURCE does not take
+   R's run back, or none is needed. */
+static bool
+may_go_back (struct beryl_forward *f, struct request *r,
+             const struct beryl_live_endpoint *source, int64_t now_ms)
+{
+  return beryl_live_accepts_work (source)
+             ? repeats_hold (f, r, now_ms)
+             : repeats_hold_to_leave (f, r, now_ms);
+}
+
 /* A moved run's memory can be used only at the engine that has the copy and at
    the one that stopped it; anywhere else the request would run a second
    time. */
@@ -146,8 +157,7 @@
   struct beryl_live_endpoint *source = r->kv.endpoint;
 
   if (source == NULL || source == r->reservation.endpoint
-      || now_ms >= r->kv.expires_ms
-      || (!repeats_hold (f, r, now_ms) && beryl_live_accepts_work (source)))
+      || now_ms >= r->kv.expires_ms || !may_go_back (f, r, source, now_ms))
     {
       r->continues_run = false;
       repeats_release (r);
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -59,6 +59,7 @@
 {
   char name[BERYL_NAME_BYTES];
   struct repeat_budget budget;
+  bool leaves_without_repeat; /**< a run is, see repeats_hold_to_leave */
   uint32_t loan_serial; /**< of the last request for a loan of repeats; 0 if
                            none is open */
   int64_t loan_requested_ms;  /**< when the last loan was requested */
@@ -177,6 +178,7 @@
   bool prompt_accepted;       /**< an engine has accepted its prompt */
   uint32_t repeats_taken;     /**< from the budget of its service */
   bool repeat_held;           /**< one is set aside there for a moved run */
+  bool leaves_without_repeat; /**< none was left to set aside */
   uint32_t endpoints_run_count; /**< endpoints that may have run it */
   bool may_have_run;
   bool handed_over;          /**< a peer has handed it over to this node */
@@ -450,7 +452,12 @@
 /** Set a repeat aside in case that a moved run of R is not taken; false if
  * none is left. Does nothing if there is one already. */
 bool repeats_hold (struct beryl_forward *f, struct request *r, int64_t now_ms);
-/** Give it back, if there is one. */
+/** The same for a run that would be lost with its engine. If none is left, one
+ * run of a service at a time is moved without, as most moves need none; and no
+ * more of them after one was not taken. */
+bool repeats_hold_to_leave (struct beryl_forward *f, struct request *r,
+                            int64_t now_ms);
+/** R's moved run was taken, or is given up. */
 void repeats_release (struct request *r);
 /** The engine of R's run has not taken it. If it continued a moved run, it
  * counts as a send now. */
--- a/libberyl/forward/repeat_budget.c
+++ b/libberyl/forward/repeat_budget.c
@@ -118,13 +118,13 @@
 }
 
 /* Returns what is left of this node's own share: the least that any window
-   leaves which includes now. */
-static uint32_t
-own_left (struct repeat_budget *b, const struct repeat_limits *limits,
-          int64_t now_ms)
+   leaves which includes now. It is negative if more has been spent. */
+static double
+own_balance (struct repeat_budget *b, const struct repeat_limits *limits,
+             int64_t now_ms)
 {
   uint32_t sums[REQUEST_BUCKETS + 1];
-  uint32_t least = UINT32_MAX;
+  double least = UINT32_MAX;
   uint32_t spent;
 
   advance (b, limits, now_ms);
@@ -132,18 +132,32 @@
   spent = lent_count (b, now_ms);
   for (int64_t age = 0; age < REPEAT_BUCKETS && age <= b->bucket; age++)
     {
-      double allowed
-          = allowance (limits, counted_requests (sums, age), now_ms);
-      uint32_t left;
+      double left = allowance (limits, counted_requests (sums, age), now_ms);
 
       spent += b->repeats[(b->bucket - age) % REPEAT_BUCKETS];
-      left = allowed > spent ? (uint32_t)(allowed - spent) : 0;
+      left -= spent;
       if (left < least)
         least = left;
     }
   return least;
 }
 
+static uint32_t
+own_left (struct repeat_budget *b, const struct repeat_limits *limits,
+          int64_t now_ms)
+{
+  double balance = own_balance (b, limits, now_ms);
+
+  return balance > 0 ? (uint32_t)balance : 0;
+}
+
+bool
+repeat_budget_is_overdrawn (struct repeat_budget *b,
+                            const struct repeat_limits *limits, int64_t now_ms)
+{
+  return own_balance (b, limits, now_ms) < 0;
+}
+
 static uint32_t
 borrowed_left (const struct repeat_budget *b, int64_t now_ms)
 {
--- a/libberyl/forward/repeat_budget.h
+++ b/libberyl/forward/repeat_budget.h
@@ -87,6 +87,12 @@
                              const struct repeat_limits *limits,
                              int64_t now_ms);
 
+/** Return whether more repeats have been spent than this node's share of a
+ * window that includes now. */
+bool repeat_budget_is_overdrawn (struct repeat_budget *b,
+                                 const struct repeat_limits *limits,
+                                 int64_t now_ms);
+
 /** Lend at most MOST and at most half of what is left; returns the number
  * lent. */
 uint32_t repeat_budget_lend (struct repeat_budget *b,
--- a/libberyl/forward/repeats.c
+++ b/libberyl/forward/repeats.c
@@ -123,13 +123,32 @@
   return true;
 }
 
+bool
+repeats_hold_to_leave (struct beryl_forward *f, struct request *r,
+                       int64_t now_ms)
+{
+  struct service *s = r->service;
+  struct repeat_limits limits = repeats_limits (f, now_ms);
+
+  if (r->leaves_without_repeat || repeats_hold (f, r, now_ms))
+    return true;
+  if (s->leaves_without_repeat
+      || repeat_budget_is_overdrawn (&s->budget, &limits, now_ms))
+    return false;
+  s->leaves_without_repeat = true;
+  r->leaves_without_repeat = true;
+  return true;
+}
+
 void
 repeats_release (struct request *r)
 {
-  if (!r->repeat_held)
-    return;
-  r->service->budget.held--;
+  if (r->repeat_held)
+    r->service->budget.held--;
+  if (r->leaves_without_repeat)
+    r->service->leaves_without_repeat = false;
   r->repeat_held = false;
+  r->leaves_without_repeat = false;
 }
 
 /* Takes the repeat that was held, or one that is not left: only now it is
--- a/tests/forward/test_repeats.c
+++ b/tests/forward/test_repeats.c
@@ -96,6 +96,64 @@
 }
 END_TEST
 
+/* Opens the streams of two requests, all of whose engines leave, and lets one
+ * of them be moved; returns its run at the new engine, and sets OTHER to that
+ * of the stream which stays. One repeat may arrive, none may be taken. */
+static struct fx_exchange *
+first_of_two_moves (struct fx_exchange **other)
+{
+  struct fx_exchange *runs[2];
+  uint64_t moved;
+
+  terms.repeat_slack = 1;
+  terms.repeat_ratio = 0;
+  reopen ();
+  engines (2, 4);
+  for (uint64_t i = 1; i <= 2; i++)
+    {
+      fx_arrive (&fx, i);
+      runs[i - 1] = fx_to_stream (&fx, i, 2);
+    }
+  for (int i = 0; i < 2; i++)
+    fx_leaving (&fx, runs[i]->endpoint);
+  fx_pass (&fx, 110);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_MOVE), 1);
+  moved = fx_open_of (&fx, 1, BERYL_EXCHANGE_MOVE) != NULL ? 1 : 2;
+  fx_ok (&fx, open_of (moved, BERYL_EXCHANGE_MOVE), "moved");
+  fx_broken (&fx, runs[moved - 1], BERYL_FAILURE_CLOSED, true);
+  *other = runs[2 - moved];
+  fx_event (&fx, *other, 3);
+  return open_of (moved, BERYL_EXCHANGE_RUN);
+}
+
+/* Guards against a stream that is lost with its leaving engine since another
+ * one was moved without a repeat before it. */
+START_TEST (test_runs_leave_one_after_the_other)
+{
+  struct fx_exchange *other;
+  struct fx_exchange *run = first_of_two_moves (&other);
+
+  fx_stream (&fx, run);
+  fx_pass (&fx, 110);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_MOVE), 2);
+}
+END_TEST
+
+/* Guards against runs that are moved off leaving engines without a repeat, one
+ * after the other, while other engines reject them. */
+START_TEST (test_none_leaves_after_lost_move)
+{
+  struct fx_exchange *other;
+  struct fx_exchange *run = first_of_two_moves (&other);
+
+  fx_not_run (&fx, run, 503);
+  fx_pass (&fx, 110);
+  fx_event (&fx, other, 4);
+  fx_pass (&fx, 110);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_MOVE), 1);
+}
+END_TEST
+
 /* Guards against a repeat that stays set aside after its run was moved. */
 START_TEST (test_moves_share_one_repeat)
 {
@@ -127,6 +185,8 @@
   tcase_add_test (tcase, test_run_after_broken_prompt);
   tcase_add_test (tcase, test_no_move_without_repeat);
   tcase_add_test (tcase, test_leaving_engine_without_repeat);
+  tcase_add_test (tcase, test_runs_leave_one_after_the_other);
+  tcase_add_test (tcase, test_none_leaves_after_lost_move);
   tcase_add_test (tcase, test_moves_share_one_repeat);
   tcase_add_test (tcase, test_run_that_breaks_at_once);
   tcase_add_test (tcase, test_run_that_breaks_later);
