--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -59,7 +59,7 @@
 {
   char name[BERYL_NAME_BYTES];
   struct repeat_budget budget;
-  bool leaves_without_repeat; /**< a run is, see repeats_hold_to_leave */
+  bool leaves_without_repeat; /**< one of its runs does */
   uint32_t loan_serial; /**< of the last request for a loan of repeats; 0 if
                            none is open */
   int64_t loan_requested_ms;  /**< when the last loan was requested */
--- a/tests/control/config_fleet.c
+++ b/tests/control/config_fleet.c
@@ -323,6 +323,18 @@
       n->store, beryl_platform_first_wait_ms (wait_ms, rank), wait_ms);
 }
 
+/* Sets them by the nodes of the fleet but the missing one. */
+static void
+update_waits (struct config_node *n)
+{
+  const struct config_fleet *f = n->fleet;
+  int index = n->member->index;
+  bool is_missing = f->missing >= 0;
+
+  set_waits (n, f->count - is_missing,
+             (uint32_t)(index - (is_missing && f->missing < index)));
+}
+
 static void
 node_step (void *user, void *data)
 {
@@ -334,10 +346,7 @@
   if (!is_running (n))
     return;
   if (now_ms (f) - f->started_ms >= ALONE_MS)
-    set_waits (
-        n, f->count - (f->missing >= 0),
-        (uint32_t)(n->member->index
-                   - (f->missing >= 0 && f->missing < n->member->index)));
+    update_waits (n);
   if (beryl_platform_next_ms (n->store) <= now_ms (f))
     beryl_platform_tick (n->store, now_ms (f));
   store.unreachable = beryl_platform_is_unreachable (n->store);
