Test: a wait keeps the result that ended it

Cause: the check that finds the condition met ends the loop, but the loop goes on to the end of its turn. A timer that starts another one updates the loop's time; if the loop is late, the check is due again in the same turn and its second result replaces the first. condition_is_met_once holds the loop up so ("not reached after 93 of 5000 ms" before, passes now). That this was what happened in the three cases is inferred: no other way was found by which the loop ends there, and a planner that has just started may lose its lease while the sanitized build reads 900 endpoints.

--- a/tests/control/control_fixture.c
+++ b/tests/control/control_fixture.c
@@ -56,7 +56,9 @@
 {
   struct control_fixture *f = user;
 
-  f->reached = f->condition (f);
+  /* A late loop may look again before it ends. */
+  if (!f->reached)
+    f->reached = f->condition (f);
   if (f->reached || loop_now_ms (f->loop) > f->deadline_ms)
     loop_quit (f->loop);
 }
--- a/tests/control/test_sweep.c
+++ b/tests/control/test_sweep.c
@@ -10,6 +10,9 @@
 static int engine_count = 900;
 /* A sweep takes 15 s; a third more is allowed for slow machines. */
 #define SWEEP_LIMIT_MS 20000
+/* Longer than the interval of a wait's checks. */
+#define HOLD_UP_US 30000
+#define HOLD_UPS 5
 
 static void
 engine_request (struct http_handler *handler, struct http_exchange *ex)
@@ -65,6 +68,45 @@
 }
 END_TEST
 
+static bool
+holds_once (struct control_fixture *f)
+{
+  return f->state_reads++ == 0;
+}
+
+static void
+ignore (void *user)
+{
+}
+
+/* Keeps the loop busy for a while, as a planner that starts does, and lets it
+ * notice. */
+static void
+hold_up (void *user)
+{
+  struct control_fixture *f = user;
+
+  if (++f->load_reads > HOLD_UPS)
+    return;
+  g_usleep (HOLD_UP_US);
+  loop_timer_stop (loop_timer_start (f->loop, 1000, 0, ignore, NULL));
+}
+
+/* Guards against a wait that ends without success as its condition, which was
+ * met, no longer is when the loop looks again before it ends. */
+START_TEST (condition_is_met_once)
+{
+  struct control_fixture f;
+  struct loop_timer *timer;
+
+  fixture_open (&f, 0);
+  timer = loop_timer_start (f.loop, 1, 1, hold_up, &f);
+  ck_assert (fixture_wait_until (&f, holds_once, 5000));
+  loop_timer_stop (timer);
+  fixture_close (&f);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -77,6 +119,7 @@
     engine_count = atoi (argv[1]);
   tcase_set_timeout (t, 60);
   tcase_add_test (t, large_fleet_is_polled);
+  tcase_add_test (t, condition_is_met_once);
   suite_add_tcase (s, t);
   r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
