Test: lost writes are repeated within their time, however slow the machine

The trace of eight more such runs (all passed): the checks of this time are counted as 10 steps of 200 ms, but each sends 48 requests, and a step takes 0.67 s there. So the lost writes were repeated 6.6 s after the return of the store, not 2 s, and the nodes had believed the entry again at 5.6 s, as they must from 5 s on (test_endpoint_is_back). In these runs the first request that reached it was rejected, which is no execution; in the failed one it was not.

The writes come 2 s after the return now by the clock, as in test_configuration_of_copy, here and in test_endpoints_after_copy, which has the same loop. The pauses between the checks are half as long, so that there are no fewer of them on a machine that is not busy. No bound is changed.

--- a/tests/gateway/test_restore.c
+++ b/tests/gateway/test_restore.c
@@ -152,15 +152,17 @@
 {
   struct standin_runner *leaving = testbed_endpoint (&t, 0);
   struct standin_runner *left = testbed_endpoint (&t, 1);
+  int64_t end_ms;
 
   write_after_copy ();
   standin_runner_drain (leaving);
   standin_runner_deregister (left);
   testbed_run (&t, BOUND_MS);
   restore ();
-  for (int64_t ms = 0; ms < REPEATED_MS; ms += 200)
+  end_ms = loop_now_ms (t.loop) + REPEATED_MS;
+  while (loop_now_ms (t.loop) < end_ms)
     {
-      testbed_run (&t, 200);
+      testbed_run (&t, 100);
       assert_gets_no_work (leaving);
       assert_gets_no_work (left);
     }
@@ -197,6 +199,7 @@
 {
   json_t *entries[2];
   const char *ids[2];
+  int64_t end_ms;
 
   for (int i = 0; i < 2; i++)
     {
@@ -212,9 +215,10 @@
   testbed_run (&t, BOUND_MS);
   ck_assert (all_serve ("a.example"));
   restore ();
-  for (int64_t ms = 0; ms < REPEATED_MS; ms += 100)
+  end_ms = loop_now_ms (t.loop) + REPEATED_MS;
+  while (loop_now_ms (t.loop) < end_ms)
     {
-      testbed_run (&t, 100);
+      testbed_run (&t, 50);
       ck_assert (all_serve ("a.example"));
     }
   standin_repeat_lost_writes (t.standin);
