Forward: a stopping node takes only what the slowest recent run would end

What callers saw: while nodes are stopped in turn, a stream that a node took later than 3 s after its SIGTERM, on a connection that its caller keeps, was cut off in the middle as the process ended at 7.3 s (LOST).

Cause: can_end_in_time took the mean pace of the service, and 0.8 s for all else, once, at arrival. At engines of unlike speed a mean is wrong for each of them, and a wait for memory or for the prompt was not seen at all. Requests that were open as the process ended got no answer and left no line in the log.

Why this works: a wrong yes costs the whole answer, a wrong no a round trip. What may be needed is now a bound: the slowest of the last 256 to 512 runs relative to what was expected, for the time to the first event and from there to the end, and a quarter more (libberyl/decide/completion). It is taken again before a prompt waits, and before a run, a second run or a handoff is sent. A stream that has begun still goes on elsewhere. As the process ends, what was never sent is refused as not run, what may run gets 502. The log tells of each (step=stop).

--- a/berylctl/explain_log.c
+++ b/berylctl/explain_log.c
@@ -153,8 +153,15 @@
     "refused as not run: the endpoints of its service take {room_per_s} "
     "requests per second, {asked_per_s} are asked for, and the share of "
     "organisation {organisation} is {granted_per_s}; retry after {n} ms" },
+  { "stop", "late",
+    "not sent: the node is stopping and might end before it, which may take "
+    "{n} ms" },
+  { "stop", "fits",
+    "sent while the node is stopping: it takes {n} ms at most" },
+  { "stop", "ended",
+    "the node stops before its answer ends, after {n} events" },
   { "refuse", "stopping",
-    "refused as not run: the node is stopping, another one serves" },
+    "refused: the node is stopping, another one serves" },
   { "caller_gone", NULL, "its caller disconnected after {n} events" },
 };
 
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -1036,6 +1036,7 @@
     {
       g_info ("stopped after_ms=%" G_GINT64_FORMAT " open=%u", stopping_ms,
               beryl_forward_open_count (g->forward));
+      beryl_forward_stop_end (g->forward, loop_now_ms (g->loop));
       loop_quit (g->loop);
     }
 }
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -459,12 +459,16 @@
                                     enum beryl_exchange_failure how, bool sent,
                                     int64_t now_ms);
 
-/** The process will stop at END_MS. Waiting and new requests that cannot be
+/** The process will stop at END_MS. Waiting and new requests that might not be
  * answered by then are refused as not run, so that their callers retry at
  * another node; those that run are left to end. */
 void beryl_forward_stop (struct beryl_forward *forward, int64_t end_ms,
                          int64_t now_ms);
 
+/** The process stops now: end all open requests. Those that were not sent are
+ * refused as not run, and answers that have begun are cut off. */
+void beryl_forward_stop_end (struct beryl_forward *forward, int64_t now_ms);
+
 /** Return the quarantine of requests that crash endpoints; entries from peers
  * and from stored records are added to it. */
 struct beryl_quarantine *
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -284,6 +284,8 @@
   uint64_t handle = r->params.handle;
 
   forward_request_log (f, r, "answer", x->endpoint, "whole", value, now_ms);
+  if (x->kind != BERYL_EXCHANGE_HANDOFF)
+    stop_learn_run (r, now_ms);
   forward_exchange_free (f, x);
   if (generated)
     {
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -9,13 +9,6 @@
 #define CONNECT_TIMEOUT_MS 150
 /* Assumed prompt length before any prompt was seen. */
 #define PRIOR_PROMPT_TOKENS 4000.0
-/* Retry-After of a stopping node; the caller can use another node at once. */
-#define STOPPING_RETRY_AFTER_MS 50
-/* Time that a plain request may need; one that could not end before a planned
-   stop is refused. */
-#define PLAIN_NEEDED_MS 1000
-/* Likewise for a generation, in addition to the production of its tokens. */
-#define GENERATION_EXTRA_MS 800
 
 const char *
 beryl_refusal_name (enum beryl_refusal_reason reason)
@@ -335,22 +328,6 @@
   f->owner->impl->refuse (f->owner, params->handle, &refusal);
 }
 
-/* Returns whether R can be answered before the process stops. */
-static bool
-can_end_in_time (const struct beryl_forward *f, const struct request *r,
-                 int64_t now_ms)
-{
-  int64_t needed_ms = PLAIN_NEEDED_MS;
-
-  if (f->stop_ms == BERYL_NEVER_MS)
-    return true;
-  if (forward_request_is_generation (r))
-    needed_ms = GENERATION_EXTRA_MS
-                + (int64_t)(r->params.output_tokens_max
-                            * r->service->output_model.ms_per_token);
-  return now_ms + needed_ms <= f->stop_ms;
-}
-
 /* Returns whether this node's configuration is as new as that by which a peer
    has routed the request that it hands over. */
 static bool
@@ -431,11 +408,8 @@
   count_from_caller (f, r, now_ms);
   if (r->deadline_ms <= now_ms)
     forward_request_fail (f, r, BERYL_REFUSAL_DEADLINE, now_ms);
-  else if (!can_end_in_time (f, r, now_ms))
-    forward_request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
-                            STOPPING_RETRY_AFTER_MS, now_ms);
-  else if (crashes_refuse (f, r, now_ms) || quota_refuse (f, r, now_ms)
-           || handoff_if_lost (f, r, now_ms))
+  else if (stop_refuse (f, r, now_ms) || crashes_refuse (f, r, now_ms)
+           || quota_refuse (f, r, now_ms) || handoff_if_lost (f, r, now_ms))
     return;
   else if (r->handed_over && f->contact.state == CONTACT_LOST)
     forward_request_fail (f, r, BERYL_REFUSAL_NO_ENDPOINT, now_ms);
@@ -443,21 +417,6 @@
     forward_request_place (f, r, now_ms);
 }
 
-void
-beryl_forward_stop (struct beryl_forward *f, int64_t end_ms, int64_t now_ms)
-{
-  struct request *r, *next;
-
-  f->stop_ms = end_ms;
-  for (r = TAILQ_FIRST (&f->requests); r != NULL; r = next)
-    {
-      next = TAILQ_NEXT (r, entry);
-      if (r->waiting && !can_end_in_time (f, r, now_ms))
-        forward_request_refuse (f, r, 503, BERYL_REFUSAL_STOPPING,
-                                STOPPING_RETRY_AFTER_MS, now_ms);
-    }
-}
-
 static struct request *
 request_find (struct beryl_forward *f, uint64_t handle)
 {
--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -148,6 +148,8 @@
       reservation_unusable (f, r, now_ms);
       return;
     }
+  if (!r->continues_run && stop_refuse_run (f, r, now_ms))
+    return;
   /* A moved run that continues is no repeat. */
   if (!r->continues_run)
     {
@@ -170,6 +172,8 @@
   r->phase = PHASE_RUNNING;
   r->last_event_ms = now_ms;
   r->run_ms = now_ms;
+  if (r->first_run_ms == 0)
+    r->first_run_ms = now_ms;
   r->run_events = 0;
   r->stalled = false;
   f->report_due = true;
--- a/libberyl/forward/handoff.c
+++ b/libberyl/forward/handoff.c
@@ -123,6 +123,8 @@
       || has_open (r, BERYL_EXCHANGE_HANDOFF)
       || crashes_is_quarantined (f, r, now_ms))
     return false;
+  if (!has_open (r, BERYL_EXCHANGE_RUN) && stop_refuse (f, r, now_ms))
+    return true;
   peer = choose_peer (f, r, now_ms);
   if (peer == NULL || !take_repeats (f, r, now_ms))
     return false;
@@ -159,11 +161,14 @@
 void
 handoff_all (struct beryl_forward *f, int64_t now_ms)
 {
-  struct request *r = NULL;
+  struct request *r, *next;
 
-  TAILQ_FOREACH (r, &f->requests, entry)
-  if (r->primary == NULL || !r->primary->has_head)
-    handoff_start (f, r, now_ms);
+  for (r = TAILQ_FIRST (&f->requests); r != NULL; r = next)
+    {
+      next = TAILQ_NEXT (r, entry);
+      if (r->primary == NULL || !r->primary->has_head)
+        handoff_start (f, r, now_ms);
+    }
 }
 
 /* The peer of R's handoff did not answer. Another one is tried, or the
--- a/libberyl/forward/placement.c
+++ b/libberyl/forward/placement.c
@@ -195,7 +195,7 @@
   struct beryl_live_endpoint *endpoint = NULL;
   struct engine_capacity capacity = { 0 };
 
-  if (handoff_if_lost (f, r, now_ms)
+  if (stop_refuse (f, r, now_ms) || handoff_if_lost (f, r, now_ms)
       || pauses_refuse (f, r, BERYL_STAGE_DECODE,
                         placement_give_up_ms (r) - now_ms, now_ms))
     return;
--- a/libberyl/forward/plain.c
+++ b/libberyl/forward/plain.c
@@ -255,6 +255,8 @@
   repeats_count_send (r);
   r->phase = PHASE_RUNNING;
   r->run_ms = now_ms;
+  if (r->first_run_ms == 0)
+    r->first_run_ms = now_ms;
   x = forward_exchange_start (f, r, &start, endpoint, now_ms);
   if (r->primary == NULL)
     r->primary = x;
@@ -278,9 +280,12 @@
 void
 plain_start (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  struct beryl_live_endpoint *endpoint = plain_choose (f, r, now_ms);
+  struct beryl_live_endpoint *endpoint;
   int64_t after_ms;
 
+  if (stop_refuse_run (f, r, now_ms))
+    return;
+  endpoint = plain_choose (f, r, now_ms);
   if (endpoint != NULL)
     {
       if (!plain_admission_refuse (f, r, now_ms))
@@ -305,7 +310,8 @@
 
   if (r->primary != NULL) /* another send is still open */
     return;
-  if (crashes_refuse (f, r, now_ms) || handoff_if_doubted (f, r, now_ms))
+  if (stop_refuse_run (f, r, now_ms) || crashes_refuse (f, r, now_ms)
+      || handoff_if_doubted (f, r, now_ms))
     return;
   if (r->may_have_run
       && (!forward_request_is_repeatable (r)
--- a/libberyl/forward/prefill.c
+++ b/libberyl/forward/prefill.c
@@ -54,6 +54,13 @@
          + (double)call_overhead_min_ms (&r->service->call_overhead);
 }
 
+int64_t
+prefill_expected_ms (struct beryl_forward *f, const struct request *r,
+                     int64_t now_ms)
+{
+  return engine_prefill_wait_ms (f, r, now_ms) + (int64_t)prefill_ms (r);
+}
+
 static int64_t
 local_prefill_ms (const struct request *r, double tokens)
 {
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -10,6 +10,7 @@
 #include "../base/buffer.h"
 #include "../base/map.h"
 #include "../base/random.h"
+#include "../decide/completion.h"
 #include "../decide/endpoint_choice.h"
 #include "beryl/clock.h"
 #include "beryl/forward.h"
@@ -84,10 +85,13 @@
   struct call_overhead call_overhead; /**< durations of reservation calls, as
                                          the overhead of a call */
   struct peer_profiles peer_profiles;
-  uint64_t kv_tokens;           /**< KV memory of one engine; 0 if unknown */
-  uint32_t waiting;             /**< this node's waiting generations */
-  struct place_classes classes; /**< generations of all nodes */
-  int64_t classes_ms;           /**< when they were last summed */
+  uint64_t kv_tokens;             /**< KV memory of one engine; 0 if unknown */
+  struct completion answers;      /**< time to the end of plain answers */
+  struct completion first_events; /**< time to generations' first events */
+  struct completion outputs;      /**< time from these to their ends */
+  uint32_t waiting;               /**< this node's waiting generations */
+  struct place_classes classes;   /**< generations of all nodes */
+  int64_t classes_ms;             /**< when they were last summed */
   struct prompt_gate prompt_gate;
   struct version_history versions;
   int64_t stream_life_ms;    /**< longest time that callers gave a stream */
@@ -247,6 +251,7 @@
   bool suspect;   /**< it may have crashed an endpoint, or a request with its
                      fingerprint has */
   int64_t run_ms; /**< when its current run was sent */
+  int64_t first_run_ms; /**< when its first one was; 0: never */
   int64_t waiting_since_ms;
   const char *wait_reason; /**< last logged reason to wait; NULL if none */
 };
@@ -327,6 +332,16 @@
 void forward_request_place (struct beryl_forward *f, struct request *r,
                             int64_t now_ms);
 
+/* stop.c */
+/** Refuse R and return true if the process stops and might end before R's
+ * answer does. */
+bool stop_refuse (struct beryl_forward *f, struct request *r, int64_t now_ms);
+/** The same for a request that is about to be sent to run. */
+bool stop_refuse_run (struct beryl_forward *f, struct request *r,
+                      int64_t now_ms);
+/** R's answer is complete: learn from how long its run took. */
+void stop_learn_run (struct request *r, int64_t now_ms);
+
 /* resume.c */
 /** Where a stream can go on. */
 enum resume_places
@@ -804,6 +819,9 @@
  * prefilled in time. */
 bool prefill_would_be_late (struct beryl_forward *f, const struct request *r,
                             int64_t now_ms);
+/** Return the expected time until R's prompt is prefilled, queues included. */
+int64_t prefill_expected_ms (struct beryl_forward *f, const struct request *r,
+                             int64_t now_ms);
 /** Return whether R can run at once because its decode engine has the prompt
  * cached. If the engine first has to prefill the part of the answer that the
  * caller already has, mark R as prefilled locally and record the time at the
--- a/tests/h1/raw.c
+++ b/tests/h1/raw.c
@@ -32,15 +32,22 @@
 }
 
 struct raw *
-raw_connect (struct loop *loop, uint16_t port)
+raw_connect_address (struct loop *loop, const char *address, uint16_t port)
 {
   struct sockaddr_in in = loopback (port);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
+  ck_assert_int_eq (inet_pton (AF_INET, address, &in.sin_addr), 1);
   ck_assert_int_eq (connect (fd, (struct sockaddr *)&in, sizeof in), 0);
   return raw_new (loop, fd);
 }
 
+struct raw *
+raw_connect (struct loop *loop, uint16_t port)
+{
+  return raw_connect_address (loop, "127.0.0.1", port);
+}
+
 int
 raw_listen (uint16_t *port)
 {
--- a/tests/h1/raw.h
+++ b/tests/h1/raw.h
@@ -27,6 +27,10 @@
 /** Connect to a port on loopback. */
 struct raw *raw_connect (struct loop *loop, uint16_t port);
 
+/** Connect to a port of ADDRESS, one of loopback. */
+struct raw *raw_connect_address (struct loop *loop, const char *address,
+                                 uint16_t port);
+
 /** Listen on loopback; PORT is set.  Accept with raw_accept. */
 int raw_listen (uint16_t *port);
 
