Tests: an answer whose head is cut is never whole

A report of other operators: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

It does not happen here: h1_call, by which gateways make all calls to endpoints and to each other (runs, prefills, reservations, releases, moves, handoffs, reports, orders, lists of prompts), and http_call, by which they call the store and beryl-entryd calls its endpoints, fail such a call at each byte of nine and of four heads, which come at once or in two parts: with a length, in chunks, with neither, without a body, and after interim answers.

No code is changed.

--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -177,6 +177,70 @@
 }
 END_TEST
 
+/* Heads of answers, of which any part may be the last that an endpoint
+ * writes. */
+static const char *const heads[] = {
+  "HTTP/1.1 200 OK\r\nX-Response-Seal: 3e.1\r\nContent-Length: 3\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Response-Seal: 3e.1\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nX-Response-Seal: 3e.1\r\n"
+  "Transfer-Encoding: chunked\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nX-Response-Seal: 3e.1\r\nConnection: close\r\n\r\n",
+  "HTTP/1.1 200\r\nX-Response-Seal: 3e.1\r\n\r\n",
+  "HTTP/1.0 200 OK\r\nX-Response-Seal: 3e.1\r\n\r\n",
+  "HTTP/1.1 204 No Content\r\nX-Response-Seal: 3e.1\r\n\r\n",
+  "HTTP/1.1 100 Continue\r\n\r\n"
+  "HTTP/1.1 200 OK\r\nX-Response-Seal: 3e.1\r\n\r\n",
+  "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n"
+  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* Answers a call with the first BYTES_COUNT bytes of HEAD, in two parts if
+ * IN_PARTS, and ends the connection in order. */
+static void
+answer_part (const char *head, size_t bytes_count, bool in_parts)
+{
+  char *part = g_strndup (head, bytes_count);
+  struct raw *raw;
+
+  call_start ();
+  raw = raw_accept (loop, listener);
+  raw_expect (raw, "\r\n\r\nbody");
+  if (in_parts && bytes_count > 1)
+    {
+      char *first = g_strndup (head, bytes_count / 2);
+
+      raw_send (raw, first);
+      raw_turn (loop, 2);
+      raw_send (raw, part + bytes_count / 2);
+      g_free (first);
+    }
+  else
+    raw_send (raw, part);
+  raw_close (raw, false);
+  wait_for_end ();
+  g_free (part);
+}
+
+/* Guards against an answer that passes for a whole one without a body although
+ * its endpoint stopped in the middle of the head. */
+START_TEST (test_cut_head)
+{
+  const char *head = heads[_i / 2];
+
+  for (size_t n = 0; n < strlen (head); n++)
+    {
+      answer_part (head, n, _i % 2 == 1);
+      ck_assert_msg (teller.failed && !teller.done && teller.status == 0,
+                     "%zu bytes of head %d: status %u, done %d", n, _i / 2,
+                     teller.status, teller.done);
+      ck_assert_int_eq (teller.failure, H1_FAILURE_CLOSED);
+      ck_assert (teller.sent);
+      ck_assert_uint_eq (teller.body->len, 0);
+      teller.failed = false;
+    }
+}
+END_TEST
+
 START_TEST (test_garbled)
 {
   answer ("\x16\x03\x01 not an answer\r\n\r\n", false);
@@ -405,6 +469,7 @@
   tcase_add_test (tcase, test_reset_is_no_end);
   tcase_add_test (tcase, test_cut_chunks);
   tcase_add_test (tcase, test_short_of_length);
+  tcase_add_loop_test (tcase, test_cut_head, 0, 2 * (int)G_N_ELEMENTS (heads));
   tcase_add_test (tcase, test_garbled);
   tcase_add_test (tcase, test_nobody_listens);
   tcase_add_test (tcase, test_early_answer);
--- a/tests/http/test_raw.c
+++ b/tests/http/test_raw.c
@@ -7,6 +7,10 @@
 #include "../suite.h"
 
 #define PART_DELAY_MS 20
+/* Bytes from one cut to the next if the parts before it come slowly. */
+#define CUT_STEP 5
+/* Turns of the loop after which closed sockets are forgotten. */
+#define TURNS_TO_CLOSE 10
 
 /* A peer that answers whatever comes with fixed bytes and closes. */
 struct raw_peer
@@ -188,6 +192,56 @@
 }
 END_TEST
 
+/* Ends the connection after the first BYTES_COUNT bytes of HEAD, which are
+ * written at once, or one half after the other. */
+static void
+call_cut (const char *head, size_t bytes_count, bool in_parts)
+{
+  char *text = g_strndup (head, bytes_count);
+
+  if (in_parts && bytes_count > 1)
+    {
+      GString *parts = g_string_new (text);
+
+      g_string_insert_c (parts, (gssize)bytes_count / 2, '|');
+      g_free (text);
+      text = g_string_free (parts, FALSE);
+    }
+  uv_close ((uv_handle_t *)&fx.peer.listener, NULL);
+  for (int i = 0; i < TURNS_TO_CLOSE; i++)
+    uv_run (loop_uv (fx.loop), UV_RUN_NOWAIT);
+  g_strfreev (fx.peer.parts);
+  memset (&fx.peer, 0, sizeof fx.peer);
+  fx.result.done = fx.result.failed = false;
+  call_raw (text);
+  g_free (text);
+}
+
+static const char *const heads[] = {
+  HEAD "content-length: 5\r\n\r\n",
+  HEAD "content-length: 0\r\n\r\n",
+  HEAD "transfer-encoding: chunked\r\n\r\n",
+  HEAD "connection: close\r\n\r\n",
+};
+
+/* Guards against an answer that passes for a whole one without a body although
+ * its peer stopped in the middle of the head. */
+START_TEST (cut_head)
+{
+  const char *head = heads[_i / 2];
+
+  size_t step = _i % 2 == 1 ? CUT_STEP : 1;
+
+  call_raw (HEAD);
+  for (size_t n = 1; n < strlen (head); n += step)
+    {
+      call_cut (head, n, _i % 2 == 1);
+      ck_assert_msg (fx.result.failed && !fx.result.done, "%zu bytes of '%s'",
+                     n, head);
+    }
+}
+END_TEST
+
 START_TEST (whole_chunked)
 {
   call_raw (HEAD "transfer-encoding: chunked\r\nconnection: close\r\n\r\n"
@@ -241,8 +295,10 @@
   TCase *tcase = tcase_create ("raw");
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_set_timeout (tcase, 20);
   tcase_add_test (tcase, cut_chunked);
   tcase_add_test (tcase, cut_length);
+  tcase_add_loop_test (tcase, cut_head, 0, 2 * (int)G_N_ELEMENTS (heads));
   tcase_add_test (tcase, whole_chunked);
   tcase_add_test (tcase, whole_chunked_in_pieces);
   tcase_add_test (tcase, cut_chunked_in_pieces);
