Forward: an answer without a length is whole only if its endpoint lives

What callers saw: a runner was killed while it wrote a plain answer that has no length; its caller got the part that had come, or an empty body if none had, as a complete 200 with the runner's seal (MIXED).

Cause: the kernel closes the connections of a killed process in order. The dial that confirms such an end was made for event streams only. For these, and now for all, it also came too early at times: the sockets of a process are closed one after the other, often the listening one last, and until then the kernel accepts connections.

Why this works: an end is believed only if a process still listens, and keeps doing so, after it. A request that may be repeated goes to another endpoint, one that may not gets 502, an answer of which the caller has a part is cut off. The exchange stays open meanwhile, so that its head is still there and nothing has to be sent before.

--- a/gatewayd/outbound.c
+++ b/gatewayd/outbound.c
@@ -20,7 +20,9 @@
   enum beryl_exchange_kind kind;
   char endpoint[BERYL_NAME_BYTES];
   struct h1_call *http;
+  struct h1_call *ended;      /* the same, once it has; for the head */
   const struct h1_head *head; /* NULL until it has arrived */
+  bool no_body;               /* by the method of the request */
   GString *body;              /* response body; unused if it is forwarded */
 };
 
@@ -31,6 +33,8 @@
 
   if (call->http != NULL)
     h1_call_cancel (call->http);
+  if (call->ended != NULL)
+    h1_call_release (call->ended);
   g_string_free (call->body, TRUE);
   g_free (call);
 }
@@ -55,6 +59,8 @@
   if (!forwards_answer (call))
     return;
   o->wire->impl->read_response (o->wire, call->endpoint, head, &response);
+  if (call->no_body)
+    response.ends_with_connection = false;
   response.declined = call->kind == BERYL_EXCHANGE_HANDOFF
                       && h1_head_find (head, GATEWAY_HANDOFF_FIELD) != NULL;
   beryl_forward_answer_head (o->forward, call->exchange, &response,
@@ -117,8 +123,10 @@
     }
   /* The call stays in the table meanwhile, because the forwarder may begin the
      caller's response, which reads the head by exchange number. */
-  beryl_forward_answer_done (o->forward, exchange, loop_now_ms (o->loop));
-  g_hash_table_remove (o->calls, &exchange);
+  h1_call_retain (http);
+  call->ended = http;
+  if (beryl_forward_answer_done (o->forward, exchange, loop_now_ms (o->loop)))
+    g_hash_table_remove (o->calls, &exchange);
 }
 
 static enum beryl_exchange_failure
@@ -211,6 +219,7 @@
       request.body = body;
       request.body_bytes = body_bytes;
       request.no_answer_body = strcmp (head->method, "HEAD") == 0;
+      call->no_body = request.no_answer_body;
     }
   else
     {
--- a/h1/client.c
+++ b/h1/client.c
@@ -29,7 +29,7 @@
   int64_t sent_ms;
   int64_t head_ms; /* first byte of the head that is being read; 0: none */
   int64_t body_ms; /* first byte after the head; 0: none yet */
-  uint32_t handles_open;
+  uint32_t refs;   /* handles that are open, and holders of the head */
   int64_t hold_ms;
   bool no_answer_body;
   bool connect_only;
@@ -51,11 +51,9 @@
 }
 
 static void
-handle_closed (uv_handle_t *handle)
+call_unref (struct h1_call *call)
 {
-  struct h1_call *call = handle->data;
-
-  if (--call->handles_open > 0)
+  if (--call->refs > 0)
     return;
   head_builder_clear (&call->builder);
   if (call->out != NULL)
@@ -63,6 +61,12 @@
   g_free (call);
 }
 
+static void
+handle_closed (uv_handle_t *handle)
+{
+  call_unref (handle->data);
+}
+
 /* The memory lives until libuv has reported both handles closed. */
 static void
 call_close (struct h1_call *call)
@@ -354,6 +358,19 @@
   uv_read_start ((uv_stream_t *)&call->tcp, read_alloc, read_done);
 }
 
+/* The connection is established, and has been held. */
+static void
+call_connected (struct h1_call *call)
+{
+  if (!call->connect_only)
+    {
+      call_send (call);
+      return;
+    }
+  call_close (call);
+  call->handler->impl->done (call->handler, call);
+}
+
 /* Timers run before reads: a reset may not have been read yet. */
 static void
 hold_over (uv_timer_t *timer)
@@ -363,7 +380,7 @@
   if (was_reset (call))
     call_fail (call, H1_FAILURE_RESET);
   else
-    call_send (call);
+    call_connected (call);
 }
 
 /* Reads meanwhile, so that the end of the connection is noticed. */
@@ -388,17 +405,11 @@
                                                  : H1_FAILURE_CONNECT);
       return;
     }
-  if (call->connect_only)
-    {
-      call_close (call);
-      call->handler->impl->done (call->handler, call);
-      return;
-    }
   uv_tcp_nodelay (&call->tcp, 1);
   if (call->hold_ms > 0)
     call_hold (call);
   else
-    call_send (call);
+    call_connected (call);
 }
 
 static void
@@ -427,7 +438,7 @@
   call->connect_only = request->connect_only;
   call->limits = request->limits;
   call->hold_ms = request->hold_ms;
-  call->handles_open = 2;
+  call->refs = 2;
   call->out = g_string_sized_new (request->head_bytes + request->body_bytes);
   g_string_append_len (call->out, request->head, (gssize)request->head_bytes);
   if (request->body_bytes > 0)
@@ -461,6 +472,18 @@
   call_close (call);
 }
 
+void
+h1_call_retain (struct h1_call *call)
+{
+  call->refs++;
+}
+
+void
+h1_call_release (struct h1_call *call)
+{
+  call_unref (call);
+}
+
 bool
 h1_call_sent (const struct h1_call *call)
 {
--- a/h1/exchange.c
+++ b/h1/exchange.c
@@ -65,13 +65,6 @@
       (const uv_stream_t *)&ex->connection->tcp);
 }
 
-/* Statuses whose answers never have a body. */
-static bool
-status_without_body (unsigned int status)
-{
-  return status / 100 == 1 || status == 204 || status == 304;
-}
-
 static bool
 keeps_alive (const struct h1_exchange *ex)
 {
@@ -82,7 +75,7 @@
 format_framing (GString *out, struct h1_exchange *ex, unsigned int status,
                 uint64_t length)
 {
-  if (status_without_body (status))
+  if (h1_status_without_body (status))
     return;
   if (ex->framing == H1_FRAMING_LENGTH)
     g_string_append_printf (out, "Content-Length: %" G_GUINT64_FORMAT "\r\n",
@@ -101,8 +94,8 @@
 
   ex->state = EXCHANGE_ANSWERING;
   ex->framing = framing;
-  ex->left = status_without_body (status) ? 0 : length;
-  if (status_without_body (status))
+  ex->left = h1_status_without_body (status) ? 0 : length;
+  if (h1_status_without_body (status))
     ex->framing = H1_FRAMING_LENGTH;
   if (ex->framing == H1_FRAMING_CHUNKED && ex->http_1_0)
     ex->framing = H1_FRAMING_CLOSE;
--- a/h1/head.c
+++ b/h1/head.c
@@ -21,6 +21,12 @@
   return count;
 }
 
+bool
+h1_status_without_body (unsigned int status)
+{
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
 /* Whether the comma-separated LIST names NAME. */
 static bool
 list_names (const char *list, const char *name)
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -113,9 +113,9 @@
   enum beryl_exchange_kind kind;
   const struct beryl_live_endpoint *endpoint;
   int64_t connect_timeout_ms;
-  int64_t
-      hold_ms;          /**< RUN, PREFILL: time from the connection until the
-                           request      is sent, in which the endpoint may close it */
+  /** RUN, PREFILL, DIAL: time from the connection until the request is sent,
+   * or the dial has succeeded, in which the endpoint may close it. */
+  int64_t hold_ms;
   int64_t remaining_ms; /**< RUN, PREFILL: time until the request's deadline; 0
                            if it has none */
   uint32_t tokens; /**< RESERVE: memory to reserve; PREFILL: prompt tokens, for
@@ -410,8 +410,10 @@
                                 uint64_t exchange, const char *bytes,
                                 size_t bytes_count, int64_t now_ms);
 
-/** The answer to a RUN exchange is complete. */
-void beryl_forward_answer_done (struct beryl_forward *forward,
+/** The answer to a RUN exchange is complete as far as its connection tells.
+ * Return false if that is still to be confirmed: the exchange's head is needed
+ * until the exchange is aborted. */
+bool beryl_forward_answer_done (struct beryl_forward *forward,
                                 uint64_t exchange, int64_t now_ms);
 
 /** Result of an exchange other than RUN. */
--- a/include/h1/client.h
+++ b/include/h1/client.h
@@ -76,8 +76,8 @@
   bool no_answer_body;        /**< the method is HEAD */
   int64_t connect_timeout_ms; /**< 0: 1000 */
   struct h1_answer_limits limits;
-  /** Close the connection as soon as there is one; that is told as a whole
-   * answer without a head. */
+  /** Close the connection as soon as there is one, and it has been held; that
+   * is told as a whole answer without a head. */
   bool connect_only;
   /** Wait for this time before anything is sent on the connection, to see
    * whether the endpoint closes it at once. */
@@ -92,6 +92,10 @@
 /** Close the connection; no callback follows.  CALL is invalid after. */
 void h1_call_cancel (struct h1_call *call);
 
+/** Keep the head of CALL, which has ended, until h1_call_release. */
+void h1_call_retain (struct h1_call *call);
+void h1_call_release (struct h1_call *call);
+
 /** Return whether any byte of the request was handed to the socket. */
 bool h1_call_sent (const struct h1_call *call);
 
--- a/include/h1/head.h
+++ b/include/h1/head.h
@@ -33,6 +33,9 @@
 /** Return how many fields are called NAME (any case). */
 size_t h1_head_count (const struct h1_head *head, const char *name);
 
+/** Return whether answers with STATUS never have a body. */
+bool h1_status_without_body (unsigned int status);
+
 /** Whether NAME concerns one connection only, so that it is never passed
  * on: the fixed hop-by-hop fields, and what Connection lists. */
 bool h1_head_hop_by_hop (const struct h1_head *head, const char *name);
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -13,6 +13,10 @@
 /* Bytes of a run's events without an id or data, such as comments that keep
    connections open. */
 #define EMPTY_MAX_BYTES 65536
+/* The kernel closes the sockets of a process that has crashed one after the
+   other, and may close the one that listens last: until then it accepts
+   connections, and resets them with it. */
+#define CONFIRM_HOLD_MS 25
 
 /* The endpoint states that it did not run the request. */
 static void
@@ -296,75 +300,80 @@
   f->owner->impl->answer_end (f->owner, handle);
 }
 
-/* X's stream has ended with its connection, which the kernel closes in the
+/* The caller gets the rest of its answer by X, and its end. */
+static void
+finish (struct beryl_forward *f, struct request *r, struct exchange *x,
+        int64_t now_ms)
+{
+  int64_t value = x->head.event_stream ? (int64_t)r->event_count
+                                       : (int64_t)x->head.status;
+
+  if (is_success (x->head.status))
+    crashes_answered (f, r, now_ms);
+  begin_answer (f, r, x);
+  forward_buffered (f, r);
+  complete (f, r, x, is_own_generation (x), value, now_ms);
+}
+
+/* X's answer has ended with its connection, which the kernel closes in the
    same way if the endpoint has crashed. The endpoint is dialled, and the
-   stream is whole only if it still accepts connections. */
+   answer is whole only if it still accepts connections and keeps this one. */
 static void
 confirm_end (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
 {
-  struct beryl_exchange_start dial = { .kind = BERYL_EXCHANGE_DIAL };
-  struct beryl_live_endpoint *endpoint = x->endpoint;
+  struct beryl_exchange_start dial
+      = { .kind = BERYL_EXCHANGE_DIAL, .hold_ms = CONFIRM_HOLD_MS };
   struct request *r = x->request;
 
-  /* The endpoint must outlive the exchange if it is gone. */
-  beryl_live_open (endpoint);
-  forward_exchange_free (f, x);
   r->phase = PHASE_CONFIRMING;
   r->timer_ms = r->deadline_ms;
-  r->primary = forward_exchange_start (f, r, &dial, endpoint, now_ms);
-  beryl_live_close (f->endpoints, endpoint);
+  r->secondary = forward_exchange_start (f, r, &dial, x->endpoint, now_ms);
 }
 
 void
-answer_end_confirmed (struct beryl_forward *f, struct exchange *x,
+answer_end_confirmed (struct beryl_forward *f, struct exchange *dial,
                       int64_t now_ms)
 {
-  struct request *r = x->request;
+  struct request *r = dial->request;
+  struct exchange *x = r->primary;
+  uint64_t id = x->id;
 
-  crashes_answered (f, r, now_ms);
-  complete (f, r, x, forward_request_is_generation (r),
-            (int64_t)r->event_count, now_ms);
+  forward_exchange_free (f, dial);
+  finish (f, r, x, now_ms);
+  f->owner->impl->abort (f->owner, id);
 }
 
 void
-answer_end_refuted (struct beryl_forward *f, struct exchange *x,
+answer_end_refuted (struct beryl_forward *f, struct exchange *dial,
                     int64_t now_ms)
 {
-  x->kind = BERYL_EXCHANGE_RUN;
-  x->has_head = true;
-  x->request->phase = PHASE_RUNNING;
+  struct request *r = dial->request;
+  struct exchange *x = r->primary;
+
+  forward_exchange_free (f, dial);
+  r->phase = PHASE_RUNNING;
+  f->owner->impl->abort (f->owner, x->id);
   answer_interrupted (f, x, BERYL_FAILURE_CLOSED, true, now_ms);
 }
 
-void
+bool
 answer_done (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
 {
   struct request *r = x->request;
-  int64_t value;
 
   if (r == NULL)
-    {
-      forward_exchange_free (f, x);
-      return;
-    }
-  if (is_cut_off (r, x))
-    {
-      answer_interrupted (f, x, BERYL_FAILURE_CLOSED, true, now_ms);
-      return;
-    }
-  if (x->kind == BERYL_EXCHANGE_RUN && x->head.event_stream
-      && x->head.ends_with_connection && r->secondary == NULL)
+    forward_exchange_free (f, x);
+  else if (is_cut_off (r, x))
+    answer_interrupted (f, x, BERYL_FAILURE_CLOSED, true, now_ms);
+  else if (x->kind == BERYL_EXCHANGE_RUN && x->head.ends_with_connection
+           && r->secondary == NULL)
     {
       confirm_end (f, x, now_ms);
-      return;
+      return false;
     }
-  value = x->head.event_stream ? (int64_t)r->event_count
-                               : (int64_t)x->head.status;
-  if (is_success (x->head.status))
-    crashes_answered (f, r, now_ms);
-  begin_answer (f, r, x);
-  forward_buffered (f, r);
-  complete (f, r, x, is_own_generation (x), value, now_ms);
+  else
+    finish (f, r, x, now_ms);
+  return true;
 }
 
 static const char *
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -500,15 +500,13 @@
     answer_data (f, x, bytes, bytes_count, now_ms);
 }
 
-void
+bool
 beryl_forward_answer_done (struct beryl_forward *f, uint64_t id,
                            int64_t now_ms)
 {
   struct exchange *x = exchange_find (f, id);
 
-  if (x == NULL)
-    return;
-  answer_done (f, x, now_ms);
+  return x == NULL || answer_done (f, x, now_ms);
 }
 
 void
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -887,12 +887,13 @@
 void answer_head (struct beryl_forward *f, struct exchange *x, int64_t now_ms);
 void answer_data (struct beryl_forward *f, struct exchange *x,
                   const char *bytes, size_t bytes_count, int64_t now_ms);
-void answer_done (struct beryl_forward *f, struct exchange *x, int64_t now_ms);
-/** X, which dials the endpoint of a stream that has ended with its connection,
- * was accepted, or failed. */
-void answer_end_confirmed (struct beryl_forward *f, struct exchange *x,
+/** Return false if X stays open until its end is confirmed. */
+bool answer_done (struct beryl_forward *f, struct exchange *x, int64_t now_ms);
+/** DIAL, which dials the endpoint of an answer that has ended with its
+ * connection, was accepted, or failed. */
+void answer_end_confirmed (struct beryl_forward *f, struct exchange *dial,
                            int64_t now_ms);
-void answer_end_refuted (struct beryl_forward *f, struct exchange *x,
+void answer_end_refuted (struct beryl_forward *f, struct exchange *dial,
                          int64_t now_ms);
 void answer_interrupted (struct beryl_forward *f, struct exchange *x,
                          enum beryl_exchange_failure how, bool sent,
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -503,6 +503,16 @@
   beryl_forward_answer_head (fx->forward, x->id, &head, fx->now_ms);
 }
 
+void
+fx_head_unframed (struct fx *fx, struct fx_exchange *x, unsigned int status)
+{
+  struct beryl_answer_head head
+      = { .status = status, .ends_with_connection = true };
+
+  ck_assert (x->open);
+  beryl_forward_answer_head (fx->forward, x->id, &head, fx->now_ms);
+}
+
 void
 fx_paused (struct fx *fx, struct fx_exchange *x, int64_t pause_ms)
 {
@@ -558,8 +568,7 @@
 fx_done (struct fx *fx, struct fx_exchange *x)
 {
   ck_assert (x->open);
-  x->open = false;
-  beryl_forward_answer_done (fx->forward, x->id, fx->now_ms);
+  x->open = !beryl_forward_answer_done (fx->forward, x->id, fx->now_ms);
 }
 
 void
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -131,6 +131,10 @@
 void fx_stream (struct fx *fx, struct fx_exchange *x);
 /** The same for one that ends with its connection. */
 void fx_stream_unframed (struct fx *fx, struct fx_exchange *x);
+/** Answer with the head of one, other than a stream, that ends with its
+ * connection. */
+void fx_head_unframed (struct fx *fx, struct fx_exchange *x,
+                       unsigned int status);
 /** Reject with a pause of PAUSE_MS. */
 void fx_paused (struct fx *fx, struct fx_exchange *x, int64_t pause_ms);
 /** Answer as a peer that does not take a handoff. */
--- a/tests/forward/test_plain.c
+++ b/tests/forward/test_plain.c
@@ -345,6 +345,94 @@
 }
 END_TEST
 
+/* Has half of an answer that ends with its connection arrive for request 1,
+   and end. */
+static struct fx_exchange *
+end_half (void)
+{
+  struct fx_exchange *x;
+
+  fx_arrive (&fx, 1);
+  x = run ();
+  fx_head_unframed (&fx, x, 200);
+  fx_data (&fx, x, "half");
+  fx_done (&fx, x);
+  ck_assert (!answer (1)->begun);
+  return x;
+}
+
+static void
+dial_fails (void)
+{
+  fx_broken (&fx, fx_last (&fx, BERYL_EXCHANGE_DIAL), BERYL_FAILURE_CONNECT,
+             false);
+}
+
+/* Guards against half of an answer that ends with its connection being taken
+   for a whole one after its endpoint has crashed. */
+START_TEST (test_unframed_of_crashed_endpoint)
+{
+  const struct fx_exchange *first = end_half ();
+
+  ck_assert_str_eq (fx_last (&fx, BERYL_EXCHANGE_DIAL)->endpoint,
+                    first->endpoint);
+  dial_fails ();
+  ck_assert_str_ne (run ()->endpoint, first->endpoint);
+  fx_answer (&fx, run (), 200, "whole");
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str, "whole");
+  ck_assert_uint_eq (fx_count_open (&fx), 0);
+}
+END_TEST
+
+/* Guards against a whole answer that is lost, or asked for twice, since it
+   ends with its connection. */
+START_TEST (test_unframed_of_live_endpoint)
+{
+  end_half ();
+  fx_ok (&fx, fx_last (&fx, BERYL_EXCHANGE_DIAL), "");
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str, "half");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+  ck_assert_uint_eq (fx_count_open (&fx), 0);
+}
+END_TEST
+
+/* Guards against an exchange that is left behind if the caller or its deadline
+   ends the request while the end of its answer is being confirmed. */
+START_TEST (test_ends_while_confirming)
+{
+  end_half ();
+  if (_i == 0)
+    beryl_forward_cancel (fx.forward, 1, fx.now_ms);
+  else
+    fx_pass (&fx, 6000);
+  ck_assert (!answer (1)->begun);
+  ck_assert_uint_eq (answer (1)->ends, _i);
+  ck_assert_uint_eq (fx_count_open (&fx), 0);
+  ck_assert_uint_eq (beryl_forward_open_count (fx.forward), 0);
+}
+END_TEST
+
+/* The same for an answer of which the caller has a part already. */
+START_TEST (test_long_unframed_of_crashed_endpoint)
+{
+  char *bytes = g_strnfill (70000, 'x');
+  struct fx_exchange *x;
+
+  fx_arrive (&fx, 1);
+  x = run ();
+  fx_head_unframed (&fx, x, 200);
+  fx_data (&fx, x, bytes);
+  g_free (bytes);
+  ck_assert (answer (1)->begun);
+  fx_done (&fx, x);
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  dial_fails ();
+  ck_assert (answer (1)->cut);
+}
+END_TEST
+
 /* During a planned stop, a request that cannot end before the process does is
    refused as not run while another node can still serve it. */
 START_TEST (test_stop)
@@ -362,6 +450,17 @@
 }
 END_TEST
 
+/* The same for a request that may run once: it has, and is not run again. */
+START_TEST (test_once_unframed_of_crashed_endpoint)
+{
+  end_half ();
+  dial_fails ();
+  ck_assert_uint_eq (answer (1)->refusal.status, 502);
+  ck_assert (!answer (1)->refusal.not_run);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+}
+END_TEST
+
 /* A configuration arrives while a request is open: the request keeps the one
    it began with. */
 START_TEST (test_configuration_changes)
@@ -403,6 +502,10 @@
   tcase_add_test (tcase, test_slow_caller);
   tcase_add_test (tcase, test_callers_deadline);
   tcase_add_test (tcase, test_stop);
+  tcase_add_test (tcase, test_unframed_of_crashed_endpoint);
+  tcase_add_test (tcase, test_unframed_of_live_endpoint);
+  tcase_add_loop_test (tcase, test_ends_while_confirming, 0, 2);
+  tcase_add_test (tcase, test_long_unframed_of_crashed_endpoint);
   tcase_add_test (tcase, test_configuration_changes);
   suite_add_tcase (suite, tcase);
   tcase = tcase_create ("once");
@@ -410,6 +513,7 @@
   tcase_add_test (tcase, test_once_without_connection);
   tcase_add_test (tcase, test_once_dies);
   tcase_add_test (tcase, test_once_silent);
+  tcase_add_test (tcase, test_once_unframed_of_crashed_endpoint);
   tcase_add_test (tcase, test_once_rejected);
   tcase_add_test (tcase, test_once_error_is_passed_on);
   suite_add_tcase (suite, tcase);
--- /dev/null
+++ b/tests/gateway/test_cut_answers.c
@@ -0,0 +1,255 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../suite.h"
+#include "testbed.h"
+
+/* Endpoints that stop in the middle of an answer and close their connections
+ * in order, as the kernel does for a process that has crashed. */
+
+#define TURN_MS 1
+#define REQUEST_BYTES 4096
+/* Bytes from one cut of a head to the next. */
+#define CUT_STEP 3
+/* For how long the kernel listens for a process that has crashed. */
+#define LINGER_TURNS 5
+
+/* An endpoint that answers each request with the same bytes. */
+struct fake
+{
+  int listener;
+  uint16_t port;
+  int connection; /* -1: none */
+  GString *request;
+  GString *answer;
+  uint32_t requests;
+  bool dies; /* it no longer accepts once it has answered */
+  bool dead;
+  int lingers; /* turns until it no longer listens either */
+};
+
+static struct testbed t;
+static struct fake fake;
+static struct loop_timer *timer;
+
+static void
+fake_listen (void)
+{
+  struct sockaddr_in in = { .sin_family = AF_INET };
+  socklen_t length = sizeof in;
+
+  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  in.sin_port = htons (fake.port);
+  fake.listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (fake.listener, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 },
+              sizeof (int));
+  ck_assert_int_eq (bind (fake.listener, (struct sockaddr *)&in, sizeof in),
+                    0);
+  ck_assert_int_eq (listen (fake.listener, 16), 0);
+  ck_assert_int_eq (
+      getsockname (fake.listener, (struct sockaddr *)&in, &length), 0);
+  fcntl (fake.listener, F_SETFL, O_NONBLOCK);
+  fake.port = ntohs (in.sin_port);
+}
+
+static void
+fake_close (int *fd)
+{
+  if (*fd >= 0)
+    close (*fd);
+  *fd = -1;
+}
+
+static void
+fake_answer (void)
+{
+  fake.requests++;
+  fake.dead = fake.dies;
+  if (fake.answer->len > 0)
+    ck_assert_int_eq (send (fake.connection, fake.answer->str,
+                            fake.answer->len, MSG_NOSIGNAL),
+                      (ssize_t)fake.answer->len);
+  if (fake.dead && fake.lingers == 0)
+    fake_close (&fake.listener);
+  fake_close (&fake.connection);
+}
+
+/* Serves one connection at a time; a dial is one without a request. */
+static void
+fake_turn (void *user)
+{
+  char bytes[REQUEST_BYTES];
+  ssize_t count;
+
+  if (fake.dead && fake.lingers-- == 0)
+    fake_close (&fake.listener);
+  if (!fake.dead && fake.connection < 0)
+    {
+      fake.connection = accept (fake.listener, NULL, NULL);
+      g_string_truncate (fake.request, 0);
+    }
+  if (fake.connection < 0)
+    return;
+  count = recv (fake.connection, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (count == 0)
+    fake_close (&fake.connection);
+  if (count <= 0)
+    return;
+  g_string_append_len (fake.request, bytes, count);
+  if (strstr (fake.request->str, "\r\n\r\n") != NULL)
+    fake_answer ();
+}
+
+/* Lists the fake as the only plain endpoint, or beside the others. */
+static void
+fake_start (bool alone)
+{
+  char address[32];
+
+  if (alone)
+    for (size_t i = 0; i < 3; i++)
+      standin_runner_drain (testbed_endpoint (&t, i));
+  fake = (struct fake){ .connection = -1 };
+  fake.request = g_string_new (NULL);
+  fake.answer = g_string_new (NULL);
+  fake_listen ();
+  timer = loop_timer_start (t.loop, TURN_MS, TURN_MS, fake_turn, NULL);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", fake.port);
+  standin_put (t.standin, "servers", "fake",
+               json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
+                          "service", "plain", "address", address, "zone",
+                          "dc-1", "version", "1", "slots", 16, "state",
+                          "ready", "cold_left_ms", 0, "sequence", 0, "born",
+                          (json_int_t)1));
+  testbed_run (&t, 1000);
+}
+
+static void
+setup (void)
+{
+  testbed_open (&t);
+  testbed_start_nodes (&t, 1);
+}
+
+static void
+teardown (void)
+{
+  loop_timer_stop (timer);
+  fake_close (&fake.connection);
+  fake_close (&fake.listener);
+  testbed_close (&t);
+  g_string_free (fake.request, TRUE);
+  g_string_free (fake.answer, TRUE);
+}
+
+static struct testbed_response *
+ask (const char *path)
+{
+  struct testbed_response *response
+      = testbed_get (&t, 0, "a.example", path, "");
+
+  testbed_wait (&t, response);
+  return response;
+}
+
+static const char *const heads[] = {
+  "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n\r\n",
+  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+};
+
+/* Guards against an empty answer that looks whole to the caller of an unsafe
+ * request whose endpoint stopped in the middle of the head, and against a
+ * second run of it. */
+START_TEST (test_cut_head)
+{
+  uint32_t asked = 0;
+
+  fake_start (true);
+  for (size_t n = 0; n < strlen (heads[_i]); n += CUT_STEP)
+    {
+      g_string_truncate (fake.answer, 0);
+      g_string_append_len (fake.answer, heads[_i], (gssize)n);
+      ck_assert_uint_eq (ask ("/once/x")->status, 502);
+      ck_assert_uint_eq (fake.requests, ++asked);
+    }
+}
+END_TEST
+
+/* The same for requests that may be repeated: another endpoint answers. */
+START_TEST (test_cut_head_elsewhere)
+{
+  testbed_wait_repeats (&t);
+  fake_start (false);
+  g_string_assign (fake.answer,
+                   "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nCon");
+  for (int i = 0; i < 40; i++)
+    {
+      struct testbed_response *response = ask ("/x");
+
+      ck_assert_uint_eq (response->status, 200);
+      ck_assert_ptr_nonnull (strstr (response->body->str, " /x at a"));
+    }
+  ck_assert_uint_gt (fake.requests, 0);
+}
+END_TEST
+
+/* Guards against half of an answer, or none of it, that looks whole to a
+ * caller: it ends with its connection, and its endpoint has crashed. Its
+ * listening socket may be closed a moment later. */
+START_TEST (test_unframed_of_crashed_endpoint)
+{
+  static const char *const bodies[] = { "", "half" };
+
+  fake_start (true);
+  fake.dies = true;
+  fake.lingers = _i < 2 ? 0 : LINGER_TURNS;
+  g_string_printf (fake.answer,
+                   "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+                   "Connection: close\r\n\r\n%s",
+                   bodies[_i % 2]);
+  ck_assert_uint_eq (ask ("/once/x")->status, 502);
+  ck_assert_uint_eq (fake.requests, 1);
+}
+END_TEST
+
+/* Guards against a whole answer that is lost since it ends with its
+ * connection. */
+START_TEST (test_unframed_of_live_endpoint)
+{
+  struct testbed_response *response;
+
+  fake_start (true);
+  g_string_assign (fake.answer, "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+                                "Connection: close\r\n\r\nwhole");
+  for (int i = 0; i < 3; i++)
+    {
+      response = ask ("/once/x");
+      ck_assert_uint_eq (response->status, 200);
+      ck_assert (response->done);
+      ck_assert_str_eq (response->body->str, "whole");
+      ck_assert_ptr_nonnull (
+          strstr (response->fields->str, "X-Response-Seal: s\n"));
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("answers that break off");
+  TCase *tcase = tcase_create ("answers that break off");
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, test_cut_head, 0, (int)G_N_ELEMENTS (heads));
+  tcase_add_test (tcase, test_cut_head_elsewhere);
+  tcase_add_loop_test (tcase, test_unframed_of_crashed_endpoint, 0, 4);
+  tcase_add_test (tcase, test_unframed_of_live_endpoint);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -421,6 +421,29 @@
 }
 END_TEST
 
+/* Guards against a dial that succeeds since the kernel has not yet closed the
+   listening socket of a process that has crashed. */
+START_TEST (test_held_dial)
+{
+  struct h1_request request = { .address = "127.0.0.1",
+                                .port = port,
+                                .head = "",
+                                .connect_timeout_ms = 200,
+                                .connect_only = true,
+                                .hold_ms = 60 };
+
+  h1_call_start (loop, &request, &teller.base);
+  raw_turn (loop, 10);
+  if (_i == 1)
+    {
+      close (listener);
+      listener = raw_listen (&port);
+    }
+  wait_for_end ();
+  ck_assert_int_eq (teller.done, _i == 0);
+}
+END_TEST
+
 START_TEST (test_sent_after_hold)
 {
   struct h1_call *call = call_start_with ((struct h1_answer_limits){ 0 }, 50);
@@ -479,6 +502,7 @@
   tcase_add_test (tcase, test_silent);
   tcase_add_test (tcase, test_long_body_in_chunks);
   tcase_add_loop_test (tcase, test_closed_while_held, 0, 2);
+  tcase_add_loop_test (tcase, test_held_dial, 0, 2);
   tcase_add_test (tcase, test_sent_after_hold);
   tcase_add_test (tcase, test_bytes_while_held);
   suite_add_tcase (suite, tcase);
