--- a/tests/platform_wire/test_store.c
+++ b/tests/platform_wire/test_store.c
@@ -113,6 +113,9 @@
 #define GOOD_NATIVE                                                           \
   "{\"kind\":\"k\",\"name\":\"n\",\"version\":9,\"value\":{\"a\":1}"
 
+#define NULL_NATIVE                                                           \
+  "{\"kind\":\"k\",\"name\":\"m\",\"version\":8,\"value\":null"
+
 /* Another program writes a malformed object to the store. If the list or watch
  * failed because of it, no other entry would be read again: endpoints that
  * leave would still get requests, and new ones none. */
@@ -175,6 +178,95 @@
 }
 END_TEST
 
+/* What a parser rejects a whole text for, as the spec of an object. */
+static char *
+unreadable_spec (int i)
+{
+  static const char *const specs[] = { "{\"a\":\"\xff\"}",
+                                       "{\"a\":\"shelf \\ud83d\"}",
+                                       "{\"a\\u0000b\":1}",
+                                       "{\"a\":1e999}",
+                                       "{\"a\":NaN}",
+                                       "[99999999999999999999]",
+                                       "{\"a\":\"]}\\\"\\udc00\"}",
+                                       "{\"a\":01}" };
+  char *open, *close, *spec;
+
+  if (i < (int)G_N_ELEMENTS (specs))
+    return g_strdup (specs[i]);
+  open = g_strnfill (5000, '[');
+  close = g_strnfill (5000, ']');
+  spec = g_strconcat (open, close, NULL);
+  g_free (open);
+  g_free (close);
+  return spec;
+}
+
+#define UNREADABLE_SPECS 9
+
+/* Guards against a list, or a watch, whose sound objects are not read because
+ * of one object that cannot be; that object is not read in part. */
+START_TEST (test_unreadable_object_keeps_others)
+{
+  char *spec = unreadable_spec (_i);
+  char *item = g_strdup_printf (
+      "{\"metadata\":{\"name\":\"m\",\"revision\":8},\"spec\":%s}", spec);
+  char *list = g_strdup_printf ("{\"items\":[%s, " GOOD_ITEM " ,%s],"
+                                "\"more_pages\":true,\"store_revision\":12}",
+                                item, item);
+  char *events = g_strdup_printf (
+      "{\"events\":[{\"tombstone\":false,\"object\":%s},{\"object\":" GOOD_ITEM
+      "}],\"store_revision\":12}",
+      item);
+
+  assert_store_response (BERYL_OP_LIST, 200, list, 200,
+                         "{\"items\":[" NULL_NATIVE "}," GOOD_NATIVE
+                         "}," NULL_NATIVE
+                         "}],\"more\":true,\"revision\":12,\"after\":\"m\"}");
+  assert_store_response (BERYL_OP_WATCH, 200, events, 200,
+                         "{\"events\":[" NULL_NATIVE
+                         ",\"type\":\"put\"}," GOOD_NATIVE
+                         ",\"type\":\"put\"}],\"revision\":12}");
+  g_free (events);
+  g_free (list);
+  g_free (item);
+  g_free (spec);
+}
+END_TEST
+
+/* Guards against the first part of a list, of an answer that was cut, being
+ * taken for the whole. */
+START_TEST (test_cut_answer_is_no_list)
+{
+  static const char list[]
+      = "{\"store_revision\":12,\"more_pages\":false,\"items\":[" GOOD_ITEM
+        "," GOOD_ITEM "]}";
+
+  for (size_t n = 0; n + 1 < sizeof list - 1; n++)
+    {
+      char *part = g_strndup (list, n);
+
+      assert_store_response (BERYL_OP_LIST, 200, part, 200, NULL);
+      g_free (part);
+    }
+}
+END_TEST
+
+/* Guards against a next page that begins at the same place again, since the
+ * last object's name cannot be read. */
+START_TEST (test_last_name_is_unreadable)
+{
+  assert_store_response (BERYL_OP_LIST, 200,
+                         "{\"items\":[" GOOD_ITEM
+                         ",{\"metadata\":{\"name\":\"\\ud83d\","
+                         "\"revision\":9},\"spec\":{}}],\"more_pages\":true,"
+                         "\"store_revision\":12}",
+                         200,
+                         "{\"items\":[" GOOD_NATIVE
+                         "}],\"more\":true,\"revision\":12,\"after\":\"n\"}");
+}
+END_TEST
+
 /* A page without any valid object: the list continues after its last name. */
 START_TEST (test_page_of_malformed_objects)
 {
@@ -205,6 +297,10 @@
   tcase_add_test (tcase, test_malformed_objects_are_skipped);
   tcase_add_test (tcase, test_unreadable_values_keep_list);
   tcase_add_test (tcase, test_page_of_malformed_objects);
+  tcase_add_loop_test (tcase, test_unreadable_object_keeps_others, 0,
+                       UNREADABLE_SPECS);
+  tcase_add_test (tcase, test_cut_answer_is_no_list);
+  tcase_add_test (tcase, test_last_name_is_unreadable);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
