Platform: large objects of other programs are not kept

Cause: a listing keeps the text and the parsed value of each object until all pages have come, some 21 MB for 1 MB of text.

--- a/tests/platform_wire/test_store.c
+++ b/tests/platform_wire/test_store.c
@@ -267,6 +267,36 @@
 }
 END_TEST
 
+/* Guards against a list of large objects of another program, which takes more
+ * memory than a process may use. */
+START_TEST (test_large_objects_are_not_kept)
+{
+  static const char *const fillings[]
+      = { "{}", "\"0123456789abcdef\"", "[[]]" };
+  GString *list = g_string_new ("{\"items\":[" GOOD_ITEM
+                                ",{\"metadata\":{\"name\":\"m\","
+                                "\"revision\":8},\"spec\":[0");
+  unsigned int status = 200;
+  json_t *json;
+
+  for (int i = 0; i < 40000; i++)
+    g_string_append_printf (list, ",%s", fillings[_i]);
+  g_string_append (list, "]}],\"more_pages\":false,\"store_revision\":12}");
+  assert_store_response (BERYL_OP_LIST, 200, list->str, 200,
+                         "{\"items\":[" GOOD_NATIVE "}," NULL_NATIVE
+                         "}],\"more\":false,\"revision\":12}");
+  /* A configuration may be large. */
+  json = wire->store.impl->answer (&wire->store, BERYL_OP_LIST, "config",
+                                   &status, list->str, list->len);
+  ck_assert_uint_eq (
+      json_array_size (json_object_get (
+          json_array_get (json_object_get (json, "items"), 1), "value")),
+      40001);
+  json_decref (json);
+  g_string_free (list, TRUE);
+}
+END_TEST
+
 /* A page without any valid object: the list continues after its last name. */
 START_TEST (test_page_of_malformed_objects)
 {
@@ -301,6 +331,7 @@
                        UNREADABLE_SPECS);
   tcase_add_test (tcase, test_cut_answer_is_no_list);
   tcase_add_test (tcase, test_last_name_is_unreadable);
+  tcase_add_loop_test (tcase, test_large_objects_are_not_kept, 0, 3);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
