Platform client: a list goes on after names that are too long

Cause: a page's last name is where the next one begins. Of 256 bytes or more it was not taken over, and the list was rejected as one that makes no progress, again and again. A name with a NUL did the same.

Why this works: the beginning of the name is taken, and a character that lets all names which begin so come before it. No valid name can be among these, as it is shorter and has no NUL.

--- a/libberyl/platform/reply.c
+++ b/libberyl/platform/reply.c
@@ -3,6 +3,13 @@
 
 #include "private.h"
 
+/* Part of a long name after which a list continues, and the highest character
+ * of UTF-8, which follows it. */
+#define AFTER_CUT_BYTES (LISTING_AFTER_BYTES - 8)
+#define AFTER_LONG "\xf4\x8f\xbf\xbf"
+/* Follows a NUL in the order of names. */
+#define AFTER_NUL "\x01"
+
 bool
 beryl_platform_name_valid (const char *text)
 {
@@ -91,16 +98,47 @@
   return true;
 }
 
+/** Return whether BYTE is one of a character of UTF-8, but not its first. */
+static bool
+is_continuation (char byte)
+{
+  return ((unsigned char)byte & 0xc0) == 0x80;
+}
+
+/** Copy NAME.  Of a name that is too long, or has a NUL, the beginning is
+ * copied and a character added that lets all names which begin so come before:
+ * valid names are shorter, and have no NUL. */
+static void
+after_copy (char after[LISTING_AFTER_BYTES], const json_t *name)
+{
+  const char *text = json_string_value (name);
+  size_t length = strlen (text);
+  const char *end = length < json_string_length (name) ? AFTER_NUL : "";
+
+  if (length > AFTER_CUT_BYTES)
+    {
+      length = AFTER_CUT_BYTES;
+      while (is_continuation (text[length]))
+        length--;
+      end = AFTER_LONG;
+    }
+  memcpy (after, text, length);
+  memcpy (after + length, end, strlen (end) + 1);
+}
+
 /** Continue after the last object of a page, even if that object is not
  * in the list. */
 static void
 listing_advance (struct listing *l, const json_t *json)
 {
-  const char *after = json_string_value (json_object_get (json, "after"));
-
-  if (after && strlen (after) < sizeof l->after
-      && strcmp (after, l->after) > 0)
-    memcpy (l->after, after, strlen (after) + 1);
+  const json_t *name = json_object_get (json, "after");
+  char after[LISTING_AFTER_BYTES];
+
+  if (!json_is_string (name))
+    return;
+  after_copy (after, name);
+  if (strcmp (after, l->after) > 0)
+    memcpy (l->after, after, sizeof l->after);
 }
 
 bool
--- a/tests/platform_wire/test_store.c
+++ b/tests/platform_wire/test_store.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../libberyl/platform/private.h"
 #include "../suite.h"
 #include "platform.h"
 
@@ -267,6 +268,44 @@
 }
 END_TEST
 
+/* Adds a page without a valid object to L, of which NAME is the last name. */
+static bool
+add_page (struct listing *l, const char *name, size_t name_bytes)
+{
+  json_t *page = json_pack ("{s:[], s:b, s:i, s:s%}", "items", "more", 1,
+                            "revision", 5, "after", name, name_bytes);
+  bool ok = platform_listing_add (l, page, "k");
+
+  json_decref (page);
+  return ok;
+}
+
+/* Guards against a list that makes no progress since names of another writer
+   are too long, or have a NUL. Names that begin alike must be passed over, and
+   no valid one. */
+START_TEST (test_page_of_long_names)
+{
+  struct listing l = { 0 };
+  GString *name = g_string_new ("n");
+
+  ck_assert (add_page (&l, "a\0z", 3));
+  ck_assert_int_gt (strcmp (l.after, "a"), 0);
+  ck_assert_int_lt (strcmp (l.after, "a-"), 0);
+  ck_assert (add_page (&l, "b", 1));
+  while (name->len < 300)
+    g_string_append (name, "\xc3\xa4");
+  for (; name->len > 240; g_string_truncate (name, name->len - 2))
+    {
+      l = (struct listing){ 0 };
+      ck_assert (add_page (&l, name->str, name->len));
+      ck_assert_int_ge (strcmp (l.after, name->str), 0);
+      ck_assert_int_lt (strcmp (l.after, "n\xc3\xa5"), 0);
+      ck_assert (g_utf8_validate (l.after, -1, NULL));
+    }
+  g_string_free (name, TRUE);
+}
+END_TEST
+
 /* Guards against a list of large objects of another program, which takes more
  * memory than a process may use. */
 START_TEST (test_large_objects_are_not_kept)
@@ -331,6 +370,7 @@
                        UNREADABLE_SPECS);
   tcase_add_test (tcase, test_cut_answer_is_no_list);
   tcase_add_test (tcase, test_last_name_is_unreadable);
+  tcase_add_test (tcase, test_page_of_long_names);
   tcase_add_loop_test (tcase, test_large_objects_are_not_kept, 0, 3);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
