--- a/libberyl/platform/reply.c
+++ b/libberyl/platform/reply.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -122,8 +123,7 @@
         length--;
       end = AFTER_LONG;
     }
-  memcpy (after, text, length);
-  memcpy (after + length, end, strlen (end) + 1);
+  snprintf (after, LISTING_AFTER_BYTES, "%.*s%s", (int)length, text, end);
 }
 
 /** Continue after the last object of a page, even if that object is not
