--- a/soak/caller.py
+++ b/soak/caller.py
@@ -95,7 +95,7 @@
             event, self.rest = self.rest.split(b"\n\n", 1)
             wanted = f"id: {self.next}\ndata: {self.name}-{self.next}"
             found, _, version = event.decode(errors="replace").partition(
-                "\nversion: ")
+                "\nx-weight-versions: ")
             if found != wanted:
                 self.fault = f"event {event!r} instead of {wanted!r}"
                 return
--- a/tests/gateway/test_versions.c
+++ b/tests/gateway/test_versions.c
@@ -103,11 +103,11 @@
       bool first, second;
 
       testbed_wait (&t, s->resumed);
-      first = count (s->begun, "version: 1\n")
-                  + count (s->resumed, "version: 1\n")
+      first = count (s->begun, "x-weight-versions: 1\n")
+                  + count (s->resumed, "x-weight-versions: 1\n")
               > 0;
-      second = count (s->begun, "version: 2\n")
-                   + count (s->resumed, "version: 2\n")
+      second = count (s->begun, "x-weight-versions: 2\n")
+                   + count (s->resumed, "x-weight-versions: 2\n")
                > 0;
       ck_assert_msg (!first || !second, "stream %zu holds both versions", i);
       if (s->resumed->done && s->resumed->status == 200)
