Log: pieces of a stream that are no event of its run

Where the events of a service have been numbered without gaps, the id is the next one. What is forwarded stays the same, but for empty lines between events.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -898,6 +898,7 @@
     .repeat_window_ms = g->settings.repeat_window_ms,
     .quota_slack = g->settings.quota_slack,
     .started_ms = loop_now_ms (g->loop),
+    .event_field = g->wire->impl->event_field,
   };
 
   memcpy (settings.node, g->settings.node, sizeof settings.node);
--- a/gatewayd/request_log.c
+++ b/gatewayd/request_log.c
@@ -48,6 +48,23 @@
   return text;
 }
 
+/* Formats what is wrong with a piece of a stream; "" for all other steps. */
+static const char *
+format_event (const struct beryl_event_finding *e, char *text,
+              size_t text_bytes)
+{
+  char id[24] = "-";
+
+  text[0] = '\0';
+  if (e == NULL)
+    return text;
+  if (e->has_id)
+    g_snprintf (id, sizeof id, "%" G_GUINT64_FORMAT, e->id);
+  g_snprintf (text, text_bytes, " event_id=%s after_id=%" G_GUINT64_FORMAT, id,
+              e->after_id);
+  return text;
+}
+
 /* Formats the configuration by which a request was refused; "" for all other
  * steps. */
 static const char *
@@ -82,6 +99,7 @@
   char seen[BERYL_REVISION_TEXT_BYTES];
   char quota[240];
   char admission[96];
+  char event[64];
   char state[384];
 
   if (!log_level_enabled (G_LOG_LEVEL_INFO))
@@ -90,7 +108,7 @@
           "%" G_GINT64_FORMAT " n=%" G_GINT64_FORMAT
           " first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
           " configuration=%" G_GUINT64_FORMAT " seen=%s"
-          " fingerprint=%s organisation=%s sends=%u repeats=%u%s%s%s%s%s",
+          " fingerprint=%s organisation=%s sends=%u repeats=%u%s%s%s%s%s%s",
           d->id, d->route, d->step, d->outcome,
           d->endpoint != NULL ? d->endpoint->info.id : "-", d->age_ms,
           d->value, d->first_event_ms, d->longest_gap_ms, d->config_version,
@@ -100,6 +118,7 @@
           d->repeats, d->resumed_id[0] != '\0' ? " resumes=" : "",
           d->resumed_id, format_quota (d->quota, quota, sizeof quota),
           format_admission (d->admission, admission, sizeof admission),
+          format_event (d->event, event, sizeof event),
           format_configuration (d, configuration, state, sizeof state));
 }
 
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -184,6 +184,15 @@
   int64_t retry_after_ms; /**< 0: none */
 };
 
+/** A piece of a stream that is not the next event of its run, for the log. */
+struct beryl_event_finding
+{
+  const char *fault; /**< stable name */
+  bool has_id;
+  uint64_t id;       /**< of the piece, if HAS_ID */
+  uint64_t after_id; /**< of the event before it; 0 if it is the first */
+};
+
 /** One step in the processing of a request, for the log. */
 struct beryl_request_step
 {
@@ -199,6 +208,8 @@
   const struct beryl_quota_state *quota;
   /** The same if the service has no room for it, or NULL. */
   const struct beryl_admission_verdict *admission;
+  /** What is wrong with a piece of its stream, or NULL. */
+  const struct beryl_event_finding *event;
   const struct beryl_live_endpoint *endpoint; /**< may be NULL */
   const char *outcome;                        /**< stable name */
   int64_t age_ms;         /**< since the request's arrival */
@@ -326,9 +337,12 @@
                             fleet-wide */
   uint32_t repeat_slack; /**< repeats allowed beyond the ratio, fleet-wide */
   int64_t repeat_window_ms;
-  double quota_slack; /**< what an organisation may exceed its quota
-                             by, fleet-wide */
-  int64_t started_ms; /**< start of this process */
+  double quota_slack;      /**< what an organisation may exceed its quota
+                                  by, fleet-wide */
+  int64_t started_ms;      /**< start of this process */
+  const char *event_field; /**< name of a field that events of streams may
+                              have besides those of the standard; NULL: none.
+                              Static storage. */
 };
 
 /** Create an instance. ENDPOINTS and OWNER must outlive it. */
--- a/include/gateway/wire.h
+++ b/include/gateway/wire.h
@@ -80,6 +80,9 @@
   const char *configuration_kind;
   const char *configuration_name;
   const char *endpoint_kind;
+  /** Name of a field that events of streams may have besides those of the
+   * standard; NULL: none. */
+  const char *event_field;
 
   /** Parse the configuration object; return NULL and set ERROR if it is
    * malformed. */
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -166,6 +166,40 @@
          && event->id <= r->last_event_id;
 }
 
+/* Returns whether the body of X's answer is a stream of numbered events. The
+   body of any other answer is its endpoint's, whatever it looks like. */
+static bool
+is_numbered (const struct request *r, const struct exchange *x)
+{
+  return x->head.event_stream && r->route->streaming
+         && is_success (x->head.status);
+}
+
+static enum event_fault
+check_event (const struct request *r, const struct exchange *x,
+             const struct event *event)
+{
+  if (!is_numbered (r, x))
+    return EVENT_OK;
+  if (event->fault != EVENT_OK || event->is_comment)
+    return event->fault;
+  return event_sequence_check (&x->sequence, &r->service->event_numbering,
+                               event->id);
+}
+
+static void
+log_event_fault (struct beryl_forward *f, const struct request *r,
+                 const struct exchange *x, const struct event *event,
+                 enum event_fault fault, int64_t now_ms)
+{
+  struct beryl_event_finding finding = { .fault = event_fault_name (fault),
+                                         .has_id = event->has_id,
+                                         .id = event->id,
+                                         .after_id = x->sequence.last_id };
+
+  forward_request_log_event (f, r, x->endpoint, &finding, now_ms);
+}
+
 static void
 forward_event (struct beryl_forward *f, struct request *r, struct exchange *x,
                const struct event *event, int64_t now_ms)
@@ -212,7 +246,7 @@
 
   if (is_repeated (r, event))
     return ++x->repeated_events <= r->last_event_id + EVENTS_EXTRA;
-  if (event->is_empty)
+  if (!event->has_id && !event->has_data)
     {
       x->empty_bytes += event->count;
       return x->empty_bytes <= EMPTY_MAX_BYTES;
@@ -222,6 +256,21 @@
          || ++x->events <= most;
 }
 
+static void
+observe_event (struct beryl_forward *f, struct request *r, struct exchange *x,
+               const struct event *event, int64_t now_ms)
+{
+  enum event_fault fault = check_event (r, x, event);
+
+  if (!is_numbered (r, x))
+    return;
+  if (fault != EVENT_OK)
+    log_event_fault (f, r, x, event, fault, now_ms);
+  else if (!event->is_comment)
+    event_sequence_advance (&x->sequence, &r->service->event_numbering,
+                            event->id);
+}
+
 static void
 forward_events (struct beryl_forward *f, struct request *r, struct exchange *x,
                 const char *bytes, size_t bytes_count, int64_t now_ms)
@@ -231,6 +280,7 @@
 
   while (!endless && event_splitter_next (&r->events, &event))
     {
+      observe_event (f, r, x, &event, now_ms);
       endless = !may_go_on (r, x, &event);
       if (!endless)
         forward_event (f, r, x, &event, now_ms);
--- a/libberyl/forward/events.c
+++ b/libberyl/forward/events.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../base/text.h"
+
 bool
 event_splitter_add (struct event_splitter *s, const char *bytes, size_t count)
 {
@@ -51,16 +53,52 @@
   return true;
 }
 
+/* A line without a colon is a field without a value. */
 static bool
-has_field (const char *line, size_t length, const char *name)
+is_field (const char *line, size_t length, const char *name)
 {
   size_t name_length = strlen (name);
 
-  return length >= name_length && memcmp (line, name, name_length) == 0;
+  return length >= name_length && memcmp (line, name, name_length) == 0
+         && (length == name_length || line[name_length] == ':');
+}
+
+static void
+set_fault (struct event *event, enum event_fault fault)
+{
+  if (event->fault == EVENT_OK)
+    event->fault = fault;
+}
+
+static void
+read_id (struct event *event, const char *line, size_t length)
+{
+  size_t skip = length > 3 && line[3] == ' ' ? 4 : 3;
+
+  if (event->has_id || length <= skip
+      || !read_number (line + skip, length - skip, &event->id))
+    set_fault (event, EVENT_BAD_ID);
+  event->has_id = event->fault != EVENT_BAD_ID;
+}
+
+static void
+read_line (struct event *event, const char *line, size_t length,
+           const char *extra_field)
+{
+  if (length == 0 || line[0] == ':' || is_field (line, length, "retry"))
+    return;
+  event->is_comment = false;
+  if (is_field (line, length, "id"))
+    read_id (event, line, length);
+  else if (is_field (line, length, "data"))
+    event->has_data = true;
+  else if (!is_field (line, length, "event")
+           && (extra_field == NULL || !is_field (line, length, extra_field)))
+    set_fault (event, EVENT_UNKNOWN_FIELD);
 }
 
 static void
-read_id (struct event *event)
+read_lines (struct event *event, const char *extra_field)
 {
   const char *line = event->bytes;
   const char *end = event->bytes + event->count;
@@ -72,22 +110,46 @@
 
       if (length > 0 && line[length - 1] == '\r')
         length--;
-      if (has_field (line, length, "data"))
-        event->is_empty = false;
-      if (has_field (line, length, "id:"))
-        {
-          size_t skip = length > 3 && line[3] == ' ' ? 4 : 3;
-
-          event->is_empty = false;
-          event->has_id = read_number (line + skip, length - skip, &event->id);
-          return;
-        }
+      /* A CR alone would end a line at the caller. */
+      if (!text_is_utf8 (line, length) || memchr (line, '\r', length) != NULL)
+        set_fault (event, EVENT_NOT_TEXT);
+      read_line (event, line, length, extra_field);
       if (stop == NULL)
-        return;
+        break;
       line = stop + 1;
     }
 }
 
+/* The number of bytes of empty lines at the start. */
+static size_t
+empty_lines (const char *bytes, size_t count)
+{
+  size_t i = 0;
+
+  while (i < count
+         && (bytes[i] == '\n'
+             || (bytes[i] == '\r' && i + 1 < count && bytes[i + 1] == '\n')))
+    i++;
+  return i;
+}
+
+static void
+read_event (struct event *event, const char *extra_field)
+{
+  size_t skip = empty_lines (event->bytes, event->count);
+
+  event->bytes += skip;
+  event->count -= skip;
+  event->is_comment = true;
+  read_lines (event, extra_field);
+  if (event->is_comment)
+    return;
+  if (!event->has_id)
+    set_fault (event, EVENT_WITHOUT_ID);
+  if (!event->has_data)
+    set_fault (event, EVENT_WITHOUT_DATA);
+}
+
 bool
 event_splitter_next (struct event_splitter *s, struct event *event)
 {
@@ -107,16 +169,17 @@
     return false;
   event->bytes = s->pending.bytes;
   event->count = length;
-  event->is_empty = true;
   s->consumed = length;
-  read_id (event);
+  read_event (event, s->extra_field);
   return true;
 }
 
 bool
 event_splitter_partial (const struct event_splitter *s)
 {
-  return s->pending.count > s->consumed;
+  size_t rest = s->pending.count - s->consumed;
+
+  return rest > 0 && empty_lines (s->pending.bytes + s->consumed, rest) < rest;
 }
 
 void
--- a/libberyl/forward/events.h
+++ b/libberyl/forward/events.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "../base/buffer.h"
+#include "../decide/event_sequence.h"
 
 /** Most bytes that are buffered. An event that does not fit is malformed. */
 #define EVENT_MAX_BYTES (1U << 20)
@@ -19,19 +20,24 @@
 /** State of a stream; zero-initialise. */
 struct event_splitter
 {
-  struct buffer pending; /**< the event returned last, and later bytes */
+  const char *extra_field; /**< name of a field besides those of the standard
+                              that events may have; NULL: none */
+  struct buffer pending;   /**< the event returned last, and later bytes */
   size_t scanned;  /**< bytes searched without finding the end of an event */
   size_t consumed; /**< bytes of the event returned last */
 };
 
-/** One event, including the empty line that ends it. */
+/** One event, including the empty line that ends it, without empty lines
+ * before it. */
 struct event
 {
   const char *bytes;
   size_t count;
+  bool is_comment; /**< no event: comments and retry times only */
   bool has_id;
-  bool is_empty; /**< it has neither an id nor data */
-  uint64_t id;   /**< valid if has_id: the id is a decimal number */
+  bool has_data;
+  uint64_t id;            /**< valid if has_id: the id is a decimal number */
+  enum event_fault fault; /**< of its form */
 };
 
 /** Append bytes; false if more than EVENT_MAX_BYTES would be buffered, the
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -221,6 +221,18 @@
   quota_count_sent (f, r, now_ms);
 }
 
+/* Returns where the events of R's next run begin. Whether an endpoint goes on
+   after the event that a caller names is unknown where that is not asked of
+   endpoints. */
+static struct event_sequence
+next_events (const struct request *r)
+{
+  return (struct event_sequence){
+    .known = !r->params.resumes || r->route->resumable || r->event_count > 0,
+    .last_id = r->last_event_id,
+  };
+}
+
 struct exchange *
 forward_exchange_start (struct beryl_forward *f, struct request *r,
                         struct beryl_exchange_start *start,
@@ -249,7 +261,10 @@
   if (start->connect_timeout_ms == 0)
     start->connect_timeout_ms = CONNECT_TIMEOUT_MS;
   if (r != NULL)
-    set_request_fields (f, r, start, now_ms);
+    {
+      x->sequence = next_events (r);
+      set_request_fields (f, r, start, now_ms);
+    }
   f->owner->impl->start (f->owner, start);
   return x;
 }
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -89,9 +89,10 @@
   struct completion answers;      /**< time to the end of plain answers */
   struct completion first_events; /**< time to generations' first events */
   struct completion outputs;      /**< time from these to their ends */
-  uint32_t waiting;               /**< this node's waiting generations */
-  struct place_classes classes;   /**< generations of all nodes */
-  int64_t classes_ms;             /**< when they were last summed */
+  struct event_numbering event_numbering;
+  uint32_t waiting;             /**< this node's waiting generations */
+  struct place_classes classes; /**< generations of all nodes */
+  int64_t classes_ms;           /**< when they were last summed */
   struct prompt_gate prompt_gate;
   struct version_history versions;
   int64_t stream_life_ms;    /**< longest time that callers gave a stream */
@@ -112,9 +113,10 @@
   int64_t started_ms;
   uint32_t version; /**< of its endpoint's software when it began */
   bool has_head;
-  uint64_t events;          /**< of a generation, so far */
-  uint64_t repeated_events; /**< that the caller had before */
-  uint64_t empty_bytes;     /**< of events without an id or data */
+  uint64_t events;                /**< of a generation, so far */
+  uint64_t repeated_events;       /**< that the caller had before */
+  uint64_t empty_bytes;           /**< of comments since the last event */
+  struct event_sequence sequence; /**< of its events */
   bool paused;
   bool contact_dial; /**< counted in the dials_open of struct contact */
   struct beryl_answer_head head;
@@ -661,6 +663,12 @@
                           const char *step,
                           const struct beryl_live_endpoint *endpoint,
                           const char *outcome, int64_t number, int64_t now_ms);
+/** Log a piece of R's stream from ENDPOINT that is not its next event. */
+void forward_request_log_event (struct beryl_forward *f,
+                                const struct request *r,
+                                const struct beryl_live_endpoint *endpoint,
+                                const struct beryl_event_finding *finding,
+                                int64_t now_ms);
 /** End R: detach its open exchanges (forward_exchange_detach), release its
  * memory at engines and free it. */
 void forward_request_end (struct beryl_forward *f, struct request *r,
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -47,11 +47,11 @@
   return r->fingerprint;
 }
 
-void
-forward_request_log (struct beryl_forward *f, const struct request *r,
-                     const char *step,
-                     const struct beryl_live_endpoint *endpoint,
-                     const char *outcome, int64_t number, int64_t now_ms)
+static void
+log_step (struct beryl_forward *f, const struct request *r, const char *step,
+          const struct beryl_live_endpoint *endpoint, const char *outcome,
+          int64_t number, const struct beryl_event_finding *finding,
+          int64_t now_ms)
 {
   struct beryl_request_step entry = {
     .step = step,
@@ -64,6 +64,7 @@
     .quota = r->over_quota ? &r->quota : NULL,
     .admission
     = r->admission.reason != BERYL_ADMISSION_ADMITTED ? &r->admission : NULL,
+    .event = finding,
     .endpoint = endpoint,
     .outcome = outcome,
     .age_ms = now_ms - r->params.arrived_ms,
@@ -82,6 +83,25 @@
     f->owner->impl->log_step (f->owner, &entry);
 }
 
+void
+forward_request_log (struct beryl_forward *f, const struct request *r,
+                     const char *step,
+                     const struct beryl_live_endpoint *endpoint,
+                     const char *outcome, int64_t number, int64_t now_ms)
+{
+  log_step (f, r, step, endpoint, outcome, number, NULL, now_ms);
+}
+
+void
+forward_request_log_event (struct beryl_forward *f, const struct request *r,
+                           const struct beryl_live_endpoint *endpoint,
+                           const struct beryl_event_finding *finding,
+                           int64_t now_ms)
+{
+  log_step (f, r, "event", endpoint, finding->fault, (int64_t)r->event_count,
+            finding, now_ms);
+}
+
 void
 forward_request_end (struct beryl_forward *f, struct request *r,
                      int64_t now_ms)
@@ -277,6 +297,7 @@
     r->deadline_ms = params->arrived_ms + route->timeout_ms;
   r->timer_ms = r->deadline_ms;
   r->last_event_id = params->last_event_id;
+  r->events.extra_field = f->settings.event_field;
   TAILQ_INSERT_TAIL (&f->requests, r, entry);
   map_put (&f->requests_by_handle, map_key_from_number (params->handle), r);
   f->open_count++;
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -59,6 +59,78 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  const char *text;
+  enum event_fault fault;
+  bool is_comment;
+} forms[] = {
+  { "an event", "id: 7\ndata: a\n\n", EVENT_OK, false },
+  { "CR LF", "id: 7\r\ndata: a\r\n\r\n", EVENT_OK, false },
+  { "several lines", "event: a\nid:7\nretry: 5\n: b\ndata: c\ndata\n\n",
+    EVENT_OK, false },
+  { "field of the platform", "extra: 3\nid: 7\ndata: a\n\n", EVENT_OK, false },
+  { "letters beyond ASCII", "id: 7\ndata: \xc4\x8d\xe2\x82\xac\n\n", EVENT_OK,
+    false },
+  { "a comment", ": still there\n\n", EVENT_OK, true },
+  { "a time to retry", "retry: 1000\n\n", EVENT_OK, true },
+  { "empty lines", "\n\n", EVENT_OK, true },
+  { "data alone", "data: a\n\n", EVENT_WITHOUT_ID, false },
+  { "an empty id", "id:\ndata: a\n\n", EVENT_BAD_ID, false },
+  { "an id without a colon", "id\ndata: a\n\n", EVENT_BAD_ID, false },
+  { "a negative id", "id: -7\ndata: a\n\n", EVENT_BAD_ID, false },
+  { "an id that is no number", "id: 7a\ndata: a\n\n", EVENT_BAD_ID, false },
+  { "an id that is too large", "id: 18446744073709551617\ndata: a\n\n",
+    EVENT_BAD_ID, false },
+  { "two ids", "id: 7\nid: 7\ndata: a\n\n", EVENT_BAD_ID, false },
+  { "an id alone", "id: 7\n\n", EVENT_WITHOUT_DATA, false },
+  { "the head of an answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+    EVENT_UNKNOWN_FIELD, false },
+  { "JSON", "{\"error\":\"id: 7\"}\n\n", EVENT_UNKNOWN_FIELD, false },
+  { "a line before an event", "x\nid: 7\ndata: a\n\n", EVENT_UNKNOWN_FIELD,
+    false },
+  { "a field with a longer name", "id: 7\ndatax: a\n\n", EVENT_UNKNOWN_FIELD,
+    false },
+  { "no text", "id: 7\ndata: \xff\xfe\n\n", EVENT_NOT_TEXT, false },
+  { "half a character", "id: 7\ndata: \xe2\x82\n\n", EVENT_NOT_TEXT, false },
+  { "a CR alone", "id: 7\ndata: a\rdata: b\n\n", EVENT_NOT_TEXT, false },
+  { "a comment that is no text", ": \xff\n\n", EVENT_NOT_TEXT, true },
+};
+
+/* Guards against pieces that no run made being taken for events. */
+START_TEST (test_forms)
+{
+  struct event_splitter s = { .extra_field = "extra" };
+  struct event event;
+
+  add (&s, forms[_i].text);
+  ck_assert (event_splitter_next (&s, &event));
+  ck_assert_msg (event.fault == forms[_i].fault, "%s: %s", forms[_i].name,
+                 event_fault_name (event.fault));
+  ck_assert_int_eq (event.is_comment, forms[_i].is_comment);
+  ck_assert (!event_splitter_partial (&s));
+  event_splitter_clear (&s);
+}
+END_TEST
+
+/* Guards against empty lines between events, which end nothing, being
+   forwarded or taken for the beginning of another event. */
+START_TEST (test_empty_lines_between)
+{
+  struct event_splitter s = { 0 };
+  struct event event;
+
+  add (&s, "\nid: 1\ndata: a\n\n\r\n");
+  expect_event (&s, "id: 1\ndata: a\n\n", 1);
+  ck_assert (!event_splitter_next (&s, &event));
+  ck_assert (!event_splitter_partial (&s));
+  add (&s, "id: 2\ndata: b\n\n");
+  expect_event (&s, "id: 2\ndata: b\n\n", 2);
+  event_splitter_clear (&s);
+}
+END_TEST
+
 START_TEST (test_event_is_partial)
 {
   struct event_splitter s = { 0 };
@@ -216,6 +288,8 @@
 
   tcase_add_test (tcase, test_events_in_pieces);
   tcase_add_test (tcase, test_event_is_partial);
+  tcase_add_loop_test (tcase, test_forms, 0, sizeof forms / sizeof *forms);
+  tcase_add_test (tcase, test_empty_lines_between);
   tcase_add_test (tcase, test_event_is_too_long);
   tcase_add_test (tcase, test_budget);
   tcase_add_test (tcase, test_budget_in_any_window);
