--- /dev/null
+++ b/tests/forward/test_odd_events.c
@@ -0,0 +1,371 @@
+#include <check.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "model.h"
+
+/* Events that teach the node how the service numbers them. */
+#define LEARN_EVENTS 40
+
+/* Bytes amid a stream's events that are no event of its run; each comes after
+ * event 3. FAULT is what the log must say. */
+static const struct
+{
+  const char *name;
+  const char *piece;
+  const char *fault;
+} rows[] = {
+  { "data without an id", "data: odd\n\n", "without_id" },
+  { "an empty id", "id:\ndata: odd\n\n", "bad_id" },
+  { "an id that is no number", "id: odd\ndata: odd\n\n", "bad_id" },
+  { "two ids", "id: 4\nid: 5\ndata: odd\n\n", "bad_id" },
+  { "an id alone", "id: 4\n\n", "without_data" },
+  { "bytes that are no text", "\x9c\xd0\x12\xf8odd\xe1\n\n", "not_text" },
+  { "a line of text", "odd\n\n", "unknown_field" },
+  { "the head of an answer",
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", "unknown_field" },
+  { "JSON", "{\"odd\": 4}\n\n", "unknown_field" },
+  { "a line before an event", "odd\nid: 4\ndata: e4\n\n", "unknown_field" },
+  { "an event of its own type", "event: odd\n\n", "without_id" },
+  { "the event before", "id: 3\ndata: odd\n\n", "repeated" },
+  { "an earlier event", "id: 1\ndata: odd\n\n", "repeated" },
+  { "event 0", "id: 0\ndata: odd\n\n", "repeated" },
+  { "the event after the next", "id: 5\ndata: odd\n\n", "skipped" },
+  { "an event far ahead", "id: 900\ndata: odd\n\n", "skipped" },
+};
+
+#define ROWS (int)(sizeof rows / sizeof *rows)
+
+/* Has request NUMBER answered by a stream of LEARN_EVENTS. */
+static void
+learn_numbering (uint64_t number)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, number);
+  run = fx_to_stream (&fx, number, LEARN_EVENTS);
+  fx_done (&fx, run);
+  ck_assert (answer (number)->whole);
+}
+
+static void
+setup (void)
+{
+  model_setup ();
+  learn_numbering (100);
+}
+
+/* Starts a stream of three events for request 1. */
+static struct fx_exchange *
+stream_of_three (bool unframed)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  if (unframed)
+    fx_stream_unframed (&fx, run);
+  else
+    fx_stream (&fx, run);
+  for (uint64_t i = 1; i <= 3; i++)
+    fx_event (&fx, run, i);
+  return run;
+}
+
+static void
+assert_logged (const char *fault)
+{
+  char *line = g_strdup_printf ("event:%s ", fault);
+
+  ck_assert_msg (strstr (fx.log->str, line) != NULL, "no %s in %s", line,
+                 fx.log->str);
+  g_free (line);
+}
+
+/* Request 1 goes on at another engine after event 3 and ends there. */
+static void
+assert_resumed (void)
+{
+  struct fx_exchange *next = fx_to_run (&fx, 1);
+
+  ck_assert (next->resumes);
+  ck_assert_uint_eq (next->last_event, 3);
+  fx_stream (&fx, next);
+  fx_event (&fx, next, 4);
+  fx_event (&fx, next, 5);
+  fx_done (&fx, next);
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str,
+                    "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+                    "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
+                    "id: 5\ndata: e5\n\n");
+}
+
+/* Guards against bytes that no run made reaching a caller as an event; rows
+   come with a framing of their own, then in an answer that ends with its
+   connection. */
+START_TEST (test_odd_piece)
+{
+  struct fx_exchange *run = stream_of_three (_i >= ROWS);
+
+  fx_data (&fx, run, rows[_i % ROWS].piece);
+  ck_assert_msg (run->aborted, "%s", rows[_i % ROWS].name);
+  assert_logged (rows[_i % ROWS].fault);
+  assert_resumed ();
+}
+END_TEST
+
+/* Guards against the same bytes in the piece of an answer that holds proper
+   events too. */
+START_TEST (test_odd_piece_among_events)
+{
+  struct fx_exchange *run;
+  char *bytes = g_strdup_printf (
+      "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n%s"
+      "id: 4\ndata: e4\n\n",
+      rows[_i].piece);
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_data (&fx, run, bytes);
+  g_free (bytes);
+  ck_assert (run->aborted);
+  assert_resumed ();
+}
+END_TEST
+
+/* Guards against a stream that begins with bytes that no run made. */
+START_TEST (test_odd_first_piece)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_data (&fx, run, "data: odd\n\n");
+  ck_assert (run->aborted);
+  ck_assert (!answer (1)->begun);
+  run = fx_to_run (&fx, 1);
+  ck_assert (!run->resumes);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 1);
+  fx_done (&fx, run);
+  ck_assert_str_eq (answer (1)->body->str, "id: 1\ndata: e1\n\n");
+}
+END_TEST
+
+/* Guards against a stream that begins with a later event than its first. */
+START_TEST (test_late_first_event)
+{
+  struct fx_exchange *run;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 2);
+  ck_assert (run->aborted);
+  ck_assert (!answer (1)->begun);
+}
+END_TEST
+
+/* Guards against an engine that was asked to go on and begins anew, whose
+   events would follow those of another run. */
+START_TEST (test_resumed_run_begins_anew)
+{
+  struct fx_exchange *run = stream_of_three (false);
+
+  fx_broken (&fx, run, BERYL_FAILURE_RESET, true);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, (uint64_t)_i);
+  ck_assert (run->aborted);
+  ck_assert_ptr_null (strstr (answer (1)->body->str, "id: 5"));
+  ck_assert_uint_eq (answer (1)->ends, 0);
+  assert_resumed ();
+}
+END_TEST
+
+/* Guards against the same where the caller has resumed the stream. */
+START_TEST (test_caller_resumes)
+{
+  struct beryl_forward_request params = fx_request_params (&fx, 1);
+  struct fx_exchange *run;
+
+  params.resumes = true;
+  params.last_event_id = 3;
+  beryl_forward_submit (fx.forward, &params, fx.now_ms);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 1);
+  ck_assert (run->aborted);
+  ck_assert (!answer (1)->begun);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 4);
+  fx_done (&fx, run);
+  ck_assert_str_eq (answer (1)->body->str, "id: 4\ndata: e4\n\n");
+}
+END_TEST
+
+/* Guards against a second run of a request that must not run twice, and
+   against an answer that looks whole. */
+START_TEST (test_once)
+{
+  struct fx_exchange *run;
+
+  model_teardown ();
+  terms = fx_model_terms ();
+  terms.route.resumable = false;
+  terms.route.repeat = BERYL_REPEAT_ONCE;
+  fx_open (&fx, &terms);
+  engines (2, 3);
+  run = stream_of_three (_i == 1);
+  fx_data (&fx, run, "data: odd\n\n");
+  ck_assert (run->aborted);
+  ck_assert (answer (1)->cut);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+  ck_assert_ptr_null (strstr (answer (1)->body->str, "odd"));
+}
+END_TEST
+
+/* Guards against odd bytes of a run that is stopped to be moved. */
+START_TEST (test_moved)
+{
+  struct fx_exchange *run = stream_of_three (false), *move;
+
+  fx_leaving (&fx, run->endpoint);
+  move = move_asked (1);
+  fx_data (&fx, run, "data: odd\n\n");
+  ck_assert (run->aborted);
+  fx_ok (&fx, move, "moved");
+  run = open_of (1, BERYL_EXCHANGE_RUN);
+  ck_assert_uint_eq (run->last_event, 3);
+  fx_stream (&fx, run);
+  fx_data (&fx, run, "data: odd\n\n");
+  ck_assert (run->aborted);
+  ck_assert_ptr_null (strstr (answer (1)->body->str, "odd"));
+  assert_resumed ();
+}
+END_TEST
+
+/* Guards against an event that the source engine made before it stopped, and
+   that did not arrive, being left out when its run goes on. */
+START_TEST (test_moved_run_skips)
+{
+  struct fx_exchange *run = stream_of_three (false), *move;
+
+  fx_leaving (&fx, run->endpoint);
+  move = move_asked (1);
+  fx_done (&fx, run);
+  fx_ok (&fx, move, "moved");
+  run = open_of (1, BERYL_EXCHANGE_RUN);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 5);
+  ck_assert (run->aborted);
+  assert_resumed ();
+}
+END_TEST
+
+/* Guards against a stream that goes on after a piece of which nobody knows
+   whether it was the run's: another event with its id follows. */
+START_TEST (test_doubtful_event)
+{
+  struct fx_exchange *run = stream_of_three (false);
+
+  fx_data (&fx, run, "id: 4\ndata: odd\n\n");
+  fx_event (&fx, run, 4);
+  ck_assert (run->aborted);
+  ck_assert (answer (1)->cut);
+}
+END_TEST
+
+/* Guards against a proper event that came twice costing the stream. */
+START_TEST (test_same_event_twice)
+{
+  struct fx_exchange *run = stream_of_three (false);
+
+  fx_event (&fx, run, 3);
+  ck_assert (run->aborted);
+  assert_resumed ();
+}
+END_TEST
+
+/* Guards against comments, which tell a caller nothing, breaking a stream or
+   reaching the caller between its events. */
+START_TEST (test_comments)
+{
+  struct fx_exchange *run = stream_of_three (false);
+
+  fx_data (&fx, run, ": still there\n\nretry: 1000\n\n\n\r\n");
+  fx_event (&fx, run, 4);
+  fx_data (&fx, run, ": end\n\n");
+  fx_done (&fx, run);
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str,
+                    "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+                    "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n");
+}
+END_TEST
+
+/* Guards against an endpoint's other bodies being judged as streams: that of a
+   failure, and that of a route that does not stream. */
+START_TEST (test_not_a_stream)
+{
+  struct fx_exchange *run;
+
+  model_teardown ();
+  terms = fx_model_terms ();
+  terms.route.streaming = false;
+  fx_open (&fx, &terms);
+  engines (2, 3);
+  fx_arrive (&fx, 1);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_data (&fx, run, "id: 7\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n");
+  fx_done (&fx, run);
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str,
+                    "id: 7\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+END_TEST
+
+/* Guards against a request being blamed for crashes by the odd bytes of an
+   engine, and against an engine that sends them being believed sound. */
+START_TEST (test_beliefs)
+{
+  struct fx_exchange *run = stream_of_three (false);
+  uint64_t dials = fx_count (&fx, BERYL_EXCHANGE_DIAL);
+
+  fx_data (&fx, run, "data: odd\n\n");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_DIAL), dials);
+  ck_assert_uint_gt (
+      fx_find_endpoint (&fx, run->endpoint)->consecutive_failures, 0);
+  assert_resumed ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("bytes that are no event of their run");
+  TCase *tcase = tcase_create ("odd events");
+
+  tcase_add_checked_fixture (tcase, setup, model_teardown);
+  tcase_add_loop_test (tcase, test_odd_piece, 0, 2 * ROWS);
+  tcase_add_loop_test (tcase, test_odd_piece_among_events, 0, ROWS);
+  tcase_add_test (tcase, test_odd_first_piece);
+  tcase_add_test (tcase, test_late_first_event);
+  tcase_add_loop_test (tcase, test_resumed_run_begins_anew, 1, 4);
+  tcase_add_test (tcase, test_caller_resumes);
+  tcase_add_loop_test (tcase, test_once, 0, 2);
+  tcase_add_test (tcase, test_moved);
+  tcase_add_test (tcase, test_moved_run_skips);
+  tcase_add_test (tcase, test_doubtful_event);
+  tcase_add_test (tcase, test_same_event_twice);
+  tcase_add_test (tcase, test_comments);
+  tcase_add_test (tcase, test_not_a_stream);
+  tcase_add_test (tcase, test_beliefs);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
