Forward: a stream has only the events of its run

A piece is forwarded only if it is the next event: text, with the fields of an event, data, and one decimal id above the one before; where the service has numbered its events without gaps, the next id. At any other piece the run is broken off, as its later bytes and its end cannot be believed either: it goes on elsewhere after the last event where the route allows, and the caller's answer is cut off where it does not. The same holds for the first event of a resumed or moved run. If another event comes with the newest id, or a lower one behind ids that were left out, nobody knows which one is the run's, and the answer is cut off. Runs that end so count as broken ones at their engine. Comments are no events and are not forwarded. Bodies of routes that do not stream are forwarded as they come; their events were dropped by id.

--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -1,6 +1,7 @@
 #include "private.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Answers up to this size are buffered until they are complete, so that one
    that breaks off can be requested again without the caller seeing it. */
@@ -10,9 +11,9 @@
    no end. */
 #define EVENTS_PER_TOKEN 2
 #define EVENTS_EXTRA 16
-/* Bytes of a run's events without an id or data, such as comments that keep
-   connections open. */
-#define EMPTY_MAX_BYTES 65536
+/* Bytes of comments between two events, such as those that keep connections
+   open. */
+#define COMMENTS_MAX_BYTES 65536
 /* The kernel closes the sockets of a process that has crashed one after the
    other, and may close the one that listens last: until then it accepts
    connections, and resets them with it. */
@@ -157,15 +158,6 @@
          && forward_request_is_generation (x->request);
 }
 
-/* An endpoint that resumes may start before the event that it was asked to
-   resume after; those events were forwarded already. */
-static bool
-is_repeated (const struct request *r, const struct event *event)
-{
-  return event->has_id && (r->event_count > 0 || r->params.resumes)
-         && event->id <= r->last_event_id;
-}
-
 /* Returns whether the body of X's answer is a stream of numbered events. The
    body of any other answer is its endpoint's, whatever it looks like. */
 static bool
@@ -179,8 +171,6 @@
 check_event (const struct request *r, const struct exchange *x,
              const struct event *event)
 {
-  if (!is_numbered (r, x))
-    return EVENT_OK;
   if (event->fault != EVENT_OK || event->is_comment)
     return event->fault;
   return event_sequence_check (&x->sequence, &r->service->event_numbering,
@@ -206,11 +196,10 @@
 {
   bool own_generation = is_own_generation (x);
 
-  if (is_repeated (r, event))
-    return;
   begin_answer (f, r, x);
-  if (event->has_id)
-    r->last_event_id = event->id;
+  r->skipped_ids = r->skipped_ids || event->id > r->last_event_id + 1;
+  r->last_event_id = event->id;
+  r->last_event_hash = XXH3_64bits (event->bytes, event->count);
   resume_first_event (f, r, x, now_ms);
   if (r->event_count == 0)
     {
@@ -235,6 +224,14 @@
                                event->count);
 }
 
+/* Returns whether EVENT is the newest one that R's caller has. */
+static bool
+is_newest (const struct request *r, const struct event *event)
+{
+  return event->has_id && r->event_count > 0 && event->id == r->last_event_id
+         && XXH3_64bits (event->bytes, event->count) == r->last_event_hash;
+}
+
 /* Counts EVENT and returns whether X's stream, which goes on, can still be
    that of a proper answer. */
 static bool
@@ -244,31 +241,74 @@
   uint64_t most = EVENTS_PER_TOKEN * (uint64_t)r->params.output_tokens_max
                   + EVENTS_EXTRA;
 
-  if (is_repeated (r, event))
-    return ++x->repeated_events <= r->last_event_id + EVENTS_EXTRA;
-  if (!event->has_id && !event->has_data)
+  if (is_newest (r, event))
+    return ++x->repeated_events <= EVENTS_EXTRA;
+  if (event->is_comment)
     {
-      x->empty_bytes += event->count;
-      return x->empty_bytes <= EMPTY_MAX_BYTES;
+      x->comment_bytes += event->count;
+      return x->comment_bytes <= COMMENTS_MAX_BYTES;
     }
-  x->empty_bytes = 0;
+  x->comment_bytes = 0;
   return !is_own_generation (x) || r->params.output_tokens_max == 0
          || ++x->events <= most;
 }
 
+/* Gives up X, whose endpoint sends what is no answer. */
 static void
-observe_event (struct beryl_forward *f, struct request *r, struct exchange *x,
-               const struct event *event, int64_t now_ms)
+give_up (struct beryl_forward *f, const struct exchange *x,
+         enum beryl_exchange_failure how, int64_t now_ms)
+{
+  f->owner->impl->abort (f->owner, x->id);
+  beryl_forward_exchange_failed (f, x->id, how, true, now_ms);
+}
+
+/* Returns whether the newest event that R's caller has may not be one of its
+   run: another one with the same id has come, or one with a lower id after ids
+   were left out. */
+static bool
+is_in_doubt (const struct request *r, const struct event *event,
+             enum event_fault fault)
+{
+  return fault == EVENT_REPEATED && r->run_events > 0
+         && (r->skipped_ids || event->id == r->last_event_id);
+}
+
+/* X's stream has a piece that is no event of its run. Nothing that follows is
+   believed, not even the end; the events before it are sound. */
+static void
+reject_event (struct beryl_forward *f, struct request *r, struct exchange *x,
+              const struct event *event, enum event_fault fault,
+              int64_t now_ms)
+{
+  log_event_fault (f, r, x, event, fault, now_ms);
+  r->events_in_doubt = is_in_doubt (r, event, fault);
+  give_up (f, x, BERYL_FAILURE_MALFORMED, now_ms);
+}
+
+/* Handles one piece of X's stream; returns false if X has ended by it. */
+static bool
+take_event (struct beryl_forward *f, struct request *r, struct exchange *x,
+            const struct event *event, int64_t now_ms)
 {
   enum event_fault fault = check_event (r, x, event);
+  bool repeated = fault == EVENT_REPEATED && is_newest (r, event);
 
-  if (!is_numbered (r, x))
-    return;
-  if (fault != EVENT_OK)
-    log_event_fault (f, r, x, event, fault, now_ms);
-  else if (!event->is_comment)
-    event_sequence_advance (&x->sequence, &r->service->event_numbering,
-                            event->id);
+  if (fault != EVENT_OK && !repeated)
+    {
+      reject_event (f, r, x, event, fault, now_ms);
+      return false;
+    }
+  if (!may_go_on (r, x, event))
+    {
+      give_up (f, x, BERYL_FAILURE_ENDLESS, now_ms);
+      return false;
+    }
+  if (event->is_comment || repeated)
+    return true;
+  event_sequence_advance (&x->sequence, &r->service->event_numbering,
+                          event->id);
+  forward_event (f, r, x, event, now_ms);
+  return true;
 }
 
 static void
@@ -276,20 +316,15 @@
                 const char *bytes, size_t bytes_count, int64_t now_ms)
 {
   struct event event;
-  bool endless = !event_splitter_add (&r->events, bytes, bytes_count);
 
-  while (!endless && event_splitter_next (&r->events, &event))
+  if (!event_splitter_add (&r->events, bytes, bytes_count))
     {
-      observe_event (f, r, x, &event, now_ms);
-      endless = !may_go_on (r, x, &event);
-      if (!endless)
-        forward_event (f, r, x, &event, now_ms);
+      give_up (f, x, BERYL_FAILURE_ENDLESS, now_ms);
+      return;
     }
-  if (!endless)
-    return;
-  f->owner->impl->abort (f->owner, x->id);
-  beryl_forward_exchange_failed (f, x->id, BERYL_FAILURE_ENDLESS, true,
-                                 now_ms);
+  while (event_splitter_next (&r->events, &event))
+    if (!take_event (f, r, x, &event, now_ms))
+      return;
 }
 
 void
@@ -298,7 +333,7 @@
 {
   struct request *r = x->request;
 
-  if (x->head.event_stream)
+  if (is_numbered (r, x))
     {
       forward_events (f, r, x, bytes, bytes_count, now_ms);
       return;
@@ -308,7 +343,8 @@
       forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
       return;
     }
-  if (r->answer_begun || r->buffered.count > BUFFER_MAX_BYTES)
+  if (r->answer_begun || x->head.event_stream
+      || r->buffered.count > BUFFER_MAX_BYTES)
     {
       begin_answer (f, r, x);
       forward_buffered (f, r);
@@ -321,7 +357,7 @@
 static bool
 is_cut_off (const struct request *r, const struct exchange *x)
 {
-  if (!x->head.event_stream)
+  if (!is_numbered (r, x))
     return false;
   if (event_splitter_partial (&r->events))
     return true;
@@ -446,8 +482,8 @@
   if (sent && !handoff
       && (how == BERYL_FAILURE_RESET || how == BERYL_FAILURE_CLOSED))
     crashes_run_interrupted (f, r, x->endpoint, now_ms);
-  if (sent && is_own_generation (x) && r->run_events == 0
-      && r->move_target == NULL)
+  if (sent && is_own_generation (x) && r->move_target == NULL
+      && (r->run_events == 0 || how == BERYL_FAILURE_MALFORMED))
     prompts_record (f, r, x->endpoint, false, now_ms);
   forward_request_log (f, r, handoff ? "handoff" : "send", x->endpoint,
                        failure_name (how), sent, now_ms);
@@ -461,6 +497,11 @@
     }
   if (sent && !has_head)
     forward_request_record_lost_run (f, r, now_ms);
+  if (r->events_in_doubt)
+    {
+      forward_request_fail (f, r, BERYL_REFUSAL_ENDPOINT_FAILED, now_ms);
+      return;
+    }
   if (has_head && move_stream_ended (f, r, now_ms))
     return;
   if (forward_request_is_generation (r))
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -114,8 +114,8 @@
   uint32_t version; /**< of its endpoint's software when it began */
   bool has_head;
   uint64_t events;                /**< of a generation, so far */
-  uint64_t repeated_events;       /**< that the caller had before */
-  uint64_t empty_bytes;           /**< of comments since the last event */
+  uint64_t repeated_events;       /**< that came once more */
+  uint64_t comment_bytes;         /**< since the last event */
   struct event_sequence sequence; /**< of its events */
   bool paused;
   bool contact_dial; /**< counted in the dials_open of struct contact */
@@ -217,6 +217,9 @@
   uint64_t event_count; /**< events forwarded to the caller */
   uint64_t run_events;  /**< those of the current run */
   uint64_t last_event_id;
+  uint64_t last_event_hash; /**< of its bytes */
+  bool skipped_ids;      /**< its events have ids that are not consecutive */
+  bool events_in_doubt;  /**< its last event may be no event of its run */
   int64_t last_event_ms; /**< time of the last event, of the answer's head or
                             of the start of the run */
   uint64_t pace_events;  /**< run_events when the engine's pace was learned */
--- a/tests/forward/test_endless.c
+++ b/tests/forward/test_endless.c
@@ -58,6 +58,21 @@
 }
 END_TEST
 
+/* Guards against the same where each event is the next one. */
+START_TEST (test_events_without_end)
+{
+  struct fx_exchange *run;
+  uint64_t id = 3;
+
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, id);
+  while (run->open && id < PIECES_MAX)
+    fx_event (&fx, run, ++id);
+  ck_assert (run->aborted);
+  ck_assert_uint_le (id, 4017);
+}
+END_TEST
+
 /* Guards against a second run of a request that must not run twice. */
 START_TEST (test_once_without_end)
 {
@@ -100,6 +115,7 @@
   tcase_add_checked_fixture (tcase, model_setup, model_teardown);
   tcase_add_loop_test (tcase, test_stream_without_end, 0,
                        sizeof rows / sizeof *rows);
+  tcase_add_test (tcase, test_events_without_end);
   tcase_add_test (tcase, test_once_without_end);
   tcase_add_test (tcase, test_long_stream);
   suite_add_tcase (suite, tcase);
