--- a/tests/gateway/test_unframed.c
+++ b/tests/gateway/test_unframed.c
@@ -15,7 +15,7 @@
 setup (void)
 {
   testbed_open (&t);
-  standin_set_unframed (t.standin, true);
+  standin_set_framing (t.standin, H1_FRAMING_CLOSE);
   testbed_start_nodes (&t, NODES);
 }
 
