Forward: a stream does not have the length of its first run

What callers saw: a stream whose engine stated a length, and that went on at another engine, was cut off at its end, as its events did not add up to that length (the odd bytes of the first run were part of it).

Cause: the caller's answer had the length that the first engine had stated. A stream is forwarded in chunks now; what is forwarded byte for byte keeps its length.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -183,11 +183,12 @@
 
 static void
 forward_begin (struct beryl_forward_owner *owner, uint64_t request,
-               uint64_t exchange)
+               uint64_t exchange, bool verbatim)
 {
   struct gateway *g = gateway_from_forward (owner);
   uint64_t length = 0;
-  bool has_length = outbound_response_length (g->outbound, exchange, &length);
+  bool has_length
+      = verbatim && outbound_response_length (g->outbound, exchange, &length);
 
   frontend_begin_response (g->frontend, request,
                            outbound_response_head (g->outbound, exchange),
--- a/include/beryl/forward.h
+++ b/include/beryl/forward.h
@@ -265,9 +265,11 @@
   /** Pause or resume reading from an exchange. */
   void (*pause) (struct beryl_forward_owner *owner, uint64_t exchange,
                  bool paused);
-  /** Begin the answer to REQUEST with the head of EXCHANGE's answer. */
+  /** Begin the answer to REQUEST with the head of EXCHANGE's answer. VERBATIM:
+   * its body will be the same bytes; else it is a stream, which another
+   * exchange may continue, and has no length that is known. */
   void (*answer_begin) (struct beryl_forward_owner *owner, uint64_t request,
-                        uint64_t exchange);
+                        uint64_t exchange, bool verbatim);
   void (*answer_data) (struct beryl_forward_owner *owner, uint64_t request,
                        const char *bytes, size_t bytes_count);
   /** The answer is complete. */
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -130,13 +130,23 @@
     generation_timer (f, r, now_ms);
 }
 
+/* Returns whether the body of X's answer is a stream of numbered events. The
+   body of any other answer is its endpoint's, whatever it looks like. */
+static bool
+is_numbered (const struct request *r, const struct exchange *x)
+{
+  return x->head.event_stream && r->route->streaming
+         && is_success (x->head.status);
+}
+
 static void
 begin_answer (struct beryl_forward *f, struct request *r, struct exchange *x)
 {
   if (r->answer_begun)
     return;
   r->answer_begun = true;
-  f->owner->impl->answer_begin (f->owner, r->params.handle, x->id);
+  f->owner->impl->answer_begin (f->owner, r->params.handle, x->id,
+                                !is_numbered (r, x));
 }
 
 static void
@@ -158,15 +168,6 @@
          && forward_request_is_generation (x->request);
 }
 
-/* Returns whether the body of X's answer is a stream of numbered events. The
-   body of any other answer is its endpoint's, whatever it looks like. */
-static bool
-is_numbered (const struct request *r, const struct exchange *x)
-{
-  return x->head.event_stream && r->route->streaming
-         && is_success (x->head.status);
-}
-
 static enum event_fault
 check_event (const struct request *r, const struct exchange *x,
              const struct event *event)
--- a/tests/forward/fixture.c
+++ b/tests/forward/fixture.c
@@ -93,7 +93,7 @@
 
 static void
 owner_begin (struct beryl_forward_owner *owner, uint64_t request,
-             uint64_t exchange)
+             uint64_t exchange, bool verbatim)
 {
   struct fx_answer *answer = answer_of (owner, request);
 
@@ -101,6 +101,7 @@
   ck_assert_uint_eq (answer->ends, 0);
   ck_assert (!find (fx_of (owner), exchange)->aborted);
   answer->begun = true;
+  answer->verbatim = verbatim;
 }
 
 static void
--- a/tests/forward/fixture.h
+++ b/tests/forward/fixture.h
@@ -45,6 +45,7 @@
 struct fx_answer
 {
   bool begun;
+  bool verbatim; /**< with the body of one exchange's answer */
   GString *body;
   uint32_t ends; /**< number of final events of any kind; must become 1 */
   bool whole;
--- a/tests/forward/test_odd_events.c
+++ b/tests/forward/test_odd_events.c
@@ -370,6 +370,7 @@
   fx_data (&fx, run, "id: 7\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n");
   fx_done (&fx, run);
   ck_assert (answer (1)->whole);
+  ck_assert (answer (1)->verbatim);
   ck_assert_str_eq (answer (1)->body->str,
                     "id: 7\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n");
 }
--- a/tests/forward/test_streams.c
+++ b/tests/forward/test_streams.c
@@ -29,6 +29,16 @@
 }
 END_TEST
 
+/* Guards against a stream that another engine continues having the length that
+   the first one has stated. */
+START_TEST (test_stream_has_no_length)
+{
+  fx_arrive (&fx, 1);
+  fx_to_stream (&fx, 1, 1);
+  ck_assert (!answer (1)->verbatim);
+}
+END_TEST
+
 /* The second engine of a stream that has begun answers with an error. Its head
    must not follow inside the stream that the caller has. */
 START_TEST (test_error_into_begun_stream)
@@ -576,6 +586,7 @@
 
   tcase_add_checked_fixture (tcase, model_setup, model_teardown);
   tcase_add_test (tcase, test_stream_goes_on);
+  tcase_add_test (tcase, test_stream_has_no_length);
   tcase_add_test (tcase, test_error_into_begun_stream);
   tcase_add_test (tcase, test_refusal_into_begun_stream);
   tcase_add_test (tcase, test_once_is_not_resumed);
--- a/tests/gateway/test_unframed.c
+++ b/tests/gateway/test_unframed.c
@@ -19,6 +19,14 @@
   testbed_start_nodes (&t, NODES);
 }
 
+static void
+setup_sized (void)
+{
+  testbed_open (&t);
+  standin_set_framing (t.standin, H1_FRAMING_LENGTH);
+  testbed_start_nodes (&t, NODES);
+}
+
 static void
 teardown (void)
 {
@@ -48,8 +56,10 @@
 }
 
 /* Guards against streams that end with their connections and look whole when
- * their runs are moved off a leaving engine, or when that crashes. */
-START_TEST (test_unframed_streams)
+   their runs are moved off a leaving engine, or when that crashes; and against
+   such as have a length, which their first engine has stated, being cut off
+   when another one continues them. */
+START_TEST (test_streams_go_on)
 {
   struct testbed_response *responses[STREAMS];
 
@@ -73,12 +83,17 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("streams that end with their connections");
+  Suite *suite = suite_create ("streams without chunks");
   TCase *tcase = tcase_create ("unframed");
 
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_set_timeout (tcase, 60);
-  tcase_add_loop_test (tcase, test_unframed_streams, 0, 3);
+  tcase_add_loop_test (tcase, test_streams_go_on, 0, 3);
+  suite_add_tcase (suite, tcase);
+  tcase = tcase_create ("sized");
+  tcase_add_checked_fixture (tcase, setup_sized, teardown);
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, test_streams_go_on, 0, 3);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
