--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -318,12 +318,12 @@
 {
   struct event event;
 
-  if (!event_splitter_add (&r->events, bytes, bytes_count))
+  if (!event_splitter_add (&x->pieces, bytes, bytes_count))
     {
       give_up (f, x, BERYL_FAILURE_ENDLESS, now_ms);
       return;
     }
-  while (event_splitter_next (&r->events, &event))
+  while (event_splitter_next (&x->pieces, &event))
     if (!take_event (f, r, x, &event, now_ms))
       return;
 }
@@ -360,7 +360,7 @@
 {
   if (!is_numbered (r, x))
     return false;
-  if (event_splitter_partial (&r->events))
+  if (event_splitter_partial (&x->pieces))
     return true;
   return x->head.ends_with_connection
          && (r->run_events == 0 || r->move_target != NULL);
@@ -490,7 +490,6 @@
                        failure_name (how), sent, now_ms);
   forward_exchange_free (f, x);
   r->buffered.count = 0;
-  event_splitter_reset (&r->events);
   if (handoff)
     {
       handoff_interrupted (f, r, sent && !has_head, now_ms);
--- a/libberyl/forward/events.c
+++ b/libberyl/forward/events.c
@@ -182,17 +182,10 @@
   return rest > 0 && empty_lines (s->pending.bytes + s->consumed, rest) < rest;
 }
 
-void
-event_splitter_reset (struct event_splitter *s)
-{
-  s->pending.count = 0;
-  s->scanned = 0;
-  s->consumed = 0;
-}
-
 void
 event_splitter_clear (struct event_splitter *s)
 {
   buffer_clear (&s->pending);
-  event_splitter_reset (s);
+  s->scanned = 0;
+  s->consumed = 0;
 }
--- a/libberyl/forward/events.h
+++ b/libberyl/forward/events.h
@@ -52,9 +52,7 @@
 /** Return whether an incomplete event is buffered. */
 bool event_splitter_partial (const struct event_splitter *s);
 
-/** Discard the buffered bytes, for a stream that continues elsewhere;
- * event_splitter_clear also frees the buffer. */
-void event_splitter_reset (struct event_splitter *s);
+/** Discard the buffered bytes and free the buffer. */
 void event_splitter_clear (struct event_splitter *s);
 
 #endif
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -83,6 +83,7 @@
   while ((x = TAILQ_FIRST (&f->exchanges)) != NULL)
     {
       TAILQ_REMOVE (&f->exchanges, x, entry);
+      event_splitter_clear (&x->pieces);
       free (x);
     }
   while ((r = TAILQ_FIRST (&f->requests)) != NULL)
@@ -247,6 +248,7 @@
   x->started_ms = now_ms;
   x->version = beryl_live_version (endpoint);
   x->tokens = start->tokens;
+  x->pieces.extra_field = f->settings.event_field;
   TAILQ_INSERT_TAIL (&f->exchanges, x, entry);
   map_put (&f->exchanges_by_id, map_key_from_number (x->id), x);
   beryl_live_open (endpoint);
@@ -291,6 +293,7 @@
   beryl_live_close (x->kind == BERYL_EXCHANGE_HANDOFF ? f->peers
                                                       : f->endpoints,
                     x->endpoint);
+  event_splitter_clear (&x->pieces);
   free (x);
 }
 
--- a/libberyl/forward/handoff.c
+++ b/libberyl/forward/handoff.c
@@ -110,7 +110,6 @@
     forward_exchange_detach (f, r, r->primary);
   generation_release (f, r, now_ms);
   r->buffered.count = 0;
-  event_splitter_reset (&r->events);
 }
 
 bool
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -113,10 +113,11 @@
   int64_t started_ms;
   uint32_t version; /**< of its endpoint's software when it began */
   bool has_head;
-  uint64_t events;                /**< of a generation, so far */
-  uint64_t repeated_events;       /**< that came once more */
-  uint64_t comment_bytes;         /**< since the last event */
-  struct event_sequence sequence; /**< of its events */
+  uint64_t events;              /**< of a generation, so far */
+  uint64_t repeated_events;     /**< that came once more */
+  uint64_t comment_bytes;       /**< since the last event */
+  struct event_splitter pieces; /**< of a stream of numbered events */
+  struct event_sequence sequence;
   bool paused;
   bool contact_dial; /**< counted in the dials_open of struct contact */
   struct beryl_answer_head head;
@@ -213,9 +214,8 @@
   bool answer_begun;
   bool caller_slow;
   struct buffer buffered; /**< body bytes not forwarded yet */
-  struct event_splitter events;
-  uint64_t event_count; /**< events forwarded to the caller */
-  uint64_t run_events;  /**< those of the current run */
+  uint64_t event_count;   /**< events forwarded to the caller */
+  uint64_t run_events;    /**< those of the current run */
   uint64_t last_event_id;
   uint64_t last_event_hash; /**< of its bytes */
   bool skipped_ids;      /**< its events have ids that are not consecutive */
--- a/libberyl/forward/relocate.c
+++ b/libberyl/forward/relocate.c
@@ -137,7 +137,6 @@
   if (!old->has_head)
     forward_request_record_lost_run (f, r, now_ms);
   forward_exchange_abort (f, old);
-  event_splitter_reset (&r->events);
   r->continues_run = false;
   generation_run_ended (f, r);
   kv_clear (f, &r->kv);
--- a/libberyl/forward/request.c
+++ b/libberyl/forward/request.c
@@ -14,7 +14,6 @@
   quota_release (f, r);
   beryl_routes_unref (r->routes);
   buffer_clear (&r->buffered);
-  event_splitter_clear (&r->events);
   free (r);
 }
 
@@ -297,7 +296,6 @@
     r->deadline_ms = params->arrived_ms + route->timeout_ms;
   r->timer_ms = r->deadline_ms;
   r->last_event_id = params->last_event_id;
-  r->events.extra_field = f->settings.event_field;
   TAILQ_INSERT_TAIL (&f->requests, r, entry);
   map_put (&f->requests_by_handle, map_key_from_number (params->handle), r);
   f->open_count++;
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -140,7 +140,7 @@
   expect_event (&s, "id: 1\n\n", 1);
   ck_assert (!event_splitter_next (&s, &event));
   ck_assert (event_splitter_partial (&s));
-  event_splitter_reset (&s);
+  event_splitter_clear (&s);
   ck_assert (!event_splitter_partial (&s));
   add (&s, "id: 7\n\n");
   expect_event (&s, "id: 7\n\n", 7);
