--- a/common/loop.c
+++ b/common/loop.c
@@ -9,12 +9,21 @@
 
 #define DESCRIPTORS_MAX 16384
 #define SIGNAL_COUNT 3
+/* A turn of the loop, or a delay of its wake-up, from this length on is
+   logged: whatever judges silence may be wrong after it. */
+#define LONG_TURN_MS 100
+#define NS_PER_MS 1000000
 
 struct loop
 {
   uv_loop_t uv;
   struct beryl_clock *clock;
   uv_signal_t signals[SIGNAL_COUNT];
+  uv_prepare_t before_poll;
+  uv_check_t after_poll;
+  int64_t polled_ms;  /* when the last poll began */
+  int64_t waited_ms;  /* in all polls, when the last one began */
+  int64_t timeout_ms; /* of the last poll; -1: none */
   loop_stop_cb *stop_cb;
   void *stop_user;
   loop_stop_cb *reload_cb;
@@ -62,6 +71,51 @@
   setrlimit (RLIMIT_NOFILE, &limit);
 }
 
+static int64_t
+waited_ms (struct loop *loop)
+{
+  return (int64_t)(uv_metrics_idle_time (&loop->uv) / NS_PER_MS);
+}
+
+static void
+turn_ended (uv_prepare_t *prepare)
+{
+  struct loop *loop = prepare->data;
+  int64_t now_ms = loop_now_ms (loop);
+  int64_t waited = waited_ms (loop);
+  int64_t turn_ms = now_ms - loop->polled_ms - (waited - loop->waited_ms);
+
+  if (turn_ms >= LONG_TURN_MS)
+    g_info ("loop turn took_ms=%" G_GINT64_FORMAT, turn_ms);
+  loop->polled_ms = now_ms;
+  loop->waited_ms = waited;
+  loop->timeout_ms = uv_backend_timeout (&loop->uv);
+}
+
+static void
+poll_ended (uv_check_t *check)
+{
+  struct loop *loop = check->data;
+  int64_t late_ms = waited_ms (loop) - loop->waited_ms - loop->timeout_ms;
+
+  if (loop->timeout_ms >= 0 && late_ms >= LONG_TURN_MS)
+    g_info ("loop woken late_ms=%" G_GINT64_FORMAT, late_ms);
+}
+
+static void
+watch_turns (struct loop *loop)
+{
+  loop->polled_ms = loop_now_ms (loop);
+  uv_prepare_init (&loop->uv, &loop->before_poll);
+  uv_check_init (&loop->uv, &loop->after_poll);
+  loop->before_poll.data = loop;
+  loop->after_poll.data = loop;
+  uv_prepare_start (&loop->before_poll, turn_ended);
+  uv_check_start (&loop->after_poll, poll_ended);
+  uv_unref ((uv_handle_t *)&loop->before_poll);
+  uv_unref ((uv_handle_t *)&loop->after_poll);
+}
+
 struct loop *
 loop_create (void)
 {
@@ -70,7 +124,9 @@
 
   loop_limit_descriptors (DESCRIPTORS_MAX);
   uv_loop_init (&loop->uv);
+  uv_loop_configure (&loop->uv, UV_METRICS_IDLE_TIME);
   loop->clock = beryl_clock_create_real ();
+  watch_turns (loop);
   signal (SIGPIPE, SIG_IGN);
   for (size_t i = 0; i < G_N_ELEMENTS (signums); i++)
     {
@@ -89,6 +145,8 @@
     return;
   for (size_t i = 0; i < G_N_ELEMENTS (loop->signals); i++)
     uv_close ((uv_handle_t *)&loop->signals[i], NULL);
+  uv_close ((uv_handle_t *)&loop->before_poll, NULL);
+  uv_close ((uv_handle_t *)&loop->after_poll, NULL);
   for (int i = 0; i < 100 && uv_loop_close (&loop->uv) == UV_EBUSY; i++)
     uv_run (&loop->uv, UV_RUN_NOWAIT);
   beryl_clock_destroy (loop->clock);
--- a/gatewayd/frontend.c
+++ b/gatewayd/frontend.c
@@ -92,6 +92,9 @@
       beryl_forward_cancel (frontend->forward, state->request,
                             loop_now_ms (frontend->loop));
     }
+  else if (!whole)
+    g_info ("request id=%s connection closed before the answer was written",
+            state->id);
   g_free (state);
 }
 
--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -553,13 +553,16 @@
 {
   struct gateway *g = gateway_from_directory (owner);
   int64_t now_ms = loop_now_ms (g->loop);
+  const struct h1_server_counts *callers
+      = h1_server_counts (frontend_server (g->frontend));
   struct configuration_state configuration;
   struct metrics_gauges gauges = {
     .open_requests = beryl_forward_open_count (g->forward),
     .waiting_requests = beryl_forward_waiting_count (g->forward),
     .connections = h1_server_connections (frontend_server (g->frontend)),
-    .malformed_requests
-    = h1_server_counts (frontend_server (g->frontend))->malformed,
+    .malformed_requests = callers->malformed,
+    .closed_unread = callers->closed_unread,
+    .turned_away = callers->turned_away,
     .nodes = members_count (g->members),
     .endpoints = count_available_endpoints (g),
     .configuration = &configuration,
--- a/h1/server.c
+++ b/h1/server.c
@@ -595,6 +595,8 @@
   if (server->connections->len > server->limits.connections)
     {
       server->counts.turned_away++;
+      g_info ("connection closed why=connections open=%u",
+              server->connections->len);
       connection_close (connection);
       return;
     }
@@ -605,6 +607,39 @@
   connection_read (connection);
 }
 
+static bool
+has_unread (const struct connection *connection)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  return uv_fileno ((const uv_handle_t *)&connection->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* A caller whose request is waiting to be read cannot tell a close from a
+   crash. */
+static void
+connection_close_idle (struct connection *connection, const char *why,
+                       int64_t now)
+{
+  const struct h1_server *server = connection->server;
+  int64_t idle_ms = now - connection->heard_ms;
+
+  if (has_unread (connection))
+    {
+      connection->server->counts.closed_unread++;
+      g_info ("connection closed with unread bytes why=%s "
+              "idle_ms=%" G_GINT64_FORMAT " idle_timeout_ms=%" G_GINT64_FORMAT,
+              why, idle_ms, server->limits.idle_timeout_ms);
+    }
+  else
+    g_debug ("connection closed why=%s idle_ms=%" G_GINT64_FORMAT
+             " idle_timeout_ms=%" G_GINT64_FORMAT,
+             why, idle_ms, server->limits.idle_timeout_ms);
+  connection_close (connection);
+}
+
 /* Ends connections on which nothing happens.  An exchange that is being
  * answered has its own deadline with the handler. */
 static void
@@ -621,9 +656,10 @@
     }
   else if (ex == NULL)
     {
-      if (now - connection->heard_ms >= limits->idle_timeout_ms
-          || (drain_ms != 0 && now >= drain_ms))
-        connection_close (connection);
+      if (now - connection->heard_ms >= limits->idle_timeout_ms)
+        connection_close_idle (connection, "idle", now);
+      else if (drain_ms != 0 && now >= drain_ms)
+        connection_close_idle (connection, "draining", now);
     }
   else if (ex->state == EXCHANGE_RECEIVING)
     {
@@ -663,11 +699,37 @@
     limits->all_bodies_bytes = DEFAULT_ALL_BODIES_BYTES;
 }
 
+static uint32_t
+count_idle (const struct h1_server *server, int64_t idle_ms)
+{
+  int64_t now = now_ms (server);
+  uint32_t count = 0;
+
+  for (guint i = 0; i < server->connections->len; i++)
+    {
+      const struct connection *connection
+          = g_ptr_array_index (server->connections, i);
+
+      if (connection->exchange == NULL
+          && now - connection->heard_ms >= idle_ms)
+        count++;
+    }
+  return count;
+}
+
 void
 h1_server_set_limits (struct h1_server *server, const struct h1_limits *limits)
 {
+  int64_t before_ms = server->limits.idle_timeout_ms;
+
   server->limits = *limits;
   limits_complete (&server->limits);
+  if (server->limits.idle_timeout_ms != before_ms)
+    g_info ("limits idle_timeout_ms=%" G_GINT64_FORMAT
+            " before_ms=%" G_GINT64_FORMAT " connections=%u idle_longer=%u",
+            server->limits.idle_timeout_ms, before_ms,
+            server->connections->len,
+            count_idle (server, server->limits.idle_timeout_ms));
 }
 
 struct h1_server *
