--- a/tests/h1/raw.c
+++ b/tests/h1/raw.c
@@ -63,6 +63,27 @@
   return fd;
 }
 
+int
+raw_listen_full (uint16_t *port)
+{
+  struct sockaddr_in in = loopback (0);
+  socklen_t length = sizeof in;
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  ck_assert_int_eq (bind (listener, (struct sockaddr *)&in, sizeof in), 0);
+  ck_assert_int_eq (listen (listener, 0), 0);
+  ck_assert_int_eq (getsockname (listener, (struct sockaddr *)&in, &length),
+                    0);
+  for (int i = 0; i < 2; i++)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+      connect (fd, (struct sockaddr *)&in, sizeof in);
+    }
+  *port = ntohs (in.sin_port);
+  return listener;
+}
+
 static void
 turn_once (struct loop *loop)
 {
--- a/tests/h1/raw.h
+++ b/tests/h1/raw.h
@@ -34,6 +34,10 @@
 /** Listen on loopback; PORT is set.  Accept with raw_accept. */
 int raw_listen (uint16_t *port);
 
+/** Listen likewise, with a queue that is full: connections are not
+ * established. */
+int raw_listen_full (uint16_t *port);
+
 /** Turn the loop until a connection has come. */
 struct raw *raw_accept (struct loop *loop, int listener);
 
--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -479,6 +479,63 @@
 }
 END_TEST
 
+/* A connection that is established within the time allowed passes for one
+ * that is not if the loop stands still meanwhile. */
+START_TEST (test_connected_during_long_turn)
+{
+  struct raw *raw;
+
+  raw_turn (loop, 5);
+  call_start ();
+  g_usleep (400 * 1000);
+  raw = raw_accept (loop, listener);
+  raw_expect (raw, "\r\n\r\nbody");
+  raw_send (raw, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  wait_for_end ();
+  ck_assert (teller.done);
+  raw_close (raw, false);
+}
+END_TEST
+
+/* The time for a connection counts from the call, not from the begin of the
+ * turn of the loop in which it is made. */
+START_TEST (test_call_late_in_long_turn)
+{
+  uv_loop_t *uv = loop_uv (loop);
+  uint64_t begin_ms;
+
+  close (listener);
+  listener = raw_listen_full (&port);
+  uv_update_time (uv);
+  begin_ms = uv_now (uv);
+  g_usleep (400 * 1000);
+  call_start ();
+  wait_for_end ();
+  ck_assert (teller.failed);
+  ck_assert_int_eq (teller.failure, H1_FAILURE_CONNECT);
+  uv_update_time (uv);
+  ck_assert_uint_ge (uv_now (uv) - begin_ms, 400 + 200);
+}
+END_TEST
+
+/* An answer that came in time is lost if its limits are judged by the clock
+ * before it is read. */
+START_TEST (test_answer_during_long_turn)
+{
+  struct raw *raw;
+
+  call_start_with ((struct h1_answer_limits){ .all_ms = 300 }, 0);
+  raw = raw_accept (loop, listener);
+  raw_expect (raw, "\r\n\r\nbody");
+  raw_send (raw, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  g_usleep (500 * 1000);
+  wait_for_end ();
+  ck_assert (teller.done);
+  ck_assert_str_eq (teller.body->str, "ok");
+  raw_close (raw, false);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -505,6 +562,9 @@
   tcase_add_loop_test (tcase, test_held_dial, 0, 2);
   tcase_add_test (tcase, test_sent_after_hold);
   tcase_add_test (tcase, test_bytes_while_held);
+  tcase_add_test (tcase, test_connected_during_long_turn);
+  tcase_add_test (tcase, test_call_late_in_long_turn);
+  tcase_add_test (tcase, test_answer_during_long_turn);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/h1/test_server.c
+++ b/tests/h1/test_server.c
@@ -428,6 +428,90 @@
 }
 END_TEST
 
+static const char get[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/* Answers the request that waits on RAW. */
+static void
+serve_waiting (struct raw *raw)
+{
+  wait_for_request (keeper.requests + 1);
+  h1_exchange_reply (keeper.open, 200, NULL, 0, "ok", 2);
+  raw_expect (raw, "\r\n\r\nok");
+  g_string_truncate (raw->got, 0);
+}
+
+/* Sends a request on RAW, and answers it. */
+static void
+serve (struct raw *raw)
+{
+  raw_send (raw, get);
+  serve_waiting (raw);
+}
+
+/* A request that came in time is lost if its connection is closed as idle
+ * after a long turn of the loop, before it is read. */
+START_TEST (test_request_during_long_turn)
+{
+  struct raw *raw = connect_raw ();
+
+  limit ((struct h1_limits){ .idle_timeout_ms = 400 });
+  serve (raw);
+  raw_turn (loop, 200);
+  raw_send (raw, get);
+  g_usleep (500 * 1000);
+  serve_waiting (raw);
+  raw_close (raw, false);
+}
+END_TEST
+
+/* The rest of a request that came in time is refused if it is judged by the
+ * clock before it is read. */
+START_TEST (test_rest_of_head_during_long_turn)
+{
+  struct raw *raw = connect_raw ();
+
+  limit ((struct h1_limits){ .header_timeout_ms = 400 });
+  raw_send (raw, "GET / HTTP/1.1\r\nHo");
+  raw_turn (loop, 100);
+  raw_send (raw, "st: h\r\n\r\n");
+  g_usleep (500 * 1000);
+  serve_waiting (raw);
+  raw_close (raw, false);
+}
+END_TEST
+
+/* A connection that a stopping node closes as idle loses the request that is
+ * waiting on it. */
+START_TEST (test_request_while_draining)
+{
+  struct raw *raw = connect_raw ();
+
+  serve (raw);
+  h1_server_drain (server, 300);
+  raw_send (raw, get);
+  g_usleep (500 * 1000);
+  serve_waiting (raw);
+  raw_close (raw, false);
+}
+END_TEST
+
+/* A caller that rests within the limit under which its rest began loses its
+ * next request if a lower one closes the connection. */
+START_TEST (test_lowered_idle_timeout)
+{
+  struct raw *raw = connect_raw ();
+
+  limit ((struct h1_limits){ .idle_timeout_ms = 2000 });
+  serve (raw);
+  limit ((struct h1_limits){ .idle_timeout_ms = 300 });
+  raw_turn (loop, 1000);
+  serve (raw);
+  raw_turn (loop, 1000);
+  raw_expect_end (raw, RAW_FIN);
+  raw_close (raw, false);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -450,6 +534,10 @@
   tcase_add_test (tcase, test_slow_reader);
   tcase_add_test (tcase, test_expect_continue);
   tcase_add_test (tcase, test_hop_by_hop);
+  tcase_add_test (tcase, test_request_during_long_turn);
+  tcase_add_test (tcase, test_rest_of_head_during_long_turn);
+  tcase_add_test (tcase, test_request_while_draining);
+  tcase_add_test (tcase, test_lowered_idle_timeout);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
