loop: timers run after what has arrived was read

What callers saw: beside a change of the configuration, requests that got neither an answer nor a refusal, and streams cut in the middle.

Cause: libuv runs timers before it polls. After a long turn of the loop, such as a large configuration, every timer that judges silence did so before the bytes that had ended it were read: connections with a request waiting in the kernel were closed as idle, and connections to endpoints that were long established were given up as not made (limit 150 ms). Besides, the limits of a call counted from the begin of the turn in which it was made, not from the call.

Change: loop_timer marks itself as due, the loop polls without waiting, and the callback runs behind the poll; if reading took over 20 ms it polls again, three times in all.

--- a/common/loop.c
+++ b/common/loop.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/queue.h>
 #include <sys/resource.h>
 
 #include "beryl/clock.h"
@@ -13,6 +14,13 @@
    logged: whatever judges silence may be wrong after it. */
 #define LONG_TURN_MS 100
 #define NS_PER_MS 1000000
+/* After a poll in which reading took longer than this, as much may have
+   arrived meanwhile: due timers wait for another poll, so many times at most.
+ */
+#define READING_MS 20
+#define POLLS_MAX 3
+
+TAILQ_HEAD (timer_list, loop_timer);
 
 struct loop
 {
@@ -21,6 +29,10 @@
   uv_signal_t signals[SIGNAL_COUNT];
   uv_prepare_t before_poll;
   uv_check_t after_poll;
+  uv_idle_t
+      no_wait; /* active while timers are due: the poll returns at once */
+  struct timer_list due;
+  unsigned int polls; /* since the first of them has become due */
   int64_t polled_ms;  /* when the last poll began */
   int64_t waited_ms;  /* in all polls, when the last one began */
   int64_t timeout_ms; /* of the last poll; -1: none */
@@ -34,8 +46,11 @@
 struct loop_timer
 {
   uv_timer_t handle;
+  TAILQ_ENTRY (loop_timer) entry; /* in the loop's list while it is due */
+  struct loop *loop;
   loop_timer_cb *cb;
   void *user;
+  bool due;
 };
 
 static void
@@ -92,6 +107,35 @@
   loop->timeout_ms = uv_backend_timeout (&loop->uv);
 }
 
+static void
+timer_clear_due (struct loop_timer *timer)
+{
+  if (timer->due)
+    TAILQ_REMOVE (&timer->loop->due, timer, entry);
+  timer->due = false;
+}
+
+/* libuv runs timers before it polls.  A timer that judges silence would then
+ * judge by the clock what has arrived during a long turn and was not read
+ * yet. */
+static void
+run_due_timers (struct loop *loop)
+{
+  struct loop_timer *timer;
+
+  if (TAILQ_EMPTY (&loop->due)
+      || (loop_now_ms (loop) - loop->polled_ms > READING_MS
+          && ++loop->polls < POLLS_MAX))
+    return;
+  loop->polls = 0;
+  uv_idle_stop (&loop->no_wait);
+  while ((timer = TAILQ_FIRST (&loop->due)) != NULL)
+    {
+      timer_clear_due (timer);
+      timer->cb (timer->user);
+    }
+}
+
 static void
 poll_ended (uv_check_t *check)
 {
@@ -100,14 +144,22 @@
 
   if (loop->timeout_ms >= 0 && late_ms >= LONG_TURN_MS)
     g_info ("loop woken late_ms=%" G_GINT64_FORMAT, late_ms);
+  run_due_timers (loop);
+}
+
+static void
+due_timers_wait (uv_idle_t *idle)
+{
 }
 
 static void
 watch_turns (struct loop *loop)
 {
+  TAILQ_INIT (&loop->due);
   loop->polled_ms = loop_now_ms (loop);
   uv_prepare_init (&loop->uv, &loop->before_poll);
   uv_check_init (&loop->uv, &loop->after_poll);
+  uv_idle_init (&loop->uv, &loop->no_wait);
   loop->before_poll.data = loop;
   loop->after_poll.data = loop;
   uv_prepare_start (&loop->before_poll, turn_ended);
@@ -147,6 +199,7 @@
     uv_close ((uv_handle_t *)&loop->signals[i], NULL);
   uv_close ((uv_handle_t *)&loop->before_poll, NULL);
   uv_close ((uv_handle_t *)&loop->after_poll, NULL);
+  uv_close ((uv_handle_t *)&loop->no_wait, NULL);
   for (int i = 0; i < 100 && uv_loop_close (&loop->uv) == UV_EBUSY; i++)
     uv_run (&loop->uv, UV_RUN_NOWAIT);
   beryl_clock_destroy (loop->clock);
@@ -201,24 +254,53 @@
 timer_fired (uv_timer_t *handle)
 {
   struct loop_timer *timer = handle->data;
+  struct loop *loop = timer->loop;
 
-  timer->cb (timer->user);
+  if (timer->due)
+    return;
+  timer->due = true;
+  TAILQ_INSERT_TAIL (&loop->due, timer, entry);
+  uv_idle_start (&loop->no_wait, due_timers_wait);
 }
 
 struct loop_timer *
-loop_timer_start (struct loop *loop, int64_t delay_ms, int64_t repeat_ms,
-                  loop_timer_cb *cb, void *user)
+loop_timer_create (struct loop *loop, loop_timer_cb *cb, void *user)
 {
   struct loop_timer *timer = g_new0 (struct loop_timer, 1);
 
+  timer->loop = loop;
   timer->cb = cb;
   timer->user = user;
   uv_timer_init (&loop->uv, &timer->handle);
   timer->handle.data = timer;
-  uv_update_time (&loop->uv);
+  return timer;
+}
+
+void
+loop_timer_set (struct loop_timer *timer, int64_t delay_ms, int64_t repeat_ms)
+{
+  timer_clear_due (timer);
+  /* The delay counts from now, not from the begin of the turn. */
+  uv_update_time (&timer->loop->uv);
   uv_timer_start (&timer->handle, timer_fired,
                   (uint64_t)(delay_ms > 0 ? delay_ms : 0),
                   (uint64_t)repeat_ms);
+}
+
+void
+loop_timer_unset (struct loop_timer *timer)
+{
+  timer_clear_due (timer);
+  uv_timer_stop (&timer->handle);
+}
+
+struct loop_timer *
+loop_timer_start (struct loop *loop, int64_t delay_ms, int64_t repeat_ms,
+                  loop_timer_cb *cb, void *user)
+{
+  struct loop_timer *timer = loop_timer_create (loop, cb, user);
+
+  loop_timer_set (timer, delay_ms, repeat_ms);
   return timer;
 }
 
@@ -233,5 +315,6 @@
 {
   if (timer == NULL)
     return;
+  timer_clear_due (timer);
   uv_close ((uv_handle_t *)&timer->handle, timer_closed);
 }
--- a/h1/client.c
+++ b/h1/client.c
@@ -16,7 +16,8 @@
 struct h1_call
 {
   uv_tcp_t tcp;
-  uv_timer_t timer; /* of the connect, of the hold, then of the limits */
+  struct loop_timer *timer; /* of the connection, the hold, then the limits */
+  void (*timer_cb) (struct h1_call *call); /* what it is set for */
   uv_connect_t connect;
   uv_write_t write;
   struct h1_call_handler *handler;
@@ -29,7 +30,7 @@
   int64_t sent_ms;
   int64_t head_ms; /* first byte of the head that is being read; 0: none */
   int64_t body_ms; /* first byte after the head; 0: none yet */
-  uint32_t refs;   /* handles that are open, and holders of the head */
+  uint32_t refs;   /* the open socket, and holders of the head */
   int64_t hold_ms;
   bool no_answer_body;
   bool connect_only;
@@ -67,7 +68,7 @@
   call_unref (handle->data);
 }
 
-/* The memory lives until libuv has reported both handles closed. */
+/* The memory lives until libuv has reported the socket closed. */
 static void
 call_close (struct h1_call *call)
 {
@@ -75,7 +76,7 @@
     return;
   call->closing = true;
   uv_close ((uv_handle_t *)&call->tcp, handle_closed);
-  uv_close ((uv_handle_t *)&call->timer, handle_closed);
+  loop_timer_stop (call->timer);
 }
 
 static void
@@ -87,6 +88,22 @@
   call->handler->impl->failed (call->handler, call, failure, call->sent);
 }
 
+static void
+timer_due (void *user)
+{
+  struct h1_call *call = user;
+
+  call->timer_cb (call);
+}
+
+static void
+call_timer_set (struct h1_call *call, int64_t delay_ms,
+                void (*cb) (struct h1_call *call))
+{
+  call->timer_cb = cb;
+  loop_timer_set (call->timer, delay_ms, 0);
+}
+
 static int64_t
 call_now_ms (const struct h1_call *call)
 {
@@ -221,10 +238,8 @@
 }
 
 static void
-answer_late (uv_timer_t *timer)
+answer_late (struct h1_call *call)
 {
-  struct h1_call *call = timer->data;
-
   call_fail (call,
              call->read_bytes > 0 ? H1_FAILURE_ENDLESS : H1_FAILURE_SILENT);
 }
@@ -239,10 +254,9 @@
   end_ms = earlier (end_ms, call->head_ms, limits->head_ms);
   end_ms = earlier (end_ms, call->body_ms, limits->body_ms);
   if (end_ms == INT64_MAX)
-    uv_timer_stop (&call->timer);
+    loop_timer_unset (call->timer);
   else
-    uv_timer_start (&call->timer, answer_late,
-                    (uint64_t)MAX (end_ms - call_now_ms (call), 0), 0);
+    call_timer_set (call, end_ms - call_now_ms (call), answer_late);
 }
 
 static void
@@ -371,12 +385,10 @@
   call->handler->impl->done (call->handler, call);
 }
 
-/* Timers run before reads: a reset may not have been read yet. */
+/* A reset may have come since the last read. */
 static void
-hold_over (uv_timer_t *timer)
+hold_over (struct h1_call *call)
 {
-  struct h1_call *call = timer->data;
-
   if (was_reset (call))
     call_fail (call, H1_FAILURE_RESET);
   else
@@ -388,7 +400,7 @@
 call_hold (struct h1_call *call)
 {
   uv_read_start ((uv_stream_t *)&call->tcp, read_alloc, read_done);
-  uv_timer_start (&call->timer, hold_over, (uint64_t)call->hold_ms, 0);
+  call_timer_set (call, call->hold_ms, hold_over);
 }
 
 static void
@@ -398,7 +410,7 @@
 
   if (call->closing)
     return;
-  uv_timer_stop (&call->timer);
+  loop_timer_unset (call->timer);
   if (status != 0)
     {
       call_fail (call, status == UV_ECONNREFUSED ? H1_FAILURE_REFUSED
@@ -413,15 +425,15 @@
 }
 
 static void
-connect_late (uv_timer_t *timer)
+connect_late (struct h1_call *call)
 {
-  call_fail (timer->data, H1_FAILURE_CONNECT);
+  call_fail (call, H1_FAILURE_CONNECT);
 }
 
 static void
-connect_failed_early (uv_timer_t *timer)
+connect_failed_early (struct h1_call *call)
 {
-  call_fail (timer->data, H1_FAILURE_REFUSED);
+  call_fail (call, H1_FAILURE_REFUSED);
 }
 
 struct h1_call *
@@ -438,7 +450,7 @@
   call->connect_only = request->connect_only;
   call->limits = request->limits;
   call->hold_ms = request->hold_ms;
-  call->refs = 2;
+  call->refs = 1;
   call->out = g_string_sized_new (request->head_bytes + request->body_bytes);
   g_string_append_len (call->out, request->head, (gssize)request->head_bytes);
   if (request->body_bytes > 0)
@@ -448,9 +460,8 @@
   http_parser_init (&call->parser, HTTP_RESPONSE);
   call->parser.data = call;
   uv_tcp_init (loop_uv (loop), &call->tcp);
-  uv_timer_init (loop_uv (loop), &call->timer);
+  call->timer = loop_timer_create (loop, timer_due, call);
   call->tcp.data = call;
-  call->timer.data = call;
   call->connect.data = call;
   failed = uv_ip4_addr (request->address, request->port, &address);
   if (failed == 0)
@@ -460,9 +471,8 @@
     timeout_ms = 0;
   else if (timeout_ms == 0)
     timeout_ms = CONNECT_TIMEOUT_MS;
-  uv_timer_start (&call->timer,
-                  failed != 0 ? connect_failed_early : connect_late,
-                  (uint64_t)timeout_ms, 0);
+  call_timer_set (call, timeout_ms,
+                  failed != 0 ? connect_failed_early : connect_late);
   return call;
 }
 
--- a/h1/server.c
+++ b/h1/server.c
@@ -36,16 +36,20 @@
 }
 
 static void
-handle_closed (uv_handle_t *handle)
+server_unref (struct h1_server *server)
 {
-  struct h1_server *server = handle->data;
-
-  if (--server->handles_open > 0)
+  if (--server->refs > 0)
     return;
   g_ptr_array_free (server->connections, TRUE);
   g_free (server);
 }
 
+static void
+listener_closed (uv_handle_t *handle)
+{
+  server_unref (handle->data);
+}
+
 static void
 connection_closed (uv_handle_t *handle)
 {
@@ -57,11 +61,7 @@
   if (connection->later != NULL)
     g_string_free (connection->later, TRUE);
   g_free (connection);
-  if (--server->handles_open == 0)
-    {
-      g_ptr_array_free (server->connections, TRUE);
-      g_free (server);
-    }
+  server_unref (server);
 }
 
 /* Tells the handler that the exchange is over, once. */
@@ -581,7 +581,7 @@
   connection->heard_ms = now_ms (server);
   uv_tcp_init (loop_uv (server->loop), &connection->tcp);
   connection->tcp.data = connection;
-  server->handles_open++;
+  server->refs++;
   connection->position = server->connections->len;
   g_ptr_array_add (server->connections, connection);
   http_parser_init (&connection->parser, HTTP_REQUEST);
@@ -623,20 +623,20 @@
 connection_close_idle (struct connection *connection, const char *why,
                        int64_t now)
 {
-  const struct h1_server *server = connection->server;
   int64_t idle_ms = now - connection->heard_ms;
+  int64_t limit_ms = connection->server->limits.idle_timeout_ms;
 
   if (has_unread (connection))
     {
       connection->server->counts.closed_unread++;
       g_info ("connection closed with unread bytes why=%s "
               "idle_ms=%" G_GINT64_FORMAT " idle_timeout_ms=%" G_GINT64_FORMAT,
-              why, idle_ms, server->limits.idle_timeout_ms);
+              why, idle_ms, limit_ms);
     }
   else
     g_debug ("connection closed why=%s idle_ms=%" G_GINT64_FORMAT
              " idle_timeout_ms=%" G_GINT64_FORMAT,
-             why, idle_ms, server->limits.idle_timeout_ms);
+             why, idle_ms, limit_ms);
   connection_close (connection);
 }
 
@@ -672,9 +672,9 @@
 }
 
 static void
-sweep (uv_timer_t *timer)
+sweep (void *user)
 {
-  struct h1_server *server = timer->data;
+  struct h1_server *server = user;
   int64_t now = now_ms (server);
 
   for (guint i = server->connections->len; i > 0; i--)
@@ -743,12 +743,10 @@
   server->loop = loop;
   server->handler = handler;
   server->connections = g_ptr_array_new ();
-  server->handles_open = 2;
+  server->refs = 2;
   limits_complete (&server->limits);
   uv_tcp_init (loop_uv (loop), &server->listener);
-  uv_timer_init (loop_uv (loop), &server->sweep);
   server->listener.data = server;
-  server->sweep.data = server;
   if (failed == 0)
     failed = uv_tcp_bind (&server->listener, (const struct sockaddr *)&in, 0);
   if (failed == 0)
@@ -762,7 +760,7 @@
       h1_server_destroy (server);
       return NULL;
     }
-  uv_timer_start (&server->sweep, sweep, SWEEP_MS, SWEEP_MS);
+  server->sweep = loop_timer_start (loop, SWEEP_MS, SWEEP_MS, sweep, server);
   return server;
 }
 
@@ -775,14 +773,15 @@
   while (server->connections->len > 0)
     connection_close (g_ptr_array_index (server->connections, 0));
   h1_server_close_listener (server);
-  uv_close ((uv_handle_t *)&server->sweep, handle_closed);
+  loop_timer_stop (server->sweep);
+  server_unref (server);
 }
 
 void
 h1_server_close_listener (struct h1_server *server)
 {
   if (!uv_is_closing ((uv_handle_t *)&server->listener))
-    uv_close ((uv_handle_t *)&server->listener, handle_closed);
+    uv_close ((uv_handle_t *)&server->listener, listener_closed);
 }
 
 void
--- a/h1/server_private.h
+++ b/h1/server_private.h
@@ -53,7 +53,7 @@
 {
   struct loop *loop;
   uv_tcp_t listener;
-  uv_timer_t sweep;
+  struct loop_timer *sweep;
   struct h1_server_handler *handler;
   struct h1_limits limits;
   struct h1_server_counts counts;
@@ -62,7 +62,7 @@
   uint64_t bodies_bytes; /* of all open requests */
   int64_t drain_at_ms;   /* idle connections close from then on; 0: never */
   bool destroyed;
-  uint32_t handles_open;
+  uint32_t refs; /* the owner, and sockets until they are closed */
 };
 
 /** Close CONNECTION; its exchange's closed callback runs. */
--- a/include/common/loop.h
+++ b/include/common/loop.h
@@ -45,12 +45,26 @@
 /** Make loop_run return. */
 void loop_quit (struct loop *loop);
 
+/** A timer.  Its callback runs after what has arrived on the sockets until the
+ * timer became due has been read, so that it can judge silence. */
 struct loop_timer;
 
 /** A timer's callback. */
 typedef void loop_timer_cb (void *user);
 
-/** Start a timer after DELAY_MS, repeating each REPEAT_MS unless 0. */
+/** Create a timer that is not set. */
+struct loop_timer *loop_timer_create (struct loop *loop, loop_timer_cb *cb,
+                                      void *user);
+
+/** Set TIMER, anew if it is set, to run after DELAY_MS, repeating each
+ * REPEAT_MS unless 0. */
+void loop_timer_set (struct loop_timer *timer, int64_t delay_ms,
+                     int64_t repeat_ms);
+
+/** Do not run TIMER until it is set again. */
+void loop_timer_unset (struct loop_timer *timer);
+
+/** Create and set a timer. */
 struct loop_timer *loop_timer_start (struct loop *loop, int64_t delay_ms,
                                      int64_t repeat_ms, loop_timer_cb *cb,
                                      void *user);
