h1: a lowered idle limit applies to a connection from its next rest on

What callers saw: a request on a connection that they had kept within the limit they knew was lost, as the node had closed it by a newer, lower limit.

--- a/h1/server.c
+++ b/h1/server.c
@@ -552,6 +552,21 @@
   g_string_free (early, TRUE);
 }
 
+/* The limit of a connection's rest is the one under which it begins: its
+ * caller cannot know of a lower one. */
+static void
+connection_begin_rest (struct connection *connection)
+{
+  connection->idle_timeout_ms = connection->server->limits.idle_timeout_ms;
+}
+
+static int64_t
+idle_timeout_ms (const struct connection *connection)
+{
+  return MAX (connection->idle_timeout_ms,
+              connection->server->limits.idle_timeout_ms);
+}
+
 void
 exchange_written (struct connection *connection)
 {
@@ -560,6 +575,7 @@
   exchange_end (connection, true);
   if (connection->closing)
     return;
+  connection_begin_rest (connection);
   if (keep_alive)
     connection_next (connection);
   else
@@ -579,6 +595,7 @@
   connection = g_new0 (struct connection, 1);
   connection->server = server;
   connection->heard_ms = now_ms (server);
+  connection_begin_rest (connection);
   uv_tcp_init (loop_uv (server->loop), &connection->tcp);
   connection->tcp.data = connection;
   server->refs++;
@@ -624,7 +641,7 @@
                        int64_t now)
 {
   int64_t idle_ms = now - connection->heard_ms;
-  int64_t limit_ms = connection->server->limits.idle_timeout_ms;
+  int64_t limit_ms = idle_timeout_ms (connection);
 
   if (has_unread (connection))
     {
@@ -656,7 +673,7 @@
     }
   else if (ex == NULL)
     {
-      if (now - connection->heard_ms >= limits->idle_timeout_ms)
+      if (now - connection->heard_ms >= idle_timeout_ms (connection))
         connection_close_idle (connection, "idle", now);
       else if (drain_ms != 0 && now >= drain_ms)
         connection_close_idle (connection, "draining", now);
@@ -666,7 +683,8 @@
       bool slow_head = ex->builder.head.fields == NULL
                        && now - ex->begun_ms >= limits->header_timeout_ms;
 
-      if (slow_head || now - connection->heard_ms >= limits->idle_timeout_ms)
+      if (slow_head
+          || now - connection->heard_ms >= idle_timeout_ms (connection))
         connection_refuse (connection, 408);
     }
 }
--- a/h1/server_private.h
+++ b/h1/server_private.h
@@ -43,6 +43,7 @@
   GString *early;   /* read before the answer to the request before ended */
   GString *later;   /* to be written after the write that is under way */
   int64_t heard_ms; /* last byte in or out */
+  int64_t idle_timeout_ms;  /* in force when it began to rest */
   int64_t discard_until_ms; /* refused: read on until then; 0: not so */
   bool reading;
   bool closing;
