forward: a moved run that was not sent goes back to its source engine

Cause: only a rejection by the target led back to the source, which keeps the memory of the run that it has stopped; a failed connection, by which not one byte was sent, counted as the loss of the run and of its memory.

test_moved_run_is_not_sent failed before (cut:endpoint_failed).

--- a/libberyl/forward/generation.c
+++ b/libberyl/forward/generation.c
@@ -307,7 +307,11 @@
         placement_ask_failed (f, r, now_ms);
       return;
     case BERYL_EXCHANGE_RUN:
-      run_failed (f, r, now_ms);
+      /* The engines that have a moved run's memory still have it. */
+      if (!sent && r->continues_run)
+        reservation_unusable (f, r, now_ms);
+      else
+        run_failed (f, r, now_ms);
       return;
     default:
       r->prefilled = r->prefilled || sent;
--- a/tests/forward/test_streams.c
+++ b/tests/forward/test_streams.c
@@ -263,6 +263,33 @@
 }
 END_TEST
 
+/* A stream whose moved run could not be connected to its target engine was
+   cut, although its source engine still had its memory. */
+START_TEST (test_moved_run_is_not_sent)
+{
+  struct fx_exchange *run, *move;
+
+  terms.route.resumable = false;
+  terms.route.repeat = BERYL_REPEAT_ONCE;
+  terms.route.endpoints_max = 1;
+  reopen ();
+  engines (2, 3);
+  fx_arrive (&fx, 1);
+  run = fx_to_stream (&fx, 1, 2);
+  report_runs (run->endpoint, 4);
+  move = move_asked (1);
+  fx_ok (&fx, move, "moved");
+  fx_broken (&fx, run, BERYL_FAILURE_CLOSED, true);
+  fx_broken (&fx, open_of (1, BERYL_EXCHANGE_RUN), BERYL_FAILURE_CONNECT,
+             false);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->endpoint, run->endpoint);
+  ck_assert_str_eq (open_of (1, BERYL_EXCHANGE_RUN)->kv_handle, "moved");
+  fx_broken (&fx, open_of (1, BERYL_EXCHANGE_RUN), BERYL_FAILURE_CONNECT,
+             false);
+  ck_assert (answer (1)->cut);
+}
+END_TEST
+
 /* The engine will stop soon. Its runs are moved while that is possible; one
    that may run only once would be lost with it. */
 START_TEST (test_leaving_engine)
@@ -598,6 +625,7 @@
   tcase_add_test (tcase, test_move_answered_last);
   tcase_add_test (tcase, test_move_without_room);
   tcase_add_test (tcase, test_moved_run_is_rejected);
+  tcase_add_test (tcase, test_moved_run_is_not_sent);
   tcase_add_test (tcase, test_leaving_engine);
   tcase_add_test (tcase, test_stopped_run_returns_to_leaving_engine);
   tcase_add_test (tcase, test_stopped_run_does_not_return_late);
