h1: connections rest for twice the idle limit while descriptors are free

Evidence: with each request logged that came after a rest of over 11 s, 46 of 198 came after more than the 15 s of the limit, up to 19.9 s; one that was traced was sent 14.5 s after its answer before, so that the time was not spent on the way.

The limit guards descriptors, so that it is kept as it is while over half of the connections allowed are open, and doubled otherwise.

--- a/h1/server.c
+++ b/h1/server.c
@@ -18,6 +18,8 @@
 /* What a caller may send ahead while its request before is answered. */
 #define EARLY_BYTES 16384
 #define SWEEP_MS 250
+/* Of the idle limit, for a connection between two requests. */
+#define REST_FACTOR 2
 /* How long a caller that is being refused may go on sending. */
 #define DISCARD_MS 1000
 /* Bytes of the start line and of a field beside their text. */
@@ -567,6 +569,18 @@
               connection->server->limits.idle_timeout_ms);
 }
 
+/* A request that crosses the close of its connection is lost, and the limit
+ * only guards the descriptors: while there are enough, a connection may rest
+ * longer. */
+static int64_t
+rest_timeout_ms (const struct connection *connection)
+{
+  const struct h1_server *server = connection->server;
+  bool is_crowded = server->connections->len > server->limits.connections / 2;
+
+  return idle_timeout_ms (connection) * (is_crowded ? 1 : REST_FACTOR);
+}
+
 void
 exchange_written (struct connection *connection)
 {
@@ -641,7 +655,7 @@
                        int64_t now)
 {
   int64_t idle_ms = now - connection->heard_ms;
-  int64_t limit_ms = idle_timeout_ms (connection);
+  int64_t limit_ms = rest_timeout_ms (connection);
 
   if (has_unread (connection))
     {
@@ -673,7 +687,7 @@
     }
   else if (ex == NULL)
     {
-      if (now - connection->heard_ms >= idle_timeout_ms (connection))
+      if (now - connection->heard_ms >= rest_timeout_ms (connection))
         connection_close_idle (connection, "idle", now);
       else if (drain_ms != 0 && now >= drain_ms)
         connection_close_idle (connection, "draining", now);
--- a/include/h1/server.h
+++ b/include/h1/server.h
@@ -49,7 +49,9 @@
   uint32_t header_bytes;     /**< [16384]; more: 431 */
   uint32_t body_bytes;       /**< [4 MiB]; more: 413 */
   int64_t header_timeout_ms; /**< from the first byte of a head [10000] */
-  int64_t idle_timeout_ms;   /**< without a byte [60000] */
+  /** Without a byte [60000]; twice as long between two requests while less
+   * than half of the connections are open. */
+  int64_t idle_timeout_ms;
   uint32_t connections;      /**< open at a time [3000] */
   uint64_t all_bodies_bytes; /**< of all open requests [64 MiB]; more: 503 */
 };
--- a/tests/h1/test_server.c
+++ b/tests/h1/test_server.c
@@ -512,6 +512,38 @@
 }
 END_TEST
 
+/* A request that comes a little after the limit is lost although nothing else
+ * needs its connection. */
+START_TEST (test_rest_beyond_limit)
+{
+  struct raw *raw = connect_raw ();
+
+  limit ((struct h1_limits){ .idle_timeout_ms = 500 });
+  serve (raw);
+  raw_turn (loop, 750);
+  serve (raw);
+  raw_turn (loop, 1250);
+  raw_expect_end (raw, RAW_FIN);
+  raw_close (raw, false);
+}
+END_TEST
+
+/* Connections that rest keep others out when most of them are in use. */
+START_TEST (test_rest_while_crowded)
+{
+  struct raw *first = connect_raw ();
+  struct raw *second = connect_raw ();
+
+  limit ((struct h1_limits){ .idle_timeout_ms = 500, .connections = 3 });
+  serve (first);
+  serve (second);
+  raw_turn (loop, 750);
+  raw_expect_end (first, RAW_FIN);
+  raw_close (first, false);
+  raw_close (second, false);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -538,6 +570,8 @@
   tcase_add_test (tcase, test_rest_of_head_during_long_turn);
   tcase_add_test (tcase, test_request_while_draining);
   tcase_add_test (tcase, test_lowered_idle_timeout);
+  tcase_add_test (tcase, test_rest_beyond_limit);
+  tcase_add_test (tcase, test_rest_while_crowded);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
