forward: a sound engine may be silent for a second or so

A run was given up after 1,000 ms without an event, which took a sound engine for a dead one and a repeat from the budget; where the engine goes on a moment later, two engines may work on the request.

--- a/libberyl/forward/stream.c
+++ b/libberyl/forward/stream.c
@@ -10,11 +10,13 @@
 /* A stream has also stalled if its first event takes longer than this, which
    includes a KV cache transfer and a queue. */
 #define FIRST_EVENT_STALL_MS 400
-/* A stream without events for this long is continued at another engine, since
-   its own is assumed dead: a live engine that has preempted the run needs a
-   few hundred milliseconds to prefill it again, and would have resumed by
-   then. The limit is longer before the first event, as links may be slow. */
-#define DEAD_AFTER_MS 1000
+/* A stream without events for half of the time after which its caller abandons
+   it is continued at another engine, since its own is assumed dead. A sound
+   engine may be silent for a second or so, and one that has preempted the run
+   needs a few hundred milliseconds to prefill it again. The limit is longer
+   before the first event, as links may be slow. */
+#define DEAD_AFTER_MIN_MS 1500
+#define DEAD_AFTER_MAX_MS 2000
 #define FIRST_DEAD_AFTER_MS 2500
 /* An engine that is this full may have preempted a run for lack of memory. */
 #define MAY_PREEMPT_PART 0.85
@@ -39,9 +41,15 @@
 static int64_t
 dead_after_ms (const struct request *r)
 {
-  int64_t least_ms = r->run_events == 0 ? FIRST_DEAD_AFTER_MS : DEAD_AFTER_MS;
+  int64_t patience_ms = r->route->caller_idle_timeout_ms / 2;
+  int64_t least_ms = FIRST_DEAD_AFTER_MS;
   int64_t stall_ms = 2 * stall_after_ms (r);
 
+  if (r->run_events > 0)
+    least_ms = patience_ms < DEAD_AFTER_MIN_MS   ? DEAD_AFTER_MIN_MS
+               : patience_ms > DEAD_AFTER_MAX_MS ? DEAD_AFTER_MAX_MS
+                                                 : patience_ms;
+
   return stall_ms > least_ms ? stall_ms : least_ms;
 }
 
