gatewayd: an endpoint may be silent within a head for longer than a second or so

An answer whose head had begun was given up as endless after 2 s, the deadline of its caller notwithstanding; a sound server may be silent for a second or so. A head that callers get may take 4 s; its bytes stay bounded, and the caller's deadline ends it sooner. test_silent_within_head failed before (502).

--- a/gatewayd/answer_limits.c
+++ b/gatewayd/answer_limits.c
@@ -11,6 +11,9 @@
 /* A head, or a small body, fits into a few packets, which are sent together;
  * the rest is for lost packets. */
 #define PIECE_MS 2000
+/* The head of an answer that a caller gets: its endpoint may be silent for a
+ * second or so within it. */
+#define HEAD_MS 4000
 /* Calls that an engine answers without work. */
 #define OWN_MS 5000
 /* The memory of a run is copied before a move is answered. */
@@ -31,7 +34,7 @@
  * waits, and as many bytes as it reads. */
 #define FORWARDED                                                             \
   {                                                                           \
-    .head_bytes = HEAD_BYTES, .head_ms = PIECE_MS                             \
+    .head_bytes = HEAD_BYTES, .head_ms = HEAD_MS                              \
   }
 
 static const struct h1_answer_limits exchanges[] = {
