loop: wait again once no timer is due

A timer that was unset or stopped between becoming due and its callback left the idle handle active: the loop polled without waiting, on a whole core, until another timer had become due and run. A connection that is established during a long turn is such a case, as its limit is unset by the poll before its callback; a process without a repeating timer would have gone on for ever.

The handle is now stopped, and the count of polls begun anew, where the last due timer leaves the list, whoever takes it out. test_wait_after_unset_while_due failed before.

--- a/common/loop.c
+++ b/common/loop.c
@@ -110,9 +110,16 @@
 static void
 timer_clear_due (struct loop_timer *timer)
 {
-  if (timer->due)
-    TAILQ_REMOVE (&timer->loop->due, timer, entry);
+  struct loop *loop = timer->loop;
+
+  if (!timer->due)
+    return;
   timer->due = false;
+  TAILQ_REMOVE (&loop->due, timer, entry);
+  if (!TAILQ_EMPTY (&loop->due))
+    return;
+  loop->polls = 0;
+  uv_idle_stop (&loop->no_wait);
 }
 
 /* libuv runs timers before it polls.  A timer that judges silence would then
@@ -128,7 +135,6 @@
           && ++loop->polls < POLLS_MAX))
     return;
   loop->polls = 0;
-  uv_idle_stop (&loop->no_wait);
   while ((timer = TAILQ_FIRST (&loop->due)) != NULL)
     {
       timer_clear_due (timer);
--- a/tests/base/test_loop.c
+++ b/tests/base/test_loop.c
@@ -194,6 +194,20 @@
 }
 END_TEST
 
+/* The loop polls without waiting, for no timer, once one has been unset while
+   it was due. */
+START_TEST (test_wait_after_unset_while_due)
+{
+  first.lasts_ms = 100;
+  send_byte (&first);
+  g_usleep (50 * MS);
+  uv_run (loop_uv (loop), UV_RUN_NOWAIT);
+  loop_timer_unset (timer);
+  ck_assert_int_ne (uv_backend_timeout (loop_uv (loop)), 0);
+  ck_assert_uint_eq (timer_count, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -207,6 +221,7 @@
   tcase_add_test (tcase, test_timer_is_punctual);
   tcase_add_test (tcase, test_stopped_while_due);
   tcase_add_test (tcase, test_set_while_due);
+  tcase_add_test (tcase, test_wait_after_unset_while_due);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
