loop: timers wait for a poll behind a long callback

The callbacks of all timers that were due ran one behind the other. A long one, such as a step of a large configuration or a plan, is a long turn for those behind it: they judge by the clock of now, and what arrived during the callback has not been read.

Timers that are left after 20 ms of callbacks now wait for another poll, as they do after a long reading. At least the first of them runs each time, and they are in order, so that none is starved: test_timer_beside_long_callbacks. test_timer_after_long_callback failed before.

--- a/common/loop.c
+++ b/common/loop.c
@@ -18,6 +18,9 @@
    arrived meanwhile: due timers wait for another poll, so many times at most.
  */
 #define READING_MS 20
+/* The same holds for the callbacks of timers: those that are left when the
+   ones before have taken longer than this wait for another poll. */
+#define CALLBACKS_MS 20
 #define POLLS_MAX 3
 
 TAILQ_HEAD (timer_list, loop_timer);
@@ -129,13 +132,15 @@
 run_due_timers (struct loop *loop)
 {
   struct loop_timer *timer;
+  int64_t begin_ms = loop_now_ms (loop);
 
   if (TAILQ_EMPTY (&loop->due)
-      || (loop_now_ms (loop) - loop->polled_ms > READING_MS
+      || (begin_ms - loop->polled_ms > READING_MS
           && ++loop->polls < POLLS_MAX))
     return;
   loop->polls = 0;
-  while ((timer = TAILQ_FIRST (&loop->due)) != NULL)
+  while ((timer = TAILQ_FIRST (&loop->due)) != NULL
+         && loop_now_ms (loop) - begin_ms <= CALLBACKS_MS)
     {
       timer_clear_due (timer);
       timer->cb (timer->user);
--- a/tests/base/test_loop.c
+++ b/tests/base/test_loop.c
@@ -67,6 +67,14 @@
   reads_before_timer = first.reads + second.reads;
 }
 
+/* Works for long, while a byte arrives. */
+static void
+work (void *user)
+{
+  send_byte (&first);
+  g_usleep (50 * MS);
+}
+
 static void
 other_ran (void *user)
 {
@@ -194,6 +202,31 @@
 }
 END_TEST
 
+/* What arrives while another timer's callback works for long is taken for
+   silence, since both were due before. */
+START_TEST (test_timer_after_long_callback)
+{
+  loop_timer_stop (timer);
+  other = loop_timer_start (loop, 1, 0, work, NULL);
+  timer = loop_timer_start (loop, 2, 0, timer_ran, NULL);
+  g_usleep (20 * MS);
+  turn (2);
+  ck_assert_uint_eq (reads_before_timer, 1);
+}
+END_TEST
+
+/* A timer never runs if another one, which is set anew each time, always works
+   for long. */
+START_TEST (test_timer_beside_long_callbacks)
+{
+  loop_timer_stop (timer);
+  other = loop_timer_start (loop, 1, 1, work, NULL);
+  timer = loop_timer_start (loop, 2, 0, timer_ran, NULL);
+  g_usleep (20 * MS);
+  turn (4);
+}
+END_TEST
+
 /* The loop polls without waiting, for no timer, once one has been unset while
    it was due. */
 START_TEST (test_wait_after_unset_while_due)
@@ -221,6 +254,8 @@
   tcase_add_test (tcase, test_timer_is_punctual);
   tcase_add_test (tcase, test_stopped_while_due);
   tcase_add_test (tcase, test_set_while_due);
+  tcase_add_test (tcase, test_timer_after_long_callback);
+  tcase_add_test (tcase, test_timer_beside_long_callbacks);
   tcase_add_test (tcase, test_wait_after_unset_while_due);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
