--- a/common/loop.c
+++ b/common/loop.c
@@ -18,6 +18,9 @@
    arrived meanwhile: due timers wait for another poll, so many times at most.
  */
 #define READING_MS 20
+/* The same holds for the callbacks of timers: those that are left when the
+   ones before have taken longer than this wait for another poll. */
+#define CALLBACKS_MS 20
 #define POLLS_MAX 3
 
 TAILQ_HEAD (timer_list, loop_timer);
@@ -110,9 +113,16 @@
 static void
 timer_clear_due (struct loop_timer *timer)
 {
-  if (timer->due)
-    TAILQ_REMOVE (&timer->loop->due, timer, entry);
+  struct loop *loop = timer->loop;
+
+  if (!timer->due)
+    return;
   timer->due = false;
+  TAILQ_REMOVE (&loop->due, timer, entry);
+  if (!TAILQ_EMPTY (&loop->due))
+    return;
+  loop->polls = 0;
+  uv_idle_stop (&loop->no_wait);
 }
 
 /* libuv runs timers before it polls.  A timer that judges silence would then
@@ -122,14 +132,15 @@
 run_due_timers (struct loop *loop)
 {
   struct loop_timer *timer;
+  int64_t begin_ms = loop_now_ms (loop);
 
   if (TAILQ_EMPTY (&loop->due)
-      || (loop_now_ms (loop) - loop->polled_ms > READING_MS
+      || (begin_ms - loop->polled_ms > READING_MS
           && ++loop->polls < POLLS_MAX))
     return;
   loop->polls = 0;
-  uv_idle_stop (&loop->no_wait);
-  while ((timer = TAILQ_FIRST (&loop->due)) != NULL)
+  while ((timer = TAILQ_FIRST (&loop->due)) != NULL
+         && loop_now_ms (loop) - begin_ms <= CALLBACKS_MS)
     {
       timer_clear_due (timer);
       timer->cb (timer->user);
