soak: count what is lost beside changes and silences

A request that was sent whole and ended without an answer counted as LOST only beside a disturbance that was marked as planned; beside a change of the configuration nothing counted, and the users' report is of just that. Changes count from their sending to a second after they must be in force. A sound runner may stand still for a second or so and go on: such a silence counts as no disturbance, and excuses nothing for LOST.

GONE is measured by the time in which the runner did not stand still, as it can neither begin nor end work meanwhile; what it does for too long behind a silence still counts.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """The promises, checked on what callers and runners saw in one run."""
 import collections
+import math
 import os
 
 from .faults import CONTACT_S
@@ -355,11 +356,17 @@
         if not world.calm(attempt.ended - 3, gone_at, scopes, planned=False):
             continue
         for begin in record.begins.get(attempt.id, []):
-            if begin.at > gone_at:
+            # A runner that stands still neither begins nor ends anything.
+            begun_at = begin.at - world.silent_s(
+                begin.runner, attempt.ended, begin.at)
+            ended_at = math.inf if begin.ended is None else (
+                begin.ended - world.silent_s(begin.runner, attempt.ended,
+                                             begin.ended))
+            if begun_at > gone_at:
                 world.broke("GONE", f"{attempt.id} began at {begin.runner} "
                             f"{begin.at - attempt.ended:.2f} s after its "
                             "caller had left")
-            elif begin.ended is None or begin.ended > gone_at:
+            elif ended_at > gone_at:
                 world.broke("GONE", f"{attempt.id} went on at "
                                     f"{begin.runner} after its caller left")
 
@@ -386,14 +393,28 @@
     return False
 
 
+def works_beside(world, attempt):
+    """What went on beside ATTEMPT that excuses nothing, or None."""
+    if not world.calm(attempt.began, attempt.ended):
+        return "planned work"
+    if world.changing(attempt.began, attempt.ended):
+        return "changes"
+    if any(s.began <= attempt.ended and attempt.began <= s.until()
+           for s in world.silences):
+        return "silences"
+    return None
+
+
 def planned_work(world, record):
-    """Nothing is cut off where only planned work went on."""
+    """Nothing is cut off where only planned work went on, configurations
+    changed or sound runners stood still."""
     for attempt in world.attempts.values():
         if attempt.sent is None or attempt.silenced \
                 or attempt.outcome not in ("broken", "timeout"):
             continue
-        if not world.calm(attempt.began - 3, attempt.ended, planned=False) \
-                or world.calm(attempt.began, attempt.ended):
+        beside = works_beside(world, attempt)
+        if beside is None or not world.calm(attempt.began - 3, attempt.ended,
+                                            planned=False):
             continue
         begins = record.begins.get(attempt.id, [])
         held_s = attempt.ended - attempt.sent
@@ -404,7 +425,7 @@
             world.broke("LOST", f"{attempt.id} ({attempt.kind}) "
                         f"{attempt.outcome} after {held_s:.2f} s at node "
                         f"{attempt.node}, "
-                        f"{len(begins)} begins, planned work only")
+                        f"{len(begins)} begins, {beside} only")
 
 
 # A host that a node's configuration has not, or a key.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -51,6 +51,19 @@
                                         or self.ended >= began)
 
 
+class Silence:
+    """A sound runner stood still, from when to when.  It disturbs nothing by
+    the rules."""
+
+    def __init__(self, runner):
+        self.runner = runner
+        self.began = time.monotonic()
+        self.ended = None
+
+    def until(self):
+        return self.ended if self.ended is not None else time.monotonic()
+
+
 class Cut:
     """Which nodes had lost all runners, from when to when."""
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -102,6 +102,8 @@
         self.keyed = False       # hosts of versions need keys of versions
         self.routes = 0          # more in the configuration
         self.versions = []       # (acknowledged, version)
+        self.changes = []        # (sent, acknowledged)
+        self.silences = []       # faults.Silence
         self.operator = asyncio.Lock()
         self.calm_between_silences = asyncio.Lock()
         self.one_restore = asyncio.Lock()  # there is one copy
@@ -137,6 +139,17 @@
                        if (scopes is None or d.scope in scopes)
                        and (planned or not d.planned))
 
+    def changing(self, began, ended):
+        """Whether a configuration may have come into force meanwhile."""
+        bound_s = self.terms["configuration_delay_ms"] / 1000 + 1
+        return any(sent <= ended and began <= acknowledged + bound_s
+                   for sent, acknowledged in self.changes)
+
+    def silent_s(self, runner, began, ended):
+        """For how much of that time RUNNER stood still."""
+        return sum(max(0, min(ended, s.until()) - max(began, s.began))
+                   for s in self.silences if s.runner == runner)
+
     def nodes_paused_between(self, node, began, ended):
         return not self.calm(began, ended, [f"node-{node}"])
 
@@ -254,12 +267,14 @@
         async with self.operator:
             version = self.versions[-1][1] + 3 if self.versions else 1
             host = f"v{version}.example"
+            sent = time.monotonic()
             if self.keyed:
                 await self.platform.ask("configure-keyed", version, service,
                                         host, self.routes, f"key-{version}")
             else:
                 await self.platform.ask("configure", version, service, host)
             self.versions.append((time.monotonic(), version))
+            self.changes.append((sent, self.versions[-1][0]))
 
     @staticmethod
     def hang_up(node):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -11,7 +11,7 @@
 from soak.caller import Attempt, Caller, Connection, Stream
 from soak.clock import STEP_S, LoopClock
 from soak.faults import (FOREIGN_ANSWERS, FOREIGN_STREAMS, ODD_PIECES,
-                         Disturbance)
+                         Disturbance, Silence)
 from soak.processes import Node
 from soak.proxy import ENDLESS, Endless, Proxy
 from soak.world import World
@@ -39,6 +39,14 @@
         attempt.left_s = left_s
         self.world.attempts[attempt.id] = attempt
 
+    def change(self, sent):
+        self.world.changes.append((sent, sent + 0.05))
+
+    def silence(self, began, ended, runner=RUNNER):
+        silence = Silence(runner)
+        silence.began, silence.ended = began, ended
+        self.world.silences.append(silence)
+
     def run_at(self, began, ended):
         begin = checks.Begin(began, RUNNER, "run")
         begin.ended = ended
@@ -131,6 +139,116 @@
         self.assertEqual(self.lost(), ["LOST"])
 
 
+class BesideChangesAndSilences(Case):
+    def test_cut_beside_a_change(self):
+        """Guards against a change that closes a connection with a request."""
+        self.change(100)
+        self.attempt(99.9, 100.5)
+        self.run_at(100, 100.5)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_held_and_dropped_beside_a_change(self):
+        """Guards against a request that was sent whole and is closed unread
+        after a long turn of the loop."""
+        self.change(100)
+        self.attempt(100.1, 101.2)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_cut_as_a_change_comes_into_force(self):
+        """Guards against a late effect of a change that counts for nothing."""
+        self.change(100)
+        self.attempt(102.5, 103)
+        self.run_at(102.6, 103)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_crosses_a_close(self):
+        self.change(100)
+        self.attempt(100.1, 100.3)
+        self.assertEqual(self.lost(), [])
+
+    def test_cut_amid_a_silence(self):
+        """Guards against an answer that ends since its runner stands still."""
+        self.silence(100, 101.5)
+        self.attempt(99.5, 100.9)
+        self.run_at(99.6, 102)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_held_amid_a_silence_and_dropped(self):
+        self.silence(100, 101.5)
+        self.attempt(100.1, 101.3, outcome="timeout")
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_cut_amid_a_silence_that_has_not_ended(self):
+        self.silence(100, None)
+        self.attempt(100.1, 101)
+        self.run_at(100.2, None)
+        self.assertEqual(self.lost(), ["LOST"])
+
+    def test_deadline_is_reached_amid_a_silence(self):
+        self.silence(100, 101.5)
+        self.attempt(99.5, 101.55, left_s=2.0)
+        self.run_at(99.6, None)
+        self.assertEqual(self.lost(), [])
+
+    def test_route_timeout_is_reached_amid_a_silence(self):
+        self.silence(100, 101.5)
+        self.attempt(95.5, 100.6)
+        self.run_at(95.6, None)
+        self.assertEqual(self.lost(), [])
+
+    def test_unplanned_disturbance_before_a_cut(self):
+        self.silence(100, 101.5)
+        self.disturb(96, 97.5, text="killed", planned=False)
+        self.attempt(99.5, 101)
+        self.run_at(99.6, 101)
+        self.assertEqual(self.lost(), [])
+
+    def test_silence_does_not_excuse_a_cut(self):
+        """Guards against a silence that counts as an unplanned disturbance."""
+        self.disturb(100, 106)
+        self.silence(99, 100.5)
+        self.attempt(99.9, 102)
+        self.run_at(100, 102)
+        self.assertEqual(self.lost(), ["LOST"])
+
+
+class CallersGone(Case):
+    def gone(self, began, ended):
+        self.attempt(100, 100.5, outcome="left")
+        self.run_at(began, ended)
+        checks.callers_gone(self.world, self.record)
+        return [broken.rule for broken in self.world.broken]
+
+    def test_work_goes_on(self):
+        self.assertEqual(self.gone(100.1, 102), ["GONE"])
+
+    def test_work_goes_on_at_a_runner_that_stands_still(self):
+        self.silence(100.4, 102)
+        self.assertEqual(self.gone(100.1, 102.1), [])
+
+    def test_work_begins_behind_a_silence(self):
+        self.silence(100.4, 102)
+        self.assertEqual(self.gone(102.1, 102.2), [])
+
+    def test_work_goes_on_behind_a_silence(self):
+        """Guards against a silence that excuses all that comes after it."""
+        self.silence(100.4, 102)
+        self.assertEqual(self.gone(100.1, 103.5), ["GONE"])
+
+    def test_work_begins_long_after_a_silence(self):
+        self.silence(100.4, 102)
+        self.assertEqual(self.gone(103.5, 103.6), ["GONE"])
+
+    def test_silence_of_another_runner(self):
+        """Guards against a silence that excuses runners which are at work."""
+        self.silence(100.4, 102, runner="m8")
+        self.assertEqual(self.gone(100.1, 102.1), ["GONE"])
+
+    def test_work_never_ends(self):
+        self.silence(100.4, 102)
+        self.assertEqual(self.gone(100.1, None), ["GONE"])
+
+
 class Repeats(Case):
     def reach(self, count, lines):
         """Lets COUNT requests reach runners as LINES of the record tell."""
