soak: profile silent, sound runners that stand still

Runners of all kinds read, run and write nothing for 0.9 to 2 s, again and again, beside series of changes, some with many routes, reloads and planned stops that overlap. The idle limit is low, and callers use connections that have rested for up to four fifths of it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -47,8 +47,8 @@
     p.add_argument("--profile", choices=sorted(faults.PROFILES),
                    help="kinds of faults; drawn from the seed without, "
                    "from all but crashes, limits, cuts, notices, versions, "
-                   "parts, changes, restores, strikes, uneven, endless and "
-                   "foreign")
+                   "parts, changes, restores, strikes, uneven, endless, "
+                   "foreign and silent")
     p.add_argument("--nodes", type=int, default=4)
     p.add_argument("--callers", type=int, default=10)
     p.add_argument("--trouble", type=float, default=10, metavar="S",
@@ -87,7 +87,10 @@
     world.profile = profile
     world.uneven = profile in faults.UNEVEN
     world.flat = profile in faults.FLAT
-    world.keyed = profile == "changes"
+    world.keyed = profile in faults.KEYED
+    if profile in faults.SILENT:
+        world.idle_s = faults.IDLE_S
+        world.gap_s += faults.SILENCE_MOST_S
     world.terms.update(faults.SETTINGS.get(profile, {}))
     world.repeat_slack = world.terms["repeat_slack"]
     try:
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -22,6 +22,8 @@
 LATE_RETRY_S = 60
 # For all of a run, so that callers still come to nodes that are cut.
 KEPT_LONG_S = 60
+# Callers may use a connection that has rested for this part of the limit.
+REST_PART = 0.8
 
 
 class Attempt:
@@ -61,6 +63,11 @@
         self.reader = reader
         self.writer = writer
         self.h11 = h11.Connection(h11.CLIENT)
+        self.rests_since = time.monotonic()
+
+    def rested_too_long(self, idle_s):
+        return idle_s is not None and \
+            time.monotonic() - self.rests_since > REST_PART * idle_s
 
     def usable(self):
         return (not self.reader.at_eof() and not self.writer.is_closing()
@@ -156,10 +163,15 @@
                 ["safe", "unsafe", "stream", "stream-once"], [4, 3, 3, 1])[0]
             self.count += 1
             await self.request(kind, f"c{self.number}-{self.count}")
-            await asyncio.sleep(self.rng.uniform(0, 0.12))
+            await asyncio.sleep(self.rest_s())
         for connection in self.connections.values():
             connection.close()
 
+    def rest_s(self):
+        if self.world.idle_s is not None and self.rng.random() < 0.15:
+            return self.world.idle_s * self.rng.uniform(0.5, REST_PART)
+        return self.rng.uniform(0, 0.12)
+
     async def resolve(self):
         if time.monotonic() < self.addresses_until:
             return
@@ -209,7 +221,8 @@
     async def connect(self, node):
         kept = self.connections.pop(node.index, None)
         if kept is not None:
-            if kept.usable() and self.rng.random() < 0.8:
+            if kept.usable() and self.rng.random() < 0.8 \
+                    and not kept.rested_too_long(self.world.idle_s):
                 return kept
             kept.close()
         proxy = self.world.front_proxies[node.index]
@@ -346,7 +359,8 @@
         streams = head.status_code == 200 and attempt.kind.startswith("stream")
         body = b""
         while True:
-            event = await connection.event(GAP_S if streams else left_s)
+            event = await connection.event(self.world.gap_s if streams
+                                           else left_s)
             if isinstance(event, h11.EndOfMessage):
                 break
             if isinstance(event, h11.ConnectionClosed):
@@ -358,6 +372,7 @@
         if connection.h11.our_state is h11.DONE \
                 and connection.h11.their_state is h11.DONE:
             connection.h11.start_next_cycle()
+            connection.rests_since = time.monotonic()
             self.connections[connection.node.index] = connection
         else:
             connection.close()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,11 @@
 FOREIGN_STREAMS = ["no-stream", "partial"]
 # Longer than a node pauses between two calls that wait for changes.
 CALLS_OPEN_S = 0.7
+# For so long a sound runner may stand still at a time.
+SILENCE_LEAST_S = 0.9
+SILENCE_MOST_S = 2.0
+# The limit of callers' idle connections beside silences.
+IDLE_S = 2.0
 
 
 class Disturbance:
@@ -73,6 +78,49 @@
         self.ended = None
 
 
+async def stand_still(world, runner, for_s):
+    silence = Silence(runner.id)
+    world.silences.append(silence)
+    world.platform.tell("freeze", runner.id)
+    runner.proxy.moving.clear()
+    await asyncio.sleep(for_s)
+    world.platform.tell("wake", runner.id)
+    runner.proxy.moving.set()
+    silence.ended = time.monotonic()
+
+
+async def runners_stand_still(world, rng, for_s):
+    """Some runners of all kinds stand still again and again and go on."""
+    until = time.monotonic() + 3.0 + for_s
+
+    async def again_and_again(runner, pauses):
+        for silent_s, moving_s in pauses:
+            if time.monotonic() > until:
+                return
+            await stand_still(world, runner, silent_s)
+            await asyncio.sleep(moving_s)
+
+    free = [r for r in world.runners if r not in world.standing]
+    chosen = rng.sample(free, min(len(free), max(1, round(
+        rng.uniform(0.2, 0.5) * len(world.runners)))))
+    world.standing |= set(chosen)
+    await asyncio.gather(*(again_and_again(runner, [
+        (rng.uniform(SILENCE_LEAST_S, SILENCE_MOST_S), rng.uniform(0.8, 2.5))
+        for _ in range(4)]) for runner in chosen))
+    world.standing -= set(chosen)
+
+
+async def changes_in_series(world, rng, for_s):
+    """Small ones, one after the other; at times many routes at once."""
+    until = time.monotonic() + 3.0 + for_s
+    while time.monotonic() < until:
+        if rng.random() < 0.15:
+            await large_configuration(world, rng, for_s)
+        else:
+            await world.configure(rng.choice(["plain", "other"]))
+        await asyncio.sleep(rng.uniform(0.3, 0.7))
+
+
 async def node_kill(world, rng, for_s):
     node = rng.choice(world.nodes)
     node.restart_s = rng.uniform(0.1, for_s)
@@ -657,6 +705,8 @@
                 callers_break, runs_break, node_kill, node_kill_many,
                 node_stop, node_pause, runner_restarts, runner_dies,
                 store_down],
+    "silent": [runners_stand_still, runners_stand_still, changes_in_series,
+               changes_in_series, node_reload, node_stop],
     "mixed": PLANNED + PROCESSES + LINKS + STORE + RUNNERS,
 }
 # Settings of the nodes: a budget that the load of the callers can use up.
@@ -668,7 +718,7 @@
 DRAWN = sorted(set(PROFILES) - {"crashes", "limits", "cuts", "notices",
                                 "versions", "parts", "changes",
                                 "restores", "strikes", "uneven",
-                                "endless", "foreign"})
+                                "endless", "foreign", "silent"})
 # In these each node finds the runners at an address of its own, so that its
 # links can be cut; there are no proxies before the runners, which would accept
 # connections in the place of those that have crashed.
@@ -677,6 +727,11 @@
 UNEVEN = {"uneven", "endless"}
 # In these the nodes' memory is bounded at all times.
 FLAT = {"endless"}
+# In these configurations have keys and can have many routes.
+KEYED = {"changes", "silent"}
+# In these sound runners stand still, and callers' connections rest for as long
+# as they may.
+SILENT = {"silent"}
 
 
 # Each run of these has these faults, too.
@@ -685,6 +740,9 @@
           "foreign": [runner_sends_odd, runner_sends_odd, streams_foreign,
                       plain_answers_foreign, plain_answers_foreign,
                       streams_restart, streams_break],
+          "silent": [runners_stand_still, runners_stand_still,
+                     changes_in_series, changes_in_series,
+                     large_configuration],
           "restores": [store_restored, configuration, runner_leaves],
           "changes": [large_configuration, calls_silent, calls_silent,
                       storm],
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -38,6 +38,7 @@
         self.silent = set()
 
     async def run(self):
+        await self.proxy.moving.wait()
         try:
             self.far = await asyncio.open_connection(*self.proxy.target)
         except OSError:
@@ -68,11 +69,13 @@
 
     async def pump(self, direction, reader, writer):
         while True:
+            await self.proxy.moving.wait()
             try:
                 chunk = await reader.read(CHUNK_BYTES)
             except OSError:
                 self.reset()
                 raise
+            await self.proxy.moving.wait()
             if direction in self.silent:
                 if not chunk and direction == "down":
                     # The near end must not hear of it either.
@@ -137,6 +140,8 @@
         self.endless = None  # Endless: what new connections get
         self.connections = set()
         self.server = None
+        self.moving = asyncio.Event()  # cleared: nothing is read or written
+        self.moving.set()
 
     async def open(self):
         self.server = await asyncio.start_server(
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,7 +8,7 @@
 import time
 
 from . import faults
-from .caller import Attempt, Caller, Stream
+from .caller import GAP_S, Attempt, Caller, Stream
 from .clock import LoopClock
 from .processes import PORTS, Node, Platform
 from .proxy import Proxy
@@ -104,6 +104,9 @@
         self.versions = []       # (acknowledged, version)
         self.changes = []        # (sent, acknowledged)
         self.silences = []       # faults.Silence
+        self.standing = set()    # runners that stand still now and then
+        self.gap_s = GAP_S       # a stream without an event is given up then
+        self.idle_s = None       # limit of callers' idle connections, if low
         self.operator = asyncio.Lock()
         self.calm_between_silences = asyncio.Lock()
         self.one_restore = asyncio.Lock()  # there is one copy
@@ -164,6 +167,8 @@
 
     async def open(self):
         await self.platform.start()
+        if self.idle_s is not None:
+            self.platform.tell("idle-timeout", int(1000 * self.idle_s))
         for node, proxy in zip(self.nodes, self.store_proxies):
             port = self.platform.port
             if self.linked:
