--- a/soak/world.py
+++ b/soak/world.py
@@ -8,7 +8,7 @@
 import time
 
 from . import faults
-from .caller import Attempt, Caller, Stream
+from .caller import GAP_S, Attempt, Caller, Stream
 from .clock import LoopClock
 from .processes import PORTS, Node, Platform
 from .proxy import Proxy
@@ -102,6 +102,11 @@
         self.keyed = False       # hosts of versions need keys of versions
         self.routes = 0          # more in the configuration
         self.versions = []       # (acknowledged, version)
+        self.changes = []        # (sent, acknowledged)
+        self.silences = []       # faults.Silence
+        self.standing = set()    # runners that stand still now and then
+        self.gap_s = GAP_S       # a stream without an event is given up then
+        self.idle_s = None       # limit of callers' idle connections, if low
         self.operator = asyncio.Lock()
         self.calm_between_silences = asyncio.Lock()
         self.one_restore = asyncio.Lock()  # there is one copy
@@ -137,6 +142,17 @@
                        if (scopes is None or d.scope in scopes)
                        and (planned or not d.planned))
 
+    def changing(self, began, ended):
+        """Whether a configuration may have come into force meanwhile."""
+        bound_s = self.terms["configuration_delay_ms"] / 1000 + 1
+        return any(sent <= ended and began <= acknowledged + bound_s
+                   for sent, acknowledged in self.changes)
+
+    def silent_s(self, runner, began, ended):
+        """For how much of that time RUNNER stood still."""
+        return sum(max(0, min(ended, s.until()) - max(began, s.began))
+                   for s in self.silences if s.runner == runner)
+
     def nodes_paused_between(self, node, began, ended):
         return not self.calm(began, ended, [f"node-{node}"])
 
@@ -151,6 +167,8 @@
 
     async def open(self):
         await self.platform.start()
+        if self.idle_s is not None:
+            self.platform.tell("idle-timeout", int(1000 * self.idle_s))
         for node, proxy in zip(self.nodes, self.store_proxies):
             port = self.platform.port
             if self.linked:
@@ -254,12 +272,14 @@
         async with self.operator:
             version = self.versions[-1][1] + 3 if self.versions else 1
             host = f"v{version}.example"
+            sent = time.monotonic()
             if self.keyed:
                 await self.platform.ask("configure-keyed", version, service,
                                         host, self.routes, f"key-{version}")
             else:
                 await self.platform.ask("configure", version, service, host)
             self.versions.append((time.monotonic(), version))
+            self.changes.append((sent, self.versions[-1][0]))
 
     @staticmethod
     def hang_up(node):
