platform: a value's text that is stated is not printed again

A parsed body can state a value's text beside it, under a name that no parser accepts, so that a platform can't state one. Nothing states one yet. A new check fails if the text is printed anyway (tried with a mutation).

--- a/include/beryl/platform.h
+++ b/include/beryl/platform.h
@@ -360,6 +360,13 @@
                             const char *body, size_t body_bytes,
                             int64_t now_ms);
 
+/** Member of an object in a parsed body: its value's text as it came, which
+ * need not be printed then.  No parser accepts the name, so that no platform
+ * can state it. */
+#define BERYL_PLATFORM_VALUE_TEXT                                             \
+  "\xff"                                                                      \
+  "text"
+
 /** Likewise with a parsed body; NULL: malformed. */
 void beryl_platform_answer_json (struct beryl_platform *p, uint64_t call,
                                  unsigned int status, int64_t retry_after_ms,
--- a/libberyl/platform/reply.c
+++ b/libberyl/platform/reply.c
@@ -33,6 +33,19 @@
   return true;
 }
 
+/** Return the text of VALUE, to be freed: the one that came, if it was kept.
+ */
+static char *
+value_text (const json_t *object, const json_t *value)
+{
+  const char *text = json_string_value (
+      json_object_get (object, BERYL_PLATFORM_VALUE_TEXT));
+
+  return text ? strdup (text)
+              : json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY
+                                       | JSON_REAL_PRECISION (17));
+}
+
 bool
 platform_object_read (const json_t *json, const char *kind,
                       struct beryl_object *object)
@@ -51,8 +64,7 @@
   if (!value)
     return true;
   object->parsed = json_incref ((json_t *)value);
-  object->value = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY
-                                         | JSON_REAL_PRECISION (17));
+  object->value = value_text (json, value);
   object->value_bytes = object->value ? strlen (object->value) : 0;
   return true;
 }
--- a/tests/platform_wire/test_store.c
+++ b/tests/platform_wire/test_store.c
@@ -354,6 +354,34 @@
 }
 END_TEST
 
+/* A value's text that is stated with it is not printed again. */
+START_TEST (test_stated_text_is_used)
+{
+  json_t *json = json_pack ("{s:s, s:s, s:i, s:[]}", "kind", "k", "name", "n",
+                            "version", 1, "value");
+  struct beryl_object object;
+
+  json_object_set_new_nocheck (json, BERYL_PLATFORM_VALUE_TEXT,
+                               json_string ("[ ]"));
+  ck_assert (platform_object_read (json, "k", &object));
+  ck_assert_str_eq (object.value, "[ ]");
+  ck_assert_uint_eq (object.value_bytes, 3);
+  platform_object_clear (&object);
+  json_decref (json);
+}
+END_TEST
+
+/* A platform that names the member in which a text is kept is not believed. */
+START_TEST (test_text_is_not_taken_from_outside)
+{
+  static const char text[]
+      = "{\"kind\":\"k\",\"name\":\"n\",\"version\":1,"
+        "\"value\":1,\"" BERYL_PLATFORM_VALUE_TEXT "\":\"2\"}";
+
+  ck_assert_ptr_null (json_loads (text, JSON_ALLOW_NUL, NULL));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -372,6 +400,8 @@
   tcase_add_test (tcase, test_last_name_is_unreadable);
   tcase_add_test (tcase, test_page_of_long_names);
   tcase_add_loop_test (tcase, test_large_objects_are_not_kept, 0, 3);
+  tcase_add_test (tcase, test_stated_text_is_used);
+  tcase_add_test (tcase, test_text_is_not_taken_from_outside);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
