forward: an end without an event behind an event needs a second engine

Cause: is_empty_stream looked at the events of the request, not at those of the run, since a run that goes on behind the last event has none left. Nothing that the node knows tells the two apart: an event may carry several tokens, and an engine may send events of its own.

Now the first such end breaks the run, and a run at another engine is asked for; one that ends behind the same event without another one is believed. An event in between voids the first end. The engine of the first end is not asked again for the request, and if no other is left, or no repeat, the stream is cut. A stream that is over and lost only its end costs one more run.

tests/forward/test_foreign_answers.c: five tests failed on the code before and pass now. test_resumed_behind_last_event asked for a whole answer after one such end; it now asks that the first is not believed and that the second engine's is. The soak's profile foreign draws the answer again.

--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -214,6 +214,7 @@
   begin_answer (f, r, x);
   r->skipped_ids = r->skipped_ids || event->id > r->last_event_id + 1;
   r->last_event_id = event->id;
+  r->empty_end_engine = 0;
   r->last_event_hash = XXH3_64bits (event->bytes, event->count);
   resume_first_event (f, r, x, now_ms);
   if (r->event_count == 0)
@@ -452,7 +453,7 @@
 
 /* Returns whether X's stream has ended before its first event. One that goes
    on behind an event, for its caller or after another run, may have no
-   other. */
+   other: see ends_empty_unconfirmed. */
 static bool
 is_empty_stream (const struct request *r, const struct exchange *x)
 {
@@ -549,6 +550,23 @@
   return true;
 }
 
+/* Returns whether X's stream goes on behind an event and has ended without
+   another one, which no other endpoint has confirmed. Neither the number of
+   events nor the tokens asked for tell whether one is left. A peer that R was
+   handed over to has asked for itself. */
+static bool
+ends_empty_unconfirmed (struct request *r, const struct exchange *x)
+{
+  uint32_t engine = beryl_live_hash (x->endpoint);
+
+  if (!is_numbered (r, x) || x->kind != BERYL_EXCHANGE_RUN || r->run_events > 0
+      || x->held.count > 0
+      || (r->empty_end_engine != 0 && r->empty_end_engine != engine))
+    return false;
+  r->empty_end_engine = engine;
+  return true;
+}
+
 bool
 answer_done (struct beryl_forward *f, struct exchange *x, int64_t now_ms)
 {
@@ -573,6 +591,11 @@
                                    now_ms - x->started_ms, now_ms);
       answer_interrupted (f, x, BERYL_FAILURE_MALFORMED, true, now_ms);
     }
+  else if (ends_empty_unconfirmed (r, x))
+    {
+      answer_log_fault (f, x, ANSWER_EMPTY_STREAM, x->head.status, now_ms);
+      answer_interrupted (f, x, BERYL_FAILURE_MALFORMED, true, now_ms);
+    }
   else if (x->kind == BERYL_EXCHANGE_RUN && x->head.ends_with_connection
            && r->secondary == NULL)
     {
--- a/libberyl/forward/engines.c
+++ b/libberyl/forward/engines.c
@@ -266,6 +266,8 @@
          && resume_keeps_version (r, endpoint)
          && now_ms >= endpoint->full_until_ms
          && !forward_request_was_tried (r, endpoint)
+         && (r->empty_end_engine == 0
+             || beryl_live_hash (endpoint) != r->empty_end_engine)
          && worth_asking (endpoint, now_ms);
 }
 
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -222,9 +222,12 @@
   uint64_t event_count;   /**< events forwarded to the caller */
   uint64_t run_events;    /**< those of the current run */
   uint64_t last_event_id;
-  uint64_t last_event_hash; /**< of its bytes */
-  uint64_t unconfirmed_id;  /**< of an event with which a run of it ended, and
-                               which nothing confirmed; 0: none */
+  uint64_t last_event_hash;  /**< of its bytes */
+  uint64_t unconfirmed_id;   /**< of an event with which a run of it ended, and
+                                which nothing confirmed; 0: none */
+  uint32_t empty_end_engine; /**< beryl_live_hash of the endpoint whose run
+                                ended behind last_event_id without another
+                                event; 0: none */
   bool skipped_ids;      /**< its events have ids that are not consecutive */
   bool events_in_doubt;  /**< its last event may be no event of its run */
   int64_t last_event_ms; /**< time of the last event, of the answer's head or
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -28,10 +28,8 @@
 FOREIGN_ANSWERS = ["text", "bytes", "json", "untyped", "empty", "no-content",
                    "moved", "failure", "other", "other-rejected", "unnamed",
                    "unsealed", "unsealed-bytes"]
-# They bear all marks, but for those of a stream.  "no-event" is left out:
-# behind the last event that a caller has it is the answer of a run that is
-# over (docs/design/answer-marks.md).
-FOREIGN_STREAMS = ["no-stream", "partial"]
+# They bear all marks, but for those of a stream.
+FOREIGN_STREAMS = ["no-stream", "no-event", "partial"]
 # Longer than a node pauses between two calls that wait for changes.
 CALLS_OPEN_S = 0.7
 
--- a/tests/forward/test_foreign_answers.c
+++ b/tests/forward/test_foreign_answers.c
@@ -198,9 +198,10 @@
 }
 END_TEST
 
-/* Guards against a stream that had all its events, but not its end, failing
-   since the run that goes on behind them has none. */
-START_TEST (test_resumed_behind_last_event)
+/* Begins a stream that has one event and breaks off; returns the run that goes
+   on behind it. */
+static struct fx_exchange *
+resumed_behind_event (void)
 {
   struct fx_exchange *run;
 
@@ -209,10 +210,111 @@
   fx_stream (&fx, run);
   fx_event (&fx, run, 1);
   fx_broken (&fx, run, BERYL_FAILURE_RESET, true);
+  return fx_to_run (&fx, 1);
+}
+
+static void
+end_without_event (struct fx_exchange *run)
+{
+  fx_stream (&fx, run);
+  fx_done (&fx, run);
+}
+
+/* Guards against a stream that had all its events, but not its end, failing
+   since the runs that go on behind them have none. */
+START_TEST (test_resumed_behind_last_event)
+{
+  struct fx_exchange *run = resumed_behind_event (), *next;
+
+  end_without_event (run);
+  ck_assert (!answer (1)->whole);
+  next = fx_to_run (&fx, 1);
+  ck_assert_str_ne (next->endpoint, run->endpoint);
+  ck_assert_uint_eq (next->last_event, 1);
+  end_without_event (next);
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str, "id: 1\ndata: e1\n\n");
+}
+END_TEST
+
+/* Guards against a stream that passes for whole before its last event, since
+   one engine ended a run behind an event without another. */
+START_TEST (test_early_end_behind_event)
+{
+  struct fx_exchange *run = resumed_behind_event ();
+
+  end_without_event (run);
+  ck_assert (!answer (1)->whole);
+  assert_logged ("empty_stream");
   run = fx_to_run (&fx, 1);
   fx_stream (&fx, run);
+  fx_event (&fx, run, 2);
   fx_done (&fx, run);
   ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str,
+                    "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
+}
+END_TEST
+
+/* Returns the run of a caller that resumes its stream behind event 1. */
+static struct fx_exchange *
+resumed_by_caller (void)
+{
+  struct beryl_forward_request params = fx_request_params (&fx, 1);
+
+  params.resumes = true;
+  params.last_event_id = 1;
+  beryl_forward_submit (fx.forward, &params, fx.now_ms);
+  return fx_to_run (&fx, 1);
+}
+
+/* Guards against the same for a caller that resumes its stream itself. */
+START_TEST (test_early_end_for_caller)
+{
+  struct fx_exchange *run = resumed_by_caller ();
+
+  end_without_event (run);
+  ck_assert (!answer (1)->whole);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 2);
+  fx_done (&fx, run);
+  ck_assert_str_eq (answer (1)->body->str, "id: 2\ndata: e2\n\n");
+}
+END_TEST
+
+/* Guards against an end behind one event that is taken for the confirmation of
+   one behind an event before. */
+START_TEST (test_early_end_behind_each_event)
+{
+  struct fx_exchange *run = resumed_by_caller ();
+
+  end_without_event (run);
+  run = fx_to_run (&fx, 1);
+  fx_stream (&fx, run);
+  fx_event (&fx, run, 2);
+  fx_broken (&fx, run, BERYL_FAILURE_RESET, true);
+  run = fx_to_run (&fx, 1);
+  end_without_event (run);
+  ck_assert (!answer (1)->whole);
+}
+END_TEST
+
+/* Guards against an end that nobody is left to confirm passing for whole. */
+START_TEST (test_early_end_without_another_engine)
+{
+  struct fx_exchange *run;
+
+  model_teardown ();
+  terms = fx_model_terms ();
+  fx_open (&fx, &terms);
+  engines (2, 1);
+  run = resumed_behind_event ();
+  end_without_event (run);
+  fx_pass (&fx, 60000);
+  ck_assert (!answer (1)->whole);
+  ck_assert (answer (1)->cut);
+  ck_assert_ptr_null (fx_open_of (&fx, 1, BERYL_EXCHANGE_RUN));
 }
 END_TEST
 
@@ -376,6 +478,10 @@
   tcase_add_test (tcase, test_empty_stream);
   tcase_add_test (tcase, test_empty_stream_once);
   tcase_add_test (tcase, test_resumed_behind_last_event);
+  tcase_add_test (tcase, test_early_end_behind_event);
+  tcase_add_test (tcase, test_early_end_for_caller);
+  tcase_add_test (tcase, test_early_end_behind_each_event);
+  tcase_add_test (tcase, test_early_end_without_another_engine);
   tcase_add_test (tcase, test_prefill_of_another);
   tcase_add_test (tcase, test_reservation_of_another);
   tcase_add_test (tcase, test_move_of_another);
