platform: a long answer's text is freed before it is handed in

It was held beside the text of the value that is kept of it, one copy more at the peak than before long answers were read in turns. Not measured.

--- a/common/platform_client.c
+++ b/common/platform_client.c
@@ -307,15 +307,20 @@
 
 /** Hand in an answer of a platform that spells it differently. */
 static void
-translated_answer (struct platform_client *c, const struct call *call)
+translated_answer (struct platform_client *c, struct call *call)
 {
   const struct platform_wire_impl *impl = c->wire->impl;
   unsigned int status = call->status;
   json_t *native;
 
   if (call->reading)
-    native = impl->read_end (c->wire, call->reading, call->op, call->kind,
-                             &status);
+    {
+      native = impl->read_end (c->wire, call->reading, call->op, call->kind,
+                               &status);
+      /* The text of its values has been copied. */
+      g_string_free (call->body, TRUE);
+      call->body = g_string_new (NULL);
+    }
   else
     native = impl->answer (c->wire, call->op, call->kind, &status,
                            call->body->str, call->body->len);
@@ -327,7 +332,7 @@
 
 /** Hand in the answer to CALL, which is no longer in the table. */
 static void
-hand_in (struct platform_client *c, const struct call *call)
+hand_in (struct platform_client *c, struct call *call)
 {
   if (!record_era (c, call, call->status))
     beryl_platform_failed (c->core, call->id, true, loop_now_ms (c->loop));
