wire: read a burst of datagrams before timers run

libuv reads 32 datagrams of a socket in a turn. After a long turn of a node with many peers more are waiting, and the timers that judge silence ran before the rest was read: an ack that had arrived counted as missing, and its sender came under suspicion.

Each datagram that libuv reads is now followed by up to 15 more, which is more in a turn than a receive buffer of the usual size holds, and still bounded in a flood. test_timer_after_burst failed before: 32 of 100 were read.

--- a/tests/wire/test_link.c
+++ b/tests/wire/test_link.c
@@ -168,6 +168,7 @@
 {
   struct loop *loop;
   uint32_t count;
+  uint32_t count_when_due; /* when the timer ran; 0: it has not */
   uint16_t port;
 };
 
@@ -189,16 +190,23 @@
   loop_quit (user);
 }
 
+static void
+send_datagram (struct datagram *a, struct datagram *b)
+{
+  struct frame_writer *w = frame_writer_create (3);
+
+  ck_assert (datagram_send (a, "127.0.0.1", datagram_port (b), w));
+  frame_writer_destroy (w);
+}
+
 /** Send one datagram from A to B and run until it came or 200 ms passed. */
 static void
 exchange (struct loop *loop, struct datagram *a, struct datagram *b)
 {
-  struct frame_writer *w = frame_writer_create (3);
   struct loop_timer *timer
       = loop_timer_start (loop, 200, 0, inbox_timeout, loop);
 
-  ck_assert (datagram_send (a, "127.0.0.1", datagram_port (b), w));
-  frame_writer_destroy (w);
+  send_datagram (a, b);
   loop_run (loop);
   loop_timer_stop (timer);
 }
@@ -235,6 +243,41 @@
 }
 END_TEST
 
+#define BURST 100
+
+static void
+note_count (void *user)
+{
+  struct inbox *inbox = user;
+
+  inbox->count_when_due = inbox->count;
+}
+
+/* Guards against a node that passes for silent although what it sent has
+   arrived: other datagrams were before it, and a timer ran between them. */
+START_TEST (test_timer_after_burst)
+{
+  struct loop *loop = loop_create ();
+  struct inbox inbox = { .loop = loop };
+  struct datagram *a
+      = datagram_open (loop, "127.0.0.1", 0, inbox_frame, &inbox, NULL);
+  struct datagram *b
+      = datagram_open (loop, "127.0.0.1", 0, inbox_frame, &inbox, NULL);
+  struct loop_timer *timer;
+
+  for (int i = 0; i < BURST; i++)
+    send_datagram (a, b);
+  timer = loop_timer_start (loop, 0, 0, note_count, &inbox);
+  for (int i = 0; i < 10 && inbox.count_when_due == 0; i++)
+    uv_run (loop_uv (loop), UV_RUN_NOWAIT);
+  ck_assert_uint_eq (inbox.count_when_due, BURST);
+  loop_timer_stop (timer);
+  datagram_close (a);
+  datagram_close (b);
+  loop_destroy (loop);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -245,6 +288,7 @@
   tcase_add_test (tc, test_refused_connection_is_told);
   tcase_add_test (tc, test_queue_is_bounded);
   tcase_add_test (tc, test_datagram_keys);
+  tcase_add_test (tc, test_timer_after_burst);
   suite_add_tcase (suite, tc);
   return suite_run (suite);
 }
--- a/wire/datagram.c
+++ b/wire/datagram.c
@@ -4,11 +4,15 @@
 #include <openssl/params.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "wire/link.h"
 
 #define SHA256_BYTES 32
 #define RECEIVE_BYTES 2048
+/* Datagrams that are read at once beside each of the 32 that libuv reads in a
+ * turn; a flood must not keep everything else out. */
+#define READ_AHEAD 15
 
 struct datagram
 {
@@ -105,19 +109,15 @@
 }
 
 static void
-received (uv_udp_t *udp, ssize_t count, const uv_buf_t *buffer,
-          const struct sockaddr *address, unsigned int flags)
+take (struct datagram *d, const char *bytes, size_t bytes_count,
+      const struct sockaddr *address)
 {
-  struct datagram *d = udp->data;
-  size_t bytes_count = (size_t)count;
   char name[64] = "";
   struct frame *frame;
 
-  if (count <= 0 || !address)
-    return;
   d->received_total += bytes_count;
-  if (!authenticate (d, (const unsigned char *)buffer->base, &bytes_count)
-      || !(frame = frame_parse (buffer->base, bytes_count, NULL)))
+  if (!authenticate (d, (const unsigned char *)bytes, &bytes_count)
+      || !(frame = frame_parse (bytes, bytes_count, NULL)))
     {
       d->refused++;
       return;
@@ -127,6 +127,43 @@
   frame_destroy (frame);
 }
 
+/** Take what else is waiting: timers that judge silence run behind libuv's
+ * read, which leaves the rest of a burst unread. */
+static void
+take_waiting (struct datagram *d)
+{
+  struct sockaddr_in6 address = { 0 }; /* or one of IPv4, which is smaller */
+  uv_os_fd_t fd;
+
+  for (uint32_t i = 0; i < READ_AHEAD; i++)
+    {
+      socklen_t length = sizeof address;
+      ssize_t count;
+
+      if (uv_is_closing ((uv_handle_t *)&d->udp)
+          || uv_fileno ((uv_handle_t *)&d->udp, &fd) != 0)
+        return;
+      count = recvfrom (fd, d->buffer, sizeof d->buffer, MSG_DONTWAIT,
+                        (struct sockaddr *)&address, &length);
+      if (count < 0)
+        return;
+      if (count > 0)
+        take (d, d->buffer, (size_t)count, (struct sockaddr *)&address);
+    }
+}
+
+static void
+received (uv_udp_t *udp, ssize_t count, const uv_buf_t *buffer,
+          const struct sockaddr *address, unsigned int flags)
+{
+  struct datagram *d = udp->data;
+
+  if (count <= 0 || !address)
+    return;
+  take (d, buffer->base, (size_t)count, address);
+  take_waiting (d);
+}
+
 /** Read an IP number and port into STORAGE. */
 static bool
 address_parse (const char *address, uint16_t port,
