h1: an idle connection with a request waiting is not closed

What callers saw: requests that a node was late to read were reset. From the review: behind the last poll a request may still come before the close, and after three slow polls timers run anyway.

The counter tells these now. test_request_before_close and test_accepted_while_draining failed before.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -561,7 +561,7 @@
     .waiting_requests = beryl_forward_waiting_count (g->forward),
     .connections = h1_server_connections (frontend_server (g->frontend)),
     .malformed_requests = callers->malformed,
-    .closed_unread = callers->closed_unread,
+    .kept_unread = callers->kept_unread,
     .turned_away = callers->turned_away,
     .nodes = members_count (g->members),
     .endpoints = count_available_endpoints (g),
--- a/gatewayd/metrics.c
+++ b/gatewayd/metrics.c
@@ -281,7 +281,7 @@
   set_gauge (metrics, "beryl_gateway_waiting", g->waiting_requests);
   set_gauge (metrics, "beryl_gateway_connections", g->connections);
   set_gauge (metrics, "beryl_gateway_malformed_total", g->malformed_requests);
-  set_gauge (metrics, "beryl_gateway_closed_unread_total", g->closed_unread);
+  set_gauge (metrics, "beryl_gateway_kept_unread_total", g->kept_unread);
   set_gauge (metrics, "beryl_gateway_turned_away_total", g->turned_away);
   set_gauge (metrics, "beryl_gateway_nodes", g->nodes);
   set_gauge (metrics, "beryl_gateway_endpoints", g->endpoints);
--- a/gatewayd/metrics.h
+++ b/gatewayd/metrics.h
@@ -54,7 +54,7 @@
   uint64_t waiting_requests;   /**< open, waiting for room at an engine */
   uint64_t connections;        /**< of callers */
   uint64_t malformed_requests; /**< rejected as malformed */
-  uint64_t closed_unread;      /**< connections closed with unread bytes */
+  uint64_t kept_unread;        /**< idle connections with unread bytes */
   uint64_t turned_away;        /**< connections closed at the limit */
   uint64_t nodes;              /**< that are not dead */
   uint64_t endpoints;          /**< that accept work */
--- a/h1/server.c
+++ b/h1/server.c
@@ -648,8 +648,7 @@
          && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-/* A caller whose request is waiting to be read cannot tell a close from a
-   crash. */
+/* The next poll reads a request that is waiting. */
 static void
 connection_close_idle (struct connection *connection, const char *why,
                        int64_t now)
@@ -659,15 +658,15 @@
 
   if (has_unread (connection))
     {
-      connection->server->counts.closed_unread++;
-      g_info ("connection closed with unread bytes why=%s "
+      connection->server->counts.kept_unread++;
+      g_info ("connection kept with unread bytes why=%s "
               "idle_ms=%" G_GINT64_FORMAT " idle_timeout_ms=%" G_GINT64_FORMAT,
               why, idle_ms, limit_ms);
+      return;
     }
-  else
-    g_debug ("connection closed why=%s idle_ms=%" G_GINT64_FORMAT
-             " idle_timeout_ms=%" G_GINT64_FORMAT,
-             why, idle_ms, limit_ms);
+  g_debug ("connection closed why=%s idle_ms=%" G_GINT64_FORMAT
+           " idle_timeout_ms=%" G_GINT64_FORMAT,
+           why, idle_ms, limit_ms);
   connection_close (connection);
 }
 
--- a/include/h1/server.h
+++ b/include/h1/server.h
@@ -61,10 +61,10 @@
 {
   uint64_t accepted;
   uint64_t requests;
-  uint64_t crowded_out;   /**< refused since all bodies are too large */
-  uint64_t malformed;     /**< refused with 400, 408, 413, 431 or 501 */
-  uint64_t turned_away;   /**< connections closed at the limit */
-  uint64_t closed_unread; /**< idle ones with a request that was not read */
+  uint64_t crowded_out; /**< refused since all bodies are too large */
+  uint64_t malformed;   /**< refused with 400, 408, 413, 431 or 501 */
+  uint64_t turned_away; /**< connections closed at the limit */
+  uint64_t kept_unread; /**< idle ones not closed: a request was waiting */
 };
 
 /** Listen on ADDRESS ("ip"), PORT (0 lets the kernel choose); NULL and ERROR
--- a/tests/h1/test_server.c
+++ b/tests/h1/test_server.c
@@ -544,6 +544,63 @@
 }
 END_TEST
 
+/* A connection that a stopping node has just accepted is closed as idle before
+ * its request is read. */
+START_TEST (test_accepted_while_draining)
+{
+  struct raw *raw;
+
+  raw_turn (loop, 5);
+  h1_server_drain (server, 300);
+  raw = connect_raw ();
+  raw_send (raw, get);
+  g_usleep (500 * 1000);
+  serve_waiting (raw);
+  raw_close (raw, false);
+}
+END_TEST
+
+struct late_request
+{
+  uv_check_t check;
+  struct raw *raw;
+  int64_t at_ms;
+};
+
+/* Runs behind the poll and before due timers. */
+static void
+send_late (uv_check_t *check)
+{
+  struct late_request *late = check->data;
+
+  if (late->raw == NULL || loop_now_ms (loop) < late->at_ms)
+    return;
+  raw_send (late->raw, get);
+  late->raw = NULL;
+}
+
+/* A request that comes between the last poll and the close of its connection
+ * is lost although the node can tell. */
+START_TEST (test_request_before_close)
+{
+  struct raw *raw = connect_raw ();
+  struct late_request late = { .raw = raw };
+
+  limit ((struct h1_limits){ .idle_timeout_ms = 300 });
+  serve (raw);
+  raw_turn (loop, 400);
+  late.at_ms = loop_now_ms (loop) + 300;
+  uv_check_init (loop_uv (loop), &late.check);
+  late.check.data = &late;
+  uv_check_start (&late.check, send_late);
+  g_usleep (400 * 1000);
+  serve_waiting (raw);
+  uv_close ((uv_handle_t *)&late.check, NULL);
+  raw_turn (loop, 5);
+  raw_close (raw, false);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -572,6 +629,8 @@
   tcase_add_test (tcase, test_lowered_idle_timeout);
   tcase_add_test (tcase, test_rest_beyond_limit);
   tcase_add_test (tcase, test_rest_while_crowded);
+  tcase_add_test (tcase, test_accepted_while_draining);
+  tcase_add_test (tcase, test_request_before_close);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
