gatewayd: a stopping node reads the connections that it accepted last

What callers saw: a node that stands still while its time to take connections ends resets those that connected meanwhile, each with a whole request on it.

Cause: the listener was closed and the loop ended in the same turn in which the last connections were accepted; they are read in the next poll.

--- a/gatewayd/gateway.c
+++ b/gatewayd/gateway.c
@@ -88,6 +88,7 @@
   uv_prepare_t *prepare;
   struct loop_timer *stop_timer;
   int64_t stop_start_ms;       /* 0 if not stopping */
+  bool listener_closed;        /* callers can no longer connect */
   char key[CLUSTER_KEY_BYTES]; /* "" until it is known */
 };
 
@@ -1034,8 +1035,13 @@
   /* Callers may use this node's address until their cached list expires.
      After that, a refused connection sends the remaining ones to another node
      at once. */
-  if (stopping_ms >= g->settings.address_keep_ms)
-    h1_server_close_listener (frontend_server (g->frontend));
+  if (stopping_ms >= g->settings.address_keep_ms && !g->listener_closed)
+    {
+      h1_server_close_listener (frontend_server (g->frontend));
+      g->listener_closed = true;
+      /* Connections that were accepted last are yet to be read. */
+      idle = false;
+    }
   if ((idle && stopping_ms >= g->settings.address_keep_ms)
       || stopping_ms >= g->settings.stop_ms - STOP_MARGIN_MS)
     {
