--- a/common/loop.c
+++ b/common/loop.c
@@ -32,8 +32,8 @@
   uv_signal_t signals[SIGNAL_COUNT];
   uv_prepare_t before_poll;
   uv_check_t after_poll;
-  uv_idle_t
-      no_wait; /* active while timers are due: the poll returns at once */
+  /* Active while timers are due, so that the poll returns at once. */
+  uv_idle_t no_wait;
   struct timer_list due;
   unsigned int polls; /* since the first of them has become due */
   int64_t polled_ms;  /* when the last poll began */
