--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -553,15 +553,19 @@
 /* Returns whether X's stream goes on behind an event and has ended without
    another one, which no other endpoint has confirmed. Neither the number of
    events nor the tokens asked for tell whether one is left. A peer that R was
-   handed over to has asked for itself. */
+   handed over to has asked for itself. A caller that resumes behind an event
+   may lack nothing but the end: it gets it unconfirmed if R may not run
+   again. */
 static bool
-ends_empty_unconfirmed (struct request *r, const struct exchange *x)
+ends_empty_unconfirmed (struct beryl_forward *f, struct request *r,
+                        const struct exchange *x, int64_t now_ms)
 {
   uint32_t engine = beryl_live_hash (x->endpoint);
 
   if (!is_numbered (r, x) || x->kind != BERYL_EXCHANGE_RUN || r->run_events > 0
       || x->held.count > 0
-      || (r->empty_end_engine != 0 && r->empty_end_engine != engine))
+      || (r->empty_end_engine != 0 && r->empty_end_engine != engine)
+      || (r->event_count == 0 && !stream_may_relocate (f, r, now_ms)))
     return false;
   r->empty_end_engine = engine;
   return true;
@@ -591,7 +595,7 @@
                                    now_ms - x->started_ms, now_ms);
       answer_interrupted (f, x, BERYL_FAILURE_MALFORMED, true, now_ms);
     }
-  else if (ends_empty_unconfirmed (r, x))
+  else if (ends_empty_unconfirmed (f, r, x, now_ms))
     {
       answer_log_fault (f, x, ANSWER_EMPTY_STREAM, x->head.status, now_ms);
       answer_interrupted (f, x, BERYL_FAILURE_MALFORMED, true, now_ms);
