h1: an answer is read by an object of its own

Cause: the parser, the head's strings and the counts of an answer were part of the call, so that http/ could not read answers in the same way. Change: h1_answer reads one answer from bytes; the call keeps the socket and the times. What is read and told stays as it was.

--- a/h1/client.c
+++ b/h1/client.c
@@ -1,20 +1,20 @@
 #include "h1/client.h"
 
 #include <errno.h>
+#include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include "builder.h"
+#include "h1/answer.h"
 
 #define CONNECT_TIMEOUT_MS 1000
 #define READ_BYTES 65536
-/* Bytes of framing for each byte of the body. */
-#define FRAMING_PER_BYTE 64
 
 struct h1_call
 {
+  struct h1_answer_handler base;
   uv_tcp_t tcp;
   struct loop_timer *timer; /* of the connection, the hold, then the limits */
   void (*timer_cb) (struct h1_call *call); /* what it is set for */
@@ -22,22 +22,16 @@
   uv_write_t write;
   struct h1_call_handler *handler;
   GString *out; /* head and body until they are written */
-  http_parser parser;
-  struct head_builder builder;
+  struct h1_answer *answer;
   struct h1_answer_limits limits;
-  uint64_t read_bytes; /* of the answer */
-  uint64_t body_bytes;
   int64_t sent_ms;
   int64_t head_ms; /* first byte of the head that is being read; 0: none */
   int64_t body_ms; /* first byte after the head; 0: none yet */
   uint32_t refs;   /* the open socket, and holders of the head */
   int64_t hold_ms;
-  bool no_answer_body;
   bool connect_only;
   bool sent;
-  bool head_told;
-  bool over_limit;
-  bool whole;
+  bool has_head;
   bool closing;
 };
 
@@ -56,7 +50,7 @@
 {
   if (--call->refs > 0)
     return;
-  head_builder_clear (&call->builder);
+  h1_answer_destroy (call->answer);
   if (call->out != NULL)
     g_string_free (call->out, TRUE);
   g_free (call);
@@ -110,126 +104,49 @@
   return (int64_t)uv_now (call->tcp.loop);
 }
 
-static int
-on_begin (http_parser *parser)
+static void
+answer_begin (struct h1_answer_handler *handler)
 {
-  struct h1_call *call = parser->data;
+  struct h1_call *call = (struct h1_call *)handler;
 
   call->head_ms = call_now_ms (call);
-  return 0;
-}
-
-static int
-on_status (http_parser *parser, const char *at, size_t length)
-{
-  struct h1_call *call = parser->data;
-
-  head_builder_add (&call->builder, HEAD_START, at, length);
-  return 0;
-}
-
-static int
-on_field (http_parser *parser, const char *at, size_t length)
-{
-  struct h1_call *call = parser->data;
-
-  if (!call->head_told)
-    head_builder_add (&call->builder, HEAD_NAME, at, length);
-  return 0;
-}
-
-static int
-on_value (http_parser *parser, const char *at, size_t length)
-{
-  struct h1_call *call = parser->data;
-
-  if (!call->head_told)
-    head_builder_add (&call->builder, HEAD_VALUE, at, length);
-  return 0;
-}
-
-static bool
-is_interim (const http_parser *parser)
-{
-  return parser->status_code / 100 == 1;
 }
 
-static int
-on_head (http_parser *parser)
+static void
+answer_head (struct h1_answer_handler *handler, const struct h1_head *head)
 {
-  struct h1_call *call = parser->data;
+  struct h1_call *call = (struct h1_call *)handler;
 
-  parser->upgrade = 0;
-  call->head_ms = 0;
-  if (is_interim (parser))
-    return 0;
-  head_builder_finish (&call->builder, parser);
-  call->head_told = true;
-  call->handler->impl->head (call->handler, call, &call->builder.head);
-  return call->no_answer_body ? 1 : 0;
+  call->has_head = true;
+  if (!call->closing)
+    call->handler->impl->head (call->handler, call, head);
 }
 
-static int
-on_body (http_parser *parser, const char *at, size_t length)
+static void
+answer_data (struct h1_answer_handler *handler, const char *bytes,
+             size_t bytes_count)
 {
-  struct h1_call *call = parser->data;
+  struct h1_call *call = (struct h1_call *)handler;
 
-  call->body_bytes += length;
-  if (call->limits.body_bytes > 0
-      && call->body_bytes > call->limits.body_bytes)
-    call->over_limit = true;
-  else if (!call->closing)
-    call->handler->impl->data (call->handler, call, at, length);
-  return 0;
+  if (!call->closing)
+    call->handler->impl->data (call->handler, call, bytes, bytes_count);
 }
 
-static int
-on_message (http_parser *parser)
-{
-  struct h1_call *call = parser->data;
-
-  if (is_interim (parser))
-    {
-      head_builder_reset (&call->builder);
-      return 0;
-    }
-  call->whole = true;
-  http_parser_pause (parser, 1);
-  return 0;
-}
-
-static const http_parser_settings parser_settings = {
-  .on_message_begin = on_begin,
-  .on_status = on_status,
-  .on_header_field = on_field,
-  .on_header_value = on_value,
-  .on_headers_complete = on_head,
-  .on_body = on_body,
-  .on_message_complete = on_message,
+static const struct h1_answer_handler_impl answer_impl = {
+  .begin = answer_begin,
+  .head = answer_head,
+  .data = answer_data,
 };
 
-/* Ends the call if the answer is whole.  What may follow on the connection
- * belongs to no request and is never read. */
 static void
-call_check_whole (struct h1_call *call)
+call_finish (struct h1_call *call)
 {
-  if (!call->whole || call->closing)
+  if (call->closing)
     return;
   call_close (call);
   call->handler->impl->done (call->handler, call);
 }
 
-/* Bytes that are no body grow with it only as far as framing needs them. */
-static bool
-exceeds_bytes (const struct h1_call *call)
-{
-  return call->over_limit
-         || (call->limits.head_bytes > 0
-             && call->read_bytes - call->body_bytes
-                    > call->limits.head_bytes
-                          + FRAMING_PER_BYTE * call->body_bytes);
-}
-
 static int64_t
 earlier (int64_t end_ms, int64_t since_ms, int64_t limit_ms)
 {
@@ -240,8 +157,9 @@
 static void
 answer_late (struct h1_call *call)
 {
-  call_fail (call,
-             call->read_bytes > 0 ? H1_FAILURE_ENDLESS : H1_FAILURE_SILENT);
+  call_fail (call, h1_answer_read_bytes (call->answer) > 0
+                       ? H1_FAILURE_ENDLESS
+                       : H1_FAILURE_SILENT);
 }
 
 static void
@@ -260,26 +178,34 @@
 }
 
 static void
-call_parse (struct h1_call *call, const char *bytes, size_t bytes_count)
+call_read (struct h1_call *call, const char *bytes, size_t bytes_count)
 {
-  bool had_head = call->head_told;
-  size_t taken = http_parser_execute (&call->parser, &parser_settings, bytes,
-                                      bytes_count);
-  enum http_errno error = HTTP_PARSER_ERRNO (&call->parser);
+  bool had_head = call->has_head;
+  enum h1_answer_state state
+      = h1_answer_read (call->answer, bytes, bytes_count);
 
   if (call->closing)
     return;
-  call->read_bytes += taken;
-  if (call->body_ms == 0 && (had_head || call->body_bytes > 0))
+  if (!h1_answer_in_head (call->answer))
+    call->head_ms = 0;
+  if (call->body_ms == 0
+      && (had_head || h1_answer_body_bytes (call->answer) > 0))
     call->body_ms = call_now_ms (call);
-  if (exceeds_bytes (call) || error == HPE_HEADER_OVERFLOW)
-    call_fail (call, H1_FAILURE_ENDLESS);
-  else if (call->whole)
-    call_check_whole (call);
-  else if (taken != bytes_count || error != HPE_OK)
-    call_fail (call, H1_FAILURE_GARBLED);
-  else
-    call_set_timer (call);
+  switch (state)
+    {
+    case H1_ANSWER_READING:
+      call_set_timer (call);
+      break;
+    case H1_ANSWER_WHOLE:
+      call_finish (call);
+      break;
+    case H1_ANSWER_GARBLED:
+      call_fail (call, H1_FAILURE_GARBLED);
+      break;
+    case H1_ANSWER_ENDLESS:
+      call_fail (call, H1_FAILURE_ENDLESS);
+      break;
+    }
 }
 
 /* libuv reports the end of a connection when the poll says "hung up" after a
@@ -292,28 +218,23 @@
   uv_os_fd_t fd;
   char byte;
 
-  return uv_fileno ((const uv_handle_t *)&call->tcp, &fd) == 0
-         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+  if (uv_fileno ((const uv_handle_t *)&call->tcp, &fd) != 0)
+    return false;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
          && errno == ECONNRESET;
 }
 
 /* An orderly end completes an answer without a stated length, and only such
- * an answer; the parser knows. */
+ * an answer. */
 static void
 call_ended (struct h1_call *call)
 {
   if (was_reset (call))
-    {
-      call_fail (call, H1_FAILURE_RESET);
-      return;
-    }
-  http_parser_execute (&call->parser, &parser_settings, NULL, 0);
-  if (call->closing)
-    return;
-  if (call->whole)
-    call_check_whole (call);
-  else
+    call_fail (call, H1_FAILURE_RESET);
+  else if (h1_answer_end (call->answer) != H1_ANSWER_WHOLE)
     call_fail (call, H1_FAILURE_CLOSED);
+  else
+    call_finish (call);
 }
 
 static void
@@ -336,7 +257,7 @@
   if (count > 0 && !call->sent)
     call_fail (call, H1_FAILURE_GARBLED);
   else if (count > 0)
-    call_parse (call, buf->base, (size_t)count);
+    call_read (call, buf->base, (size_t)count);
   else if (count == UV_EOF)
     call_ended (call);
   else if (count < 0)
@@ -381,8 +302,7 @@
       call_send (call);
       return;
     }
-  call_close (call);
-  call->handler->impl->done (call->handler, call);
+  call_finish (call);
 }
 
 /* A reset may have come since the last read. */
@@ -445,8 +365,8 @@
   int64_t timeout_ms = request->connect_timeout_ms;
   int failed;
 
+  call->base.impl = &answer_impl;
   call->handler = handler;
-  call->no_answer_body = request->no_answer_body;
   call->connect_only = request->connect_only;
   call->limits = request->limits;
   call->hold_ms = request->hold_ms;
@@ -456,9 +376,11 @@
   if (request->body_bytes > 0)
     g_string_append_len (call->out, request->body,
                          (gssize)request->body_bytes);
-  head_builder_init (&call->builder);
-  http_parser_init (&call->parser, HTTP_RESPONSE);
-  call->parser.data = call;
+  call->answer = h1_answer_create (
+      request->no_answer_body,
+      (struct h1_answer_bytes){ .head_bytes = request->limits.head_bytes,
+                                .body_bytes = request->limits.body_bytes },
+      &call->base);
   uv_tcp_init (loop_uv (loop), &call->tcp);
   call->timer = loop_timer_create (loop, timer_due, call);
   call->tcp.data = call;
