h1: the head of an answer is checked by the grammar of HTTP

Cause: the parser of the library takes any number for a status, blanks in names, lines without a colon, a lone CR behind a reason and control bytes in one. Nothing behind it looked at the head. Change: the bytes of each head, also of an interim one, are checked against RFC 9110 and RFC 9112 before the parser has them: status line, names, values. The first byte that breaks them ends the call as garbled, which may have run: 502, or another endpoint. That covers each call by h1_call: plain calls, engines' streams, prefills, reservations, moves, reports, orders, lists of prompts, and requests handed to a peer. Empty lines in front of a head and lines that end with LF alone are taken as before.

--- a/h1/answer.c
+++ b/h1/answer.c
@@ -1,6 +1,7 @@
 #include "h1/answer.h"
 
 #include "builder.h"
+#include "grammar.h"
 
 /* Bytes of framing for each byte of the body. */
 #define FRAMING_PER_BYTE 64
@@ -11,6 +12,7 @@
   struct h1_answer_bytes limits;
   http_parser parser;
   struct head_builder builder;
+  struct answer_grammar grammar;
   enum h1_answer_state state;
   uint64_t read_bytes;
   uint64_t body_bytes;
@@ -103,6 +105,7 @@
   if (is_interim (parser))
     {
       head_builder_reset (&answer->builder);
+      grammar_begin_head (&answer->grammar);
       return 0;
     }
   answer->state = H1_ANSWER_WHOLE;
@@ -130,6 +133,7 @@
   answer->limits = limits;
   answer->without_body = without_body;
   head_builder_init (&answer->builder);
+  grammar_begin_head (&answer->grammar);
   http_parser_init (&answer->parser, HTTP_RESPONSE);
   answer->parser.data = answer;
   return answer;
@@ -174,8 +178,19 @@
 h1_answer_read (struct h1_answer *answer, const char *bytes,
                 size_t bytes_count)
 {
-  if (bytes_count > 0 && answer->state == H1_ANSWER_READING)
-    answer_parse (answer, bytes, bytes_count);
+  while (bytes_count > 0 && answer->state == H1_ANSWER_READING)
+    {
+      size_t part = bytes_count;
+
+      if (!answer->has_head)
+        part = grammar_take (&answer->grammar, bytes, bytes_count);
+      if (part > 0)
+        answer_parse (answer, bytes, part);
+      else
+        answer->state = H1_ANSWER_GARBLED;
+      bytes += part;
+      bytes_count -= part;
+    }
   return answer->state;
 }
 
--- a/tests/gateway/test_cut_answers.c
+++ b/tests/gateway/test_cut_answers.c
@@ -9,16 +9,21 @@
 #include "testbed.h"
 
 /* Endpoints that stop in the middle of an answer and close their connections
- * in order, as the kernel does for a process that has crashed. */
+ * in order, as the kernel does for a process that has crashed, and endpoints
+ * whose answers have a head that is none. */
 
 #define TURN_MS 1
 #define REQUEST_BYTES 4096
 /* Bytes from one cut of a head to the next. */
 #define CUT_STEP 3
+#define GRANTED                                                               \
+  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"                     \
+  "Content-Length: 12\r\n\r\n{\"hold\":\"h\"}"
 /* For how long the kernel listens for a process that has crashed. */
 #define LINGER_TURNS 5
 
-/* An endpoint that answers each request with the same bytes. */
+/* An endpoint that answers each request with the same bytes, and grants each
+ * reservation. */
 struct fake
 {
   int listener;
@@ -100,6 +105,12 @@
 static void
 fake_answer (void)
 {
+  if (strstr (fake.request->str, "/v1/hold-") != NULL)
+    {
+      fake_send (GRANTED, strlen (GRANTED));
+      fake_close (&fake.connection);
+      return;
+    }
   if (fake.names_request)
     name_request ();
   fake.requests++;
@@ -147,30 +158,44 @@
     fake_answer ();
 }
 
-/* Lists the fake as the only plain endpoint, or beside the others. */
+/* Lists the fake as the only endpoint of its stage (NULL: the plain service),
+ * or beside the others. */
 static void
-fake_start (bool alone)
+fake_start_stage (const char *stage, bool alone)
 {
   char address[32];
+  json_t *entry;
 
-  if (alone)
-    for (size_t i = 0; i < 3; i++)
-      standin_runner_drain (testbed_endpoint (&t, i));
+  for (size_t i = 0; alone && i < TESTBED_ENDPOINTS; i++)
+    {
+      struct standin_runner *runner = testbed_endpoint (&t, i);
+
+      if (g_strcmp0 (standin_runner_stage (runner), stage) == 0)
+        standin_runner_drain (runner);
+    }
   fake = (struct fake){ .connection = -1 };
   fake.request = g_string_new (NULL);
   fake.answer = g_string_new (NULL);
   fake_listen ();
   timer = loop_timer_start (t.loop, TURN_MS, TURN_MS, fake_turn, NULL);
   g_snprintf (address, sizeof address, "127.0.0.1:%u", fake.port);
-  standin_put (t.standin, "servers", "fake",
-               json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
-                          "service", "plain", "address", address, "zone",
-                          "dc-1", "version", "1", "slots", 16, "state",
-                          "ready", "cold_left_ms", 0, "sequence", 0, "born",
-                          (json_int_t)1));
+  entry = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
+                     "service", stage != NULL ? "model" : "plain", "address",
+                     address, "zone", "dc-1", "version", "1", "slots", 16,
+                     "state", "ready", "cold_left_ms", 0, "sequence", 0,
+                     "born", (json_int_t)1);
+  if (stage != NULL)
+    json_object_set_new (entry, "stage", json_string (stage));
+  standin_put (t.standin, "servers", "fake", entry);
   testbed_run (&t, 1000);
 }
 
+static void
+fake_start (bool alone)
+{
+  fake_start_stage (NULL, alone);
+}
+
 static void
 setup (void)
 {
@@ -241,6 +266,80 @@
 }
 END_TEST
 
+/* Heads of answers that are none, with the marks of the request's run. */
+static const struct
+{
+  const char *status;
+  const char *line;
+} broken_heads[] = {
+  { "000", "" }, { "200", "X Odd: 1\r\n" },    { "200", "X-Odd : 1\r\n" },
+  { "999", "" }, { "200", "X\x01Odd: 1\r\n" },
+};
+
+static void
+answer_broken (int row, const char *type, const char *body)
+{
+  g_string_printf (fake.answer,
+                   "HTTP/1.1 %s OK\r\nX-Response-Seal: s\r\n"
+                   "Content-Type: %s\r\nContent-Length: %zu\r\n%s\r\n%s",
+                   broken_heads[row].status, type, strlen (body),
+                   broken_heads[row].line, body);
+}
+
+/* Guards against an answer whose head is none reaching the caller of a request
+ * that may run once, and against a second run of it. */
+START_TEST (test_broken_head)
+{
+  struct testbed_response *response;
+
+  fake_start (true);
+  fake.names_request = true;
+  answer_broken (_i, "text/plain", "whole");
+  response = ask ("/once/x");
+  ck_assert_uint_eq (response->status, 502);
+  ck_assert_ptr_null (strstr (response->fields->str, "Odd"));
+  ck_assert_ptr_null (strstr (response->body->str, "whole"));
+  ck_assert_uint_eq (fake.requests, 1);
+}
+END_TEST
+
+/* The same for requests that may be repeated: another endpoint answers. */
+START_TEST (test_broken_head_elsewhere)
+{
+  testbed_wait_repeats (&t);
+  fake_start (false);
+  fake.names_request = true;
+  for (int i = 0; i < 40; i++)
+    {
+      struct testbed_response *response;
+
+      answer_broken (_i, "text/plain", "whole");
+      response = ask ("/x");
+      ck_assert_uint_eq (response->status, 200);
+      ck_assert_ptr_nonnull (strstr (response->body->str, " /x at a"));
+    }
+  ck_assert_uint_gt (fake.requests, 0);
+}
+END_TEST
+
+/* The same for the stream of an engine. */
+START_TEST (test_broken_head_of_stream)
+{
+  struct testbed_response *response;
+
+  fake_start_stage ("decode", true);
+  fake.names_request = true;
+  answer_broken (_i, "text/event-stream", "id: 1\ndata: odd\n\n");
+  response = testbed_get (&t, 0, "model.example", "/once/chat",
+                          "X-Token-Counts: 1000,50\r\n");
+  testbed_wait (&t, response);
+  ck_assert_uint_eq (response->status, 502);
+  ck_assert_ptr_null (strstr (response->fields->str, "Odd"));
+  ck_assert_ptr_null (strstr (response->body->str, "odd"));
+  ck_assert_uint_eq (fake.requests, 1);
+}
+END_TEST
+
 /* Guards against half of an answer, or none of it, that looks whole to a
  * caller: it ends with its connection, and its endpoint has crashed. Its
  * listening socket may be closed a moment later. */
@@ -308,6 +407,11 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, test_cut_head, 0, (int)G_N_ELEMENTS (heads));
   tcase_add_test (tcase, test_cut_head_elsewhere);
+  tcase_add_loop_test (tcase, test_broken_head, 0,
+                       (int)G_N_ELEMENTS (broken_heads));
+  tcase_add_loop_test (tcase, test_broken_head_elsewhere, 0, 2);
+  tcase_add_loop_test (tcase, test_broken_head_of_stream, 0,
+                       (int)G_N_ELEMENTS (broken_heads));
   tcase_add_loop_test (tcase, test_unframed_of_crashed_endpoint, 0, 4);
   tcase_add_test (tcase, test_unframed_of_live_endpoint);
   tcase_add_test (tcase, test_silent_within_head);
--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -2,6 +2,7 @@
 #include <unistd.h>
 
 #include "../suite.h"
+#include "answer_heads.h"
 #include "h1/client.h"
 #include "raw.h"
 
@@ -250,6 +251,67 @@
 }
 END_TEST
 
+/* Answers a call with HEAD and a body, in order, at once or in parts. */
+static void
+answer_head (const char *head, bool in_parts)
+{
+  char *text = g_strconcat (head, "abc", NULL);
+
+  answer_part (text, strlen (text), in_parts);
+  g_free (text);
+}
+
+static void
+check_garbled (const char *head)
+{
+  for (int in_parts = 0; in_parts < 2; in_parts++)
+    {
+      answer_head (head, in_parts == 1);
+      ck_assert_msg (teller.failed && !teller.done && teller.status == 0,
+                     "'%s': status %u, done %d", head, teller.status,
+                     teller.done);
+      ck_assert_int_eq (teller.failure, H1_FAILURE_GARBLED);
+      ck_assert (teller.sent);
+      ck_assert_uint_eq (teller.body->len, 0);
+      teller.failed = false;
+    }
+}
+
+/* Guards against a status that is none reaching a caller. */
+START_TEST (test_no_status) { check_garbled (answers_without_status[_i]); }
+END_TEST
+
+/* Guards against a line that is no field reaching a caller, or framing the
+ * answer. */
+START_TEST (test_broken_field)
+{
+  check_garbled (answers_with_broken_fields[_i]);
+}
+END_TEST
+
+static void
+check_whole (const char *text, bool in_parts)
+{
+  answer_part (text, strlen (text), in_parts);
+  ck_assert_msg (teller.done, "'%s'", text);
+  ck_assert_uint_eq (teller.status, 200);
+  ck_assert_str_eq (teller.body->str, "abc");
+  teller.done = false;
+  teller.status = 0;
+  g_string_truncate (teller.body, 0);
+}
+
+/* Guards against an answer that is lost since its head looks odd. */
+START_TEST (test_odd_head)
+{
+  char *text = g_strconcat (odd_answers[_i], "abc", NULL);
+
+  check_whole (text, false);
+  check_whole (text, true);
+  g_free (text);
+}
+END_TEST
+
 START_TEST (test_nobody_listens)
 {
   close (listener);
@@ -551,6 +613,12 @@
   tcase_add_test (tcase, test_short_of_length);
   tcase_add_loop_test (tcase, test_cut_head, 0, 2 * (int)G_N_ELEMENTS (heads));
   tcase_add_test (tcase, test_garbled);
+  tcase_add_loop_test (tcase, test_no_status, 0,
+                       (int)G_N_ELEMENTS (answers_without_status));
+  tcase_add_loop_test (tcase, test_broken_field, 0,
+                       (int)G_N_ELEMENTS (answers_with_broken_fields));
+  tcase_add_loop_test (tcase, test_odd_head, 0,
+                       (int)G_N_ELEMENTS (odd_answers));
   tcase_add_test (tcase, test_nobody_listens);
   tcase_add_test (tcase, test_early_answer);
   tcase_add_test (tcase, test_cancel);
