h1: an answer whose framing is unknown is none

Callers could get: the bytes of a transfer coding as the body, since the line that names it concerns one connection and is not passed on; and a body up to the end of the connection under an empty Content-Length. Cause: the parser reads to the end of the connection whatever coding it does not know, and passes over an empty length. Change: one length of digits, or "chunked" alone, or neither; else the call ends as garbled before its head is told.

--- a/h1/answer.c
+++ b/h1/answer.c
@@ -78,6 +78,8 @@
   if (is_interim (parser))
     return 0;
   head_builder_finish (&answer->builder, parser);
+  if (!h1_head_framing_known (&answer->builder.head))
+    return -1;
   answer->has_head = true;
   answer->handler->impl->head (answer->handler, &answer->builder.head);
   return answer->without_body ? 1 : 0;
--- a/h1/head.c
+++ b/h1/head.c
@@ -70,6 +70,21 @@
   return false;
 }
 
+bool
+h1_head_framing_known (const struct h1_head *head)
+{
+  const char *length = h1_head_find (head, "content-length");
+  const char *coding = h1_head_find (head, "transfer-encoding");
+
+  if (length != NULL
+      && (*length == '\0' || length[strspn (length, "0123456789")] != '\0'
+          || h1_head_count (head, "content-length") > 1))
+    return false;
+  return coding == NULL
+         || (length == NULL && g_ascii_strcasecmp (coding, "chunked") == 0
+             && h1_head_count (head, "transfer-encoding") == 1);
+}
+
 void
 head_builder_init (struct head_builder *b)
 {
--- a/include/h1/head.h
+++ b/include/h1/head.h
@@ -36,6 +36,10 @@
 /** Return whether answers with STATUS never have a body. */
 bool h1_status_without_body (unsigned int status);
 
+/** Return whether the body of an answer with HEAD can be told from its
+ * framing: one length, or the coding "chunked" alone, or neither. */
+bool h1_head_framing_known (const struct h1_head *head);
+
 /** Whether NAME concerns one connection only, so that it is never passed
  * on: the fixed hop-by-hop fields, and what Connection lists. */
 bool h1_head_hop_by_hop (const struct h1_head *head, const char *name);
--- a/tests/h1/answer_heads.h
+++ b/tests/h1/answer_heads.h
@@ -63,6 +63,24 @@
   "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 };
 
+/** Lines that frame the body in no way that a reader knows. */
+static const char *const answers_with_unknown_framing[] = {
+  ANSWER_BEGIN "Content-Length:\r\n\r\n",
+  ANSWER_BEGIN "Content-Length: 3x\r\n\r\n",
+  ANSWER_BEGIN "Content-Length: +3\r\n\r\n",
+  ANSWER_BEGIN "Content-Length: 3, 3\r\n\r\n",
+  ANSWER_BEGIN "Content-Length: 3\r\nContent-Length: 3\r\n\r\n",
+  ANSWER_BEGIN "Content-Length: 99999999999999999999999\r\n\r\n",
+  ANSWER_BEGIN "Transfer-Encoding:\r\n\r\n",
+  ANSWER_BEGIN "Transfer-Encoding: gzip\r\n\r\n",
+  ANSWER_BEGIN "Transfer-Encoding: , chunked\r\n\r\n",
+  ANSWER_BEGIN "Transfer-Encoding: chunkedx\r\n\r\n",
+  ANSWER_BEGIN "Transfer-Encoding: gzip, chunked\r\n\r\n",
+  ANSWER_BEGIN "Transfer-Encoding: chunked, gzip\r\n\r\n",
+  ANSWER_BEGIN "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+  ANSWER_BEGIN "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\n",
+};
+
 /** What a reader of answers takes, odd as it looks. */
 static const char *const odd_answers[] = {
   ANSWER_BEGIN "\r\n",
--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -289,6 +289,13 @@
 }
 END_TEST
 
+/* Guards against a body that was framed in another way than it was read. */
+START_TEST (test_unknown_framing)
+{
+  check_garbled (answers_with_unknown_framing[_i]);
+}
+END_TEST
+
 static void
 check_whole (const char *text, bool in_parts)
 {
@@ -617,6 +624,8 @@
                        (int)G_N_ELEMENTS (answers_without_status));
   tcase_add_loop_test (tcase, test_broken_field, 0,
                        (int)G_N_ELEMENTS (answers_with_broken_fields));
+  tcase_add_loop_test (tcase, test_unknown_framing, 0,
+                       (int)G_N_ELEMENTS (answers_with_unknown_framing));
   tcase_add_loop_test (tcase, test_odd_head, 0,
                        (int)G_N_ELEMENTS (odd_answers));
   tcase_add_test (tcase, test_nobody_listens);
