h1: the framing of chunks is checked

Callers could get: a body without two bytes of each chunk, where an endpoint's sizes are wrong. Cause: the parser takes any two bytes behind a chunk's data and any byte behind the CR of a size line, and fields of a trailer as those of a head. Change: the bytes of a chunked body are checked as those of heads are; data is passed over as a whole.

--- a/h1/answer.c
+++ b/h1/answer.c
@@ -19,6 +19,7 @@
   bool without_body;
   bool in_head;
   bool has_head; /* the final one */
+  bool chunked;
   bool over_limit;
 };
 
@@ -81,6 +82,8 @@
   if (!h1_head_framing_known (&answer->builder.head))
     return -1;
   answer->has_head = true;
+  answer->chunked = (parser->flags & F_CHUNKED) != 0;
+  grammar_begin_chunks (&answer->grammar);
   answer->handler->impl->head (answer->handler, &answer->builder.head);
   return answer->without_body ? 1 : 0;
 }
@@ -184,7 +187,7 @@
     {
       size_t part = bytes_count;
 
-      if (!answer->has_head)
+      if (!answer->has_head || answer->chunked)
         part = grammar_take (&answer->grammar, bytes, bytes_count);
       if (part > 0)
         answer_parse (answer, bytes, part);
--- a/h1/grammar.c
+++ b/h1/grammar.c
@@ -12,6 +12,12 @@
   *g = (struct answer_grammar){ .state = GRAMMAR_VERSION };
 }
 
+void
+grammar_begin_chunks (struct answer_grammar *g)
+{
+  *g = (struct answer_grammar){ .state = GRAMMAR_CHUNK_SIZE };
+}
+
 /* tchar */
 static bool
 is_token (unsigned char c)
@@ -20,7 +26,7 @@
          || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c) != NULL);
 }
 
-/* What a value or a reason is made of. */
+/* What a value, a reason or an extension is made of. */
 static bool
 is_text (unsigned char c)
 {
@@ -91,6 +97,42 @@
   return is_token (c) ? GRAMMAR_NAME : GRAMMAR_BROKEN;
 }
 
+static enum grammar_state
+take_chunk_size (struct answer_grammar *g, unsigned char c)
+{
+  if (g_ascii_isxdigit (c) && g->chunk_bytes <= UINT64_MAX >> 4)
+    {
+      g->count++;
+      g->chunk_bytes
+          = g->chunk_bytes << 4 | (uint64_t)g_ascii_xdigit_value (c);
+      return GRAMMAR_CHUNK_SIZE;
+    }
+  if (g->count == 0)
+    return GRAMMAR_BROKEN;
+  if (c == '\r')
+    return GRAMMAR_CHUNK_SIZE_END;
+  return c == ';' || c == ' ' || c == '\t' ? GRAMMAR_CHUNK_EXTENSION
+                                           : GRAMMAR_BROKEN;
+}
+
+static enum grammar_state
+take_chunk_extension (unsigned char c)
+{
+  if (c == '\r')
+    return GRAMMAR_CHUNK_SIZE_END;
+  return is_text (c) ? GRAMMAR_CHUNK_EXTENSION : GRAMMAR_BROKEN;
+}
+
+/* The last chunk has no data; the trailer's fields follow. */
+static enum grammar_state
+take_chunk_size_end (struct answer_grammar *g, unsigned char c)
+{
+  g->count = 0;
+  if (c != '\n')
+    return GRAMMAR_BROKEN;
+  return g->chunk_bytes > 0 ? GRAMMAR_CHUNK_DATA : GRAMMAR_LINE;
+}
+
 static enum grammar_state
 take_byte (struct answer_grammar *g, unsigned char c)
 {
@@ -116,11 +158,32 @@
       return take_text (c, GRAMMAR_VALUE);
     case GRAMMAR_LAST_LINE_END:
       return c == '\n' ? GRAMMAR_WHOLE : GRAMMAR_BROKEN;
+    case GRAMMAR_CHUNK_SIZE:
+      return take_chunk_size (g, c);
+    case GRAMMAR_CHUNK_EXTENSION:
+      return take_chunk_extension (c);
+    case GRAMMAR_CHUNK_SIZE_END:
+      return take_chunk_size_end (g, c);
+    case GRAMMAR_CHUNK_DATA_CR:
+      return c == '\r' ? GRAMMAR_CHUNK_DATA_LF : GRAMMAR_BROKEN;
+    case GRAMMAR_CHUNK_DATA_LF:
+      return c == '\n' ? GRAMMAR_CHUNK_SIZE : GRAMMAR_BROKEN;
     default:
       return GRAMMAR_BROKEN;
     }
 }
 
+static size_t
+take_chunk_data (struct answer_grammar *g, size_t bytes_count)
+{
+  size_t taken = (size_t)MIN (g->chunk_bytes, bytes_count);
+
+  g->chunk_bytes -= taken;
+  if (g->chunk_bytes == 0)
+    g->state = GRAMMAR_CHUNK_DATA_CR;
+  return taken;
+}
+
 size_t
 grammar_take (struct answer_grammar *g, const char *bytes, size_t bytes_count)
 {
@@ -128,6 +191,11 @@
 
   while (taken < bytes_count && g->state != GRAMMAR_WHOLE)
     {
+      if (g->state == GRAMMAR_CHUNK_DATA)
+        {
+          taken += take_chunk_data (g, bytes_count - taken);
+          continue;
+        }
       g->state = take_byte (g, (unsigned char)bytes[taken]);
       if (g->state == GRAMMAR_BROKEN)
         break;
--- a/include/h1/answer.h
+++ b/include/h1/answer.h
@@ -2,8 +2,8 @@
  * Reads one HTTP/1.1 answer from the bytes of a connection.
  *
  * The parser takes more than the grammar of RFC 9110 and RFC 9112 allows, so
- * that heads are checked by it first: bytes that break it are no answer, and
- * nothing of them is passed on.
+ * that heads and chunks are checked by it first: bytes that break it are no
+ * answer, and nothing of them is passed on.
  */
 #ifndef H1_ANSWER_H
 #define H1_ANSWER_H
--- a/tests/h1/answer_heads.h
+++ b/tests/h1/answer_heads.h
@@ -81,6 +81,33 @@
   ANSWER_BEGIN "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\n",
 };
 
+/** Chunked bodies that are none. */
+static const char *const broken_chunks[] = {
+  "3\r\nabcXY0\r\n\r\n",
+  "3\r\nabc\rX0\r\n\r\n",
+  "3\r\nabcX\n0\r\n\r\n",
+  "3\rXabc\r\n0\r\n\r\n",
+  "3;a\rXabc\r\n0\r\n\r\n",
+  "3;a=\x01\r\nabc\r\n0\r\n\r\n",
+  "\r\n3\r\nabc\r\n0\r\n\r\n",
+  "+3\r\nabc\r\n0\r\n\r\n",
+  "0x3\r\nabc\r\n0\r\n\r\n",
+  "xyz\r\nabc\r\n0\r\n\r\n",
+  "11111111111111113\r\nabc\r\n0\r\n\r\n",
+  "3\r\nabc\r\n0\r\nX Odd: 1\r\n\r\n",
+  "3\r\nabc\r\n0\r\nX-Odd\r\n\r\n",
+  "3\r\nabc\r\n0\r\nX-Odd: \x01\r\n\r\n",
+};
+
+/** Odd ones that are. */
+static const char *const odd_chunks[] = {
+  "3\r\nabc\r\n0\r\n\r\n",
+  "003\r\nabc\r\n000\r\n\r\n",
+  "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+  "3;a=\"b c\"\r\nabc\r\n0;a\r\nX-Trailer: 1\r\n\r\n",
+  "3 ;a\r\nabc\r\n0\r\nX-Trailer: 1\r\n 2\r\n\r\nAND MORE",
+};
+
 /** What a reader of answers takes, odd as it looks. */
 static const char *const odd_answers[] = {
   ANSWER_BEGIN "\r\n",
--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -319,6 +319,37 @@
 }
 END_TEST
 
+/* Guards against chunks that are read past what breaks their framing. */
+START_TEST (test_broken_chunks)
+{
+  char *text
+      = g_strconcat ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     broken_chunks[_i], NULL);
+
+  for (int in_parts = 0; in_parts < 2; in_parts++)
+    {
+      answer_part (text, strlen (text), in_parts == 1);
+      ck_assert_msg (teller.failed && !teller.done, "'%s'", text);
+      ck_assert_int_eq (teller.failure, H1_FAILURE_GARBLED);
+      teller.failed = false;
+    }
+  g_free (text);
+}
+END_TEST
+
+/* Guards against an answer that is lost since its chunks look odd. */
+START_TEST (test_odd_chunks)
+{
+  char *text
+      = g_strconcat ("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n",
+                     odd_chunks[_i], NULL);
+
+  check_whole (text, false);
+  check_whole (text, true);
+  g_free (text);
+}
+END_TEST
+
 START_TEST (test_nobody_listens)
 {
   close (listener);
@@ -628,6 +659,10 @@
                        (int)G_N_ELEMENTS (answers_with_unknown_framing));
   tcase_add_loop_test (tcase, test_odd_head, 0,
                        (int)G_N_ELEMENTS (odd_answers));
+  tcase_add_loop_test (tcase, test_broken_chunks, 0,
+                       (int)G_N_ELEMENTS (broken_chunks));
+  tcase_add_loop_test (tcase, test_odd_chunks, 0,
+                       (int)G_N_ELEMENTS (odd_chunks));
   tcase_add_test (tcase, test_nobody_listens);
   tcase_add_test (tcase, test_early_answer);
   tcase_add_test (tcase, test_cancel);
