h1: an answer without a body by its status has none

Callers could get: the head of an answer as the first bytes of a body, where an interim one has a Content-Length; and a 304 with one was waited for until its time was up. Cause: the parser goes by the length alone unless it is told otherwise. Change: it is told for 1xx, 204 and 304 (RFC 9112, 6.3).

--- a/h1/answer.c
+++ b/h1/answer.c
@@ -73,11 +73,13 @@
 on_head (http_parser *parser)
 {
   struct h1_answer *answer = parser->data;
+  bool without_body
+      = answer->without_body || h1_status_without_body (parser->status_code);
 
   parser->upgrade = 0;
   answer->in_head = false;
   if (is_interim (parser))
-    return 0;
+    return without_body ? 1 : 0;
   head_builder_finish (&answer->builder, parser);
   if (!h1_head_framing_known (&answer->builder.head))
     return -1;
@@ -85,7 +87,7 @@
   answer->chunked = (parser->flags & F_CHUNKED) != 0;
   grammar_begin_chunks (&answer->grammar);
   answer->handler->impl->head (answer->handler, &answer->builder.head);
-  return answer->without_body ? 1 : 0;
+  return without_body ? 1 : 0;
 }
 
 static int
--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -350,6 +350,27 @@
 }
 END_TEST
 
+/* Guards against the head of an answer being read as the body of an interim
+ * one, which has none whatever its fields say. */
+START_TEST (test_interim_with_length)
+{
+  check_whole ("HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+               _i == 1);
+}
+END_TEST
+
+/* Guards against waiting for a body by the length of an answer that has none
+ * by its status. */
+START_TEST (test_length_without_body)
+{
+  answer ("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", false);
+  ck_assert (teller.done);
+  ck_assert_uint_eq (teller.status, 304);
+  ck_assert_uint_eq (teller.body->len, 0);
+}
+END_TEST
+
 START_TEST (test_nobody_listens)
 {
   close (listener);
@@ -663,6 +684,8 @@
                        (int)G_N_ELEMENTS (broken_chunks));
   tcase_add_loop_test (tcase, test_odd_chunks, 0,
                        (int)G_N_ELEMENTS (odd_chunks));
+  tcase_add_loop_test (tcase, test_interim_with_length, 0, 2);
+  tcase_add_test (tcase, test_length_without_body);
   tcase_add_test (tcase, test_nobody_listens);
   tcase_add_test (tcase, test_early_answer);
   tcase_add_test (tcase, test_cancel);
