h1: an early answer that is cut off is not whole

Cause: the error of a reset is told once. Where the pending write gets it, the next read meets an orderly end, was_reset finds nothing, and the end completes an answer without a length. The write's result was not kept. Change: the call keeps whether its request was written whole. An answer that only the end of its connection completes is whole if it was, and if the endpoint's kernel has acknowledged all of it: nothing else shows that it is. A connection that the kernel has as closed by a reset is one, whoever met the error. Answers with a length or in chunks are whole as before, also before the upload ends.

--- a/h1/client.c
+++ b/h1/client.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "h1/answer.h"
+#include "h1/connection.h"
 
 #define CONNECT_TIMEOUT_MS 1000
 #define READ_BYTES 65536
@@ -30,7 +31,8 @@
   uint32_t refs;   /* the open socket, and holders of the head */
   int64_t hold_ms;
   bool connect_only;
-  bool sent;
+  bool sent;    /* a byte of the request at least */
+  bool written; /* all of it */
   bool has_head;
   bool closing;
 };
@@ -220,12 +222,26 @@
 
   if (uv_fileno ((const uv_handle_t *)&call->tcp, &fd) != 0)
     return false;
-  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
-         && errno == ECONNRESET;
+  return (recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+          && errno == ECONNRESET)
+         || h1_connection_reset (fd);
+}
+
+/* Whether the endpoint has received the whole request. */
+static bool
+request_delivered (const struct h1_call *call)
+{
+  uv_os_fd_t fd;
+
+  return call->written
+         && (uv_fileno ((const uv_handle_t *)&call->tcp, &fd) != 0
+             || h1_connection_delivered (fd));
 }
 
 /* An orderly end completes an answer without a stated length, and only such
- * an answer. */
+ * an answer.  If it came before the request was delivered, nothing shows that
+ * it is one: the write may have met the error of a reset, which is told
+ * once. */
 static void
 call_ended (struct h1_call *call)
 {
@@ -233,6 +249,8 @@
     call_fail (call, H1_FAILURE_RESET);
   else if (h1_answer_end (call->answer) != H1_ANSWER_WHOLE)
     call_fail (call, H1_FAILURE_CLOSED);
+  else if (!request_delivered (call))
+    call_fail (call, H1_FAILURE_RESET);
   else
     call_finish (call);
 }
@@ -271,6 +289,7 @@
 
   /* A failed write is left to the reading side: the endpoint may have
      answered before it closed, and that answer counts. */
+  call->written = status == 0;
   g_string_free (call->out, TRUE);
   call->out = NULL;
 }
--- a/tests/h1/raw.c
+++ b/tests/h1/raw.c
@@ -113,7 +113,7 @@
                     (ssize_t)strlen (text));
 }
 
-static void
+void
 raw_read (struct raw *raw)
 {
   char bytes[16384];
--- a/tests/h1/raw.h
+++ b/tests/h1/raw.h
@@ -44,6 +44,9 @@
 /** Send bytes. */
 void raw_send (struct raw *raw, const char *text);
 
+/** Receive what has come, without turning the loop. */
+void raw_read (struct raw *raw);
+
 /** Turn the loop until NEEDLE was received; fails the test after 3 s. */
 void raw_expect (struct raw *raw, const char *needle);
 
--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "../suite.h"
@@ -6,10 +7,15 @@
 #include "h1/client.h"
 #include "raw.h"
 
+/* A body that no buffer of the kernel holds, and one that they hold. */
+#define LONG_BODY_BYTES (4U << 20)
+#define BUFFERED_BODY_BYTES (128U << 10)
+
 /* What a call told. */
 struct teller
 {
   struct h1_call_handler base;
+  struct raw *reset_at_data; /* reset as data is told; NULL: none */
   unsigned int status;
   GString *body;
   bool done;
@@ -35,6 +41,9 @@
            const char *bytes, size_t bytes_count)
 {
   g_string_append_len (teller.body, bytes, (gssize)bytes_count);
+  if (teller.reset_at_data != NULL)
+    raw_close (teller.reset_at_data, true);
+  teller.reset_at_data = NULL;
 }
 
 static void
@@ -383,31 +392,115 @@
 }
 END_TEST
 
-/* The endpoint answers before it has read all of a long body.  The answer
- * counts, and the connection is closed, so that nothing is ever sent where
- * the rest of the body was due. */
-START_TEST (test_early_answer)
+/* Starts a call with a body of BODY_BYTES, of which the endpoint has read
+ * nothing. */
+static struct raw *
+upload_start (size_t body_bytes)
 {
-  char *body = g_strnfill (4U << 20, 'x');
-  static const char head[] = "POST / HTTP/1.1\r\nHost: h\r\n"
-                             "Content-Length: 4194304\r\n\r\n";
+  char *body = g_strnfill (body_bytes, 'x');
+  char *head = g_strdup_printf ("POST / HTTP/1.1\r\nHost: h\r\n"
+                                "Content-Length: %zu\r\n\r\n",
+                                body_bytes);
   struct h1_request request = { .address = "127.0.0.1",
                                 .port = port,
                                 .head = head,
-                                .head_bytes = sizeof head - 1,
+                                .head_bytes = strlen (head),
                                 .body = body,
-                                .body_bytes = 4U << 20 };
+                                .body_bytes = body_bytes };
   struct raw *raw;
 
   h1_call_start (loop, &request, &teller.base);
   raw = raw_accept (loop, listener);
-  raw_send (raw, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+  raw_turn (loop, 5);
+  g_free (head);
+  g_free (body);
+  return raw;
+}
+
+/* The endpoint answers before it has read all of a long body.  The answer
+ * counts, and the connection is closed, so that nothing is ever sent where
+ * the rest of the body was due. */
+START_TEST (test_early_answer)
+{
+  struct raw *raw = upload_start (LONG_BODY_BYTES);
+
+  raw_send (raw, "HTTP/1.1 400 Bad Request\r\nContent-Length: 3\r\n\r\nabc");
+  if (_i > 0)
+    raw_close (raw, _i == 1);
   wait_for_end ();
   ck_assert (teller.done);
   ck_assert_uint_eq (teller.status, 400);
+  ck_assert_str_eq (teller.body->str, "abc");
   raw_turn (loop, 5);
+  if (_i == 0)
+    raw_close (raw, false);
+}
+END_TEST
+
+/* Guards against a part of an early answer passing for the whole: its
+ * connection is reset while the request is still written, and the write gets
+ * the error of the reset, so that the next read meets an orderly end. */
+START_TEST (test_early_unframed_reset_in_write)
+{
+  struct raw *raw = upload_start (LONG_BODY_BYTES);
+
+  /* What is read makes room, so that one poll tells of both the part and the
+     room. */
+  raw_read (raw);
+  raw_send (raw, "HTTP/1.1 200 OK\r\n\r\npart");
+  teller.reset_at_data = raw;
+  wait_for_end ();
+  ck_assert_ptr_null (teller.reset_at_data);
+  ck_assert_str_eq (teller.body->str, "part");
+  ck_assert (teller.failed);
+  ck_assert_int_eq (teller.failure, H1_FAILURE_RESET);
+}
+END_TEST
+
+/* Guards against the same where the kernel still holds a part of the request,
+ * and the endpoint ends its side of the connection without having read it. */
+START_TEST (test_early_unframed_end)
+{
+  size_t body_bytes = _i == 0 ? BUFFERED_BODY_BYTES : LONG_BODY_BYTES;
+  struct raw *raw;
+
+  setsockopt (listener, SOL_SOCKET, SO_RCVBUF, &(int){ 4096 }, sizeof (int));
+  raw = upload_start (body_bytes);
+  raw_send (raw, "HTTP/1.1 200 OK\r\n\r\npart");
+  shutdown (raw->fd, SHUT_WR);
+  wait_for_end ();
+  ck_assert (teller.failed);
+  ck_assert_int_eq (teller.failure, H1_FAILURE_RESET);
   raw_close (raw, false);
-  g_free (body);
+}
+END_TEST
+
+/* Guards against an answer without a length that is lost though its endpoint
+ * has read the whole of a long request. */
+START_TEST (test_unframed_after_upload)
+{
+  struct raw *raw = upload_start (LONG_BODY_BYTES);
+
+  while (raw->got->len < LONG_BODY_BYTES)
+    {
+      raw_read (raw);
+      raw_turn (loop, 1);
+    }
+  raw_send (raw, "HTTP/1.1 200 OK\r\n\r\nabc");
+  raw_close (raw, false);
+  wait_for_end ();
+  ck_assert (teller.done);
+  ck_assert_str_eq (teller.body->str, "abc");
+}
+END_TEST
+
+/* Guards against a whole answer that is lost since its connection is reset
+ * behind it. */
+START_TEST (test_reset_behind_whole)
+{
+  answer ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", true);
+  ck_assert (teller.done);
+  ck_assert_str_eq (teller.body->str, "abc");
 }
 END_TEST
 
@@ -687,7 +780,11 @@
   tcase_add_loop_test (tcase, test_interim_with_length, 0, 2);
   tcase_add_test (tcase, test_length_without_body);
   tcase_add_test (tcase, test_nobody_listens);
-  tcase_add_test (tcase, test_early_answer);
+  tcase_add_loop_test (tcase, test_early_answer, 0, 3);
+  tcase_add_test (tcase, test_early_unframed_reset_in_write);
+  tcase_add_loop_test (tcase, test_early_unframed_end, 0, 2);
+  tcase_add_test (tcase, test_unframed_after_upload);
+  tcase_add_test (tcase, test_reset_behind_whole);
   tcase_add_test (tcase, test_cancel);
   tcase_add_test (tcase, test_pause);
   tcase_add_loop_test (tcase, test_limits, 0, 7);
