http: answers are read as those of endpoints are

Cause: the HTTP of libwebsockets 4.1.6 checks less than the grammar and has no call that lists what it took; it treats 1xx as a final status. Change: it only moves the bytes, as a raw connection, with TLS or without; h1_answer reads the answer, so that each is judged in one place. The request is written here, with the fields that the library sent; a blank or control byte in a path is escaped. The end of a connection completes an answer without a length only if the kernel has no reset and the request was received. Framing in vain is bounded as in h1: 64 KB and 64 bytes for each byte of the body (before: 256 reads in a row).

--- a/http/client.c
+++ b/http/client.c
@@ -3,69 +3,62 @@
 #include <glib.h>
 #include <string.h>
 
+#include "h1/answer.h"
+#include "h1/connection.h"
 #include "private.h"
 #include "traffic.h"
 
-/* Reads in a row that bring framing alone, and no byte of a body. */
-#define FRAMING_READS_MAX 256
+/* Of an answer: heads, and framing beside what grows with the body. */
+#define HEAD_BYTES_MAX 65536
 /* A body that has arrived for longer must bring so much on average. */
 #define SLOW_MS 5000
 #define SLOWEST_BYTES_PER_S 1000
 
 struct http_call
 {
+  struct h1_answer_handler base;
   struct http_context *context;
   struct http_call_handler *handler;
   struct lws *wsi;
   struct loop_timer *timer;
   int64_t idle_timeout_ms;
-  int64_t begun_ms;        /* time of the body's first bytes; 0: none yet */
-  int64_t heard_ms;        /* and of its last */
-  size_t answer_max_bytes; /* 0: any */
-  uint64_t answer_bytes;   /* of the body, so far */
-  uint32_t framing_reads;  /* since its last bytes */
-  char *method;
+  int64_t begun_ms; /* time of the body's first bytes; 0: none yet */
+  int64_t heard_ms; /* and of its last */
+  uint32_t refs;    /* the call, and a read of its answer */
   char *address;
   char *host;
-  char *path;
-  char **header_names;
-  char **header_values;
-  size_t header_count;
-  unsigned char *body; /* behind LWS_PRE bytes of room */
-  size_t body_bytes;
-  size_t body_sent_bytes;
-  GHashTable *response_headers;
-  unsigned int status;
+  GString *request; /* behind LWS_PRE bytes of room */
+  size_t request_sent_bytes;
+  struct h1_answer *answer;
+  const struct h1_head *head; /* NULL until it has arrived */
   bool starting;
   bool sent;
-  char **read_position; /* inside lws_http_client_read: where it is */
-  char *read_start;     /* and where it began */
-  bool chunked;
   bool ended; /* no callback may follow */
   bool failed_in_start;
   const char *reason;
 };
 
 static void
-call_free (struct http_call *call)
+call_unref (struct http_call *call)
 {
-  loop_timer_stop (call->timer);
-  for (size_t i = 0; i < call->header_count; i++)
-    {
-      g_free (call->header_names[i]);
-      g_free (call->header_values[i]);
-    }
-  g_free (call->header_names);
-  g_free (call->header_values);
-  g_free (call->method);
+  if (--call->refs > 0)
+    return;
+  h1_answer_destroy (call->answer);
+  g_string_free (call->request, TRUE);
   g_free (call->address);
   g_free (call->host);
-  g_free (call->path);
-  g_free (call->body);
-  g_hash_table_destroy (call->response_headers);
   g_free (call);
 }
 
+/* The call has ended for its owner. */
+static void
+call_free (struct http_call *call)
+{
+  loop_timer_stop (call->timer);
+  call->timer = NULL;
+  call_unref (call);
+}
+
 /* libwebsockets may still call back for a connection whose call has ended;
  * it then finds no call. */
 static void
@@ -141,7 +134,18 @@
   int64_t late_ms = now_ms - call->begun_ms - SLOW_MS;
 
   return late_ms > 0
-         && (int64_t)call->answer_bytes < late_ms * SLOWEST_BYTES_PER_S / 1000;
+         && (int64_t)h1_answer_body_bytes (call->answer)
+                < late_ms * SLOWEST_BYTES_PER_S / 1000;
+}
+
+static void idle_check (void *user);
+
+static void
+idle_timer_set (struct http_call *call, int64_t delay_ms)
+{
+  loop_timer_stop (call->timer);
+  call->timer
+      = loop_timer_start (call->context->loop, delay_ms, 0, idle_check, call);
 }
 
 /* Bytes of the body only move a time, and the timer looks whether it is old
@@ -163,10 +167,7 @@
       fail_and_close (call, HTTP_ENDLESS_ANSWER);
       return;
     }
-  loop_timer_stop (call->timer);
-  call->timer
-      = loop_timer_start (call->context->loop, call->idle_timeout_ms - idle_ms,
-                          0, idle_check, call);
+  idle_timer_set (call, call->idle_timeout_ms - idle_ms);
 }
 
 /* A large answer on a slow link needs longer than any call that the network
@@ -182,27 +183,37 @@
   if (!first)
     return;
   call->begun_ms = call->heard_ms;
-  idle_check (call);
+  idle_timer_set (call, call->idle_timeout_ms);
 }
 
-static int
-take_body (struct http_call *call, struct lws *wsi, const void *bytes,
-           size_t bytes_count)
+static void
+answer_head (struct h1_answer_handler *handler, const struct h1_head *head)
 {
-  call->framing_reads = 0;
-  call->answer_bytes += bytes_count;
-  if (call->answer_max_bytes > 0
-      && call->answer_bytes > call->answer_max_bytes)
-    {
-      call_fail (call, HTTP_ENDLESS_ANSWER);
-      return -1;
-    }
+  struct http_call *call = (struct http_call *)handler;
+
+  call->head = head;
+  if (!call->ended && call->handler->impl->head != NULL)
+    call->handler->impl->head (call->handler, call, head->status);
+}
+
+static void
+answer_data (struct h1_answer_handler *handler, const char *bytes,
+             size_t bytes_count)
+{
+  struct http_call *call = (struct http_call *)handler;
+
+  if (call->ended)
+    return;
   note_heard (call);
   if (call->handler->impl->data != NULL)
     call->handler->impl->data (call->handler, call, bytes, bytes_count);
-  return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
 }
 
+static const struct h1_answer_handler_impl answer_impl = {
+  .head = answer_head,
+  .data = answer_data,
+};
+
 static void
 fail_later (void *user)
 {
@@ -213,108 +224,71 @@
 }
 
 static int
-append_request_headers (struct http_call *call, void *in, size_t len)
+write_request (struct http_call *call)
 {
-  unsigned char **p = in;
-  unsigned char *end = *p + len;
-  char length[24];
-
-  /* From here on bytes may reach the socket. */
-  call->sent = true;
-  for (size_t i = 0; i < call->header_count; i++)
-    {
-      char *name = g_strconcat (call->header_names[i], ":", NULL);
-      const char *value = call->header_values[i];
-      int bad = lws_add_http_header_by_name (call->wsi, (unsigned char *)name,
-                                             (const unsigned char *)value,
-                                             (int)strlen (value), p, end);
-
-      g_free (name);
-      if (bad != 0)
-        return -1;
-    }
-  if (call->body_bytes == 0 && strcmp (call->method, "GET") == 0)
-    return 0;
-  g_snprintf (length, sizeof length, "%zu", call->body_bytes);
-  if (lws_add_http_header_by_token (call->wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
-                                    (unsigned char *)length,
-                                    (int)strlen (length), p, end)
-      != 0)
-    return -1;
-  if (call->body_bytes > 0)
-    {
-      lws_client_http_body_pending (call->wsi, 1);
-      lws_callback_on_writable (call->wsi);
-    }
-  return 0;
-}
-
-static int
-write_body (struct http_call *call)
-{
-  size_t left = call->body_bytes - call->body_sent_bytes;
-  size_t n = left < HTTP_WRITE_BYTES ? left : HTTP_WRITE_BYTES;
-  bool last = n == left;
+  size_t left = call->request->len - LWS_PRE - call->request_sent_bytes;
+  size_t n = MIN (left, HTTP_WRITE_BYTES);
 
   if (left == 0)
     return 0;
-  if (lws_write (call->wsi, call->body + LWS_PRE + call->body_sent_bytes, n,
-                 last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
+  /* From here on bytes may reach the socket. */
+  call->sent = true;
+  if (lws_write (call->wsi,
+                 (unsigned char *)call->request->str + LWS_PRE
+                     + call->request_sent_bytes,
+                 n, LWS_WRITE_RAW)
       < 0)
     return -1;
-  call->body_sent_bytes += n;
-  if (last)
-    lws_client_http_body_pending (call->wsi, 0);
-  else
+  call->request_sent_bytes += n;
+  if (n < left)
     lws_callback_on_writable (call->wsi);
   return 0;
 }
 
+/* Returns -1 if the connection is to be closed. */
 static int
-read_body (struct http_call *call, struct lws *wsi)
+take_answer (struct http_call *call, const char *bytes, size_t bytes_count)
 {
-  char buf[LWS_PRE + HTTP_WRITE_BYTES];
-  char *p = buf + LWS_PRE;
-  int n = HTTP_WRITE_BYTES;
-  int result;
+  enum h1_answer_state state;
 
-  call->read_start = p;
-  /* It is reset before this function returns. */
-  /* cppcheck-suppress autoVariables */
-  call->read_position = &p;
-  result = lws_http_client_read (wsi, &p, &n);
-  /* The handler may have cancelled the call, or it has ended. */
-  if (lws_get_opaque_user_data (wsi) == NULL)
-    return -1;
-  call->read_position = NULL;
-  if (++call->framing_reads > FRAMING_READS_MAX)
+  if (!call->sent)
     {
-      call_fail (call, HTTP_ENDLESS_ANSWER);
+      call_fail (call, "bytes before the request");
       return -1;
     }
-  return result < 0 ? -1 : 0;
+  call->refs++;
+  state = h1_answer_read (call->answer, bytes, bytes_count);
+  if (state == H1_ANSWER_WHOLE)
+    call_finish (call);
+  else if (state == H1_ANSWER_GARBLED)
+    call_fail (call, "no HTTP answer");
+  else if (state == H1_ANSWER_ENDLESS)
+    call_fail (call, HTTP_ENDLESS_ANSWER);
+  state = call->ended ? H1_ANSWER_WHOLE : H1_ANSWER_READING;
+  call_unref (call);
+  return state == H1_ANSWER_READING ? 0 : -1;
 }
 
-/* When a peer dies in the middle of a chunked answer, libwebsockets reports
- * the answer complete as it meets the connection's end; half an answer would
- * pass for the whole.  The true end is the last chunk, so that bytes were
- * consumed by the read that found it; the connection's end consumes none. */
+/* Whether the connection has ended in order and the server has received the
+ * whole request. */
 static bool
-is_cut_off (const struct http_call *call)
+closed_in_order (const struct http_call *call, struct lws *wsi)
 {
-  return call->chunked
-         && (call->read_position == NULL
-             || *call->read_position == call->read_start);
+  int fd = lws_get_socket_fd (wsi);
+
+  return call->request_sent_bytes == call->request->len - LWS_PRE && fd >= 0
+         && !h1_connection_reset (fd) && h1_connection_delivered (fd);
 }
 
-static int
-complete (struct http_call *call)
+/* The end of the connection completes an answer without a stated length. */
+static void
+take_end (struct http_call *call, struct lws *wsi)
 {
-  if (is_cut_off (call))
-    call_fail (call, "the answer broke off");
-  else
+  if (closed_in_order (call, wsi)
+      && h1_answer_end (call->answer) == H1_ANSWER_WHOLE)
     call_finish (call);
-  return -1;
+  else
+    call_fail (call, "connection closed");
 }
 
 static int
@@ -323,29 +297,20 @@
 {
   switch (reason)
     {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+    case LWS_CALLBACK_RAW_CONNECTED:
       call->wsi = wsi;
-      return append_request_headers (call, in, len);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-      return write_body (call);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-      call->status = lws_http_client_http_response (wsi);
-      call->chunked
-          = lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
-      if (call->handler->impl->head != NULL)
-        call->handler->impl->head (call->handler, call, call->status);
-      /* The handler may have cancelled the call. */
-      return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-      return read_body (call, wsi);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-      return take_body (call, wsi, in, len);
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-      return complete (call);
+      lws_callback_on_writable (wsi);
+      return 0;
+    case LWS_CALLBACK_RAW_WRITEABLE:
+      return write_request (call);
+    case LWS_CALLBACK_RAW_RX:
+      return take_answer (call, in, len);
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       call_fail (call, "connection error");
       return 0;
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+    case LWS_CALLBACK_RAW_CLOSE:
+      take_end (call, wsi);
+      return 0;
     case LWS_CALLBACK_WSI_DESTROY:
       call_fail (call, "connection closed");
       return 0;
@@ -364,11 +329,9 @@
     {
       switch (reason)
         {
-        case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+        case LWS_CALLBACK_RAW_CONNECTED:
+        case LWS_CALLBACK_RAW_WRITEABLE:
+        case LWS_CALLBACK_RAW_RX:
           return -1;
         default:
           return 0;
@@ -394,31 +357,55 @@
   return result;
 }
 
+/* A blank or control byte in a path would let its source forge a request. */
 static void
-copy_request (struct http_call *call, const struct http_request *request)
+append_path (GString *out, const char *path)
 {
-  call->method = g_strdup (request->method);
-  call->address = g_strdup (request->address);
-  call->host
-      = request->tls_host != NULL
-            ? g_strdup (request->tls_host)
-            : g_strdup_printf ("%s:%u", request->address, request->port);
-  call->path = g_strdup (request->path);
-  call->header_count = request->header_count;
-  call->header_names = g_new0 (char *, request->header_count + 1);
-  call->header_values = g_new0 (char *, request->header_count + 1);
+  for (const char *p = path; *p != '\0'; p++)
+    if (g_ascii_isgraph (*p) || (*p & 0x80) != 0)
+      g_string_append_c (out, *p);
+    else
+      g_string_append_printf (out, "%%%02X", (unsigned char)*p);
+}
+
+/* A line break in a value would let its source forge headers. */
+static void
+append_header (GString *out, const char *name, const char *value)
+{
+  char *clean = g_strdelimit (g_strdup (value), "\r\n", ' ');
+
+  g_string_append_printf (out, "%s: %s\r\n", name, clean);
+  g_free (clean);
+}
+
+static GString *
+format_request (const struct http_request *request, const char *host)
+{
+  GString *out = g_string_sized_new (LWS_PRE + 512 + request->body_bytes);
+
+  g_string_set_size (out, LWS_PRE);
+  g_string_append_printf (out, "%s ", request->method);
+  append_path (out, request->path);
+  g_string_append (out, " HTTP/1.1\r\nPragma: no-cache\r\n"
+                        "Cache-Control: no-cache\r\n");
+  append_header (out, "Host", host);
   for (size_t i = 0; i < request->header_count; i++)
-    {
-      call->header_names[i] = g_strdup (request->headers[i].name);
-      /* A line break in a value would let its source forge headers. */
-      call->header_values[i]
-          = g_strdelimit (g_strdup (request->headers[i].value), "\r\n", ' ');
-    }
-  call->body_bytes = request->body_bytes;
-  if (request->body_bytes == 0)
-    return;
-  call->body = g_malloc (LWS_PRE + request->body_bytes);
-  memcpy (call->body + LWS_PRE, request->body, request->body_bytes);
+    append_header (out, request->headers[i].name, request->headers[i].value);
+  if (request->body_bytes > 0 || strcmp (request->method, "GET") != 0)
+    g_string_append_printf (out, "content-length: %zu\r\n",
+                            request->body_bytes);
+  g_string_append (out, "connection: close\r\n\r\n");
+  if (request->body_bytes > 0)
+    g_string_append_len (out, request->body, (gssize)request->body_bytes);
+  return out;
+}
+
+static char *
+format_host (const struct http_request *request)
+{
+  if (request->tls_host != NULL)
+    return g_strdup (request->tls_host);
+  return g_strdup_printf ("%s:%u", request->address, request->port);
 }
 
 struct http_call *
@@ -430,27 +417,33 @@
   struct lws_client_connect_info info = { 0 };
   struct lws *wsi;
 
+  call->base.impl = &answer_impl;
   call->context = context;
   call->handler = handler;
-  call->response_headers
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  call->answer_max_bytes = request->answer_max_bytes;
-  copy_request (call, request);
+  call->refs = 1;
+  call->address = g_strdup (request->address);
+  call->host = format_host (request);
+  call->request = format_request (request, call->host);
+  call->answer = h1_answer_create (
+      strcmp (request->method, "HEAD") == 0,
+      (struct h1_answer_bytes){ .head_bytes = HEAD_BYTES_MAX,
+                                .body_bytes = request->answer_max_bytes },
+      &call->base);
   info.context = context->lws;
   info.vhost = context->client_vhost;
   info.address = call->address;
   info.port = request->port;
-  info.path = call->path;
+  info.path = "/";
   info.host = call->host;
-  info.origin = NULL;
-  info.method = call->method;
+  /* The library only moves the bytes: it takes heads that are none, and an
+   * interim one for the answer's. */
+  info.method = "RAW";
   info.protocol = "http";
   info.local_protocol_name = "http";
   info.alpn = "http/1.1";
   info.opaque_user_data = call;
   info.pwsi = &call->wsi;
-  info.ssl_connection
-      = LCCSCF_HTTP_NO_FOLLOW_REDIRECT | (request->tls ? LCCSCF_USE_SSL : 0);
+  info.ssl_connection = request->tls ? LCCSCF_USE_SSL : 0;
   call->starting = true;
   wsi = lws_client_connect_via_info (&info);
   call->starting = false;
@@ -487,55 +480,16 @@
     lws_rx_flow_control (call->wsi, paused ? 0 : 1);
 }
 
-/* Returns whether libwebsockets has a token for NAME; it does not keep such a
- * field by its name. */
-static bool
-known_header (const char *name, enum lws_token_indexes *token)
-{
-  if (strcmp (name, "content-type") == 0)
-    *token = WSI_TOKEN_HTTP_CONTENT_TYPE;
-  else if (strcmp (name, "content-length") == 0)
-    *token = WSI_TOKEN_HTTP_CONTENT_LENGTH;
-  else
-    return false;
-  return true;
-}
-
 const char *
 http_call_header (struct http_call *call, const char *name)
 {
-  enum lws_token_indexes token;
-  char key[80];
-  int n;
-  char *value = g_hash_table_lookup (call->response_headers, name);
-
-  if (value != NULL || call->wsi == NULL)
-    return value;
-  if (known_header (name, &token))
-    {
-      n = lws_hdr_total_length (call->wsi, token);
-      if (n <= 0)
-        return NULL;
-      value = g_malloc0 ((gsize)n + 1);
-      lws_hdr_copy (call->wsi, value, n + 1, token);
-    }
-  else
-    {
-      g_snprintf (key, sizeof key, "%s:", name);
-      n = lws_hdr_custom_length (call->wsi, key, (int)strlen (key));
-      if (n < 0)
-        return NULL;
-      value = g_malloc0 ((gsize)n + 1);
-      lws_hdr_custom_copy (call->wsi, value, n + 1, key, (int)strlen (key));
-    }
-  g_hash_table_insert (call->response_headers, g_strdup (name), value);
-  return value;
+  return call->head != NULL ? h1_head_find (call->head, name) : NULL;
 }
 
 unsigned int
 http_call_status (const struct http_call *call)
 {
-  return call->status;
+  return call->head != NULL ? call->head->status : 0;
 }
 
 bool
--- a/tests/http/test_raw.c
+++ b/tests/http/test_raw.c
@@ -4,9 +4,11 @@
 
 #include "http/client.h"
 #include "http/server.h"
+#include "../h1/answer_heads.h"
 #include "../suite.h"
 
 #define PART_DELAY_MS 20
+#define LONG_BODY_BYTES (4U << 20)
 /* Bytes from one cut to the next if the parts before it come slowly. */
 #define CUT_STEP 5
 /* Turns of the loop after which closed sockets are forgotten. */
@@ -21,6 +23,7 @@
   struct loop_timer *timer;
   char **parts; /* written one after the other */
   size_t next;
+  bool resets; /* behind the last of them */
 };
 
 struct result
@@ -83,7 +86,9 @@
 static void
 written (uv_write_t *write, int status)
 {
-  if (fx.peer.parts[fx.peer.next] == NULL)
+  if (fx.peer.parts[fx.peer.next] == NULL && fx.peer.resets)
+    uv_tcp_close_reset (&fx.peer.connection, NULL);
+  else if (fx.peer.parts[fx.peer.next] == NULL)
     uv_close ((uv_handle_t *)&fx.peer.connection, NULL);
   else
     fx.peer.timer
@@ -154,12 +159,14 @@
 }
 
 static void
-call_raw (const char *bytes)
+call_raw_with (const char *bytes, const char *body, size_t body_bytes)
 {
   struct http_request request = {
-    .method = "GET",
+    .method = body_bytes > 0 ? "POST" : "GET",
     .address = "127.0.0.1",
     .path = "/",
+    .body = body,
+    .body_bytes = body_bytes,
     .timeout_ms = 3000,
   };
 
@@ -169,6 +176,12 @@
   loop_run (fx.loop);
 }
 
+static void
+call_raw (const char *bytes)
+{
+  call_raw_with (bytes, NULL, 0);
+}
+
 #define HEAD "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
 
 /* A caller takes half an advice for the whole.  The engine's process dies in
@@ -242,6 +255,83 @@
 }
 END_TEST
 
+/* Answers a call with HEAD and a body. */
+static void
+call_head (const char *head)
+{
+  char *text = g_strconcat (head, "abc", NULL);
+
+  for (char *at = text; (at = strchr (at, '|')) != NULL;)
+    *at = '~';
+  call_raw (text);
+  g_free (text);
+}
+
+/* Guards against a status that is none passing for an answer. */
+START_TEST (no_status)
+{
+  call_head (answers_without_status[_i]);
+  ck_assert_msg (fx.result.failed && !fx.result.done, "'%s'",
+                 answers_without_status[_i]);
+}
+END_TEST
+
+/* Guards against a line that is no field passing for one, or framing the
+ * answer. */
+START_TEST (broken_field)
+{
+  call_head (answers_with_broken_fields[_i]);
+  ck_assert_msg (fx.result.failed && !fx.result.done, "'%s'",
+                 answers_with_broken_fields[_i]);
+}
+END_TEST
+
+/* Guards against an answer that is lost since its head looks odd. */
+START_TEST (odd_head)
+{
+  call_head (odd_answers[_i]);
+  ck_assert_msg (fx.result.done, "'%s'", odd_answers[_i]);
+  ck_assert_str_eq (fx.result.body->str, "abc");
+}
+END_TEST
+
+/* Guards against a body that was framed in another way than it was read. */
+START_TEST (unknown_framing)
+{
+  call_head (answers_with_unknown_framing[_i]);
+  ck_assert_msg (fx.result.failed && !fx.result.done, "'%s'",
+                 answers_with_unknown_framing[_i]);
+}
+END_TEST
+
+/* Calls with TEXT behind the head of an answer in chunks. */
+static void
+call_chunks (const char *text)
+{
+  char *all
+      = g_strconcat (HEAD "transfer-encoding: chunked\r\n\r\n", text, NULL);
+
+  call_raw (all);
+  g_free (all);
+}
+
+/* Guards against chunks that are read past what breaks their framing. */
+START_TEST (broken_chunks_end)
+{
+  call_chunks (broken_chunks[_i]);
+  ck_assert_msg (fx.result.failed && !fx.result.done, "'%s'",
+                 broken_chunks[_i]);
+}
+END_TEST
+
+START_TEST (odd_chunks_are_whole)
+{
+  call_chunks (odd_chunks[_i]);
+  ck_assert_msg (fx.result.done, "'%s'", odd_chunks[_i]);
+  ck_assert_str_eq (fx.result.body->str, "abc");
+}
+END_TEST
+
 START_TEST (whole_chunked)
 {
   call_raw (HEAD "transfer-encoding: chunked\r\nconnection: close\r\n\r\n"
@@ -281,6 +371,31 @@
 }
 END_TEST
 
+/* Guards against a part of an answer without a length passing for the whole
+ * although its connection was reset. */
+START_TEST (unframed)
+{
+  fx.peer.resets = _i == 1;
+  call_raw (HEAD "\r\nwh|ole");
+  ck_assert (fx.result.done == (_i == 0));
+  ck_assert (fx.result.failed == (_i == 1));
+}
+END_TEST
+
+/* Guards against the same where the answer came before the request was read,
+ * and the kernel resets the connection for what is unread. */
+START_TEST (early_unframed)
+{
+  char *body = g_strnfill (LONG_BODY_BYTES, 'x');
+
+  fx.peer.resets = _i == 1;
+  call_raw_with (HEAD "\r\npart", body, LONG_BODY_BYTES);
+  ck_assert (!fx.result.done);
+  ck_assert (fx.result.failed);
+  g_free (body);
+}
+END_TEST
+
 START_TEST (whole_empty)
 {
   call_raw ("HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n");
@@ -299,10 +414,23 @@
   tcase_add_test (tcase, cut_chunked);
   tcase_add_test (tcase, cut_length);
   tcase_add_loop_test (tcase, cut_head, 0, 2 * (int)G_N_ELEMENTS (heads));
+  tcase_add_loop_test (tcase, no_status, 0,
+                       (int)G_N_ELEMENTS (answers_without_status));
+  tcase_add_loop_test (tcase, broken_field, 0,
+                       (int)G_N_ELEMENTS (answers_with_broken_fields));
+  tcase_add_loop_test (tcase, unknown_framing, 0,
+                       (int)G_N_ELEMENTS (answers_with_unknown_framing));
+  tcase_add_loop_test (tcase, odd_head, 0, (int)G_N_ELEMENTS (odd_answers));
+  tcase_add_loop_test (tcase, broken_chunks_end, 0,
+                       (int)G_N_ELEMENTS (broken_chunks));
+  tcase_add_loop_test (tcase, odd_chunks_are_whole, 0,
+                       (int)G_N_ELEMENTS (odd_chunks));
   tcase_add_test (tcase, whole_chunked);
   tcase_add_test (tcase, whole_chunked_in_pieces);
   tcase_add_test (tcase, cut_chunked_in_pieces);
   tcase_add_test (tcase, whole_length);
+  tcase_add_loop_test (tcase, unframed, 0, 2);
+  tcase_add_loop_test (tcase, early_unframed, 0, 2);
   tcase_add_test (tcase, whole_empty);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
