--- a/tests/h1/test_client.c
+++ b/tests/h1/test_client.c
@@ -4,6 +4,7 @@
 
 #include "../suite.h"
 #include "answer_heads.h"
+#include "h1/answer.h"
 #include "h1/client.h"
 #include "raw.h"
 
@@ -328,6 +329,50 @@
 }
 END_TEST
 
+static void
+no_head (struct h1_answer_handler *handler, const struct h1_head *head)
+{
+}
+
+static void
+no_data (struct h1_answer_handler *handler, const char *bytes,
+         size_t bytes_count)
+{
+}
+
+/* Returns the state behind TEXT, which is read one byte at a time. */
+static enum h1_answer_state
+read_byte_by_byte (const char *text)
+{
+  static const struct h1_answer_handler_impl no_impl
+      = { .head = no_head, .data = no_data };
+  struct h1_answer_handler handler = { .impl = &no_impl };
+  struct h1_answer *answer
+      = h1_answer_create (false, (struct h1_answer_bytes){ 0 }, &handler);
+  enum h1_answer_state state = H1_ANSWER_READING;
+
+  for (const char *p = text; *p != '\0'; p++)
+    state = h1_answer_read (answer, p, 1);
+  if (state == H1_ANSWER_READING)
+    state = h1_answer_end (answer);
+  h1_answer_destroy (answer);
+  return state;
+}
+
+/* Guards against a head that is judged by how it is split. */
+START_TEST (test_byte_by_byte)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (answers_without_status); i++)
+    ck_assert_int_eq (read_byte_by_byte (answers_without_status[i]),
+                      H1_ANSWER_GARBLED);
+  for (size_t i = 0; i < G_N_ELEMENTS (answers_with_broken_fields); i++)
+    ck_assert_int_eq (read_byte_by_byte (answers_with_broken_fields[i]),
+                      H1_ANSWER_GARBLED);
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_answers); i++)
+    ck_assert_int_eq (read_byte_by_byte (odd_answers[i]), H1_ANSWER_WHOLE);
+}
+END_TEST
+
 /* Guards against chunks that are read past what breaks their framing. */
 START_TEST (test_broken_chunks)
 {
@@ -773,6 +818,7 @@
                        (int)G_N_ELEMENTS (answers_with_unknown_framing));
   tcase_add_loop_test (tcase, test_odd_head, 0,
                        (int)G_N_ELEMENTS (odd_answers));
+  tcase_add_test (tcase, test_byte_by_byte);
   tcase_add_loop_test (tcase, test_broken_chunks, 0,
                        (int)G_N_ELEMENTS (broken_chunks));
   tcase_add_loop_test (tcase, test_odd_chunks, 0,
