http: calls over TLS work on a raw connection

Cause: libwebsockets 4.1.6 begins TLS on a raw client connection before it has a socket. Change: OpenSSL, which http/ has used already, gets and gives the bytes of the connection. An answer that only the end of its connection completes is whole over TLS if TLS was closed in order too.

--- a/http/client.c
+++ b/http/client.c
@@ -29,6 +29,7 @@
   char *host;
   GString *request; /* behind LWS_PRE bytes of room */
   size_t request_sent_bytes;
+  struct http_tls *tls; /* NULL: none */
   struct h1_answer *answer;
   const struct h1_head *head; /* NULL until it has arrived */
   bool starting;
@@ -44,6 +45,7 @@
   if (--call->refs > 0)
     return;
   h1_answer_destroy (call->answer);
+  http_tls_destroy (call->tls);
   g_string_free (call->request, TRUE);
   g_free (call->address);
   g_free (call->host);
@@ -223,28 +225,72 @@
   call_free (call);
 }
 
+/* Returns the next bytes of the request that one write takes. */
+static size_t
+next_piece (const struct http_call *call, const char **bytes)
+{
+  *bytes = call->request->str + LWS_PRE + call->request_sent_bytes;
+  return MIN (call->request->len - LWS_PRE - call->request_sent_bytes,
+              HTTP_WRITE_BYTES);
+}
+
 static int
-write_request (struct http_call *call)
+write_plain (struct http_call *call)
 {
-  size_t left = call->request->len - LWS_PRE - call->request_sent_bytes;
-  size_t n = MIN (left, HTTP_WRITE_BYTES);
+  const char *bytes;
+  size_t n = next_piece (call, &bytes);
 
-  if (left == 0)
+  if (n == 0)
     return 0;
   /* From here on bytes may reach the socket. */
   call->sent = true;
-  if (lws_write (call->wsi,
-                 (unsigned char *)call->request->str + LWS_PRE
-                     + call->request_sent_bytes,
-                 n, LWS_WRITE_RAW)
-      < 0)
+  if (lws_write (call->wsi, (unsigned char *)bytes, n, LWS_WRITE_RAW) < 0)
     return -1;
   call->request_sent_bytes += n;
-  if (n < left)
-    lws_callback_on_writable (call->wsi);
   return 0;
 }
 
+static int
+write_tls (struct http_call *call)
+{
+  unsigned char buf[LWS_PRE + HTTP_WRITE_BYTES];
+  const char *bytes;
+  size_t n = next_piece (call, &bytes);
+
+  if (n > 0 && http_tls_ready (call->tls) && !http_tls_pending (call->tls))
+    {
+      call->sent = true;
+      if (!http_tls_write (call->tls, bytes, n))
+        return -1;
+      call->request_sent_bytes += n;
+    }
+  n = http_tls_take (call->tls, buf + LWS_PRE, HTTP_WRITE_BYTES);
+  if (n == 0)
+    return 0;
+  return lws_write (call->wsi, buf + LWS_PRE, n, LWS_WRITE_RAW) < 0 ? -1 : 0;
+}
+
+static bool
+wants_write (const struct http_call *call)
+{
+  const char *bytes;
+
+  if (call->tls != NULL && http_tls_pending (call->tls))
+    return true;
+  return next_piece (call, &bytes) > 0
+         && (call->tls == NULL || http_tls_ready (call->tls));
+}
+
+static int
+write_request (struct http_call *call)
+{
+  int result = call->tls != NULL ? write_tls (call) : write_plain (call);
+
+  if (result == 0 && wants_write (call))
+    lws_callback_on_writable (call->wsi);
+  return result;
+}
+
 /* Returns -1 if the connection is to be closed. */
 static int
 take_answer (struct http_call *call, const char *bytes, size_t bytes_count)
@@ -269,6 +315,32 @@
   return state == H1_ANSWER_READING ? 0 : -1;
 }
 
+static int
+take_tls (struct http_call *call, const char *bytes, size_t bytes_count)
+{
+  char plain[HTTP_WRITE_BYTES];
+  int result = 0;
+  int n;
+
+  if (!http_tls_receive (call->tls, bytes, bytes_count))
+    {
+      call_fail (call, "TLS handshake failed");
+      return -1;
+    }
+  call->refs++;
+  while (result == 0
+         && (n = http_tls_read (call->tls, plain, sizeof plain)) != 0)
+    {
+      if (n < 0)
+        call_fail (call, "TLS broke");
+      result = n < 0 ? -1 : take_answer (call, plain, (size_t)n);
+    }
+  if (result == 0 && wants_write (call))
+    lws_callback_on_writable (call->wsi);
+  call_unref (call);
+  return result;
+}
+
 /* Whether the connection has ended in order and the server has received the
  * whole request. */
 static bool
@@ -277,7 +349,8 @@
   int fd = lws_get_socket_fd (wsi);
 
   return call->request_sent_bytes == call->request->len - LWS_PRE && fd >= 0
-         && !h1_connection_reset (fd) && h1_connection_delivered (fd);
+         && !h1_connection_reset (fd) && h1_connection_delivered (fd)
+         && (call->tls == NULL || http_tls_closed (call->tls));
 }
 
 /* The end of the connection completes an answer without a stated length. */
@@ -304,7 +377,8 @@
     case LWS_CALLBACK_RAW_WRITEABLE:
       return write_request (call);
     case LWS_CALLBACK_RAW_RX:
-      return take_answer (call, in, len);
+      return call->tls != NULL ? take_tls (call, in, len)
+                               : take_answer (call, in, len);
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       call_fail (call, "connection error");
       return 0;
@@ -408,6 +482,17 @@
   return g_strdup_printf ("%s:%u", request->address, request->port);
 }
 
+static struct http_tls *
+tls_start (struct http_context *context, const struct http_request *request)
+{
+  SSL_CTX *shared = http_context_client_tls (context);
+
+  return shared == NULL ? NULL
+                        : http_tls_create (shared, request->tls_host != NULL
+                                                       ? request->tls_host
+                                                       : request->address);
+}
+
 struct http_call *
 http_call_start (struct http_context *context,
                  const struct http_request *request,
@@ -440,12 +525,14 @@
   info.method = "RAW";
   info.protocol = "http";
   info.local_protocol_name = "http";
-  info.alpn = "http/1.1";
   info.opaque_user_data = call;
   info.pwsi = &call->wsi;
-  info.ssl_connection = request->tls ? LCCSCF_USE_SSL : 0;
+  if (request->tls)
+    call->tls = tls_start (context, request);
   call->starting = true;
-  wsi = lws_client_connect_via_info (&info);
+  wsi = request->tls && call->tls == NULL
+            ? NULL
+            : lws_client_connect_via_info (&info);
   call->starting = false;
   if (wsi == NULL || call->failed_in_start)
     {
--- a/http/context.c
+++ b/http/context.c
@@ -66,7 +66,7 @@
     }
   info.protocols = client_protocols;
   info.vhost_name = "client";
-  info.client_ssl_ca_filepath = ca_file;
+  context->ca_file = g_strdup (ca_file);
   context->client_vhost = lws_create_vhost (context->lws, &info);
   return context;
 }
@@ -90,9 +90,19 @@
   lws_context_destroy (context->lws);
   run_closing (context);
   http_servers_free (context);
+  SSL_CTX_free (context->client_tls);
+  g_free (context->ca_file);
   g_free (context);
 }
 
+SSL_CTX *
+http_context_client_tls (struct http_context *context)
+{
+  if (context->client_tls == NULL)
+    context->client_tls = http_tls_context_create (context->ca_file);
+  return context->client_tls;
+}
+
 struct http_traffic
 http_context_client_traffic (const struct http_context *context)
 {
--- a/http/private.h
+++ b/http/private.h
@@ -7,12 +7,15 @@
 #include <libwebsockets.h>
 
 #include "http/context.h"
+#include "tls.h"
 
 struct http_context
 {
   struct loop *loop;
   struct lws_context *lws;
   struct lws_vhost *client_vhost;
+  char *ca_file;               /* NULL: the system's certificates */
+  SSL_CTX *client_tls;         /* created by the first call over TLS */
   struct http_server *servers; /* linked by next */
   struct lws *active;          /* client connection whose callback runs */
   struct http_traffic traffic; /* of client calls that have ended */
@@ -26,6 +29,9 @@
 int http_client_callback (struct lws *wsi, enum lws_callback_reasons reason,
                           void *user, void *in, size_t len);
 
+/** Return what calls over TLS share; NULL if its file cannot be read. */
+SSL_CTX *http_context_client_tls (struct http_context *context);
+
 /** Release the memory of all servers of CONTEXT. */
 void http_servers_free (struct http_context *context);
 
--- a/tests/http/test_http.c
+++ b/tests/http/test_http.c
@@ -1,6 +1,11 @@
 #include <glib.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509v3.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "http/client.h"
 #include "http/server.h"
@@ -356,6 +361,84 @@
 }
 END_TEST
 
+/* Writes a certificate for 127.0.0.1 and its key. */
+static void
+write_certificate (const char *cert_file, const char *key_file)
+{
+  EVP_PKEY *key = EVP_EC_gen ("prime256v1");
+  X509 *cert = X509_new ();
+  X509_EXTENSION *names
+      = X509V3_EXT_conf_nid (NULL, NULL, NID_subject_alt_name, "IP:127.0.0.1");
+  FILE *file;
+
+  X509_set_version (cert, X509_VERSION_3);
+  ASN1_INTEGER_set (X509_get_serialNumber (cert), 1);
+  X509_gmtime_adj (X509_getm_notBefore (cert), -3600);
+  X509_gmtime_adj (X509_getm_notAfter (cert), 86400);
+  X509_set_pubkey (cert, key);
+  X509_NAME_add_entry_by_txt (X509_get_subject_name (cert), "CN", MBSTRING_ASC,
+                              (const unsigned char *)"127.0.0.1", -1, -1, 0);
+  X509_set_issuer_name (cert, X509_get_subject_name (cert));
+  X509_add_ext (cert, names, -1);
+  ck_assert_int_gt (X509_sign (cert, key, EVP_sha256 ()), 0);
+  file = fopen (cert_file, "w");
+  ck_assert_ptr_nonnull (file);
+  PEM_write_X509 (file, cert);
+  fclose (file);
+  file = fopen (key_file, "w");
+  ck_assert_ptr_nonnull (file);
+  PEM_write_PrivateKey (file, key, NULL, NULL, 0, NULL, NULL);
+  fclose (file);
+  X509_EXTENSION_free (names);
+  X509_free (cert);
+  EVP_PKEY_free (key);
+}
+
+/* Guards against calls over TLS that lose a long request or answer, and
+ * against a server that is believed without the certificate. */
+START_TEST (tls_calls_arrive_whole)
+{
+  char *dir = g_dir_make_tmp ("http-XXXXXX", NULL);
+  char *cert_file = g_build_filename (dir, "cert.pem", NULL);
+  char *key_file = g_build_filename (dir, "key.pem", NULL);
+  struct http_server_settings settings = { .address = "127.0.0.1",
+                                           .max_body_bytes = 1 << 20,
+                                           .tls_cert_file = cert_file,
+                                           .tls_key_file = key_file };
+  struct http_request request = { .method = "POST",
+                                  .address = "127.0.0.1",
+                                  .path = "/count",
+                                  .timeout_ms = 3000,
+                                  .tls = true,
+                                  .tls_host = "127.0.0.1" };
+  struct beryl_error error = { 0 };
+  char *body = g_strnfill (900000, 'x');
+
+  write_certificate (cert_file, key_file);
+  http_context_destroy (fx.context);
+  fx.context = http_context_create (fx.loop, _i == 0 ? cert_file : NULL);
+  fx.server
+      = http_server_create (fx.context, &settings, &fx.echo.base, &error);
+  ck_assert_msg (fx.server != NULL, "%s", error.message);
+  request.port = http_server_port (fx.server);
+  request.body = body;
+  request.body_bytes = 900000;
+  http_call_start (fx.context, &request, &fx.result.base);
+  loop_run (fx.loop);
+  ck_assert_uint_eq (fx.result.done, _i == 0);
+  ck_assert_uint_eq (fx.result.failed, _i == 1);
+  if (_i == 0)
+    ck_assert_str_eq (fx.result.body->str, "900000");
+  unlink (cert_file);
+  unlink (key_file);
+  rmdir (dir);
+  g_free (body);
+  g_free (cert_file);
+  g_free (key_file);
+  g_free (dir);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -370,6 +453,7 @@
   tcase_add_test (tc, streams_arrive_whole);
   tcase_add_test (tc, traffic_of_calls_is_counted);
   tcase_add_test (tc, half_an_answer_is_a_failure);
+  tcase_add_loop_test (tc, tls_calls_arrive_whole, 0, 2);
   tcase_add_test (tc, refused_connection_sent_nothing);
   tcase_add_test (tc, cancel_closes_the_exchange);
   tcase_add_test (tc, many_calls_leave_nothing_open);
