http: the end of a connection with bytes still held is not in order

Cause: read-through. libwebsockets may hold the end of a request that the socket did not take; an answer that only the end of the connection completes would then count as one to a request that was received. Change: that is asked too; a variable of its own tells whether a call ended. Measured: test_http 11 of 11, test_raw 116 of 116. No test brings the case about: a request's last piece was never held here.

--- a/http/client.c
+++ b/http/client.c
@@ -296,6 +296,7 @@
 take_answer (struct http_call *call, const char *bytes, size_t bytes_count)
 {
   enum h1_answer_state state;
+  bool ended;
 
   if (!call->sent)
     {
@@ -310,9 +311,10 @@
     call_fail (call, "no HTTP answer");
   else if (state == H1_ANSWER_ENDLESS)
     call_fail (call, HTTP_ENDLESS_ANSWER);
-  state = call->ended ? H1_ANSWER_WHOLE : H1_ANSWER_READING;
+  /* The handler may have cancelled the call. */
+  ended = call->ended;
   call_unref (call);
-  return state == H1_ANSWER_READING ? 0 : -1;
+  return ended ? -1 : 0;
 }
 
 static int
@@ -341,15 +343,16 @@
   return result;
 }
 
-/* Whether the connection has ended in order and the server has received the
- * whole request. */
+/* Whether the server has ended the connection in order, and received the whole
+ * request. */
 static bool
 closed_in_order (const struct http_call *call, struct lws *wsi)
 {
   int fd = lws_get_socket_fd (wsi);
 
-  return call->request_sent_bytes == call->request->len - LWS_PRE && fd >= 0
-         && !h1_connection_reset (fd) && h1_connection_delivered (fd)
+  return call->request_sent_bytes == call->request->len - LWS_PRE
+         && !lws_partial_buffered (wsi) && fd >= 0 && !h1_connection_reset (fd)
+         && h1_connection_delivered (fd)
          && (call->tls == NULL || http_tls_closed (call->tls));
 }
 
--- a/include/http/client.h
+++ b/include/http/client.h
@@ -1,7 +1,7 @@
 /** @file
- * HTTP client on libwebsockets, one connection per call: closing the
- * connection cancels the call, and whether any byte of the request was
- * handed to the socket is known for certain.
+ * HTTP client, one connection per call: closing the connection cancels the
+ * call, and whether any byte of the request was handed to the socket is known
+ * for certain.  libwebsockets moves the bytes, h1/answer.h reads the answer.
  */
 #ifndef HTTP_CLIENT_H
 #define HTTP_CLIENT_H
