--- a/include/h1/client.h
+++ b/include/h1/client.h
@@ -21,7 +21,9 @@
 {
   H1_FAILURE_REFUSED, /**< nobody listens there */
   H1_FAILURE_CONNECT, /**< no connection in time */
-  H1_FAILURE_RESET,   /**< the connection broke */
+  /** The connection broke, or its end, which alone would complete the answer,
+   * came before the endpoint had received the request. */
+  H1_FAILURE_RESET,
   H1_FAILURE_CLOSED,  /**< it ended before the answer was whole */
   H1_FAILURE_GARBLED, /**< what came is not an HTTP answer */
   H1_FAILURE_ENDLESS, /**< the answer exceeds its limits */
