forward: a whole end is believed unless its answer speaks against it

Cause: an event further ahead than by one waited for the next one as long as the node did not know how a service numbers its events, and an answer that ended with it counted as garbled unless a second run ended so too. A request that may run once has no second run. What was rejected was not learned from.

Change: the end of a run that is framed whole is believed, unless ids have gone by ones in the answer so far or are known to do so at the service; then a second run decides, as before. The first event of a run is no step: it follows nothing. held_events is a queue of its own, for what comes next.

--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -15,6 +15,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "beryl/event_numbering.h"
 #include "beryl/ids.h"
 
 /** Current stage of an engine.  Router and autoscaler use enum beryl_role,
--- a/libberyl/decide/event_sequence.c
+++ b/libberyl/decide/event_sequence.c
@@ -1,8 +1,10 @@
 #include "event_sequence.h"
 
-/* Ids increase by one if so many events for each jump have done so. A jump
-   that is no event of its run is rare even at a broken endpoint. */
+/* Ids go by ones if so many events for each jump have done so. */
 #define STEPS_PER_JUMP 16
+/* Events of an answer whose ids have gone by ones that speak against one far
+   ahead at its end. */
+#define STEPS_OF_ANSWER 2
 
 const char *
 event_fault_name (enum event_fault fault)
@@ -15,44 +17,90 @@
 }
 
 static bool
-is_consecutive (const struct event_numbering *numbering)
+is_known (const struct beryl_event_numbering *numbering)
+{
+  return numbering->steps + numbering->jumps >= STEPS_PER_JUMP;
+}
+
+static bool
+is_consecutive (const struct beryl_event_numbering *numbering)
 {
   return numbering->steps >= STEPS_PER_JUMP * (numbering->jumps + 1);
 }
 
+static bool
+is_sparse (const struct beryl_event_numbering *numbering)
+{
+  return is_known (numbering) && numbering->jumps >= numbering->steps;
+}
+
+/* Returns whether ids have gone by ones in the answer so far. */
+static bool
+goes_by_ones (const struct event_sequence *sequence)
+{
+  return sequence->jumps == 0 && sequence->steps >= STEPS_OF_ANSWER;
+}
+
+bool
+event_sequence_jumps (const struct event_sequence *sequence, uint64_t id)
+{
+  uint64_t last_id = sequence->has_last ? sequence->last_id : 0;
+
+  return sequence->known && id > last_id && id - last_id > 1;
+}
+
 enum event_fault
 event_sequence_check (const struct event_sequence *sequence,
-                      const struct event_numbering *numbering, uint64_t id)
+                      const struct beryl_event_numbering *numbering,
+                      uint64_t id)
 {
   if (!sequence->known)
     return EVENT_OK;
   if (id <= sequence->last_id)
     return EVENT_REPEATED;
-  if (id > sequence->last_id + 1 && is_consecutive (numbering))
+  if (event_sequence_jumps (sequence, id) && is_consecutive (numbering))
     return EVENT_SKIPPED;
   return EVENT_OK;
 }
 
-bool
-event_sequence_unconfirmed (const struct event_sequence *sequence,
-                            const struct event_numbering *numbering,
-                            uint64_t id)
+uint32_t
+event_sequence_followers (const struct event_sequence *sequence,
+                          const struct beryl_event_numbering *numbering)
 {
-  bool undecided = numbering->steps + numbering->jumps < STEPS_PER_JUMP
-                   || numbering->steps > numbering->jumps;
+  return is_sparse (numbering) ? 0 : 1;
+}
 
-  return sequence->known && id > sequence->last_id + 1 && undecided
-         && !is_consecutive (numbering);
+bool
+event_sequence_ends (const struct event_sequence *sequence,
+                     const struct beryl_event_numbering *numbering)
+{
+  if (sequence->jumps > 0)
+    return true;
+  if (is_consecutive (numbering))
+    return false;
+  if (numbering->jumps > 0)
+    return true;
+  return !goes_by_ones (sequence);
 }
 
 void
-event_sequence_advance (struct event_sequence *sequence,
-                        struct event_numbering *numbering, uint64_t id)
+event_sequence_advance (struct event_sequence *sequence, uint64_t id)
 {
-  if (sequence->known && id == sequence->last_id + 1)
-    numbering->steps++;
-  else if (sequence->known)
-    numbering->jumps++;
+  if (event_sequence_jumps (sequence, id))
+    sequence->jumps++;
+  else if (sequence->has_last)
+    sequence->steps++;
   sequence->known = true;
+  sequence->has_last = true;
   sequence->last_id = id;
 }
+
+void
+event_numbering_learn (struct beryl_event_numbering *numbering,
+                       const struct event_sequence *sequence, uint64_t id)
+{
+  if (event_sequence_jumps (sequence, id))
+    numbering->jumps++;
+  else if (sequence->known && sequence->has_last)
+    numbering->steps++;
+}
--- a/libberyl/decide/event_sequence.h
+++ b/libberyl/decide/event_sequence.h
@@ -1,7 +1,12 @@
 /** @file
  * Failure: an endpoint that sends bytes which are no event of its run amid the
- * events of a stream.  A piece is the next event only if it has the form of an
- * event and the next id.
+ * events of a stream.  A piece is an event only if it has the form of one and
+ * a higher id than the event before it.
+ *
+ * Ids increase, by one or by more: an event may hold several tokens, and the
+ * id may count these.  Until NUMBERING shows which, an event further ahead
+ * waits for those behind it; as the last one it is believed unless its own
+ * answer speaks against it.
  */
 #ifndef DECIDE_EVENT_SEQUENCE_H
 #define DECIDE_EVENT_SEQUENCE_H
@@ -9,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "beryl/event_numbering.h"
+
 /** Why a piece of a stream is not the next event of its run. */
 enum event_fault
 {
@@ -25,36 +32,46 @@
 /** Return the stable name of FAULT. */
 const char *event_fault_name (enum event_fault fault);
 
-/** How the events of a service are numbered; zero-initialise. */
-struct event_numbering
-{
-  uint64_t steps; /**< events with the id after that of the event before */
-  uint64_t jumps; /**< events with a higher one */
-};
+/** Largest result of event_sequence_followers. */
+#define EVENT_FOLLOWERS_MAX 1
 
-/** Place in a run; zero-initialise if it is unknown where the run begins. */
+/** Place in the answer to a request, which may come from several runs. */
 struct event_sequence
 {
-  bool known;
-  uint64_t last_id; /**< of the last event, or of the one that the run was
-                       asked to go on after; 0: from the first */
+  bool known;    /**< whether it is known after which event the run begins */
+  bool has_last; /**< there is an event before the next one */
+  uint64_t last_id; /**< of the event before */
+  uint32_t steps;   /**< of the answer so far, as in the numbering */
+  uint32_t jumps;
 };
 
 /** Return why an event with ID cannot be next in SEQUENCE.  Ids of events
  * increase; they do so by one if NUMBERING shows that. */
-enum event_fault event_sequence_check (const struct event_sequence *sequence,
-                                       const struct event_numbering *numbering,
-                                       uint64_t id);
-
-/** Return whether ID is further ahead than by one, and NUMBERING does not show
- * yet whether ids may be: only the next event tells whether this one is the
- * run's. */
-bool event_sequence_unconfirmed (const struct event_sequence *sequence,
-                                 const struct event_numbering *numbering,
-                                 uint64_t id);
-
-/** An event with ID, which is higher than the last one, has arrived. */
-void event_sequence_advance (struct event_sequence *sequence,
-                             struct event_numbering *numbering, uint64_t id);
+enum event_fault
+event_sequence_check (const struct event_sequence *sequence,
+                      const struct beryl_event_numbering *numbering,
+                      uint64_t id);
+
+/** Return whether an event with ID would be further ahead than by one. */
+bool event_sequence_jumps (const struct event_sequence *sequence, uint64_t id);
+
+/** Return how many events have to follow one that is further ahead than by one
+ * before it is forwarded, at an endpoint with NUMBERING. */
+uint32_t
+event_sequence_followers (const struct event_sequence *sequence,
+                          const struct beryl_event_numbering *numbering);
+
+/** Return whether a run that has ended in order is whole, although it ended
+ * with an event that is further ahead than by one and has no followers. */
+bool event_sequence_ends (const struct event_sequence *sequence,
+                          const struct beryl_event_numbering *numbering);
+
+/** An event with ID is the next one of SEQUENCE. */
+void event_sequence_advance (struct event_sequence *sequence, uint64_t id);
+
+/** Learn from an event with ID, before event_sequence_advance for it. */
+void event_numbering_learn (struct beryl_event_numbering *numbering,
+                            const struct event_sequence *sequence,
+                            uint64_t id);
 
 #endif
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -177,7 +177,7 @@
 goes_back_behind_held (const struct exchange *x, const struct event *event)
 {
   return x->held.count > 0 && event->id > x->sequence.last_id
-         && event->id <= x->held_id;
+         && event->id <= held_events_last_id (&x->held);
 }
 
 static enum event_fault
@@ -320,29 +320,63 @@
   give_up (f, x, BERYL_FAILURE_MALFORMED, now_ms);
 }
 
+/* Returns whether a peer has checked the events of X. */
+static bool
+is_from_peer (const struct exchange *x)
+{
+  return x->kind == BERYL_EXCHANGE_HANDOFF;
+}
+
 static void
 accept_event (struct beryl_forward *f, struct request *r, struct exchange *x,
               const struct event *event, int64_t now_ms)
 {
-  event_sequence_advance (&x->sequence, &r->service->event_numbering,
-                          event->id);
+  if (!is_from_peer (x))
+    event_numbering_learn (&r->service->event_numbering, &x->sequence,
+                           event->id);
+  event_sequence_advance (&x->sequence, event->id);
   forward_event (f, r, x, event, now_ms);
 }
 
-/* Forwards the event that X has held back, which is confirmed. */
+/* Returns whether the event with ID has to wait for others behind it, of which
+   FOLLOWERS have arrived. */
+static bool
+has_to_wait (const struct request *r, const struct exchange *x, uint64_t id,
+             uint32_t followers)
+{
+  return event_sequence_jumps (&x->sequence, id) && !is_from_peer (x)
+         && followers < event_sequence_followers (
+                &x->sequence, &r->service->event_numbering);
+}
+
 static void
-release_held (struct beryl_forward *f, struct request *r, struct exchange *x,
-              int64_t now_ms)
+release_first (struct beryl_forward *f, struct request *r, struct exchange *x,
+               int64_t now_ms)
 {
-  struct event event = { .bytes = x->held.bytes,
-                         .count = x->held.count,
-                         .has_id = true,
-                         .id = x->held_id };
+  struct event event = held_events_first (&x->held);
 
-  if (x->held.count == 0)
-    return;
   accept_event (f, r, x, &event, now_ms);
-  buffer_clear (&x->held);
+  held_events_drop_first (&x->held);
+}
+
+/* Forwards the events that X has held back and that are confirmed. */
+static void
+release_confirmed (struct beryl_forward *f, struct request *r,
+                   struct exchange *x, int64_t now_ms)
+{
+  while (x->held.count > 0
+         && !has_to_wait (r, x, x->held.items[0].id, x->held.count - 1))
+    release_first (f, r, x, now_ms);
+}
+
+/* Holds EVENT back until others confirm it. Its engine is not silent. */
+static bool
+hold_event (struct request *r, struct exchange *x, const struct event *event,
+            int64_t now_ms)
+{
+  r->last_event_ms = now_ms;
+  r->stalled = false;
+  return held_events_add (&x->held, event);
 }
 
 /* Handles one piece of X's stream; returns false if X has ended by it. */
@@ -365,12 +399,10 @@
     }
   if (event->is_comment || repeated)
     return true;
-  release_held (f, r, x, now_ms);
-  if (!event_sequence_unconfirmed (&x->sequence, &r->service->event_numbering,
-                                   event->id))
+  if (x->held.count == 0 && !has_to_wait (r, x, event->id, 0))
     accept_event (f, r, x, event, now_ms);
-  else if (buffer_append (&x->held, event->bytes, event->count))
-    x->held_id = event->id;
+  else if (hold_event (r, x, event, now_ms))
+    release_confirmed (f, r, x, now_ms);
   else
     {
       give_up (f, x, BERYL_FAILURE_ENDLESS, now_ms);
@@ -382,7 +414,7 @@
 static void
 count_remembered (struct beryl_forward *f, struct exchange *x)
 {
-  size_t bytes = x->pieces.pending.capacity + x->held.capacity;
+  size_t bytes = x->pieces.pending.capacity + x->held.bytes.capacity;
 
   f->remembered_bytes += bytes - x->remembered_bytes;
   x->remembered_bytes = bytes;
@@ -488,7 +520,8 @@
 {
   int64_t value;
 
-  release_held (f, r, x, now_ms);
+  while (x->held.count > 0)
+    release_first (f, r, x, now_ms);
   value = x->head.event_stream ? (int64_t)r->event_count
                                : (int64_t)x->head.status;
   if (is_success (x->head.status))
@@ -544,9 +577,10 @@
 static bool
 ends_unconfirmed (struct request *r, const struct exchange *x)
 {
-  if (x->held.count == 0 || r->unconfirmed_id == x->held_id)
+  if (x->held.count == 0 || r->unconfirmed_id == held_events_last_id (&x->held)
+      || event_sequence_ends (&x->sequence, &r->service->event_numbering))
     return false;
-  r->unconfirmed_id = x->held_id;
+  r->unconfirmed_id = held_events_last_id (&x->held);
   return true;
 }
 
@@ -582,7 +616,8 @@
     answer_interrupted (f, x, BERYL_FAILURE_CLOSED, true, now_ms);
   else if (ends_unconfirmed (r, x))
     {
-      struct event event = { .has_id = true, .id = x->held_id };
+      struct event event
+          = { .has_id = true, .id = held_events_last_id (&x->held) };
 
       log_event_fault (f, r, x, &event, EVENT_SKIPPED, now_ms);
       answer_interrupted (f, x, BERYL_FAILURE_MALFORMED, true, now_ms);
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -84,7 +84,7 @@
     {
       TAILQ_REMOVE (&f->exchanges, x, entry);
       event_splitter_clear (&x->pieces);
-      buffer_clear (&x->held);
+      held_events_clear (&x->held);
       free (x);
     }
   while ((r = TAILQ_FIRST (&f->requests)) != NULL)
@@ -229,9 +229,15 @@
 static struct event_sequence
 next_events (const struct request *r)
 {
+  bool known = !r->params.resumes || r->route->resumable || r->event_count > 0;
+  bool goes_on = known && (r->params.resumes || r->event_count > 0);
+
   return (struct event_sequence){
-    .known = !r->params.resumes || r->route->resumable || r->event_count > 0,
+    .known = known,
+    .has_last = goes_on,
     .last_id = r->last_event_id,
+    .steps = r->event_count > 1 ? (uint32_t)r->event_count - 1 : 0,
+    .jumps = r->skipped_ids,
   };
 }
 
@@ -295,7 +301,7 @@
                                                       : f->endpoints,
                     x->endpoint);
   event_splitter_clear (&x->pieces);
-  buffer_clear (&x->held);
+  held_events_clear (&x->held);
   f->remembered_bytes -= x->remembered_bytes;
   free (x);
 }
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -19,6 +19,7 @@
 #include "run_table.h"
 #include "call_overhead.h"
 #include "events.h"
+#include "held_events.h"
 #include "pace.h"
 #include "prompt_locations.h"
 #include "repeat_budget.h"
@@ -90,7 +91,7 @@
   struct completion answers;      /**< time to the end of plain answers */
   struct completion first_events; /**< time to generations' first events */
   struct completion outputs;      /**< time from these to their ends */
-  struct event_numbering event_numbering;
+  struct beryl_event_numbering event_numbering;
   uint32_t waiting;             /**< this node's waiting generations */
   struct place_classes classes; /**< generations of all nodes */
   int64_t classes_ms;           /**< when they were last summed */
@@ -120,8 +121,7 @@
   struct event_splitter pieces; /**< of a stream of numbered events */
   struct event_sequence sequence;
   bool may_be_stopped; /* a move may have stopped its run */
-  struct buffer held;  /* an event that only the next one confirms */
-  uint64_t held_id;
+  struct held_events held; /**< those that only later ones confirm */
   size_t remembered_bytes; /**< of pieces and held; in the forwarder's sum */
   bool paused;
   bool contact_dial; /**< counted in the dials_open of struct contact */
