forward: a run's first event may have id 0

Callers saw: every stream of an engine that numbers its events 0, 1, 2 cut off or refused (found by the new rows of forward-numbering; no report).

Cause: the place before the first event was kept as id 0, so that an event with that id counted as repeated, and a stream of that event alone as empty.

Change: event_sequence.has_last tells whether there is an event before the next one; a stream is empty if it has no event.

--- a/libberyl/decide/event_sequence.c
+++ b/libberyl/decide/event_sequence.c
@@ -56,7 +56,7 @@
 {
   if (!sequence->known)
     return EVENT_OK;
-  if (id <= sequence->last_id)
+  if (sequence->has_last && id <= sequence->last_id)
     return EVENT_REPEATED;
   if (event_sequence_jumps (sequence, id) && is_consecutive (numbering))
     return EVENT_SKIPPED;
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -489,7 +489,8 @@
 static bool
 is_empty_stream (const struct request *r, const struct exchange *x)
 {
-  return is_numbered (r, x) && x->held.count == 0 && r->last_event_id == 0;
+  return is_numbered (r, x) && x->held.count == 0 && r->event_count == 0
+         && r->last_event_id == 0;
 }
 
 /* R's caller has all of its answer, by X. GENERATED: this node has had it
--- a/tests/decide/test_event_sequence.c
+++ b/tests/decide/test_event_sequence.c
@@ -70,6 +70,21 @@
 }
 END_TEST
 
+/* Guards against a run whose first event has id 0 being broken off. */
+START_TEST (test_from_zero)
+{
+  struct beryl_event_numbering numbering = { 0 };
+  struct event_sequence sequence = { .known = true };
+
+  ck_assert_int_eq (event_sequence_check (&sequence, &numbering, 0), EVENT_OK);
+  ck_assert (!event_sequence_jumps (&sequence, 0));
+  event_sequence_advance (&sequence, 0);
+  ck_assert_int_eq (event_sequence_check (&sequence, &numbering, 0),
+                    EVENT_REPEATED);
+  ck_assert_int_eq (event_sequence_check (&sequence, &numbering, 1), EVENT_OK);
+}
+END_TEST
+
 /* Guards against proper streams being broken off at a service whose ids
    increase by more than one. */
 START_TEST (test_sparse_numbering)
@@ -165,6 +180,7 @@
   tcase_add_test (tcase, test_ends);
   tcase_add_test (tcase, test_run_begins_elsewhere);
   tcase_add_test (tcase, test_repeated);
+  tcase_add_test (tcase, test_from_zero);
   tcase_add_test (tcase, test_sparse_numbering);
   tcase_add_test (tcase, test_numbering_is_kept);
   suite_add_tcase (suite, tcase);
--- a/tests/forward/test_numbering.c
+++ b/tests/forward/test_numbering.c
@@ -26,6 +26,12 @@
   return write_progression (ids, EVENTS_MAX, 1, 1);
 }
 
+static size_t
+from_zero (uint64_t number, uint64_t ids[EVENTS_MAX])
+{
+  return write_progression (ids, EVENTS_MAX, 0, 1);
+}
+
 static size_t
 by_eights (uint64_t number, uint64_t ids[EVENTS_MAX])
 {
@@ -50,6 +56,12 @@
   return write_progression (ids, 1, 70, 1);
 }
 
+static size_t
+event_zero (uint64_t number, uint64_t ids[EVENTS_MAX])
+{
+  return write_progression (ids, 1, 0, 1);
+}
+
 static size_t
 by_doubles (uint64_t number, uint64_t ids[EVENTS_MAX])
 {
@@ -89,10 +101,12 @@
   write_ids write;
 } rows[] = {
   { "by ones", by_ones },
+  { "from zero", from_zero },
   { "by eights", by_eights },
   { "by seventies", by_seventies },
   { "two events", two_events },
   { "one event", one_event },
+  { "event zero alone", event_zero },
   { "by doubles", by_doubles },
   { "by the clock", by_clock },
   { "unevenly", unevenly },
