forward: an id that skips others is no fault

Cause: a node that had seen 16 steps of one for each jump rejected an event that skips ids. Only accepted events were counted, so that the rule was fed by what it let pass, and the first event of each stream counted as one more step. The numbering was kept for a service, of which two versions may run.

Change: such an event waits for those behind it: one, four at an engine whose ids have gone by ones (a broken one may send several odd pieces), none where ids jump as a rule. If they go on from it, all are forwarded and learned; if one goes back, the waiting ones are dropped and the run is broken off, as before. The numbering belongs to a process of an engine, and its last 256 events count. A run that goes on after another one still has to begin with the next id where ids go by ones, now also at an engine of which nothing is known (test_run_goes_on): nothing else shows what was lost between the runs.

--- a/include/beryl/live.h
+++ b/include/beryl/live.h
@@ -117,7 +117,8 @@
   int64_t paused_until_ms; /**< it wants no requests from this node before */
   int64_t full_until_ms;   /**< do not send work before; it answered that it is
                               full */
-  uint32_t open_prefills;  /**< open prefills of this node */
+  struct beryl_event_numbering event_numbering; /**< of its streams */
+  uint32_t open_prefills;       /**< open prefills of this node */
   uint64_t open_prefill_tokens; /**< prompt tokens of the open prefills */
   /** process_start_ms of previous incarnations under the same id, newest
    * first; late messages may still name them.  0: none. */
--- a/libberyl/decide/event_sequence.c
+++ b/libberyl/decide/event_sequence.c
@@ -2,6 +2,9 @@
 
 /* Ids go by ones if so many events for each jump have done so. */
 #define STEPS_PER_JUMP 16
+/* Number of recent events that are remembered: an endpoint may change how it
+   numbers events. */
+#define WINDOW_EVENTS 256
 /* Events of an answer whose ids have gone by ones that speak against one far
    ahead at its end. */
 #define STEPS_OF_ANSWER 2
@@ -58,7 +61,9 @@
     return EVENT_OK;
   if (sequence->has_last && id <= sequence->last_id)
     return EVENT_REPEATED;
-  if (event_sequence_jumps (sequence, id) && is_consecutive (numbering))
+  if (sequence->joins && event_sequence_jumps (sequence, id)
+      && (is_consecutive (numbering)
+          || (goes_by_ones (sequence) && !is_sparse (numbering))))
     return EVENT_SKIPPED;
   return EVENT_OK;
 }
@@ -67,18 +72,30 @@
 event_sequence_followers (const struct event_sequence *sequence,
                           const struct beryl_event_numbering *numbering)
 {
-  return is_sparse (numbering) ? 0 : 1;
+  if (is_sparse (numbering))
+    return 0;
+  /* A broken endpoint may send several odd pieces in a row. */
+  if (sequence->jumps == 0
+      && (is_consecutive (numbering)
+          || (goes_by_ones (sequence) && !is_known (numbering))))
+    return EVENT_FOLLOWERS_MAX;
+  return 1;
 }
 
 bool
 event_sequence_ends (const struct event_sequence *sequence,
-                     const struct beryl_event_numbering *numbering)
+                     const struct beryl_event_numbering *endpoint,
+                     const struct beryl_event_numbering *service,
+                     uint32_t jumps)
 {
-  if (sequence->jumps > 0)
+  const struct beryl_event_numbering *numbering
+      = is_known (endpoint) ? endpoint : service;
+
+  if (sequence->jumps > 0 || jumps > 1)
     return true;
-  if (is_consecutive (numbering))
+  if (is_consecutive (endpoint))
     return false;
-  if (numbering->jumps > 0)
+  if (numbering->jumps > 0 && !is_consecutive (numbering))
     return true;
   return !goes_by_ones (sequence);
 }
@@ -92,6 +109,7 @@
     sequence->steps++;
   sequence->known = true;
   sequence->has_last = true;
+  sequence->joins = false;
   sequence->last_id = id;
 }
 
@@ -103,4 +121,8 @@
     numbering->jumps++;
   else if (sequence->known && sequence->has_last)
     numbering->steps++;
+  if (numbering->steps + numbering->jumps < WINDOW_EVENTS)
+    return;
+  numbering->steps /= 2;
+  numbering->jumps /= 2;
 }
--- a/libberyl/decide/event_sequence.h
+++ b/libberyl/decide/event_sequence.h
@@ -3,10 +3,12 @@
  * events of a stream.  A piece is an event only if it has the form of one and
  * a higher id than the event before it.
  *
- * Ids increase, by one or by more: an event may hold several tokens, and the
- * id may count these.  Until NUMBERING shows which, an event further ahead
- * waits for those behind it; as the last one it is believed unless its own
- * answer speaks against it.
+ * Ids increase, and nothing else is certain of them: an event may hold several
+ * tokens, and the id may count these.  So an id that is further ahead than by
+ * one is no fault by itself.  What a node has learned of an endpoint's
+ * numbering decides only how long such an event waits for those behind it,
+ * which show whether it was the run's, and whether it is believed as the last
+ * one.
  */
 #ifndef DECIDE_EVENT_SEQUENCE_H
 #define DECIDE_EVENT_SEQUENCE_H
@@ -33,20 +35,23 @@
 const char *event_fault_name (enum event_fault fault);
 
 /** Largest result of event_sequence_followers. */
-#define EVENT_FOLLOWERS_MAX 1
+#define EVENT_FOLLOWERS_MAX 4
 
 /** Place in the answer to a request, which may come from several runs. */
 struct event_sequence
 {
   bool known;    /**< whether it is known after which event the run begins */
   bool has_last; /**< there is an event before the next one */
+  bool joins;    /**< the next event is the first one of a run that goes on
+                    after an event of another run */
   uint64_t last_id; /**< of the event before */
   uint32_t steps;   /**< of the answer so far, as in the numbering */
   uint32_t jumps;
 };
 
-/** Return why an event with ID cannot be next in SEQUENCE.  Ids of events
- * increase; they do so by one if NUMBERING shows that. */
+/** Return why an event with ID cannot be next in SEQUENCE, at an endpoint with
+ * NUMBERING.  A run that goes on must not leave out what was lost with the run
+ * before it: if ids have gone by ones so far, it begins with the next one. */
 enum event_fault
 event_sequence_check (const struct event_sequence *sequence,
                       const struct beryl_event_numbering *numbering,
@@ -62,9 +67,13 @@
                           const struct beryl_event_numbering *numbering);
 
 /** Return whether a run that has ended in order is whole, although it ended
- * with an event that is further ahead than by one and has no followers. */
+ * before an event that is further ahead than by one had enough followers.
+ * JUMPS: such events among those that wait.  ENDPOINT and SERVICE: numbering
+ * of its endpoint, and of all endpoints of the service. */
 bool event_sequence_ends (const struct event_sequence *sequence,
-                          const struct beryl_event_numbering *numbering);
+                          const struct beryl_event_numbering *endpoint,
+                          const struct beryl_event_numbering *service,
+                          uint32_t jumps);
 
 /** An event with ID is the next one of SEQUENCE. */
 void event_sequence_advance (struct event_sequence *sequence, uint64_t id);
--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -181,14 +181,13 @@
 }
 
 static enum event_fault
-check_event (const struct request *r, const struct exchange *x,
-             const struct event *event)
+check_event (const struct exchange *x, const struct event *event)
 {
   if (event->fault != EVENT_OK || event->is_comment)
     return event->fault;
   if (goes_back_behind_held (x, event))
     return EVENT_REPEATED;
-  return event_sequence_check (&x->sequence, &r->service->event_numbering,
+  return event_sequence_check (&x->sequence, &x->endpoint->event_numbering,
                                event->id);
 }
 
@@ -332,8 +331,12 @@
               const struct event *event, int64_t now_ms)
 {
   if (!is_from_peer (x))
-    event_numbering_learn (&r->service->event_numbering, &x->sequence,
-                           event->id);
+    {
+      event_numbering_learn (&x->endpoint->event_numbering, &x->sequence,
+                             event->id);
+      event_numbering_learn (&r->service->event_numbering, &x->sequence,
+                             event->id);
+    }
   event_sequence_advance (&x->sequence, event->id);
   forward_event (f, r, x, event, now_ms);
 }
@@ -341,12 +344,11 @@
 /* Returns whether the event with ID has to wait for others behind it, of which
    FOLLOWERS have arrived. */
 static bool
-has_to_wait (const struct request *r, const struct exchange *x, uint64_t id,
-             uint32_t followers)
+has_to_wait (const struct exchange *x, uint64_t id, uint32_t followers)
 {
   return event_sequence_jumps (&x->sequence, id) && !is_from_peer (x)
          && followers < event_sequence_followers (
-                &x->sequence, &r->service->event_numbering);
+                &x->sequence, &x->endpoint->event_numbering);
 }
 
 static void
@@ -365,7 +367,7 @@
                    struct exchange *x, int64_t now_ms)
 {
   while (x->held.count > 0
-         && !has_to_wait (r, x, x->held.items[0].id, x->held.count - 1))
+         && !has_to_wait (x, x->held.items[0].id, x->held.count - 1))
     release_first (f, r, x, now_ms);
 }
 
@@ -384,7 +386,7 @@
 take_event (struct beryl_forward *f, struct request *r, struct exchange *x,
             const struct event *event, int64_t now_ms)
 {
-  enum event_fault fault = check_event (r, x, event);
+  enum event_fault fault = check_event (x, event);
   bool repeated = fault == EVENT_REPEATED && is_newest (r, event);
 
   if (fault != EVENT_OK && !repeated)
@@ -399,7 +401,7 @@
     }
   if (event->is_comment || repeated)
     return true;
-  if (x->held.count == 0 && !has_to_wait (r, x, event->id, 0))
+  if (x->held.count == 0 && !has_to_wait (x, event->id, 0))
     accept_event (f, r, x, event, now_ms);
   else if (hold_event (r, x, event, now_ms))
     release_confirmed (f, r, x, now_ms);
@@ -579,7 +581,9 @@
 ends_unconfirmed (struct request *r, const struct exchange *x)
 {
   if (x->held.count == 0 || r->unconfirmed_id == held_events_last_id (&x->held)
-      || event_sequence_ends (&x->sequence, &r->service->event_numbering))
+      || event_sequence_ends (&x->sequence, &x->endpoint->event_numbering,
+                              &r->service->event_numbering,
+                              held_events_jumps (&x->held, &x->sequence)))
     return false;
   r->unconfirmed_id = held_events_last_id (&x->held);
   return true;
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -235,6 +235,7 @@
   return (struct event_sequence){
     .known = known,
     .has_last = goes_on,
+    .joins = goes_on,
     .last_id = r->last_event_id,
     .steps = r->event_count > 1 ? (uint32_t)r->event_count - 1 : 0,
     .jumps = r->skipped_ids,
--- a/libberyl/forward/held_events.c
+++ b/libberyl/forward/held_events.c
@@ -41,6 +41,17 @@
   return held->items[held->count - 1].id;
 }
 
+uint32_t
+held_events_jumps (const struct held_events *held,
+                   const struct event_sequence *sequence)
+{
+  struct event_sequence next = *sequence;
+
+  for (uint32_t i = 0; i < held->count; i++)
+    event_sequence_advance (&next, held->items[i].id);
+  return next.jumps - sequence->jumps;
+}
+
 void
 held_events_clear (struct held_events *held)
 {
--- a/libberyl/forward/held_events.h
+++ b/libberyl/forward/held_events.h
@@ -43,6 +43,11 @@
 /** Return the id of the last event; the queue is not empty. */
 uint64_t held_events_last_id (const struct held_events *held);
 
+/** Return how many of the events are further ahead of the one before than by
+ * one; the first one follows SEQUENCE. */
+uint32_t held_events_jumps (const struct held_events *held,
+                            const struct event_sequence *sequence);
+
 /** Release the events. */
 void held_events_clear (struct held_events *held);
 
