forward: an id that a caller names need not count events

Cause: the id that a caller resumes after was taken for the number of its events: a caller with half of its answer seemed to have all of it, and an id that is a time made the answer too long to be prefilled again.

Change: a stopping node counts the events that it has forwarded, and the caller's id only while ids are not known to jump; what is prefilled again is at most the output that was asked for.

Measured: test_slow_engine_resumed and test_warm_engine_for_large_id failed before, pass.

--- a/libberyl/decide/event_sequence.c
+++ b/libberyl/decide/event_sequence.c
@@ -82,6 +82,12 @@
   return 1;
 }
 
+bool
+event_numbering_jumps (const struct beryl_event_numbering *numbering)
+{
+  return numbering->jumps > 0 && !is_consecutive (numbering);
+}
+
 bool
 event_sequence_ends (const struct event_sequence *sequence,
                      const struct beryl_event_numbering *endpoint,
@@ -95,7 +101,7 @@
     return true;
   if (is_consecutive (endpoint))
     return false;
-  if (numbering->jumps > 0 && !is_consecutive (numbering))
+  if (event_numbering_jumps (numbering))
     return true;
   return !goes_by_ones (sequence);
 }
--- a/libberyl/decide/event_sequence.h
+++ b/libberyl/decide/event_sequence.h
@@ -66,6 +66,10 @@
 event_sequence_followers (const struct event_sequence *sequence,
                           const struct beryl_event_numbering *numbering);
 
+/** Return whether ids are known to increase by more than one, so that they
+ * do not count events. */
+bool event_numbering_jumps (const struct beryl_event_numbering *numbering);
+
 /** Return whether a run that has ended in order is whole, although it ended
  * before an event that is further ahead than by one had enough followers.
  * JUMPS: such events among those that wait.  ENDPOINT and SERVICE: numbering
--- a/libberyl/forward/prefill.c
+++ b/libberyl/forward/prefill.c
@@ -88,15 +88,26 @@
   return true;
 }
 
+/* Returns how many output tokens the answer has that R's caller resumes. The
+   id that it names is taken for the number of its events; it may be far larger
+   where ids count tokens or the time. */
+static double
+resumed_output_tokens (const struct request *r)
+{
+  double tokens
+      = (double)r->params.last_event_id * r->config->engine.event_tokens;
+  double most = r->params.output_tokens_max;
+
+  return most > 0 && tokens > most ? most : tokens;
+}
+
 /* An engine that has the prompt cached still has to prefill the part of the
-   answer that the caller already has. The caller's last event id is taken for
-   the number of its events. */
+   answer that the caller already has. */
 bool
 prefill_use_cached (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
   struct beryl_live_endpoint *endpoint = r->reservation.endpoint;
-  double resumed_tokens
-      = (double)r->params.last_event_id * r->config->engine.event_tokens;
+  double resumed_tokens = resumed_output_tokens (r);
 
   if (!engine_has_prompt_cached (r, endpoint))
     return false;
--- a/libberyl/forward/stop.c
+++ b/libberyl/forward/stop.c
@@ -53,13 +53,17 @@
                       now_ms - r->first_run_ms);
 }
 
-/* Returns the tokens that R may still produce; its last event id is taken for
-   the number of its events. */
+/* Returns the tokens that R may still produce. The id after which its caller
+   resumes is taken for a number of events unless ids do not count these. */
 static double
 tokens_left (const struct request *r)
 {
-  double produced = (double)r->last_event_id * r->config->engine.event_tokens;
+  double events = (double)r->event_count;
+  double produced;
 
+  if (!event_numbering_jumps (&r->service->event_numbering))
+    events += (double)r->params.last_event_id;
+  produced = events * r->config->engine.event_tokens;
   return fmax ((double)r->params.output_tokens_max - produced, 0);
 }
 
--- a/tests/forward/test_prompts.c
+++ b/tests/forward/test_prompts.c
@@ -338,6 +338,26 @@
 }
 END_TEST
 
+/* Guards against a warm engine that is not used for a caller which resumes a
+   stream whose ids are times, as the answer seems to be too long to prefill.
+ */
+START_TEST (test_warm_engine_for_large_id)
+{
+  struct beryl_engine_run run = told_run ("d1", 77);
+  struct beryl_forward_request facts = fx_request_params (&fx, 1);
+
+  beryl_forward_peer_runs (fx.forward, "peer", &run, 1, fx.now_ms);
+  facts.prompt_hash = 77;
+  facts.output_tokens_max = 50;
+  facts.resumes = true;
+  facts.last_event_id = UINT64_C (1733588056123);
+  beryl_forward_submit (fx.forward, &facts, fx.now_ms);
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_RESERVE), "place");
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_PREFILL), 0);
+  ck_assert_uint_eq (fx_count (&fx, BERYL_EXCHANGE_RUN), 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -362,6 +382,7 @@
   tcase_add_test (tcase, test_warm_engine);
   tcase_add_test (tcase, test_prompt_is_evicted);
   tcase_add_test (tcase, test_warm_engine_prefills_one_at_a_time);
+  tcase_add_test (tcase, test_warm_engine_for_large_id);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/forward/test_stop.c
+++ b/tests/forward/test_stop.c
@@ -26,6 +26,9 @@
   beryl_forward_submit (fx.forward, &params, fx.now_ms);
 }
 
+/* Distance of the ids of a stream's events. */
+static uint64_t id_step = 1;
+
 /* Has a stream of EVENTS, EVENT_MS apart, served whole. */
 static void
 stream (uint64_t number, uint64_t events, int64_t event_ms)
@@ -33,11 +36,15 @@
   struct fx_exchange *run;
 
   arrive (number, 14000);
-  run = fx_to_stream (&fx, number, 1);
-  for (uint64_t i = 2; i <= events; i++)
+  run = fx_to_run (&fx, number);
+  fx_stream (&fx, run);
+  for (uint64_t i = 1; i <= events; i++)
     {
-      fx.now_ms += event_ms;
-      fx_event (&fx, run, i);
+      if (i == 1)
+        fx_pass (&fx, 50);
+      else
+        fx.now_ms += event_ms;
+      fx_event (&fx, run, i * id_step);
     }
   fx_done (&fx, run);
   ck_assert (answer (number)->whole);
@@ -75,6 +82,27 @@
 }
 END_TEST
 
+/* Guards against the same for a caller that resumes a stream whose ids count
+   tokens, so that it seems to have nearly all of it. */
+START_TEST (test_slow_engine_resumed)
+{
+  struct beryl_forward_request params;
+
+  id_step = EVENT_TOKENS;
+  learn_and_stop ();
+  id_step = 1;
+  fx_pass (&fx, 3500);
+  params = fx_request_params (&fx, 1);
+  params.output_tokens_max = TOKENS;
+  params.output_tokens_hint = TOKENS;
+  params.deadline_ms = fx.now_ms + 14000;
+  params.resumes = true;
+  params.last_event_id = TOKENS / 2;
+  beryl_forward_submit (fx.forward, &params, fx.now_ms);
+  assert_not_run (1);
+}
+END_TEST
+
 /* Guards against refusing what ends before the process even at the slowest
    engine. */
 START_TEST (test_short_stream)
@@ -307,6 +335,7 @@
 
   tcase_add_checked_fixture (tcase, model_setup, model_teardown);
   tcase_add_test (tcase, test_slow_engine);
+  tcase_add_test (tcase, test_slow_engine_resumed);
   tcase_add_test (tcase, test_short_stream);
   tcase_add_test (tcase, test_slow_prefill);
   tcase_add_test (tcase, test_full_engines);
