quarantine: one request is no proof against the parts that it shares

Cause: three crashes held a part of prompts back whatever else explained them. The last part of a prompt has no fingerprint, so that the part which all requests share was the only one suspected; nothing had proved it sound since the start, and while it was held back nothing could. Evidence: two `quarantine` lines, the second with the bit of a part.

Change: the crashes of one request, in quarantine or not, show as much of its parts as one crash, so that a part is held back on three requests that are no two alike. A part that is held back is tried: one request may run 10 s later and then ever more rarely, at the nodes that saw a crash first, at others later and one after the other; its first event frees the part. Retry-After names the next try.

--- a/include/beryl/quarantine.h
+++ b/include/beryl/quarantine.h
@@ -62,6 +62,11 @@
 struct beryl_quarantine *
 beryl_quarantine_create (struct beryl_quarantine_owner *owner);
 
+/** State that NODES nodes are alive, this one included, and a SEED that
+ * differs between them. */
+void beryl_quarantine_set_fleet (struct beryl_quarantine *quarantine,
+                                 uint32_t nodes, uint64_t seed);
+
 /** Release; NULL is allowed. */
 void beryl_quarantine_destroy (struct beryl_quarantine *quarantine);
 
@@ -94,14 +99,22 @@
 beryl_quarantine_remaining_ms (const struct beryl_quarantine *quarantine,
                                uint64_t fingerprint, int64_t now_ms);
 
-/** Return the same for a request with COUNT parts PARTS.  Parts that occur
- * only together are held back only together, so that those which are sound can
- * be told apart by requests that have some of them. */
+/** Return the same for a request with COUNT parts PARTS, or the time until it
+ * may be tried, see beryl_quarantine_try_parts.  Parts that occur only
+ * together are held back only together, so that those which are sound can be
+ * told apart by requests that have some of them. */
 int64_t
 beryl_quarantine_parts_remaining_ms (const struct beryl_quarantine *quarantine,
                                      const uint64_t *parts, size_t count,
                                      int64_t now_ms);
 
+/** Return whether a request with COUNT parts PARTS may run although they are
+ * held back, and count it as a try.  Nothing else would prove a sound part
+ * that all requests of a service share: its first event does. */
+bool beryl_quarantine_try_parts (struct beryl_quarantine *quarantine,
+                                 const uint64_t *parts, size_t count,
+                                 int64_t now_ms);
+
 /** Return whether an endpoint crashed, or may have crashed, during a run of
  * FINGERPRINT. */
 bool beryl_quarantine_is_suspect (const struct beryl_quarantine *quarantine,
--- a/libberyl/forward/crashes.c
+++ b/libberyl/forward/crashes.c
@@ -145,6 +145,7 @@
   if (fingerprint == 0)
     return;
   crashes_mark_suspect (f, r, now_ms);
+  r->tries_parts = false;
   beryl_quarantine_run_broken (f->quarantine, fingerprint,
                                beryl_live_hash (endpoint), now_ms);
   /* The parts of a run that has written are sound. */
@@ -180,35 +181,58 @@
 }
 
 static int64_t
-quarantine_left_ms (struct beryl_forward *f, struct request *r, int64_t now_ms)
+request_left_ms (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  int64_t request_ms, parts_ms;
-
   if (!beryl_quarantine_holds_any (f->quarantine))
     return 0;
-  request_ms = beryl_quarantine_remaining_ms (
+  return beryl_quarantine_remaining_ms (
       f->quarantine, forward_request_fingerprint (f, r), now_ms);
-  parts_ms = beryl_quarantine_parts_remaining_ms (
+}
+
+static int64_t
+parts_left_ms (const struct beryl_forward *f, const struct request *r,
+               int64_t now_ms)
+{
+  if (r->tries_parts)
+    return 0;
+  return beryl_quarantine_parts_remaining_ms (
       f->quarantine, r->params.prompt_parts, r->params.prompt_part_count,
       now_ms);
-  return parts_ms > request_ms ? parts_ms : request_ms;
 }
 
 bool
 crashes_is_quarantined (struct beryl_forward *f, struct request *r,
                         int64_t now_ms)
 {
-  return quarantine_left_ms (f, r, now_ms) > 0;
+  return request_left_ms (f, r, now_ms) > 0
+         || parts_left_ms (f, r, now_ms) > 0;
+}
+
+/* Returns whether R, whose parts are held back, is sent all the same to try
+   them. One that may have crashed an endpoint itself would show nothing. */
+static bool
+try_parts (struct beryl_forward *f, struct request *r, int64_t now_ms)
+{
+  if (beryl_quarantine_is_suspect (f->quarantine,
+                                   forward_request_fingerprint (f, r))
+      || !beryl_quarantine_try_parts (f->quarantine, r->params.prompt_parts,
+                                      r->params.prompt_part_count, now_ms))
+    return false;
+  r->tries_parts = true;
+  forward_request_log (f, r, "quarantine", NULL, "try", 0, now_ms);
+  return true;
 }
 
 bool
 crashes_refuse (struct beryl_forward *f, struct request *r, int64_t now_ms)
 {
-  int64_t after_ms = quarantine_left_ms (f, r, now_ms);
+  int64_t request_ms = request_left_ms (f, r, now_ms);
+  int64_t parts_ms = parts_left_ms (f, r, now_ms);
 
-  if (after_ms == 0)
+  if (request_ms == 0 && (parts_ms == 0 || try_parts (f, r, now_ms)))
     return false;
-  forward_request_refuse (f, r, 503, BERYL_REFUSAL_QUARANTINED, after_ms,
+  forward_request_refuse (f, r, 503, BERYL_REFUSAL_QUARANTINED,
+                          parts_ms > request_ms ? parts_ms : request_ms,
                           now_ms);
   return true;
 }
--- a/libberyl/forward/forward.c
+++ b/libberyl/forward/forward.c
@@ -181,6 +181,7 @@
 {
   f->nodes = nodes > 0 ? nodes : 1;
   beryl_admission_set_nodes (f->admission, f->nodes);
+  beryl_quarantine_set_fleet (f->quarantine, f->nodes, f->settings.seed);
   beryl_quotas_set_fleet (f->quotas, f->nodes,
                           f->run_table.report_interval_ms);
 }
--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -265,6 +265,7 @@
                            current round */
   bool suspect;   /**< it may have crashed an endpoint, or a request with its
                      fingerprint has */
+  bool tries_parts; /**< it runs although parts of its prompt are held back */
   int64_t run_ms; /**< when its current run was sent */
   int64_t first_run_ms; /**< when its first one was; 0: never */
   int64_t waiting_since_ms;
--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -1,22 +1,9 @@
-#include "beryl/quarantine.h"
+#include "private.h"
 
 #include <stdlib.h>
-#include <sys/queue.h>
 
-#include "../base/map.h"
 #include "beryl/clock.h"
 
-/* Crashes that quarantine a request; one more is needed if another request ran
- * at the same endpoints, since either may be the cause. */
-#define CRASH_THRESHOLD 3
-/* Crashes that follow each other faster count once against a part: many
- * requests share it, and may run at all endpoints of a rack that fails. */
-#define PART_CRASH_SPACING_MS 50
-/* Bit of a fingerprint that tells a part from a request. */
-#define PART_BIT (UINT64_C (1) << 63)
-/* Crashes kept per request.  More than the threshold, because they explain
- * crashes of other requests. */
-#define CRASHES_MAX 8
 /* Time for peers to report which other requests ran at the crashed endpoints,
  * before a request with enough crashes is quarantined. */
 #define REVIEW_MS 300
@@ -28,12 +15,6 @@
 /* Older crashes do not count. */
 #define CRASH_TTL_MS INT64_C (3600000)
 #define QUARANTINE_MS INT64_C (86400000)
-/* Answered requests that are remembered, and how long they are not suspected:
- * a request that many callers send runs at all endpoints, so it would be
- * suspected of each crash when several endpoints fail at once, as in a failing
- * rack. */
-#define ANSWERED_SLOTS 4096
-#define ANSWERED_TTL_MS 60000
 /* Interval between expiry scans. */
 #define EXPIRE_INTERVAL_MS 1000
 /* Changes are announced for this long, since datagrams may be lost. */
@@ -42,59 +23,6 @@
  * cleared. */
 #define CLEARED_TTL_MS 60000
 
-enum crash_state
-{
-  CRASH_PENDING,   /* a run broke off; the endpoint may be healthy */
-  CRASH_CONFIRMED, /* the endpoint has ended */
-  CRASH_FROM_PEER,
-};
-
-struct crash
-{
-  uint32_t endpoint;
-  enum crash_state state;
-  int64_t since_ms;
-};
-
-struct suspect
-{
-  TAILQ_ENTRY (suspect) entry;
-  uint64_t fingerprint;
-  struct crash
-      crashes[CRASHES_MAX]; /* in the order in which they were added */
-  uint32_t crash_count;
-  int64_t cleared_ms;      /* 0: never */
-  bool cleared_locally;    /* cleared by an answer at this node */
-  int64_t review_until_ms; /* 0: not under review */
-  int64_t expires_ms;      /* end of the quarantine; 0: not quarantined */
-  int64_t quarantined_ms;  /* when this node learned of it */
-  bool has_record;         /* a stored record of it has been read */
-  bool record_seen; /* found in the stored records that are being read */
-};
-
-TAILQ_HEAD (suspect_list, suspect);
-
-struct answered
-{
-  uint64_t fingerprint;
-  int64_t at_ms;
-};
-
-struct beryl_quarantine
-{
-  struct beryl_quarantine_owner *owner;
-  struct suspect_list suspects; /* most recently seen last */
-  struct map by_fingerprint;
-  uint32_t tracked_count; /* entries of suspects: suspected, quarantined and
-                             recently cleared requests */
-  uint32_t quarantined;   /* quarantined ones among them */
-  uint32_t under_review;
-  uint32_t pending; /* unconfirmed crashes */
-  bool changed;
-  struct answered answered[ANSWERED_SLOTS]; /* indexed by fingerprint */
-  int64_t last_expire_ms;                   /* last expiry scan */
-};
-
 uint64_t
 beryl_quarantine_part (uint64_t digest)
 {
@@ -107,8 +35,8 @@
   return (digest & ~PART_BIT) != 0 ? digest & ~PART_BIT : 1;
 }
 
-static bool
-is_part (const struct suspect *s)
+bool
+quarantine_is_part (const struct suspect *s)
 {
   return (s->fingerprint & PART_BIT) != 0;
 }
@@ -128,6 +56,7 @@
   struct beryl_quarantine *q = calloc (1, sizeof *q);
 
   q->owner = owner;
+  q->nodes = 1;
   TAILQ_INIT (&q->suspects);
   return q;
 }
@@ -161,6 +90,14 @@
   free (s);
 }
 
+void
+beryl_quarantine_set_fleet (struct beryl_quarantine *q, uint32_t nodes,
+                            uint64_t seed)
+{
+  q->nodes = nodes > 0 ? nodes : 1;
+  q->seed = seed;
+}
+
 void
 beryl_quarantine_destroy (struct beryl_quarantine *q)
 {
@@ -180,8 +117,8 @@
   return q->tracked_count == 0;
 }
 
-static struct suspect *
-suspect_find (const struct beryl_quarantine *q, uint64_t fingerprint)
+struct suspect *
+quarantine_find (const struct beryl_quarantine *q, uint64_t fingerprint)
 {
   return map_get (&q->by_fingerprint, map_key_from_number (fingerprint));
 }
@@ -208,7 +145,7 @@
 static struct suspect *
 suspect_get (struct beryl_quarantine *q, uint64_t fingerprint)
 {
-  struct suspect *s = suspect_find (q, fingerprint);
+  struct suspect *s = quarantine_find (q, fingerprint);
 
   if (s != NULL)
     {
@@ -226,8 +163,8 @@
   return s;
 }
 
-static struct crash *
-crash_find (struct suspect *s, uint32_t endpoint)
+struct crash *
+quarantine_crash_find (struct suspect *s, uint32_t endpoint)
 {
   for (uint32_t i = 0; i < s->crash_count; i++)
     if (s->crashes[i].endpoint == endpoint)
@@ -259,7 +196,7 @@
   TAILQ_FOREACH (s, &q->suspects, entry)
   {
     const struct crash *crash
-        = s->expires_ms != 0 ? crash_find (s, endpoint) : NULL;
+        = s->expires_ms != 0 ? quarantine_crash_find (s, endpoint) : NULL;
 
     if (crash != NULL && crash->state != CRASH_PENDING)
       return true;
@@ -283,32 +220,11 @@
   return count;
 }
 
-/* Returns the number of crashes of the part S, whatever else may explain them:
- * its requests are no two alike, and each explains at most those that it has
- * caused itself. */
-static uint32_t
-count_part_crashes (const struct suspect *s)
-{
-  uint32_t count = 0;
-  int64_t last_ms = 0;
-
-  for (uint32_t i = 0; i < s->crash_count; i++)
-    {
-      const struct crash *crash = &s->crashes[i];
-
-      if (crash->state == CRASH_PENDING
-          || (count > 0 && crash->since_ms - last_ms < PART_CRASH_SPACING_MS))
-        continue;
-      count++;
-      last_ms = crash->since_ms;
-    }
-  return count;
-}
-
 static uint32_t
 count_crashes (const struct beryl_quarantine *q, const struct suspect *s)
 {
-  return is_part (s) ? count_part_crashes (s) : count_unexplained (q, s);
+  return quarantine_is_part (s) ? parts_count_crashes (q, s)
+                                : count_unexplained (q, s);
 }
 
 static bool
@@ -320,7 +236,7 @@
       const struct crash *crash = &s->crashes[i];
 
       if (is_unexplained (q, crash)
-          && crash_find (other, crash->endpoint) == NULL)
+          && quarantine_crash_find (other, crash->endpoint) == NULL)
         return false;
     }
   return true;
@@ -334,50 +250,14 @@
   struct suspect *other = NULL;
 
   TAILQ_FOREACH (other, &q->suspects, entry)
-  if (other != s && !is_part (other) && other->expires_ms == 0
+  if (other != s && !quarantine_is_part (other) && other->expires_ms == 0
       && ran_at_all_crashes (q, other, s))
     return true;
   return false;
 }
 
-static bool
-ran_wherever (struct suspect *other, const struct suspect *s)
-{
-  for (uint32_t i = 0; i < s->crash_count; i++)
-    if (s->crashes[i].state != CRASH_PENDING
-        && crash_find (other, s->crashes[i].endpoint) == NULL)
-      return false;
-  return s->crash_count > 0;
-}
-
-static bool
-contains (const uint64_t *parts, size_t count, uint64_t part)
-{
-  for (size_t i = 0; i < count; i++)
-    if (parts[i] == part)
-      return true;
-  return false;
-}
-
-/* Returns whether a request with PARTS, S among them, may be sound although S
- * is held back: another part was there at all crashes of S, and is not among
- * PARTS. If it runs and crashes its endpoint, that part is out of question. */
-static bool
-may_be_sound (const struct beryl_quarantine *q, const struct suspect *s,
-              const uint64_t *parts, size_t count)
-{
-  struct suspect *other = NULL;
-
-  TAILQ_FOREACH (other, &q->suspects, entry)
-  if (other != s && is_part (other)
-      && !contains (parts, count, other->fingerprint)
-      && ran_wherever (other, s))
-    return true;
-  return false;
-}
-
-static bool
-has_confirmed_crash (const struct suspect *s)
+bool
+quarantine_has_confirmed_crash (const struct suspect *s)
 {
   for (uint32_t i = 0; i < s->crash_count; i++)
     if (s->crashes[i].state == CRASH_CONFIRMED)
@@ -392,11 +272,14 @@
                   int64_t remaining_ms, enum beryl_quarantine_cause cause,
                   int64_t now_ms)
 {
-  if (cause == BERYL_QUARANTINE_FROM_PEER && has_confirmed_crash (s))
+  if (cause == BERYL_QUARANTINE_FROM_PEER
+      && quarantine_has_confirmed_crash (s))
     cause = BERYL_QUARANTINE_CRASHES;
   review_end (q, s);
   s->expires_ms = now_ms + remaining_ms;
   s->quarantined_ms = now_ms;
+  s->tries = 0;
+  parts_put_off_try (q, s, now_ms);
   q->quarantined++;
   q->changed = true;
   q->owner->impl->changed (q->owner, s->fingerprint, remaining_ms, cause,
@@ -420,7 +303,7 @@
 
   return count > CRASH_THRESHOLD
          || (count == CRASH_THRESHOLD
-             && (is_part (s) || !is_ambiguous (q, s)));
+             && (quarantine_is_part (s) || !is_ambiguous (q, s)));
 }
 
 /* The review holds the request back before it is quarantined: the node that
@@ -514,17 +397,28 @@
   if (fingerprint == 0 || was_answered (q, fingerprint, now_ms))
     return;
   s = suspect_get (q, fingerprint);
-  if (crash_find (s, endpoint) == NULL)
+  if (quarantine_crash_find (s, endpoint) == NULL)
     crash_add (q, s, endpoint, CRASH_PENDING, now_ms);
 }
 
+/* S has crashed one more endpoint: one that is held back has run, as a try. */
+static void
+crash_counted (const struct beryl_quarantine *q, struct suspect *s,
+               int64_t now_ms)
+{
+  if (s->expires_ms == 0)
+    return;
+  s->tries++;
+  parts_put_off_try (q, s, now_ms);
+}
+
 /* Confirms a pending crash of S at the endpoint.  Returns whether there was
  * one. */
 static bool
 confirm (struct beryl_quarantine *q, struct suspect *s, uint32_t endpoint,
          int64_t now_ms)
 {
-  struct crash *crash = crash_find (s, endpoint);
+  struct crash *crash = quarantine_crash_find (s, endpoint);
 
   if (crash == NULL || crash->state != CRASH_PENDING
       || now_ms - crash->since_ms > CONFIRM_MS)
@@ -533,6 +427,7 @@
   crash->since_ms = now_ms;
   q->pending--;
   q->changed = true;
+  crash_counted (q, s, now_ms);
   return true;
 }
 
@@ -552,7 +447,7 @@
   if (!any)
     return false;
   TAILQ_FOREACH (s, &q->suspects, entry)
-  if (crash_find (s, endpoint) != NULL)
+  if (quarantine_crash_find (s, endpoint) != NULL)
     check_crashes (q, s, now_ms);
   return true;
 }
@@ -573,7 +468,7 @@
 beryl_quarantine_run_answered (struct beryl_quarantine *q,
                                uint64_t fingerprint, int64_t now_ms)
 {
-  struct suspect *s = suspect_find (q, fingerprint);
+  struct suspect *s = quarantine_find (q, fingerprint);
 
   q->answered[answered_slot (fingerprint)]
       = (struct answered){ fingerprint, now_ms };
@@ -590,8 +485,8 @@
   return q->quarantined + q->under_review > 0;
 }
 
-static int64_t
-remaining_ms (const struct suspect *s, int64_t now_ms)
+int64_t
+quarantine_left_ms (const struct suspect *s, int64_t now_ms)
 {
   int64_t until_ms;
 
@@ -607,34 +502,14 @@
 {
   if (!beryl_quarantine_holds_any (q))
     return 0;
-  return remaining_ms (suspect_find (q, fingerprint), now_ms);
-}
-
-int64_t
-beryl_quarantine_parts_remaining_ms (const struct beryl_quarantine *q,
-                                     const uint64_t *parts, size_t count,
-                                     int64_t now_ms)
-{
-  int64_t longest_ms = 0;
-
-  if (!beryl_quarantine_holds_any (q))
-    return 0;
-  for (size_t i = 0; i < count; i++)
-    {
-      const struct suspect *s = suspect_find (q, parts[i]);
-      int64_t left_ms = remaining_ms (s, now_ms);
-
-      if (left_ms > longest_ms && !may_be_sound (q, s, parts, count))
-        longest_ms = left_ms;
-    }
-  return longest_ms;
+  return quarantine_left_ms (quarantine_find (q, fingerprint), now_ms);
 }
 
 bool
 beryl_quarantine_is_suspect (const struct beryl_quarantine *q,
                              uint64_t fingerprint)
 {
-  const struct suspect *s = suspect_find (q, fingerprint);
+  const struct suspect *s = quarantine_find (q, fingerprint);
 
   return s != NULL && s->crash_count > 0;
 }
@@ -749,7 +624,7 @@
 apply_crash (struct beryl_quarantine *q, const struct beryl_crash *reported,
              int64_t now_ms)
 {
-  struct suspect *s = suspect_find (q, reported->fingerprint);
+  struct suspect *s = quarantine_find (q, reported->fingerprint);
   struct crash *crash;
 
   /* An endpoint that a peer found to have ended has ended for the runs of this
@@ -759,7 +634,7 @@
       || clear_if_answered (q, reported->fingerprint, now_ms))
     return;
   s = suspect_get (q, reported->fingerprint);
-  crash = crash_find (s, reported->endpoint);
+  crash = quarantine_crash_find (s, reported->endpoint);
   if (crash == NULL)
     crash_add (q, s, reported->endpoint, CRASH_FROM_PEER, now_ms);
   else if (crash->state == CRASH_PENDING)
@@ -769,6 +644,7 @@
     }
   else
     return;
+  crash_counted (q, s, now_ms);
   check_crashes (q, s, now_ms);
 }
 
@@ -777,7 +653,7 @@
                    int64_t remaining_ms, enum beryl_quarantine_cause cause,
                    int64_t now_ms)
 {
-  struct suspect *s = suspect_find (q, fingerprint);
+  struct suspect *s = quarantine_find (q, fingerprint);
 
   if (fingerprint == 0 || remaining_ms <= 0 || was_cleared (s, now_ms)
       || (s != NULL && s->expires_ms != 0)
@@ -796,7 +672,7 @@
 {
   for (size_t i = 0; i < update->cleared_count; i++)
     {
-      struct suspect *s = suspect_find (q, update->cleared[i]);
+      struct suspect *s = quarantine_find (q, update->cleared[i]);
 
       if (s != NULL && !was_cleared (s, now_ms))
         suspect_clear (q, s, BERYL_QUARANTINE_ANSWERED, now_ms);
@@ -826,7 +702,7 @@
 
   apply_quarantined (q, fingerprint, remaining_ms, BERYL_QUARANTINE_STORED,
                      now_ms);
-  s = suspect_find (q, fingerprint);
+  s = quarantine_find (q, fingerprint);
   if (s == NULL || s->expires_ms == 0)
     return false;
   s->has_record = true;
--- a/tests/gateway/test_prompt_parts.c
+++ b/tests/gateway/test_prompt_parts.c
@@ -150,6 +150,30 @@
 }
 END_TEST
 
+/* Guards against one request that crashes engines by itself and takes the
+   parts with it that it shares with all others, at nodes that have served
+   nothing yet. */
+START_TEST (test_request_crashes_engines)
+{
+  for (size_t i = 0; i < 12 && standin_counts (t.standin)->crashes < 4; i++)
+    {
+      testbed_wait (&t,
+                    send_prompt (i % NODES, "shared:200,more:100,bad:700"));
+      testbed_run (&t, 100);
+    }
+  ck_assert_uint_ge (standin_counts (t.standin)->crashes, 3);
+  testbed_run (&t, CONTACT_MS);
+  for (size_t i = 0; i < REQUESTS; i++)
+    {
+      struct testbed_response *response
+          = send_prompt (i % NODES, "shared:200,more:100,own%zu:700", i);
+
+      testbed_wait (&t, response);
+      ck_assert_uint_eq (response->status, 200);
+    }
+}
+END_TEST
+
 /* Guards against a node that has just started and lets the part through. */
 START_TEST (test_node_starts_later)
 {
@@ -179,6 +203,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, test_part_crashes_engines, 0, PLACES);
   tcase_add_loop_test (tcase, test_part_crashes_engines_at_once, 0, PLACES);
+  tcase_add_test (tcase, test_request_crashes_engines);
   tcase_add_test (tcase, test_node_starts_later);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
--- a/tests/quarantine/test_parts.c
+++ b/tests/quarantine/test_parts.c
@@ -228,6 +228,134 @@
 }
 END_TEST
 
+/* The same of request NUMBER, which is a suspect as well. */
+static void
+crash_by (int n, uint64_t number, uint64_t first, uint64_t second,
+          uint32_t endpoint)
+{
+  beryl_quarantine_run_broken (nodes[n].quarantine,
+                               beryl_quarantine_request (number), endpoint,
+                               now_ms);
+  crash (n, first, second, endpoint);
+}
+
+static bool
+may_try (int n, uint64_t first, uint64_t second)
+{
+  uint64_t parts[] = { part (first), part (second) };
+
+  return beryl_quarantine_try_parts (nodes[n].quarantine, parts, 2, now_ms);
+}
+
+/* Guards against sound parts that are held back because one request has them
+   and crashes endpoints by itself; also at a node that only hears of it. */
+START_TEST (test_one_request_comes_again)
+{
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      crash_by (0, 50, 1, 2, 1 + i);
+      send_update (0, 1);
+      pass (APART_MS);
+    }
+  pass (400);
+  for (int n = 0; n < NODES; n++)
+    {
+      ck_assert_int_gt (
+          beryl_quarantine_remaining_ms (
+              nodes[n].quarantine, beryl_quarantine_request (50), now_ms),
+          0);
+      ck_assert (!is_held (n, 1, 2));
+    }
+}
+END_TEST
+
+/* Guards against the same by two such requests, and against a part that is
+   never held back as its requests come again. */
+START_TEST (test_requests_come_again)
+{
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      crash_by (0, 50 + i / 3, 1, 2, 1 + i);
+      pass (APART_MS);
+    }
+  pass (400);
+  ck_assert (!is_held (0, 1, 2));
+  crash_by (0, 60, 1, 2, 10);
+  pass (400);
+  ck_assert (is_held (0, 1, 2));
+}
+END_TEST
+
+/* Guards against a sound part that is held back for a day: nothing runs that
+   could prove it sound, unless one request is let through. */
+START_TEST (test_held_part_is_tried)
+{
+  crash_three (1, 2, 1);
+  send_update (0, 1);
+  ck_assert (is_held (0, 1, 2));
+  ck_assert (!may_try (0, 1, 2));
+  pass (20000);
+  ck_assert (may_try (0, 1, 2));
+  ck_assert (!may_try (0, 1, 2));
+  ck_assert (is_held (0, 1, 2));
+  written (0, 1);
+  written (0, 2);
+  ck_assert (!is_held (0, 1, 2));
+  send_update (0, 1);
+  ck_assert (!is_held (1, 1, 2));
+}
+END_TEST
+
+/* Guards against tries that take down one endpoint after the other. */
+START_TEST (test_tries_become_rare)
+{
+  uint32_t tries = 0;
+
+  crash_three (1, 2, 1);
+  for (int64_t ms = 0; ms < 3600000; ms += 500)
+    {
+      pass (500);
+      if (!may_try (0, 1, 2))
+        continue;
+      tries++;
+      crash (0, 1, 2, 100 + tries);
+      if (ms < 60000)
+        ck_assert_uint_le (tries, 2);
+    }
+  ck_assert_uint_le (tries, 6);
+  ck_assert_uint_ge (tries, 2);
+}
+END_TEST
+
+/* Guards against all nodes of a large fleet trying at the same moment what
+   they have read from the records. */
+START_TEST (test_fleet_tries_one_after_the_other)
+{
+  const uint32_t fleet = 400;
+  uint32_t due[100] = { 0 };
+
+  for (uint32_t i = 0; i < fleet; i++)
+    {
+      struct beryl_quarantine_owner owner = { &impl };
+      struct beryl_quarantine *q = beryl_quarantine_create (&owner);
+      uint64_t parts[] = { part (1) };
+      int64_t ms = 0;
+
+      beryl_quarantine_set_fleet (q, fleet, 1000 + i);
+      beryl_quarantine_record_read (q, parts[0], 86000000, now_ms);
+      while (ms < 5000000
+             && !beryl_quarantine_try_parts (q, parts, 1, now_ms + ms))
+        ms += 1000;
+      ck_assert_int_ge (ms, 40000);
+      if (ms / 60000 < 100)
+        due[ms / 60000]++;
+      beryl_quarantine_destroy (q);
+    }
+  for (size_t i = 0; i < 100; i++)
+    ck_assert_uint_le (due[i], 20);
+}
+END_TEST
+
 /* Guards against a part that is taken for a request of the same digest. */
 START_TEST (test_part_is_no_request)
 {
@@ -257,6 +385,11 @@
   tcase_add_test (tcase, test_two_culprits);
   tcase_add_test (tcase, test_new_parts_with_each_request);
   tcase_add_test (tcase, test_part_is_no_request);
+  tcase_add_test (tcase, test_one_request_comes_again);
+  tcase_add_test (tcase, test_requests_come_again);
+  tcase_add_test (tcase, test_held_part_is_tried);
+  tcase_add_test (tcase, test_tries_become_rare);
+  tcase_add_test (tcase, test_fleet_tries_one_after_the_other);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
