quarantine: neighbours of a part that crashes endpoints are not blamed

Cause: only other requests made the crashes of a request ambiguous, not a part that several of them have.

Change: a part that was there at all crashes of a request, and that two other requests explain as well, may be their cause: one more crash is needed.

--- a/libberyl/quarantine/parts.c
+++ b/libberyl/quarantine/parts.c
@@ -48,17 +48,20 @@
   return ran;
 }
 
-/* Returns the request that ran at most of ENDPOINTS, or NULL. */
+/* Returns the request other than EXCEPT that ran at most of ENDPOINTS, or
+ * NULL.
+ */
 static struct suspect *
 most_frequent_request (const struct beryl_quarantine *q,
-                       const uint32_t *endpoints, uint32_t count)
+                       const struct suspect *except, const uint32_t *endpoints,
+                       uint32_t count)
 {
   struct suspect *request = NULL, *most = NULL;
   uint32_t most_ran = 0;
 
   TAILQ_FOREACH (request, &q->suspects, entry)
   {
-    uint32_t ran = quarantine_is_part (request)
+    uint32_t ran = quarantine_is_part (request) || request == except
                        ? 0
                        : count_ran_at (request, endpoints, count);
 
@@ -92,7 +95,8 @@
 
   while (left > 0 && requests < CRASH_THRESHOLD)
     {
-      struct suspect *request = most_frequent_request (q, endpoints, left);
+      struct suspect *request
+          = most_frequent_request (q, NULL, endpoints, left);
 
       requests++;
       left = request != NULL ? remove_ran_at (request, endpoints, left)
@@ -101,6 +105,26 @@
   return requests;
 }
 
+uint32_t
+parts_count_other_requests (const struct beryl_quarantine *q,
+                            const struct suspect *s,
+                            const struct suspect *request)
+{
+  uint32_t endpoints[CRASHES_MAX];
+  uint32_t left = counted_endpoints (s, endpoints);
+  uint32_t requests = 0;
+  struct suspect *other;
+
+  while (left > 0
+         && (other = most_frequent_request (q, request, endpoints, left))
+                != NULL)
+    {
+      requests++;
+      left = remove_ran_at (other, endpoints, left);
+    }
+  return requests;
+}
+
 static bool
 ran_wherever (struct suspect *other, const struct suspect *s)
 {
--- a/libberyl/quarantine/private.h
+++ b/libberyl/quarantine/private.h
@@ -106,6 +106,12 @@
 uint32_t parts_count_crashes (const struct beryl_quarantine *q,
                               const struct suspect *s);
 
+/** Return how many requests other than REQUEST, no two alike, were there at
+ * the crashes of the part S. */
+uint32_t parts_count_other_requests (const struct beryl_quarantine *q,
+                                     const struct suspect *s,
+                                     const struct suspect *request);
+
 /** The part S is held back from now on, or has crashed one more endpoint
  * since: put off the next try. */
 void parts_put_off_try (const struct beryl_quarantine *q, struct suspect *s,
--- a/libberyl/quarantine/quarantine.c
+++ b/libberyl/quarantine/quarantine.c
@@ -242,16 +242,27 @@
   return true;
 }
 
-/* Returns whether another request ran at all endpoints whose crashes count
- * against S. */
+/* Returns whether OTHER may be the cause of the crashes that S is suspected
+ * of: a request, or a part that several others have as well. */
+static bool
+may_be_cause (const struct beryl_quarantine *q, const struct suspect *other,
+              const struct suspect *s)
+{
+  return other->expires_ms == 0
+         && (!quarantine_is_part (other)
+             || parts_count_other_requests (q, other, s) > 1);
+}
+
+/* Returns whether another one ran at all endpoints whose crashes count against
+ * S. */
 static bool
 is_ambiguous (const struct beryl_quarantine *q, const struct suspect *s)
 {
   struct suspect *other = NULL;
 
   TAILQ_FOREACH (other, &q->suspects, entry)
-  if (other != s && !quarantine_is_part (other) && other->expires_ms == 0
-      && ran_at_all_crashes (q, other, s))
+  if (other != s && ran_at_all_crashes (q, other, s)
+      && may_be_cause (q, other, s))
     return true;
   return false;
 }
--- a/tests/quarantine/test_parts.c
+++ b/tests/quarantine/test_parts.c
@@ -286,6 +286,25 @@
 }
 END_TEST
 
+/* Guards against a request that is blamed as it ran beside others at three
+   endpoints which a part of theirs has crashed. */
+START_TEST (test_neighbour)
+{
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      beryl_quarantine_run_broken (
+          nodes[0].quarantine, beryl_quarantine_request (40), 1 + i, now_ms);
+      crash_by (0, i < 3 ? 50 + i / 2 : 60, 1, 7, 1 + i);
+      pass (APART_MS + 400);
+      if (i < 3)
+        ck_assert_int_eq (
+            beryl_quarantine_remaining_ms (
+                nodes[0].quarantine, beryl_quarantine_request (40), now_ms),
+            0);
+    }
+}
+END_TEST
+
 /* Guards against a sound part that is held back for a day: nothing runs that
    could prove it sound, unless one request is let through. */
 START_TEST (test_held_part_is_tried)
@@ -387,6 +406,7 @@
   tcase_add_test (tcase, test_part_is_no_request);
   tcase_add_test (tcase, test_one_request_comes_again);
   tcase_add_test (tcase, test_requests_come_again);
+  tcase_add_test (tcase, test_neighbour);
   tcase_add_test (tcase, test_held_part_is_tried);
   tcase_add_test (tcase, test_tries_become_rare);
   tcase_add_test (tcase, test_fleet_tries_one_after_the_other);
