forward: an only event far ahead is not lost with its connection

Cause: a stream that ends with its connection before its first event counts as cut off, also with an event that waits.

Change: it counts so only if nothing waits. Its end is confirmed by a dial as that of other such answers; where it may run again, by a second run first.

--- a/libberyl/forward/answer.c
+++ b/libberyl/forward/answer.c
@@ -482,7 +482,7 @@
   if (event_splitter_partial (&x->pieces))
     return true;
   return x->head.ends_with_connection
-         && (r->run_events == 0 || x->may_be_stopped);
+         && ((r->run_events == 0 && x->held.count == 0) || x->may_be_stopped);
 }
 
 /* Returns whether X's stream has ended before its first event. One that goes
@@ -575,15 +575,28 @@
   answer_interrupted (f, x, BERYL_FAILURE_CLOSED, true, now_ms);
 }
 
+/* Returns whether X's stream, which ends with an event that waits, is believed
+   without a second run. One that ends with its connection may also have been
+   cut off: as its only event, such an event is not believed if it may run
+   again. */
+static bool
+ends_in_order (const struct request *r, const struct exchange *x)
+{
+  if (x->head.ends_with_connection && r->run_events == 0
+      && r->route->resumable)
+    return false;
+  return event_sequence_ends (&x->sequence, &x->endpoint->event_numbering,
+                              &r->service->event_numbering,
+                              held_events_jumps (&x->held, &x->sequence));
+}
+
 /* Returns whether X's stream ends with an event that nothing confirms, for the
    first time: a second run that ends with the same one does. */
 static bool
 ends_unconfirmed (struct request *r, const struct exchange *x)
 {
   if (x->held.count == 0 || r->unconfirmed_id == held_events_last_id (&x->held)
-      || event_sequence_ends (&x->sequence, &x->endpoint->event_numbering,
-                              &r->service->event_numbering,
-                              held_events_jumps (&x->held, &x->sequence)))
+      || ends_in_order (r, x))
     return false;
   r->unconfirmed_id = held_events_last_id (&x->held);
   return true;
--- a/tests/forward/test_numbering.c
+++ b/tests/forward/test_numbering.c
@@ -236,6 +236,29 @@
 }
 END_TEST
 
+/* Guards against the only event of an answer being lost where it ends with its
+   connection and its engine lives on; one that may run again is proved by a
+   second run. */
+START_TEST (test_only_event_unframed)
+{
+  struct fx_exchange *run;
+
+  use_route (_i == 1);
+  fx_arrive (&fx, 1);
+  for (int runs = 0; runs < 1 + _i; runs++)
+    {
+      run = fx_to_run (&fx, 1);
+      fx_stream_unframed (&fx, run);
+      fx_event (&fx, run, 70);
+      ck_assert (!answer (1)->begun);
+      fx_done (&fx, run);
+    }
+  fx_ok (&fx, open_of (1, BERYL_EXCHANGE_DIAL), "");
+  ck_assert (answer (1)->whole);
+  ck_assert_str_eq (answer (1)->body->str, "id: 70\ndata: e70\n\n");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -247,6 +270,7 @@
   tcase_add_loop_test (tcase, test_release, 0, 2 * ROWS);
   tcase_add_loop_test (tcase, test_engine_changes, 0, 2 * ROWS);
   tcase_add_loop_test (tcase, test_odd_end, 0, 2);
+  tcase_add_loop_test (tcase, test_only_event_unframed, 0, 2);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
