soak: a Retry-After of some seconds tells that a request is blamed

The judge of BLAMED looked for more than 60 s.

Change: it looks for more than 8 s, so that it sees at least what it saw.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -19,7 +19,7 @@
 STREAM_TYPE = "text/event-stream"
 # A stream without an event for so long is given up.
 GAP_S = 2.5
-LATE_RETRY_S = 60
+LATE_RETRY_S = 8
 # For all of a run, so that callers still come to nodes that are cut.
 KEPT_LONG_S = 60
 # Callers may use a connection that has rested for this part of the limit.
