--- a/libberyl/forward/private.h
+++ b/libberyl/forward/private.h
@@ -120,7 +120,7 @@
   uint64_t comment_bytes;       /**< since the last event */
   struct event_splitter pieces; /**< of a stream of numbered events */
   struct event_sequence sequence;
-  bool may_be_stopped; /* a move may have stopped its run */
+  bool may_be_stopped;     /* a move may have stopped its run */
   struct held_events held; /**< those that only later ones confirm */
   size_t remembered_bytes; /**< of pieces and held; in the forwarder's sum */
   bool paused;
@@ -263,10 +263,10 @@
   bool sound_engines;   /**< others break none, when the gate decided */
   uint32_t failed_asks; /**< engines that refused or did not answer in the
                            current round */
-  bool suspect;   /**< it may have crashed an endpoint, or a request with its
-                     fingerprint has */
+  bool suspect;     /**< it may have crashed an endpoint, or a request with its
+                       fingerprint has */
   bool tries_parts; /**< it runs although parts of its prompt are held back */
-  int64_t run_ms; /**< when its current run was sent */
+  int64_t run_ms;   /**< when its current run was sent */
   int64_t first_run_ms; /**< when its first one was; 0: never */
   int64_t waiting_since_ms;
   const char *wait_reason; /**< last logged reason to wait; NULL if none */
